--- /dev/null
+++ b/Source/Core/Json.cpp
@@ -0,0 +1,84 @@
+#include "Core/Json.h"
+
+#include <memory>
+
+#include <json/reader.h>
+#include <json/writer.h>
+
+namespace jacinthroad {
+
+namespace {
+
+constexpr int MaximumNesting = 64;
+
+Json::CharReaderBuilder makeReaderBuilder()
+{
+    Json::CharReaderBuilder builder;
+    builder["collectComments"] = false;
+    builder["allowComments"] = true;
+    builder["rejectDupKeys"] = true;
+    builder["failIfExtra"] = true;
+    builder["stackLimit"] = MaximumNesting;
+    return builder;
+}
+
+std::string firstFault(const std::string &report)
+{
+    // jsoncpp writes "* Line 3, Column 7\n  Syntax error: ...\n" for each fault.
+    std::string text;
+    for (const char letter : report) {
+        if (letter == '\n') {
+            if (text.find(':') != std::string::npos) {
+                break;
+            }
+            text += ':';
+            continue;
+        }
+        if (letter != '*') {
+            text += letter;
+        }
+    }
+    const auto start = text.find_first_not_of(' ');
+    return start == std::string::npos ? report : text.substr(start);
+}
+
+} // namespace
+
+Result<Json::Value> parseJson(std::string_view text)
+{
+    static const Json::CharReaderBuilder Builder = makeReaderBuilder();
+    const std::unique_ptr<Json::CharReader> reader(Builder.newCharReader());
+    Json::Value value;
+    std::string report;
+    try {
+        if (reader->parse(text.data(), text.data() + text.size(), &value, &report)) {
+            return value;
+        }
+    } catch (const Json::Exception &failure) {
+        report = failure.what();
+    }
+    return makeError(ErrorKind::InvalidRequest, "not valid JSON: " + firstFault(report),
+                     "Correct the JSON at the named line.");
+}
+
+std::string writeJson(const Json::Value &value)
+{
+    static const Json::StreamWriterBuilder Builder = [] {
+        Json::StreamWriterBuilder builder;
+        builder["indentation"] = "";
+        builder["emitUTF8"] = true;
+        return builder;
+    }();
+    return Json::writeString(Builder, value);
+}
+
+std::string writeJsonIndented(const Json::Value &value)
+{
+    Json::StreamWriterBuilder builder;
+    builder["indentation"] = "  ";
+    builder["emitUTF8"] = true;
+    builder["precision"] = 6;
+    return Json::writeString(builder, value) + "\n";
+}
+
+} // namespace jacinthroad
--- /dev/null
+++ b/Source/Core/Log.cpp
@@ -0,0 +1,115 @@
+#include "Core/Log.h"
+
+#include <array>
+#include <atomic>
+#include <chrono>
+#include <ctime>
+#include <iostream>
+#include <string>
+
+#include <boost/log/core.hpp>
+#include <boost/log/expressions.hpp>
+#include <boost/log/sources/record_ostream.hpp>
+#include <boost/log/sources/severity_logger.hpp>
+#include <boost/log/utility/setup/console.hpp>
+#include <json/value.h>
+
+#include "Core/Json.h"
+#include "Core/Overloaded.h"
+
+namespace jacinthroad {
+
+namespace {
+
+using Logger = boost::log::sources::severity_logger_mt<int>;
+
+std::atomic<LogLevel> minimumLevel { LogLevel::Info };
+std::atomic<bool> jsonLines { true };
+
+std::string_view levelName(LogLevel level)
+{
+    constexpr std::array<std::string_view, 4> Names { "debug", "info", "warning", "error" };
+    return Names[static_cast<std::size_t>(level)];
+}
+
+std::string utcNow()
+{
+    const auto now = std::chrono::system_clock::now();
+    const std::time_t seconds = std::chrono::system_clock::to_time_t(now);
+    const auto milliseconds
+        = std::chrono::duration_cast<std::chrono::milliseconds>(now.time_since_epoch()).count()
+        % 1000;
+    std::tm parts {};
+    gmtime_r(&seconds, &parts);
+    std::array<char, 64> text {};
+    const std::size_t length = std::strftime(text.data(), text.size(), "%Y-%m-%dT%H:%M:%S", &parts);
+    std::string fraction = std::to_string(1000 + milliseconds);
+    fraction[0] = '.';
+    return std::string(text.data(), length) + fraction + "Z";
+}
+
+Logger &logger()
+{
+    static Logger instance;
+    return instance;
+}
+
+std::string jsonText(LogLevel level, std::string_view event,
+                     std::initializer_list<LogField> fields)
+{
+    Json::Value line;
+    line["time"] = utcNow();
+    line["level"] = std::string(levelName(level));
+    line["event"] = std::string(event);
+    for (const LogField &field : fields) {
+        Json::Value &slot = line[std::string(field.name)];
+        std::visit(Overloaded {
+                       [&](std::string_view text) { slot = std::string(text); },
+                       [&](std::int64_t number) { slot = Json::Int64(number); },
+                       [&](double number) { slot = number; },
+                   },
+                   field.value);
+    }
+    return writeJson(line);
+}
+
+std::string plainText(LogLevel level, std::string_view event,
+                      std::initializer_list<LogField> fields)
+{
+    std::string line = utcNow();
+    line.append(" ").append(levelName(level)).append(" ").append(event);
+    for (const LogField &field : fields) {
+        line.append(" ").append(field.name).append("=");
+        std::visit(Overloaded {
+                       [&](std::string_view text) { line.append(text); },
+                       [&](std::int64_t number) { line.append(std::to_string(number)); },
+                       [&](double number) { line.append(std::to_string(number)); },
+                   },
+                   field.value);
+    }
+    return line;
+}
+
+} // namespace
+
+void configureLog(const LogOptions &options)
+{
+    minimumLevel = options.minimumLevel;
+    jsonLines = options.json;
+    boost::log::core::get()->remove_all_sinks();
+    boost::log::add_console_log(std::clog, boost::log::keywords::format = boost::log::expressions::stream
+                                    << boost::log::expressions::smessage,
+                                boost::log::keywords::auto_flush = true);
+}
+
+void logLine(LogLevel level, std::string_view event, std::initializer_list<LogField> fields)
+{
+    if (level < minimumLevel.load(std::memory_order_relaxed)) {
+        return;
+    }
+    const std::string line
+        = jsonLines ? jsonText(level, event, fields) : plainText(level, event, fields);
+    BOOST_LOG_SEV(logger(), static_cast<int>(level)) << line;
+}
+
+} // namespace jacinthroad
