--- /dev/null
+++ b/Source/EngineClient/SseParser.cpp
@@ -0,0 +1,69 @@
+#include "EngineClient/SseParser.h"
+
+#include <utility>
+
+namespace jacinthroad {
+
+namespace {
+
+std::string_view fieldValue(std::string_view line, std::size_t colon)
+{
+    std::string_view value = line.substr(colon + 1);
+    if (value.starts_with(' ')) {
+        value.remove_prefix(1);
+    }
+    return value;
+}
+
+} // namespace
+
+bool SseParser::feed(std::string_view bytes, const EventHandler &handler)
+{
+    while (true) {
+        const auto end = bytes.find('\n');
+        if (end == std::string_view::npos) {
+            rest_.append(bytes);
+            return rest_.size() + data_.size() <= MaximumEventBytes;
+        }
+        if (rest_.empty()) {
+            line(bytes.substr(0, end), handler);
+        } else {
+            rest_.append(bytes.substr(0, end));
+            const std::string whole = std::exchange(rest_, {});
+            line(whole, handler);
+        }
+        bytes.remove_prefix(end + 1);
+        if (data_.size() > MaximumEventBytes) {
+            return false;
+        }
+    }
+}
+
+void SseParser::line(std::string_view text, const EventHandler &handler)
+{
+    if (text.ends_with('\r')) {
+        text.remove_suffix(1);
+    }
+    if (text.empty()) {
+        if (!data_.empty()) {
+            handler(id_, data_);
+            data_.clear();
+        }
+        return;
+    }
+    const auto colon = text.find(':');
+    if (colon == 0 || colon == std::string_view::npos) {
+        return;
+    }
+    const std::string_view name = text.substr(0, colon);
+    if (name == "data") {
+        if (!data_.empty()) {
+            data_.push_back('\n');
+        }
+        data_.append(fieldValue(text, colon));
+    } else if (name == "id") {
+        id_ = fieldValue(text, colon);
+    }
+}
+
+} // namespace jacinthroad
--- /dev/null
+++ b/Source/Http/HttpClient.cpp
@@ -0,0 +1,353 @@
+#include "Http/HttpClient.h"
+
+#include <future>
+#include <mutex>
+#include <thread>
+#include <unordered_map>
+#include <utility>
+#include <variant>
+#include <vector>
+
+#include <curl/curl.h>
+
+#include "Core/Overloaded.h"
+
+namespace jacinthroad {
+
+namespace {
+
+constexpr int PollMilliseconds = 1000;
+constexpr long KeptConnections = 256;
+
+struct CurlList
+{
+    curl_slist *head = nullptr;
+    CurlList() = default;
+    CurlList(const CurlList &) = delete;
+    CurlList &operator=(const CurlList &) = delete;
+    ~CurlList() { curl_slist_free_all(head); }
+    void append(const std::string &line) { head = curl_slist_append(head, line.c_str()); }
+};
+
+struct Transfer
+{
+    HttpClient::CallId id = 0;
+    CURL *handle = nullptr;
+    HttpCall call;
+    HttpCallEvents events;
+    CurlList headerLines;
+    HttpHeaders headers;
+    bool headersReported = false;
+};
+
+void reportHeaders(Transfer &transfer)
+{
+    if (transfer.headersReported) {
+        return;
+    }
+    transfer.headersReported = true;
+    long status = 0;
+    curl_easy_getinfo(transfer.handle, CURLINFO_RESPONSE_CODE, &status);
+    if (transfer.events.onHeaders) {
+        transfer.events.onHeaders(static_cast<int>(status), transfer.headers);
+    }
+}
+
+size_t onBody(char *bytes, size_t, size_t count, void *context)
+{
+    auto &transfer = *static_cast<Transfer *>(context);
+    reportHeaders(transfer);
+    if (transfer.events.onData && !transfer.events.onData({ bytes, count })) {
+        return CURL_WRITEFUNC_PAUSE;
+    }
+    return count;
+}
+
+size_t onHeaderLine(char *bytes, size_t, size_t count, void *context)
+{
+    auto &transfer = *static_cast<Transfer *>(context);
+    const std::string_view line(bytes, count);
+    if (line.starts_with("HTTP/")) {
+        transfer.headers.clear();
+        return count;
+    }
+    const auto colon = line.find(':');
+    if (colon == std::string_view::npos) {
+        return count;
+    }
+    std::string_view value = line.substr(colon + 1);
+    const auto first = value.find_first_not_of(" \t");
+    const auto last = value.find_last_not_of(" \t\r\n");
+    value = first == std::string_view::npos ? std::string_view()
+                                            : value.substr(first, last - first + 1);
+    transfer.headers.emplace_back(toLower(line.substr(0, colon)), value);
+    return count;
+}
+
+CallOutcome outcomeOf(CURL *handle, CURLcode code)
+{
+    if (code == CURLE_OK) {
+        return CallOutcome::Completed;
+    }
+    long requestBytes = 0;
+    curl_easy_getinfo(handle, CURLINFO_REQUEST_SIZE, &requestBytes);
+    if (code == CURLE_COULDNT_CONNECT || code == CURLE_URL_MALFORMAT
+        || code == CURLE_COULDNT_RESOLVE_HOST) {
+        return requestBytes == 0 ? CallOutcome::NotSent : CallOutcome::Interrupted;
+    }
+    if (code == CURLE_OPERATION_TIMEDOUT) {
+        return requestBytes == 0 ? CallOutcome::NotSent : CallOutcome::TimedOut;
+    }
+    return CallOutcome::Interrupted;
+}
+
+} // namespace
+
+/// The client's thread and what it owns.
+class HttpClient::Loop
+{
+public:
+    Loop()
+        : multi_(curl_multi_init())
+    {
+        curl_multi_setopt(multi_, CURLMOPT_MAXCONNECTS, KeptConnections);
+        thread_ = std::thread([this] { run(); });
+    }
+
+    Loop(const Loop &) = delete;
+    Loop &operator=(const Loop &) = delete;
+
+    ~Loop()
+    {
+        post(Stop {});
+        thread_.join();
+        curl_multi_cleanup(multi_);
+    }
+
+    CallId start(HttpCall call, HttpCallEvents events)
+    {
+        auto transfer = std::make_unique<Transfer>();
+        transfer->call = std::move(call);
+        transfer->events = std::move(events);
+        CallId id = 0;
+        {
+            const std::scoped_lock lock(mutex_);
+            id = ++lastId_;
+            transfer->id = id;
+            commands_.emplace_back(Start { std::move(transfer) });
+        }
+        curl_multi_wakeup(multi_);
+        return id;
+    }
+
+    void cancel(CallId id) { post(Cancel { id }); }
+    void resume(CallId id) { post(Resume { id }); }
+
+private:
+    struct Start
+    {
+        std::unique_ptr<Transfer> transfer;
+    };
+    struct Cancel
+    {
+        CallId id;
+    };
+    struct Resume
+    {
+        CallId id;
+    };
+    struct Stop
+    {
+    };
+    using Command = std::variant<Start, Cancel, Resume, Stop>;
+
+    void post(Command command)
+    {
+        {
+            const std::scoped_lock lock(mutex_);
+            commands_.push_back(std::move(command));
+        }
+        curl_multi_wakeup(multi_);
+    }
+
+    void run()
+    {
+        while (!stopping_) {
+            int running = 0;
+            curl_multi_perform(multi_, &running);
+            collectEnded();
+            if (runCommands()) {
+                continue;
+            }
+            curl_multi_poll(multi_, nullptr, 0, PollMilliseconds, nullptr);
+        }
+        while (!transfers_.empty()) {
+            end(transfers_.begin()->first, CallOutcome::Cancelled);
+        }
+    }
+
+    bool runCommands()
+    {
+        std::vector<Command> commands;
+        {
+            const std::scoped_lock lock(mutex_);
+            commands.swap(commands_);
+        }
+        for (Command &command : commands) {
+            std::visit(Overloaded {
+                           [this](Start &start) { add(std::move(start.transfer)); },
+                           [this](Cancel &cancel) { end(cancel.id, CallOutcome::Cancelled); },
+                           [this](Resume &resume) { unpause(resume.id); },
+                           [this](Stop &) { stopping_ = true; },
+                       },
+                       command);
+        }
+        return !commands.empty();
+    }
+
+    void add(std::unique_ptr<Transfer> owned)
+    {
+        Transfer &transfer = *owned;
+        transfer.handle = curl_easy_init();
+        configure(transfer);
+        byHandle_[transfer.handle] = transfer.id;
+        transfers_[transfer.id] = std::move(owned);
+        curl_multi_add_handle(multi_, transfer.handle);
+    }
+
+    static void configure(Transfer &transfer)
+    {
+        CURL *handle = transfer.handle;
+        const HttpCall &call = transfer.call;
+        curl_easy_setopt(handle, CURLOPT_URL, call.url.c_str());
+        curl_easy_setopt(handle, CURLOPT_CUSTOMREQUEST, call.method.c_str());
+        curl_easy_setopt(handle, CURLOPT_NOSIGNAL, 1L);
+        curl_easy_setopt(handle, CURLOPT_NOPROXY, "*");
+        curl_easy_setopt(handle, CURLOPT_PROTOCOLS_STR, "http,https");
+        curl_easy_setopt(handle, CURLOPT_CONNECTTIMEOUT_MS,
+                         std::max(1L, static_cast<long>(toMilliseconds(call.connectTimeout))));
+        curl_easy_setopt(handle, CURLOPT_TIMEOUT_MS,
+                         static_cast<long>(toMilliseconds(call.totalTimeout)));
+        if (!call.body.empty() || call.method == "POST" || call.method == "PUT") {
+            curl_easy_setopt(handle, CURLOPT_POSTFIELDS, call.body.c_str());
+            curl_easy_setopt(handle, CURLOPT_POSTFIELDSIZE_LARGE,
+                             static_cast<curl_off_t>(call.body.size()));
+        }
+        for (const auto &[name, value] : call.headers) {
+            transfer.headerLines.append(name + ": " + value);
+        }
+        // Without this libcurl waits for '100 Continue' before it sends a long body.
+        transfer.headerLines.append("Expect:");
+        curl_easy_setopt(handle, CURLOPT_HTTPHEADER, transfer.headerLines.head);
+        curl_easy_setopt(handle, CURLOPT_WRITEFUNCTION, onBody);
+        curl_easy_setopt(handle, CURLOPT_WRITEDATA, &transfer);
+        curl_easy_setopt(handle, CURLOPT_HEADERFUNCTION, onHeaderLine);
+        curl_easy_setopt(handle, CURLOPT_HEADERDATA, &transfer);
+        if (call.neverResend) {
+            curl_easy_setopt(handle, CURLOPT_FRESH_CONNECT, 1L);
+            curl_easy_setopt(handle, CURLOPT_FORBID_REUSE, 1L);
+        }
+    }
+
+    void collectEnded()
+    {
+        int left = 0;
+        while (CURLMsg *message = curl_multi_info_read(multi_, &left)) {
+            if (message->msg != CURLMSG_DONE) {
+                continue;
+            }
+            const CURLcode code = message->data.result;
+            CURL *handle = message->easy_handle;
+            const CallId id = byHandle_[handle];
+            const CallOutcome outcome = outcomeOf(handle, code);
+            if (outcome == CallOutcome::Completed) {
+                reportHeaders(*transfers_[id]);
+            }
+            end(id, outcome);
+        }
+    }
+
+    void end(CallId id, CallOutcome outcome)
+    {
+        const auto found = transfers_.find(id);
+        if (found == transfers_.end()) {
+            return;
+        }
+        const std::unique_ptr<Transfer> transfer = std::move(found->second);
+        transfers_.erase(found);
+        byHandle_.erase(transfer->handle);
+        curl_multi_remove_handle(multi_, transfer->handle);
+        curl_easy_cleanup(transfer->handle);
+        transfer->handle = nullptr;
+        if (transfer->events.onEnd) {
+            transfer->events.onEnd(outcome);
+        }
+    }
+
+    void unpause(CallId id)
+    {
+        const auto found = transfers_.find(id);
+        if (found != transfers_.end()) {
+            curl_easy_pause(found->second->handle, CURLPAUSE_CONT);
+        }
+    }
+
+    CURLM *multi_;
+    std::mutex mutex_;
+    std::vector<Command> commands_;
+    CallId lastId_ = 0;
+    bool stopping_ = false;
+    std::unordered_map<CallId, std::unique_ptr<Transfer>> transfers_;
+    std::unordered_map<CURL *, CallId> byHandle_;
+    std::thread thread_;
+};
+
+HttpClient::HttpClient()
+{
+    static const CURLcode GlobalInit = curl_global_init(CURL_GLOBAL_DEFAULT);
+    static_cast<void>(GlobalInit);
+    loop_ = std::make_unique<Loop>();
+}
+
+HttpClient::~HttpClient() = default;
+
+HttpClient::CallId HttpClient::start(HttpCall call, HttpCallEvents events)
+{
+    return loop_->start(std::move(call), std::move(events));
+}
+
+void HttpClient::cancel(CallId id)
+{
+    loop_->cancel(id);
+}
+
+void HttpClient::resume(CallId id)
+{
+    loop_->resume(id);
+}
+
+HttpCallResult performCall(HttpClient &client, HttpCall call)
+{
+    HttpCallResult result;
+    std::promise<void> ended;
+    client.start(std::move(call),
+                 { .onHeaders =
+                       [&](int status, const HttpHeaders &headers) {
+                           result.response.status = status;
+                           result.response.headers = headers;
+                       },
+                   .onData =
+                       [&](std::string_view bytes) {
+                           result.response.body.append(bytes);
+                           return true;
+                       },
+                   .onEnd =
+                       [&](CallOutcome outcome) {
+                           result.outcome = outcome;
+                           ended.set_value();
+                       } });
+    ended.get_future().wait();
+    return result;
+}
+
+} // namespace jacinthroad
--- /dev/null
+++ b/Source/Http/HttpServer.cpp
@@ -0,0 +1,254 @@
+#include "Http/HttpServer.h"
+
+#include <charconv>
+#include <utility>
+
+#include <arpa/inet.h>
+#include <microhttpd.h>
+#include <netinet/in.h>
+#include <unistd.h>
+
+namespace jacinthroad {
+
+namespace {
+
+constexpr std::size_t SendBlockBytes = 16 * 1024;
+constexpr std::size_t DiscardFactor = 8;
+
+std::size_t declaredLength(MHD_Connection *connection)
+{
+    const char *text
+        = MHD_lookup_connection_value(connection, MHD_HEADER_KIND, MHD_HTTP_HEADER_CONTENT_LENGTH);
+    if (text == nullptr) {
+        return 0;
+    }
+    const std::string_view digits(text);
+    std::size_t length = 0;
+    std::from_chars(digits.data(), digits.data() + digits.size(), length);
+    return length;
+}
+
+MHD_Result collectExact(void *target, MHD_ValueKind, const char *name, const char *value)
+{
+    auto &fields = *static_cast<HttpHeaders *>(target);
+    fields.emplace_back(name, value == nullptr ? "" : value);
+    return MHD_YES;
+}
+
+MHD_Result collectLower(void *target, MHD_ValueKind, const char *name, const char *value)
+{
+    auto &fields = *static_cast<HttpHeaders *>(target);
+    fields.emplace_back(toLower(name), value == nullptr ? "" : value);
+    return MHD_YES;
+}
+
+} // namespace
+
+/// One request and its answer on one connection.
+struct HttpServer::Exchange
+{
+    HttpRequest request;
+    std::shared_ptr<ResponseWriter> writer = std::make_shared<ResponseWriter>();
+    std::size_t received = 0;
+    bool handed = false;
+};
+
+/// The functions that libmicrohttpd calls.
+struct HttpServer::Callbacks
+{
+    static MHD_Result access(void *context, MHD_Connection *connection, const char *url,
+                             const char *method, const char *, const char *uploadData,
+                             size_t *uploadSize, void **exchangeSlot)
+    {
+        auto &server = *static_cast<HttpServer *>(context);
+        if (*exchangeSlot == nullptr) {
+            return begin(server, connection, url, method, exchangeSlot);
+        }
+        auto &exchange = *static_cast<Exchange *>(*exchangeSlot);
+        if (*uploadSize != 0) {
+            return receive(server, exchange, { uploadData, *uploadSize }, uploadSize);
+        }
+        return answer(server, exchange, connection);
+    }
+
+    static MHD_Result begin(HttpServer &server, MHD_Connection *connection, const char *url,
+                            const char *method, void **exchangeSlot)
+    {
+        auto exchange = std::make_unique<Exchange>();
+        exchange->writer->connection_ = connection;
+        {
+            const std::scoped_lock lock(server.mutex_);
+            if (server.stopping_) {
+                return MHD_NO;
+            }
+            server.open_.insert(exchange->writer);
+        }
+        exchange->request.method = method;
+        exchange->request.path = url;
+        MHD_get_connection_values(connection, MHD_HEADER_KIND, collectLower,
+                                  &exchange->request.headers);
+        MHD_get_connection_values(connection, MHD_GET_ARGUMENT_KIND, collectExact,
+                                  &exchange->request.query);
+        auto &kept = *exchange;
+        *exchangeSlot = exchange.release();
+        if (declaredLength(connection) > server.options_.maximumBodyBytes) {
+            // Answered before the body is read, so an oversized upload costs no memory.
+            kept.request.bodyTooLarge = true;
+            return answer(server, kept, connection);
+        }
+        return MHD_YES;
+    }
+
+    static MHD_Result receive(HttpServer &server, Exchange &exchange, std::string_view bytes,
+                              size_t *uploadSize)
+    {
+        *uploadSize = 0;
+        exchange.received += bytes.size();
+        if (exchange.received > server.options_.maximumBodyBytes * DiscardFactor) {
+            return MHD_NO;
+        }
+        if (exchange.received > server.options_.maximumBodyBytes) {
+            exchange.request.bodyTooLarge = true;
+            exchange.request.body = {};
+            return MHD_YES;
+        }
+        exchange.request.body.append(bytes);
+        return MHD_YES;
+    }
+
+    static MHD_Result answer(HttpServer &server, Exchange &exchange, MHD_Connection *connection)
+    {
+        if (!exchange.handed) {
+            exchange.handed = true;
+            server.handler_(std::move(exchange.request), exchange.writer);
+        }
+        ResponseWriter &writer = *exchange.writer;
+        const std::scoped_lock lock(writer.mutex_);
+        if (writer.queued_) {
+            return MHD_YES;
+        }
+        if (writer.aborted_) {
+            return MHD_NO;
+        }
+        if (!writer.started_) {
+            writer.suspended_ = true;
+            MHD_suspend_connection(connection);
+            return MHD_YES;
+        }
+        writer.queued_ = true;
+        return queueLocked(exchange.writer, connection);
+    }
+
+    static MHD_Result queueLocked(const std::shared_ptr<ResponseWriter> &writer,
+                                  MHD_Connection *connection)
+    {
+        MHD_Response *response = nullptr;
+        if (writer->wholeBody_) {
+            response = MHD_create_response_from_buffer(writer->buffer_.size(),
+                                                       writer->buffer_.data(),
+                                                       MHD_RESPMEM_MUST_COPY);
+        } else {
+            auto keep = std::make_unique<std::shared_ptr<ResponseWriter>>(writer);
+            response = MHD_create_response_from_callback(MHD_SIZE_UNKNOWN, SendBlockBytes, read,
+                                                         keep.release(), release);
+        }
+        for (const auto &[name, value] : writer->headers_) {
+            MHD_add_response_header(response, name.c_str(), value.c_str());
+        }
+        const MHD_Result result
+            = MHD_queue_response(connection, static_cast<unsigned>(writer->status_), response);
+        MHD_destroy_response(response);
+        return result;
+    }
+
+    static ssize_t read(void *context, std::uint64_t, char *target, size_t capacity)
+    {
+        return (*static_cast<std::shared_ptr<ResponseWriter> *>(context))->read(target, capacity);
+    }
+
+    static void release(void *context)
+    {
+        const std::unique_ptr<std::shared_ptr<ResponseWriter>> keep(
+            static_cast<std::shared_ptr<ResponseWriter> *>(context));
+    }
+
+    static void completed(void *context, MHD_Connection *, void **exchangeSlot,
+                          MHD_RequestTerminationCode code)
+    {
+        auto &server = *static_cast<HttpServer *>(context);
+        const std::unique_ptr<Exchange> exchange(static_cast<Exchange *>(*exchangeSlot));
+        *exchangeSlot = nullptr;
+        if (exchange == nullptr) {
+            return;
+        }
+        {
+            const std::scoped_lock lock(server.mutex_);
+            server.open_.erase(exchange->writer);
+        }
+        exchange->writer->connectionEnded(code == MHD_REQUEST_TERMINATED_COMPLETED_OK);
+    }
+};
+
+HttpServer::HttpServer(HttpServerOptions options, Handler handler)
+    : options_(std::move(options))
+    , handler_(std::move(handler))
+{
+}
+
+Result<std::unique_ptr<HttpServer>> HttpServer::start(HttpServerOptions options, Handler handler)
+{
+    sockaddr_in address {};
+    address.sin_family = AF_INET;
+    address.sin_port = htons(options.port);
+    if (inet_pton(AF_INET, options.address.c_str(), &address.sin_addr) != 1) {
+        return makeError(ErrorKind::InvalidSettings,
+                         "listen address '" + options.address + "' is not an IP number",
+                         "Write an address such as 127.0.0.1.");
+    }
+    std::unique_ptr<HttpServer> server(new HttpServer(std::move(options), std::move(handler)));
+    const HttpServerOptions &used = server->options_;
+    server->daemon_ = MHD_start_daemon(
+        MHD_USE_EPOLL_INTERNAL_THREAD | MHD_ALLOW_SUSPEND_RESUME | MHD_USE_ITC, used.port, nullptr,
+        nullptr, &Callbacks::access, server.get(), MHD_OPTION_SOCK_ADDR,
+        reinterpret_cast<sockaddr *>(&address), MHD_OPTION_LISTENING_ADDRESS_REUSE, 1U,
+        MHD_OPTION_THREAD_POOL_SIZE, used.threads > 1 ? used.threads : 0U,
+        MHD_OPTION_CONNECTION_LIMIT, used.maximumConnections, MHD_OPTION_CONNECTION_MEMORY_LIMIT,
+        used.maximumHeaderBytes, MHD_OPTION_CONNECTION_TIMEOUT, used.idleTimeoutSeconds,
+        MHD_OPTION_NOTIFY_COMPLETED, &Callbacks::completed, server.get(), MHD_OPTION_END);
+    if (server->daemon_ == nullptr) {
+        return makeError(ErrorKind::Internal,
+                         "cannot listen on " + used.address + ":" + std::to_string(used.port),
+                         "Check that the address is this VM's and that the port is free.");
+    }
+    server->port_ = MHD_get_daemon_info(server->daemon_, MHD_DAEMON_INFO_BIND_PORT)->port;
+    return server;
+}
+
+HttpServer::~HttpServer()
+{
+    if (daemon_ == nullptr) {
+        return;
+    }
+    const MHD_socket listener = MHD_quiesce_daemon(daemon_);
+    std::unordered_set<std::shared_ptr<ResponseWriter>> open;
+    {
+        const std::scoped_lock lock(mutex_);
+        stopping_ = true;
+        open = open_;
+    }
+    for (const auto &writer : open) {
+        writer->abort();
+    }
+    MHD_stop_daemon(daemon_);
+    if (listener != MHD_INVALID_SOCKET) {
+        close(listener);
+    }
+}
+
+std::size_t HttpServer::openExchanges() const
+{
+    const std::scoped_lock lock(mutex_);
+    return open_.size();
+}
+
+} // namespace jacinthroad
--- /dev/null
+++ b/Source/Http/ResponseWriter.cpp
@@ -0,0 +1,162 @@
+#include "Http/ResponseWriter.h"
+
+#include <algorithm>
+#include <cstring>
+#include <utility>
+
+#include <microhttpd.h>
+#include <sys/socket.h>
+
+namespace jacinthroad {
+
+void ResponseWriter::subscribe(std::size_t highWater, DrainedEvent drained, ClosedEvent closed)
+{
+    const std::scoped_lock lock(mutex_);
+    highWater_ = highWater;
+    drained_ = std::move(drained);
+    closed_ = std::move(closed);
+}
+
+void ResponseWriter::resumeLocked()
+{
+    if (suspended_ && connection_ != nullptr) {
+        suspended_ = false;
+        MHD_resume_connection(connection_);
+    }
+}
+
+void ResponseWriter::start(int status, HttpHeaders headers)
+{
+    const std::scoped_lock lock(mutex_);
+    if (started_ || aborted_) {
+        return;
+    }
+    started_ = true;
+    status_ = status;
+    headers_ = std::move(headers);
+    resumeLocked();
+}
+
+std::size_t ResponseWriter::write(std::string_view bytes)
+{
+    const std::scoped_lock lock(mutex_);
+    if (finished_ || aborted_) {
+        return 0;
+    }
+    buffer_.append(bytes);
+    aboveHighWater_ = aboveHighWater_ || waitingLocked() >= highWater_;
+    resumeLocked();
+    return waitingLocked();
+}
+
+void ResponseWriter::finish()
+{
+    const std::scoped_lock lock(mutex_);
+    finished_ = true;
+    resumeLocked();
+}
+
+void ResponseWriter::abort()
+{
+    const std::scoped_lock lock(mutex_);
+    if (finished_) {
+        return;
+    }
+    aborted_ = true;
+    resumeLocked();
+}
+
+void ResponseWriter::respond(HttpResponse response)
+{
+    const std::scoped_lock lock(mutex_);
+    if (started_ || aborted_) {
+        return;
+    }
+    started_ = true;
+    finished_ = true;
+    wholeBody_ = true;
+    status_ = response.status;
+    headers_ = std::move(response.headers);
+    buffer_ = std::move(response.body);
+    resumeLocked();
+}
+
+bool ResponseWriter::started() const
+{
+    const std::scoped_lock lock(mutex_);
+    return started_;
+}
+
+std::size_t ResponseWriter::bufferedBytes() const
+{
+    const std::scoped_lock lock(mutex_);
+    return waitingLocked();
+}
+
+bool ResponseWriter::callerLeft() const
+{
+    const std::scoped_lock lock(mutex_);
+    if (connection_ == nullptr) {
+        return true;
+    }
+    const MHD_ConnectionInfo *info
+        = MHD_get_connection_info(connection_, MHD_CONNECTION_INFO_CONNECTION_FD);
+    if (info == nullptr) {
+        return false;
+    }
+    char byte = 0;
+    return recv(info->connect_fd, &byte, 1, MSG_PEEK | MSG_DONTWAIT) == 0;
+}
+
+long ResponseWriter::read(char *target, std::size_t capacity)
+{
+    DrainedEvent drained;
+    std::size_t taken = 0;
+    {
+        const std::scoped_lock lock(mutex_);
+        if (waitingLocked() == 0) {
+            if (aborted_) {
+                return MHD_CONTENT_READER_END_WITH_ERROR;
+            }
+            if (finished_) {
+                return MHD_CONTENT_READER_END_OF_STREAM;
+            }
+            suspended_ = true;
+            MHD_suspend_connection(connection_);
+            return 0;
+        }
+        taken = std::min(capacity, waitingLocked());
+        std::memcpy(target, buffer_.data() + sent_, taken);
+        sent_ += taken;
+        if (sent_ == buffer_.size()) {
+            buffer_.clear();
+            sent_ = 0;
+        }
+        if (aboveHighWater_ && waitingLocked() < highWater_ / 2) {
+            aboveHighWater_ = false;
+            drained = drained_;
+        }
+    }
+    if (drained) {
+        drained();
+    }
+    return static_cast<long>(taken);
+}
+
+void ResponseWriter::connectionEnded(bool whole)
+{
+    ClosedEvent closed;
+    {
+        const std::scoped_lock lock(mutex_);
+        connection_ = nullptr;
+        suspended_ = false;
+        closed = std::exchange(closed_, nullptr);
+        drained_ = nullptr;
+        whole = whole && finished_ && !aborted_;
+    }
+    if (closed) {
+        closed(whole);
+    }
+}
+
+} // namespace jacinthroad
--- /dev/null
+++ b/Source/PlatformClient/PlatformClient.cpp
@@ -0,0 +1,194 @@
+#include "PlatformClient/PlatformClient.h"
+
+#include <memory>
+#include <utility>
+
+#include <json/value.h>
+
+#include "Core/Json.h"
+
+namespace jacinthroad {
+
+namespace {
+
+constexpr int StatusOk = 200;
+constexpr int StatusNotFound = 404;
+constexpr int StatusPreconditionFailed = 412;
+constexpr int StatusTooManyRequests = 429;
+constexpr int StatusUnavailable = 503;
+
+Json::Value parsedObject(const HttpResponse &response)
+{
+    auto parsed = parseJson(response.body);
+    return parsed.has_value() && parsed->isObject() ? std::move(*parsed) : Json::Value();
+}
+
+std::uint64_t numberOf(const Json::Value &object, const char *name)
+{
+    const Json::Value &member = object.isObject() ? object[name] : object;
+    return member.isUInt64() ? member.asUInt64() : 0;
+}
+
+std::string textOf(const Json::Value &object, const char *name)
+{
+    const Json::Value &member = object.isObject() ? object[name] : object;
+    return member.isString() ? member.asString() : std::string();
+}
+
+PlatformObject readObject(const Json::Value &entry)
+{
+    return { .key = textOf(entry, "key"),
+             .version = numberOf(entry, "version"),
+             .value = textOf(entry, "value") };
+}
+
+PlatformList readList(CallOutcome outcome, const HttpResponse &response)
+{
+    PlatformList result;
+    const Json::Value body = parsedObject(response);
+    if (outcome != CallOutcome::Completed || response.status != StatusOk
+        || !body["revision"].isUInt64() || !body["objects"].isArray()) {
+        return result;
+    }
+    result.answered = true;
+    result.revision = body["revision"].asUInt64();
+    for (const Json::Value &entry : body["objects"]) {
+        result.objects.push_back(readObject(entry));
+    }
+    return result;
+}
+
+PlatformWriteAnswer readWriteAnswer(CallOutcome outcome, const HttpResponse &response)
+{
+    if (outcome == CallOutcome::NotSent) {
+        return { .outcome = PlatformWrite::Refused };
+    }
+    if (outcome != CallOutcome::Completed) {
+        return { .outcome = PlatformWrite::Lost };
+    }
+    switch (response.status) {
+    case StatusOk:
+        return { .outcome = PlatformWrite::Written,
+                 .version = numberOf(parsedObject(response), "version") };
+    case StatusPreconditionFailed:
+        return { .outcome = PlatformWrite::Conflict };
+    case StatusTooManyRequests:
+    case StatusUnavailable:
+        return { .outcome = PlatformWrite::Refused };
+    default:
+        return { .outcome = PlatformWrite::Lost };
+    }
+}
+
+/// Gathers the parts of one answer.
+HttpCallEvents gather(std::function<void(CallOutcome, HttpResponse)> done)
+{
+    const auto response = std::make_shared<HttpResponse>();
+    return { .onHeaders = [response](int status,
+                                     const HttpHeaders &) { response->status = status; },
+             .onData =
+                 [response](std::string_view bytes) {
+                     response->body.append(bytes);
+                     return true;
+                 },
+             .onEnd =
+                 [response, done = std::move(done)](CallOutcome outcome) {
+                     done(outcome, std::move(*response));
+                 } };
+}
+
+} // namespace
+
+PlatformClient::PlatformClient(PlatformClientOptions options, HttpClient &http)
+    : options_(std::move(options))
+    , http_(http)
+{
+}
+
+void PlatformClient::get(const std::string &path, Duration timeout,
+                         std::function<void(CallOutcome, HttpResponse)> done)
+{
+    ++calls_;
+    http_.start({ .url = options_.url + path, .totalTimeout = timeout },
+                gather(std::move(done)));
+}
+
+void PlatformClient::read(const std::string &key, std::function<void(PlatformRead)> done)
+{
+    get("/objects/" + key, options_.timeout,
+        [done = std::move(done)](CallOutcome outcome, const HttpResponse &response) {
+            PlatformRead result;
+            const bool completed = outcome == CallOutcome::Completed;
+            result.answered = completed
+                && (response.status == StatusOk || response.status == StatusNotFound);
+            if (completed && response.status == StatusOk) {
+                const Json::Value body = parsedObject(response);
+                result.answered = body["version"].isUInt64();
+                result.object = readObject(body);
+            }
+            done(std::move(result));
+        });
+}
+
+void PlatformClient::write(const std::string &key, const std::string &value,
+                           std::uint64_t expectedVersion,
+                           std::function<void(PlatformWriteAnswer)> done)
+{
+    ++calls_;
+    HttpHeaders headers;
+    if (expectedVersion == 0) {
+        headers.emplace_back("If-None-Match", "*");
+    } else {
+        headers.emplace_back("If-Match", "\"" + std::to_string(expectedVersion) + "\"");
+    }
+    http_.start({ .method = "PUT",
+                  .url = options_.url + "/objects/" + key,
+                  .headers = std::move(headers),
+                  .body = value,
+                  .totalTimeout = options_.timeout },
+                gather([done = std::move(done)](CallOutcome outcome, const HttpResponse &response) {
+                    done(readWriteAnswer(outcome, response));
+                }));
+}
+
+void PlatformClient::list(const std::string &prefix, std::function<void(PlatformList)> done)
+{
+    get("/objects?prefix=" + prefix, options_.timeout,
+        [done = std::move(done)](CallOutcome outcome, const HttpResponse &response) {
+            done(readList(outcome, response));
+        });
+}
+
+void PlatformClient::watch(const std::string &prefix, std::uint64_t afterRevision,
+                           std::function<void(PlatformList)> done)
+{
+    const auto waitMs = std::chrono::duration_cast<milliseconds>(options_.watchTime).count();
+    get("/watch?prefix=" + prefix + "&after=" + std::to_string(afterRevision)
+            + "&wait_ms=" + std::to_string(waitMs),
+        options_.watchTime + options_.timeout,
+        [done = std::move(done)](CallOutcome outcome, const HttpResponse &response) {
+            done(readList(outcome, response));
+        });
+}
+
+void PlatformClient::listVms(std::function<void(PlatformVms)> done)
+{
+    get("/vms", options_.timeout,
+        [done = std::move(done)](CallOutcome outcome, const HttpResponse &response) {
+            PlatformVms result;
+            const Json::Value body = parsedObject(response);
+            if (outcome == CallOutcome::Completed && response.status == StatusOk
+                && body["vms"].isArray()) {
+                result.answered = true;
+                for (const Json::Value &vm : body["vms"]) {
+                    const bool leaving = textOf(vm, "state") == "leaving";
+                    result.vms.push_back({ .name = textOf(vm, "name"),
+                                           .state = leaving ? VmState::Leaving
+                                                            : VmState::Live });
+                }
+            }
+            done(std::move(result));
+        });
+}
+
+} // namespace jacinthroad
