Routing: Add the pure decision libraries

Cause: routing, limits, retries, claims and configuration must be testable without sockets or clocks. Change: dispatcher, prefix index, policies, fair queue, quarantine, claim book and patch log as message-in, effect-out state machines.

--- /dev/null
+++ b/Source/Admission/OutputLength.cpp
@@ -0,0 +1,71 @@
+#include "Admission/OutputLength.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace jacinthroad {
+
+namespace {
+
+constexpr double Quantile = 0.8;
+constexpr std::uint32_t TrustedSamples = 8;
+constexpr std::uint32_t UnknownOutputTokens = 128;
+// The step of one observation, as a share of the present estimate.
+constexpr double FirstStep = 0.5;
+constexpr double SmallestStep = 0.05;
+
+} // namespace
+
+OutputLength::OutputLength(std::size_t capacity)
+    : capacity_(capacity)
+{
+}
+
+const OutputLength::Estimate *OutputLength::find(std::uint64_t group) const
+{
+    if (const auto found = recent_.find(group); found != recent_.end()) {
+        return &found->second;
+    }
+    const auto found = older_.find(group);
+    return found == older_.end() ? nullptr : &found->second;
+}
+
+void OutputLength::observe(std::uint64_t group, std::uint32_t outputTokens)
+{
+    if (recent_.size() >= capacity_ / 2 && !recent_.contains(group)) {
+        older_ = std::move(recent_);
+        recent_.clear();
+    }
+    auto [entry, added] = recent_.try_emplace(group);
+    if (added) {
+        if (const auto found = older_.find(group); found != older_.end()) {
+            entry->second = found->second;
+            older_.erase(found);
+        }
+    }
+    Estimate &estimate = entry->second;
+    const double observed = outputTokens;
+    if (estimate.samples == 0) {
+        estimate.quantile = observed;
+    } else {
+        const double share
+            = std::max(SmallestStep, FirstStep / std::sqrt(static_cast<double>(estimate.samples)));
+        const double step = share * std::max(1.0, estimate.quantile);
+        estimate.quantile += observed > estimate.quantile ? step * Quantile
+                                                          : -step * (1 - Quantile);
+    }
+    ++estimate.samples;
+}
+
+std::uint32_t OutputLength::expect(std::uint64_t group, std::optional<std::uint32_t> bound) const
+{
+    const Estimate *estimate = find(group);
+    const std::uint32_t limit = bound.value_or(UINT32_MAX);
+    if (estimate == nullptr || estimate->samples < TrustedSamples) {
+        return bound.value_or(UnknownOutputTokens);
+    }
+    const double rounded = std::ceil(std::max(1.0, estimate->quantile));
+    return std::min(limit, static_cast<std::uint32_t>(rounded));
+}
+
+} // namespace jacinthroad
--- /dev/null
+++ b/Source/Claims/ClaimBook.cpp
@@ -0,0 +1,254 @@
+#include "Claims/ClaimBook.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "Claims/IdempotencyKey.h"
+
+namespace jacinthroad {
+
+namespace {
+
+std::int64_t wholeMs(Duration duration)
+{
+    return std::chrono::duration_cast<milliseconds>(duration).count();
+}
+
+} // namespace
+
+ClaimBook::ClaimBook(ClaimBookOptions options)
+    : options_(options)
+{
+}
+
+std::vector<ClaimEffect> ClaimBook::handle(const ClaimMessage &message, Instant now)
+{
+    std::visit([&](const auto &typed) { on(typed, now); }, message);
+    return std::exchange(effects_, {});
+}
+
+std::size_t ClaimBook::unwritten() const
+{
+    std::size_t count = 0;
+    for (const auto &[name, shard] : shards_) {
+        count += shard.claims.size() + shard.results.size();
+    }
+    return count;
+}
+
+Claim ClaimBook::claimOf(const ClaimWanted &wanted)
+{
+    return { .nonce = wanted.nonce,
+             .bodyHash = wanted.bodyHash,
+             .state = ClaimState::Claimed,
+             .atMs = wanted.nowMs };
+}
+
+void ClaimBook::on(const ClaimWanted &message, Instant now)
+{
+    nowMs_ = std::max(nowMs_, message.nowMs);
+    const auto made = madeAtMs(message.key.substr(message.key.find('/') + 1));
+    if (made.has_value() && *made < nowMs_ - wholeMs(options_.retention)) {
+        effects_.emplace_back(
+            RefuseCall { .id = message.id,
+                         .kind = ErrorKind::IdempotencyKeyExpired,
+                         .earlierMayHaveRun = true });
+        return;
+    }
+    Shard &shard = shards_[message.shard];
+    if (now < shard.pausedUntil) {
+        effects_.emplace_back(RefuseCall {
+            .id = message.id, .kind = ErrorKind::PlatformUnavailable });
+        return;
+    }
+    shard.claims.push_back({ message });
+    advance(message.shard, shard, now);
+}
+
+bool ClaimBook::decideOne(const std::string &name, const Shard &shard, const ClaimWanted &wanted)
+{
+    const auto found = shard.content.claims.find(wanted.key);
+    if (found == shard.content.claims.end()) {
+        return false;
+    }
+    const Claim &claim = found->second;
+    if (claim.nonce == wanted.nonce) {
+        running_[wanted.id] = { .shard = name, .key = wanted.key, .claim = claim };
+        effects_.emplace_back(RunCall { .id = wanted.id });
+        return true;
+    }
+    if (claim.bodyHash != wanted.bodyHash) {
+        effects_.emplace_back(
+            RefuseCall { .id = wanted.id, .kind = ErrorKind::IdempotencyKeyReused });
+        return true;
+    }
+    const bool abandoned = claim.state == ClaimState::Claimed
+        && claim.atMs < nowMs_ - wholeMs(options_.claimTimeout);
+    if (claim.state == ClaimState::Done && claim.answer.whole) {
+        effects_.emplace_back(ReplayAnswer { .id = wanted.id, .answer = claim.answer });
+    } else if (claim.state == ClaimState::Claimed && !abandoned) {
+        effects_.emplace_back(
+            RefuseCall { .id = wanted.id,
+                                         .kind = ErrorKind::RequestInProgress,
+                                         .earlierMayHaveRun = true });
+    } else {
+        effects_.emplace_back(RefuseCall { .id = wanted.id,
+                                           .kind = ErrorKind::OutcomeUnknown,
+                                           .earlierMayHaveRun = true });
+    }
+    return true;
+}
+
+void ClaimBook::decide(const std::string &name, Shard &shard)
+{
+    std::erase_if(shard.claims, [&](const PendingClaim &pending) {
+        return decideOne(name, shard, pending.wanted);
+    });
+}
+
+void ClaimBook::advance(const std::string &name, Shard &shard, Instant now)
+{
+    if (shard.busy || now < shard.pausedUntil) {
+        return;
+    }
+    if (shard.claims.empty() && shard.results.empty()) {
+        return;
+    }
+    shard.busy = true;
+    if (!shard.known) {
+        effects_.emplace_back(ReadShard { .shard = name });
+        return;
+    }
+    shard.written = shard.content;
+    shard.written.dropBefore(nowMs_ - wholeMs(options_.retention));
+    for (const PendingResult &result : shard.results) {
+        const auto found = shard.written.claims.find(result.key);
+        if (found == shard.written.claims.end() || found->second.nonce != result.nonce) {
+            continue;
+        }
+        if (result.claim.has_value()) {
+            found->second = *result.claim;
+        } else {
+            shard.written.claims.erase(found);
+        }
+    }
+    shard.carriedResults = shard.results.size();
+    for (const PendingClaim &pending : shard.claims) {
+        // Two claims for one key in one write: the first takes it, the second finds it taken.
+        shard.written.claims.try_emplace(pending.wanted.key, claimOf(pending.wanted));
+    }
+    ++writes_;
+    effects_.emplace_back(WriteShard { .shard = name,
+                                       .expectedVersion = shard.version,
+                                       .text = writeShard(shard.written) });
+}
+
+void ClaimBook::platformFailed(Shard &shard, Instant now)
+{
+    shard.pausedUntil = now + options_.platformPause;
+    // A claim whose write may still take effect stays in the object as claimed and is never
+    // run; taking it back lets the caller's next try with the same key run.
+    for (const PendingClaim &pending : shard.claims) {
+        effects_.emplace_back(RefuseCall {
+            .id = pending.wanted.id, .kind = ErrorKind::PlatformUnavailable });
+        shard.results.push_back(
+            { .key = pending.wanted.key, .nonce = pending.wanted.nonce, .claim = std::nullopt });
+    }
+    shard.claims.clear();
+}
+
+void ClaimBook::on(const ShardReadAnswered &message, Instant now)
+{
+    Shard &shard = shards_[message.shard];
+    shard.busy = false;
+    if (!message.answered) {
+        platformFailed(shard, now);
+        return;
+    }
+    auto content = message.version == 0 ? Result<ClaimShard>(ClaimShard {})
+                                        : readShard(message.text);
+    if (!content.has_value()) {
+        platformFailed(shard, now);
+        return;
+    }
+    shard.known = true;
+    shard.version = message.version;
+    shard.content = std::move(*content);
+    decide(message.shard, shard);
+    advance(message.shard, shard, now);
+}
+
+void ClaimBook::on(const ShardWriteAnswered &message, Instant now)
+{
+    Shard &shard = shards_[message.shard];
+    shard.busy = false;
+    switch (message.answer) {
+    case ShardWriteAnswer::Written:
+        shard.version = message.version;
+        shard.content = std::move(shard.written);
+        shard.results.erase(shard.results.begin(),
+                            shard.results.begin()
+                                + static_cast<std::ptrdiff_t>(shard.carriedResults));
+        decide(message.shard, shard);
+        break;
+    case ShardWriteAnswer::Conflict:
+    case ShardWriteAnswer::Lost:
+        shard.known = false;
+        break;
+    case ShardWriteAnswer::Refused:
+        platformFailed(shard, now);
+        return;
+    }
+    advance(message.shard, shard, now);
+}
+
+void ClaimBook::on(const CallEnded &message, Instant now)
+{
+    nowMs_ = std::max(nowMs_, message.nowMs);
+    const auto found = running_.find(message.id);
+    if (found == running_.end()) {
+        return;
+    }
+    const Running running = std::move(found->second);
+    running_.erase(found);
+    PendingResult result { .key = running.key, .nonce = running.claim.nonce };
+    if (message.end != CallEnd::NotSent) {
+        Claim claim = running.claim;
+        claim.atMs = message.nowMs;
+        claim.state = message.end == CallEnd::Answered ? ClaimState::Done : ClaimState::Unknown;
+        claim.answer = message.answer;
+        if (claim.answer.body.size() > options_.maximumAnswerBytes) {
+            claim.answer.body.clear();
+            claim.answer.whole = false;
+        }
+        result.claim = std::move(claim);
+    }
+    Shard &shard = shards_[running.shard];
+    shard.results.push_back(std::move(result));
+    advance(running.shard, shard, now);
+}
+
+void ClaimBook::giveUpExpired(Shard &shard, Instant now)
+{
+    std::erase_if(shard.claims, [&](const PendingClaim &pending) {
+        if (now < pending.wanted.deadline) {
+            return false;
+        }
+        effects_.emplace_back(RefuseCall {
+            .id = pending.wanted.id, .kind = ErrorKind::PlatformUnavailable });
+        shard.results.push_back(
+            { .key = pending.wanted.key, .nonce = pending.wanted.nonce, .claim = std::nullopt });
+        return true;
+    });
+}
+
+void ClaimBook::on(const ClaimTime &message, Instant now)
+{
+    nowMs_ = std::max(nowMs_, message.nowMs);
+    for (auto &[name, shard] : shards_) {
+        giveUpExpired(shard, now);
+        advance(name, shard, now);
+    }
+}
+
+} // namespace jacinthroad
--- /dev/null
+++ b/Source/Claims/ClaimShard.cpp
@@ -0,0 +1,89 @@
+#include "Claims/ClaimShard.h"
+
+#include <iterator>
+
+#include <json/value.h>
+
+#include "Core/Json.h"
+
+namespace jacinthroad {
+
+namespace {
+
+std::string stateName(ClaimState state)
+{
+    switch (state) {
+    case ClaimState::Claimed:
+        return "claimed";
+    case ClaimState::Done:
+        return "done";
+    case ClaimState::Unknown:
+        break;
+    }
+    return "unknown";
+}
+
+ClaimState stateOf(const std::string &name)
+{
+    if (name == "claimed") {
+        return ClaimState::Claimed;
+    }
+    // A name of a later version is taken for the state that never runs anything.
+    return name == "done" ? ClaimState::Done : ClaimState::Unknown;
+}
+
+} // namespace
+
+void ClaimShard::dropBefore(std::int64_t horizonMs)
+{
+    std::erase_if(claims, [&](const auto &entry) { return entry.second.atMs < horizonMs; });
+}
+
+std::string writeShard(const ClaimShard &shard)
+{
+    Json::Value object(Json::objectValue);
+    for (const auto &[key, claim] : shard.claims) {
+        Json::Value &entry = object[key];
+        entry["nonce"] = claim.nonce;
+        entry["body"] = claim.bodyHash;
+        entry["state"] = stateName(claim.state);
+        entry["at"] = Json::Int64(claim.atMs);
+        if (claim.state == ClaimState::Done) {
+            entry["status"] = claim.answer.status;
+            entry["type"] = claim.answer.contentType;
+            entry["answer"] = claim.answer.body;
+            entry["whole"] = claim.answer.whole;
+        }
+    }
+    return writeJson(object);
+}
+
+Result<ClaimShard> readShard(const std::string &text)
+{
+    const auto object = parseJson(text);
+    if (!object.has_value()) {
+        return tl::make_unexpected(object.error());
+    }
+    ClaimShard shard;
+    try {
+        for (const std::string &key : object->getMemberNames()) {
+            const Json::Value &entry = (*object)[key];
+            Claim &claim = shard.claims[key];
+            claim.nonce = entry["nonce"].asString();
+            claim.bodyHash = entry["body"].asString();
+            claim.state = stateOf(entry["state"].asString());
+            claim.atMs = entry["at"].asInt64();
+            claim.answer = { .status = entry["status"].asInt(),
+                             .contentType = entry["type"].asString(),
+                             .body = entry["answer"].asString(),
+                             .whole = entry["whole"].asBool() };
+        }
+    } catch (const Json::Exception &failure) {
+        return makeError(ErrorKind::Internal,
+                         std::string("claim shard is not readable: ") + failure.what(),
+                         "Restore the object in the platform from its history.");
+    }
+    return shard;
+}
+
+} // namespace jacinthroad
--- /dev/null
+++ b/Source/Configuration/ConfigurationSchema.cpp
@@ -0,0 +1,186 @@
+#include "Configuration/ConfigurationSchema.h"
+
+#include <array>
+
+namespace jacinthroad {
+
+namespace {
+
+constexpr std::array<FieldRule, 3> TeamFields { {
+    { .name = "key_sha256",
+      .type = FieldType::Strings,
+      .required = true,
+      .help = "SHA-256 of each bearer key of the team, 64 hexadecimal digits; two while a key "
+              "is rotated" },
+    { .name = "weight",
+      .type = FieldType::Number,
+      .defaultText = "1",
+      .minimum = 0.01,
+      .maximum = 1000,
+      .help = "share between teams when requests have to wait" },
+    { .name = "max_concurrent",
+      .type = FieldType::Integer,
+      .defaultText = "1000",
+      .minimum = 1,
+      .maximum = 1000000,
+      .unit = "requests",
+      .help = "requests under way at once over all nodes" },
+} };
+constexpr ObjectSchema TeamSchema { "Team", TeamFields };
+
+constexpr std::array<FieldRule, 7> ModelFields { {
+    { .name = "version",
+      .type = FieldType::String,
+      .required = true,
+      .help = "version of the weights that serve" },
+    { .name = "adapter",
+      .type = FieldType::String,
+      .defaultText = "\"\"",
+      .help = "adapter that the engines load; empty for none" },
+    { .name = "block_tokens",
+      .type = FieldType::Integer,
+      .defaultText = "64",
+      .minimum = 1,
+      .maximum = 4096,
+      .unit = "tokens",
+      .help = "size of a cache block of the engines" },
+    { .name = "recompute_price_ms_per_token",
+      .type = FieldType::Number,
+      .defaultText = "0.05",
+      .minimum = 0,
+      .maximum = 1000,
+      .unit = "ms",
+      .help = "first-token time that may be spent to save one token of recomputation" },
+    { .name = "first_token_target_ms",
+      .type = FieldType::Number,
+      .defaultText = "1900",
+      .minimum = 1,
+      .maximum = 600000,
+      .unit = "ms",
+      .help = "objective for the first token in 95 of 100 requests" },
+    { .name = "first_token_limit_ms",
+      .type = FieldType::Number,
+      .defaultText = "1900",
+      .minimum = 1,
+      .maximum = 600000,
+      .unit = "ms",
+      .help = "a request whose first token would come later is refused as not run" },
+    { .name = "token_gap_target_ms",
+      .type = FieldType::Number,
+      .defaultText = "48",
+      .minimum = 0.1,
+      .maximum = 60000,
+      .unit = "ms",
+      .help = "objective for the gap between tokens in 95 of 100" },
+} };
+constexpr ObjectSchema ModelSchema { "Model", ModelFields };
+
+constexpr std::array<FieldRule, 5> BackendServerFields { {
+    { .name = "zone",
+      .type = FieldType::String,
+      .required = true,
+      .help = "availability zone of the backend server" },
+    { .name = "url",
+      .type = FieldType::String,
+      .required = true,
+      .help = "base URL with an IP number, such as http://127.0.0.1:9001" },
+    { .name = "model",
+      .type = FieldType::String,
+      .required = true,
+      .help = "the model that it serves" },
+    { .name = "slots",
+      .type = FieldType::Integer,
+      .defaultText = "16",
+      .minimum = 1,
+      .maximum = 4096,
+      .unit = "sequences",
+      .help = "sequences that the engine decodes at once" },
+    { .name = "prefill_tokens_per_s",
+      .type = FieldType::Number,
+      .defaultText = "8000",
+      .minimum = 1,
+      .maximum = 100000000,
+      .unit = "tokens/s",
+      .help = "prompt tokens that the engine computes in a second" },
+} };
+constexpr ObjectSchema BackendServerSchema { "Backend server", BackendServerFields };
+
+constexpr std::array<FieldRule, 4> ServiceFields { {
+    { .name = "urls",
+      .type = FieldType::Strings,
+      .required = true,
+      .help = "base URL of each instance" },
+    { .name = "repeatable",
+      .type = FieldType::Strings,
+      .defaultText = "[\"GET /\", \"HEAD /\"]",
+      .help = "calls that may be repeated, each METHOD and path prefix; all others are claimed "
+              "and run at most once" },
+    { .name = "claim_shards",
+      .type = FieldType::Integer,
+      .defaultText = "8",
+      .minimum = 1,
+      .maximum = 1024,
+      .unit = "objects",
+      .help = "platform objects over which claims are spread; cannot shrink while claims are kept" },
+    { .name = "call_timeout_ms",
+      .type = FieldType::Integer,
+      .defaultText = "10000",
+      .minimum = 10,
+      .maximum = 600000,
+      .unit = "ms",
+      .help = "longest wait for an answer of the service" },
+} };
+constexpr ObjectSchema ServiceSchema { "Service", ServiceFields };
+
+constexpr std::array<FieldRule, 4> RootFields { {
+    { .name = "teams",
+      .type = FieldType::ObjectMap,
+      .required = true,
+      .nested = &TeamSchema,
+      .help = "teams by name" },
+    { .name = "models",
+      .type = FieldType::ObjectMap,
+      .required = true,
+      .nested = &ModelSchema,
+      .help = "models by name" },
+    { .name = "backend_servers",
+      .type = FieldType::ObjectMap,
+      .required = true,
+      .nested = &BackendServerSchema,
+      .help = "model engines by name" },
+    { .name = "services",
+      .type = FieldType::ObjectMap,
+      .defaultText = "{}",
+      .nested = &ServiceSchema,
+      .help = "plain services by name" },
+} };
+constexpr ObjectSchema RootSchema { "Configuration", RootFields };
+
+} // namespace
+
+const ObjectSchema &configurationSchema()
+{
+    return RootSchema;
+}
+
+const ObjectSchema &teamSchema()
+{
+    return TeamSchema;
+}
+
+const ObjectSchema &modelSchema()
+{
+    return ModelSchema;
+}
+
+const ObjectSchema &backendServerSchema()
+{
+    return BackendServerSchema;
+}
+
+const ObjectSchema &serviceSchema()
+{
+    return ServiceSchema;
+}
+
+} // namespace jacinthroad
--- /dev/null
+++ b/Source/Ledger/Ledger.cpp
@@ -0,0 +1,54 @@
+#include "Ledger/Ledger.h"
+
+#include <algorithm>
+
+namespace jacinthroad {
+
+std::string_view recomputeReasonName(RecomputeReason reason)
+{
+    constexpr std::array<std::string_view, RecomputeReasonCount> Names {
+        "evicted", "routed_away", "new_weights", "crash", "hedge", "retry", "cancel"
+    };
+    return Names[static_cast<std::size_t>(reason)];
+}
+
+LedgerLine &LedgerLine::operator+=(const LedgerLine &other)
+{
+    reused += other.reused;
+    firstTime += other.firstTime;
+    for (std::size_t index = 0; index < recomputed.size(); ++index) {
+        recomputed[index] += other.recomputed[index];
+    }
+    decoded += other.decoded;
+    thrownAway += other.thrownAway;
+    requests += other.requests;
+    return *this;
+}
+
+LedgerLine ledgerLineOf(const PromptUsage &usage)
+{
+    LedgerLine line;
+    line.reused = std::min(usage.cachedTokens, usage.promptTokens);
+    const std::uint64_t computed = usage.promptTokens - line.reused;
+    const std::uint64_t seen = std::min(usage.seenTokens, usage.promptTokens);
+    const std::uint64_t again = seen > line.reused ? std::min(computed, seen - line.reused) : 0;
+    line.recomputed[static_cast<std::size_t>(usage.reason)] = again;
+    line.firstTime = computed - again;
+    return line;
+}
+
+void Ledger::add(const TeamId &team, const ModelId &model, const LedgerLine &line)
+{
+    lines_[{ team, model }] += line;
+}
+
+LedgerLine Ledger::total() const
+{
+    LedgerLine sum;
+    for (const auto &[key, line] : lines_) {
+        sum += line;
+    }
+    return sum;
+}
+
+} // namespace jacinthroad
--- /dev/null
+++ b/Source/Quarantine/Quarantine.cpp
@@ -0,0 +1,93 @@
+#include "Quarantine/Quarantine.h"
+
+#include <algorithm>
+
+namespace jacinthroad {
+
+namespace {
+
+constexpr std::uint8_t MostCrashes = 255;
+
+std::uint8_t increased(std::uint8_t count)
+{
+    return count == MostCrashes ? count : static_cast<std::uint8_t>(count + 1);
+}
+
+} // namespace
+
+Quarantine::Quarantine(QuarantineOptions options)
+    : options_(options)
+{
+}
+
+Instant Quarantine::expiry(const QuarantineRecord &record, Instant now) const
+{
+    return now + (record.crashesAlone > 0 ? options_.quarantineTime : options_.suspectTime);
+}
+
+RunPermission Quarantine::permission(RequestFingerprint fingerprint, Instant now) const
+{
+    const auto found = entries_.find(fingerprint);
+    if (found == entries_.end() || found->second.expires <= now) {
+        return RunPermission::Freely;
+    }
+    return found->second.record.crashesAlone > 0 ? RunPermission::Never : RunPermission::Alone;
+}
+
+void Quarantine::dropOldest()
+{
+    const auto oldest = std::min_element(
+        entries_.begin(), entries_.end(),
+        [](const auto &a, const auto &b) { return a.second.expires < b.second.expires; });
+    entries_.erase(oldest);
+}
+
+void Quarantine::noteCrash(RequestFingerprint fingerprint, bool alone, Instant now)
+{
+    if (entries_.size() >= options_.capacity && !entries_.contains(fingerprint)) {
+        dropOldest();
+    }
+    Entry &entry = entries_[fingerprint];
+    entry.record.fingerprint = fingerprint;
+    entry.record.crashes = increased(entry.record.crashes);
+    if (alone) {
+        entry.record.crashesAlone = increased(entry.record.crashesAlone);
+    }
+    entry.expires = expiry(entry.record, now);
+}
+
+void Quarantine::noteFinished(RequestFingerprint fingerprint)
+{
+    entries_.erase(fingerprint);
+}
+
+void Quarantine::merge(const QuarantineRecord &record, Instant now)
+{
+    if (entries_.size() >= options_.capacity && !entries_.contains(record.fingerprint)) {
+        dropOldest();
+    }
+    const auto [found, added] = entries_.try_emplace(record.fingerprint);
+    Entry &entry = found->second;
+    const bool worse = added || record.crashes > entry.record.crashes
+        || record.crashesAlone > entry.record.crashesAlone;
+    if (!worse) {
+        return;
+    }
+    entry.record.fingerprint = record.fingerprint;
+    entry.record.crashes = std::max(entry.record.crashes, record.crashes);
+    entry.record.crashesAlone = std::max(entry.record.crashesAlone, record.crashesAlone);
+    entry.expires = expiry(entry.record, now);
+}
+
+std::vector<QuarantineRecord> Quarantine::records(Instant now) const
+{
+    std::vector<QuarantineRecord> result;
+    for (const auto &[fingerprint, entry] : entries_) {
+        if (entry.expires > now) {
+            result.push_back(entry.record);
+        }
+    }
+    return result;
+}
+
+} // namespace jacinthroad
--- /dev/null
+++ b/Source/Routing/Dispatcher.h
@@ -0,0 +1,200 @@
+#pragma once
+
+#include <cstdint>
+#include <map>
+#include <random>
+#include <set>
+#include <span>
+#include <string_view>
+#include <unordered_map>
+#include <vector>
+
+#include "Admission/FairQueue.h"
+#include "Admission/OutputLength.h"
+#include "Ledger/Ledger.h"
+#include "PrefixIndex/PrefixIndex.h"
+#include "Quarantine/Quarantine.h"
+#include "Retry/RetryBudget.h"
+#include "Routing/DispatcherMessages.h"
+#include "Routing/Policy.h"
+#include "Routing/ServerTable.h"
+
+namespace jacinthroad {
+
+/// Settings of a Dispatcher. Durations are in the time of the servers, which a test bench may
+/// run faster than real time.
+struct DispatcherOptions
+{
+    Policy policy = PredictedCostPolicy {};
+    std::uint64_t seed = 1;
+    PrefixIndexOptions index {};
+    ServerHealthOptions health {};
+    QuarantineOptions quarantine {};
+    /// Second attempts allowed for each first one.
+    double retryShare = 0.2;
+    double retryReserve = 20;
+    unsigned maximumAttempts = 4;
+    /// A second server is tried when the first token takes this many times its prediction.
+    double hedgeFactor = 4;
+    /// and at least this long.
+    Duration hedgeMinimum = milliseconds(400);
+    /// Hedges allowed for each first attempt.
+    double hedgeShare = 0.03;
+    /// Most requests that wait for one model; further ones are refused.
+    std::size_t maximumQueue = 4096;
+    /// Share of a model's servers kept in use whatever their health says.
+    double leastServingShare = 0.5;
+};
+
+/// Counts for metrics and tests.
+struct DispatcherCounters
+{
+    std::uint64_t arrived = 0;
+    std::uint64_t finished = 0;
+    std::uint64_t refused = 0;
+    std::uint64_t retries = 0;
+    std::uint64_t hedges = 0;
+    std::uint64_t stalls = 0;
+    std::uint64_t crossed = 0;
+    std::uint64_t demotions = 0;
+};
+
+/// The decision core: it takes messages with their time and gives effects. It owns no socket,
+/// thread or clock and its randomness comes from the seed, so the same messages always give the
+/// same effects. One instance serves one node and belongs to its control thread.
+class Dispatcher
+{
+public:
+    explicit Dispatcher(DispatcherOptions options);
+
+    /// Takes the backend servers and terms of models now in force. Requests under way on a
+    /// server that went finish there; waiting ones choose anew.
+    void configure(std::span<const ServerFacts> servers,
+                   const std::map<ModelId, ModelTerms> &terms);
+
+    /// Forgets what a peer that left had told.
+    void dropPeer(const NodeId &peer) { servers_.dropPeer(peer); }
+
+    /// Takes one message and returns what to do about it.
+    [[nodiscard]] std::vector<DispatcherEffect> handle(const DispatcherMessage &message,
+                                                       Instant now);
+
+    [[nodiscard]] const DispatcherCounters &counters() const { return counters_; }
+    [[nodiscard]] const Ledger &ledger() const { return ledger_; }
+    [[nodiscard]] const ServerTable &servers() const { return servers_; }
+    [[nodiscard]] const PrefixIndex &index() const { return index_; }
+    [[nodiscard]] std::vector<QuarantineRecord> quarantine(Instant now) const;
+    /// Requests that wait in this node.
+    [[nodiscard]] std::size_t queued() const;
+    /// Requests that are under way or wait.
+    [[nodiscard]] std::size_t open() const { return requests_.size(); }
+    /// Requests under way or waiting, by team.
+    [[nodiscard]] const std::map<TeamId, std::uint32_t> &openByTeam() const { return teamOpen_; }
+    /// Blocks this node caused servers to hold since the last call, for peers.
+    [[nodiscard]] std::vector<std::pair<ServerId, std::vector<BlockKey>>> takeStored();
+
+private:
+    struct Attempt
+    {
+        AttemptNumber number = 0;
+        ServerSlot slot = 0;
+        Instant started;
+        double predictedMs = 0;
+        double waitingPrefill = 0;
+        double assumedTokens = 0;
+        double matchedTokens = 0;
+        double otherMatchedTokens = 0;
+        double seenTokens = 0;
+        bool longJob = false;
+        bool firstToken = false;
+        bool alone = false;
+        bool hedge = false;
+        /// The reason to book a recomputation under when it was caused by an earlier attempt.
+        std::optional<RecomputeReason> cause;
+    };
+    struct Request
+    {
+        RequestFacts facts;
+        double teamWeight = 1;
+        LengthClass lengthClass = LengthClass::Normal;
+        DispatchRecord record;
+        std::vector<Attempt> attempts;
+        AttemptNumber lastAttempt = 0;
+        std::uint32_t deliveredTokens = 0;
+        bool queued = false;
+        Instant limit;
+        std::set<ServerSlot> failedAt;
+        std::optional<RecomputeReason> nextCause;
+    };
+    /// Waiting work of one model and how fast it has been leaving.
+    struct ModelQueue
+    {
+        FairQueue queue;
+        double workPerMs = 0;
+        double servedWork = 0;
+        Instant measuredAt;
+    };
+
+    void on(const RequestArrived &message, Instant now);
+    void on(const FirstTokenSeen &message, Instant now);
+    void on(const AttemptProgress &message, Instant now);
+    void on(const AttemptEnded &message, Instant now);
+    void on(const CallerLeft &message, Instant now);
+    void on(const ServerReported &message, Instant now);
+    void on(const CacheEventsSeen &message, Instant now);
+    void on(const PeerReported &message, Instant now);
+    void on(const TimePassed &message, Instant now);
+    void on(const DrainBegun &message, Instant now);
+
+    [[nodiscard]] const ModelTerms &termsOf(const ModelId &model) const;
+    [[nodiscard]] std::vector<ServerSlot> candidates(const Request &request, Instant now) const;
+    [[nodiscard]] std::vector<ServerSlot> soloCandidates(const ModelId &model, Instant now) const;
+    [[nodiscard]] std::optional<Choice> chooseFor(Request &request,
+                                                  std::span<const ServerSlot> slots, Instant now);
+
+    /// Sends the request off, or queues it, or refuses it.
+    void place(Request &request, Instant now);
+    [[nodiscard]] bool tryStart(Request &request, Instant now);
+    void enqueue(Request &request, Instant now);
+    void start(Request &request, const Choice &choice, bool alone, bool hedge, Instant now);
+    void pump(const ModelId &model, Instant now);
+    void refuseExpired(ModelQueue &queue, Instant now);
+    void hedge(Request &request, Instant now);
+    [[nodiscard]] double fairWaitMs(const ModelQueue &queue, const Request &request) const;
+
+    Attempt *findAttempt(Request &request, AttemptNumber number);
+    void releaseLoad(const Attempt &attempt);
+    void removeAttempt(Request &request, AttemptNumber number);
+    void complete(Request &request, const Attempt &attempt, const AttemptEnded &message,
+                  Instant now);
+    void afterFailure(Request &request, const Attempt &attempt, AttemptEnd end, Instant now);
+    void noteServerCrash(ServerSlot slot, const Attempt &attempt, const Request &request,
+                         Instant now);
+    void bookUsage(const Request &request, const Attempt &attempt, const AttemptEnded &message);
+    void refuse(Request &request, ErrorKind kind, Instant now);
+    void forget(const RequestId &id);
+    void measureThroughput(ModelQueue &queue, Instant now);
+    void dropCache(ServerSlot slot);
+
+    DispatcherOptions options_;
+    std::mt19937_64 random_;
+    Policy policy_;
+    ServerTable servers_;
+    std::map<ModelId, ModelTerms> terms_;
+    PrefixIndex index_;
+    OutputLength outputLength_;
+    RetryBudget retries_;
+    RetryBudget hedges_;
+    Quarantine quarantine_;
+    Ledger ledger_;
+    DispatcherCounters counters_;
+    std::unordered_map<RequestId, Request> requests_;
+    std::map<ModelId, ModelQueue> queues_;
+    std::map<TeamId, std::uint32_t> teamOpen_;
+    std::map<ServerId, std::uint64_t> nextEvent_;
+    std::vector<std::pair<ServerId, std::vector<BlockKey>>> storedForPeers_;
+    bool draining_ = false;
+    std::vector<DispatcherEffect> effects_;
+};
+
+} // namespace jacinthroad
--- /dev/null
+++ b/Source/Routing/PredictedCostPolicy.cpp
@@ -0,0 +1,139 @@
+#include "Routing/PredictedCostPolicy.h"
+
+#include <algorithm>
+#include <cmath>
+
+#include "Routing/Rendezvous.h"
+
+namespace jacinthroad {
+
+namespace {
+
+// Head lengths, in tokens, at which rendezvous order is tried; each is twice the one before.
+constexpr std::uint32_t FirstHeadTokens = 1024;
+constexpr double TrustWeight = 0.02;
+constexpr double LeastTrust = 0.05;
+constexpr double CalibrationWeight = 0.05;
+constexpr double JobWeight = 0.05;
+constexpr double DefaultJobMs = 2000;
+// A server is full when its wait exceeds this share of the first-token objective.
+constexpr double FullWaitShare = 0.15;
+// Share of a server's slots that long jobs may hold.
+constexpr double LongSlotShare = 0.6;
+// Costs this close together count as equal, so that nodes that see the same do not all follow
+// the same report.
+constexpr double TieShare = 0.05;
+constexpr double TieMs = 5;
+
+} // namespace
+
+const PredictedCostPolicy::Learned &PredictedCostPolicy::learned(const ModelId &model) const
+{
+    static const Learned Initial;
+    const auto found = learned_.find(model);
+    return found == learned_.end() ? Initial : found->second;
+}
+
+Choice PredictedCostPolicy::evaluate(const ChoiceContext &context, ServerSlot slot,
+                                     double assumedHead) const
+{
+    const ServerState &server = context.servers.at(slot);
+    const Learned &known = learned(context.request.model);
+    const ServerLoad load = context.servers.totalLoad(slot, context.now);
+    const double msPerToken = 1 / server.facts.prefillTokensPerMs;
+    const double slowdown = server.health.slowdown(context.now);
+
+    Choice choice { .server = slot };
+    const double matched
+        = static_cast<double>(context.matchedBlocks[slot]) * context.terms.blockTokens;
+    choice.assumedTokens = assumedHead > matched ? assumedHead - matched : 0;
+    choice.expectedCachedTokens = matched + trust_ * choice.assumedTokens;
+    const double uncached
+        = std::max(0.0, context.request.promptTokens - choice.expectedCachedTokens);
+
+    const double slots = server.facts.slots;
+    const double jobMs = known.jobMs > 0 ? known.jobMs : DefaultJobMs;
+    const double ahead = load.inFlight - slots + 1;
+    const double slotWaitMs = ahead > 0 ? ahead * jobMs / slots : 0;
+    choice.waitMs = (slotWaitMs + load.waitingPrefill * msPerToken) * slowdown;
+    choice.predictedMs
+        = choice.waitMs + (uncached * msPerToken + context.terms.tokenGapTargetMs) * slowdown;
+    choice.predictedMs *= known.calibration;
+
+    const bool waitTooLong
+        = choice.waitMs > FullWaitShare * context.terms.firstTokenTargetMs;
+    const bool longJobsFull = context.lengthClass == LengthClass::Long
+        && load.longJobs + 1 > std::max(1.0, LongSlotShare * slots);
+    choice.full = waitTooLong || longJobsFull;
+    return choice;
+}
+
+std::optional<Choice> PredictedCostPolicy::choose(const ChoiceContext &context) const
+{
+    if (context.candidates.empty()) {
+        return std::nullopt;
+    }
+    // Longest assumed head for each candidate, by its place in `candidates`.
+    std::vector<double> assumed(context.candidates.size(), 0);
+    const auto &blocks = context.request.blocks;
+    for (std::size_t headTokens = FirstHeadTokens;
+         headTokens / context.terms.blockTokens <= blocks.size(); headTokens *= 2) {
+        const BlockKey head = blocks[headTokens / context.terms.blockTokens - 1];
+        std::size_t first = 0;
+        std::uint64_t bestScore = 0;
+        for (std::size_t index = 0; index < context.candidates.size(); ++index) {
+            const std::uint64_t score
+                = rendezvousScore(head, context.servers.at(context.candidates[index]).hash);
+            if (score >= bestScore) {
+                bestScore = score;
+                first = index;
+            }
+        }
+        assumed[first] = static_cast<double>(headTokens);
+    }
+
+    std::vector<std::pair<double, Choice>> costs;
+    costs.reserve(context.candidates.size());
+    double least = 0;
+    for (std::size_t index = 0; index < context.candidates.size(); ++index) {
+        const Choice choice = evaluate(context, context.candidates[index], assumed[index]);
+        const double uncached
+            = std::max(0.0, context.request.promptTokens - choice.expectedCachedTokens);
+        const double cost
+            = choice.predictedMs + uncached * context.terms.recomputePriceMsPerToken;
+        least = costs.empty() ? cost : std::min(least, cost);
+        costs.emplace_back(cost, choice);
+    }
+    const double limit = least * (1 + TieShare) + TieMs;
+    std::erase_if(costs, [&](const auto &entry) { return entry.first > limit; });
+    std::uniform_int_distribution<std::size_t> pick(0, costs.size() - 1);
+    return costs[pick(context.random)].second;
+}
+
+void PredictedCostPolicy::noteAssumption(double assumedTokens, double foundTokens)
+{
+    if (assumedTokens <= 0) {
+        return;
+    }
+    const double share = std::clamp(foundTokens / assumedTokens, 0.0, 1.0);
+    trust_ = std::max(LeastTrust, trust_ + TrustWeight * (share - trust_));
+}
+
+void PredictedCostPolicy::noteFirstToken(const ModelId &model, double predictedMs,
+                                         double observedMs)
+{
+    if (predictedMs <= 0) {
+        return;
+    }
+    double &calibration = learned_[model].calibration;
+    const double ratio = std::clamp(observedMs / predictedMs, 0.2, 5.0);
+    calibration = std::clamp(calibration * std::pow(ratio, CalibrationWeight), 0.2, 5.0);
+}
+
+void PredictedCostPolicy::noteJob(const ModelId &model, double jobMs)
+{
+    double &known = learned_[model].jobMs;
+    known = known == 0 ? jobMs : known + JobWeight * (jobMs - known);
+}
+
+} // namespace jacinthroad
--- /dev/null
+++ b/Source/Routing/PredictedCostPolicy.h
@@ -0,0 +1,97 @@
+#pragma once
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <random>
+#include <span>
+#include <vector>
+
+#include "Admission/LengthClass.h"
+#include "Core/Time.h"
+#include "PrefixIndex/PrefixIndex.h"
+#include "Routing/RequestFacts.h"
+#include "Routing/ServerTable.h"
+
+namespace jacinthroad {
+
+/// What the configuration says of a model's service.
+struct ModelTerms
+{
+    /// Tokens in a cache block of its engines.
+    std::uint32_t blockTokens = 64;
+    /// Price of one token of prompt computed again, in milliseconds of first-token time.
+    double recomputePriceMsPerToken = 0.05;
+    /// Objective for the first token, in milliseconds.
+    double firstTokenTargetMs = 1900;
+    /// A request whose first token is predicted later than this is refused, in milliseconds.
+    double firstTokenLimitMs = 1900;
+    /// Objective for the gap between tokens, in milliseconds.
+    double tokenGapTargetMs = 48;
+};
+
+/// Everything a choice looks at.
+struct ChoiceContext
+{
+    const ServerTable &servers;
+    const RequestFacts &request;
+    LengthClass lengthClass;
+    const ModelTerms &terms;
+    /// Servers that may be chosen.
+    std::span<const ServerSlot> candidates;
+    /// Leading blocks that each slot is believed to hold.
+    std::span<const std::uint32_t> matchedBlocks;
+    Instant now;
+    std::mt19937_64 &random;
+};
+
+/// A chosen server and what is expected of it.
+struct Choice
+{
+    ServerSlot server = 0;
+    double predictedMs = 0;
+    /// The part of predictedMs in which others' work is done first.
+    double waitMs = 0;
+    double expectedCachedTokens = 0;
+    /// Tokens of the head whose place was assumed by rendezvous order alone; 0 for none.
+    double assumedTokens = 0;
+    /// True when the server should not be given more work yet.
+    bool full = false;
+};
+
+/// Chooses the smallest sum of predicted first-token time and price of recomputed tokens. What
+/// a server has cached is taken from the index; for what the index does not know, the first
+/// server in rendezvous order at each of several head lengths is assumed to hold that head, with
+/// a trust that is learned, so a node that has just started routes like the others.
+class PredictedCostPolicy
+{
+public:
+    /// The best server, which may be full: waiting for it is then cheaper than any other.
+    [[nodiscard]] std::optional<Choice> choose(const ChoiceContext &context) const;
+
+    /// Takes what an engine reported for a choice of which `assumedTokens` were assumed.
+    void noteAssumption(double assumedTokens, double foundTokens);
+
+    /// Takes a first-token time against its prediction, both in milliseconds.
+    void noteFirstToken(const ModelId &model, double predictedMs, double observedMs);
+
+    /// Takes the length of a finished job in milliseconds.
+    void noteJob(const ModelId &model, double jobMs);
+
+private:
+    struct Learned
+    {
+        /// Observed over predicted first-token time.
+        double calibration = 1;
+        double jobMs = 0;
+    };
+
+    [[nodiscard]] Choice evaluate(const ChoiceContext &context, ServerSlot slot,
+                                  double assumedHead) const;
+    [[nodiscard]] const Learned &learned(const ModelId &model) const;
+
+    double trust_ = 0.5;
+    std::map<ModelId, Learned> learned_;
+};
+
+} // namespace jacinthroad
--- /dev/null
+++ b/Source/Routing/ServerTable.cpp
@@ -0,0 +1,175 @@
+#include "Routing/ServerTable.h"
+
+#include <algorithm>
+
+#include "Core/Hashing.h"
+
+namespace jacinthroad {
+
+namespace {
+
+constexpr Duration PeerLoadLifetime = std::chrono::seconds(3);
+constexpr Duration ReportLifetime = std::chrono::seconds(10);
+constexpr double GapWeight = 0.3;
+
+ServerLoad drained(ServerLoad load, Duration age, double tokensPerMs)
+{
+    const double done = std::max(0.0, toMilliseconds(age)) * tokensPerMs;
+    load.waitingPrefill = std::max(0.0, load.waitingPrefill - done);
+    return load;
+}
+
+ServerLoad withoutNegatives(ServerLoad load)
+{
+    load.inFlight = std::max(0.0, load.inFlight);
+    load.longJobs = std::max(0.0, load.longJobs);
+    load.waitingPrefill = std::max(0.0, load.waitingPrefill);
+    return load;
+}
+
+} // namespace
+
+ServerLoad &ServerLoad::operator+=(const ServerLoad &other)
+{
+    inFlight += other.inFlight;
+    longJobs += other.longJobs;
+    waitingPrefill += other.waitingPrefill;
+    return *this;
+}
+
+ServerLoad &ServerLoad::operator-=(const ServerLoad &other)
+{
+    inFlight -= other.inFlight;
+    longJobs -= other.longJobs;
+    waitingPrefill -= other.waitingPrefill;
+    return *this;
+}
+
+ServerTable::ServerTable(ServerHealthOptions healthOptions)
+    : healthOptions_(healthOptions)
+{
+}
+
+void ServerTable::configure(std::span<const ServerFacts> servers)
+{
+    for (ServerState &row : rows_) {
+        row.configured = false;
+    }
+    for (const ServerFacts &facts : servers) {
+        const auto [place, added]
+            = byId_.try_emplace(facts.id, static_cast<ServerSlot>(rows_.size()));
+        if (added) {
+            rows_.push_back({ .hash = hash64(facts.id.text()),
+                              .health = ServerHealth(healthOptions_) });
+        }
+        rows_[place->second].facts = facts;
+        rows_[place->second].configured = true;
+    }
+    byModel_.clear();
+    for (ServerSlot slot = 0; slot < rows_.size(); ++slot) {
+        if (rows_[slot].configured) {
+            byModel_[rows_[slot].facts.model].push_back(slot);
+        }
+    }
+}
+
+std::optional<ServerSlot> ServerTable::find(const ServerId &id) const
+{
+    const auto found = byId_.find(id);
+    return found == byId_.end() ? std::nullopt : std::optional(found->second);
+}
+
+std::span<const ServerSlot> ServerTable::ofModel(const ModelId &model) const
+{
+    const auto found = byModel_.find(model);
+    return found == byModel_.end() ? std::span<const ServerSlot>() : found->second;
+}
+
+bool ServerTable::accepts(ServerSlot slot, Instant now) const
+{
+    const ServerState &row = rows_[slot];
+    return row.configured && !row.facts.leaving && row.health.available(now);
+}
+
+bool ServerTable::noteReport(ServerSlot slot, const LoadReport &report, Instant now)
+{
+    ServerState &row = rows_[slot];
+    const bool restarted = report.incarnation != 0 && row.incarnation != 0
+        && report.incarnation != row.incarnation;
+    const bool reweighted
+        = !report.weights.empty() && !row.weights.empty() && report.weights != row.weights;
+    if (report.incarnation != 0) {
+        row.incarnation = report.incarnation;
+    }
+    if (!report.weights.empty()) {
+        row.weights = report.weights;
+    }
+    ServerLoad others = report.load;
+    others -= row.own;
+    row.reported = withoutNegatives(others);
+    row.reportedAt = now;
+    if (restarted || reweighted) {
+        row.epochChanged = now;
+        row.epochIsWeights = reweighted;
+    }
+    return restarted || reweighted;
+}
+
+void ServerTable::notePeerLoad(const NodeId &peer, ServerSlot slot, const ServerLoad &load,
+                               Instant now)
+{
+    peers_[peer][slot] = { .load = load, .at = now };
+}
+
+void ServerTable::dropPeer(const NodeId &peer)
+{
+    peers_.erase(peer);
+}
+
+ServerLoad ServerTable::totalLoad(ServerSlot slot, Instant now) const
+{
+    const ServerState &row = rows_[slot];
+    const double rate = row.facts.prefillTokensPerMs;
+    ServerLoad total = row.own;
+    bool anyPeer = false;
+    for (const auto &[peer, loads] : peers_) {
+        const auto found = loads.find(slot);
+        if (found != loads.end() && now - found->second.at < PeerLoadLifetime) {
+            total += drained(found->second.load, now - found->second.at, rate);
+            anyPeer = true;
+        }
+    }
+    if (!anyPeer && now - row.reportedAt < ReportLifetime) {
+        total += drained(row.reported, now - row.reportedAt, rate);
+    }
+    return total;
+}
+
+void ServerTable::noteTokenGap(ServerSlot slot, double gapMs, Instant now)
+{
+    ServerState &row = rows_[slot];
+    row.tokenGapMs
+        = row.tokenGapMs == 0 ? gapMs : row.tokenGapMs + GapWeight * (gapMs - row.tokenGapMs);
+    const double usual = usualGapMs(row.facts.model);
+    if (usual > 0) {
+        row.health.noteRelativeGap(gapMs / usual, now);
+    }
+}
+
+double ServerTable::usualGapMs(const ModelId &model) const
+{
+    std::vector<double> gaps;
+    for (const ServerSlot slot : ofModel(model)) {
+        if (rows_[slot].tokenGapMs > 0) {
+            gaps.push_back(rows_[slot].tokenGapMs);
+        }
+    }
+    if (gaps.empty()) {
+        return 0;
+    }
+    const auto middle = gaps.begin() + static_cast<std::ptrdiff_t>(gaps.size() / 2);
+    std::nth_element(gaps.begin(), middle, gaps.end());
+    return *middle;
+}
+
+} // namespace jacinthroad
--- /dev/null
+++ b/Source/Routing/ServerTable.h
@@ -0,0 +1,133 @@
+#pragma once
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <span>
+#include <string>
+#include <vector>
+
+#include "Core/Ids.h"
+#include "Core/Time.h"
+#include "PrefixIndex/PrefixIndex.h"
+#include "Retry/ServerHealth.h"
+
+namespace jacinthroad {
+
+/// What the configuration says of one model engine.
+struct ServerFacts
+{
+    ServerId id;
+    ZoneId zone;
+    ModelId model;
+    /// Sequences that the engine decodes at once.
+    std::uint32_t slots = 16;
+    /// Tokens of prompt that it computes in a millisecond when undisturbed.
+    double prefillTokensPerMs = 8;
+    /// True once the list of VMs says that it leaves.
+    bool leaving = false;
+
+    friend bool operator==(const ServerFacts &, const ServerFacts &) = default;
+};
+
+/// Work on one server.
+struct ServerLoad
+{
+    double inFlight = 0;
+    double longJobs = 0;
+    /// Prompt tokens sent for which no first token came yet.
+    double waitingPrefill = 0;
+
+    ServerLoad &operator+=(const ServerLoad &other);
+    ServerLoad &operator-=(const ServerLoad &other);
+};
+
+/// An engine's own report of its load, which is late by an unknown time.
+struct LoadReport
+{
+    /// Changes with every start of the engine; 0 when the engine does not say.
+    std::uint64_t incarnation = 0;
+    /// Version of the weights in use.
+    std::string weights;
+    ServerLoad load;
+};
+
+/// One row of the table.
+struct ServerState
+{
+    ServerFacts facts;
+    /// False once the configuration no longer names the server; its row stays reserved.
+    bool configured = true;
+    std::uint64_t hash = 0;
+    std::uint64_t incarnation = 0;
+    std::string weights;
+    ServerHealth health { ServerHealthOptions {} };
+    /// This node's own work, always exact.
+    ServerLoad own;
+    /// Other nodes' work by the last report of the engine, less our own.
+    ServerLoad reported;
+    Instant reportedAt;
+    /// Mean gap between tokens that this node saw, in milliseconds; 0 before the first.
+    double tokenGapMs = 0;
+    /// Suspect requests that run alone here for this node.
+    std::uint32_t soloRuns = 0;
+    /// When the incarnation or weights last changed, for the ledger.
+    std::optional<Instant> epochChanged;
+    bool epochIsWeights = false;
+};
+
+/// The backend servers of the configuration and what is known of their load. Slots are stable:
+/// a server keeps its row while the node runs.
+class ServerTable
+{
+public:
+    explicit ServerTable(ServerHealthOptions healthOptions);
+
+    /// Takes a new set of servers. Known ones keep their state.
+    void configure(std::span<const ServerFacts> servers);
+
+    [[nodiscard]] std::size_t size() const { return rows_.size(); }
+    [[nodiscard]] ServerState &at(ServerSlot slot) { return rows_[slot]; }
+    [[nodiscard]] const ServerState &at(ServerSlot slot) const { return rows_[slot]; }
+    [[nodiscard]] std::optional<ServerSlot> find(const ServerId &id) const;
+
+    /// Slots of the model's servers, whether available or not.
+    [[nodiscard]] std::span<const ServerSlot> ofModel(const ModelId &model) const;
+
+    /// True when new work may go there.
+    [[nodiscard]] bool accepts(ServerSlot slot, Instant now) const;
+
+    /// Takes a report; true when it shows that the cache was lost, by restart or new weights.
+    [[nodiscard]] bool noteReport(ServerSlot slot, const LoadReport &report, Instant now);
+
+    /// Takes a peer's own work on a server.
+    void notePeerLoad(const NodeId &peer, ServerSlot slot, const ServerLoad &load, Instant now);
+    /// Forgets a peer that left.
+    void dropPeer(const NodeId &peer);
+
+    /// All nodes' work on a server, as well as it is known at `now`: own work exactly, peers'
+    /// digests where they are fresh, and otherwise the engine's report, both drained by what the
+    /// engine will have done since.
+    [[nodiscard]] ServerLoad totalLoad(ServerSlot slot, Instant now) const;
+
+    /// Takes a mean token gap in milliseconds from a stream of this server.
+    void noteTokenGap(ServerSlot slot, double gapMs, Instant now);
+
+    /// Usual token gap of the model's servers: the median; 0 when unknown.
+    [[nodiscard]] double usualGapMs(const ModelId &model) const;
+
+private:
+    struct PeerLoad
+    {
+        ServerLoad load;
+        Instant at;
+    };
+
+    ServerHealthOptions healthOptions_;
+    std::vector<ServerState> rows_;
+    std::map<ServerId, ServerSlot> byId_;
+    std::map<ModelId, std::vector<ServerSlot>> byModel_;
+    std::map<NodeId, std::map<ServerSlot, PeerLoad>> peers_;
+};
+
+} // namespace jacinthroad
