--- /dev/null
+++ b/Source/Load/LoadReport.cpp
@@ -0,0 +1,175 @@
+#include "Load/LoadReport.h"
+
+#include <algorithm>
+#include <array>
+#include <cmath>
+#include <cstdio>
+#include <functional>
+
+#include <boost/histogram.hpp>
+
+namespace jacinthroad {
+
+namespace {
+
+// Latencies from a tenth of a millisecond to a thousand seconds in steps of about 1.2 %.
+constexpr unsigned HistogramBins = 1400;
+constexpr double LeastLatencyMs = 0.1;
+constexpr double MostLatencyMs = 1e6;
+
+template <typename Histogram>
+double quantile(const Histogram &histogram, double total, double rank)
+{
+    double below = 0;
+    for (const auto &bin : boost::histogram::indexed(histogram)) {
+        below += *bin;
+        if (below >= rank * total) {
+            return bin.bin().upper();
+        }
+    }
+    return MostLatencyMs;
+}
+
+Json::Value quantilesJson(const Quantiles &quantiles)
+{
+    Json::Value value;
+    value["p50"] = quantiles.p50;
+    value["p95"] = quantiles.p95;
+    value["p99"] = quantiles.p99;
+    return value;
+}
+
+Json::Value figuresJson(const PolicyFigures &figures)
+{
+    Json::Value value;
+    value["requests"] = Json::UInt64(figures.requests);
+    value["completed"] = Json::UInt64(figures.completed);
+    value["refused_not_run"] = Json::UInt64(figures.refusedNotRun);
+    value["failed"] = Json::UInt64(figures.failed);
+    value["prefix_hit_rate"] = figures.prefixHitRate;
+    value["ttft_ms"] = quantilesJson(figures.firstToken);
+    value["ttft_crest_ms"] = quantilesJson(figures.firstTokenCrest);
+    value["ttft_rated_ms"] = quantilesJson(figures.firstTokenRated);
+    value["inter_token_ms"]["p95"] = figures.tokenGapP95Ms;
+    value["inter_token_rated_ms"]["p95"] = figures.tokenGapRatedP95Ms;
+    std::uint64_t recomputed = 0;
+    for (std::size_t index = 0; index < RecomputeReasonCount; ++index) {
+        const auto name = recomputeReasonName(static_cast<RecomputeReason>(index));
+        value["recomputed_tokens"][std::string(name)] = Json::UInt64(figures.recomputed[index]);
+        recomputed += figures.recomputed[index];
+    }
+    value["recomputed_tokens_total"] = Json::UInt64(recomputed);
+    value["recomputed_tokens_per_request"]
+        = static_cast<double>(recomputed) / std::max<double>(1, double(figures.completed));
+    value["prompt_tokens"] = Json::UInt64(figures.promptTokens);
+    value["goodput_crest"] = figures.goodputCrest;
+    value["short_wait_behind_long_ms"]["p95"] = figures.shortWaitP95Ms;
+    value["duplicate_executions"] = Json::UInt64(figures.duplicateExecutions);
+    value["false_not_run"] = Json::UInt64(figures.falseNotRun);
+    value["broken_streams"] = Json::UInt64(figures.brokenStreams);
+    value["crossed_answers"] = Json::UInt64(figures.crossedStreams);
+    value["control_bytes_per_node_s"] = figures.controlBytesPerNodeSecond;
+    value["control_cpu_share"] = figures.controlCpuShare;
+    value["platform_calls"] = Json::UInt64(figures.platformCalls);
+    value["hedges"] = Json::UInt64(figures.hedges);
+    value["retries"] = Json::UInt64(figures.retries);
+    return value;
+}
+
+std::string cell(double value)
+{
+    std::array<char, 32> text {};
+    const int length = std::snprintf(text.data(), text.size(), "%18.*f",
+                                     value != 0 && std::abs(value) < 10 ? 3 : 0, value);
+    return { text.data(), static_cast<std::size_t>(length) };
+}
+
+} // namespace
+
+Quantiles quantilesOf(const std::vector<double> &values)
+{
+    using boost::histogram::axis::regular;
+    using boost::histogram::axis::transform::log;
+    if (values.empty()) {
+        return {};
+    }
+    auto histogram = boost::histogram::make_histogram(
+        regular<double, log>(HistogramBins, LeastLatencyMs, MostLatencyMs));
+    for (const double value : values) {
+        histogram(std::clamp(value, LeastLatencyMs * 1.01, MostLatencyMs * 0.99));
+    }
+    const auto total = static_cast<double>(values.size());
+    return { .p50 = quantile(histogram, total, 0.5),
+             .p95 = quantile(histogram, total, 0.95),
+             .p99 = quantile(histogram, total, 0.99) };
+}
+
+Json::Value reportJson(const ExperimentReport &report)
+{
+    Json::Value value;
+    value["profile"] = report.profile;
+    value["seed"] = Json::UInt64(report.seed);
+    for (const auto &[name, figures] : report.policies) {
+        value["policies"][name] = figuresJson(figures);
+    }
+    return value;
+}
+
+std::string reportText(const ExperimentReport &report)
+{
+    using Getter = std::function<double(const PolicyFigures &)>;
+    const auto number = [](auto member) {
+        return [member](const PolicyFigures &f) { return static_cast<double>(f.*member); };
+    };
+    const auto recomputed = [](const PolicyFigures &f) {
+        double sum = 0;
+        for (const std::uint64_t tokens : f.recomputed) {
+            sum += static_cast<double>(tokens);
+        }
+        return sum;
+    };
+    const std::vector<std::pair<std::string, Getter>> rows {
+        { "requests", number(&PolicyFigures::requests) },
+        { "completed", number(&PolicyFigures::completed) },
+        { "refused, not run", number(&PolicyFigures::refusedNotRun) },
+        { "failed", number(&PolicyFigures::failed) },
+        { "prefix hit rate", number(&PolicyFigures::prefixHitRate) },
+        { "first token p50, ms", [](const auto &f) { return f.firstToken.p50; } },
+        { "first token p95, ms", [](const auto &f) { return f.firstToken.p95; } },
+        { "first token p99, ms", [](const auto &f) { return f.firstToken.p99; } },
+        { "  at the crest p99, ms", [](const auto &f) { return f.firstTokenCrest.p99; } },
+        { "  at rated load p95, ms", [](const auto &f) { return f.firstTokenRated.p95; } },
+        { "token gap p95, ms", number(&PolicyFigures::tokenGapP95Ms) },
+        { "  at rated load p95, ms", number(&PolicyFigures::tokenGapRatedP95Ms) },
+        { "recomputed tokens", recomputed },
+        { "goodput at the crest, /s", number(&PolicyFigures::goodputCrest) },
+        { "short wait p95, ms", number(&PolicyFigures::shortWaitP95Ms) },
+        { "duplicate executions", number(&PolicyFigures::duplicateExecutions) },
+        { "false 'not run'", number(&PolicyFigures::falseNotRun) },
+        { "broken streams", number(&PolicyFigures::brokenStreams) },
+        { "crossed answers", number(&PolicyFigures::crossedStreams) },
+        { "control bytes/node/s", number(&PolicyFigures::controlBytesPerNodeSecond) },
+        { "control share of a core", number(&PolicyFigures::controlCpuShare) },
+        { "platform calls", number(&PolicyFigures::platformCalls) },
+        { "hedges", number(&PolicyFigures::hedges) },
+        { "retries", number(&PolicyFigures::retries) },
+    };
+    constexpr std::size_t LabelWidth = 26;
+    constexpr std::size_t CellWidth = 18;
+    std::string text = "profile " + report.profile + ", seed " + std::to_string(report.seed)
+        + "; times in model time\n" + std::string(LabelWidth, ' ');
+    for (const auto &[name, figures] : report.policies) {
+        text += std::string(CellWidth - std::min(CellWidth, name.size()), ' ') + name;
+    }
+    text += "\n";
+    for (const auto &[label, getter] : rows) {
+        text += label + std::string(LabelWidth - std::min(LabelWidth, label.size()), ' ');
+        for (const auto &[name, figures] : report.policies) {
+            text += cell(getter(figures));
+        }
+        text += "\n";
+    }
+    return text;
+}
+
+} // namespace jacinthroad
--- /dev/null
+++ b/Source/Load/Workload.h
@@ -0,0 +1,106 @@
+#pragma once
+
+#include <cstdint>
+#include <optional>
+#include <random>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "Admission/LengthClass.h"
+
+namespace jacinthroad {
+
+/// One class of jobs by the length of its answers.
+struct JobClass
+{
+    double share = 0;
+    std::uint32_t leastOutput = 0;
+    std::uint32_t mostOutput = 0;
+    /// False for jobs whose max_tokens says nothing about their length.
+    bool tellsBound = true;
+};
+
+/// A kind of traffic, in model time. Prompts nest: a team's own text, a guide of the team, a
+/// history or conversation under the guide, and the question, which is never the same.
+struct Profile
+{
+    std::string_view name;
+    std::string_view model;
+    std::string_view service;
+    std::vector<std::string_view> zones;
+    std::size_t engines = 0;
+    std::size_t serviceInstances = 0;
+    std::size_t teams = 8;
+    std::size_t guides = 0;
+    std::size_t histories = 0;
+    std::uint32_t teamTokens = 0;
+    std::uint32_t guideTokens = 0;
+    std::uint32_t leastHistoryTokens = 0;
+    std::uint32_t mostHistoryTokens = 0;
+    std::uint32_t questionTokens = 60;
+    /// Exponents of the Zipf laws of teams and of histories.
+    double teamHeat = 1;
+    double historyHeat = 1;
+    std::vector<JobClass> jobs;
+    /// Requests a second before and after the crest.
+    double ratedPerSecond = 0;
+    /// Demand at the crest as a multiple of the rated one.
+    double crestFactor = 3;
+    /// Share of requests that go to the plain service.
+    double serviceShare = 0.05;
+    double recomputePriceMsPerToken = 0.05;
+    std::size_t cacheBlocks = 1500;
+    std::uint32_t slots = 16;
+};
+
+/// The profile of that name, `lienzo-andino` or `drenthe`.
+[[nodiscard]] std::optional<Profile> findProfile(std::string_view name);
+
+/// The names of all profiles.
+[[nodiscard]] std::vector<std::string_view> profileNames();
+
+/// One request to be sent.
+struct PlannedRequest
+{
+    /// Seconds of model time after the start.
+    double at = 0;
+    std::size_t team = 0;
+    bool toService = false;
+    bool inCrest = false;
+    LengthClass lengthClass = LengthClass::Normal;
+    std::uint32_t outputTokens = 0;
+    std::optional<std::uint32_t> maxTokens;
+    /// Text of the system message and of the question.
+    std::string system;
+    std::string question;
+};
+
+/// The name of a team of a profile, such as `team-3`.
+[[nodiscard]] std::string teamName(std::size_t team);
+
+/// Makes the requests of a run in order of time, the same for the same seed. Arrivals are a
+/// Poisson process whose rate is multiplied in the crest, from a half to three quarters of the
+/// run.
+class Workload
+{
+public:
+    Workload(Profile profile, double seconds, std::uint64_t seed);
+
+    /// The next request; nothing after the end of the run.
+    [[nodiscard]] std::optional<PlannedRequest> next();
+
+    [[nodiscard]] const Profile &profile() const { return profile_; }
+
+private:
+    [[nodiscard]] std::size_t zipf(std::size_t count, double exponent);
+    [[nodiscard]] const JobClass &pickJob();
+
+    Profile profile_;
+    double seconds_;
+    std::mt19937_64 random_;
+    double at_ = 0;
+    std::uint64_t sent_ = 0;
+};
+
+} // namespace jacinthroad
--- /dev/null
+++ b/Source/Node/CallerApi.cpp
@@ -0,0 +1,299 @@
+#include "Node/CallerApi.h"
+
+#include <array>
+#include <charconv>
+#include <optional>
+#include <utility>
+
+#include <json/value.h>
+
+#include "Claims/IdempotencyKey.h"
+#include "Core/Hashing.h"
+#include "Core/Json.h"
+
+namespace jacinthroad {
+
+namespace {
+
+constexpr std::string_view ServicesPath = "/services/";
+constexpr std::string_view BearerPrefix = "Bearer ";
+constexpr std::string_view DeadlineHeader = "x-request-deadline-ms";
+constexpr std::int64_t LongestDeadlineMs = 3'600'000;
+constexpr std::size_t LongestPublicId = 128;
+constexpr int StatusOk = 200;
+
+/// A stream that a caller wants to go on with.
+struct Resume
+{
+    std::string publicId;
+    std::uint32_t afterTokens = 0;
+};
+
+template <typename Number>
+std::optional<Number> wholeNumber(std::string_view text)
+{
+    Number number = 0;
+    const auto parsed = std::from_chars(text.data(), text.data() + text.size(), number);
+    if (parsed.ec != std::errc() || parsed.ptr != text.data() + text.size()) {
+        return std::nullopt;
+    }
+    return number;
+}
+
+std::optional<Resume> readLastEventId(std::string_view text)
+{
+    const auto colon = text.rfind(':');
+    if (colon == std::string_view::npos || colon == 0 || colon > LongestPublicId) {
+        return std::nullopt;
+    }
+    const auto number = wholeNumber<std::uint32_t>(text.substr(colon + 1));
+    const std::string_view id = text.substr(0, colon);
+    constexpr std::string_view Allowed
+        = "abcdefghijklmnopqrstuvwxyzABCDEFGHIJKLMNOPQRSTUVWXYZ0123456789-_";
+    if (!number.has_value() || id.find_first_not_of(Allowed) != std::string_view::npos) {
+        return std::nullopt;
+    }
+    return Resume { .publicId = std::string(id), .afterTokens = *number };
+}
+
+std::string hexadecimal(std::uint64_t number)
+{
+    constexpr int Base = 16;
+    std::array<char, Base> text {};
+    const auto end = std::to_chars(text.data(), text.data() + text.size(), number, Base);
+    return { text.data(), end.ptr };
+}
+
+} // namespace
+
+CallerApi::CallerApi(Traffic &traffic, std::string idPrefix, Events events)
+    : traffic_(traffic)
+    , idPrefix_(std::move(idPrefix))
+    , events_(std::move(events))
+{
+}
+
+void CallerApi::refuse(const Call &call, ErrorKind kind, const std::string &message,
+                       const std::string &remedy)
+{
+    // Nothing of the call was dispatched yet; an empty record is the proof.
+    call.writer->respond(refusalResponse({ .kind = kind,
+                                           .message = message,
+                                           .remedy = remedy,
+                                           .requestId = call.id,
+                                           .notRun = DispatchRecord {}.verdict() }));
+}
+
+void CallerApi::handle(HttpRequest request, const std::shared_ptr<ResponseWriter> &writer)
+{
+    Call call { .request = std::move(request),
+                .writer = writer,
+                .view = traffic_.view.load(),
+                .number = ++lastNumber_ };
+    call.id = idPrefix_ + "-" + hexadecimal(call.number);
+    if (call.request.bodyTooLarge) {
+        refuse(call, ErrorKind::PayloadTooLarge,
+               "the body is longer than " + std::to_string(traffic_.settings.maximumBodyBytes)
+                   + " bytes");
+        return;
+    }
+    if (answerProbe(call)) {
+        return;
+    }
+    if (!call.view->ready) {
+        refuse(call, ErrorKind::NotReady, "no configuration is in force at this node yet");
+        return;
+    }
+    if (!authorise(call)) {
+        return;
+    }
+    const std::string path = call.request.path;
+    const bool chat = path == "/v1/chat/completions";
+    if (chat || path == "/v1/completions") {
+        if (call.request.method != "POST") {
+            refuse(call, ErrorKind::MethodNotAllowed, path + " takes POST");
+            return;
+        }
+        modelCall(std::move(call), chat);
+    } else if (path == "/v1/models") {
+        listModels(call);
+    } else if (path.starts_with(ServicesPath)) {
+        serviceCall(std::move(call));
+    } else {
+        refuse(call, ErrorKind::NotFound, "there is nothing at " + path);
+    }
+}
+
+bool CallerApi::answerProbe(const Call &call)
+{
+    const std::string &path = call.request.path;
+    if (path == "/healthz") {
+        call.writer->respond({ .status = StatusOk, .body = "ok\n" });
+        return true;
+    }
+    if (path == "/readyz") {
+        if (call.view->draining) {
+            refuse(call, ErrorKind::Draining, "the node is stopping");
+        } else if (!call.view->ready) {
+            refuse(call, ErrorKind::NotReady, "no configuration is in force at this node yet");
+        } else {
+            call.writer->respond({ .status = StatusOk, .body = "ready\n" });
+        }
+        return true;
+    }
+    if (path == "/metrics") {
+        events_.metrics(call.writer);
+        return true;
+    }
+    return false;
+}
+
+bool CallerApi::authorise(Call &call)
+{
+    const auto header = findHeader(call.request.headers, "authorization");
+    if (!header.has_value() || !header->starts_with(BearerPrefix)) {
+        refuse(call, ErrorKind::Unauthorized, "header 'Authorization' has no bearer key");
+        return false;
+    }
+    const std::string digest = sha256Hex(header->substr(BearerPrefix.size()));
+    call.team = call.view->configuration->teamOfKey(digest);
+    if (call.team == nullptr) {
+        refuse(call, ErrorKind::Unauthorized, "the bearer key belongs to no team");
+        return false;
+    }
+    return true;
+}
+
+void CallerApi::listModels(const Call &call)
+{
+    Json::Value body;
+    body["object"] = "list";
+    body["data"] = Json::Value(Json::arrayValue);
+    for (const auto &[id, model] : call.view->configuration->models) {
+        Json::Value entry;
+        entry["id"] = id.text();
+        entry["object"] = "model";
+        entry["owned_by"] = "jacinthroad";
+        body["data"].append(entry);
+    }
+    call.writer->respond({ .status = StatusOk,
+                           .headers = { { "Content-Type", "application/json" } },
+                           .body = writeJson(body) });
+}
+
+void CallerApi::modelCall(Call call, bool chat)
+{
+    auto request = readChatRequest(call.request.body, chat);
+    if (!request.has_value()) {
+        refuse(call, request.error().kind, request.error().message, request.error().remedy);
+        return;
+    }
+    const Configuration &configuration = *call.view->configuration;
+    const auto model = configuration.models.find(request->model);
+    if (model == configuration.models.end()) {
+        refuse(call, ErrorKind::UnknownModel,
+               "there is no model '" + request->model.text() + "'");
+        return;
+    }
+    Resume resume { .publicId = call.id };
+    if (const auto header = findHeader(call.request.headers, "last-event-id")) {
+        const auto read = readLastEventId(*header);
+        if (!read.has_value() || !request->stream) {
+            refuse(call, ErrorKind::InvalidRequest,
+                   "header 'Last-Event-ID' does not name an event of a stream",
+                   "Send the id of the last event you have, with the same body.");
+            return;
+        }
+        resume = *read;
+    }
+    const Instant now = std::chrono::steady_clock::now();
+    std::optional<Instant> deadline;
+    if (const auto header = findHeader(call.request.headers, DeadlineHeader)) {
+        const auto length = wholeNumber<std::int64_t>(*header);
+        if (!length.has_value() || *length <= 0 || *length > LongestDeadlineMs) {
+            refuse(call, ErrorKind::InvalidRequest,
+                   "header 'X-Request-Deadline-Ms' is not a number of milliseconds from 1 to "
+                   "3600000",
+                   "Write the time that you can wait, such as 2000.");
+            return;
+        }
+        deadline = now + milliseconds(*length);
+    }
+    const BlockKey salt = scopeSeed({ .team = call.team->id,
+                                      .model = request->model,
+                                      .version = model->second.version,
+                                      .adapter = model->second.adapter });
+    RequestFacts facts {
+        .id = RequestId(call.id),
+        .team = call.team->id,
+        .model = request->model,
+        .blocks = blockKeys(salt, request->prompt, model->second.blockTokens),
+        .promptTokens = static_cast<std::uint32_t>(request->prompt.size() / BytesPerToken) + 1,
+        .outputBound = request->maxTokens,
+        .fingerprint = hash64(call.request.body, salt),
+        .arrived = now,
+        .deadline = deadline,
+        .resumeAfterTokens = resume.afterTokens,
+    };
+    auto session = std::make_shared<ModelSession>(
+        traffic_, call.writer,
+        ModelSessionOptions { .id = RequestId(call.id),
+                              .number = call.number,
+                              .publicId = resume.publicId,
+                              .team = call.team->id,
+                              .chat = std::move(*request),
+                              .salt = salt,
+                              .resumeAfterTokens = resume.afterTokens });
+    session->begin();
+    events_.model(RequestId(call.id), std::move(session),
+                  RequestArrived { .facts = std::move(facts),
+                                   .teamWeight = call.team->weight,
+                                   .teamLimit = call.team->maxConcurrent });
+}
+
+void CallerApi::serviceCall(Call call)
+{
+    const std::string rest = call.request.path.substr(ServicesPath.size());
+    const std::string name = rest.substr(0, rest.find('/'));
+    const std::string path = rest.size() > name.size() ? rest.substr(name.size()) : "/";
+    const Configuration &configuration = *call.view->configuration;
+    const auto service = configuration.services.find(ServiceId(name));
+    if (service == configuration.services.end()) {
+        refuse(call, ErrorKind::UnknownService, "there is no service '" + name + "'");
+        return;
+    }
+    if (call.view->draining) {
+        refuse(call, ErrorKind::Draining, "the node is stopping");
+        return;
+    }
+    std::string key;
+    if (!service->second.mayRepeat(call.request.method, path)) {
+        const auto header = findHeader(call.request.headers, "idempotency-key");
+        if (!header.has_value()) {
+            refuse(call, ErrorKind::IdempotencyKeyMissing,
+                   call.request.method + " " + path + " may not be repeated and has no key");
+            return;
+        }
+        if (!isIdempotencyKey(*header)) {
+            refuse(call, ErrorKind::InvalidRequest,
+                   "header 'Idempotency-Key' must have 1 to 255 printable characters",
+                   "Use a UUID.");
+            return;
+        }
+        key = *header;
+    }
+    std::string target = percentEncode(path, true) + encodeQuery(call.request.query);
+    auto session = std::make_shared<ServiceSession>(
+        traffic_, call.writer,
+        ServiceSessionOptions { .id = RequestId(call.id),
+                                .number = call.number,
+                                .team = call.team->id,
+                                .service = service->second,
+                                .request = std::move(call.request),
+                                .target = std::move(target),
+                                .idempotencyKey = std::move(key) });
+    events_.service(RequestId(call.id), session);
+    session->begin();
+}
+
+} // namespace jacinthroad
--- /dev/null
+++ b/Source/Node/CallerApi.h
@@ -0,0 +1,62 @@
+#pragma once
+
+#include <atomic>
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <string>
+
+#include "Http/HttpMessage.h"
+#include "Http/ResponseWriter.h"
+#include "Node/ModelSession.h"
+#include "Node/Refusal.h"
+#include "Node/ServiceSession.h"
+#include "Node/Traffic.h"
+
+namespace jacinthroad {
+
+/// The callers' side: authorises, checks and turns requests into sessions. Runs on the HTTP
+/// server's threads.
+class CallerApi
+{
+public:
+    /// Takes a session over, before its first message is posted.
+    struct Events
+    {
+        std::function<void(const RequestId &, std::shared_ptr<ModelSession>, RequestArrived)> model;
+        std::function<void(const RequestId &, std::shared_ptr<ServiceSession>)> service;
+        std::function<void(std::shared_ptr<ResponseWriter>)> metrics;
+    };
+
+    /// `idPrefix` makes request ids unique across nodes and restarts.
+    CallerApi(Traffic &traffic, std::string idPrefix, Events events);
+
+    /// Takes one request.
+    void handle(HttpRequest request, const std::shared_ptr<ResponseWriter> &writer);
+
+private:
+    struct Call
+    {
+        HttpRequest request;
+        std::shared_ptr<ResponseWriter> writer;
+        std::shared_ptr<const NodeView> view;
+        std::string id;
+        std::uint64_t number = 0;
+        const Team *team = nullptr;
+    };
+
+    [[nodiscard]] bool answerProbe(const Call &call);
+    [[nodiscard]] bool authorise(Call &call);
+    void modelCall(Call call, bool chat);
+    void listModels(const Call &call);
+    void serviceCall(Call call);
+    static void refuse(const Call &call, ErrorKind kind, const std::string &message = {},
+                       const std::string &remedy = {});
+
+    Traffic &traffic_;
+    std::string idPrefix_;
+    Events events_;
+    std::atomic<std::uint64_t> lastNumber_ { 0 };
+};
+
+} // namespace jacinthroad
--- /dev/null
+++ b/Source/Node/ModelSession.cpp
@@ -0,0 +1,366 @@
+#include "Node/ModelSession.h"
+
+#include <algorithm>
+#include <utility>
+
+#include <json/value.h>
+
+#include "Core/Json.h"
+#include "EngineClient/EngineHeaders.h"
+#include "Node/Refusal.h"
+
+namespace jacinthroad {
+
+namespace {
+
+constexpr int StatusOk = 200;
+constexpr std::uint32_t TokensPerProgress = 8;
+// A stream is taken for dead after this many usual gaps without a token.
+constexpr double StallGaps = 15;
+// Before the first token the least silence is multiplied, since prefill may take long.
+constexpr int FirstTokenPatience = 3;
+
+std::string attemptIdOf(const RequestId &id, AttemptNumber number)
+{
+    return id.text() + "." + std::to_string(number);
+}
+
+} // namespace
+
+ModelSession::ModelSession(Traffic &traffic, std::shared_ptr<ResponseWriter> writer,
+                           ModelSessionOptions options)
+    : traffic_(traffic)
+    , writer_(std::move(writer))
+    , options_(std::move(options))
+    , delivered_(options_.resumeAfterTokens)
+{
+}
+
+void ModelSession::begin()
+{
+    const std::weak_ptr<ModelSession> weak = weak_from_this();
+    writer_->subscribe(
+        traffic_.settings.streamBufferBytes,
+        [weak] {
+            if (const auto self = weak.lock()) {
+                self->onDrained();
+            }
+        },
+        [weak](bool whole) {
+            if (const auto self = weak.lock()) {
+                self->onClosed(whole);
+            }
+        });
+}
+
+void ModelSession::startAttempt(const StartAttempt &effect, const std::string &url)
+{
+    const auto self = shared_from_this();
+    const std::scoped_lock lock(mutex_);
+    if (finished_) {
+        return;
+    }
+    const std::string attemptId = attemptIdOf(options_.id, effect.attempt);
+    const Instant now = std::chrono::steady_clock::now();
+    auto attempt = std::make_shared<Attempt>(
+        Attempt { .number = effect.attempt,
+                  .relay = StreamRelay({ .attemptId = attemptId,
+                                         .publicId = options_.publicId,
+                                         .afterTokens = delivered_ }),
+                  .lastEvent = now,
+                  .progressAt = now,
+                  .progressToken = delivered_ });
+    HttpCall call { .method = "POST",
+                    .url = url + (options_.chat.chat ? "/v1/chat/completions" : "/v1/completions"),
+                    .headers = { { "Content-Type", "application/json" },
+                                 { "X-Request-Id", attemptId },
+                                 { "X-Team", options_.team.text() } },
+                    .body = engineBody(options_.chat,
+                                       { .attemptId = attemptId,
+                                         .cacheSalt = cacheSalt(options_.salt),
+                                         .priority = static_cast<int>(effect.priority),
+                                         .resumeAfterTokens = delivered_ }) };
+    const ServerId server = effect.server;
+    attempt->call = traffic_.client(options_.number)
+                        .start(std::move(call),
+                               { .onHeaders =
+                                     [self, attempt, server](int status,
+                                                             const HttpHeaders &headers) {
+                                         self->onHeaders(attempt, server, status, headers);
+                                     },
+                                 .onData =
+                                     [self, attempt](std::string_view bytes) {
+                                         return self->onData(attempt, bytes);
+                                     },
+                                 .onEnd =
+                                     [self, attempt](CallOutcome outcome) {
+                                         self->onEnd(attempt, outcome);
+                                     } });
+    attempts_.push_back(std::move(attempt));
+}
+
+void ModelSession::cancelAttempt(AttemptNumber number)
+{
+    const std::scoped_lock lock(mutex_);
+    for (const AttemptPtr &attempt : attempts_) {
+        if (attempt->number == number && !attempt->ended) {
+            attempt->ended = true;
+            traffic_.client(options_.number).cancel(attempt->call);
+        }
+    }
+}
+
+void ModelSession::refuse(const RefuseRequest &effect)
+{
+    const std::scoped_lock lock(mutex_);
+    if (finished_) {
+        return;
+    }
+    finished_ = true;
+    const Refusal refusal { .kind = effect.kind,
+                            .requestId = options_.publicId,
+                            .notRun = effect.notRun,
+                            .retryAfterMs = effect.retryAfterMs };
+    if (!writer_->started()) {
+        writer_->respond(refusalResponse(refusal));
+        return;
+    }
+    // The stream ends without its end marker, and the connection without its last chunk, so no
+    // caller takes the part for the whole.
+    writer_->write("event: error\ndata: " + refusalJson(refusal) + "\n\n");
+    writer_->abort();
+}
+
+void ModelSession::onHeaders(const AttemptPtr &attempt, const ServerId &server, int status,
+                             const HttpHeaders &headers)
+{
+    {
+        const std::scoped_lock lock(mutex_);
+        attempt->status = status;
+    }
+    if (auto report = readLoadReport(headers)) {
+        traffic_.control.postDispatcher(
+            ServerReported { .server = server, .report = std::move(*report) });
+    }
+}
+
+bool ModelSession::onData(const AttemptPtr &attempt, std::string_view bytes)
+{
+    const std::scoped_lock lock(mutex_);
+    if (attempt->ended || attempt->status != StatusOk) {
+        return true;
+    }
+    const bool full = writer_->bufferedBytes() >= traffic_.settings.streamBufferBytes;
+    if (options_.chat.stream && full) {
+        attempt->paused = true;
+        return false;
+    }
+    const Instant now = std::chrono::steady_clock::now();
+    attempt->lastEvent = now;
+    std::string output;
+    const RelayState state = attempt->relay.feed(bytes, output);
+    if (attempt->relay.lastToken() > attempt->progressToken || state == RelayState::Complete) {
+        noteTokensLocked(*attempt, now);
+    }
+    if (winner_ == attempt->number) {
+        deliverLocked(*attempt, output);
+    }
+    if (state == RelayState::Crossed || state == RelayState::Malformed) {
+        endLocked(*attempt, AttemptEnd::Crossed);
+        traffic_.client(options_.number).cancel(attempt->call);
+    } else if (state == RelayState::Complete && winner_ == attempt->number) {
+        finishLocked(*attempt);
+        endLocked(*attempt, AttemptEnd::Completed);
+    }
+    return true;
+}
+
+void ModelSession::noteTokensLocked(Attempt &attempt, Instant now)
+{
+    if (!attempt.spoke) {
+        attempt.spoke = true;
+        attempt.progressAt = now;
+        attempt.progressToken = attempt.relay.lastToken();
+        if (winner_ == 0) {
+            winner_ = attempt.number;
+            traffic_.control.postDispatcher(
+                FirstTokenSeen { .id = options_.id, .attempt = attempt.number });
+        }
+        return;
+    }
+    const std::uint32_t tokens = attempt.relay.lastToken() - attempt.progressToken;
+    if (tokens >= TokensPerProgress) {
+        traffic_.control.postDispatcher(
+            AttemptProgress { .id = options_.id,
+                              .attempt = attempt.number,
+                              .deliveredTokens = attempt.relay.lastToken(),
+                              .gapMs = toMilliseconds(now - attempt.progressAt) / tokens });
+        attempt.progressAt = now;
+        attempt.progressToken = attempt.relay.lastToken();
+    }
+}
+
+void ModelSession::deliverLocked(Attempt &attempt, const std::string &output)
+{
+    delivered_ = attempt.relay.lastToken();
+    if (!options_.chat.stream) {
+        collectLocked(output);
+        return;
+    }
+    if (output.empty()) {
+        return;
+    }
+    writer_->start(StatusOk,
+                   { { "Content-Type", "text/event-stream" },
+                     { "Cache-Control", "no-store" },
+                     { "X-Request-Id", options_.publicId } });
+    writer_->write(output);
+}
+
+void ModelSession::collectLocked(std::string_view output)
+{
+    static_cast<void>(collector_.feed(output, [this](std::string_view, std::string_view data) {
+        const auto parsed = parseJson(data);
+        if (!parsed.has_value() || !parsed->isObject()) {
+            return;
+        }
+        for (const Json::Value &choice : (*parsed)["choices"]) {
+            const Json::Value &content
+                = options_.chat.chat ? choice["delta"]["content"] : choice["text"];
+            if (content.isString()) {
+                text_ += content.asString();
+            }
+        }
+    }));
+}
+
+std::string ModelSession::wholeAnswerLocked(const Attempt &attempt) const
+{
+    Json::Value choice;
+    choice["index"] = 0;
+    choice["finish_reason"] = "stop";
+    if (options_.chat.chat) {
+        choice["message"]["role"] = "assistant";
+        choice["message"]["content"] = text_;
+    } else {
+        choice["text"] = text_;
+    }
+    Json::Value body;
+    body["id"] = options_.publicId;
+    body["object"] = options_.chat.chat ? "chat.completion" : "text_completion";
+    body["model"] = options_.chat.model.text();
+    body["choices"].append(choice);
+    body["usage"]["prompt_tokens"] = Json::UInt64(attempt.relay.promptTokens().value_or(0));
+    body["usage"]["completion_tokens"] = attempt.relay.lastToken();
+    body["usage"]["total_tokens"]
+        = Json::UInt64(attempt.relay.promptTokens().value_or(0) + attempt.relay.lastToken());
+    body["usage"]["prompt_tokens_details"]["cached_tokens"]
+        = Json::UInt64(attempt.relay.cachedTokens().value_or(0));
+    return writeJson(body);
+}
+
+void ModelSession::finishLocked(const Attempt &attempt)
+{
+    if (finished_) {
+        return;
+    }
+    finished_ = true;
+    if (options_.chat.stream) {
+        writer_->finish();
+        return;
+    }
+    writer_->respond({ .status = StatusOk,
+                       .headers = { { "Content-Type", "application/json" },
+                                    { "X-Request-Id", options_.publicId } },
+                       .body = wholeAnswerLocked(attempt) });
+}
+
+void ModelSession::endLocked(Attempt &attempt, AttemptEnd end)
+{
+    if (attempt.ended) {
+        return;
+    }
+    attempt.ended = true;
+    if (winner_ == attempt.number && end != AttemptEnd::Completed) {
+        winner_ = 0;
+    }
+    traffic_.control.postDispatcher(AttemptEnded { .id = options_.id,
+                                                   .attempt = attempt.number,
+                                                   .end = end,
+                                                   .deliveredTokens = delivered_,
+                                                   .promptTokens = attempt.relay.promptTokens(),
+                                                   .cachedTokens
+                                                   = attempt.relay.cachedTokens() });
+}
+
+void ModelSession::onEnd(const AttemptPtr &attempt, CallOutcome outcome)
+{
+    const std::scoped_lock lock(mutex_);
+    switch (outcome) {
+    case CallOutcome::Completed:
+        // A whole HTTP answer without the stream's end marker is a broken stream; another
+        // status than 200 is the engine's word that it did not take the request.
+        endLocked(*attempt,
+                  attempt->status == StatusOk ? AttemptEnd::Broken : AttemptEnd::Rejected);
+        break;
+    case CallOutcome::NotSent:
+        endLocked(*attempt, AttemptEnd::NotSent);
+        break;
+    case CallOutcome::Interrupted:
+    case CallOutcome::TimedOut:
+        endLocked(*attempt, AttemptEnd::Broken);
+        break;
+    case CallOutcome::Cancelled:
+        endLocked(*attempt, AttemptEnd::Cancelled);
+        break;
+    }
+}
+
+void ModelSession::onDrained()
+{
+    const std::scoped_lock lock(mutex_);
+    for (const AttemptPtr &attempt : attempts_) {
+        if (attempt->paused) {
+            attempt->paused = false;
+            attempt->lastEvent = std::chrono::steady_clock::now();
+            traffic_.client(options_.number).resume(attempt->call);
+        }
+    }
+}
+
+void ModelSession::onClosed(bool whole)
+{
+    const std::scoped_lock lock(mutex_);
+    if (!whole && !finished_) {
+        finished_ = true;
+        traffic_.control.postDispatcher(CallerLeft { .id = options_.id });
+    }
+}
+
+void ModelSession::sweep(Instant now, double usualGapMs)
+{
+    const std::scoped_lock lock(mutex_);
+    if (finished_) {
+        return;
+    }
+    if (writer_->callerLeft()) {
+        finished_ = true;
+        traffic_.control.postDispatcher(CallerLeft { .id = options_.id });
+        writer_->abort();
+        return;
+    }
+    const Duration minimum = traffic_.settings.stallMinimum;
+    const Duration betweenTokens = std::max(minimum, fromMilliseconds(StallGaps * usualGapMs));
+    for (const AttemptPtr &attempt : attempts_) {
+        if (attempt->ended || attempt->paused) {
+            continue;
+        }
+        const Duration patience = attempt->spoke ? betweenTokens : FirstTokenPatience * minimum;
+        if (now - attempt->lastEvent > patience) {
+            endLocked(*attempt, AttemptEnd::Stalled);
+            traffic_.client(options_.number).cancel(attempt->call);
+        }
+    }
+}
+
+} // namespace jacinthroad
--- /dev/null
+++ b/Source/Node/PlatformSync.cpp
@@ -0,0 +1,244 @@
+#include "Node/PlatformSync.h"
+
+#include <algorithm>
+#include <charconv>
+#include <utility>
+
+namespace jacinthroad {
+
+namespace {
+
+constexpr std::string_view PatchPrefix = "patch/";
+constexpr std::string_view NodePrefix = "nodes/";
+constexpr std::size_t VersionDigits = 12;
+constexpr double FirstPauseMs = 100;
+constexpr double LongestPauseMs = 3000;
+constexpr unsigned MostDoublings = 6;
+constexpr Duration NodeListPeriod = std::chrono::seconds(5);
+
+std::uint64_t versionOfKey(std::string_view key)
+{
+    std::uint64_t version = 0;
+    key.remove_prefix(std::min(key.size(), PatchPrefix.size()));
+    std::from_chars(key.data(), key.data() + key.size(), version);
+    return version;
+}
+
+CreateAnswer createAnswerOf(PlatformWrite outcome)
+{
+    switch (outcome) {
+    case PlatformWrite::Written:
+        return CreateAnswer::Created;
+    case PlatformWrite::Conflict:
+        return CreateAnswer::Exists;
+    case PlatformWrite::Refused:
+        return CreateAnswer::Refused;
+    case PlatformWrite::Lost:
+        break;
+    }
+    return CreateAnswer::Lost;
+}
+
+ShardWriteAnswer shardAnswerOf(PlatformWrite outcome)
+{
+    switch (outcome) {
+    case PlatformWrite::Written:
+        return ShardWriteAnswer::Written;
+    case PlatformWrite::Conflict:
+        return ShardWriteAnswer::Conflict;
+    case PlatformWrite::Refused:
+        return ShardWriteAnswer::Refused;
+    case PlatformWrite::Lost:
+        break;
+    }
+    return ShardWriteAnswer::Lost;
+}
+
+} // namespace
+
+std::string patchKey(std::uint64_t version)
+{
+    const std::string digits = std::to_string(version);
+    return std::string(PatchPrefix) + std::string(VersionDigits - digits.size(), '0') + digits;
+}
+
+PlatformSync::PlatformSync(PlatformSyncOptions options, PlatformClient &platform,
+                           ControlLoop &control, Events events)
+    : options_(std::move(options))
+    , platform_(platform)
+    , control_(control)
+    , events_(std::move(events))
+    , random_(options_.seed)
+{
+}
+
+void PlatformSync::start()
+{
+    list();
+    registerNode(0);
+    const Instant now = std::chrono::steady_clock::now();
+    control_.timers().every(now, options_.vmPoll, [this](Instant) { pollVms(); });
+    control_.timers().every(now + NodeListPeriod / 10, NodeListPeriod,
+                            [this](Instant) { listNodes(); });
+}
+
+void PlatformSync::tryAgain(ControlTask task)
+{
+    up_ = false;
+    const double longest
+        = std::min(LongestPauseMs, FirstPauseMs * (1U << std::min(failures_, MostDoublings)));
+    ++failures_;
+    // Full jitter, so that nodes do not return to the platform together.
+    std::uniform_real_distribution<double> pause(FirstPauseMs / 2, longest);
+    control_.timers().once(std::chrono::steady_clock::now() + fromMilliseconds(pause(random_)),
+                           std::move(task));
+}
+
+void PlatformSync::list()
+{
+    platform_.list(std::string(PatchPrefix), [this](PlatformList answer) {
+        post([this, answer = std::move(answer)](Instant) { onList(answer); });
+    });
+}
+
+void PlatformSync::takePatches(const PlatformList &list)
+{
+    for (const PlatformObject &object : list.objects) {
+        control_.post(PatchLogMessage(
+            PatchSeen { .version = versionOfKey(object.key), .text = object.value }));
+    }
+}
+
+void PlatformSync::onList(const PlatformList &list)
+{
+    if (!list.answered) {
+        tryAgain([this](Instant) { this->list(); });
+        return;
+    }
+    up_ = true;
+    failures_ = 0;
+    revision_ = list.revision;
+    std::uint64_t highest = 0;
+    for (const PlatformObject &object : list.objects) {
+        highest = std::max(highest, versionOfKey(object.key));
+    }
+    takePatches(list);
+    control_.post(PatchLogMessage(PlatformVersionSeen { .version = highest }));
+    events_.listed(list.objects.empty());
+    watch();
+}
+
+void PlatformSync::watch()
+{
+    platform_.watch(std::string(PatchPrefix), revision_, [this](PlatformList answer) {
+        post([this, answer = std::move(answer)](Instant) { onWatch(answer); });
+    });
+}
+
+void PlatformSync::onWatch(const PlatformList &list)
+{
+    if (!list.answered || list.revision < revision_) {
+        // After a gap, or a store that went back, only a whole list tells the truth.
+        tryAgain([this](Instant) { this->list(); });
+        return;
+    }
+    up_ = true;
+    failures_ = 0;
+    revision_ = list.revision;
+    takePatches(list);
+    watch();
+}
+
+void PlatformSync::createPatch(const CreatePatchObject &effect)
+{
+    platform_.write(patchKey(effect.version), effect.text, 0,
+                    [this, version = effect.version](PlatformWriteAnswer answer) {
+                        control_.post(PatchLogMessage(PatchCreateAnswered {
+                            .version = version, .answer = createAnswerOf(answer.outcome) }));
+                    });
+}
+
+void PlatformSync::readPatch(const ReadPatchObject &effect)
+{
+    platform_.read(patchKey(effect.version), [this,
+                                              version = effect.version](PlatformRead answer) {
+        PatchReadAnswered message { .version = version, .answered = answer.answered };
+        if (answer.object.has_value()) {
+            message.text = std::move(answer.object->value);
+        }
+        control_.post(PatchLogMessage(std::move(message)));
+    });
+}
+
+void PlatformSync::readShard(const ReadShard &effect)
+{
+    platform_.read(effect.shard, [this, shard = effect.shard](PlatformRead answer) {
+        ShardReadAnswered message { .shard = shard, .answered = answer.answered };
+        if (answer.object.has_value()) {
+            message.version = answer.object->version;
+            message.text = std::move(answer.object->value);
+        }
+        control_.post(ClaimMessage(std::move(message)));
+    });
+}
+
+void PlatformSync::writeShard(const WriteShard &effect)
+{
+    platform_.write(effect.shard, effect.text, effect.expectedVersion,
+                    [this, shard = effect.shard](PlatformWriteAnswer answer) {
+                        control_.post(ClaimMessage(
+                            ShardWriteAnswered { .shard = shard,
+                                                 .answer = shardAnswerOf(answer.outcome),
+                                                 .version = answer.version }));
+                    });
+}
+
+void PlatformSync::pollVms()
+{
+    platform_.listVms([this](const PlatformVms &answer) {
+        if (!answer.answered) {
+            return;
+        }
+        std::set<std::string> leaving;
+        for (const PlatformVm &vm : answer.vms) {
+            if (vm.state == VmState::Leaving) {
+                leaving.insert(vm.name);
+            }
+        }
+        post([this, leaving = std::move(leaving)](Instant) { events_.leaving(leaving); });
+    });
+}
+
+void PlatformSync::registerNode(std::uint64_t expectedVersion)
+{
+    const std::string key = std::string(NodePrefix) + options_.nodeName;
+    platform_.write(
+        key, options_.peerAddress, expectedVersion, [this, key](PlatformWriteAnswer answer) {
+            if (answer.outcome == PlatformWrite::Written) {
+                return;
+            }
+            // An entry of an earlier start is in the way, or the platform is away.
+            platform_.read(key, [this](const PlatformRead &read) {
+                if (read.object.has_value() && read.object->value == options_.peerAddress) {
+                    return;
+                }
+                const std::uint64_t version = read.object.has_value() ? read.object->version : 0;
+                post([this, version](Instant) {
+                    tryAgain([this, version](Instant) { registerNode(version); });
+                });
+            });
+        });
+}
+
+void PlatformSync::listNodes()
+{
+    platform_.list(std::string(NodePrefix), [this](const PlatformList &answer) {
+        for (const PlatformObject &object : answer.objects) {
+            if (object.value != options_.peerAddress) {
+                post([this, address = object.value](Instant) { events_.peerAddress(address); });
+            }
+        }
+    });
+}
+
+} // namespace jacinthroad
--- /dev/null
+++ b/Source/Node/ServiceSession.cpp
@@ -0,0 +1,177 @@
+#include "Node/ServiceSession.h"
+
+#include <chrono>
+#include <utility>
+
+#include "Core/Hashing.h"
+#include "Node/Refusal.h"
+
+namespace jacinthroad {
+
+namespace {
+
+constexpr std::size_t RepeatableTries = 2;
+// A caller waits at most this long for its claim.
+constexpr Duration ClaimPatience = std::chrono::seconds(3);
+
+std::string contentTypeOf(const HttpResponse &response)
+{
+    return std::string(
+        findHeader(response.headers, "content-type").value_or("application/octet-stream"));
+}
+
+} // namespace
+
+std::int64_t wallMilliseconds()
+{
+    return std::chrono::duration_cast<milliseconds>(
+               std::chrono::system_clock::now().time_since_epoch())
+        .count();
+}
+
+ServiceSession::ServiceSession(Traffic &traffic, std::shared_ptr<ResponseWriter> writer,
+                               ServiceSessionOptions options)
+    : traffic_(traffic)
+    , writer_(std::move(writer))
+    , options_(std::move(options))
+{
+}
+
+std::string ServiceSession::callHash() const
+{
+    return sha256Hex(options_.request.method + " " + options_.target + "\n"
+                     + options_.request.body);
+}
+
+void ServiceSession::begin()
+{
+    if (!claimed()) {
+        send(0);
+        return;
+    }
+    const std::string key = options_.team.text() + "/" + options_.idempotencyKey;
+    const std::uint64_t shard = hash64(key) % options_.service.claimShards;
+    traffic_.control.post(ClaimMessage(
+        ClaimWanted { .id = options_.id,
+                      .shard = "claims/" + options_.service.id.text() + "/" + std::to_string(shard),
+                      .key = key,
+                      .bodyHash = callHash(),
+                      .nonce = options_.id.text(),
+                      .nowMs = wallMilliseconds(),
+                      .deadline = std::chrono::steady_clock::now() + ClaimPatience }));
+}
+
+void ServiceSession::run()
+{
+    send(0);
+}
+
+void ServiceSession::send(std::size_t tryNumber)
+{
+    {
+        const std::scoped_lock lock(mutex_);
+        record_.noteStarted();
+    }
+    const auto &urls = options_.service.urls;
+    const std::string &base = urls[(options_.number + tryNumber) % urls.size()];
+    HttpCall call { .method = options_.request.method,
+                    .url = base + options_.target,
+                    .body = options_.request.body,
+                    .totalTimeout = options_.service.callTimeout,
+                    .neverResend = claimed() };
+    if (const auto type = findHeader(options_.request.headers, "content-type")) {
+        call.headers.emplace_back("Content-Type", *type);
+    }
+    if (claimed()) {
+        call.headers.emplace_back("Idempotency-Key", options_.idempotencyKey);
+    }
+    call.headers.emplace_back("X-Request-Id", options_.id.text());
+    call.headers.emplace_back("X-Team", options_.team.text());
+    const auto self = shared_from_this();
+    const auto response = std::make_shared<HttpResponse>();
+    traffic_.client(options_.number)
+        .start(std::move(call),
+               { .onHeaders =
+                     [response](int status, const HttpHeaders &headers) {
+                         response->status = status;
+                         response->headers = headers;
+                     },
+                 .onData =
+                     [response](std::string_view bytes) {
+                         response->body.append(bytes);
+                         return true;
+                     },
+                 .onEnd =
+                     [self, response, tryNumber](CallOutcome outcome) {
+                         self->onEnd(tryNumber, outcome, *response);
+                     } });
+}
+
+void ServiceSession::onEnd(std::size_t tryNumber, CallOutcome outcome,
+                           const HttpResponse &response)
+{
+    const bool notSent = outcome == CallOutcome::NotSent;
+    const bool answered = outcome == CallOutcome::Completed;
+    {
+        const std::scoped_lock lock(mutex_);
+        if (answered) {
+            record_.noteRan();
+        } else if (notSent) {
+            record_.noteNotRun();
+        } else {
+            record_.noteMayHaveRun();
+        }
+    }
+    if (answered) {
+        const KeptAnswer answer { .status = response.status,
+                                  .contentType = contentTypeOf(response),
+                                  .body = response.body };
+        finishClaim(CallEnd::Answered, answer);
+        replay(answer);
+        return;
+    }
+    // A claimed call that provably never left may go to another instance as well.
+    const bool stopping = outcome == CallOutcome::Cancelled;
+    const bool mayTryAgain = !stopping && (notSent || !claimed());
+    if (mayTryAgain && tryNumber + 1 < RepeatableTries) {
+        send(tryNumber + 1);
+        return;
+    }
+    finishClaim(notSent ? CallEnd::NotSent : CallEnd::Uncertain, {});
+    answerRefusal(notSent || !claimed() ? ErrorKind::BackendFailed : ErrorKind::OutcomeUnknown);
+}
+
+void ServiceSession::finishClaim(CallEnd end, const KeptAnswer &answer)
+{
+    if (claimed()) {
+        traffic_.control.post(ClaimMessage(CallEnded {
+            .id = options_.id, .end = end, .answer = answer, .nowMs = wallMilliseconds() }));
+    }
+}
+
+void ServiceSession::replay(const KeptAnswer &answer)
+{
+    writer_->respond({ .status = answer.status,
+                       .headers = { { "Content-Type", answer.contentType },
+                                    { "X-Request-Id", options_.id.text() } },
+                       .body = answer.body });
+}
+
+void ServiceSession::refuse(const RefuseCall &effect)
+{
+    if (effect.earlierMayHaveRun) {
+        const std::scoped_lock lock(mutex_);
+        record_.noteStarted();
+        record_.noteMayHaveRun();
+    }
+    answerRefusal(effect.kind);
+}
+
+void ServiceSession::answerRefusal(ErrorKind kind)
+{
+    const std::scoped_lock lock(mutex_);
+    writer_->respond(refusalResponse(
+        { .kind = kind, .requestId = options_.id.text(), .notRun = record_.verdict() }));
+}
+
+} // namespace jacinthroad
--- /dev/null
+++ b/Source/Program/LoadCommand.cpp
@@ -0,0 +1,128 @@
+#include <iostream>
+
+#include "Core/Json.h"
+#include "Core/Log.h"
+#include "Load/Bounds.h"
+#include "Load/Experiment.h"
+#include "Program/Commands.h"
+#include "Routing/Policy.h"
+
+namespace jacinthroad {
+
+namespace options = boost::program_options;
+
+namespace {
+
+using Values = options::variables_map;
+
+Result<std::vector<std::string>> policiesOf(const std::string &name)
+{
+    std::vector<std::string> all(policyNames().begin(), policyNames().end());
+    if (name == "all") {
+        return all;
+    }
+    if (!makePolicy(name).has_value()) {
+        std::string known;
+        for (const std::string &policy : all) {
+            known += " " + policy;
+        }
+        return makeError(ErrorKind::InvalidRequest, "there is no policy '" + name + "'",
+                         "Name all or one of:" + known + ".");
+    }
+    return std::vector<std::string> { name };
+}
+
+Result<ExperimentOptions> optionsOf(const Values &values)
+{
+    const std::string name = values["profile"].as<std::string>();
+    const auto profile = findProfile(name);
+    if (!profile.has_value()) {
+        return makeError(ErrorKind::InvalidRequest, "there is no profile '" + name + "'",
+                         "Name lienzo-andino or drenthe.");
+    }
+    const auto policies = policiesOf(values["policy"].as<std::string>());
+    if (!policies.has_value()) {
+        return tl::make_unexpected(policies.error());
+    }
+    return ExperimentOptions {
+        .profile = *profile,
+        .seed = values["seed"].as<std::uint64_t>(),
+        .policies = *policies,
+        .seconds = values["seconds"].as<double>() / static_cast<double>(policies->size()),
+        .timeScale = values["time-scale"].as<double>(),
+        .nodes = values["nodes"].as<std::size_t>(),
+        .demand = values["demand"].as<double>(),
+        .slowServers = values["slow-servers"].as<std::size_t>(),
+        .crashes = values["crashes"].as<std::size_t>(),
+        .sampleOneIn = values["sample-one-in"].as<std::uint32_t>(),
+    };
+}
+
+CommandSyntax syntaxOfLoad()
+{
+    CommandSyntax syntax { .usage
+                           = "jacinthroad load --profile lienzo-andino|drenthe [options]" };
+    auto add = syntax.options.add_options();
+    add("profile", options::value<std::string>()->required(), "lienzo-andino or drenthe");
+    add("seed", options::value<std::uint64_t>()->default_value(1), "seed of the requests");
+    add("policy", options::value<std::string>()->default_value("all"),
+        "a policy's name, or all one after the other");
+    add("seconds", options::value<double>()->default_value(36), "length of all runs together");
+    add("time-scale", options::value<double>()->default_value(4),
+        "how many times faster than the clock model time runs");
+    add("nodes", options::value<std::size_t>()->default_value(7), "entry nodes");
+    add("demand", options::value<double>()->default_value(1), "demand as a multiple of rated");
+    add("slow-servers", options::value<std::size_t>()->default_value(0),
+        "engines that become four times slower");
+    add("crashes", options::value<std::size_t>()->default_value(0), "engines that crash");
+    add("sample-one-in", options::value<std::uint32_t>()->default_value(16),
+        "one cached block in so many is told to peers; 0 tells none");
+    add("bounds", options::value<std::string>(), "file of bounds; exit 1 when one is left");
+    return syntax;
+}
+
+bool checkBounds(const Values &values, const Json::Value &report)
+{
+    if (values.count("bounds") == 0) {
+        return true;
+    }
+    const auto text = readFile(values["bounds"].as<std::string>());
+    const auto bounds
+        = text.has_value() ? readBounds(*text) : tl::make_unexpected(text.error());
+    if (!bounds.has_value()) {
+        printError(bounds.error());
+        return false;
+    }
+    const auto broken = brokenBounds(report, *bounds);
+    for (const std::string &line : broken) {
+        std::cerr << "bound left: " << line << "\n";
+    }
+    return broken.empty();
+}
+
+} // namespace
+
+ExitCode runLoad(const Arguments &arguments)
+{
+    const ParsedArguments parsed = parseArguments(syntaxOfLoad(), arguments);
+    if (parsed.exit.has_value()) {
+        return *parsed.exit;
+    }
+    const auto experiment = optionsOf(parsed.values);
+    if (!experiment.has_value()) {
+        printError(experiment.error());
+        return ExitCode::WrongUse;
+    }
+    configureLog({ .minimumLevel = LogLevel::Error });
+    const auto report = runExperiment(
+        *experiment, [](const std::string &line) { std::cerr << line << std::endl; });
+    if (!report.has_value()) {
+        printError(report.error());
+        return ExitCode::Failed;
+    }
+    const Json::Value json = reportJson(*report);
+    std::cout << (wantsJson(parsed.values) ? writeJsonIndented(json) : reportText(*report));
+    return checkBounds(parsed.values, json) ? ExitCode::Done : ExitCode::Failed;
+}
+
+} // namespace jacinthroad
--- /dev/null
+++ b/Source/Program/OperatorClient.cpp
@@ -0,0 +1,64 @@
+#include "Program/OperatorClient.h"
+
+#include <cstdlib>
+
+#include "RpcClient/RpcClient.h"
+
+namespace jacinthroad {
+
+namespace options = boost::program_options;
+
+namespace {
+
+constexpr long CallTimeoutMs = 15000;
+
+std::string keyOf(const options::variables_map &values)
+{
+    if (values.count("key") != 0) {
+        return values["key"].as<std::string>();
+    }
+    const char *key = std::getenv("JACINTHROAD_OPERATOR_KEY");
+    return key == nullptr ? "" : key;
+}
+
+ErrorKind kindOf(int code)
+{
+    constexpr int FirstErrorCode = -32000;
+    const int place = FirstErrorCode - code;
+    const bool known = place >= 0 && place < static_cast<int>(errorAnswers().size());
+    return known ? static_cast<ErrorKind>(place) : ErrorKind::Internal;
+}
+
+} // namespace
+
+void addOperatorOptions(options::options_description &description)
+{
+    description.add_options()("node",
+                              options::value<std::string>()->default_value("127.0.0.1:8081"),
+                              "IP:port of a node's operator interface");
+    description.add_options()("key", options::value<std::string>(),
+                              "operators' key; by default JACINTHROAD_OPERATOR_KEY");
+}
+
+Result<Json::Value> callOperator(const options::variables_map &values, const std::string &method,
+                                 const Json::Value &parameters)
+{
+    const std::string node = values["node"].as<std::string>();
+    const RpcAnswer answer = callRpc({ .url = "http://" + node + "/rpc",
+                                       .key = keyOf(values),
+                                       .method = method,
+                                       .parameters = parameters,
+                                       .timeoutMs = CallTimeoutMs });
+    if (!answer.failed) {
+        return answer.result;
+    }
+    if (answer.errorData.isObject() && answer.errorData["remedy"].isString()) {
+        return makeError(kindOf(answer.errorCode), answer.errorMessage,
+                         answer.errorData["remedy"].asString());
+    }
+    return makeError(ErrorKind::Internal,
+                     "node " + node + " did not answer " + method + ": " + answer.errorMessage,
+                     "Check --node and --key, and that the node runs.");
+}
+
+} // namespace jacinthroad
--- /dev/null
+++ b/Source/Program/ReportCommand.cpp
@@ -0,0 +1,74 @@
+#include <cstdio>
+#include <iostream>
+
+#include "Core/Json.h"
+#include "Program/Commands.h"
+#include "Program/OperatorClient.h"
+
+namespace jacinthroad {
+
+namespace options = boost::program_options;
+
+namespace {
+
+unsigned long long tokens(const Json::Value &value)
+{
+    return value.asUInt64();
+}
+
+void printCompute(const Json::Value &report)
+{
+    std::printf("node %s, tokens since its start\n%-16s %-16s %9s %12s %12s %12s %12s %12s\n",
+                report["node"].asCString(), "team", "model", "requests", "reused", "first time",
+                "recomputed", "decoded", "thrown away");
+    for (const Json::Value &line : report["lines"]) {
+        unsigned long long again = 0;
+        for (const Json::Value &reason : line["recomputed"]) {
+            again += tokens(reason);
+        }
+        std::printf("%-16s %-16s %9llu %12llu %12llu %12llu %12llu %12llu\n",
+                    line["team"].asCString(), line["model"].asCString(), tokens(line["requests"]),
+                    tokens(line["reused"]), tokens(line["first_time"]), again,
+                    tokens(line["decoded"]), tokens(line["thrown_away"]));
+        for (const std::string &reason : line["recomputed"].getMemberNames()) {
+            if (tokens(line["recomputed"][reason]) > 0) {
+                std::printf("%33s recomputed, %s: %llu\n", "", reason.c_str(),
+                            tokens(line["recomputed"][reason]));
+            }
+        }
+    }
+}
+
+} // namespace
+
+ExitCode runReport(const Arguments &arguments)
+{
+    CommandSyntax syntax { .usage = "jacinthroad report compute [--node IP:PORT] [--key KEY]",
+                           .positional = { "kind" } };
+    syntax.options.add_options()("kind", options::value<std::string>()->required(), "compute");
+    addOperatorOptions(syntax.options);
+    const ParsedArguments parsed = parseArguments(std::move(syntax), arguments);
+    if (parsed.exit.has_value()) {
+        return *parsed.exit;
+    }
+    const std::string kind = parsed.values["kind"].as<std::string>();
+    if (kind != "compute") {
+        printError({ .kind = ErrorKind::InvalidRequest,
+                     .message = "there is no report '" + kind + "'",
+                     .remedy = "Name compute." });
+        return ExitCode::WrongUse;
+    }
+    const auto report = callOperator(parsed.values, "report.compute");
+    if (!report.has_value()) {
+        printError(report.error());
+        return ExitCode::Failed;
+    }
+    if (wantsJson(parsed.values)) {
+        std::cout << writeJsonIndented(*report);
+    } else {
+        printCompute(*report);
+    }
+    return ExitCode::Done;
+}
+
+} // namespace jacinthroad
--- /dev/null
+++ b/Source/Program/SettingsCommand.cpp
@@ -0,0 +1,71 @@
+#include <iostream>
+
+#include <json/value.h>
+
+#include "Core/Json.h"
+#include "Node/NodeSettings.h"
+#include "Program/Commands.h"
+
+namespace jacinthroad {
+
+namespace options = boost::program_options;
+
+namespace {
+
+ExitCode check(const std::string &file, bool json)
+{
+    const auto text = readFile(file);
+    if (!text.has_value()) {
+        printError(text.error());
+        return ExitCode::Failed;
+    }
+    const std::vector<std::string> faults = checkNodeSettings(*text, file);
+    if (json) {
+        Json::Value body;
+        body["file"] = file;
+        body["faults"] = Json::Value(Json::arrayValue);
+        for (const std::string &fault : faults) {
+            body["faults"].append(fault);
+        }
+        std::cout << writeJsonIndented(body);
+    } else {
+        for (const std::string &fault : faults) {
+            std::cerr << fault << "\n";
+        }
+        std::cout << file << ": "
+                  << (faults.empty() ? "no fault" : std::to_string(faults.size()) + " faults")
+                  << "\n";
+    }
+    return faults.empty() ? ExitCode::Done : ExitCode::Failed;
+}
+
+} // namespace
+
+ExitCode runSettings(const Arguments &arguments)
+{
+    CommandSyntax syntax { .usage = "jacinthroad settings check FILE | settings reference",
+                           .positional = { "action", "file" } };
+    syntax.options.add_options()("action", options::value<std::string>()->required(),
+                                 "check or reference");
+    syntax.options.add_options()("file", options::value<std::string>(), "the settings file");
+    const ParsedArguments parsed = parseArguments(std::move(syntax), arguments);
+    if (parsed.exit.has_value()) {
+        return *parsed.exit;
+    }
+    const std::string action = parsed.values["action"].as<std::string>();
+    if (action == "reference") {
+        std::cout << "# Settings reference\n\nMade by `jacinthroad settings reference` from the "
+                     "table that checks settings files.\n\n"
+                  << describeSchema(nodeSettingsSchema());
+        return ExitCode::Done;
+    }
+    if (action != "check" || parsed.values.count("file") == 0) {
+        printError({ .kind = ErrorKind::InvalidRequest,
+                     .message = "settings takes 'check FILE' or 'reference'",
+                     .remedy = "Run 'jacinthroad settings check FILE'." });
+        return ExitCode::WrongUse;
+    }
+    return check(parsed.values["file"].as<std::string>(), wantsJson(parsed.values));
+}
+
+} // namespace jacinthroad
--- /dev/null
+++ b/Source/StandIns/EngineStandIn.cpp
@@ -0,0 +1,403 @@
+#include "StandIns/EngineStandIn.h"
+
+#include <algorithm>
+#include <charconv>
+#include <random>
+#include <utility>
+
+#include <json/value.h>
+
+#include "Admission/LengthClass.h"
+#include "Core/Hashing.h"
+#include "Core/Json.h"
+#include "EngineClient/ChatRequest.h"
+#include "EngineClient/EngineHeaders.h"
+
+namespace jacinthroad {
+
+namespace {
+
+constexpr std::uint32_t UsualOutputTokens = 32;
+constexpr std::uint32_t TokensBeforeFault = 3;
+constexpr Duration IdleWait = milliseconds(20);
+constexpr Duration LongestReportAge = std::chrono::seconds(10);
+constexpr int StatusOk = 200;
+constexpr int StatusBadRequest = 400;
+constexpr int StatusNotFound = 404;
+
+std::uint32_t outputTokensOf(const Json::Value &body)
+{
+    std::uint32_t tokens = UsualOutputTokens;
+    const Json::Value &metadata = body["metadata"];
+    if (metadata.isObject() && metadata["output_tokens"].isString()) {
+        const std::string text = metadata["output_tokens"].asString();
+        std::from_chars(text.data(), text.data() + text.size(), tokens);
+    }
+    if (body["max_tokens"].isUInt()) {
+        tokens = std::min(tokens, body["max_tokens"].asUInt());
+    }
+    return std::max(1U, tokens);
+}
+
+/// The request's id without the number of the attempt.
+std::string requestIdOf(const std::string &attemptId)
+{
+    return attemptId.substr(0, attemptId.rfind('.'));
+}
+
+} // namespace
+
+std::string standInToken(std::uint64_t answerSeed, std::uint32_t position)
+{
+    return " t" + std::to_string(mix64(answerSeed, position) % 100000);
+}
+
+std::uint64_t standInAnswerSeed(std::string_view prompt)
+{
+    return hash64(prompt, 77);
+}
+
+struct EngineStandIn::Sequence
+{
+    std::string attemptId;
+    std::shared_ptr<ResponseWriter> writer;
+    std::vector<BlockKey> blocks;
+    std::uint64_t answerSeed = 0;
+    std::uint32_t promptTokens = 0;
+    std::uint32_t cachedTokens = 0;
+    std::uint32_t prefillLeft = 0;
+    std::uint32_t prefillThisStep = 0;
+    std::uint32_t outputTokens = 0;
+    std::uint32_t produced = 0;
+    int priority = 0;
+    std::uint64_t arrival = 0;
+    bool chat = true;
+    bool crashes = false;
+    bool silent = false;
+    bool crossed = false;
+    bool decoding = false;
+    bool finished = false;
+    std::atomic<bool> cancelled { false };
+};
+
+EngineStandIn::EngineStandIn(EngineStandInOptions options)
+    : options_(std::move(options))
+    , port_(options_.port)
+    , cache_(options_.cacheBlocks)
+{
+    thread_ = std::thread([this] { run(); });
+}
+
+EngineStandIn::~EngineStandIn()
+{
+    {
+        const std::scoped_lock lock(mutex_);
+        stopping_ = true;
+    }
+    wake_.notify_all();
+    thread_.join();
+    const std::scoped_lock lock(serverMutex_);
+    server_.reset();
+}
+
+void EngineStandIn::start()
+{
+    {
+        const std::scoped_lock lock(mutex_);
+        incarnation_ = std::random_device {}() + 1ULL;
+    }
+    const std::scoped_lock lock(serverMutex_);
+    auto server = HttpServer::start(
+        { .port = port_, .maximumBodyBytes = 64 * 1024 * 1024 },
+        [this](HttpRequest request, const std::shared_ptr<ResponseWriter> &writer) {
+            handle(std::move(request), writer);
+        });
+    if (server.has_value()) {
+        server_ = std::move(*server);
+        port_ = server_->port();
+    }
+}
+
+void EngineStandIn::dropCache(RecomputeReason reason)
+{
+    for (const BlockKey block : cache_.clear()) {
+        if (options_.judge != nullptr) {
+            options_.judge->noteLost(block, reason);
+        }
+    }
+}
+
+void EngineStandIn::crash()
+{
+    {
+        const std::scoped_lock lock(mutex_);
+        ++counters_.crashes;
+        waiting_.clear();
+        running_.clear();
+        reports_.clear();
+        dropCache(RecomputeReason::Crash);
+    }
+    const std::scoped_lock lock(serverMutex_);
+    server_.reset();
+}
+
+std::string EngineStandIn::url() const
+{
+    return "http://127.0.0.1:" + std::to_string(port_);
+}
+
+EngineStandIn::Counters EngineStandIn::counters() const
+{
+    const std::scoped_lock lock(mutex_);
+    return counters_;
+}
+
+std::map<std::string, int> EngineStandIn::executions() const
+{
+    const std::scoped_lock lock(mutex_);
+    return executions_;
+}
+
+LoadReport EngineStandIn::currentLoad() const
+{
+    LoadReport report { .incarnation = incarnation_, .weights = options_.weights };
+    report.load.inFlight = static_cast<double>(waiting_.size() + running_.size());
+    for (const auto &sequence : waiting_) {
+        report.load.waitingPrefill += sequence->promptTokens;
+    }
+    for (const auto &sequence : running_) {
+        report.load.waitingPrefill += sequence->prefillLeft;
+        report.load.longJobs += sequence->produced >= LongOutputTokens ? 1 : 0;
+    }
+    return report;
+}
+
+HttpHeaders EngineStandIn::reportHeaders() const
+{
+    return reports_.empty() ? loadReportHeaders({ .incarnation = incarnation_,
+                                                  .weights = options_.weights })
+                            : loadReportHeaders(reports_.front().second);
+}
+
+void EngineStandIn::handle(HttpRequest request, const std::shared_ptr<ResponseWriter> &writer)
+{
+    if (request.path == "/v1/chat/completions" || request.path == "/v1/completions") {
+        accept(request, writer);
+        return;
+    }
+    if (request.path == "/load" || request.path == "/health") {
+        const std::scoped_lock lock(mutex_);
+        writer->respond({ .status = StatusOk, .headers = reportHeaders(), .body = "{}" });
+        return;
+    }
+    writer->respond({ .status = StatusNotFound, .body = "{\"error\":\"no such path\"}" });
+}
+
+void EngineStandIn::accept(const HttpRequest &request,
+                           const std::shared_ptr<ResponseWriter> &writer)
+{
+    const auto chat = readChatRequest(request.body, request.path == "/v1/chat/completions");
+    if (!chat.has_value()) {
+        writer->respond({ .status = StatusBadRequest,
+                          .body = "{\"error\":\"" + chat.error().message + "\"}" });
+        return;
+    }
+    const Json::Value &body = chat->body;
+    auto sequence = std::make_shared<Sequence>();
+    sequence->attemptId = body["request_id"].asString();
+    sequence->writer = writer;
+    sequence->chat = chat->chat;
+    sequence->answerSeed = standInAnswerSeed(chat->prompt);
+    sequence->promptTokens = static_cast<std::uint32_t>(chat->prompt.size() / BytesPerToken) + 1;
+    sequence->outputTokens = outputTokensOf(body);
+    sequence->produced = body["resume_after_tokens"].asUInt();
+    sequence->priority = body["priority"].asInt();
+    sequence->crashes = chat->prompt.find(CrashText) != std::string::npos;
+    sequence->silent = silenceNext_ > 0 && silenceNext_-- > 0;
+    sequence->crossed = crossNext_ > 0 && crossNext_-- > 0;
+    BlockKey salt = 0;
+    const std::string saltText = body["cache_salt"].asString();
+    constexpr int Hexadecimal = 16;
+    std::from_chars(saltText.data(), saltText.data() + saltText.size(), salt, Hexadecimal);
+    sequence->blocks = blockKeys(salt, chat->prompt, options_.blockTokens);
+    writer->subscribe(0, nullptr, [sequence](bool) { sequence->cancelled = true; });
+    {
+        const std::scoped_lock lock(mutex_);
+        sequence->arrival = ++arrivals_;
+        ++counters_.accepted;
+        counters_.afterLeaving += leaving_ ? 1 : 0;
+        ++executions_[requestIdOf(sequence->attemptId)];
+        const std::string team(findHeader(request.headers, "x-team").value_or(""));
+        counters_.sharedSalts
+            += teamOfSalt_.try_emplace(salt, team).first->second == team ? 0 : 1;
+        waiting_.push_back(sequence);
+        HttpHeaders headers = reportHeaders();
+        headers.emplace_back("Content-Type", "text/event-stream");
+        writer->start(StatusOk, std::move(headers));
+    }
+    wake_.notify_all();
+}
+
+void EngineStandIn::admitWaiting()
+{
+    std::erase_if(waiting_, [](const auto &sequence) { return sequence->cancelled.load(); });
+    std::erase_if(running_, [](const auto &sequence) { return sequence->cancelled.load(); });
+    std::sort(waiting_.begin(), waiting_.end(), [](const auto &a, const auto &b) {
+        return std::pair(a->priority, a->arrival) < std::pair(b->priority, b->arrival);
+    });
+    while (!waiting_.empty() && running_.size() < options_.slots) {
+        const std::shared_ptr<Sequence> sequence = waiting_.front();
+        waiting_.erase(waiting_.begin());
+        const std::size_t found = cache_.match(sequence->blocks);
+        sequence->cachedTokens = static_cast<std::uint32_t>(found) * options_.blockTokens;
+        sequence->prefillLeft = std::max(1U, sequence->promptTokens - sequence->cachedTokens);
+        if (options_.judge != nullptr) {
+            options_.judge->notePrompt(sequence->blocks, found, sequence->promptTokens,
+                                       options_.blockTokens);
+        }
+        running_.push_back(sequence);
+    }
+}
+
+double EngineStandIn::planStep()
+{
+    admitWaiting();
+    std::uint32_t budget = options_.prefillTokensPerStep;
+    double duration = options_.stepMs;
+    std::vector<std::shared_ptr<Sequence>> ordered = running_;
+    std::stable_sort(ordered.begin(), ordered.end(),
+                     [](const auto &a, const auto &b) { return a->priority < b->priority; });
+    for (const auto &sequence : ordered) {
+        sequence->prefillThisStep = 0;
+        sequence->decoding = sequence->prefillLeft == 0;
+        if (sequence->decoding) {
+            duration += options_.stepMsPerSequence;
+            continue;
+        }
+        sequence->prefillThisStep = std::min(budget, sequence->prefillLeft);
+        budget -= sequence->prefillThisStep;
+        duration += sequence->prefillThisStep / options_.prefillTokensPerMs;
+    }
+    return duration;
+}
+
+void EngineStandIn::emitToken(Sequence &sequence)
+{
+    if (sequence.silent && sequence.produced >= TokensBeforeFault) {
+        return;
+    }
+    ++sequence.produced;
+    ++counters_.tokens;
+    const bool foreign = sequence.crossed && sequence.produced == TokensBeforeFault;
+    const std::string id = foreign ? "req-of-somebody-else.1" : sequence.attemptId;
+    const std::string token = standInToken(sequence.answerSeed, sequence.produced);
+    std::string event = "id: " + id + ":" + std::to_string(sequence.produced)
+        + "\ndata: {\"id\":\"" + id + "\",\"object\":\"chat.completion.chunk\",\"model\":\""
+        + options_.model + "\",\"choices\":[{\"index\":0,";
+    event += sequence.chat ? "\"delta\":{\"content\":\"" + token + "\"}"
+                           : "\"text\":\"" + token + "\"";
+    event += "}]}\n\n";
+    sequence.writer->write(event);
+    if (sequence.produced >= sequence.outputTokens) {
+        endSequence(sequence);
+    }
+}
+
+void EngineStandIn::endSequence(Sequence &sequence)
+{
+    sequence.finished = true;
+    ++counters_.completed;
+    Json::Value usage;
+    usage["prompt_tokens"] = sequence.promptTokens;
+    usage["completion_tokens"] = sequence.produced;
+    usage["total_tokens"] = sequence.promptTokens + sequence.produced;
+    usage["prompt_tokens_details"]["cached_tokens"] = sequence.cachedTokens;
+    Json::Value chunk;
+    chunk["id"] = sequence.attemptId;
+    chunk["object"] = "chat.completion.chunk";
+    chunk["model"] = options_.model;
+    chunk["choices"] = Json::Value(Json::arrayValue);
+    chunk["usage"] = usage;
+    sequence.writer->write("id: " + sequence.attemptId + ":" + std::to_string(sequence.produced)
+                           + "\ndata: " + writeJson(chunk) + "\n\ndata: [DONE]\n\n");
+    sequence.writer->finish();
+}
+
+void EngineStandIn::finishStep()
+{
+    for (const auto &sequence : running_) {
+        if (sequence->cancelled) {
+            continue;
+        }
+        if (sequence->decoding) {
+            emitToken(*sequence);
+            continue;
+        }
+        sequence->prefillLeft -= std::min(sequence->prefillLeft, sequence->prefillThisStep);
+        if (sequence->prefillLeft > 0 || sequence->prefillThisStep == 0) {
+            continue;
+        }
+        if (sequence->crashes) {
+            crashWanted_ = true;
+            return;
+        }
+        const BlockCache::Change change = cache_.insert(sequence->blocks);
+        if (options_.judge != nullptr) {
+            for (const BlockKey block : change.stored) {
+                options_.judge->noteStored(block);
+            }
+            for (const BlockKey block : change.removed) {
+                options_.judge->noteLost(block, RecomputeReason::Evicted);
+            }
+        }
+        if (sequence->produced >= sequence->outputTokens) {
+            endSequence(*sequence);
+        } else {
+            emitToken(*sequence);
+        }
+    }
+    std::erase_if(running_, [](const auto &sequence) { return sequence->finished; });
+}
+
+void EngineStandIn::run()
+{
+    const auto lag = fromMilliseconds(options_.reportLagMs / options_.timeScale);
+    Instant stepBegan = std::chrono::steady_clock::now();
+    while (true) {
+        double durationMs = 0;
+        {
+            std::unique_lock lock(mutex_);
+            if (stopping_) {
+                return;
+            }
+            const Instant now = std::chrono::steady_clock::now();
+            reports_.emplace_back(now, currentLoad());
+            while (reports_.size() > 1
+                   && (reports_[1].first <= now - lag
+                       || now - reports_.front().first > LongestReportAge)) {
+                reports_.pop_front();
+            }
+            if (waiting_.empty() && running_.empty()) {
+                wake_.wait_for(lock, IdleWait);
+                stepBegan = std::chrono::steady_clock::now();
+                continue;
+            }
+            durationMs = planStep() * slowdown_;
+        }
+        // Deadlines add up instead of sleeps, so that a late wake-up does not slow the engine.
+        stepBegan += fromMilliseconds(durationMs / options_.timeScale);
+        std::this_thread::sleep_until(stepBegan);
+        bool crashNow = false;
+        {
+            const std::scoped_lock lock(mutex_);
+            finishStep();
+            crashNow = std::exchange(crashWanted_, false);
+        }
+        if (crashNow) {
+            crash();
+            start();
+        }
+    }
+}
+
+} // namespace jacinthroad
