StandIns: Calibrate engines so that rated load is sustainable

Cause: with 8 tokens/ms of prefill and cold caches no policy could meet 1.9 s at rated load, so comparisons said little.

--- a/Source/Load/Experiment.cpp
+++ b/Source/Load/Experiment.cpp
@@ -11,7 +11,7 @@
 namespace {
 
 // Requests of the first part of a run warm the caches and do not count in latencies.
-constexpr double WarmUpShare = 0.2;
+constexpr double WarmUpShare = 0.3;
 constexpr double SlowBegins = 0.25;
 constexpr double CrashesBegin = 0.34;
 constexpr double CrestShare = 0.25;
--- a/Source/Load/Workload.h
+++ b/Source/Load/Workload.h
@@ -51,7 +51,7 @@
     double serviceShare = 0.05;
     double recomputePriceMsPerToken = 0.05;
     std::size_t cacheBlocks = 1500;
-    std::uint32_t slots = 16;
+    std::uint32_t slots = 12;
 };
 
 /// The profile of that name, `lienzo-andino` or `drenthe`.
--- a/Source/Node/ModelSession.cpp
+++ b/Source/Node/ModelSession.cpp
@@ -18,7 +18,7 @@
 // A stream is taken for dead after this many usual gaps without a token.
 constexpr double StallGaps = 15;
 // Before the first token the least silence is multiplied, since prefill may take long.
-constexpr int FirstTokenPatience = 3;
+constexpr int FirstTokenPatience = 8;
 
 std::string attemptIdOf(const RequestId &id, AttemptNumber number)
 {
--- a/Source/StandIns/EngineStandIn.h
+++ b/Source/StandIns/EngineStandIn.h
@@ -27,12 +27,12 @@
     std::string model = "model";
     std::string weights = "v1";
     double timeScale = 1;
-    std::uint32_t slots = 16;
-    double prefillTokensPerMs = 8;
+    std::uint32_t slots = 12;
+    double prefillTokensPerMs = 16;
     /// A decoding step lasts this long,
-    double stepMs = 18;
+    double stepMs = 20;
     /// this much longer for each sequence that decodes,
-    double stepMsPerSequence = 0.4;
+    double stepMsPerSequence = 0.5;
     /// and as long as the prefill of up to so many tokens takes beside it.
     std::uint32_t prefillTokensPerStep = 256;
     std::uint32_t blockTokens = 64;
