--- a/Source/Admission/OutputLength.cpp
+++ b/Source/Admission/OutputLength.cpp
@@ -18,8 +18,7 @@
 
 OutputLength::OutputLength(std::size_t capacity)
     : capacity_(capacity)
-{
-}
+{ }
 
 const OutputLength::Estimate *OutputLength::find(std::uint64_t group) const
 {
@@ -51,8 +50,8 @@
         const double share
             = std::max(SmallestStep, FirstStep / std::sqrt(static_cast<double>(estimate.samples)));
         const double step = share * std::max(1.0, estimate.quantile);
-        estimate.quantile += observed > estimate.quantile ? step * Quantile
-                                                          : -step * (1 - Quantile);
+        estimate.quantile
+            += observed > estimate.quantile ? step * Quantile : -step * (1 - Quantile);
     }
     ++estimate.samples;
 }
--- a/Source/Claims/ClaimBook.cpp
+++ b/Source/Claims/ClaimBook.cpp
@@ -18,8 +18,7 @@
 
 ClaimBook::ClaimBook(ClaimBookOptions options)
     : options_(options)
-{
-}
+{ }
 
 std::vector<ClaimEffect> ClaimBook::handle(const ClaimMessage &message, Instant now)
 {
@@ -49,16 +48,15 @@
     nowMs_ = std::max(nowMs_, message.nowMs);
     const auto made = madeAtMs(message.key.substr(message.key.find('/') + 1));
     if (made.has_value() && *made < nowMs_ - wholeMs(options_.retention)) {
-        effects_.emplace_back(
-            RefuseCall { .id = message.id,
-                         .kind = ErrorKind::IdempotencyKeyExpired,
-                         .earlierMayHaveRun = true });
+        effects_.emplace_back(RefuseCall { .id = message.id,
+                                           .kind = ErrorKind::IdempotencyKeyExpired,
+                                           .earlierMayHaveRun = true });
         return;
     }
     Shard &shard = shards_[message.shard];
     if (now < shard.pausedUntil) {
-        effects_.emplace_back(RefuseCall {
-            .id = message.id, .kind = ErrorKind::PlatformUnavailable });
+        effects_.emplace_back(
+            RefuseCall { .id = message.id, .kind = ErrorKind::PlatformUnavailable });
         return;
     }
     shard.claims.push_back({ message });
@@ -87,14 +85,11 @@
     if (claim.state == ClaimState::Done && claim.answer.whole) {
         effects_.emplace_back(ReplayAnswer { .id = wanted.id, .answer = claim.answer });
     } else if (claim.state == ClaimState::Claimed && !abandoned) {
-        effects_.emplace_back(
-            RefuseCall { .id = wanted.id,
-                                         .kind = ErrorKind::RequestInProgress,
-                                         .earlierMayHaveRun = true });
+        effects_.emplace_back(RefuseCall {
+            .id = wanted.id, .kind = ErrorKind::RequestInProgress, .earlierMayHaveRun = true });
     } else {
-        effects_.emplace_back(RefuseCall { .id = wanted.id,
-                                           .kind = ErrorKind::OutcomeUnknown,
-                                           .earlierMayHaveRun = true });
+        effects_.emplace_back(RefuseCall {
+            .id = wanted.id, .kind = ErrorKind::OutcomeUnknown, .earlierMayHaveRun = true });
     }
     return true;
 }
@@ -138,9 +133,8 @@
         shard.written.claims.try_emplace(pending.wanted.key, claimOf(pending.wanted));
     }
     ++writes_;
-    effects_.emplace_back(WriteShard { .shard = name,
-                                       .expectedVersion = shard.version,
-                                       .text = writeShard(shard.written) });
+    effects_.emplace_back(WriteShard {
+        .shard = name, .expectedVersion = shard.version, .text = writeShard(shard.written) });
 }
 
 void ClaimBook::platformFailed(Shard &shard, Instant now)
@@ -149,8 +143,8 @@
     // A claim whose write may still take effect stays in the object as claimed and is never
     // run; taking it back lets the caller's next try with the same key run.
     for (const PendingClaim &pending : shard.claims) {
-        effects_.emplace_back(RefuseCall {
-            .id = pending.wanted.id, .kind = ErrorKind::PlatformUnavailable });
+        effects_.emplace_back(
+            RefuseCall { .id = pending.wanted.id, .kind = ErrorKind::PlatformUnavailable });
         shard.results.push_back(
             { .key = pending.wanted.key, .nonce = pending.wanted.nonce, .claim = std::nullopt });
     }
@@ -165,8 +159,8 @@
         platformFailed(shard, now);
         return;
     }
-    auto content = message.version == 0 ? Result<ClaimShard>(ClaimShard {})
-                                        : readShard(message.text);
+    auto content
+        = message.version == 0 ? Result<ClaimShard>(ClaimShard {}) : readShard(message.text);
     if (!content.has_value()) {
         platformFailed(shard, now);
         return;
@@ -234,8 +228,8 @@
         if (now < pending.wanted.deadline) {
             return false;
         }
-        effects_.emplace_back(RefuseCall {
-            .id = pending.wanted.id, .kind = ErrorKind::PlatformUnavailable });
+        effects_.emplace_back(
+            RefuseCall { .id = pending.wanted.id, .kind = ErrorKind::PlatformUnavailable });
         shard.results.push_back(
             { .key = pending.wanted.key, .nonce = pending.wanted.nonce, .claim = std::nullopt });
         return true;
--- a/Source/Claims/ClaimShard.cpp
+++ b/Source/Claims/ClaimShard.cpp
@@ -73,6 +73,9 @@
             claim.bodyHash = entry["body"].asString();
             claim.state = stateOf(entry["state"].asString());
             claim.atMs = entry["at"].asInt64();
+            if (claim.state != ClaimState::Done) {
+                continue;
+            }
             claim.answer = { .status = entry["status"].asInt(),
                              .contentType = entry["type"].asString(),
                              .body = entry["answer"].asString(),
--- a/Source/Configuration/Configuration.cpp
+++ b/Source/Configuration/Configuration.cpp
@@ -35,8 +35,7 @@
 public:
     explicit CrossChecker(const Json::Value &document)
         : document_(document)
-    {
-    }
+    { }
 
     std::vector<Fault> run()
     {
--- a/Source/Configuration/ConfigurationSchema.cpp
+++ b/Source/Configuration/ConfigurationSchema.cpp
@@ -121,7 +121,8 @@
       .minimum = 1,
       .maximum = 1024,
       .unit = "objects",
-      .help = "platform objects over which claims are spread; cannot shrink while claims are kept" },
+      .help
+      = "platform objects over which claims are spread; cannot shrink while claims are kept" },
     { .name = "call_timeout_ms",
       .type = FieldType::Integer,
       .defaultText = "10000",
--- a/Source/Configuration/PatchLog.cpp
+++ b/Source/Configuration/PatchLog.cpp
@@ -49,8 +49,7 @@
 
 PatchLog::PatchLog()
     : document_(Json::objectValue)
-{
-}
+{ }
 
 std::vector<PatchLogEffect> PatchLog::handle(const PatchLogMessage &message, Instant now)
 {
@@ -79,8 +78,8 @@
         if (record.version <= base) {
             continue;
         }
-        text += (text.empty() ? "" : "; ") + std::to_string(record.version) + " by "
-            + record.author + " touched";
+        text += (text.empty() ? "" : "; ") + std::to_string(record.version) + " by " + record.author
+            + " touched";
         for (const std::string &object : record.objects) {
             text += " " + object;
         }
@@ -94,8 +93,8 @@
         const std::string changes = changesSince(message.base);
         reject(message.token,
                { .kind = ErrorKind::VersionConflict,
-                 .message = "patch names base " + std::to_string(message.base)
-                     + ", but version " + std::to_string(version_) + " is in force"
+                 .message = "patch names base " + std::to_string(message.base) + ", but version "
+                     + std::to_string(version_) + " is in force"
                      + (changes.empty() ? std::string() : ": " + changes) });
         return;
     }
@@ -115,8 +114,7 @@
     Submission submission { .patch = message,
                             .text = patchText(message),
                             .deadline = now + SettleTime };
-    effects_.emplace_back(
-        CreatePatchObject { .version = version_ + 1, .text = submission.text });
+    effects_.emplace_back(CreatePatchObject { .version = version_ + 1, .text = submission.text });
     submissions_.emplace(version_ + 1, std::move(submission));
 }
 
@@ -181,8 +179,8 @@
     }
     reject(submission.patch.token,
            { .kind = ErrorKind::VersionConflict,
-             .message = "another patch became version " + std::to_string(version) + " first: "
-                 + changesSince(submission.patch.base) });
+             .message = "another patch became version " + std::to_string(version)
+                 + " first: " + changesSince(submission.patch.base) });
 }
 
 void PatchLog::on(const PatchSeen &message, Instant)
--- a/Source/Configuration/PatchLog.h
+++ b/Source/Configuration/PatchLog.h
@@ -79,11 +79,10 @@
 
 /// Time passed; unsettled submissions are asked about again.
 struct PatchLogTime
-{
-};
+{ };
 
-using PatchLogMessage = std::variant<SubmitPatch, PatchSeen, PatchCreateAnswered,
-                                     PatchReadAnswered, PlatformVersionSeen, PatchLogTime>;
+using PatchLogMessage = std::variant<SubmitPatch, PatchSeen, PatchCreateAnswered, PatchReadAnswered,
+                                     PlatformVersionSeen, PatchLogTime>;
 
 /// Create the object of a version unless it exists.
 struct CreatePatchObject
--- a/Source/Core/Error.h
+++ b/Source/Core/Error.h
@@ -25,8 +25,7 @@
 };
 
 /// A value, or the error that kept it from being made.
-template <typename Value>
-using Result = tl::expected<Value, Error>;
+template <typename Value> using Result = tl::expected<Value, Error>;
 
 /// Shorthand for returning an error from a function whose result is a Result.
 [[nodiscard]] inline tl::unexpected<Error> makeError(ErrorKind kind, std::string message,
--- a/Source/Core/ErrorKind.cpp
+++ b/Source/Core/ErrorKind.cpp
@@ -52,8 +52,7 @@
     { ErrorKind::InvalidSettings, "invalid_settings", 400, 0,
       "Correct every field named and check again." },
     { ErrorKind::NotReady, "not_ready", 503, 500, "Wait until /readyz answers 200." },
-    { ErrorKind::Internal, "internal", 500, 1000,
-      "Report the request_id to the operators." },
+    { ErrorKind::Internal, "internal", 500, 1000, "Report the request_id to the operators." },
 } };
 
 consteval bool tableFollowsEnumeration()
--- a/Source/Core/Ids.h
+++ b/Source/Core/Ids.h
@@ -9,15 +9,13 @@
 
 /// A string identifier whose tag keeps, say, a team's name from being passed where a
 /// backend server's is expected. Equality and order are those of the text.
-template <typename Tag>
-class StrongId
+template <typename Tag> class StrongId
 {
 public:
     StrongId() = default;
     explicit StrongId(std::string text)
         : text_(std::move(text))
-    {
-    }
+    { }
 
     /// The text of the identifier.
     [[nodiscard]] const std::string &text() const { return text_; }
@@ -47,8 +45,7 @@
 
 } // namespace jacinthroad
 
-template <typename Tag>
-struct std::hash<jacinthroad::StrongId<Tag>>
+template <typename Tag> struct std::hash<jacinthroad::StrongId<Tag>>
 {
     std::size_t operator()(const jacinthroad::StrongId<Tag> &id) const noexcept
     {
--- a/Source/Core/Log.cpp
+++ b/Source/Core/Log.cpp
@@ -54,8 +54,7 @@
     return instance;
 }
 
-std::string jsonText(LogLevel level, std::string_view event,
-                     std::initializer_list<LogField> fields)
+std::string jsonText(LogLevel level, std::string_view event, std::initializer_list<LogField> fields)
 {
     Json::Value line;
     line["time"] = utcNow();
@@ -97,7 +96,8 @@
     minimumLevel = options.minimumLevel;
     jsonLines = options.json;
     boost::log::core::get()->remove_all_sinks();
-    boost::log::add_console_log(std::clog, boost::log::keywords::format = boost::log::expressions::stream
+    boost::log::add_console_log(std::clog,
+                                boost::log::keywords::format = boost::log::expressions::stream
                                     << boost::log::expressions::smessage,
                                 boost::log::keywords::auto_flush = true);
 }
--- a/Source/Core/Schema.cpp
+++ b/Source/Core/Schema.cpp
@@ -261,8 +261,7 @@
 FieldReader::FieldReader(const ObjectSchema &schema, const Json::Value &value)
     : schema_(schema)
     , value_(value)
-{
-}
+{ }
 
 const Json::Value &FieldReader::member(std::string_view name) const
 {
--- a/Source/Core/Schema.h
+++ b/Source/Core/Schema.h
@@ -14,7 +14,15 @@
 struct ObjectSchema;
 
 /// The JSON type a field takes. An ObjectMap is an object whose members are objects by name.
-enum class FieldType : std::uint8_t { String, Integer, Number, Boolean, Object, ObjectMap, Strings };
+enum class FieldType : std::uint8_t {
+    String,
+    Integer,
+    Number,
+    Boolean,
+    Object,
+    ObjectMap,
+    Strings
+};
 
 /// One row of a settings or configuration table: it checks the field, supplies its default and
 /// is printed in the reference page.
--- a/Source/Core/TimerService.cpp
+++ b/Source/Core/TimerService.cpp
@@ -17,8 +17,7 @@
     return add({ .due = due, .period = Duration::zero(), .callback = std::move(callback) });
 }
 
-TimerService::Subscription TimerService::every(Instant firstDue, Duration period,
-                                               Callback callback)
+TimerService::Subscription TimerService::every(Instant firstDue, Duration period, Callback callback)
 {
     return add({ .due = firstDue, .period = period, .callback = std::move(callback) });
 }
--- a/Source/EngineClient/ChatRequest.cpp
+++ b/Source/EngineClient/ChatRequest.cpp
@@ -93,8 +93,8 @@
         const Json::Value &bound = body["max_tokens"];
         if (!bound.isUInt() || bound.asUInt() == 0 || bound.asUInt() > LargestMaxTokens) {
             return fieldError("max_tokens",
-                              "must be a whole number from 1 to "
-                                  + std::to_string(LargestMaxTokens) + ".",
+                              "must be a whole number from 1 to " + std::to_string(LargestMaxTokens)
+                                  + ".",
                               "Use a number in that range.");
         }
         request.maxTokens = bound.asUInt();
--- a/Source/EngineClient/EngineHeaders.cpp
+++ b/Source/EngineClient/EngineHeaders.cpp
@@ -29,9 +29,8 @@
         return std::nullopt;
     }
     LoadReport report;
-    const auto parsed = std::from_chars(incarnation->data(),
-                                        incarnation->data() + incarnation->size(),
-                                        report.incarnation);
+    const auto parsed = std::from_chars(
+        incarnation->data(), incarnation->data() + incarnation->size(), report.incarnation);
     if (parsed.ec != std::errc()) {
         return std::nullopt;
     }
--- a/Source/EngineClient/StreamRelay.cpp
+++ b/Source/EngineClient/StreamRelay.cpp
@@ -17,14 +17,12 @@
     : options_(std::move(options))
     , quotedAttempt_("\"" + options_.attemptId + "\"")
     , lastToken_(options_.afterTokens)
-{
-}
+{ }
 
 RelayState StreamRelay::feed(std::string_view bytes, std::string &output)
 {
-    const bool fits = parser_.feed(bytes, [&](std::string_view id, std::string_view data) {
-        event(id, data, output);
-    });
+    const bool fits = parser_.feed(
+        bytes, [&](std::string_view id, std::string_view data) { event(id, data, output); });
     if (!fits && state_ == RelayState::Open) {
         state_ = RelayState::Malformed;
     }
--- a/Source/Http/HttpClient.cpp
+++ b/Source/Http/HttpClient.cpp
@@ -157,8 +157,7 @@
         CallId id;
     };
     struct Stop
-    {
-    };
+    { };
     using Command = std::variant<Start, Cancel, Resume, Stop>;
 
     void post(Command command)
--- a/Source/Http/HttpServer.cpp
+++ b/Source/Http/HttpServer.cpp
@@ -127,7 +127,7 @@
         if (writer.queued_) {
             return MHD_YES;
         }
-        if (writer.aborted_) {
+        if (writer.aborted_ && !writer.started_) {
             return MHD_NO;
         }
         if (!writer.started_) {
@@ -144,9 +144,8 @@
     {
         MHD_Response *response = nullptr;
         if (writer->wholeBody_) {
-            response = MHD_create_response_from_buffer(writer->buffer_.size(),
-                                                       writer->buffer_.data(),
-                                                       MHD_RESPMEM_MUST_COPY);
+            response = MHD_create_response_from_buffer(
+                writer->buffer_.size(), writer->buffer_.data(), MHD_RESPMEM_MUST_COPY);
         } else {
             auto keep = std::make_unique<std::shared_ptr<ResponseWriter>>(writer);
             response = MHD_create_response_from_callback(MHD_SIZE_UNKNOWN, SendBlockBytes, read,
@@ -192,8 +191,7 @@
 HttpServer::HttpServer(HttpServerOptions options, Handler handler)
     : options_(std::move(options))
     , handler_(std::move(handler))
-{
-}
+{ }
 
 Result<std::unique_ptr<HttpServer>> HttpServer::start(HttpServerOptions options, Handler handler)
 {
--- a/Source/Load/Bench.cpp
+++ b/Source/Load/Bench.cpp
@@ -166,11 +166,9 @@
     return true;
 }
 
-bool Bench::stopNode(std::size_t index)
+bool Bench::drainNode(std::size_t index)
 {
-    const bool empty = nodes_[index]->drain(DrainPatience);
-    killNode(index);
-    return empty;
+    return nodes_[index]->drain(DrainPatience);
 }
 
 void Bench::killNode(std::size_t index)
--- a/Source/Load/Bench.h
+++ b/Source/Load/Bench.h
@@ -48,8 +48,9 @@
     [[nodiscard]] std::string callerUrl(std::size_t node) const;
     [[nodiscard]] std::string operatorUrl(std::size_t node) const;
     [[nodiscard]] Node *node(std::size_t index) { return nodes_[index].get(); }
-    /// Drains and stops a node; false when work was left.
-    [[nodiscard]] bool stopNode(std::size_t index);
+    /// Lets a node finish its work; false when some was left. May run beside send calls; the
+    /// node stays until killNode().
+    [[nodiscard]] bool drainNode(std::size_t index);
     /// Ends a node without warning.
     void killNode(std::size_t index);
     /// Starts a stopped node again, at new ports.
--- a/Source/Load/Bounds.cpp
+++ b/Source/Load/Bounds.cpp
@@ -34,8 +34,8 @@
         if (name == "default" || !value.has_value()) {
             continue;
         }
-        const bool better = !best.has_value()
-            || (bound.hasMaximum ? *value < *best : *value > *best);
+        const bool better
+            = !best.has_value() || (bound.hasMaximum ? *value < *best : *value > *best);
         best = better ? value : best;
     }
     return best;
@@ -43,8 +43,8 @@
 
 std::optional<std::string> check(const Json::Value &report, const Bound &bound)
 {
-    const std::string name = bound.figure
-        + (bound.relativeTo.empty() ? "" : " relative to " + bound.relativeTo);
+    const std::string name
+        = bound.figure + (bound.relativeTo.empty() ? "" : " relative to " + bound.relativeTo);
     auto value = figureAt(report["policies"]["default"], bound.figure);
     if (!value.has_value()) {
         return name + ": the report has no such figure of policy default";
--- a/Source/Load/Demo.cpp
+++ b/Source/Load/Demo.cpp
@@ -23,9 +23,10 @@
 constexpr double TimeScale = 2;
 constexpr std::size_t Nodes = 4;
 constexpr std::size_t Engines = 6;
-constexpr double RequestsPerSecond = 7;
+constexpr double RequestsPerSecond = 4;
 constexpr double CrestFactor = 2;
 constexpr double BookingShare = 0.15;
+constexpr std::uint32_t MostOutputTokens = 200;
 constexpr Duration PatchLimit = std::chrono::seconds(4);
 constexpr Duration RestartLimit = std::chrono::seconds(1);
 constexpr Duration LeavingLimit = std::chrono::seconds(3);
@@ -42,6 +43,11 @@
     profile.ratedPerSecond = RequestsPerSecond;
     profile.crestFactor = CrestFactor;
     profile.serviceShare = BookingShare;
+    // A planned stop waits for the longest answer, and the demonstration is short.
+    for (JobClass &job : profile.jobs) {
+        job.leastOutput = std::min(job.leastOutput, MostOutputTokens / 2);
+        job.mostOutput = std::min(job.mostOutput, MostOutputTokens);
+    }
     return profile;
 }
 
@@ -64,8 +70,7 @@
                    .engines = Engines,
                    .timeScale = TimeScale })
         , client_(TimeScale)
-    {
-    }
+    { }
 
     DemoResult run()
     {
@@ -95,13 +100,12 @@
             { 0.22, "two streams of an engine fall silent",
               [this] { bench_.engines()[3]->silenceNextStreams(2); } },
             { 0.28, "an operator patches a team's weight", [this] { patch(2.0); } },
-            { 0.34, "a node is stopped as planned", [this] { beginStop(); } },
+            { 0.32, "a node is stopped as planned", [this] { beginStop(); } },
             { 0.45, "the platform loses the answers to its next 6 writes",
               [this] { bench_.platform().loseNextAnswers(6); } },
             { 0.50, "the service loses the answers to its next 2 bookings",
               [this] { bench_.services()[0]->loseNextAnswers(2); } },
-            { 0.55, "the platform goes away",
-              [this] { bench_.platform().setOutage(true); } },
+            { 0.55, "the platform goes away", [this] { bench_.platform().setOutage(true); } },
             { 0.60, "the stopped node starts again while the platform is away",
               [this] { restart(); } },
             { 0.70, "the platform comes back", [this] { bench_.platform().setOutage(false); } },
@@ -120,11 +124,12 @@
         request["params"]["base"] = Json::UInt64(base);
         request["params"]["patch"]["teams"][teamName(0)]["weight"] = weight;
         request["params"]["author"] = "demo";
-        const auto answer = performCall(
-            operatorClient_, { .method = "POST",
-                               .url = bench_.operatorUrl(0) + "/rpc",
-                               .headers = { { "Authorization", "Bearer " + Bench::operatorKey() } },
-                               .body = writeJson(request) });
+        const auto answer
+            = performCall(operatorClient_,
+                          { .method = "POST",
+                            .url = bench_.operatorUrl(0) + "/rpc",
+                            .headers = { { "Authorization", "Bearer " + Bench::operatorKey() } },
+                            .body = writeJson(request) });
         const auto body = parseJson(answer.response.body);
         if (body.has_value() && body->isObject() && (*body)["result"].isObject()) {
             accepted_ = (*body)["result"]["version"].asUInt64();
@@ -132,8 +137,7 @@
             while (!inForceEverywhere() && std::chrono::steady_clock::now() < began + PatchLimit) {
                 std::this_thread::sleep_for(milliseconds(2));
             }
-            slowestPatch_
-                = std::max(slowestPatch_, std::chrono::steady_clock::now() - began);
+            slowestPatch_ = std::max(slowestPatch_, std::chrono::steady_clock::now() - began);
             ++patches_;
         }
     }
@@ -152,7 +156,7 @@
     void beginStop()
     {
         stopping_ = Nodes - 1;
-        stop_ = std::async(std::launch::async, [this] { return bench_.stopNode(Nodes - 1); });
+        stop_ = std::async(std::launch::async, [this] { return bench_.drainNode(Nodes - 1); });
         // The balancer notices /readyz after a while; until then it still sends requests there.
         balancerNotices_ = std::chrono::steady_clock::now() + milliseconds(200);
     }
@@ -160,10 +164,13 @@
     void restart()
     {
         stopClean_ = stop_.valid() && stop_.get();
+        bench_.killNode(Nodes - 1);
         const Instant began = std::chrono::steady_clock::now();
         restarted_ = bench_.startNode(Nodes - 1);
         restartTook_ = std::chrono::steady_clock::now() - began;
-        stopping_.reset();
+        if (restarted_) {
+            stopping_.reset();
+        }
     }
 
     void leave()
@@ -202,8 +209,8 @@
     {
         while (true) {
             const std::size_t node = turn++ % Nodes;
-            const bool avoided = stopping_ == node
-                && std::chrono::steady_clock::now() > balancerNotices_;
+            const bool avoided = bench_.callerUrl(node).empty()
+                || (stopping_ == node && std::chrono::steady_clock::now() > balancerNotices_);
             if (!avoided) {
                 return node;
             }
@@ -274,9 +281,9 @@
         cut += record.errorKind == "connection" ? 1 : 0;
         if (record.outcome == CallerOutcome::RefusedNotRun) {
             const auto &ran = record.toService ? bookings : executions;
-            falseNotRun
-                += ran.contains(record.toService ? record.idempotencyKey : record.requestId) ? 1
-                                                                                            : 0;
+            falseNotRun += ran.contains(record.toService ? record.idempotencyKey : record.requestId)
+                ? 1
+                : 0;
         }
     }
     std::uint64_t duplicates = 0;
@@ -301,8 +308,7 @@
               + " engine crashes" },
         { "every stream arrives complete and in order", broken == 0 && crossed == 0,
           count(broken) + " broken, " + count(crossed) + " out of order" },
-        { "a restarted router serves at once",
-          restarted_ && restartTook_ < RestartLimit,
+        { "a restarted router serves at once", restarted_ && restartTook_ < RestartLimit,
           "ready " + wholeMs(restartTook_) + " after its start, platform away" },
         { "everybody gets the whole answer to their own request", crossed == 0 && allAnswered_,
           count(crossed) + " foreign tokens; " + count(completed) + " whole answers" },
@@ -311,8 +317,7 @@
         { "a booking runs at most once", duplicates == 0 && !bookings.empty(),
           count(duplicates) + " of " + count(bookings.size()) + " bookings ran twice" },
         { "a leaving backend server gets no new work after 3 s",
-          afterLeaving == 0 && markedLeaving_,
-          count(afterLeaving) + " requests came later" },
+          afterLeaving == 0 && markedLeaving_, count(afterLeaving) + " requests came later" },
         { "a planned stop cuts no request", stopClean_ && cut == 0,
           count(cut) + " connections cut" },
         { "an accepted patch is in force everywhere within 4 s", patched,
@@ -328,8 +333,7 @@
 
 Demo::Demo(DemoOptions options)
     : options_(options)
-{
-}
+{ }
 
 DemoResult Demo::run(const std::function<void(const std::string &)> &progress)
 {
--- a/Source/Load/Experiment.cpp
+++ b/Source/Load/Experiment.cpp
@@ -28,8 +28,7 @@
                    .timeScale = options.timeScale,
                    .sampleOneIn = options.sampleOneIn })
         , client_(options.timeScale)
-    {
-    }
+    { }
 
     Result<PolicyFigures> run()
     {
@@ -176,12 +175,11 @@
             / std::max<double>(1, static_cast<double>(result.promptTokens));
         const NodeFigures nodes = bench_.figures();
         const auto count = static_cast<double>(options_.nodes);
-        const double passed
-            = toMilliseconds(std::chrono::steady_clock::now() - began_) / 1000;
+        const double passed = toMilliseconds(std::chrono::steady_clock::now() - began_) / 1000;
         result.controlBytesPerNodeSecond
             = static_cast<double>(nodes.peerBytes) / count / (passed * options_.timeScale);
-        result.controlCpuShare = toMilliseconds(nodes.controlCpu) / 1000 / count
-            / (passed * options_.timeScale);
+        result.controlCpuShare
+            = toMilliseconds(nodes.controlCpu) / 1000 / count / (passed * options_.timeScale);
         result.platformCalls = nodes.platformCalls;
         result.hedges = nodes.hedges;
         result.retries = nodes.retries;
@@ -197,12 +195,10 @@
 
 } // namespace
 
-Result<ExperimentReport>
-runExperiment(const ExperimentOptions &options,
-              const std::function<void(const std::string &)> &progress)
+Result<ExperimentReport> runExperiment(const ExperimentOptions &options,
+                                       const std::function<void(const std::string &)> &progress)
 {
-    ExperimentReport report { .profile = std::string(options.profile.name),
-                              .seed = options.seed };
+    ExperimentReport report { .profile = std::string(options.profile.name), .seed = options.seed };
     for (const std::string &policy : options.policies) {
         progress("running " + policy + " for " + std::to_string(options.seconds) + " s");
         PolicyRun run(options, policy);
--- a/Source/Load/LoadClient.cpp
+++ b/Source/Load/LoadClient.cpp
@@ -110,8 +110,8 @@
         }
         const Instant now = std::chrono::steady_clock::now();
         ++exchange->tokens;
-        const std::string expected = "\"content\":\""
-            + standInToken(exchange->answerSeed, exchange->tokens) + "\"";
+        const std::string expected
+            = "\"content\":\"" + standInToken(exchange->answerSeed, exchange->tokens) + "\"";
         const bool own = exchange->record.requestId.empty()
             || id.starts_with(exchange->record.requestId + ":");
         exchange->foreign
@@ -152,8 +152,8 @@
     if (exchange->status == StatusOk && record.toService) {
         record.outcome = completed ? CallerOutcome::Completed : CallerOutcome::Failed;
     } else if (exchange->status == StatusOk) {
-        const bool whole = completed && exchange->done
-            && exchange->tokens == exchange->expectedTokens;
+        const bool whole
+            = completed && exchange->done && exchange->tokens == exchange->expectedTokens;
         record.outcome = exchange->foreign ? CallerOutcome::Crossed
             : whole                        ? CallerOutcome::Completed
                                            : CallerOutcome::Broken;
--- a/Source/Load/LoadReport.cpp
+++ b/Source/Load/LoadReport.cpp
@@ -17,8 +17,7 @@
 constexpr double LeastLatencyMs = 0.1;
 constexpr double MostLatencyMs = 1e6;
 
-template <typename Histogram>
-double quantile(const Histogram &histogram, double total, double rank)
+template <typename Histogram> double quantile(const Histogram &histogram, double total, double rank)
 {
     double below = 0;
     for (const auto &bin : boost::histogram::indexed(histogram)) {
--- a/Source/Load/Workload.cpp
+++ b/Source/Load/Workload.cpp
@@ -104,8 +104,7 @@
     : profile_(std::move(profile))
     , seconds_(seconds)
     , random_(seed)
-{
-}
+{ }
 
 std::size_t Workload::zipf(std::size_t count, double exponent)
 {
@@ -122,8 +121,8 @@
     for (const JobClass &job : profile_.jobs) {
         shares.push_back(job.share);
     }
-    return profile_.jobs[std::discrete_distribution<std::size_t>(shares.begin(),
-                                                                 shares.end())(random_)];
+    return profile_
+        .jobs[std::discrete_distribution<std::size_t>(shares.begin(), shares.end())(random_)];
 }
 
 std::optional<PlannedRequest> Workload::next()
--- a/Source/Membership/PeerTable.cpp
+++ b/Source/Membership/PeerTable.cpp
@@ -8,8 +8,7 @@
 PeerTable::PeerTable(NodeId self, PeerTableOptions options)
     : self_(std::move(self))
     , options_(options)
-{
-}
+{ }
 
 bool PeerTable::noteDatagram(const PeerIdentity &identity, std::uint64_t sequence, Instant now)
 {
@@ -20,8 +19,8 @@
     if (found != peers_.end()) {
         const Peer &known = found->second;
         const bool older = identity.incarnation < known.identity.incarnation;
-        const bool replayed = identity.incarnation == known.identity.incarnation
-            && sequence <= known.lastSequence;
+        const bool replayed
+            = identity.incarnation == known.identity.incarnation && sequence <= known.lastSequence;
         if (older || replayed) {
             return false;
         }
@@ -78,8 +77,7 @@
     return { result.begin(), result.end() };
 }
 
-std::optional<PeerIdentity> PeerTable::newerConfiguration(std::uint64_t version,
-                                                          Instant now) const
+std::optional<PeerIdentity> PeerTable::newerConfiguration(std::uint64_t version, Instant now) const
 {
     std::optional<PeerIdentity> newest;
     for (const auto &[id, peer] : peers_) {
--- a/Source/Node/CallerApi.cpp
+++ b/Source/Node/CallerApi.cpp
@@ -29,8 +29,7 @@
     std::uint32_t afterTokens = 0;
 };
 
-template <typename Number>
-std::optional<Number> wholeNumber(std::string_view text)
+template <typename Number> std::optional<Number> wholeNumber(std::string_view text)
 {
     Number number = 0;
     const auto parsed = std::from_chars(text.data(), text.data() + text.size(), number);
@@ -70,8 +69,7 @@
     : traffic_(traffic)
     , idPrefix_(std::move(idPrefix))
     , events_(std::move(events))
-{
-}
+{ }
 
 void CallerApi::refuse(const Call &call, ErrorKind kind, const std::string &message,
                        const std::string &remedy)
@@ -191,8 +189,7 @@
     const Configuration &configuration = *call.view->configuration;
     const auto model = configuration.models.find(request->model);
     if (model == configuration.models.end()) {
-        refuse(call, ErrorKind::UnknownModel,
-               "there is no model '" + request->model.text() + "'");
+        refuse(call, ErrorKind::UnknownModel, "there is no model '" + request->model.text() + "'");
         return;
     }
     Resume resume { .publicId = call.id };
--- a/Source/Node/ControlLoop.cpp
+++ b/Source/Node/ControlLoop.cpp
@@ -14,8 +14,7 @@
 
 ControlLoop::ControlLoop(Handler handler)
     : handler_(std::move(handler))
-{
-}
+{ }
 
 ControlLoop::~ControlLoop()
 {
--- a/Source/Node/ModelSession.cpp
+++ b/Source/Node/ModelSession.cpp
@@ -33,8 +33,7 @@
     , writer_(std::move(writer))
     , options_(std::move(options))
     , delivered_(options_.resumeAfterTokens)
-{
-}
+{ }
 
 void ModelSession::begin()
 {
@@ -62,14 +61,13 @@
     }
     const std::string attemptId = attemptIdOf(options_.id, effect.attempt);
     const Instant now = std::chrono::steady_clock::now();
-    auto attempt = std::make_shared<Attempt>(
-        Attempt { .number = effect.attempt,
-                  .relay = StreamRelay({ .attemptId = attemptId,
-                                         .publicId = options_.publicId,
-                                         .afterTokens = delivered_ }),
-                  .lastEvent = now,
-                  .progressAt = now,
-                  .progressToken = delivered_ });
+    auto attempt = std::make_shared<Attempt>(Attempt {
+        .number = effect.attempt,
+        .relay = StreamRelay(
+            { .attemptId = attemptId, .publicId = options_.publicId, .afterTokens = delivered_ }),
+        .lastEvent = now,
+        .progressAt = now,
+        .progressToken = delivered_ });
     HttpCall call { .method = "POST",
                     .url = url + (options_.chat.chat ? "/v1/chat/completions" : "/v1/completions"),
                     .headers = { { "Content-Type", "application/json" },
@@ -81,21 +79,18 @@
                                          .priority = static_cast<int>(effect.priority),
                                          .resumeAfterTokens = delivered_ }) };
     const ServerId server = effect.server;
-    attempt->call = traffic_.client(options_.number)
-                        .start(std::move(call),
-                               { .onHeaders =
-                                     [self, attempt, server](int status,
-                                                             const HttpHeaders &headers) {
-                                         self->onHeaders(attempt, server, status, headers);
-                                     },
-                                 .onData =
-                                     [self, attempt](std::string_view bytes) {
-                                         return self->onData(attempt, bytes);
-                                     },
-                                 .onEnd =
-                                     [self, attempt](CallOutcome outcome) {
-                                         self->onEnd(attempt, outcome);
-                                     } });
+    attempt->call
+        = traffic_.client(options_.number)
+              .start(std::move(call),
+                     { .onHeaders =
+                           [self, attempt, server](int status, const HttpHeaders &headers) {
+                               self->onHeaders(attempt, server, status, headers);
+                           },
+                       .onData
+                       = [self,
+                          attempt](std::string_view bytes) { return self->onData(attempt, bytes); },
+                       .onEnd
+                       = [self, attempt](CallOutcome outcome) { self->onEnd(attempt, outcome); } });
     attempts_.push_back(std::move(attempt));
 }
 
@@ -289,8 +284,7 @@
                                                    .end = end,
                                                    .deliveredTokens = delivered_,
                                                    .promptTokens = attempt.relay.promptTokens(),
-                                                   .cachedTokens
-                                                   = attempt.relay.cachedTokens() });
+                                                   .cachedTokens = attempt.relay.cachedTokens() });
 }
 
 void ModelSession::onEnd(const AttemptPtr &attempt, CallOutcome outcome)
--- a/Source/Node/Node.cpp
+++ b/Source/Node/Node.cpp
@@ -46,8 +46,8 @@
 
 std::string rfc3339Now()
 {
-    const std::time_t seconds = std::chrono::system_clock::to_time_t(
-        std::chrono::system_clock::now());
+    const std::time_t seconds
+        = std::chrono::system_clock::to_time_t(std::chrono::system_clock::now());
     std::tm parts {};
     gmtime_r(&seconds, &parts);
     std::array<char, 32> text {};
@@ -59,14 +59,13 @@
 std::string hexadecimal(std::uint64_t number)
 {
     std::array<char, 17> text {};
-    const int length = std::snprintf(text.data(), text.size(), "%llx",
-                                     static_cast<unsigned long long>(number));
+    const int length
+        = std::snprintf(text.data(), text.size(), "%llx", static_cast<unsigned long long>(number));
     return { text.data(), static_cast<std::size_t>(length) };
 }
 
 /// Waits for an answer; nothing when it does not come in time or the node stops.
-template <typename Answer>
-std::optional<Answer> answerOf(std::future<Answer> &answer)
+template <typename Answer> std::optional<Answer> answerOf(std::future<Answer> &answer)
 {
     try {
         if (answer.wait_for(OperatorPatience) == std::future_status::ready) {
@@ -134,8 +133,7 @@
 
 private:
     /// Runs a question on the control thread and waits for its answer.
-    template <typename Answer>
-    std::optional<Answer> ask(std::function<Answer(Instant)> question)
+    template <typename Answer> std::optional<Answer> ask(std::function<Answer(Instant)> question)
     {
         auto promise = std::make_shared<std::promise<Answer>>();
         auto answer = promise->get_future();
@@ -158,9 +156,10 @@
     void carryOut(const CancelAttempt &effect);
     void carryOut(const RefuseRequest &effect);
     void carryOut(const RequestFinished &effect);
+    void carryOut(const RequestAbandoned &effect);
 
-    void arrive(const RequestId &id, std::shared_ptr<ModelSession> session,
-                RequestArrived arrived, Instant now);
+    void arrive(const RequestId &id, std::shared_ptr<ModelSession> session, RequestArrived arrived,
+                Instant now);
     std::uint32_t teamLimit(const RequestArrived &arrived, Instant now) const;
     void publishView();
     void reconfigure();
@@ -226,17 +225,17 @@
     if (auto listening = listen(); !listening.has_value()) {
         return listening;
     }
-    peers_ = std::make_unique<PeerExchange>(PeerExchangeOptions {
-        .self = { .node = NodeId(settings_.name),
-                  .zone = ZoneId(settings_.zone),
-                  .incarnation = incarnation_,
-                  .address = peerSocket_->address(),
-                  .operatorUrl = "http://" + settings_.address + ":"
-                      + std::to_string(operators_->port()) },
-        .interval = settings_.peerInterval,
-        .bytesPerSecond = settings_.peerBytesPerSecond,
-        .sampleOneIn = settings_.sampleOneIn,
-        .key = settings_.peerKey });
+    peers_ = std::make_unique<PeerExchange>(
+        PeerExchangeOptions { .self = { .node = NodeId(settings_.name),
+                                        .zone = ZoneId(settings_.zone),
+                                        .incarnation = incarnation_,
+                                        .address = peerSocket_->address(),
+                                        .operatorUrl = "http://" + settings_.address + ":"
+                                            + std::to_string(operators_->port()) },
+                              .interval = settings_.peerInterval,
+                              .bytesPerSecond = settings_.peerBytesPerSecond,
+                              .sampleOneIn = settings_.sampleOneIn,
+                              .key = settings_.peerKey });
     for (const std::string &address : settings_.peers) {
         peers_->table().noteAddress(address);
     }
@@ -266,8 +265,7 @@
 {
     auto socket = PeerSocket::open(settings_.address, settings_.peerPort,
                                    [this](std::string_view datagram) {
-                                       auto message
-                                           = openPeerMessage(datagram, settings_.peerKey);
+                                       auto message = openPeerMessage(datagram, settings_.peerKey);
                                        if (message.has_value()) {
                                            control_.post(std::move(*message));
                                        }
@@ -307,9 +305,8 @@
 {
     const Instant now = std::chrono::steady_clock::now();
     TimerService &timers = control_.timers();
-    timers.every(now, settings_.tick, [this](Instant due) {
-        apply(dispatcher_.handle(TimePassed {}, due));
-    });
+    timers.every(now, settings_.tick,
+                 [this](Instant due) { apply(dispatcher_.handle(TimePassed {}, due)); });
     timers.every(now, SweepPeriod, [this](Instant due) { sweep(due); });
     timers.every(now, settings_.peerInterval, [this](Instant due) { peerRound(due); });
     timers.every(now, SlowTickPeriod, [this](Instant due) {
@@ -331,9 +328,8 @@
                  },
              .service =
                  [this](const RequestId &id, std::shared_ptr<ServiceSession> session) {
-                     control_.post(ControlTask([this, id, session](Instant) {
-                         serviceSessions_[id] = session;
-                     }));
+                     control_.post(ControlTask(
+                         [this, id, session](Instant) { serviceSessions_[id] = session; }));
                  },
              .metrics =
                  [this](const std::shared_ptr<ResponseWriter> &writer) {
@@ -359,10 +355,9 @@
 {
     // Each node may always use its equal share; beyond that, what peers leave free. A node that
     // hears nobody counts itself alone in its view but keeps to the share of all it knew.
-    const auto nodes = static_cast<double>(std::max<std::size_t>(1, peers_->table().peers().size()
-                                                                     + 1));
-    const double share
-        = std::max(1.0, FloorShareOfTeamLimit * arrived.teamLimit / nodes);
+    const auto nodes
+        = static_cast<double>(std::max<std::size_t>(1, peers_->table().peers().size() + 1));
+    const double share = std::max(1.0, FloorShareOfTeamLimit * arrived.teamLimit / nodes);
     const double elsewhere = peers_->teamElsewhere(arrived.facts.team, now);
     const double left = static_cast<double>(arrived.teamLimit) - elsewhere;
     return static_cast<std::uint32_t>(std::max(share, left));
@@ -431,6 +426,11 @@
     modelSessions_.erase(effect.id);
 }
 
+void Node::Parts::carryOut(const RequestAbandoned &effect)
+{
+    modelSessions_.erase(effect.id);
+}
+
 void Node::Parts::apply(const std::vector<ClaimEffect> &effects)
 {
     const auto take = [this](const RequestId &id) {
@@ -476,43 +476,41 @@
         }
     };
     for (const PatchLogEffect &effect : effects) {
-        std::visit(Overloaded {
-                       [&](const CreatePatchObject &e) { sync_->createPatch(e); },
-                       [&](const ReadPatchObject &e) { sync_->readPatch(e); },
-                       [&](const ConfigurationInForce &e) {
-                           configuration_ = e.configuration;
-                           peers_->setConfigurationVersion(configuration_->version);
-                           reconfigure();
-                           publishView();
-                           logLine(LogLevel::Info, "configuration_in_force",
-                                   { { "node", settings_.name },
-                                     { "version",
-                                       static_cast<std::int64_t>(configuration_->version) } });
-                       },
-                       [&](const PatchAccepted &e) {
-                           Json::Value result;
-                           result["version"] = Json::UInt64(e.version);
-                           answer(e.token, std::move(result));
-                       },
-                       [&](const PatchRejected &e) {
-                           answer(e.token, tl::make_unexpected(e.error));
-                       },
-                       [&](const PlatformWentBack &e) {
-                           logLine(LogLevel::Error, "platform_went_back",
-                                   { { "in_force", static_cast<std::int64_t>(e.inForce) },
-                                     { "platform", static_cast<std::int64_t>(e.platform) } });
-                       },
-                   },
-                   effect);
+        std::visit(
+            Overloaded {
+                [&](const CreatePatchObject &e) { sync_->createPatch(e); },
+                [&](const ReadPatchObject &e) { sync_->readPatch(e); },
+                [&](const ConfigurationInForce &e) {
+                    configuration_ = e.configuration;
+                    peers_->setConfigurationVersion(configuration_->version);
+                    reconfigure();
+                    publishView();
+                    logLine(LogLevel::Info, "configuration_in_force",
+                            { { "node", settings_.name },
+                              { "version", static_cast<std::int64_t>(configuration_->version) } });
+                },
+                [&](const PatchAccepted &e) {
+                    Json::Value result;
+                    result["version"] = Json::UInt64(e.version);
+                    answer(e.token, std::move(result));
+                },
+                [&](const PatchRejected &e) { answer(e.token, tl::make_unexpected(e.error)); },
+                [&](const PlatformWentBack &e) {
+                    logLine(LogLevel::Error, "platform_went_back",
+                            { { "in_force", static_cast<std::int64_t>(e.inForce) },
+                              { "platform", static_cast<std::int64_t>(e.platform) } });
+                },
+            },
+            effect);
     }
 }
 
 void Node::Parts::publishView()
 {
-    traffic_.view = std::make_shared<const NodeView>(
-        NodeView { .configuration = configuration_,
-                   .draining = draining_,
-                   .ready = configuration_->version > 0 });
+    traffic_.view
+        = std::make_shared<const NodeView>(NodeView { .configuration = configuration_,
+                                                      .draining = draining_,
+                                                      .ready = configuration_->version > 0 });
 }
 
 void Node::Parts::reconfigure()
@@ -522,13 +520,13 @@
     constexpr double MillisecondsPerSecond = 1000;
     for (const auto &[id, server] : configuration_->servers) {
         urls_[id] = server.url;
-        servers.push_back({ .id = id,
-                            .zone = server.zone,
-                            .model = server.model,
-                            .slots = server.slots,
-                            .prefillTokensPerMs
-                            = server.prefillTokensPerSecond / MillisecondsPerSecond,
-                            .leaving = leaving_.contains(id.text()) });
+        servers.push_back(
+            { .id = id,
+              .zone = server.zone,
+              .model = server.model,
+              .slots = server.slots,
+              .prefillTokensPerMs = server.prefillTokensPerSecond / MillisecondsPerSecond,
+              .leaving = leaving_.contains(id.text()) });
     }
     for (const auto &[id, model] : configuration_->models) {
         terms[id] = { .blockTokens = model.blockTokens,
@@ -589,34 +587,33 @@
     request["method"] = "peer.patches";
     request["params"]["after"] = Json::UInt64(patches_.version());
     const auto body = std::make_shared<std::string>();
-    platformHttp_->start(
-        { .method = "POST",
-          .url = peer.operatorUrl + "/rpc",
-          .headers = { { "Authorization", "Bearer " + settings_.peerKey },
-                       { "Content-Type", "application/json" } },
-          .body = writeJson(request),
-          .totalTimeout = settings_.platformTimeout },
-        { .onData =
-              [body](std::string_view bytes) {
-                  body->append(bytes);
-                  return true;
-              },
-          .onEnd =
-              [this, body](CallOutcome outcome) {
-                  const auto answer = parseJson(*body);
-                  if (outcome != CallOutcome::Completed || !answer.has_value()
-                      || !answer->isObject() || !(*answer)["result"].isObject()) {
-                      return;
-                  }
-                  for (const Json::Value &patch : (*answer)["result"]["patches"]) {
-                      if (patch.isObject() && patch["version"].isUInt64()
-                          && patch["text"].isString()) {
-                          control_.post(PatchLogMessage(
-                              PatchSeen { .version = patch["version"].asUInt64(),
-                                          .text = patch["text"].asString() }));
-                      }
-                  }
-              } });
+    platformHttp_->start({ .method = "POST",
+                           .url = peer.operatorUrl + "/rpc",
+                           .headers = { { "Authorization", "Bearer " + settings_.peerKey },
+                                        { "Content-Type", "application/json" } },
+                           .body = writeJson(request),
+                           .totalTimeout = settings_.platformTimeout },
+                         { .onData =
+                               [body](std::string_view bytes) {
+                                   body->append(bytes);
+                                   return true;
+                               },
+                           .onEnd =
+                               [this, body](CallOutcome outcome) {
+                                   const auto answer = parseJson(*body);
+                                   if (outcome != CallOutcome::Completed || !answer.has_value()
+                                       || !answer->isObject() || !(*answer)["result"].isObject()) {
+                                       return;
+                                   }
+                                   for (const Json::Value &patch : (*answer)["result"]["patches"]) {
+                                       if (patch.isObject() && patch["version"].isUInt64()
+                                           && patch["text"].isString()) {
+                                           control_.post(PatchLogMessage(
+                                               PatchSeen { .version = patch["version"].asUInt64(),
+                                                           .text = patch["text"].asString() }));
+                                       }
+                                   }
+                               } });
 }
 
 void Node::Parts::sweep(Instant now)
@@ -647,12 +644,10 @@
     }));
     // Until the balancer has noticed /readyz, requests still come and are served.
     std::this_thread::sleep_for(std::min(settings_.drainLag, patience));
-    control_.post(ControlTask([this](Instant now) {
-        apply(dispatcher_.handle(DrainBegun {}, now));
-    }));
+    control_.post(
+        ControlTask([this](Instant now) { apply(dispatcher_.handle(DrainBegun {}, now)); }));
     while (std::chrono::steady_clock::now() < deadline) {
-        const auto open
-            = ask<std::size_t>([this](Instant) { return openWork(); });
+        const auto open = ask<std::size_t>([this](Instant) { return openWork(); });
         if (open.has_value() && *open == 0) {
             return true;
         }
@@ -776,15 +771,15 @@
     const auto textOr = [&](const char *name, const std::string &otherwise) {
         return parameters[name].isString() ? parameters[name].asString() : otherwise;
     };
-    SubmitPatch submission { .base = parameters["base"].asUInt64(),
-                             .author = textOr("author", "operator"),
-                             .reason = textOr("reason", ""),
-                             .nonce = hexadecimal(std::random_device {}())
-                                 + hexadecimal(std::random_device {}()),
-                             .at = rfc3339Now(),
-                             .patch = parameters["patch"],
-                             .dryRun = parameters["dry_run"].isBool()
-                                 && parameters["dry_run"].asBool() };
+    SubmitPatch submission {
+        .base = parameters["base"].asUInt64(),
+        .author = textOr("author", "operator"),
+        .reason = textOr("reason", ""),
+        .nonce = hexadecimal(std::random_device {}()) + hexadecimal(std::random_device {}()),
+        .at = rfc3339Now(),
+        .patch = parameters["patch"],
+        .dryRun = parameters["dry_run"].isBool() && parameters["dry_run"].asBool()
+    };
     control_.post(ControlTask([this, promise, submission](Instant now) mutable {
         submission.token = ++lastToken_;
         submissions_[submission.token] = promise;
@@ -851,8 +846,7 @@
 
 Node::Node(std::unique_ptr<Parts> parts)
     : parts_(std::move(parts))
-{
-}
+{ }
 
 Node::~Node() = default;
 
--- a/Source/Node/NodeMetrics.cpp
+++ b/Source/Node/NodeMetrics.cpp
@@ -10,8 +10,7 @@
 
 NodeMetrics::NodeMetrics()
     : registry_(std::make_shared<prometheus::Registry>())
-{
-}
+{ }
 
 NodeMetrics::~NodeMetrics() = default;
 
--- a/Source/Node/OperatorApi.cpp
+++ b/Source/Node/OperatorApi.cpp
@@ -55,8 +55,7 @@
 } // namespace
 
 /// The procedures of the interface.
-class OperatorApi::Rpc : private ConnectorHolder,
-                         public jsonrpc::AbstractServer<OperatorApi::Rpc>
+class OperatorApi::Rpc : private ConnectorHolder, public jsonrpc::AbstractServer<OperatorApi::Rpc>
 {
 public:
     explicit Rpc(OperatorActions actions)
@@ -84,9 +83,9 @@
 
     void bind(const std::string &name, Method method)
     {
-        bindAndAddMethod(jsonrpc::Procedure(name, jsonrpc::PARAMS_BY_NAME, jsonrpc::JSON_OBJECT,
-                                            nullptr),
-                         method);
+        bindAndAddMethod(
+            jsonrpc::Procedure(name, jsonrpc::PARAMS_BY_NAME, jsonrpc::JSON_OBJECT, nullptr),
+            method);
     }
 
     void status(const Json::Value &, Json::Value &result)
--- a/Source/Node/PeerExchange.cpp
+++ b/Source/Node/PeerExchange.cpp
@@ -30,8 +30,7 @@
 PeerExchange::PeerExchange(PeerExchangeOptions options)
     : options_(std::move(options))
     , table_(options_.self.node, PeerTableOptions {})
-{
-}
+{ }
 
 void PeerExchange::setConfigurationVersion(std::uint64_t version)
 {
@@ -47,16 +46,14 @@
         // Chosen by the key's own value, so that all nodes tell the same blocks.
         std::erase_if(keys, [&](BlockKey key) { return key % options_.sampleOneIn != 0; });
         if (keys.size() > MostKeysOfOneServer) {
-            keys.erase(keys.begin(),
-                       keys.end() - static_cast<std::ptrdiff_t>(MostKeysOfOneServer));
+            keys.erase(keys.begin(), keys.end() - static_cast<std::ptrdiff_t>(MostKeysOfOneServer));
         }
         if (!keys.empty()) {
             stored_.push_back({ .server = serverTag(server), .keys = std::move(keys) });
         }
     }
     if (stored_.size() > MostStored) {
-        stored_.erase(stored_.begin(),
-                      stored_.end() - static_cast<std::ptrdiff_t>(MostStored));
+        stored_.erase(stored_.begin(), stored_.end() - static_cast<std::ptrdiff_t>(MostStored));
     }
 }
 
--- a/Source/Node/PlatformSync.cpp
+++ b/Source/Node/PlatformSync.cpp
@@ -69,8 +69,7 @@
     , control_(control)
     , events_(std::move(events))
     , random_(options_.seed)
-{
-}
+{ }
 
 void PlatformSync::start()
 {
@@ -160,8 +159,7 @@
 
 void PlatformSync::readPatch(const ReadPatchObject &effect)
 {
-    platform_.read(patchKey(effect.version), [this,
-                                              version = effect.version](PlatformRead answer) {
+    platform_.read(patchKey(effect.version), [this, version = effect.version](PlatformRead answer) {
         PatchReadAnswered message { .version = version, .answered = answer.answered };
         if (answer.object.has_value()) {
             message.text = std::move(answer.object->value);
@@ -184,13 +182,13 @@
 
 void PlatformSync::writeShard(const WriteShard &effect)
 {
-    platform_.write(effect.shard, effect.text, effect.expectedVersion,
-                    [this, shard = effect.shard](PlatformWriteAnswer answer) {
-                        control_.post(ClaimMessage(
-                            ShardWriteAnswered { .shard = shard,
-                                                 .answer = shardAnswerOf(answer.outcome),
-                                                 .version = answer.version }));
-                    });
+    platform_.write(
+        effect.shard, effect.text, effect.expectedVersion,
+        [this, shard = effect.shard](PlatformWriteAnswer answer) {
+            control_.post(ClaimMessage(ShardWriteAnswered { .shard = shard,
+                                                            .answer = shardAnswerOf(answer.outcome),
+                                                            .version = answer.version }));
+        });
 }
 
 void PlatformSync::pollVms()
--- a/Source/Node/ServiceSession.cpp
+++ b/Source/Node/ServiceSession.cpp
@@ -34,8 +34,7 @@
     : traffic_(traffic)
     , writer_(std::move(writer))
     , options_(std::move(options))
-{
-}
+{ }
 
 std::string ServiceSession::callHash() const
 {
@@ -90,25 +89,23 @@
     const auto self = shared_from_this();
     const auto response = std::make_shared<HttpResponse>();
     traffic_.client(options_.number)
-        .start(std::move(call),
-               { .onHeaders =
-                     [response](int status, const HttpHeaders &headers) {
-                         response->status = status;
-                         response->headers = headers;
-                     },
-                 .onData =
-                     [response](std::string_view bytes) {
-                         response->body.append(bytes);
-                         return true;
-                     },
-                 .onEnd =
-                     [self, response, tryNumber](CallOutcome outcome) {
-                         self->onEnd(tryNumber, outcome, *response);
-                     } });
+        .start(
+            std::move(call),
+            { .onHeaders =
+                  [response](int status, const HttpHeaders &headers) {
+                      response->status = status;
+                      response->headers = headers;
+                  },
+              .onData =
+                  [response](std::string_view bytes) {
+                      response->body.append(bytes);
+                      return true;
+                  },
+              .onEnd = [self, response, tryNumber](
+                           CallOutcome outcome) { self->onEnd(tryNumber, outcome, *response); } });
 }
 
-void ServiceSession::onEnd(std::size_t tryNumber, CallOutcome outcome,
-                           const HttpResponse &response)
+void ServiceSession::onEnd(std::size_t tryNumber, CallOutcome outcome, const HttpResponse &response)
 {
     const bool notSent = outcome == CallOutcome::NotSent;
     const bool answered = outcome == CallOutcome::Completed;
--- a/Source/PeerLink/PeerMessage.cpp
+++ b/Source/PeerLink/PeerMessage.cpp
@@ -64,8 +64,8 @@
         stored.emplace_back(entry.server, entry.keys);
     }
     return { FormatVersion,
-             { self.node.text(), self.zone.text(), self.incarnation, self.address,
-               self.operatorUrl, self.configurationVersion, self.leaving },
+             { self.node.text(), self.zone.text(), self.incarnation, self.address, self.operatorUrl,
+               self.configurationVersion, self.leaving },
              message.sequence,
              std::move(quarantine),
              std::move(loads),
--- a/Source/PeerLink/PeerMessage.h
+++ b/Source/PeerLink/PeerMessage.h
@@ -63,7 +63,6 @@
 
 /// Reads a datagram. Anything that is not whole and sealed with the key is an error, and
 /// nothing of it is used.
-[[nodiscard]] Result<PeerMessage> openPeerMessage(std::string_view datagram,
-                                                  std::string_view key);
+[[nodiscard]] Result<PeerMessage> openPeerMessage(std::string_view datagram, std::string_view key);
 
 } // namespace jacinthroad
--- a/Source/PeerLink/PeerSocket.cpp
+++ b/Source/PeerLink/PeerSocket.cpp
@@ -46,8 +46,8 @@
 
 } // namespace
 
-Result<std::unique_ptr<PeerSocket>> PeerSocket::open(const std::string &address,
-                                                     std::uint16_t port, Handler handler)
+Result<std::unique_ptr<PeerSocket>> PeerSocket::open(const std::string &address, std::uint16_t port,
+                                                     Handler handler)
 {
     const auto bound = parseAddress(address, port);
     if (!bound.has_value()) {
@@ -77,8 +77,7 @@
     , address_(std::move(address))
     , handler_(std::move(handler))
     , thread_([this] { receive(); })
-{
-}
+{ }
 
 PeerSocket::~PeerSocket()
 {
--- a/Source/PeerLink/PeerSocket.h
+++ b/Source/PeerLink/PeerSocket.h
@@ -20,9 +20,8 @@
     using Handler = std::function<void(std::string_view datagram)>;
 
     /// Binds to an IP number; port 0 takes a free one.
-    [[nodiscard]] static Result<std::unique_ptr<PeerSocket>> open(const std::string &address,
-                                                                  std::uint16_t port,
-                                                                  Handler handler);
+    [[nodiscard]] static Result<std::unique_ptr<PeerSocket>>
+    open(const std::string &address, std::uint16_t port, Handler handler);
 
     PeerSocket(const PeerSocket &) = delete;
     PeerSocket &operator=(const PeerSocket &) = delete;
--- a/Source/PlatformClient/PlatformClient.cpp
+++ b/Source/PlatformClient/PlatformClient.cpp
@@ -84,17 +84,15 @@
 HttpCallEvents gather(std::function<void(CallOutcome, HttpResponse)> done)
 {
     const auto response = std::make_shared<HttpResponse>();
-    return { .onHeaders = [response](int status,
-                                     const HttpHeaders &) { response->status = status; },
+    return { .onHeaders
+             = [response](int status, const HttpHeaders &) { response->status = status; },
              .onData =
                  [response](std::string_view bytes) {
                      response->body.append(bytes);
                      return true;
                  },
-             .onEnd =
-                 [response, done = std::move(done)](CallOutcome outcome) {
-                     done(outcome, std::move(*response));
-                 } };
+             .onEnd = [response, done = std::move(done)](
+                          CallOutcome outcome) { done(outcome, std::move(*response)); } };
 }
 
 } // namespace
@@ -102,15 +100,13 @@
 PlatformClient::PlatformClient(PlatformClientOptions options, HttpClient &http)
     : options_(std::move(options))
     , http_(http)
-{
-}
+{ }
 
 void PlatformClient::get(const std::string &path, Duration timeout,
                          std::function<void(CallOutcome, HttpResponse)> done)
 {
     ++calls_;
-    http_.start({ .url = options_.url + path, .totalTimeout = timeout },
-                gather(std::move(done)));
+    http_.start({ .url = options_.url + path, .totalTimeout = timeout }, gather(std::move(done)));
 }
 
 void PlatformClient::read(const std::string &key, std::function<void(PlatformRead)> done)
@@ -119,8 +115,8 @@
         [done = std::move(done)](CallOutcome outcome, const HttpResponse &response) {
             PlatformRead result;
             const bool completed = outcome == CallOutcome::Completed;
-            result.answered = completed
-                && (response.status == StatusOk || response.status == StatusNotFound);
+            result.answered
+                = completed && (response.status == StatusOk || response.status == StatusNotFound);
             if (completed && response.status == StatusOk) {
                 const Json::Value body = parsedObject(response);
                 result.answered = body["version"].isUInt64();
@@ -183,8 +179,7 @@
                 for (const Json::Value &vm : body["vms"]) {
                     const bool leaving = textOf(vm, "state") == "leaving";
                     result.vms.push_back({ .name = textOf(vm, "name"),
-                                           .state = leaving ? VmState::Leaving
-                                                            : VmState::Live });
+                                           .state = leaving ? VmState::Leaving : VmState::Live });
                 }
             }
             done(std::move(result));
--- a/Source/PrefixIndex/PrefixIndex.cpp
+++ b/Source/PrefixIndex/PrefixIndex.cpp
@@ -15,8 +15,7 @@
 
 PrefixIndex::PrefixIndex(PrefixIndexOptions options)
     : options_(options)
-{
-}
+{ }
 
 void PrefixIndex::resize(std::size_t slots)
 {
@@ -116,8 +115,7 @@
             continue;
         }
         for (const Holder &holder : *holders) {
-            if (holder.usedMs == 0 || holder.server != server
-                || holder.epoch != epochs_[server]) {
+            if (holder.usedMs == 0 || holder.server != server || holder.epoch != epochs_[server]) {
                 continue;
             }
             const Duration age = milliseconds(nowMs - std::min(holder.usedMs, nowMs));
@@ -145,8 +143,7 @@
     return milliseconds(age) <= horizons_[holder.server];
 }
 
-std::vector<std::uint32_t> PrefixIndex::matchAll(std::span<const BlockKey> keys,
-                                                 Instant now) const
+std::vector<std::uint32_t> PrefixIndex::matchAll(std::span<const BlockKey> keys, Instant now) const
 {
     std::vector<std::uint32_t> matched(epochs_.size(), 0);
     const std::uint32_t nowMs = stamp(now);
--- a/Source/Program/CommandLine.cpp
+++ b/Source/Program/CommandLine.cpp
@@ -45,8 +45,8 @@
     }
     const std::string output = parsed.values["output"].as<std::string>();
     if (output != "text" && output != "json") {
-        return wrongUse(syntax.usage, "option '--output' must be text or json, not '" + output
-                            + "'");
+        return wrongUse(syntax.usage,
+                        "option '--output' must be text or json, not '" + output + "'");
     }
     return parsed;
 }
--- a/Source/Program/ConfigCommand.cpp
+++ b/Source/Program/ConfigCommand.cpp
@@ -142,10 +142,9 @@
 
 ExitCode runConfig(const Arguments &arguments)
 {
-    CommandSyntax syntax {
-        .usage = "jacinthroad config get|validate|diff|patch|history [FILE] [--base N]",
-        .positional = { "action", "file" }
-    };
+    CommandSyntax syntax { .usage
+                           = "jacinthroad config get|validate|diff|patch|history [FILE] [--base N]",
+                           .positional = { "action", "file" } };
     syntax.options.add_options()("action", options::value<std::string>()->required(),
                                  "get, validate, diff, patch or history");
     syntax.options.add_options()("file", options::value<std::string>(),
@@ -153,8 +152,7 @@
     syntax.options.add_options()("base", options::value<std::uint64_t>(),
                                  "version that the patch was made against");
     syntax.options.add_options()("dry-run", "check the patch and write nothing");
-    syntax.options.add_options()("author",
-                                 options::value<std::string>()->default_value("operator"),
+    syntax.options.add_options()("author", options::value<std::string>()->default_value("operator"),
                                  "who makes the change");
     syntax.options.add_options()("reason", options::value<std::string>()->default_value(""),
                                  "why the change is made");
--- a/Source/Program/DemoCommand.cpp
+++ b/Source/Program/DemoCommand.cpp
@@ -25,7 +25,8 @@
                  .seed = parsed.values["seed"].as<std::uint64_t>() })
               .run([](const std::string &line) { std::cout << line << std::endl; });
     bool held = true;
-    std::cout << "\npromise                                                       held  judged by\n";
+    std::cout
+        << "\npromise                                                       held  judged by\n";
     for (const PromiseVerdict &verdict : result.promises) {
         std::string promise = verdict.promise;
         promise.resize(62, ' ');
--- a/Source/Program/LoadCommand.cpp
+++ b/Source/Program/LoadCommand.cpp
@@ -60,8 +60,7 @@
 
 CommandSyntax syntaxOfLoad()
 {
-    CommandSyntax syntax { .usage
-                           = "jacinthroad load --profile lienzo-andino|drenthe [options]" };
+    CommandSyntax syntax { .usage = "jacinthroad load --profile lienzo-andino|drenthe [options]" };
     auto add = syntax.options.add_options();
     add("profile", options::value<std::string>()->required(), "lienzo-andino or drenthe");
     add("seed", options::value<std::uint64_t>()->default_value(1), "seed of the requests");
@@ -87,8 +86,7 @@
         return true;
     }
     const auto text = readFile(values["bounds"].as<std::string>());
-    const auto bounds
-        = text.has_value() ? readBounds(*text) : tl::make_unexpected(text.error());
+    const auto bounds = text.has_value() ? readBounds(*text) : tl::make_unexpected(text.error());
     if (!bounds.has_value()) {
         printError(bounds.error());
         return false;
--- a/Source/Program/StatusCommand.cpp
+++ b/Source/Program/StatusCommand.cpp
@@ -35,8 +35,7 @@
     for (const Json::Value &server : status["backend_servers"]) {
         std::printf("  %-20s %-16s %-16s %s%s, %.0f in flight, slowdown %.1f\n",
                     server["backend_server"].asCString(), server["zone"].asCString(),
-                    server["model"].asCString(),
-                    server["accepts"].asBool() ? "accepts" : "ejected",
+                    server["model"].asCString(), server["accepts"].asBool() ? "accepts" : "ejected",
                     server["leaving"].asBool() ? ", leaving" : "", server["in_flight"].asDouble(),
                     server["slowdown"].asDouble());
     }
--- a/Source/Quarantine/Quarantine.cpp
+++ b/Source/Quarantine/Quarantine.cpp
@@ -17,8 +17,7 @@
 
 Quarantine::Quarantine(QuarantineOptions options)
     : options_(options)
-{
-}
+{ }
 
 Instant Quarantine::expiry(const QuarantineRecord &record, Instant now) const
 {
@@ -28,7 +27,7 @@
 RunPermission Quarantine::permission(RequestFingerprint fingerprint, Instant now) const
 {
     const auto found = entries_.find(fingerprint);
-    if (found == entries_.end() || found->second.expires <= now) {
+    if (found == entries_.end() || found->second.expires <= now || found->second.cleared) {
         return RunPermission::Freely;
     }
     return found->second.record.crashesAlone > 0 ? RunPermission::Never : RunPermission::Alone;
@@ -36,9 +35,10 @@
 
 void Quarantine::dropOldest()
 {
-    const auto oldest = std::min_element(
-        entries_.begin(), entries_.end(),
-        [](const auto &a, const auto &b) { return a.second.expires < b.second.expires; });
+    const auto oldest
+        = std::min_element(entries_.begin(), entries_.end(), [](const auto &a, const auto &b) {
+              return a.second.expires < b.second.expires;
+          });
     entries_.erase(oldest);
 }
 
@@ -53,12 +53,17 @@
     if (alone) {
         entry.record.crashesAlone = increased(entry.record.crashesAlone);
     }
+    entry.cleared = false;
     entry.expires = expiry(entry.record, now);
 }
 
-void Quarantine::noteFinished(RequestFingerprint fingerprint)
+void Quarantine::noteFinished(RequestFingerprint fingerprint, Instant now)
 {
-    entries_.erase(fingerprint);
+    const auto found = entries_.find(fingerprint);
+    if (found != entries_.end() && !found->second.cleared) {
+        found->second.cleared = true;
+        found->second.expires = now + options_.suspectTime;
+    }
 }
 
 void Quarantine::merge(const QuarantineRecord &record, Instant now)
@@ -73,6 +78,7 @@
     if (!worse) {
         return;
     }
+    entry.cleared = false;
     entry.record.fingerprint = record.fingerprint;
     entry.record.crashes = std::max(entry.record.crashes, record.crashes);
     entry.record.crashesAlone = std::max(entry.record.crashesAlone, record.crashesAlone);
@@ -83,7 +89,7 @@
 {
     std::vector<QuarantineRecord> result;
     for (const auto &[fingerprint, entry] : entries_) {
-        if (entry.expires > now) {
+        if (entry.expires > now && !entry.cleared) {
             result.push_back(entry.record);
         }
     }
--- a/Source/Quarantine/Quarantine.h
+++ b/Source/Quarantine/Quarantine.h
@@ -55,8 +55,9 @@
     /// Notes a crash of the server that ran the request; `alone` when it ran alone there.
     void noteCrash(RequestFingerprint fingerprint, bool alone, Instant now);
 
-    /// Notes that the request ran to its end.
-    void noteFinished(RequestFingerprint fingerprint);
+    /// Notes that the request ran to its end. A suspect is cleared, also against peers' older
+    /// news of it.
+    void noteFinished(RequestFingerprint fingerprint, Instant now);
 
     /// Takes a peer's entry; the worse of both stands.
     void merge(const QuarantineRecord &record, Instant now);
@@ -69,6 +70,7 @@
     {
         QuarantineRecord record;
         Instant expires;
+        bool cleared = false;
     };
 
     [[nodiscard]] Instant expiry(const QuarantineRecord &record, Instant now) const;
--- a/Source/Retry/RetryBudget.cpp
+++ b/Source/Retry/RetryBudget.cpp
@@ -7,8 +7,7 @@
 RetryBudget::RetryBudget(double share, double reserve)
     : share_(share)
     , reserve_(reserve)
-{
-}
+{ }
 
 void RetryBudget::earn(const TeamId &team)
 {
--- a/Source/Retry/ServerHealth.cpp
+++ b/Source/Retry/ServerHealth.cpp
@@ -15,8 +15,7 @@
 
 ServerHealth::ServerHealth(ServerHealthOptions options)
     : options_(options)
-{
-}
+{ }
 
 void ServerHealth::noteSuccess()
 {
@@ -38,8 +37,9 @@
         return;
     }
     const double factor = std::exp2(std::min(ejections_, LargestDoubling));
-    const Duration length = std::min(
-        options_.longestEjection, fromMilliseconds(toMilliseconds(options_.firstEjection) * factor));
+    const Duration length
+        = std::min(options_.longestEjection,
+                   fromMilliseconds(toMilliseconds(options_.firstEjection) * factor));
     ++ejections_;
     ejected_ = true;
     ejectedUntil_ = now + length;
--- a/Source/Routing/Dispatcher.cpp
+++ b/Source/Routing/Dispatcher.cpp
@@ -46,8 +46,7 @@
     , retries_(options_.retryShare, options_.retryReserve)
     , hedges_(options_.hedgeShare, options_.retryReserve)
     , quarantine_(options_.quarantine)
-{
-}
+{ }
 
 void Dispatcher::configure(std::span<const ServerFacts> servers,
                            const std::map<ModelId, ModelTerms> &terms)
@@ -149,18 +148,17 @@
     // Ejection never takes more than its share: if most look dead, the fault may be ours.
     const double floor = options_.leastServingShare * static_cast<double>(present.size());
     if (static_cast<double>(healthy.size()) < floor) {
-        std::erase_if(present,
-                      [&](ServerSlot slot) { return request.failedAt.contains(slot); });
+        std::erase_if(present, [&](ServerSlot slot) { return request.failedAt.contains(slot); });
         return present.empty() ? healthy : present;
     }
     return fresh.empty() ? healthy : fresh;
 }
 
-std::vector<ServerSlot> Dispatcher::soloCandidates(const ModelId &model, Instant now) const
+std::vector<ServerSlot> Dispatcher::soloCandidates(const Request &request, Instant now) const
 {
-    const std::span<const ServerSlot> all = servers_.ofModel(model);
-    const auto most = static_cast<std::size_t>(
-        std::max(1.0, SoloShare * static_cast<double>(all.size())));
+    const std::span<const ServerSlot> all = servers_.ofModel(request.facts.model);
+    const auto most
+        = static_cast<std::size_t>(std::max(1.0, SoloShare * static_cast<double>(all.size())));
     std::size_t busy = 0;
     std::vector<ServerSlot> idle;
     for (const ServerSlot slot : all) {
@@ -170,7 +168,14 @@
             idle.push_back(slot);
         }
     }
-    return busy < most ? idle : std::vector<ServerSlot>();
+    if (busy >= most) {
+        return {};
+    }
+    const auto failed = [&](ServerSlot slot) { return request.failedAt.contains(slot); };
+    if (!std::all_of(idle.begin(), idle.end(), failed)) {
+        std::erase_if(idle, failed);
+    }
+    return idle;
 }
 
 std::optional<Choice> Dispatcher::chooseFor(Request &request, std::span<const ServerSlot> slots,
@@ -201,14 +206,19 @@
     }
     const bool othersWait = admits(policy_) && queues_[request.facts.model].queue.size() > 0;
     if (othersWait || !tryStart(request, now)) {
+        const RequestId id = request.facts.id;
+        const ModelId model = request.facts.model;
         enqueue(request, now);
+        if (requests_.contains(id)) {
+            pump(model, now);
+        }
     }
 }
 
 bool Dispatcher::tryStart(Request &request, Instant now)
 {
     if (quarantine_.permission(request.facts.fingerprint, now) == RunPermission::Alone) {
-        const auto idle = soloCandidates(request.facts.model, now);
+        const auto idle = soloCandidates(request, now);
         const auto choice = chooseFor(request, idle, now);
         if (!choice.has_value()) {
             return false;
@@ -247,10 +257,10 @@
         return;
     }
     const std::size_t seen = index_.seenBlocks(request.facts.blocks);
-    const double uncached = std::max(
-        1.0,
-        static_cast<double>(request.facts.promptTokens)
-            - static_cast<double>(seen) * termsOf(request.facts.model).blockTokens);
+    const double uncached
+        = std::max(1.0,
+                   static_cast<double>(request.facts.promptTokens)
+                       - static_cast<double>(seen) * termsOf(request.facts.model).blockTokens);
     request.queued = true;
     queue.queue.push({ .id = request.facts.id,
                        .team = request.facts.team,
@@ -258,8 +268,7 @@
                        .lengthClass = request.lengthClass,
                        .work = uncached,
                        .deadline = request.limit });
-    if (admits(policy_)
-        && now + fromMilliseconds(fairWaitMs(queue, request)) > request.limit) {
+    if (admits(policy_) && now + fromMilliseconds(fairWaitMs(queue, request)) > request.limit) {
         refuse(request, ErrorKind::Overloaded, now);
     }
 }
@@ -286,14 +295,12 @@
         .slot = choice.server,
         .started = now,
         .predictedMs = choice.predictedMs,
-        .waitingPrefill
-        = std::max(0.0, request.facts.promptTokens
-                       - std::max(matchedTokens, choice.expectedCachedTokens)),
+        .waitingPrefill = std::max(
+            0.0, request.facts.promptTokens - std::max(matchedTokens, choice.expectedCachedTokens)),
         .assumedTokens = choice.assumedTokens,
         .matchedTokens = matchedTokens,
         .otherMatchedTokens = elsewhere * blockTokens,
-        .seenTokens
-        = static_cast<double>(index_.seenBlocks(request.facts.blocks)) * blockTokens,
+        .seenTokens = static_cast<double>(index_.seenBlocks(request.facts.blocks)) * blockTokens,
         .longJob = request.lengthClass == LengthClass::Long,
         .alone = alone,
         .hedge = hedge,
@@ -309,14 +316,13 @@
     index_.noteStored(choice.server, request.facts.blocks, now);
     request.record.noteStarted();
     request.attempts.push_back(attempt);
-    effects_.emplace_back(StartAttempt { .id = request.facts.id,
-                                         .attempt = attempt.number,
-                                         .server = server.facts.id,
-                                         .priority = admits(policy_)
-                                             ? priorityOf(request.lengthClass)
-                                             : EnginePriority::Normal,
-                                         .resumeAfterTokens = request.deliveredTokens,
-                                         .predictedMs = choice.predictedMs });
+    effects_.emplace_back(StartAttempt {
+        .id = request.facts.id,
+        .attempt = attempt.number,
+        .server = server.facts.id,
+        .priority = admits(policy_) ? priorityOf(request.lengthClass) : EnginePriority::Normal,
+        .resumeAfterTokens = request.deliveredTokens,
+        .predictedMs = choice.predictedMs });
 }
 
 void Dispatcher::pump(const ModelId &model, Instant now)
@@ -351,8 +357,8 @@
 {
     for (const RequestId &id : queue.queue.expired(now)) {
         Request &request = requests_.at(id);
-        const bool givenDeadline = request.facts.deadline.has_value()
-            && *request.facts.deadline <= request.limit;
+        const bool givenDeadline
+            = request.facts.deadline.has_value() && *request.facts.deadline <= request.limit;
         refuse(request, givenDeadline ? ErrorKind::DeadlineUnreachable : ErrorKind::Overloaded,
                now);
     }
@@ -408,8 +414,7 @@
         if (other.number == winner) {
             continue;
         }
-        effects_.emplace_back(
-            CancelAttempt { .id = request.facts.id, .attempt = other.number });
+        effects_.emplace_back(CancelAttempt { .id = request.facts.id, .attempt = other.number });
         releaseLoad(other);
         request.record.noteMayHaveRun();
         removeAttempt(request, other.number);
@@ -463,8 +468,8 @@
                               .seenTokens = static_cast<std::uint64_t>(attempt.seenTokens),
                               .reason = reason });
     }
-    line.decoded = message.deliveredTokens - std::min(message.deliveredTokens,
-                                                      request.facts.resumeAfterTokens);
+    line.decoded = message.deliveredTokens
+        - std::min(message.deliveredTokens, request.facts.resumeAfterTokens);
     line.requests = 1;
     ledger_.add(request.facts.team, request.facts.model, line);
 }
@@ -473,7 +478,7 @@
                           Instant now)
 {
     request.record.noteRan();
-    quarantine_.noteFinished(request.facts.fingerprint);
+    quarantine_.noteFinished(request.facts.fingerprint, now);
     servers_.at(attempt.slot).health.noteSuccess();
     outputLength_.observe(lengthGroup(request.facts), message.deliveredTokens);
     bookUsage(request, attempt, message);
@@ -484,8 +489,7 @@
                             static_cast<std::size_t>(cached / blockTokens), now);
         index_.noteStored(attempt.slot, request.facts.blocks, now);
         if (storedForPeers_.size() < MostStoredForPeers) {
-            storedForPeers_.emplace_back(servers_.at(attempt.slot).facts.id,
-                                         request.facts.blocks);
+            storedForPeers_.emplace_back(servers_.at(attempt.slot).facts.id, request.facts.blocks);
         }
         if (auto *policy = std::get_if<PredictedCostPolicy>(&policy_)) {
             policy->noteAssumption(attempt.assumedTokens, cached - attempt.matchedTokens);
@@ -532,8 +536,7 @@
     servers_.at(slot).epochIsWeights = false;
 }
 
-void Dispatcher::afterFailure(Request &request, const Attempt &attempt, AttemptEnd end,
-                              Instant now)
+void Dispatcher::afterFailure(Request &request, const Attempt &attempt, AttemptEnd end, Instant now)
 {
     ServerState &server = servers_.at(attempt.slot);
     switch (end) {
@@ -579,11 +582,11 @@
         return;
     }
     ++counters_.retries;
-    if (attempt.firstToken) {
-        // A caller that holds part of an answer waits for the rest, not for a first token.
-        request.limit = std::max(request.limit,
-                                 now + fromMilliseconds(
-                                     termsOf(request.facts.model).firstTokenLimitMs));
+    if (!request.facts.deadline.has_value()) {
+        // The limit is for requests that nobody tried to serve yet. One whose server failed, or
+        // that holds a part of its answer, is worth waiting for.
+        request.limit = std::max(
+            request.limit, now + fromMilliseconds(termsOf(request.facts.model).firstTokenLimitMs));
     }
     place(request, now);
 }
@@ -604,6 +607,7 @@
         releaseLoad(attempt);
     }
     ledger_.add(request.facts.team, model, line);
+    effects_.emplace_back(RequestAbandoned { .id = message.id });
     forget(message.id);
     pump(model, now);
 }
--- a/Source/Routing/Dispatcher.h
+++ b/Source/Routing/Dispatcher.h
@@ -148,7 +148,7 @@
 
     [[nodiscard]] const ModelTerms &termsOf(const ModelId &model) const;
     [[nodiscard]] std::vector<ServerSlot> candidates(const Request &request, Instant now) const;
-    [[nodiscard]] std::vector<ServerSlot> soloCandidates(const ModelId &model, Instant now) const;
+    [[nodiscard]] std::vector<ServerSlot> soloCandidates(const Request &request, Instant now) const;
     [[nodiscard]] std::optional<Choice> chooseFor(Request &request,
                                                   std::span<const ServerSlot> slots, Instant now);
 
--- a/Source/Routing/DispatcherMessages.h
+++ b/Source/Routing/DispatcherMessages.h
@@ -112,13 +112,11 @@
 
 /// Time passed.
 struct TimePassed
-{
-};
+{ };
 
 /// No new request is to be taken.
 struct DrainBegun
-{
-};
+{ };
 
 /// Anything the dispatcher is told.
 using DispatcherMessage
@@ -163,8 +161,14 @@
     RequestId id;
 };
 
+/// The caller left and nothing of the request is under way any more.
+struct RequestAbandoned
+{
+    RequestId id;
+};
+
 /// Anything the dispatcher wants done.
 using DispatcherEffect
-    = std::variant<StartAttempt, CancelAttempt, RefuseRequest, RequestFinished>;
+    = std::variant<StartAttempt, CancelAttempt, RefuseRequest, RequestFinished, RequestAbandoned>;
 
 } // namespace jacinthroad
--- a/Source/Routing/Policy.cpp
+++ b/Source/Routing/Policy.cpp
@@ -10,8 +10,8 @@
 
 namespace {
 
-constexpr std::array<std::string_view, 4> Names { "round-robin", "least-outstanding",
-                                                  "prefix-hash", "default" };
+constexpr std::array<std::string_view, 4> Names { "round-robin", "least-outstanding", "prefix-hash",
+                                                  "default" };
 
 Choice plainChoice(ServerSlot server)
 {
--- a/Source/Routing/Policy.h
+++ b/Source/Routing/Policy.h
@@ -25,8 +25,7 @@
 
 /// Takes the server with the least requests of this node under way; ties at random.
 struct LeastOutstandingPolicy
-{
-};
+{ };
 
 /// Takes the first server in rendezvous order of the prompt's head, whatever its load.
 struct PrefixHashPolicy
--- a/Source/Routing/PredictedCostPolicy.cpp
+++ b/Source/Routing/PredictedCostPolicy.cpp
@@ -60,8 +60,7 @@
         = choice.waitMs + (uncached * msPerToken + context.terms.tokenGapTargetMs) * slowdown;
     choice.predictedMs *= known.calibration;
 
-    const bool waitTooLong
-        = choice.waitMs > FullWaitShare * context.terms.firstTokenTargetMs;
+    const bool waitTooLong = choice.waitMs > FullWaitShare * context.terms.firstTokenTargetMs;
     const bool longJobsFull = context.lengthClass == LengthClass::Long
         && load.longJobs + 1 > std::max(1.0, LongSlotShare * slots);
     choice.full = waitTooLong || longJobsFull;
@@ -99,8 +98,7 @@
         const Choice choice = evaluate(context, context.candidates[index], assumed[index]);
         const double uncached
             = std::max(0.0, context.request.promptTokens - choice.expectedCachedTokens);
-        const double cost
-            = choice.predictedMs + uncached * context.terms.recomputePriceMsPerToken;
+        const double cost = choice.predictedMs + uncached * context.terms.recomputePriceMsPerToken;
         least = costs.empty() ? cost : std::min(least, cost);
         costs.emplace_back(cost, choice);
     }
--- a/Source/Routing/ServerTable.cpp
+++ b/Source/Routing/ServerTable.cpp
@@ -47,8 +47,7 @@
 
 ServerTable::ServerTable(ServerHealthOptions healthOptions)
     : healthOptions_(healthOptions)
-{
-}
+{ }
 
 void ServerTable::configure(std::span<const ServerFacts> servers)
 {
@@ -59,8 +58,8 @@
         const auto [place, added]
             = byId_.try_emplace(facts.id, static_cast<ServerSlot>(rows_.size()));
         if (added) {
-            rows_.push_back({ .hash = hash64(facts.id.text()),
-                              .health = ServerHealth(healthOptions_) });
+            rows_.push_back(
+                { .hash = hash64(facts.id.text()), .health = ServerHealth(healthOptions_) });
         }
         rows_[place->second].facts = facts;
         rows_[place->second].configured = true;
@@ -94,8 +93,8 @@
 bool ServerTable::noteReport(ServerSlot slot, const LoadReport &report, Instant now)
 {
     ServerState &row = rows_[slot];
-    const bool restarted = report.incarnation != 0 && row.incarnation != 0
-        && report.incarnation != row.incarnation;
+    const bool restarted
+        = report.incarnation != 0 && row.incarnation != 0 && report.incarnation != row.incarnation;
     const bool reweighted
         = !report.weights.empty() && !row.weights.empty() && report.weights != row.weights;
     if (report.incarnation != 0) {
--- a/Source/StandIns/BlockCache.cpp
+++ b/Source/StandIns/BlockCache.cpp
@@ -4,8 +4,7 @@
 
 BlockCache::BlockCache(std::size_t capacity)
     : capacity_(capacity)
-{
-}
+{ }
 
 std::size_t BlockCache::match(std::span<const BlockKey> blocks)
 {
--- a/Source/StandIns/ComputeJudge.cpp
+++ b/Source/StandIns/ComputeJudge.cpp
@@ -15,8 +15,8 @@
             total_.firstTime += blockTokens;
             continue;
         }
-        const RecomputeReason reason = known->second.holders > 0 ? RecomputeReason::RoutedAway
-                                                                 : known->second.lastLoss;
+        const RecomputeReason reason
+            = known->second.holders > 0 ? RecomputeReason::RoutedAway : known->second.lastLoss;
         total_.recomputed[static_cast<std::size_t>(reason)] += blockTokens;
     }
 }
--- a/Source/StandIns/ComputeJudge.h
+++ b/Source/StandIns/ComputeJudge.h
@@ -17,8 +17,8 @@
 public:
     /// A prompt was taken in: `found` leading blocks were cached, the others are computed by
     /// `engine`; `promptTokens` is its whole length.
-    void notePrompt(std::span<const BlockKey> blocks, std::size_t found,
-                    std::uint64_t promptTokens, std::uint32_t blockTokens);
+    void notePrompt(std::span<const BlockKey> blocks, std::size_t found, std::uint64_t promptTokens,
+                    std::uint32_t blockTokens);
     /// An engine now holds the block.
     void noteStored(BlockKey block);
     /// An engine lost the block, by eviction or with its whole cache.
--- a/Source/StandIns/EngineStandIn.cpp
+++ b/Source/StandIns/EngineStandIn.cpp
@@ -174,9 +174,9 @@
 
 HttpHeaders EngineStandIn::reportHeaders() const
 {
-    return reports_.empty() ? loadReportHeaders({ .incarnation = incarnation_,
-                                                  .weights = options_.weights })
-                            : loadReportHeaders(reports_.front().second);
+    return reports_.empty()
+        ? loadReportHeaders({ .incarnation = incarnation_, .weights = options_.weights })
+        : loadReportHeaders(reports_.front().second);
 }
 
 void EngineStandIn::handle(HttpRequest request, const std::shared_ptr<ResponseWriter> &writer)
@@ -198,8 +198,8 @@
 {
     const auto chat = readChatRequest(request.body, request.path == "/v1/chat/completions");
     if (!chat.has_value()) {
-        writer->respond({ .status = StatusBadRequest,
-                          .body = "{\"error\":\"" + chat.error().message + "\"}" });
+        writer->respond(
+            { .status = StatusBadRequest, .body = "{\"error\":\"" + chat.error().message + "\"}" });
         return;
     }
     const Json::Value &body = chat->body;
@@ -228,8 +228,7 @@
         counters_.afterLeaving += leaving_ ? 1 : 0;
         ++executions_[requestIdOf(sequence->attemptId)];
         const std::string team(findHeader(request.headers, "x-team").value_or(""));
-        counters_.sharedSalts
-            += teamOfSalt_.try_emplace(salt, team).first->second == team ? 0 : 1;
+        counters_.sharedSalts += teamOfSalt_.try_emplace(salt, team).first->second == team ? 0 : 1;
         waiting_.push_back(sequence);
         HttpHeaders headers = reportHeaders();
         headers.emplace_back("Content-Type", "text/event-stream");
@@ -291,9 +290,9 @@
     const bool foreign = sequence.crossed && sequence.produced == TokensBeforeFault;
     const std::string id = foreign ? "req-of-somebody-else.1" : sequence.attemptId;
     const std::string token = standInToken(sequence.answerSeed, sequence.produced);
-    std::string event = "id: " + id + ":" + std::to_string(sequence.produced)
-        + "\ndata: {\"id\":\"" + id + "\",\"object\":\"chat.completion.chunk\",\"model\":\""
-        + options_.model + "\",\"choices\":[{\"index\":0,";
+    std::string event = "id: " + id + ":" + std::to_string(sequence.produced) + "\ndata: {\"id\":\""
+        + id + "\",\"object\":\"chat.completion.chunk\",\"model\":\"" + options_.model
+        + "\",\"choices\":[{\"index\":0,";
     event += sequence.chat ? "\"delta\":{\"content\":\"" + token + "\"}"
                            : "\"text\":\"" + token + "\"";
     event += "}]}\n\n";
--- /dev/null
+++ b/Tests/Admission/AdmissionTest.cpp
@@ -0,0 +1,127 @@
+#include <boost/test/unit_test.hpp>
+
+#include "Admission/FairQueue.h"
+#include "Admission/OutputLength.h"
+
+using namespace jacinthroad;
+
+namespace {
+
+QueuedRequest request(const std::string &id, const std::string &team, double weight = 1,
+                      LengthClass lengthClass = LengthClass::Normal)
+{
+    return { .id = RequestId(id),
+             .team = TeamId(team),
+             .weight = weight,
+             .lengthClass = lengthClass,
+             .work = 100,
+             .deadline = Instant() + std::chrono::seconds(1) };
+}
+
+std::string orderOf(const FairQueue &queue)
+{
+    std::string text;
+    for (const RequestId &id : queue.order(100)) {
+        text += id.text();
+    }
+    return text;
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(FairQueueTest)
+
+BOOST_AUTO_TEST_CASE(floodOfOneTeamDoesNotDelayAnother)
+{
+    FairQueue queue;
+    for (char name = 'a'; name < 'g'; ++name) {
+        queue.push(request(std::string(1, name), "large"));
+    }
+    queue.push(request("z", "small"));
+    BOOST_TEST(orderOf(queue).find('z') <= 1U);
+}
+
+BOOST_AUTO_TEST_CASE(weightsDivideTheService)
+{
+    FairQueue queue;
+    for (int index = 0; index < 40; ++index) {
+        queue.push(request("h" + std::to_string(index), "heavy", 3));
+        queue.push(request("l" + std::to_string(index), "light", 1));
+    }
+    int heavy = 0;
+    for (int index = 0; index < 40; ++index) {
+        const RequestId next = queue.order(1).front();
+        heavy += next.text()[0] == 'h' ? 1 : 0;
+        queue.served(next);
+    }
+    BOOST_TEST(heavy >= 29);
+    BOOST_TEST(heavy <= 31);
+}
+
+BOOST_AUTO_TEST_CASE(idleTeamGetsNoCredit)
+{
+    FairQueue queue;
+    for (int index = 0; index < 50; ++index) {
+        queue.push(request("b" + std::to_string(index), "busy"));
+    }
+    for (int index = 0; index < 40; ++index) {
+        queue.served(queue.order(1).front());
+    }
+    for (int index = 0; index < 10; ++index) {
+        queue.push(request("n" + std::to_string(index), "new"));
+    }
+    int fresh = 0;
+    for (int index = 0; index < 10; ++index) {
+        const RequestId next = queue.order(1).front();
+        fresh += next.text()[0] == 'n' ? 1 : 0;
+        queue.served(next);
+    }
+    BOOST_TEST(fresh <= 6);
+}
+
+BOOST_AUTO_TEST_CASE(shortGoBeforeLongWithinATeam)
+{
+    FairQueue queue;
+    queue.push(request("l", "t", 1, LengthClass::Long));
+    queue.push(request("s", "t", 1, LengthClass::Short));
+    BOOST_TEST(orderOf(queue) == "sl");
+}
+
+BOOST_AUTO_TEST_CASE(removedAndExpiredAreNamed)
+{
+    FairQueue queue;
+    queue.push(request("a", "t"));
+    queue.push(request("b", "t"));
+    BOOST_TEST(queue.remove(RequestId("a")));
+    BOOST_TEST(!queue.remove(RequestId("a")));
+    BOOST_TEST(queue.waitingWork() == 100);
+    BOOST_TEST(queue.expired(Instant()).empty());
+    BOOST_TEST(queue.expired(Instant() + std::chrono::seconds(1)).size() == 1U);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_AUTO_TEST_SUITE(OutputLengthTest)
+
+BOOST_AUTO_TEST_CASE(learnsWhatTheBoundDoesNotTell)
+{
+    OutputLength lengths(100);
+    BOOST_TEST(lengths.expect(1, 4096) == 4096U);
+    for (int index = 0; index < 200; ++index) {
+        lengths.observe(1, 8 + index % 5);
+    }
+    BOOST_TEST(lengths.expect(1, 4096) <= 20U);
+    BOOST_TEST(lengths.expect(1, std::nullopt) <= 20U);
+    BOOST_TEST(lengths.expect(1, 4) == 4U);
+}
+
+BOOST_AUTO_TEST_CASE(keepsNoMoreGroupsThanItsCapacity)
+{
+    OutputLength lengths(100);
+    for (std::uint64_t group = 0; group < 10000; ++group) {
+        lengths.observe(group, 5);
+    }
+    BOOST_TEST(lengths.size() <= 100U);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- /dev/null
+++ b/Tests/Claims/ClaimExplorationTest.cpp
@@ -0,0 +1,236 @@
+// Explores every interleaving of a small model: two nodes, one key, one shard object, callers
+// that ask again, answers that are lost or late, nodes that crash at any point.
+
+#include <array>
+#include <set>
+
+#include <boost/test/unit_test.hpp>
+
+#include "Claims/ClaimBook.h"
+
+using namespace jacinthroad;
+
+namespace {
+
+const Instant Start = Instant() + std::chrono::hours(1);
+constexpr std::int64_t WallMs = 1'800'000'000'000;
+const std::string Shard = "claims/s/0";
+
+/// A read or write on its way to the platform.
+struct Operation
+{
+    int node = 0;
+    int life = 0;
+    bool isWrite = false;
+    std::uint64_t expected = 0;
+    std::string text;
+    /// Its node was told that the answer is lost; only the effect is still to come.
+    bool orphan = false;
+};
+
+/// A call that a node let run.
+struct Call
+{
+    int node = 0;
+    int life = 0;
+    RequestId id;
+};
+
+struct World
+{
+    std::array<ClaimBook, 2> books { ClaimBook({}), ClaimBook({}) };
+    std::array<int, 2> lives { 0, 0 };
+    std::uint64_t version = 0;
+    std::string text;
+    std::vector<Operation> operations;
+    std::vector<Call> calls;
+    int executed = 0;
+    std::set<std::string> ran;
+    int callsLeft = 3;
+    int crashesLeft = 1;
+    int lossesLeft = 2;
+};
+
+struct Explorer
+{
+    std::uint64_t steps = 0;
+    std::uint64_t replays = 0;
+    std::uint64_t refusals = 0;
+    int mostExecuted = 0;
+    bool falseNotRun = false;
+    bool replayWithoutRun = false;
+
+    void take(World &world, int node, const std::vector<ClaimEffect> &effects)
+    {
+        for (const ClaimEffect &effect : effects) {
+            if (std::holds_alternative<ReadShard>(effect)) {
+                world.operations.push_back({ .node = node, .life = world.lives[node] });
+            } else if (const auto *write = std::get_if<WriteShard>(&effect)) {
+                world.operations.push_back({ .node = node,
+                                             .life = world.lives[node],
+                                             .isWrite = true,
+                                             .expected = write->expectedVersion,
+                                             .text = write->text });
+            } else if (const auto *run = std::get_if<RunCall>(&effect)) {
+                world.calls.push_back({ .node = node, .life = world.lives[node], .id = run->id });
+                world.ran.insert(run->id.text());
+            } else if (std::holds_alternative<ReplayAnswer>(effect)) {
+                ++replays;
+                replayWithoutRun = replayWithoutRun || world.executed != 1;
+            } else if (const auto *refuse = std::get_if<RefuseCall>(&effect)) {
+                ++refusals;
+                falseNotRun = falseNotRun
+                    || (!refuse->earlierMayHaveRun && world.ran.contains(refuse->id.text()));
+            }
+        }
+    }
+
+    void tell(World &world, int node, const ClaimMessage &message)
+    {
+        take(world, node, world.books[static_cast<std::size_t>(node)].handle(message, Start));
+    }
+
+    static bool apply(World &world, const Operation &operation)
+    {
+        if (operation.expected != world.version) {
+            return false;
+        }
+        ++world.version;
+        world.text = operation.text;
+        return true;
+    }
+
+    void answer(World &world, const Operation &operation, bool written)
+    {
+        if (operation.orphan || operation.life != world.lives[operation.node]) {
+            return;
+        }
+        if (!operation.isWrite) {
+            tell(world, operation.node,
+                 ShardReadAnswered { .shard = Shard,
+                                     .answered = true,
+                                     .version = world.version,
+                                     .text = world.text });
+            return;
+        }
+        tell(world, operation.node,
+             ShardWriteAnswered { .shard = Shard,
+                                  .answer = written ? ShardWriteAnswer::Written
+                                                    : ShardWriteAnswer::Conflict,
+                                  .version = world.version });
+    }
+
+    void explore(const World &world, int depth)
+    {
+        mostExecuted = std::max(mostExecuted, world.executed);
+        ++steps;
+        if (depth == 0) {
+            return;
+        }
+        arrivals(world, depth);
+        for (std::size_t index = 0; index < world.operations.size(); ++index) {
+            platformSteps(world, index, depth);
+        }
+        for (std::size_t index = 0; index < world.calls.size(); ++index) {
+            serviceSteps(world, index, depth);
+        }
+        if (world.crashesLeft > 0) {
+            for (int node = 0; node < 2; ++node) {
+                World next = world;
+                --next.crashesLeft;
+                ++next.lives[node];
+                next.books[static_cast<std::size_t>(node)] = ClaimBook({});
+                explore(next, depth - 1);
+            }
+        }
+    }
+
+    void arrivals(const World &world, int depth)
+    {
+        if (world.callsLeft == 0) {
+            return;
+        }
+        for (int node = 0; node < 2; ++node) {
+            World next = world;
+            const std::string id = "call-" + std::to_string(next.callsLeft--);
+            tell(next, node,
+                 ClaimWanted { .id = RequestId(id),
+                               .shard = Shard,
+                               .key = "t/k",
+                               .bodyHash = "b",
+                               .nonce = "nonce-" + id,
+                               .nowMs = WallMs,
+                               .deadline = Start + std::chrono::seconds(2) });
+            explore(next, depth - 1);
+        }
+    }
+
+    void platformSteps(const World &world, std::size_t index, int depth)
+    {
+        const Operation operation = world.operations[index];
+        {
+            World next = world;
+            next.operations.erase(next.operations.begin() + static_cast<long>(index));
+            const bool written = operation.isWrite && apply(next, operation);
+            answer(next, operation, written);
+            explore(next, depth - 1);
+        }
+        if (world.lossesLeft == 0 || operation.orphan || !operation.isWrite) {
+            return;
+        }
+        // The answer is lost, and the effect comes now, later or never.
+        World later = world;
+        --later.lossesLeft;
+        later.operations[index].orphan = true;
+        if (operation.life == later.lives[operation.node]) {
+            tell(later, operation.node,
+                 ShardWriteAnswered { .shard = Shard, .answer = ShardWriteAnswer::Lost });
+        }
+        explore(later, depth - 1);
+    }
+
+    void serviceSteps(const World &world, std::size_t index, int depth)
+    {
+        const Call call = world.calls[index];
+        // Executed and answered, executed and lost, not executed and lost, provably not sent.
+        for (int outcome = 0; outcome < 4; ++outcome) {
+            World next = world;
+            next.calls.erase(next.calls.begin() + static_cast<long>(index));
+            next.executed += outcome < 2 ? 1 : 0;
+            if (call.life == next.lives[call.node]) {
+                const CallEnd end = outcome == 0 ? CallEnd::Answered
+                    : outcome == 3               ? CallEnd::NotSent
+                                                 : CallEnd::Uncertain;
+                if (outcome == 3) {
+                    next.ran.erase(call.id.text());
+                }
+                tell(next, call.node,
+                     CallEnded { .id = call.id,
+                                 .end = end,
+                                 .answer = { .status = 200, .body = "done" },
+                                 .nowMs = WallMs });
+            }
+            explore(next, depth - 1);
+        }
+    }
+};
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(ClaimExplorationTest)
+
+BOOST_AUTO_TEST_CASE(noInterleavingRunsTheCallTwice)
+{
+    constexpr int Depth = 9;
+    Explorer explorer;
+    explorer.explore(World {}, Depth);
+    BOOST_TEST_MESSAGE("states " << explorer.steps << ", replays " << explorer.replays
+                                 << ", refusals " << explorer.refusals);
+    BOOST_TEST(explorer.steps > 100000U);
+    BOOST_TEST(explorer.replays > 0U);
+    BOOST_TEST(explorer.mostExecuted == 1);
+    BOOST_TEST(!explorer.falseNotRun);
+    BOOST_TEST(!explorer.replayWithoutRun);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- /dev/null
+++ b/Tests/Node/NodeTest.cpp
@@ -0,0 +1,358 @@
+// A node over real HTTP, with stand-ins for everything that it talks to.
+
+#include <arpa/inet.h>
+#include <future>
+#include <netinet/in.h>
+#include <sys/socket.h>
+#include <thread>
+#include <unistd.h>
+
+#include <boost/test/unit_test.hpp>
+#include <json/value.h>
+
+#include "Core/Json.h"
+#include "Core/Log.h"
+#include "Load/Bench.h"
+#include "Load/LoadClient.h"
+
+using namespace jacinthroad;
+
+namespace {
+
+struct QuietLog
+{
+    QuietLog() { configureLog({ .minimumLevel = LogLevel::Error }); }
+};
+
+BenchOptions smallBench(std::size_t nodes = 1)
+{
+    Profile profile = *findProfile("lienzo-andino");
+    profile.serviceInstances = 1;
+    return { .profile = profile, .nodes = nodes, .engines = 2, .timeScale = 8 };
+}
+
+struct Fixture
+{
+    QuietLog quiet;
+    Bench bench;
+    HttpClient client;
+
+    explicit Fixture(BenchOptions options = smallBench())
+        : bench(std::move(options))
+    {
+        BOOST_TEST_REQUIRE(bench.start());
+    }
+
+    HttpCallResult post(const std::string &path, const std::string &body, HttpHeaders headers = {},
+                        const std::string &key = Bench::teamKey(0), std::size_t node = 0)
+    {
+        headers.emplace_back("Authorization", "Bearer " + key);
+        return performCall(client,
+                           { .method = "POST",
+                             .url = bench.callerUrl(node) + path,
+                             .headers = std::move(headers),
+                             .body = body,
+                             .totalTimeout = std::chrono::seconds(30) });
+    }
+
+    Json::Value errorOf(const HttpCallResult &result)
+    {
+        const auto body = parseJson(result.response.body);
+        BOOST_TEST_REQUIRE(body.has_value());
+        return (*body)["error"];
+    }
+};
+
+struct NodeFixture : Fixture
+{
+    NodeFixture() = default;
+};
+
+const std::string Chat = R"({"model":"orientador","messages":[{"role":"user","content":"hi"}]})";
+
+int connectTo(std::uint16_t port)
+{
+    const int socket = ::socket(AF_INET, SOCK_STREAM, 0);
+    sockaddr_in address {};
+    address.sin_family = AF_INET;
+    address.sin_port = htons(port);
+    inet_pton(AF_INET, "127.0.0.1", &address.sin_addr);
+    BOOST_TEST_REQUIRE(connect(socket, reinterpret_cast<sockaddr *>(&address), sizeof(address))
+                       == 0);
+    return socket;
+}
+
+} // namespace
+
+BOOST_FIXTURE_TEST_SUITE(NodeTest, NodeFixture)
+
+BOOST_AUTO_TEST_CASE(wholeAndStreamedAnswersAgree)
+{
+    const auto whole = post("/v1/chat/completions", Chat);
+    BOOST_TEST(whole.response.status == 200);
+    const Json::Value body = *parseJson(whole.response.body);
+    const std::string text = body["choices"][0]["message"]["content"].asString();
+    std::string expected;
+    const std::uint64_t seed = standInAnswerSeed("user\nhi\n");
+    for (std::uint32_t token = 1; token <= body["usage"]["completion_tokens"].asUInt(); ++token) {
+        expected += standInToken(seed, token);
+    }
+    BOOST_TEST(text == expected);
+    const auto streamed = post("/v1/chat/completions", R"({"stream":true,)" + Chat.substr(1));
+    BOOST_TEST(streamed.response.body.ends_with("data: [DONE]\n\n"));
+    BOOST_TEST(streamed.response.body.find(standInToken(seed, 1)) != std::string::npos);
+}
+
+BOOST_AUTO_TEST_CASE(streamIsResumedWithLastEventId)
+{
+    const std::string body = R"({"stream":true,)" + Chat.substr(1);
+    const auto whole = post("/v1/chat/completions", body);
+    const auto resumed
+        = post("/v1/chat/completions", body, { { "Last-Event-ID", "earlier-request:30" } });
+    BOOST_TEST(resumed.response.body.starts_with("id: earlier-request:31\n"));
+    const std::uint64_t seed = standInAnswerSeed("user\nhi\n");
+    BOOST_TEST(resumed.response.body.find(standInToken(seed, 31) + "\"") != std::string::npos);
+    BOOST_TEST(resumed.response.body.find(":30\n") == std::string::npos);
+    for (const char *bad : { "x", ":5", "a b:5", "a:b", "a:99999999999" }) {
+        const auto refused = post("/v1/chat/completions", body, { { "Last-Event-ID", bad } });
+        BOOST_TEST(refused.response.status == 400);
+    }
+}
+
+BOOST_AUTO_TEST_CASE(badCallersGetOneClearAnswerAndTheNodeServesOn)
+{
+    const auto malformed = post("/v1/chat/completions", "{\"model\":");
+    BOOST_TEST(malformed.response.status == 400);
+    const Json::Value error = errorOf(malformed);
+    BOOST_TEST(error["kind"].asString() == "invalid_request");
+    BOOST_TEST(error["not_run"].asBool());
+    BOOST_TEST(!error["remedy"].asString().empty());
+    BOOST_TEST(!error["request_id"].asString().empty());
+    BOOST_TEST(error["retry_after_ms"].isInt64());
+
+    BOOST_TEST(post("/v1/chat/completions", Chat, {}, "wrong key").response.status == 401);
+    BOOST_TEST(post("/v1/chat/completions", std::string(20 * 1024 * 1024, 'x')).response.status
+               == 413);
+    BOOST_TEST(errorOf(post("/v1/chat/completions",
+                            R"({"model":"no","messages":[{"role":"user","content":"a"}]})"))["kind"]
+                   .asString()
+               == "unknown_model");
+    BOOST_TEST(post("/nothing", Chat).response.status == 404);
+    BOOST_TEST(
+        post("/v1/chat/completions", Chat, { { "X-Request-Deadline-Ms", "soon" } }).response.status
+        == 400);
+    const std::string longHeader(100000, 'h');
+    const auto tooLong = post("/v1/chat/completions", Chat, { { "X-Long", longHeader } });
+    BOOST_TEST((tooLong.response.status == 431 || tooLong.response.status == 413
+                || tooLong.outcome != CallOutcome::Completed));
+    BOOST_TEST(post("/v1/chat/completions", Chat).response.status == 200);
+}
+
+BOOST_AUTO_TEST_CASE(halfSentHeaderAndSilentReaderDoNotHoldTheNode)
+{
+    const int half = connectTo(bench.node(0)->callerPort());
+    const std::string part = "POST /v1/chat/completions HTTP/1.1\r\nHost: a\r\nAuthori";
+    BOOST_TEST(send(half, part.data(), part.size(), MSG_NOSIGNAL)
+               == static_cast<ssize_t>(part.size()));
+    const int silent = connectTo(bench.node(0)->callerPort());
+    const std::string body
+        = R"({"stream":true,"metadata":{"output_tokens":"3000"},)" + Chat.substr(1);
+    const std::string request = "POST /v1/chat/completions HTTP/1.1\r\nHost: a\r\nAuthorization: "
+                                "Bearer "
+        + Bench::teamKey(0) + "\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n"
+        + body;
+    BOOST_TEST(send(silent, request.data(), request.size(), MSG_NOSIGNAL)
+               == static_cast<ssize_t>(request.size()));
+    BOOST_TEST(post("/v1/chat/completions", Chat).response.status == 200);
+    close(half);
+    close(silent);
+    BOOST_TEST(post("/v1/chat/completions", Chat).response.status == 200);
+}
+
+BOOST_AUTO_TEST_CASE(callerThatLeavesCancelsItsWork)
+{
+    const auto call = client.start(
+        { .method = "POST",
+          .url = bench.callerUrl(0) + "/v1/chat/completions",
+          .headers = { { "Authorization", "Bearer " + Bench::teamKey(0) } },
+          .body = R"({"stream":true,"metadata":{"output_tokens":"100000"},)" + Chat.substr(1) },
+        {});
+    std::this_thread::sleep_for(milliseconds(300));
+    client.cancel(call);
+    BOOST_TEST(bench.node(0)->drain(std::chrono::seconds(10)));
+    std::this_thread::sleep_for(milliseconds(200));
+    std::uint64_t before = 0;
+    std::uint64_t after = 0;
+    for (const auto &engine : bench.engines()) {
+        before += engine->counters().tokens;
+    }
+    std::this_thread::sleep_for(milliseconds(200));
+    for (const auto &engine : bench.engines()) {
+        after += engine->counters().tokens;
+    }
+    BOOST_TEST(before == after);
+}
+
+BOOST_AUTO_TEST_CASE(bookingRunsAtMostOnceWhateverIsLost)
+{
+    const HttpHeaders key { { "Idempotency-Key", "k-1" } };
+    BOOST_TEST(errorOf(post("/services/turnos-prestamo/book", "{}"))["kind"].asString()
+               == "idempotency_key_missing");
+    const auto first = post("/services/turnos-prestamo/book", "{}", key);
+    BOOST_TEST(first.response.status == 200);
+    std::this_thread::sleep_for(milliseconds(50));
+    const auto repeat = post("/services/turnos-prestamo/book", "{}", key);
+    BOOST_TEST(repeat.response.body == first.response.body);
+    BOOST_TEST(
+        errorOf(post("/services/turnos-prestamo/book", "{\"other\":1}", key))["kind"].asString()
+        == "idempotency_key_reused");
+
+    bench.services()[0]->loseNextAnswers(1);
+    const HttpHeaders lost { { "Idempotency-Key", "k-2" } };
+    const Json::Value unknown = errorOf(post("/services/turnos-prestamo/book", "{}", lost));
+    BOOST_TEST(unknown["kind"].asString() == "outcome_unknown");
+    BOOST_TEST(unknown["not_run"].asString() == "unknown");
+    std::this_thread::sleep_for(milliseconds(50));
+    BOOST_TEST(errorOf(post("/services/turnos-prestamo/book", "{}", lost))["kind"].asString()
+               == "outcome_unknown");
+
+    bench.platform().loseNextAnswers(1);
+    const HttpHeaders settled { { "Idempotency-Key", "k-3" } };
+    BOOST_TEST(post("/services/turnos-prestamo/book", "{}", settled).response.status == 200);
+    for (const auto &[name, count] : bench.serviceExecutions()) {
+        BOOST_TEST(count == 1, name);
+    }
+}
+
+BOOST_AUTO_TEST_CASE(platformAwayRefusesBookingsAsNotRunAndServesTheRest)
+{
+    bench.platform().setOutage(true);
+    const Json::Value refused
+        = errorOf(post("/services/turnos-prestamo/book", "{}", { { "Idempotency-Key", "k" } }));
+    BOOST_TEST(refused["kind"].asString() == "platform_unavailable");
+    BOOST_TEST(refused["not_run"].asBool());
+    BOOST_TEST(bench.serviceExecutions().empty());
+    BOOST_TEST(post("/v1/chat/completions", Chat).response.status == 200);
+    bench.platform().setOutage(false);
+    int status = 0;
+    for (int attempt = 0; attempt < 40 && status != 200; ++attempt) {
+        std::this_thread::sleep_for(milliseconds(100));
+        status = post("/services/turnos-prestamo/book", "{}", { { "Idempotency-Key", "k" } })
+                     .response.status;
+    }
+    BOOST_TEST(status == 200);
+    BOOST_TEST(bench.serviceExecutions().at("k") == 1);
+}
+
+BOOST_AUTO_TEST_CASE(crossedAndSilentStreamsAreMendedUnseen)
+{
+    const std::string body
+        = R"({"stream":true,"metadata":{"output_tokens":"40"},)" + Chat.substr(1);
+    const std::uint64_t seed = standInAnswerSeed("user\nhi\n");
+    for (auto &engine : bench.engines()) {
+        engine->crossNextStreams(1);
+    }
+    for (int round = 0; round < 2; ++round) {
+        const auto result = post("/v1/chat/completions", body);
+        BOOST_TEST(result.response.body.find("somebody") == std::string::npos);
+        BOOST_TEST(result.response.body.ends_with("data: [DONE]\n\n"));
+        for (std::uint32_t token = 1; token <= 40; ++token) {
+            BOOST_TEST(result.response.body.find(standInToken(seed, token) + "\"")
+                       != std::string::npos);
+        }
+        for (auto &engine : bench.engines()) {
+            engine->silenceNextStreams(1);
+        }
+    }
+}
+
+BOOST_AUTO_TEST_CASE(poisonRequestCrashesTwoServersAtMost)
+{
+    const std::string poison = R"({"model":"orientador","messages":[{"role":"user","content":")"
+        + std::string(CrashText) + R"("}]})";
+    std::string kind;
+    for (int attempt = 0; attempt < 6; ++attempt) {
+        kind = errorOf(post("/v1/chat/completions", poison))["kind"].asString();
+    }
+    BOOST_TEST(kind == "quarantined");
+    std::uint64_t crashes = 0;
+    for (const auto &engine : bench.engines()) {
+        crashes += engine->counters().crashes;
+    }
+    BOOST_TEST(crashes == 2U);
+    BOOST_TEST(post("/v1/chat/completions", Chat).response.status == 200);
+}
+
+BOOST_AUTO_TEST_CASE(probesAndMetricsAnswer)
+{
+    const auto get = [&](const std::string &path) {
+        return performCall(client, { .url = bench.callerUrl(0) + path });
+    };
+    BOOST_TEST(get("/healthz").response.status == 200);
+    BOOST_TEST(get("/readyz").response.status == 200);
+    BOOST_TEST(post("/v1/chat/completions", Chat).response.status == 200);
+    const std::string metrics = get("/metrics").response.body;
+    BOOST_TEST(metrics.find("jacinthroad_requests_finished_total 1\n") != std::string::npos);
+    BOOST_TEST(metrics.find("source=\"first_time\"") != std::string::npos);
+    BOOST_TEST(get("/v1/models").response.status == 401);
+    BOOST_TEST(bench.node(0)->drain(std::chrono::seconds(5)));
+    BOOST_TEST(get("/readyz").response.status == 503);
+    BOOST_TEST(errorOf(post("/v1/chat/completions", Chat))["not_run"].asBool());
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_AUTO_TEST_SUITE(NodesTest)
+
+BOOST_AUTO_TEST_CASE(callersOperatorsAndPeersHaveKeysOfTheirOwn)
+{
+    Fixture fixture;
+    const auto rpc = [&](const std::string &key) {
+        return performCall(fixture.client,
+                           { .method = "POST",
+                             .url = fixture.bench.operatorUrl(0) + "/rpc",
+                             .headers = { { "Authorization", "Bearer " + key } },
+                             .body = R"({"jsonrpc":"2.0","id":1,"method":"status"})" })
+            .response;
+    };
+    BOOST_TEST(rpc(Bench::teamKey(0)).status == 401);
+    const HttpResponse status = rpc(Bench::operatorKey());
+    BOOST_TEST(status.status == 200);
+    BOOST_TEST(status.body.find("\"backend_servers\"") != std::string::npos);
+    BOOST_TEST(fixture.post("/v1/chat/completions", Chat, {}, Bench::operatorKey()).response.status
+               == 401);
+}
+
+BOOST_AUTO_TEST_CASE(nodeStartsWithThePlatformAwayFromItsPeers)
+{
+    Fixture fixture(smallBench(2));
+    fixture.bench.killNode(1);
+    fixture.bench.platform().setOutage(true);
+    BOOST_TEST(fixture.bench.startNode(1));
+    BOOST_TEST(fixture.post("/v1/chat/completions", Chat, {}, Bench::teamKey(0), 1).response.status
+               == 200);
+}
+
+BOOST_AUTO_TEST_CASE(plannedStopUnderLoadCutsNothing)
+{
+    Fixture fixture(smallBench(2));
+    LoadClient load(8);
+    Workload workload(fixture.bench.options().profile, 20, 3);
+    const Instant began = std::chrono::steady_clock::now();
+    for (int index = 0; index < 30; ++index) {
+        auto request = workload.next();
+        BOOST_TEST_REQUIRE(request.has_value());
+        load.send(fixture.bench.callerUrl(static_cast<std::size_t>(index % 2)),
+                  fixture.bench.options().profile, *request, began);
+    }
+    BOOST_TEST(fixture.bench.drainNode(1));
+    fixture.bench.killNode(1);
+    BOOST_TEST(load.waitForAll(std::chrono::seconds(30)));
+    for (const CallerRecord &record : load.records()) {
+        const bool answered = record.outcome == CallerOutcome::Completed
+            || record.outcome == CallerOutcome::RefusedNotRun;
+        BOOST_TEST(answered, record.errorKind);
+    }
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- /dev/null
+++ b/Tests/Program/RunCommand.cmake
@@ -0,0 +1,31 @@
+execute_process(COMMAND ${PROGRAM} ${ARGUMENTS}
+  WORKING_DIRECTORY ${FOLDER}
+  RESULT_VARIABLE result OUTPUT_VARIABLE stdout ERROR_VARIABLE stderr TIMEOUT 100)
+
+set(expected 0)
+if(EXISTS ${FOLDER}/${CASE}-result.txt)
+  file(READ ${FOLDER}/${CASE}-result.txt expected)
+  string(STRIP "${expected}" expected)
+endif()
+if(NOT result STREQUAL expected)
+  message(FATAL_ERROR "${CASE}: exit code ${result}, expected ${expected}\n${stdout}${stderr}")
+endif()
+
+foreach(stream stdout stderr)
+  if(EXISTS ${FOLDER}/${CASE}-${stream}.txt)
+    file(READ ${FOLDER}/${CASE}-${stream}.txt pattern)
+    string(STRIP "${pattern}" pattern)
+    string(STRIP "${${stream}}" actual)
+    if(NOT actual MATCHES "^${pattern}$")
+      message(FATAL_ERROR "${CASE}: ${stream} was\n${actual}\nexpected\n${pattern}")
+    endif()
+  endif()
+endforeach()
+
+# The reference page in the documentation is the program's own output.
+if(CASE STREQUAL "SettingsReference")
+  file(READ ${SOURCE_FOLDER}/docs/reference/settings.md page)
+  if(NOT stdout STREQUAL page)
+    message(FATAL_ERROR "docs/reference/settings.md differs from 'jacinthroad settings reference'")
+  endif()
+endif()
--- /dev/null
+++ b/Tests/Quarantine/QuarantineTest.cpp
@@ -0,0 +1,65 @@
+#include "Quarantine/Quarantine.h"
+
+#include <boost/test/unit_test.hpp>
+
+using namespace jacinthroad;
+
+namespace {
+
+const Instant Start;
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(QuarantineTest)
+
+BOOST_AUTO_TEST_CASE(poisonIsFoundAfterTwoCrashesAndInnocentsAreCleared)
+{
+    Quarantine quarantine({});
+    for (const RequestFingerprint fingerprint : { 1, 2, 3 }) {
+        quarantine.noteCrash(fingerprint, false, Start);
+        BOOST_TEST((quarantine.permission(fingerprint, Start) == RunPermission::Alone));
+    }
+    quarantine.noteFinished(1, Start);
+    quarantine.noteFinished(2, Start);
+    quarantine.noteCrash(3, true, Start);
+    BOOST_TEST((quarantine.permission(1, Start) == RunPermission::Freely));
+    BOOST_TEST((quarantine.permission(2, Start) == RunPermission::Freely));
+    BOOST_TEST((quarantine.permission(3, Start) == RunPermission::Never));
+}
+
+BOOST_AUTO_TEST_CASE(peersLearnAndEntriesEnd)
+{
+    Quarantine first({ .quarantineTime = std::chrono::seconds(5) });
+    Quarantine second({ .quarantineTime = std::chrono::seconds(5) });
+    first.noteCrash(9, true, Start);
+    for (const QuarantineRecord &record : first.records(Start)) {
+        second.merge(record, Start);
+    }
+    BOOST_TEST((second.permission(9, Start) == RunPermission::Never));
+    const Instant later = Start + std::chrono::seconds(6);
+    BOOST_TEST((second.permission(9, later) == RunPermission::Freely));
+    BOOST_TEST(second.records(later).empty());
+}
+
+BOOST_AUTO_TEST_CASE(clearedSuspectIsNotSuspectedAgainByOldNews)
+{
+    Quarantine first({});
+    Quarantine second({});
+    first.noteCrash(9, false, Start);
+    const auto news = first.records(Start);
+    second.merge(news.front(), Start);
+    second.noteFinished(9, Start);
+    second.merge(news.front(), Start + milliseconds(10));
+    BOOST_TEST((second.permission(9, Start + milliseconds(20)) == RunPermission::Freely));
+}
+
+BOOST_AUTO_TEST_CASE(staysWithinItsCapacity)
+{
+    Quarantine quarantine({ .capacity = 16 });
+    for (RequestFingerprint fingerprint = 0; fingerprint < 1000; ++fingerprint) {
+        quarantine.noteCrash(fingerprint, false, Start + milliseconds(fingerprint));
+    }
+    BOOST_TEST(quarantine.records(Start).size() <= 16U);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
