--- a/Source/Configuration/MergePatch.cpp
+++ b/Source/Configuration/MergePatch.cpp
@@ -51,7 +51,8 @@
             continue;
         }
         for (const std::string &name : patch[kind].getMemberNames()) {
-            result.push_back(kind + "." + name);
+            result.push_back(kind);
+            result.back().append(".").append(name);
         }
     }
     return result;
--- a/Source/Core/Schema.cpp
+++ b/Source/Core/Schema.cpp
@@ -249,8 +249,9 @@
     for (const FieldRule &rule : schema.fields) {
         std::string range = hasRange(rule) ? rangeText(rule) : choicesText(rule);
         std::string preset = rule.required ? "required" : std::string(rule.defaultText);
-        page += "| `" + std::string(rule.name) + "` | " + std::string(typeName(rule.type)) + " | "
-            + preset + " | " + range + " | " + std::string(rule.help) + " |\n";
+        page.append("| `").append(rule.name).append("` | ").append(typeName(rule.type));
+        page.append(" | ").append(preset).append(" | ").append(range);
+        page.append(" | ").append(rule.help).append(" |\n");
         if (rule.nested != nullptr) {
             rest += "\n" + describeSchema(*rule.nested);
         }
--- a/Source/EngineClient/ChatRequest.cpp
+++ b/Source/EngineClient/ChatRequest.cpp
@@ -49,7 +49,7 @@
             return fieldError(field + ".role", "must be a text.",
                               "Use 'system', 'user' or 'assistant'.");
         }
-        const auto text = contentText(message["content"], field + ".content");
+        auto text = contentText(message["content"], field + ".content");
         if (!text.has_value()) {
             return text;
         }
--- a/Source/Http/HttpClient.cpp
+++ b/Source/Http/HttpClient.cpp
@@ -233,7 +233,8 @@
                              static_cast<curl_off_t>(call.body.size()));
         }
         for (const auto &[name, value] : call.headers) {
-            transfer.headerLines.append(name + ": " + value);
+            std::string line = name;
+            transfer.headerLines.append(line.append(": ").append(value));
         }
         // Without this libcurl waits for '100 Continue' before it sends a long body.
         transfer.headerLines.append("Expect:");
--- a/Source/Node/CallerApi.cpp
+++ b/Source/Node/CallerApi.cpp
@@ -112,7 +112,7 @@
             refuse(call, ErrorKind::MethodNotAllowed, path + " takes POST");
             return;
         }
-        modelCall(std::move(call), chat);
+        modelCall(call, chat);
     } else if (path == "/v1/models") {
         listModels(call);
     } else if (path.starts_with(ServicesPath)) {
@@ -179,7 +179,7 @@
                            .body = writeJson(body) });
 }
 
-void CallerApi::modelCall(Call call, bool chat)
+void CallerApi::modelCall(const Call &call, bool chat)
 {
     auto request = readChatRequest(call.request.body, chat);
     if (!request.has_value()) {
--- a/Source/Node/CallerApi.h
+++ b/Source/Node/CallerApi.h
@@ -47,7 +47,7 @@
 
     [[nodiscard]] bool answerProbe(const Call &call);
     [[nodiscard]] bool authorise(Call &call);
-    void modelCall(Call call, bool chat);
+    void modelCall(const Call &call, bool chat);
     void listModels(const Call &call);
     void serviceCall(Call call);
     static void refuse(const Call &call, ErrorKind kind, const std::string &message = {},
--- a/Source/Node/Node.cpp
+++ b/Source/Node/Node.cpp
@@ -158,8 +158,8 @@
     void carryOut(const RequestFinished &effect);
     void carryOut(const RequestAbandoned &effect);
 
-    void arrive(const RequestId &id, std::shared_ptr<ModelSession> session, RequestArrived arrived,
-                Instant now);
+    void arrive(const RequestId &id, const std::shared_ptr<ModelSession> &session,
+                RequestArrived arrived, Instant now);
     std::uint32_t teamLimit(const RequestArrived &arrived, Instant now) const;
     void publishView();
     void reconfigure();
@@ -363,10 +363,10 @@
     return static_cast<std::uint32_t>(std::max(share, left));
 }
 
-void Node::Parts::arrive(const RequestId &id, std::shared_ptr<ModelSession> session,
+void Node::Parts::arrive(const RequestId &id, const std::shared_ptr<ModelSession> &session,
                          RequestArrived arrived, Instant now)
 {
-    modelSessions_[id] = std::move(session);
+    modelSessions_[id] = session;
     arrived.teamLimit = teamLimit(arrived, now);
     apply(dispatcher_.handle(std::move(arrived), now));
 }
--- a/Source/PeerLink/PeerMessage.cpp
+++ b/Source/PeerLink/PeerMessage.cpp
@@ -67,10 +67,10 @@
              { self.node.text(), self.zone.text(), self.incarnation, self.address, self.operatorUrl,
                self.configurationVersion, self.leaving },
              message.sequence,
-             std::move(quarantine),
-             std::move(loads),
-             std::move(teams),
-             std::move(stored) };
+             quarantine,
+             loads,
+             teams,
+             stored };
 }
 
 PeerMessage fromWire(const WireMessage &wire)
--- a/Source/Program/Main.cpp
+++ b/Source/Program/Main.cpp
@@ -43,6 +43,7 @@
 ExitCode unknownCommand(std::string_view name)
 {
     std::vector<std::string_view> names;
+    names.reserve(Commands.size());
     for (const Command &command : Commands) {
         names.push_back(command.name);
     }
--- a/Source/Routing/Dispatcher.cpp
+++ b/Source/Routing/Dispatcher.cpp
@@ -284,7 +284,7 @@
     const double blockTokens = termsOf(request.facts.model).blockTokens;
     const std::vector<std::uint32_t> matched = index_.matchAll(request.facts.blocks, now);
     std::uint32_t elsewhere = 0;
-    for (ServerSlot slot = 0; slot < matched.size(); ++slot) {
+    for (ServerSlot slot = 0; slot < servers_.size(); ++slot) {
         if (slot != choice.server) {
             elsewhere = std::max(elsewhere, matched[slot]);
         }
--- a/Source/Routing/ServerTable.cpp
+++ b/Source/Routing/ServerTable.cpp
@@ -65,7 +65,7 @@
         rows_[place->second].configured = true;
     }
     byModel_.clear();
-    for (ServerSlot slot = 0; slot < rows_.size(); ++slot) {
+    for (ServerSlot slot = 0; slot < size(); ++slot) {
         if (rows_[slot].configured) {
             byModel_[rows_[slot].facts.model].push_back(slot);
         }
--- a/Source/Routing/ServerTable.h
+++ b/Source/Routing/ServerTable.h
@@ -86,7 +86,8 @@
     /// Takes a new set of servers. Known ones keep their state.
     void configure(std::span<const ServerFacts> servers);
 
-    [[nodiscard]] std::size_t size() const { return rows_.size(); }
+    /// Rows, also of servers that the configuration no longer names.
+    [[nodiscard]] ServerSlot size() const { return static_cast<ServerSlot>(rows_.size()); }
     [[nodiscard]] ServerState &at(ServerSlot slot) { return rows_[slot]; }
     [[nodiscard]] const ServerState &at(ServerSlot slot) const { return rows_[slot]; }
     [[nodiscard]] std::optional<ServerSlot> find(const ServerId &id) const;
--- a/Source/StandIns/EngineStandIn.cpp
+++ b/Source/StandIns/EngineStandIn.cpp
@@ -109,8 +109,8 @@
     const std::scoped_lock lock(serverMutex_);
     auto server = HttpServer::start(
         { .port = port_, .maximumBodyBytes = 64 * 1024 * 1024 },
-        [this](HttpRequest request, const std::shared_ptr<ResponseWriter> &writer) {
-            handle(std::move(request), writer);
+        [this](const HttpRequest &request, const std::shared_ptr<ResponseWriter> &writer) {
+            handle(request, writer);
         });
     if (server.has_value()) {
         server_ = std::move(*server);
@@ -179,7 +179,8 @@
         : loadReportHeaders(reports_.front().second);
 }
 
-void EngineStandIn::handle(HttpRequest request, const std::shared_ptr<ResponseWriter> &writer)
+void EngineStandIn::handle(const HttpRequest &request,
+                           const std::shared_ptr<ResponseWriter> &writer)
 {
     if (request.path == "/v1/chat/completions" || request.path == "/v1/completions") {
         accept(request, writer);
--- a/Source/StandIns/EngineStandIn.h
+++ b/Source/StandIns/EngineStandIn.h
@@ -101,7 +101,7 @@
 private:
     struct Sequence;
 
-    void handle(HttpRequest request, const std::shared_ptr<ResponseWriter> &writer);
+    void handle(const HttpRequest &request, const std::shared_ptr<ResponseWriter> &writer);
     void accept(const HttpRequest &request, const std::shared_ptr<ResponseWriter> &writer);
     void run();
     /// Plans one step under the lock and returns its duration in model milliseconds.
