Http: Wait by epoll and hand libcurl only ready sockets

Cause: curl_multi_perform looks at every open transfer at every wake-up, a system call each; with some hundred streams most processor time went there and token gaps grew. Change: curl_multi_socket_action over epoll in HttpClient.

--- /dev/null
+++ b/Benchmarks/DecisionBenchmark.cpp
@@ -0,0 +1,210 @@
+// Cost of the decisions against the size of the system. The figures are the slopes that
+// docs/CAPACITY.md works with: run build/Benchmarks/DecisionBenchmark.
+
+#include <memory>
+#include <string>
+
+#include <benchmark/benchmark.h>
+
+#include "Claims/ClaimBook.h"
+#include "Configuration/Configuration.h"
+#include "Node/PeerExchange.h"
+#include "PeerLink/PeerMessage.h"
+#include "Routing/Dispatcher.h"
+
+using namespace jacinthroad;
+
+namespace {
+
+const ModelId ModelName { std::string("m") };
+
+std::vector<ServerFacts> servers(std::size_t count)
+{
+    std::vector<ServerFacts> facts;
+    for (std::size_t index = 0; index < count; ++index) {
+        facts.push_back({ .id = ServerId("server-" + std::to_string(index)),
+                          .model = ModelName,
+                          .slots = 64,
+                          .prefillTokensPerMs = 16 });
+    }
+    return facts;
+}
+
+RequestArrived request(std::uint64_t number, std::uint64_t teams, std::size_t blocks, Instant now)
+{
+    RequestArrived arrived;
+    arrived.facts.id = RequestId("r" + std::to_string(number));
+    arrived.facts.team = TeamId("t" + std::to_string(number % teams));
+    arrived.facts.model = ModelName;
+    for (std::size_t block = 0; block < blocks; ++block) {
+        // A thousand different prefixes, and a tail of four blocks that no other request has.
+        const std::uint64_t seed = block + 4 < blocks ? number % 1000 : number + 1000000;
+        arrived.facts.blocks.push_back((seed + 1) * 0x9e3779b97f4a7c15ULL + block);
+    }
+    arrived.facts.promptTokens = static_cast<std::uint32_t>(blocks * 64);
+    arrived.facts.outputBound = 64;
+    arrived.facts.fingerprint = number;
+    arrived.facts.arrived = now;
+    return arrived;
+}
+
+/// One whole request: arrival, first token, end.
+void wholeRequest(benchmark::State &state)
+{
+    const auto serverCount = static_cast<std::size_t>(state.range(0));
+    const auto teams = static_cast<std::uint64_t>(state.range(1));
+    Dispatcher dispatcher({});
+    dispatcher.configure(servers(serverCount), { { ModelName, ModelTerms {} } });
+    Instant now = Instant() + std::chrono::hours(1);
+    std::uint64_t number = 0;
+    for (auto _ : state) {
+        now += std::chrono::milliseconds(5);
+        const RequestArrived arrived = request(++number, teams, 64, now);
+        for (const auto &effect : dispatcher.handle(arrived, now)) {
+            if (const auto *start = std::get_if<StartAttempt>(&effect)) {
+                benchmark::DoNotOptimize(dispatcher.handle(
+                    FirstTokenSeen { .id = start->id, .attempt = start->attempt }, now));
+                benchmark::DoNotOptimize(
+                    dispatcher.handle(AttemptEnded { .id = start->id,
+                                                     .attempt = start->attempt,
+                                                     .end = AttemptEnd::Completed,
+                                                     .deliveredTokens = 60,
+                                                     .promptTokens = 4096,
+                                                     .cachedTokens = 3840 },
+                                      now));
+            }
+        }
+        benchmark::DoNotOptimize(dispatcher.takeStored());
+    }
+    state.counters["index_blocks"] = static_cast<double>(dispatcher.index().size());
+    state.counters["index_bytes"] = static_cast<double>(dispatcher.index().memoryBytes());
+}
+BENCHMARK(wholeRequest)
+    ->ArgNames({ "servers", "teams" })
+    ->Args({ 18, 8 })
+    ->Args({ 120, 8 })
+    ->Args({ 600, 8 })
+    ->Args({ 120, 660 })
+    ->Args({ 120, 6600 });
+
+/// Bytes of index for each block held.
+void indexOfBlocks(benchmark::State &state)
+{
+    const auto blocks = static_cast<std::uint64_t>(state.range(0));
+    for (auto _ : state) {
+        PrefixIndex index({ .capacityBlocks = blocks * 2 });
+        index.resize(120);
+        for (std::uint64_t key = 0; key < blocks; ++key) {
+            const BlockKey hashed = key * 0x9e3779b97f4a7c15ULL;
+            index.noteStored(static_cast<ServerSlot>(key % 120), std::span(&hashed, 1),
+                             Instant() + std::chrono::hours(1));
+        }
+        state.counters["bytes_per_block"]
+            = static_cast<double>(index.memoryBytes()) / static_cast<double>(index.size());
+    }
+    state.SetItemsProcessed(state.iterations() * state.range(0));
+}
+BENCHMARK(indexOfBlocks)->Arg(10000)->Arg(100000)->Arg(1000000)->Unit(benchmark::kMillisecond);
+
+/// A round of the waiting queue at a crest.
+void tickWithWaiting(benchmark::State &state)
+{
+    Dispatcher dispatcher({});
+    dispatcher.configure(servers(18), { { ModelName, ModelTerms { .firstTokenLimitMs = 1e9 } } });
+    const Instant now = Instant() + std::chrono::hours(1);
+    for (std::uint64_t number = 0; number < static_cast<std::uint64_t>(state.range(0)) + 1500;
+         ++number) {
+        benchmark::DoNotOptimize(dispatcher.handle(request(number, 64, 64, now), now));
+    }
+    for (auto _ : state) {
+        benchmark::DoNotOptimize(dispatcher.handle(TimePassed {}, now));
+    }
+    state.counters["waiting"] = static_cast<double>(dispatcher.queued());
+}
+BENCHMARK(tickWithWaiting)->Arg(100)->Arg(1000)->Arg(4000)->Unit(benchmark::kMicrosecond);
+
+/// One claim's share of a grouped write.
+void claimInGroup(benchmark::State &state)
+{
+    const auto group = static_cast<std::uint64_t>(state.range(0));
+    const Instant now = Instant() + std::chrono::hours(1);
+    std::uint64_t number = 0;
+    std::uint64_t version = 0;
+    for (auto _ : state) {
+        ClaimBook book({});
+        std::string text;
+        for (std::uint64_t index = 0; index < group; ++index) {
+            const std::string name = std::to_string(++number);
+            benchmark::DoNotOptimize(book.handle(ClaimWanted { .id = RequestId(name),
+                                                               .shard = "s",
+                                                               .key = "t/" + name,
+                                                               .bodyHash = std::string(64, 'b'),
+                                                               .nonce = name,
+                                                               .nowMs = 1,
+                                                               .deadline = now },
+                                                 now));
+        }
+        for (const auto &effect :
+             book.handle(ShardReadAnswered { .shard = "s", .answered = true }, now)) {
+            if (const auto *write = std::get_if<WriteShard>(&effect)) {
+                text = write->text;
+            }
+        }
+        benchmark::DoNotOptimize(book.handle(
+            ShardWriteAnswered {
+                .shard = "s", .answer = ShardWriteAnswer::Written, .version = ++version },
+            now));
+        state.counters["bytes_per_claim"] = static_cast<double>(text.size()) / double(group);
+        state.counters["writes_per_1000"] = 1000.0 * double(book.writes()) / double(group);
+    }
+    state.SetItemsProcessed(state.iterations() * state.range(0));
+}
+BENCHMARK(claimInGroup)->Arg(1)->Arg(10)->Arg(100)->Unit(benchmark::kMicrosecond);
+
+/// Reading the whole configuration after a patch.
+void configurationOfTeams(benchmark::State &state)
+{
+    Json::Value document;
+    for (int team = 0; team < state.range(0); ++team) {
+        std::string digest = std::to_string(team);
+        digest.insert(0, 64 - digest.size(), '0');
+        document["teams"]["team-" + std::to_string(team)]["key_sha256"].append(digest);
+    }
+    document["models"]["m"]["version"] = "v1";
+    for (int server = 0; server < 600; ++server) {
+        Json::Value &entry = document["backend_servers"]["s" + std::to_string(server)];
+        entry["zone"] = "z";
+        entry["url"] = "http://127.0.0.1:1";
+        entry["model"] = "m";
+    }
+    for (auto _ : state) {
+        benchmark::DoNotOptimize(checkConfiguration(document));
+        benchmark::DoNotOptimize(readConfiguration(document, 1));
+    }
+}
+BENCHMARK(configurationOfTeams)->Arg(8)->Arg(660)->Arg(6600)->Unit(benchmark::kMillisecond);
+
+/// A datagram with the node's own work on so many busy servers.
+void peerDatagram(benchmark::State &state)
+{
+    PeerMessage message { .identity = { .node = NodeId("entry-100"),
+                                        .zone = ZoneId("zone"),
+                                        .address = "10.0.0.1:8082",
+                                        .operatorUrl = "http://10.0.0.1:8081" } };
+    for (int server = 0; server < state.range(0); ++server) {
+        message.loads.push_back({ .server = 0x9e3779b9U * static_cast<unsigned>(server + 1),
+                                  .inFlight = 3,
+                                  .waitingPrefill = 900 });
+    }
+    std::string sealed;
+    for (auto _ : state) {
+        sealed = sealPeerMessage(message, "a key of sixteen or more");
+        benchmark::DoNotOptimize(openPeerMessage(sealed, "a key of sixteen or more"));
+    }
+    state.counters["bytes"] = static_cast<double>(sealed.size());
+}
+BENCHMARK(peerDatagram)->Arg(0)->Arg(18)->Arg(60)->Arg(120);
+
+} // namespace
+
+BENCHMARK_MAIN();
--- a/Source/Http/HttpClient.cpp
+++ b/Source/Http/HttpClient.cpp
@@ -1,5 +1,8 @@
 #include "Http/HttpClient.h"
 
+#include <algorithm>
+#include <array>
+#include <cmath>
 #include <future>
 #include <mutex>
 #include <thread>
@@ -9,6 +12,9 @@
 #include <vector>
 
 #include <curl/curl.h>
+#include <sys/epoll.h>
+#include <sys/eventfd.h>
+#include <unistd.h>
 
 #include "Core/Overloaded.h"
 
@@ -16,7 +22,8 @@
 
 namespace {
 
-constexpr int PollMilliseconds = 1000;
+constexpr int LongestPollMilliseconds = 1000;
+constexpr std::size_t EventsPerPoll = 64;
 constexpr long KeptConnections = 256;
 
 struct CurlList
@@ -103,14 +110,25 @@
 
 } // namespace
 
-/// The client's thread and what it owns.
+/// The client's thread and what it owns. It waits by epoll and hands libcurl only the sockets
+/// that are ready: curl_multi_perform() would look at every open transfer at every wake-up.
 class HttpClient::Loop
 {
 public:
     Loop()
         : multi_(curl_multi_init())
+        , epoll_(epoll_create1(EPOLL_CLOEXEC))
+        , wake_(eventfd(0, EFD_CLOEXEC | EFD_NONBLOCK))
     {
+        epoll_event event {};
+        event.events = EPOLLIN;
+        event.data.fd = wake_;
+        epoll_ctl(epoll_, EPOLL_CTL_ADD, wake_, &event);
         curl_multi_setopt(multi_, CURLMOPT_MAXCONNECTS, KeptConnections);
+        curl_multi_setopt(multi_, CURLMOPT_SOCKETFUNCTION, onSocket);
+        curl_multi_setopt(multi_, CURLMOPT_SOCKETDATA, this);
+        curl_multi_setopt(multi_, CURLMOPT_TIMERFUNCTION, onTimer);
+        curl_multi_setopt(multi_, CURLMOPT_TIMERDATA, this);
         thread_ = std::thread([this] { run(); });
     }
 
@@ -122,6 +140,8 @@
         post(Stop {});
         thread_.join();
         curl_multi_cleanup(multi_);
+        close(wake_);
+        close(epoll_);
     }
 
     CallId start(HttpCall call, HttpCallEvents events)
@@ -136,7 +156,7 @@
             transfer->id = id;
             commands_.emplace_back(Start { std::move(transfer) });
         }
-        curl_multi_wakeup(multi_);
+        wake();
         return id;
     }
 
@@ -166,26 +186,90 @@
             const std::scoped_lock lock(mutex_);
             commands_.push_back(std::move(command));
         }
-        curl_multi_wakeup(multi_);
+        wake();
+    }
+
+    void wake() const
+    {
+        const std::uint64_t one = 1;
+        static_cast<void>(!write(wake_, &one, sizeof(one)));
+    }
+
+    static int onSocket(CURL *, curl_socket_t socket, int what, void *context, void *known)
+    {
+        auto &loop = *static_cast<Loop *>(context);
+        if (what == CURL_POLL_REMOVE) {
+            epoll_ctl(loop.epoll_, EPOLL_CTL_DEL, socket, nullptr);
+            return 0;
+        }
+        epoll_event event {};
+        event.events = ((what & CURL_POLL_IN) != 0 ? EPOLLIN : 0U)
+            | ((what & CURL_POLL_OUT) != 0 ? EPOLLOUT : 0U);
+        event.data.fd = socket;
+        const int operation = known == nullptr ? EPOLL_CTL_ADD : EPOLL_CTL_MOD;
+        if (epoll_ctl(loop.epoll_, operation, socket, &event) != 0) {
+            // libcurl may reuse a number whose earlier socket left the set when it was closed.
+            const int other = operation == EPOLL_CTL_ADD ? EPOLL_CTL_MOD : EPOLL_CTL_ADD;
+            epoll_ctl(loop.epoll_, other, socket, &event);
+        }
+        curl_multi_assign(loop.multi_, socket, &loop);
+        return 0;
+    }
+
+    static int onTimer(CURLM *, long waitMs, void *context)
+    {
+        auto &loop = *static_cast<Loop *>(context);
+        loop.timerSet_ = waitMs >= 0;
+        loop.timerDue_ = std::chrono::steady_clock::now() + milliseconds(waitMs);
+        return 0;
+    }
+
+    [[nodiscard]] int pollMilliseconds() const
+    {
+        if (!timerSet_) {
+            return LongestPollMilliseconds;
+        }
+        const double left = toMilliseconds(timerDue_ - std::chrono::steady_clock::now());
+        return std::clamp(static_cast<int>(std::ceil(left)), 0, LongestPollMilliseconds);
+    }
+
+    void pollOnce()
+    {
+        std::array<epoll_event, EventsPerPoll> events {};
+        const int count = epoll_wait(epoll_, events.data(), static_cast<int>(events.size()),
+                                     pollMilliseconds());
+        int running = 0;
+        for (int index = 0; index < count; ++index) {
+            const epoll_event &event = events[static_cast<std::size_t>(index)];
+            if (event.data.fd == wake_) {
+                std::uint64_t wakes = 0;
+                static_cast<void>(!read(wake_, &wakes, sizeof(wakes)));
+                continue;
+            }
+            const int bits = ((event.events & EPOLLIN) != 0 ? CURL_CSELECT_IN : 0)
+                | ((event.events & EPOLLOUT) != 0 ? CURL_CSELECT_OUT : 0)
+                | ((event.events & (EPOLLERR | EPOLLHUP)) != 0 ? CURL_CSELECT_ERR : 0);
+            curl_multi_socket_action(multi_, event.data.fd, bits, &running);
+        }
+        if (timerSet_ && std::chrono::steady_clock::now() >= timerDue_) {
+            timerSet_ = false;
+            curl_multi_socket_action(multi_, CURL_SOCKET_TIMEOUT, 0, &running);
+        }
     }
 
     void run()
     {
         while (!stopping_) {
-            int running = 0;
-            curl_multi_perform(multi_, &running);
+            pollOnce();
+            runCommands();
             collectEnded();
-            if (runCommands()) {
-                continue;
-            }
-            curl_multi_poll(multi_, nullptr, 0, PollMilliseconds, nullptr);
         }
         while (!transfers_.empty()) {
             end(transfers_.begin()->first, CallOutcome::Cancelled);
         }
     }
 
-    bool runCommands()
+    void runCommands()
     {
         std::vector<Command> commands;
         {
@@ -201,7 +285,6 @@
                        },
                        command);
         }
-        return !commands.empty();
     }
 
     void add(std::unique_ptr<Transfer> owned)
@@ -293,6 +376,10 @@
     }
 
     CURLM *multi_;
+    int epoll_;
+    int wake_;
+    bool timerSet_ = false;
+    Instant timerDue_;
     std::mutex mutex_;
     std::vector<Command> commands_;
     CallId lastId_ = 0;
--- a/Source/Node/CallerApi.h
+++ b/Source/Node/CallerApi.h
@@ -23,7 +23,9 @@
     /// Takes a session over, before its first message is posted.
     struct Events
     {
-        std::function<void(const RequestId &, std::shared_ptr<ModelSession>, RequestArrived)> model;
+        std::function<void(const RequestId &, const std::shared_ptr<ModelSession> &,
+                           RequestArrived)>
+            model;
         std::function<void(const RequestId &, std::shared_ptr<ServiceSession>)> service;
         std::function<void(std::shared_ptr<ResponseWriter>)> metrics;
     };
--- a/Source/Node/Node.cpp
+++ b/Source/Node/Node.cpp
@@ -319,12 +319,11 @@
 CallerApi::Events Node::Parts::callerEvents()
 {
     return { .model =
-                 [this](const RequestId &id, std::shared_ptr<ModelSession> session,
+                 [this](const RequestId &id, const std::shared_ptr<ModelSession> &session,
                         RequestArrived arrived) {
-                     control_.post(ControlTask([this, id, session = std::move(session),
-                                                arrived = std::move(arrived)](Instant now) {
-                         arrive(id, session, arrived, now);
-                     }));
+                     control_.post(
+                         ControlTask([this, id, session, arrived = std::move(arrived)](
+                                         Instant now) { arrive(id, session, arrived, now); }));
                  },
              .service =
                  [this](const RequestId &id, std::shared_ptr<ServiceSession> session) {
