Routing: Learn first-token time as a fixed part and a part per token

Also requests were sent beyond an engine's free slots. Change: normalised least mean squares over both parts, the learned rate drains others' loads, no dispatch beyond the free slots (one more for short jobs).

--- a/Source/Routing/Dispatcher.cpp
+++ b/Source/Routing/Dispatcher.cpp
@@ -294,10 +294,9 @@
         .number = ++request.lastAttempt,
         .slot = choice.server,
         .started = now,
-        .predictedMs = choice.predictedMs,
+        .choice = choice,
         .waitingPrefill = std::max(
             0.0, request.facts.promptTokens - std::max(matchedTokens, choice.expectedCachedTokens)),
-        .assumedTokens = choice.assumedTokens,
         .matchedTokens = matchedTokens,
         .otherMatchedTokens = elsewhere * blockTokens,
         .seenTokens = static_cast<double>(index_.seenBlocks(request.facts.blocks)) * blockTokens,
@@ -404,8 +403,10 @@
     server.own.waitingPrefill = std::max(0.0, server.own.waitingPrefill - attempt->waitingPrefill);
     server.health.noteSuccess();
     if (auto *policy = std::get_if<PredictedCostPolicy>(&policy_)) {
-        policy->noteFirstToken(request.facts.model, attempt->predictedMs,
+        policy->noteFirstToken(request.facts.model, attempt->choice, server.health.slowdown(now),
                                toMilliseconds(now - attempt->started));
+        servers_.setPrefillTime(request.facts.model,
+                                policy->msPerPrefillToken(request.facts.model));
     }
     // The first of several attempts to speak is the one that answers.
     const AttemptNumber winner = attempt->number;
@@ -492,7 +493,7 @@
             storedForPeers_.emplace_back(servers_.at(attempt.slot).facts.id, request.facts.blocks);
         }
         if (auto *policy = std::get_if<PredictedCostPolicy>(&policy_)) {
-            policy->noteAssumption(attempt.assumedTokens, cached - attempt.matchedTokens);
+            policy->noteAssumption(attempt.choice.assumedTokens, cached - attempt.matchedTokens);
         }
     }
     if (auto *policy = std::get_if<PredictedCostPolicy>(&policy_)) {
@@ -674,7 +675,7 @@
         return;
     }
     const Duration patience = std::max(
-        options_.hedgeMinimum, fromMilliseconds(options_.hedgeFactor * attempt.predictedMs));
+        options_.hedgeMinimum, fromMilliseconds(options_.hedgeFactor * attempt.choice.predictedMs));
     if (now - attempt.started < patience) {
         return;
     }
--- a/Source/Routing/Dispatcher.h
+++ b/Source/Routing/Dispatcher.h
@@ -99,9 +99,8 @@
         AttemptNumber number = 0;
         ServerSlot slot = 0;
         Instant started;
-        double predictedMs = 0;
+        Choice choice;
         double waitingPrefill = 0;
-        double assumedTokens = 0;
         double matchedTokens = 0;
         double otherMatchedTokens = 0;
         double seenTokens = 0;
--- a/Source/Routing/PredictedCostPolicy.cpp
+++ b/Source/Routing/PredictedCostPolicy.cpp
@@ -13,13 +13,20 @@
 constexpr std::uint32_t FirstHeadTokens = 1024;
 constexpr double TrustWeight = 0.02;
 constexpr double LeastTrust = 0.05;
-constexpr double CalibrationWeight = 0.05;
+// Step of one observation in learning the two parts of the first-token time.
+constexpr double LearningStep = 0.03;
+// Prompt length, in tokens, that weighs as much as the fixed part.
+constexpr double TypicalPrefillTokens = 1000;
+// An observation counts at most this many times its prediction.
+constexpr double LargestSurprise = 3;
 constexpr double JobWeight = 0.05;
 constexpr double DefaultJobMs = 2000;
 // A server is full when its wait exceeds this share of the first-token objective.
 constexpr double FullWaitShare = 0.15;
 // Share of a server's slots that long jobs may hold.
 constexpr double LongSlotShare = 0.6;
+// Short jobs may be sent ahead of a free slot, since one frees soon and they go first there.
+constexpr double ShortSpareSlots = 1;
 // Costs this close together count as equal, so that nodes that see the same do not all follow
 // the same report.
 constexpr double TieShare = 0.05;
@@ -27,20 +34,32 @@
 
 } // namespace
 
-const PredictedCostPolicy::Learned &PredictedCostPolicy::learned(const ModelId &model) const
+PredictedCostPolicy::Learned PredictedCostPolicy::learned(const ModelId &model,
+                                                          const ServerFacts &server,
+                                                          const ModelTerms &terms) const
 {
-    static const Learned Initial;
     const auto found = learned_.find(model);
-    return found == learned_.end() ? Initial : found->second;
+    Learned known = found == learned_.end() ? Learned {} : found->second;
+    if (known.msPerToken == 0) {
+        known.msPerToken = 1 / server.prefillTokensPerMs;
+        known.baseMs = terms.tokenGapTargetMs;
+    }
+    known.jobMs = known.jobMs > 0 ? known.jobMs : DefaultJobMs;
+    return known;
+}
+
+double PredictedCostPolicy::msPerPrefillToken(const ModelId &model) const
+{
+    const auto found = learned_.find(model);
+    return found == learned_.end() ? 0 : found->second.msPerToken;
 }
 
 Choice PredictedCostPolicy::evaluate(const ChoiceContext &context, ServerSlot slot,
                                      double assumedHead) const
 {
     const ServerState &server = context.servers.at(slot);
-    const Learned &known = learned(context.request.model);
+    const Learned known = learned(context.request.model, server.facts, context.terms);
     const ServerLoad load = context.servers.totalLoad(slot, context.now);
-    const double msPerToken = 1 / server.facts.prefillTokensPerMs;
     const double slowdown = server.health.slowdown(context.now);
 
     Choice choice { .server = slot };
@@ -52,18 +71,19 @@
         = std::max(0.0, context.request.promptTokens - choice.expectedCachedTokens);
 
     const double slots = server.facts.slots;
-    const double jobMs = known.jobMs > 0 ? known.jobMs : DefaultJobMs;
     const double ahead = load.inFlight - slots + 1;
-    const double slotWaitMs = ahead > 0 ? ahead * jobMs / slots : 0;
-    choice.waitMs = (slotWaitMs + load.waitingPrefill * msPerToken) * slowdown;
-    choice.predictedMs
-        = choice.waitMs + (uncached * msPerToken + context.terms.tokenGapTargetMs) * slowdown;
-    choice.predictedMs *= known.calibration;
+    choice.slotWaitMs = ahead > 0 ? ahead * known.jobMs / slots * slowdown : 0;
+    choice.prefillTokens = load.waitingPrefill + uncached;
+    choice.waitMs = choice.slotWaitMs + load.waitingPrefill * known.msPerToken * slowdown;
+    choice.predictedMs = choice.waitMs + (uncached * known.msPerToken + known.baseMs) * slowdown;
 
     const bool waitTooLong = choice.waitMs > FullWaitShare * context.terms.firstTokenTargetMs;
     const bool longJobsFull = context.lengthClass == LengthClass::Long
         && load.longJobs + 1 > std::max(1.0, LongSlotShare * slots);
-    choice.full = waitTooLong || longJobsFull;
+    // What waits belongs into the node's queue, where it is ordered and can still be refused.
+    const double spare = context.lengthClass == LengthClass::Short ? ShortSpareSlots : 0;
+    const bool slotsFull = load.inFlight + 1 > slots + spare;
+    choice.full = waitTooLong || longJobsFull || slotsFull;
     return choice;
 }
 
@@ -117,15 +137,25 @@
     trust_ = std::max(LeastTrust, trust_ + TrustWeight * (share - trust_));
 }
 
-void PredictedCostPolicy::noteFirstToken(const ModelId &model, double predictedMs,
-                                         double observedMs)
+void PredictedCostPolicy::noteFirstToken(const ModelId &model, const Choice &choice,
+                                         double slowdown, double observedMs)
 {
-    if (predictedMs <= 0) {
+    if (choice.prefillTokens <= 0) {
         return;
     }
-    double &calibration = learned_[model].calibration;
-    const double ratio = std::clamp(observedMs / predictedMs, 0.2, 5.0);
-    calibration = std::clamp(calibration * std::pow(ratio, CalibrationWeight), 0.2, 5.0);
+    Learned &known = learned_[model];
+    if (known.msPerToken == 0) {
+        known.msPerToken = (choice.predictedMs - choice.slotWaitMs) / choice.prefillTokens;
+    }
+    // Normalised least mean squares over a fixed part and a part for each token.
+    const double tokens = choice.prefillTokens / TypicalPrefillTokens;
+    const double predicted = known.baseMs + choice.prefillTokens * known.msPerToken;
+    const double served = std::max(0.0, observedMs / slowdown - choice.slotWaitMs);
+    const double error = std::min(served, LargestSurprise * predicted) - predicted;
+    const double step = LearningStep * error / (1 + tokens * tokens);
+    known.baseMs = std::max(0.0, known.baseMs + step);
+    known.msPerToken
+        = std::max(known.msPerToken / 2, known.msPerToken + step * tokens / TypicalPrefillTokens);
 }
 
 void PredictedCostPolicy::noteJob(const ModelId &model, double jobMs)
--- a/Source/Routing/PredictedCostPolicy.h
+++ b/Source/Routing/PredictedCostPolicy.h
@@ -52,6 +52,10 @@
     double predictedMs = 0;
     /// The part of predictedMs in which others' work is done first.
     double waitMs = 0;
+    /// The part of predictedMs that waits for a free slot.
+    double slotWaitMs = 0;
+    /// Prompt tokens to be computed until the first token comes, others' and own.
+    double prefillTokens = 0;
     double expectedCachedTokens = 0;
     /// Tokens of the head whose place was assumed by rendezvous order alone; 0 for none.
     double assumedTokens = 0;
@@ -72,8 +76,13 @@
     /// Takes what an engine reported for a choice of which `assumedTokens` were assumed.
     void noteAssumption(double assumedTokens, double foundTokens);
 
-    /// Takes a first-token time against its prediction, both in milliseconds.
-    void noteFirstToken(const ModelId &model, double predictedMs, double observedMs);
+    /// Learns from a first token that came `observedMs` after a choice, on a server `slowdown`
+    /// times slower than usual.
+    void noteFirstToken(const ModelId &model, const Choice &choice, double slowdown,
+                        double observedMs);
+
+    /// Learned time for each token of prompt, in milliseconds; 0 before the first token.
+    [[nodiscard]] double msPerPrefillToken(const ModelId &model) const;
 
     /// Takes the length of a finished job in milliseconds.
     void noteJob(const ModelId &model, double jobMs);
@@ -81,14 +90,17 @@
 private:
     struct Learned
     {
-        /// Observed over predicted first-token time.
-        double calibration = 1;
+        /// Time until a first token that does not grow with the prompt.
+        double baseMs = 0;
+        /// Time for each token of prompt, beside an engine's other work; 0 before the first.
+        double msPerToken = 0;
         double jobMs = 0;
     };
 
     [[nodiscard]] Choice evaluate(const ChoiceContext &context, ServerSlot slot,
                                   double assumedHead) const;
-    [[nodiscard]] const Learned &learned(const ModelId &model) const;
+    [[nodiscard]] Learned learned(const ModelId &model, const ServerFacts &server,
+                                  const ModelTerms &terms) const;
 
     double trust_ = 0.5;
     std::map<ModelId, Learned> learned_;
--- a/Source/Routing/ServerTable.cpp
+++ b/Source/Routing/ServerTable.cpp
@@ -128,7 +128,10 @@
 ServerLoad ServerTable::totalLoad(ServerSlot slot, Instant now) const
 {
     const ServerState &row = rows_[slot];
-    const double rate = row.facts.prefillTokensPerMs;
+    const auto learned = prefillTimes_.find(row.facts.model);
+    const double rate = learned == prefillTimes_.end() || learned->second <= 0
+        ? row.facts.prefillTokensPerMs
+        : 1 / learned->second;
     ServerLoad total = row.own;
     bool anyPeer = false;
     for (const auto &[peer, loads] : peers_) {
@@ -144,6 +147,11 @@
     return total;
 }
 
+void ServerTable::setPrefillTime(const ModelId &model, double msPerToken)
+{
+    prefillTimes_[model] = msPerToken;
+}
+
 void ServerTable::noteTokenGap(ServerSlot slot, double gapMs, Instant now)
 {
     ServerState &row = rows_[slot];
--- a/Source/Routing/ServerTable.h
+++ b/Source/Routing/ServerTable.h
@@ -111,6 +111,9 @@
     /// engine will have done since.
     [[nodiscard]] ServerLoad totalLoad(ServerSlot slot, Instant now) const;
 
+    /// Sets the time that the model's servers take for a token of prompt, in milliseconds.
+    void setPrefillTime(const ModelId &model, double msPerToken);
+
     /// Takes a mean token gap in milliseconds from a stream of this server.
     void noteTokenGap(ServerSlot slot, double gapMs, Instant now);
 
@@ -128,6 +131,7 @@
     std::vector<ServerState> rows_;
     std::map<ServerId, ServerSlot> byId_;
     std::map<ModelId, std::vector<ServerSlot>> byModel_;
+    std::map<ModelId, double> prefillTimes_;
     std::map<NodeId, std::map<ServerSlot, PeerLoad>> peers_;
 };
 
