Routing: Drain known backlogs, learn prompt tails, place by the shared head

Cause: traces showed (1) own prompt work counted in full until the first token, so every server looked 300-700 ms busy; (2) the longest head often reached into the question, so nodes disagreed on the server; (3) hedges during overload; (4) recomputed tokens counted the cold start, equal for all policies.

--- a/Source/Ledger/Ledger.cpp
+++ b/Source/Ledger/Ledger.cpp
@@ -37,6 +37,19 @@
     return line;
 }
 
+LedgerLine &LedgerLine::operator-=(const LedgerLine &other)
+{
+    reused -= other.reused;
+    firstTime -= other.firstTime;
+    for (std::size_t index = 0; index < recomputed.size(); ++index) {
+        recomputed[index] -= other.recomputed[index];
+    }
+    decoded -= other.decoded;
+    thrownAway -= other.thrownAway;
+    requests -= other.requests;
+    return *this;
+}
+
 void Ledger::add(const TeamId &team, const ModelId &model, const LedgerLine &line)
 {
     lines_[{ team, model }] += line;
--- a/Source/Ledger/Ledger.h
+++ b/Source/Ledger/Ledger.h
@@ -45,6 +45,7 @@
     std::uint64_t requests = 0;
 
     LedgerLine &operator+=(const LedgerLine &other);
+    LedgerLine &operator-=(const LedgerLine &other);
 };
 
 /// The prompt of one ended attempt, as the engine counted it.
--- a/Source/Load/Experiment.cpp
+++ b/Source/Load/Experiment.cpp
@@ -10,8 +10,6 @@
 
 namespace {
 
-// Requests of the first part of a run warm the caches and do not count in latencies.
-constexpr double WarmUpShare = 0.3;
 constexpr double SlowBegins = 0.25;
 constexpr double CrashesBegin = 0.34;
 constexpr double CrestShare = 0.25;
@@ -66,6 +64,10 @@
 
     void injectFaults(double at)
     {
+        if (!warm_ && at > WarmUpShare * modelSeconds()) {
+            warm_ = true;
+            computeBefore_ = bench_.judge().total();
+        }
         auto &engines = bench_.engines();
         if (!slowed_ && at > SlowBegins * modelSeconds()) {
             slowed_ = true;
@@ -164,7 +166,8 @@
         for (const auto &[key, count] : bench_.serviceExecutions()) {
             result.duplicateExecutions += count > 1 ? 1 : 0;
         }
-        const LedgerLine total = bench.judge().total();
+        LedgerLine total = bench.judge().total();
+        total -= computeBefore_;
         std::uint64_t again = 0;
         for (const std::uint64_t tokens : total.recomputed) {
             again += tokens;
@@ -189,6 +192,8 @@
     Bench bench_;
     LoadClient client_;
     Instant began_;
+    bool warm_ = false;
+    LedgerLine computeBefore_;
     bool slowed_ = false;
     std::size_t crashed_ = 0;
 };
--- a/Source/Load/Workload.cpp
+++ b/Source/Load/Workload.cpp
@@ -11,6 +11,7 @@
 
 namespace {
 
+constexpr double WarmUpFactor = 0.6;
 constexpr double CrestBegins = 0.5;
 constexpr double CrestEnds = 0.75;
 
@@ -128,7 +129,11 @@
 std::optional<PlannedRequest> Workload::next()
 {
     const bool crest = at_ >= CrestBegins * seconds_ && at_ < CrestEnds * seconds_;
-    const double rate = profile_.ratedPerSecond * (crest ? profile_.crestFactor : 1);
+    const bool warmUp = at_ < WarmUpShare * seconds_;
+    const double rate = profile_.ratedPerSecond
+        * (crest        ? profile_.crestFactor
+               : warmUp ? WarmUpFactor
+                        : 1);
     at_ += std::exponential_distribution<double>(rate)(random_);
     if (at_ >= seconds_) {
         return std::nullopt;
--- a/Source/Load/Workload.h
+++ b/Source/Load/Workload.h
@@ -79,9 +79,12 @@
 /// The name of a team of a profile, such as `team-3`.
 [[nodiscard]] std::string teamName(std::size_t team);
 
+/// Share of a run that fills the caches, at a lower rate, and does not count.
+inline constexpr double WarmUpShare = 0.3;
+
 /// Makes the requests of a run in order of time, the same for the same seed. Arrivals are a
-/// Poisson process whose rate is multiplied in the crest, from a half to three quarters of the
-/// run.
+/// Poisson process whose rate is lower in the warm-up and multiplied in the crest, from a half to
+/// three quarters of the run.
 class Workload
 {
 public:
--- a/Source/Node/PeerExchange.cpp
+++ b/Source/Node/PeerExchange.cpp
@@ -64,7 +64,7 @@
                           .quarantine = dispatcher.quarantine(now) };
     const ServerTable &servers = dispatcher.servers();
     for (ServerSlot slot = 0; slot < servers.size(); ++slot) {
-        const ServerLoad &own = servers.at(slot).own;
+        const ServerLoad own = servers.ownLoad(slot, now);
         message.loads.push_back({ .server = serverTag(servers.at(slot).facts.id),
                                   .inFlight = rounded(own.inFlight),
                                   .longJobs = rounded(own.longJobs),
--- a/Source/Program/LoadCommand.cpp
+++ b/Source/Program/LoadCommand.cpp
@@ -35,11 +35,14 @@
 Result<ExperimentOptions> optionsOf(const Values &values)
 {
     const std::string name = values["profile"].as<std::string>();
-    const auto profile = findProfile(name);
+    auto profile = findProfile(name);
     if (!profile.has_value()) {
         return makeError(ErrorKind::InvalidRequest, "there is no profile '" + name + "'",
                          "Name lienzo-andino or drenthe.");
     }
+    if (values.count("recompute-price") != 0) {
+        profile->recomputePriceMsPerToken = values["recompute-price"].as<double>();
+    }
     const auto policies = policiesOf(values["policy"].as<std::string>());
     if (!policies.has_value()) {
         return tl::make_unexpected(policies.error());
@@ -76,6 +79,8 @@
     add("crashes", options::value<std::size_t>()->default_value(0), "engines that crash");
     add("sample-one-in", options::value<std::uint32_t>()->default_value(16),
         "one cached block in so many is told to peers; 0 tells none");
+    add("recompute-price", options::value<double>(),
+        "price of a recomputed token in ms instead of the profile's");
     add("bounds", options::value<std::string>(), "file of bounds; exit 1 when one is left");
     return syntax;
 }
--- a/Source/Routing/Dispatcher.cpp
+++ b/Source/Routing/Dispatcher.cpp
@@ -19,6 +19,10 @@
 constexpr Duration EpochReasonTime = std::chrono::seconds(20);
 // Servers on which suspects may run at once, as a share of the model's servers.
 constexpr double SoloShare = 0.25;
+// The tail is learned from prompts of which at least this share was seen before.
+constexpr double LeastSeenShare = 0.7;
+constexpr double TailQuantile = 0.9;
+constexpr double TailStepTokens = 16;
 constexpr double LeastRetryAfterMs = 100;
 constexpr double MostRetryAfterMs = 10000;
 constexpr std::size_t MostStoredForPeers = 4096;
@@ -120,6 +124,7 @@
         refuse(kept, ErrorKind::TeamLimit, now);
         return;
     }
+    learnTail(kept.facts);
     retries_.earn(kept.facts.team);
     hedges_.earn(kept.facts.team);
     this->place(kept, now);
@@ -186,6 +191,7 @@
                                   .request = request.facts,
                                   .lengthClass = request.lengthClass,
                                   .terms = termsOf(request.facts.model),
+                                  .sharedTokens = sharedTokens(request.facts),
                                   .candidates = slots,
                                   .matchedBlocks = matched,
                                   .now = now,
@@ -193,6 +199,26 @@
     return choose(policy_, context);
 }
 
+double Dispatcher::sharedTokens(const RequestFacts &facts) const
+{
+    const auto tail = tailTokens_.find(facts.model);
+    return facts.promptTokens - (tail == tailTokens_.end() ? 0 : tail->second);
+}
+
+void Dispatcher::learnTail(const RequestFacts &facts)
+{
+    const double seen
+        = static_cast<double>(index_.seenBlocks(facts.blocks)) * termsOf(facts.model).blockTokens;
+    if (seen < facts.promptTokens * LeastSeenShare) {
+        return;
+    }
+    // A stochastic quantile: most tails are at most this long.
+    double &tail = tailTokens_[facts.model];
+    const double observed = facts.promptTokens - seen;
+    tail += observed > tail ? TailStepTokens * TailQuantile : -TailStepTokens * (1 - TailQuantile);
+    tail = std::max(0.0, tail);
+}
+
 void Dispatcher::place(Request &request, Instant now)
 {
     const auto &all = servers_.ofModel(request.facts.model);
@@ -307,7 +333,7 @@
     };
     server.own.inFlight += 1;
     server.own.longJobs += attempt.longJob ? 1 : 0;
-    server.own.waitingPrefill += attempt.waitingPrefill;
+    servers_.noteSent(choice.server, attempt.waitingPrefill, now);
     server.soloRuns += alone ? 1 : 0;
     if (server.health.state(now) == ServerHealth::State::HalfOpen) {
         server.health.noteProbeSent();
@@ -371,13 +397,14 @@
     return found == request.attempts.end() ? nullptr : &*found;
 }
 
-void Dispatcher::releaseLoad(const Attempt &attempt)
+void Dispatcher::releaseLoad(const Attempt &attempt, Instant now)
 {
     ServerState &server = servers_.at(attempt.slot);
     server.own.inFlight -= 1;
     server.own.longJobs -= attempt.longJob ? 1 : 0;
-    server.own.waitingPrefill -= attempt.firstToken ? 0 : attempt.waitingPrefill;
-    server.own.waitingPrefill = std::max(0.0, server.own.waitingPrefill);
+    if (!attempt.firstToken) {
+        servers_.noteComputed(attempt.slot, attempt.waitingPrefill, now);
+    }
     server.soloRuns -= attempt.alone ? 1 : 0;
 }
 
@@ -400,7 +427,7 @@
     }
     attempt->firstToken = true;
     ServerState &server = servers_.at(attempt->slot);
-    server.own.waitingPrefill = std::max(0.0, server.own.waitingPrefill - attempt->waitingPrefill);
+    servers_.noteComputed(attempt->slot, attempt->waitingPrefill, now);
     server.health.noteSuccess();
     if (auto *policy = std::get_if<PredictedCostPolicy>(&policy_)) {
         policy->noteFirstToken(request.facts.model, attempt->choice, server.health.slowdown(now),
@@ -416,7 +443,7 @@
             continue;
         }
         effects_.emplace_back(CancelAttempt { .id = request.facts.id, .attempt = other.number });
-        releaseLoad(other);
+        releaseLoad(other, now);
         request.record.noteMayHaveRun();
         removeAttempt(request, other.number);
     }
@@ -516,7 +543,7 @@
     }
     const Attempt attempt = *known;
     const ModelId model = request.facts.model;
-    releaseLoad(attempt);
+    releaseLoad(attempt, now);
     removeAttempt(request, message.attempt);
     request.deliveredTokens = std::max(request.deliveredTokens, message.deliveredTokens);
     if (message.end == AttemptEnd::Completed) {
@@ -605,7 +632,7 @@
     line.thrownAway = request.deliveredTokens;
     for (const Attempt &attempt : request.attempts) {
         effects_.emplace_back(CancelAttempt { .id = message.id, .attempt = attempt.number });
-        releaseLoad(attempt);
+        releaseLoad(attempt, now);
     }
     ledger_.add(request.facts.team, model, line);
     effects_.emplace_back(RequestAbandoned { .id = message.id });
@@ -671,7 +698,10 @@
         return;
     }
     const Attempt &attempt = request.attempts.front();
-    if (attempt.firstToken || attempt.alone) {
+    // While others wait for their first attempt, a second one would be work added to an overload.
+    const auto queue = queues_.find(request.facts.model);
+    const bool othersWait = queue != queues_.end() && queue->second.queue.size() > 0;
+    if (attempt.firstToken || attempt.alone || othersWait) {
         return;
     }
     const Duration patience = std::max(
--- a/Source/Routing/Dispatcher.h
+++ b/Source/Routing/Dispatcher.h
@@ -148,6 +148,8 @@
     [[nodiscard]] const ModelTerms &termsOf(const ModelId &model) const;
     [[nodiscard]] std::vector<ServerSlot> candidates(const Request &request, Instant now) const;
     [[nodiscard]] std::vector<ServerSlot> soloCandidates(const Request &request, Instant now) const;
+    [[nodiscard]] double sharedTokens(const RequestFacts &facts) const;
+    void learnTail(const RequestFacts &facts);
     [[nodiscard]] std::optional<Choice> chooseFor(Request &request,
                                                   std::span<const ServerSlot> slots, Instant now);
 
@@ -162,7 +164,7 @@
     [[nodiscard]] double fairWaitMs(const ModelQueue &queue, const Request &request) const;
 
     Attempt *findAttempt(Request &request, AttemptNumber number);
-    void releaseLoad(const Attempt &attempt);
+    void releaseLoad(const Attempt &attempt, Instant now);
     void removeAttempt(Request &request, AttemptNumber number);
     void complete(Request &request, const Attempt &attempt, const AttemptEnded &message,
                   Instant now);
@@ -189,6 +191,8 @@
     DispatcherCounters counters_;
     std::unordered_map<RequestId, Request> requests_;
     std::map<ModelId, ModelQueue> queues_;
+    /// Learned length of the part of a prompt that no other request shares.
+    std::map<ModelId, double> tailTokens_;
     std::map<TeamId, std::uint32_t> teamOpen_;
     std::map<ServerId, std::uint64_t> nextEvent_;
     std::vector<std::pair<ServerId, std::vector<BlockKey>>> storedForPeers_;
--- a/Source/Routing/PredictedCostPolicy.cpp
+++ b/Source/Routing/PredictedCostPolicy.cpp
@@ -9,8 +9,10 @@
 
 namespace {
 
-// Head lengths, in tokens, at which rendezvous order is tried; each is twice the one before.
-constexpr std::uint32_t FirstHeadTokens = 1024;
+// Head lengths, in tokens, at which rendezvous order is tried; the grid is fine enough that the
+// longest one below a prompt's end lies in its shared part.
+constexpr double FirstHeadTokens = 512;
+constexpr double HeadGrowth = 1.4142135;
 constexpr double TrustWeight = 0.02;
 constexpr double LeastTrust = 0.05;
 // Step of one observation in learning the two parts of the first-token time.
@@ -95,9 +97,15 @@
     // Longest assumed head for each candidate, by its place in `candidates`.
     std::vector<double> assumed(context.candidates.size(), 0);
     const auto &blocks = context.request.blocks;
-    for (std::size_t headTokens = FirstHeadTokens;
-         headTokens / context.terms.blockTokens <= blocks.size(); headTokens *= 2) {
-        const BlockKey head = blocks[headTokens / context.terms.blockTokens - 1];
+    for (double headTokens = FirstHeadTokens;; headTokens *= HeadGrowth) {
+        const auto headBlocks = static_cast<std::size_t>(headTokens / context.terms.blockTokens);
+        if (headBlocks > blocks.size() || headTokens > context.sharedTokens) {
+            break;
+        }
+        if (headBlocks == 0) {
+            continue;
+        }
+        const BlockKey head = blocks[headBlocks - 1];
         std::size_t first = 0;
         std::uint64_t bestScore = 0;
         for (std::size_t index = 0; index < context.candidates.size(); ++index) {
@@ -108,7 +116,7 @@
                 first = index;
             }
         }
-        assumed[first] = static_cast<double>(headTokens);
+        assumed[first] = static_cast<double>(headBlocks) * context.terms.blockTokens;
     }
 
     std::vector<std::pair<double, Choice>> costs;
@@ -116,8 +124,10 @@
     double least = 0;
     for (std::size_t index = 0; index < context.candidates.size(); ++index) {
         const Choice choice = evaluate(context, context.candidates[index], assumed[index]);
-        const double uncached
-            = std::max(0.0, context.request.promptTokens - choice.expectedCachedTokens);
+        // The price counts the assumed head in full, also on the first visit: every later request
+        // of any node looks for it there.
+        const double placed = choice.expectedCachedTokens + (1 - trust_) * choice.assumedTokens;
+        const double uncached = std::max(0.0, context.request.promptTokens - placed);
         const double cost = choice.predictedMs + uncached * context.terms.recomputePriceMsPerToken;
         least = costs.empty() ? cost : std::min(least, cost);
         costs.emplace_back(cost, choice);
--- a/Source/Routing/PredictedCostPolicy.h
+++ b/Source/Routing/PredictedCostPolicy.h
@@ -37,6 +37,8 @@
     const RequestFacts &request;
     LengthClass lengthClass;
     const ModelTerms &terms;
+    /// Leading tokens of the prompt that other requests probably share.
+    double sharedTokens;
     /// Servers that may be chosen.
     std::span<const ServerSlot> candidates;
     /// Leading blocks that each slot is believed to hold.
--- a/Source/Routing/ServerTable.cpp
+++ b/Source/Routing/ServerTable.cpp
@@ -125,14 +125,18 @@
     peers_.erase(peer);
 }
 
-ServerLoad ServerTable::totalLoad(ServerSlot slot, Instant now) const
+double ServerTable::prefillRate(const ServerState &row) const
 {
-    const ServerState &row = rows_[slot];
     const auto learned = prefillTimes_.find(row.facts.model);
-    const double rate = learned == prefillTimes_.end() || learned->second <= 0
-        ? row.facts.prefillTokensPerMs
-        : 1 / learned->second;
-    ServerLoad total = row.own;
+    return learned == prefillTimes_.end() || learned->second <= 0 ? row.facts.prefillTokensPerMs
+                                                                  : 1 / learned->second;
+}
+
+ServerLoad ServerTable::othersLoad(ServerSlot slot, Instant now) const
+{
+    const ServerState &row = rows_[slot];
+    const double rate = prefillRate(row);
+    ServerLoad total;
     bool anyPeer = false;
     for (const auto &[peer, loads] : peers_) {
         const auto found = loads.find(slot);
@@ -142,11 +146,47 @@
         }
     }
     if (!anyPeer && now - row.reportedAt < ReportLifetime) {
-        total += drained(row.reported, now - row.reportedAt, rate);
+        total = drained(row.reported, now - row.reportedAt, rate);
     }
     return total;
 }
 
+ServerLoad ServerTable::ownLoad(ServerSlot slot, Instant now) const
+{
+    const ServerState &row = rows_[slot];
+    ServerLoad load = row.own;
+    // The engine divides its time between our prompts and others'.
+    const double others = othersLoad(slot, now).waitingPrefill;
+    const double share = row.ownBacklog / std::max(1.0, row.ownBacklog + others);
+    const double done
+        = std::max(0.0, toMilliseconds(now - row.ownBacklogAt)) * prefillRate(row) * share;
+    load.waitingPrefill = std::clamp(row.ownBacklog - done, 0.0, row.own.waitingPrefill);
+    return load;
+}
+
+void ServerTable::noteSent(ServerSlot slot, double prefillTokens, Instant now)
+{
+    ServerState &row = rows_[slot];
+    row.ownBacklog = ownLoad(slot, now).waitingPrefill + prefillTokens;
+    row.ownBacklogAt = now;
+    row.own.waitingPrefill += prefillTokens;
+}
+
+void ServerTable::noteComputed(ServerSlot slot, double prefillTokens, Instant now)
+{
+    ServerState &row = rows_[slot];
+    row.own.waitingPrefill = std::max(0.0, row.own.waitingPrefill - prefillTokens);
+    row.ownBacklog = ownLoad(slot, now).waitingPrefill;
+    row.ownBacklogAt = now;
+}
+
+ServerLoad ServerTable::totalLoad(ServerSlot slot, Instant now) const
+{
+    ServerLoad total = ownLoad(slot, now);
+    total += othersLoad(slot, now);
+    return total;
+}
+
 void ServerTable::setPrefillTime(const ModelId &model, double msPerToken)
 {
     prefillTimes_[model] = msPerToken;
--- a/Source/Routing/ServerTable.h
+++ b/Source/Routing/ServerTable.h
@@ -62,8 +62,12 @@
     std::uint64_t incarnation = 0;
     std::string weights;
     ServerHealth health { ServerHealthOptions {} };
-    /// This node's own work, always exact.
+    /// This node's own work. In-flight counts are exact; waitingPrefill is the whole prompt
+    /// work of attempts without a first token.
     ServerLoad own;
+    /// The part of own.waitingPrefill that the engine has probably not computed yet.
+    double ownBacklog = 0;
+    Instant ownBacklogAt;
     /// Other nodes' work by the last report of the engine, less our own.
     ServerLoad reported;
     Instant reportedAt;
@@ -101,13 +105,20 @@
     /// Takes a report; true when it shows that the cache was lost, by restart or new weights.
     [[nodiscard]] bool noteReport(ServerSlot slot, const LoadReport &report, Instant now);
 
+    /// Notes prompt work sent to a server.
+    void noteSent(ServerSlot slot, double prefillTokens, Instant now);
+    /// Notes that prompt work ended, by its first token or the end of its attempt.
+    void noteComputed(ServerSlot slot, double prefillTokens, Instant now);
+    /// This node's own work, with prompt work drained by what the engine has done since.
+    [[nodiscard]] ServerLoad ownLoad(ServerSlot slot, Instant now) const;
+
     /// Takes a peer's own work on a server.
     void notePeerLoad(const NodeId &peer, ServerSlot slot, const ServerLoad &load, Instant now);
     /// Forgets a peer that left.
     void dropPeer(const NodeId &peer);
 
     /// All nodes' work on a server, as well as it is known at `now`: own work exactly, peers'
-    /// digests where they are fresh, and otherwise the engine's report, both drained by what the
+    /// digests where they are fresh, and otherwise the engine's report, each drained by what the
     /// engine will have done since.
     [[nodiscard]] ServerLoad totalLoad(ServerSlot slot, Instant now) const;
 
@@ -121,6 +132,9 @@
     [[nodiscard]] double usualGapMs(const ModelId &model) const;
 
 private:
+    [[nodiscard]] double prefillRate(const ServerState &row) const;
+    [[nodiscard]] ServerLoad othersLoad(ServerSlot slot, Instant now) const;
+
     struct PeerLoad
     {
         ServerLoad load;
