Routing: Rank by time instead of by class, hedge only silent or slow servers

Change: rank = arrival + class delay, in the node's queue and as engine priority in wall-clock milliseconds; hedges need a silent or slowed server and save up 2; the stand-in admits a sequence only when a step has prefill to spare, as continuous batching does; blocks are told to peers at the first token.

--- a/Source/Admission/FairQueue.cpp
+++ b/Source/Admission/FairQueue.cpp
@@ -8,9 +8,7 @@
 
 void FairQueue::push(QueuedRequest request)
 {
-    const Rank rank { .lengthClass = request.lengthClass,
-                      .deadline = request.deadline,
-                      .sequence = ++lastSequence_ };
+    const Rank rank { .rank = request.rank, .sequence = ++lastSequence_ };
     Team &team = teams_[request.team];
     if (team.waiting.empty()) {
         // An idle team gets no credit for the time in which it sent nothing.
--- a/Source/Admission/FairQueue.h
+++ b/Source/Admission/FairQueue.h
@@ -6,7 +6,6 @@
 #include <unordered_map>
 #include <vector>
 
-#include "Admission/LengthClass.h"
 #include "Core/Ids.h"
 #include "Core/Time.h"
 
@@ -19,7 +18,9 @@
     TeamId team;
     /// The team's share; larger goes more often.
     double weight = 1;
-    LengthClass lengthClass = LengthClass::Normal;
+    /// Place within the team: the earlier goes first. A long job's is later than a short one's
+    /// that came at the same time, but waiting brings it forward.
+    Instant rank;
     /// Work that it brings, in tokens.
     double work = 1;
     Instant deadline;
@@ -27,8 +28,7 @@
 
 /// Waiting requests of one model in start-time fair order: each team advances a virtual clock by
 /// work / weight, and the smallest clock goes first, so a team that floods the queue waits
-/// behind its own requests. Within a team the short go before the long and the earlier deadline
-/// before the later.
+/// behind its own requests. Within a team the earlier rank goes first.
 class FairQueue
 {
 public:
@@ -53,11 +53,10 @@
     [[nodiscard]] double waitingWork() const { return waitingWork_; }
 
 private:
-    /// Order within a team: class, then deadline, then arrival.
+    /// Order within a team: rank, then arrival.
     struct Rank
     {
-        LengthClass lengthClass;
-        Instant deadline;
+        Instant rank;
         std::uint64_t sequence;
         auto operator<=>(const Rank &) const = default;
     };
--- a/Source/EngineClient/ChatRequest.cpp
+++ b/Source/EngineClient/ChatRequest.cpp
@@ -115,7 +115,7 @@
     body["stream_options"]["include_usage"] = true;
     body["request_id"] = options.attemptId;
     body["cache_salt"] = options.cacheSalt;
-    body["priority"] = options.priority;
+    body["priority"] = Json::Int64(options.priority);
     if (options.resumeAfterTokens > 0) {
         body["resume_after_tokens"] = options.resumeAfterTokens;
     }
--- a/Source/EngineClient/ChatRequest.h
+++ b/Source/EngineClient/ChatRequest.h
@@ -33,7 +33,8 @@
 {
     std::string attemptId;
     std::string cacheSalt;
-    int priority = 0;
+    /// Lower goes first.
+    std::int64_t priority = 0;
     std::uint32_t resumeAfterTokens = 0;
 };
 
--- a/Source/Load/Workload.cpp
+++ b/Source/Load/Workload.cpp
@@ -36,7 +36,7 @@
                     { .share = 0.5, .leastOutput = 50, .mostOutput = 110 },
                     { .share = 0.05, .leastOutput = 300, .mostOutput = 600 } },
           .ratedPerSecond = 26,
-          .recomputePriceMsPerToken = 0.05 },
+          .recomputePriceMsPerToken = 0.4 },
         { .name = "drenthe",
           .model = "voerbrein",
           .service = "depot",
@@ -55,7 +55,7 @@
                     { .share = 0.1, .leastOutput = 60, .mostOutput = 140 },
                     { .share = 0.12, .leastOutput = 500, .mostOutput = 1000 } },
           .ratedPerSecond = 26,
-          .recomputePriceMsPerToken = 0.3 },
+          .recomputePriceMsPerToken = 0.8 },
     } };
     return All;
 }
--- a/Source/Node/ModelSession.cpp
+++ b/Source/Node/ModelSession.cpp
@@ -1,6 +1,7 @@
 #include "Node/ModelSession.h"
 
 #include <algorithm>
+#include <cmath>
 #include <utility>
 
 #include <json/value.h>
@@ -8,6 +9,7 @@
 #include "Core/Json.h"
 #include "EngineClient/EngineHeaders.h"
 #include "Node/Refusal.h"
+#include "Node/ServiceSession.h"
 
 namespace jacinthroad {
 
@@ -25,6 +27,13 @@
     return id.text() + "." + std::to_string(number);
 }
 
+/// The priority that engines take, lower first: the rank in wall-clock milliseconds, so that the
+/// requests of all nodes compare.
+std::int64_t enginePriority(const std::optional<Instant> &rank, Instant now)
+{
+    return rank.has_value() ? wallMilliseconds() + std::llround(toMilliseconds(*rank - now)) : 0;
+}
+
 } // namespace
 
 ModelSession::ModelSession(Traffic &traffic, std::shared_ptr<ResponseWriter> writer,
@@ -76,7 +85,7 @@
                     .body = engineBody(options_.chat,
                                        { .attemptId = attemptId,
                                          .cacheSalt = cacheSalt(options_.salt),
-                                         .priority = static_cast<int>(effect.priority),
+                                         .priority = enginePriority(effect.rank, now),
                                          .resumeAfterTokens = delivered_ }) };
     const ServerId server = effect.server;
     attempt->call
--- a/Source/Routing/Dispatcher.cpp
+++ b/Source/Routing/Dispatcher.cpp
@@ -1,6 +1,7 @@
 #include "Routing/Dispatcher.h"
 
 #include <algorithm>
+#include <array>
 #include <cmath>
 #include <utility>
 
@@ -23,6 +24,9 @@
 constexpr double LeastSeenShare = 0.7;
 constexpr double TailQuantile = 0.9;
 constexpr double TailStepTokens = 16;
+// How much later a job of each class ranks, as a share of the first-token objective.
+constexpr std::array<double, LengthClassCount> ClassDelayShares { 0, 0.2, 0.5 };
+constexpr double HedgeSlowdown = 2;
 constexpr double LeastRetryAfterMs = 100;
 constexpr double MostRetryAfterMs = 10000;
 constexpr std::size_t MostStoredForPeers = 4096;
@@ -33,11 +37,6 @@
     return mix64(names, facts.outputBound.value_or(0));
 }
 
-EnginePriority priorityOf(LengthClass lengthClass)
-{
-    return static_cast<EnginePriority>(lengthClass);
-}
-
 } // namespace
 
 Dispatcher::Dispatcher(DispatcherOptions options)
@@ -48,7 +47,7 @@
     , index_(options_.index)
     , outputLength_(OutputLengthGroups)
     , retries_(options_.retryShare, options_.retryReserve)
-    , hedges_(options_.hedgeShare, options_.retryReserve)
+    , hedges_(options_.hedgeShare, options_.hedgeReserve)
     , quarantine_(options_.quarantine)
 { }
 
@@ -275,6 +274,13 @@
     return ahead * meanWork / queue.workPerMs;
 }
 
+Instant Dispatcher::rankOf(const Request &request) const
+{
+    const double targetMs = termsOf(request.facts.model).firstTokenTargetMs;
+    const double share = ClassDelayShares[static_cast<std::size_t>(request.lengthClass)];
+    return request.facts.arrived + fromMilliseconds(share * targetMs);
+}
+
 void Dispatcher::enqueue(Request &request, Instant now)
 {
     ModelQueue &queue = queues_[request.facts.model];
@@ -291,7 +297,7 @@
     queue.queue.push({ .id = request.facts.id,
                        .team = request.facts.team,
                        .weight = request.teamWeight,
-                       .lengthClass = request.lengthClass,
+                       .rank = rankOf(request),
                        .work = uncached,
                        .deadline = request.limit });
     if (admits(policy_) && now + fromMilliseconds(fairWaitMs(queue, request)) > request.limit) {
@@ -341,13 +347,13 @@
     index_.noteStored(choice.server, request.facts.blocks, now);
     request.record.noteStarted();
     request.attempts.push_back(attempt);
-    effects_.emplace_back(StartAttempt {
-        .id = request.facts.id,
-        .attempt = attempt.number,
-        .server = server.facts.id,
-        .priority = admits(policy_) ? priorityOf(request.lengthClass) : EnginePriority::Normal,
-        .resumeAfterTokens = request.deliveredTokens,
-        .predictedMs = choice.predictedMs });
+    effects_.emplace_back(
+        StartAttempt { .id = request.facts.id,
+                       .attempt = attempt.number,
+                       .server = server.facts.id,
+                       .rank = admits(policy_) ? std::optional(rankOf(request)) : std::nullopt,
+                       .resumeAfterTokens = request.deliveredTokens,
+                       .predictedMs = choice.predictedMs });
 }
 
 void Dispatcher::pump(const ModelId &model, Instant now)
@@ -429,6 +435,8 @@
     ServerState &server = servers_.at(attempt->slot);
     servers_.noteComputed(attempt->slot, attempt->waitingPrefill, now);
     server.health.noteSuccess();
+    server.lastHeard = now;
+    noteStoredForPeers(attempt->slot, request.facts.blocks);
     if (auto *policy = std::get_if<PredictedCostPolicy>(&policy_)) {
         policy->noteFirstToken(request.facts.model, attempt->choice, server.health.slowdown(now),
                                toMilliseconds(now - attempt->started));
@@ -506,6 +514,7 @@
                           Instant now)
 {
     request.record.noteRan();
+    servers_.at(attempt.slot).lastHeard = now;
     quarantine_.noteFinished(request.facts.fingerprint, now);
     servers_.at(attempt.slot).health.noteSuccess();
     outputLength_.observe(lengthGroup(request.facts), message.deliveredTokens);
@@ -516,9 +525,6 @@
         index_.noteObserved(attempt.slot, request.facts.blocks,
                             static_cast<std::size_t>(cached / blockTokens), now);
         index_.noteStored(attempt.slot, request.facts.blocks, now);
-        if (storedForPeers_.size() < MostStoredForPeers) {
-            storedForPeers_.emplace_back(servers_.at(attempt.slot).facts.id, request.facts.blocks);
-        }
         if (auto *policy = std::get_if<PredictedCostPolicy>(&policy_)) {
             policy->noteAssumption(attempt.choice.assumedTokens, cached - attempt.matchedTokens);
         }
@@ -640,6 +646,14 @@
     pump(model, now);
 }
 
+void Dispatcher::noteStoredForPeers(ServerSlot slot, std::span<const BlockKey> keys)
+{
+    if (storedForPeers_.size() < MostStoredForPeers) {
+        storedForPeers_.emplace_back(servers_.at(slot).facts.id,
+                                     std::vector<BlockKey>(keys.begin(), keys.end()));
+    }
+}
+
 void Dispatcher::dropCache(ServerSlot slot)
 {
     index_.newEpoch(slot);
@@ -709,6 +723,13 @@
     if (now - attempt.started < patience) {
         return;
     }
+    // A server that answers others is only busy, and a second attempt would add to the work; one
+    // that is silent or slowed is what hedges are for.
+    const ServerState &server = servers_.at(attempt.slot);
+    const bool silent = now - std::max(server.lastHeard, attempt.started) > patience / 2;
+    if (!silent && server.health.slowdown(now) < HedgeSlowdown) {
+        return;
+    }
     std::vector<ServerSlot> others = candidates(request, now);
     std::erase(others, attempt.slot);
     const auto choice = chooseFor(request, others, now);
--- a/Source/Routing/Dispatcher.h
+++ b/Source/Routing/Dispatcher.h
@@ -40,6 +40,8 @@
     Duration hedgeMinimum = milliseconds(400);
     /// Hedges allowed for each first attempt.
     double hedgeShare = 0.03;
+    /// Hedges that a team may save up.
+    double hedgeReserve = 2;
     /// Most requests that wait for one model; further ones are refused.
     std::size_t maximumQueue = 4096;
     /// Share of a model's servers kept in use whatever their health says.
@@ -156,6 +158,8 @@
     /// Sends the request off, or queues it, or refuses it.
     void place(Request &request, Instant now);
     [[nodiscard]] bool tryStart(Request &request, Instant now);
+    /// Place among waiting requests, in this node and at the engine.
+    [[nodiscard]] Instant rankOf(const Request &request) const;
     void enqueue(Request &request, Instant now);
     void start(Request &request, const Choice &choice, bool alone, bool hedge, Instant now);
     void pump(const ModelId &model, Instant now);
@@ -175,6 +179,7 @@
     void refuse(Request &request, ErrorKind kind, Instant now);
     void forget(const RequestId &id);
     void measureThroughput(ModelQueue &queue, Instant now);
+    void noteStoredForPeers(ServerSlot slot, std::span<const BlockKey> keys);
     void dropCache(ServerSlot slot);
 
     DispatcherOptions options_;
--- a/Source/Routing/DispatcherMessages.h
+++ b/Source/Routing/DispatcherMessages.h
@@ -123,16 +123,15 @@
     = std::variant<RequestArrived, FirstTokenSeen, AttemptProgress, AttemptEnded, CallerLeft,
                    ServerReported, CacheEventsSeen, PeerReported, TimePassed, DrainBegun>;
 
-/// Priority passed to the engine; lower goes first.
-enum class EnginePriority : std::uint8_t { High = 0, Normal = 1, Low = 2 };
-
 /// Send the request to a server.
 struct StartAttempt
 {
     RequestId id;
     AttemptNumber attempt = 0;
     ServerId server;
-    EnginePriority priority = EnginePriority::Normal;
+    /// Place in the engine's queue: the earlier goes first. Absent to leave the order to the
+    /// engine. Long jobs rank later than short ones, and every one comes forward with time.
+    std::optional<Instant> rank;
     /// Tokens to leave out because the caller has them.
     std::uint32_t resumeAfterTokens = 0;
     /// Predicted time to the first token, in milliseconds.
--- a/Source/Routing/ServerTable.cpp
+++ b/Source/Routing/ServerTable.cpp
@@ -195,6 +195,7 @@
 void ServerTable::noteTokenGap(ServerSlot slot, double gapMs, Instant now)
 {
     ServerState &row = rows_[slot];
+    row.lastHeard = now;
     row.tokenGapMs
         = row.tokenGapMs == 0 ? gapMs : row.tokenGapMs + GapWeight * (gapMs - row.tokenGapMs);
     const double usual = usualGapMs(row.facts.model);
--- a/Source/Routing/ServerTable.h
+++ b/Source/Routing/ServerTable.h
@@ -71,6 +71,8 @@
     /// Other nodes' work by the last report of the engine, less our own.
     ServerLoad reported;
     Instant reportedAt;
+    /// When a token or an answer of this server last came.
+    Instant lastHeard;
     /// Mean gap between tokens that this node saw, in milliseconds; 0 before the first.
     double tokenGapMs = 0;
     /// Suspect requests that run alone here for this node.
--- a/Source/StandIns/EngineStandIn.cpp
+++ b/Source/StandIns/EngineStandIn.cpp
@@ -69,7 +69,7 @@
     std::uint32_t prefillThisStep = 0;
     std::uint32_t outputTokens = 0;
     std::uint32_t produced = 0;
-    int priority = 0;
+    std::int64_t priority = 0;
     std::uint64_t arrival = 0;
     bool chat = true;
     bool crashes = false;
@@ -212,7 +212,7 @@
     sequence->promptTokens = static_cast<std::uint32_t>(chat->prompt.size() / BytesPerToken) + 1;
     sequence->outputTokens = outputTokensOf(body);
     sequence->produced = body["resume_after_tokens"].asUInt();
-    sequence->priority = body["priority"].asInt();
+    sequence->priority = body["priority"].asInt64();
     sequence->crashes = chat->prompt.find(CrashText) != std::string::npos;
     sequence->silent = silenceNext_ > 0 && silenceNext_-- > 0;
     sequence->crossed = crossNext_ > 0 && crossNext_-- > 0;
@@ -238,45 +238,53 @@
     wake_.notify_all();
 }
 
-void EngineStandIn::admitWaiting()
+void EngineStandIn::dropCancelled()
 {
     std::erase_if(waiting_, [](const auto &sequence) { return sequence->cancelled.load(); });
     std::erase_if(running_, [](const auto &sequence) { return sequence->cancelled.load(); });
     std::sort(waiting_.begin(), waiting_.end(), [](const auto &a, const auto &b) {
         return std::pair(a->priority, a->arrival) < std::pair(b->priority, b->arrival);
     });
-    while (!waiting_.empty() && running_.size() < options_.slots) {
-        const std::shared_ptr<Sequence> sequence = waiting_.front();
-        waiting_.erase(waiting_.begin());
-        const std::size_t found = cache_.match(sequence->blocks);
-        sequence->cachedTokens = static_cast<std::uint32_t>(found) * options_.blockTokens;
-        sequence->prefillLeft = std::max(1U, sequence->promptTokens - sequence->cachedTokens);
-        if (options_.judge != nullptr) {
-            options_.judge->notePrompt(sequence->blocks, found, sequence->promptTokens,
-                                       options_.blockTokens);
-        }
-        running_.push_back(sequence);
+}
+
+void EngineStandIn::admitFirst()
+{
+    const std::shared_ptr<Sequence> sequence = waiting_.front();
+    waiting_.erase(waiting_.begin());
+    const std::size_t found = cache_.match(sequence->blocks);
+    sequence->cachedTokens = static_cast<std::uint32_t>(found) * options_.blockTokens;
+    sequence->prefillLeft = std::max(1U, sequence->promptTokens - sequence->cachedTokens);
+    if (options_.judge != nullptr) {
+        options_.judge->notePrompt(sequence->blocks, found, sequence->promptTokens,
+                                   options_.blockTokens);
     }
+    running_.push_back(sequence);
 }
 
 double EngineStandIn::planStep()
 {
-    admitWaiting();
+    dropCancelled();
     std::uint32_t budget = options_.prefillTokensPerStep;
     double duration = options_.stepMs;
-    std::vector<std::shared_ptr<Sequence>> ordered = running_;
-    std::stable_sort(ordered.begin(), ordered.end(),
-                     [](const auto &a, const auto &b) { return a->priority < b->priority; });
-    for (const auto &sequence : ordered) {
-        sequence->prefillThisStep = 0;
-        sequence->decoding = sequence->prefillLeft == 0;
-        if (sequence->decoding) {
+    const auto plan = [&](Sequence &sequence) {
+        sequence.prefillThisStep = 0;
+        sequence.decoding = sequence.prefillLeft == 0;
+        if (sequence.decoding) {
             duration += options_.stepMsPerSequence;
-            continue;
+            return;
         }
-        sequence->prefillThisStep = std::min(budget, sequence->prefillLeft);
-        budget -= sequence->prefillThisStep;
-        duration += sequence->prefillThisStep / options_.prefillTokensPerMs;
+        sequence.prefillThisStep = std::min(budget, sequence.prefillLeft);
+        budget -= sequence.prefillThisStep;
+        duration += sequence.prefillThisStep / options_.prefillTokensPerMs;
+    };
+    for (const auto &sequence : running_) {
+        plan(*sequence);
+    }
+    // A waiting sequence begins only when the step has prefill to spare, and looks into the
+    // cache only then, so it finds what those before it computed.
+    while (budget > 0 && !waiting_.empty() && running_.size() < options_.slots) {
+        admitFirst();
+        plan(*running_.back());
     }
     return duration;
 }
--- a/Source/StandIns/EngineStandIn.h
+++ b/Source/StandIns/EngineStandIn.h
@@ -107,7 +107,8 @@
     /// Plans one step under the lock and returns its duration in model milliseconds.
     [[nodiscard]] double planStep();
     void finishStep();
-    void admitWaiting();
+    void dropCancelled();
+    void admitFirst();
     void emitToken(Sequence &sequence);
     void endSequence(Sequence &sequence);
     [[nodiscard]] LoadReport currentLoad() const;
--- a/Tests/Admission/AdmissionTest.cpp
+++ b/Tests/Admission/AdmissionTest.cpp
@@ -8,12 +8,12 @@
 namespace {
 
 QueuedRequest request(const std::string &id, const std::string &team, double weight = 1,
-                      LengthClass lengthClass = LengthClass::Normal)
+                      int rankMs = 0)
 {
     return { .id = RequestId(id),
              .team = TeamId(team),
              .weight = weight,
-             .lengthClass = lengthClass,
+             .rank = Instant() + milliseconds(rankMs),
              .work = 100,
              .deadline = Instant() + std::chrono::seconds(1) };
 }
@@ -79,11 +79,11 @@
     BOOST_TEST(fresh <= 6);
 }
 
-BOOST_AUTO_TEST_CASE(shortGoBeforeLongWithinATeam)
+BOOST_AUTO_TEST_CASE(earlierRankGoesFirstWithinATeam)
 {
     FairQueue queue;
-    queue.push(request("l", "t", 1, LengthClass::Long));
-    queue.push(request("s", "t", 1, LengthClass::Short));
+    queue.push(request("l", "t", 1, 900));
+    queue.push(request("s", "t", 1, 0));
     BOOST_TEST(orderOf(queue) == "sl");
 }
 
