--- a/Source/Configuration/Configuration.cpp
+++ b/Source/Configuration/Configuration.cpp
@@ -192,7 +192,8 @@
                 .recomputePriceMsPerToken = reader.number("recompute_price_ms_per_token"),
                 .firstTokenTargetMs = reader.number("first_token_target_ms"),
                 .firstTokenLimitMs = reader.number("first_token_limit_ms"),
-                .tokenGapTargetMs = reader.number("token_gap_target_ms") };
+                .tokenGapTargetMs = reader.number("token_gap_target_ms"),
+                .objectiveShare = reader.number("objective_share") };
     }
     for (const std::string &name : document["backend_servers"].getMemberNames()) {
         const FieldReader reader(backendServerSchema(), document["backend_servers"][name]);
--- a/Source/Configuration/Configuration.h
+++ b/Source/Configuration/Configuration.h
@@ -33,6 +33,8 @@
     double firstTokenTargetMs = 0;
     double firstTokenLimitMs = 0;
     double tokenGapTargetMs = 0;
+    /// Share of events that has to meet the targets.
+    double objectiveShare = 0.95;
 };
 
 /// One model engine.
--- a/Source/Configuration/ConfigurationSchema.cpp
+++ b/Source/Configuration/ConfigurationSchema.cpp
@@ -28,7 +28,7 @@
 } };
 constexpr ObjectSchema TeamSchema { "Team", TeamFields };
 
-constexpr std::array<FieldRule, 7> ModelFields { {
+constexpr std::array<FieldRule, 8> ModelFields { {
     { .name = "version",
       .type = FieldType::String,
       .required = true,
@@ -72,6 +72,12 @@
       .maximum = 60000,
       .unit = "ms",
       .help = "objective for the gap between tokens in 95 of 100" },
+    { .name = "objective_share",
+      .type = FieldType::Number,
+      .defaultText = "0.95",
+      .minimum = 0.5,
+      .maximum = 0.99999,
+      .help = "share of events that has to meet the targets; the rest is the error budget" },
 } };
 constexpr ObjectSchema ModelSchema { "Model", ModelFields };
 
--- a/Source/Load/Bench.h
+++ b/Source/Load/Bench.h
@@ -57,6 +57,10 @@
     [[nodiscard]] bool startNode(std::size_t index);
 
     [[nodiscard]] std::vector<std::unique_ptr<EngineStandIn>> &engines() { return engines_; }
+    [[nodiscard]] const std::vector<std::unique_ptr<EngineStandIn>> &engines() const
+    {
+        return engines_;
+    }
     [[nodiscard]] PlatformStandIn &platform() { return platform_; }
     [[nodiscard]] ComputeJudge &judge() { return judge_; }
     [[nodiscard]] std::vector<std::unique_ptr<ServiceStandIn>> &services() { return services_; }
--- a/Source/Load/Demo.cpp
+++ b/Source/Load/Demo.cpp
@@ -15,6 +15,7 @@
 #include "Core/Json.h"
 #include "Load/Bench.h"
 #include "Load/LoadClient.h"
+#include "Load/PropertyRun.h"
 
 namespace jacinthroad {
 
@@ -262,39 +263,10 @@
 
 DemoResult DemoRun::judge()
 {
-    std::uint64_t completed = 0;
-    std::uint64_t refused = 0;
-    std::uint64_t broken = 0;
-    std::uint64_t crossed = 0;
-    std::uint64_t cut = 0;
-    std::uint64_t falseNotRun = 0;
-    std::uint64_t failed = 0;
-    const auto executions = bench_.engineExecutions();
-    const auto bookings = bench_.serviceExecutions();
-    const std::vector<CallerRecord> records = client_.records();
-    for (const CallerRecord &record : records) {
-        completed += record.outcome == CallerOutcome::Completed ? 1 : 0;
-        refused += record.outcome == CallerOutcome::RefusedNotRun ? 1 : 0;
-        broken += record.outcome == CallerOutcome::Broken ? 1 : 0;
-        crossed += record.outcome == CallerOutcome::Crossed ? 1 : 0;
-        failed += record.outcome == CallerOutcome::Failed ? 1 : 0;
-        cut += record.errorKind == "connection" ? 1 : 0;
-        if (record.outcome == CallerOutcome::RefusedNotRun) {
-            const auto &ran = record.toService ? bookings : executions;
-            falseNotRun += ran.contains(record.toService ? record.idempotencyKey : record.requestId)
-                ? 1
-                : 0;
-        }
-    }
-    std::uint64_t duplicates = 0;
-    for (const auto &[key, count] : bookings) {
-        duplicates += count > 1 ? 1 : 0;
-    }
-    std::uint64_t sharedSalts = 0;
+    const PromiseCounts counts = countPromises(bench_, client_.records());
     std::uint64_t afterLeaving = 0;
     std::uint64_t crashes = 0;
     for (const auto &engine : bench_.engines()) {
-        sharedSalts += engine->counters().sharedSalts;
         afterLeaving += engine->counters().afterLeaving;
         crashes += engine->counters().crashes;
     }
@@ -303,29 +275,35 @@
     DemoResult result;
     result.promises = {
         { "no cache entry of a dead engine, another team or old weights",
-          sharedSalts == 0 && crashes > 0,
-          count(sharedSalts) + " prompts under another team's salt; " + count(crashes)
+          counts.sharedSalts == 0 && crashes > 0,
+          count(counts.sharedSalts) + " prompts under another team's salt; " + count(crashes)
               + " engine crashes" },
-        { "every stream arrives complete and in order", broken == 0 && crossed == 0,
-          count(broken) + " broken, " + count(crossed) + " out of order" },
+        { "every stream arrives complete and in order",
+          counts.brokenStreams == 0 && counts.crossedStreams == 0,
+          count(counts.brokenStreams) + " broken, " + count(counts.crossedStreams)
+              + " out of order" },
         { "a restarted router serves at once", restarted_ && restartTook_ < RestartLimit,
           "ready " + wholeMs(restartTook_) + " after its start, platform away" },
-        { "everybody gets the whole answer to their own request", crossed == 0 && allAnswered_,
-          count(crossed) + " foreign tokens; " + count(completed) + " whole answers" },
-        { "a refusal that says 'not run' is true", falseNotRun == 0,
-          count(falseNotRun) + " of " + count(refused) + " such refusals had run" },
-        { "a booking runs at most once", duplicates == 0 && !bookings.empty(),
-          count(duplicates) + " of " + count(bookings.size()) + " bookings ran twice" },
+        { "everybody gets the whole answer to their own request",
+          counts.crossedStreams == 0 && allAnswered_,
+          count(counts.crossedStreams) + " foreign tokens; " + count(counts.completed)
+              + " whole answers" },
+        { "a refusal that says 'not run' is true", counts.falseNotRun == 0,
+          count(counts.falseNotRun) + " of " + count(counts.refusedNotRun)
+              + " such refusals had run" },
+        { "a booking runs at most once", counts.duplicateExecutions == 0 && counts.bookings > 0,
+          count(counts.duplicateExecutions) + " of " + count(counts.bookings)
+              + " bookings ran twice" },
         { "a leaving backend server gets no new work after 3 s",
           afterLeaving == 0 && markedLeaving_, count(afterLeaving) + " requests came later" },
-        { "a planned stop cuts no request", stopClean_ && cut == 0,
-          count(cut) + " connections cut" },
+        { "a planned stop cuts no request", stopClean_ && counts.cutConnections == 0,
+          count(counts.cutConnections) + " connections cut" },
         { "an accepted patch is in force everywhere within 4 s", patched,
           count(patches_) + " patches, the slowest " + wholeMs(slowestPatch_) },
     };
-    result.summary = count(records.size()) + " requests: " + count(completed) + " answered whole, "
-        + count(refused) + " refused as not run, " + count(failed)
-        + " refused with another verdict";
+    result.summary = count(counts.requests) + " requests: " + count(counts.completed)
+        + " answered whole, " + count(counts.refusedNotRun) + " refused as not run, "
+        + count(counts.failed) + " refused with another verdict";
     return result;
 }
 
--- a/Source/Load/Experiment.cpp
+++ b/Source/Load/Experiment.cpp
@@ -5,6 +5,7 @@
 #include <utility>
 
 #include "Load/Bench.h"
+#include "Load/PropertyRun.h"
 
 namespace jacinthroad {
 
@@ -13,7 +14,7 @@
 constexpr double SlowBegins = 0.25;
 constexpr double CrashesBegin = 0.34;
 constexpr double CrestShare = 0.25;
-constexpr Duration AnswerPatience = std::chrono::seconds(20);
+constexpr Duration AnswerPatience = std::chrono::seconds(90);
 
 class PolicyRun
 {
@@ -96,11 +97,8 @@
         std::vector<double> gapsRated;
         std::vector<double> shortWaits;
         double good = 0;
-        const auto executions = bench_.engineExecutions();
-        const auto bookings = bench_.serviceExecutions();
         const double target = bench_.options().firstTokenTargetMs;
         for (const CallerRecord &record : client_.records()) {
-            countOutcome(record, result, executions, bookings);
             if (record.toService || record.outcome != CallerOutcome::Completed) {
                 continue;
             }
@@ -132,40 +130,18 @@
         return result;
     }
 
-    void countOutcome(const CallerRecord &record, PolicyFigures &result,
-                      const std::map<std::string, int> &executions,
-                      const std::map<std::string, int> &bookings) const
-    {
-        ++result.requests;
-        switch (record.outcome) {
-        case CallerOutcome::Completed:
-            ++result.completed;
-            break;
-        case CallerOutcome::RefusedNotRun: {
-            ++result.refusedNotRun;
-            const auto &ran = record.toService ? bookings : executions;
-            const auto &name = record.toService ? record.idempotencyKey : record.requestId;
-            result.falseNotRun += ran.contains(name) ? 1 : 0;
-            break;
-        }
-        case CallerOutcome::Failed:
-            ++result.failed;
-            break;
-        case CallerOutcome::Broken:
-            ++result.brokenStreams;
-            break;
-        case CallerOutcome::Crossed:
-            ++result.crossedStreams;
-            break;
-        }
-    }
-
     void takeBenchFigures(PolicyFigures &result) const
     {
         auto &bench = const_cast<Bench &>(bench_);
-        for (const auto &[key, count] : bench_.serviceExecutions()) {
-            result.duplicateExecutions += count > 1 ? 1 : 0;
-        }
+        const PromiseCounts counts = countPromises(bench_, client_.records());
+        result.requests = counts.requests;
+        result.completed = counts.completed;
+        result.refusedNotRun = counts.refusedNotRun;
+        result.failed = counts.failed;
+        result.brokenStreams = counts.brokenStreams;
+        result.crossedStreams = counts.crossedStreams;
+        result.falseNotRun = counts.falseNotRun;
+        result.duplicateExecutions = counts.duplicateExecutions;
         LedgerLine total = bench.judge().total();
         total -= computeBefore_;
         std::uint64_t again = 0;
--- a/Source/Load/LoadClient.cpp
+++ b/Source/Load/LoadClient.cpp
@@ -15,7 +15,7 @@
 
 constexpr std::size_t ClientThreads = 3;
 constexpr int StatusOk = 200;
-constexpr Duration CallTimeout = std::chrono::seconds(60);
+constexpr Duration CallTimeout = std::chrono::seconds(120);
 
 std::string modelBody(const Profile &profile, const PlannedRequest &request)
 {
--- a/Source/Node/Node.cpp
+++ b/Source/Node/Node.cpp
@@ -12,6 +12,8 @@
 #include <unordered_map>
 #include <utility>
 
+#include "Burn/BurnReport.h"
+#include "Burn/BurnTracker.h"
 #include "Claims/ClaimBook.h"
 #include "Configuration/PatchLog.h"
 #include "Core/Hashing.h"
@@ -157,6 +159,7 @@
     void carryOut(const RefuseRequest &effect);
     void carryOut(const RequestFinished &effect);
     void carryOut(const RequestAbandoned &effect);
+    void carryOut(const ObjectiveObserved &effect);
 
     void arrive(const RequestId &id, const std::shared_ptr<ModelSession> &session,
                 RequestArrived arrived, Instant now);
@@ -173,6 +176,7 @@
     Json::Value statusJson(Instant now) const;
     Json::Value computeJson() const;
     Json::Value historyJson() const;
+    Json::Value burnJson(Instant now) const;
     Result<Json::Value> submitPatch(const Json::Value &parameters);
 
     NodeSettings settings_;
@@ -185,6 +189,7 @@
     ClaimBook claims_;
     PatchLog patches_;
     NodeMetrics metrics_;
+    BurnTracker burn_;
     std::unique_ptr<HttpClient> platformHttp_;
     std::unique_ptr<PlatformClient> platform_;
     std::unique_ptr<PlatformSync> sync_;
@@ -430,6 +435,12 @@
     modelSessions_.erase(effect.id);
 }
 
+void Node::Parts::carryOut(const ObjectiveObserved &effect)
+{
+    burn_.note(effect.team, effect.model, effect.objective, effect.met,
+               std::chrono::steady_clock::now());
+}
+
 void Node::Parts::apply(const std::vector<ClaimEffect> &effects)
 {
     const auto take = [this](const RequestId &id) {
@@ -735,6 +746,25 @@
     return body;
 }
 
+Json::Value Node::Parts::burnJson(Instant now) const
+{
+    std::map<ModelId, double> shares;
+    for (const auto &[id, model] : configuration_->models) {
+        shares[id] = model.objectiveShare;
+    }
+    Json::Value body;
+    body["node"] = settings_.name;
+    body["lines"] = burnLinesJson(burn_.lines(now), shares);
+    body["peers"] = Json::Value(Json::arrayValue);
+    for (const auto &[id, peer] : peers_->table().peers()) {
+        Json::Value entry;
+        entry["node"] = id.text();
+        entry["operator_url"] = peer.identity.operatorUrl;
+        body["peers"].append(entry);
+    }
+    return body;
+}
+
 Json::Value Node::Parts::historyJson() const
 {
     Json::Value body;
@@ -825,6 +855,7 @@
         .patchConfiguration
         = [this](const Json::Value &parameters) { return submitPatch(parameters); },
         .history = [this, asked] { return asked([this](Instant) { return historyJson(); }); },
+        .burn = [this, asked] { return asked([this](Instant now) { return burnJson(now); }); },
         .compute = [this, asked] { return asked([this](Instant) { return computeJson(); }); },
         .patchesAfter =
             [this, asked](std::uint64_t after) {
--- a/Source/Node/OperatorApi.cpp
+++ b/Source/Node/OperatorApi.cpp
@@ -67,6 +67,7 @@
         bind("config.get", &Rpc::getConfiguration);
         bind("config.patch", &Rpc::patchConfiguration);
         bind("config.history", &Rpc::history);
+        bind("report.burn", &Rpc::burn);
         bind("report.compute", &Rpc::compute);
         bind("peer.patches", &Rpc::patches);
     }
@@ -108,6 +109,7 @@
     {
         result = valueOrThrow(actions_.history());
     }
+    void burn(const Json::Value &, Json::Value &result) { result = valueOrThrow(actions_.burn()); }
     void compute(const Json::Value &, Json::Value &result)
     {
         result = valueOrThrow(actions_.compute());
--- a/Source/Node/OperatorApi.h
+++ b/Source/Node/OperatorApi.h
@@ -27,6 +27,7 @@
     std::function<Result<Json::Value>()> getConfiguration;
     std::function<Result<Json::Value>(const Json::Value &parameters)> patchConfiguration;
     std::function<Result<Json::Value>()> history;
+    std::function<Result<Json::Value>()> burn;
     std::function<Result<Json::Value>()> compute;
     /// Patch objects after a version, for peers.
     std::function<Result<Json::Value>(std::uint64_t after)> patchesAfter;
--- a/Source/Node/PeerExchange.cpp
+++ b/Source/Node/PeerExchange.cpp
@@ -82,15 +82,22 @@
     return message;
 }
 
+void PeerExchange::refillBudget(Instant now)
+{
+    constexpr double MillisecondsPerSecond = 1000;
+    // Nothing is saved up beyond one round, also not before the first.
+    const Duration passed = std::min<Duration>(now - budgetAt_.value_or(now), options_.interval);
+    budgetBytes_ = std::min(budgetBytes_, 0.0)
+        + toMilliseconds(passed) / MillisecondsPerSecond * options_.bytesPerSecond;
+    budgetAt_ = now;
+}
+
 std::vector<PeerDatagram> PeerExchange::round(Dispatcher &dispatcher, Instant now)
 {
     std::vector<PeerDatagram> result;
     const std::vector<std::string> targets = table_.targets();
     gatherStored(dispatcher);
-    const double seconds = std::min(1.0, toMilliseconds(now - budgetAt_) / 1000);
-    budgetBytes_ = std::min<double>(options_.bytesPerSecond,
-                                    budgetBytes_ + seconds * options_.bytesPerSecond);
-    budgetAt_ = now;
+    refillBudget(now);
     if (targets.empty() || budgetBytes_ <= 0) {
         return result;
     }
--- a/Source/Node/PeerExchange.h
+++ b/Source/Node/PeerExchange.h
@@ -2,6 +2,7 @@
 
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -58,12 +59,13 @@
 private:
     [[nodiscard]] PeerMessage compose(Dispatcher &dispatcher, Instant now);
     void gatherStored(Dispatcher &dispatcher);
+    void refillBudget(Instant now);
 
     PeerExchangeOptions options_;
     PeerTable table_;
     std::uint64_t sequence_ = 0;
     double budgetBytes_ = 0;
-    Instant budgetAt_;
+    std::optional<Instant> budgetAt_;
     std::size_t nextTarget_ = 0;
     std::vector<PeerStored> stored_;
     struct TeamsOfPeer
--- a/Source/Program/LoadCommand.cpp
+++ b/Source/Program/LoadCommand.cpp
@@ -4,6 +4,7 @@
 #include "Core/Log.h"
 #include "Load/Bounds.h"
 #include "Load/Experiment.h"
+#include "Load/PropertyRun.h"
 #include "Program/Commands.h"
 #include "Routing/Policy.h"
 
@@ -81,6 +82,8 @@
         "one cached block in so many is told to peers; 0 tells none");
     add("recompute-price", options::value<double>(),
         "price of a recomputed token in ms instead of the profile's");
+    add("property-runs", options::value<std::uint64_t>()->default_value(0),
+        "instead of measuring, so many runs with random faults from --seed on");
     add("bounds", options::value<std::string>(), "file of bounds; exit 1 when one is left");
     return syntax;
 }
@@ -103,6 +106,33 @@
     return broken.empty();
 }
 
+ExitCode runProperties(std::uint64_t firstSeed, std::uint64_t runs)
+{
+    std::uint64_t violated = 0;
+    PromiseCounts total;
+    for (std::uint64_t seed = firstSeed; seed < firstSeed + runs; ++seed) {
+        const PropertyRunResult result = runProperty({ .seed = seed });
+        total.requests += result.counts.requests;
+        total.bookings += result.counts.bookings;
+        if (result.violations.empty()) {
+            continue;
+        }
+        ++violated;
+        std::cout << "violated: jacinthroad load --profile lienzo-andino --property-runs 1 --seed "
+                  << seed << "\n  faults:";
+        for (const std::string &fault : result.faults) {
+            std::cout << " " << fault << ",";
+        }
+        for (const std::string &violation : result.violations) {
+            std::cout << "\n  " << violation;
+        }
+        std::cout << std::endl;
+    }
+    std::cout << runs << " runs, " << total.requests << " requests, " << total.bookings
+              << " bookings: " << violated << " runs violated a promise\n";
+    return violated == 0 ? ExitCode::Done : ExitCode::Failed;
+}
+
 } // namespace
 
 ExitCode runLoad(const Arguments &arguments)
@@ -117,6 +147,10 @@
         return ExitCode::WrongUse;
     }
     configureLog({ .minimumLevel = LogLevel::Error });
+    const auto propertyRuns = parsed.values["property-runs"].as<std::uint64_t>();
+    if (propertyRuns > 0) {
+        return runProperties(experiment->seed, propertyRuns);
+    }
     const auto report = runExperiment(
         *experiment, [](const std::string &line) { std::cerr << line << std::endl; });
     if (!report.has_value()) {
--- a/Source/Program/OperatorClient.cpp
+++ b/Source/Program/OperatorClient.cpp
@@ -43,8 +43,13 @@
 Result<Json::Value> callOperator(const options::variables_map &values, const std::string &method,
                                  const Json::Value &parameters)
 {
-    const std::string node = values["node"].as<std::string>();
-    const RpcAnswer answer = callRpc({ .url = "http://" + node + "/rpc",
+    return callOperatorAt("http://" + values["node"].as<std::string>(), values, method, parameters);
+}
+
+Result<Json::Value> callOperatorAt(const std::string &url, const options::variables_map &values,
+                                   const std::string &method, const Json::Value &parameters)
+{
+    const RpcAnswer answer = callRpc({ .url = url + "/rpc",
                                        .key = keyOf(values),
                                        .method = method,
                                        .parameters = parameters,
@@ -57,7 +62,8 @@
                          answer.errorData["remedy"].asString());
     }
     return makeError(ErrorKind::Internal,
-                     "node " + node + " did not answer " + method + ": " + answer.errorMessage,
+                     "node " + url.substr(url.rfind('/') + 1) + " did not answer " + method + ": "
+                         + answer.errorMessage,
                      "Check --node and --key, and that the node runs.");
 }
 
--- a/Source/Program/OperatorClient.h
+++ b/Source/Program/OperatorClient.h
@@ -17,4 +17,10 @@
 callOperator(const boost::program_options::variables_map &values, const std::string &method,
              const Json::Value &parameters = Json::Value(Json::objectValue));
 
+/// Calls a procedure at a node's base URL instead of the one that `--node` names.
+[[nodiscard]] Result<Json::Value>
+callOperatorAt(const std::string &url, const boost::program_options::variables_map &values,
+               const std::string &method,
+               const Json::Value &parameters = Json::Value(Json::objectValue));
+
 } // namespace jacinthroad
--- a/Source/Program/ReportCommand.cpp
+++ b/Source/Program/ReportCommand.cpp
@@ -1,6 +1,7 @@
 #include <cstdio>
 #include <iostream>
 
+#include "Burn/BurnReport.h"
 #include "Core/Json.h"
 #include "Program/Commands.h"
 #include "Program/OperatorClient.h"
@@ -39,31 +40,51 @@
     }
 }
 
-} // namespace
+Result<BurnReport> gatherBurn(const options::variables_map &values)
+{
+    const auto first = callOperator(values, "report.burn");
+    if (!first.has_value()) {
+        return tl::make_unexpected(first.error());
+    }
+    BurnReport report;
+    addBurnLines(report, (*first)["node"].asString(), (*first)["lines"]);
+    for (const Json::Value &peer : (*first)["peers"]) {
+        const std::string name = peer["node"].asString();
+        const auto answer = callOperatorAt(peer["operator_url"].asString(), values, "report.burn");
+        if (answer.has_value()) {
+            addBurnLines(report, name, (*answer)["lines"]);
+        } else {
+            report.unreachable.push_back(name);
+        }
+    }
+    return report;
+}
 
-ExitCode runReport(const Arguments &arguments)
+ExitCode burn(const options::variables_map &values)
 {
-    CommandSyntax syntax { .usage = "jacinthroad report compute [--node IP:PORT] [--key KEY]",
-                           .positional = { "kind" } };
-    syntax.options.add_options()("kind", options::value<std::string>()->required(), "compute");
-    addOperatorOptions(syntax.options);
-    const ParsedArguments parsed = parseArguments(std::move(syntax), arguments);
-    if (parsed.exit.has_value()) {
-        return *parsed.exit;
+    const auto report = gatherBurn(values);
+    if (!report.has_value()) {
+        printError(report.error());
+        return ExitCode::Failed;
     }
-    const std::string kind = parsed.values["kind"].as<std::string>();
-    if (kind != "compute") {
-        printError({ .kind = ErrorKind::InvalidRequest,
-                     .message = "there is no report '" + kind + "'",
-                     .remedy = "Name compute." });
-        return ExitCode::WrongUse;
+    if (values.count("html") != 0) {
+        std::cout << burnReportHtml(*report);
+    } else if (wantsJson(values)) {
+        std::cout << writeJsonIndented(burnReportJson(*report));
+    } else {
+        std::cout << burnReportText(*report);
     }
-    const auto report = callOperator(parsed.values, "report.compute");
+    return ExitCode::Done;
+}
+
+ExitCode compute(const options::variables_map &values)
+{
+    const auto report = callOperator(values, "report.compute");
     if (!report.has_value()) {
         printError(report.error());
         return ExitCode::Failed;
     }
-    if (wantsJson(parsed.values)) {
+    if (wantsJson(values)) {
         std::cout << writeJsonIndented(*report);
     } else {
         printCompute(*report);
@@ -71,4 +92,31 @@
     return ExitCode::Done;
 }
 
+} // namespace
+
+ExitCode runReport(const Arguments &arguments)
+{
+    CommandSyntax syntax { .usage = "jacinthroad report burn|compute [--node IP:PORT] [--key KEY]",
+                           .positional = { "kind" } };
+    syntax.options.add_options()("kind", options::value<std::string>()->required(),
+                                 "burn or compute");
+    syntax.options.add_options()("html", "write burn as one self-contained page");
+    addOperatorOptions(syntax.options);
+    const ParsedArguments parsed = parseArguments(std::move(syntax), arguments);
+    if (parsed.exit.has_value()) {
+        return *parsed.exit;
+    }
+    const std::string kind = parsed.values["kind"].as<std::string>();
+    if (kind == "burn") {
+        return burn(parsed.values);
+    }
+    if (kind == "compute") {
+        return compute(parsed.values);
+    }
+    printError({ .kind = ErrorKind::InvalidRequest,
+                 .message = "there is no report '" + kind + "'",
+                 .remedy = "Name burn or compute." });
+    return ExitCode::WrongUse;
+}
+
 } // namespace jacinthroad
--- a/Source/Routing/Dispatcher.cpp
+++ b/Source/Routing/Dispatcher.cpp
@@ -26,6 +26,7 @@
 constexpr double TailStepTokens = 16;
 // How much later a job of each class ranks, as a share of the first-token objective.
 constexpr std::array<double, LengthClassCount> ClassDelayShares { 0, 0.2, 0.5 };
+constexpr int LeastServerErrorStatus = 500;
 constexpr double HedgeSlowdown = 2;
 constexpr double LeastRetryAfterMs = 100;
 constexpr double MostRetryAfterMs = 10000;
@@ -432,6 +433,11 @@
         return;
     }
     attempt->firstToken = true;
+    if (request.deliveredTokens == 0) {
+        const double firstTokenMs = toMilliseconds(now - request.facts.arrived);
+        observe(request, Objective::FirstToken,
+                firstTokenMs <= termsOf(request.facts.model).firstTokenTargetMs);
+    }
     ServerState &server = servers_.at(attempt->slot);
     servers_.noteComputed(attempt->slot, attempt->waitingPrefill, now);
     server.health.noteSuccess();
@@ -471,6 +477,8 @@
     }
     request.deliveredTokens = message.deliveredTokens;
     if (message.gapMs > 0) {
+        observe(request, Objective::TokenGap,
+                message.gapMs <= termsOf(request.facts.model).tokenGapTargetMs);
         servers_.noteTokenGap(attempt->slot, message.gapMs, now);
     }
     if (!attempt->longJob && message.deliveredTokens >= LongOutputTokens) {
@@ -533,6 +541,7 @@
         policy->noteJob(request.facts.model, toMilliseconds(now - attempt.started));
     }
     ++counters_.finished;
+    observe(request, Objective::Success, true);
     effects_.emplace_back(RequestFinished { .id = request.facts.id });
 }
 
@@ -763,10 +772,22 @@
     draining_ = true;
 }
 
+void Dispatcher::observe(const Request &request, Objective objective, bool met)
+{
+    effects_.emplace_back(ObjectiveObserved { .team = request.facts.team,
+                                              .model = request.facts.model,
+                                              .objective = objective,
+                                              .met = met });
+}
+
 void Dispatcher::refuse(Request &request, ErrorKind kind, Instant now)
 {
     static_cast<void>(now);
     ++counters_.refused;
+    // What the caller did wrong is no miss of ours.
+    if (errorAnswer(kind).status >= LeastServerErrorStatus) {
+        observe(request, Objective::Success, false);
+    }
     const ModelQueue &queue = queues_[request.facts.model];
     double retryAfterMs = errorAnswer(kind).retryAfterMs;
     if (kind == ErrorKind::Overloaded && queue.workPerMs > 0) {
--- a/Source/Routing/Dispatcher.h
+++ b/Source/Routing/Dispatcher.h
@@ -176,6 +176,7 @@
     void noteServerCrash(ServerSlot slot, const Attempt &attempt, const Request &request,
                          Instant now);
     void bookUsage(const Request &request, const Attempt &attempt, const AttemptEnded &message);
+    void observe(const Request &request, Objective objective, bool met);
     void refuse(Request &request, ErrorKind kind, Instant now);
     void forget(const RequestId &id);
     void measureThroughput(ModelQueue &queue, Instant now);
--- a/Source/Routing/DispatcherMessages.h
+++ b/Source/Routing/DispatcherMessages.h
@@ -5,6 +5,7 @@
 #include <variant>
 #include <vector>
 
+#include "Burn/BurnTracker.h"
 #include "Core/ErrorKind.h"
 #include "Core/Ids.h"
 #include "Routing/DispatchRecord.h"
@@ -166,8 +167,17 @@
     RequestId id;
 };
 
+/// An event met a service-level objective or missed it.
+struct ObjectiveObserved
+{
+    TeamId team;
+    ModelId model;
+    Objective objective = Objective::Success;
+    bool met = false;
+};
+
 /// Anything the dispatcher wants done.
-using DispatcherEffect
-    = std::variant<StartAttempt, CancelAttempt, RefuseRequest, RequestFinished, RequestAbandoned>;
+using DispatcherEffect = std::variant<StartAttempt, CancelAttempt, RefuseRequest, RequestFinished,
+                                      RequestAbandoned, ObjectiveObserved>;
 
 } // namespace jacinthroad
--- a/Source/StandIns/EngineStandIn.cpp
+++ b/Source/StandIns/EngineStandIn.cpp
@@ -102,11 +102,14 @@
 
 void EngineStandIn::start()
 {
+    const std::scoped_lock serverLock(serverMutex_);
+    if (server_ != nullptr) {
+        return;
+    }
     {
         const std::scoped_lock lock(mutex_);
         incarnation_ = std::random_device {}() + 1ULL;
     }
-    const std::scoped_lock lock(serverMutex_);
     auto server = HttpServer::start(
         { .port = port_, .maximumBodyBytes = 64 * 1024 * 1024 },
         [this](const HttpRequest &request, const std::shared_ptr<ResponseWriter> &writer) {
--- a/Source/StandIns/EngineStandIn.h
+++ b/Source/StandIns/EngineStandIn.h
@@ -77,7 +77,7 @@
     EngineStandIn &operator=(const EngineStandIn &) = delete;
     ~EngineStandIn();
 
-    /// Begins to listen; at the same port as before when it has one.
+    /// Begins to listen, at the same port as before when it has one; nothing when it listens.
     void start();
     /// Breaks every connection and loses the cache, as a dead process would.
     void crash();
--- /dev/null
+++ b/Tests/Load/PropertyTest.cpp
@@ -0,0 +1,31 @@
+// A short fixed set of the property run; `jacinthroad load --property-runs` makes it long.
+
+#include <boost/test/unit_test.hpp>
+
+#include "Core/Log.h"
+#include "Load/PropertyRun.h"
+
+using namespace jacinthroad;
+
+BOOST_AUTO_TEST_SUITE(PropertyTest)
+
+BOOST_AUTO_TEST_CASE(randomFaultsBreakNoPromise)
+{
+    configureLog({ .minimumLevel = LogLevel::Error });
+    for (std::uint64_t seed = 1; seed <= 4; ++seed) {
+        const PropertyRunResult result = runProperty({ .seed = seed });
+        std::string story = "seed " + std::to_string(seed) + ":";
+        for (const std::string &fault : result.faults) {
+            story += " " + fault + ",";
+        }
+        for (const std::string &violation : result.violations) {
+            story += " VIOLATED " + violation;
+        }
+        BOOST_TEST_MESSAGE(story);
+        BOOST_TEST(result.violations.empty(), story);
+        BOOST_TEST(result.counts.requests > 20U);
+        BOOST_TEST(result.counts.bookings > 0U);
+    }
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- a/Tests/Program/RunCommand.cmake
+++ b/Tests/Program/RunCommand.cmake
@@ -24,8 +24,8 @@
 
 # The reference page in the documentation is the program's own output.
 if(CASE STREQUAL "SettingsReference")
-  file(READ ${SOURCE_FOLDER}/docs/reference/settings.md page)
+  file(READ ${SOURCE_FOLDER}/docs/reference/settings-file.md page)
   if(NOT stdout STREQUAL page)
-    message(FATAL_ERROR "docs/reference/settings.md differs from 'jacinthroad settings reference'")
+    message(FATAL_ERROR "docs/reference/settings-file.md differs from 'jacinthroad settings reference'")
   endif()
 endif()
