Routing: Complete begun streams after crashes, reserve servers for suspects

Change: a server is reserved for suspects that wait, at most half of them and never the last; begun streams have their own attempt limit, no first-token limit and no retry refusal; a crash beside a solo run is proof only while no crash without that request is recent.

--- a/Source/Load/LoadClient.cpp
+++ b/Source/Load/LoadClient.cpp
@@ -37,6 +37,14 @@
     return writeJson(body);
 }
 
+/// The kind of a refusal's JSON; empty for anything else.
+std::string errorKindOf(std::string_view text)
+{
+    const auto body = parseJson(text);
+    const bool readable = body.has_value() && body->isObject() && (*body)["error"].isObject();
+    return readable ? (*body)["error"]["kind"].asString() : std::string();
+}
+
 std::string promptOf(const PlannedRequest &request)
 {
     return "system\n" + request.system + "\nuser\n" + request.question + "\n";
@@ -104,8 +112,11 @@
             exchange->done = true;
             return;
         }
-        if (data.find("\"usage\"") != std::string_view::npos
-            || data.find("\"error\"") != std::string_view::npos) {
+        if (data.find("\"usage\"") != std::string_view::npos) {
+            return;
+        }
+        if (data.starts_with("{\"error\"")) {
+            exchange->record.errorKind = errorKindOf(data);
             return;
         }
         const Instant now = std::chrono::steady_clock::now();
--- a/Source/Load/PropertyRun.cpp
+++ b/Source/Load/PropertyRun.cpp
@@ -161,7 +161,14 @@
 
     void judge()
     {
-        result_.counts = countPromises(bench_, client_.records());
+        const std::vector<CallerRecord> records = client_.records();
+        result_.counts = countPromises(bench_, records);
+        for (const CallerRecord &record : records) {
+            if (record.outcome == CallerOutcome::Broken && lostAt_.empty()) {
+                result_.violations.push_back("stream " + record.requestId + " ended with "
+                                             + record.errorKind);
+            }
+        }
         const PromiseCounts &counts = result_.counts;
         const auto never = [&](std::uint64_t count, const std::string &what) {
             if (count > 0) {
--- a/Source/Quarantine/Quarantine.cpp
+++ b/Source/Quarantine/Quarantine.cpp
@@ -7,6 +7,8 @@
 namespace {
 
 constexpr std::uint8_t MostCrashes = 255;
+// Crashes that a request may be present at, whatever else crashes, before it is refused.
+constexpr std::uint8_t MostUnprovedCrashes = 5;
 
 std::uint8_t increased(std::uint8_t count)
 {
@@ -30,7 +32,9 @@
     if (found == entries_.end() || found->second.expires <= now || found->second.cleared) {
         return RunPermission::Freely;
     }
-    return found->second.record.crashesAlone > 0 ? RunPermission::Never : RunPermission::Alone;
+    const QuarantineRecord &record = found->second.record;
+    const bool proved = record.crashesAlone > 0 || record.crashes >= MostUnprovedCrashes;
+    return proved ? RunPermission::Never : RunPermission::Alone;
 }
 
 void Quarantine::dropOldest()
--- a/Source/Quarantine/Quarantine.h
+++ b/Source/Quarantine/Quarantine.h
@@ -26,7 +26,7 @@
 struct QuarantineRecord
 {
     RequestFingerprint fingerprint = 0;
-    /// Crashes during which the request ran; 1 suspects, 2 or more quarantine.
+    /// Crashes during which the request ran; one suspects, several quarantine.
     std::uint8_t crashes = 0;
     /// Crashes during which it ran alone.
     std::uint8_t crashesAlone = 0;
@@ -52,7 +52,8 @@
     /// How the request may run now.
     [[nodiscard]] RunPermission permission(RequestFingerprint fingerprint, Instant now) const;
 
-    /// Notes a crash of the server that ran the request; `alone` when it ran alone there.
+    /// Notes a crash of the server that ran the request; `alone` when it ran alone there and
+    /// nothing else explains the crash.
     void noteCrash(RequestFingerprint fingerprint, bool alone, Instant now);
 
     /// Notes that the request ran to its end. A suspect is cleared, also against peers' older
--- a/Source/Routing/Dispatcher.cpp
+++ b/Source/Routing/Dispatcher.cpp
@@ -19,7 +19,11 @@
 // A cache lost less than this ago is the reason for what must be computed again.
 constexpr Duration EpochReasonTime = std::chrono::seconds(20);
 // Servers on which suspects may run at once, as a share of the model's servers.
-constexpr double SoloShare = 0.25;
+constexpr double SoloShare = 0.5;
+// How many times longer than usual a request whose server crashed may wait for its first token.
+constexpr double SuspectPatience = 10;
+// A begun stream waits for its rest as long as its caller does.
+constexpr Duration BegunPatience = std::chrono::minutes(10);
 // The tail is learned from prompts of which at least this share was seen before.
 constexpr double LeastSeenShare = 0.7;
 constexpr double TailQuantile = 0.9;
@@ -138,7 +142,7 @@
     std::vector<ServerSlot> present;
     for (const ServerSlot slot : all) {
         const ServerState &row = servers_.at(slot);
-        if (row.facts.leaving || row.soloRuns > 0) {
+        if (row.facts.leaving || row.soloRuns > 0 || row.reserved) {
             continue;
         }
         present.push_back(slot);
@@ -159,11 +163,52 @@
     return fresh.empty() ? healthy : fresh;
 }
 
+std::size_t Dispatcher::soloLimit(const ModelId &model) const
+{
+    const auto servers = static_cast<double>(servers_.ofModel(model).size());
+    return static_cast<std::size_t>(std::max(1.0, SoloShare * servers));
+}
+
+void Dispatcher::reserveForSuspects(const ModelId &model, Instant now)
+{
+    std::vector<ServerSlot> free;
+    std::size_t kept = 0;
+    for (const ServerSlot slot : servers_.ofModel(model)) {
+        const ServerState &row = servers_.at(slot);
+        kept += row.reserved || row.soloRuns > 0 ? 1 : 0;
+        if (servers_.accepts(slot, now) && !row.reserved && row.soloRuns == 0) {
+            free.push_back(slot);
+        }
+    }
+    // One server always stays for everybody else.
+    if (kept >= soloLimit(model) || free.size() < 2) {
+        return;
+    }
+    const auto least = std::min_element(free.begin(), free.end(), [&](ServerSlot a, ServerSlot b) {
+        return servers_.at(a).own.inFlight < servers_.at(b).own.inFlight;
+    });
+    servers_.at(*least).reserved = true;
+}
+
+void Dispatcher::releaseReservations(const ModelId &model, Instant now)
+{
+    const bool suspectsWait = std::any_of(requests_.begin(), requests_.end(), [&](const auto &r) {
+        const Request &request = r.second;
+        return request.queued && request.facts.model == model
+            && quarantine_.permission(request.facts.fingerprint, now) == RunPermission::Alone;
+    });
+    if (suspectsWait) {
+        return;
+    }
+    for (const ServerSlot slot : servers_.ofModel(model)) {
+        servers_.at(slot).reserved = false;
+    }
+}
+
 std::vector<ServerSlot> Dispatcher::soloCandidates(const Request &request, Instant now) const
 {
     const std::span<const ServerSlot> all = servers_.ofModel(request.facts.model);
-    const auto most
-        = static_cast<std::size_t>(std::max(1.0, SoloShare * static_cast<double>(all.size())));
+    const std::size_t most = soloLimit(request.facts.model);
     std::size_t busy = 0;
     std::vector<ServerSlot> idle;
     for (const ServerSlot slot : all) {
@@ -247,6 +292,7 @@
         const auto idle = soloCandidates(request, now);
         const auto choice = chooseFor(request, idle, now);
         if (!choice.has_value()) {
+            reserveForSuspects(request.facts.model, now);
             return false;
         }
         start(request, *choice, true, false, now);
@@ -573,7 +619,11 @@
 void Dispatcher::noteServerCrash(ServerSlot slot, const Attempt &attempt, const Request &request,
                                  Instant now)
 {
-    quarantine_.noteCrash(request.facts.fingerprint, attempt.alone, now);
+    const RequestFingerprint fingerprint = request.facts.fingerprint;
+    crashLog_.note(slot, fingerprint, now);
+    // While servers crash without this request too, a crash beside its solo run proves nothing.
+    const bool proof = attempt.alone && !crashLog_.hasUnrelated(fingerprint, now);
+    quarantine_.noteCrash(fingerprint, proof, now);
     dropCache(slot);
     servers_.at(slot).epochChanged = now;
     servers_.at(slot).epochIsWeights = false;
@@ -616,20 +666,21 @@
         return;
     }
     request.failedAt.insert(attempt.slot);
-    if (request.lastAttempt >= options_.maximumAttempts) {
-        refuse(request, ErrorKind::BackendFailed, now);
-        return;
-    }
-    if (!retries_.spend(request.facts.team)) {
+    // A stream that has begun must be completed, whatever the budget says.
+    const bool begun = request.deliveredTokens > 0;
+    const unsigned most = begun ? options_.maximumAttemptsBegun : options_.maximumAttempts;
+    const bool allowed = retries_.spend(request.facts.team) || begun;
+    if (request.lastAttempt >= most || !allowed) {
         refuse(request, ErrorKind::BackendFailed, now);
         return;
     }
     ++counters_.retries;
     if (!request.facts.deadline.has_value()) {
-        // The limit is for requests that nobody tried to serve yet. One whose server failed, or
-        // that holds a part of its answer, is worth waiting for.
-        request.limit = std::max(
-            request.limit, now + fromMilliseconds(termsOf(request.facts.model).firstTokenLimitMs));
+        // The limit is for requests that nobody tried to serve yet.
+        const double limitMs = termsOf(request.facts.model).firstTokenLimitMs;
+        const Duration patience
+            = begun ? BegunPatience : fromMilliseconds(SuspectPatience * limitMs);
+        request.limit = std::max(request.limit, now + patience);
     }
     place(request, now);
 }
@@ -761,6 +812,7 @@
     for (auto &[model, queue] : queues_) {
         refuseExpired(queue, now);
         pump(model, now);
+        releaseReservations(model, now);
     }
     for (auto &[id, request] : requests_) {
         hedge(request, now);
--- a/Source/Routing/Dispatcher.h
+++ b/Source/Routing/Dispatcher.h
@@ -13,6 +13,7 @@
 #include "Admission/OutputLength.h"
 #include "Ledger/Ledger.h"
 #include "PrefixIndex/PrefixIndex.h"
+#include "Quarantine/CrashLog.h"
 #include "Quarantine/Quarantine.h"
 #include "Retry/RetryBudget.h"
 #include "Routing/DispatcherMessages.h"
@@ -34,6 +35,8 @@
     double retryShare = 0.2;
     double retryReserve = 20;
     unsigned maximumAttempts = 4;
+    /// Attempts for a request of which the caller holds a part already.
+    unsigned maximumAttemptsBegun = 10;
     /// A second server is tried when the first token takes this many times its prediction.
     double hedgeFactor = 4;
     /// and at least this long.
@@ -149,9 +152,12 @@
 
     [[nodiscard]] const ModelTerms &termsOf(const ModelId &model) const;
     [[nodiscard]] std::vector<ServerSlot> candidates(const Request &request, Instant now) const;
+    [[nodiscard]] std::size_t soloLimit(const ModelId &model) const;
     [[nodiscard]] std::vector<ServerSlot> soloCandidates(const Request &request, Instant now) const;
     [[nodiscard]] double sharedTokens(const RequestFacts &facts) const;
     void learnTail(const RequestFacts &facts);
+    void reserveForSuspects(const ModelId &model, Instant now);
+    void releaseReservations(const ModelId &model, Instant now);
     [[nodiscard]] std::optional<Choice> chooseFor(Request &request,
                                                   std::span<const ServerSlot> slots, Instant now);
 
@@ -193,6 +199,7 @@
     RetryBudget retries_;
     RetryBudget hedges_;
     Quarantine quarantine_;
+    CrashLog crashLog_;
     Ledger ledger_;
     DispatcherCounters counters_;
     std::unordered_map<RequestId, Request> requests_;
--- a/Source/Routing/ServerTable.h
+++ b/Source/Routing/ServerTable.h
@@ -77,6 +77,8 @@
     double tokenGapMs = 0;
     /// Suspect requests that run alone here for this node.
     std::uint32_t soloRuns = 0;
+    /// True while this node keeps other work away so that a suspect can run alone here.
+    bool reserved = false;
     /// When the incarnation or weights last changed, for the ledger.
     std::optional<Instant> epochChanged;
     bool epochIsWeights = false;
