Node: Split the large files of node and dispatcher

Change: NodeParts, NodeEffects, NodeOperators and the Node facade; DispatcherPlacement for what decides where a request goes; Core/WallClock. Behaviour unchanged.

--- a/Source/Core/Hashing.cpp
+++ b/Source/Core/Hashing.cpp
@@ -1,6 +1,7 @@
 #include "Core/Hashing.h"
 
 #include <array>
+#include <charconv>
 
 #include <openssl/crypto.h>
 #include <openssl/sha.h>
@@ -25,6 +26,14 @@
     return value;
 }
 
+std::string hexadecimal(std::uint64_t number)
+{
+    constexpr int Base = 16;
+    std::array<char, Base> text {};
+    const auto end = std::to_chars(text.data(), text.data() + text.size(), number, Base);
+    return { text.data(), end.ptr };
+}
+
 std::string sha256Hex(std::string_view bytes)
 {
     std::array<unsigned char, SHA256_DIGEST_LENGTH> digest {};
--- a/Source/Core/Hashing.h
+++ b/Source/Core/Hashing.h
@@ -12,6 +12,9 @@
 /// Mixes two 64-bit values into one, for rendezvous scores and chained keys.
 [[nodiscard]] std::uint64_t mix64(std::uint64_t left, std::uint64_t right);
 
+/// The number as hexadecimal text without leading zeros.
+[[nodiscard]] std::string hexadecimal(std::uint64_t number);
+
 /// The SHA-256 of the bytes as 64 lower-case hexadecimal digits. Keys are stored in this form.
 [[nodiscard]] std::string sha256Hex(std::string_view bytes);
 
--- a/Source/Core/Log.cpp
+++ b/Source/Core/Log.cpp
@@ -2,8 +2,6 @@
 
 #include <array>
 #include <atomic>
-#include <chrono>
-#include <ctime>
 #include <iostream>
 #include <string>
 
@@ -16,6 +14,7 @@
 
 #include "Core/Json.h"
 #include "Core/Overloaded.h"
+#include "Core/WallClock.h"
 
 namespace jacinthroad {
 
@@ -32,22 +31,6 @@
     return Names[static_cast<std::size_t>(level)];
 }
 
-std::string utcNow()
-{
-    const auto now = std::chrono::system_clock::now();
-    const std::time_t seconds = std::chrono::system_clock::to_time_t(now);
-    const auto milliseconds
-        = std::chrono::duration_cast<std::chrono::milliseconds>(now.time_since_epoch()).count()
-        % 1000;
-    std::tm parts {};
-    gmtime_r(&seconds, &parts);
-    std::array<char, 64> text {};
-    const std::size_t length = std::strftime(text.data(), text.size(), "%Y-%m-%dT%H:%M:%S", &parts);
-    std::string fraction = std::to_string(1000 + milliseconds);
-    fraction[0] = '.';
-    return std::string(text.data(), length) + fraction + "Z";
-}
-
 Logger &logger()
 {
     static Logger instance;
@@ -57,7 +40,7 @@
 std::string jsonText(LogLevel level, std::string_view event, std::initializer_list<LogField> fields)
 {
     Json::Value line;
-    line["time"] = utcNow();
+    line["time"] = rfc3339Now();
     line["level"] = std::string(levelName(level));
     line["event"] = std::string(event);
     for (const LogField &field : fields) {
@@ -75,7 +58,7 @@
 std::string plainText(LogLevel level, std::string_view event,
                       std::initializer_list<LogField> fields)
 {
-    std::string line = utcNow();
+    std::string line = rfc3339Now();
     line.append(" ").append(levelName(level)).append(" ").append(event);
     for (const LogField &field : fields) {
         line.append(" ").append(field.name).append("=");
--- a/Source/Node/CallerApi.cpp
+++ b/Source/Node/CallerApi.cpp
@@ -55,14 +55,6 @@
     return Resume { .publicId = std::string(id), .afterTokens = *number };
 }
 
-std::string hexadecimal(std::uint64_t number)
-{
-    constexpr int Base = 16;
-    std::array<char, Base> text {};
-    const auto end = std::to_chars(text.data(), text.data() + text.size(), number, Base);
-    return { text.data(), end.ptr };
-}
-
 } // namespace
 
 CallerApi::CallerApi(Traffic &traffic, std::string idPrefix, Events events)
--- a/Source/Node/ModelSession.cpp
+++ b/Source/Node/ModelSession.cpp
@@ -7,9 +7,9 @@
 #include <json/value.h>
 
 #include "Core/Json.h"
+#include "Core/WallClock.h"
 #include "EngineClient/EngineHeaders.h"
 #include "Node/Refusal.h"
-#include "Node/ServiceSession.h"
 
 namespace jacinthroad {
 
--- a/Source/Node/Node.h
+++ b/Source/Node/Node.h
@@ -12,6 +12,8 @@
 
 namespace jacinthroad {
 
+class NodeParts;
+
 /// What a running node tells of itself to a bench in the same process.
 struct NodeFigures
 {
@@ -52,10 +54,9 @@
     [[nodiscard]] NodeFigures figures() const;
 
 private:
-    class Parts;
-    explicit Node(std::unique_ptr<Parts> parts);
+    explicit Node(std::unique_ptr<NodeParts> parts);
 
-    std::unique_ptr<Parts> parts_;
+    std::unique_ptr<NodeParts> parts_;
 };
 
 } // namespace jacinthroad
--- a/Source/Node/ServiceSession.cpp
+++ b/Source/Node/ServiceSession.cpp
@@ -4,6 +4,7 @@
 #include <utility>
 
 #include "Core/Hashing.h"
+#include "Core/WallClock.h"
 #include "Node/Refusal.h"
 
 namespace jacinthroad {
@@ -22,13 +23,6 @@
 
 } // namespace
 
-std::int64_t wallMilliseconds()
-{
-    return std::chrono::duration_cast<milliseconds>(
-               std::chrono::system_clock::now().time_since_epoch())
-        .count();
-}
-
 ServiceSession::ServiceSession(Traffic &traffic, std::shared_ptr<ResponseWriter> writer,
                                ServiceSessionOptions options)
     : traffic_(traffic)
--- a/Source/Node/ServiceSession.h
+++ b/Source/Node/ServiceSession.h
@@ -61,7 +61,4 @@
     DispatchRecord record_;
 };
 
-/// Wall-clock milliseconds since the epoch.
-[[nodiscard]] std::int64_t wallMilliseconds();
-
 } // namespace jacinthroad
--- a/Source/PrefixIndex/PrefixKey.cpp
+++ b/Source/PrefixIndex/PrefixKey.cpp
@@ -1,8 +1,5 @@
 #include "PrefixIndex/PrefixKey.h"
 
-#include <array>
-#include <charconv>
-
 #include "Core/Hashing.h"
 
 namespace jacinthroad {
@@ -28,10 +25,7 @@
 
 std::string cacheSalt(BlockKey seed)
 {
-    constexpr int Hexadecimal = 16;
-    std::array<char, Hexadecimal> text {};
-    const auto end = std::to_chars(text.data(), text.data() + text.size(), seed, Hexadecimal);
-    return { text.data(), end.ptr };
+    return hexadecimal(seed);
 }
 
 std::vector<BlockKey> blockKeys(BlockKey seed, std::string_view prompt, std::size_t blockTokens)
