Routing: Count overdue first tokens as wait

The backlog drained by the learned rate although no first token came, so requests went on to servers that were behind. Ruled out: reservations and quarantine (no broken streams, no retries). Change: at least half of the prompts without a first token counts as left, and the most overdue first token of own attempts adds to a server's wait.

--- a/Source/Routing/Dispatcher.cpp
+++ b/Source/Routing/Dispatcher.cpp
@@ -134,7 +134,7 @@
     server.own.inFlight -= 1;
     server.own.longJobs -= attempt.longJob ? 1 : 0;
     if (!attempt.firstToken) {
-        servers_.noteComputed(attempt.slot, attempt.waitingPrefill, now);
+        servers_.noteComputed(attempt.slot, attempt.waitingPrefill, attempt.due, now);
     }
     server.soloRuns -= attempt.alone ? 1 : 0;
 }
@@ -163,7 +163,7 @@
                 firstTokenMs <= termsOf(request.facts.model).firstTokenTargetMs);
     }
     ServerState &server = servers_.at(attempt->slot);
-    servers_.noteComputed(attempt->slot, attempt->waitingPrefill, now);
+    servers_.noteComputed(attempt->slot, attempt->waitingPrefill, attempt->due, now);
     server.health.noteSuccess();
     server.lastHeard = now;
     noteStoredForPeers(attempt->slot, request.facts.blocks);
--- a/Source/Routing/Dispatcher.h
+++ b/Source/Routing/Dispatcher.h
@@ -104,6 +104,8 @@
         AttemptNumber number = 0;
         ServerSlot slot = 0;
         Instant started;
+        /// When the first token is predicted.
+        Instant due;
         Choice choice;
         double waitingPrefill = 0;
         double matchedTokens = 0;
--- a/Source/Routing/DispatcherPlacement.cpp
+++ b/Source/Routing/DispatcherPlacement.cpp
@@ -256,6 +256,7 @@
         .number = ++request.lastAttempt,
         .slot = choice.server,
         .started = now,
+        .due = now + fromMilliseconds(choice.predictedMs),
         .choice = choice,
         .waitingPrefill = std::max(
             0.0, request.facts.promptTokens - std::max(matchedTokens, choice.expectedCachedTokens)),
@@ -269,7 +270,7 @@
     };
     server.own.inFlight += 1;
     server.own.longJobs += attempt.longJob ? 1 : 0;
-    servers_.noteSent(choice.server, attempt.waitingPrefill, now);
+    servers_.noteSent(choice.server, attempt.waitingPrefill, attempt.due, now);
     server.soloRuns += alone ? 1 : 0;
     if (server.health.state(now) == ServerHealth::State::HalfOpen) {
         server.health.noteProbeSent();
--- a/Source/Routing/PredictedCostPolicy.cpp
+++ b/Source/Routing/PredictedCostPolicy.cpp
@@ -76,7 +76,8 @@
     const double ahead = load.inFlight - slots + 1;
     choice.slotWaitMs = ahead > 0 ? ahead * known.jobMs / slots * slowdown : 0;
     choice.prefillTokens = load.waitingPrefill + uncached;
-    choice.waitMs = choice.slotWaitMs + load.waitingPrefill * known.msPerToken * slowdown;
+    choice.waitMs = choice.slotWaitMs + load.waitingPrefill * known.msPerToken * slowdown
+        + context.servers.overdueMs(slot, context.now);
     choice.predictedMs = choice.waitMs + (uncached * known.msPerToken + known.baseMs) * slowdown;
 
     const bool waitTooLong = choice.waitMs > FullWaitShare * context.terms.firstTokenTargetMs;
--- a/Source/Routing/ServerTable.cpp
+++ b/Source/Routing/ServerTable.cpp
@@ -11,6 +11,7 @@
 constexpr Duration PeerLoadLifetime = std::chrono::seconds(3);
 constexpr Duration ReportLifetime = std::chrono::seconds(10);
 constexpr double GapWeight = 0.3;
+constexpr double LeastOutstandingShare = 0.5;
 
 ServerLoad drained(ServerLoad load, Duration age, double tokensPerMs)
 {
@@ -160,26 +161,39 @@
     const double share = row.ownBacklog / std::max(1.0, row.ownBacklog + others);
     const double done
         = std::max(0.0, toMilliseconds(now - row.ownBacklogAt)) * prefillRate(row) * share;
-    load.waitingPrefill = std::clamp(row.ownBacklog - done, 0.0, row.own.waitingPrefill);
+    // Whatever the rate says, prompts without a first token are not done; on the average half of
+    // one under way is left.
+    const double least = LeastOutstandingShare * row.own.waitingPrefill;
+    load.waitingPrefill = std::clamp(row.ownBacklog - done, least, row.own.waitingPrefill);
     return load;
 }
 
-void ServerTable::noteSent(ServerSlot slot, double prefillTokens, Instant now)
+void ServerTable::noteSent(ServerSlot slot, double prefillTokens, Instant due, Instant now)
 {
     ServerState &row = rows_[slot];
     row.ownBacklog = ownLoad(slot, now).waitingPrefill + prefillTokens;
     row.ownBacklogAt = now;
     row.own.waitingPrefill += prefillTokens;
+    row.firstTokensDue.insert(due);
 }
 
-void ServerTable::noteComputed(ServerSlot slot, double prefillTokens, Instant now)
+void ServerTable::noteComputed(ServerSlot slot, double prefillTokens, Instant due, Instant now)
 {
     ServerState &row = rows_[slot];
     row.own.waitingPrefill = std::max(0.0, row.own.waitingPrefill - prefillTokens);
+    if (const auto place = row.firstTokensDue.find(due); place != row.firstTokensDue.end()) {
+        row.firstTokensDue.erase(place);
+    }
     row.ownBacklog = ownLoad(slot, now).waitingPrefill;
     row.ownBacklogAt = now;
 }
 
+double ServerTable::overdueMs(ServerSlot slot, Instant now) const
+{
+    const auto &due = rows_[slot].firstTokensDue;
+    return due.empty() ? 0 : std::max(0.0, toMilliseconds(now - *due.begin()));
+}
+
 ServerLoad ServerTable::totalLoad(ServerSlot slot, Instant now) const
 {
     ServerLoad total = ownLoad(slot, now);
--- a/Source/Routing/ServerTable.h
+++ b/Source/Routing/ServerTable.h
@@ -3,6 +3,7 @@
 #include <cstdint>
 #include <map>
 #include <optional>
+#include <set>
 #include <span>
 #include <string>
 #include <vector>
@@ -67,6 +68,8 @@
     ServerLoad own;
     /// The part of own.waitingPrefill that the engine has probably not computed yet.
     double ownBacklog = 0;
+    /// When the first tokens of own attempts are due that have none yet.
+    std::multiset<Instant> firstTokensDue;
     Instant ownBacklogAt;
     /// Other nodes' work by the last report of the engine, less our own.
     ServerLoad reported;
@@ -109,10 +112,13 @@
     /// Takes a report; true when it shows that the cache was lost, by restart or new weights.
     [[nodiscard]] bool noteReport(ServerSlot slot, const LoadReport &report, Instant now);
 
-    /// Notes prompt work sent to a server.
-    void noteSent(ServerSlot slot, double prefillTokens, Instant now);
+    /// Notes prompt work sent to a server, whose first token is predicted for `due`.
+    void noteSent(ServerSlot slot, double prefillTokens, Instant due, Instant now);
     /// Notes that prompt work ended, by its first token or the end of its attempt.
-    void noteComputed(ServerSlot slot, double prefillTokens, Instant now);
+    void noteComputed(ServerSlot slot, double prefillTokens, Instant due, Instant now);
+    /// How late the most overdue first token of own attempts is, in milliseconds: what the
+    /// server's queue holds beyond all that is known of it.
+    [[nodiscard]] double overdueMs(ServerSlot slot, Instant now) const;
     /// This node's own work, with prompt work drained by what the engine has done since.
     [[nodiscard]] ServerLoad ownLoad(ServerSlot slot, Instant now) const;
 
--- a/Tests/Routing/DispatcherTest.cpp
+++ b/Tests/Routing/DispatcherTest.cpp
@@ -188,6 +188,16 @@
     BOOST_TEST(cancelled[0].attempt == first.attempt);
 }
 
+BOOST_AUTO_TEST_CASE(overdueFirstTokenTurnsNewWorkAway)
+{
+    DispatcherBench bench(2);
+    const auto first = bench.tell<StartAttempt>(bench.request("r0")).at(0);
+    bench.now += std::chrono::seconds(2);
+    const auto second = bench.tell<StartAttempt>(bench.request("r1"));
+    BOOST_TEST_REQUIRE(second.size() == 1U);
+    BOOST_TEST(second[0].server.text() != first.server.text());
+}
+
 BOOST_AUTO_TEST_CASE(deadlineThatCannotBeMetIsRefusedBeforeItPasses)
 {
     DispatcherBench bench(1);
