--- a/Source/Node/CallerApi.cpp
+++ b/Source/Node/CallerApi.cpp
@@ -234,7 +234,7 @@
                               .salt = salt,
                               .resumeAfterTokens = resume.afterTokens });
     session->begin();
-    events_.model(RequestId(call.id), std::move(session),
+    events_.model(RequestId(call.id), session,
                   RequestArrived { .facts = std::move(facts),
                                    .teamWeight = call.team->weight,
                                    .teamLimit = call.team->maxConcurrent });
--- a/Source/Node/CallerApi.h
+++ b/Source/Node/CallerApi.h
@@ -26,7 +26,7 @@
         std::function<void(const RequestId &, const std::shared_ptr<ModelSession> &,
                            RequestArrived)>
             model;
-        std::function<void(const RequestId &, std::shared_ptr<ServiceSession>)> service;
+        std::function<void(const RequestId &, const std::shared_ptr<ServiceSession> &)> service;
         std::function<void(std::shared_ptr<ResponseWriter>)> metrics;
     };
 
--- a/Source/Node/NodeParts.cpp
+++ b/Source/Node/NodeParts.cpp
@@ -174,7 +174,7 @@
                                          Instant now) { arrive(id, session, arrived, now); }));
                  },
              .service =
-                 [this](const RequestId &id, std::shared_ptr<ServiceSession> session) {
+                 [this](const RequestId &id, const std::shared_ptr<ServiceSession> &session) {
                      control_.post(ControlTask(
                          [this, id, session](Instant) { serviceSessions_[id] = session; }));
                  },
--- a/Source/Program/LoadCommand.cpp
+++ b/Source/Program/LoadCommand.cpp
@@ -4,6 +4,7 @@
 #include "Core/Log.h"
 #include "Load/Bounds.h"
 #include "Load/Experiment.h"
+#include "Load/Overhead.h"
 #include "Load/PropertyRun.h"
 #include "Program/Commands.h"
 #include "Routing/Policy.h"
@@ -82,6 +83,7 @@
         "one cached block in so many is told to peers; 0 tells none");
     add("recompute-price", options::value<double>(),
         "price of a recomputed token in ms instead of the profile's");
+    add("overhead", "instead of measuring policies, compare one node with calling the engine");
     add("property-runs", options::value<std::uint64_t>()->default_value(0),
         "instead of measuring, so many runs with random faults from --seed on");
     add("bounds", options::value<std::string>(), "file of bounds; exit 1 when one is left");
@@ -147,6 +149,15 @@
         return ExitCode::WrongUse;
     }
     configureLog({ .minimumLevel = LogLevel::Error });
+    if (parsed.values.count("overhead") != 0) {
+        const auto overhead = measureOverhead();
+        if (!overhead.has_value()) {
+            printError(overhead.error());
+            return ExitCode::Failed;
+        }
+        std::cout << overheadText(*overhead);
+        return ExitCode::Done;
+    }
     const auto propertyRuns = parsed.values["property-runs"].as<std::uint64_t>();
     if (propertyRuns > 0) {
         return runProperties(experiment->seed, propertyRuns);
