Routing: Merge the two tick loops and drop dead code

Cause: a read of the whole change found the tick written twice, with and without admission; the copy without it never released servers reserved for suspects, so a baseline policy kept them reserved for ever. The release looked through every open request at each tick, also with nothing reserved. Change: one loop, an early end when no server is reserved; lengthClassName and a factor of 1.0 on team limits had no use and are gone. Decisions of the default policy are unchanged. Measured: Routing, Admission and Node tests pass.

--- a/Source/Admission/LengthClass.h
+++ b/Source/Admission/LengthClass.h
@@ -1,7 +1,7 @@
 #pragma once
 
+#include <cstddef>
 #include <cstdint>
-#include <string_view>
 
 namespace jacinthroad {
 
@@ -19,7 +19,4 @@
 /// The class of a job with so many output tokens.
 [[nodiscard]] LengthClass lengthClassOf(std::uint32_t outputTokens);
 
-/// `short`, `normal` or `long`.
-[[nodiscard]] std::string_view lengthClassName(LengthClass lengthClass);
-
 } // namespace jacinthroad
--- a/Source/Node/NodeEffects.cpp
+++ b/Source/Node/NodeEffects.cpp
@@ -9,7 +9,6 @@
 namespace {
 
 constexpr Duration PeerFetchPause = milliseconds(300);
-constexpr double FloorShareOfTeamLimit = 1.0;
 
 } // namespace
 
@@ -19,7 +18,7 @@
     // hears nobody counts itself alone in its view but keeps to the share of all it knew.
     const auto nodes
         = static_cast<double>(std::max<std::size_t>(1, peers_->table().peers().size() + 1));
-    const double share = std::max(1.0, FloorShareOfTeamLimit * arrived.teamLimit / nodes);
+    const double share = std::max(1.0, arrived.teamLimit / nodes);
     const double elsewhere = peers_->teamElsewhere(arrived.facts.team, now);
     const double left = static_cast<double>(arrived.teamLimit) - elsewhere;
     return static_cast<std::uint32_t>(std::max(share, left));
--- a/Source/Routing/Dispatcher.cpp
+++ b/Source/Routing/Dispatcher.cpp
@@ -446,18 +446,14 @@
 
 void Dispatcher::on(const TimePassed &, Instant now)
 {
-    if (!admits(policy_)) {
-        for (auto &[model, queue] : queues_) {
-            refuseExpired(queue, now);
-            pump(model, now);
-        }
-        return;
-    }
     for (auto &[model, queue] : queues_) {
         refuseExpired(queue, now);
         pump(model, now);
         releaseReservations(model, now);
     }
+    if (!admits(policy_)) {
+        return;
+    }
     for (auto &[id, request] : requests_) {
         hedge(request, now);
     }
--- a/Source/Routing/DispatcherPlacement.cpp
+++ b/Source/Routing/DispatcherPlacement.cpp
@@ -82,6 +82,13 @@
 
 void Dispatcher::releaseReservations(const ModelId &model, Instant now)
 {
+    const auto servers = servers_.ofModel(model);
+    const bool anyReserved = std::any_of(servers.begin(), servers.end(), [&](ServerSlot slot) {
+        return servers_.at(slot).reserved;
+    });
+    if (!anyReserved) {
+        return;
+    }
     const bool suspectsWait = std::any_of(requests_.begin(), requests_.end(), [&](const auto &r) {
         const Request &request = r.second;
         return request.queued && request.facts.model == model
@@ -90,7 +97,7 @@
     if (suspectsWait) {
         return;
     }
-    for (const ServerSlot slot : servers_.ofModel(model)) {
+    for (const ServerSlot slot : servers) {
         servers_.at(slot).reserved = false;
     }
 }
