--- a/Source/Core/ErrorKind.cpp
+++ b/Source/Core/ErrorKind.cpp
@@ -6,7 +6,7 @@
 
 namespace {
 
-constexpr std::array<ErrorAnswer, 24> Answers { {
+constexpr std::array<ErrorAnswer, 26> Answers { {
     { ErrorKind::InvalidRequest, "invalid_request", 400, 0,
       "Correct the named field and send the request again." },
     { ErrorKind::Unauthorized, "unauthorized", 401, 0,
@@ -52,6 +52,10 @@
     { ErrorKind::InvalidSettings, "invalid_settings", 400, 0,
       "Correct every field named and check again." },
     { ErrorKind::NotReady, "not_ready", 503, 500, "Wait until /readyz answers 200." },
+    { ErrorKind::TimedOut, "timed_out", 504, 0,
+      "The time that the route or the caller allows ran out; the request may have run." },
+    { ErrorKind::HeaderTooLarge, "header_too_large", 431, 0,
+      "Shorten the request line and headers below the configured limit." },
     { ErrorKind::Internal, "internal", 500, 1000, "Report the request_id to the operators." },
 } };
 
--- a/Source/Core/ErrorKind.h
+++ b/Source/Core/ErrorKind.h
@@ -32,6 +32,8 @@
     VersionConflict,
     InvalidSettings,
     NotReady,
+    TimedOut,
+    HeaderTooLarge,
     Internal,
 };
 
--- /dev/null
+++ b/Source/Fleet/RouteTable.cpp
@@ -0,0 +1,74 @@
+#include "Fleet/RouteTable.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace jacinthroad {
+
+RouteTable::RouteTable(FleetConfiguration configuration)
+    : configuration_(std::move(configuration))
+{
+    for (const Route &route : configuration_.routes) {
+        byHost_[route.host].push_back(&route);
+    }
+    for (auto &[host, routes] : byHost_) {
+        std::stable_sort(routes.begin(), routes.end(), [](const Route *left, const Route *right) {
+            return left->pathPrefix.size() > right->pathPrefix.size();
+        });
+    }
+    for (const Team &team : configuration_.teams) {
+        for (const std::string &key : team.keys) {
+            byKey_.emplace(key, &team);
+        }
+    }
+}
+
+const Route *RouteTable::route(std::string_view host, std::string_view path) const
+{
+    const auto routes = byHost_.find(std::string(host));
+    if (routes == byHost_.end()) {
+        return nullptr;
+    }
+    const auto found
+        = std::find_if(routes->second.begin(), routes->second.end(),
+                       [&](const Route *route) { return path.starts_with(route->pathPrefix); });
+    return found == routes->second.end() ? nullptr : *found;
+}
+
+const Team *RouteTable::team(std::string_view key) const
+{
+    const auto found = byKey_.find(std::string(key));
+    return found == byKey_.end() ? nullptr : found->second;
+}
+
+const ServiceFacts *RouteTable::service(const ServiceId &name) const
+{
+    const auto found
+        = std::find_if(configuration_.services.begin(), configuration_.services.end(),
+                       [&](const ServiceFacts &service) { return service.name == name; });
+    return found == configuration_.services.end() ? nullptr : &*found;
+}
+
+const ServiceId *RouteTable::target(const Route &route, std::uint64_t draw)
+{
+    double total = 0;
+    for (const ServiceShare &share : route.services) {
+        total += std::max(0.0, share.weight);
+    }
+    constexpr double DrawRange = 18446744073709551616.0;
+    double left = static_cast<double>(draw) / DrawRange * total;
+    const ServiceId *last = nullptr;
+    for (const ServiceShare &share : route.services) {
+        if (share.weight <= 0) {
+            continue;
+        }
+        last = &share.service;
+        left -= share.weight;
+        if (left < 0) {
+            break;
+        }
+    }
+    return last;
+}
+
+} // namespace jacinthroad
--- /dev/null
+++ b/Source/Gateway/CallerSession.cpp
@@ -0,0 +1,177 @@
+#include "Gateway/CallerSession.h"
+
+#include <utility>
+
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/asio/write.hpp>
+
+#include "Core/Refusal.h"
+#include "Gateway/SocketOptions.h"
+
+namespace jacinthroad {
+
+namespace asio = boost::asio;
+namespace http = boost::beast::http;
+using boost::system::error_code;
+
+namespace {
+
+/// Silence after which TCP gives a caller's connection up; callers on bad links come back well
+/// within it.
+constexpr Duration CallerSilence = std::chrono::seconds(6);
+/// Time for a whole body to arrive after its header.
+constexpr Duration BodyTimeout = std::chrono::seconds(20);
+/// Callers may reuse a connection until the idle limit; the close comes a little after it.
+constexpr Duration IdleMargin = milliseconds(500);
+
+bool hasUnknownFraming(const http::request_header<> &header)
+{
+    const auto encoding = header[http::field::transfer_encoding];
+    return header.count(http::field::transfer_encoding) > 1
+        || header.count(http::field::content_length) > 1
+        || (!encoding.empty() && !boost::beast::iequals(encoding, "chunked"))
+        || (!encoding.empty() && header.count(http::field::content_length) > 0);
+}
+
+} // namespace
+
+CallerSession::CallerSession(TrafficState &state, asio::ip::tcp::socket socket)
+    : state_(state)
+    , socket_(std::move(socket))
+    , timer_(state.context)
+{ }
+
+void CallerSession::closeAfter(Duration limit)
+{
+    timer_.expires_after(limit);
+    timer_.async_wait([self = shared_from_this()](error_code error) {
+        if (!error) {
+            error_code ignored;
+            self->socket_.close(ignored);
+        }
+    });
+}
+
+asio::awaitable<bool> CallerSession::waitForBytes(Duration limit)
+{
+    if (buffer_.size() > 0) {
+        co_return true;
+    }
+    closeAfter(limit);
+    error_code error;
+    co_await socket_.async_wait(asio::ip::tcp::socket::wait_read,
+                                asio::redirect_error(asio::use_awaitable, error));
+    timer_.cancel();
+    co_return !error;
+}
+
+asio::awaitable<void> CallerSession::run()
+{
+    const auto self = shared_from_this();
+    watchForSilence(socket_, CallerSilence);
+    for (;;) {
+        const CallerLimits limits
+            = state_.routes != nullptr ? state_.routes->limits() : CallerLimits();
+        if (!co_await waitForBytes(limits.idleTimeout + IdleMargin)) {
+            co_return;
+        }
+        Parser parser;
+        parser.header_limit(limits.headerBytes);
+        parser.body_limit(limits.bodyBytes);
+        if (!co_await readRequest(parser)) {
+            co_return;
+        }
+        exchange_ = std::make_unique<Exchange>(state_, socket_, parser.release(),
+                                               std::chrono::steady_clock::now());
+        watchCaller();
+        const ExchangeEnd end = co_await exchange_->run();
+        ++generation_;
+        exchange_.reset();
+        if (!end.callerUsable) {
+            co_return;
+        }
+        error_code error;
+        socket_.cancel(error);
+    }
+}
+
+asio::awaitable<bool> CallerSession::readRequest(Parser &parser)
+{
+    const CallerLimits limits = state_.routes != nullptr ? state_.routes->limits() : CallerLimits();
+    closeAfter(limits.headerTimeout);
+    error_code error;
+    co_await http::async_read_header(socket_, buffer_, parser,
+                                     asio::redirect_error(asio::use_awaitable, error));
+    if (!error && hasUnknownFraming(parser.get().base())) {
+        error = http::error::bad_transfer_encoding;
+    }
+    if (!error && !parser.is_done()) {
+        closeAfter(BodyTimeout);
+        if (boost::beast::iequals(parser.get()[http::field::expect], "100-continue")) {
+            constexpr std::string_view Continue = "HTTP/1.1 100 Continue\r\n\r\n";
+            co_await asio::async_write(socket_, asio::buffer(Continue.data(), Continue.size()),
+                                       asio::redirect_error(asio::use_awaitable, error));
+        }
+        if (!error) {
+            co_await http::async_read(socket_, buffer_, parser,
+                                      asio::redirect_error(asio::use_awaitable, error));
+        }
+    }
+    timer_.cancel();
+    if (error) {
+        co_await answerFault(error);
+        co_return false;
+    }
+    co_return true;
+}
+
+asio::awaitable<void> CallerSession::answerFault(const error_code &error)
+{
+    const bool protocolFault = error.category() == http::make_error_code(http::error::end_of_stream).category()
+        && error != http::error::end_of_stream && error != http::error::partial_message;
+    if (!protocolFault || !socket_.is_open()) {
+        co_return;
+    }
+    ErrorKind kind = ErrorKind::InvalidRequest;
+    if (error == http::error::body_limit) {
+        kind = ErrorKind::PayloadTooLarge;
+    } else if (error == http::error::header_limit) {
+        kind = ErrorKind::HeaderTooLarge;
+    }
+    HttpAnswer answer;
+    answer.result(static_cast<unsigned>(errorAnswer(kind).status));
+    answer.version(11);
+    answer.set(http::field::content_type, "application/json");
+    answer.keep_alive(false);
+    answer.body() = refusalJson({ .kind = kind, .notRun = NotRun::True });
+    answer.prepare_payload();
+    state_.metrics.countRequest(std::string(errorAnswer(kind).name));
+    error_code ignored;
+    co_await http::async_write(socket_, answer, asio::redirect_error(asio::use_awaitable, ignored));
+    socket_.shutdown(asio::ip::tcp::socket::shutdown_send, ignored);
+}
+
+void CallerSession::watchCaller()
+{
+    socket_.async_wait(
+        asio::ip::tcp::socket::wait_read,
+        [self = shared_from_this(), generation = generation_](error_code error) {
+            if (error || generation != self->generation_ || self->exchange_ == nullptr) {
+                return;
+            }
+            switch (peek(self->socket_)) {
+            case PeekResult::Nothing:
+                self->watchCaller();
+                break;
+            case PeekResult::Closed:
+                self->exchange_->callerLeft();
+                break;
+            case PeekResult::Bytes:
+                // The caller has sent its next request already; it is read once this one ends.
+                break;
+            }
+        });
+}
+
+} // namespace jacinthroad
--- /dev/null
+++ b/Source/Gateway/CallerSession.h
@@ -0,0 +1,47 @@
+#pragma once
+
+#include <cstdint>
+#include <memory>
+#include <utility>
+
+#include <boost/asio/awaitable.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/http.hpp>
+
+#include "Gateway/Exchange.h"
+#include "Gateway/TrafficState.h"
+
+namespace jacinthroad {
+
+/// One connection of a caller: reads requests one after the other, hands each to an Exchange and
+/// watches meanwhile whether the caller leaves.
+class CallerSession : public std::enable_shared_from_this<CallerSession>
+{
+public:
+    CallerSession(TrafficState &state, boost::asio::ip::tcp::socket socket);
+
+    /// Serves the connection until it ends.
+    [[nodiscard]] boost::asio::awaitable<void> run();
+
+private:
+    using Parser = boost::beast::http::request_parser<boost::beast::http::string_body>;
+
+    [[nodiscard]] boost::asio::awaitable<bool> waitForBytes(Duration limit);
+    /// Reads one request; on a fault the answer has been sent and false is returned.
+    [[nodiscard]] boost::asio::awaitable<bool> readRequest(Parser &parser);
+    [[nodiscard]] boost::asio::awaitable<void> answerFault(const boost::system::error_code &error);
+    void closeAfter(Duration limit);
+    void watchCaller();
+
+    TrafficState &state_;
+    boost::asio::ip::tcp::socket socket_;
+    boost::asio::steady_timer timer_;
+    boost::beast::flat_buffer buffer_;
+    std::unique_ptr<Exchange> exchange_;
+    /// Counts exchanges, so that a late notice of an earlier one is ignored.
+    std::uint64_t generation_ = 0;
+};
+
+} // namespace jacinthroad
--- /dev/null
+++ b/Source/Gateway/ConnectionPool.cpp
@@ -0,0 +1,66 @@
+#include "Gateway/ConnectionPool.h"
+
+#include <algorithm>
+
+#include "Gateway/SocketOptions.h"
+
+namespace jacinthroad {
+
+namespace {
+
+bool isUsable(ServerConnection &connection, Instant now)
+{
+    return now < connection.usableUntil && connection.buffer.size() == 0
+        && peek(connection.socket) == PeekResult::Nothing;
+}
+
+} // namespace
+
+std::unique_ptr<ServerConnection> ConnectionPool::take(const ServerId &server, Instant now)
+{
+    const auto found = idle_.find(server);
+    if (found == idle_.end()) {
+        return nullptr;
+    }
+    auto &connections = found->second;
+    while (!connections.empty()) {
+        std::unique_ptr<ServerConnection> connection = std::move(connections.back());
+        connections.pop_back();
+        if (isUsable(*connection, now)) {
+            return connection;
+        }
+    }
+    return nullptr;
+}
+
+void ConnectionPool::give(const ServerId &server, std::unique_ptr<ServerConnection> connection)
+{
+    idle_[server].push_back(std::move(connection));
+}
+
+void ConnectionPool::drop(const ServerId &server)
+{
+    idle_.erase(server);
+}
+
+void ConnectionPool::sweep(Instant now)
+{
+    for (auto entry = idle_.begin(); entry != idle_.end();) {
+        auto &connections = entry->second;
+        std::erase_if(connections, [&](const auto &connection) {
+            return !isUsable(*connection, now);
+        });
+        entry = connections.empty() ? idle_.erase(entry) : std::next(entry);
+    }
+}
+
+std::size_t ConnectionPool::size() const
+{
+    std::size_t count = 0;
+    for (const auto &[server, connections] : idle_) {
+        count += connections.size();
+    }
+    return count;
+}
+
+} // namespace jacinthroad
--- /dev/null
+++ b/Source/Gateway/EventSplitter.cpp
@@ -0,0 +1,92 @@
+#include "Gateway/EventSplitter.h"
+
+#include <algorithm>
+#include <charconv>
+
+namespace jacinthroad {
+
+namespace {
+
+constexpr std::string_view IdField = "id:";
+
+/// Position after the blank line that ends the first event, or npos.
+std::size_t endOfEvent(std::string_view bytes, std::size_t from)
+{
+    const auto lf = bytes.find("\n\n", from);
+    const auto crlf = bytes.find("\r\n\r\n", from);
+    if (lf == std::string_view::npos && crlf == std::string_view::npos) {
+        return std::string_view::npos;
+    }
+    return crlf < lf ? crlf + 4 : lf + 2;
+}
+
+std::string_view idOf(std::string_view event)
+{
+    while (!event.empty()) {
+        std::string_view line = event.substr(0, event.find('\n'));
+        event.remove_prefix(std::min(event.size(), line.size() + 1));
+        if (line.starts_with(IdField)) {
+            line.remove_prefix(IdField.size());
+            while (line.starts_with(' ')) {
+                line.remove_prefix(1);
+            }
+            while (line.ends_with('\r')) {
+                line.remove_suffix(1);
+            }
+            return line;
+        }
+    }
+    return {};
+}
+
+} // namespace
+
+std::string EventSplitter::take(std::string_view bytes)
+{
+    constexpr std::size_t LongestTerminator = 4;
+    std::size_t scanned = pending_.size() < LongestTerminator ? 0 : pending_.size() - LongestTerminator;
+    pending_.append(bytes);
+    std::string whole;
+    std::size_t begin = 0;
+    for (;;) {
+        const std::size_t end = endOfEvent(pending_, std::max(begin, scanned));
+        if (end == std::string::npos) {
+            break;
+        }
+        const std::string_view event = std::string_view(pending_).substr(begin, end - begin);
+        if (accept(event)) {
+            whole.append(event);
+        }
+        begin = end;
+        scanned = end;
+    }
+    pending_.erase(0, begin);
+    return whole;
+}
+
+bool EventSplitter::accept(std::string_view event)
+{
+    const std::string_view id = idOf(event);
+    if (id.empty()) {
+        return true;
+    }
+    std::uint64_t number = 0;
+    const auto parsed = std::from_chars(id.data(), id.data() + id.size(), number);
+    const bool numeric = parsed.ec == std::errc() && parsed.ptr == id.data() + id.size();
+    if (resumed_ && numeric && lastNumber_.has_value() && number <= *lastNumber_) {
+        return false;
+    }
+    lastId_ = std::string(id);
+    if (numeric) {
+        lastNumber_ = number;
+    }
+    return true;
+}
+
+void EventSplitter::restart()
+{
+    pending_.clear();
+    resumed_ = true;
+}
+
+} // namespace jacinthroad
--- /dev/null
+++ b/Source/Gateway/Exchange.h
@@ -0,0 +1,124 @@
+#pragma once
+
+#include <functional>
+#include <memory>
+#include <optional>
+#include <string>
+#include <utility>
+#include <variant>
+#include <vector>
+
+#include <boost/asio/awaitable.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/beast/http.hpp>
+
+#include "Core/ErrorKind.h"
+#include "Fleet/CallerRequest.h"
+#include "Gateway/EventSplitter.h"
+#include "Gateway/TrafficState.h"
+#include "Routing/DispatchRecord.h"
+#include "platform/ServerWire.h"
+
+namespace jacinthroad {
+
+/// The whole request of a caller.
+using HttpRequest = boost::beast::http::request<boost::beast::http::string_body>;
+/// A whole answer.
+using HttpAnswer = boost::beast::http::response<boost::beast::http::string_body>;
+
+/// How an exchange ended, for the session that goes on with the caller's connection.
+struct ExchangeEnd
+{
+    /// Word of the decision log.
+    std::string outcome;
+    int status = 0;
+    /// The caller's connection can carry another request.
+    bool callerUsable = true;
+};
+
+/// One request of a caller on its way: admitted, placed, sent to one backend server or more as its
+/// kind allows, and answered. Lives on the traffic thread.
+class Exchange
+{
+public:
+    Exchange(TrafficState &state, boost::asio::ip::tcp::socket &caller, HttpRequest request,
+             Instant received);
+    Exchange(const Exchange &) = delete;
+    Exchange &operator=(const Exchange &) = delete;
+
+    /// Carries the request to its end.
+    [[nodiscard]] boost::asio::awaitable<ExchangeEnd> run();
+
+    /// The caller has closed its connection: stops the attempt under way.
+    void callerLeft();
+
+private:
+    /// How one attempt ended.
+    enum class AttemptEnd : std::uint8_t {
+        /// The answer, or its beginning, has gone to the caller.
+        Delivered,
+        /// An answer is whole and held in `answer_`.
+        Answered,
+        /// The request was not sent.
+        NotSent,
+        /// The server stated that it did not run the request.
+        Rejected,
+        /// Sent, and no whole answer came.
+        Lost,
+        /// A stream broke off after some of it went to the caller.
+        Broken,
+        TimedOut,
+        CallerLeft,
+    };
+
+    struct Attempt;
+
+    [[nodiscard]] std::optional<ErrorKind> admit();
+    [[nodiscard]] boost::asio::awaitable<ExchangeEnd> attempts();
+    [[nodiscard]] boost::asio::awaitable<AttemptEnd> attempt(const Placement &placement);
+    [[nodiscard]] boost::asio::awaitable<bool> connect(std::shared_ptr<Attempt> attempt);
+    [[nodiscard]] boost::asio::awaitable<AttemptEnd> converse(Attempt &attempt);
+    [[nodiscard]] boost::asio::awaitable<AttemptEnd> readWhole(Attempt &attempt);
+    [[nodiscard]] boost::asio::awaitable<AttemptEnd> relay(Attempt &attempt);
+    void noteRun(AttemptEnd end);
+    void settle(Attempt &attempt, AttemptEnd end);
+    void send(const std::shared_ptr<Attempt> &shared);
+    static void abortAt(const std::shared_ptr<Attempt> &attempt, Instant moment);
+    [[nodiscard]] AttemptEnd failure(const Attempt &attempt) const;
+    [[nodiscard]] bool mayTryAgain(AttemptEnd end, Instant now);
+    [[nodiscard]] boost::asio::awaitable<ExchangeEnd> deliver();
+    [[nodiscard]] boost::asio::awaitable<ExchangeEnd> refuse(ErrorKind kind, Duration retryAfter);
+    [[nodiscard]] boost::asio::awaitable<bool> writeToCaller(std::string_view bytes);
+    [[nodiscard]] Duration timeLeft(Instant now) const;
+    [[nodiscard]] platform::ForwardFacts forwardFacts(const Placement &placement, Instant now) const;
+    void prepareParts();
+    void logEnd(const ExchangeEnd &end) const;
+
+    TrafficState &state_;
+    boost::asio::ip::tcp::socket &caller_;
+    HttpRequest request_;
+    Instant received_;
+    Instant deadline_;
+
+    CallerRequest facts_;
+    std::shared_ptr<const RouteTable> routes_;
+    const Route *route_ = nullptr;
+    const Team *team_ = nullptr;
+    PlacementRequest placing_;
+    std::vector<PromptPrefix> parts_;
+    std::vector<ServerId> tried_;
+
+    /// Sends to servers so far, and those that the servers stated not to have run.
+    unsigned sends_ = 0;
+    unsigned rejected_ = 0;
+    DispatchRecord record_;
+    std::optional<HttpAnswer> answer_;
+    bool callerGone_ = false;
+    bool headerDelivered_ = false;
+    EventSplitter events_;
+    std::function<void()> cancelAttempt_;
+    Instant firstByteAt_;
+};
+
+} // namespace jacinthroad
--- /dev/null
+++ b/Source/Gateway/GatewaySettings.cpp
@@ -0,0 +1,221 @@
+#include "Gateway/GatewaySettings.h"
+
+#include <algorithm>
+#include <array>
+
+#include "Core/Json.h"
+
+namespace jacinthroad {
+
+namespace {
+
+constexpr double MostMilliseconds = 3600000;
+constexpr std::array<std::string_view, 1> EdgeChoices { "gateway" };
+constexpr std::array<std::string_view, 4> LevelChoices { "debug", "info", "warning", "error" };
+
+constexpr std::array<FieldRule, 2> NodeFields { {
+    { .name = "name",
+      .type = FieldType::String,
+      .required = true,
+      .help = "name of this entry VM, unique among all" },
+    { .name = "zone",
+      .type = FieldType::String,
+      .required = true,
+      .help = "availability zone of this entry VM" },
+} };
+constexpr ObjectSchema NodeSchema { "node", NodeFields };
+
+constexpr std::array<FieldRule, 5> ListenFields { {
+    { .name = "callers",
+      .type = FieldType::String,
+      .required = true,
+      .help = "IP:port for callers" },
+    { .name = "readiness",
+      .type = FieldType::String,
+      .required = true,
+      .help = "IP:port that the balancer asks whether new connections are welcome" },
+    { .name = "readiness_path",
+      .type = FieldType::String,
+      .defaultText = "\"/readyz\"",
+      .help = "path of that question" },
+    { .name = "metrics",
+      .type = FieldType::String,
+      .defaultText = "\"\"",
+      .help = "IP:port that serves /metrics; empty serves none" },
+    { .name = "peers",
+      .type = FieldType::String,
+      .defaultText = "\"\"",
+      .help = "IP:port for datagrams between nodes; empty tells peers nothing" },
+} };
+constexpr ObjectSchema ListenSchema { "listen", ListenFields };
+
+constexpr std::array<FieldRule, 1> StoreFields { {
+    { .name = "address",
+      .type = FieldType::String,
+      .required = true,
+      .help = "IP:port of the platform's object store" },
+} };
+constexpr ObjectSchema StoreSchema { "store", StoreFields };
+
+constexpr FieldRule millisecondsRule(std::string_view name, std::string_view defaultText,
+                                     std::string_view help)
+{
+    return { .name = name,
+             .type = FieldType::Integer,
+             .defaultText = defaultText,
+             .minimum = 1,
+             .maximum = MostMilliseconds,
+             .unit = "ms",
+             .help = help };
+}
+
+constexpr FieldRule secondsRule(std::string_view name, std::string_view defaultText,
+                                std::string_view help)
+{
+    return { .name = name,
+             .type = FieldType::Number,
+             .defaultText = defaultText,
+             .minimum = 0.001,
+             .maximum = MostMilliseconds / 1000,
+             .unit = "s",
+             .help = help };
+}
+
+constexpr std::array<FieldRule, 8> BoundFields { {
+    millisecondsRule("key_revocation_ms", "5000",
+                     "a key that was taken away is refused after this time"),
+    millisecondsRule("configuration_ms", "2000", "a new configuration is in force after this time"),
+    secondsRule("stop_grace_s", "8", "time from SIGTERM to SIGKILL"),
+    millisecondsRule("lease_ms", "3000",
+                     "time that passes between the orders of two holders of a lease"),
+    millisecondsRule("weights_ms", "15000", "named weights are everywhere after this time"),
+    { .name = "repeat_share",
+      .type = FieldType::Number,
+      .defaultText = "0.2",
+      .minimum = 0,
+      .maximum = 1,
+      .help = "share of a service's requests that all nodes together may send again" },
+    { .name = "repeat_allowance",
+      .type = FieldType::Number,
+      .defaultText = "20",
+      .minimum = 0,
+      .maximum = 1000000,
+      .unit = "sends",
+      .help = "repeated sends beyond that share, for all nodes together, in a window" },
+    secondsRule("repeat_window_s", "10", "length of that window"),
+} };
+constexpr ObjectSchema BoundSchema { "bounds", BoundFields };
+
+constexpr std::array<FieldRule, 1> LogFields { {
+    { .name = "level",
+      .type = FieldType::String,
+      .defaultText = "\"info\"",
+      .choices = LevelChoices,
+      .help = "least severity that is written" },
+} };
+constexpr ObjectSchema LogSchema { "log", LogFields };
+
+const std::array<FieldRule, 6> &rootFields()
+{
+    static const std::array<FieldRule, 6> Fields { {
+        { .name = "edge",
+          .type = FieldType::String,
+          .required = true,
+          .choices = EdgeChoices,
+          .help = "'gateway' routes by host and path before listed backend servers" },
+        { .name = "node",
+          .type = FieldType::Object,
+          .required = true,
+          .nested = &NodeSchema,
+          .help = "who this node is" },
+        { .name = "listen",
+          .type = FieldType::Object,
+          .required = true,
+          .nested = &ListenSchema,
+          .help = "addresses to listen on" },
+        { .name = "store",
+          .type = FieldType::Object,
+          .required = true,
+          .nested = &StoreSchema,
+          .help = "the platform's object store" },
+        { .name = "bounds",
+          .type = FieldType::Object,
+          .nested = &BoundSchema,
+          .help = "what operators ask of the fleet" },
+        { .name = "log",
+          .type = FieldType::Object,
+          .nested = &LogSchema,
+          .help = "what is logged" },
+    } };
+    return Fields;
+}
+
+} // namespace
+
+const ObjectSchema &gatewaySettingsSchema()
+{
+    static const ObjectSchema Schema { "Gateway settings", rootFields() };
+    return Schema;
+}
+
+bool isGatewaySettings(std::string_view text)
+{
+    const auto document = parseJson(text);
+    return document.has_value() && document->isObject() && document->isMember("edge");
+}
+
+std::vector<std::string> checkGatewaySettings(std::string_view text, std::string_view fileName)
+{
+    const auto document = parseJson(text);
+    if (!document.has_value()) {
+        return { std::string(fileName) + ": " + document.error().message + " "
+                 + document.error().remedyText() };
+    }
+    std::vector<std::string> lines;
+    for (const Fault &fault : checkAgainst(gatewaySettingsSchema(), *document)) {
+        lines.push_back(describeFault(fault, fileName, text));
+    }
+    return lines;
+}
+
+Result<GatewaySettings> readGatewaySettings(std::string_view text, std::string_view fileName)
+{
+    const std::vector<std::string> faults = checkGatewaySettings(text, fileName);
+    if (!faults.empty()) {
+        std::string all;
+        for (const std::string &fault : faults) {
+            all += (all.empty() ? "" : "\n") + fault;
+        }
+        return makeError(ErrorKind::InvalidSettings, all);
+    }
+    const Json::Value document = *parseJson(text);
+    const FieldReader node(NodeSchema, document["node"]);
+    const FieldReader listen(ListenSchema, document["listen"]);
+    const FieldReader store(StoreSchema, document["store"]);
+    const FieldReader bounds(BoundSchema, document["bounds"]);
+    const FieldReader log(LogSchema, document["log"]);
+    const std::string level = log.text("level");
+    const auto levelAt = std::find(LevelChoices.begin(), LevelChoices.end(), level);
+    return GatewaySettings {
+        .name = node.text("name"),
+        .zone = node.text("zone"),
+        .callerAddress = listen.text("callers"),
+        .readinessAddress = listen.text("readiness"),
+        .readinessPath = listen.text("readiness_path"),
+        .metricsAddress = listen.text("metrics"),
+        .peerAddress = listen.text("peers"),
+        .storeAddress = store.text("address"),
+        .keyRevocation = milliseconds(bounds.integer("key_revocation_ms")),
+        .configurationBound = milliseconds(bounds.integer("configuration_ms")),
+        .stopGrace = fromMilliseconds(bounds.number("stop_grace_s") * 1000),
+        .lease = milliseconds(bounds.integer("lease_ms")),
+        .weightsBound = milliseconds(bounds.integer("weights_ms")),
+        .repeatShare = bounds.number("repeat_share"),
+        .repeatAllowance = bounds.number("repeat_allowance"),
+        .repeatWindow = fromMilliseconds(bounds.number("repeat_window_s") * 1000),
+        .log = { .minimumLevel = static_cast<LogLevel>(levelAt - LevelChoices.begin()),
+                 .json = true },
+    };
+}
+
+} // namespace jacinthroad
--- /dev/null
+++ b/Source/Gateway/Listener.cpp
@@ -0,0 +1,72 @@
+#include "Gateway/Listener.h"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/use_awaitable.hpp>
+
+#include "Core/Log.h"
+#include "Gateway/CallerSession.h"
+#include "Gateway/SocketOptions.h"
+
+namespace jacinthroad {
+
+namespace asio = boost::asio;
+using boost::system::error_code;
+
+namespace {
+
+/// Pause after an accept that failed, as when descriptors run out.
+constexpr Duration AcceptPause = milliseconds(20);
+constexpr int Backlog = 1024;
+
+} // namespace
+
+Result<asio::ip::tcp::acceptor> openAcceptor(asio::io_context &context, const std::string &address)
+{
+    const auto endpoint = parseEndpoint(address);
+    if (!endpoint.has_value()) {
+        return makeError(ErrorKind::InvalidSettings,
+                         "listen address '" + address + "' is not IP:port",
+                         "Write an address such as 127.0.0.1:8080.");
+    }
+    asio::ip::tcp::acceptor acceptor(context);
+    error_code error;
+    acceptor.open(endpoint->protocol(), error);
+    acceptor.set_option(asio::ip::tcp::acceptor::reuse_address(true), error);
+    acceptor.bind(*endpoint, error);
+    if (!error) {
+        acceptor.listen(Backlog, error);
+    }
+    if (error) {
+        return makeError(ErrorKind::InvalidSettings,
+                         "cannot listen on " + address + ": " + error.message(),
+                         "Check that the address is this VM's and that the port is free.");
+    }
+    return acceptor;
+}
+
+asio::awaitable<void> acceptCallers(TrafficState &state, asio::ip::tcp::acceptor &acceptor)
+{
+    asio::steady_timer pause(state.context);
+    while (acceptor.is_open()) {
+        error_code error;
+        asio::ip::tcp::socket socket(state.context);
+        co_await acceptor.async_accept(socket, asio::redirect_error(asio::use_awaitable, error));
+        if (error == asio::error::operation_aborted) {
+            co_return;
+        }
+        if (error) {
+            logLine(LogLevel::Warning, "accept_failed", { { "reason", error.message() } });
+            pause.expires_after(AcceptPause);
+            co_await pause.async_wait(asio::redirect_error(asio::use_awaitable, error));
+            continue;
+        }
+        auto session = std::make_shared<CallerSession>(state, std::move(socket));
+        asio::co_spawn(
+            state.context, [session] { return session->run(); }, asio::detached);
+    }
+}
+
+} // namespace jacinthroad
--- /dev/null
+++ b/Source/Gateway/Listener.h
@@ -0,0 +1,22 @@
+#pragma once
+
+#include <string>
+#include <utility>
+
+#include <boost/asio/awaitable.hpp>
+#include <boost/asio/ip/tcp.hpp>
+
+#include "Core/Error.h"
+#include "Gateway/TrafficState.h"
+
+namespace jacinthroad {
+
+/// Opens a listening socket on `IP:port`; fails with InvalidSettings where it cannot be bound.
+[[nodiscard]] Result<boost::asio::ip::tcp::acceptor> openAcceptor(boost::asio::io_context &context,
+                                                                  const std::string &address);
+
+/// Accepts callers' connections until the acceptor is closed.
+[[nodiscard]] boost::asio::awaitable<void> acceptCallers(TrafficState &state,
+                                                         boost::asio::ip::tcp::acceptor &acceptor);
+
+} // namespace jacinthroad
--- /dev/null
+++ b/Source/Gateway/SocketOptions.cpp
@@ -0,0 +1,69 @@
+#include "Gateway/SocketOptions.h"
+
+#include <algorithm>
+#include <cerrno>
+#include <charconv>
+#include <string>
+
+#include <boost/asio/ip/address.hpp>
+#include <netinet/tcp.h>
+#include <sys/socket.h>
+
+namespace jacinthroad {
+
+namespace {
+
+constexpr int ProbeIntervalSeconds = 1;
+constexpr int ProbesMissed = 2;
+
+void setOption(int socket, int level, int option, int value)
+{
+    // A socket that is already closed rejects the option; the next read reports that.
+    static_cast<void>(setsockopt(socket, level, option, &value, sizeof(value)));
+}
+
+} // namespace
+
+void watchForSilence(boost::asio::ip::tcp::socket &socket, Duration silence)
+{
+    const int handle = socket.native_handle();
+    const auto limit = std::chrono::duration_cast<milliseconds>(silence).count();
+    const int idleSeconds = std::max(1, static_cast<int>(limit / 1000) - ProbesMissed);
+    setOption(handle, IPPROTO_TCP, TCP_NODELAY, 1);
+    setOption(handle, SOL_SOCKET, SO_KEEPALIVE, 1);
+    setOption(handle, IPPROTO_TCP, TCP_KEEPIDLE, idleSeconds);
+    setOption(handle, IPPROTO_TCP, TCP_KEEPINTVL, ProbeIntervalSeconds);
+    setOption(handle, IPPROTO_TCP, TCP_KEEPCNT, ProbesMissed);
+    setOption(handle, IPPROTO_TCP, TCP_USER_TIMEOUT, static_cast<int>(limit));
+}
+
+PeekResult peek(boost::asio::ip::tcp::socket &socket)
+{
+    char byte = 0;
+    const ssize_t size = recv(socket.native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+    if (size > 0) {
+        return PeekResult::Bytes;
+    }
+    const bool nothing = size < 0 && (errno == EAGAIN || errno == EWOULDBLOCK || errno == EINTR);
+    return nothing ? PeekResult::Nothing : PeekResult::Closed;
+}
+
+std::optional<boost::asio::ip::tcp::endpoint> parseEndpoint(std::string_view text)
+{
+    const auto colon = text.rfind(':');
+    if (colon == std::string_view::npos) {
+        return std::nullopt;
+    }
+    std::uint16_t port = 0;
+    const char *end = text.data() + text.size();
+    const auto parsed = std::from_chars(text.data() + colon + 1, end, port);
+    boost::system::error_code error;
+    const auto address
+        = boost::asio::ip::make_address(std::string(text.substr(0, colon)), error);
+    if (error || parsed.ec != std::errc() || parsed.ptr != end) {
+        return std::nullopt;
+    }
+    return boost::asio::ip::tcp::endpoint(address, port);
+}
+
+} // namespace jacinthroad
--- /dev/null
+++ b/Source/Gateway/StatusServer.cpp
@@ -0,0 +1,83 @@
+#include "Gateway/StatusServer.h"
+
+#include <memory>
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/http.hpp>
+
+#include "Core/Time.h"
+#include "Gateway/SocketOptions.h"
+
+namespace jacinthroad {
+
+namespace asio = boost::asio;
+namespace http = boost::beast::http;
+using boost::system::error_code;
+
+namespace {
+
+/// Silence after which a status connection is given up.
+constexpr Duration StatusSilence = std::chrono::seconds(6);
+
+struct StatusSource
+{
+    std::string path;
+    std::function<StatusPage()> page;
+};
+
+asio::awaitable<void> serveConnection(asio::ip::tcp::socket socket,
+                                      std::shared_ptr<const StatusSource> source)
+{
+    watchForSilence(socket, StatusSilence);
+    boost::beast::flat_buffer buffer;
+    error_code error;
+    for (;;) {
+        http::request<http::string_body> request;
+        co_await http::async_read(socket, buffer, request,
+                                  asio::redirect_error(asio::use_awaitable, error));
+        if (error) {
+            co_return;
+        }
+        http::response<http::string_body> answer;
+        answer.version(request.version());
+        answer.keep_alive(request.keep_alive());
+        answer.set(http::field::content_type, "text/plain; charset=utf-8");
+        if (request.target().substr(0, request.target().find('?')) == source->path) {
+            auto [status, text] = source->page();
+            answer.result(status);
+            answer.body() = std::move(text);
+        } else {
+            answer.result(http::status::not_found);
+        }
+        answer.prepare_payload();
+        co_await http::async_write(socket, answer,
+                                   asio::redirect_error(asio::use_awaitable, error));
+        if (error || !answer.keep_alive()) {
+            co_return;
+        }
+    }
+}
+
+} // namespace
+
+asio::awaitable<void> serveStatus(asio::ip::tcp::acceptor &acceptor, std::string path,
+                                  std::function<StatusPage()> page)
+{
+    const auto source = std::make_shared<const StatusSource>(
+        StatusSource { .path = std::move(path), .page = std::move(page) });
+    while (acceptor.is_open()) {
+        error_code error;
+        asio::ip::tcp::socket socket(acceptor.get_executor());
+        co_await acceptor.async_accept(socket, asio::redirect_error(asio::use_awaitable, error));
+        if (!error) {
+            asio::co_spawn(acceptor.get_executor(), serveConnection(std::move(socket), source),
+                           asio::detached);
+        }
+    }
+}
+
+} // namespace jacinthroad
--- /dev/null
+++ b/Source/Gateway/StoreSync.cpp
@@ -0,0 +1,152 @@
+#include "Gateway/StoreSync.h"
+
+#include <algorithm>
+#include <utility>
+
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/use_awaitable.hpp>
+
+#include "Core/Hashing.h"
+#include "Core/Log.h"
+
+namespace jacinthroad {
+
+namespace asio = boost::asio;
+using boost::system::error_code;
+using platform::StoreStatus;
+
+namespace {
+
+/// The store answers in milliseconds; a slow one in a few hundred.
+constexpr Duration CallTimeout = milliseconds(900);
+/// Pause after a failed call; doubles up to the longest.
+constexpr Duration FirstPause = milliseconds(100);
+constexpr Duration LongestPause = milliseconds(500);
+
+} // namespace
+
+StoreSync::StoreSync(asio::io_context &context, StoreClient &client, Options options,
+                     Changed changed, Confirmed confirmed)
+    : context_(context)
+    , client_(client)
+    , options_(std::move(options))
+    , changed_(std::move(changed))
+    , confirmed_(std::move(confirmed))
+{ }
+
+asio::awaitable<void> StoreSync::run()
+{
+    for (;;) {
+        const bool done = listed_ ? co_await watch() : co_await list();
+        if (done) {
+            failures_ = 0;
+        } else {
+            ++failures_;
+            co_await pause();
+        }
+    }
+}
+
+asio::awaitable<bool> StoreSync::list()
+{
+    ObjectTable table;
+    std::string after;
+    std::uint64_t revision = 0;
+    BootInstant firstSent;
+    for (bool more = true; more;) {
+        const auto reply = co_await client_.call(platform::listCall(options_.kind, after),
+                                                 CallTimeout);
+        if (!reply.has_value() || reply->status != StoreStatus::Done) {
+            noteReachable(false, reply.has_value() ? "turned away" : reply.error().message);
+            co_return false;
+        }
+        const auto page = platform::readPage(reply->body);
+        if (!page.has_value()) {
+            noteReachable(false, page.error().message);
+            co_return false;
+        }
+        if (after.empty()) {
+            firstSent = reply->sentAt;
+            revision = page->revision;
+        }
+        for (const platform::StoredObject &object : page->objects) {
+            table[object.name] = object;
+        }
+        more = page->more && !page->objects.empty();
+        if (more) {
+            after = page->objects.back().name;
+        }
+    }
+    noteReachable(true, {});
+    table_ = std::move(table);
+    // Changes after the first page are told again by the watch.
+    revision_ = revision;
+    listed_ = true;
+    changed_(table_);
+    confirmed_(firstSent);
+    co_return true;
+}
+
+asio::awaitable<bool> StoreSync::watch()
+{
+    const auto reply
+        = co_await client_.call(platform::watchCall(options_.kind, revision_, options_.wait),
+                                options_.wait + CallTimeout);
+    if (reply.has_value() && reply->status == StoreStatus::HistoryGone) {
+        listed_ = false;
+        co_return true;
+    }
+    if (!reply.has_value() || reply->status != StoreStatus::Done) {
+        noteReachable(false, reply.has_value() ? "turned away" : reply.error().message);
+        co_return false;
+    }
+    const auto changes = platform::readChanges(reply->body);
+    if (!changes.has_value()) {
+        noteReachable(false, changes.error().message);
+        listed_ = false;
+        co_return false;
+    }
+    noteReachable(true, {});
+    for (const platform::ObjectEvent &event : changes->events) {
+        if (event.removed) {
+            table_.erase(event.object.name);
+        } else {
+            table_[event.object.name] = event.object;
+        }
+    }
+    revision_ = std::max(revision_, changes->revision);
+    if (!changes->events.empty()) {
+        changed_(table_);
+    }
+    confirmed_(reply->sentAt);
+    co_return true;
+}
+
+asio::awaitable<void> StoreSync::pause()
+{
+    Duration wait = FirstPause;
+    for (unsigned step = 1; step < failures_ && wait < LongestPause; ++step) {
+        wait *= 2;
+    }
+    asio::steady_timer timer(context_);
+    timer.expires_after(std::min(wait, LongestPause));
+    error_code ignored;
+    co_await timer.async_wait(asio::redirect_error(asio::use_awaitable, ignored));
+}
+
+void StoreSync::noteReachable(bool reachable, std::string_view reason)
+{
+    if (reachable == reachable_) {
+        return;
+    }
+    reachable_ = reachable;
+    if (reachable) {
+        logLine(LogLevel::Info, "store_regained", { { "objects", options_.name } });
+    } else {
+        logLine(LogLevel::Warning, "store_lost",
+                { { "objects", options_.name }, { "reason", reason } });
+    }
+}
+
+} // namespace jacinthroad
--- /dev/null
+++ b/Source/Gateway/TrafficState.cpp
@@ -0,0 +1,78 @@
+#include "Gateway/TrafficState.h"
+
+#include "Core/Log.h"
+#include "Gateway/BootClock.h"
+
+namespace jacinthroad {
+
+namespace {
+
+/// Entry VMs that the allowance for repeated sends is divided by until membership tells better;
+/// above the size of a small fleet, so that the sum stays inside.
+constexpr double AssumedNodes = 12;
+/// Share of the fleet-wide ratio that a node uses itself, as requests spread unevenly.
+constexpr double RepeatShareUsed = 0.7;
+/// Parts of the time after which a key that was taken away must be refused.
+constexpr double AgedPart = 0.4;
+constexpr double ExpiredPart = 0.8;
+
+Duration part(Duration whole, double share)
+{
+    return fromMilliseconds(toMilliseconds(whole) * share);
+}
+
+} // namespace
+
+TrafficState::TrafficState(boost::asio::io_context &ioContext, const GatewaySettings &nodeSettings,
+                           GatewayMetrics &gatewayMetrics)
+    : context(ioContext)
+    , settings(nodeSettings)
+    , metrics(gatewayMetrics)
+    , freshness({ .agedAfter = part(settings.keyRevocation, AgedPart),
+                  .expiredAfter = part(settings.keyRevocation, ExpiredPart) })
+    , pool({ .zone = ZoneId(settings.zone) })
+    , repeats({ .ratio = settings.repeatShare * RepeatShareUsed,
+                .window = settings.repeatWindow,
+                .allowance = settings.repeatAllowance / AssumedNodes })
+{ }
+
+void TrafficState::applyConfiguration(std::shared_ptr<const RouteTable> newer)
+{
+    if (routes != nullptr && routes->version() >= newer->version()) {
+        return;
+    }
+    routes = std::move(newer);
+    pool.applyServices(routes->services());
+    metrics.setConfigurationVersion(static_cast<double>(routes->version()));
+    logLine(LogLevel::Info, "configuration",
+            { { "version", static_cast<std::int64_t>(routes->version()) } });
+}
+
+void TrafficState::applyServers(const std::vector<BackendServer> &servers, Instant now)
+{
+    for (auto &[id, present] : listed_) {
+        present = false;
+    }
+    for (const BackendServer &server : servers) {
+        listed_[server.id] = true;
+        pool.applyServer(server, now);
+    }
+    for (auto entry = listed_.begin(); entry != listed_.end();) {
+        if (entry->second) {
+            ++entry;
+            continue;
+        }
+        pool.removeServer(entry->first);
+        connections.drop(entry->first);
+        entry = listed_.erase(entry);
+    }
+    serversKnown = true;
+}
+
+bool TrafficState::ready() const
+{
+    return !draining && routes != nullptr && serversKnown
+        && freshness.trust(bootNow()) != Trust::Expired;
+}
+
+} // namespace jacinthroad
--- /dev/null
+++ b/Source/Gateway/TrafficState.h
@@ -0,0 +1,59 @@
+#pragma once
+
+#include <cstdint>
+#include <memory>
+#include <unordered_map>
+#include <vector>
+
+#include <boost/asio/io_context.hpp>
+
+#include "Fleet/BackendServer.h"
+#include "Fleet/Freshness.h"
+#include "Fleet/RouteTable.h"
+#include "Gateway/ConnectionPool.h"
+#include "Gateway/GatewayMetrics.h"
+#include "Gateway/GatewaySettings.h"
+#include "Placement/AttemptBudget.h"
+#include "Placement/ServerPool.h"
+
+namespace jacinthroad {
+
+/// All that the traffic thread decides by. Only that thread touches it; the control thread posts
+/// changes to its io_context.
+class TrafficState
+{
+public:
+    TrafficState(boost::asio::io_context &context, const GatewaySettings &settings,
+                 GatewayMetrics &metrics);
+
+    /// Takes a newer configuration; an older one is ignored.
+    void applyConfiguration(std::shared_ptr<const RouteTable> routes);
+    /// Takes the whole list of servers as the platform has it.
+    void applyServers(const std::vector<BackendServer> &servers, Instant now);
+
+    boost::asio::io_context &context;
+    const GatewaySettings settings;
+    GatewayMetrics &metrics;
+
+    /// Null before the first configuration.
+    std::shared_ptr<const RouteTable> routes;
+    Freshness freshness;
+    ServerPool pool;
+    ConnectionPool connections;
+    AttemptBudget repeats;
+
+    /// True once the list of servers has been read.
+    bool serversKnown = false;
+    /// Set by SIGTERM: answers ask callers to leave.
+    bool draining = false;
+    /// Caller connections that carry a request now.
+    unsigned activeRequests = 0;
+
+    /// True where new connections are welcome.
+    [[nodiscard]] bool ready() const;
+
+private:
+    std::unordered_map<ServerId, bool> listed_;
+};
+
+} // namespace jacinthroad
--- a/Source/Node/OperatorApi.cpp
+++ b/Source/Node/OperatorApi.cpp
@@ -8,6 +8,7 @@
 
 #include "Core/Hashing.h"
 #include "Node/Refusal.h"
+#include "Routing/DispatchRecord.h"
 
 namespace jacinthroad {
 
--- /dev/null
+++ b/Source/Placement/AttemptBudget.cpp
@@ -0,0 +1,46 @@
+#include "Placement/AttemptBudget.h"
+
+#include <algorithm>
+#include <numeric>
+
+namespace jacinthroad {
+
+AttemptBudget::AttemptBudget(const Options &options)
+    : options_(options)
+{ }
+
+AttemptBudget::Window &AttemptBudget::windowOf(const ServiceId &service, Instant now)
+{
+    Window &window = windows_[service];
+    const auto sliceLength = options_.window / Slices;
+    const std::int64_t slice = now.time_since_epoch() / sliceLength;
+    const std::int64_t passed
+        = std::min<std::int64_t>(slice - window.slice, static_cast<std::int64_t>(Slices));
+    for (std::int64_t step = 0; step < passed; ++step) {
+        const auto index = static_cast<std::size_t>(slice - step) % Slices;
+        window.requests[index] = 0;
+        window.repeats[index] = 0;
+    }
+    window.slice = std::max(window.slice, slice);
+    return window;
+}
+
+void AttemptBudget::noteRequest(const ServiceId &service, Instant now)
+{
+    Window &window = windowOf(service, now);
+    ++window.requests[static_cast<std::size_t>(window.slice) % Slices];
+}
+
+bool AttemptBudget::spend(const ServiceId &service, Instant now)
+{
+    Window &window = windowOf(service, now);
+    const double requests = std::accumulate(window.requests.begin(), window.requests.end(), 0.0);
+    const double repeats = std::accumulate(window.repeats.begin(), window.repeats.end(), 0.0);
+    if (repeats + 1 > options_.ratio * requests + options_.allowance) {
+        return false;
+    }
+    ++window.repeats[static_cast<std::size_t>(window.slice) % Slices];
+    return true;
+}
+
+} // namespace jacinthroad
--- /dev/null
+++ b/Source/Placement/HeldParts.cpp
@@ -0,0 +1,46 @@
+#include "Placement/HeldParts.h"
+
+namespace jacinthroad {
+
+void HeldParts::noteSent(std::span<const PromptPrefix> prefixes)
+{
+    std::uint32_t before = 0;
+    for (const PromptPrefix &prefix : prefixes) {
+        const std::uint32_t own = prefix.tokens - before;
+        before = prefix.tokens;
+        const auto found = byKey_.find(prefix.key);
+        if (found != byKey_.end()) {
+            order_.splice(order_.begin(), order_, found->second);
+            continue;
+        }
+        order_.push_front({ .key = prefix.key, .ownTokens = own });
+        byKey_[prefix.key] = order_.begin();
+        usedTokens_ += own;
+    }
+    while (usedTokens_ > roomTokens_ && order_.size() > prefixes.size()) {
+        usedTokens_ -= order_.back().ownTokens;
+        byKey_.erase(order_.back().key);
+        order_.pop_back();
+    }
+}
+
+std::uint32_t HeldParts::heldTokens(std::span<const PromptPrefix> prefixes) const
+{
+    std::uint32_t held = 0;
+    for (const PromptPrefix &prefix : prefixes) {
+        if (!byKey_.contains(prefix.key)) {
+            break;
+        }
+        held = prefix.tokens;
+    }
+    return held;
+}
+
+void HeldParts::clear()
+{
+    order_.clear();
+    byKey_.clear();
+    usedTokens_ = 0;
+}
+
+} // namespace jacinthroad
--- /dev/null
+++ b/Source/Placement/HeldParts.h
@@ -0,0 +1,53 @@
+#pragma once
+
+#include <cstdint>
+#include <list>
+#include <span>
+#include <unordered_map>
+#include <vector>
+
+#include "Core/Time.h"
+
+namespace jacinthroad {
+
+/// One leading part of a prompt together with all parts before it, for one model, version of
+/// weights and wall. Equal keys name equal cache contents.
+struct PromptPrefix
+{
+    std::uint64_t key = 0;
+    /// Tokens up to and with this part.
+    std::uint32_t tokens = 0;
+};
+
+/// What one backend server probably holds in its cache: prefixes that were sent to it, the least
+/// recently used dropped once their tokens exceed its room.
+class HeldParts
+{
+public:
+    /// `roomTokens` is the room for shared parts.
+    explicit HeldParts(std::uint64_t roomTokens)
+        : roomTokens_(roomTokens)
+    { }
+
+    /// Notes that a request with these prefixes, shortest first, was sent.
+    void noteSent(std::span<const PromptPrefix> prefixes);
+    /// Tokens at the head of the prompt that are probably cached.
+    [[nodiscard]] std::uint32_t heldTokens(std::span<const PromptPrefix> prefixes) const;
+    /// Forgets everything, as after a restart or new weights.
+    void clear();
+
+private:
+    struct Entry
+    {
+        std::uint64_t key;
+        std::uint32_t ownTokens;
+    };
+
+    std::uint64_t roomTokens_;
+    std::uint64_t usedTokens_ = 0;
+    /// Most recently used first.
+    std::list<Entry> order_;
+    std::unordered_map<std::uint64_t, std::list<Entry>::iterator> byKey_;
+};
+
+} // namespace jacinthroad
--- /dev/null
+++ b/Source/Placement/ServerPool.cpp
@@ -0,0 +1,290 @@
+#include "Placement/ServerPool.h"
+
+#include <algorithm>
+#include <cmath>
+
+#include "Core/Hashing.h"
+#include "Routing/Rendezvous.h"
+
+namespace jacinthroad {
+
+namespace {
+
+/// A report of load that nothing renews loses half of its weight in this time; about the time
+/// that a request stays on a server.
+constexpr Duration ReportHalfLife = milliseconds(400);
+/// Pause after a server could not be reached; doubles with each failure in a row.
+constexpr Duration FirstSuspension = milliseconds(250);
+constexpr Duration LongestSuspension = std::chrono::seconds(2);
+constexpr unsigned MostDoublings = 3;
+/// Failures of a server's own after which it is suspended.
+constexpr unsigned FailuresToSuspend = 3;
+/// Pause after a server rejected a request as full.
+constexpr Duration RejectionPause = milliseconds(60);
+/// Advice where no server takes work: the time in which a suspended one is tried again.
+constexpr Duration RetryWhenNone = milliseconds(300);
+/// Share of an engine's cache that shared parts can count on beside running requests.
+constexpr double SharedCacheShare = 0.6;
+
+double decayed(double value, Duration age)
+{
+    const double halves = toMilliseconds(age) / toMilliseconds(ReportHalfLife);
+    return halves > 10 ? 0 : value * std::exp2(-halves);
+}
+
+} // namespace
+
+ServerPool::ServerPool(const Options &options)
+    : options_(options)
+{ }
+
+std::uint64_t ServerPool::cacheRoom(const ServiceId &service) const
+{
+    const auto found = services_.find(service);
+    if (found == services_.end() || !found->second.engine.has_value()) {
+        return 0;
+    }
+    return static_cast<std::uint64_t>(static_cast<double>(found->second.engine->cacheTokens)
+                                      * SharedCacheShare);
+}
+
+void ServerPool::applyServices(std::span<const ServiceFacts> services)
+{
+    services_.clear();
+    for (const ServiceFacts &service : services) {
+        services_[service.name] = service;
+    }
+}
+
+void ServerPool::applyServer(const BackendServer &facts, Instant now)
+{
+    const auto found = servers_.find(facts.id);
+    if (found == servers_.end() || found->second.facts.bootedAt != facts.bootedAt
+        || found->second.facts.address != facts.address) {
+        Server server { .facts = facts,
+                        .hash = hash64(facts.id.text()),
+                        .held = HeldParts(cacheRoom(facts.service)) };
+        server.suspendedUntil = now;
+        server.loadingUntil = now;
+        servers_[facts.id] = std::move(server);
+        return;
+    }
+    Server &server = found->second;
+    std::map<ModelId, WeightsVersion> known = server.facts.models;
+    server.facts = facts;
+    for (const auto &[model, version] : known) {
+        WeightsVersion &listed = server.facts.models[model];
+        if (listed > version) {
+            server.held.clear();
+        }
+        listed = std::max(listed, version);
+    }
+}
+
+void ServerPool::removeServer(const ServerId &id)
+{
+    servers_.erase(id);
+}
+
+void ServerPool::applyNamedWeights(const NamedWeights &named)
+{
+    WeightsVersion &version = named_[named.model];
+    version = std::max(version, named.version);
+}
+
+void ServerPool::noteWeights(const ServerId &id, const ModelId &model, WeightsVersion version)
+{
+    const auto found = servers_.find(id);
+    if (found == servers_.end()) {
+        return;
+    }
+    WeightsVersion &known = found->second.facts.models[model];
+    if (version > known) {
+        known = version;
+        found->second.held.clear();
+    }
+}
+
+void ServerPool::noteLoading(const ServerId &id, Instant until)
+{
+    const auto found = servers_.find(id);
+    if (found != servers_.end()) {
+        found->second.loadingUntil = until;
+    }
+}
+
+const BackendServer *ServerPool::find(const ServerId &id) const
+{
+    const auto found = servers_.find(id);
+    return found == servers_.end() ? nullptr : &found->second.facts;
+}
+
+bool ServerPool::takesWork(const Server &server, Instant now) const
+{
+    return !server.facts.leaving && server.suspendedUntil <= now && server.loadingUntil <= now;
+}
+
+std::vector<PromptPrefix> ServerPool::prefixesOn(const Server &server,
+                                                 const PlacementRequest &request) const
+{
+    const auto version = server.facts.models.find(request.model);
+    const std::uint64_t seed
+        = mix64(request.wall, version == server.facts.models.end() ? 0 : version->second);
+    std::vector<PromptPrefix> prefixes(request.parts.begin(), request.parts.end());
+    for (PromptPrefix &prefix : prefixes) {
+        prefix.key = mix64(prefix.key, seed);
+    }
+    return prefixes;
+}
+
+double ServerPool::cost(const Server &server, const PlacementRequest &request,
+                        std::uint32_t heldTokens, Instant now) const
+{
+    const double reported = server.load.running + server.load.waiting;
+    const double others
+        = decayed(std::max(0.0, reported - server.inFlightAtLoad), now - server.loadAt);
+    const double load = server.inFlight + others;
+    const double pace
+        = 1 + decayed(std::max(0.0, server.load.pace - 1), now - server.loadAt);
+    double expected = server.facts.zone == options_.zone ? 0 : options_.otherZoneMs;
+    if (request.model.empty()) {
+        const double slots = std::max(1U, server.facts.slots);
+        const double queued = std::max(0.0, load + 1 - slots) / slots;
+        expected += pace * options_.serviceWorkMs * (1 + queued + 0.25 * load / slots);
+    } else {
+        const std::uint32_t unread = request.promptTokens - std::min(request.promptTokens, heldTokens);
+        const std::uint32_t sharedTokens = request.parts.empty() ? 0 : request.parts.back().tokens;
+        const double reread = sharedTokens - std::min(sharedTokens, heldTokens);
+        const double tokens
+            = static_cast<double>(server.unreadTokens) + unread + options_.rereadWeight * reread;
+        expected += pace * (tokens / options_.prefillTokensPerMs + load * options_.engineLoadMs);
+    }
+    return expected + toMilliseconds(server.facts.coldLeft) / 10;
+}
+
+std::variant<Placement, NoPlacement> ServerPool::choose(const PlacementRequest &request,
+                                                        Instant now) const
+{
+    unsigned listed = 0;
+    unsigned candidates = 0;
+    const Server *home = nullptr;
+    std::uint64_t homeScore = 0;
+    const std::uint64_t homeKey
+        = request.parts.empty() ? 0 : mix64(request.parts.back().key, request.wall);
+    for (const auto &[id, server] : servers_) {
+        if (server.facts.service != request.service) {
+            continue;
+        }
+        ++listed;
+        const std::uint64_t score = rendezvousScore(homeKey, server.hash);
+        if (takesWork(server, now) && (home == nullptr || score > homeScore)) {
+            home = &server;
+            homeScore = score;
+        }
+    }
+    const Server *best = nullptr;
+    double bestCost = 0;
+    std::uint32_t bestHeld = 0;
+    const std::uint32_t sharedTokens = request.parts.empty() ? 0 : request.parts.back().tokens;
+    for (const auto &[id, server] : servers_) {
+        const bool excluded = server.facts.service != request.service || !takesWork(server, now)
+            || std::find(request.tried.begin(), request.tried.end(), id) != request.tried.end();
+        if (excluded) {
+            continue;
+        }
+        ++candidates;
+        std::uint32_t held = 0;
+        if (!request.parts.empty()) {
+            held = &server == home ? sharedTokens
+                                   : server.held.heldTokens(prefixesOn(server, request));
+        }
+        const double expected = cost(server, request, held, now);
+        if (best == nullptr || expected < bestCost) {
+            best = &server;
+            bestCost = expected;
+            bestHeld = held;
+        }
+    }
+    if (best == nullptr) {
+        return NoPlacement { .retryAfter = RetryWhenNone, .listed = listed };
+    }
+    Placement placement { .server = best->facts.id,
+                          .address = best->facts.address,
+                          .heldTokens = bestHeld,
+                          .cost = bestCost,
+                          .candidates = candidates };
+    if (const auto version = best->facts.models.find(request.model);
+        version != best->facts.models.end()) {
+        placement.weights = version->second;
+    }
+    return placement;
+}
+
+void ServerPool::noteSent(const ServerId &id, const PlacementRequest &request,
+                          std::uint32_t heldTokens)
+{
+    const auto found = servers_.find(id);
+    if (found == servers_.end()) {
+        return;
+    }
+    Server &server = found->second;
+    ++server.inFlight;
+    server.unreadTokens += request.promptTokens - std::min(request.promptTokens, heldTokens);
+    if (!request.parts.empty()) {
+        server.held.noteSent(prefixesOn(server, request));
+    }
+}
+
+void ServerPool::noteFirstByte(const ServerId &id, std::uint32_t readTokens)
+{
+    const auto found = servers_.find(id);
+    if (found != servers_.end()) {
+        found->second.unreadTokens -= std::min<std::uint64_t>(found->second.unreadTokens, readTokens);
+    }
+}
+
+void ServerPool::noteEnd(const ServerId &id, AttemptVerdict verdict, std::uint32_t unreadTokens,
+                         Instant now)
+{
+    const auto found = servers_.find(id);
+    if (found == servers_.end()) {
+        return;
+    }
+    Server &server = found->second;
+    server.inFlight -= server.inFlight > 0 ? 1 : 0;
+    server.unreadTokens -= std::min<std::uint64_t>(server.unreadTokens, unreadTokens);
+    switch (verdict) {
+    case AttemptVerdict::Served:
+        server.failures = 0;
+        break;
+    case AttemptVerdict::Rejected:
+        server.suspendedUntil = std::max(server.suspendedUntil, now + RejectionPause);
+        break;
+    case AttemptVerdict::Failed:
+        if (++server.failures >= FailuresToSuspend) {
+            server.suspendedUntil = now + FirstSuspension;
+        }
+        break;
+    case AttemptVerdict::Unreachable: {
+        const unsigned doublings = std::min(server.failures++, MostDoublings);
+        server.suspendedUntil
+            = now + std::min(LongestSuspension, FirstSuspension * (1U << doublings));
+        break;
+    }
+    case AttemptVerdict::Abandoned:
+        break;
+    }
+}
+
+void ServerPool::noteLoad(const ServerId &id, const ReportedLoad &load, Instant now)
+{
+    const auto found = servers_.find(id);
+    if (found == servers_.end()) {
+        return;
+    }
+    found->second.load = load;
+    found->second.loadAt = now;
+    found->second.inFlightAtLoad = found->second.inFlight;
+}
+
+} // namespace jacinthroad
--- /dev/null
+++ b/Source/Placement/ServerPool.h
@@ -0,0 +1,165 @@
+#pragma once
+
+#include <cstdint>
+#include <optional>
+#include <span>
+#include <string>
+#include <unordered_map>
+#include <variant>
+#include <vector>
+
+#include "Fleet/BackendServer.h"
+#include "Fleet/FleetConfiguration.h"
+#include "Placement/HeldParts.h"
+
+namespace jacinthroad {
+
+/// What placing needs to know of one request.
+struct PlacementRequest
+{
+    ServiceId service;
+    /// Empty for a plain service.
+    ModelId model;
+    /// Identifies the prompt's parts; seeds the prefix keys together with the weights' version.
+    std::span<const PromptPrefix> parts;
+    /// Separates teams that share nothing; 0 for all others.
+    std::uint64_t wall = 0;
+    std::uint32_t promptTokens = 0;
+    /// Servers that this request must not go to again.
+    std::span<const ServerId> tried;
+};
+
+/// The server to send to.
+struct Placement
+{
+    ServerId server;
+    std::string address;
+    /// Version of the weights that the server is known to run; none where it runs no model.
+    std::optional<WeightsVersion> weights;
+    /// Tokens of the prompt that it probably holds.
+    std::uint32_t heldTokens = 0;
+    /// The figure by which it was chosen: milliseconds expected until the first byte, with the
+    /// price of reading parts again.
+    double cost = 0;
+    /// Servers that could have taken the request.
+    unsigned candidates = 0;
+};
+
+/// No server can take the request now.
+struct NoPlacement
+{
+    /// When asking again is worth while.
+    Duration retryAfter {};
+    /// Servers of the service that are listed, whatever their state.
+    unsigned listed = 0;
+};
+
+/// The load that a server has reported with an answer.
+struct ReportedLoad
+{
+    unsigned running = 0;
+    unsigned waiting = 0;
+    double pace = 1;
+};
+
+/// How an attempt at a server ended, as far as the server's health goes.
+enum class AttemptVerdict : std::uint8_t {
+    Served,
+    /// It answered that it did not run the request.
+    Rejected,
+    /// It failed the request itself.
+    Failed,
+    /// It could not be reached or fell silent.
+    Unreachable,
+    /// The caller left or the time ran out; says nothing of the server.
+    Abandoned,
+};
+
+/// The backend servers as one node sees them: what the platform lists, what answers have told, and
+/// what this node has sent. Answers where a request should go under the load of many callers with
+/// shared prompts: to the server with the lowest expected time to the first byte, reading shared
+/// parts again counted as time. Pure: the caller passes the time.
+class ServerPool
+{
+public:
+    struct Options
+    {
+        /// The node's own availability zone.
+        ZoneId zone;
+        /// Prompt tokens that an engine reads in a millisecond, until answers tell better.
+        double prefillTokensPerMs = 70;
+        /// What reading one shared token again costs beside its time, in the same unit.
+        double rereadWeight = 1.5;
+        /// Milliseconds that each request on an engine adds to the first token of the next one.
+        double engineLoadMs = 3;
+        /// Milliseconds of work of a plain service's request.
+        double serviceWorkMs = 40;
+        /// Milliseconds charged for a server in another zone.
+        double otherZoneMs = 1;
+    };
+
+    explicit ServerPool(const Options &options);
+
+    /// Takes the services of a new configuration.
+    void applyServices(std::span<const ServiceFacts> services);
+    /// Takes a server as the platform lists it now.
+    void applyServer(const BackendServer &server, Instant now);
+    /// Drops a server that the platform lists no longer.
+    void removeServer(const ServerId &id);
+    /// Takes the newest weights that operators have named.
+    void applyNamedWeights(const NamedWeights &named);
+    /// Takes what an answer said of its server's weights.
+    void noteWeights(const ServerId &id, const ModelId &model, WeightsVersion version);
+    /// Keeps new work off a server that loads weights until `until`.
+    void noteLoading(const ServerId &id, Instant until);
+
+    /// Chooses a server for a request.
+    [[nodiscard]] std::variant<Placement, NoPlacement> choose(const PlacementRequest &request,
+                                                              Instant now) const;
+
+    /// Notes that a request was sent to a server.
+    void noteSent(const ServerId &id, const PlacementRequest &request, std::uint32_t heldTokens);
+    /// Notes that the server has begun to answer: its prompt has been read.
+    void noteFirstByte(const ServerId &id, std::uint32_t readTokens);
+    /// Notes the end of an attempt; `firstByteSeen` tells whether noteFirstByte() was called.
+    void noteEnd(const ServerId &id, AttemptVerdict verdict, std::uint32_t unreadTokens,
+                 Instant now);
+    /// Takes the load that came with an answer.
+    void noteLoad(const ServerId &id, const ReportedLoad &load, Instant now);
+
+    /// Servers listed.
+    [[nodiscard]] std::size_t size() const { return servers_.size(); }
+    /// A server as the platform lists it, or null.
+    [[nodiscard]] const BackendServer *find(const ServerId &id) const;
+
+private:
+    struct Server
+    {
+        BackendServer facts;
+        std::uint64_t hash = 0;
+        HeldParts held { 0 };
+        unsigned inFlight = 0;
+        /// Prompt tokens sent and not read yet.
+        std::uint64_t unreadTokens = 0;
+        ReportedLoad load;
+        Instant loadAt;
+        unsigned inFlightAtLoad = 0;
+        unsigned failures = 0;
+        Instant suspendedUntil;
+        Instant loadingUntil;
+    };
+
+    [[nodiscard]] bool takesWork(const Server &server, Instant now) const;
+    [[nodiscard]] double cost(const Server &server, const PlacementRequest &request,
+                              std::uint32_t heldTokens, Instant now) const;
+    [[nodiscard]] std::vector<PromptPrefix> prefixesOn(const Server &server,
+                                                       const PlacementRequest &request) const;
+    [[nodiscard]] std::uint64_t cacheRoom(const ServiceId &service) const;
+
+    Options options_;
+    std::unordered_map<ServiceId, ServiceFacts> services_;
+    std::unordered_map<ServerId, Server> servers_;
+    std::unordered_map<ModelId, WeightsVersion> named_;
+};
+
+} // namespace jacinthroad
--- a/Source/Program/ServeCommand.cpp
+++ b/Source/Program/ServeCommand.cpp
@@ -4,6 +4,7 @@
 #include <thread>
 
 #include "Core/Log.h"
+#include "Gateway/Gateway.h"
 #include "Node/Node.h"
 #include "Program/Commands.h"
 
@@ -23,6 +24,39 @@
     stopSignals = stopSignals + 1;
 }
 
+void catchSignals()
+{
+    std::signal(SIGTERM, onSignal);
+    std::signal(SIGINT, onSignal);
+    std::signal(SIGPIPE, SIG_IGN);
+}
+
+ExitCode serveGateway(const std::string &text, const std::string &file)
+{
+    const auto settings = readGatewaySettings(text, file);
+    if (!settings.has_value()) {
+        printError(settings.error());
+        return ExitCode::Failed;
+    }
+    configureLog(settings->log);
+    catchSignals();
+    auto gateway = Gateway::start(*settings);
+    if (!gateway.has_value()) {
+        printError(gateway.error());
+        return ExitCode::Failed;
+    }
+    logLine(LogLevel::Info, "serving",
+            { { "node", settings->name }, { "callers", settings->callerAddress } });
+    while (stopSignals == 0) {
+        std::this_thread::sleep_for(SignalPoll);
+    }
+    logLine(LogLevel::Info, "stopping", { { "node", settings->name } });
+    const bool whole = (*gateway)->drain();
+    logLine(whole ? LogLevel::Info : LogLevel::Warning, "stopped",
+            { { "node", settings->name }, { "requests_cut", std::int64_t { whole ? 0 : 1 } } });
+    return ExitCode::Done;
+}
+
 } // namespace
 
 ExitCode runServe(const Arguments &arguments)
@@ -40,15 +74,16 @@
         printError(text.error());
         return ExitCode::Failed;
     }
+    if (isGatewaySettings(*text)) {
+        return serveGateway(*text, file);
+    }
     const auto settings = readNodeSettings(*text, file);
     if (!settings.has_value()) {
         printError(settings.error());
         return ExitCode::Failed;
     }
     configureLog(settings->log);
-    std::signal(SIGTERM, onSignal);
-    std::signal(SIGINT, onSignal);
-    std::signal(SIGPIPE, SIG_IGN);
+    catchSignals();
     auto node = Node::start(*settings);
     if (!node.has_value()) {
         printError(node.error());
--- a/Source/Routing/DispatchRecord.h
+++ b/Source/Routing/DispatchRecord.h
@@ -3,10 +3,9 @@
 #include <cstdint>
 #include <string_view>
 
-namespace jacinthroad {
+#include "Core/Refusal.h"
 
-/// Whether a refused request ran.
-enum class NotRun : std::uint8_t { True, False, Unknown };
+namespace jacinthroad {
 
 /// The verdict as refusals write it: `true`, `false` or `unknown`.
 [[nodiscard]] std::string_view notRunName(NotRun verdict);
