--- a/Source/Gateway/CallerSession.cpp
+++ b/Source/Gateway/CallerSession.cpp
@@ -73,13 +73,15 @@
     for (;;) {
         const CallerLimits limits
             = state_.routes != nullptr ? state_.routes->limits() : CallerLimits();
-        if (!co_await waitForBytes(limits.idleTimeout + IdleMargin)) {
+        const bool begun = co_await waitForBytes(limits.idleTimeout + IdleMargin);
+        if (!begun) {
             co_return;
         }
         Parser parser;
         parser.header_limit(limits.headerBytes);
         parser.body_limit(limits.bodyBytes);
-        if (!co_await readRequest(parser)) {
+        const bool whole = co_await readRequest(parser);
+        if (!whole) {
             co_return;
         }
         exchange_ = std::make_unique<Exchange>(state_, socket_, parser.release(),
--- a/Source/Gateway/Exchange.cpp
+++ b/Source/Gateway/Exchange.cpp
@@ -293,7 +293,8 @@
     attempt->placement = placement;
     cancelAttempt_ = [attempt] { attempt->abort(); };
     AttemptEnd end = AttemptEnd::NotSent;
-    if (co_await connect(attempt)) {
+    const bool connected = co_await connect(attempt);
+    if (connected) {
         abortAt(attempt, deadline_);
         send(attempt);
         end = co_await converse(*attempt);
@@ -407,7 +408,11 @@
             const bool streamed = route_->kind == RouteKind::Streaming
                 && parser->get().result_int() == 200 && isEventStream(parser->get().base());
             attempt.header = std::move(parser);
-            co_return streamed ? co_await relay(attempt) : co_await readWhole(attempt);
+            // Separate statements: g++ 12 miscompiles co_await inside a conditional operator.
+            if (streamed) {
+                co_return co_await relay(attempt);
+            }
+            co_return co_await readWhole(attempt);
         }
         http::response_parser<http::string_body> rest { std::move(*parser) };
         co_await http::async_read(connection.socket, connection.buffer, rest,
@@ -485,7 +490,8 @@
             } else {
                 bytes.append(whole);
             }
-            if (!co_await writeToCaller(bytes)) {
+            const bool written = co_await writeToCaller(bytes);
+            if (!written) {
                 callerGone_ = true;
                 attempt.abort();
                 co_return AttemptEnd::CallerLeft;
@@ -502,9 +508,12 @@
         co_return AttemptEnd::Answered;
     }
     attempt.reusable = parser.keep_alive() && attempt.written;
-    if (chunked && !co_await writeToCaller("0\r\n\r\n")) {
-        callerGone_ = true;
-        co_return AttemptEnd::CallerLeft;
+    if (chunked) {
+        const bool written = co_await writeToCaller("0\r\n\r\n");
+        if (!written) {
+            callerGone_ = true;
+            co_return AttemptEnd::CallerLeft;
+        }
     }
     co_return AttemptEnd::Delivered;
 }
--- a/Source/Gateway/StoreSync.cpp
+++ b/Source/Gateway/StoreSync.cpp
@@ -38,7 +38,12 @@
 asio::awaitable<void> StoreSync::run()
 {
     for (;;) {
-        const bool done = listed_ ? co_await watch() : co_await list();
+        bool done = false;
+        if (listed_) {
+            done = co_await watch();
+        } else {
+            done = co_await list();
+        }
         if (done) {
             failures_ = 0;
         } else {
