Rollout: Bring servers to named weights under a lease

Change: LeaseKeeper and RolloutPlanner (pure), a driver on the control thread, digests between nodes by UDP that close a server before its load and open it after. Known: a renewal that changes nothing has no new revision, so holders change every 5 s.

--- a/Source/Fleet/BackendServer.h
+++ b/Source/Fleet/BackendServer.h
@@ -29,8 +29,6 @@
     std::map<ModelId, WeightsVersion> models;
     /// Start of this boot, Unix milliseconds; a server may come back under its identifier.
     std::int64_t bootedAt = 0;
-    /// Orders accepted in this boot.
-    std::uint64_t acceptedOrders = 0;
 };
 
 /// The newest weights that operators have named for a model.
--- /dev/null
+++ b/Source/FleetPeers/NodeDigest.cpp
@@ -0,0 +1,97 @@
+#include "FleetPeers/NodeDigest.h"
+
+#include <msgpack.hpp>
+
+#include "Core/Log.h"
+
+namespace jacinthroad {
+
+namespace {
+
+/// First element of every digest; another version is ignored.
+constexpr std::uint32_t FormatVersion = 1;
+constexpr std::uint32_t DigestFields = 7;
+constexpr std::uint32_t NoticeFields = 8;
+
+std::string text(const msgpack::object &object)
+{
+    return object.as<std::string>();
+}
+
+ServerNotice readNotice(const msgpack::object &object)
+{
+    if (object.type != msgpack::type::ARRAY || object.via.array.size != NoticeFields) {
+        throw msgpack::type_error();
+    }
+    const msgpack::object *field = object.via.array.ptr;
+    ServerNotice notice;
+    notice.server = ServerId(text(field[0]));
+    notice.inFlight = field[1].as<std::uint32_t>();
+    notice.unreadTokens = field[2].as<std::uint32_t>();
+    notice.model = ModelId(text(field[3]));
+    notice.weights = field[4].as<std::uint32_t>();
+    notice.closedForMs = field[5].as<std::uint32_t>();
+    notice.prefixes = field[6].as<std::vector<std::uint64_t>>();
+    notice.prefixTokens = field[7].as<std::vector<std::uint32_t>>();
+    if (notice.prefixes.size() != notice.prefixTokens.size()) {
+        throw msgpack::type_error();
+    }
+    return notice;
+}
+
+} // namespace
+
+std::string encodeDigest(const NodeDigest &digest)
+{
+    msgpack::sbuffer buffer;
+    msgpack::packer<msgpack::sbuffer> packer(buffer);
+    packer.pack_array(DigestFields);
+    packer.pack(FormatVersion);
+    packer.pack(digest.node);
+    packer.pack(digest.boot);
+    packer.pack(digest.sequence);
+    packer.pack(digest.configurationVersion);
+    packer.pack(digest.configurationAgeMs);
+    packer.pack_array(static_cast<std::uint32_t>(digest.servers.size()));
+    for (const ServerNotice &notice : digest.servers) {
+        packer.pack_array(NoticeFields);
+        packer.pack(notice.server.text());
+        packer.pack(notice.inFlight);
+        packer.pack(notice.unreadTokens);
+        packer.pack(notice.model.text());
+        packer.pack(notice.weights);
+        packer.pack(notice.closedForMs);
+        packer.pack(notice.prefixes);
+        packer.pack(notice.prefixTokens);
+    }
+    return { buffer.data(), buffer.size() };
+}
+
+std::optional<NodeDigest> decodeDigest(std::string_view datagram)
+{
+    try {
+        const msgpack::object_handle handle = msgpack::unpack(datagram.data(), datagram.size());
+        const msgpack::object &root = handle.get();
+        if (root.type != msgpack::type::ARRAY || root.via.array.size != DigestFields
+            || root.via.array.ptr[0].as<std::uint32_t>() != FormatVersion) {
+            return std::nullopt;
+        }
+        const msgpack::object *field = root.via.array.ptr;
+        NodeDigest digest;
+        digest.node = text(field[1]);
+        digest.boot = field[2].as<std::uint64_t>();
+        digest.sequence = field[3].as<std::uint64_t>();
+        digest.configurationVersion = field[4].as<std::uint64_t>();
+        digest.configurationAgeMs = field[5].as<std::uint32_t>();
+        const auto notices = field[6].as<std::vector<msgpack::object>>();
+        for (const msgpack::object &notice : notices) {
+            digest.servers.push_back(readNotice(notice));
+        }
+        return digest;
+    } catch (const std::exception &fault) {
+        logLine(LogLevel::Debug, "digest_unreadable", { { "reason", fault.what() } });
+        return std::nullopt;
+    }
+}
+
+} // namespace jacinthroad
--- /dev/null
+++ b/Source/FleetPeers/NodeDigest.h
@@ -0,0 +1,53 @@
+#pragma once
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "Core/Ids.h"
+#include "Fleet/BackendServer.h"
+
+namespace jacinthroad {
+
+/// What a node tells its peers of one backend server.
+struct ServerNotice
+{
+    ServerId server;
+    /// Requests that this node has on it.
+    std::uint32_t inFlight = 0;
+    /// Prompt tokens that this node has sent to it and that are not read yet.
+    std::uint32_t unreadTokens = 0;
+    /// The model whose weights the notice names; empty where it names none.
+    ModelId model;
+    /// Weights that it is known to run; 0 where unknown.
+    WeightsVersion weights = 0;
+    /// New work is to stay off it for this long, ms; 0 where it is welcome.
+    std::uint32_t closedForMs = 0;
+    /// Keys of prompt prefixes sent to it since the last digest, as it holds them.
+    std::vector<std::uint64_t> prefixes;
+    /// Tokens of each of those prefixes.
+    std::vector<std::uint32_t> prefixTokens;
+};
+
+/// One datagram to the peers.
+struct NodeDigest
+{
+    std::string node;
+    /// Start of the sender's process, so that an older boot's datagrams are known.
+    std::uint64_t boot = 0;
+    /// Rises with each digest of one boot.
+    std::uint64_t sequence = 0;
+    std::uint64_t configurationVersion = 0;
+    /// Age of the sender's configuration when the digest was sent, ms.
+    std::uint32_t configurationAgeMs = 0;
+    std::vector<ServerNotice> servers;
+};
+
+/// Encodes a digest.
+[[nodiscard]] std::string encodeDigest(const NodeDigest &digest);
+/// Decodes a datagram; nothing where it is not a digest.
+[[nodiscard]] std::optional<NodeDigest> decodeDigest(std::string_view datagram);
+
+} // namespace jacinthroad
--- /dev/null
+++ b/Source/Gateway/DigestExchange.cpp
@@ -0,0 +1,128 @@
+#include "Gateway/DigestExchange.h"
+
+#include <utility>
+
+#include "Core/Log.h"
+#include "FleetPeers/NodeDigest.h"
+#include "Gateway/BootClock.h"
+#include "Gateway/SocketOptions.h"
+
+namespace jacinthroad {
+
+namespace asio = boost::asio;
+using boost::system::error_code;
+
+namespace {
+
+/// Time between two digests: a fraction of the time that a request stays on a server.
+constexpr Duration DigestPeriod = milliseconds(200);
+/// Age that is told where the configuration was never read.
+constexpr std::uint32_t UnknownAgeMs = 0xffffffff;
+
+} // namespace
+
+DigestExchange::DigestExchange(TrafficState &state, std::int64_t boot)
+    : state_(state)
+    , boot_(static_cast<std::uint64_t>(boot))
+    , socket_(state.context)
+    , timer_(state.context)
+{ }
+
+Result<void> DigestExchange::open(const std::string &address)
+{
+    const auto endpoint = parseEndpoint(address);
+    error_code error;
+    if (endpoint.has_value()) {
+        const asio::ip::udp::endpoint own(endpoint->address(), endpoint->port());
+        socket_.open(own.protocol(), error);
+        if (!error) {
+            socket_.bind(own, error);
+        }
+    }
+    if (!endpoint.has_value() || error) {
+        return makeError(ErrorKind::InvalidSettings,
+                         "peer address '" + address + "' cannot be bound",
+                         "Write IP:port with this VM's address and a free UDP port.");
+    }
+    receive();
+    schedule();
+    return {};
+}
+
+void DigestExchange::applyPeers(const std::unordered_map<std::string, std::string> &addresses)
+{
+    peers_.clear();
+    for (const auto &[name, address] : addresses) {
+        const auto endpoint = parseEndpoint(address);
+        if (name != state_.settings.name && endpoint.has_value()) {
+            peers_.emplace_back(endpoint->address(), endpoint->port());
+        }
+    }
+}
+
+void DigestExchange::schedule()
+{
+    timer_.expires_after(DigestPeriod);
+    timer_.async_wait([this](error_code error) {
+        if (!error) {
+            tell();
+            schedule();
+        }
+    });
+}
+
+void DigestExchange::tell()
+{
+    const auto age = state_.freshness.age(bootNow());
+    const NodeDigest digest {
+        .node = state_.settings.name,
+        .boot = boot_,
+        .sequence = ++sequence_,
+        .configurationVersion = state_.routes != nullptr ? state_.routes->version() : 0,
+        .configurationAgeMs = age.has_value()
+            ? static_cast<std::uint32_t>(
+                std::chrono::duration_cast<milliseconds>(*age).count())
+            : UnknownAgeMs,
+        .servers = state_.pool.takeNotices(std::chrono::steady_clock::now())
+    };
+    if (digest.servers.empty() || !socket_.is_open()) {
+        return;
+    }
+    const std::string datagram = encodeDigest(digest);
+    for (const asio::ip::udp::endpoint &peer : peers_) {
+        // A datagram that cannot be sent is a lost one; the next digest follows soon.
+        error_code ignored;
+        socket_.send_to(asio::buffer(datagram), peer, 0, ignored);
+    }
+}
+
+void DigestExchange::receive()
+{
+    socket_.async_receive_from(asio::buffer(buffer_), sender_,
+                               [this](error_code error, std::size_t size) {
+                                   if (error == asio::error::operation_aborted) {
+                                       return;
+                                   }
+                                   if (!error) {
+                                       take({ buffer_.data(), size });
+                                   }
+                                   receive();
+                               });
+}
+
+void DigestExchange::take(std::string_view datagram)
+{
+    const auto digest = decodeDigest(datagram);
+    if (!digest.has_value() || digest->node == state_.settings.name) {
+        return;
+    }
+    auto &newest = newest_[digest->node];
+    const std::pair<std::uint64_t, std::uint64_t> arrived { digest->boot, digest->sequence };
+    if (arrived <= newest) {
+        return;
+    }
+    newest = arrived;
+    state_.pool.applyPeer(digest->node, digest->servers, std::chrono::steady_clock::now());
+}
+
+} // namespace jacinthroad
--- a/Source/Gateway/Gateway.cpp
+++ b/Source/Gateway/Gateway.cpp
@@ -13,8 +13,11 @@
 #include <boost/asio/use_awaitable.hpp>
 
 #include "Core/Log.h"
+#include "Core/WallClock.h"
 #include "Gateway/BootClock.h"
+#include "Gateway/DigestExchange.h"
 #include "Gateway/Listener.h"
+#include "Gateway/RolloutDriver.h"
 #include "Gateway/StatusServer.h"
 #include "Gateway/StoreSync.h"
 #include "platform/StoreObjects.h"
@@ -31,8 +34,15 @@
 constexpr Duration ConfigurationWait = milliseconds(1000);
 constexpr Duration ServersWait = milliseconds(1500);
 constexpr Duration WeightsWait = milliseconds(4000);
-/// Period of the sweep over idle connections.
-constexpr Duration SweepPeriod = milliseconds(500);
+constexpr Duration LeasesWait = milliseconds(10000);
+constexpr Duration NodesWait = milliseconds(10000);
+/// Pause between tries to list this node among the nodes.
+constexpr Duration RegisterPause = milliseconds(700);
+constexpr Duration RegisterTimeout = milliseconds(900);
+/// Field of a node's object that holds the address for digests.
+constexpr const char *PeerAddressField = "peers";
+/// Period of the sweep over idle connections and of telling the rollout what answers said.
+constexpr Duration SweepPeriod = milliseconds(200);
 /// The balancer asks once a second and leaves after two misses; its callers then need a moment.
 constexpr Duration BalancerLag = milliseconds(3200);
 /// Time kept back from the grace for ending the process.
@@ -70,6 +80,24 @@
                 .name = "named_weights",
                 .wait = WeightsWait },
               [this](const ObjectTable &table) { takeNamedWeights(table); }, [](BootInstant) {})
+        , leases(
+              controlContext, store,
+              { .kind = platform::ObjectKind::Leases, .name = "leases", .wait = LeasesWait },
+              [this](const ObjectTable &table) { rollout.applyLeases(table); },
+              [](BootInstant) {})
+        , nodes(
+              controlContext, store,
+              { .kind = platform::ObjectKind::Nodes, .name = "nodes", .wait = NodesWait },
+              [this](const ObjectTable &table) { takeNodes(table); }, [](BootInstant) {})
+        , boot(wallMilliseconds())
+        , digests(traffic, boot)
+        , rollout(controlContext, store,
+                  { .node = settings.name, .boot = boot, .lease = settings.lease },
+                  [this](const ServerId &server, const ModelId &model, WeightsVersion version,
+                         Duration limit) { closeServer(server, model, version, limit); },
+                  [this](const ServerId &server, const ModelId &model, WeightsVersion version) {
+                      openServer(server, model, version);
+                  })
     { }
 
     Result<void> open();
@@ -79,6 +107,12 @@
     void confirmConfiguration(BootInstant moment);
     void takeServers(const ObjectTable &table);
     void takeNamedWeights(const ObjectTable &table);
+    void takeNodes(const ObjectTable &table);
+    void closeServer(const ServerId &server, const ModelId &model, WeightsVersion version,
+                     Duration limit);
+    void openServer(const ServerId &server, const ModelId &model, WeightsVersion version);
+    void tellRollout();
+    [[nodiscard]] asio::awaitable<void> registerNode();
 
     GatewaySettings settings;
     GatewayMetrics metrics;
@@ -93,6 +127,11 @@
     StoreSync configuration;
     StoreSync servers;
     StoreSync weights;
+    StoreSync leases;
+    StoreSync nodes;
+    std::int64_t boot;
+    DigestExchange digests;
+    RolloutDriver rollout;
     std::thread trafficThread;
     std::thread controlThread;
 };
@@ -116,6 +155,9 @@
         }
         scrapes = std::move(*opened);
     }
+    if (!settings.peerAddress.empty()) {
+        return digests.open(settings.peerAddress);
+    }
     return {};
 }
 
@@ -140,6 +182,12 @@
     asio::co_spawn(controlContext, configuration.run(), asio::detached);
     asio::co_spawn(controlContext, servers.run(), asio::detached);
     asio::co_spawn(controlContext, weights.run(), asio::detached);
+    asio::co_spawn(controlContext, leases.run(), asio::detached);
+    asio::co_spawn(controlContext, rollout.run(), asio::detached);
+    if (!settings.peerAddress.empty()) {
+        asio::co_spawn(controlContext, nodes.run(), asio::detached);
+        asio::co_spawn(controlContext, registerNode(), asio::detached);
+    }
     asio::post(trafficContext, [this] { sweep(); });
     trafficThread = std::thread([this] { trafficContext.run(); });
     controlThread = std::thread([this] { controlContext.run(); });
@@ -152,6 +200,7 @@
     if (age.has_value()) {
         metrics.setConfigurationAge(*age);
     }
+    tellRollout();
     sweepTimer.expires_after(SweepPeriod);
     sweepTimer.async_wait([this](error_code error) {
         if (!error) {
@@ -195,6 +244,7 @@
                     { { "server", name }, { "reason", server.error().message } });
         }
     }
+    rollout.applyServers(list);
     asio::post(trafficContext, [this, list = std::move(list)] {
         traffic.applyServers(list, std::chrono::steady_clock::now());
     });
@@ -209,11 +259,86 @@
                     { { "model", name }, { "reason", named.error().message } });
             continue;
         }
+        rollout.applyNamedWeights(*named);
         asio::post(trafficContext,
                    [this, named = *named] { traffic.pool.applyNamedWeights(named); });
     }
 }
 
+void Gateway::Parts::takeNodes(const ObjectTable &table)
+{
+    std::unordered_map<std::string, std::string> addresses;
+    for (const auto &[name, object] : table) {
+        if (object.spec.isObject() && object.spec[PeerAddressField].isString()) {
+            addresses[name] = object.spec[PeerAddressField].asString();
+        }
+    }
+    asio::post(trafficContext, [this, addresses] { digests.applyPeers(addresses); });
+}
+
+asio::awaitable<void> Gateway::Parts::registerNode()
+{
+    Json::Value spec;
+    spec[PeerAddressField] = settings.peerAddress;
+    asio::steady_timer pause(controlContext);
+    for (;;) {
+        const auto reply = co_await store.call(
+            platform::createCall(platform::ObjectKind::Nodes, settings.name, spec),
+            RegisterTimeout);
+        if (reply.has_value() && reply->status == platform::StoreStatus::Done) {
+            co_return;
+        }
+        if (reply.has_value() && reply->status == platform::StoreStatus::Conflict) {
+            const auto object = platform::readObject(reply->body);
+            if (object.has_value() && object->spec == spec) {
+                co_return;
+            }
+            if (object.has_value()) {
+                const auto replaced = co_await store.call(
+                    platform::replaceCall(platform::ObjectKind::Nodes, settings.name,
+                                          object->revision, spec),
+                    RegisterTimeout);
+                if (replaced.has_value() && replaced->status == platform::StoreStatus::Done) {
+                    co_return;
+                }
+            }
+        }
+        pause.expires_after(RegisterPause);
+        error_code ignored;
+        co_await pause.async_wait(asio::redirect_error(asio::use_awaitable, ignored));
+    }
+}
+
+void Gateway::Parts::closeServer(const ServerId &server, const ModelId &model,
+                                 WeightsVersion version, Duration limit)
+{
+    asio::post(trafficContext, [this, server, model, version, limit] {
+        traffic.pool.closeForLoad(server, model, version,
+                                  std::chrono::steady_clock::now() + limit);
+        digests.tell();
+    });
+}
+
+void Gateway::Parts::openServer(const ServerId &server, const ModelId &model,
+                                WeightsVersion version)
+{
+    asio::post(trafficContext, [this, server, model, version] {
+        traffic.pool.noteWeights(server, model, version);
+        digests.tell();
+    });
+}
+
+void Gateway::Parts::tellRollout()
+{
+    std::vector<ServerLoad> loads = traffic.pool.modelLoads();
+    asio::post(controlContext, [this, loads = std::move(loads)] {
+        for (const ServerLoad &load : loads) {
+            rollout.noteServer(load.server, load.model, load.weights);
+            rollout.noteInFlight(load.server, load.inFlight);
+        }
+    });
+}
+
 Gateway::Gateway(std::unique_ptr<Parts> parts)
     : parts_(std::move(parts))
 { }
@@ -242,6 +367,7 @@
     const Instant began = std::chrono::steady_clock::now();
     std::atomic<unsigned> active { 1 };
     asio::post(parts_->trafficContext, [this] { parts_->traffic.draining = true; });
+    asio::post(parts_->controlContext, [this] { parts_->rollout.stop(); });
     for (;;) {
         std::this_thread::sleep_for(StopPoll);
         asio::post(parts_->trafficContext, [this, &active] {
--- /dev/null
+++ b/Source/Gateway/HttpCaller.cpp
@@ -0,0 +1,127 @@
+#include "Gateway/HttpCaller.h"
+
+#include <utility>
+
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/http.hpp>
+
+#include "Gateway/BootClock.h"
+#include "Gateway/SocketOptions.h"
+
+namespace jacinthroad {
+
+namespace asio = boost::asio;
+namespace http = boost::beast::http;
+using boost::system::error_code;
+
+namespace {
+
+/// Silence after which TCP gives a connection up.
+constexpr Duration CallSilence = milliseconds(2500);
+/// A page of a list is about a megabyte; twice that is never sent.
+constexpr std::uint64_t MostAnswerBytes = 8 * 1024 * 1024;
+
+tl::unexpected<Error> unavailable(const std::string &reason)
+{
+    return makeError(ErrorKind::PlatformUnavailable, "no answer: " + reason);
+}
+
+} // namespace
+
+struct HttpCaller::Connection
+{
+    explicit Connection(asio::io_context &context)
+        : socket(context)
+        , timer(context)
+    { }
+
+    asio::ip::tcp::socket socket;
+    asio::steady_timer timer;
+    boost::beast::flat_buffer buffer;
+};
+
+HttpCaller::HttpCaller(asio::io_context &context, std::string address)
+    : context_(context)
+    , address_(std::move(address))
+{ }
+
+HttpCaller::~HttpCaller() = default;
+
+asio::awaitable<Result<CallReply>> HttpCaller::call(platform::Call call, http::fields headers,
+                                                          Duration timeout)
+{
+    std::shared_ptr<Connection> connection;
+    while (connection == nullptr && !idle_.empty()) {
+        connection = std::move(idle_.back());
+        idle_.pop_back();
+        if (peek(connection->socket) != PeekResult::Nothing) {
+            connection = nullptr;
+        }
+    }
+    if (connection == nullptr) {
+        connection = std::make_shared<Connection>(context_);
+    }
+    auto reply = co_await converse(connection, std::move(call), std::move(headers), timeout);
+    connection->timer.cancel();
+    co_return reply;
+}
+
+asio::awaitable<Result<CallReply>> HttpCaller::converse(std::shared_ptr<Connection> connection,
+                                                          platform::Call call, http::fields headers,
+                                                          Duration timeout)
+{
+    connection->timer.expires_after(timeout);
+    connection->timer.async_wait([connection](error_code error) {
+        if (!error) {
+            error_code ignored;
+            connection->socket.close(ignored);
+        }
+    });
+    error_code error;
+    if (!connection->socket.is_open()) {
+        const auto endpoint = parseEndpoint(address_);
+        if (!endpoint.has_value()) {
+            co_return unavailable("address '" + address_ + "' is not IP:port");
+        }
+        co_await connection->socket.async_connect(
+            *endpoint, asio::redirect_error(asio::use_awaitable, error));
+        if (error) {
+            co_return unavailable(error.message());
+        }
+        watchForSilence(connection->socket, CallSilence);
+    }
+    http::request<http::string_body> request(call.method, call.target, 11);
+    for (const auto &field : headers) {
+        request.insert(field.name(), field.name_string(), field.value());
+    }
+    request.set(http::field::host, address_);
+    if (!call.body.empty()) {
+        request.set(http::field::content_type, "application/json");
+        request.body() = std::move(call.body);
+        request.prepare_payload();
+    }
+    const BootInstant sentAt = bootNow();
+    co_await http::async_write(connection->socket, request,
+                               asio::redirect_error(asio::use_awaitable, error));
+    if (error) {
+        co_return unavailable(error.message());
+    }
+    http::response_parser<http::string_body> answer;
+    answer.body_limit(MostAnswerBytes);
+    co_await http::async_read(connection->socket, connection->buffer, answer,
+                              asio::redirect_error(asio::use_awaitable, error));
+    if (error) {
+        co_return unavailable(error.message());
+    }
+    if (answer.keep_alive() && connection->buffer.size() == 0) {
+        idle_.push_back(connection);
+    }
+    co_return CallReply { .status = answer.get().result_int(),
+                           .body = std::move(answer.get().body()),
+                           .sentAt = sentAt };
+}
+
+} // namespace jacinthroad
--- /dev/null
+++ b/Source/Gateway/RolloutDriver.cpp
@@ -0,0 +1,344 @@
+#include "Gateway/RolloutDriver.h"
+
+#include <algorithm>
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/use_awaitable.hpp>
+
+#include "Core/Hashing.h"
+#include "Core/Log.h"
+#include "Gateway/BootClock.h"
+#include "Gateway/LeaseObject.h"
+#include "platform/Orders.h"
+
+namespace jacinthroad {
+
+namespace asio = boost::asio;
+using boost::system::error_code;
+using platform::OrderAnswer;
+using platform::StoreStatus;
+
+namespace {
+
+constexpr const char *LeaseName = "weights";
+/// Period of the planner while there is work, and while there is none.
+constexpr Duration BusyPeriod = milliseconds(50);
+constexpr Duration IdlePeriod = milliseconds(200);
+/// Part of the time between holders that one write of the lease is good for, and after which it is
+/// renewed.
+constexpr int ValidityPart = 2;
+constexpr int RenewPart = 5;
+/// Added to the time between holders for calls that are under way.
+constexpr Duration HandoverMargin = milliseconds(500);
+/// No order leaves later than this before the lease ends.
+constexpr Duration OrderMargin = milliseconds(300);
+/// Nodes spread their first try for the lease over this time.
+constexpr std::int64_t AskSpreadMs = 400;
+constexpr Duration LeaseTimeout = milliseconds(900);
+constexpr Duration OrderTimeout = milliseconds(700);
+/// New work stays off a server for this long at most, unless it tells of its new weights before.
+constexpr Duration CloseLimit = milliseconds(3500);
+/// When a load is asked after first, how often then, and for how long: a load takes one or two
+/// seconds, more beside others.
+constexpr Duration FirstReport = milliseconds(900);
+constexpr Duration ReportPeriod = milliseconds(250);
+constexpr Duration ReportLimit = std::chrono::seconds(7);
+
+std::string holderName(const RolloutDriver::Options &options)
+{
+    return options.node + "/" + std::to_string(options.boot);
+}
+
+OrderOutcome outcomeOf(OrderAnswer answer)
+{
+    switch (answer) {
+    case OrderAnswer::Accepted:
+        return OrderOutcome::Accepted;
+    case OrderAnswer::AlreadyHolds:
+        return OrderOutcome::AlreadyHolds;
+    case OrderAnswer::Failed:
+        return OrderOutcome::Unknown;
+    default:
+        return OrderOutcome::Refused;
+    }
+}
+
+std::string_view outcomeName(OrderOutcome outcome)
+{
+    switch (outcome) {
+    case OrderOutcome::Accepted:
+        return "accepted";
+    case OrderOutcome::AlreadyHolds:
+        return "already_holds";
+    case OrderOutcome::Refused:
+        return "refused";
+    case OrderOutcome::Unknown:
+        break;
+    }
+    return "unknown";
+}
+
+} // namespace
+
+RolloutDriver::RolloutDriver(asio::io_context &context, StoreClient &store, Options options,
+                             CloseServer closeServer, OpenServer openServer)
+    : context_(context)
+    , store_(store)
+    , options_(std::move(options))
+    , closeServer_(std::move(closeServer))
+    , openServer_(std::move(openServer))
+    , lease_({ .self = holderName(options_),
+               .validity = options_.lease / ValidityPart,
+               .handover = options_.lease + HandoverMargin,
+               .renewAfter = options_.lease / RenewPart })
+    , planner_({})
+{ }
+
+void RolloutDriver::applyServers(const std::vector<BackendServer> &servers)
+{
+    std::map<ServerId, BackendServer> listed;
+    for (const BackendServer &server : servers) {
+        const auto before = servers_.find(server.id);
+        if (before == servers_.end() || before->second.bootedAt != server.bootedAt) {
+            seen_.erase(server.id);
+        }
+        listed[server.id] = server;
+    }
+    std::erase_if(seen_, [&](const auto &entry) { return !listed.contains(entry.first); });
+    std::erase_if(inFlight_, [&](const auto &entry) { return !listed.contains(entry.first); });
+    servers_ = std::move(listed);
+}
+
+void RolloutDriver::applyNamedWeights(const NamedWeights &named)
+{
+    WeightsVersion &version = named_[named.model];
+    version = std::max(version, named.version);
+}
+
+void RolloutDriver::applyLeases(const ObjectTable &table)
+{
+    const auto found = table.find(LeaseName);
+    if (found == table.end()) {
+        lease_.observe(std::nullopt, 0, bootNow());
+        return;
+    }
+    lease_.observe(readLease(found->second.spec), found->second.revision, bootNow());
+}
+
+void RolloutDriver::noteServer(const ServerId &id, const ModelId &model, WeightsVersion version)
+{
+    if (servers_.contains(id)) {
+        WeightsVersion &seen = seen_[id][model];
+        seen = std::max(seen, version);
+    }
+}
+
+void RolloutDriver::noteInFlight(const ServerId &id, unsigned inFlight)
+{
+    if (servers_.contains(id)) {
+        inFlight_[id] = inFlight;
+    }
+}
+
+std::vector<RolloutServer> RolloutDriver::view() const
+{
+    std::vector<RolloutServer> view;
+    for (const auto &[id, server] : servers_) {
+        const auto seen = seen_.find(id);
+        const auto inFlight = inFlight_.find(id);
+        for (const auto &[model, listed] : server.models) {
+            WeightsVersion version = listed;
+            if (seen != seen_.end() && seen->second.contains(model)) {
+                version = std::max(version, seen->second.at(model));
+            }
+            view.push_back({ .id = id,
+                             .model = model,
+                             .version = version,
+                             .bootedAt = server.bootedAt,
+                             .leaving = server.leaving,
+                             .inFlight = inFlight == inFlight_.end() ? 0 : inFlight->second });
+        }
+    }
+    return view;
+}
+
+asio::awaitable<void> RolloutDriver::run()
+{
+    asio::steady_timer timer(context_);
+    for (;;) {
+        co_await step();
+        timer.expires_after(wanted_ || held_ ? BusyPeriod : IdlePeriod);
+        error_code ignored;
+        co_await timer.async_wait(asio::redirect_error(asio::use_awaitable, ignored));
+    }
+}
+
+asio::awaitable<void> RolloutDriver::step()
+{
+    const std::vector<RolloutServer> servers = view();
+    const BootInstant now = bootNow();
+    const bool work = !stopping_ && RolloutPlanner::workLeft(servers, named_);
+    if (work && !wanted_) {
+        const auto spread = static_cast<std::int64_t>(hash64(options_.node)
+                                                      % static_cast<std::uint64_t>(AskSpreadMs));
+        askFrom_ = now + (lease_.wasLastHolder() ? Duration::zero() : milliseconds(spread));
+    }
+    wanted_ = work;
+    co_await writeLease(work && askFrom_ <= now);
+    const BootInstant after = bootNow();
+    const bool holds = lease_.holds(after + OrderMargin);
+    if (holds != held_) {
+        held_ = holds;
+        planner_.reset();
+        logLine(LogLevel::Info, holds ? "lease_taken" : "lease_left",
+                { { "lease", LeaseName }, { "token", static_cast<std::int64_t>(lease_.token()) } });
+    }
+    if (!holds || !work) {
+        co_return;
+    }
+    for (const RolloutStep &next :
+         planner_.plan(servers, named_, std::chrono::steady_clock::now())) {
+        if (next.action == RolloutStep::Action::Drain) {
+            closeServer_(next.server, next.model, next.version, CloseLimit);
+        } else {
+            asio::co_spawn(context_, order(next), asio::detached);
+        }
+    }
+}
+
+asio::awaitable<void> RolloutDriver::writeLease(bool wanted)
+{
+    const auto write = lease_.next(wanted, bootNow());
+    if (!write.has_value()) {
+        co_return;
+    }
+    platform::Call call;
+    LeaseRecord record;
+    if (const auto *create = std::get_if<CreateLease>(&*write)) {
+        record = create->record;
+        call = platform::createCall(platform::ObjectKind::Leases, LeaseName, leaseSpec(record));
+    } else {
+        const auto &replace = std::get<ReplaceLease>(*write);
+        record = replace.record;
+        call = platform::replaceCall(platform::ObjectKind::Leases, LeaseName, replace.revision,
+                                     leaseSpec(record));
+    }
+    const auto reply = co_await store_.call(std::move(call), LeaseTimeout);
+    if (!reply.has_value()
+        || (reply->status != StoreStatus::Done && reply->status != StoreStatus::Conflict)) {
+        co_return;
+    }
+    const auto object = platform::readObject(reply->body);
+    if (!object.has_value()) {
+        co_return;
+    }
+    if (reply->status == StoreStatus::Done) {
+        lease_.written(record, object->revision, reply->sentAt);
+    } else {
+        lease_.observe(readLease(object->spec), object->revision, bootNow());
+    }
+}
+
+asio::awaitable<Result<platform::ServerReport>> RolloutDriver::report(HttpCaller &caller)
+{
+    const auto reply = co_await caller.call(platform::reportCall(), {}, OrderTimeout);
+    if (!reply.has_value()) {
+        co_return tl::make_unexpected(reply.error());
+    }
+    co_return platform::readReport(reply->body);
+}
+
+asio::awaitable<void> RolloutDriver::order(RolloutStep step)
+{
+    const auto server = servers_.find(step.server);
+    if (server == servers_.end()) {
+        co_return;
+    }
+    closeServer_(step.server, step.model, step.version, CloseLimit);
+    HttpCaller caller(context_, server->second.address);
+    OrderOutcome outcome = OrderOutcome::Unknown;
+    const auto state = co_await report(caller);
+    if (state.has_value()) {
+        outcome = co_await give(caller, step, *state);
+    }
+    planner_.noteOrder(step.server, outcome, std::chrono::steady_clock::now());
+    if (outcome == OrderOutcome::Accepted) {
+        co_await awaitLoad(caller, step);
+    } else if (outcome != OrderOutcome::Unknown) {
+        closeServer_(step.server, step.model, step.version, Duration::zero());
+    }
+}
+
+asio::awaitable<OrderOutcome> RolloutDriver::give(HttpCaller &caller, const RolloutStep &step,
+                                                  platform::ServerReport state)
+{
+    const auto loaded = state.models.find(step.model);
+    if (loaded != state.models.end()) {
+        noteServer(step.server, step.model, loaded->second);
+        if (loaded->second >= step.version) {
+            co_return OrderOutcome::AlreadyHolds;
+        }
+    }
+    if (state.busy || !lease_.holds(bootNow() + OrderMargin)) {
+        co_return OrderOutcome::Refused;
+    }
+    const platform::LoadOrder order { .server = step.server,
+                                      .model = step.model,
+                                      .version = step.version,
+                                      .mode = platform::LoadMode::Keep,
+                                      .holder = options_.node,
+                                      .token = lease_.token(),
+                                      .acceptedOrders = state.acceptedOrders };
+    boost::beast::http::fields headers;
+    platform::setOrderHeaders(headers, order);
+    const auto reply
+        = co_await caller.call(platform::orderCall(order), std::move(headers), OrderTimeout);
+    const OrderOutcome outcome = reply.has_value()
+        ? outcomeOf(platform::readOrderAnswer(reply->status))
+        : OrderOutcome::Unknown;
+    if (outcome == OrderOutcome::AlreadyHolds) {
+        noteServer(step.server, step.model, step.version);
+    }
+    logLine(LogLevel::Info, "order",
+            { { "server", step.server.text() },
+              { "model", step.model.text() },
+              { "version", std::int64_t { step.version } },
+              { "token", static_cast<std::int64_t>(order.token) },
+              { "accepted_orders", static_cast<std::int64_t>(state.acceptedOrders) },
+              { "outcome", outcomeName(outcome) },
+              { "status", reply.has_value() ? std::int64_t { reply->status } : 0 } });
+    co_return outcome;
+}
+
+asio::awaitable<void> RolloutDriver::awaitLoad(HttpCaller &caller, const RolloutStep &step)
+{
+    asio::steady_timer timer(context_);
+    const Instant began = std::chrono::steady_clock::now();
+    Duration wait = FirstReport;
+    while (std::chrono::steady_clock::now() - began < ReportLimit) {
+        timer.expires_after(wait);
+        error_code ignored;
+        co_await timer.async_wait(asio::redirect_error(asio::use_awaitable, ignored));
+        wait = ReportPeriod;
+        const auto state = co_await report(caller);
+        if (!state.has_value()) {
+            continue;
+        }
+        const auto loaded = state->models.find(step.model);
+        if (loaded != state->models.end() && loaded->second >= step.version) {
+            noteServer(step.server, step.model, loaded->second);
+            openServer_(step.server, step.model, loaded->second);
+            logLine(LogLevel::Info, "loaded",
+                    { { "server", step.server.text() },
+                      { "version", std::int64_t { loaded->second } },
+                      { "after_ms",
+                        toMilliseconds(std::chrono::steady_clock::now() - began) } });
+            co_return;
+        }
+    }
+}
+
+} // namespace jacinthroad
--- /dev/null
+++ b/Source/Gateway/RolloutDriver.h
@@ -0,0 +1,95 @@
+#pragma once
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+#include <unordered_map>
+#include <utility>
+#include <vector>
+
+#include <boost/asio/awaitable.hpp>
+#include <boost/asio/io_context.hpp>
+
+#include "Fleet/BackendServer.h"
+#include "Gateway/HttpCaller.h"
+#include "Gateway/StoreClient.h"
+#include "Gateway/StoreSync.h"
+#include "Rollout/LeaseKeeper.h"
+#include "Rollout/RolloutPlanner.h"
+#include "platform/Orders.h"
+
+namespace jacinthroad {
+
+/// Brings servers to the weights that operators have named, on the one node that holds the lease.
+/// Belongs to the control thread.
+class RolloutDriver
+{
+public:
+    struct Options
+    {
+        std::string node;
+        /// Start of this process, Unix milliseconds.
+        std::int64_t boot = 0;
+        /// Time between the orders of two holders.
+        Duration lease;
+    };
+    /// Called when a server is to get no new work until it runs `version` or the time is over; no
+    /// time opens it again.
+    using CloseServer = std::function<void(const ServerId &, const ModelId &, WeightsVersion,
+                                           Duration)>;
+    /// Called when a server has been seen to run a version.
+    using OpenServer = std::function<void(const ServerId &, const ModelId &, WeightsVersion)>;
+
+    RolloutDriver(boost::asio::io_context &context, StoreClient &store, Options options,
+                  CloseServer closeServer, OpenServer openServer);
+
+    /// Works until the context stops.
+    [[nodiscard]] boost::asio::awaitable<void> run();
+
+    /// Takes the servers as the platform lists them.
+    void applyServers(const std::vector<BackendServer> &servers);
+    /// Takes weights that operators have named.
+    void applyNamedWeights(const NamedWeights &named);
+    /// Takes the lease object.
+    void applyLeases(const ObjectTable &table);
+    /// Takes what an answer told of a server's weights, and the requests that run on it.
+    void noteServer(const ServerId &id, const ModelId &model, WeightsVersion version);
+    /// Takes this node's count of requests on a server.
+    void noteInFlight(const ServerId &id, unsigned inFlight);
+    /// Gives the lease up at the next step and takes it no more: the node stops.
+    void stop() { stopping_ = true; }
+
+private:
+    [[nodiscard]] boost::asio::awaitable<void> step();
+    [[nodiscard]] boost::asio::awaitable<void> writeLease(bool wanted);
+    [[nodiscard]] boost::asio::awaitable<void> order(RolloutStep step);
+    [[nodiscard]] boost::asio::awaitable<OrderOutcome> give(HttpCaller &caller,
+                                                            const RolloutStep &step,
+                                                            platform::ServerReport state);
+    [[nodiscard]] boost::asio::awaitable<void> awaitLoad(HttpCaller &caller,
+                                                         const RolloutStep &step);
+    [[nodiscard]] static boost::asio::awaitable<Result<platform::ServerReport>>
+    report(HttpCaller &caller);
+    [[nodiscard]] std::vector<RolloutServer> view() const;
+
+    boost::asio::io_context &context_;
+    StoreClient &store_;
+    Options options_;
+    CloseServer closeServer_;
+    OpenServer openServer_;
+    LeaseKeeper lease_;
+    RolloutPlanner planner_;
+    std::map<ServerId, BackendServer> servers_;
+    std::map<ServerId, std::map<ModelId, WeightsVersion>> seen_;
+    std::map<ServerId, unsigned> inFlight_;
+    std::map<ModelId, WeightsVersion> named_;
+    bool held_ = false;
+    bool stopping_ = false;
+    /// From when on this node asks for the lease; nodes ask at different times.
+    BootInstant askFrom_;
+    bool wanted_ = false;
+};
+
+} // namespace jacinthroad
--- a/Source/Gateway/StoreClient.h
+++ b/Source/Gateway/StoreClient.h
@@ -1,18 +1,15 @@
 #pragma once
 
-#include <memory>
 #include <string>
 #include <utility>
-#include <vector>
 
 #include <boost/asio/awaitable.hpp>
 #include <boost/asio/io_context.hpp>
-#include <boost/asio/ip/tcp.hpp>
 
 #include "Core/Error.h"
 #include "Core/Time.h"
-#include "Fleet/Freshness.h"
 #include "Gateway/GatewayMetrics.h"
+#include "Gateway/HttpCaller.h"
 #include "platform/Store.h"
 
 namespace jacinthroad {
@@ -32,9 +29,6 @@
 public:
     StoreClient(boost::asio::io_context &context, const std::string &address,
                 GatewayMetrics &metrics);
-    StoreClient(const StoreClient &) = delete;
-    StoreClient &operator=(const StoreClient &) = delete;
-    ~StoreClient();
 
     /// Makes one call. Fails with PlatformUnavailable where no answer came within `timeout`; a
     /// write may then have been done, or be done later.
@@ -42,15 +36,8 @@
                                                                   Duration timeout);
 
 private:
-    struct Connection;
-
-    [[nodiscard]] boost::asio::awaitable<Result<StoreReply>>
-    converse(std::shared_ptr<Connection> connection, platform::Call call, Duration timeout);
-
-    boost::asio::io_context &context_;
-    std::string address_;
+    HttpCaller caller_;
     GatewayMetrics &metrics_;
-    std::vector<std::shared_ptr<Connection>> idle_;
 };
 
 } // namespace jacinthroad
--- a/Source/Placement/HeldParts.cpp
+++ b/Source/Placement/HeldParts.cpp
@@ -6,7 +6,8 @@
 {
     std::uint32_t before = 0;
     for (const PromptPrefix &prefix : prefixes) {
-        const std::uint32_t own = prefix.tokens - before;
+        // A prefix that is not longer than the one before begins another prompt.
+        const std::uint32_t own = prefix.tokens > before ? prefix.tokens - before : prefix.tokens;
         before = prefix.tokens;
         const auto found = byKey_.find(prefix.key);
         if (found != byKey_.end()) {
--- a/Source/Placement/HeldParts.h
+++ b/Source/Placement/HeldParts.h
@@ -29,7 +29,7 @@
         : roomTokens_(roomTokens)
     { }
 
-    /// Notes that a request with these prefixes, shortest first, was sent.
+    /// Notes that requests with these prefixes were sent, those of one prompt shortest first.
     void noteSent(std::span<const PromptPrefix> prefixes);
     /// Tokens at the head of the prompt that are probably cached.
     [[nodiscard]] std::uint32_t heldTokens(std::span<const PromptPrefix> prefixes) const;
--- a/Source/Placement/ServerPool.cpp
+++ b/Source/Placement/ServerPool.cpp
@@ -65,19 +65,16 @@
                         .hash = hash64(facts.id.text()),
                         .held = HeldParts(cacheRoom(facts.service)) };
         server.suspendedUntil = now;
-        server.loadingUntil = now;
+        server.closedUntil = now;
         servers_[facts.id] = std::move(server);
         return;
     }
     Server &server = found->second;
-    std::map<ModelId, WeightsVersion> known = server.facts.models;
+    const std::map<ModelId, WeightsVersion> known = server.facts.models;
     server.facts = facts;
-    for (const auto &[model, version] : known) {
-        WeightsVersion &listed = server.facts.models[model];
-        if (listed > version) {
-            server.held.clear();
-        }
-        listed = std::max(listed, version);
+    server.facts.models = known;
+    for (const auto &[model, version] : facts.models) {
+        noteWeights(server, model, version);
     }
 }
 
@@ -95,22 +92,122 @@
 void ServerPool::noteWeights(const ServerId &id, const ModelId &model, WeightsVersion version)
 {
     const auto found = servers_.find(id);
-    if (found == servers_.end()) {
-        return;
+    if (found != servers_.end()) {
+        noteWeights(found->second, model, version);
     }
-    WeightsVersion &known = found->second.facts.models[model];
+}
+
+void ServerPool::noteWeights(Server &server, const ModelId &model, WeightsVersion version)
+{
+    WeightsVersion &known = server.facts.models[model];
     if (version > known) {
         known = version;
-        found->second.held.clear();
+        server.held.clear();
+        server.untold.clear();
+    }
+    if (model == server.loadingModel && version >= server.loadingVersion) {
+        server.loadingModel = {};
+        server.closedUntil = {};
     }
 }
 
-void ServerPool::noteLoading(const ServerId &id, Instant until)
+void ServerPool::closeForLoad(const ServerId &id, const ModelId &model, WeightsVersion version,
+                              Instant until)
 {
     const auto found = servers_.find(id);
-    if (found != servers_.end()) {
-        found->second.loadingUntil = until;
+    if (found == servers_.end()) {
+        return;
     }
+    Server &server = found->second;
+    const auto known = server.facts.models.find(model);
+    if (known != server.facts.models.end() && known->second >= version) {
+        return;
+    }
+    server.loadingModel = model;
+    server.loadingVersion = version;
+    server.closedUntil = until;
+    server.closedBy.clear();
+}
+
+void ServerPool::applyPeer(const std::string &peer, std::span<const ServerNotice> notices,
+                           Instant now)
+{
+    for (const ServerNotice &notice : notices) {
+        const auto found = servers_.find(notice.server);
+        if (found == servers_.end()) {
+            continue;
+        }
+        Server &server = found->second;
+        server.peers[peer]
+            = { .inFlight = notice.inFlight, .unreadTokens = notice.unreadTokens, .at = now };
+        if (notice.closedForMs > 0) {
+            closeForLoad(notice.server, notice.model, notice.weights,
+                         now + milliseconds(notice.closedForMs));
+            server.closedBy = peer;
+            continue;
+        }
+        if (server.closedBy == peer) {
+            server.closedBy.clear();
+            server.closedUntil = now;
+        }
+        if (notice.weights > 0) {
+            noteWeights(server, notice.model, notice.weights);
+        }
+        std::vector<PromptPrefix> prefixes;
+        for (std::size_t index = 0; index < notice.prefixes.size(); ++index) {
+            prefixes.push_back(
+                { .key = notice.prefixes[index], .tokens = notice.prefixTokens[index] });
+        }
+        server.held.noteSent(prefixes);
+    }
+}
+
+std::vector<ServerNotice> ServerPool::takeNotices(Instant now)
+{
+    std::vector<ServerNotice> notices;
+    for (auto &[id, server] : servers_) {
+        ServerNotice notice { .server = id,
+                              .inFlight = server.inFlight,
+                              .unreadTokens = static_cast<std::uint32_t>(server.unreadTokens) };
+        if (!server.loadingModel.empty() && server.closedUntil > now) {
+            notice.model = server.loadingModel;
+            notice.weights = server.loadingVersion;
+            notice.closedForMs = static_cast<std::uint32_t>(
+                std::chrono::duration_cast<milliseconds>(server.closedUntil - now).count());
+        } else if (!server.facts.models.empty()) {
+            notice.model = server.facts.models.begin()->first;
+            notice.weights = server.facts.models.begin()->second;
+        }
+        for (const PromptPrefix &prefix : server.untold) {
+            notice.prefixes.push_back(prefix.key);
+            notice.prefixTokens.push_back(prefix.tokens);
+        }
+        server.untold.clear();
+        const bool quiet = notice.inFlight == 0 && notice.prefixes.empty()
+            && notice.closedForMs == 0 && server.toldInFlight == 0
+            && server.toldWeights == notice.weights && !server.toldClosed;
+        server.toldInFlight = notice.inFlight;
+        server.toldClosed = notice.closedForMs > 0;
+        server.toldWeights = notice.weights;
+        if (!quiet) {
+            notices.push_back(std::move(notice));
+        }
+    }
+    return notices;
+}
+
+std::vector<ServerLoad> ServerPool::modelLoads() const
+{
+    std::vector<ServerLoad> loads;
+    for (const auto &[id, server] : servers_) {
+        for (const auto &[model, version] : server.facts.models) {
+            loads.push_back({ .server = id,
+                              .model = model,
+                              .weights = version,
+                              .inFlight = server.inFlight });
+        }
+    }
+    return loads;
 }
 
 const BackendServer *ServerPool::find(const ServerId &id) const
@@ -121,7 +218,7 @@
 
 bool ServerPool::takesWork(const Server &server, Instant now) const
 {
-    return !server.facts.leaving && server.suspendedUntil <= now && server.loadingUntil <= now;
+    return !server.facts.leaving && server.suspendedUntil <= now && server.closedUntil <= now;
 }
 
 std::vector<PromptPrefix> ServerPool::prefixesOn(const Server &server,
@@ -141,8 +238,14 @@
                         std::uint32_t heldTokens, Instant now) const
 {
     const double reported = server.load.running + server.load.waiting;
-    const double others
-        = decayed(std::max(0.0, reported - server.inFlightAtLoad), now - server.loadAt);
+    double others = 0;
+    double unreadByOthers = 0;
+    for (const auto &[peer, peerLoad] : server.peers) {
+        others += decayed(peerLoad.inFlight, now - peerLoad.at);
+        unreadByOthers += decayed(peerLoad.unreadTokens, now - peerLoad.at);
+    }
+    others = std::max(
+        others, decayed(std::max(0.0, reported - server.inFlightAtLoad), now - server.loadAt));
     const double load = server.inFlight + others;
     const double pace
         = 1 + decayed(std::max(0.0, server.load.pace - 1), now - server.loadAt);
@@ -156,7 +259,7 @@
         const std::uint32_t sharedTokens = request.parts.empty() ? 0 : request.parts.back().tokens;
         const double reread = sharedTokens - std::min(sharedTokens, heldTokens);
         const double tokens
-            = static_cast<double>(server.unreadTokens) + unread + options_.rereadWeight * reread;
+            = static_cast<double>(server.unreadTokens) + unreadByOthers + unread + options_.rereadWeight * reread;
         expected += pace * (tokens / options_.prefillTokensPerMs + load * options_.engineLoadMs);
     }
     return expected + toMilliseconds(server.facts.coldLeft) / 10;
@@ -231,7 +334,9 @@
     ++server.inFlight;
     server.unreadTokens += request.promptTokens - std::min(request.promptTokens, heldTokens);
     if (!request.parts.empty()) {
-        server.held.noteSent(prefixesOn(server, request));
+        const std::vector<PromptPrefix> prefixes = prefixesOn(server, request);
+        server.held.noteSent(prefixes);
+        server.untold.insert(server.untold.end(), prefixes.begin(), prefixes.end());
     }
 }
 
--- a/Source/Placement/ServerPool.h
+++ b/Source/Placement/ServerPool.h
@@ -10,6 +10,7 @@
 
 #include "Fleet/BackendServer.h"
 #include "Fleet/FleetConfiguration.h"
+#include "FleetPeers/NodeDigest.h"
 #include "Placement/HeldParts.h"
 
 namespace jacinthroad {
@@ -62,6 +63,15 @@
     double pace = 1;
 };
 
+/// The weights of one engine and the requests that this node has on it.
+struct ServerLoad
+{
+    ServerId server;
+    ModelId model;
+    WeightsVersion weights = 0;
+    unsigned inFlight = 0;
+};
+
 /// How an attempt at a server ended, as far as the server's health goes.
 enum class AttemptVerdict : std::uint8_t {
     Served,
@@ -110,8 +120,13 @@
     void applyNamedWeights(const NamedWeights &named);
     /// Takes what an answer said of its server's weights.
     void noteWeights(const ServerId &id, const ModelId &model, WeightsVersion version);
-    /// Keeps new work off a server that loads weights until `until`.
-    void noteLoading(const ServerId &id, Instant until);
+    /// Keeps new work off a server until it runs `version` of the model, or until `until`.
+    void closeForLoad(const ServerId &id, const ModelId &model, WeightsVersion version,
+                      Instant until);
+    /// Takes what a peer told of its own sends, loads under way and weights seen.
+    void applyPeer(const std::string &peer, std::span<const ServerNotice> notices, Instant now);
+    /// What peers should know of this node's sends since the last call.
+    [[nodiscard]] std::vector<ServerNotice> takeNotices(Instant now);
 
     /// Chooses a server for a request.
     [[nodiscard]] std::variant<Placement, NoPlacement> choose(const PlacementRequest &request,
@@ -127,12 +142,22 @@
     /// Takes the load that came with an answer.
     void noteLoad(const ServerId &id, const ReportedLoad &load, Instant now);
 
+    /// The weights that each model engine is known to run and the requests on it.
+    [[nodiscard]] std::vector<ServerLoad> modelLoads() const;
     /// Servers listed.
     [[nodiscard]] std::size_t size() const { return servers_.size(); }
     /// A server as the platform lists it, or null.
     [[nodiscard]] const BackendServer *find(const ServerId &id) const;
 
 private:
+    /// What one peer said of its sends to a server.
+    struct PeerLoad
+    {
+        unsigned inFlight = 0;
+        std::uint32_t unreadTokens = 0;
+        Instant at;
+    };
+
     struct Server
     {
         BackendServer facts;
@@ -146,9 +171,22 @@
         unsigned inFlightAtLoad = 0;
         unsigned failures = 0;
         Instant suspendedUntil;
-        Instant loadingUntil;
+        /// Weights that it is to load, for which new work stays off it until closedUntil.
+        ModelId loadingModel;
+        WeightsVersion loadingVersion = 0;
+        Instant closedUntil;
+        /// The peer that closed it; empty where this node did.
+        std::string closedBy;
+        std::unordered_map<std::string, PeerLoad> peers;
+        /// Prefixes sent to it since the last digest to the peers.
+        std::vector<PromptPrefix> untold;
+        /// What the last digest said; a server of which nothing changed is left out.
+        unsigned toldInFlight = 0;
+        WeightsVersion toldWeights = 0;
+        bool toldClosed = false;
     };
 
+    void noteWeights(Server &server, const ModelId &model, WeightsVersion version);
     [[nodiscard]] bool takesWork(const Server &server, Instant now) const;
     [[nodiscard]] double cost(const Server &server, const PlacementRequest &request,
                               std::uint32_t heldTokens, Instant now) const;
