Rollout: Count renewals in the lease

Cause: the store gives a write that changes nothing no new revision, so peers saw no renewal and took the lease from a live holder every five seconds. Change: the record carries a count of its writes.

--- a/Source/Rollout/LeaseKeeper.cpp
+++ b/Source/Rollout/LeaseKeeper.cpp
@@ -54,7 +54,8 @@
             return ReplaceLease { .revision = revision_,
                                   .record = { .holder = options_.self,
                                               .token = record_->token,
-                                              .released = true } };
+                                              .released = true,
+                                              .renewals = record_->renewals + 1 } };
         }
         const bool due = record_->released || !renewedAt_.has_value()
             || now - *renewedAt_ >= options_.renewAfter;
@@ -62,7 +63,9 @@
             return std::nullopt;
         }
         return ReplaceLease { .revision = revision_,
-                              .record = { .holder = options_.self, .token = record_->token } };
+                              .record = { .holder = options_.self,
+                                          .token = record_->token,
+                                          .renewals = record_->renewals + 1 } };
     }
     const Duration wait
         = record_->released ? options_.handover : options_.handover + options_.validity;
@@ -70,7 +73,9 @@
         return std::nullopt;
     }
     return ReplaceLease { .revision = revision_,
-                          .record = { .holder = options_.self, .token = record_->token + 1 } };
+                          .record = { .holder = options_.self,
+                                      .token = record_->token + 1,
+                                      .renewals = record_->renewals + 1 } };
 }
 
 void LeaseKeeper::written(const LeaseRecord &record, std::uint64_t revision, BootInstant sentAt)
--- a/Source/Rollout/LeaseKeeper.h
+++ b/Source/Rollout/LeaseKeeper.h
@@ -18,6 +18,9 @@
     std::uint64_t token = 0;
     /// The holder has given its last order.
     bool released = false;
+    /// Rises with each write: the store gives a write that changes nothing no new revision, and
+    /// others would see nothing of it.
+    std::uint64_t renewals = 0;
 
     friend bool operator==(const LeaseRecord &, const LeaseRecord &) = default;
 };
