--- a/Source/Gateway/Exchange.cpp
+++ b/Source/Gateway/Exchange.cpp
@@ -283,6 +283,7 @@
             = team_ != nullptr ? team_->priority.value_or(route_->priority) : route_->priority;
         facts.urgency = std::clamp(priority, MostUrgent, LeastUrgent);
     }
+    facts.fetchFrom = placement.fetchFrom;
     facts.resumeAfter = events_.lastId().empty() ? facts_.resumeAfter : events_.lastId();
     return facts;
 }
@@ -353,9 +354,10 @@
     if (!request_.body().empty() || request_.has_content_length() || request_.chunked()) {
         attempt.message.content_length(request_.body().size());
     }
-    state_.pool.noteSent(attempt.placement.server, placing_, attempt.placement.heldTokens);
-    attempt.unreadTokens
-        = placing_.promptTokens - std::min(placing_.promptTokens, attempt.placement.heldTokens);
+    const std::uint32_t found
+        = std::max(attempt.placement.heldTokens, attempt.placement.fetchedTokens);
+    state_.pool.noteSent(attempt.placement.server, placing_, found);
+    attempt.unreadTokens = placing_.promptTokens - std::min(placing_.promptTokens, found);
     attempt.sent = true;
     ++sends_;
     ++attempt.connection->uses;
--- a/Source/Placement/ServerPool.cpp
+++ b/Source/Placement/ServerPool.cpp
@@ -224,9 +224,7 @@
 std::vector<PromptPrefix> ServerPool::prefixesOn(const Server &server,
                                                  const PlacementRequest &request) const
 {
-    const auto version = server.facts.models.find(request.model);
-    const std::uint64_t seed
-        = mix64(request.wall, version == server.facts.models.end() ? 0 : version->second);
+    const std::uint64_t seed = mix64(request.wall, weightsOf(server, request.model));
     std::vector<PromptPrefix> prefixes(request.parts.begin(), request.parts.end());
     for (PromptPrefix &prefix : prefixes) {
         prefix.key = mix64(prefix.key, seed);
@@ -234,8 +232,37 @@
     return prefixes;
 }
 
+WeightsVersion ServerPool::weightsOf(const Server &server, const ModelId &model)
+{
+    const auto version = server.facts.models.find(model);
+    return version == server.facts.models.end() ? 0 : version->second;
+}
+
+std::map<WeightsVersion, ServerPool::Holder>
+ServerPool::holders(const PlacementRequest &request, Instant now) const
+{
+    std::map<WeightsVersion, Holder> holders;
+    if (request.parts.empty()) {
+        return holders;
+    }
+    for (const auto &[id, server] : servers_) {
+        // A closed server may be loading: what it holds may stem from other weights.
+        const bool open = server.facts.service == request.service && server.suspendedUntil <= now
+            && server.closedUntil <= now;
+        if (!open) {
+            continue;
+        }
+        const std::uint32_t held = server.held.heldTokens(prefixesOn(server, request));
+        Holder &holder = holders[weightsOf(server, request.model)];
+        if (held > holder.tokens) {
+            holder = { .server = &server, .tokens = held };
+        }
+    }
+    return holders;
+}
+
 double ServerPool::cost(const Server &server, const PlacementRequest &request,
-                        std::uint32_t heldTokens, Instant now) const
+                        std::uint32_t heldTokens, std::uint32_t fetchedTokens, Instant now) const
 {
     const double reported = server.load.running + server.load.waiting;
     double others = 0;
@@ -255,9 +282,14 @@
         const double queued = std::max(0.0, load + 1 - slots) / slots;
         expected += pace * options_.serviceWorkMs * (1 + queued + 0.25 * load / slots);
     } else {
-        const std::uint32_t unread = request.promptTokens - std::min(request.promptTokens, heldTokens);
+        const std::uint32_t found = std::max(heldTokens, fetchedTokens);
+        const std::uint32_t unread = request.promptTokens - std::min(request.promptTokens, found);
         const std::uint32_t sharedTokens = request.parts.empty() ? 0 : request.parts.back().tokens;
-        const double reread = sharedTokens - std::min(sharedTokens, heldTokens);
+        const double reread = sharedTokens - std::min(sharedTokens, found);
+        if (fetchedTokens > heldTokens) {
+            expected += options_.fetchMs
+                + options_.fetchMsPerThousand * (fetchedTokens - heldTokens) / 1000;
+        }
         const double tokens
             = static_cast<double>(server.unreadTokens) + unreadByOthers + unread + options_.rereadWeight * reread;
         expected += pace * (tokens / options_.prefillTokensPerMs + load * options_.engineLoadMs);
@@ -288,6 +320,8 @@
     const Server *best = nullptr;
     double bestCost = 0;
     std::uint32_t bestHeld = 0;
+    const Holder *bestSource = nullptr;
+    const std::map<WeightsVersion, Holder> sources = holders(request, now);
     const std::uint32_t sharedTokens = request.parts.empty() ? 0 : request.parts.back().tokens;
     for (const auto &[id, server] : servers_) {
         const bool excluded = server.facts.service != request.service || !takesWork(server, now)
@@ -297,15 +331,23 @@
         }
         ++candidates;
         std::uint32_t held = 0;
+        const Holder *source = nullptr;
         if (!request.parts.empty()) {
-            held = &server == home ? sharedTokens
-                                   : server.held.heldTokens(prefixesOn(server, request));
+            held = server.held.heldTokens(prefixesOn(server, request));
+            const auto holder = sources.find(weightsOf(server, request.model));
+            if (holder != sources.end() && holder->second.tokens > held) {
+                source = &holder->second;
+            }
         }
-        const double expected = cost(server, request, held, now);
+        const std::uint32_t fetched = source == nullptr ? 0 : source->tokens;
+        // Where nobody is known to hold the parts, all nodes gather them on one server.
+        const std::uint32_t expectedHeld = &server == home && fetched == 0 ? sharedTokens : held;
+        const double expected = cost(server, request, expectedHeld, fetched, now);
         if (best == nullptr || expected < bestCost) {
             best = &server;
             bestCost = expected;
             bestHeld = held;
+            bestSource = source;
         }
     }
     if (best == nullptr) {
@@ -316,6 +358,10 @@
                           .heldTokens = bestHeld,
                           .cost = bestCost,
                           .candidates = candidates };
+    if (bestSource != nullptr) {
+        placement.fetchedTokens = bestSource->tokens;
+        placement.fetchFrom = bestSource->server->facts.address;
+    }
     if (const auto version = best->facts.models.find(request.model);
         version != best->facts.models.end()) {
         placement.weights = version->second;
--- a/Source/Placement/ServerPool.h
+++ b/Source/Placement/ServerPool.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <cstdint>
+#include <map>
 #include <optional>
 #include <span>
 #include <string>
@@ -39,6 +40,11 @@
     std::optional<WeightsVersion> weights;
     /// Tokens of the prompt that it probably holds.
     std::uint32_t heldTokens = 0;
+    /// Tokens that it will hold once it has fetched from `fetchFrom`.
+    std::uint32_t fetchedTokens = 0;
+    /// `IP:port` of a server of the same weights that holds more of the prompt; empty where none
+    /// does.
+    std::string fetchFrom;
     /// The figure by which it was chosen: milliseconds expected until the first byte, with the
     /// price of reading parts again.
     double cost = 0;
@@ -100,6 +106,10 @@
         double prefillTokensPerMs = 70;
         /// What reading one shared token again costs beside its time, in the same unit.
         double rereadWeight = 1.5;
+        /// Milliseconds to fetch cached parts from another server, and further ones for each
+        /// thousand tokens.
+        double fetchMs = 4;
+        double fetchMsPerThousand = 1;
         /// Milliseconds that each request on an engine adds to the first token of the next one.
         double engineLoadMs = 3;
         /// Milliseconds of work of a plain service's request.
@@ -188,8 +198,20 @@
 
     void noteWeights(Server &server, const ModelId &model, WeightsVersion version);
     [[nodiscard]] bool takesWork(const Server &server, Instant now) const;
+    /// A server that holds parts of the prompt and may be fetched from.
+    struct Holder
+    {
+        const Server *server = nullptr;
+        std::uint32_t tokens = 0;
+    };
+
+    /// For each version of the weights, the open server that holds most of the prompt.
+    [[nodiscard]] std::map<WeightsVersion, Holder> holders(const PlacementRequest &request,
+                                                           Instant now) const;
+    [[nodiscard]] static WeightsVersion weightsOf(const Server &server, const ModelId &model);
     [[nodiscard]] double cost(const Server &server, const PlacementRequest &request,
-                              std::uint32_t heldTokens, Instant now) const;
+                              std::uint32_t heldTokens, std::uint32_t fetchedTokens,
+                              Instant now) const;
     [[nodiscard]] std::vector<PromptPrefix> prefixesOn(const Server &server,
                                                        const PlacementRequest &request) const;
     [[nodiscard]] std::uint64_t cacheRoom(const ServiceId &service) const;
