--- a/Source/FleetPeers/NodeDigest.cpp
+++ b/Source/FleetPeers/NodeDigest.cpp
@@ -18,6 +18,31 @@
     return object.as<std::string>();
 }
 
+/// Keys and tokens by turns.
+void packPrefixes(msgpack::packer<msgpack::sbuffer> &packer,
+                  const std::vector<PrefixNotice> &prefixes)
+{
+    packer.pack_array(static_cast<std::uint32_t>(prefixes.size() * 2));
+    for (const PrefixNotice &prefix : prefixes) {
+        packer.pack(prefix.key);
+        packer.pack(prefix.tokens);
+    }
+}
+
+std::vector<PrefixNotice> readPrefixes(const msgpack::object &object)
+{
+    const auto numbers = object.as<std::vector<std::uint64_t>>();
+    if (numbers.size() % 2 != 0) {
+        throw msgpack::type_error();
+    }
+    std::vector<PrefixNotice> prefixes;
+    for (std::size_t index = 0; index < numbers.size(); index += 2) {
+        prefixes.push_back({ .key = numbers[index],
+                             .tokens = static_cast<std::uint32_t>(numbers[index + 1]) });
+    }
+    return prefixes;
+}
+
 ServerNotice readNotice(const msgpack::object &object)
 {
     if (object.type != msgpack::type::ARRAY || object.via.array.size != NoticeFields) {
@@ -31,11 +56,8 @@
     notice.model = ModelId(text(field[3]));
     notice.weights = field[4].as<std::uint32_t>();
     notice.closedForMs = field[5].as<std::uint32_t>();
-    notice.prefixes = field[6].as<std::vector<std::uint64_t>>();
-    notice.prefixTokens = field[7].as<std::vector<std::uint32_t>>();
-    if (notice.prefixes.size() != notice.prefixTokens.size()) {
-        throw msgpack::type_error();
-    }
+    notice.sent = readPrefixes(field[6]);
+    notice.read = readPrefixes(field[7]);
     return notice;
 }
 
@@ -61,8 +83,8 @@
         packer.pack(notice.model.text());
         packer.pack(notice.weights);
         packer.pack(notice.closedForMs);
-        packer.pack(notice.prefixes);
-        packer.pack(notice.prefixTokens);
+        packPrefixes(packer, notice.sent);
+        packPrefixes(packer, notice.read);
     }
     return { buffer.data(), buffer.size() };
 }
--- a/Source/FleetPeers/NodeDigest.h
+++ b/Source/FleetPeers/NodeDigest.h
@@ -11,6 +11,14 @@
 
 namespace jacinthroad {
 
+/// One leading part of a prompt with all parts before it; see PromptPrefix of the placing.
+struct PrefixNotice
+{
+    std::uint64_t key = 0;
+    /// Tokens up to and with this part.
+    std::uint32_t tokens = 0;
+};
+
 /// What a node tells its peers of one backend server.
 struct ServerNotice
 {
@@ -25,10 +33,10 @@
     WeightsVersion weights = 0;
     /// New work is to stay off it for this long, ms; 0 where it is welcome.
     std::uint32_t closedForMs = 0;
-    /// Keys of prompt prefixes sent to it since the last digest, as it holds them.
-    std::vector<std::uint64_t> prefixes;
-    /// Tokens of each of those prefixes.
-    std::vector<std::uint32_t> prefixTokens;
+    /// Prompt prefixes that were sent to it since the last digest.
+    std::vector<PrefixNotice> sent;
+    /// Prompt prefixes that it has read since the last digest.
+    std::vector<PrefixNotice> read;
 };
 
 /// One datagram to the peers.
--- a/Source/Gateway/DigestExchange.cpp
+++ b/Source/Gateway/DigestExchange.cpp
@@ -16,6 +16,9 @@
 
 /// Time between two digests: a fraction of the time that a request stays on a server.
 constexpr Duration DigestPeriod = milliseconds(200);
+/// How long a send waits for others before the peers hear of it, for each peer: bounds the
+/// datagrams that a node gets to a thousand a second whatever the size of the fleet.
+constexpr Duration SoonPerPeer = milliseconds(1);
 /// Age that is told where the configuration was never read.
 constexpr std::uint32_t UnknownAgeMs = 0xffffffff;
 
@@ -26,6 +29,7 @@
     , boot_(static_cast<std::uint64_t>(boot))
     , socket_(state.context)
     , timer_(state.context)
+    , soon_(state.context)
 { }
 
 Result<void> DigestExchange::open(const std::string &address)
@@ -71,6 +75,21 @@
     });
 }
 
+void DigestExchange::tellSoon()
+{
+    if (soonPending_ || peers_.empty()) {
+        return;
+    }
+    soonPending_ = true;
+    soon_.expires_after(SoonPerPeer * static_cast<int>(peers_.size()));
+    soon_.async_wait([this](error_code error) {
+        soonPending_ = false;
+        if (!error) {
+            tell();
+        }
+    });
+}
+
 void DigestExchange::tell()
 {
     const auto age = state_.freshness.age(bootNow());
--- a/Source/Gateway/DigestExchange.h
+++ b/Source/Gateway/DigestExchange.h
@@ -27,6 +27,8 @@
     void applyPeers(const std::unordered_map<std::string, std::string> &addresses);
     /// Sends a digest now.
     void tell();
+    /// Sends a digest shortly, with whatever else happens until then.
+    void tellSoon();
 
 private:
     void receive();
@@ -40,6 +42,8 @@
     std::uint64_t sequence_ = 0;
     boost::asio::ip::udp::socket socket_;
     boost::asio::steady_timer timer_;
+    boost::asio::steady_timer soon_;
+    bool soonPending_ = false;
     std::vector<boost::asio::ip::udp::endpoint> peers_;
     /// Newest boot and sequence of each peer.
     std::unordered_map<std::string, std::pair<std::uint64_t, std::uint64_t>> newest_;
--- a/Source/Gateway/Exchange.cpp
+++ b/Source/Gateway/Exchange.cpp
@@ -292,6 +292,7 @@
 {
     auto attempt = std::make_shared<Attempt>(state_.context);
     attempt->placement = placement;
+    placement_ = placement;
     cancelAttempt_ = [attempt] { attempt->abort(); };
     AttemptEnd end = AttemptEnd::NotSent;
     const bool connected = co_await connect(attempt);
@@ -357,6 +358,7 @@
     const std::uint32_t found
         = std::max(attempt.placement.heldTokens, attempt.placement.fetchedTokens);
     state_.pool.noteSent(attempt.placement.server, placing_, found);
+    state_.tellPeersSoon();
     attempt.unreadTokens = placing_.promptTokens - std::min(placing_.promptTokens, found);
     attempt.sent = true;
     ++sends_;
@@ -472,6 +474,11 @@
         }
         if (!whole.empty()) {
             std::string bytes;
+            const Instant arrived = std::chrono::steady_clock::now();
+            if (headerDelivered_) {
+                longestGap_ = std::max(longestGap_, arrived - lastEventAt_);
+            }
+            lastEventAt_ = arrived;
             if (!headerDelivered_) {
                 http::response<http::empty_body> head { header };
                 head.chunked(chunked);
@@ -479,7 +486,9 @@
                 headerDelivered_ = true;
                 firstByteAt_ = std::chrono::steady_clock::now();
                 attempt.firstByte = true;
-                state_.pool.noteFirstByte(attempt.placement.server, attempt.unreadTokens);
+                state_.pool.noteFirstByte(attempt.placement.server, placing_,
+                                          attempt.placement.weights, attempt.unreadTokens);
+                state_.tellPeersSoon();
                 state_.metrics.observeFirstByte(firstByteAt_ - received_);
                 std::ostringstream text;
                 text << head.base();
@@ -655,6 +664,12 @@
               { "route", route_ != nullptr ? std::string_view(route_->name) : std::string_view() },
               { "service", placing_.service.text() },
               { "server", tried_.empty() ? std::string_view() : tried_.back().text() },
+              { "candidates", std::int64_t { placement_.candidates } },
+              { "predicted_ms", placement_.cost },
+              { "prompt_tokens", std::int64_t { placing_.promptTokens } },
+              { "held_tokens", std::int64_t { placement_.heldTokens } },
+              { "fetched_tokens", std::int64_t { placement_.fetchedTokens } },
+              { "weights", std::int64_t { placement_.weights.value_or(0) } },
               { "sends", std::int64_t { sends_ } },
               { "rejected", std::int64_t { rejected_ } },
               { "configuration",
@@ -664,6 +679,7 @@
               { "status", std::int64_t { end.status } },
               { "first_byte_ms",
                 firstByteAt_ == Instant() ? -1.0 : toMilliseconds(firstByteAt_ - received_) },
+              { "longest_gap_ms", toMilliseconds(longestGap_) },
               { "total_ms", toMilliseconds(now - received_) } });
 }
 
--- a/Source/Gateway/Exchange.h
+++ b/Source/Gateway/Exchange.h
@@ -119,6 +119,11 @@
     EventSplitter events_;
     std::function<void()> cancelAttempt_;
     Instant firstByteAt_;
+    Instant lastEventAt_;
+    /// Longest pause between two events that went to the caller.
+    Duration longestGap_ {};
+    /// The newest placement, for the log.
+    Placement placement_;
 };
 
 } // namespace jacinthroad
--- a/Source/Gateway/Gateway.cpp
+++ b/Source/Gateway/Gateway.cpp
@@ -163,6 +163,7 @@
 
 void Gateway::Parts::run()
 {
+    traffic.tellPeersSoon = [this] { digests.tellSoon(); };
     asio::co_spawn(trafficContext, acceptCallers(traffic, callers), asio::detached);
     asio::co_spawn(trafficContext,
                    serveStatus(readiness, settings.readinessPath,
--- a/Source/Gateway/TrafficState.h
+++ b/Source/Gateway/TrafficState.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <cstdint>
+#include <functional>
 #include <memory>
 #include <unordered_map>
 #include <vector>
@@ -49,6 +50,9 @@
     /// Caller connections that carry a request now.
     unsigned activeRequests = 0;
 
+    /// Called when peers should hear of a send or of its first byte.
+    std::function<void()> tellPeersSoon = [] {};
+
     /// True where new connections are welcome.
     [[nodiscard]] bool ready() const;
 
--- a/Source/Placement/HeldParts.cpp
+++ b/Source/Placement/HeldParts.cpp
@@ -2,7 +2,7 @@
 
 namespace jacinthroad {
 
-void HeldParts::noteSent(std::span<const PromptPrefix> prefixes)
+void HeldParts::note(std::span<const PromptPrefix> prefixes, bool read)
 {
     std::uint32_t before = 0;
     for (const PromptPrefix &prefix : prefixes) {
@@ -11,10 +11,11 @@
         before = prefix.tokens;
         const auto found = byKey_.find(prefix.key);
         if (found != byKey_.end()) {
+            found->second->read = found->second->read || read;
             order_.splice(order_.begin(), order_, found->second);
             continue;
         }
-        order_.push_front({ .key = prefix.key, .ownTokens = own });
+        order_.push_front({ .key = prefix.key, .ownTokens = own, .read = read });
         byKey_[prefix.key] = order_.begin();
         usedTokens_ += own;
     }
@@ -37,6 +38,19 @@
     return held;
 }
 
+std::uint32_t HeldParts::readTokens(std::span<const PromptPrefix> prefixes) const
+{
+    std::uint32_t tokens = 0;
+    for (const PromptPrefix &prefix : prefixes) {
+        const auto found = byKey_.find(prefix.key);
+        if (found == byKey_.end() || !found->second->read) {
+            break;
+        }
+        tokens = prefix.tokens;
+    }
+    return tokens;
+}
+
 void HeldParts::clear()
 {
     order_.clear();
--- a/Source/Placement/HeldParts.h
+++ b/Source/Placement/HeldParts.h
@@ -6,18 +6,13 @@
 #include <unordered_map>
 #include <vector>
 
-#include "Core/Time.h"
+#include "FleetPeers/NodeDigest.h"
 
 namespace jacinthroad {
 
 /// One leading part of a prompt together with all parts before it, for one model, version of
 /// weights and wall. Equal keys name equal cache contents.
-struct PromptPrefix
-{
-    std::uint64_t key = 0;
-    /// Tokens up to and with this part.
-    std::uint32_t tokens = 0;
-};
+using PromptPrefix = PrefixNotice;
 
 /// What one backend server probably holds in its cache: prefixes that were sent to it, the least
 /// recently used dropped once their tokens exceed its room.
@@ -30,9 +25,13 @@
     { }
 
     /// Notes that requests with these prefixes were sent, those of one prompt shortest first.
-    void noteSent(std::span<const PromptPrefix> prefixes);
-    /// Tokens at the head of the prompt that are probably cached.
+    void noteSent(std::span<const PromptPrefix> prefixes) { note(prefixes, false); }
+    /// Notes that the server has read these prefixes, those of one prompt shortest first.
+    void noteRead(std::span<const PromptPrefix> prefixes) { note(prefixes, true); }
+    /// Tokens at the head of the prompt that are cached or being read.
     [[nodiscard]] std::uint32_t heldTokens(std::span<const PromptPrefix> prefixes) const;
+    /// Tokens at the head of the prompt that have been read and can be fetched.
+    [[nodiscard]] std::uint32_t readTokens(std::span<const PromptPrefix> prefixes) const;
     /// Forgets everything, as after a restart or new weights.
     void clear();
 
@@ -41,8 +40,11 @@
     {
         std::uint64_t key;
         std::uint32_t ownTokens;
+        bool read;
     };
 
+    void note(std::span<const PromptPrefix> prefixes, bool read);
+
     std::uint64_t roomTokens_;
     std::uint64_t usedTokens_ = 0;
     /// Most recently used first.
--- a/Source/Placement/ServerPool.cpp
+++ b/Source/Placement/ServerPool.cpp
@@ -103,7 +103,8 @@
     if (version > known) {
         known = version;
         server.held.clear();
-        server.untold.clear();
+        server.untoldSent.clear();
+        server.untoldRead.clear();
     }
     if (model == server.loadingModel && version >= server.loadingVersion) {
         server.loadingModel = {};
@@ -153,12 +154,8 @@
         if (notice.weights > 0) {
             noteWeights(server, notice.model, notice.weights);
         }
-        std::vector<PromptPrefix> prefixes;
-        for (std::size_t index = 0; index < notice.prefixes.size(); ++index) {
-            prefixes.push_back(
-                { .key = notice.prefixes[index], .tokens = notice.prefixTokens[index] });
-        }
-        server.held.noteSent(prefixes);
+        server.held.noteSent(notice.sent);
+        server.held.noteRead(notice.read);
     }
 }
 
@@ -178,12 +175,9 @@
             notice.model = server.facts.models.begin()->first;
             notice.weights = server.facts.models.begin()->second;
         }
-        for (const PromptPrefix &prefix : server.untold) {
-            notice.prefixes.push_back(prefix.key);
-            notice.prefixTokens.push_back(prefix.tokens);
-        }
-        server.untold.clear();
-        const bool quiet = notice.inFlight == 0 && notice.prefixes.empty()
+        notice.sent.swap(server.untoldSent);
+        notice.read.swap(server.untoldRead);
+        const bool quiet = notice.inFlight == 0 && notice.sent.empty() && notice.read.empty()
             && notice.closedForMs == 0 && server.toldInFlight == 0
             && server.toldWeights == notice.weights && !server.toldClosed;
         server.toldInFlight = notice.inFlight;
@@ -252,7 +246,7 @@
         if (!open) {
             continue;
         }
-        const std::uint32_t held = server.held.heldTokens(prefixesOn(server, request));
+        const std::uint32_t held = server.held.readTokens(prefixesOn(server, request));
         Holder &holder = holders[weightsOf(server, request.model)];
         if (held > holder.tokens) {
             holder = { .server = &server, .tokens = held };
@@ -290,9 +284,11 @@
             expected += options_.fetchMs
                 + options_.fetchMsPerThousand * (fetchedTokens - heldTokens) / 1000;
         }
-        const double tokens
-            = static_cast<double>(server.unreadTokens) + unreadByOthers + unread + options_.rereadWeight * reread;
-        expected += pace * (tokens / options_.prefillTokensPerMs + load * options_.engineLoadMs);
+        const double ahead = static_cast<double>(server.unreadTokens) + unreadByOthers;
+        expected += pace
+            * (ahead * options_.aheadTokenMs + unread * options_.ownTokenMs
+               + load * options_.engineLoadMs)
+            + options_.rereadWeight * reread * options_.ownTokenMs;
     }
     return expected + toMilliseconds(server.facts.coldLeft) / 10;
 }
@@ -382,16 +378,25 @@
     if (!request.parts.empty()) {
         const std::vector<PromptPrefix> prefixes = prefixesOn(server, request);
         server.held.noteSent(prefixes);
-        server.untold.insert(server.untold.end(), prefixes.begin(), prefixes.end());
+        server.untoldSent.insert(server.untoldSent.end(), prefixes.begin(), prefixes.end());
     }
 }
 
-void ServerPool::noteFirstByte(const ServerId &id, std::uint32_t readTokens)
+void ServerPool::noteFirstByte(const ServerId &id, const PlacementRequest &request,
+                               std::optional<WeightsVersion> weights, std::uint32_t readTokens)
 {
     const auto found = servers_.find(id);
-    if (found != servers_.end()) {
-        found->second.unreadTokens -= std::min<std::uint64_t>(found->second.unreadTokens, readTokens);
+    if (found == servers_.end()) {
+        return;
+    }
+    Server &server = found->second;
+    server.unreadTokens -= std::min<std::uint64_t>(server.unreadTokens, readTokens);
+    if (request.parts.empty() || weights != weightsOf(server, request.model)) {
+        return;
     }
+    const std::vector<PromptPrefix> prefixes = prefixesOn(server, request);
+    server.held.noteRead(prefixes);
+    server.untoldRead.insert(server.untoldRead.end(), prefixes.begin(), prefixes.end());
 }
 
 void ServerPool::noteEnd(const ServerId &id, AttemptVerdict verdict, std::uint32_t unreadTokens,
--- a/Source/Placement/ServerPool.h
+++ b/Source/Placement/ServerPool.h
@@ -102,8 +102,11 @@
     {
         /// The node's own availability zone.
         ZoneId zone;
-        /// Prompt tokens that an engine reads in a millisecond, until answers tell better.
-        double prefillTokensPerMs = 70;
+        /// Milliseconds until the first byte that each token of the prompt costs which is not
+        /// cached, and each unread token of the requests before it: slopes of a regression over
+        /// the decision log of a day at usual load, where VMs have busy neighbours.
+        double ownTokenMs = 0.025;
+        double aheadTokenMs = 0.019;
         /// What reading one shared token again costs beside its time, in the same unit.
         double rereadWeight = 1.5;
         /// Milliseconds to fetch cached parts from another server, and further ones for each
@@ -111,7 +114,7 @@
         double fetchMs = 4;
         double fetchMsPerThousand = 1;
         /// Milliseconds that each request on an engine adds to the first token of the next one.
-        double engineLoadMs = 3;
+        double engineLoadMs = 0.5;
         /// Milliseconds of work of a plain service's request.
         double serviceWorkMs = 40;
         /// Milliseconds charged for a server in another zone.
@@ -144,8 +147,10 @@
 
     /// Notes that a request was sent to a server.
     void noteSent(const ServerId &id, const PlacementRequest &request, std::uint32_t heldTokens);
-    /// Notes that the server has begun to answer: its prompt has been read.
-    void noteFirstByte(const ServerId &id, std::uint32_t readTokens);
+    /// Notes that the server has begun to answer a request that it was sent while it ran
+    /// `weights`: the prompt has been read.
+    void noteFirstByte(const ServerId &id, const PlacementRequest &request,
+                       std::optional<WeightsVersion> weights, std::uint32_t readTokens);
     /// Notes the end of an attempt; `firstByteSeen` tells whether noteFirstByte() was called.
     void noteEnd(const ServerId &id, AttemptVerdict verdict, std::uint32_t unreadTokens,
                  Instant now);
@@ -188,8 +193,9 @@
         /// The peer that closed it; empty where this node did.
         std::string closedBy;
         std::unordered_map<std::string, PeerLoad> peers;
-        /// Prefixes sent to it since the last digest to the peers.
-        std::vector<PromptPrefix> untold;
+        /// Prefixes sent to it, and read by it, since the last digest to the peers.
+        std::vector<PromptPrefix> untoldSent;
+        std::vector<PromptPrefix> untoldRead;
         /// What the last digest said; a server of which nothing changed is left out.
         unsigned toldInFlight = 0;
         WeightsVersion toldWeights = 0;
