--- /dev/null
+++ b/Tests/Gateway/EventSplitterTest.cpp
@@ -0,0 +1,43 @@
+#include <boost/test/unit_test.hpp>
+
+#include "Gateway/EventSplitter.h"
+
+namespace jacinthroad {
+
+BOOST_AUTO_TEST_SUITE(EventSplitterTest)
+
+BOOST_AUTO_TEST_CASE(halfEventsWaitForTheirEnd)
+{
+    EventSplitter events;
+    BOOST_TEST(events.take("id: 1\ndata: a\n") == "");
+    BOOST_TEST(events.holdsPart());
+    BOOST_TEST(events.take("\nid: 2\nda") == "id: 1\ndata: a\n\n");
+    BOOST_TEST(events.lastId() == "1");
+    BOOST_TEST(events.take("ta: b\n\n") == "id: 2\ndata: b\n\n");
+    BOOST_TEST(!events.holdsPart());
+}
+
+BOOST_AUTO_TEST_CASE(bytewiseArrivalChangesNothing)
+{
+    const std::string stream = "id: 1\r\ndata: a\r\n\r\nid: 2\ndata: b\n\n: comment\n\nid: 3\n\n";
+    EventSplitter events;
+    std::string out;
+    for (const char byte : stream) {
+        out += events.take({ &byte, 1 });
+    }
+    BOOST_TEST(out == stream);
+    BOOST_TEST(events.lastId() == "3");
+}
+
+BOOST_AUTO_TEST_CASE(aResumedStreamNeitherRepeatsNorJoins)
+{
+    EventSplitter events;
+    BOOST_TEST(events.take("id: 1\ndata: a\n\nid: 2\nda") == "id: 1\ndata: a\n\n");
+    events.restart();
+    BOOST_TEST(events.take("id: 1\ndata: a\n\nid: 2\ndata: b\n\n") == "id: 2\ndata: b\n\n");
+    BOOST_TEST(events.lastId() == "2");
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+} // namespace jacinthroad
--- /dev/null
+++ b/Tests/Placement/AttemptBudgetTest.cpp
@@ -0,0 +1,54 @@
+#include <boost/test/unit_test.hpp>
+
+#include "Placement/AttemptBudget.h"
+
+namespace jacinthroad {
+
+namespace {
+
+Instant at(std::int64_t milli)
+{
+    return Instant(milliseconds(milli));
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(AttemptBudgetTest)
+
+BOOST_AUTO_TEST_CASE(sevenNodesStayInsideTheFleetsBudget)
+{
+    // Every request fails and asks for one repeat: the load of a service whose servers all reject.
+    constexpr unsigned Nodes = 7;
+    constexpr double Ratio = 0.2;
+    constexpr double Slack = 54;
+    const ServiceId service("s");
+    unsigned repeats = 0;
+    unsigned requests = 0;
+    for (unsigned node = 0; node < Nodes; ++node) {
+        AttemptBudget budget(
+            { .ratio = Ratio, .window = std::chrono::seconds(10), .allowance = Slack / Nodes });
+        for (std::int64_t now = 1000000; now < 1010000; now += 100) {
+            budget.noteRequest(service, at(now));
+            ++requests;
+            repeats += budget.spend(service, at(now)) ? 1 : 0;
+        }
+    }
+    BOOST_TEST(repeats <= Ratio * requests + Slack);
+    BOOST_TEST(repeats >= Ratio * requests);
+}
+
+BOOST_AUTO_TEST_CASE(oldRequestsEarnNothing)
+{
+    const ServiceId service("s");
+    AttemptBudget budget(
+        { .ratio = 0.5, .window = std::chrono::seconds(10), .allowance = 0 });
+    for (int count = 0; count < 100; ++count) {
+        budget.noteRequest(service, at(1000000));
+    }
+    BOOST_TEST(budget.spend(service, at(1009000)));
+    BOOST_TEST(!budget.spend(service, at(1011000)));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+} // namespace jacinthroad
--- /dev/null
+++ b/Tests/Placement/ServerPoolTest.cpp
@@ -0,0 +1,247 @@
+#include <map>
+#include <string>
+#include <vector>
+
+#include <boost/test/unit_test.hpp>
+
+#include "Placement/ServerPool.h"
+
+namespace jacinthroad {
+
+namespace {
+
+const ServiceId Engines("engines");
+const ServiceId Stock("stock");
+const ModelId Model("m");
+
+Instant at(std::int64_t milli)
+{
+    return Instant(milliseconds(1000000 + milli));
+}
+
+BackendServer engine(const std::string &name, WeightsVersion version = 1)
+{
+    return { .id = ServerId(name),
+             .service = Engines,
+             .address = "127.0.0.1:" + std::to_string(9000 + name.back()),
+             .zone = ZoneId("z"),
+             .slots = 64,
+             .models = { { Model, version } },
+             .bootedAt = 1 };
+}
+
+ServerPool poolOf(const std::vector<BackendServer> &servers)
+{
+    ServerPool pool({ .zone = ZoneId("z") });
+    pool.applyServices(std::vector<ServiceFacts> {
+        { .name = Engines, .engine = EngineFacts { .slots = 64, .cacheTokens = 100000 } },
+        { .name = Stock } });
+    for (const BackendServer &server : servers) {
+        pool.applyServer(server, at(0));
+    }
+    return pool;
+}
+
+Placement chosen(const ServerPool &pool, const PlacementRequest &request, Instant now)
+{
+    const auto result = pool.choose(request, now);
+    BOOST_REQUIRE(std::holds_alternative<Placement>(result));
+    return std::get<Placement>(result);
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(ServerPoolTest)
+
+BOOST_AUTO_TEST_CASE(nodesAgreeOnTheFirstServerOfAPrompt)
+{
+    const std::vector<BackendServer> servers { engine("a"), engine("b"), engine("c") };
+    const ServerPool one = poolOf(servers);
+    const ServerPool other = poolOf({ servers[2], servers[0], servers[1] });
+    std::map<std::string, unsigned> homes;
+    for (std::uint64_t key = 1; key <= 60; ++key) {
+        const std::vector<PromptPrefix> parts { { key * 7919, 6000 } };
+        const PlacementRequest request {
+            .service = Engines, .model = Model, .parts = parts, .promptTokens = 8000
+        };
+        const std::string home = chosen(one, request, at(0)).server.text();
+        BOOST_TEST(home == chosen(other, request, at(0)).server.text());
+        ++homes[home];
+    }
+    BOOST_TEST(homes.size() == 3U);
+}
+
+BOOST_AUTO_TEST_CASE(burstOfLongPromptsSpreadsOverTheServers)
+{
+    // Twelve long prompts with one shared head arrive at once: the head was read on one server.
+    // No server may get a third of them while others stand idle.
+    ServerPool pool = poolOf({ engine("a"), engine("b"), engine("c"), engine("d"), engine("e"),
+                               engine("f") });
+    const std::vector<PromptPrefix> parts { { 42, 2500 } };
+    const PlacementRequest request {
+        .service = Engines, .model = Model, .parts = parts, .promptTokens = 12000
+    };
+    const Placement first = chosen(pool, request, at(0));
+    pool.noteSent(first.server, request, 0);
+    pool.noteFirstByte(first.server, request, 1, 12000);
+    std::map<std::string, unsigned> sent;
+    unsigned fetched = 0;
+    for (int count = 0; count < 12; ++count) {
+        const Placement placement = chosen(pool, request, at(1));
+        const std::uint32_t found = std::max(placement.heldTokens, placement.fetchedTokens);
+        BOOST_TEST(found == 2500U);
+        fetched += placement.fetchFrom.empty() ? 0 : 1;
+        pool.noteSent(placement.server, request, found);
+        ++sent[placement.server.text()];
+    }
+    for (const auto &[server, count] : sent) {
+        BOOST_TEST(count <= 3U);
+    }
+    BOOST_TEST(fetched >= 5U);
+}
+
+BOOST_AUTO_TEST_CASE(whatPeersHaveSentCountsAsWorkAhead)
+{
+    ServerPool pool = poolOf({ engine("a"), engine("b") });
+    const PlacementRequest request {
+        .service = Engines, .model = Model, .promptTokens = 500
+    };
+    const std::string usual = chosen(pool, request, at(0)).server.text();
+    pool.applyPeer("peer",
+                   std::vector<ServerNotice> {
+                       { .server = ServerId(usual), .inFlight = 2, .unreadTokens = 30000 } },
+                   at(0));
+    BOOST_TEST(chosen(pool, request, at(10)).server.text() != usual);
+    // A peer that has fallen silent is forgotten.
+    BOOST_TEST(chosen(pool, request, at(30000)).server.text() == usual);
+}
+
+BOOST_AUTO_TEST_CASE(closedServersGetNoWorkAndAreNoSource)
+{
+    ServerPool pool = poolOf({ engine("a"), engine("b") });
+    const std::vector<PromptPrefix> parts { { 42, 6000 } };
+    const PlacementRequest request {
+        .service = Engines, .model = Model, .parts = parts, .promptTokens = 8000
+    };
+    const Placement first = chosen(pool, request, at(0));
+    pool.noteSent(first.server, request, 0);
+    pool.noteFirstByte(first.server, request, 1, 8000);
+    pool.closeForLoad(first.server, Model, 2, at(3000));
+    const Placement second = chosen(pool, request, at(1));
+    BOOST_TEST(second.server.text() != first.server.text());
+    BOOST_TEST(second.fetchFrom.empty());
+    // The new weights open it, and nothing that it held before counts.
+    pool.noteWeights(first.server, Model, 2);
+    const std::vector<ServerId> tried { second.server };
+    const Placement third = chosen(
+        pool, { .service = Engines, .model = Model, .parts = parts, .promptTokens = 8000, .tried = tried },
+        at(2));
+    BOOST_TEST(third.server.text() == first.server.text());
+    BOOST_TEST(*third.weights == 2U);
+    BOOST_TEST(third.heldTokens == 0U);
+}
+
+BOOST_AUTO_TEST_CASE(partsOfOtherWeightsAreNeverFetched)
+{
+    ServerPool pool = poolOf({ engine("a", 1), engine("b", 2) });
+    const std::vector<PromptPrefix> parts { { 42, 6000 } };
+    const PlacementRequest request {
+        .service = Engines, .model = Model, .parts = parts, .promptTokens = 8000
+    };
+    pool.noteSent(ServerId("a"), request, 0);
+    pool.noteFirstByte(ServerId("a"), request, 1, 8000);
+    const std::vector<ServerId> tried { ServerId("a") };
+    const Placement placement = chosen(
+        pool, { .service = Engines, .model = Model, .parts = parts, .promptTokens = 8000, .tried = tried },
+        at(1));
+    BOOST_TEST(placement.server.text() == "b");
+    BOOST_TEST(placement.fetchFrom.empty());
+}
+
+BOOST_AUTO_TEST_CASE(isolatedTeamsShareNothing)
+{
+    ServerPool pool = poolOf({ engine("a") });
+    const std::vector<PromptPrefix> parts { { 42, 6000 } };
+    pool.noteSent(ServerId("a"),
+                  { .service = Engines, .model = Model, .parts = parts, .wall = 1 }, 0);
+    const Placement other = chosen(
+        pool, { .service = Engines, .model = Model, .parts = parts, .wall = 2 }, at(1));
+    BOOST_TEST(other.heldTokens == 0U);
+    const Placement own = chosen(
+        pool, { .service = Engines, .model = Model, .parts = parts, .wall = 1 }, at(1));
+    BOOST_TEST(own.heldTokens == 6000U);
+}
+
+BOOST_AUTO_TEST_CASE(leavingAndUnreachableServersAreAvoided)
+{
+    BackendServer leaving = engine("a");
+    leaving.leaving = true;
+    ServerPool pool = poolOf({ leaving, engine("b") });
+    const PlacementRequest request { .service = Engines, .model = Model, .promptTokens = 10 };
+    BOOST_TEST(chosen(pool, request, at(0)).server.text() == "b");
+    pool.noteSent(ServerId("b"), request, 0);
+    pool.noteEnd(ServerId("b"), AttemptVerdict::Unreachable, 0, at(0));
+    const auto none = pool.choose(request, at(1));
+    BOOST_REQUIRE(std::holds_alternative<NoPlacement>(none));
+    BOOST_TEST(std::get<NoPlacement>(none).listed == 2U);
+    BOOST_TEST(chosen(pool, request, at(2500)).server.text() == "b");
+}
+
+BOOST_AUTO_TEST_CASE(aServerThatStartsAgainHoldsNothing)
+{
+    ServerPool pool = poolOf({ engine("a") });
+    const std::vector<PromptPrefix> parts { { 42, 6000 } };
+    const PlacementRequest request { .service = Engines, .model = Model, .parts = parts };
+    pool.noteSent(ServerId("a"), request, 0);
+    BOOST_TEST(chosen(pool, request, at(1)).heldTokens == 6000U);
+    BackendServer again = engine("a");
+    again.bootedAt = 2;
+    pool.applyServer(again, at(2));
+    BOOST_TEST(chosen(pool, request, at(3)).heldTokens == 0U);
+}
+
+BOOST_AUTO_TEST_CASE(plainRequestsGoWhereSlotsAreFree)
+{
+    std::vector<BackendServer> servers;
+    for (const char *name : { "a", "b", "c" }) {
+        servers.push_back({ .id = ServerId(name),
+                            .service = Stock,
+                            .address = "127.0.0.1:1",
+                            .zone = ZoneId("z"),
+                            .slots = 6,
+                            .bootedAt = 1 });
+    }
+    ServerPool pool = poolOf(servers);
+    const PlacementRequest request { .service = Stock };
+    std::map<std::string, unsigned> sent;
+    for (int count = 0; count < 18; ++count) {
+        const Placement placement = chosen(pool, request, at(0));
+        pool.noteSent(placement.server, request, 0);
+        ++sent[placement.server.text()];
+    }
+    for (const auto &[server, count] : sent) {
+        BOOST_TEST(count == 6U);
+    }
+}
+
+BOOST_AUTO_TEST_CASE(noticesTellASendOnceAndNothingOfIdleServers)
+{
+    ServerPool pool = poolOf({ engine("a"), engine("b") });
+    static_cast<void>(pool.takeNotices(at(0)));
+    BOOST_TEST(pool.takeNotices(at(1)).empty());
+    const std::vector<PromptPrefix> parts { { 42, 6000 } };
+    const PlacementRequest request {
+        .service = Engines, .model = Model, .parts = parts, .promptTokens = 8000
+    };
+    pool.noteSent(ServerId("a"), request, 0);
+    const auto notices = pool.takeNotices(at(2));
+    BOOST_REQUIRE(notices.size() == 1U);
+    BOOST_TEST(notices[0].inFlight == 1U);
+    BOOST_TEST(notices[0].unreadTokens == 8000U);
+    BOOST_TEST(notices[0].sent.size() == 1U);
+    BOOST_TEST(pool.takeNotices(at(3))[0].sent.empty());
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+} // namespace jacinthroad
--- /dev/null
+++ b/Tests/Platform/WireTest.cpp
@@ -0,0 +1,246 @@
+#include <boost/test/unit_test.hpp>
+
+#include "Core/Json.h"
+#include "platform/CallerWire.h"
+#include "platform/Orders.h"
+#include "platform/ServerWire.h"
+#include "platform/Store.h"
+#include "platform/StoreObjects.h"
+
+namespace jacinthroad::platform {
+
+namespace http = boost::beast::http;
+
+namespace {
+
+http::request_header<> sampleHeader()
+{
+    http::request_header<> header;
+    header.method(http::verb::post);
+    header.target("/lepu/2f?x=1");
+    header.version(11);
+    header.set("Host", "Jepu9.example:80");
+    header.set("X-Request-Id", "9c41");
+    header.set("X-Model", "daka");
+    header.set("X-Token-Counts", "1460,80");
+    header.set("X-Prompt-Prefix", "5c1e07a2:800,91bd3f06:410,e4402b7d:250");
+    header.set("X-Deadline-Ms", "4000");
+    header.set("Authorization", "Bearer key-of-team");
+    return header;
+}
+
+Json::Value sampleServer()
+{
+    return *parseJson(R"({"service":"huvo","address":"10.128.0.9:8080","zone":"norte","version":"v1",
+        "slotCount":128,"state":"ready","coldLeftMs":0,"stage":"both","born":1780000000000,
+        "models":[{"name":"daka","version":3,"adapters":[]}],"seq":4})");
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(WireTest)
+
+BOOST_AUTO_TEST_CASE(callerRequestIsDecodedOnce)
+{
+    const auto request = readCallerRequest(sampleHeader());
+    BOOST_REQUIRE(request.has_value());
+    BOOST_TEST(request->id.text() == "9c41");
+    BOOST_TEST(request->host == "jepu9.example");
+    BOOST_TEST(request->path == "/lepu/2f");
+    BOOST_TEST(request->key == "key-of-team");
+    BOOST_TEST((*request->patience == milliseconds(4000)));
+    BOOST_TEST(request->parts.size() == 3U);
+    BOOST_TEST(request->parts[1].id == 0x91bd3f06U);
+    BOOST_TEST(request->parts[1].tokens == 410U);
+    BOOST_TEST(request->promptTokens == 1460U);
+    BOOST_TEST(request->maximumOutputTokens == 80U);
+}
+
+BOOST_AUTO_TEST_CASE(unreadableHeadersAreRefused)
+{
+    const std::vector<std::pair<const char *, const char *>> faults {
+        { "X-Deadline-Ms", "soon" },   { "X-Deadline-Ms", "-4" }, { "X-Token-Counts", "12" },
+        { "X-Prompt-Prefix", "zz:1" }, { "X-Prompt-Prefix", "1" }
+    };
+    for (const auto &[name, value] : faults) {
+        http::request_header<> header = sampleHeader();
+        header.set(name, value);
+        BOOST_TEST(!readCallerRequest(header).has_value(), name << ": " << value);
+    }
+    http::request_header<> twice = sampleHeader();
+    twice.insert("X-Request-Id", "other");
+    BOOST_TEST(!readCallerRequest(twice).has_value());
+    http::request_header<> none = sampleHeader();
+    none.erase("X-Request-Id");
+    BOOST_TEST(!readCallerRequest(none).has_value());
+    http::request_header<> absolute = sampleHeader();
+    absolute.target("http://other.example/");
+    BOOST_TEST(!readCallerRequest(absolute).has_value());
+}
+
+BOOST_AUTO_TEST_CASE(forwardedHeadersCarryNoKeyAndNothingACallerMayNotSet)
+{
+    http::request_header<> header = sampleHeader();
+    for (const char *name : { "X-Tenant", "X-Expect-Instance", "X-Cache-Salt", "X-Hold", "Kv-From",
+                              "X-Kv-Backup", "X-Pin-Ms", "X-Kv-Fetch-From", "X-Kv-Save-To",
+                              "X-Request-Priority", "X-Expect-Version" }) {
+        header.set(name, "forged");
+    }
+    header.set("Connection", "X-Model, X-Request-Id");
+    header.set("X-Custom", "kept");
+    const auto to = forwardHeader(header,
+                                  { .server = ServerId("i-1"),
+                                    .team = TeamId("north"),
+                                    .timeLeft = milliseconds(1234),
+                                    .weights = 3,
+                                    .cacheSalt = "v3",
+                                    .urgency = 1 });
+    for (const auto &field : to) {
+        BOOST_TEST(field.value() != "forged", field.name_string());
+    }
+    BOOST_TEST(to.count("Authorization") == 0U);
+    BOOST_TEST(to.count("Connection") == 0U);
+    BOOST_TEST(to["X-Model"] == "daka");
+    BOOST_TEST(to["X-Request-Id"] == "9c41");
+    BOOST_TEST(to["X-Custom"] == "kept");
+    BOOST_TEST(to["X-Tenant"] == "north");
+    BOOST_TEST(to["X-Expect-Instance"] == "i-1");
+    BOOST_TEST(to["X-Deadline-Ms"] == "1234");
+    BOOST_TEST(to["X-Expect-Version"] == "3");
+    BOOST_TEST(to.target() == "/lepu/2f?x=1");
+}
+
+BOOST_AUTO_TEST_CASE(onlyTheStatementOfTheServerMeansNotRun)
+{
+    http::response_header<> header;
+    header.result(503);
+    BOOST_TEST(!readAnswer(header, ServerId("i-1")).notRun);
+    header.set("X-Not-Run", "1");
+    BOOST_TEST(readAnswer(header, ServerId("i-1")).notRun);
+    http::response_header<> other;
+    other.result(421);
+    other.set("X-Instance-Id", "i-2");
+    BOOST_TEST(readAnswer(other, ServerId("i-1")).notRun);
+    BOOST_TEST(readAnswer(other, ServerId("i-1")).otherServer);
+    BOOST_TEST(!readAnswer(other, ServerId("i-2")).otherServer);
+}
+
+BOOST_AUTO_TEST_CASE(loadIsReadWithAndWithoutThePace)
+{
+    http::response_header<> header;
+    header.result(200);
+    header.set("X-Instance-Load", "3,1,8,250");
+    header.set("Keep-Alive", "timeout=7");
+    header.set("X-Weight-Versions", "5");
+    const AnswerFacts facts = readAnswer(header, ServerId("i-1"));
+    BOOST_TEST(facts.load->waiting == 1U);
+    BOOST_TEST(facts.load->pace == 2.5);
+    BOOST_TEST((*facts.keepAlive == std::chrono::seconds(7)));
+    BOOST_TEST(*facts.weights == 5U);
+    header.set("X-Instance-Load", "3,1,8");
+    BOOST_TEST(readAnswer(header, ServerId("i-1")).load->pace == 1.0);
+    header.set("X-Instance-Load", "3,x");
+    BOOST_TEST(!readAnswer(header, ServerId("i-1")).load.has_value());
+}
+
+BOOST_AUTO_TEST_CASE(serverEntriesOfOtherWritersNameNoServer)
+{
+    const auto server = readServer("i-7f", sampleServer());
+    BOOST_REQUIRE(server.has_value());
+    BOOST_TEST(server->models.at(ModelId("daka")) == 3U);
+    BOOST_TEST(server->bootedAt == 1780000000000);
+    BOOST_TEST(!server->leaving);
+    for (const char *field : { "service", "address", "zone", "slotCount", "state" }) {
+        Json::Value missing = sampleServer();
+        missing.removeMember(field);
+        BOOST_TEST(!readServer("i-7f", missing).has_value(), field);
+        Json::Value other = sampleServer();
+        other[field] = Json::Value(Json::arrayValue);
+        BOOST_TEST(!readServer("i-7f", other).has_value(), field);
+    }
+    Json::Value state = sampleServer();
+    state["state"] = "asleep";
+    BOOST_TEST(!readServer("i-7f", state).has_value());
+    BOOST_TEST(!readServer("i-7f", Json::Value("text")).has_value());
+    BOOST_TEST(!readServer("i-7f", Json::Value()).has_value());
+    state["state"] = "draining";
+    BOOST_TEST(readServer("i-7f", state)->leaving);
+}
+
+BOOST_AUTO_TEST_CASE(configurationIsReadWhole)
+{
+    const auto read = readConfiguration(*parseJson(
+        R"({"version":7,"routes":[{"name":"r","hostname":"Jepu9.example","pathPrefix":"/l/",
+        "kind":"streaming","timeoutMs":5000,"targetLatencyMs":500,"priority":1,
+        "trafficSplit":[{"service":"a","weight":90},{"service":"b","weight":10}],"maxAttempts":2,
+        "allowAnonymous":false,"sticky":true,"resumable":true,"targetGapMs":250},
+        {"name":"q","hostname":"h","pathPrefix":"/q/","kind":"safe","timeoutMs":800,
+        "targetLatencyMs":300,"priority":2,"service":"a","maxAttempts":2}],
+        "services":[{"name":"a","healthPath":"/health","maxConnections":620,
+        "engine":{"slotCount":128,"kvCapacityTokens":129948}},
+        {"name":"kv","kvStoreAddr":"172.20.0.2:8781","zone":"sur"}],
+        "limits":{"maxHeaderBytes":16384,"maxBodyBytes":4194304,"headerTimeoutMs":3000,
+        "idleTimeoutMs":15000},
+        "tenants":[{"name":"t","apiKeys":["k1","k2"],"priority":1,"isolated":true}]})"));
+    BOOST_REQUIRE(read.has_value());
+    BOOST_TEST(read->version == 7U);
+    BOOST_TEST(read->routes[0].host == "jepu9.example");
+    BOOST_TEST(read->routes[0].resumable);
+    BOOST_TEST(read->routes[0].services[1].weight == 10);
+    BOOST_TEST((read->routes[1].kind == RouteKind::Safe));
+    BOOST_TEST(read->routes[1].services[0].service.text() == "a");
+    BOOST_TEST(read->services[0].engine->cacheTokens == 129948U);
+    BOOST_TEST(read->services[1].cacheStoreAddress == "172.20.0.2:8781");
+    BOOST_TEST(read->teams[0].isolated);
+    BOOST_TEST((read->limits.idleTimeout == milliseconds(15000)));
+    BOOST_TEST(!readConfiguration(*parseJson(R"({"routes":[]})")).has_value());
+    BOOST_TEST(!readConfiguration(*parseJson(R"({"version":1,"routes":[{"name":"r"}]})")).has_value());
+}
+
+BOOST_AUTO_TEST_CASE(storeAnswersKeepUnreadableObjectsByName)
+{
+    const auto page = readPage(
+        R"({"items":[{"metadata":{"name":"a","revision":4},"spec":{"x":1}},
+        {"metadata":{"name":"b","revision":5},"spec":"bytes"},7],"hasMore":true,"currentRev":9})");
+    BOOST_REQUIRE(page.has_value());
+    BOOST_TEST(page->objects.size() == 3U);
+    BOOST_TEST(page->more);
+    BOOST_TEST(page->revision == 9U);
+    BOOST_TEST(page->objects[1].name == "b");
+    BOOST_TEST(page->objects[2].name.empty());
+    const auto changes = readChanges(
+        R"({"events":[{"deleted":true,"object":{"metadata":{"name":"a","revision":6}}}],"currentRev":6})");
+    BOOST_REQUIRE(changes.has_value());
+    BOOST_TEST(changes->events[0].removed);
+    BOOST_TEST(!readPage("[]").has_value());
+    BOOST_TEST(!readPage("not json").has_value());
+}
+
+BOOST_AUTO_TEST_CASE(ordersNameTheirServerTokenAndCount)
+{
+    const LoadOrder order { .server = ServerId("i-1"),
+                            .model = ModelId("daka"),
+                            .version = 2,
+                            .holder = "node-7",
+                            .token = 41,
+                            .acceptedOrders = 3 };
+    const auto body = parseJson(orderCall(order).body);
+    BOOST_REQUIRE(body.has_value());
+    BOOST_TEST((*body)["fenceToken"].asUInt64() == 41U);
+    BOOST_TEST((*body)["expected"].asUInt64() == 3U);
+    BOOST_TEST((*body)["holder"].asString() == "node-7");
+    Fields fields;
+    setOrderHeaders(fields, order);
+    BOOST_TEST(fields["X-Expect-Instance"] == "i-1");
+    BOOST_TEST((readOrderAnswer(202) == OrderAnswer::Accepted));
+    BOOST_TEST((readOrderAnswer(409) == OrderAnswer::OtherOrder));
+    const auto report = readReport(
+        R"({"stage":"both","models":[{"name":"daka","version":1}],"busy":true,"seq":2})");
+    BOOST_REQUIRE(report.has_value());
+    BOOST_TEST(report->busy);
+    BOOST_TEST(report->acceptedOrders == 2U);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+} // namespace jacinthroad::platform
