Placement: Give servers with overdue weights no work; Gateway: Refuse late in a stop

Change: no work for weights that were replaced the bound less 1.5 s ago; 2.8 s after SIGTERM requests are refused as not run.

--- a/Source/Gateway/Exchange.cpp
+++ b/Source/Gateway/Exchange.cpp
@@ -128,6 +128,9 @@
         return facts.error().kind;
     }
     facts_ = *facts;
+    if (!state_.takesRequests(received_)) {
+        return ErrorKind::Draining;
+    }
     const Trust trust = state_.freshness.trust(bootNow());
     if (routes_ == nullptr) {
         return ErrorKind::NotReady;
--- a/Source/Gateway/Gateway.cpp
+++ b/Source/Gateway/Gateway.cpp
@@ -262,7 +262,9 @@
         }
         rollout.applyNamedWeights(*named);
         asio::post(trafficContext,
-                   [this, named = *named] { traffic.pool.applyNamedWeights(named); });
+                   [this, named = *named] {
+                       traffic.pool.applyNamedWeights(named, std::chrono::steady_clock::now());
+                   });
     }
 }
 
@@ -367,7 +369,10 @@
 {
     const Instant began = std::chrono::steady_clock::now();
     std::atomic<unsigned> active { 1 };
-    asio::post(parts_->trafficContext, [this] { parts_->traffic.draining = true; });
+    asio::post(parts_->trafficContext, [this, began] {
+        parts_->traffic.draining = true;
+        parts_->traffic.drainingSince = began;
+    });
     asio::post(parts_->controlContext, [this] { parts_->rollout.stop(); });
     for (;;) {
         std::this_thread::sleep_for(StopPoll);
--- a/Source/Gateway/TrafficState.cpp
+++ b/Source/Gateway/TrafficState.cpp
@@ -16,6 +16,12 @@
 constexpr double AgedPart = 0.4;
 constexpr double ExpiredPart = 0.8;
 
+/// A request may wait this long on a server before it begins.
+constexpr Duration WeightsMargin = milliseconds(1500);
+/// The balancer leaves a node that is not ready after two questions, a second apart, and callers
+/// need a moment more.
+constexpr Duration AcceptanceAfterStop = milliseconds(2800);
+
 Duration part(Duration whole, double share)
 {
     return fromMilliseconds(toMilliseconds(whole) * share);
@@ -30,7 +36,8 @@
     , metrics(gatewayMetrics)
     , freshness({ .agedAfter = part(settings.keyRevocation, AgedPart),
                   .expiredAfter = part(settings.keyRevocation, ExpiredPart) })
-    , pool({ .zone = ZoneId(settings.zone) })
+    , pool({ .zone = ZoneId(settings.zone),
+             .weightsOverdue = settings.weightsBound - WeightsMargin })
     , repeats({ .ratio = settings.repeatShare * RepeatShareUsed,
                 .window = settings.repeatWindow,
                 .allowance = settings.repeatAllowance / AssumedNodes })
@@ -69,6 +76,11 @@
     serversKnown = true;
 }
 
+bool TrafficState::takesRequests(Instant now) const
+{
+    return !draining || now - drainingSince < AcceptanceAfterStop;
+}
+
 bool TrafficState::ready() const
 {
     return !draining && routes != nullptr && serversKnown
--- a/Source/Gateway/TrafficState.h
+++ b/Source/Gateway/TrafficState.h
@@ -47,6 +47,7 @@
     bool serversKnown = false;
     /// Set by SIGTERM: answers ask callers to leave.
     bool draining = false;
+    Instant drainingSince;
     /// Caller connections that carry a request now.
     unsigned activeRequests = 0;
 
@@ -55,6 +56,9 @@
 
     /// True where new connections are welcome.
     [[nodiscard]] bool ready() const;
+    /// True while requests are taken: a stopping node takes them until the balancer has left it,
+    /// and none after that which it might have to cut.
+    [[nodiscard]] bool takesRequests(Instant now) const;
 
 private:
     std::unordered_map<ServerId, bool> listed_;
--- a/Source/Placement/ServerPool.cpp
+++ b/Source/Placement/ServerPool.cpp
@@ -83,10 +83,19 @@
     servers_.erase(id);
 }
 
-void ServerPool::applyNamedWeights(const NamedWeights &named)
+void ServerPool::applyNamedWeights(const NamedWeights &named, Instant now)
 {
-    WeightsVersion &version = named_[named.model];
-    version = std::max(version, named.version);
+    named_[named.model].emplace(named.version, now);
+}
+
+bool ServerPool::overdue(const Server &server, const ModelId &model, Instant now) const
+{
+    const auto versions = named_.find(model);
+    if (versions == named_.end()) {
+        return false;
+    }
+    const auto newer = versions->second.upper_bound(weightsOf(server, model));
+    return newer != versions->second.end() && now - newer->second >= options_.weightsOverdue;
 }
 
 void ServerPool::noteWeights(const ServerId &id, const ModelId &model, WeightsVersion version)
@@ -308,7 +317,7 @@
         }
         ++listed;
         const std::uint64_t score = rendezvousScore(homeKey, server.hash);
-        if (takesWork(server, now) && (home == nullptr || score > homeScore)) {
+        if (takesWork(server, now) && !overdue(server, request.model, now) && (home == nullptr || score > homeScore)) {
             home = &server;
             homeScore = score;
         }
@@ -321,6 +330,7 @@
     const std::uint32_t sharedTokens = request.parts.empty() ? 0 : request.parts.back().tokens;
     for (const auto &[id, server] : servers_) {
         const bool excluded = server.facts.service != request.service || !takesWork(server, now)
+            || overdue(server, request.model, now)
             || std::find(request.tried.begin(), request.tried.end(), id) != request.tried.end();
         if (excluded) {
             continue;
--- a/Source/Placement/ServerPool.h
+++ b/Source/Placement/ServerPool.h
@@ -119,6 +119,8 @@
         double serviceWorkMs = 40;
         /// Milliseconds charged for a server in another zone.
         double otherZoneMs = 1;
+        /// From this time after newer weights were named, a server with older ones gets no work.
+        Duration weightsOverdue = std::chrono::seconds(12);
     };
 
     explicit ServerPool(const Options &options);
@@ -130,7 +132,7 @@
     /// Drops a server that the platform lists no longer.
     void removeServer(const ServerId &id);
     /// Takes the newest weights that operators have named.
-    void applyNamedWeights(const NamedWeights &named);
+    void applyNamedWeights(const NamedWeights &named, Instant now);
     /// Takes what an answer said of its server's weights.
     void noteWeights(const ServerId &id, const ModelId &model, WeightsVersion version);
     /// Keeps new work off a server until it runs `version` of the model, or until `until`.
@@ -203,6 +205,8 @@
     };
 
     void noteWeights(Server &server, const ModelId &model, WeightsVersion version);
+    /// True where newer weights were named so long ago that these may not be used any more.
+    [[nodiscard]] bool overdue(const Server &server, const ModelId &model, Instant now) const;
     [[nodiscard]] bool takesWork(const Server &server, Instant now) const;
     /// A server that holds parts of the prompt and may be fetched from.
     struct Holder
@@ -225,7 +229,8 @@
     Options options_;
     std::unordered_map<ServiceId, ServiceFacts> services_;
     std::unordered_map<ServerId, Server> servers_;
-    std::unordered_map<ModelId, WeightsVersion> named_;
+    /// When each version of a model's weights was first seen to be named.
+    std::unordered_map<ModelId, std::map<WeightsVersion, Instant>> named_;
 };
 
 } // namespace jacinthroad
--- a/Tests/Placement/ServerPoolTest.cpp
+++ b/Tests/Placement/ServerPoolTest.cpp
@@ -158,6 +158,23 @@
     BOOST_TEST(placement.fetchFrom.empty());
 }
 
+BOOST_AUTO_TEST_CASE(overdueWeightsGetNoWork)
+{
+    // A server that was silent for twenty seconds comes back with weights replaced long ago.
+    ServerPool pool = poolOf({ engine("a", 1), engine("b", 2) });
+    const PlacementRequest request { .service = Engines, .model = Model, .promptTokens = 10 };
+    pool.applyNamedWeights({ .model = Model, .version = 1 }, at(0));
+    pool.applyNamedWeights({ .model = Model, .version = 2 }, at(1000));
+    pool.applyNamedWeights({ .model = Model, .version = 2 }, at(9000));
+    const std::vector<ServerId> tried { ServerId("b") };
+    const PlacementRequest second {
+        .service = Engines, .model = Model, .promptTokens = 10, .tried = tried
+    };
+    BOOST_TEST(chosen(pool, second, at(12999)).server.text() == "a");
+    BOOST_TEST(std::holds_alternative<NoPlacement>(pool.choose(second, at(13000))));
+    BOOST_TEST(chosen(pool, request, at(13000)).server.text() == "b");
+}
+
 BOOST_AUTO_TEST_CASE(isolatedTeamsShareNothing)
 {
     ServerPool pool = poolOf({ engine("a") });
