Placement: Tell silent servers from busy ones

Change: nodes tell how long a server with requests has been silent; silence that neither the work ahead nor another node's news explains keeps work off, and repeatable requests go elsewhere.

--- a/Source/FleetPeers/NodeDigest.cpp
+++ b/Source/FleetPeers/NodeDigest.cpp
@@ -11,7 +11,7 @@
 /// First element of every digest; another version is ignored.
 constexpr std::uint32_t FormatVersion = 1;
 constexpr std::uint32_t DigestFields = 7;
-constexpr std::uint32_t NoticeFields = 8;
+constexpr std::uint32_t NoticeFields = 10;
 
 std::string text(const msgpack::object &object)
 {
@@ -58,6 +58,8 @@
     notice.closedForMs = field[5].as<std::uint32_t>();
     notice.sent = readPrefixes(field[6]);
     notice.read = readPrefixes(field[7]);
+    notice.silentMs = field[8].as<std::uint32_t>();
+    notice.avoidMs = field[9].as<std::uint32_t>();
     return notice;
 }
 
@@ -85,6 +87,8 @@
         packer.pack(notice.closedForMs);
         packPrefixes(packer, notice.sent);
         packPrefixes(packer, notice.read);
+        packer.pack(notice.silentMs);
+        packer.pack(notice.avoidMs);
     }
     return { buffer.data(), buffer.size() };
 }
--- a/Source/FleetPeers/NodeDigest.h
+++ b/Source/FleetPeers/NodeDigest.h
@@ -31,6 +31,10 @@
     ModelId model;
     /// Weights that it is known to run; 0 where unknown.
     WeightsVersion weights = 0;
+    /// Time since this node, which has requests on it, has heard anything of it, ms.
+    std::uint32_t silentMs = 0;
+    /// This node could not reach it and keeps work off it for this long, ms.
+    std::uint32_t avoidMs = 0;
     /// New work is to stay off it for this long, ms; 0 where it is welcome.
     std::uint32_t closedForMs = 0;
     /// Prompt prefixes that were sent to it since the last digest.
--- a/Source/Gateway/Exchange.cpp
+++ b/Source/Gateway/Exchange.cpp
@@ -48,6 +48,12 @@
 constexpr int RetryAfterPart = 3;
 /// Least time left for which sending is worth while.
 constexpr Duration LeastUsefulTime = milliseconds(5);
+/// Period of the check whether a server that runs a repeatable request has fallen silent.
+constexpr Duration SilenceCheck = milliseconds(100);
+/// Silence on one connection after which a repeatable request goes elsewhere, beside the time for
+/// its unread tokens: half of the shortest time after which callers give a stream up.
+constexpr Duration AttemptSilence = milliseconds(1000);
+constexpr double SilenceMsPerToken = 0.05;
 constexpr int MostUrgent = 0;
 constexpr int LeastUrgent = 9;
 
@@ -71,11 +77,13 @@
 {
     explicit Attempt(asio::io_context &context)
         : timer(context)
+        , watch(context)
     { }
 
     Placement placement;
     std::unique_ptr<ServerConnection> connection;
     asio::steady_timer timer;
+    asio::steady_timer watch;
     HttpRequest message;
     std::unique_ptr<http::response_parser<http::empty_body>> header;
     platform::AnswerFacts facts;
@@ -83,6 +91,8 @@
     bool sent = false;
     bool written = false;
     bool timedOut = false;
+    bool ended = false;
+    Instant heardAt;
     bool firstByte = false;
     /// The answer was read to its end and the connection can carry another request.
     bool reusable = false;
@@ -302,12 +312,17 @@
     if (connected) {
         abortAt(attempt, deadline_);
         send(attempt);
+        if (route_->repeatable()) {
+            watchSilence(attempt);
+        }
         end = co_await converse(*attempt);
     } else if (callerGone_) {
         end = AttemptEnd::CallerLeft;
     }
     cancelAttempt_ = nullptr;
+    attempt->ended = true;
     attempt->timer.cancel();
+    attempt->watch.cancel();
     settle(*attempt, end);
     co_return end;
 }
@@ -323,6 +338,27 @@
     });
 }
 
+void Exchange::watchSilence(const std::shared_ptr<Attempt> &attempt)
+{
+    attempt->watch.expires_after(SilenceCheck);
+    attempt->watch.async_wait([this, attempt](error_code error) {
+        // The exchange lives at least until the attempt has ended.
+        if (error || attempt->ended) {
+            return;
+        }
+        const Instant now = std::chrono::steady_clock::now();
+        const Duration explained = fromMilliseconds(
+            attempt->firstByte ? 0 : attempt->unreadTokens * SilenceMsPerToken);
+        const bool gone = state_.pool.silent(attempt->placement.server, now)
+            || now - attempt->heardAt > AttemptSilence + explained;
+        if (gone && sends_ - rejected_ < route_->maximumAttempts) {
+            attempt->abort();
+            return;
+        }
+        watchSilence(attempt);
+    });
+}
+
 asio::awaitable<bool> Exchange::connect(std::shared_ptr<Attempt> attempt)
 {
     const Instant now = std::chrono::steady_clock::now();
@@ -360,10 +396,11 @@
     }
     const std::uint32_t found
         = std::max(attempt.placement.heldTokens, attempt.placement.fetchedTokens);
-    state_.pool.noteSent(attempt.placement.server, placing_, found);
+    state_.pool.noteSent(attempt.placement.server, placing_, found, now);
     state_.tellPeersSoon();
     attempt.unreadTokens = placing_.promptTokens - std::min(placing_.promptTokens, found);
     attempt.sent = true;
+    attempt.heardAt = now;
     ++sends_;
     ++attempt.connection->uses;
     record_.noteStarted();
@@ -397,6 +434,7 @@
         if (error || callerGone_) {
             co_return failure(attempt);
         }
+        state_.pool.noteHeard(attempt.placement.server, std::chrono::steady_clock::now());
         attempt.facts = platform::readAnswer(parser->get().base(), attempt.placement.server);
         const bool ours = attempt.facts.request.empty() || attempt.facts.request == facts_.id;
         const bool interim = parser->get().result_int() < 200;
@@ -470,6 +508,10 @@
         if (error == http::error::need_buffer) {
             error = {};
         }
+        if (!error) {
+            attempt.heardAt = std::chrono::steady_clock::now();
+            state_.pool.noteHeard(attempt.placement.server, attempt.heardAt);
+        }
         const std::size_t size = piece.size() - parser.get().body().size;
         std::string whole = events_.take({ piece.data(), size });
         if (parser.is_done() && !error) {
@@ -580,7 +622,7 @@
         noteRun(end);
     } else {
         // noteEnd() takes one request off; an attempt that was not sent was never added.
-        state_.pool.noteSent(server, { .service = placing_.service }, 0);
+        state_.pool.noteSent(server, { .service = placing_.service }, 0, now);
     }
     state_.pool.noteEnd(server, verdict, attempt.firstByte ? 0 : attempt.unreadTokens, now);
     const bool otherWeights = end == AttemptEnd::Rejected && !attempt.facts.otherServer
--- a/Source/Gateway/Exchange.h
+++ b/Source/Gateway/Exchange.h
@@ -84,6 +84,7 @@
     void noteRun(AttemptEnd end);
     void settle(Attempt &attempt, AttemptEnd end);
     void send(const std::shared_ptr<Attempt> &shared);
+    void watchSilence(const std::shared_ptr<Attempt> &attempt);
     static void abortAt(const std::shared_ptr<Attempt> &attempt, Instant moment);
     [[nodiscard]] AttemptEnd failure(const Attempt &attempt) const;
     [[nodiscard]] bool mayTryAgain(AttemptEnd end, Instant now);
--- a/Source/Placement/ServerPool.cpp
+++ b/Source/Placement/ServerPool.cpp
@@ -23,9 +23,17 @@
 constexpr Duration RejectionPause = milliseconds(60);
 /// Advice where no server takes work: the time in which a suspended one is tried again.
 constexpr Duration RetryWhenNone = milliseconds(300);
+/// A peer that has told nothing for this long says nothing of a server's silence any more.
+constexpr Duration PeerReportLife = milliseconds(700);
 /// Share of an engine's cache that shared parts can count on beside running requests.
 constexpr double SharedCacheShare = 0.6;
 
+std::uint32_t wholeMilliseconds(Duration duration)
+{
+    const auto count = std::chrono::duration_cast<milliseconds>(duration).count();
+    return static_cast<std::uint32_t>(std::max<std::int64_t>(0, count));
+}
+
 double decayed(double value, Duration age)
 {
     const double halves = toMilliseconds(age) / toMilliseconds(ReportHalfLife);
@@ -65,6 +73,8 @@
                         .hash = hash64(facts.id.text()),
                         .held = HeldParts(cacheRoom(facts.service)) };
         server.suspendedUntil = now;
+        server.avoidedUntil = now;
+        server.heardAt = now;
         server.closedUntil = now;
         servers_[facts.id] = std::move(server);
         return;
@@ -149,7 +159,14 @@
         }
         Server &server = found->second;
         server.peers[peer]
-            = { .inFlight = notice.inFlight, .unreadTokens = notice.unreadTokens, .at = now };
+            = { .inFlight = notice.inFlight,
+                .unreadTokens = notice.unreadTokens,
+                .silentMs = notice.silentMs,
+                .at = now };
+        if (notice.avoidMs > 0) {
+            server.suspendedUntil
+                = std::max(server.suspendedUntil, now + milliseconds(notice.avoidMs));
+        }
         if (notice.closedForMs > 0) {
             closeForLoad(notice.server, notice.model, notice.weights,
                          now + milliseconds(notice.closedForMs));
@@ -175,18 +192,21 @@
         ServerNotice notice { .server = id,
                               .inFlight = server.inFlight,
                               .unreadTokens = static_cast<std::uint32_t>(server.unreadTokens) };
+        if (server.inFlight > 0) {
+            notice.silentMs = wholeMilliseconds(now - server.heardAt);
+        }
+        notice.avoidMs = wholeMilliseconds(server.avoidedUntil - now);
         if (!server.loadingModel.empty() && server.closedUntil > now) {
             notice.model = server.loadingModel;
             notice.weights = server.loadingVersion;
-            notice.closedForMs = static_cast<std::uint32_t>(
-                std::chrono::duration_cast<milliseconds>(server.closedUntil - now).count());
+            notice.closedForMs = wholeMilliseconds(server.closedUntil - now);
         } else if (!server.facts.models.empty()) {
             notice.model = server.facts.models.begin()->first;
             notice.weights = server.facts.models.begin()->second;
         }
         notice.sent.swap(server.untoldSent);
         notice.read.swap(server.untoldRead);
-        const bool quiet = notice.inFlight == 0 && notice.sent.empty() && notice.read.empty()
+        const bool quiet = notice.inFlight == 0 && notice.avoidMs == 0 && notice.sent.empty() && notice.read.empty()
             && notice.closedForMs == 0 && server.toldInFlight == 0
             && server.toldWeights == notice.weights && !server.toldClosed;
         server.toldInFlight = notice.inFlight;
@@ -219,9 +239,43 @@
     return found == servers_.end() ? nullptr : &found->second.facts;
 }
 
+bool ServerPool::silent(const Server &server, Instant now) const
+{
+    Duration silence = Duration::max();
+    double unread = static_cast<double>(server.unreadTokens);
+    if (server.inFlight > 0) {
+        silence = now - server.heardAt;
+    }
+    for (const auto &[peer, load] : server.peers) {
+        if (load.inFlight > 0 && now - load.at < PeerReportLife) {
+            silence = std::min(silence, milliseconds(load.silentMs) + (now - load.at));
+            unread += load.unreadTokens;
+        }
+    }
+    if (silence == Duration::max()) {
+        return false;
+    }
+    const Duration explained = fromMilliseconds(2 * unread * options_.ownTokenMs);
+    return silence > options_.unexplainedSilence + explained;
+}
+
+bool ServerPool::silent(const ServerId &id, Instant now) const
+{
+    const auto found = servers_.find(id);
+    return found != servers_.end() && silent(found->second, now);
+}
+
+void ServerPool::noteHeard(const ServerId &id, Instant now)
+{
+    const auto found = servers_.find(id);
+    if (found != servers_.end()) {
+        found->second.heardAt = now;
+    }
+}
+
 bool ServerPool::takesWork(const Server &server, Instant now) const
 {
-    return !server.facts.leaving && server.suspendedUntil <= now && server.closedUntil <= now;
+    return !server.facts.leaving && !silent(server, now) && server.suspendedUntil <= now && server.closedUntil <= now;
 }
 
 std::vector<PromptPrefix> ServerPool::prefixesOn(const Server &server,
@@ -376,14 +430,16 @@
 }
 
 void ServerPool::noteSent(const ServerId &id, const PlacementRequest &request,
-                          std::uint32_t heldTokens)
+                          std::uint32_t heldTokens, Instant now)
 {
     const auto found = servers_.find(id);
     if (found == servers_.end()) {
         return;
     }
     Server &server = found->second;
-    ++server.inFlight;
+    if (server.inFlight++ == 0) {
+        server.heardAt = now;
+    }
     server.unreadTokens += request.promptTokens - std::min(request.promptTokens, heldTokens);
     if (!request.parts.empty()) {
         const std::vector<PromptPrefix> prefixes = prefixesOn(server, request);
@@ -435,6 +491,7 @@
         const unsigned doublings = std::min(server.failures++, MostDoublings);
         server.suspendedUntil
             = now + std::min(LongestSuspension, FirstSuspension * (1U << doublings));
+        server.avoidedUntil = server.suspendedUntil;
         break;
     }
     case AttemptVerdict::Abandoned:
--- a/Source/Placement/ServerPool.h
+++ b/Source/Placement/ServerPool.h
@@ -119,6 +119,9 @@
         double serviceWorkMs = 40;
         /// Milliseconds charged for a server in another zone.
         double otherZoneMs = 1;
+        /// Silence of a server that is explained by nothing but waiting for its processor, beside
+        /// twice the time that the work ahead should take.
+        Duration unexplainedSilence = milliseconds(350);
         /// From this time after newer weights were named, a server with older ones gets no work.
         Duration weightsOverdue = std::chrono::seconds(12);
     };
@@ -148,7 +151,8 @@
                                                               Instant now) const;
 
     /// Notes that a request was sent to a server.
-    void noteSent(const ServerId &id, const PlacementRequest &request, std::uint32_t heldTokens);
+    void noteSent(const ServerId &id, const PlacementRequest &request, std::uint32_t heldTokens,
+                  Instant now);
     /// Notes that the server has begun to answer a request that it was sent while it ran
     /// `weights`: the prompt has been read.
     void noteFirstByte(const ServerId &id, const PlacementRequest &request,
@@ -156,6 +160,11 @@
     /// Notes the end of an attempt; `firstByteSeen` tells whether noteFirstByte() was called.
     void noteEnd(const ServerId &id, AttemptVerdict verdict, std::uint32_t unreadTokens,
                  Instant now);
+    /// Notes that something was received from a server.
+    void noteHeard(const ServerId &id, Instant now);
+    /// True while a server with requests on it has been silent towards all nodes for longer than
+    /// the work ahead explains: it is probably gone.
+    [[nodiscard]] bool silent(const ServerId &id, Instant now) const;
     /// Takes the load that came with an answer.
     void noteLoad(const ServerId &id, const ReportedLoad &load, Instant now);
 
@@ -172,6 +181,7 @@
     {
         unsigned inFlight = 0;
         std::uint32_t unreadTokens = 0;
+        std::uint32_t silentMs = 0;
         Instant at;
     };
 
@@ -188,6 +198,10 @@
         unsigned inFlightAtLoad = 0;
         unsigned failures = 0;
         Instant suspendedUntil;
+        /// Of that, the part that this node has found out itself and tells.
+        Instant avoidedUntil;
+        /// When something was last received, or the first of the present requests was sent.
+        Instant heardAt;
         /// Weights that it is to load, for which new work stays off it until closedUntil.
         ModelId loadingModel;
         WeightsVersion loadingVersion = 0;
@@ -207,6 +221,7 @@
     void noteWeights(Server &server, const ModelId &model, WeightsVersion version);
     /// True where newer weights were named so long ago that these may not be used any more.
     [[nodiscard]] bool overdue(const Server &server, const ModelId &model, Instant now) const;
+    [[nodiscard]] bool silent(const Server &server, Instant now) const;
     [[nodiscard]] bool takesWork(const Server &server, Instant now) const;
     /// A server that holds parts of the prompt and may be fetched from.
     struct Holder
--- a/Tests/Placement/ServerPoolTest.cpp
+++ b/Tests/Placement/ServerPoolTest.cpp
@@ -82,7 +82,7 @@
         .service = Engines, .model = Model, .parts = parts, .promptTokens = 12000
     };
     const Placement first = chosen(pool, request, at(0));
-    pool.noteSent(first.server, request, 0);
+    pool.noteSent(first.server, request, 0, at(0));
     pool.noteFirstByte(first.server, request, 1, 12000);
     std::map<std::string, unsigned> sent;
     unsigned fetched = 0;
@@ -91,7 +91,7 @@
         const std::uint32_t found = std::max(placement.heldTokens, placement.fetchedTokens);
         BOOST_TEST(found == 2500U);
         fetched += placement.fetchFrom.empty() ? 0 : 1;
-        pool.noteSent(placement.server, request, found);
+        pool.noteSent(placement.server, request, found, at(0));
         ++sent[placement.server.text()];
     }
     for (const auto &[server, count] : sent) {
@@ -124,7 +124,7 @@
         .service = Engines, .model = Model, .parts = parts, .promptTokens = 8000
     };
     const Placement first = chosen(pool, request, at(0));
-    pool.noteSent(first.server, request, 0);
+    pool.noteSent(first.server, request, 0, at(0));
     pool.noteFirstByte(first.server, request, 1, 8000);
     pool.closeForLoad(first.server, Model, 2, at(3000));
     const Placement second = chosen(pool, request, at(1));
@@ -148,7 +148,7 @@
     const PlacementRequest request {
         .service = Engines, .model = Model, .parts = parts, .promptTokens = 8000
     };
-    pool.noteSent(ServerId("a"), request, 0);
+    pool.noteSent(ServerId("a"), request, 0, at(0));
     pool.noteFirstByte(ServerId("a"), request, 1, 8000);
     const std::vector<ServerId> tried { ServerId("a") };
     const Placement placement = chosen(
@@ -180,7 +180,7 @@
     ServerPool pool = poolOf({ engine("a") });
     const std::vector<PromptPrefix> parts { { 42, 6000 } };
     pool.noteSent(ServerId("a"),
-                  { .service = Engines, .model = Model, .parts = parts, .wall = 1 }, 0);
+                  { .service = Engines, .model = Model, .parts = parts, .wall = 1 }, 0, at(0));
     const Placement other = chosen(
         pool, { .service = Engines, .model = Model, .parts = parts, .wall = 2 }, at(1));
     BOOST_TEST(other.heldTokens == 0U);
@@ -196,7 +196,7 @@
     ServerPool pool = poolOf({ leaving, engine("b") });
     const PlacementRequest request { .service = Engines, .model = Model, .promptTokens = 10 };
     BOOST_TEST(chosen(pool, request, at(0)).server.text() == "b");
-    pool.noteSent(ServerId("b"), request, 0);
+    pool.noteSent(ServerId("b"), request, 0, at(0));
     pool.noteEnd(ServerId("b"), AttemptVerdict::Unreachable, 0, at(0));
     const auto none = pool.choose(request, at(1));
     BOOST_REQUIRE(std::holds_alternative<NoPlacement>(none));
@@ -204,12 +204,52 @@
     BOOST_TEST(chosen(pool, request, at(2500)).server.text() == "b");
 }
 
+BOOST_AUTO_TEST_CASE(aServerThatFallsSilentGetsNoMoreWork)
+{
+    // An engine loses its power under requests: it stays listed and its connections hang.
+    ServerPool pool = poolOf({ engine("a"), engine("b") });
+    const PlacementRequest request { .service = Engines, .model = Model, .promptTokens = 400 };
+    const ServerId dead = chosen(pool, request, at(0)).server;
+    pool.noteSent(dead, request, 0, at(0));
+    BOOST_TEST(!pool.silent(dead, at(300)));
+    BOOST_TEST(pool.silent(dead, at(500)));
+    BOOST_TEST(chosen(pool, request, at(500)).server.text() != dead.text());
+    // Whoever hears it, hears it for all.
+    pool.applyPeer("peer",
+                   std::vector<ServerNotice> { { .server = dead, .inFlight = 1, .silentMs = 20 } },
+                   at(500));
+    BOOST_TEST(!pool.silent(dead, at(500)));
+    BOOST_TEST(pool.silent(dead, at(1000)));
+    pool.noteHeard(dead, at(1010));
+    BOOST_TEST(!pool.silent(dead, at(1020)));
+}
+
+BOOST_AUTO_TEST_CASE(aLongPromptExplainsSilence)
+{
+    ServerPool pool = poolOf({ engine("a") });
+    const PlacementRequest request { .service = Engines, .model = Model, .promptTokens = 40000 };
+    pool.noteSent(ServerId("a"), request, 0, at(0));
+    BOOST_TEST(!pool.silent(ServerId("a"), at(1500)));
+    BOOST_TEST(pool.silent(ServerId("a"), at(3000)));
+}
+
+BOOST_AUTO_TEST_CASE(aServerThatOnePeerCannotReachIsAvoided)
+{
+    ServerPool pool = poolOf({ engine("a"), engine("b") });
+    const PlacementRequest request { .service = Engines, .model = Model, .promptTokens = 400 };
+    const ServerId usual = chosen(pool, request, at(0)).server;
+    pool.applyPeer("peer", std::vector<ServerNotice> { { .server = usual, .avoidMs = 500 } },
+                   at(0));
+    BOOST_TEST(chosen(pool, request, at(499)).server.text() != usual.text());
+    BOOST_TEST(chosen(pool, request, at(500)).server.text() == usual.text());
+}
+
 BOOST_AUTO_TEST_CASE(aServerThatStartsAgainHoldsNothing)
 {
     ServerPool pool = poolOf({ engine("a") });
     const std::vector<PromptPrefix> parts { { 42, 6000 } };
     const PlacementRequest request { .service = Engines, .model = Model, .parts = parts };
-    pool.noteSent(ServerId("a"), request, 0);
+    pool.noteSent(ServerId("a"), request, 0, at(0));
     BOOST_TEST(chosen(pool, request, at(1)).heldTokens == 6000U);
     BackendServer again = engine("a");
     again.bootedAt = 2;
@@ -233,7 +273,7 @@
     std::map<std::string, unsigned> sent;
     for (int count = 0; count < 18; ++count) {
         const Placement placement = chosen(pool, request, at(0));
-        pool.noteSent(placement.server, request, 0);
+        pool.noteSent(placement.server, request, 0, at(0));
         ++sent[placement.server.text()];
     }
     for (const auto &[server, count] : sent) {
@@ -250,7 +290,7 @@
     const PlacementRequest request {
         .service = Engines, .model = Model, .parts = parts, .promptTokens = 8000
     };
-    pool.noteSent(ServerId("a"), request, 0);
+    pool.noteSent(ServerId("a"), request, 0, at(0));
     const auto notices = pool.takeNotices(at(2));
     BOOST_REQUIRE(notices.size() == 1U);
     BOOST_TEST(notices[0].inFlight == 1U);
