Placement: Follow cache events and use the store of KV cache

Change: one home node for each cache reads its events and relays them in digests; parts are keyed by salt and id as events name them; first reads are saved to the store and fetched from there when no engine holds them.

--- a/Source/Fleet/FleetConfiguration.h
+++ b/Source/Fleet/FleetConfiguration.h
@@ -75,6 +75,8 @@
     std::optional<EngineFacts> engine;
     /// `IP:port` where the service is a store of KV cache; empty otherwise.
     std::string cacheStoreAddress;
+    /// Tokens that such a store has room for.
+    std::uint64_t cacheStoreTokens = 0;
 };
 
 /// One team, its keys and its walls.
--- a/Source/FleetPeers/NodeDigest.cpp
+++ b/Source/FleetPeers/NodeDigest.cpp
@@ -11,7 +11,7 @@
 /// First element of every digest; another version is ignored.
 constexpr std::uint32_t FormatVersion = 1;
 constexpr std::uint32_t DigestFields = 7;
-constexpr std::uint32_t NoticeFields = 10;
+constexpr std::uint32_t NoticeFields = 11;
 
 std::string text(const msgpack::object &object)
 {
@@ -19,28 +19,28 @@
 }
 
 /// Keys and tokens by turns.
-void packPrefixes(msgpack::packer<msgpack::sbuffer> &packer,
-                  const std::vector<PrefixNotice> &prefixes)
+void packParts(msgpack::packer<msgpack::sbuffer> &packer,
+                  const std::vector<CachedPart> &parts)
 {
-    packer.pack_array(static_cast<std::uint32_t>(prefixes.size() * 2));
-    for (const PrefixNotice &prefix : prefixes) {
-        packer.pack(prefix.key);
-        packer.pack(prefix.tokens);
+    packer.pack_array(static_cast<std::uint32_t>(parts.size() * 2));
+    for (const CachedPart &part : parts) {
+        packer.pack(part.key);
+        packer.pack(part.tokens);
     }
 }
 
-std::vector<PrefixNotice> readPrefixes(const msgpack::object &object)
+std::vector<CachedPart> readParts(const msgpack::object &object)
 {
     const auto numbers = object.as<std::vector<std::uint64_t>>();
     if (numbers.size() % 2 != 0) {
         throw msgpack::type_error();
     }
-    std::vector<PrefixNotice> prefixes;
+    std::vector<CachedPart> parts;
     for (std::size_t index = 0; index < numbers.size(); index += 2) {
-        prefixes.push_back({ .key = numbers[index],
+        parts.push_back({ .key = numbers[index],
                              .tokens = static_cast<std::uint32_t>(numbers[index + 1]) });
     }
-    return prefixes;
+    return parts;
 }
 
 ServerNotice readNotice(const msgpack::object &object)
@@ -56,10 +56,11 @@
     notice.model = ModelId(text(field[3]));
     notice.weights = field[4].as<std::uint32_t>();
     notice.closedForMs = field[5].as<std::uint32_t>();
-    notice.sent = readPrefixes(field[6]);
-    notice.read = readPrefixes(field[7]);
+    notice.sent = readParts(field[6]);
+    notice.read = readParts(field[7]);
     notice.silentMs = field[8].as<std::uint32_t>();
     notice.avoidMs = field[9].as<std::uint32_t>();
+    notice.dropped = field[10].as<std::vector<std::uint64_t>>();
     return notice;
 }
 
@@ -85,10 +86,11 @@
         packer.pack(notice.model.text());
         packer.pack(notice.weights);
         packer.pack(notice.closedForMs);
-        packPrefixes(packer, notice.sent);
-        packPrefixes(packer, notice.read);
+        packParts(packer, notice.sent);
+        packParts(packer, notice.read);
         packer.pack(notice.silentMs);
         packer.pack(notice.avoidMs);
+        packer.pack(notice.dropped);
     }
     return { buffer.data(), buffer.size() };
 }
--- a/Source/FleetPeers/NodeDigest.h
+++ b/Source/FleetPeers/NodeDigest.h
@@ -11,11 +11,10 @@
 
 namespace jacinthroad {
 
-/// One leading part of a prompt with all parts before it; see PromptPrefix of the placing.
-struct PrefixNotice
+/// One part of a prompt as caches hold it. Equal keys name equal contents.
+struct CachedPart
 {
     std::uint64_t key = 0;
-    /// Tokens up to and with this part.
     std::uint32_t tokens = 0;
 };
 
@@ -37,10 +36,12 @@
     std::uint32_t avoidMs = 0;
     /// New work is to stay off it for this long, ms; 0 where it is welcome.
     std::uint32_t closedForMs = 0;
-    /// Prompt prefixes that were sent to it since the last digest.
-    std::vector<PrefixNotice> sent;
-    /// Prompt prefixes that it has read since the last digest.
-    std::vector<PrefixNotice> read;
+    /// Shared parts of prompts that were sent to it since the last digest.
+    std::vector<CachedPart> sent;
+    /// Parts that it has read, or that its events say it holds, since the last digest.
+    std::vector<CachedPart> read;
+    /// Keys of parts that its events say it has dropped since the last digest.
+    std::vector<std::uint64_t> dropped;
 };
 
 /// One datagram to the peers.
--- /dev/null
+++ b/Source/Gateway/CacheFeed.cpp
@@ -0,0 +1,95 @@
+#include "Gateway/CacheFeed.h"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/use_awaitable.hpp>
+
+#include "Gateway/HttpCaller.h"
+#include "platform/CacheEvents.h"
+
+namespace jacinthroad {
+
+namespace asio = boost::asio;
+using boost::system::error_code;
+
+namespace {
+
+/// How long a call waits for events.
+constexpr Duration EventsWait = milliseconds(800);
+constexpr Duration EventsTimeout = milliseconds(1500);
+/// Pause between two calls: gathers events, so that a busy server is not asked for each.
+constexpr Duration EventsPause = milliseconds(100);
+/// Pause after a call that failed.
+constexpr Duration FailedPause = milliseconds(600);
+
+CacheEvents translate(const platform::CacheEventBatch &batch, bool restarted)
+{
+    CacheEvents events { .restarted = restarted };
+    for (const platform::CacheEvent &event : batch.events) {
+        const std::uint64_t key = partKey(event.model, event.salt, event.part);
+        if (event.grown) {
+            events.held.push_back({ .key = key, .tokens = event.tokens });
+            std::erase(events.dropped, key);
+        } else {
+            events.dropped.push_back(key);
+            std::erase_if(events.held, [&](const CachedPart &part) { return part.key == key; });
+        }
+    }
+    return events;
+}
+
+} // namespace
+
+CacheFeed::CacheFeed(asio::io_context &context, Told told)
+    : context_(context)
+    , told_(std::move(told))
+{ }
+
+void CacheFeed::assign(const std::map<ServerId, std::string> &addresses)
+{
+    std::erase_if(sources_, [&](const auto &entry) {
+        const auto found = addresses.find(entry.first);
+        const bool kept = found != addresses.end() && found->second == entry.second->address;
+        entry.second->wanted = kept;
+        return !kept;
+    });
+    for (const auto &[id, address] : addresses) {
+        if (!sources_.contains(id)) {
+            auto source = std::make_shared<Source>(Source { .address = address });
+            sources_[id] = source;
+            asio::co_spawn(context_, read(id, source), asio::detached);
+        }
+    }
+}
+
+asio::awaitable<void> CacheFeed::read(ServerId id, std::shared_ptr<Source> source)
+{
+    HttpCaller caller(context_, source->address);
+    asio::steady_timer timer(context_);
+    boost::beast::http::fields headers;
+    platform::setCacheEventsWait(headers, EventsWait);
+    std::uint64_t since = 0;
+    std::uint64_t boot = 0;
+    while (source->wanted) {
+        Duration pause = FailedPause;
+        const auto reply
+            = co_await caller.call(platform::cacheEventsCall(since), headers, EventsTimeout);
+        if (reply.has_value() && reply->status == 200) {
+            const auto batch = platform::readCacheEvents(reply->body);
+            if (batch.has_value()) {
+                const bool restarted = boot != 0 && batch->boot != boot;
+                boot = batch->boot;
+                since = batch->next;
+                told_(id, translate(*batch, restarted));
+                pause = EventsPause;
+            }
+        }
+        timer.expires_after(pause);
+        error_code ignored;
+        co_await timer.async_wait(asio::redirect_error(asio::use_awaitable, ignored));
+    }
+}
+
+} // namespace jacinthroad
--- a/Source/Gateway/DigestExchange.cpp
+++ b/Source/Gateway/DigestExchange.cpp
@@ -19,6 +19,8 @@
 /// How long a send waits for others before the peers hear of it, for each peer: bounds the
 /// datagrams that a node gets to a thousand a second whatever the size of the fleet.
 constexpr Duration SoonPerPeer = milliseconds(1);
+/// A node that has told nothing for this long counts as gone; several digests in a row are lost.
+constexpr Duration NodeSilence = milliseconds(1500);
 /// Age that is told where the configuration was never read.
 constexpr std::uint32_t UnknownAgeMs = 0xffffffff;
 
@@ -104,7 +106,7 @@
             : UnknownAgeMs,
         .servers = state_.pool.takeNotices(std::chrono::steady_clock::now())
     };
-    if (digest.servers.empty() || !socket_.is_open()) {
+    if (!socket_.is_open()) {
         return;
     }
     const std::string datagram = encodeDigest(digest);
@@ -115,6 +117,17 @@
     }
 }
 
+std::vector<std::string> DigestExchange::liveNodes(Instant now) const
+{
+    std::vector<std::string> names { state_.settings.name };
+    for (const auto &[name, heard] : heardAt_) {
+        if (now - heard < NodeSilence) {
+            names.push_back(name);
+        }
+    }
+    return names;
+}
+
 void DigestExchange::receive()
 {
     socket_.async_receive_from(asio::buffer(buffer_), sender_,
@@ -141,6 +154,7 @@
         return;
     }
     newest = arrived;
+    heardAt_[digest->node] = std::chrono::steady_clock::now();
     state_.pool.applyPeer(digest->node, digest->servers, std::chrono::steady_clock::now());
 }
 
--- a/Source/Gateway/DigestExchange.h
+++ b/Source/Gateway/DigestExchange.h
@@ -29,6 +29,8 @@
     void tell();
     /// Sends a digest shortly, with whatever else happens until then.
     void tellSoon();
+    /// Names of the nodes that have told something lately, this one included.
+    [[nodiscard]] std::vector<std::string> liveNodes(Instant now) const;
 
 private:
     void receive();
@@ -47,6 +49,7 @@
     std::vector<boost::asio::ip::udp::endpoint> peers_;
     /// Newest boot and sequence of each peer.
     std::unordered_map<std::string, std::pair<std::uint64_t, std::uint64_t>> newest_;
+    std::unordered_map<std::string, Instant> heardAt_;
     std::array<char, DatagramBytes> buffer_ {};
     boost::asio::ip::udp::endpoint sender_;
 };
--- a/Source/Gateway/Exchange.cpp
+++ b/Source/Gateway/Exchange.cpp
@@ -167,17 +167,16 @@
 
 void Exchange::prepareParts()
 {
-    std::uint64_t key = hash64(facts_.model.text());
     std::uint32_t tokens = 0;
-    // The last part is the request's own.
-    for (std::size_t index = 0; index + 1 < facts_.parts.size(); ++index) {
-        key = mix64(key, facts_.parts[index].id);
-        tokens += facts_.parts[index].tokens;
-        parts_.push_back({ .key = key, .tokens = tokens });
+    for (const PromptPart &part : facts_.parts) {
+        tokens += part.tokens;
     }
     placing_.model = facts_.model;
-    placing_.parts = parts_;
-    placing_.wall = team_ != nullptr && team_->isolated ? hash64(team_->name.text()) : 0;
+    // The last part is the request's own.
+    placing_.parts = std::span(facts_.parts).first(facts_.parts.empty() ? 0 : facts_.parts.size() - 1);
+    if (team_ != nullptr && team_->isolated) {
+        placing_.wall = team_->name.text();
+    }
     placing_.promptTokens = std::max(tokens, facts_.promptTokens);
 }
 
@@ -288,15 +287,13 @@
                                    .timeLeft = timeLeft(now),
                                    .weights = placement.weights };
     if (!facts_.model.empty()) {
-        facts.cacheSalt = "v" + std::to_string(placement.weights.value_or(0));
-        if (team_ != nullptr && team_->isolated) {
-            facts.cacheSalt.append("-").append(team_->name.text());
-        }
+        facts.cacheSalt = cacheSalt(placement.weights.value_or(0), placing_.wall);
         const int priority
             = team_ != nullptr ? team_->priority.value_or(route_->priority) : route_->priority;
         facts.urgency = std::clamp(priority, MostUrgent, LeastUrgent);
     }
     facts.fetchFrom = placement.fetchFrom;
+    facts.saveTo = placement.saveTo;
     facts.resumeAfter = events_.lastId().empty() ? facts_.resumeAfter : events_.lastId();
     return facts;
 }
--- a/Source/Gateway/Exchange.h
+++ b/Source/Gateway/Exchange.h
@@ -107,7 +107,6 @@
     const Route *route_ = nullptr;
     const Team *team_ = nullptr;
     PlacementRequest placing_;
-    std::vector<PromptPrefix> parts_;
     std::vector<ServerId> tried_;
 
     /// Sends to servers so far, and those that the servers stated not to have run.
--- a/Source/Gateway/Gateway.cpp
+++ b/Source/Gateway/Gateway.cpp
@@ -1,5 +1,6 @@
 #include "Gateway/Gateway.h"
 
+#include <algorithm>
 #include <atomic>
 #include <thread>
 #include <utility>
@@ -12,14 +13,17 @@
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
 
+#include "Core/Hashing.h"
 #include "Core/Log.h"
 #include "Core/WallClock.h"
 #include "Gateway/BootClock.h"
+#include "Gateway/CacheFeed.h"
 #include "Gateway/DigestExchange.h"
 #include "Gateway/Listener.h"
 #include "Gateway/RolloutDriver.h"
 #include "Gateway/StatusServer.h"
 #include "Gateway/StoreSync.h"
+#include "Routing/Rendezvous.h"
 #include "platform/StoreObjects.h"
 
 namespace jacinthroad {
@@ -98,6 +102,10 @@
                   [this](const ServerId &server, const ModelId &model, WeightsVersion version) {
                       openServer(server, model, version);
                   })
+        , caches(controlContext, [this](const ServerId &id, const CacheEvents &events) {
+            asio::post(trafficContext,
+                       [this, id, events] { traffic.pool.applyCacheEvents(id, events); });
+        })
     { }
 
     Result<void> open();
@@ -112,6 +120,7 @@
                      Duration limit);
     void openServer(const ServerId &server, const ModelId &model, WeightsVersion version);
     void tellRollout();
+    void assignCaches();
     [[nodiscard]] asio::awaitable<void> registerNode();
 
     GatewaySettings settings;
@@ -132,6 +141,7 @@
     std::int64_t boot;
     DigestExchange digests;
     RolloutDriver rollout;
+    CacheFeed caches;
     std::thread trafficThread;
     std::thread controlThread;
 };
@@ -202,6 +212,7 @@
         metrics.setConfigurationAge(*age);
     }
     tellRollout();
+    assignCaches();
     sweepTimer.expires_after(SweepPeriod);
     sweepTimer.async_wait([this](error_code error) {
         if (!error) {
@@ -331,6 +342,23 @@
     });
 }
 
+void Gateway::Parts::assignCaches()
+{
+    const std::vector<std::string> live = digests.liveNodes(std::chrono::steady_clock::now());
+    std::map<ServerId, std::string> own;
+    for (const auto &[id, address] : traffic.pool.caches()) {
+        const std::uint64_t key = hash64(id.text());
+        const auto home = std::max_element(
+            live.begin(), live.end(), [&](const std::string &left, const std::string &right) {
+                return rendezvousScore(key, hash64(left)) < rendezvousScore(key, hash64(right));
+            });
+        if (*home == settings.name) {
+            own[id] = address;
+        }
+    }
+    asio::post(controlContext, [this, own = std::move(own)] { caches.assign(own); });
+}
+
 void Gateway::Parts::tellRollout()
 {
     std::vector<ServerLoad> loads = traffic.pool.modelLoads();
--- a/Source/Placement/HeldParts.h
+++ b/Source/Placement/HeldParts.h
@@ -3,19 +3,26 @@
 #include <cstdint>
 #include <list>
 #include <span>
+#include <string>
+#include <string_view>
 #include <unordered_map>
-#include <vector>
 
+#include "Core/Ids.h"
+#include "Fleet/BackendServer.h"
 #include "FleetPeers/NodeDigest.h"
 
 namespace jacinthroad {
 
-/// One leading part of a prompt together with all parts before it, for one model, version of
-/// weights and wall. Equal keys name equal cache contents.
-using PromptPrefix = PrefixNotice;
+/// The salt under which a server caches the parts of a request: parts of other weights, and of
+/// isolated teams, are never found under it. `wall` is the isolated team's name or empty.
+[[nodiscard]] std::string cacheSalt(WeightsVersion weights, std::string_view wall);
 
-/// What one backend server probably holds in its cache: prefixes that were sent to it, the least
-/// recently used dropped once their tokens exceed its room.
+/// The key of a prompt's part under a salt. All nodes compute the same.
+[[nodiscard]] std::uint64_t partKey(const ModelId &model, std::string_view salt, std::uint64_t id);
+
+/// What one server or cache store holds, as far as this node knows: parts that were sent to it,
+/// that it has read, and that its own events tell. The least recently used are dropped once their
+/// tokens exceed its room.
 class HeldParts
 {
 public:
@@ -24,14 +31,16 @@
         : roomTokens_(roomTokens)
     { }
 
-    /// Notes that requests with these prefixes were sent, those of one prompt shortest first.
-    void noteSent(std::span<const PromptPrefix> prefixes) { note(prefixes, false); }
-    /// Notes that the server has read these prefixes, those of one prompt shortest first.
-    void noteRead(std::span<const PromptPrefix> prefixes) { note(prefixes, true); }
+    /// Notes that a request with these parts was sent.
+    void noteSent(std::span<const CachedPart> parts) { note(parts, false); }
+    /// Notes that these parts have been read and can be fetched.
+    void noteRead(std::span<const CachedPart> parts) { note(parts, true); }
+    /// Notes that a part is held no longer, or not as a whole.
+    void noteDropped(std::uint64_t key);
     /// Tokens at the head of the prompt that are cached or being read.
-    [[nodiscard]] std::uint32_t heldTokens(std::span<const PromptPrefix> prefixes) const;
+    [[nodiscard]] std::uint32_t heldTokens(std::span<const CachedPart> parts) const;
     /// Tokens at the head of the prompt that have been read and can be fetched.
-    [[nodiscard]] std::uint32_t readTokens(std::span<const PromptPrefix> prefixes) const;
+    [[nodiscard]] std::uint32_t readTokens(std::span<const CachedPart> parts) const;
     /// Forgets everything, as after a restart or new weights.
     void clear();
 
@@ -39,11 +48,16 @@
     struct Entry
     {
         std::uint64_t key;
-        std::uint32_t ownTokens;
+        std::uint32_t tokens;
         bool read;
     };
 
-    void note(std::span<const PromptPrefix> prefixes, bool read);
+    /// Blocks in which caches hold tokens; a part may lack less than one at its end.
+    static constexpr std::uint32_t BlockTokens = 16;
+
+    void note(std::span<const CachedPart> parts, bool read);
+    /// The entry that holds the part as a whole, or null.
+    [[nodiscard]] const Entry *whole(const CachedPart &part) const;
 
     std::uint64_t roomTokens_;
     std::uint64_t usedTokens_ = 0;
--- a/Source/Placement/ServerPool.cpp
+++ b/Source/Placement/ServerPool.cpp
@@ -26,7 +26,7 @@
 /// A peer that has told nothing for this long says nothing of a server's silence any more.
 constexpr Duration PeerReportLife = milliseconds(700);
 /// Share of an engine's cache that shared parts can count on beside running requests.
-constexpr double SharedCacheShare = 0.6;
+constexpr double SharedCacheShare = 0.9;
 
 std::uint32_t wholeMilliseconds(Duration duration)
 {
@@ -34,6 +34,15 @@
     return static_cast<std::uint32_t>(std::max<std::int64_t>(0, count));
 }
 
+void applyParts(HeldParts &held, const ServerNotice &notice)
+{
+    held.noteSent(notice.sent);
+    held.noteRead(notice.read);
+    for (const std::uint64_t key : notice.dropped) {
+        held.noteDropped(key);
+    }
+}
+
 double decayed(double value, Duration age)
 {
     const double halves = toMilliseconds(age) / toMilliseconds(ReportHalfLife);
@@ -61,7 +70,17 @@
     services_.clear();
     for (const ServiceFacts &service : services) {
         services_[service.name] = service;
+        if (!service.cacheStoreAddress.empty()) {
+            CacheStore &kept = stores_[ServerId(service.name.text())];
+            if (kept.address != service.cacheStoreAddress) {
+                kept = { .address = service.cacheStoreAddress,
+                         .held = HeldParts(service.cacheStoreTokens) };
+            }
+        }
     }
+    std::erase_if(stores_, [&](const auto &entry) {
+        return !services_.contains(ServiceId(entry.first.text()));
+    });
 }
 
 void ServerPool::applyServer(const BackendServer &facts, Instant now)
@@ -124,6 +143,7 @@
         server.held.clear();
         server.untoldSent.clear();
         server.untoldRead.clear();
+        server.untoldDropped.clear();
     }
     if (model == server.loadingModel && version >= server.loadingVersion) {
         server.loadingModel = {};
@@ -153,6 +173,10 @@
                            Instant now)
 {
     for (const ServerNotice &notice : notices) {
+        if (const auto kept = stores_.find(notice.server); kept != stores_.end()) {
+            applyParts(kept->second.held, notice);
+            continue;
+        }
         const auto found = servers_.find(notice.server);
         if (found == servers_.end()) {
             continue;
@@ -180,8 +204,7 @@
         if (notice.weights > 0) {
             noteWeights(server, notice.model, notice.weights);
         }
-        server.held.noteSent(notice.sent);
-        server.held.noteRead(notice.read);
+        applyParts(server.held, notice);
     }
 }
 
@@ -206,7 +229,9 @@
         }
         notice.sent.swap(server.untoldSent);
         notice.read.swap(server.untoldRead);
+        notice.dropped.swap(server.untoldDropped);
         const bool quiet = notice.inFlight == 0 && notice.avoidMs == 0 && notice.sent.empty() && notice.read.empty()
+            && notice.dropped.empty()
             && notice.closedForMs == 0 && server.toldInFlight == 0
             && server.toldWeights == notice.weights && !server.toldClosed;
         server.toldInFlight = notice.inFlight;
@@ -216,9 +241,31 @@
             notices.push_back(std::move(notice));
         }
     }
+    for (auto &[id, kept] : stores_) {
+        if (!kept.untoldRead.empty() || !kept.untoldDropped.empty()) {
+            ServerNotice notice { .server = id };
+            notice.read.swap(kept.untoldRead);
+            notice.dropped.swap(kept.untoldDropped);
+            notices.push_back(std::move(notice));
+        }
+    }
     return notices;
 }
 
+std::map<ServerId, std::string> ServerPool::caches() const
+{
+    std::map<ServerId, std::string> addresses;
+    for (const auto &[id, server] : servers_) {
+        if (!server.facts.models.empty()) {
+            addresses[id] = server.facts.address;
+        }
+    }
+    for (const auto &[id, kept] : stores_) {
+        addresses[id] = kept.address;
+    }
+    return addresses;
+}
+
 std::vector<ServerLoad> ServerPool::modelLoads() const
 {
     std::vector<ServerLoad> loads;
@@ -278,15 +325,58 @@
     return !server.facts.leaving && !silent(server, now) && server.suspendedUntil <= now && server.closedUntil <= now;
 }
 
-std::vector<PromptPrefix> ServerPool::prefixesOn(const Server &server,
-                                                 const PlacementRequest &request) const
+std::vector<CachedPart> ServerPool::cachedParts(WeightsVersion weights,
+                                                const PlacementRequest &request)
 {
-    const std::uint64_t seed = mix64(request.wall, weightsOf(server, request.model));
-    std::vector<PromptPrefix> prefixes(request.parts.begin(), request.parts.end());
-    for (PromptPrefix &prefix : prefixes) {
-        prefix.key = mix64(prefix.key, seed);
+    const std::string salt = cacheSalt(weights, request.wall);
+    std::vector<CachedPart> parts;
+    parts.reserve(request.parts.size());
+    for (const PromptPart &part : request.parts) {
+        parts.push_back(
+            { .key = partKey(request.model, salt, part.id), .tokens = part.tokens });
+    }
+    return parts;
+}
+
+std::uint32_t ServerPool::sharedTokens(const PlacementRequest &request)
+{
+    std::uint32_t tokens = 0;
+    for (const PromptPart &part : request.parts) {
+        tokens += part.tokens;
+    }
+    return tokens;
+}
+
+const ServerPool::CacheStore *ServerPool::store() const
+{
+    return stores_.empty() ? nullptr : &stores_.begin()->second;
+}
+
+ServerPool::CacheStore *ServerPool::store()
+{
+    return stores_.empty() ? nullptr : &stores_.begin()->second;
+}
+
+void ServerPool::applyCacheEvents(const ServerId &id, const CacheEvents &events)
+{
+    const auto apply = [&](HeldParts &held, std::vector<CachedPart> &untoldRead,
+                           std::vector<std::uint64_t> &untoldDropped) {
+        if (events.restarted) {
+            held.clear();
+        }
+        held.noteRead(events.held);
+        for (const std::uint64_t key : events.dropped) {
+            held.noteDropped(key);
+        }
+        untoldRead.insert(untoldRead.end(), events.held.begin(), events.held.end());
+        untoldDropped.insert(untoldDropped.end(), events.dropped.begin(), events.dropped.end());
+    };
+    if (const auto kept = stores_.find(id); kept != stores_.end()) {
+        apply(kept->second.held, kept->second.untoldRead, kept->second.untoldDropped);
+    } else if (const auto found = servers_.find(id); found != servers_.end()) {
+        Server &server = found->second;
+        apply(server.held, server.untoldRead, server.untoldDropped);
     }
-    return prefixes;
 }
 
 WeightsVersion ServerPool::weightsOf(const Server &server, const ModelId &model)
@@ -302,24 +392,42 @@
     if (request.parts.empty()) {
         return holders;
     }
+    std::map<WeightsVersion, std::vector<CachedPart>> partsOf;
     for (const auto &[id, server] : servers_) {
+        if (server.facts.service != request.service) {
+            continue;
+        }
+        const WeightsVersion weights = weightsOf(server, request.model);
+        const auto parts = partsOf.find(weights) != partsOf.end()
+            ? partsOf.find(weights)
+            : partsOf.emplace(weights, cachedParts(weights, request)).first;
+        Holder &holder = holders[weights];
         // A closed server may be loading: what it holds may stem from other weights.
-        const bool open = server.facts.service == request.service && server.suspendedUntil <= now
-            && server.closedUntil <= now;
+        const bool open = server.suspendedUntil <= now && server.closedUntil <= now
+            && !silent(server, now);
         if (!open) {
             continue;
         }
-        const std::uint32_t held = server.held.readTokens(prefixesOn(server, request));
-        Holder &holder = holders[weightsOf(server, request.model)];
+        const std::uint32_t held = server.held.readTokens(parts->second);
         if (held > holder.tokens) {
-            holder = { .server = &server, .tokens = held };
+            holder = { .address = server.facts.address, .tokens = held };
+        }
+    }
+    const CacheStore *kept = store();
+    if (kept == nullptr) {
+        return holders;
+    }
+    for (auto &[weights, holder] : holders) {
+        const std::uint32_t held = kept->held.readTokens(partsOf[weights]);
+        if (held > holder.tokens) {
+            holder = { .address = kept->address, .tokens = held, .isStore = true };
         }
     }
     return holders;
 }
 
 double ServerPool::cost(const Server &server, const PlacementRequest &request,
-                        std::uint32_t heldTokens, std::uint32_t fetchedTokens, Instant now) const
+                        std::uint32_t heldTokens, const Holder *source, Instant now) const
 {
     const double reported = server.load.running + server.load.waiting;
     double others = 0;
@@ -339,13 +447,14 @@
         const double queued = std::max(0.0, load + 1 - slots) / slots;
         expected += pace * options_.serviceWorkMs * (1 + queued + 0.25 * load / slots);
     } else {
-        const std::uint32_t found = std::max(heldTokens, fetchedTokens);
+        const std::uint32_t found = source == nullptr ? heldTokens : source->tokens;
         const std::uint32_t unread = request.promptTokens - std::min(request.promptTokens, found);
-        const std::uint32_t sharedTokens = request.parts.empty() ? 0 : request.parts.back().tokens;
-        const double reread = sharedTokens - std::min(sharedTokens, found);
-        if (fetchedTokens > heldTokens) {
-            expected += options_.fetchMs
-                + options_.fetchMsPerThousand * (fetchedTokens - heldTokens) / 1000;
+        const std::uint32_t shared = sharedTokens(request);
+        const double reread = shared - std::min(shared, found);
+        if (source != nullptr) {
+            const double perThousand
+                = source->isStore ? options_.storeMsPerThousand : options_.fetchMsPerThousand;
+            expected += options_.fetchMs + perThousand * (found - heldTokens) / 1000;
         }
         const double ahead = static_cast<double>(server.unreadTokens) + unreadByOthers;
         expected += pace
@@ -364,7 +473,7 @@
     const Server *home = nullptr;
     std::uint64_t homeScore = 0;
     const std::uint64_t homeKey
-        = request.parts.empty() ? 0 : mix64(request.parts.back().key, request.wall);
+        = request.parts.empty() ? 0 : mix64(request.parts.back().id, hash64(request.wall));
     for (const auto &[id, server] : servers_) {
         if (server.facts.service != request.service) {
             continue;
@@ -381,7 +490,7 @@
     std::uint32_t bestHeld = 0;
     const Holder *bestSource = nullptr;
     const std::map<WeightsVersion, Holder> sources = holders(request, now);
-    const std::uint32_t sharedTokens = request.parts.empty() ? 0 : request.parts.back().tokens;
+    const std::uint32_t shared = sharedTokens(request);
     for (const auto &[id, server] : servers_) {
         const bool excluded = server.facts.service != request.service || !takesWork(server, now)
             || overdue(server, request.model, now)
@@ -393,16 +502,16 @@
         std::uint32_t held = 0;
         const Holder *source = nullptr;
         if (!request.parts.empty()) {
-            held = server.held.heldTokens(prefixesOn(server, request));
-            const auto holder = sources.find(weightsOf(server, request.model));
+            const WeightsVersion weights = weightsOf(server, request.model);
+            held = server.held.heldTokens(cachedParts(weights, request));
+            const auto holder = sources.find(weights);
             if (holder != sources.end() && holder->second.tokens > held) {
                 source = &holder->second;
             }
         }
-        const std::uint32_t fetched = source == nullptr ? 0 : source->tokens;
         // Where nobody is known to hold the parts, all nodes gather them on one server.
-        const std::uint32_t expectedHeld = &server == home && fetched == 0 ? sharedTokens : held;
-        const double expected = cost(server, request, expectedHeld, fetched, now);
+        const std::uint32_t expectedHeld = &server == home && source == nullptr ? shared : held;
+        const double expected = cost(server, request, expectedHeld, source, now);
         if (best == nullptr || expected < bestCost) {
             best = &server;
             bestCost = expected;
@@ -420,7 +529,14 @@
                           .candidates = candidates };
     if (bestSource != nullptr) {
         placement.fetchedTokens = bestSource->tokens;
-        placement.fetchFrom = bestSource->server->facts.address;
+        placement.fetchFrom = std::string(bestSource->address);
+    }
+    const CacheStore *kept = store();
+    if (kept != nullptr && !request.parts.empty()) {
+        const auto parts = cachedParts(weightsOf(*best, request.model), request);
+        if (kept->held.heldTokens(parts) < shared) {
+            placement.saveTo = kept->address;
+        }
     }
     if (const auto version = best->facts.models.find(request.model);
         version != best->facts.models.end()) {
@@ -442,9 +558,12 @@
     }
     server.unreadTokens += request.promptTokens - std::min(request.promptTokens, heldTokens);
     if (!request.parts.empty()) {
-        const std::vector<PromptPrefix> prefixes = prefixesOn(server, request);
-        server.held.noteSent(prefixes);
-        server.untoldSent.insert(server.untoldSent.end(), prefixes.begin(), prefixes.end());
+        const std::vector<CachedPart> parts = cachedParts(weightsOf(server, request.model), request);
+        if (CacheStore *kept = store(); kept != nullptr) {
+            kept->held.noteSent(parts);
+        }
+        server.held.noteSent(parts);
+        server.untoldSent.insert(server.untoldSent.end(), parts.begin(), parts.end());
     }
 }
 
@@ -460,9 +579,9 @@
     if (request.parts.empty() || weights != weightsOf(server, request.model)) {
         return;
     }
-    const std::vector<PromptPrefix> prefixes = prefixesOn(server, request);
-    server.held.noteRead(prefixes);
-    server.untoldRead.insert(server.untoldRead.end(), prefixes.begin(), prefixes.end());
+    const std::vector<CachedPart> parts = cachedParts(weightsOf(server, request.model), request);
+    server.held.noteRead(parts);
+    server.untoldRead.insert(server.untoldRead.end(), parts.begin(), parts.end());
 }
 
 void ServerPool::noteEnd(const ServerId &id, AttemptVerdict verdict, std::uint32_t unreadTokens,
--- a/Source/Placement/ServerPool.h
+++ b/Source/Placement/ServerPool.h
@@ -5,11 +5,13 @@
 #include <optional>
 #include <span>
 #include <string>
+#include <string_view>
 #include <unordered_map>
 #include <variant>
 #include <vector>
 
 #include "Fleet/BackendServer.h"
+#include "Fleet/CallerRequest.h"
 #include "Fleet/FleetConfiguration.h"
 #include "FleetPeers/NodeDigest.h"
 #include "Placement/HeldParts.h"
@@ -22,10 +24,10 @@
     ServiceId service;
     /// Empty for a plain service.
     ModelId model;
-    /// Identifies the prompt's parts; seeds the prefix keys together with the weights' version.
-    std::span<const PromptPrefix> parts;
-    /// Separates teams that share nothing; 0 for all others.
-    std::uint64_t wall = 0;
+    /// The parts of the prompt that other requests may share.
+    std::span<const PromptPart> parts;
+    /// Name of the team where it shares nothing with others; empty otherwise.
+    std::string_view wall;
     std::uint32_t promptTokens = 0;
     /// Servers that this request must not go to again.
     std::span<const ServerId> tried;
@@ -45,6 +47,8 @@
     /// `IP:port` of a server of the same weights that holds more of the prompt; empty where none
     /// does.
     std::string fetchFrom;
+    /// `IP:port` of the store that is to keep the parts; empty where it holds them already.
+    std::string saveTo;
     /// The figure by which it was chosen: milliseconds expected until the first byte, with the
     /// price of reading parts again.
     double cost = 0;
@@ -78,6 +82,15 @@
     unsigned inFlight = 0;
 };
 
+/// What the events of one server's cache, or of a cache store, told.
+struct CacheEvents
+{
+    /// Nothing of before holds: it has started again.
+    bool restarted = false;
+    std::vector<CachedPart> held;
+    std::vector<std::uint64_t> dropped;
+};
+
 /// How an attempt at a server ended, as far as the server's health goes.
 enum class AttemptVerdict : std::uint8_t {
     Served,
@@ -113,6 +126,8 @@
         /// thousand tokens.
         double fetchMs = 4;
         double fetchMsPerThousand = 1;
+        /// The same from the store, whose one link serves all servers.
+        double storeMsPerThousand = 6;
         /// Milliseconds that each request on an engine adds to the first token of the next one.
         double engineLoadMs = 0.5;
         /// Milliseconds of work of a plain service's request.
@@ -143,6 +158,8 @@
                       Instant until);
     /// Takes what a peer told of its own sends, loads under way and weights seen.
     void applyPeer(const std::string &peer, std::span<const ServerNotice> notices, Instant now);
+    /// Takes what a server's or store's own events tell of its cache.
+    void applyCacheEvents(const ServerId &id, const CacheEvents &events);
     /// What peers should know of this node's sends since the last call.
     [[nodiscard]] std::vector<ServerNotice> takeNotices(Instant now);
 
@@ -170,6 +187,8 @@
 
     /// The weights that each model engine is known to run and the requests on it.
     [[nodiscard]] std::vector<ServerLoad> modelLoads() const;
+    /// `IP:port` of all engines and cache stores, whose cache tells events.
+    [[nodiscard]] std::map<ServerId, std::string> caches() const;
     /// Servers listed.
     [[nodiscard]] std::size_t size() const { return servers_.size(); }
     /// A server as the platform lists it, or null.
@@ -210,8 +229,9 @@
         std::string closedBy;
         std::unordered_map<std::string, PeerLoad> peers;
         /// Prefixes sent to it, and read by it, since the last digest to the peers.
-        std::vector<PromptPrefix> untoldSent;
-        std::vector<PromptPrefix> untoldRead;
+        std::vector<CachedPart> untoldSent;
+        std::vector<CachedPart> untoldRead;
+        std::vector<std::uint64_t> untoldDropped;
         /// What the last digest said; a server of which nothing changed is left out.
         unsigned toldInFlight = 0;
         WeightsVersion toldWeights = 0;
@@ -223,27 +243,43 @@
     [[nodiscard]] bool overdue(const Server &server, const ModelId &model, Instant now) const;
     [[nodiscard]] bool silent(const Server &server, Instant now) const;
     [[nodiscard]] bool takesWork(const Server &server, Instant now) const;
-    /// A server that holds parts of the prompt and may be fetched from.
+    /// A store of cached parts beside the servers.
+    struct CacheStore
+    {
+        std::string address;
+        HeldParts held { 0 };
+        std::vector<CachedPart> untoldRead;
+        std::vector<std::uint64_t> untoldDropped;
+    };
+
+    /// A place that holds parts of the prompt and may be fetched from.
     struct Holder
     {
-        const Server *server = nullptr;
+        std::string_view address;
         std::uint32_t tokens = 0;
+        bool isStore = false;
     };
 
-    /// For each version of the weights, the open server that holds most of the prompt.
+    /// For each version of the weights, the open server or store that holds most of the prompt.
     [[nodiscard]] std::map<WeightsVersion, Holder> holders(const PlacementRequest &request,
                                                            Instant now) const;
     [[nodiscard]] static WeightsVersion weightsOf(const Server &server, const ModelId &model);
     [[nodiscard]] double cost(const Server &server, const PlacementRequest &request,
-                              std::uint32_t heldTokens, std::uint32_t fetchedTokens,
-                              Instant now) const;
-    [[nodiscard]] std::vector<PromptPrefix> prefixesOn(const Server &server,
-                                                       const PlacementRequest &request) const;
+                              std::uint32_t heldTokens, const Holder *source, Instant now) const;
+    /// The shared parts as a server with `weights` caches them.
+    [[nodiscard]] static std::vector<CachedPart> cachedParts(WeightsVersion weights,
+                                                             const PlacementRequest &request);
+    [[nodiscard]] static std::uint32_t sharedTokens(const PlacementRequest &request);
+    /// The store of cached parts, or null where the configuration names none.
+    [[nodiscard]] const CacheStore *store() const;
+    [[nodiscard]] CacheStore *store();
     [[nodiscard]] std::uint64_t cacheRoom(const ServiceId &service) const;
 
     Options options_;
     std::unordered_map<ServiceId, ServiceFacts> services_;
     std::unordered_map<ServerId, Server> servers_;
+    /// By the name of the service.
+    std::map<ServerId, CacheStore> stores_;
     /// When each version of a model's weights was first seen to be named.
     std::unordered_map<ModelId, std::map<WeightsVersion, Instant>> named_;
 };
--- a/Tests/FleetPeers/NodeDigestTest.cpp
+++ b/Tests/FleetPeers/NodeDigestTest.cpp
@@ -22,7 +22,8 @@
                             .weights = 2,
                             .closedForMs = 1500,
                             .sent = { { 0xfedcba9876543210U, 2500 }, { 2, 6300 } },
-                            .read = { { 7, 100 } } } } };
+                            .read = { { 7, 100 } },
+                            .dropped = { 8, 9 } } } };
 }
 
 } // namespace
@@ -44,6 +45,7 @@
     BOOST_TEST(notice.sent[0].key == 0xfedcba9876543210U);
     BOOST_TEST(notice.sent[1].tokens == 6300U);
     BOOST_TEST(notice.read[0].key == 7U);
+    BOOST_TEST(notice.dropped.size() == 2U);
 }
 
 BOOST_AUTO_TEST_CASE(cutAndSpoiltDatagramsAreNoDigests)
--- a/Tests/Placement/HeldPartsTest.cpp
+++ b/Tests/Placement/HeldPartsTest.cpp
@@ -11,17 +11,17 @@
 BOOST_AUTO_TEST_CASE(partsCountFromTheHeadOnly)
 {
     HeldParts held(10000);
-    const std::vector<PromptPrefix> prompt { { 1, 1000 }, { 2, 3000 } };
+    const std::vector<CachedPart> prompt { { 1, 1000 }, { 2, 2000 } };
     held.noteSent(prompt);
     BOOST_TEST(held.heldTokens(prompt) == 3000U);
-    BOOST_TEST(held.heldTokens(std::vector<PromptPrefix> { { 1, 1000 }, { 9, 2000 } }) == 1000U);
-    BOOST_TEST(held.heldTokens(std::vector<PromptPrefix> { { 9, 500 }, { 2, 3000 } }) == 0U);
+    BOOST_TEST(held.heldTokens(std::vector<CachedPart> { { 1, 1000 }, { 9, 2000 } }) == 1000U);
+    BOOST_TEST(held.heldTokens(std::vector<CachedPart> { { 9, 500 }, { 2, 2000 } }) == 0U);
 }
 
 BOOST_AUTO_TEST_CASE(whatIsStillBeingReadCannotBeFetched)
 {
     HeldParts held(10000);
-    const std::vector<PromptPrefix> prompt { { 1, 1000 }, { 2, 3000 } };
+    const std::vector<CachedPart> prompt { { 1, 1000 }, { 2, 2000 } };
     held.noteSent(prompt);
     BOOST_TEST(held.readTokens(prompt) == 0U);
     held.noteRead(prompt);
@@ -33,9 +33,9 @@
 BOOST_AUTO_TEST_CASE(leastRecentlyUsedPartsAreDroppedFirst)
 {
     HeldParts held(5000);
-    const std::vector<PromptPrefix> first { { 1, 2000 } };
-    const std::vector<PromptPrefix> second { { 2, 2000 } };
-    const std::vector<PromptPrefix> third { { 3, 2000 } };
+    const std::vector<CachedPart> first { { 1, 2000 } };
+    const std::vector<CachedPart> second { { 2, 2000 } };
+    const std::vector<CachedPart> third { { 3, 2000 } };
     held.noteRead(first);
     held.noteRead(second);
     held.noteRead(first);
@@ -45,13 +45,40 @@
     BOOST_TEST(held.heldTokens(third) == 2000U);
 }
 
-BOOST_AUTO_TEST_CASE(severalPromptsInOneListCountTheirOwnTokens)
+BOOST_AUTO_TEST_CASE(aPartThatIsStillGrowingIsNotHeldAsAWhole)
 {
-    HeldParts held(4000);
-    held.noteRead(std::vector<PromptPrefix> { { 1, 1000 }, { 2, 1500 }, { 3, 800 } });
-    // 1000 + 500 + 800 tokens leave room for 1700 more.
-    held.noteRead(std::vector<PromptPrefix> { { 4, 1700 } });
-    BOOST_TEST(held.heldTokens(std::vector<PromptPrefix> { { 1, 1000 } }) == 1000U);
+    HeldParts held(10000);
+    const std::vector<CachedPart> part { { 1, 2000 } };
+    held.noteRead(std::vector<CachedPart> { { 1, 1024 } });
+    BOOST_TEST(held.heldTokens(part) == 0U);
+    held.noteRead(std::vector<CachedPart> { { 1, 1983 } });
+    BOOST_TEST(held.readTokens(part) == 0U);
+    // Less than one block of sixteen tokens may be missing at the end.
+    held.noteRead(std::vector<CachedPart> { { 1, 1984 } });
+    BOOST_TEST(held.readTokens(part) == 2000U);
+    held.noteDropped(1);
+    BOOST_TEST(held.heldTokens(part) == 0U);
+}
+
+BOOST_AUTO_TEST_CASE(eventsOfAGrowingPartDoNotFinishOneThatWasSent)
+{
+    HeldParts held(10000);
+    const std::vector<CachedPart> part { { 1, 2000 } };
+    held.noteSent(part);
+    held.noteRead(std::vector<CachedPart> { { 1, 1024 } });
+    BOOST_TEST(held.readTokens(part) == 0U);
+    held.noteRead(part);
+    BOOST_TEST(held.readTokens(part) == 2000U);
+}
+
+BOOST_AUTO_TEST_CASE(saltsKeepWeightsAndWallsApart)
+{
+    const ModelId model("m");
+    const std::uint64_t key = partKey(model, cacheSalt(1, ""), 7);
+    BOOST_TEST(key == partKey(model, "v1", 7));
+    BOOST_TEST(key != partKey(model, cacheSalt(2, ""), 7));
+    BOOST_TEST(key != partKey(model, cacheSalt(1, "north"), 7));
+    BOOST_TEST(key != partKey(ModelId("n"), cacheSalt(1, ""), 7));
 }
 
 BOOST_AUTO_TEST_SUITE_END()
--- a/Tests/Placement/ServerPoolTest.cpp
+++ b/Tests/Placement/ServerPoolTest.cpp
@@ -60,7 +60,7 @@
     const ServerPool other = poolOf({ servers[2], servers[0], servers[1] });
     std::map<std::string, unsigned> homes;
     for (std::uint64_t key = 1; key <= 60; ++key) {
-        const std::vector<PromptPrefix> parts { { key * 7919, 6000 } };
+        const std::vector<PromptPart> parts { { key * 7919, 6000 } };
         const PlacementRequest request {
             .service = Engines, .model = Model, .parts = parts, .promptTokens = 8000
         };
@@ -77,7 +77,7 @@
     // No server may get a third of them while others stand idle.
     ServerPool pool = poolOf({ engine("a"), engine("b"), engine("c"), engine("d"), engine("e"),
                                engine("f") });
-    const std::vector<PromptPrefix> parts { { 42, 2500 } };
+    const std::vector<PromptPart> parts { { 42, 2500 } };
     const PlacementRequest request {
         .service = Engines, .model = Model, .parts = parts, .promptTokens = 12000
     };
@@ -119,7 +119,7 @@
 BOOST_AUTO_TEST_CASE(closedServersGetNoWorkAndAreNoSource)
 {
     ServerPool pool = poolOf({ engine("a"), engine("b") });
-    const std::vector<PromptPrefix> parts { { 42, 6000 } };
+    const std::vector<PromptPart> parts { { 42, 6000 } };
     const PlacementRequest request {
         .service = Engines, .model = Model, .parts = parts, .promptTokens = 8000
     };
@@ -144,7 +144,7 @@
 BOOST_AUTO_TEST_CASE(partsOfOtherWeightsAreNeverFetched)
 {
     ServerPool pool = poolOf({ engine("a", 1), engine("b", 2) });
-    const std::vector<PromptPrefix> parts { { 42, 6000 } };
+    const std::vector<PromptPart> parts { { 42, 6000 } };
     const PlacementRequest request {
         .service = Engines, .model = Model, .parts = parts, .promptTokens = 8000
     };
@@ -178,17 +178,46 @@
 BOOST_AUTO_TEST_CASE(isolatedTeamsShareNothing)
 {
     ServerPool pool = poolOf({ engine("a") });
-    const std::vector<PromptPrefix> parts { { 42, 6000 } };
+    const std::vector<PromptPart> parts { { 42, 6000 } };
     pool.noteSent(ServerId("a"),
-                  { .service = Engines, .model = Model, .parts = parts, .wall = 1 }, 0, at(0));
+                  { .service = Engines, .model = Model, .parts = parts, .wall = "north" }, 0, at(0));
     const Placement other = chosen(
-        pool, { .service = Engines, .model = Model, .parts = parts, .wall = 2 }, at(1));
+        pool, { .service = Engines, .model = Model, .parts = parts, .wall = "south" }, at(1));
     BOOST_TEST(other.heldTokens == 0U);
     const Placement own = chosen(
-        pool, { .service = Engines, .model = Model, .parts = parts, .wall = 1 }, at(1));
+        pool, { .service = Engines, .model = Model, .parts = parts, .wall = "north" }, at(1));
     BOOST_TEST(own.heldTokens == 6000U);
 }
 
+BOOST_AUTO_TEST_CASE(theStoreServesPartsThatTheEnginesHaveDropped)
+{
+    ServerPool pool = poolOf({ engine("a"), engine("b") });
+    pool.applyServices(std::vector<ServiceFacts> {
+        { .name = Engines, .engine = EngineFacts { .slots = 64, .cacheTokens = 100000 } },
+        { .name = ServiceId("kept"),
+          .cacheStoreAddress = "127.0.0.1:7000",
+          .cacheStoreTokens = 1000000 } });
+    const std::vector<PromptPart> parts { { 42, 6000 } };
+    const PlacementRequest request {
+        .service = Engines, .model = Model, .parts = parts, .promptTokens = 8000
+    };
+    const Placement first = chosen(pool, request, at(0));
+    BOOST_TEST(first.saveTo == "127.0.0.1:7000");
+    pool.noteSent(first.server, request, 0, at(0));
+    // The parts are on their way to the store: they need not be sent twice.
+    BOOST_TEST(chosen(pool, request, at(1)).saveTo.empty());
+    pool.noteFirstByte(first.server, request, 1, 8000);
+    const std::uint64_t key = partKey(Model, cacheSalt(1, ""), 42);
+    pool.applyCacheEvents(ServerId("kept"), { .held = { { key, 6000 } } });
+    pool.applyCacheEvents(first.server, { .dropped = { key } });
+    const Placement later = chosen(pool, request, at(2));
+    BOOST_TEST(later.fetchFrom == "127.0.0.1:7000");
+    BOOST_TEST(later.fetchedTokens == 6000U);
+    // A store that has started again holds nothing.
+    pool.applyCacheEvents(ServerId("kept"), { .restarted = true });
+    BOOST_TEST(chosen(pool, request, at(3)).fetchFrom.empty());
+}
+
 BOOST_AUTO_TEST_CASE(leavingAndUnreachableServersAreAvoided)
 {
     BackendServer leaving = engine("a");
@@ -247,7 +276,7 @@
 BOOST_AUTO_TEST_CASE(aServerThatStartsAgainHoldsNothing)
 {
     ServerPool pool = poolOf({ engine("a") });
-    const std::vector<PromptPrefix> parts { { 42, 6000 } };
+    const std::vector<PromptPart> parts { { 42, 6000 } };
     const PlacementRequest request { .service = Engines, .model = Model, .parts = parts };
     pool.noteSent(ServerId("a"), request, 0, at(0));
     BOOST_TEST(chosen(pool, request, at(1)).heldTokens == 6000U);
@@ -286,7 +315,7 @@
     ServerPool pool = poolOf({ engine("a"), engine("b") });
     static_cast<void>(pool.takeNotices(at(0)));
     BOOST_TEST(pool.takeNotices(at(1)).empty());
-    const std::vector<PromptPrefix> parts { { 42, 6000 } };
+    const std::vector<PromptPart> parts { { 42, 6000 } };
     const PlacementRequest request {
         .service = Engines, .model = Model, .parts = parts, .promptTokens = 8000
     };
--- a/Tests/Platform/WireTest.cpp
+++ b/Tests/Platform/WireTest.cpp
@@ -1,6 +1,7 @@
 #include <boost/test/unit_test.hpp>
 
 #include "Core/Json.h"
+#include "platform/CacheEvents.h"
 #include "platform/CallerWire.h"
 #include "platform/Orders.h"
 #include "platform/ServerWire.h"
@@ -216,6 +217,23 @@
     BOOST_TEST(!readPage("not json").has_value());
 }
 
+BOOST_AUTO_TEST_CASE(cacheEventsAreReadOneByOne)
+{
+    const auto batch = readCacheEvents(
+        R"({"epoch":77120,"next":120,"lost":true,"events":[[119,"+","s1","5c1e07a2",800,"daka"],
+        [120,"-","s1","91bd3f06",128,"daka"],[121,"+",7],"x"]})");
+    BOOST_REQUIRE(batch.has_value());
+    BOOST_TEST(batch->boot == 77120U);
+    BOOST_TEST(batch->next == 120U);
+    BOOST_TEST(batch->gap);
+    BOOST_REQUIRE(batch->events.size() == 2U);
+    BOOST_TEST(batch->events[0].grown);
+    BOOST_TEST(batch->events[0].part == 0x5c1e07a2U);
+    BOOST_TEST(batch->events[1].tokens == 128U);
+    BOOST_TEST(!batch->events[1].grown);
+    BOOST_TEST(!readCacheEvents(R"({"events":[]})").has_value());
+}
+
 BOOST_AUTO_TEST_CASE(ordersNameTheirServerTokenAndCount)
 {
     const LoadOrder order { .server = ServerId("i-1"),
