StoreSync: Gather changes of servers; Rollout: Read the lease only while waiting for it

Change: 0.6 s between watches of servers; the lease is read by nodes that wait for it, every 1.5 s, and renewed at a quarter of the handover.

--- a/Source/Gateway/Gateway.cpp
+++ b/Source/Gateway/Gateway.cpp
@@ -38,7 +38,9 @@
 constexpr Duration ConfigurationWait = milliseconds(1000);
 constexpr Duration ServersWait = milliseconds(1500);
 constexpr Duration WeightsWait = milliseconds(4000);
-constexpr Duration LeasesWait = milliseconds(10000);
+/// Entries of servers change with every heartbeat; a leaving server has to be known within two
+/// seconds, of which a store that tells nothing for a second may take one.
+constexpr Duration ServersGather = milliseconds(600);
 constexpr Duration NodesWait = milliseconds(10000);
 /// Pause between tries to list this node among the nodes.
 constexpr Duration RegisterPause = milliseconds(700);
@@ -76,7 +78,10 @@
               [this](BootInstant moment) { confirmConfiguration(moment); })
         , servers(
               controlContext, store,
-              { .kind = platform::ObjectKind::Servers, .name = "servers", .wait = ServersWait },
+              { .kind = platform::ObjectKind::Servers,
+                .name = "servers",
+                .wait = ServersWait,
+                .gather = ServersGather },
               [this](const ObjectTable &table) { takeServers(table); }, [](BootInstant) {})
         , weights(
               controlContext, store,
@@ -84,11 +89,6 @@
                 .name = "named_weights",
                 .wait = WeightsWait },
               [this](const ObjectTable &table) { takeNamedWeights(table); }, [](BootInstant) {})
-        , leases(
-              controlContext, store,
-              { .kind = platform::ObjectKind::Leases, .name = "leases", .wait = LeasesWait },
-              [this](const ObjectTable &table) { rollout.applyLeases(table); },
-              [](BootInstant) {})
         , nodes(
               controlContext, store,
               { .kind = platform::ObjectKind::Nodes, .name = "nodes", .wait = NodesWait },
@@ -136,7 +136,6 @@
     StoreSync configuration;
     StoreSync servers;
     StoreSync weights;
-    StoreSync leases;
     StoreSync nodes;
     std::int64_t boot;
     DigestExchange digests;
@@ -193,7 +192,6 @@
     asio::co_spawn(controlContext, configuration.run(), asio::detached);
     asio::co_spawn(controlContext, servers.run(), asio::detached);
     asio::co_spawn(controlContext, weights.run(), asio::detached);
-    asio::co_spawn(controlContext, leases.run(), asio::detached);
     asio::co_spawn(controlContext, rollout.run(), asio::detached);
     if (!settings.peerAddress.empty()) {
         asio::co_spawn(controlContext, nodes.run(), asio::detached);
--- a/Source/Gateway/RolloutDriver.cpp
+++ b/Source/Gateway/RolloutDriver.cpp
@@ -30,21 +30,23 @@
 /// Part of the time between holders that one write of the lease is good for, and after which it is
 /// renewed.
 constexpr int ValidityPart = 2;
-constexpr int RenewPart = 5;
+constexpr int RenewPart = 4;
 /// Added to the time between holders for calls that are under way.
 constexpr Duration HandoverMargin = milliseconds(500);
 /// No order leaves later than this before the lease ends.
 constexpr Duration OrderMargin = milliseconds(300);
 /// Nodes spread their first try for the lease over this time.
 constexpr std::int64_t AskSpreadMs = 400;
+/// How often a node that waits for the lease looks at it.
+constexpr Duration LeaseReadPeriod = milliseconds(1500);
 constexpr Duration LeaseTimeout = milliseconds(900);
 constexpr Duration OrderTimeout = milliseconds(700);
 /// New work stays off a server for this long at most, unless it tells of its new weights before.
 constexpr Duration CloseLimit = milliseconds(3500);
 /// When a load is asked after first, how often then, and for how long: a load takes one or two
 /// seconds, more beside others.
-constexpr Duration FirstReport = milliseconds(900);
-constexpr Duration ReportPeriod = milliseconds(250);
+constexpr Duration FirstReport = milliseconds(1200);
+constexpr Duration ReportPeriod = milliseconds(150);
 constexpr Duration ReportLimit = std::chrono::seconds(7);
 
 std::string holderName(const RolloutDriver::Options &options)
@@ -118,16 +120,6 @@
     version = std::max(version, named.version);
 }
 
-void RolloutDriver::applyLeases(const ObjectTable &table)
-{
-    const auto found = table.find(LeaseName);
-    if (found == table.end()) {
-        lease_.observe(std::nullopt, 0, bootNow());
-        return;
-    }
-    lease_.observe(readLease(found->second.spec), found->second.revision, bootNow());
-}
-
 void RolloutDriver::noteServer(const ServerId &id, const ModelId &model, WeightsVersion version)
 {
     if (servers_.contains(id)) {
@@ -187,7 +179,12 @@
         askFrom_ = now + (lease_.wasLastHolder() ? Duration::zero() : milliseconds(spread));
     }
     wanted_ = work;
-    co_await writeLease(work && askFrom_ <= now);
+    const bool asks = work && askFrom_ <= now;
+    const bool watches = asks && !lease_.wasLastHolder();
+    if (watches || !leaseReadAt_.has_value()) {
+        co_await readLeaseObject();
+    }
+    co_await writeLease(asks);
     const BootInstant after = bootNow();
     const bool holds = lease_.holds(after + OrderMargin);
     if (holds != held_) {
@@ -209,6 +206,28 @@
     }
 }
 
+asio::awaitable<void> RolloutDriver::readLeaseObject()
+{
+    const BootInstant now = bootNow();
+    if (leaseReadAt_.has_value() && now - *leaseReadAt_ < LeaseReadPeriod) {
+        co_return;
+    }
+    leaseReadAt_ = now;
+    const auto reply = co_await store_.call(
+        platform::readCall(platform::ObjectKind::Leases, LeaseName), LeaseTimeout);
+    if (!reply.has_value()) {
+        co_return;
+    }
+    if (reply->status == StoreStatus::Missing) {
+        lease_.observe(std::nullopt, 0, bootNow());
+    } else if (reply->status == StoreStatus::Done) {
+        const auto object = platform::readObject(reply->body);
+        if (object.has_value()) {
+            lease_.observe(readLease(object->spec), object->revision, bootNow());
+        }
+    }
+}
+
 asio::awaitable<void> RolloutDriver::writeLease(bool wanted)
 {
     const auto write = lease_.next(wanted, bootNow());
--- a/Source/Gateway/RolloutDriver.h
+++ b/Source/Gateway/RolloutDriver.h
@@ -4,6 +4,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 #include <unordered_map>
 #include <utility>
@@ -15,7 +16,6 @@
 #include "Fleet/BackendServer.h"
 #include "Gateway/HttpCaller.h"
 #include "Gateway/StoreClient.h"
-#include "Gateway/StoreSync.h"
 #include "Rollout/LeaseKeeper.h"
 #include "Rollout/RolloutPlanner.h"
 #include "platform/Orders.h"
@@ -52,8 +52,6 @@
     void applyServers(const std::vector<BackendServer> &servers);
     /// Takes weights that operators have named.
     void applyNamedWeights(const NamedWeights &named);
-    /// Takes the lease object.
-    void applyLeases(const ObjectTable &table);
     /// Takes what an answer told of a server's weights, and the requests that run on it.
     void noteServer(const ServerId &id, const ModelId &model, WeightsVersion version);
     /// Takes this node's count of requests on a server.
@@ -63,6 +61,7 @@
 
 private:
     [[nodiscard]] boost::asio::awaitable<void> step();
+    [[nodiscard]] boost::asio::awaitable<void> readLeaseObject();
     [[nodiscard]] boost::asio::awaitable<void> writeLease(bool wanted);
     [[nodiscard]] boost::asio::awaitable<void> order(RolloutStep step);
     [[nodiscard]] boost::asio::awaitable<OrderOutcome> give(HttpCaller &caller,
@@ -90,6 +89,8 @@
     /// From when on this node asks for the lease; nodes ask at different times.
     BootInstant askFrom_;
     bool wanted_ = false;
+    /// When the lease object was last asked for.
+    std::optional<BootInstant> leaseReadAt_;
 };
 
 } // namespace jacinthroad
--- a/Source/Gateway/StoreSync.cpp
+++ b/Source/Gateway/StoreSync.cpp
@@ -46,9 +46,12 @@
         }
         if (done) {
             failures_ = 0;
+            if (options_.gather > Duration::zero()) {
+                co_await pause(options_.gather);
+            }
         } else {
             ++failures_;
-            co_await pause();
+            co_await pause(pauseAfterFailure());
         }
     }
 }
@@ -128,14 +131,19 @@
     co_return true;
 }
 
-asio::awaitable<void> StoreSync::pause()
+Duration StoreSync::pauseAfterFailure() const
 {
     Duration wait = FirstPause;
     for (unsigned step = 1; step < failures_ && wait < LongestPause; ++step) {
         wait *= 2;
     }
+    return std::min(wait, LongestPause);
+}
+
+asio::awaitable<void> StoreSync::pause(Duration time)
+{
     asio::steady_timer timer(context_);
-    timer.expires_after(std::min(wait, LongestPause));
+    timer.expires_after(time);
     error_code ignored;
     co_await timer.async_wait(asio::redirect_error(asio::use_awaitable, ignored));
 }
--- a/Source/Gateway/StoreSync.h
+++ b/Source/Gateway/StoreSync.h
@@ -30,6 +30,9 @@
         std::string name;
         /// How long one watch waits. What is held is at most this and an answer's time old.
         Duration wait = std::chrono::seconds(1);
+        /// Least time between two watches: gathers changes, so that objects which change all the
+        /// time cost few calls.
+        Duration gather {};
     };
     /// Called when the table may have changed.
     using Changed = std::function<void(const ObjectTable &)>;
@@ -45,7 +48,8 @@
 private:
     [[nodiscard]] boost::asio::awaitable<bool> list();
     [[nodiscard]] boost::asio::awaitable<bool> watch();
-    [[nodiscard]] boost::asio::awaitable<void> pause();
+    [[nodiscard]] boost::asio::awaitable<void> pause(Duration time);
+    [[nodiscard]] Duration pauseAfterFailure() const;
     void noteReachable(bool reachable, std::string_view reason);
 
     boost::asio::io_context &context_;
