--- a/Source/Placement/ServerPool.cpp
+++ b/Source/Placement/ServerPool.cpp
@@ -117,6 +117,13 @@
     named_[named.model].emplace(named.version, now);
 }
 
+bool ServerPool::replaced(const Server &server, const ModelId &model) const
+{
+    const auto versions = named_.find(model);
+    return versions != named_.end() && !versions->second.empty()
+        && versions->second.rbegin()->first > weightsOf(server, model);
+}
+
 bool ServerPool::overdue(const Server &server, const ModelId &model, Instant now) const
 {
     const auto versions = named_.find(model);
@@ -460,7 +467,8 @@
         expected += pace
             * (ahead * options_.aheadTokenMs + unread * options_.ownTokenMs
                + load * options_.engineLoadMs)
-            + options_.rereadWeight * reread * options_.ownTokenMs;
+            + options_.rereadWeight * reread * options_.ownTokenMs
+            + (replaced(server, request.model) ? options_.oldWeightsMs : 0);
     }
     return expected + toMilliseconds(server.facts.coldLeft) / 10;
 }
--- a/Source/Placement/ServerPool.h
+++ b/Source/Placement/ServerPool.h
@@ -137,6 +137,9 @@
         /// Silence of a server that is explained by nothing but waiting for its processor, beside
         /// twice the time that the work ahead should take.
         Duration unexplainedSilence = milliseconds(350);
+        /// Milliseconds charged for weights that newer ones have replaced: work on them is worth a
+        /// fifth less, as much as that delay costs in late first tokens.
+        double oldWeightsMs = 80;
         /// From this time after newer weights were named, a server with older ones gets no work.
         Duration weightsOverdue = std::chrono::seconds(12);
     };
@@ -239,6 +242,8 @@
     };
 
     void noteWeights(Server &server, const ModelId &model, WeightsVersion version);
+    /// True where newer weights have been named.
+    [[nodiscard]] bool replaced(const Server &server, const ModelId &model) const;
     /// True where newer weights were named so long ago that these may not be used any more.
     [[nodiscard]] bool overdue(const Server &server, const ModelId &model, Instant now) const;
     [[nodiscard]] bool silent(const Server &server, Instant now) const;
