Core: Write the log to standard output without waiting; Program: Reload settings

Cause: SIGHUP ended the process; log lines could block the traffic thread on a reader that stands still and had no bound. Change: SIGHUP and a changed file put bounds in force; lines go to standard output only while it takes them, 400 a second at most, with a count of those left out.

--- a/Source/Core/Log.cpp
+++ b/Source/Core/Log.cpp
@@ -8,11 +8,15 @@
 #include <boost/log/core.hpp>
 #include <boost/log/expressions.hpp>
 #include <boost/log/sources/record_ostream.hpp>
+#include <boost/log/sinks/sync_frontend.hpp>
 #include <boost/log/sources/severity_logger.hpp>
 #include <boost/log/utility/setup/console.hpp>
+#include <boost/make_shared.hpp>
 #include <json/value.h>
+#include <unistd.h>
 
 #include "Core/Json.h"
+#include "Core/LogSink.h"
 #include "Core/Overloaded.h"
 #include "Core/WallClock.h"
 
@@ -79,6 +83,14 @@
     minimumLevel = options.minimumLevel;
     jsonLines = options.json;
     boost::log::core::get()->remove_all_sinks();
+    if (options.standardOutput) {
+        using Sink = boost::log::sinks::synchronous_sink<LogSink>;
+        const auto sink = boost::make_shared<Sink>(
+            boost::make_shared<LogSink>(STDOUT_FILENO, options.linesPerSecond));
+        sink->set_formatter(boost::log::expressions::stream << boost::log::expressions::smessage);
+        boost::log::core::get()->add_sink(sink);
+        return;
+    }
     boost::log::add_console_log(std::clog,
                                 boost::log::keywords::format = boost::log::expressions::stream
                                     << boost::log::expressions::smessage,
--- a/Source/Core/Log.h
+++ b/Source/Core/Log.h
@@ -25,9 +25,13 @@
     LogLevel minimumLevel = LogLevel::Info;
     /// One JSON object a line when true, readable text otherwise.
     bool json = true;
+    /// Lines go to standard output, without waiting for its reader; otherwise to standard error.
+    bool standardOutput = false;
+    /// Most lines in a second on standard output; 0 sets no bound. Lines left out are counted.
+    std::uint32_t linesPerSecond = 0;
 };
 
-/// Sets the process-wide form of the log, which goes to standard error through Boost.Log.
+/// Sets the process-wide form of the log, which goes through Boost.Log.
 void configureLog(const LogOptions &options);
 
 /// Writes one line: the event's name and its fields. Safe from any thread.
--- a/Source/Fleet/Freshness.h
+++ b/Source/Fleet/Freshness.h
@@ -55,6 +55,9 @@
 
     explicit Freshness(const Options &options);
 
+    /// Takes other limits.
+    void setOptions(const Options &options) { options_ = options; }
+
     /// Notes that the configuration held is the newest as of `moment`; never moves back.
     void confirm(BootInstant moment);
 
--- a/Source/Gateway/Gateway.cpp
+++ b/Source/Gateway/Gateway.cpp
@@ -391,6 +391,13 @@
     parts_->controlThread.join();
 }
 
+void Gateway::reload(const GatewaySettings &settings)
+{
+    asio::post(parts_->trafficContext,
+               [this, settings] { parts_->traffic.applySettings(settings); });
+    parts_->settings.stopGrace = settings.stopGrace;
+}
+
 bool Gateway::drain()
 {
     const Instant began = std::chrono::steady_clock::now();
--- a/Source/Gateway/Gateway.h
+++ b/Source/Gateway/Gateway.h
@@ -19,6 +19,9 @@
     Gateway &operator=(const Gateway &) = delete;
     ~Gateway();
 
+    /// Takes changed bounds. Names and addresses stay until the process starts again.
+    void reload(const GatewaySettings &settings);
+
     /// Stops gracefully: says at once that new connections are unwelcome, goes on serving until
     /// the balancer has left and requests have ended, at the latest shortly before the grace ends.
     /// Returns true where no request was cut.
--- a/Source/Gateway/GatewaySettings.cpp
+++ b/Source/Gateway/GatewaySettings.cpp
@@ -106,12 +106,20 @@
 } };
 constexpr ObjectSchema BoundSchema { "bounds", BoundFields };
 
-constexpr std::array<FieldRule, 1> LogFields { {
+constexpr std::array<FieldRule, 2> LogFields { {
     { .name = "level",
       .type = FieldType::String,
       .defaultText = "\"info\"",
       .choices = LevelChoices,
       .help = "least severity that is written" },
+    { .name = "lines_per_s",
+      .type = FieldType::Integer,
+      .defaultText = "400",
+      .minimum = 0,
+      .maximum = 100000,
+      .unit = "lines/s",
+      .help = "most lines in a second, ten times what a node decides at usual load; 0 sets no "
+              "bound; lines left out are counted" },
 } };
 constexpr ObjectSchema LogSchema { "log", LogFields };
 
@@ -214,7 +222,9 @@
         .repeatAllowance = bounds.number("repeat_allowance"),
         .repeatWindow = fromMilliseconds(bounds.number("repeat_window_s") * 1000),
         .log = { .minimumLevel = static_cast<LogLevel>(levelAt - LevelChoices.begin()),
-                 .json = true },
+                 .json = true,
+                 .standardOutput = true,
+                 .linesPerSecond = static_cast<std::uint32_t>(log.integer("lines_per_s")) },
     };
 }
 
--- a/Source/Gateway/TrafficState.cpp
+++ b/Source/Gateway/TrafficState.cpp
@@ -27,6 +27,19 @@
     return fromMilliseconds(toMilliseconds(whole) * share);
 }
 
+Freshness::Options freshnessOptions(const GatewaySettings &settings)
+{
+    return { .agedAfter = part(settings.keyRevocation, AgedPart),
+             .expiredAfter = part(settings.keyRevocation, ExpiredPart) };
+}
+
+AttemptBudget::Options repeatOptions(const GatewaySettings &settings)
+{
+    return { .ratio = settings.repeatShare * RepeatShareUsed,
+             .window = settings.repeatWindow,
+             .allowance = settings.repeatAllowance / AssumedNodes };
+}
+
 } // namespace
 
 TrafficState::TrafficState(boost::asio::io_context &ioContext, const GatewaySettings &nodeSettings,
@@ -34,15 +47,18 @@
     : context(ioContext)
     , settings(nodeSettings)
     , metrics(gatewayMetrics)
-    , freshness({ .agedAfter = part(settings.keyRevocation, AgedPart),
-                  .expiredAfter = part(settings.keyRevocation, ExpiredPart) })
+    , freshness(freshnessOptions(settings))
     , pool({ .zone = ZoneId(settings.zone),
              .weightsOverdue = settings.weightsBound - WeightsMargin })
-    , repeats({ .ratio = settings.repeatShare * RepeatShareUsed,
-                .window = settings.repeatWindow,
-                .allowance = settings.repeatAllowance / AssumedNodes })
+    , repeats(repeatOptions(settings))
 { }
 
+void TrafficState::applySettings(const GatewaySettings &changed)
+{
+    freshness.setOptions(freshnessOptions(changed));
+    repeats.setOptions(repeatOptions(changed));
+}
+
 void TrafficState::applyConfiguration(std::shared_ptr<const RouteTable> newer)
 {
     if (routes != nullptr && routes->version() >= newer->version()) {
--- a/Source/Gateway/TrafficState.h
+++ b/Source/Gateway/TrafficState.h
@@ -27,6 +27,8 @@
     TrafficState(boost::asio::io_context &context, const GatewaySettings &settings,
                  GatewayMetrics &metrics);
 
+    /// Takes changed bounds of a settings file.
+    void applySettings(const GatewaySettings &settings);
     /// Takes a newer configuration; an older one is ignored.
     void applyConfiguration(std::shared_ptr<const RouteTable> routes);
     /// Takes the whole list of servers as the platform has it.
--- a/Source/Placement/AttemptBudget.h
+++ b/Source/Placement/AttemptBudget.h
@@ -25,6 +25,9 @@
 
     explicit AttemptBudget(const Options &options);
 
+    /// Takes other limits; what the window has counted stays.
+    void setOptions(const Options &options) { options_ = options; }
+
     /// Notes a request for a service.
     void noteRequest(const ServiceId &service, Instant now);
     /// Takes one repeated send, if the window has one left.
--- a/Source/Program/ServeCommand.cpp
+++ b/Source/Program/ServeCommand.cpp
@@ -15,22 +15,51 @@
 namespace {
 
 constexpr Duration SignalPoll = milliseconds(50);
+/// The settings file may change without a signal; a change is found within this time.
+constexpr Duration SettingsPoll = std::chrono::seconds(2);
 constexpr Duration DrainPatience = std::chrono::minutes(10);
 
 volatile std::sig_atomic_t stopSignals = 0;
+volatile std::sig_atomic_t reloadSignals = 0;
 
 void onSignal(int)
 {
     stopSignals = stopSignals + 1;
 }
 
+void onReload(int)
+{
+    reloadSignals = reloadSignals + 1;
+}
+
 void catchSignals()
 {
+    std::signal(SIGHUP, onReload);
     std::signal(SIGTERM, onSignal);
     std::signal(SIGINT, onSignal);
     std::signal(SIGPIPE, SIG_IGN);
 }
 
+/// Puts a changed settings file in force. A file with faults leaves everything as it is.
+void reload(Gateway &gateway, const std::string &file, std::string &inForce)
+{
+    const auto text = readFile(file);
+    if (text.has_value() && *text == inForce) {
+        return;
+    }
+    const auto settings = text.has_value()
+        ? readGatewaySettings(*text, file)
+        : Result<GatewaySettings>(tl::make_unexpected(text.error()));
+    if (!settings.has_value()) {
+        logLine(LogLevel::Error, "settings_rejected", { { "reason", settings.error().message } });
+        return;
+    }
+    inForce = *text;
+    configureLog(settings->log);
+    gateway.reload(*settings);
+    logLine(LogLevel::Info, "settings_reloaded", { { "file", file } });
+}
+
 ExitCode serveGateway(const std::string &text, const std::string &file)
 {
     const auto settings = readGatewaySettings(text, file);
@@ -47,8 +76,16 @@
     }
     logLine(LogLevel::Info, "serving",
             { { "node", settings->name }, { "callers", settings->callerAddress } });
+    std::string inForce = text;
+    Instant looked = std::chrono::steady_clock::now();
     while (stopSignals == 0) {
         std::this_thread::sleep_for(SignalPoll);
+        const Instant now = std::chrono::steady_clock::now();
+        if (reloadSignals > 0 || now - looked >= SettingsPoll) {
+            reloadSignals = 0;
+            looked = now;
+            reload(**gateway, file, inForce);
+        }
     }
     logLine(LogLevel::Info, "stopping", { { "node", settings->name } });
     const bool whole = (*gateway)->drain();
