Placement: Tell peers since when weights are named; Rollout: Keep a held lease while stopping

Change: digests carry how long ago weights were seen to be named; a stopping holder goes on until it exits and releases the lease then.

--- a/Source/FleetPeers/NodeDigest.cpp
+++ b/Source/FleetPeers/NodeDigest.cpp
@@ -10,7 +10,8 @@
 
 /// First element of every digest; another version is ignored.
 constexpr std::uint32_t FormatVersion = 1;
-constexpr std::uint32_t DigestFields = 7;
+constexpr std::uint32_t DigestFields = 8;
+constexpr std::uint32_t NamedFields = 3;
 constexpr std::uint32_t NoticeFields = 11;
 
 std::string text(const msgpack::object &object)
@@ -64,6 +65,17 @@
     return notice;
 }
 
+NamedNotice readNamed(const msgpack::object &object)
+{
+    if (object.type != msgpack::type::ARRAY || object.via.array.size != NamedFields) {
+        throw msgpack::type_error();
+    }
+    const msgpack::object *field = object.via.array.ptr;
+    return { .model = ModelId(text(field[0])),
+             .version = field[1].as<std::uint32_t>(),
+             .ageMs = field[2].as<std::uint32_t>() };
+}
+
 } // namespace
 
 std::string encodeDigest(const NodeDigest &digest)
@@ -92,6 +104,13 @@
         packer.pack(notice.avoidMs);
         packer.pack(notice.dropped);
     }
+    packer.pack_array(static_cast<std::uint32_t>(digest.named.size()));
+    for (const NamedNotice &named : digest.named) {
+        packer.pack_array(NamedFields);
+        packer.pack(named.model.text());
+        packer.pack(named.version);
+        packer.pack(named.ageMs);
+    }
     return { buffer.data(), buffer.size() };
 }
 
@@ -115,6 +134,10 @@
         for (const msgpack::object &notice : notices) {
             digest.servers.push_back(readNotice(notice));
         }
+        const auto named = field[7].as<std::vector<msgpack::object>>();
+        for (const msgpack::object &notice : named) {
+            digest.named.push_back(readNamed(notice));
+        }
         return digest;
     } catch (const std::exception &fault) {
         logLine(LogLevel::Debug, "digest_unreadable", { { "reason", fault.what() } });
--- a/Source/FleetPeers/NodeDigest.h
+++ b/Source/FleetPeers/NodeDigest.h
@@ -44,6 +44,14 @@
     std::vector<std::uint64_t> dropped;
 };
 
+/// How long ago a node first saw weights to be named.
+struct NamedNotice
+{
+    ModelId model;
+    WeightsVersion version = 0;
+    std::uint32_t ageMs = 0;
+};
+
 /// One datagram to the peers.
 struct NodeDigest
 {
@@ -56,6 +64,8 @@
     /// Age of the sender's configuration when the digest was sent, ms.
     std::uint32_t configurationAgeMs = 0;
     std::vector<ServerNotice> servers;
+    /// The newest weights of each model and the ones before that servers may still run.
+    std::vector<NamedNotice> named;
 };
 
 /// Encodes a digest.
--- a/Source/Gateway/DigestExchange.cpp
+++ b/Source/Gateway/DigestExchange.cpp
@@ -104,7 +104,8 @@
             ? static_cast<std::uint32_t>(
                 std::chrono::duration_cast<milliseconds>(*age).count())
             : UnknownAgeMs,
-        .servers = state_.pool.takeNotices(std::chrono::steady_clock::now())
+        .servers = state_.pool.takeNotices(std::chrono::steady_clock::now()),
+        .named = state_.pool.namedAges(std::chrono::steady_clock::now())
     };
     if (!socket_.is_open()) {
         return;
@@ -155,6 +156,7 @@
     }
     newest = arrived;
     heardAt_[digest->node] = std::chrono::steady_clock::now();
+    state_.pool.applyNamedAges(digest->named, std::chrono::steady_clock::now());
     state_.pool.applyPeer(digest->node, digest->servers, std::chrono::steady_clock::now());
 }
 
--- a/Source/Gateway/Gateway.cpp
+++ b/Source/Gateway/Gateway.cpp
@@ -52,8 +52,10 @@
 /// The balancer asks once a second and leaves after two misses; its callers then need a moment.
 constexpr Duration BalancerLag = milliseconds(3200);
 /// Time kept back from the grace for ending the process.
-constexpr Duration StopMargin = milliseconds(350);
+constexpr Duration StopMargin = milliseconds(450);
 constexpr Duration StopPoll = milliseconds(20);
+/// Time for giving the lease up at the very end: a step of the driver and a call to the store.
+constexpr Duration ReleaseTime = milliseconds(150);
 
 } // namespace
 
@@ -407,19 +409,20 @@
         parts_->traffic.drainingSince = began;
     });
     asio::post(parts_->controlContext, [this] { parts_->rollout.stop(); });
-    for (;;) {
+    bool whole = false;
+    for (bool waiting = true; waiting;) {
         std::this_thread::sleep_for(StopPoll);
         asio::post(parts_->trafficContext, [this, &active] {
             active = parts_->traffic.activeRequests;
         });
         const Duration passed = std::chrono::steady_clock::now() - began;
-        if (passed >= BalancerLag && active == 0) {
-            return true;
-        }
-        if (passed >= parts_->settings.stopGrace - StopMargin) {
-            return active == 0;
-        }
+        whole = active == 0;
+        waiting = passed < parts_->settings.stopGrace - StopMargin
+            && (passed < BalancerLag || !whole);
     }
+    asio::post(parts_->controlContext, [this] { parts_->rollout.finish(); });
+    std::this_thread::sleep_for(ReleaseTime);
+    return whole;
 }
 
 } // namespace jacinthroad
--- a/Source/Gateway/RolloutDriver.h
+++ b/Source/Gateway/RolloutDriver.h
@@ -56,8 +56,10 @@
     void noteServer(const ServerId &id, const ModelId &model, WeightsVersion version);
     /// Takes this node's count of requests on a server.
     void noteInFlight(const ServerId &id, unsigned inFlight);
-    /// Gives the lease up at the next step and takes it no more: the node stops.
+    /// The node is about to stop: a lease that it holds is kept, but none is taken.
     void stop() { stopping_ = true; }
+    /// The node stops now: gives the lease up.
+    void finish() { finished_ = true; }
 
 private:
     [[nodiscard]] boost::asio::awaitable<void> step();
@@ -87,6 +89,7 @@
     std::map<ModelId, WeightsVersion> named_;
     bool held_ = false;
     bool stopping_ = false;
+    bool finished_ = false;
     /// From when on this node asks for the lease; nodes ask at different times.
     BootInstant askFrom_;
     bool wanted_ = false;
--- a/Source/Placement/ServerPool.cpp
+++ b/Source/Placement/ServerPool.cpp
@@ -23,6 +23,8 @@
 constexpr Duration RejectionPause = milliseconds(60);
 /// Advice where no server takes work: the time in which a suspended one is tried again.
 constexpr Duration RetryWhenNone = milliseconds(300);
+/// Versions of a model whose age peers are told: as many as may be named within the bound.
+constexpr unsigned MostNamedTold = 4;
 /// A peer that has told nothing for this long says nothing of a server's silence any more.
 constexpr Duration PeerReportLife = milliseconds(700);
 /// Share of an engine's cache that shared parts can count on beside running requests.
@@ -117,6 +119,30 @@
     named_[named.model].emplace(named.version, now);
 }
 
+void ServerPool::applyNamedAges(std::span<const NamedNotice> named, Instant now)
+{
+    for (const NamedNotice &notice : named) {
+        const Instant seen = now - milliseconds(notice.ageMs);
+        Instant &known = named_[notice.model].emplace(notice.version, seen).first->second;
+        known = std::min(known, seen);
+    }
+}
+
+std::vector<NamedNotice> ServerPool::namedAges(Instant now) const
+{
+    std::vector<NamedNotice> ages;
+    for (const auto &[model, versions] : named_) {
+        unsigned told = 0;
+        for (auto version = versions.rbegin(); version != versions.rend() && told < MostNamedTold;
+             ++version, ++told) {
+            ages.push_back({ .model = model,
+                             .version = version->first,
+                             .ageMs = wholeMilliseconds(now - version->second) });
+        }
+    }
+    return ages;
+}
+
 bool ServerPool::replaced(const Server &server, const ModelId &model) const
 {
     const auto versions = named_.find(model);
--- a/Source/Placement/ServerPool.h
+++ b/Source/Placement/ServerPool.h
@@ -154,6 +154,11 @@
     void removeServer(const ServerId &id);
     /// Takes the newest weights that operators have named.
     void applyNamedWeights(const NamedWeights &named, Instant now);
+    /// Takes how long ago a peer saw weights to be named: a node that has just started knows only
+    /// which are.
+    void applyNamedAges(std::span<const NamedNotice> named, Instant now);
+    /// How long ago this node, or a peer that told it, saw weights to be named.
+    [[nodiscard]] std::vector<NamedNotice> namedAges(Instant now) const;
     /// Takes what an answer said of its server's weights.
     void noteWeights(const ServerId &id, const ModelId &model, WeightsVersion version);
     /// Keeps new work off a server until it runs `version` of the model, or until `until`.
--- a/Tests/Placement/ServerPoolTest.cpp
+++ b/Tests/Placement/ServerPoolTest.cpp
@@ -175,6 +175,19 @@
     BOOST_TEST(chosen(pool, request, at(13000)).server.text() == "b");
 }
 
+BOOST_AUTO_TEST_CASE(aNodeThatHasJustStartedLearnsWhatIsOverdueFromItsPeers)
+{
+    ServerPool old = poolOf({ engine("a", 1) });
+    old.applyNamedWeights({ .model = Model, .version = 2 }, at(1000));
+    ServerPool started = poolOf({ engine("a", 1) });
+    const PlacementRequest request { .service = Engines, .model = Model, .promptTokens = 10 };
+    started.applyNamedWeights({ .model = Model, .version = 2 }, at(9000));
+    BOOST_TEST(chosen(started, request, at(13000)).server.text() == "a");
+    started.applyNamedAges(old.namedAges(at(9200)), at(9200));
+    BOOST_TEST(chosen(started, request, at(12900)).server.text() == "a");
+    BOOST_TEST(std::holds_alternative<NoPlacement>(started.choose(request, at(13001))));
+}
+
 BOOST_AUTO_TEST_CASE(isolatedTeamsShareNothing)
 {
     ServerPool pool = poolOf({ engine("a") });
