--- a/Source/Core/Log.cpp
+++ b/Source/Core/Log.cpp
@@ -7,8 +7,8 @@
 
 #include <boost/log/core.hpp>
 #include <boost/log/expressions.hpp>
-#include <boost/log/sources/record_ostream.hpp>
 #include <boost/log/sinks/sync_frontend.hpp>
+#include <boost/log/sources/record_ostream.hpp>
 #include <boost/log/sources/severity_logger.hpp>
 #include <boost/log/utility/setup/console.hpp>
 #include <boost/make_shared.hpp>
--- a/Source/Core/LogSink.h
+++ b/Source/Core/LogSink.h
@@ -12,9 +12,8 @@
 
 /// Writes log lines to a file descriptor without ever waiting for its reader, and no more of them
 /// than a bound allows. What is left out is counted and told in a line of its own.
-class LogSink
-    : public boost::log::sinks::basic_formatted_sink_backend<
-          char, boost::log::sinks::synchronized_feeding>
+class LogSink : public boost::log::sinks::basic_formatted_sink_backend<
+                    char, boost::log::sinks::synchronized_feeding>
 {
 public:
     /// `linesPerSecond` bounds the volume; 0 sets no bound.
--- a/Source/Fleet/FleetConfiguration.h
+++ b/Source/Fleet/FleetConfiguration.h
@@ -34,7 +34,7 @@
     /// Host name in lower case, without a port.
     std::string host;
     /// Begins and ends with a slash.
-    std::string pathPrefix;
+    std::string prefix;
     RouteKind kind = RouteKind::Unsafe;
     /// A broken stream may go on at another backend server.
     bool resumable = false;
--- a/Source/Fleet/RouteTable.cpp
+++ b/Source/Fleet/RouteTable.cpp
@@ -13,7 +13,7 @@
     }
     for (auto &[host, routes] : byHost_) {
         std::stable_sort(routes.begin(), routes.end(), [](const Route *left, const Route *right) {
-            return left->pathPrefix.size() > right->pathPrefix.size();
+            return left->prefix.size() > right->prefix.size();
         });
     }
     for (const Team &team : configuration_.teams) {
@@ -31,7 +31,7 @@
     }
     const auto found
         = std::find_if(routes->second.begin(), routes->second.end(),
-                       [&](const Route *route) { return path.starts_with(route->pathPrefix); });
+                       [&](const Route *route) { return path.starts_with(route->prefix); });
     return found == routes->second.end() ? nullptr : *found;
 }
 
--- a/Source/FleetPeers/NodeDigest.cpp
+++ b/Source/FleetPeers/NodeDigest.cpp
@@ -20,8 +20,7 @@
 }
 
 /// Keys and tokens by turns.
-void packParts(msgpack::packer<msgpack::sbuffer> &packer,
-                  const std::vector<CachedPart> &parts)
+void packParts(msgpack::packer<msgpack::sbuffer> &packer, const std::vector<CachedPart> &parts)
 {
     packer.pack_array(static_cast<std::uint32_t>(parts.size() * 2));
     for (const CachedPart &part : parts) {
@@ -38,8 +37,8 @@
     }
     std::vector<CachedPart> parts;
     for (std::size_t index = 0; index < numbers.size(); index += 2) {
-        parts.push_back({ .key = numbers[index],
-                             .tokens = static_cast<std::uint32_t>(numbers[index + 1]) });
+        parts.push_back(
+            { .key = numbers[index], .tokens = static_cast<std::uint32_t>(numbers[index + 1]) });
     }
     return parts;
 }
--- a/Source/Gateway/CallerSession.cpp
+++ b/Source/Gateway/CallerSession.cpp
@@ -151,7 +151,8 @@
 
 asio::awaitable<void> CallerSession::answerFault(const error_code &error)
 {
-    const bool protocolFault = error.category() == http::make_error_code(http::error::end_of_stream).category()
+    const bool protocolFault
+        = error.category() == http::make_error_code(http::error::end_of_stream).category()
         && error != http::error::end_of_stream && error != http::error::partial_message;
     if (!protocolFault || !socket_.is_open()) {
         co_return;
@@ -177,24 +178,25 @@
 
 void CallerSession::watchCaller()
 {
-    socket_.async_wait(
-        asio::ip::tcp::socket::wait_read,
-        [self = shared_from_this(), generation = generation_](error_code error) {
-            if (error || generation != self->generation_ || self->exchange_ == nullptr) {
-                return;
-            }
-            switch (peek(self->socket_)) {
-            case PeekResult::Nothing:
-                self->watchCaller();
-                break;
-            case PeekResult::Closed:
-                self->exchange_->callerLeft();
-                break;
-            case PeekResult::Bytes:
-                // The caller has sent its next request already; it is read once this one ends.
-                break;
-            }
-        });
+    socket_.async_wait(asio::ip::tcp::socket::wait_read,
+                       [self = shared_from_this(), generation = generation_](error_code error) {
+                           if (error || generation != self->generation_
+                               || self->exchange_ == nullptr) {
+                               return;
+                           }
+                           switch (peek(self->socket_)) {
+                           case PeekResult::Nothing:
+                               self->watchCaller();
+                               break;
+                           case PeekResult::Closed:
+                               self->exchange_->callerLeft();
+                               break;
+                           case PeekResult::Bytes:
+                               // The caller has sent its next request already; it is read once this
+                               // one ends.
+                               break;
+                           }
+                       });
 }
 
 } // namespace jacinthroad
--- a/Source/Gateway/ConnectionPool.cpp
+++ b/Source/Gateway/ConnectionPool.cpp
@@ -47,9 +47,8 @@
 {
     for (auto entry = idle_.begin(); entry != idle_.end();) {
         auto &connections = entry->second;
-        std::erase_if(connections, [&](const auto &connection) {
-            return !isUsable(*connection, now);
-        });
+        std::erase_if(connections,
+                      [&](const auto &connection) { return !isUsable(*connection, now); });
         entry = connections.empty() ? idle_.erase(entry) : std::next(entry);
     }
 }
--- a/Source/Gateway/DigestExchange.cpp
+++ b/Source/Gateway/DigestExchange.cpp
@@ -101,8 +101,7 @@
         .sequence = ++sequence_,
         .configurationVersion = state_.routes != nullptr ? state_.routes->version() : 0,
         .configurationAgeMs = age.has_value()
-            ? static_cast<std::uint32_t>(
-                std::chrono::duration_cast<milliseconds>(*age).count())
+            ? static_cast<std::uint32_t>(std::chrono::duration_cast<milliseconds>(*age).count())
             : UnknownAgeMs,
         .servers = state_.pool.takeNotices(std::chrono::steady_clock::now()),
         .named = state_.pool.namedAges(std::chrono::steady_clock::now())
--- a/Source/Gateway/EventSplitter.cpp
+++ b/Source/Gateway/EventSplitter.cpp
@@ -44,7 +44,8 @@
 std::string EventSplitter::take(std::string_view bytes)
 {
     constexpr std::size_t LongestTerminator = 4;
-    std::size_t scanned = pending_.size() < LongestTerminator ? 0 : pending_.size() - LongestTerminator;
+    std::size_t scanned
+        = pending_.size() < LongestTerminator ? 0 : pending_.size() - LongestTerminator;
     pending_.append(bytes);
     std::string whole;
     std::size_t begin = 0;
--- a/Source/Gateway/Exchange.cpp
+++ b/Source/Gateway/Exchange.cpp
@@ -65,8 +65,8 @@
 
 std::string_view endName(int end)
 {
-    constexpr std::array<std::string_view, 8> Names { "delivered", "answered", "not_sent",
-                                                      "rejected",  "lost",     "broken",
+    constexpr std::array<std::string_view, 8> Names { "delivered", "answered",   "not_sent",
+                                                      "rejected",  "lost",       "broken",
                                                       "timed_out", "caller_left" };
     return Names[static_cast<std::size_t>(end)];
 }
@@ -173,7 +173,8 @@
     }
     placing_.model = facts_.model;
     // The last part is the request's own.
-    placing_.parts = std::span(facts_.parts).first(facts_.parts.empty() ? 0 : facts_.parts.size() - 1);
+    placing_.parts
+        = std::span(facts_.parts).first(facts_.parts.empty() ? 0 : facts_.parts.size() - 1);
     if (team_ != nullptr && team_->isolated) {
         placing_.wall = team_->name.text();
     }
@@ -223,7 +224,7 @@
                 co_return co_await deliver();
             }
             co_return co_await refuse(record_.verdict() == NotRun::True ? ErrorKind::NoBackendServer
-                                                                    : ErrorKind::BackendFailed,
+                                                                        : ErrorKind::BackendFailed,
                                       none->retryAfter);
         }
         const AttemptEnd end = co_await attempt(std::get<Placement>(chosen));
@@ -244,17 +245,17 @@
             co_return co_await deliver();
         }
         if (headerDelivered_) {
-            co_return ExchangeEnd { .outcome = end == AttemptEnd::TimedOut ? "cut_at_timeout"
-                                                                           : "broken",
+            co_return ExchangeEnd { .outcome
+                                    = end == AttemptEnd::TimedOut ? "cut_at_timeout" : "broken",
                                     .status = 200,
                                     .callerUsable = false };
         }
         if (record_.verdict() == NotRun::True) {
             co_return co_await refuse(ErrorKind::NoBackendServer, milliseconds(200));
         }
-        co_return co_await refuse(
-            end == AttemptEnd::TimedOut ? ErrorKind::TimedOut : ErrorKind::BackendFailed,
-            Duration::zero());
+        co_return co_await refuse(end == AttemptEnd::TimedOut ? ErrorKind::TimedOut
+                                                              : ErrorKind::BackendFailed,
+                                  Duration::zero());
     }
 }
 
@@ -345,8 +346,8 @@
             return;
         }
         const Instant now = std::chrono::steady_clock::now();
-        const Duration explained = fromMilliseconds(
-            attempt->firstByte ? 0 : attempt->unreadTokens * SilenceMsPerToken);
+        const Duration explained
+            = fromMilliseconds(attempt->firstByte ? 0 : attempt->unreadTokens * SilenceMsPerToken);
         const bool gone = state_.pool.silent(attempt->placement.server, now)
             || now - attempt->heardAt > AttemptSilence + explained;
         if (gone && sends_ - rejected_ < route_->maximumAttempts) {
@@ -386,8 +387,8 @@
 {
     Attempt &attempt = *shared;
     const Instant now = std::chrono::steady_clock::now();
-    attempt.message.base() = platform::forwardHeader(
-        request_.base(), forwardFacts(attempt.placement, now));
+    attempt.message.base()
+        = platform::forwardHeader(request_.base(), forwardFacts(attempt.placement, now));
     attempt.message.body() = request_.body();
     if (!request_.body().empty() || request_.has_content_length() || request_.chunked()) {
         attempt.message.content_length(request_.body().size());
@@ -600,8 +601,8 @@
         verdict = answer_->result_int() >= 500 ? AttemptVerdict::Failed : AttemptVerdict::Served;
         break;
     case AttemptEnd::Rejected:
-        verdict = attempt.facts.otherServer ? AttemptVerdict::Unreachable
-                                            : AttemptVerdict::Rejected;
+        verdict
+            = attempt.facts.otherServer ? AttemptVerdict::Unreachable : AttemptVerdict::Rejected;
         ++rejected_;
         break;
     case AttemptEnd::NotSent:
@@ -624,8 +625,7 @@
     }
     state_.pool.noteEnd(server, verdict, attempt.firstByte ? 0 : attempt.unreadTokens, now);
     const bool otherWeights = end == AttemptEnd::Rejected && !attempt.facts.otherServer
-        && attempt.facts.weights.has_value()
-        && attempt.facts.weights != attempt.placement.weights;
+        && attempt.facts.weights.has_value() && attempt.facts.weights != attempt.placement.weights;
     if (!otherWeights) {
         tried_.push_back(server);
     }
--- a/Source/Gateway/Gateway.cpp
+++ b/Source/Gateway/Gateway.cpp
@@ -97,13 +97,14 @@
               [this](const ObjectTable &table) { takeNodes(table); }, [](BootInstant) {})
         , boot(wallMilliseconds())
         , digests(traffic, boot)
-        , rollout(controlContext, store,
-                  { .node = settings.name, .boot = boot, .lease = settings.lease },
-                  [this](const ServerId &server, const ModelId &model, WeightsVersion version,
-                         Duration limit) { closeServer(server, model, version, limit); },
-                  [this](const ServerId &server, const ModelId &model, WeightsVersion version) {
-                      openServer(server, model, version);
-                  })
+        , rollout(
+              controlContext, store,
+              { .node = settings.name, .boot = boot, .lease = settings.lease },
+              [this](const ServerId &server, const ModelId &model, WeightsVersion version,
+                     Duration limit) { closeServer(server, model, version, limit); },
+              [this](const ServerId &server, const ModelId &model, WeightsVersion version) {
+                  openServer(server, model, version);
+              })
         , caches(controlContext, [this](const ServerId &id, const CacheEvents &events) {
             asio::post(trafficContext,
                        [this, id, events] { traffic.pool.applyCacheEvents(id, events); });
@@ -272,10 +273,9 @@
             continue;
         }
         rollout.applyNamedWeights(*named);
-        asio::post(trafficContext,
-                   [this, named = *named] {
-                       traffic.pool.applyNamedWeights(named, std::chrono::steady_clock::now());
-                   });
+        asio::post(trafficContext, [this, named = *named] {
+            traffic.pool.applyNamedWeights(named, std::chrono::steady_clock::now());
+        });
     }
 }
 
@@ -327,8 +327,7 @@
                                  WeightsVersion version, Duration limit)
 {
     asio::post(trafficContext, [this, server, model, version, limit] {
-        traffic.pool.closeForLoad(server, model, version,
-                                  std::chrono::steady_clock::now() + limit);
+        traffic.pool.closeForLoad(server, model, version, std::chrono::steady_clock::now() + limit);
         digests.tell();
     });
 }
@@ -412,13 +411,12 @@
     bool whole = false;
     for (bool waiting = true; waiting;) {
         std::this_thread::sleep_for(StopPoll);
-        asio::post(parts_->trafficContext, [this, &active] {
-            active = parts_->traffic.activeRequests;
-        });
+        asio::post(parts_->trafficContext,
+                   [this, &active] { active = parts_->traffic.activeRequests; });
         const Duration passed = std::chrono::steady_clock::now() - began;
         whole = active == 0;
-        waiting = passed < parts_->settings.stopGrace - StopMargin
-            && (passed < BalancerLag || !whole);
+        waiting
+            = passed < parts_->settings.stopGrace - StopMargin && (passed < BalancerLag || !whole);
     }
     asio::post(parts_->controlContext, [this] { parts_->rollout.finish(); });
     std::this_thread::sleep_for(ReleaseTime);
--- a/Source/Gateway/HttpCaller.cpp
+++ b/Source/Gateway/HttpCaller.cpp
@@ -51,7 +51,7 @@
 HttpCaller::~HttpCaller() = default;
 
 asio::awaitable<Result<CallReply>> HttpCaller::call(platform::Call call, http::fields headers,
-                                                          Duration timeout)
+                                                    Duration timeout)
 {
     std::shared_ptr<Connection> connection;
     while (connection == nullptr && !idle_.empty()) {
@@ -70,8 +70,8 @@
 }
 
 asio::awaitable<Result<CallReply>> HttpCaller::converse(std::shared_ptr<Connection> connection,
-                                                          platform::Call call, http::fields headers,
-                                                          Duration timeout)
+                                                        platform::Call call, http::fields headers,
+                                                        Duration timeout)
 {
     connection->timer.expires_after(timeout);
     connection->timer.async_wait([connection](error_code error) {
@@ -86,8 +86,8 @@
         if (!endpoint.has_value()) {
             co_return unavailable("address '" + address_ + "' is not IP:port");
         }
-        co_await connection->socket.async_connect(
-            *endpoint, asio::redirect_error(asio::use_awaitable, error));
+        co_await connection->socket.async_connect(*endpoint,
+                                                  asio::redirect_error(asio::use_awaitable, error));
         if (error) {
             co_return unavailable(error.message());
         }
@@ -120,8 +120,8 @@
         idle_.push_back(connection);
     }
     co_return CallReply { .status = answer.get().result_int(),
-                           .body = std::move(answer.get().body()),
-                           .sentAt = sentAt };
+                          .body = std::move(answer.get().body()),
+                          .sentAt = sentAt };
 }
 
 } // namespace jacinthroad
--- a/Source/Gateway/RolloutDriver.cpp
+++ b/Source/Gateway/RolloutDriver.cpp
@@ -359,8 +359,7 @@
             logLine(LogLevel::Info, "loaded",
                     { { "server", step.server.text() },
                       { "version", std::int64_t { loaded->second } },
-                      { "after_ms",
-                        toMilliseconds(std::chrono::steady_clock::now() - began) } });
+                      { "after_ms", toMilliseconds(std::chrono::steady_clock::now() - began) } });
             co_return;
         }
     }
--- a/Source/Gateway/RolloutDriver.h
+++ b/Source/Gateway/RolloutDriver.h
@@ -37,8 +37,8 @@
     };
     /// Called when a server is to get no new work until it runs `version` or the time is over; no
     /// time opens it again.
-    using CloseServer = std::function<void(const ServerId &, const ModelId &, WeightsVersion,
-                                           Duration)>;
+    using CloseServer
+        = std::function<void(const ServerId &, const ModelId &, WeightsVersion, Duration)>;
     /// Called when a server has been seen to run a version.
     using OpenServer = std::function<void(const ServerId &, const ModelId &, WeightsVersion)>;
 
@@ -66,9 +66,8 @@
     [[nodiscard]] boost::asio::awaitable<void> readLeaseObject();
     [[nodiscard]] boost::asio::awaitable<void> writeLease(bool wanted);
     [[nodiscard]] boost::asio::awaitable<void> order(RolloutStep step);
-    [[nodiscard]] boost::asio::awaitable<OrderOutcome> give(HttpCaller &caller,
-                                                            const RolloutStep &step,
-                                                            platform::ServerReport state);
+    [[nodiscard]] boost::asio::awaitable<OrderOutcome>
+    give(HttpCaller &caller, const RolloutStep &step, platform::ServerReport state);
     [[nodiscard]] boost::asio::awaitable<void> awaitLoad(HttpCaller &caller,
                                                          const RolloutStep &step);
     [[nodiscard]] static boost::asio::awaitable<Result<platform::ServerReport>>
--- a/Source/Gateway/SocketOptions.cpp
+++ b/Source/Gateway/SocketOptions.cpp
@@ -58,8 +58,7 @@
     const char *end = text.data() + text.size();
     const auto parsed = std::from_chars(text.data() + colon + 1, end, port);
     boost::system::error_code error;
-    const auto address
-        = boost::asio::ip::make_address(std::string(text.substr(0, colon)), error);
+    const auto address = boost::asio::ip::make_address(std::string(text.substr(0, colon)), error);
     if (error || parsed.ec != std::errc() || parsed.ptr != end) {
         return std::nullopt;
     }
--- a/Source/Gateway/StoreSync.cpp
+++ b/Source/Gateway/StoreSync.cpp
@@ -63,8 +63,8 @@
     std::uint64_t revision = 0;
     BootInstant firstSent;
     for (bool more = true; more;) {
-        const auto reply = co_await client_.call(platform::listCall(options_.kind, after),
-                                                 CallTimeout);
+        const auto reply
+            = co_await client_.call(platform::listCall(options_.kind, after), CallTimeout);
         if (!reply.has_value() || reply->status != StoreStatus::Done) {
             noteReachable(false, reply.has_value() ? "turned away" : reply.error().message);
             co_return false;
@@ -98,9 +98,8 @@
 
 asio::awaitable<bool> StoreSync::watch()
 {
-    const auto reply
-        = co_await client_.call(platform::watchCall(options_.kind, revision_, options_.wait),
-                                options_.wait + CallTimeout);
+    const auto reply = co_await client_.call(
+        platform::watchCall(options_.kind, revision_, options_.wait), options_.wait + CallTimeout);
     if (reply.has_value() && reply->status == StoreStatus::HistoryGone) {
         listed_ = false;
         co_return true;
--- a/Source/Placement/ServerPool.cpp
+++ b/Source/Placement/ServerPool.cpp
@@ -215,11 +215,10 @@
             continue;
         }
         Server &server = found->second;
-        server.peers[peer]
-            = { .inFlight = notice.inFlight,
-                .unreadTokens = notice.unreadTokens,
-                .silentMs = notice.silentMs,
-                .at = now };
+        server.peers[peer] = { .inFlight = notice.inFlight,
+                               .unreadTokens = notice.unreadTokens,
+                               .silentMs = notice.silentMs,
+                               .at = now };
         if (notice.avoidMs > 0) {
             server.suspendedUntil
                 = std::max(server.suspendedUntil, now + milliseconds(notice.avoidMs));
@@ -263,10 +262,10 @@
         notice.sent.swap(server.untoldSent);
         notice.read.swap(server.untoldRead);
         notice.dropped.swap(server.untoldDropped);
-        const bool quiet = notice.inFlight == 0 && notice.avoidMs == 0 && notice.sent.empty() && notice.read.empty()
-            && notice.dropped.empty()
-            && notice.closedForMs == 0 && server.toldInFlight == 0
-            && server.toldWeights == notice.weights && !server.toldClosed;
+        const bool quiet = notice.inFlight == 0 && notice.avoidMs == 0 && notice.sent.empty()
+            && notice.read.empty() && notice.dropped.empty() && notice.closedForMs == 0
+            && server.toldInFlight == 0 && server.toldWeights == notice.weights
+            && !server.toldClosed;
         server.toldInFlight = notice.inFlight;
         server.toldClosed = notice.closedForMs > 0;
         server.toldWeights = notice.weights;
@@ -304,10 +303,8 @@
     std::vector<ServerLoad> loads;
     for (const auto &[id, server] : servers_) {
         for (const auto &[model, version] : server.facts.models) {
-            loads.push_back({ .server = id,
-                              .model = model,
-                              .weights = version,
-                              .inFlight = server.inFlight });
+            loads.push_back(
+                { .server = id, .model = model, .weights = version, .inFlight = server.inFlight });
         }
     }
     return loads;
@@ -355,7 +352,8 @@
 
 bool ServerPool::takesWork(const Server &server, Instant now) const
 {
-    return !server.facts.leaving && !silent(server, now) && server.suspendedUntil <= now && server.closedUntil <= now;
+    return !server.facts.leaving && !silent(server, now) && server.suspendedUntil <= now
+        && server.closedUntil <= now;
 }
 
 std::vector<CachedPart> ServerPool::cachedParts(WeightsVersion weights,
@@ -365,8 +363,7 @@
     std::vector<CachedPart> parts;
     parts.reserve(request.parts.size());
     for (const PromptPart &part : request.parts) {
-        parts.push_back(
-            { .key = partKey(request.model, salt, part.id), .tokens = part.tokens });
+        parts.push_back({ .key = partKey(request.model, salt, part.id), .tokens = part.tokens });
     }
     return parts;
 }
@@ -418,8 +415,8 @@
     return version == server.facts.models.end() ? 0 : version->second;
 }
 
-std::map<WeightsVersion, ServerPool::Holder>
-ServerPool::holders(const PlacementRequest &request, Instant now) const
+std::map<WeightsVersion, ServerPool::Holder> ServerPool::holders(const PlacementRequest &request,
+                                                                 Instant now) const
 {
     std::map<WeightsVersion, Holder> holders;
     if (request.parts.empty()) {
@@ -436,8 +433,8 @@
             : partsOf.emplace(weights, cachedParts(weights, request)).first;
         Holder &holder = holders[weights];
         // A closed server may be loading: what it holds may stem from other weights.
-        const bool open = server.suspendedUntil <= now && server.closedUntil <= now
-            && !silent(server, now);
+        const bool open
+            = server.suspendedUntil <= now && server.closedUntil <= now && !silent(server, now);
         if (!open) {
             continue;
         }
@@ -472,8 +469,7 @@
     others = std::max(
         others, decayed(std::max(0.0, reported - server.inFlightAtLoad), now - server.loadAt));
     const double load = server.inFlight + others;
-    const double pace
-        = 1 + decayed(std::max(0.0, server.load.pace - 1), now - server.loadAt);
+    const double pace = 1 + decayed(std::max(0.0, server.load.pace - 1), now - server.loadAt);
     double expected = server.facts.zone == options_.zone ? 0 : options_.otherZoneMs;
     if (request.model.empty()) {
         const double slots = std::max(1U, server.facts.slots);
@@ -491,8 +487,8 @@
         }
         const double ahead = static_cast<double>(server.unreadTokens) + unreadByOthers;
         expected += pace
-            * (ahead * options_.aheadTokenMs + unread * options_.ownTokenMs
-               + load * options_.engineLoadMs)
+                * (ahead * options_.aheadTokenMs + unread * options_.ownTokenMs
+                   + load * options_.engineLoadMs)
             + options_.rereadWeight * reread * options_.ownTokenMs
             + (replaced(server, request.model) ? options_.oldWeightsMs : 0);
     }
@@ -514,7 +510,8 @@
         }
         ++listed;
         const std::uint64_t score = rendezvousScore(homeKey, server.hash);
-        if (takesWork(server, now) && !overdue(server, request.model, now) && (home == nullptr || score > homeScore)) {
+        if (takesWork(server, now) && !overdue(server, request.model, now)
+            && (home == nullptr || score > homeScore)) {
             home = &server;
             homeScore = score;
         }
@@ -592,7 +589,8 @@
     }
     server.unreadTokens += request.promptTokens - std::min(request.promptTokens, heldTokens);
     if (!request.parts.empty()) {
-        const std::vector<CachedPart> parts = cachedParts(weightsOf(server, request.model), request);
+        const std::vector<CachedPart> parts
+            = cachedParts(weightsOf(server, request.model), request);
         if (CacheStore *kept = store(); kept != nullptr) {
             kept->held.noteSent(parts);
         }
--- a/Source/Program/SettingsCommand.cpp
+++ b/Source/Program/SettingsCommand.cpp
@@ -3,6 +3,7 @@
 #include <json/value.h>
 
 #include "Core/Json.h"
+#include "Gateway/GatewaySettings.h"
 #include "Node/NodeSettings.h"
 #include "Program/Commands.h"
 
@@ -19,7 +20,9 @@
         printError(text.error());
         return ExitCode::Failed;
     }
-    const std::vector<std::string> faults = checkNodeSettings(*text, file);
+    const std::vector<std::string> faults = isGatewaySettings(*text)
+        ? checkGatewaySettings(*text, file)
+        : checkNodeSettings(*text, file);
     if (json) {
         Json::Value body;
         body["file"] = file;
@@ -43,20 +46,25 @@
 
 ExitCode runSettings(const Arguments &arguments)
 {
-    CommandSyntax syntax { .usage = "jacinthroad settings check FILE | settings reference",
+    CommandSyntax syntax { .usage
+                           = "jacinthroad settings check FILE | settings reference [gateway]",
                            .positional = { "action", "file" } };
     syntax.options.add_options()("action", options::value<std::string>()->required(),
                                  "check or reference");
-    syntax.options.add_options()("file", options::value<std::string>(), "the settings file");
+    syntax.options.add_options()("file", options::value<std::string>(),
+                                 "the settings file, or gateway");
     const ParsedArguments parsed = parseArguments(std::move(syntax), arguments);
     if (parsed.exit.has_value()) {
         return *parsed.exit;
     }
     const std::string action = parsed.values["action"].as<std::string>();
     if (action == "reference") {
-        std::cout << "# Settings reference\n\nMade by `jacinthroad settings reference` from the "
-                     "table that checks settings files.\n\n"
-                  << describeSchema(nodeSettingsSchema());
+        const bool gateway = parsed.values.count("file") > 0
+            && parsed.values["file"].as<std::string>() == "gateway";
+        std::cout << "# Settings reference\n\nMade by `jacinthroad settings reference"
+                  << (gateway ? " gateway" : "")
+                  << "` from the table that checks settings files.\n\n"
+                  << describeSchema(gateway ? gatewaySettingsSchema() : nodeSettingsSchema());
         return ExitCode::Done;
     }
     if (action != "check" || parsed.values.count("file") == 0) {
--- a/Source/Rollout/LeaseKeeper.h
+++ b/Source/Rollout/LeaseKeeper.h
@@ -60,8 +60,7 @@
     explicit LeaseKeeper(Options options);
 
     /// Takes the record as read at `now`; nothing where the object does not exist.
-    void observe(const std::optional<LeaseRecord> &record, std::uint64_t revision,
-                 BootInstant now);
+    void observe(const std::optional<LeaseRecord> &record, std::uint64_t revision, BootInstant now);
     /// What to write now, if anything. `wanted` tells whether there is work for a holder.
     [[nodiscard]] std::optional<std::variant<CreateLease, ReplaceLease>>
     next(bool wanted, BootInstant now) const;
--- a/Source/Rollout/RolloutPlanner.cpp
+++ b/Source/Rollout/RolloutPlanner.cpp
@@ -79,8 +79,8 @@
             ++loading;
         }
     }
-    const auto places = static_cast<unsigned>(
-        std::max(1.0, std::round(total * options_.loadingShare)));
+    const auto places
+        = static_cast<unsigned>(std::max(1.0, std::round(total * options_.loadingShare)));
     for (const RolloutServer &server : servers) {
         const auto progress = progress_.find(server.id);
         const bool due = server.model == model && progress != progress_.end()
@@ -108,10 +108,9 @@
             break;
         }
         ++draining;
-        progress_[server->id] = { .stage = Stage::Draining,
-                                  .target = target,
-                                  .bootedAt = server->bootedAt,
-                                  .since = now };
+        progress_[server->id] = {
+            .stage = Stage::Draining, .target = target, .bootedAt = server->bootedAt, .since = now
+        };
         steps.push_back({ .action = RolloutStep::Action::Drain,
                           .server = server->id,
                           .model = model,
--- a/Tests/Fleet/RouteTableTest.cpp
+++ b/Tests/Fleet/RouteTableTest.cpp
@@ -10,7 +10,7 @@
 {
     return { .name = prefix,
              .host = std::move(host),
-             .pathPrefix = std::move(prefix),
+             .prefix = std::move(prefix),
              .services = { { .service = ServiceId(std::move(service)) } } };
 }
 
@@ -18,9 +18,9 @@
 {
     return RouteTable(
         { .version = 7,
-          .routes = { routeTo("a.example", "/v1/", "engines"),
-                      routeTo("a.example", "/v1/stock/", "stock"),
-                      routeTo("b.example", "/", "other") },
+          .routes
+          = { routeTo("a.example", "/v1/", "engines"), routeTo("a.example", "/v1/stock/", "stock"),
+              routeTo("b.example", "/", "other") },
           .teams = { { .name = TeamId("north"), .keys = { "k1", "k2" } },
                      { .name = TeamId("south"), .keys = { "k3" }, .isolated = true } } });
 }
@@ -32,9 +32,9 @@
 BOOST_AUTO_TEST_CASE(longestPrefixOfTheHostWins)
 {
     const RouteTable table = sampleTable();
-    BOOST_TEST(table.route("a.example", "/v1/stock/3")->pathPrefix == "/v1/stock/");
-    BOOST_TEST(table.route("a.example", "/v1/stocks")->pathPrefix == "/v1/");
-    BOOST_TEST(table.route("b.example", "/v1/stock/3")->pathPrefix == "/");
+    BOOST_TEST(table.route("a.example", "/v1/stock/3")->prefix == "/v1/stock/");
+    BOOST_TEST(table.route("a.example", "/v1/stocks")->prefix == "/v1/");
+    BOOST_TEST(table.route("b.example", "/v1/stock/3")->prefix == "/");
     BOOST_TEST(table.route("a.example", "/v2/") == nullptr);
     BOOST_TEST(table.route("c.example", "/v1/") == nullptr);
 }
--- a/Tests/Gateway/EdgeTest.cpp
+++ b/Tests/Gateway/EdgeTest.cpp
@@ -56,7 +56,8 @@
     bench.addServer("s1", "plain", sound);
     bench.configure(1, { "k1" });
     bench.start();
-    BOOST_TEST(bench.call("GET", "/safe/a", "", "Authorization: Bearer no\r\n")->result_int() == 401U);
+    BOOST_TEST(bench.call("GET", "/safe/a", "", "Authorization: Bearer no\r\n")->result_int()
+               == 401U);
     BOOST_TEST(bench.call("GET", "/nowhere/")->result_int() == 404U);
     bench.store.fallSilent();
     std::this_thread::sleep_for(milliseconds(2600));
@@ -215,12 +216,13 @@
 BOOST_AUTO_TEST_CASE(aStreamThatMayNotRepeatBreaksVisibly)
 {
     GatewayBench bench;
-    bench.addServer("e1", "engines", [](ScriptedConnection &connection, const SeenRequest &request) {
-        connection.write(streamHead(request) + chunk(event(1)));
-        std::this_thread::sleep_for(milliseconds(50));
-        connection.reset();
-        return false;
-    });
+    bench.addServer("e1", "engines",
+                    [](ScriptedConnection &connection, const SeenRequest &request) {
+                        connection.write(streamHead(request) + chunk(event(1)));
+                        std::this_thread::sleep_for(milliseconds(50));
+                        connection.reset();
+                        return false;
+                    });
     bench.configure(1, { "k1" });
     bench.start();
     const std::string all = bench.exchange(
@@ -234,16 +236,17 @@
 BOOST_AUTO_TEST_CASE(streamsThatLastTooLongAreCutAtTheRoutesTimeout)
 {
     GatewayBench bench;
-    bench.addServer("e1", "engines", [](ScriptedConnection &connection, const SeenRequest &request) {
-        connection.write(streamHead(request));
-        for (int id = 1; id < 100; ++id) {
-            connection.write(chunk(event(id)));
-            if (connection.waitForClose(milliseconds(100))) {
-                return false;
-            }
-        }
-        return false;
-    });
+    bench.addServer("e1", "engines",
+                    [](ScriptedConnection &connection, const SeenRequest &request) {
+                        connection.write(streamHead(request));
+                        for (int id = 1; id < 100; ++id) {
+                            connection.write(chunk(event(id)));
+                            if (connection.waitForClose(milliseconds(100))) {
+                                return false;
+                            }
+                        }
+                        return false;
+                    });
     bench.configure(1, { "k1" });
     bench.start();
     const auto began = std::chrono::steady_clock::now();
@@ -291,9 +294,9 @@
 {
     GatewayBench bench;
     bench.addServer("s1", "plain", [](ScriptedConnection &connection, const SeenRequest &request) {
-        connection.write(soundAnswer(request, 200, "own")
-                         + answerText(200, "X-Request-Id: stranger\r\nX-Response-Stamp: x\r\n",
-                                      "strange"));
+        connection.write(
+            soundAnswer(request, 200, "own")
+            + answerText(200, "X-Request-Id: stranger\r\nX-Response-Stamp: x\r\n", "strange"));
         return true;
     });
     bench.configure(1, { "k1" });
@@ -311,8 +314,8 @@
     std::atomic<int> requests { 0 };
     bench.addServer("s1", "plain", [&](ScriptedConnection &connection, const SeenRequest &request) {
         if (requests++ > 0) {
-            connection.write(answerText(
-                200, "X-Request-Id: stranger\r\nX-Response-Stamp: x\r\n", "strange"));
+            connection.write(
+                answerText(200, "X-Request-Id: stranger\r\nX-Response-Stamp: x\r\n", "strange"));
         }
         connection.write(soundAnswer(request, 200, "own"));
         return true;
@@ -435,7 +438,8 @@
         milliseconds(150));
     BOOST_TEST(body.starts_with("HTTP/1.1 413"));
     const std::string header = bench.exchange(
-        requestText("GET /safe/a", "X-Request-Id: r1\r\nX-Long: " + std::string(9000, 'x') + "\r\n"),
+        requestText("GET /safe/a",
+                    "X-Request-Id: r1\r\nX-Long: " + std::string(9000, 'x') + "\r\n"),
         milliseconds(150));
     BOOST_TEST(header.starts_with("HTTP/1.1 431"));
     BOOST_TEST(bench.seen("s1").empty());
@@ -555,24 +559,25 @@
     GatewayBench bench;
     std::atomic<int> version { 1 };
     std::atomic<int> orders { 0 };
-    bench.addServer("e1", "engines", [&](ScriptedConnection &connection, const SeenRequest &request) {
-        if (request.target() == "/-/report") {
-            connection.write(answerText(
-                200, "",
-                R"({"stage":"both","models":[{"name":"m","version":)" + std::to_string(version)
-                    + R"(}],"busy":false,"seq":)" + std::to_string(orders) + "}"));
-        } else if (request.target() == "/-/order") {
-            const bool right = request["X-Expect-Instance"] == "e1"
-                && request.body().find("\"version\":2") != std::string::npos
-                && request.body().find("\"fenceToken\":1") != std::string::npos;
-            connection.write(answerText(right ? 202 : 400, "", ""));
-            ++orders;
-            version = 2;
-        } else {
-            connection.write(answerText(404, "", ""));
-        }
-        return true;
-    });
+    bench.addServer(
+        "e1", "engines", [&](ScriptedConnection &connection, const SeenRequest &request) {
+            if (request.target() == "/-/report") {
+                connection.write(answerText(
+                    200, "",
+                    R"({"stage":"both","models":[{"name":"m","version":)" + std::to_string(version)
+                        + R"(}],"busy":false,"seq":)" + std::to_string(orders) + "}"));
+            } else if (request.target() == "/-/order") {
+                const bool right = request["X-Expect-Instance"] == "e1"
+                    && request.body().find("\"version\":2") != std::string::npos
+                    && request.body().find("\"fenceToken\":1") != std::string::npos;
+                connection.write(answerText(right ? 202 : 400, "", ""));
+                ++orders;
+                version = 2;
+            } else {
+                connection.write(answerText(404, "", ""));
+            }
+            return true;
+        });
     bench.configure(1, { "k1" });
     bench.start();
     Json::Value named;
--- a/Tests/Gateway/GatewayBench.cpp
+++ b/Tests/Gateway/GatewayBench.cpp
@@ -139,8 +139,8 @@
     return socket;
 }
 
-std::unique_ptr<CallerAnswer> GatewayBench::call(const std::string &method,
-                                                 const std::string &path, const std::string &body,
+std::unique_ptr<CallerAnswer> GatewayBench::call(const std::string &method, const std::string &path,
+                                                 const std::string &body,
                                                  const std::string &headers)
 {
     std::string text = method + " " + path + " HTTP/1.1\r\nHost: h\r\nX-Request-Id: r"
--- a/Tests/Gateway/StoreScript.h
+++ b/Tests/Gateway/StoreScript.h
@@ -48,8 +48,8 @@
     [[nodiscard]] std::string watch(const std::string &kind, std::uint64_t revision,
                                     std::chrono::milliseconds wait);
     [[nodiscard]] std::string write(const std::string &kind, const std::string &name,
-                                    const Json::Value &spec,
-                                    std::optional<std::uint64_t> condition, bool create);
+                                    const Json::Value &spec, std::optional<std::uint64_t> condition,
+                                    bool create);
 
     std::mutex mutex_;
     std::condition_variable changed_;
--- a/Tests/Placement/AttemptBudgetTest.cpp
+++ b/Tests/Placement/AttemptBudgetTest.cpp
@@ -40,8 +40,7 @@
 BOOST_AUTO_TEST_CASE(oldRequestsEarnNothing)
 {
     const ServiceId service("s");
-    AttemptBudget budget(
-        { .ratio = 0.5, .window = std::chrono::seconds(10), .allowance = 0 });
+    AttemptBudget budget({ .ratio = 0.5, .window = std::chrono::seconds(10), .allowance = 0 });
     for (int count = 0; count < 100; ++count) {
         budget.noteRequest(service, at(1000000));
     }
--- a/Tests/Placement/ServerPoolTest.cpp
+++ b/Tests/Placement/ServerPoolTest.cpp
@@ -75,8 +75,8 @@
 {
     // Twelve long prompts with one shared head arrive at once: the head was read on one server.
     // No server may get a third of them while others stand idle.
-    ServerPool pool = poolOf({ engine("a"), engine("b"), engine("c"), engine("d"), engine("e"),
-                               engine("f") });
+    ServerPool pool
+        = poolOf({ engine("a"), engine("b"), engine("c"), engine("d"), engine("e"), engine("f") });
     const std::vector<PromptPart> parts { { 42, 2500 } };
     const PlacementRequest request {
         .service = Engines, .model = Model, .parts = parts, .promptTokens = 12000
@@ -103,9 +103,7 @@
 BOOST_AUTO_TEST_CASE(whatPeersHaveSentCountsAsWorkAhead)
 {
     ServerPool pool = poolOf({ engine("a"), engine("b") });
-    const PlacementRequest request {
-        .service = Engines, .model = Model, .promptTokens = 500
-    };
+    const PlacementRequest request { .service = Engines, .model = Model, .promptTokens = 500 };
     const std::string usual = chosen(pool, request, at(0)).server.text();
     pool.applyPeer("peer",
                    std::vector<ServerNotice> {
@@ -133,9 +131,13 @@
     // The new weights open it, and nothing that it held before counts.
     pool.noteWeights(first.server, Model, 2);
     const std::vector<ServerId> tried { second.server };
-    const Placement third = chosen(
-        pool, { .service = Engines, .model = Model, .parts = parts, .promptTokens = 8000, .tried = tried },
-        at(2));
+    const Placement third = chosen(pool,
+                                   { .service = Engines,
+                                     .model = Model,
+                                     .parts = parts,
+                                     .promptTokens = 8000,
+                                     .tried = tried },
+                                   at(2));
     BOOST_TEST(third.server.text() == first.server.text());
     BOOST_TEST(*third.weights == 2U);
     BOOST_TEST(third.heldTokens == 0U);
@@ -151,9 +153,13 @@
     pool.noteSent(ServerId("a"), request, 0, at(0));
     pool.noteFirstByte(ServerId("a"), request, 1, 8000);
     const std::vector<ServerId> tried { ServerId("a") };
-    const Placement placement = chosen(
-        pool, { .service = Engines, .model = Model, .parts = parts, .promptTokens = 8000, .tried = tried },
-        at(1));
+    const Placement placement = chosen(pool,
+                                       { .service = Engines,
+                                         .model = Model,
+                                         .parts = parts,
+                                         .promptTokens = 8000,
+                                         .tried = tried },
+                                       at(1));
     BOOST_TEST(placement.server.text() == "b");
     BOOST_TEST(placement.fetchFrom.empty());
 }
@@ -193,7 +199,8 @@
     ServerPool pool = poolOf({ engine("a") });
     const std::vector<PromptPart> parts { { 42, 6000 } };
     pool.noteSent(ServerId("a"),
-                  { .service = Engines, .model = Model, .parts = parts, .wall = "north" }, 0, at(0));
+                  { .service = Engines, .model = Model, .parts = parts, .wall = "north" }, 0,
+                  at(0));
     const Placement other = chosen(
         pool, { .service = Engines, .model = Model, .parts = parts, .wall = "south" }, at(1));
     BOOST_TEST(other.heldTokens == 0U);
--- a/Tests/Platform/WireTest.cpp
+++ b/Tests/Platform/WireTest.cpp
@@ -32,7 +32,8 @@
 
 Json::Value sampleServer()
 {
-    return *parseJson(R"({"service":"huvo","address":"10.128.0.9:8080","zone":"norte","version":"v1",
+    return *parseJson(
+        R"({"service":"huvo","address":"10.128.0.9:8080","zone":"norte","version":"v1",
         "slotCount":128,"state":"ready","coldLeftMs":0,"stage":"both","born":1780000000000,
         "models":[{"name":"daka","version":3,"adapters":[]}],"seq":4})");
 }
@@ -59,10 +60,11 @@
 
 BOOST_AUTO_TEST_CASE(unreadableHeadersAreRefused)
 {
-    const std::vector<std::pair<const char *, const char *>> faults {
-        { "X-Deadline-Ms", "soon" },   { "X-Deadline-Ms", "-4" }, { "X-Token-Counts", "12" },
-        { "X-Prompt-Prefix", "zz:1" }, { "X-Prompt-Prefix", "1" }
-    };
+    const std::vector<std::pair<const char *, const char *>> faults { { "X-Deadline-Ms", "soon" },
+                                                                      { "X-Deadline-Ms", "-4" },
+                                                                      { "X-Token-Counts", "12" },
+                                                                      { "X-Prompt-Prefix", "zz:1" },
+                                                                      { "X-Prompt-Prefix", "1" } };
     for (const auto &[name, value] : faults) {
         http::request_header<> header = sampleHeader();
         header.set(name, value);
@@ -195,7 +197,8 @@
     BOOST_TEST(read->teams[0].isolated);
     BOOST_TEST((read->limits.idleTimeout == milliseconds(15000)));
     BOOST_TEST(!readConfiguration(*parseJson(R"({"routes":[]})")).has_value());
-    BOOST_TEST(!readConfiguration(*parseJson(R"({"version":1,"routes":[{"name":"r"}]})")).has_value());
+    BOOST_TEST(
+        !readConfiguration(*parseJson(R"({"version":1,"routes":[{"name":"r"}]})")).has_value());
 }
 
 BOOST_AUTO_TEST_CASE(storeAnswersKeepUnreadableObjectsByName)
--- a/Tests/Program/RunCommand.cmake
+++ b/Tests/Program/RunCommand.cmake
@@ -22,10 +22,13 @@
   endif()
 endforeach()
 
-# The reference page in the documentation is the program's own output.
-if(CASE STREQUAL "SettingsReference")
-  file(READ ${SOURCE_FOLDER}/docs/reference/settings-file.md page)
-  if(NOT stdout STREQUAL page)
-    message(FATAL_ERROR "docs/reference/settings-file.md differs from 'jacinthroad settings reference'")
+# The reference pages in the documentation are the program's own output.
+set(SettingsReference-page settings-file)
+set(GatewayReference-page gateway-settings)
+if(DEFINED ${CASE}-page)
+  set(page ${SOURCE_FOLDER}/docs/reference/${${CASE}-page}.md)
+  file(READ ${page} expected)
+  if(NOT stdout STREQUAL expected)
+    message(FATAL_ERROR "${page} differs from what the program prints")
   endif()
 endif()
