Placement: Give caches their room whichever is read first, save parts again that did not arrive

Change: rooms follow the configuration, saves are repeated after 3 s, another boot counts as newer, homes tell a new peer all they know in pieces of 80 parts.

--- a/Source/Gateway/DigestExchange.cpp
+++ b/Source/Gateway/DigestExchange.cpp
@@ -16,6 +16,8 @@
 
 /// Time between two digests: a fraction of the time that a request stays on a server.
 constexpr Duration DigestPeriod = milliseconds(200);
+/// Parts of prompts in one digest: keeps it near the size of one packet.
+constexpr std::size_t MostParts = 80;
 /// How long a send waits for others before the peers hear of it, for each peer: bounds the
 /// datagrams that a node gets to a thousand a second whatever the size of the fleet.
 constexpr Duration SoonPerPeer = milliseconds(1);
@@ -103,7 +105,7 @@
         .configurationAgeMs = age.has_value()
             ? static_cast<std::uint32_t>(std::chrono::duration_cast<milliseconds>(*age).count())
             : UnknownAgeMs,
-        .servers = state_.pool.takeNotices(std::chrono::steady_clock::now()),
+        .servers = state_.pool.takeNotices(std::chrono::steady_clock::now(), MostParts),
         .named = state_.pool.namedAges(std::chrono::steady_clock::now())
     };
     if (!socket_.is_open()) {
@@ -115,6 +117,9 @@
         error_code ignored;
         socket_.send_to(asio::buffer(datagram), peer, 0, ignored);
     }
+    if (state_.pool.hasMoreToTell()) {
+        tellSoon();
+    }
 }
 
 std::vector<std::string> DigestExchange::liveNodes(Instant now) const
@@ -149,11 +154,15 @@
         return;
     }
     auto &newest = newest_[digest->node];
-    const std::pair<std::uint64_t, std::uint64_t> arrived { digest->boot, digest->sequence };
-    if (arrived <= newest) {
+    // The time of day may have jumped back between two boots, so another boot is a newer one.
+    const bool started = newest.first != digest->boot;
+    if (!started && digest->sequence <= newest.second) {
         return;
     }
-    newest = arrived;
+    newest = { digest->boot, digest->sequence };
+    if (started) {
+        newPeer();
+    }
     heardAt_[digest->node] = std::chrono::steady_clock::now();
     state_.pool.applyNamedAges(digest->named, std::chrono::steady_clock::now());
     state_.pool.applyPeer(digest->node, digest->servers, std::chrono::steady_clock::now());
--- a/Source/Gateway/DigestExchange.h
+++ b/Source/Gateway/DigestExchange.h
@@ -2,6 +2,7 @@
 
 #include <array>
 #include <cstdint>
+#include <functional>
 #include <string>
 #include <unordered_map>
 #include <vector>
@@ -29,6 +30,8 @@
     void tell();
     /// Sends a digest shortly, with whatever else happens until then.
     void tellSoon();
+    /// Called when a node is heard that has just started.
+    std::function<void()> newPeer = [] {};
     /// Names of the nodes that have told something lately, this one included.
     [[nodiscard]] std::vector<std::string> liveNodes(Instant now) const;
 
--- a/Source/Gateway/Exchange.cpp
+++ b/Source/Gateway/Exchange.cpp
@@ -704,28 +704,34 @@
     const Instant now = std::chrono::steady_clock::now();
     state_.metrics.countRequest(end.outcome);
     const std::optional<Duration> age = state_.freshness.age(bootNow());
-    logLine(LogLevel::Info, "request",
-            { { "request_id", facts_.id.text() },
-              { "route", route_ != nullptr ? std::string_view(route_->name) : std::string_view() },
-              { "service", placing_.service.text() },
-              { "server", tried_.empty() ? std::string_view() : tried_.back().text() },
-              { "candidates", std::int64_t { placement_.candidates } },
-              { "predicted_ms", placement_.cost },
-              { "prompt_tokens", std::int64_t { placing_.promptTokens } },
-              { "held_tokens", std::int64_t { placement_.heldTokens } },
-              { "fetched_tokens", std::int64_t { placement_.fetchedTokens } },
-              { "weights", std::int64_t { placement_.weights.value_or(0) } },
-              { "sends", std::int64_t { sends_ } },
-              { "rejected", std::int64_t { rejected_ } },
-              { "configuration",
-                routes_ != nullptr ? static_cast<std::int64_t>(routes_->version()) : 0 },
-              { "configuration_age_ms", age.has_value() ? toMilliseconds(*age) : -1.0 },
-              { "outcome", end.outcome },
-              { "status", std::int64_t { end.status } },
-              { "first_byte_ms",
-                firstByteAt_ == Instant() ? -1.0 : toMilliseconds(firstByteAt_ - received_) },
-              { "longest_gap_ms", toMilliseconds(longestGap_) },
-              { "total_ms", toMilliseconds(now - received_) } });
+    const std::string sharedPart
+        = placing_.parts.empty() ? std::string() : hexadecimal(placing_.parts.back().id);
+    logLine(
+        LogLevel::Info, "request",
+        { { "request_id", facts_.id.text() },
+          { "route", route_ != nullptr ? std::string_view(route_->name) : std::string_view() },
+          { "service", placing_.service.text() },
+          { "server", tried_.empty() ? std::string_view() : tried_.back().text() },
+          { "candidates", std::int64_t { placement_.candidates } },
+          { "predicted_ms", placement_.cost },
+          { "prompt_tokens", std::int64_t { placing_.promptTokens } },
+          { "shared_part", sharedPart },
+          { "team", team_ != nullptr ? std::string_view(team_->name.text()) : std::string_view() },
+          { "fetched_from", placement_.fetchFrom },
+          { "held_tokens", std::int64_t { placement_.heldTokens } },
+          { "fetched_tokens", std::int64_t { placement_.fetchedTokens } },
+          { "weights", std::int64_t { placement_.weights.value_or(0) } },
+          { "sends", std::int64_t { sends_ } },
+          { "rejected", std::int64_t { rejected_ } },
+          { "configuration",
+            routes_ != nullptr ? static_cast<std::int64_t>(routes_->version()) : 0 },
+          { "configuration_age_ms", age.has_value() ? toMilliseconds(*age) : -1.0 },
+          { "outcome", end.outcome },
+          { "status", std::int64_t { end.status } },
+          { "first_byte_ms",
+            firstByteAt_ == Instant() ? -1.0 : toMilliseconds(firstByteAt_ - received_) },
+          { "longest_gap_ms", toMilliseconds(longestGap_) },
+          { "total_ms", toMilliseconds(now - received_) } });
 }
 
 } // namespace jacinthroad
--- a/Source/Gateway/Gateway.cpp
+++ b/Source/Gateway/Gateway.cpp
@@ -144,6 +144,8 @@
     DigestExchange digests;
     RolloutDriver rollout;
     CacheFeed caches;
+    /// Caches that this node is the home of; belongs to the traffic thread.
+    std::map<ServerId, std::string> ownCaches;
     std::thread trafficThread;
     std::thread controlThread;
 };
@@ -176,6 +178,11 @@
 void Gateway::Parts::run()
 {
     traffic.tellPeersSoon = [this] { digests.tellSoon(); };
+    digests.newPeer = [this] {
+        for (const auto &[id, address] : ownCaches) {
+            traffic.pool.retellCache(id);
+        }
+    };
     asio::co_spawn(trafficContext, acceptCallers(traffic, callers), asio::detached);
     asio::co_spawn(trafficContext,
                    serveStatus(readiness, settings.readinessPath,
@@ -355,6 +362,7 @@
             own[id] = address;
         }
     }
+    ownCaches = own;
     asio::post(controlContext, [this, own = std::move(own)] { caches.assign(own); });
 }
 
--- a/Source/Placement/HeldParts.cpp
+++ b/Source/Placement/HeldParts.cpp
@@ -88,6 +88,17 @@
     return tokens;
 }
 
+std::vector<CachedPart> HeldParts::readParts() const
+{
+    std::vector<CachedPart> parts;
+    for (auto entry = order_.rbegin(); entry != order_.rend(); ++entry) {
+        if (entry->read) {
+            parts.push_back({ .key = entry->key, .tokens = entry->tokens });
+        }
+    }
+    return parts;
+}
+
 void HeldParts::clear()
 {
     order_.clear();
--- a/Source/Placement/HeldParts.h
+++ b/Source/Placement/HeldParts.h
@@ -6,6 +6,7 @@
 #include <string>
 #include <string_view>
 #include <unordered_map>
+#include <vector>
 
 #include "Core/Ids.h"
 #include "Fleet/BackendServer.h"
@@ -31,6 +32,9 @@
         : roomTokens_(roomTokens)
     { }
 
+    /// Takes another room; what exceeds it is dropped with the next note.
+    void setRoom(std::uint64_t roomTokens) { roomTokens_ = roomTokens; }
+
     /// Notes that a request with these parts was sent.
     void noteSent(std::span<const CachedPart> parts) { note(parts, false); }
     /// Notes that these parts have been read and can be fetched.
@@ -41,6 +45,8 @@
     [[nodiscard]] std::uint32_t heldTokens(std::span<const CachedPart> parts) const;
     /// Tokens at the head of the prompt that have been read and can be fetched.
     [[nodiscard]] std::uint32_t readTokens(std::span<const CachedPart> parts) const;
+    /// The parts that have been read, the least recently used first.
+    [[nodiscard]] std::vector<CachedPart> readParts() const;
     /// Forgets everything, as after a restart or new weights.
     void clear();
 
--- a/Source/Placement/ServerPool.cpp
+++ b/Source/Placement/ServerPool.cpp
@@ -27,6 +27,11 @@
 constexpr unsigned MostNamedTold = 4;
 /// A peer that has told nothing for this long says nothing of a server's silence any more.
 constexpr Duration PeerReportLife = milliseconds(700);
+/// Parts that the store has not told of this long after they were sent are sent again: the time
+/// to read a long prompt and the store's own limit for transfers.
+constexpr Duration SavingTime = milliseconds(3000);
+/// Parts on their way beyond which old ones are looked for and forgotten.
+constexpr std::size_t MostSaving = 1000;
 /// Share of an engine's cache that shared parts can count on beside running requests.
 constexpr double SharedCacheShare = 0.9;
 
@@ -45,6 +50,17 @@
     }
 }
 
+/// Moves as many of the first items out as there is room for, and takes them off the room.
+template <typename Item> std::vector<Item> takeFront(std::vector<Item> &items, std::size_t &room)
+{
+    const std::size_t count = std::min(items.size(), room);
+    const auto end = items.begin() + static_cast<std::ptrdiff_t>(count);
+    std::vector<Item> taken(items.begin(), end);
+    items.erase(items.begin(), end);
+    room -= count;
+    return taken;
+}
+
 double decayed(double value, Duration age)
 {
     const double halves = toMilliseconds(age) / toMilliseconds(ReportHalfLife);
@@ -80,6 +96,10 @@
             }
         }
     }
+    // Servers may have been listed before their services were known.
+    for (auto &[id, server] : servers_) {
+        server.held.setRoom(cacheRoom(server.facts.service));
+    }
     std::erase_if(stores_, [&](const auto &entry) {
         return !services_.contains(ServiceId(entry.first.text()));
     });
@@ -240,9 +260,36 @@
     }
 }
 
-std::vector<ServerNotice> ServerPool::takeNotices(Instant now)
+void ServerPool::retellCache(const ServerId &id)
+{
+    const auto retell = [](const HeldParts &held, std::vector<CachedPart> &untold) {
+        const std::vector<CachedPart> parts = held.readParts();
+        untold.insert(untold.begin(), parts.begin(), parts.end());
+    };
+    if (const auto kept = stores_.find(id); kept != stores_.end()) {
+        retell(kept->second.held, kept->second.untoldRead);
+    } else if (const auto found = servers_.find(id); found != servers_.end()) {
+        retell(found->second.held, found->second.untoldRead);
+    }
+}
+
+bool ServerPool::hasMoreToTell() const
+{
+    const auto any = [](const auto &place) {
+        return !place.untoldRead.empty() || !place.untoldDropped.empty();
+    };
+    return std::any_of(servers_.begin(), servers_.end(),
+                       [&](const auto &entry) {
+                           return any(entry.second) || !entry.second.untoldSent.empty();
+                       })
+        || std::any_of(stores_.begin(), stores_.end(),
+                       [&](const auto &entry) { return any(entry.second); });
+}
+
+std::vector<ServerNotice> ServerPool::takeNotices(Instant now, std::size_t mostParts)
 {
     std::vector<ServerNotice> notices;
+    std::size_t room = mostParts;
     for (auto &[id, server] : servers_) {
         ServerNotice notice { .server = id,
                               .inFlight = server.inFlight,
@@ -259,9 +306,9 @@
             notice.model = server.facts.models.begin()->first;
             notice.weights = server.facts.models.begin()->second;
         }
-        notice.sent.swap(server.untoldSent);
-        notice.read.swap(server.untoldRead);
-        notice.dropped.swap(server.untoldDropped);
+        notice.sent = takeFront(server.untoldSent, room);
+        notice.read = takeFront(server.untoldRead, room);
+        notice.dropped = takeFront(server.untoldDropped, room);
         const bool quiet = notice.inFlight == 0 && notice.avoidMs == 0 && notice.sent.empty()
             && notice.read.empty() && notice.dropped.empty() && notice.closedForMs == 0
             && server.toldInFlight == 0 && server.toldWeights == notice.weights
@@ -276,8 +323,8 @@
     for (auto &[id, kept] : stores_) {
         if (!kept.untoldRead.empty() || !kept.untoldDropped.empty()) {
             ServerNotice notice { .server = id };
-            notice.read.swap(kept.untoldRead);
-            notice.dropped.swap(kept.untoldDropped);
+            notice.read = takeFront(kept.untoldRead, room);
+            notice.dropped = takeFront(kept.untoldDropped, room);
             notices.push_back(std::move(notice));
         }
     }
@@ -377,6 +424,29 @@
     return tokens;
 }
 
+bool ServerPool::worthSaving(const CacheStore &kept, std::span<const CachedPart> parts, Instant now)
+{
+    std::uint32_t tokens = 0;
+    bool underWay = true;
+    for (const CachedPart &part : parts) {
+        tokens += part.tokens;
+        const auto since = kept.saving.find(part.key);
+        underWay = underWay && since != kept.saving.end() && now - since->second < SavingTime;
+    }
+    return !underWay && kept.held.readTokens(parts) < tokens;
+}
+
+void ServerPool::noteSaving(CacheStore &kept, std::span<const CachedPart> parts, Instant now)
+{
+    if (kept.saving.size() > MostSaving) {
+        std::erase_if(kept.saving,
+                      [&](const auto &entry) { return now - entry.second >= SavingTime; });
+    }
+    for (const CachedPart &part : parts) {
+        kept.saving[part.key] = now;
+    }
+}
+
 const ServerPool::CacheStore *ServerPool::store() const
 {
     return stores_.empty() ? nullptr : &stores_.begin()->second;
@@ -565,7 +635,7 @@
     const CacheStore *kept = store();
     if (kept != nullptr && !request.parts.empty()) {
         const auto parts = cachedParts(weightsOf(*best, request.model), request);
-        if (kept->held.heldTokens(parts) < shared) {
+        if (worthSaving(*kept, parts, now)) {
             placement.saveTo = kept->address;
         }
     }
@@ -591,8 +661,8 @@
     if (!request.parts.empty()) {
         const std::vector<CachedPart> parts
             = cachedParts(weightsOf(server, request.model), request);
-        if (CacheStore *kept = store(); kept != nullptr) {
-            kept->held.noteSent(parts);
+        if (CacheStore *kept = store(); kept != nullptr && worthSaving(*kept, parts, now)) {
+            noteSaving(*kept, parts, now);
         }
         server.held.noteSent(parts);
         server.untoldSent.insert(server.untoldSent.end(), parts.begin(), parts.end());
--- a/Source/Placement/ServerPool.h
+++ b/Source/Placement/ServerPool.h
@@ -168,8 +168,13 @@
     void applyPeer(const std::string &peer, std::span<const ServerNotice> notices, Instant now);
     /// Takes what a server's or store's own events tell of its cache.
     void applyCacheEvents(const ServerId &id, const CacheEvents &events);
-    /// What peers should know of this node's sends since the last call.
-    [[nodiscard]] std::vector<ServerNotice> takeNotices(Instant now);
+    /// Has peers told again of all that a server or store holds, as when one has just started.
+    void retellCache(const ServerId &id);
+    /// What peers should know of this node's sends since the last call, with `mostParts` parts of
+    /// prompts at most; the rest follows with the next call.
+    [[nodiscard]] std::vector<ServerNotice> takeNotices(Instant now, std::size_t mostParts);
+    /// True while parts are left to tell.
+    [[nodiscard]] bool hasMoreToTell() const;
 
     /// Chooses a server for a request.
     [[nodiscard]] std::variant<Placement, NoPlacement> choose(const PlacementRequest &request,
@@ -258,6 +263,8 @@
     {
         std::string address;
         HeldParts held { 0 };
+        /// Parts on their way to it, and since when; a transfer may fail without a word.
+        std::unordered_map<std::uint64_t, Instant> saving;
         std::vector<CachedPart> untoldRead;
         std::vector<std::uint64_t> untoldDropped;
     };
@@ -280,6 +287,10 @@
     [[nodiscard]] static std::vector<CachedPart> cachedParts(WeightsVersion weights,
                                                              const PlacementRequest &request);
     [[nodiscard]] static std::uint32_t sharedTokens(const PlacementRequest &request);
+    /// True where parts are neither held by the store nor on their way to it.
+    [[nodiscard]] static bool worthSaving(const CacheStore &kept, std::span<const CachedPart> parts,
+                                          Instant now);
+    static void noteSaving(CacheStore &kept, std::span<const CachedPart> parts, Instant now);
     /// The store of cached parts, or null where the configuration names none.
     [[nodiscard]] const CacheStore *store() const;
     [[nodiscard]] CacheStore *store();
--- a/Tests/Placement/ServerPoolTest.cpp
+++ b/Tests/Placement/ServerPoolTest.cpp
@@ -194,6 +194,22 @@
     BOOST_TEST(std::holds_alternative<NoPlacement>(started.choose(request, at(13001))));
 }
 
+BOOST_AUTO_TEST_CASE(cachesAreKnownWhicheverIsReadFirst)
+{
+    // A node that starts may read the list of servers before the configuration.
+    ServerPool pool({ .zone = ZoneId("z") });
+    pool.applyServer(engine("a"), at(0));
+    pool.applyServices(std::vector<ServiceFacts> {
+        { .name = Engines, .engine = EngineFacts { .slots = 64, .cacheTokens = 100000 } } });
+    const std::vector<PromptPart> first { { 1, 3000 } };
+    const std::vector<PromptPart> second { { 2, 3000 } };
+    pool.noteSent(ServerId("a"), { .service = Engines, .model = Model, .parts = first }, 0, at(0));
+    pool.noteSent(ServerId("a"), { .service = Engines, .model = Model, .parts = second }, 0, at(0));
+    const Placement placement
+        = chosen(pool, { .service = Engines, .model = Model, .parts = first }, at(1));
+    BOOST_TEST(placement.heldTokens == 3000U);
+}
+
 BOOST_AUTO_TEST_CASE(isolatedTeamsShareNothing)
 {
     ServerPool pool = poolOf({ engine("a") });
@@ -226,6 +242,8 @@
     pool.noteSent(first.server, request, 0, at(0));
     // The parts are on their way to the store: they need not be sent twice.
     BOOST_TEST(chosen(pool, request, at(1)).saveTo.empty());
+    // Nothing arrived: the transfer failed.
+    BOOST_TEST(chosen(pool, request, at(3001)).saveTo == "127.0.0.1:7000");
     pool.noteFirstByte(first.server, request, 1, 8000);
     const std::uint64_t key = partKey(Model, cacheSalt(1, ""), 42);
     pool.applyCacheEvents(ServerId("kept"), { .held = { { key, 6000 } } });
@@ -333,19 +351,44 @@
 BOOST_AUTO_TEST_CASE(noticesTellASendOnceAndNothingOfIdleServers)
 {
     ServerPool pool = poolOf({ engine("a"), engine("b") });
-    static_cast<void>(pool.takeNotices(at(0)));
-    BOOST_TEST(pool.takeNotices(at(1)).empty());
+    static_cast<void>(pool.takeNotices(at(0), 100));
+    BOOST_TEST(pool.takeNotices(at(1), 100).empty());
     const std::vector<PromptPart> parts { { 42, 6000 } };
     const PlacementRequest request {
         .service = Engines, .model = Model, .parts = parts, .promptTokens = 8000
     };
     pool.noteSent(ServerId("a"), request, 0, at(0));
-    const auto notices = pool.takeNotices(at(2));
+    const auto notices = pool.takeNotices(at(2), 100);
     BOOST_REQUIRE(notices.size() == 1U);
     BOOST_TEST(notices[0].inFlight == 1U);
     BOOST_TEST(notices[0].unreadTokens == 8000U);
     BOOST_TEST(notices[0].sent.size() == 1U);
-    BOOST_TEST(pool.takeNotices(at(3))[0].sent.empty());
+    BOOST_TEST(pool.takeNotices(at(3), 100)[0].sent.empty());
+}
+
+BOOST_AUTO_TEST_CASE(aNodeThatHasJustStartedIsToldOfCachesInPieces)
+{
+    ServerPool home = poolOf({ engine("a") });
+    CacheEvents events;
+    for (std::uint64_t id = 1; id <= 150; ++id) {
+        events.held.push_back({ partKey(Model, cacheSalt(1, ""), id), 100 });
+    }
+    home.applyCacheEvents(ServerId("a"), events);
+    while (home.hasMoreToTell()) {
+        static_cast<void>(home.takeNotices(at(0), 80));
+    }
+    ServerPool started = poolOf({ engine("a") });
+    home.retellCache(ServerId("a"));
+    unsigned digests = 0;
+    while (home.hasMoreToTell()) {
+        started.applyPeer("home", home.takeNotices(at(1), 80), at(1));
+        ++digests;
+    }
+    BOOST_TEST(digests == 2U);
+    const std::vector<PromptPart> parts { { 150, 100 } };
+    BOOST_TEST(
+        chosen(started, { .service = Engines, .model = Model, .parts = parts }, at(2)).heldTokens
+        == 100U);
 }
 
 BOOST_AUTO_TEST_SUITE_END()
--- a/Utilities/lint.sh
+++ b/Utilities/lint.sh
@@ -6,4 +6,8 @@
 git ls-files 'Source/*.cpp' 'Source/*.h' 'platform/*.cpp' 'platform/*.h' 'Tests/*.cpp' 'Tests/*.h' \
   'Benchmarks/*.cpp' \
   | xargs clang-format --dry-run -Werror
-git ls-files 'Source/*.cpp' 'platform/*.cpp' | xargs -P "$(nproc)" -n 2 clang-tidy -p build --quiet
+# clang 14 has coroutines but does not say so to libstdc++ and Asio.
+coroutines=(--extra-arg=-D__cpp_impl_coroutine=201902L --extra-arg=-DBOOST_ASIO_HAS_CO_AWAIT=1
+  --extra-arg=-DBOOST_ASIO_HAS_STD_COROUTINE=1)
+git ls-files 'Source/*.cpp' 'platform/*.cpp' \
+  | xargs -P "$(nproc)" -n 2 clang-tidy -p build --quiet "${coroutines[@]}"
