Placement: Divide the fleet's allowance by its nodes; Gateway: Decode changed servers only

Change: the allowance follows the number of nodes; digests wait longer beyond 15 peers; entries are decoded once for each revision; homes of caches are looked at every 0.8 s.

--- a/Source/Gateway/DigestExchange.cpp
+++ b/Source/Gateway/DigestExchange.cpp
@@ -1,5 +1,6 @@
 #include "Gateway/DigestExchange.h"
 
+#include <algorithm>
 #include <utility>
 
 #include "Core/Log.h"
@@ -18,9 +19,12 @@
 constexpr Duration DigestPeriod = milliseconds(200);
 /// Parts of prompts in one digest: keeps it near the size of one packet.
 constexpr std::size_t MostParts = 80;
-/// How long a send waits for others before the peers hear of it, for each peer: bounds the
-/// datagrams that a node gets to a thousand a second whatever the size of the fleet.
+/// How long a send waits for others before the peers hear of it, for each peer: a node then gets a
+/// thousand datagrams a second at most.
 constexpr Duration SoonPerPeer = milliseconds(1);
+/// Peers beyond which that grows with their number: a large fleet's nodes have little processor
+/// and many servers, so news may be older.
+constexpr int PeersToldAtOnce = 15;
 /// A node that has told nothing for this long counts as gone; several digests in a row are lost.
 constexpr Duration NodeSilence = milliseconds(1500);
 /// Age that is told where the configuration was never read.
@@ -59,6 +63,7 @@
 
 void DigestExchange::applyPeers(const std::unordered_map<std::string, std::string> &addresses)
 {
+    state_.applyNodes(addresses.size());
     peers_.clear();
     for (const auto &[name, address] : addresses) {
         const auto endpoint = parseEndpoint(address);
@@ -70,7 +75,7 @@
 
 void DigestExchange::schedule()
 {
-    timer_.expires_after(DigestPeriod);
+    timer_.expires_after(std::max(DigestPeriod, 2 * soonDelay()));
     timer_.async_wait([this](error_code error) {
         if (!error) {
             tell();
@@ -79,13 +84,19 @@
     });
 }
 
+Duration DigestExchange::soonDelay() const
+{
+    const int peers = static_cast<int>(peers_.size());
+    return SoonPerPeer * peers * std::max(PeersToldAtOnce, peers) / PeersToldAtOnce;
+}
+
 void DigestExchange::tellSoon()
 {
     if (soonPending_ || peers_.empty()) {
         return;
     }
     soonPending_ = true;
-    soon_.expires_after(SoonPerPeer * static_cast<int>(peers_.size()));
+    soon_.expires_after(soonDelay());
     soon_.async_wait([this](error_code error) {
         soonPending_ = false;
         if (!error) {
--- a/Source/Gateway/DigestExchange.h
+++ b/Source/Gateway/DigestExchange.h
@@ -39,6 +39,8 @@
     void receive();
     void take(std::string_view datagram);
     void schedule();
+    /// How long a send may wait until its peers hear of it.
+    [[nodiscard]] Duration soonDelay() const;
 
     static constexpr std::size_t DatagramBytes = 65536;
 
--- a/Source/Gateway/Gateway.cpp
+++ b/Source/Gateway/Gateway.cpp
@@ -2,6 +2,8 @@
 
 #include <algorithm>
 #include <atomic>
+#include <map>
+#include <optional>
 #include <thread>
 #include <utility>
 
@@ -49,6 +51,8 @@
 constexpr const char *PeerAddressField = "peers";
 /// Period of the sweep over idle connections and of telling the rollout what answers said.
 constexpr Duration SweepPeriod = milliseconds(200);
+/// Sweeps between two looks at who is the home of which cache.
+constexpr unsigned SweepsPerAssignment = 4;
 /// The balancer asks once a second and leaves after two misses; its callers then need a moment.
 constexpr Duration BalancerLag = milliseconds(3200);
 /// Time kept back from the grace for ending the process.
@@ -59,6 +63,29 @@
 
 } // namespace
 
+namespace {
+
+/// A server's entry as it was last decoded; entries change one at a time and are many.
+struct DecodedServer
+{
+    std::uint64_t revision = 0;
+    /// Nothing where the entry cannot be read.
+    std::optional<BackendServer> server;
+};
+
+std::optional<BackendServer> decodeServer(const std::string &name, const Json::Value &spec)
+{
+    auto server = platform::readServer(name, spec);
+    if (server.has_value()) {
+        return std::move(*server);
+    }
+    logLine(LogLevel::Warning, "server_unreadable",
+            { { "server", name }, { "reason", server.error().message } });
+    return std::nullopt;
+}
+
+} // namespace
+
 struct Gateway::Parts
 {
     explicit Parts(const GatewaySettings &nodeSettings)
@@ -144,8 +171,11 @@
     DigestExchange digests;
     RolloutDriver rollout;
     CacheFeed caches;
+    /// Belongs to the control thread.
+    std::map<std::string, DecodedServer> decoded;
     /// Caches that this node is the home of; belongs to the traffic thread.
     std::map<ServerId, std::string> ownCaches;
+    unsigned sweeps = 0;
     std::thread trafficThread;
     std::thread controlThread;
 };
@@ -220,7 +250,9 @@
         metrics.setConfigurationAge(*age);
     }
     tellRollout();
-    assignCaches();
+    if (++sweeps % SweepsPerAssignment == 0) {
+        assignCaches();
+    }
     sweepTimer.expires_after(SweepPeriod);
     sweepTimer.async_wait([this](error_code error) {
         if (!error) {
@@ -254,14 +286,15 @@
 
 void Gateway::Parts::takeServers(const ObjectTable &table)
 {
+    std::erase_if(decoded, [&](const auto &entry) { return !table.contains(entry.first); });
     std::vector<BackendServer> list;
     for (const auto &[name, object] : table) {
-        auto server = platform::readServer(name, object.spec);
-        if (server.has_value()) {
-            list.push_back(std::move(*server));
-        } else {
-            logLine(LogLevel::Warning, "server_unreadable",
-                    { { "server", name }, { "reason", server.error().message } });
+        DecodedServer &known = decoded[name];
+        if (known.revision != object.revision || known.revision == 0) {
+            known = { .revision = object.revision, .server = decodeServer(name, object.spec) };
+        }
+        if (known.server.has_value()) {
+            list.push_back(*known.server);
         }
     }
     rollout.applyServers(list);
--- a/Source/Gateway/TrafficState.cpp
+++ b/Source/Gateway/TrafficState.cpp
@@ -1,5 +1,7 @@
 #include "Gateway/TrafficState.h"
 
+#include <algorithm>
+
 #include "Core/Log.h"
 #include "Gateway/BootClock.h"
 
@@ -7,9 +9,9 @@
 
 namespace {
 
-/// Entry VMs that the allowance for repeated sends is divided by until membership tells better;
-/// above the size of a small fleet, so that the sum stays inside.
-constexpr double AssumedNodes = 12;
+/// Entry VMs that the allowance for repeated sends is divided by at least, above the size of a
+/// small fleet: a node that has just started knows of few others.
+constexpr std::size_t LeastNodes = 12;
 /// Share of the fleet-wide ratio that a node uses itself, as requests spread unevenly.
 constexpr double RepeatShareUsed = 0.7;
 /// Parts of the time after which a key that was taken away must be refused.
@@ -33,11 +35,12 @@
              .expiredAfter = part(settings.keyRevocation, ExpiredPart) };
 }
 
-AttemptBudget::Options repeatOptions(const GatewaySettings &settings)
+AttemptBudget::Options repeatOptions(const GatewaySettings &settings, std::size_t nodes)
 {
     return { .ratio = settings.repeatShare * RepeatShareUsed,
              .window = settings.repeatWindow,
-             .allowance = settings.repeatAllowance / AssumedNodes };
+             .allowance
+             = settings.repeatAllowance / static_cast<double>(std::max(LeastNodes, nodes)) };
 }
 
 } // namespace
@@ -50,13 +53,21 @@
     , freshness(freshnessOptions(settings))
     , pool({ .zone = ZoneId(settings.zone),
              .weightsOverdue = settings.weightsBound - WeightsMargin })
-    , repeats(repeatOptions(settings))
+    , repeats(repeatOptions(settings, LeastNodes))
+    , bounds_(settings)
 { }
 
 void TrafficState::applySettings(const GatewaySettings &changed)
 {
-    freshness.setOptions(freshnessOptions(changed));
-    repeats.setOptions(repeatOptions(changed));
+    bounds_ = changed;
+    freshness.setOptions(freshnessOptions(bounds_));
+    repeats.setOptions(repeatOptions(bounds_, nodes_));
+}
+
+void TrafficState::applyNodes(std::size_t count)
+{
+    nodes_ = count;
+    repeats.setOptions(repeatOptions(bounds_, nodes_));
 }
 
 void TrafficState::applyConfiguration(std::shared_ptr<const RouteTable> newer)
--- a/Source/Gateway/TrafficState.h
+++ b/Source/Gateway/TrafficState.h
@@ -29,6 +29,8 @@
 
     /// Takes changed bounds of a settings file.
     void applySettings(const GatewaySettings &settings);
+    /// Takes the number of nodes, among which budgets of the whole fleet are divided.
+    void applyNodes(std::size_t count);
     /// Takes a newer configuration; an older one is ignored.
     void applyConfiguration(std::shared_ptr<const RouteTable> routes);
     /// Takes the whole list of servers as the platform has it.
@@ -63,6 +65,9 @@
     [[nodiscard]] bool takesRequests(Instant now) const;
 
 private:
+    /// The bounds in force, which a reload may have changed.
+    GatewaySettings bounds_;
+    std::size_t nodes_ = 0;
     std::unordered_map<ServerId, bool> listed_;
 };
 
--- a/Source/Placement/AttemptBudget.cpp
+++ b/Source/Placement/AttemptBudget.cpp
@@ -12,7 +12,7 @@
 AttemptBudget::Window &AttemptBudget::windowOf(const ServiceId &service, Instant now)
 {
     Window &window = windows_[service];
-    const auto sliceLength = options_.window / Slices;
+    const auto sliceLength = options_.window / static_cast<std::int64_t>(Slices);
     const std::int64_t slice = now.time_since_epoch() / sliceLength;
     const std::int64_t passed
         = std::min<std::int64_t>(slice - window.slice, static_cast<std::int64_t>(Slices));
