--- a/Source/Core/Schema.cpp
+++ b/Source/Core/Schema.cpp
@@ -241,6 +241,15 @@
         + "': " + fault.message + " " + fault.remedy;
 }
 
+std::string joinLines(std::span<const std::string> lines)
+{
+    std::string all;
+    for (const std::string &line : lines) {
+        all.append(all.empty() ? "" : "\n").append(line);
+    }
+    return all;
+}
+
 std::string describeSchema(const ObjectSchema &schema)
 {
     std::string page = "## " + std::string(schema.title)
--- a/Source/Core/Schema.h
+++ b/Source/Core/Schema.h
@@ -69,6 +69,9 @@
 [[nodiscard]] std::string describeFault(const Fault &fault, std::string_view fileName,
                                         std::string_view text);
 
+/// Joins the lines of several faults into one text.
+[[nodiscard]] std::string joinLines(std::span<const std::string> lines);
+
 /// Writes the table as a Markdown reference, nested tables after their parent.
 [[nodiscard]] std::string describeSchema(const ObjectSchema &schema);
 
--- a/Source/Gateway/GatewaySettings.cpp
+++ b/Source/Gateway/GatewaySettings.cpp
@@ -190,11 +190,7 @@
 {
     const std::vector<std::string> faults = checkGatewaySettings(text, fileName);
     if (!faults.empty()) {
-        std::string all;
-        for (const std::string &fault : faults) {
-            all += (all.empty() ? "" : "\n") + fault;
-        }
-        return makeError(ErrorKind::InvalidSettings, all);
+        return makeError(ErrorKind::InvalidSettings, joinLines(faults));
     }
     const Json::Value document = *parseJson(text);
     const FieldReader node(NodeSchema, document["node"]);
--- a/Source/Node/NodeSettings.cpp
+++ b/Source/Node/NodeSettings.cpp
@@ -324,11 +324,7 @@
 {
     const std::vector<std::string> faults = checkNodeSettings(text, fileName);
     if (!faults.empty()) {
-        std::string all;
-        for (const std::string &fault : faults) {
-            all += (all.empty() ? "" : "\n") + fault;
-        }
-        return makeError(ErrorKind::InvalidSettings, all);
+        return makeError(ErrorKind::InvalidSettings, joinLines(faults));
     }
     const Json::Value document = *parseJson(text);
     const FieldReader node(NodeSchema, document["node"]);
--- /dev/null
+++ b/Source/Placement/ServerPoolPeers.cpp
@@ -0,0 +1,195 @@
+#include "Placement/ServerPool.h"
+
+#include <algorithm>
+
+namespace jacinthroad {
+
+namespace {
+
+/// Versions of a model whose age peers are told: as many as may be named within the bound.
+constexpr unsigned MostNamedTold = 4;
+
+std::uint32_t wholeMilliseconds(Duration duration)
+{
+    const auto count = std::chrono::duration_cast<milliseconds>(duration).count();
+    return static_cast<std::uint32_t>(std::max<std::int64_t>(0, count));
+}
+
+void applyParts(HeldParts &held, const ServerNotice &notice)
+{
+    held.noteSent(notice.sent);
+    held.noteRead(notice.read);
+    for (const std::uint64_t key : notice.dropped) {
+        held.noteDropped(key);
+    }
+}
+
+/// Moves as many of the first items out as there is room for, and takes them off the room.
+template <typename Item> std::vector<Item> takeFront(std::vector<Item> &items, std::size_t &room)
+{
+    const std::size_t count = std::min(items.size(), room);
+    const auto end = items.begin() + static_cast<std::ptrdiff_t>(count);
+    std::vector<Item> taken(items.begin(), end);
+    items.erase(items.begin(), end);
+    room -= count;
+    return taken;
+}
+
+} // namespace
+
+void ServerPool::applyNamedAges(std::span<const NamedNotice> named, Instant now)
+{
+    for (const NamedNotice &notice : named) {
+        const Instant seen = now - milliseconds(notice.ageMs);
+        Instant &known = named_[notice.model].emplace(notice.version, seen).first->second;
+        known = std::min(known, seen);
+    }
+}
+
+std::vector<NamedNotice> ServerPool::namedAges(Instant now) const
+{
+    std::vector<NamedNotice> ages;
+    for (const auto &[model, versions] : named_) {
+        unsigned told = 0;
+        for (auto version = versions.rbegin(); version != versions.rend() && told < MostNamedTold;
+             ++version, ++told) {
+            ages.push_back({ .model = model,
+                             .version = version->first,
+                             .ageMs = wholeMilliseconds(now - version->second) });
+        }
+    }
+    return ages;
+}
+
+void ServerPool::applyPeer(const std::string &peer, std::span<const ServerNotice> notices,
+                           Instant now)
+{
+    for (const ServerNotice &notice : notices) {
+        if (const auto kept = stores_.find(notice.server); kept != stores_.end()) {
+            applyParts(kept->second.held, notice);
+            continue;
+        }
+        const auto found = servers_.find(notice.server);
+        if (found == servers_.end()) {
+            continue;
+        }
+        Server &server = found->second;
+        server.peers[peer] = { .inFlight = notice.inFlight,
+                               .unreadTokens = notice.unreadTokens,
+                               .silentMs = notice.silentMs,
+                               .at = now };
+        if (notice.avoidMs > 0) {
+            server.suspendedUntil
+                = std::max(server.suspendedUntil, now + milliseconds(notice.avoidMs));
+        }
+        if (notice.closedForMs > 0) {
+            closeForLoad(notice.server, notice.model, notice.weights,
+                         now + milliseconds(notice.closedForMs));
+            server.closedBy = peer;
+            continue;
+        }
+        if (server.closedBy == peer) {
+            server.closedBy.clear();
+            server.closedUntil = now;
+        }
+        if (notice.weights > 0) {
+            noteWeights(server, notice.model, notice.weights);
+        }
+        applyParts(server.held, notice);
+    }
+}
+
+void ServerPool::retellCache(const ServerId &id)
+{
+    const auto retell = [](const HeldParts &held, std::vector<CachedPart> &untold) {
+        const std::vector<CachedPart> parts = held.readParts();
+        untold.insert(untold.begin(), parts.begin(), parts.end());
+    };
+    if (const auto kept = stores_.find(id); kept != stores_.end()) {
+        retell(kept->second.held, kept->second.untoldRead);
+    } else if (const auto found = servers_.find(id); found != servers_.end()) {
+        retell(found->second.held, found->second.untoldRead);
+    }
+}
+
+bool ServerPool::hasMoreToTell() const
+{
+    const auto any = [](const auto &place) {
+        return !place.untoldRead.empty() || !place.untoldDropped.empty();
+    };
+    return std::any_of(servers_.begin(), servers_.end(),
+                       [&](const auto &entry) {
+                           return any(entry.second) || !entry.second.untoldSent.empty();
+                       })
+        || std::any_of(stores_.begin(), stores_.end(),
+                       [&](const auto &entry) { return any(entry.second); });
+}
+
+std::vector<ServerNotice> ServerPool::takeNotices(Instant now, std::size_t mostParts)
+{
+    std::vector<ServerNotice> notices;
+    std::size_t room = mostParts;
+    for (auto &[id, server] : servers_) {
+        ServerNotice notice { .server = id,
+                              .inFlight = server.inFlight,
+                              .unreadTokens = static_cast<std::uint32_t>(server.unreadTokens) };
+        if (server.inFlight > 0) {
+            notice.silentMs = wholeMilliseconds(now - server.heardAt);
+        }
+        notice.avoidMs = wholeMilliseconds(server.avoidedUntil - now);
+        if (!server.loadingModel.empty() && server.closedUntil > now) {
+            notice.model = server.loadingModel;
+            notice.weights = server.loadingVersion;
+            notice.closedForMs = wholeMilliseconds(server.closedUntil - now);
+        } else if (!server.facts.models.empty()) {
+            notice.model = server.facts.models.begin()->first;
+            notice.weights = server.facts.models.begin()->second;
+        }
+        notice.sent = takeFront(server.untoldSent, room);
+        notice.read = takeFront(server.untoldRead, room);
+        notice.dropped = takeFront(server.untoldDropped, room);
+        const bool quiet = notice.inFlight == 0 && notice.avoidMs == 0 && notice.sent.empty()
+            && notice.read.empty() && notice.dropped.empty() && notice.closedForMs == 0
+            && server.toldInFlight == 0 && server.toldWeights == notice.weights
+            && !server.toldClosed;
+        server.toldInFlight = notice.inFlight;
+        server.toldClosed = notice.closedForMs > 0;
+        server.toldWeights = notice.weights;
+        if (!quiet) {
+            notices.push_back(std::move(notice));
+        }
+    }
+    for (auto &[id, kept] : stores_) {
+        if (!kept.untoldRead.empty() || !kept.untoldDropped.empty()) {
+            ServerNotice notice { .server = id };
+            notice.read = takeFront(kept.untoldRead, room);
+            notice.dropped = takeFront(kept.untoldDropped, room);
+            notices.push_back(std::move(notice));
+        }
+    }
+    return notices;
+}
+
+void ServerPool::applyCacheEvents(const ServerId &id, const CacheEvents &events)
+{
+    const auto apply = [&](HeldParts &held, std::vector<CachedPart> &untoldRead,
+                           std::vector<std::uint64_t> &untoldDropped) {
+        if (events.restarted) {
+            held.clear();
+        }
+        held.noteRead(events.held);
+        for (const std::uint64_t key : events.dropped) {
+            held.noteDropped(key);
+        }
+        untoldRead.insert(untoldRead.end(), events.held.begin(), events.held.end());
+        untoldDropped.insert(untoldDropped.end(), events.dropped.begin(), events.dropped.end());
+    };
+    if (const auto kept = stores_.find(id); kept != stores_.end()) {
+        apply(kept->second.held, kept->second.untoldRead, kept->second.untoldDropped);
+    } else if (const auto found = servers_.find(id); found != servers_.end()) {
+        Server &server = found->second;
+        apply(server.held, server.untoldRead, server.untoldDropped);
+    }
+}
+
+} // namespace jacinthroad
