--- a/Source/Gateway/DigestExchange.cpp
+++ b/Source/Gateway/DigestExchange.cpp
@@ -128,7 +128,7 @@
         error_code ignored;
         socket_.send_to(asio::buffer(datagram), peer, 0, ignored);
     }
-    if (state_.pool.hasMoreToTell()) {
+    if (state_.pool.partsLeftToTell()) {
         tellSoon();
     }
 }
--- a/Source/Placement/ServerPool.h
+++ b/Source/Placement/ServerPool.h
@@ -174,7 +174,7 @@
     /// prompts at most; the rest follows with the next call.
     [[nodiscard]] std::vector<ServerNotice> takeNotices(Instant now, std::size_t mostParts);
     /// True while parts are left to tell.
-    [[nodiscard]] bool hasMoreToTell() const;
+    [[nodiscard]] bool partsLeftToTell() const;
 
     /// Chooses a server for a request.
     [[nodiscard]] std::variant<Placement, NoPlacement> choose(const PlacementRequest &request,
--- a/Source/Placement/ServerPoolPeers.cpp
+++ b/Source/Placement/ServerPoolPeers.cpp
@@ -112,7 +112,7 @@
     }
 }
 
-bool ServerPool::hasMoreToTell() const
+bool ServerPool::partsLeftToTell() const
 {
     const auto any = [](const auto &place) {
         return !place.untoldRead.empty() || !place.untoldDropped.empty();
--- a/Tests/Placement/ServerPoolTest.cpp
+++ b/Tests/Placement/ServerPoolTest.cpp
@@ -374,13 +374,13 @@
         events.held.push_back({ partKey(Model, cacheSalt(1, ""), id), 100 });
     }
     home.applyCacheEvents(ServerId("a"), events);
-    while (home.hasMoreToTell()) {
+    while (home.partsLeftToTell()) {
         static_cast<void>(home.takeNotices(at(0), 80));
     }
     ServerPool started = poolOf({ engine("a") });
     home.retellCache(ServerId("a"));
     unsigned digests = 0;
-    while (home.hasMoreToTell()) {
+    while (home.partsLeftToTell()) {
         started.applyPeer("home", home.takeNotices(at(1), 80), at(1));
         ++digests;
     }
