--- a/Source/Gateway/CacheFeed.cpp
+++ b/Source/Gateway/CacheFeed.cpp
@@ -2,17 +2,14 @@
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
-#include <boost/asio/redirect_error.hpp>
-#include <boost/asio/steady_timer.hpp>
-#include <boost/asio/use_awaitable.hpp>
 
 #include "Gateway/HttpCaller.h"
+#include "Gateway/Pause.h"
 #include "platform/CacheEvents.h"
 
 namespace jacinthroad {
 
 namespace asio = boost::asio;
-using boost::system::error_code;
 
 namespace {
 
@@ -67,7 +64,6 @@
 asio::awaitable<void> CacheFeed::read(ServerId id, std::shared_ptr<Source> source)
 {
     HttpCaller caller(context_, source->address);
-    asio::steady_timer timer(context_);
     boost::beast::http::fields headers;
     platform::setCacheEventsWait(headers, EventsWait);
     std::uint64_t since = 0;
@@ -86,9 +82,7 @@
                 pause = EventsPause;
             }
         }
-        timer.expires_after(pause);
-        error_code ignored;
-        co_await timer.async_wait(asio::redirect_error(asio::use_awaitable, ignored));
+        co_await pauseFor(context_, pause);
     }
 }
 
--- a/Source/Gateway/ConnectionPool.cpp
+++ b/Source/Gateway/ConnectionPool.cpp
@@ -53,13 +53,4 @@
     }
 }
 
-std::size_t ConnectionPool::size() const
-{
-    std::size_t count = 0;
-    for (const auto &[server, connections] : idle_) {
-        count += connections.size();
-    }
-    return count;
-}
-
 } // namespace jacinthroad
--- a/Source/Gateway/ConnectionPool.h
+++ b/Source/Gateway/ConnectionPool.h
@@ -24,8 +24,6 @@
     boost::beast::flat_buffer buffer;
     /// Until when the server keeps it idle, less a margin for the way.
     Instant usableUntil;
-    /// Requests that it has carried.
-    unsigned uses = 0;
 };
 
 /// Idle connections to backend servers. Belongs to one traffic thread.
@@ -41,8 +39,6 @@
     void drop(const ServerId &server);
     /// Closes connections that have been idle too long or have ended.
     void sweep(Instant now);
-    /// Idle connections.
-    [[nodiscard]] std::size_t size() const;
 
 private:
     std::unordered_map<ServerId, std::vector<std::unique_ptr<ServerConnection>>> idle_;
--- a/Source/Gateway/ExchangeAttempt.cpp
+++ b/Source/Gateway/ExchangeAttempt.cpp
@@ -150,7 +150,6 @@
     attempt.sent = true;
     attempt.heardAt = now;
     ++sends_;
-    ++attempt.connection->uses;
     record_.noteStarted();
     // The answer may come before the request is written, so both go on side by side.
     http::async_write(attempt.connection->socket, attempt.message,
@@ -305,13 +304,12 @@
             co_return failure(attempt);
         }
     }
+    attempt.reusable = parser.keep_alive() && attempt.written;
     if (!headerDelivered_) {
         // A stream without any event is passed on as it is.
         answer_.emplace(parser.get().base());
-        attempt.reusable = parser.keep_alive() && attempt.written;
         co_return AttemptEnd::Answered;
     }
-    attempt.reusable = parser.keep_alive() && attempt.written;
     if (chunked) {
         const bool written = co_await writeToCaller("0\r\n\r\n");
         if (!written) {
@@ -354,13 +352,11 @@
             = attempt.facts.otherServer ? AttemptVerdict::Unreachable : AttemptVerdict::Rejected;
         ++rejected_;
         break;
-    case AttemptEnd::NotSent:
-        verdict = AttemptVerdict::Unreachable;
-        break;
     case AttemptEnd::Lost:
     case AttemptEnd::Broken:
         verdict = attempt.reused ? AttemptVerdict::Failed : AttemptVerdict::Unreachable;
         break;
+    case AttemptEnd::NotSent:
     case AttemptEnd::TimedOut:
     case AttemptEnd::CallerLeft:
         verdict = AttemptVerdict::Abandoned;
@@ -368,11 +364,10 @@
     }
     if (attempt.sent) {
         noteRun(end);
-    } else {
-        // noteEnd() takes one request off; an attempt that was not sent was never added.
-        state_.pool.noteSent(server, { .service = placing_.service }, 0, now);
+        state_.pool.noteEnd(server, verdict, attempt.firstByte ? 0 : attempt.unreadTokens, now);
+    } else if (end == AttemptEnd::NotSent) {
+        state_.pool.noteUnreachable(server, now);
     }
-    state_.pool.noteEnd(server, verdict, attempt.firstByte ? 0 : attempt.unreadTokens, now);
     const bool otherWeights = end == AttemptEnd::Rejected && !attempt.facts.otherServer
         && attempt.facts.weights.has_value() && attempt.facts.weights != attempt.placement.weights;
     if (!otherWeights) {
--- a/Source/Gateway/Gateway.cpp
+++ b/Source/Gateway/Gateway.cpp
@@ -9,11 +9,8 @@
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
-#include <boost/asio/executor_work_guard.hpp>
 #include <boost/asio/post.hpp>
-#include <boost/asio/redirect_error.hpp>
 #include <boost/asio/steady_timer.hpp>
-#include <boost/asio/use_awaitable.hpp>
 
 #include "Core/Hashing.h"
 #include "Core/Log.h"
@@ -22,6 +19,7 @@
 #include "Gateway/CacheFeed.h"
 #include "Gateway/DigestExchange.h"
 #include "Gateway/Listener.h"
+#include "Gateway/Pause.h"
 #include "Gateway/RolloutDriver.h"
 #include "Gateway/StatusServer.h"
 #include "Gateway/StoreSync.h"
@@ -61,10 +59,6 @@
 /// Time for giving the lease up at the very end: a step of the driver and a call to the store.
 constexpr Duration ReleaseTime = milliseconds(150);
 
-} // namespace
-
-namespace {
-
 /// A server's entry as it was last decoded; entries change one at a time and are many.
 struct DecodedServer
 {
@@ -334,7 +328,6 @@
 {
     Json::Value spec;
     spec[PeerAddressField] = settings.peerAddress;
-    asio::steady_timer pause(controlContext);
     for (;;) {
         const auto reply = co_await store.call(
             platform::createCall(platform::ObjectKind::Nodes, settings.name, spec),
@@ -357,9 +350,7 @@
                 }
             }
         }
-        pause.expires_after(RegisterPause);
-        error_code ignored;
-        co_await pause.async_wait(asio::redirect_error(asio::use_awaitable, ignored));
+        co_await pauseFor(controlContext, RegisterPause);
     }
 }
 
--- a/Source/Gateway/Listener.cpp
+++ b/Source/Gateway/Listener.cpp
@@ -3,11 +3,11 @@
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <boost/asio/redirect_error.hpp>
-#include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
 
 #include "Core/Log.h"
 #include "Gateway/CallerSession.h"
+#include "Gateway/Pause.h"
 #include "Gateway/SocketOptions.h"
 
 namespace jacinthroad {
@@ -49,7 +49,6 @@
 
 asio::awaitable<void> acceptCallers(TrafficState &state, asio::ip::tcp::acceptor &acceptor)
 {
-    asio::steady_timer pause(state.context);
     while (acceptor.is_open()) {
         error_code error;
         asio::ip::tcp::socket socket(state.context);
@@ -59,8 +58,7 @@
         }
         if (error) {
             logLine(LogLevel::Warning, "accept_failed", { { "reason", error.message() } });
-            pause.expires_after(AcceptPause);
-            co_await pause.async_wait(asio::redirect_error(asio::use_awaitable, error));
+            co_await pauseFor(state.context, AcceptPause);
             continue;
         }
         auto session = std::make_shared<CallerSession>(state, std::move(socket));
--- /dev/null
+++ b/Source/Gateway/Pause.cpp
@@ -0,0 +1,20 @@
+#include "Gateway/Pause.h"
+
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/use_awaitable.hpp>
+
+namespace jacinthroad {
+
+namespace asio = boost::asio;
+
+asio::awaitable<void> pauseFor(asio::io_context &context, Duration time)
+{
+    asio::steady_timer timer(context);
+    timer.expires_after(time);
+    // Nobody else knows the timer, so nothing cancels it.
+    boost::system::error_code ignored;
+    co_await timer.async_wait(asio::redirect_error(asio::use_awaitable, ignored));
+}
+
+} // namespace jacinthroad
--- /dev/null
+++ b/Source/Gateway/Pause.h
@@ -0,0 +1,16 @@
+#pragma once
+
+#include <utility>
+
+#include <boost/asio/awaitable.hpp>
+#include <boost/asio/io_context.hpp>
+
+#include "Core/Time.h"
+
+namespace jacinthroad {
+
+/// Lets the calling coroutine go on after `time`.
+[[nodiscard]] boost::asio::awaitable<void> pauseFor(boost::asio::io_context &context,
+                                                    Duration time);
+
+} // namespace jacinthroad
--- a/Source/Gateway/RolloutDriver.cpp
+++ b/Source/Gateway/RolloutDriver.cpp
@@ -4,20 +4,17 @@
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
-#include <boost/asio/redirect_error.hpp>
-#include <boost/asio/steady_timer.hpp>
-#include <boost/asio/use_awaitable.hpp>
 
 #include "Core/Hashing.h"
 #include "Core/Log.h"
 #include "Gateway/BootClock.h"
 #include "Gateway/LeaseObject.h"
+#include "Gateway/Pause.h"
 #include "platform/Orders.h"
 
 namespace jacinthroad {
 
 namespace asio = boost::asio;
-using boost::system::error_code;
 using platform::OrderAnswer;
 using platform::StoreStatus;
 
@@ -164,12 +161,9 @@
 
 asio::awaitable<void> RolloutDriver::run()
 {
-    asio::steady_timer timer(context_);
     for (;;) {
         co_await step();
-        timer.expires_after(wanted_ || held_ ? BusyPeriod : IdlePeriod);
-        error_code ignored;
-        co_await timer.async_wait(asio::redirect_error(asio::use_awaitable, ignored));
+        co_await pauseFor(context_, wanted_ || held_ ? BusyPeriod : IdlePeriod);
     }
 }
 
@@ -340,13 +334,10 @@
 
 asio::awaitable<void> RolloutDriver::awaitLoad(HttpCaller &caller, const RolloutStep &step)
 {
-    asio::steady_timer timer(context_);
     const Instant began = std::chrono::steady_clock::now();
     Duration wait = FirstReport;
     while (std::chrono::steady_clock::now() - began < ReportLimit) {
-        timer.expires_after(wait);
-        error_code ignored;
-        co_await timer.async_wait(asio::redirect_error(asio::use_awaitable, ignored));
+        co_await pauseFor(context_, wait);
         wait = ReportPeriod;
         const auto state = co_await report(caller);
         if (!state.has_value()) {
--- a/Source/Gateway/StoreSync.cpp
+++ b/Source/Gateway/StoreSync.cpp
@@ -3,17 +3,12 @@
 #include <algorithm>
 #include <utility>
 
-#include <boost/asio/redirect_error.hpp>
-#include <boost/asio/steady_timer.hpp>
-#include <boost/asio/use_awaitable.hpp>
-
-#include "Core/Hashing.h"
 #include "Core/Log.h"
+#include "Gateway/Pause.h"
 
 namespace jacinthroad {
 
 namespace asio = boost::asio;
-using boost::system::error_code;
 using platform::StoreStatus;
 
 namespace {
@@ -47,11 +42,11 @@
         if (done) {
             failures_ = 0;
             if (options_.gather > Duration::zero()) {
-                co_await pause(options_.gather);
+                co_await pauseFor(context_, options_.gather);
             }
         } else {
             ++failures_;
-            co_await pause(pauseAfterFailure());
+            co_await pauseFor(context_, pauseAfterFailure());
         }
     }
 }
@@ -139,14 +134,6 @@
     return std::min(wait, LongestPause);
 }
 
-asio::awaitable<void> StoreSync::pause(Duration time)
-{
-    asio::steady_timer timer(context_);
-    timer.expires_after(time);
-    error_code ignored;
-    co_await timer.async_wait(asio::redirect_error(asio::use_awaitable, ignored));
-}
-
 void StoreSync::noteReachable(bool reachable, std::string_view reason)
 {
     if (reachable == reachable_) {
--- a/Source/Gateway/StoreSync.h
+++ b/Source/Gateway/StoreSync.h
@@ -48,7 +48,6 @@
 private:
     [[nodiscard]] boost::asio::awaitable<bool> list();
     [[nodiscard]] boost::asio::awaitable<bool> watch();
-    [[nodiscard]] boost::asio::awaitable<void> pause(Duration time);
     [[nodiscard]] Duration pauseAfterFailure() const;
     void noteReachable(bool reachable, std::string_view reason);
 
--- a/Source/Placement/ServerPool.cpp
+++ b/Source/Placement/ServerPool.cpp
@@ -159,12 +159,6 @@
     return loads;
 }
 
-const BackendServer *ServerPool::find(const ServerId &id) const
-{
-    const auto found = servers_.find(id);
-    return found == servers_.end() ? nullptr : &found->second.facts;
-}
-
 void ServerPool::noteHeard(const ServerId &id, Instant now)
 {
     const auto found = servers_.find(id);
@@ -223,6 +217,19 @@
     Server &server = found->second;
     server.inFlight -= server.inFlight > 0 ? 1 : 0;
     server.unreadTokens -= std::min<std::uint64_t>(server.unreadTokens, unreadTokens);
+    judge(server, verdict, now);
+}
+
+void ServerPool::noteUnreachable(const ServerId &id, Instant now)
+{
+    const auto found = servers_.find(id);
+    if (found != servers_.end()) {
+        judge(found->second, AttemptVerdict::Unreachable, now);
+    }
+}
+
+void ServerPool::judge(Server &server, AttemptVerdict verdict, Instant now)
+{
     switch (verdict) {
     case AttemptVerdict::Served:
         server.failures = 0;
--- a/Source/Placement/ServerPool.h
+++ b/Source/Placement/ServerPool.h
@@ -187,7 +187,10 @@
     /// `weights`: the prompt has been read.
     void noteFirstByte(const ServerId &id, const PlacementRequest &request,
                        std::optional<WeightsVersion> weights, std::uint32_t readTokens);
-    /// Notes the end of an attempt; `firstByteSeen` tells whether noteFirstByte() was called.
+    /// Notes that a server could not be reached, so that nothing was sent to it.
+    void noteUnreachable(const ServerId &id, Instant now);
+    /// Notes the end of a request that was sent; `unreadTokens` are those that noteFirstByte()
+    /// has not taken off.
     void noteEnd(const ServerId &id, AttemptVerdict verdict, std::uint32_t unreadTokens,
                  Instant now);
     /// Notes that something was received from a server.
@@ -202,10 +205,6 @@
     [[nodiscard]] std::vector<ServerLoad> modelLoads() const;
     /// `IP:port` of all engines and cache stores, whose cache tells events.
     [[nodiscard]] std::map<ServerId, std::string> caches() const;
-    /// Servers listed.
-    [[nodiscard]] std::size_t size() const { return servers_.size(); }
-    /// A server as the platform lists it, or null.
-    [[nodiscard]] const BackendServer *find(const ServerId &id) const;
 
 private:
     /// What one peer said of its sends to a server.
@@ -241,7 +240,7 @@
         /// The peer that closed it; empty where this node did.
         std::string closedBy;
         std::unordered_map<std::string, PeerLoad> peers;
-        /// Prefixes sent to it, and read by it, since the last digest to the peers.
+        /// Parts sent to it, and read by it, since the last digest to the peers.
         std::vector<CachedPart> untoldSent;
         std::vector<CachedPart> untoldRead;
         std::vector<std::uint64_t> untoldDropped;
@@ -277,9 +276,18 @@
         bool isStore = false;
     };
 
-    /// For each version of the weights, the open server or store that holds most of the prompt.
-    [[nodiscard]] std::map<WeightsVersion, Holder> holders(const PlacementRequest &request,
-                                                           Instant now) const;
+    /// The shared parts of a prompt under one version of the weights.
+    struct VersionParts
+    {
+        std::vector<CachedPart> parts;
+        /// The open server or store that holds most of them.
+        Holder holder;
+    };
+
+    /// The shared parts under each version that a server of the service runs.
+    [[nodiscard]] std::map<WeightsVersion, VersionParts>
+    versionParts(const PlacementRequest &request, Instant now) const;
+    static void judge(Server &server, AttemptVerdict verdict, Instant now);
     [[nodiscard]] static WeightsVersion weightsOf(const Server &server, const ModelId &model);
     [[nodiscard]] double cost(const Server &server, const PlacementRequest &request,
                               std::uint32_t heldTokens, const Holder *source, Instant now) const;
--- a/Source/Placement/ServerPoolPlacement.cpp
+++ b/Source/Placement/ServerPoolPlacement.cpp
@@ -140,45 +140,44 @@
     return version == server.facts.models.end() ? 0 : version->second;
 }
 
-std::map<WeightsVersion, ServerPool::Holder> ServerPool::holders(const PlacementRequest &request,
-                                                                 Instant now) const
+std::map<WeightsVersion, ServerPool::VersionParts>
+ServerPool::versionParts(const PlacementRequest &request, Instant now) const
 {
-    std::map<WeightsVersion, Holder> holders;
+    std::map<WeightsVersion, VersionParts> versions;
     if (request.parts.empty()) {
-        return holders;
+        return versions;
     }
-    std::map<WeightsVersion, std::vector<CachedPart>> partsOf;
     for (const auto &[id, server] : servers_) {
         if (server.facts.service != request.service) {
             continue;
         }
         const WeightsVersion weights = weightsOf(server, request.model);
-        const auto parts = partsOf.find(weights) != partsOf.end()
-            ? partsOf.find(weights)
-            : partsOf.emplace(weights, cachedParts(weights, request)).first;
-        Holder &holder = holders[weights];
+        const auto [version, added] = versions.try_emplace(weights);
+        if (added) {
+            version->second.parts = cachedParts(weights, request);
+        }
         // A closed server may be loading: what it holds may stem from other weights.
         const bool open
             = server.suspendedUntil <= now && server.closedUntil <= now && !silent(server, now);
         if (!open) {
             continue;
         }
-        const std::uint32_t held = server.held.readTokens(parts->second);
-        if (held > holder.tokens) {
-            holder = { .address = server.facts.address, .tokens = held };
+        const std::uint32_t held = server.held.readTokens(version->second.parts);
+        if (held > version->second.holder.tokens) {
+            version->second.holder = { .address = server.facts.address, .tokens = held };
         }
     }
     const CacheStore *kept = store();
     if (kept == nullptr) {
-        return holders;
+        return versions;
     }
-    for (auto &[weights, holder] : holders) {
-        const std::uint32_t held = kept->held.readTokens(partsOf[weights]);
-        if (held > holder.tokens) {
-            holder = { .address = kept->address, .tokens = held, .isStore = true };
+    for (auto &[weights, version] : versions) {
+        const std::uint32_t held = kept->held.readTokens(version.parts);
+        if (held > version.holder.tokens) {
+            version.holder = { .address = kept->address, .tokens = held, .isStore = true };
         }
     }
-    return holders;
+    return versions;
 }
 
 double ServerPool::cost(const Server &server, const PlacementRequest &request,
@@ -224,7 +223,7 @@
                                                         Instant now) const
 {
     unsigned listed = 0;
-    unsigned candidates = 0;
+    std::vector<const Server *> open;
     const Server *home = nullptr;
     std::uint64_t homeScore = 0;
     const std::uint64_t homeKey
@@ -234,42 +233,41 @@
             continue;
         }
         ++listed;
+        if (!takesWork(server, now) || overdue(server, request.model, now)) {
+            continue;
+        }
+        open.push_back(&server);
         const std::uint64_t score = rendezvousScore(homeKey, server.hash);
-        if (takesWork(server, now) && !overdue(server, request.model, now)
-            && (home == nullptr || score > homeScore)) {
+        if (home == nullptr || score > homeScore) {
             home = &server;
             homeScore = score;
         }
     }
+    unsigned candidates = 0;
     const Server *best = nullptr;
     double bestCost = 0;
     std::uint32_t bestHeld = 0;
     const Holder *bestSource = nullptr;
-    const std::map<WeightsVersion, Holder> sources = holders(request, now);
+    const std::map<WeightsVersion, VersionParts> versions = versionParts(request, now);
     const std::uint32_t shared = sharedTokens(request);
-    for (const auto &[id, server] : servers_) {
-        const bool excluded = server.facts.service != request.service || !takesWork(server, now)
-            || overdue(server, request.model, now)
-            || std::find(request.tried.begin(), request.tried.end(), id) != request.tried.end();
-        if (excluded) {
+    for (const Server *server : open) {
+        if (std::find(request.tried.begin(), request.tried.end(), server->facts.id)
+            != request.tried.end()) {
             continue;
         }
         ++candidates;
         std::uint32_t held = 0;
         const Holder *source = nullptr;
         if (!request.parts.empty()) {
-            const WeightsVersion weights = weightsOf(server, request.model);
-            held = server.held.heldTokens(cachedParts(weights, request));
-            const auto holder = sources.find(weights);
-            if (holder != sources.end() && holder->second.tokens > held) {
-                source = &holder->second;
-            }
+            const VersionParts &version = versions.at(weightsOf(*server, request.model));
+            held = server->held.heldTokens(version.parts);
+            source = version.holder.tokens > held ? &version.holder : nullptr;
         }
         // Where nobody is known to hold the parts, all nodes gather them on one server.
-        const std::uint32_t expectedHeld = &server == home && source == nullptr ? shared : held;
-        const double expected = cost(server, request, expectedHeld, source, now);
+        const std::uint32_t expectedHeld = server == home && source == nullptr ? shared : held;
+        const double expected = cost(*server, request, expectedHeld, source, now);
         if (best == nullptr || expected < bestCost) {
-            best = &server;
+            best = server;
             bestCost = expected;
             bestHeld = held;
             bestSource = source;
@@ -289,8 +287,8 @@
     }
     const CacheStore *kept = store();
     if (kept != nullptr && !request.parts.empty()) {
-        const auto parts = cachedParts(weightsOf(*best, request.model), request);
-        if (worthSaving(*kept, parts, now)) {
+        const VersionParts &version = versions.at(weightsOf(*best, request.model));
+        if (worthSaving(*kept, version.parts, now)) {
             placement.saveTo = kept->address;
         }
     }
