Rollout: Keep in the lease record since when weights are named

Cause: the store keeps no time at which weights were named.

Change: the holder writes the ages that it knows with each renewal, every node reads the lease object once after its start and takes them. The history of named weights is one class that the pool, the digests and the lease use. A first read of the lease that failed is repeated.

EdgeTest plays it with one node and fails without the callback (200 in place of 503).

--- a/Source/Core/Time.h
+++ b/Source/Core/Time.h
@@ -1,6 +1,9 @@
 #pragma once
 
+#include <algorithm>
 #include <chrono>
+#include <cstdint>
+#include <limits>
 
 namespace jacinthroad {
 
@@ -19,6 +22,14 @@
     return std::chrono::duration<double, std::milli>(duration).count();
 }
 
+/// A duration in whole milliseconds, 0 where it is negative.
+[[nodiscard]] inline std::uint32_t wholeMilliseconds(Duration duration)
+{
+    const auto count = std::chrono::duration_cast<milliseconds>(duration).count();
+    return static_cast<std::uint32_t>(
+        std::clamp<std::int64_t>(count, 0, std::numeric_limits<std::uint32_t>::max()));
+}
+
 /// Converts milliseconds, which may have a fraction, to a duration.
 [[nodiscard]] inline Duration fromMilliseconds(double value)
 {
--- a/Source/FleetPeers/NodeDigest.h
+++ b/Source/FleetPeers/NodeDigest.h
@@ -8,6 +8,7 @@
 
 #include "Core/Ids.h"
 #include "Fleet/BackendServer.h"
+#include "Fleet/NamedWeightsHistory.h"
 
 namespace jacinthroad {
 
@@ -44,14 +45,6 @@
     std::vector<std::uint64_t> dropped;
 };
 
-/// How long ago a node first saw weights to be named.
-struct NamedNotice
-{
-    ModelId model;
-    WeightsVersion version = 0;
-    std::uint32_t ageMs = 0;
-};
-
 /// One datagram to the peers.
 struct NodeDigest
 {
--- a/Source/Gateway/Gateway.cpp
+++ b/Source/Gateway/Gateway.cpp
@@ -125,6 +125,11 @@
                      Duration limit) { closeServer(server, model, version, limit); },
               [this](const ServerId &server, const ModelId &model, WeightsVersion version) {
                   openServer(server, model, version);
+              },
+              [this](const std::vector<NamedNotice> &named) {
+                  asio::post(trafficContext, [this, named] {
+                      traffic.pool.applyNamedAges(named, std::chrono::steady_clock::now());
+                  });
               })
         , caches(controlContext, [this](const ServerId &id, const CacheEvents &events) {
             asio::post(trafficContext,
--- a/Source/Gateway/LeaseObject.cpp
+++ b/Source/Gateway/LeaseObject.cpp
@@ -9,9 +9,39 @@
     spec["token"] = Json::UInt64(record.token);
     spec["released"] = record.released;
     spec["renewals"] = Json::UInt64(record.renewals);
+    spec["named"] = Json::Value(Json::arrayValue);
+    for (const NamedNotice &notice : record.named) {
+        Json::Value entry;
+        entry["model"] = notice.model.text();
+        entry["version"] = notice.version;
+        entry["age_ms"] = notice.ageMs;
+        spec["named"].append(std::move(entry));
+    }
     return spec;
 }
 
+namespace {
+
+/// Entries that cannot be read are left out: what they tell is of help and not needed.
+std::vector<NamedNotice> readNamed(const Json::Value &entries)
+{
+    std::vector<NamedNotice> named;
+    if (!entries.isArray()) {
+        return named;
+    }
+    for (const Json::Value &entry : entries) {
+        if (entry.isObject() && entry["model"].isString() && entry["version"].isUInt()
+            && entry["age_ms"].isUInt()) {
+            named.push_back({ .model = ModelId(entry["model"].asString()),
+                              .version = entry["version"].asUInt(),
+                              .ageMs = entry["age_ms"].asUInt() });
+        }
+    }
+    return named;
+}
+
+} // namespace
+
 std::optional<LeaseRecord> readLease(const Json::Value &spec)
 {
     if (!spec.isObject() || !spec["holder"].isString() || !spec["token"].isUInt64()
@@ -21,7 +51,8 @@
     return LeaseRecord { .holder = spec["holder"].asString(),
                          .token = spec["token"].asUInt64(),
                          .released = spec["released"].asBool(),
-                         .renewals = spec["renewals"].asUInt64() };
+                         .renewals = spec["renewals"].asUInt64(),
+                         .named = readNamed(spec["named"]) };
 }
 
 } // namespace jacinthroad
--- a/Source/Gateway/RolloutDriver.cpp
+++ b/Source/Gateway/RolloutDriver.cpp
@@ -83,12 +83,14 @@
 } // namespace
 
 RolloutDriver::RolloutDriver(asio::io_context &context, StoreClient &store, Options options,
-                             CloseServer closeServer, OpenServer openServer)
+                             CloseServer closeServer, OpenServer openServer,
+                             TakeNamedAges takeNamedAges)
     : context_(context)
     , store_(store)
     , options_(std::move(options))
     , closeServer_(std::move(closeServer))
     , openServer_(std::move(openServer))
+    , takeNamedAges_(std::move(takeNamedAges))
     , lease_({ .self = holderName(options_),
                .validity = options_.lease / ValidityPart,
                .handover = options_.lease + HandoverMargin,
@@ -120,6 +122,7 @@
 {
     WeightsVersion &version = named_[named.model];
     version = std::max(version, named.version);
+    history_.take(named, std::chrono::steady_clock::now());
 }
 
 void RolloutDriver::noteServer(const ServerId &id, const ModelId &model, WeightsVersion version)
@@ -181,7 +184,7 @@
     wanted_ = work;
     const bool asks = work && askFrom_ <= now;
     const bool watches = asks && !lease_.wasLastHolder();
-    if (watches || !leaseReadAt_.has_value()) {
+    if (watches || !leaseRead_) {
         co_await readLeaseObject();
     }
     co_await writeLease(asks);
@@ -219,15 +222,25 @@
         co_return;
     }
     if (reply->status == StoreStatus::Missing) {
-        lease_.observe(std::nullopt, 0, bootNow());
+        observe(std::nullopt, 0);
     } else if (reply->status == StoreStatus::Done) {
         const auto object = platform::readObject(reply->body);
         if (object.has_value()) {
-            lease_.observe(readLease(object->spec), object->revision, bootNow());
+            observe(readLease(object->spec), object->revision);
         }
     }
 }
 
+void RolloutDriver::observe(const std::optional<LeaseRecord> &record, std::uint64_t revision)
+{
+    leaseRead_ = true;
+    lease_.observe(record, revision, bootNow());
+    if (record.has_value() && !record->named.empty()) {
+        history_.takeAges(record->named, std::chrono::steady_clock::now());
+        takeNamedAges_(record->named);
+    }
+}
+
 asio::awaitable<void> RolloutDriver::writeLease(bool wanted)
 {
     const auto write = lease_.next(wanted, bootNow());
@@ -238,10 +251,12 @@
     LeaseRecord record;
     if (const auto *create = std::get_if<CreateLease>(&*write)) {
         record = create->record;
+        record.named = history_.ages(std::chrono::steady_clock::now());
         call = platform::createCall(platform::ObjectKind::Leases, LeaseName, leaseSpec(record));
     } else {
         const auto &replace = std::get<ReplaceLease>(*write);
         record = replace.record;
+        record.named = history_.ages(std::chrono::steady_clock::now());
         call = platform::replaceCall(platform::ObjectKind::Leases, LeaseName, replace.revision,
                                      leaseSpec(record));
     }
@@ -257,7 +272,7 @@
     if (reply->status == StoreStatus::Done) {
         lease_.written(record, object->revision, reply->sentAt);
     } else {
-        lease_.observe(readLease(object->spec), object->revision, bootNow());
+        observe(readLease(object->spec), object->revision);
     }
 }
 
--- a/Source/Gateway/RolloutDriver.h
+++ b/Source/Gateway/RolloutDriver.h
@@ -14,6 +14,7 @@
 #include <boost/asio/io_context.hpp>
 
 #include "Fleet/BackendServer.h"
+#include "Fleet/NamedWeightsHistory.h"
 #include "Gateway/HttpCaller.h"
 #include "Gateway/StoreClient.h"
 #include "Rollout/LeaseKeeper.h"
@@ -42,8 +43,11 @@
     /// Called when a server has been seen to run a version.
     using OpenServer = std::function<void(const ServerId &, const ModelId &, WeightsVersion)>;
 
+    /// Called with what the lease record tells of when weights were named.
+    using TakeNamedAges = std::function<void(const std::vector<NamedNotice> &)>;
+
     RolloutDriver(boost::asio::io_context &context, StoreClient &store, Options options,
-                  CloseServer closeServer, OpenServer openServer);
+                  CloseServer closeServer, OpenServer openServer, TakeNamedAges takeNamedAges);
 
     /// Works until the context stops.
     [[nodiscard]] boost::asio::awaitable<void> run();
@@ -64,6 +68,7 @@
 private:
     [[nodiscard]] boost::asio::awaitable<void> step();
     [[nodiscard]] boost::asio::awaitable<void> readLeaseObject();
+    void observe(const std::optional<LeaseRecord> &record, std::uint64_t revision);
     [[nodiscard]] boost::asio::awaitable<void> writeLease(bool wanted);
     [[nodiscard]] boost::asio::awaitable<void> order(RolloutStep step);
     [[nodiscard]] boost::asio::awaitable<OrderOutcome>
@@ -80,19 +85,22 @@
     Options options_;
     CloseServer closeServer_;
     OpenServer openServer_;
+    TakeNamedAges takeNamedAges_;
     LeaseKeeper lease_;
     RolloutPlanner planner_;
     std::map<ServerId, BackendServer> servers_;
     std::map<ServerId, std::map<ModelId, WeightsVersion>> seen_;
     std::map<ServerId, unsigned> inFlight_;
     std::map<ModelId, WeightsVersion> named_;
+    NamedWeightsHistory history_;
     bool held_ = false;
     bool stopping_ = false;
     bool finished_ = false;
     /// From when on this node asks for the lease; nodes ask at different times.
     BootInstant askFrom_;
     bool wanted_ = false;
-    /// When the lease object was last asked for.
+    /// Whether the lease object has been read, and when it was last asked for.
+    bool leaseRead_ = false;
     std::optional<BootInstant> leaseReadAt_;
 };
 
--- a/Source/Placement/ServerPool.cpp
+++ b/Source/Placement/ServerPool.cpp
@@ -88,7 +88,7 @@
 
 void ServerPool::applyNamedWeights(const NamedWeights &named, Instant now)
 {
-    named_[named.model].emplace(named.version, now);
+    named_.take(named, now);
 }
 
 void ServerPool::noteWeights(const ServerId &id, const ModelId &model, WeightsVersion version)
--- a/Source/Placement/ServerPool.h
+++ b/Source/Placement/ServerPool.h
@@ -13,6 +13,7 @@
 #include "Fleet/BackendServer.h"
 #include "Fleet/CallerRequest.h"
 #include "Fleet/FleetConfiguration.h"
+#include "Fleet/NamedWeightsHistory.h"
 #include "FleetPeers/NodeDigest.h"
 #include "Placement/HeldParts.h"
 
@@ -309,8 +310,7 @@
     std::unordered_map<ServerId, Server> servers_;
     /// By the name of the service.
     std::map<ServerId, CacheStore> stores_;
-    /// When each version of a model's weights was first seen to be named.
-    std::unordered_map<ModelId, std::map<WeightsVersion, Instant>> named_;
+    NamedWeightsHistory named_;
 };
 
 } // namespace jacinthroad
--- a/Source/Placement/ServerPoolPeers.cpp
+++ b/Source/Placement/ServerPoolPeers.cpp
@@ -6,15 +6,6 @@
 
 namespace {
 
-/// Versions of a model whose age peers are told: as many as may be named within the bound.
-constexpr unsigned MostNamedTold = 4;
-
-std::uint32_t wholeMilliseconds(Duration duration)
-{
-    const auto count = std::chrono::duration_cast<milliseconds>(duration).count();
-    return static_cast<std::uint32_t>(std::max<std::int64_t>(0, count));
-}
-
 void applyParts(HeldParts &held, const ServerNotice &notice)
 {
     held.noteSent(notice.sent);
@@ -39,26 +30,12 @@
 
 void ServerPool::applyNamedAges(std::span<const NamedNotice> named, Instant now)
 {
-    for (const NamedNotice &notice : named) {
-        const Instant seen = now - milliseconds(notice.ageMs);
-        Instant &known = named_[notice.model].emplace(notice.version, seen).first->second;
-        known = std::min(known, seen);
-    }
+    named_.takeAges(named, now);
 }
 
 std::vector<NamedNotice> ServerPool::namedAges(Instant now) const
 {
-    std::vector<NamedNotice> ages;
-    for (const auto &[model, versions] : named_) {
-        unsigned told = 0;
-        for (auto version = versions.rbegin(); version != versions.rend() && told < MostNamedTold;
-             ++version, ++told) {
-            ages.push_back({ .model = model,
-                             .version = version->first,
-                             .ageMs = wholeMilliseconds(now - version->second) });
-        }
-    }
-    return ages;
+    return named_.ages(now);
 }
 
 void ServerPool::applyPeer(const std::string &peer, std::span<const ServerNotice> notices,
--- a/Source/Placement/ServerPoolPlacement.cpp
+++ b/Source/Placement/ServerPoolPlacement.cpp
@@ -33,19 +33,13 @@
 
 bool ServerPool::replaced(const Server &server, const ModelId &model) const
 {
-    const auto versions = named_.find(model);
-    return versions != named_.end() && !versions->second.empty()
-        && versions->second.rbegin()->first > weightsOf(server, model);
+    return named_.replaced(model, weightsOf(server, model));
 }
 
 bool ServerPool::overdue(const Server &server, const ModelId &model, Instant now) const
 {
-    const auto versions = named_.find(model);
-    if (versions == named_.end()) {
-        return false;
-    }
-    const auto newer = versions->second.upper_bound(weightsOf(server, model));
-    return newer != versions->second.end() && now - newer->second >= options_.weightsOverdue;
+    const auto since = named_.replacedSince(model, weightsOf(server, model));
+    return since.has_value() && now - *since >= options_.weightsOverdue;
 }
 
 bool ServerPool::silent(const Server &server, Instant now) const
--- a/Source/Rollout/LeaseKeeper.h
+++ b/Source/Rollout/LeaseKeeper.h
@@ -4,8 +4,10 @@
 #include <optional>
 #include <string>
 #include <variant>
+#include <vector>
 
 #include "Fleet/Freshness.h"
+#include "Fleet/NamedWeightsHistory.h"
 
 namespace jacinthroad {
 
@@ -21,6 +23,9 @@
     /// Rises with each write: the store gives a write that changes nothing no new revision, and
     /// others would see nothing of it.
     std::uint64_t renewals = 0;
+    /// How long before this write the holder saw weights to be named; a node that starts when all
+    /// others do learns it from here alone.
+    std::vector<NamedNotice> named {};
 
     friend bool operator==(const LeaseRecord &, const LeaseRecord &) = default;
 };
--- a/Tests/Gateway/EdgeTest.cpp
+++ b/Tests/Gateway/EdgeTest.cpp
@@ -594,6 +594,35 @@
     BOOST_TEST(lease["token"].asInt() == 1);
 }
 
+BOOST_AUTO_TEST_CASE(overdueWeightsStayOverdueWhenAllNodesStartAgain)
+{
+    GatewayBench bench;
+    bench.settings.weightsBound = milliseconds(4500);
+    bench.addServer("e1", "engines",
+                    [](ScriptedConnection &connection, const SeenRequest &request) {
+                        // It takes no order, so its weights stay old.
+                        connection.write(request.target().starts_with("/-/")
+                                             ? answerText(503, "", "")
+                                             : streamHead(request) + chunk(event(1)) + "0\r\n\r\n");
+                        return true;
+                    });
+    bench.configure(1, { "k1" });
+    bench.start();
+    BOOST_TEST(bench.call("POST", "/stream/a", "prompt", KeyHeader + "X-Model: m\r\n")->result_int()
+               == 200U);
+    Json::Value named;
+    named["model"] = "m";
+    named["version"] = 2;
+    bench.store.put("versions", "m", named);
+    std::this_thread::sleep_for(milliseconds(4000));
+    bench.gateway.reset();
+    bench.start();
+    // The lease record tells the new process; the first read of it may still be on its way.
+    std::this_thread::sleep_for(milliseconds(800));
+    BOOST_TEST(bench.call("POST", "/stream/b", "prompt", KeyHeader + "X-Model: m\r\n")->result_int()
+               == 503U);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace jacinthroad
