Placement: Refuse requests that would wait too long behind others

Cause: nothing limited an engine's queue.

Change: QueueLimit, a pure class, compares the expected wait on the best server with the route's objective and refuses at once as not run, with a Retry-After that is spread. Placing tells wait and reading apart.

--- a/Source/Gateway/Exchange.cpp
+++ b/Source/Gateway/Exchange.cpp
@@ -161,7 +161,12 @@
                                                                         : ErrorKind::BackendFailed,
                                       none->retryAfter);
         }
-        const AttemptEnd end = co_await attempt(std::get<Placement>(chosen));
+        const Placement &placement = std::get<Placement>(chosen);
+        if (const auto stayAway = queueFull(placement)) {
+            placement_ = placement;
+            co_return co_await refuse(ErrorKind::Overloaded, *stayAway);
+        }
+        const AttemptEnd end = co_await attempt(placement);
         state_.metrics.countAttempt(std::string(endName(static_cast<int>(end))));
         if (end == AttemptEnd::Delivered) {
             co_return ExchangeEnd { .outcome = "streamed",
@@ -193,6 +198,26 @@
     }
 }
 
+std::optional<Duration> Exchange::queueFull(const Placement &placement) const
+{
+    // Of a request that may have run, "not run" could not be said.
+    if (placing_.model.empty() || record_.verdict() != NotRun::True) {
+        return std::nullopt;
+    }
+    return state_.queueLimit.refuse({ .wait = placement.wait,
+                                      .reading = placement.reading,
+                                      .objective = route_->objective,
+                                      .mostUrgent = urgency() == MostUrgent,
+                                      .seed = hash64(facts_.id.text()) });
+}
+
+int Exchange::urgency() const
+{
+    const int priority
+        = team_ != nullptr ? team_->priority.value_or(route_->priority) : route_->priority;
+    return std::clamp(priority, MostUrgent, LeastUrgent);
+}
+
 bool Exchange::mayTryAgain(AttemptEnd end, Instant now)
 {
     if (timeLeft(now) < LeastUsefulTime) {
@@ -224,9 +249,7 @@
                                    .weights = placement.weights };
     if (!facts_.model.empty()) {
         facts.cacheSalt = cacheSalt(placement.weights.value_or(0), placing_.wall);
-        const int priority
-            = team_ != nullptr ? team_->priority.value_or(route_->priority) : route_->priority;
-        facts.urgency = std::clamp(priority, MostUrgent, LeastUrgent);
+        facts.urgency = urgency();
     }
     facts.fetchFrom = placement.fetchFrom;
     facts.saveTo = placement.saveTo;
@@ -299,6 +322,7 @@
           { "server", tried_.empty() ? std::string_view() : tried_.back().text() },
           { "candidates", std::int64_t { placement_.candidates } },
           { "predicted_ms", placement_.cost },
+          { "wait_ms", toMilliseconds(placement_.wait) },
           { "prompt_tokens", std::int64_t { placing_.promptTokens } },
           { "shared_part", sharedPart },
           { "team", team_ != nullptr ? std::string_view(team_->name.text()) : std::string_view() },
--- a/Source/Gateway/Exchange.h
+++ b/Source/Gateway/Exchange.h
@@ -89,6 +89,11 @@
     void watchSilence(const std::shared_ptr<Attempt> &attempt);
     static void abortAt(const std::shared_ptr<Attempt> &attempt, Instant moment);
     [[nodiscard]] AttemptEnd failure(const Attempt &attempt) const;
+    /// How long the caller should stay away where the queue is too long; nothing where the request
+    /// is to be sent.
+    [[nodiscard]] std::optional<Duration> queueFull(const Placement &placement) const;
+    /// The priority that engines are told, 0 first.
+    [[nodiscard]] int urgency() const;
     [[nodiscard]] bool mayTryAgain(AttemptEnd end, Instant now);
     [[nodiscard]] boost::asio::awaitable<ExchangeEnd> deliver();
     [[nodiscard]] boost::asio::awaitable<ExchangeEnd> refuse(ErrorKind kind, Duration retryAfter);
--- a/Source/Gateway/TrafficState.h
+++ b/Source/Gateway/TrafficState.h
@@ -15,6 +15,7 @@
 #include "Gateway/GatewayMetrics.h"
 #include "Gateway/GatewaySettings.h"
 #include "Placement/AttemptBudget.h"
+#include "Placement/QueueLimit.h"
 #include "Placement/ServerPool.h"
 
 namespace jacinthroad {
@@ -46,6 +47,7 @@
     ServerPool pool;
     ConnectionPool connections;
     AttemptBudget repeats;
+    QueueLimit queueLimit { {} };
 
     /// True once the list of servers has been read.
     bool serversKnown = false;
--- /dev/null
+++ b/Source/Placement/QueueLimit.cpp
@@ -0,0 +1,28 @@
+#include "Placement/QueueLimit.h"
+
+#include <algorithm>
+
+#include "Core/Hashing.h"
+
+namespace jacinthroad {
+
+std::optional<Duration> QueueLimit::refuse(const Arrival &arrival) const
+{
+    const double share = arrival.mostUrgent ? options_.urgentShare : options_.share;
+    const double objective = toMilliseconds(arrival.objective);
+    const double limit = std::max(
+        share * objective, options_.wholeShare * objective - toMilliseconds(arrival.reading));
+    const double wait = toMilliseconds(arrival.wait);
+    if (wait <= limit) {
+        return std::nullopt;
+    }
+    // The queue is at its limit at least until what is ahead has been read; the return is spread
+    // over as much time again.
+    constexpr double Steps = 1024;
+    const double spread
+        = static_cast<double>(mix64(arrival.seed, 0) % std::uint64_t(Steps)) / Steps;
+    return std::clamp(fromMilliseconds(wait * (1 + spread)), options_.leastReturn,
+                      options_.mostReturn);
+}
+
+} // namespace jacinthroad
--- a/Source/Placement/ServerPool.h
+++ b/Source/Placement/ServerPool.h
@@ -53,6 +53,10 @@
     /// The figure by which it was chosen: milliseconds expected until the first byte, with the
     /// price of reading parts again.
     double cost = 0;
+    /// The part of it that the request waits behind others before its prompt is read.
+    Duration wait {};
+    /// The part of it in which its own prompt is read.
+    Duration reading {};
     /// Servers that could have taken the request.
     unsigned candidates = 0;
 };
@@ -290,8 +294,19 @@
     versionParts(const PlacementRequest &request, Instant now) const;
     static void judge(Server &server, AttemptVerdict verdict, Instant now);
     [[nodiscard]] static WeightsVersion weightsOf(const Server &server, const ModelId &model);
-    [[nodiscard]] double cost(const Server &server, const PlacementRequest &request,
-                              std::uint32_t heldTokens, const Holder *source, Instant now) const;
+    /// What a request is expected to take on one server, in milliseconds.
+    struct Cost
+    {
+        /// Until its prompt is read, or its work begun.
+        double wait = 0;
+        /// For reading its own prompt.
+        double reading = 0;
+        /// Until the first byte, with the price of reading parts again.
+        double total = 0;
+    };
+
+    [[nodiscard]] Cost cost(const Server &server, const PlacementRequest &request,
+                            std::uint32_t heldTokens, const Holder *source, Instant now) const;
     /// The shared parts as a server with `weights` caches them.
     [[nodiscard]] static std::vector<CachedPart> cachedParts(WeightsVersion weights,
                                                              const PlacementRequest &request);
--- a/Source/Placement/ServerPoolPlacement.cpp
+++ b/Source/Placement/ServerPoolPlacement.cpp
@@ -174,8 +174,8 @@
     return versions;
 }
 
-double ServerPool::cost(const Server &server, const PlacementRequest &request,
-                        std::uint32_t heldTokens, const Holder *source, Instant now) const
+ServerPool::Cost ServerPool::cost(const Server &server, const PlacementRequest &request,
+                                  std::uint32_t heldTokens, const Holder *source, Instant now) const
 {
     const double reported = server.load.running + server.load.waiting;
     double others = 0;
@@ -189,10 +189,13 @@
     const double load = server.inFlight + others;
     const double pace = 1 + decayed(std::max(0.0, server.load.pace - 1), now - server.loadAt);
     double expected = server.facts.zone == options_.zone ? 0 : options_.otherZoneMs;
+    double wait = 0;
+    double reading = 0;
     if (request.model.empty()) {
         const double slots = std::max(1U, server.facts.slots);
         const double queued = std::max(0.0, load + 1 - slots) / slots;
-        expected += pace * options_.serviceWorkMs * (1 + queued + 0.25 * load / slots);
+        wait = pace * options_.serviceWorkMs * queued;
+        expected += wait + pace * options_.serviceWorkMs * (1 + 0.25 * load / slots);
     } else {
         const std::uint32_t found = source == nullptr ? heldTokens : source->tokens;
         const std::uint32_t unread = request.promptTokens - std::min(request.promptTokens, found);
@@ -204,13 +207,14 @@
             expected += options_.fetchMs + perThousand * (found - heldTokens) / 1000;
         }
         const double ahead = static_cast<double>(server.unreadTokens) + unreadByOthers;
-        expected += pace
-                * (ahead * options_.aheadTokenMs + unread * options_.ownTokenMs
-                   + load * options_.engineLoadMs)
-            + options_.rereadWeight * reread * options_.ownTokenMs
+        wait = pace * (ahead * options_.aheadTokenMs + load * options_.engineLoadMs);
+        reading = pace * unread * options_.ownTokenMs;
+        expected += wait + reading + options_.rereadWeight * reread * options_.ownTokenMs
             + (replaced(server, request.model) ? options_.oldWeightsMs : 0);
     }
-    return expected + toMilliseconds(server.facts.coldLeft) / 10;
+    return { .wait = wait,
+             .reading = reading,
+             .total = expected + toMilliseconds(server.facts.coldLeft) / 10 };
 }
 
 std::variant<Placement, NoPlacement> ServerPool::choose(const PlacementRequest &request,
@@ -239,7 +243,7 @@
     }
     unsigned candidates = 0;
     const Server *best = nullptr;
-    double bestCost = 0;
+    Cost bestCost;
     std::uint32_t bestHeld = 0;
     const Holder *bestSource = nullptr;
     const std::map<WeightsVersion, VersionParts> versions = versionParts(request, now);
@@ -259,8 +263,8 @@
         }
         // Where nobody is known to hold the parts, all nodes gather them on one server.
         const std::uint32_t expectedHeld = server == home && source == nullptr ? shared : held;
-        const double expected = cost(*server, request, expectedHeld, source, now);
-        if (best == nullptr || expected < bestCost) {
+        const Cost expected = cost(*server, request, expectedHeld, source, now);
+        if (best == nullptr || expected.total < bestCost.total) {
             best = server;
             bestCost = expected;
             bestHeld = held;
@@ -273,7 +277,9 @@
     Placement placement { .server = best->facts.id,
                           .address = best->facts.address,
                           .heldTokens = bestHeld,
-                          .cost = bestCost,
+                          .cost = bestCost.total,
+                          .wait = fromMilliseconds(bestCost.wait),
+                          .reading = fromMilliseconds(bestCost.reading),
                           .candidates = candidates };
     if (bestSource != nullptr) {
         placement.fetchedTokens = bestSource->tokens;
--- a/Tests/Gateway/EdgeTest.cpp
+++ b/Tests/Gateway/EdgeTest.cpp
@@ -623,6 +623,37 @@
                == 503U);
 }
 
+BOOST_AUTO_TEST_CASE(aFullQueueIsAnsweredAtOnceWithATimeToReturn)
+{
+    GatewayBench bench;
+    std::atomic<bool> begun { false };
+    bench.addServer("e1", "engines", [&](ScriptedConnection &connection, const SeenRequest &) {
+        begun = true;
+        static_cast<void>(connection.waitForClose(milliseconds(3000)));
+        return false;
+    });
+    bench.configure(1, { "k1" });
+    bench.start();
+    auto reading = bench.connect();
+    boost::asio::write(reading,
+                       boost::asio::buffer(requestText(
+                           "POST /stream/a",
+                           "X-Request-Id: r1\r\nX-Model: m\r\nX-Token-Counts: 40000,10\r\n"
+                           "Content-Length: 0\r\n")));
+    while (!begun) {
+        std::this_thread::sleep_for(milliseconds(2));
+    }
+    const auto began = std::chrono::steady_clock::now();
+    const auto answer = bench.call("POST", "/stream/b", "prompt",
+                                   KeyHeader + "X-Model: m\r\nX-Token-Counts: 100,10\r\n");
+    BOOST_REQUIRE(answer != nullptr);
+    BOOST_TEST(answer->result_int() == 503U);
+    BOOST_TEST(!(*answer)["Retry-After"].empty());
+    BOOST_TEST(answer->body().find("overloaded") != std::string::npos);
+    BOOST_TEST(toMilliseconds(std::chrono::steady_clock::now() - began) <= 200);
+    BOOST_TEST(bench.seen("e1").size() == 1U);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace jacinthroad
