Rollout: Keep servers open while an order has no answer

Cause: on all-nodes-start-again most orders get no answer and are carried out 2 to 12 s later.

Change: a server whose order got no answer opens at once; the holder asks it every 0.4 s for 12 s and closes it when it says that it is busy. A busy server counts as loading, and one that stops without the weights is opened and paused. Ruled out: not ordering again; the second order is usually answered and the server's counter keeps the late one out.

--- a/Source/Gateway/RolloutDriver.cpp
+++ b/Source/Gateway/RolloutDriver.cpp
@@ -45,6 +45,10 @@
 constexpr Duration FirstReport = milliseconds(1200);
 constexpr Duration ReportPeriod = milliseconds(150);
 constexpr Duration ReportLimit = std::chrono::seconds(7);
+/// An order that got no answer may be carried out this much later (the platform's list of troubles
+/// says 12 s); its server is asked this often whether it has begun.
+constexpr Duration UnansweredLimit = std::chrono::seconds(12);
+constexpr Duration UnansweredPeriod = milliseconds(400);
 
 std::string holderName(const RolloutDriver::Options &options)
 {
@@ -115,6 +119,7 @@
     }
     std::erase_if(seen_, [&](const auto &entry) { return !listed.contains(entry.first); });
     std::erase_if(inFlight_, [&](const auto &entry) { return !listed.contains(entry.first); });
+    std::erase_if(orders_, [&](const auto &entry) { return !listed.contains(entry.first); });
     servers_ = std::move(listed);
 }
 
@@ -293,6 +298,7 @@
     }
     closeServer_(step.server, step.model, step.version, CloseLimit);
     HttpCaller caller(context_, server->second.address);
+    const unsigned number = ++orders_[step.server];
     OrderOutcome outcome = OrderOutcome::Unknown;
     const auto state = co_await report(caller);
     if (state.has_value()) {
@@ -301,8 +307,11 @@
     planner_.noteOrder(step.server, outcome, std::chrono::steady_clock::now());
     if (outcome == OrderOutcome::Accepted) {
         co_await awaitLoad(caller, step);
-    } else if (outcome != OrderOutcome::Unknown) {
-        closeServer_(step.server, step.model, step.version, Duration::zero());
+        co_return;
+    }
+    closeServer_(step.server, step.model, step.version, Duration::zero());
+    if (outcome == OrderOutcome::Unknown) {
+        co_await awaitLateStart(caller, step, number);
     }
 }
 
@@ -316,7 +325,11 @@
             co_return OrderOutcome::AlreadyHolds;
         }
     }
-    if (state.busy || !lease_.holds(bootNow() + orderMargin())) {
+    if (state.busy) {
+        // It carries out an order that got no answer, or another holder's.
+        co_return OrderOutcome::Accepted;
+    }
+    if (!lease_.holds(bootNow() + orderMargin())) {
         co_return OrderOutcome::Refused;
     }
     const platform::LoadOrder order { .server = step.server,
@@ -368,6 +381,45 @@
                       { "after_ms", toMilliseconds(std::chrono::steady_clock::now() - began) } });
             co_return;
         }
+        if (!state->busy) {
+            // It has started again with its old weights, or has loaded others.
+            planner_.noteOrder(step.server, OrderOutcome::Refused,
+                               std::chrono::steady_clock::now());
+            closeServer_(step.server, step.model, step.version, Duration::zero());
+            co_return;
+        }
+    }
+}
+
+asio::awaitable<void> RolloutDriver::awaitLateStart(HttpCaller &caller, const RolloutStep &step,
+                                                    unsigned number)
+{
+    const Instant began = std::chrono::steady_clock::now();
+    while (std::chrono::steady_clock::now() - began < UnansweredLimit) {
+        co_await pauseFor(context_, UnansweredPeriod);
+        const auto state = co_await report(caller);
+        if (orders_[step.server] != number) {
+            co_return;
+        }
+        if (!state.has_value()) {
+            continue;
+        }
+        const auto loaded = state->models.find(step.model);
+        if (loaded != state->models.end() && loaded->second >= step.version) {
+            noteServer(step.server, step.model, loaded->second);
+            openServer_(step.server, step.model, loaded->second);
+            co_return;
+        }
+        if (state->busy) {
+            logLine(LogLevel::Info, "late_load",
+                    { { "server", step.server.text() },
+                      { "after_ms", toMilliseconds(std::chrono::steady_clock::now() - began) } });
+            planner_.noteOrder(step.server, OrderOutcome::Accepted,
+                               std::chrono::steady_clock::now());
+            closeServer_(step.server, step.model, step.version, CloseLimit);
+            co_await awaitLoad(caller, step);
+            co_return;
+        }
     }
 }
 
--- a/Source/Gateway/RolloutDriver.h
+++ b/Source/Gateway/RolloutDriver.h
@@ -75,6 +75,10 @@
     give(HttpCaller &caller, const RolloutStep &step, platform::ServerReport state);
     [[nodiscard]] boost::asio::awaitable<void> awaitLoad(HttpCaller &caller,
                                                          const RolloutStep &step);
+    /// Watches a server whose order got no answer until it begins, another is given or the time in
+    /// which it may begin is over.
+    [[nodiscard]] boost::asio::awaitable<void>
+    awaitLateStart(HttpCaller &caller, const RolloutStep &step, unsigned number);
     [[nodiscard]] static boost::asio::awaitable<Result<platform::ServerReport>>
     report(HttpCaller &caller);
     [[nodiscard]] std::vector<RolloutServer> view() const;
@@ -91,6 +95,8 @@
     std::map<ServerId, BackendServer> servers_;
     std::map<ServerId, std::map<ModelId, WeightsVersion>> seen_;
     std::map<ServerId, unsigned> inFlight_;
+    /// Orders given to each server by this node.
+    std::map<ServerId, unsigned> orders_;
     std::map<ModelId, WeightsVersion> named_;
     NamedWeightsHistory history_;
     bool held_ = false;
--- a/Tests/Gateway/EdgeTest.cpp
+++ b/Tests/Gateway/EdgeTest.cpp
@@ -594,6 +594,54 @@
     BOOST_TEST(lease["token"].asInt() == 1);
 }
 
+BOOST_AUTO_TEST_CASE(aServerWhoseOrderGotNoAnswerServesUntilItBeginsLate)
+{
+    GatewayBench bench;
+    std::atomic<int> version { 1 };
+    std::atomic<bool> busy { false };
+    std::atomic<bool> ordered { false };
+    bench.addServer(
+        "e1", "engines", [&](ScriptedConnection &connection, const SeenRequest &request) {
+            if (request.target() == "/-/report") {
+                connection.write(answerText(200, "",
+                                            R"({"stage":"both","models":[{"name":"m","version":)"
+                                                + std::to_string(version) + R"(}],"busy":)"
+                                                + (busy ? "true" : "false") + R"(,"seq":0})"));
+            } else if (request.target() == "/-/order") {
+                ordered = true;
+                return !connection.waitForClose(milliseconds(3000));
+            } else if (!request.target().starts_with("/-/")) {
+                connection.write(streamHead(request) + chunk(event(1)) + "0\r\n\r\n");
+            } else {
+                connection.write(answerText(404, "", ""));
+            }
+            return true;
+        });
+    bench.configure(1, { "k1" });
+    bench.start();
+    Json::Value named;
+    named["model"] = "m";
+    named["version"] = 2;
+    bench.store.put("versions", "m", named);
+    const auto call = [&] {
+        return bench.call("POST", "/stream/a", "prompt", KeyHeader + "X-Model: m\r\n")
+            ->result_int();
+    };
+    for (int tries = 0; tries < 200 && !ordered; ++tries) {
+        std::this_thread::sleep_for(milliseconds(20));
+    }
+    // The order is given up after 0.7 s, and given again 1.3 s later at the soonest.
+    std::this_thread::sleep_for(milliseconds(1200));
+    BOOST_TEST(call() == 200U);
+    busy = true;
+    std::this_thread::sleep_for(milliseconds(1200));
+    BOOST_TEST(call() == 503U);
+    version = 2;
+    busy = false;
+    std::this_thread::sleep_for(milliseconds(1600));
+    BOOST_TEST(call() == 200U);
+}
+
 BOOST_AUTO_TEST_CASE(overdueWeightsStayOverdueWhenAllNodesStartAgain)
 {
     GatewayBench bench;
