Gateway: Let peers prove a node's configuration to be current

Cause: a node that only the store turns away refused requests with keys after 0.8 of the revocation bound, though its peers read the same version all the while. Digests told version and age, but an age in a datagram that waited in a suspended VM's queue proves nothing, so nobody read it.

Change: digests repeat the sequence number of the last digest heard from a node whose configuration is older than 1.5 s. That node knows when it sent it, so the peer's age counts from there. FreshnessExchange is pure.

--- /dev/null
+++ b/Source/FleetPeers/FreshnessExchange.cpp
@@ -0,0 +1,71 @@
+#include "FleetPeers/FreshnessExchange.h"
+
+#include <algorithm>
+
+namespace jacinthroad {
+
+namespace {
+
+/// Age from which a configuration counts as old: above the longest wait of the store's watch, at
+/// whose end every node in touch with the store knows better.
+constexpr std::uint32_t OldAgeMs = 1500;
+/// Digests whose sending times are kept: some seconds of them, also when each send makes one.
+constexpr std::size_t MostSent = 2000;
+/// Echoes in one digest; keeps it near the size of one packet.
+constexpr std::size_t MostEchoes = 16;
+
+} // namespace
+
+FreshnessExchange::FreshnessExchange(Options options)
+    : options_(std::move(options))
+{ }
+
+void FreshnessExchange::noteSent(std::uint64_t sequence, BootInstant now)
+{
+    sent_.emplace_back(sequence, now);
+    if (sent_.size() > MostSent) {
+        sent_.pop_front();
+    }
+}
+
+void FreshnessExchange::noteHeard(const NodeDigest &digest)
+{
+    if (digest.configurationAgeMs >= OldAgeMs && digest.configurationAgeMs != UnknownAgeMs) {
+        asked_[digest.node] = { digest.boot, digest.sequence };
+    }
+}
+
+std::vector<DigestEcho> FreshnessExchange::takeEchoes()
+{
+    std::vector<DigestEcho> echoes;
+    while (!asked_.empty() && echoes.size() < MostEchoes) {
+        const auto first = asked_.begin();
+        echoes.push_back({ .node = first->first,
+                           .boot = first->second.first,
+                           .sequence = first->second.second });
+        asked_.erase(first);
+    }
+    return echoes;
+}
+
+std::optional<BootInstant> FreshnessExchange::confirmedBy(const NodeDigest &digest,
+                                                          std::uint64_t version) const
+{
+    if (digest.configurationVersion != version || digest.configurationAgeMs == UnknownAgeMs) {
+        return std::nullopt;
+    }
+    for (const DigestEcho &echo : digest.echoes) {
+        if (echo.node != options_.self || echo.boot != options_.boot) {
+            continue;
+        }
+        const auto sent = std::lower_bound(
+            sent_.begin(), sent_.end(), echo.sequence,
+            [](const auto &entry, std::uint64_t sequence) { return entry.first < sequence; });
+        if (sent != sent_.end() && sent->first == echo.sequence) {
+            return sent->second - milliseconds(digest.configurationAgeMs);
+        }
+    }
+    return std::nullopt;
+}
+
+} // namespace jacinthroad
--- a/Source/FleetPeers/NodeDigest.cpp
+++ b/Source/FleetPeers/NodeDigest.cpp
@@ -9,8 +9,9 @@
 namespace {
 
 /// First element of every digest; another version is ignored.
-constexpr std::uint32_t FormatVersion = 1;
-constexpr std::uint32_t DigestFields = 8;
+constexpr std::uint32_t FormatVersion = 2;
+constexpr std::uint32_t DigestFields = 9;
+constexpr std::uint32_t EchoFields = 3;
 constexpr std::uint32_t NamedFields = 3;
 constexpr std::uint32_t NoticeFields = 11;
 
@@ -75,6 +76,17 @@
              .ageMs = field[2].as<std::uint32_t>() };
 }
 
+DigestEcho readEcho(const msgpack::object &object)
+{
+    if (object.type != msgpack::type::ARRAY || object.via.array.size != EchoFields) {
+        throw msgpack::type_error();
+    }
+    const msgpack::object *field = object.via.array.ptr;
+    return { .node = text(field[0]),
+             .boot = field[1].as<std::uint64_t>(),
+             .sequence = field[2].as<std::uint64_t>() };
+}
+
 } // namespace
 
 std::string encodeDigest(const NodeDigest &digest)
@@ -110,6 +122,13 @@
         packer.pack(named.version);
         packer.pack(named.ageMs);
     }
+    packer.pack_array(static_cast<std::uint32_t>(digest.echoes.size()));
+    for (const DigestEcho &echo : digest.echoes) {
+        packer.pack_array(EchoFields);
+        packer.pack(echo.node);
+        packer.pack(echo.boot);
+        packer.pack(echo.sequence);
+    }
     return { buffer.data(), buffer.size() };
 }
 
@@ -137,6 +156,10 @@
         for (const msgpack::object &notice : named) {
             digest.named.push_back(readNamed(notice));
         }
+        const auto echoes = field[8].as<std::vector<msgpack::object>>();
+        for (const msgpack::object &echo : echoes) {
+            digest.echoes.push_back(readEcho(echo));
+        }
         return digest;
     } catch (const std::exception &fault) {
         logLine(LogLevel::Debug, "digest_unreadable", { { "reason", fault.what() } });
--- a/Source/FleetPeers/NodeDigest.h
+++ b/Source/FleetPeers/NodeDigest.h
@@ -45,6 +45,17 @@
     std::vector<std::uint64_t> dropped;
 };
 
+/// Age that is told where the configuration was never read.
+constexpr std::uint32_t UnknownAgeMs = 0xffffffff;
+
+/// Says to a node that one of its digests was heard before this one was sent.
+struct DigestEcho
+{
+    std::string node;
+    std::uint64_t boot = 0;
+    std::uint64_t sequence = 0;
+};
+
 /// One datagram to the peers.
 struct NodeDigest
 {
@@ -54,11 +65,13 @@
     /// Rises with each digest of one boot.
     std::uint64_t sequence = 0;
     std::uint64_t configurationVersion = 0;
-    /// Age of the sender's configuration when the digest was sent, ms.
+    /// Time since that configuration was known to be the newest, ms; UnknownAgeMs before the first.
     std::uint32_t configurationAgeMs = 0;
     std::vector<ServerNotice> servers;
     /// The newest weights of each model and the ones before that servers may still run.
     std::vector<NamedNotice> named;
+    /// Digests of nodes whose configuration is old.
+    std::vector<DigestEcho> echoes {};
 };
 
 /// Encodes a digest.
--- a/Source/Gateway/DigestExchange.cpp
+++ b/Source/Gateway/DigestExchange.cpp
@@ -27,14 +27,13 @@
 constexpr int PeersToldAtOnce = 15;
 /// A node that has told nothing for this long counts as gone; several digests in a row are lost.
 constexpr Duration NodeSilence = milliseconds(1500);
-/// Age that is told where the configuration was never read.
-constexpr std::uint32_t UnknownAgeMs = 0xffffffff;
 
 } // namespace
 
 DigestExchange::DigestExchange(TrafficState &state, std::int64_t boot)
     : state_(state)
     , boot_(static_cast<std::uint64_t>(boot))
+    , freshness_({ .self = state.settings.name, .boot = static_cast<std::uint64_t>(boot) })
     , socket_(state.context)
     , timer_(state.context)
     , soon_(state.context)
@@ -107,18 +106,19 @@
 
 void DigestExchange::tell()
 {
-    const auto age = state_.freshness.age(bootNow());
+    const BootInstant now = bootNow();
+    const auto age = state_.freshness.age(now);
     const NodeDigest digest {
         .node = state_.settings.name,
         .boot = boot_,
         .sequence = ++sequence_,
         .configurationVersion = state_.routes != nullptr ? state_.routes->version() : 0,
-        .configurationAgeMs = age.has_value()
-            ? static_cast<std::uint32_t>(std::chrono::duration_cast<milliseconds>(*age).count())
-            : UnknownAgeMs,
+        .configurationAgeMs = age.has_value() ? wholeMilliseconds(*age) + 1 : UnknownAgeMs,
         .servers = state_.pool.takeNotices(std::chrono::steady_clock::now(), MostParts),
-        .named = state_.pool.namedAges(std::chrono::steady_clock::now())
+        .named = state_.pool.namedAges(std::chrono::steady_clock::now()),
+        .echoes = freshness_.takeEchoes()
     };
+    freshness_.noteSent(digest.sequence, now);
     if (!socket_.is_open()) {
         return;
     }
@@ -175,6 +175,14 @@
         newPeer();
     }
     heardAt_[digest->node] = std::chrono::steady_clock::now();
+    freshness_.noteHeard(*digest);
+    if (state_.routes != nullptr) {
+        const auto confirmed = freshness_.confirmedBy(*digest, state_.routes->version());
+        if (confirmed.has_value()) {
+            state_.freshness.confirm(*confirmed);
+            state_.metrics.countPeerConfirmation();
+        }
+    }
     state_.pool.applyNamedAges(digest->named, std::chrono::steady_clock::now());
     state_.pool.applyPeer(digest->node, digest->servers, std::chrono::steady_clock::now());
 }
--- a/Source/Gateway/DigestExchange.h
+++ b/Source/Gateway/DigestExchange.h
@@ -11,6 +11,7 @@
 #include <boost/asio/steady_timer.hpp>
 
 #include "Core/Error.h"
+#include "FleetPeers/FreshnessExchange.h"
 #include "Gateway/TrafficState.h"
 
 namespace jacinthroad {
@@ -46,6 +47,7 @@
 
     TrafficState &state_;
     std::uint64_t boot_;
+    FreshnessExchange freshness_;
     std::uint64_t sequence_ = 0;
     boost::asio::ip::udp::socket socket_;
     boost::asio::steady_timer timer_;
--- a/Source/Gateway/GatewayMetrics.cpp
+++ b/Source/Gateway/GatewayMetrics.cpp
@@ -35,6 +35,11 @@
                      .Help("Connections opened to backend servers")
                      .Register(*registry_)
                      .Add({}))
+    , peerConfirmations_(&prometheus::BuildCounter()
+                              .Name("jacinthroad_peer_confirmations_total")
+                              .Help("Times at which a peer proved the configuration to be current")
+                              .Register(*registry_)
+                              .Add({}))
     , firstByte_(&prometheus::BuildHistogram()
                       .Name("jacinthroad_first_byte_seconds")
                       .Help("Time from a whole request to the first byte of its answer")
@@ -74,6 +79,11 @@
     connects_->Increment();
 }
 
+void GatewayMetrics::countPeerConfirmation()
+{
+    peerConfirmations_->Increment();
+}
+
 void GatewayMetrics::observeFirstByte(Duration time)
 {
     firstByte_->Observe(std::chrono::duration<double>(time).count());
--- a/Source/Gateway/GatewayMetrics.h
+++ b/Source/Gateway/GatewayMetrics.h
@@ -33,6 +33,8 @@
     void countStoreCall(const std::string &result);
     /// A connection to a backend server was opened.
     void countConnect();
+    /// A peer proved that the configuration is current.
+    void countPeerConfirmation();
     /// The first byte of an answer left for the caller this long after its request was whole.
     void observeFirstByte(Duration time);
     /// Sets the age of the configuration.
@@ -49,6 +51,7 @@
     prometheus::Family<prometheus::Counter> *attempts_;
     prometheus::Family<prometheus::Counter> *storeCalls_;
     prometheus::Counter *connects_;
+    prometheus::Counter *peerConfirmations_;
     prometheus::Histogram *firstByte_;
     prometheus::Gauge *configurationAge_;
     prometheus::Gauge *configurationVersion_;
--- a/Tests/Gateway/EdgeTest.cpp
+++ b/Tests/Gateway/EdgeTest.cpp
@@ -72,6 +72,33 @@
     BOOST_TEST(bench.seen("s1").empty());
 }
 
+BOOST_AUTO_TEST_CASE(aNodeThatTheStoreTurnsAwayServesOnItsPeersWord)
+{
+    // Each node has a store of its own, so that one of them can fall silent.
+    GatewayBench cutOff;
+    GatewayBench inTouch;
+    inTouch.settings.name = "front-2";
+    for (GatewayBench *bench : { &cutOff, &inTouch }) {
+        bench->settings.keyRevocation = milliseconds(3000);
+        bench->addServer("s1", "plain", sound);
+        bench->configure(1, { "k1" });
+        Json::Value peer;
+        peer["peers"]
+            = bench == &cutOff ? inTouch.settings.peerAddress : cutOff.settings.peerAddress;
+        bench->store.put("nodes", bench == &cutOff ? "front-2" : "front-1", peer);
+        bench->start();
+    }
+    cutOff.store.fallSilent();
+    std::this_thread::sleep_for(milliseconds(3500));
+    BOOST_TEST(cutOff.call("GET", "/safe/a")->result_int() == 200U);
+    BOOST_TEST(cutOff.readiness() == 200U);
+    // The peer reads a version that takes the key away: its word no longer helps.
+    inTouch.configure(2, { "k2" });
+    std::this_thread::sleep_for(milliseconds(2600));
+    BOOST_TEST(cutOff.call("GET", "/safe/a")->result_int() == 503U);
+    BOOST_TEST(cutOff.readiness() == 503U);
+}
+
 BOOST_AUTO_TEST_CASE(keysThatAreTakenAwayEndWithinTheBound)
 {
     GatewayBench bench;
--- a/Tests/Gateway/GatewayBench.cpp
+++ b/Tests/Gateway/GatewayBench.cpp
@@ -37,6 +37,7 @@
     settings.zone = "z";
     settings.callerAddress = freeAddress();
     settings.readinessAddress = freeAddress();
+    settings.peerAddress = freeAddress();
     settings.readinessPath = "/readyz";
     settings.storeAddress = store.address();
     settings.keyRevocation = milliseconds(5000);
