Gateway: Tell peers of closed servers with the next digest

The holder of the lease sent a digest to all peers for each server that it closed or opened, 68 rounds in the second after it took the lease, 28 Mbit/s by a count of datagrams in a trial; its own calls to the store then found no room and it lost the lease, twelve times in a row.

Change: closing and opening a server asks for a digest soon, like a send.

--- a/Source/Gateway/Gateway.cpp
+++ b/Source/Gateway/Gateway.cpp
@@ -364,7 +364,7 @@
 {
     asio::post(trafficContext, [this, server, model, version, limit] {
         traffic.pool.closeForLoad(server, model, version, std::chrono::steady_clock::now() + limit);
-        digests.tell();
+        digests.tellSoon();
     });
 }
 
@@ -373,7 +373,7 @@
 {
     asio::post(trafficContext, [this, server, model, version] {
         traffic.pool.noteWeights(server, model, version);
-        digests.tell();
+        digests.tellSoon();
     });
 }
 
