Gateway: Let few nodes of a large fleet read the store often

Change: of the nodes that hear each other eight, by rendezvous, do so; the others read every 1.8 s and hear in digests which servers leave or have gone. Fleets of up to eight nodes work as before.

--- a/Source/Gateway/Gateway.cpp
+++ b/Source/Gateway/Gateway.cpp
@@ -15,6 +15,7 @@
 #include "Core/Hashing.h"
 #include "Core/Log.h"
 #include "Core/WallClock.h"
+#include "FleetPeers/FleetRoles.h"
 #include "Gateway/BootClock.h"
 #include "Gateway/CacheFeed.h"
 #include "Gateway/DigestExchange.h"
@@ -41,6 +42,11 @@
 /// Entries of servers change with every heartbeat; a leaving server has to be known within two
 /// seconds, of which a store that tells nothing for a second may take one.
 constexpr Duration ServersGather = milliseconds(600);
+/// Nodes that read the list of servers so often and ask for the lease; the others hear from them
+/// which servers leave. As many as a small fleet has, so that a zone that is cut off has some.
+constexpr std::size_t ActingNodes = 8;
+/// Time between two reads of the list by the others.
+constexpr Duration ServersGatherOthers = milliseconds(1800);
 constexpr Duration NodesWait = milliseconds(10000);
 /// Pause between tries to list this node among the nodes.
 constexpr Duration RegisterPause = milliseconds(700);
@@ -392,6 +398,11 @@
         }
     }
     ownCaches = own;
+    const bool acts = actsForFleet(settings.name, live, ActingNodes);
+    asio::post(controlContext, [this, acts] {
+        servers.setGather(acts ? ServersGather : ServersGatherOthers);
+        rollout.setCandidate(acts);
+    });
     asio::post(controlContext, [this, own = std::move(own)] { caches.assign(own); });
 }
 
--- a/Source/Gateway/RolloutDriver.cpp
+++ b/Source/Gateway/RolloutDriver.cpp
@@ -179,7 +179,7 @@
 {
     const std::vector<RolloutServer> servers = view();
     const BootInstant now = bootNow();
-    const bool mayHold = !finished_ && (!stopping_ || held_);
+    const bool mayHold = !finished_ && (held_ || (!stopping_ && candidate_));
     const bool work = mayHold && RolloutPlanner::workLeft(servers, named_);
     if (work && !wanted_) {
         const auto spread = static_cast<std::int64_t>(hash64(options_.node)
--- a/Source/Gateway/RolloutDriver.h
+++ b/Source/Gateway/RolloutDriver.h
@@ -60,6 +60,8 @@
     void noteServer(const ServerId &id, const ModelId &model, WeightsVersion version);
     /// Takes this node's count of requests on a server.
     void noteInFlight(const ServerId &id, unsigned inFlight);
+    /// Whether this node asks for the lease; one that has it keeps it.
+    void setCandidate(bool candidate) { candidate_ = candidate; }
     /// The node is about to stop: a lease that it holds is kept, but none is taken.
     void stop() { stopping_ = true; }
     /// The node stops now: gives the lease up.
@@ -105,6 +107,7 @@
     /// From when on this node asks for the lease; nodes ask at different times.
     BootInstant askFrom_;
     bool wanted_ = false;
+    bool candidate_ = true;
     /// Whether the lease object has been read, and when it was last asked for.
     bool leaseRead_ = false;
     std::optional<BootInstant> leaseReadAt_;
--- a/Source/Gateway/StoreSync.h
+++ b/Source/Gateway/StoreSync.h
@@ -44,6 +44,8 @@
 
     /// Reads and watches until the context stops.
     [[nodiscard]] boost::asio::awaitable<void> run();
+    /// Takes another least time between two watches.
+    void setGather(Duration gather) { options_.gather = gather; }
 
 private:
     [[nodiscard]] boost::asio::awaitable<bool> list();
--- a/Source/Gateway/TrafficState.cpp
+++ b/Source/Gateway/TrafficState.cpp
@@ -96,7 +96,7 @@
             ++entry;
             continue;
         }
-        pool.removeServer(entry->first);
+        pool.removeServer(entry->first, now);
         connections.drop(entry->first);
         entry = listed_.erase(entry);
     }
--- a/Source/Placement/ServerPool.cpp
+++ b/Source/Placement/ServerPool.cpp
@@ -14,6 +14,8 @@
 constexpr unsigned MostDoublings = 3;
 /// Failures of a server's own after which it is suspended.
 constexpr unsigned FailuresToSuspend = 3;
+/// How long peers are told of a server that is listed no longer: they read the list less often.
+constexpr Duration DepartureTold = std::chrono::seconds(3);
 /// Pause after a server rejected a request as full.
 constexpr Duration RejectionPause = milliseconds(60);
 /// Share of an engine's cache that shared parts can count on beside running requests.
@@ -59,6 +61,7 @@
 
 void ServerPool::applyServer(const BackendServer &facts, Instant now)
 {
+    departed_.erase(facts.id);
     const auto found = servers_.find(facts.id);
     if (found == servers_.end() || found->second.facts.bootedAt != facts.bootedAt
         || found->second.facts.address != facts.address) {
@@ -81,9 +84,10 @@
     }
 }
 
-void ServerPool::removeServer(const ServerId &id)
+void ServerPool::removeServer(const ServerId &id, Instant now)
 {
     servers_.erase(id);
+    departed_[id] = now + DepartureTold;
 }
 
 void ServerPool::applyNamedWeights(const NamedWeights &named, Instant now)
--- a/Source/Placement/ServerPool.h
+++ b/Source/Placement/ServerPool.h
@@ -155,8 +155,8 @@
     void applyServices(std::span<const ServiceFacts> services);
     /// Takes a server as the platform lists it now.
     void applyServer(const BackendServer &server, Instant now);
-    /// Drops a server that the platform lists no longer.
-    void removeServer(const ServerId &id);
+    /// Drops a server that the platform lists no longer; peers that have not read it yet are told.
+    void removeServer(const ServerId &id, Instant now);
     /// Takes the newest weights that operators have named.
     void applyNamedWeights(const NamedWeights &named, Instant now);
     /// Takes how long ago a peer saw weights to be named: a node that has just started knows only
@@ -323,6 +323,8 @@
     Options options_;
     std::unordered_map<ServiceId, ServiceFacts> services_;
     std::unordered_map<ServerId, Server> servers_;
+    /// Servers that the platform has ceased to list, and until when peers are told.
+    std::map<ServerId, Instant> departed_;
     /// By the name of the service.
     std::map<ServerId, CacheStore> stores_;
     NamedWeightsHistory named_;
--- a/Source/Placement/ServerPoolPeers.cpp
+++ b/Source/Placement/ServerPoolPeers.cpp
@@ -6,6 +6,10 @@
 
 namespace {
 
+/// How long peers keep work off a server that leaves or is listed no longer, ms: until they have
+/// read so themselves.
+constexpr std::uint32_t LeavingAvoidMs = 3000;
+
 void applyParts(HeldParts &held, const ServerNotice &notice)
 {
     held.noteSent(notice.sent);
@@ -114,6 +118,9 @@
             notice.silentMs = wholeMilliseconds(now - server.heardAt);
         }
         notice.avoidMs = wholeMilliseconds(server.avoidedUntil - now);
+        if (server.facts.leaving) {
+            notice.avoidMs = std::max(notice.avoidMs, LeavingAvoidMs);
+        }
         if (!server.loadingModel.empty() && server.closedUntil > now) {
             notice.model = server.loadingModel;
             notice.weights = server.loadingVersion;
@@ -136,6 +143,10 @@
             notices.push_back(std::move(notice));
         }
     }
+    std::erase_if(departed_, [&](const auto &entry) { return entry.second <= now; });
+    for (const auto &[id, until] : departed_) {
+        notices.push_back({ .server = id, .avoidMs = LeavingAvoidMs });
+    }
     for (auto &[id, kept] : stores_) {
         if (!kept.untoldRead.empty() || !kept.untoldDropped.empty()) {
             ServerNotice notice { .server = id };
--- a/Tests/Placement/ServerPoolTest.cpp
+++ b/Tests/Placement/ServerPoolTest.cpp
@@ -181,6 +181,29 @@
     BOOST_TEST(chosen(pool, request, at(13000)).server.text() == "b");
 }
 
+BOOST_AUTO_TEST_CASE(peersKeepWorkOffServersThatLeaveOrHaveLeft)
+{
+    // One node reads the list often; the other has read it last while all servers stood in it.
+    const std::vector<BackendServer> servers { engine("a"), engine("b"), engine("c") };
+    ServerPool reader = poolOf(servers);
+    ServerPool other = poolOf(servers);
+    BackendServer leaving = engine("a");
+    leaving.leaving = true;
+    reader.applyServer(leaving, at(1000));
+    reader.removeServer(ServerId("b"), at(1000));
+    other.applyPeer("reader", reader.takeNotices(at(1010), 10), at(1011));
+    const PlacementRequest request { .service = Engines, .model = Model, .promptTokens = 10 };
+    for (int milli = 1011; milli < 3000; milli += 100) {
+        BOOST_TEST(chosen(other, request, at(milli)).server.text() == "c");
+        BOOST_TEST(chosen(other, request, at(milli)).candidates == 1U);
+    }
+    // A server that is listed again is welcome.
+    reader.applyServer(engine("b"), at(2000));
+    for (const ServerNotice &notice : reader.takeNotices(at(2010), 10)) {
+        BOOST_TEST((notice.server.text() != "b" || notice.avoidMs == 0));
+    }
+}
+
 BOOST_AUTO_TEST_CASE(aNodeThatHasJustStartedLearnsWhatIsOverdueFromItsPeers)
 {
     ServerPool old = poolOf({ engine("a", 1) });
