Gateway: Ask for peers' word only where the store has not answered

Change: a configuration counts as old from half the revocation bound on, 2.5 s here; it expires at 0.8 of it.

--- a/Source/FleetPeers/FreshnessExchange.cpp
+++ b/Source/FleetPeers/FreshnessExchange.cpp
@@ -6,9 +6,6 @@
 
 namespace {
 
-/// Age from which a configuration counts as old: above the longest wait of the store's watch, at
-/// whose end every node in touch with the store knows better.
-constexpr std::uint32_t OldAgeMs = 1500;
 /// Digests whose sending times are kept: some seconds of them, also when each send makes one.
 constexpr std::size_t MostSent = 2000;
 /// Echoes in one digest; keeps it near the size of one packet.
@@ -28,9 +25,10 @@
     }
 }
 
-void FreshnessExchange::noteHeard(const NodeDigest &digest)
+void FreshnessExchange::noteHeard(const NodeDigest &digest, Duration oldAfter)
 {
-    if (digest.configurationAgeMs >= OldAgeMs && digest.configurationAgeMs != UnknownAgeMs) {
+    if (milliseconds(digest.configurationAgeMs) >= oldAfter
+        && digest.configurationAgeMs != UnknownAgeMs) {
         asked_[digest.node] = { digest.boot, digest.sequence };
     }
 }
--- a/Source/Gateway/DigestExchange.cpp
+++ b/Source/Gateway/DigestExchange.cpp
@@ -175,7 +175,7 @@
         newPeer();
     }
     heardAt_[digest->node] = std::chrono::steady_clock::now();
-    freshness_.noteHeard(*digest);
+    freshness_.noteHeard(*digest, state_.oldConfigurationAge());
     if (state_.routes != nullptr) {
         const auto confirmed = freshness_.confirmedBy(*digest, state_.routes->version());
         if (confirmed.has_value()) {
--- a/Source/Gateway/TrafficState.cpp
+++ b/Source/Gateway/TrafficState.cpp
@@ -14,8 +14,11 @@
 constexpr std::size_t LeastNodes = 12;
 /// Share of the fleet-wide ratio that a node uses itself, as requests spread unevenly.
 constexpr double RepeatShareUsed = 0.7;
-/// Parts of the time after which a key that was taken away must be refused.
+/// Parts of the time after which a key that was taken away must be refused. Old is more than a
+/// node in touch with the store ever is: its watch waits for a second, and its answer's age counts
+/// from the sending.
 constexpr double AgedPart = 0.4;
+constexpr double OldPart = 0.5;
 constexpr double ExpiredPart = 0.8;
 
 /// A request may wait this long on a server before it begins.
@@ -64,6 +67,11 @@
     repeats.setOptions(repeatOptions(bounds_, nodes_));
 }
 
+Duration TrafficState::oldConfigurationAge() const
+{
+    return part(bounds_.keyRevocation, OldPart);
+}
+
 void TrafficState::applyNodes(std::size_t count)
 {
     nodes_ = count;
--- a/Source/Gateway/TrafficState.h
+++ b/Source/Gateway/TrafficState.h
@@ -60,6 +60,8 @@
     /// Called when peers should hear of a send or of its first byte.
     std::function<void()> tellPeersSoon = [] {};
 
+    /// Age from which a peer's configuration counts as old, so that it wants this node's word.
+    [[nodiscard]] Duration oldConfigurationAge() const;
     /// True where new connections are welcome.
     [[nodiscard]] bool ready() const;
     /// True while requests are taken: a stopping node takes them until the balancer has left it,
