Fleet: Give types of the gateway names of their own

Cause: BackendServer, Team and ServerLoad were defined twice in one namespace, by the product's own interface and by the gateway, and both are in one program. The object files of both held a weak BackendServer::~BackendServer() for different layouts, of which the linker keeps one: whoever gets the other's destroys the wrong members. Found when the benchmark included both headers.

Change: ListedServer, FleetTeam and EngineLoad in the gateway's libraries; a search in lint refuses a type name that two headers of Source/ define, and failed on the code before. DecisionBenchmark measures the gateway's choice of a server; one comment of QueueLimit moved.

Tests: ctest 47 of 47. No behaviour is meant to change.

--- a/Benchmarks/DecisionBenchmark.cpp
+++ b/Benchmarks/DecisionBenchmark.cpp
@@ -10,6 +10,7 @@
 #include "Configuration/Configuration.h"
 #include "Node/PeerExchange.h"
 #include "PeerLink/PeerMessage.h"
+#include "Placement/ServerPool.h"
 #include "Routing/Dispatcher.h"
 
 using namespace jacinthroad;
@@ -205,6 +206,53 @@
 }
 BENCHMARK(peerDatagram)->Arg(0)->Arg(18)->Arg(60)->Arg(120);
 
+/// The gateway's choice of a server for a prompt with so many shared parts, and noting the send.
+void placing(benchmark::State &state)
+{
+    const ServiceId service("engines");
+    ServerPool pool({ .zone = ZoneId("z") });
+    pool.applyServices(std::vector<ServiceFacts> {
+        { .name = service, .engine = EngineFacts { .slots = 64, .cacheTokens = 126000 } } });
+    Instant now = Instant() + std::chrono::hours(1);
+    for (int index = 0; index < state.range(0); ++index) {
+        const std::string name = "server-" + std::to_string(index);
+        pool.applyServer({ .id = ServerId(name),
+                           .service = service,
+                           .address = name,
+                           .zone = ZoneId("z"),
+                           .slots = 64,
+                           .models = { { ModelName, 1 } },
+                           .bootedAt = 1 },
+                         now);
+    }
+    std::uint64_t number = 0;
+    for (auto _ : state) {
+        ++number;
+        now += milliseconds(1);
+        std::vector<PromptPart> parts;
+        for (std::uint64_t part = 0; part < static_cast<std::uint64_t>(state.range(1)); ++part) {
+            parts.push_back({ (number % 1000) * 64 + part, 2000 });
+        }
+        const PlacementRequest request {
+            .service = service, .model = ModelName, .parts = parts, .promptTokens = 9000
+        };
+        const auto chosen = pool.choose(request, now);
+        const auto &placement = std::get<Placement>(chosen);
+        pool.noteSent(placement.server, request, placement.heldTokens, now);
+        pool.noteHeard(placement.server, now);
+        pool.noteFirstByte(placement.server, request, 1, 9000);
+        pool.noteEnd(placement.server, AttemptVerdict::Served, 0, now);
+        benchmark::DoNotOptimize(pool.takeNotices(now, 80));
+    }
+}
+BENCHMARK(placing)
+    ->ArgNames({ "servers", "parts" })
+    ->Args({ 18, 2 })
+    ->Args({ 140, 2 })
+    ->Args({ 600, 2 })
+    ->Args({ 140, 8 })
+    ->Unit(benchmark::kMicrosecond);
+
 } // namespace
 
 BENCHMARK_MAIN();
--- a/Source/Fleet/FleetConfiguration.h
+++ b/Source/Fleet/FleetConfiguration.h
@@ -80,7 +80,7 @@
 };
 
 /// One team, its keys and its walls.
-struct Team
+struct FleetTeam
 {
     TeamId name;
     std::vector<std::string> keys;
@@ -105,7 +105,7 @@
     std::uint64_t version = 0;
     std::vector<Route> routes;
     std::vector<ServiceFacts> services;
-    std::vector<Team> teams;
+    std::vector<FleetTeam> teams;
     CallerLimits limits;
 };
 
--- a/Source/Fleet/BackendServer.h
+++ b/Source/Fleet/ListedServer.h
@@ -13,7 +13,7 @@
 using WeightsVersion = std::uint32_t;
 
 /// One backend server as the list of servers describes it.
-struct BackendServer
+struct ListedServer
 {
     ServerId id;
     ServiceId service;
--- a/Source/Fleet/NamedWeightsHistory.h
+++ b/Source/Fleet/NamedWeightsHistory.h
@@ -6,7 +6,7 @@
 #include <span>
 #include <vector>
 
-#include "Fleet/BackendServer.h"
+#include "Fleet/ListedServer.h"
 
 namespace jacinthroad {
 
--- a/Source/Fleet/RouteTable.cpp
+++ b/Source/Fleet/RouteTable.cpp
@@ -16,7 +16,7 @@
             return left->prefix.size() > right->prefix.size();
         });
     }
-    for (const Team &team : configuration_.teams) {
+    for (const FleetTeam &team : configuration_.teams) {
         for (const std::string &key : team.keys) {
             byKey_.emplace(key, &team);
         }
@@ -35,7 +35,7 @@
     return found == routes->second.end() ? nullptr : *found;
 }
 
-const Team *RouteTable::team(std::string_view key) const
+const FleetTeam *RouteTable::team(std::string_view key) const
 {
     const auto found = byKey_.find(std::string(key));
     return found == byKey_.end() ? nullptr : found->second;
--- a/Source/Fleet/RouteTable.h
+++ b/Source/Fleet/RouteTable.h
@@ -31,7 +31,7 @@
     [[nodiscard]] const Route *route(std::string_view host, std::string_view path) const;
 
     /// The team that holds a key, or null.
-    [[nodiscard]] const Team *team(std::string_view key) const;
+    [[nodiscard]] const FleetTeam *team(std::string_view key) const;
 
     /// A service by its name, or null.
     [[nodiscard]] const ServiceFacts *service(const ServiceId &name) const;
@@ -44,7 +44,7 @@
     FleetConfiguration configuration_;
     /// Routes of one host, longest prefix first.
     std::unordered_map<std::string, std::vector<const Route *>> byHost_;
-    std::unordered_map<std::string, const Team *> byKey_;
+    std::unordered_map<std::string, const FleetTeam *> byKey_;
 };
 
 } // namespace jacinthroad
--- a/Source/FleetPeers/NodeDigest.h
+++ b/Source/FleetPeers/NodeDigest.h
@@ -7,7 +7,7 @@
 #include <vector>
 
 #include "Core/Ids.h"
-#include "Fleet/BackendServer.h"
+#include "Fleet/ListedServer.h"
 #include "Fleet/NamedWeightsHistory.h"
 
 namespace jacinthroad {
--- a/Source/Gateway/Exchange.h
+++ b/Source/Gateway/Exchange.h
@@ -113,7 +113,7 @@
     CallerRequest facts_;
     std::shared_ptr<const RouteTable> routes_;
     const Route *route_ = nullptr;
-    const Team *team_ = nullptr;
+    const FleetTeam *team_ = nullptr;
     PlacementRequest placing_;
     std::vector<ServerId> tried_;
 
--- a/Source/Gateway/Gateway.cpp
+++ b/Source/Gateway/Gateway.cpp
@@ -70,10 +70,10 @@
 {
     std::uint64_t revision = 0;
     /// Nothing where the entry cannot be read.
-    std::optional<BackendServer> server;
+    std::optional<ListedServer> server;
 };
 
-std::optional<BackendServer> decodeServer(const std::string &name, const Json::Value &spec)
+std::optional<ListedServer> decodeServer(const std::string &name, const Json::Value &spec)
 {
     auto server = platform::readServer(name, spec);
     if (server.has_value()) {
@@ -292,7 +292,7 @@
 void Gateway::Parts::takeServers(const ObjectTable &table)
 {
     std::erase_if(decoded, [&](const auto &entry) { return !table.contains(entry.first); });
-    std::vector<BackendServer> list;
+    std::vector<ListedServer> list;
     for (const auto &[name, object] : table) {
         DecodedServer &known = decoded[name];
         if (known.revision != object.revision || known.revision == 0) {
@@ -408,9 +408,9 @@
 
 void Gateway::Parts::tellRollout()
 {
-    std::vector<ServerLoad> loads = traffic.pool.modelLoads();
+    std::vector<EngineLoad> loads = traffic.pool.modelLoads();
     asio::post(controlContext, [this, loads = std::move(loads)] {
-        for (const ServerLoad &load : loads) {
+        for (const EngineLoad &load : loads) {
             rollout.noteServer(load.server, load.model, load.weights);
             rollout.noteInFlight(load.server, load.inFlight);
         }
--- a/Source/Gateway/RolloutDriver.cpp
+++ b/Source/Gateway/RolloutDriver.cpp
@@ -107,10 +107,10 @@
     return options_.lease / ValidityPart / OrderMarginPart;
 }
 
-void RolloutDriver::applyServers(const std::vector<BackendServer> &servers)
+void RolloutDriver::applyServers(const std::vector<ListedServer> &servers)
 {
-    std::map<ServerId, BackendServer> listed;
-    for (const BackendServer &server : servers) {
+    std::map<ServerId, ListedServer> listed;
+    for (const ListedServer &server : servers) {
         const auto before = servers_.find(server.id);
         if (before == servers_.end() || before->second.bootedAt != server.bootedAt) {
             seen_.erase(server.id);
--- a/Source/Gateway/RolloutDriver.h
+++ b/Source/Gateway/RolloutDriver.h
@@ -13,7 +13,7 @@
 #include <boost/asio/awaitable.hpp>
 #include <boost/asio/io_context.hpp>
 
-#include "Fleet/BackendServer.h"
+#include "Fleet/ListedServer.h"
 #include "Fleet/NamedWeightsHistory.h"
 #include "Gateway/HttpCaller.h"
 #include "Gateway/StoreClient.h"
@@ -53,7 +53,7 @@
     [[nodiscard]] boost::asio::awaitable<void> run();
 
     /// Takes the servers as the platform lists them.
-    void applyServers(const std::vector<BackendServer> &servers);
+    void applyServers(const std::vector<ListedServer> &servers);
     /// Takes weights that operators have named.
     void applyNamedWeights(const NamedWeights &named);
     /// Takes what an answer told of a server's weights, and the requests that run on it.
@@ -94,7 +94,7 @@
     TakeNamedAges takeNamedAges_;
     LeaseKeeper lease_;
     RolloutPlanner planner_;
-    std::map<ServerId, BackendServer> servers_;
+    std::map<ServerId, ListedServer> servers_;
     std::map<ServerId, std::map<ModelId, WeightsVersion>> seen_;
     std::map<ServerId, unsigned> inFlight_;
     /// Orders given to each server by this node.
--- a/Source/Gateway/TrafficState.cpp
+++ b/Source/Gateway/TrafficState.cpp
@@ -90,12 +90,12 @@
             { { "version", static_cast<std::int64_t>(routes->version()) } });
 }
 
-void TrafficState::applyServers(const std::vector<BackendServer> &servers, Instant now)
+void TrafficState::applyServers(const std::vector<ListedServer> &servers, Instant now)
 {
     for (auto &[id, present] : listed_) {
         present = false;
     }
-    for (const BackendServer &server : servers) {
+    for (const ListedServer &server : servers) {
         listed_[server.id] = true;
         pool.applyServer(server, now);
     }
--- a/Source/Gateway/TrafficState.h
+++ b/Source/Gateway/TrafficState.h
@@ -8,8 +8,8 @@
 
 #include <boost/asio/io_context.hpp>
 
-#include "Fleet/BackendServer.h"
 #include "Fleet/Freshness.h"
+#include "Fleet/ListedServer.h"
 #include "Fleet/RouteTable.h"
 #include "Gateway/ConnectionPool.h"
 #include "Gateway/GatewayMetrics.h"
@@ -35,7 +35,7 @@
     /// Takes a newer configuration; an older one is ignored.
     void applyConfiguration(std::shared_ptr<const RouteTable> routes);
     /// Takes the whole list of servers as the platform has it.
-    void applyServers(const std::vector<BackendServer> &servers, Instant now);
+    void applyServers(const std::vector<ListedServer> &servers, Instant now);
 
     boost::asio::io_context &context;
     const GatewaySettings settings;
--- a/Source/Placement/HeldParts.h
+++ b/Source/Placement/HeldParts.h
@@ -9,7 +9,7 @@
 #include <vector>
 
 #include "Core/Ids.h"
-#include "Fleet/BackendServer.h"
+#include "Fleet/ListedServer.h"
 #include "FleetPeers/NodeDigest.h"
 
 namespace jacinthroad {
--- a/Source/Placement/QueueLimit.h
+++ b/Source/Placement/QueueLimit.h
@@ -21,10 +21,10 @@
     {
         /// Wait that any request may have, as a share of the route's objective.
         double share = 0.5;
+        /// The same for the most urgent priority, which engines take first.
+        double urgentShare = 1;
         /// Wait and reading of the prompt that a request may have together, as such a share.
         double wholeShare = 0.85;
-        /// The same for routes of the most urgent priority, which engines take first.
-        double urgentShare = 1;
         /// Least and most time after which a caller is asked back.
         Duration leastReturn = milliseconds(300);
         Duration mostReturn = milliseconds(3000);
--- a/Source/Placement/ServerPool.cpp
+++ b/Source/Placement/ServerPool.cpp
@@ -59,7 +59,7 @@
     });
 }
 
-void ServerPool::applyServer(const BackendServer &facts, Instant now)
+void ServerPool::applyServer(const ListedServer &facts, Instant now)
 {
     departed_.erase(facts.id);
     const auto found = servers_.find(facts.id);
@@ -151,9 +151,9 @@
     return addresses;
 }
 
-std::vector<ServerLoad> ServerPool::modelLoads() const
+std::vector<EngineLoad> ServerPool::modelLoads() const
 {
-    std::vector<ServerLoad> loads;
+    std::vector<EngineLoad> loads;
     for (const auto &[id, server] : servers_) {
         for (const auto &[model, version] : server.facts.models) {
             loads.push_back(
--- a/Source/Placement/ServerPool.h
+++ b/Source/Placement/ServerPool.h
@@ -10,9 +10,9 @@
 #include <variant>
 #include <vector>
 
-#include "Fleet/BackendServer.h"
 #include "Fleet/CallerRequest.h"
 #include "Fleet/FleetConfiguration.h"
+#include "Fleet/ListedServer.h"
 #include "Fleet/NamedWeightsHistory.h"
 #include "FleetPeers/NodeDigest.h"
 #include "Placement/HeldParts.h"
@@ -79,7 +79,7 @@
 };
 
 /// The weights of one engine and the requests that this node has on it.
-struct ServerLoad
+struct EngineLoad
 {
     ServerId server;
     ModelId model;
@@ -154,7 +154,7 @@
     /// Takes the services of a new configuration.
     void applyServices(std::span<const ServiceFacts> services);
     /// Takes a server as the platform lists it now.
-    void applyServer(const BackendServer &server, Instant now);
+    void applyServer(const ListedServer &server, Instant now);
     /// Drops a server that the platform lists no longer; peers that have not read it yet are told.
     void removeServer(const ServerId &id, Instant now);
     /// Takes the newest weights that operators have named.
@@ -207,7 +207,7 @@
     void noteLoad(const ServerId &id, const ReportedLoad &load, Instant now);
 
     /// The weights that each model engine is known to run and the requests on it.
-    [[nodiscard]] std::vector<ServerLoad> modelLoads() const;
+    [[nodiscard]] std::vector<EngineLoad> modelLoads() const;
     /// `IP:port` of all engines and cache stores, whose cache tells events.
     [[nodiscard]] std::map<ServerId, std::string> caches() const;
 
@@ -223,7 +223,7 @@
 
     struct Server
     {
-        BackendServer facts;
+        ListedServer facts;
         std::uint64_t hash = 0;
         HeldParts held { 0 };
         unsigned inFlight = 0;
--- a/Source/Rollout/RolloutPlanner.h
+++ b/Source/Rollout/RolloutPlanner.h
@@ -9,7 +9,7 @@
 
 #include "Core/Ids.h"
 #include "Core/Time.h"
-#include "Fleet/BackendServer.h"
+#include "Fleet/ListedServer.h"
 
 namespace jacinthroad {
 
--- a/Tests/Placement/ServerPoolTest.cpp
+++ b/Tests/Placement/ServerPoolTest.cpp
@@ -19,7 +19,7 @@
     return Instant(milliseconds(1000000 + milli));
 }
 
-BackendServer engine(const std::string &name, WeightsVersion version = 1)
+ListedServer engine(const std::string &name, WeightsVersion version = 1)
 {
     return { .id = ServerId(name),
              .service = Engines,
@@ -30,13 +30,13 @@
              .bootedAt = 1 };
 }
 
-ServerPool poolOf(const std::vector<BackendServer> &servers)
+ServerPool poolOf(const std::vector<ListedServer> &servers)
 {
     ServerPool pool({ .zone = ZoneId("z") });
     pool.applyServices(std::vector<ServiceFacts> {
         { .name = Engines, .engine = EngineFacts { .slots = 64, .cacheTokens = 100000 } },
         { .name = Stock } });
-    for (const BackendServer &server : servers) {
+    for (const ListedServer &server : servers) {
         pool.applyServer(server, at(0));
     }
     return pool;
@@ -55,7 +55,7 @@
 
 BOOST_AUTO_TEST_CASE(nodesAgreeOnTheFirstServerOfAPrompt)
 {
-    const std::vector<BackendServer> servers { engine("a"), engine("b"), engine("c") };
+    const std::vector<ListedServer> servers { engine("a"), engine("b"), engine("c") };
     const ServerPool one = poolOf(servers);
     const ServerPool other = poolOf({ servers[2], servers[0], servers[1] });
     std::map<std::string, unsigned> homes;
@@ -184,10 +184,10 @@
 BOOST_AUTO_TEST_CASE(peersKeepWorkOffServersThatLeaveOrHaveLeft)
 {
     // One node reads the list often; the other has read it last while all servers stood in it.
-    const std::vector<BackendServer> servers { engine("a"), engine("b"), engine("c") };
+    const std::vector<ListedServer> servers { engine("a"), engine("b"), engine("c") };
     ServerPool reader = poolOf(servers);
     ServerPool other = poolOf(servers);
-    BackendServer leaving = engine("a");
+    ListedServer leaving = engine("a");
     leaving.leaving = true;
     reader.applyServer(leaving, at(1000));
     reader.removeServer(ServerId("b"), at(1000));
@@ -281,7 +281,7 @@
 
 BOOST_AUTO_TEST_CASE(leavingAndUnreachableServersAreAvoided)
 {
-    BackendServer leaving = engine("a");
+    ListedServer leaving = engine("a");
     leaving.leaving = true;
     ServerPool pool = poolOf({ leaving, engine("b") });
     const PlacementRequest request { .service = Engines, .model = Model, .promptTokens = 10 };
@@ -341,7 +341,7 @@
     const PlacementRequest request { .service = Engines, .model = Model, .parts = parts };
     pool.noteSent(ServerId("a"), request, 0, at(0));
     BOOST_TEST(chosen(pool, request, at(1)).heldTokens == 6000U);
-    BackendServer again = engine("a");
+    ListedServer again = engine("a");
     again.bootedAt = 2;
     pool.applyServer(again, at(2));
     BOOST_TEST(chosen(pool, request, at(3)).heldTokens == 0U);
@@ -349,7 +349,7 @@
 
 BOOST_AUTO_TEST_CASE(plainRequestsGoWhereSlotsAreFree)
 {
-    std::vector<BackendServer> servers;
+    std::vector<ListedServer> servers;
     for (const char *name : { "a", "b", "c" }) {
         servers.push_back({ .id = ServerId(name),
                             .service = Stock,
--- a/Utilities/lint.sh
+++ b/Utilities/lint.sh
@@ -3,6 +3,7 @@
 set -euo pipefail
 cd "$(dirname "$0")/.."
 Utilities/check-wire-names.sh
+Utilities/check-type-names.sh
 git ls-files 'Source/*.cpp' 'Source/*.h' 'platform/*.cpp' 'platform/*.h' 'Tests/*.cpp' 'Tests/*.h' \
   'Benchmarks/*.cpp' \
   | xargs clang-format --dry-run -Werror
