Tests: Take addresses that no other socket can be given

The bench asked the system for a free port, gave it back and used it later; until then the same port may be given out again, to the bench's own next choice or to a stand-in.

Change: ports below those that the system gives out, tried for TCP and UDP, each process from another place on.

No check was changed.

--- a/Tests/Gateway/GatewayBench.cpp
+++ b/Tests/Gateway/GatewayBench.cpp
@@ -3,6 +3,9 @@
 #include <cstdio>
 #include <thread>
 
+#include <unistd.h>
+
+#include <boost/asio/ip/udp.hpp>
 #include <boost/test/unit_test.hpp>
 
 #include "Core/Json.h"
@@ -15,11 +18,30 @@
 
 namespace {
 
+/// Below the ports that the system gives to outgoing connections, any of which could take an
+/// address between its choice and its use. Processes begin at different places.
+constexpr unsigned FirstPort = 16000;
+constexpr unsigned Ports = 16000;
+constexpr unsigned PortsApart = 211;
+
 std::string freeAddress()
 {
+    static unsigned next = static_cast<unsigned>(::getpid()) * PortsApart;
     asio::io_context context;
-    asio::ip::tcp::acceptor acceptor(context, { asio::ip::make_address("127.0.0.1"), 0 });
-    return "127.0.0.1:" + std::to_string(acceptor.local_endpoint().port());
+    const auto loopback = asio::ip::make_address("127.0.0.1");
+    for (;;) {
+        const auto port = static_cast<std::uint16_t>(FirstPort + next++ % Ports);
+        boost::system::error_code taken;
+        asio::ip::tcp::acceptor stream(context, asio::ip::tcp::v4());
+        stream.bind({ loopback, port }, taken);
+        asio::ip::udp::socket datagrams(context, asio::ip::udp::v4());
+        if (!taken) {
+            datagrams.bind({ loopback, port }, taken);
+        }
+        if (!taken) {
+            return "127.0.0.1:" + std::to_string(port);
+        }
+    }
 }
 
 asio::ip::tcp::endpoint endpointOf(const std::string &address)
