Rollout: Take a reported load and write the lease in one place

The test of a server's report for the wanted weights, with its opening, stood twice in the driver; takeLoaded() serves both waits. Creating and replacing the lease filled the record in two branches alike; only the call differs now. No behaviour is changed.

--- a/Source/Gateway/RolloutDriver.cpp
+++ b/Source/Gateway/RolloutDriver.cpp
@@ -252,19 +252,13 @@
     if (!write.has_value()) {
         co_return;
     }
-    platform::Call call;
-    LeaseRecord record;
-    if (const auto *create = std::get_if<CreateLease>(&*write)) {
-        record = create->record;
-        record.named = history_.ages(std::chrono::steady_clock::now());
-        call = platform::createCall(platform::ObjectKind::Leases, LeaseName, leaseSpec(record));
-    } else {
-        const auto &replace = std::get<ReplaceLease>(*write);
-        record = replace.record;
-        record.named = history_.ages(std::chrono::steady_clock::now());
-        call = platform::replaceCall(platform::ObjectKind::Leases, LeaseName, replace.revision,
-                                     leaseSpec(record));
-    }
+    LeaseRecord record = std::visit([](const auto &one) { return one.record; }, *write);
+    record.named = history_.ages(std::chrono::steady_clock::now());
+    const Json::Value spec = leaseSpec(record);
+    const auto *replace = std::get_if<ReplaceLease>(&*write);
+    platform::Call call = replace == nullptr
+        ? platform::createCall(platform::ObjectKind::Leases, LeaseName, spec)
+        : platform::replaceCall(platform::ObjectKind::Leases, LeaseName, replace->revision, spec);
     const auto reply = co_await store_.call(std::move(call), LeaseTimeout);
     if (!reply.has_value()
         || (reply->status != StoreStatus::Done && reply->status != StoreStatus::Conflict)) {
@@ -360,6 +354,18 @@
     co_return outcome;
 }
 
+std::optional<WeightsVersion> RolloutDriver::takeLoaded(const platform::ServerReport &report,
+                                                        const RolloutStep &step)
+{
+    const auto loaded = report.models.find(step.model);
+    if (loaded == report.models.end() || loaded->second < step.version) {
+        return std::nullopt;
+    }
+    noteServer(step.server, step.model, loaded->second);
+    openServer_(step.server, step.model, loaded->second);
+    return loaded->second;
+}
+
 asio::awaitable<void> RolloutDriver::awaitLoad(HttpCaller &caller, const RolloutStep &step)
 {
     const Instant began = std::chrono::steady_clock::now();
@@ -371,13 +377,11 @@
         if (!state.has_value()) {
             continue;
         }
-        const auto loaded = state->models.find(step.model);
-        if (loaded != state->models.end() && loaded->second >= step.version) {
-            noteServer(step.server, step.model, loaded->second);
-            openServer_(step.server, step.model, loaded->second);
+        const auto loaded = takeLoaded(*state, step);
+        if (loaded.has_value()) {
             logLine(LogLevel::Info, "loaded",
                     { { "server", step.server.text() },
-                      { "version", std::int64_t { loaded->second } },
+                      { "version", std::int64_t { *loaded } },
                       { "after_ms", toMilliseconds(std::chrono::steady_clock::now() - began) } });
             co_return;
         }
@@ -404,10 +408,7 @@
         if (!state.has_value()) {
             continue;
         }
-        const auto loaded = state->models.find(step.model);
-        if (loaded != state->models.end() && loaded->second >= step.version) {
-            noteServer(step.server, step.model, loaded->second);
-            openServer_(step.server, step.model, loaded->second);
+        if (takeLoaded(*state, step).has_value()) {
             co_return;
         }
         if (state->busy) {
--- a/Source/Gateway/RolloutDriver.h
+++ b/Source/Gateway/RolloutDriver.h
@@ -75,6 +75,9 @@
     [[nodiscard]] boost::asio::awaitable<void> order(RolloutStep step);
     [[nodiscard]] boost::asio::awaitable<OrderOutcome>
     give(HttpCaller &caller, const RolloutStep &step, platform::ServerReport state);
+    /// Opens the server where it reports the step's weights or newer ones, and returns which.
+    std::optional<WeightsVersion> takeLoaded(const platform::ServerReport &report,
+                                             const RolloutStep &step);
     [[nodiscard]] boost::asio::awaitable<void> awaitLoad(HttpCaller &caller,
                                                          const RolloutStep &step);
     /// Watches a server whose order got no answer until it begins, another is given or the time in
