--- a/Source/Placement/ServerPool.cpp
+++ b/Source/Placement/ServerPool.cpp
@@ -59,12 +59,18 @@
     });
 }
 
+ServerPool::Server *ServerPool::find(const ServerId &id)
+{
+    const auto found = servers_.find(id);
+    return found == servers_.end() ? nullptr : &found->second;
+}
+
 void ServerPool::applyServer(const ListedServer &facts, Instant now)
 {
     departed_.erase(facts.id);
-    const auto found = servers_.find(facts.id);
-    if (found == servers_.end() || found->second.facts.bootedAt != facts.bootedAt
-        || found->second.facts.address != facts.address) {
+    Server *known = find(facts.id);
+    if (known == nullptr || known->facts.bootedAt != facts.bootedAt
+        || known->facts.address != facts.address) {
         Server server { .facts = facts,
                         .hash = hash64(facts.id.text()),
                         .held = HeldParts(cacheRoom(facts.service)) };
@@ -75,12 +81,11 @@
         servers_[facts.id] = std::move(server);
         return;
     }
-    Server &server = found->second;
-    const std::map<ModelId, WeightsVersion> known = server.facts.models;
-    server.facts = facts;
-    server.facts.models = known;
+    const std::map<ModelId, WeightsVersion> models = known->facts.models;
+    known->facts = facts;
+    known->facts.models = models;
     for (const auto &[model, version] : facts.models) {
-        noteWeights(server, model, version);
+        noteWeights(*known, model, version);
     }
 }
 
@@ -97,9 +102,8 @@
 
 void ServerPool::noteWeights(const ServerId &id, const ModelId &model, WeightsVersion version)
 {
-    const auto found = servers_.find(id);
-    if (found != servers_.end()) {
-        noteWeights(found->second, model, version);
+    if (Server *server = find(id)) {
+        noteWeights(*server, model, version);
     }
 }
 
@@ -122,11 +126,11 @@
 void ServerPool::closeForLoad(const ServerId &id, const ModelId &model, WeightsVersion version,
                               Instant until)
 {
-    const auto found = servers_.find(id);
-    if (found == servers_.end()) {
+    Server *found = find(id);
+    if (found == nullptr) {
         return;
     }
-    Server &server = found->second;
+    Server &server = *found;
     const auto known = server.facts.models.find(model);
     if (known != server.facts.models.end() && known->second >= version) {
         return;
@@ -165,20 +169,19 @@
 
 void ServerPool::noteHeard(const ServerId &id, Instant now)
 {
-    const auto found = servers_.find(id);
-    if (found != servers_.end()) {
-        found->second.heardAt = now;
+    if (Server *server = find(id)) {
+        server->heardAt = now;
     }
 }
 
 void ServerPool::noteSent(const ServerId &id, const PlacementRequest &request,
                           std::uint32_t heldTokens, Instant now)
 {
-    const auto found = servers_.find(id);
-    if (found == servers_.end()) {
+    Server *found = find(id);
+    if (found == nullptr) {
         return;
     }
-    Server &server = found->second;
+    Server &server = *found;
     if (server.inFlight++ == 0) {
         server.heardAt = now;
     }
@@ -197,11 +200,11 @@
 void ServerPool::noteFirstByte(const ServerId &id, const PlacementRequest &request,
                                std::optional<WeightsVersion> weights, std::uint32_t readTokens)
 {
-    const auto found = servers_.find(id);
-    if (found == servers_.end()) {
+    Server *found = find(id);
+    if (found == nullptr) {
         return;
     }
-    Server &server = found->second;
+    Server &server = *found;
     server.unreadTokens -= std::min<std::uint64_t>(server.unreadTokens, readTokens);
     if (request.parts.empty() || weights != weightsOf(server, request.model)) {
         return;
@@ -214,11 +217,11 @@
 void ServerPool::noteEnd(const ServerId &id, AttemptVerdict verdict, std::uint32_t unreadTokens,
                          Instant now)
 {
-    const auto found = servers_.find(id);
-    if (found == servers_.end()) {
+    Server *found = find(id);
+    if (found == nullptr) {
         return;
     }
-    Server &server = found->second;
+    Server &server = *found;
     server.inFlight -= server.inFlight > 0 ? 1 : 0;
     server.unreadTokens -= std::min<std::uint64_t>(server.unreadTokens, unreadTokens);
     judge(server, verdict, now);
@@ -226,9 +229,8 @@
 
 void ServerPool::noteUnreachable(const ServerId &id, Instant now)
 {
-    const auto found = servers_.find(id);
-    if (found != servers_.end()) {
-        judge(found->second, AttemptVerdict::Unreachable, now);
+    if (Server *server = find(id)) {
+        judge(*server, AttemptVerdict::Unreachable, now);
     }
 }
 
@@ -260,13 +262,11 @@
 
 void ServerPool::noteLoad(const ServerId &id, const ReportedLoad &load, Instant now)
 {
-    const auto found = servers_.find(id);
-    if (found == servers_.end()) {
-        return;
+    if (Server *server = find(id)) {
+        server->load = load;
+        server->loadAt = now;
+        server->inFlightAtLoad = server->inFlight;
     }
-    found->second.load = load;
-    found->second.loadAt = now;
-    found->second.inFlightAtLoad = found->second.inFlight;
 }
 
 } // namespace jacinthroad
--- a/Source/Placement/ServerPool.h
+++ b/Source/Placement/ServerPool.h
@@ -255,6 +255,8 @@
         bool toldClosed = false;
     };
 
+    /// The server as it is listed, or null.
+    [[nodiscard]] Server *find(const ServerId &id);
     void noteWeights(Server &server, const ModelId &model, WeightsVersion version);
     /// True where newer weights have been named.
     [[nodiscard]] bool replaced(const Server &server, const ModelId &model) const;
--- a/Source/Placement/ServerPoolPeers.cpp
+++ b/Source/Placement/ServerPoolPeers.cpp
@@ -50,11 +50,11 @@
             applyParts(kept->second.held, notice);
             continue;
         }
-        const auto found = servers_.find(notice.server);
-        if (found == servers_.end()) {
+        Server *found = find(notice.server);
+        if (found == nullptr) {
             continue;
         }
-        Server &server = found->second;
+        Server &server = *found;
         server.peers[peer] = { .inFlight = notice.inFlight,
                                .unreadTokens = notice.unreadTokens,
                                .silentMs = notice.silentMs,
@@ -88,8 +88,8 @@
     };
     if (const auto kept = stores_.find(id); kept != stores_.end()) {
         retell(kept->second.held, kept->second.untoldRead);
-    } else if (const auto found = servers_.find(id); found != servers_.end()) {
-        retell(found->second.held, found->second.untoldRead);
+    } else if (Server *server = find(id)) {
+        retell(server->held, server->untoldRead);
     }
 }
 
@@ -174,9 +174,8 @@
     };
     if (const auto kept = stores_.find(id); kept != stores_.end()) {
         apply(kept->second.held, kept->second.untoldRead, kept->second.untoldDropped);
-    } else if (const auto found = servers_.find(id); found != servers_.end()) {
-        Server &server = found->second;
-        apply(server.held, server.untoldRead, server.untoldDropped);
+    } else if (Server *server = find(id)) {
+        apply(server->held, server->untoldRead, server->untoldDropped);
     }
 }
 
