Gateway: Accept, refuse and frame events in one place each

The status pages had an accept loop of their own, which lacked what the callers' has: it spun on an accept that fails, as when descriptors run out, and wrote nothing. Both use acceptConnections() now, so there the status pages pause and log as well; nothing else changes in behaviour.

A refusal's answer was built in the exchange and in the session, and the bounds on callers were chosen twice; both have one function. relay() reads, and framed() makes the bytes that go on.

--- a/Source/Gateway/CallerSession.cpp
+++ b/Source/Gateway/CallerSession.cpp
@@ -7,7 +7,6 @@
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/asio/write.hpp>
 
-#include "Core/Refusal.h"
 #include "Gateway/SocketOptions.h"
 
 namespace jacinthroad {
@@ -74,8 +73,7 @@
     const auto self = shared_from_this();
     watchForSilence(socket_, CallerSilence);
     for (;;) {
-        const CallerLimits limits
-            = state_.routes != nullptr ? state_.routes->limits() : CallerLimits();
+        const CallerLimits limits = state_.limits();
         const bool begun = co_await waitForBytes(limits.idleTimeout + IdleMargin);
         if (!begun) {
             co_return;
@@ -121,7 +119,7 @@
 
 asio::awaitable<bool> CallerSession::readRequest(Parser &parser)
 {
-    const CallerLimits limits = state_.routes != nullptr ? state_.routes->limits() : CallerLimits();
+    const CallerLimits limits = state_.limits();
     closeAfter(limits.headerTimeout);
     error_code error;
     co_await http::async_read_header(socket_, buffer_, parser,
@@ -163,12 +161,8 @@
     } else if (error == http::error::header_limit) {
         kind = ErrorKind::HeaderTooLarge;
     }
-    HttpAnswer answer;
-    answer.result(static_cast<unsigned>(errorAnswer(kind).status));
-    answer.version(11);
-    answer.set(http::field::content_type, "application/json");
+    HttpAnswer answer = refusalAnswer({ .kind = kind, .notRun = NotRun::True });
     answer.keep_alive(false);
-    answer.body() = refusalJson({ .kind = kind, .notRun = NotRun::True });
     answer.prepare_payload();
     state_.metrics.countRequest(std::string(errorAnswer(kind).name));
     error_code ignored;
--- a/Source/Gateway/Exchange.cpp
+++ b/Source/Gateway/Exchange.cpp
@@ -10,7 +10,6 @@
 
 #include "Core/Hashing.h"
 #include "Core/Log.h"
-#include "Core/Refusal.h"
 #include "Gateway/BootClock.h"
 #include "platform/CallerWire.h"
 
@@ -42,6 +41,16 @@
 
 } // namespace
 
+HttpAnswer refusalAnswer(const Refusal &refusal)
+{
+    HttpAnswer answer;
+    answer.result(static_cast<unsigned>(errorAnswer(refusal.kind).status));
+    answer.version(11);
+    answer.set(http::field::content_type, "application/json");
+    answer.body() = refusalJson(refusal);
+    return answer;
+}
+
 Exchange::Exchange(TrafficState &state, asio::ip::tcp::socket &caller, HttpRequest request,
                    Instant received)
     : state_(state)
@@ -276,31 +285,27 @@
 
 asio::awaitable<ExchangeEnd> Exchange::refuse(ErrorKind kind, Duration retryAfter)
 {
-    const ErrorAnswer &table = errorAnswer(kind);
-    HttpAnswer answer;
-    answer.result(static_cast<unsigned>(table.status));
-    answer.version(11);
-    answer.set(http::field::content_type, "application/json");
-    if (!facts_.id.empty()) {
-        platform::setRequestId(answer.base(), facts_.id);
-    }
     const Duration left = timeLeft(std::chrono::steady_clock::now());
     if (left > Duration::zero()) {
         retryAfter = std::min(retryAfter, left / RetryAfterPart);
     }
-    if (record_.verdict() == NotRun::True && retryAfter > Duration::zero()) {
-        platform::setRetryAfter(answer.base(), retryAfter);
-    }
-    answer.body() = refusalJson(
+    HttpAnswer answer = refusalAnswer(
         { .kind = kind,
           .requestId = facts_.id.text(),
           .notRun = record_.verdict(),
           .retryAfterMs = std::chrono::duration_cast<milliseconds>(retryAfter).count() });
+    if (!facts_.id.empty()) {
+        platform::setRequestId(answer.base(), facts_.id);
+    }
+    if (record_.verdict() == NotRun::True && retryAfter > Duration::zero()) {
+        platform::setRetryAfter(answer.base(), retryAfter);
+    }
     const bool keep = request_.keep_alive() && !state_.draining;
     answer.keep_alive(keep);
     answer.prepare_payload();
     error_code error;
     co_await http::async_write(caller_, answer, asio::redirect_error(asio::use_awaitable, error));
+    const ErrorAnswer &table = errorAnswer(kind);
     co_return ExchangeEnd { .outcome = std::string(table.name),
                             .status = table.status,
                             .callerUsable = keep && !error,
--- a/Source/Gateway/Exchange.h
+++ b/Source/Gateway/Exchange.h
@@ -4,6 +4,7 @@
 #include <memory>
 #include <optional>
 #include <string>
+#include <string_view>
 #include <utility>
 #include <variant>
 #include <vector>
@@ -14,6 +15,7 @@
 #include <boost/beast/http.hpp>
 
 #include "Core/ErrorKind.h"
+#include "Core/Refusal.h"
 #include "Fleet/CallerRequest.h"
 #include "Gateway/EventSplitter.h"
 #include "Gateway/TrafficState.h"
@@ -27,6 +29,9 @@
 /// A whole answer.
 using HttpAnswer = boost::beast::http::response<boost::beast::http::string_body>;
 
+/// The head and body of a refusal; the length and the connection's fate are for the caller to set.
+[[nodiscard]] HttpAnswer refusalAnswer(const Refusal &refusal);
+
 /// How an exchange ended, for the session that goes on with the caller's connection.
 struct ExchangeEnd
 {
@@ -83,6 +88,12 @@
     [[nodiscard]] boost::asio::awaitable<AttemptEnd> converse(Attempt &attempt);
     [[nodiscard]] boost::asio::awaitable<AttemptEnd> readWhole(Attempt &attempt);
     [[nodiscard]] boost::asio::awaitable<AttemptEnd> relay(Attempt &attempt);
+    /// The bytes that pass events on to the caller, with the answer's head before the first ones.
+    [[nodiscard]] std::string framed(Attempt &attempt,
+                                     const boost::beast::http::response_header<> &header,
+                                     std::string_view events);
+    /// True where the caller takes a stream in chunks.
+    [[nodiscard]] bool chunked() const { return request_.version() >= 11; }
     void noteRun(AttemptEnd end);
     void settle(Attempt &attempt, AttemptEnd end);
     void send(const std::shared_ptr<Attempt> &shared);
--- a/Source/Gateway/ExchangeAttempt.cpp
+++ b/Source/Gateway/ExchangeAttempt.cpp
@@ -242,7 +242,6 @@
     ServerConnection &connection = *attempt.connection;
     http::response_parser<http::buffer_body> parser { std::move(*attempt.header) };
     const http::response_header<> header = platform::callerHeader(parser.get().base());
-    const bool chunked = request_.version() >= 11;
     constexpr std::size_t PieceBytes = 16384;
     std::array<char, PieceBytes> piece;
     while (!parser.is_done()) {
@@ -265,34 +264,7 @@
             whole.append(events_.part());
         }
         if (!whole.empty()) {
-            std::string bytes;
-            const Instant arrived = std::chrono::steady_clock::now();
-            if (headerDelivered_) {
-                longestGap_ = std::max(longestGap_, arrived - lastEventAt_);
-            }
-            lastEventAt_ = arrived;
-            if (!headerDelivered_) {
-                http::response<http::empty_body> head { header };
-                head.chunked(chunked);
-                head.keep_alive(chunked && request_.keep_alive() && !state_.draining);
-                headerDelivered_ = true;
-                firstByteAt_ = std::chrono::steady_clock::now();
-                attempt.firstByte = true;
-                state_.pool.noteFirstByte(attempt.placement.server, placing_,
-                                          attempt.placement.weights, attempt.unreadTokens);
-                state_.tellPeersSoon();
-                state_.metrics.observeFirstByte(firstByteAt_ - received_);
-                std::ostringstream text;
-                text << head.base();
-                bytes = text.str();
-            }
-            if (chunked) {
-                std::array<char, 24> size16 {};
-                std::snprintf(size16.data(), size16.size(), "%zx\r\n", whole.size());
-                bytes.append(size16.data()).append(whole).append("\r\n");
-            } else {
-                bytes.append(whole);
-            }
+            const std::string bytes = framed(attempt, header, whole);
             const bool written = co_await writeToCaller(bytes);
             if (!written) {
                 callerGone_ = true;
@@ -310,7 +282,7 @@
         answer_.emplace(parser.get().base());
         co_return AttemptEnd::Answered;
     }
-    if (chunked) {
+    if (chunked()) {
         const bool written = co_await writeToCaller("0\r\n\r\n");
         if (!written) {
             callerGone_ = true;
@@ -320,6 +292,39 @@
     co_return AttemptEnd::Delivered;
 }
 
+std::string Exchange::framed(Attempt &attempt, const http::response_header<> &header,
+                             std::string_view events)
+{
+    std::string bytes;
+    const Instant arrived = std::chrono::steady_clock::now();
+    if (headerDelivered_) {
+        longestGap_ = std::max(longestGap_, arrived - lastEventAt_);
+    } else {
+        http::response<http::empty_body> head { header };
+        head.chunked(chunked());
+        head.keep_alive(chunked() && request_.keep_alive() && !state_.draining);
+        headerDelivered_ = true;
+        firstByteAt_ = arrived;
+        attempt.firstByte = true;
+        state_.pool.noteFirstByte(attempt.placement.server, placing_, attempt.placement.weights,
+                                  attempt.unreadTokens);
+        state_.tellPeersSoon();
+        state_.metrics.observeFirstByte(firstByteAt_ - received_);
+        std::ostringstream text;
+        text << head.base();
+        bytes = text.str();
+    }
+    lastEventAt_ = arrived;
+    if (chunked()) {
+        std::array<char, 24> size16 {};
+        std::snprintf(size16.data(), size16.size(), "%zx\r\n", events.size());
+        bytes.append(size16.data()).append(events).append("\r\n");
+    } else {
+        bytes.append(events);
+    }
+    return bytes;
+}
+
 void Exchange::noteRun(AttemptEnd end)
 {
     switch (end) {
--- a/Source/Gateway/Gateway.cpp
+++ b/Source/Gateway/Gateway.cpp
@@ -220,7 +220,7 @@
     };
     asio::co_spawn(trafficContext, acceptCallers(traffic, callers), asio::detached);
     asio::co_spawn(trafficContext,
-                   serveStatus(readiness, settings.readinessPath,
+                   serveStatus(trafficContext, readiness, settings.readinessPath,
                                [this]() -> StatusPage {
                                    return traffic.ready() ? StatusPage { 200, "ready\n" }
                                                           : StatusPage { 503, "not ready\n" };
@@ -228,7 +228,7 @@
                    asio::detached);
     if (scrapes.is_open()) {
         asio::co_spawn(controlContext,
-                       serveStatus(scrapes, "/metrics",
+                       serveStatus(controlContext, scrapes, "/metrics",
                                    [this]() -> StatusPage {
                                        return { 200, metrics.render() };
                                    }),
--- a/Source/Gateway/Listener.cpp
+++ b/Source/Gateway/Listener.cpp
@@ -1,5 +1,7 @@
 #include "Gateway/Listener.h"
 
+#include <utility>
+
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <boost/asio/redirect_error.hpp>
@@ -47,24 +49,33 @@
     return acceptor;
 }
 
-asio::awaitable<void> acceptCallers(TrafficState &state, asio::ip::tcp::acceptor &acceptor)
+asio::awaitable<void> acceptConnections(asio::io_context &context,
+                                        asio::ip::tcp::acceptor &acceptor,
+                                        std::function<void(asio::ip::tcp::socket)> take)
 {
     while (acceptor.is_open()) {
         error_code error;
-        asio::ip::tcp::socket socket(state.context);
+        asio::ip::tcp::socket socket(context);
         co_await acceptor.async_accept(socket, asio::redirect_error(asio::use_awaitable, error));
         if (error == asio::error::operation_aborted) {
             co_return;
         }
         if (error) {
             logLine(LogLevel::Warning, "accept_failed", { { "reason", error.message() } });
-            co_await pauseFor(state.context, AcceptPause);
+            co_await pauseFor(context, AcceptPause);
             continue;
         }
+        take(std::move(socket));
+    }
+}
+
+asio::awaitable<void> acceptCallers(TrafficState &state, asio::ip::tcp::acceptor &acceptor)
+{
+    return acceptConnections(state.context, acceptor, [&state](asio::ip::tcp::socket socket) {
         auto session = std::make_shared<CallerSession>(state, std::move(socket));
         asio::co_spawn(
             state.context, [session] { return session->run(); }, asio::detached);
-    }
+    });
 }
 
 } // namespace jacinthroad
--- a/Source/Gateway/Listener.h
+++ b/Source/Gateway/Listener.h
@@ -1,9 +1,11 @@
 #pragma once
 
+#include <functional>
 #include <string>
 #include <utility>
 
 #include <boost/asio/awaitable.hpp>
+#include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
 
 #include "Core/Error.h"
@@ -15,6 +17,11 @@
 [[nodiscard]] Result<boost::asio::ip::tcp::acceptor> openAcceptor(boost::asio::io_context &context,
                                                                   const std::string &address);
 
+/// Accepts connections until the acceptor is closed and hands each over.
+[[nodiscard]] boost::asio::awaitable<void>
+acceptConnections(boost::asio::io_context &context, boost::asio::ip::tcp::acceptor &acceptor,
+                  std::function<void(boost::asio::ip::tcp::socket)> take);
+
 /// Accepts callers' connections until the acceptor is closed.
 [[nodiscard]] boost::asio::awaitable<void> acceptCallers(TrafficState &state,
                                                          boost::asio::ip::tcp::acceptor &acceptor);
--- a/Source/Gateway/StatusServer.cpp
+++ b/Source/Gateway/StatusServer.cpp
@@ -10,6 +10,7 @@
 #include <boost/beast/http.hpp>
 
 #include "Core/Time.h"
+#include "Gateway/Listener.h"
 #include "Gateway/SocketOptions.h"
 
 namespace jacinthroad {
@@ -64,20 +65,14 @@
 
 } // namespace
 
-asio::awaitable<void> serveStatus(asio::ip::tcp::acceptor &acceptor, std::string path,
-                                  std::function<StatusPage()> page)
+asio::awaitable<void> serveStatus(asio::io_context &context, asio::ip::tcp::acceptor &acceptor,
+                                  std::string path, std::function<StatusPage()> page)
 {
     const auto source = std::make_shared<const StatusSource>(
         StatusSource { .path = std::move(path), .page = std::move(page) });
-    while (acceptor.is_open()) {
-        error_code error;
-        asio::ip::tcp::socket socket(acceptor.get_executor());
-        co_await acceptor.async_accept(socket, asio::redirect_error(asio::use_awaitable, error));
-        if (!error) {
-            asio::co_spawn(acceptor.get_executor(), serveConnection(std::move(socket), source),
-                           asio::detached);
-        }
-    }
+    return acceptConnections(context, acceptor, [&context, source](asio::ip::tcp::socket socket) {
+        asio::co_spawn(context, serveConnection(std::move(socket), source), asio::detached);
+    });
 }
 
 } // namespace jacinthroad
--- a/Source/Gateway/TrafficState.cpp
+++ b/Source/Gateway/TrafficState.cpp
@@ -111,6 +111,11 @@
     serversKnown = true;
 }
 
+CallerLimits TrafficState::limits() const
+{
+    return routes != nullptr ? routes->limits() : CallerLimits();
+}
+
 bool TrafficState::takesRequests(Instant now) const
 {
     return !draining || now - drainingSince < AcceptanceAfterStop;
--- a/Source/Gateway/TrafficState.h
+++ b/Source/Gateway/TrafficState.h
@@ -62,6 +62,8 @@
 
     /// Age from which a peer's configuration counts as old, so that it wants this node's word.
     [[nodiscard]] Duration oldConfigurationAge() const;
+    /// Bounds on what callers send: the configuration's, or the usual ones before the first.
+    [[nodiscard]] CallerLimits limits() const;
     /// True where new connections are welcome.
     [[nodiscard]] bool ready() const;
     /// True while requests are taken: a stopping node takes them until the balancer has left it,
