Gateway: Ignore timer completions that are queued when a timer is cancelled

Callers on open connections saw them closed without a response, after their request had been sent to a backend server and run there.

A session armed one timer for its idle, header and body limits and cancelled it when bytes arrived. Cancelling or rearming an Asio timer doesn't retract a completion that is already queued. When the limit passed and the request arrived in the same turn of the event loop, the session read and dispatched the request, and the queued completion then closed the connection. Any stall of the thread widens that turn, as does a VM that gets a small share of a processor, and a configuration that raises the idle limit makes callers use connections whose sessions still wait for the old one. The decision log wrote 'answered' with status 200 for such a request.

DeadlineTimer counts its armings and ignores completions of earlier ones. The session, the attempts at servers (whose connect timeout could end a sent request) and the client of the store use it. A session dispatches no request once its connection is closed, and its idle limit doesn't close a connection that has unread data.

CallerSessionTest/idleTimeoutDoesNotCloseConnectionWithRequestInProgress stalls the event loop over the end of the idle limit. Before the change the server ran the request and the caller got nothing; now the caller gets the response.

--- a/Source/Gateway/CallerSession.cpp
+++ b/Source/Gateway/CallerSession.cpp
@@ -46,12 +46,9 @@
 
 void CallerSession::scheduleClose(Duration limit)
 {
-    timer_.expires_after(limit);
-    timer_.async_wait([self = shared_from_this()](error_code error) {
-        if (!error) {
-            error_code ignored;
-            self->socket_.close(ignored);
-        }
+    timer_.expireAfter(limit, [self = shared_from_this()] {
+        error_code ignored;
+        self->socket_.close(ignored);
     });
 }
 
@@ -60,12 +57,18 @@
     if (buffer_.size() > 0) {
         co_return true;
     }
-    scheduleClose(limit);
+    timer_.expireAfter(limit, [self = shared_from_this()] {
+        // A request that has arrived by now is served instead.
+        if (peek(self->socket_) != PeekResult::Data) {
+            error_code ignored;
+            self->socket_.close(ignored);
+        }
+    });
     error_code error;
     co_await socket_.async_wait(asio::ip::tcp::socket::wait_read,
                                 asio::redirect_error(asio::use_awaitable, error));
     timer_.cancel();
-    co_return !error;
+    co_return !error && socket_.is_open();
 }
 
 asio::awaitable<void> CallerSession::run()
@@ -144,7 +147,8 @@
         co_await respondToParseError(error);
         co_return false;
     }
-    co_return true;
+    // The time limit may have closed the connection while the completed read was queued.
+    co_return socket_.is_open();
 }
 
 asio::awaitable<void> CallerSession::respondToParseError(const error_code &error)
--- a/Source/Gateway/CallerSession.h
+++ b/Source/Gateway/CallerSession.h
@@ -6,10 +6,10 @@
 
 #include <boost/asio/awaitable.hpp>
 #include <boost/asio/ip/tcp.hpp>
-#include <boost/asio/steady_timer.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/http.hpp>
 
+#include "Gateway/DeadlineTimer.h"
 #include "Gateway/Exchange.h"
 #include "Gateway/TrafficState.h"
 
@@ -37,12 +37,13 @@
     /// Closes the connection; after a complete response without a reset that could discard it
     /// before the caller has read it.
     [[nodiscard]] boost::asio::awaitable<void> closeConnection(bool responseComplete);
+    /// Closes the connection after `limit` unless the timer is rearmed or cancelled before.
     void scheduleClose(Duration limit);
     void watchForDisconnect();
 
     TrafficState &state_;
     boost::asio::ip::tcp::socket socket_;
-    boost::asio::steady_timer timer_;
+    DeadlineTimer timer_;
     boost::beast::flat_buffer buffer_;
     std::unique_ptr<Exchange> exchange_;
     /// Counts exchanges, so that a late completion that belongs to an earlier one is ignored.
--- a/Source/Gateway/ControlClient.cpp
+++ b/Source/Gateway/ControlClient.cpp
@@ -3,12 +3,12 @@
 #include <utility>
 
 #include <boost/asio/redirect_error.hpp>
-#include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/http.hpp>
 
 #include "Gateway/BootClock.h"
+#include "Gateway/DeadlineTimer.h"
 #include "Gateway/SocketOptions.h"
 
 namespace jacinthroad {
@@ -39,7 +39,7 @@
     { }
 
     asio::ip::tcp::socket socket;
-    asio::steady_timer timer;
+    DeadlineTimer timer;
     boost::beast::flat_buffer buffer;
 };
 
@@ -73,12 +73,9 @@
 ControlClient::performCall(std::shared_ptr<Connection> connection, platform::Call call,
                            http::fields headers, Duration timeout)
 {
-    connection->timer.expires_after(timeout);
-    connection->timer.async_wait([connection](error_code error) {
-        if (!error) {
-            error_code ignored;
-            connection->socket.close(ignored);
-        }
+    connection->timer.expireAfter(timeout, [connection] {
+        error_code ignored;
+        connection->socket.close(ignored);
     });
     error_code error;
     if (!connection->socket.is_open()) {
--- a/Source/Gateway/Exchange.h
+++ b/Source/Gateway/Exchange.h
@@ -11,7 +11,6 @@
 
 #include <boost/asio/awaitable.hpp>
 #include <boost/asio/ip/tcp.hpp>
-#include <boost/asio/steady_timer.hpp>
 #include <boost/beast/http.hpp>
 
 #include "Core/ErrorKind.h"
--- a/Source/Gateway/ExchangeAttempt.cpp
+++ b/Source/Gateway/ExchangeAttempt.cpp
@@ -70,7 +70,6 @@
         end = AttemptResult::CallerDisconnected;
     }
     cancelAttempt_ = nullptr;
-    attempt->ended = true;
     attempt->deadlineTimer.cancel();
     attempt->livenessTimer.cancel();
     finishAttempt(*attempt, end);
@@ -79,23 +78,16 @@
 
 void Exchange::abortAt(const std::shared_ptr<Attempt> &attempt, Instant moment)
 {
-    attempt->deadlineTimer.expires_at(moment);
-    attempt->deadlineTimer.async_wait([attempt](error_code error) {
-        if (!error) {
-            attempt->timedOut = true;
-            attempt->abort();
-        }
+    attempt->deadlineTimer.expireAt(moment, [attempt] {
+        attempt->timedOut = true;
+        attempt->abort();
     });
 }
 
 void Exchange::monitorServer(const std::shared_ptr<Attempt> &attempt)
 {
-    attempt->livenessTimer.expires_after(LivenessCheckInterval);
-    attempt->livenessTimer.async_wait([this, attempt](error_code error) {
-        // The exchange outlives the attempt, so `this` is valid while `ended` is false.
-        if (error || attempt->ended) {
-            return;
-        }
+    // The exchange outlives the attempt, which disarms the timer at its end.
+    attempt->livenessTimer.expireAfter(LivenessCheckInterval, [this, attempt] {
         const Instant now = std::chrono::steady_clock::now();
         const Duration prefillAllowance = fromMilliseconds(
             attempt->firstByteReceived ? 0 : attempt->uncachedTokens * UnresponsiveMsPerToken);
--- a/Source/Gateway/ExchangeAttempt.h
+++ b/Source/Gateway/ExchangeAttempt.h
@@ -4,10 +4,10 @@
 #include <memory>
 #include <utility>
 
-#include <boost/asio/steady_timer.hpp>
 #include <boost/beast/http.hpp>
 
 #include "Gateway/ConnectionPool.h"
+#include "Gateway/DeadlineTimer.h"
 #include "Gateway/Exchange.h"
 #include "platform/ServerWire.h"
 
@@ -23,8 +23,8 @@
 
     Placement placement;
     std::unique_ptr<ServerConnection> connection;
-    boost::asio::steady_timer deadlineTimer;
-    boost::asio::steady_timer livenessTimer;
+    DeadlineTimer deadlineTimer;
+    DeadlineTimer livenessTimer;
     HttpRequest forwardedRequest;
     std::unique_ptr<boost::beast::http::response_parser<boost::beast::http::empty_body>>
         headerParser;
@@ -33,7 +33,6 @@
     bool sent = false;
     bool requestWritten = false;
     bool timedOut = false;
-    bool ended = false;
     Instant lastReceivedAt;
     bool firstByteReceived = false;
     /// True if the response was read completely and the connection can carry another request.
