Tests: Add a soak of gateway processes under callers on open connections

The unit test of the connections that were closed without a response stalls one session. GatewaySoak plays the same with node processes: signals, pauses, restarts and changed configurations overlap while callers use their connections until these are closed, and it judges each request by what the servers ran.

--- /dev/null
+++ b/Tests/Soak/Main.cpp
@@ -0,0 +1,59 @@
+#include <iostream>
+
+#include <boost/program_options.hpp>
+
+#include "SoakRun.h"
+
+namespace options = boost::program_options;
+
+int main(int count, char **arguments)
+{
+    jacinthroad::SoakOptions soak;
+    std::uint64_t firstSeed = 1;
+    unsigned seeds = 1;
+    double seconds = 15;
+    options::options_description syntax(
+        "GatewaySoak: faults at gateway processes under callers on open connections");
+    syntax.add_options()("help", "prints this help");
+    syntax.add_options()("program", options::value(&soak.program)->required(),
+                         "path of the jacinthroad program");
+    syntax.add_options()("folder", options::value(&soak.folder)->required(),
+                         "folder for settings files and logs");
+    syntax.add_options()("seed", options::value(&firstSeed), "first seed");
+    syntax.add_options()("seeds", options::value(&seeds), "number of runs, each with its own seed");
+    syntax.add_options()("seconds", options::value(&seconds), "time with faults in each run");
+    syntax.add_options()("nodes", options::value(&soak.nodes), "number of node processes");
+    syntax.add_options()("clients", options::value(&soak.clients), "number of callers");
+    options::variables_map values;
+    try {
+        options::store(options::parse_command_line(count, arguments, syntax), values);
+        if (values.count("help") > 0) {
+            std::cout << syntax;
+            return 0;
+        }
+        options::notify(values);
+    } catch (const options::error &fault) {
+        std::cerr << "GatewaySoak: " << fault.what() << "; see --help\n";
+        return 2;
+    }
+    soak.faultTime = jacinthroad::fromMilliseconds(seconds * 1000);
+    const std::string folder = soak.folder;
+    unsigned failedRuns = 0;
+    for (unsigned number = 0; number < seeds; ++number) {
+        soak.seed = firstSeed + number;
+        soak.folder = folder + "/seed-" + std::to_string(soak.seed);
+        const jacinthroad::SoakReport report = jacinthroad::runSoak(soak);
+        std::cout << "seed " << soak.seed << ": " << report.requests << " requests, "
+                  << report.served << " served, " << report.closedNotRun << " closed and not run; "
+                  << report.stops << " stops, " << report.kills << " kills, " << report.pauses
+                  << " pauses, " << report.reloads << " reloads, " << report.configurations
+                  << " configurations; " << report.violations.size() << " violations\n";
+        for (const std::string &violation : report.violations) {
+            std::cout << "  " << violation << "\n";
+        }
+        std::cout.flush();
+        failedRuns += report.violations.empty() ? 0 : 1;
+    }
+    std::cout << seeds << " runs, " << failedRuns << " with violations\n";
+    return failedRuns == 0 ? 0 : 1;
+}
--- /dev/null
+++ b/Tests/Soak/NodeProcess.cpp
@@ -0,0 +1,112 @@
+#include "NodeProcess.h"
+
+#include <array>
+#include <cerrno>
+#include <csignal>
+#include <fstream>
+#include <system_error>
+#include <thread>
+#include <utility>
+
+#include <fcntl.h>
+#include <spawn.h>
+#include <sys/wait.h>
+#include <unistd.h>
+
+#include <json/value.h>
+
+#include "Core/Json.h"
+#include "FreeAddress.h"
+
+namespace jacinthroad {
+
+namespace {
+
+constexpr Duration PollInterval = milliseconds(10);
+
+} // namespace
+
+NodeProcess::NodeProcess(Options options)
+    : options_(std::move(options))
+    , callerAddress_(freeAddress())
+    , readinessAddress_(freeAddress())
+    , peerAddress_(freeAddress())
+{
+    constexpr int UsualRetryAllowance = 20;
+    changeSettings(UsualRetryAllowance);
+}
+
+NodeProcess::~NodeProcess()
+{
+    kill();
+}
+
+void NodeProcess::changeSettings(int retryAllowance) const
+{
+    Json::Value settings;
+    settings["edge"] = "gateway";
+    settings["node"]["name"] = options_.name;
+    settings["node"]["zone"] = "z";
+    settings["listen"]["callers"] = callerAddress_;
+    settings["listen"]["readiness"] = readinessAddress_;
+    settings["listen"]["peers"] = peerAddress_;
+    settings["store"]["address"] = options_.storeAddress;
+    settings["bounds"]["stop_grace_s"] = toMilliseconds(options_.stopGrace) / 1000;
+    settings["bounds"]["repeat_allowance"] = retryAllowance;
+    const std::string file = options_.folder + "/" + options_.name + ".json";
+    std::ofstream(file + ".new") << writeJson(settings);
+    std::rename((file + ".new").c_str(), file.c_str());
+}
+
+void NodeProcess::start()
+{
+    const std::string settings = options_.folder + "/" + options_.name + ".json";
+    const std::string log = options_.folder + "/" + options_.name + ".log";
+    std::array<const char *, 5> arguments { options_.program.c_str(), "serve", "--settings",
+                                            settings.c_str(), nullptr };
+    posix_spawn_file_actions_t actions;
+    posix_spawn_file_actions_init(&actions);
+    posix_spawn_file_actions_addopen(&actions, STDOUT_FILENO, log.c_str(),
+                                     O_WRONLY | O_CREAT | O_APPEND, 0644);
+    posix_spawn_file_actions_adddup2(&actions, STDOUT_FILENO, STDERR_FILENO);
+    const int error = posix_spawn(&process_, options_.program.c_str(), &actions, nullptr,
+                                  const_cast<char **>(arguments.data()), environ);
+    posix_spawn_file_actions_destroy(&actions);
+    if (error != 0) {
+        process_ = -1;
+        throw std::system_error(error, std::generic_category(), options_.program);
+    }
+}
+
+void NodeProcess::signal(int number) const
+{
+    if (process_ > 0) {
+        ::kill(process_, number);
+    }
+}
+
+bool NodeProcess::waitForEnd(Duration limit)
+{
+    const Instant until = std::chrono::steady_clock::now() + limit;
+    while (process_ > 0) {
+        const pid_t ended = waitpid(process_, nullptr, WNOHANG);
+        if (ended == process_ || (ended < 0 && errno == ECHILD)) {
+            process_ = -1;
+            return true;
+        }
+        if (std::chrono::steady_clock::now() >= until) {
+            return false;
+        }
+        std::this_thread::sleep_for(PollInterval);
+    }
+    return true;
+}
+
+void NodeProcess::kill()
+{
+    ++kills_;
+    signal(SIGKILL);
+    static_cast<void>(waitForEnd(std::chrono::seconds(10)));
+}
+
+} // namespace jacinthroad
--- /dev/null
+++ b/Tests/Soak/NodeProcess.h
@@ -0,0 +1,59 @@
+#pragma once
+
+#include <atomic>
+#include <string>
+
+#include <sys/types.h>
+
+#include "Core/Time.h"
+
+namespace jacinthroad {
+
+/// One gateway node that runs as a process of its own, with a settings file in a folder.
+class NodeProcess
+{
+public:
+    struct Options
+    {
+        /// Path of the `jacinthroad` program.
+        std::string program;
+        /// Folder for the settings file and the log.
+        std::string folder;
+        std::string name;
+        /// `IP:port` of the store.
+        std::string storeAddress;
+        /// Time from SIGTERM to SIGKILL.
+        Duration stopGrace {};
+    };
+
+    explicit NodeProcess(Options options);
+    NodeProcess(const NodeProcess &) = delete;
+    NodeProcess &operator=(const NodeProcess &) = delete;
+    ~NodeProcess();
+
+    /// Starts the process. Throws std::system_error if it cannot be started.
+    void start();
+    /// Sends a signal to the process.
+    void signal(int number) const;
+    /// Rewrites the settings file with another retry allowance, as before a SIGHUP.
+    void changeSettings(int retryAllowance) const;
+    /// Waits until the process has ended, for `limit` at most; returns false if it still runs.
+    [[nodiscard]] bool waitForEnd(Duration limit);
+    /// Kills the process and waits for its end.
+    void kill();
+
+    [[nodiscard]] const std::string &callerAddress() const { return callerAddress_; }
+    [[nodiscard]] const std::string &name() const { return options_.name; }
+    /// Number of kills so far. A request whose connection breaks around a kill is not judged.
+    [[nodiscard]] unsigned kills() const { return kills_; }
+
+private:
+    Options options_;
+    std::string callerAddress_;
+    std::string readinessAddress_;
+    std::string peerAddress_;
+    pid_t process_ = -1;
+    std::atomic<unsigned> kills_ { 0 };
+};
+
+} // namespace jacinthroad
