Gateway: Log responses that could not be written as not_delivered

The request log and the request metric named a response whose write had failed like one that was written: `answered` with the server's status, or a refusal's name with its status. A stream that this node could not write was logged as `caller_left`. The callers whose connections this node had closed under a request in progress were therefore invisible to operators.

Such exchanges now end with `outcome` `not_delivered`, no status and the `reason` of the failed write, which tells a caller that left from a connection that this node closed. The metric of requests that cannot be parsed follows the same rule.

Three new cases of CallerSessionTest close the connection under an exchange: a complete response, a refusal and a stream.

--- a/Source/Gateway/CallerSession.cpp
+++ b/Source/Gateway/CallerSession.cpp
@@ -168,11 +168,12 @@
     GatewayResponse response = gatewayRefusalResponse({ .kind = kind, .notRun = NotRun::True });
     response.keep_alive(false);
     response.prepare_payload();
-    state_.metrics.countRequest(std::string(errorResponse(kind).name));
-    error_code ignored;
+    error_code writeError;
     co_await http::async_write(socket_, response,
-                               asio::redirect_error(asio::use_awaitable, ignored));
-    co_await closeConnection(true);
+                               asio::redirect_error(asio::use_awaitable, writeError));
+    state_.metrics.countRequest(writeError ? "not_delivered"
+                                           : std::string(errorResponse(kind).name));
+    co_await closeConnection(!writeError);
 }
 
 void CallerSession::watchForDisconnect()
--- a/Source/Gateway/Exchange.cpp
+++ b/Source/Gateway/Exchange.cpp
@@ -186,6 +186,9 @@
                                        = request_.keep_alive() && !state_.draining,
                                        .responseComplete = true };
         }
+        if (writeError_) {
+            co_return notDelivered(writeError_);
+        }
         if (end == AttemptResult::CallerDisconnected || callerDisconnected_) {
             co_return ExchangeResult { .outcome = "caller_left", .connectionReusable = false };
         }
@@ -284,10 +287,13 @@
     state_.metrics.observeFirstByte(firstByteAt_ - received_);
     error_code error;
     co_await http::async_write(caller_, response, asio::redirect_error(asio::use_awaitable, error));
+    if (error) {
+        co_return notDelivered(error);
+    }
     co_return ExchangeResult { .outcome = "answered",
                                .status = static_cast<int>(response.result_int()),
-                               .connectionReusable = keep && !error,
-                               .responseComplete = !error };
+                               .connectionReusable = keep,
+                               .responseComplete = true };
 }
 
 asio::awaitable<ExchangeResult> Exchange::sendRefusal(ErrorKind kind, Duration retryAfter)
@@ -312,11 +318,19 @@
     response.prepare_payload();
     error_code error;
     co_await http::async_write(caller_, response, asio::redirect_error(asio::use_awaitable, error));
+    if (error) {
+        co_return notDelivered(error);
+    }
     const ErrorResponse &table = errorResponse(kind);
     co_return ExchangeResult { .outcome = std::string(table.name),
                                .status = table.status,
-                               .connectionReusable = keep && !error,
-                               .responseComplete = !error };
+                               .connectionReusable = keep,
+                               .responseComplete = true };
+}
+
+ExchangeResult Exchange::notDelivered(const error_code &error)
+{
+    return { .outcome = "not_delivered", .connectionReusable = false, .reason = error.message() };
 }
 
 void Exchange::logResult(const ExchangeResult &end) const
@@ -350,6 +364,7 @@
           { "configuration_age_ms", age.has_value() ? toMilliseconds(*age) : -1.0 },
           { "outcome", end.outcome },
           { "status", std::int64_t { end.status } },
+          { "reason", end.reason },
           { "first_byte_ms",
             firstByteAt_ == Instant() ? -1.0 : toMilliseconds(firstByteAt_ - received_) },
           { "longest_gap_ms", toMilliseconds(longestGap_) },
--- a/Source/Gateway/Exchange.h
+++ b/Source/Gateway/Exchange.h
@@ -43,6 +43,8 @@
     bool connectionReusable = true;
     /// True if a complete response was written; otherwise the connection is closed at once.
     bool responseComplete = false;
+    /// Why the response could not be written; empty otherwise.
+    std::string reason;
 };
 
 /// Processes one request of a caller: admits and places it, sends it to one or more backend servers
@@ -110,7 +112,11 @@
     [[nodiscard]] boost::asio::awaitable<ExchangeResult> sendResponse();
     [[nodiscard]] boost::asio::awaitable<ExchangeResult> sendRefusal(ErrorKind kind,
                                                                      Duration retryAfter);
+    /// Writes part of a stream. Returns false if the caller has left or the write fails, in which
+    /// case `writeError_` is set.
     [[nodiscard]] boost::asio::awaitable<bool> writeToCaller(std::string_view bytes);
+    /// The result of an exchange whose response could not be written.
+    [[nodiscard]] static ExchangeResult notDelivered(const boost::system::error_code &error);
     [[nodiscard]] Duration timeLeft(Instant now) const;
     [[nodiscard]] platform::ForwardOptions forwardFacts(const Placement &placement,
                                                         Instant now) const;
@@ -137,6 +143,8 @@
     std::optional<GatewayResponse> response_;
     bool callerDisconnected_ = false;
     bool headerDelivered_ = false;
+    /// Why a write of part of a stream failed.
+    boost::system::error_code writeError_;
     EventSplitter eventSplitter_;
     std::function<void()> cancelAttempt_;
     Instant firstByteAt_;
--- a/Source/Gateway/ExchangeAttempt.cpp
+++ b/Source/Gateway/ExchangeAttempt.cpp
@@ -394,10 +394,9 @@
 
 asio::awaitable<bool> Exchange::writeToCaller(std::string_view bytes)
 {
-    error_code error;
     co_await asio::async_write(caller_, asio::buffer(bytes.data(), bytes.size()),
-                               asio::redirect_error(asio::use_awaitable, error));
-    co_return !error && !callerDisconnected_;
+                               asio::redirect_error(asio::use_awaitable, writeError_));
+    co_return !writeError_ && !callerDisconnected_;
 }
 
 } // namespace jacinthroad
--- a/Tests/Gateway/CallerSessionTest.cpp
+++ b/Tests/Gateway/CallerSessionTest.cpp
@@ -1,4 +1,8 @@
 #include <atomic>
+#include <functional>
+#include <memory>
+#include <optional>
+#include <string>
 #include <thread>
 #include <utility>
 
@@ -30,21 +34,28 @@
 class SessionFixture
 {
 public:
-    SessionFixture()
-        : server([this](ScriptedConnection &connection) {
+    /// Responds to one request on behalf of the backend server.
+    using Handler = std::function<void(ScriptedConnection &, const ReceivedRequest &)>;
+
+    explicit SessionFixture(Handler handler = respondOk)
+        : server([this, handler = std::move(handler)](ScriptedConnection &connection) {
             ReceivedRequest request;
             while (connection.read(request)) {
                 ++requestsAtServer;
-                connection.write(validResponse(request));
+                handler(connection, request);
             }
         })
         , state(context, settings, metrics)
         , caller(callerContext)
+        , accepted(context)
     {
         auto configuration = platform::readConfiguration(*parseJson(
             R"({"version":1,"routes":[{"name":"unsafe","hostname":"h","pathPrefix":"/unsafe/",
                 "kind":"unsafe","timeoutMs":3000,"targetLatencyMs":300,"priority":1,
-                "service":"plain","maxAttempts":1}],
+                "service":"plain","maxAttempts":1},
+                {"name":"once","hostname":"h","pathPrefix":"/once/",
+                "kind":"streaming","timeoutMs":3000,"targetLatencyMs":300,"priority":1,
+                "service":"plain","maxAttempts":1,"resumable":false}],
                 "services":[{"name":"plain"}],"tenants":[],
                 "limits":{"maxHeaderBytes":8192,"maxBodyBytes":100000,"headerTimeoutMs":1000,
                 "idleTimeoutMs":200}})"));
@@ -57,11 +68,34 @@
                            std::chrono::steady_clock::now());
         asio::ip::tcp::acceptor acceptor(context, { asio::ip::make_address("127.0.0.1"), 0 });
         caller.connect(acceptor.local_endpoint());
-        auto session = std::make_shared<CallerSession>(state, acceptor.accept(context));
+        accepted = acceptor.accept(context);
+    }
+
+    static void respondOk(ScriptedConnection &connection, const ReceivedRequest &request)
+    {
+        connection.write(validResponse(request));
+    }
+
+    void startSession()
+    {
+        auto session = std::make_shared<CallerSession>(state, std::move(accepted));
         asio::co_spawn(
             context, [session] { return session->run(); }, asio::detached);
     }
 
+    /// Starts an exchange without a session; its result is stored in `result`.
+    void startExchange(const std::string &target, std::optional<ExchangeResult> &result)
+    {
+        HttpRequest request { boost::beast::http::verb::post, target, 11 };
+        request.set(boost::beast::http::field::host, "h");
+        request.set("X-Request-Id", "r1");
+        exchange = std::make_unique<Exchange>(state, accepted, std::move(request),
+                                              std::chrono::steady_clock::now());
+        asio::co_spawn(
+            context, exchange->run(),
+            [&result](const std::exception_ptr &, ExchangeResult end) { result = std::move(end); });
+    }
+
     void send()
     {
         asio::write(caller,
@@ -98,8 +132,13 @@
     GatewayMetrics metrics;
     TrafficState state;
     asio::ip::tcp::socket caller;
+    asio::ip::tcp::socket accepted;
+    std::unique_ptr<Exchange> exchange;
 };
 
+/// How long the backend server of some tests takes to respond.
+constexpr Duration ServerDelay = milliseconds(150);
+
 } // namespace
 
 BOOST_AUTO_TEST_SUITE(CallerSessionTest)
@@ -107,6 +146,7 @@
 BOOST_AUTO_TEST_CASE(idleTimeoutDoesNotCloseConnectionWithRequestInProgress)
 {
     SessionFixture fixture;
+    fixture.startSession();
     BOOST_TEST(fixture.run(milliseconds(50)).empty());
     // Request and idle timeout become due in the same turn of the event loop.
     fixture.send();
@@ -116,6 +156,54 @@
     BOOST_TEST(received.starts_with("HTTP/1.1 200"));
 }
 
+BOOST_AUTO_TEST_CASE(responseThatCannotBeWrittenIsNotLoggedAsAnswered)
+{
+    SessionFixture fixture([](ScriptedConnection &connection, const ReceivedRequest &request) {
+        std::this_thread::sleep_for(ServerDelay);
+        connection.write(validResponse(request));
+    });
+    std::optional<ExchangeResult> result;
+    fixture.startExchange("/unsafe/a", result);
+    static_cast<void>(fixture.run(milliseconds(50)));
+    fixture.accepted.close();
+    static_cast<void>(fixture.run(milliseconds(500)));
+    BOOST_REQUIRE(result.has_value());
+    BOOST_TEST(fixture.requestsAtServer == 1U);
+    BOOST_TEST(result->outcome == "not_delivered");
+    BOOST_TEST(result->status == 0);
+    BOOST_TEST(!result->connectionReusable);
+    BOOST_TEST(fixture.metrics.render().find("{outcome=\"not_delivered\"} 1") != std::string::npos);
+}
+
+BOOST_AUTO_TEST_CASE(refusalThatCannotBeWrittenIsNotLoggedUnderItsName)
+{
+    SessionFixture fixture;
+    std::optional<ExchangeResult> result;
+    fixture.accepted.close();
+    fixture.startExchange("/nowhere/", result);
+    static_cast<void>(fixture.run(milliseconds(100)));
+    BOOST_REQUIRE(result.has_value());
+    BOOST_TEST(result->outcome == "not_delivered");
+    BOOST_TEST(result->status == 0);
+}
+
+BOOST_AUTO_TEST_CASE(streamThatCannotBeWrittenIsNotLoggedAsLeftByCaller)
+{
+    SessionFixture fixture([](ScriptedConnection &connection, const ReceivedRequest &request) {
+        connection.write(streamHead(request) + chunk(event(1)));
+        std::this_thread::sleep_for(ServerDelay);
+        connection.write(chunk(event(2)) + "0\r\n\r\n");
+    });
+    std::optional<ExchangeResult> result;
+    fixture.startExchange("/once/a", result);
+    const std::string received = fixture.run(milliseconds(50));
+    BOOST_TEST(received.find("token 1") != std::string::npos);
+    fixture.accepted.close();
+    static_cast<void>(fixture.run(milliseconds(500)));
+    BOOST_REQUIRE(result.has_value());
+    BOOST_TEST(result->outcome == "not_delivered");
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace jacinthroad
