Tests: Guard timers against completions that are queued when they change

CallerSessionTest/connectTimeoutDoesNotEndRequestThatWasSentAfterStall stalls between connecting and sending, ControlClientTest/timeoutOfEarlierCallDoesNotCloseReusedConnection between two calls.

--- a/Tests/Gateway/CallerSessionTest.cpp
+++ b/Tests/Gateway/CallerSessionTest.cpp
@@ -84,9 +84,11 @@
     }
 
     /// Starts an exchange without a session; its result is stored in `result`.
-    void startExchange(const std::string &target, std::optional<ExchangeResult> &result)
+    void startExchange(const std::string &target, std::optional<ExchangeResult> &result,
+                       const std::string &deadlineMs = "3000")
     {
         HttpRequest request { boost::beast::http::verb::post, target, 11 };
+        request.set("X-Deadline-Ms", deadlineMs);
         request.set(boost::beast::http::field::host, "h");
         request.set("X-Request-Id", "r1");
         exchange = std::make_unique<Exchange>(state, accepted, std::move(request),
@@ -103,6 +105,15 @@
                                              "X-Request-Id: r1\r\nContent-Length: 2\r\n\r\nab")));
     }
 
+    /// Runs the event loop until the exchange connects to the server, then stalls it for a while.
+    void stallWhileConnecting(Duration time)
+    {
+        while (metrics.render().find("jacinthroad_server_connects_total 1") == std::string::npos) {
+            context.poll_one();
+        }
+        std::this_thread::sleep_for(time);
+    }
+
     /// Runs the event loop for a while and returns what the caller has received.
     std::string run(Duration time)
     {
@@ -204,6 +215,22 @@
     BOOST_TEST(result->outcome == "not_delivered");
 }
 
+BOOST_AUTO_TEST_CASE(connectTimeoutDoesNotEndRequestThatWasSentAfterStall)
+{
+    SessionFixture fixture([](ScriptedConnection &connection, const ReceivedRequest &request) {
+        std::this_thread::sleep_for(ServerDelay);
+        connection.write(validResponse(request));
+    });
+    std::optional<ExchangeResult> result;
+    fixture.startExchange("/unsafe/a", result);
+    fixture.stallWhileConnecting(milliseconds(600));
+    const std::string received = fixture.run(milliseconds(500));
+    BOOST_REQUIRE(result.has_value());
+    BOOST_TEST(fixture.requestsAtServer == 1U);
+    BOOST_TEST(result->outcome == "answered");
+    BOOST_TEST(received.starts_with("HTTP/1.1 200"));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace jacinthroad
--- /dev/null
+++ b/Tests/Gateway/ControlClientTest.cpp
@@ -0,0 +1,60 @@
+#include <atomic>
+#include <optional>
+#include <thread>
+#include <utility>
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/io_context.hpp>
+#include <boost/test/unit_test.hpp>
+
+#include "Gateway/ControlClient.h"
+#include "ScriptedServer.h"
+
+namespace jacinthroad {
+
+namespace asio = boost::asio;
+
+BOOST_AUTO_TEST_SUITE(ControlClientTest)
+
+BOOST_AUTO_TEST_CASE(timeoutOfEarlierCallDoesNotCloseReusedConnection)
+{
+    constexpr Duration Timeout = milliseconds(200);
+    std::atomic<unsigned> requests { 0 };
+    ScriptedServer server([&](ScriptedConnection &connection) {
+        boost::beast::http::request<boost::beast::http::string_body> request;
+        while (connection.read(request)) {
+            ++requests;
+            std::this_thread::sleep_for(Timeout / 2);
+            connection.write(responseText(200, "", "{}"));
+        }
+    });
+    asio::io_context context { 1 };
+    ControlClient client(context, server.address());
+    const platform::Call call { .target = "/" };
+    std::optional<bool> first;
+    std::optional<bool> second;
+    asio::co_spawn(
+        context,
+        [&]() -> asio::awaitable<void> {
+            const auto one = co_await client.call(call, {}, Timeout);
+            first = one.has_value();
+            const auto two = co_await client.call(call, {}, Timeout);
+            second = two.has_value();
+        },
+        [](const std::exception_ptr &) {});
+    // The response to the first call and the end of its timeout become due in the same turn.
+    while (requests == 0) {
+        context.poll();
+    }
+    std::this_thread::sleep_for(2 * Timeout);
+    context.restart();
+    context.run_for(milliseconds(500));
+    BOOST_REQUIRE(first.has_value());
+    BOOST_REQUIRE(second.has_value());
+    BOOST_TEST(*first);
+    BOOST_TEST(*second);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+} // namespace jacinthroad
