Gateway: Don't send a request whose deadline has passed while connecting

A request whose time ran out while the gateway connected to a server was sent all the same, with no time left, and the caller got 504 timed_out, which doesn't tell whether the request ran. It happens when the event loop stalls: the completed connection and the end of the connect timeout become due in the same turn, and the completion comes first. The time left was checked only before connecting.

It is now checked again before the request is sent.

CallerSessionTest/requestIsNotSentAfterStallOverItsDeadline stalls the event loop while connecting for longer than the caller's deadline. Before the change the server ran the request and the caller got timed_out.

--- a/Source/Gateway/Exchange.cpp
+++ b/Source/Gateway/Exchange.cpp
@@ -74,6 +74,11 @@
     return deadline_ - now;
 }
 
+bool Exchange::outOfTime(Instant now) const
+{
+    return timeLeft(now) < MinUsefulTime;
+}
+
 std::optional<ErrorKind> Exchange::admit()
 {
     const auto facts = platform::readCallerRequest(request_.base());
@@ -155,7 +160,7 @@
         if (callerDisconnected_) {
             co_return ExchangeResult { .outcome = "caller_left", .connectionReusable = false };
         }
-        if (timeLeft(now) < MinUsefulTime) {
+        if (outOfTime(now)) {
             co_return co_await sendRefusal(dispatchRecord_.verdict() == NotRun::True
                                                ? ErrorKind::DeadlineUnreachable
                                                : ErrorKind::TimedOut,
@@ -205,6 +210,9 @@
                                        .connectionReusable = false };
         }
         if (dispatchRecord_.verdict() == NotRun::True) {
+            if (end == AttemptResult::TimedOut) {
+                co_return co_await sendRefusal(ErrorKind::DeadlineUnreachable, Duration::zero());
+            }
             co_return co_await sendRefusal(ErrorKind::NoBackendServer, milliseconds(200));
         }
         co_return co_await sendRefusal(end == AttemptResult::TimedOut ? ErrorKind::TimedOut
@@ -235,7 +243,7 @@
 
 bool Exchange::mayRetry(AttemptResult end, Instant now)
 {
-    if (timeLeft(now) < MinUsefulTime) {
+    if (outOfTime(now)) {
         return false;
     }
     const unsigned runs = sends_ - rejected_;
--- a/Source/Gateway/Exchange.h
+++ b/Source/Gateway/Exchange.h
@@ -118,6 +118,8 @@
     /// The result of an exchange whose response could not be written.
     [[nodiscard]] static ExchangeResult notDelivered(const boost::system::error_code &error);
     [[nodiscard]] Duration timeLeft(Instant now) const;
+    /// True if too little time is left for sending the request.
+    [[nodiscard]] bool outOfTime(Instant now) const;
     [[nodiscard]] platform::ForwardOptions forwardFacts(const Placement &placement,
                                                         Instant now) const;
     void preparePlacement();
--- a/Source/Gateway/ExchangeAttempt.cpp
+++ b/Source/Gateway/ExchangeAttempt.cpp
@@ -59,7 +59,9 @@
     cancelAttempt_ = [attempt] { attempt->abort(); };
     AttemptResult end = AttemptResult::NotSent;
     const bool connected = co_await connect(attempt);
-    if (connected) {
+    if (connected && outOfTime(std::chrono::steady_clock::now())) {
+        end = AttemptResult::TimedOut;
+    } else if (connected) {
         abortAt(attempt, deadline_);
         sendRequest(attempt);
         if (route_->retryable()) {
--- a/Tests/Gateway/CallerSessionTest.cpp
+++ b/Tests/Gateway/CallerSessionTest.cpp
@@ -231,6 +231,19 @@
     BOOST_TEST(received.starts_with("HTTP/1.1 200"));
 }
 
+BOOST_AUTO_TEST_CASE(requestIsNotSentAfterStallOverItsDeadline)
+{
+    SessionFixture fixture;
+    std::optional<ExchangeResult> result;
+    fixture.startExchange("/unsafe/a", result, "300");
+    fixture.stallWhileConnecting(milliseconds(600));
+    const std::string received = fixture.run(milliseconds(500));
+    BOOST_REQUIRE(result.has_value());
+    BOOST_TEST(fixture.requestsAtServer == 0U);
+    BOOST_TEST(result->outcome == "deadline_unreachable");
+    BOOST_TEST(received.starts_with("HTTP/1.1 503"));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace jacinthroad
