--- a/Source/Gateway/ExchangeAttempt.cpp
+++ b/Source/Gateway/ExchangeAttempt.cpp
@@ -59,7 +59,9 @@
     cancelAttempt_ = [attempt] { attempt->abort(); };
     AttemptResult end = AttemptResult::NotSent;
     const bool connected = co_await connect(attempt);
-    if (connected) {
+    if (connected && outOfTime(std::chrono::steady_clock::now())) {
+        end = AttemptResult::TimedOut;
+    } else if (connected) {
         abortAt(attempt, deadline_);
         sendRequest(attempt);
         if (route_->retryable()) {
@@ -394,10 +396,9 @@
 
 asio::awaitable<bool> Exchange::writeToCaller(std::string_view bytes)
 {
-    error_code error;
     co_await asio::async_write(caller_, asio::buffer(bytes.data(), bytes.size()),
-                               asio::redirect_error(asio::use_awaitable, error));
-    co_return !error && !callerDisconnected_;
+                               asio::redirect_error(asio::use_awaitable, writeError_));
+    co_return !writeError_ && !callerDisconnected_;
 }
 
 } // namespace jacinthroad
