Gateway: Measure the digests and the delay of the traffic thread

When callers left and servers ran on, neither logs nor metrics told whether the node's link, its processor time or its connections were at fault.

--- a/Source/Gateway/DigestExchange.cpp
+++ b/Source/Gateway/DigestExchange.cpp
@@ -130,6 +130,7 @@
         error_code ignored;
         socket_.send_to(asio::buffer(datagram), peer, 0, ignored);
     }
+    state_.metrics.countDigestsSent(peers_.size(), datagram.size());
     if (state_.pool.hasPendingParts()) {
         sendDigestSoon();
     }
@@ -154,6 +155,7 @@
                                        return;
                                    }
                                    if (!error) {
+                                       state_.metrics.countDigestReceived(size);
                                        applyDatagram({ buffer_.data(), size });
                                    }
                                    receive();
--- a/Source/Gateway/Gateway.cpp
+++ b/Source/Gateway/Gateway.cpp
@@ -57,6 +57,8 @@
 constexpr const char *PeerAddressField = "peers";
 /// Period of the sweep over idle connections, and of passing the data of responses to the rollout.
 constexpr Duration SweepPeriod = milliseconds(200);
+/// Delay of a sweep from which it is logged: the traffic thread or the VM stood still.
+constexpr Duration LoggedTrafficDelay = milliseconds(250);
 /// Number of sweeps between two assignments of caches to owner nodes.
 constexpr unsigned SweepsPerAssignment = 4;
 /// The balancer polls readiness once a second and removes the node after two failures; its callers
@@ -265,6 +267,13 @@
     sweepTimer.expires_after(SweepPeriod);
     sweepTimer.async_wait([this](error_code error) {
         if (!error) {
+            const Duration late = std::chrono::steady_clock::now() - sweepTimer.expiry();
+            metrics.observeTrafficDelay(late);
+            if (late > LoggedTrafficDelay) {
+                logLine(LogLevel::Warning, "traffic_delayed",
+                        { { "late_ms", toMilliseconds(late) },
+                          { "active_requests", std::int64_t { traffic.activeRequests } } });
+            }
             sweep();
         }
     });
--- a/Source/Gateway/GatewayMetrics.cpp
+++ b/Source/Gateway/GatewayMetrics.cpp
@@ -14,6 +14,10 @@
 const prometheus::Histogram::BucketBoundaries FirstByteBounds { 0.02, 0.05, 0.1, 0.2, 0.3, 0.4,
                                                                 0.5,  0.75, 1,   2,   5 };
 
+/// Upper bucket bounds in seconds, from the delay of a busy thread to that of a suspended VM.
+const prometheus::Histogram::BucketBoundaries TrafficDelayBounds { 0.005, 0.02, 0.05, 0.1,
+                                                                   0.25,  0.5,  1,    2 };
+
 } // namespace
 
 GatewayMetrics::GatewayMetrics()
@@ -40,6 +44,31 @@
                               .Help("Times at which a peer proved the configuration to be current")
                               .Register(*registry_)
                               .Add({}))
+    , digestsSent_(&prometheus::BuildCounter()
+                        .Name("jacinthroad_digests_sent_total")
+                        .Help("Datagrams sent to peers")
+                        .Register(*registry_)
+                        .Add({}))
+    , digestBytesSent_(&prometheus::BuildCounter()
+                            .Name("jacinthroad_digest_bytes_sent_total")
+                            .Help("Bytes of the datagrams sent to peers")
+                            .Register(*registry_)
+                            .Add({}))
+    , digestsReceived_(&prometheus::BuildCounter()
+                            .Name("jacinthroad_digests_received_total")
+                            .Help("Datagrams received from peers")
+                            .Register(*registry_)
+                            .Add({}))
+    , digestBytesReceived_(&prometheus::BuildCounter()
+                                .Name("jacinthroad_digest_bytes_received_total")
+                                .Help("Bytes of the datagrams received from peers")
+                                .Register(*registry_)
+                                .Add({}))
+    , trafficDelay_(&prometheus::BuildHistogram()
+                         .Name("jacinthroad_traffic_delay_seconds")
+                         .Help("Time by which a periodic task of the traffic thread was late")
+                         .Register(*registry_)
+                         .Add({}, TrafficDelayBounds))
     , firstByte_(&prometheus::BuildHistogram()
                       .Name("jacinthroad_first_byte_seconds")
                       .Help("Time from a whole request to the first byte of its answer")
@@ -84,6 +113,23 @@
     peerConfirmations_->Increment();
 }
 
+void GatewayMetrics::countDigestsSent(std::size_t peers, std::size_t bytes)
+{
+    digestsSent_->Increment(static_cast<double>(peers));
+    digestBytesSent_->Increment(static_cast<double>(peers * bytes));
+}
+
+void GatewayMetrics::countDigestReceived(std::size_t bytes)
+{
+    digestsReceived_->Increment();
+    digestBytesReceived_->Increment(static_cast<double>(bytes));
+}
+
+void GatewayMetrics::observeTrafficDelay(Duration late)
+{
+    trafficDelay_->Observe(std::chrono::duration<double>(late).count());
+}
+
 void GatewayMetrics::observeFirstByte(Duration time)
 {
     firstByte_->Observe(std::chrono::duration<double>(time).count());
--- a/Source/Gateway/GatewayMetrics.h
+++ b/Source/Gateway/GatewayMetrics.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <cstddef>
 #include <memory>
 #include <string>
 
@@ -35,6 +36,12 @@
     void countConnect();
     /// Counts a confirmation by a peer that the configuration is current.
     void countPeerConfirmation();
+    /// Counts datagrams of `bytes` each that were sent to `peers` peers.
+    void countDigestsSent(std::size_t peers, std::size_t bytes);
+    /// Counts a datagram of `bytes` from a peer.
+    void countDigestReceived(std::size_t bytes);
+    /// Records how late a periodic task of the traffic thread began.
+    void observeTrafficDelay(Duration late);
     /// Records the time from a complete request to the first byte of its response to the caller.
     void observeFirstByte(Duration time);
     /// Sets the time since the configuration was last known to be current.
@@ -52,6 +59,11 @@
     prometheus::Family<prometheus::Counter> *storeCalls_;
     prometheus::Counter *connects_;
     prometheus::Counter *peerConfirmations_;
+    prometheus::Counter *digestsSent_;
+    prometheus::Counter *digestBytesSent_;
+    prometheus::Counter *digestsReceived_;
+    prometheus::Counter *digestBytesReceived_;
+    prometheus::Histogram *trafficDelay_;
     prometheus::Histogram *firstByte_;
     prometheus::Gauge *configurationAge_;
     prometheus::Gauge *configurationVersion_;
