Gateway: Don't send requests whose callers have left

A request that was read late, as after a stall of the event loop, was sent to a server although its caller had closed the connection: the close was in the socket, but the watch for it completes only after the exchange has picked a kept connection and sent the request. Servers then began work that nobody waited for, over half a second after the callers had left.

The caller's socket is now checked right before the request is sent. A kept connection that was picked and not used goes back to the pool.

CallerSessionTest/requestOfDisconnectedCallerIsNotSent: before the change the server got the request of the closed connection; now it doesn't.

--- a/Source/Gateway/ExchangeAttempt.cpp
+++ b/Source/Gateway/ExchangeAttempt.cpp
@@ -59,7 +59,9 @@
     cancelAttempt_ = [attempt] { attempt->abort(); };
     AttemptResult end = AttemptResult::NotSent;
     const bool connected = co_await connect(attempt);
-    if (connected) {
+    // The close may have arrived with the request, or while the connection was being opened.
+    callerDisconnected_ = callerDisconnected_ || peek(caller_) == PeekResult::Closed;
+    if (connected && !callerDisconnected_) {
         abortAt(attempt, deadline_);
         sendRequest(attempt);
         if (route_->retryable()) {
@@ -387,6 +389,8 @@
         const Duration keep = attempt.responseFacts.keepAlive.value_or(DefaultKeepAlive);
         attempt.connection->usableUntil = now + keep - std::min(keep / 2, KeepAliveMargin);
         state_.connections.addIdle(server, std::move(attempt.connection));
+    } else if (attempt.connectionReused && !attempt.sent) {
+        state_.connections.addIdle(server, std::move(attempt.connection));
     } else {
         attempt.abort();
     }
--- a/Tests/Gateway/CallerSessionTest.cpp
+++ b/Tests/Gateway/CallerSessionTest.cpp
@@ -24,6 +24,8 @@
 
 /// Longer than the idle timeout with every margin that a session may add.
 constexpr Duration Stall = milliseconds(1000);
+/// How long a server that sends no response waits for the close of its connection.
+constexpr milliseconds ServerWait { 1000 };
 
 /// A session on a loopback connection whose event loop runs only while the test runs it, so that a
 /// test can stall the traffic thread.
@@ -35,6 +37,10 @@
             ReceivedRequest request;
             while (connection.read(request)) {
                 ++requestsAtServer;
+                if (!serverResponds) {
+                    serverSawClose = connection.waitForClose(ServerWait);
+                    return;
+                }
                 connection.write(validResponse(request));
             }
         })
@@ -80,6 +86,14 @@
         return { bytes.data(), caller.read_some(asio::buffer(bytes), ignored) };
     }
 
+    /// Closes the caller's connection and runs the event loop for a while.
+    void closeCaller(Duration time)
+    {
+        caller.close();
+        context.restart();
+        context.run_for(time);
+    }
+
     static GatewaySettings makeSettings()
     {
         GatewaySettings made;
@@ -91,6 +105,8 @@
     }
 
     std::atomic<unsigned> requestsAtServer { 0 };
+    std::atomic<bool> serverResponds { true };
+    std::atomic<bool> serverSawClose { false };
     GatewaySettings settings = makeSettings();
     asio::io_context context { 1 };
     asio::io_context callerContext;
@@ -116,6 +132,17 @@
     BOOST_TEST(received.starts_with("HTTP/1.1 200"));
 }
 
+BOOST_AUTO_TEST_CASE(requestOfDisconnectedCallerIsNotSent)
+{
+    SessionFixture fixture;
+    fixture.send();
+    BOOST_TEST(fixture.run(milliseconds(200)).starts_with("HTTP/1.1 200"));
+    // The request and the close arrive while the event loop stands still.
+    fixture.send();
+    fixture.closeCaller(milliseconds(200));
+    BOOST_TEST(fixture.requestsAtServer == 1U);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace jacinthroad
