Gateway: Detect disconnects behind pipelined requests

A caller that had sent its next request before the response to the current one was no longer watched: unread data ended the watch, so a later close went unnoticed and the server worked on until the response or the route's timeout.

The pipelined bytes are now read into the session's buffer, up to the limit for a header, and the watch goes on.

CallerSessionTest/disconnectBehindPipelinedRequestEndsAttempt: before the change the server's connection stayed open after the caller had closed; now it is closed.

--- a/Source/Gateway/CallerSession.cpp
+++ b/Source/Gateway/CallerSession.cpp
@@ -191,11 +191,26 @@
                                self->exchange_->callerDisconnected();
                                break;
                            case PeekResult::Data:
-                               // The caller has pipelined its next request, which is read after the
-                               // current one.
+                               self->readAhead();
                                break;
                            }
                        });
 }
 
+void CallerSession::readAhead()
+{
+    const std::size_t limit = state_.limits().headerBytes;
+    if (buffer_.size() >= limit) {
+        return;
+    }
+    error_code error;
+    const std::size_t size = socket_.read_some(buffer_.prepare(limit - buffer_.size()), error);
+    buffer_.commit(size);
+    if (error) {
+        exchange_->callerDisconnected();
+        return;
+    }
+    watchForDisconnect();
+}
+
 } // namespace jacinthroad
--- a/Source/Gateway/CallerSession.h
+++ b/Source/Gateway/CallerSession.h
@@ -39,7 +39,11 @@
     [[nodiscard]] boost::asio::awaitable<void> closeConnection(bool responseComplete);
     /// Closes the connection after `limit` unless the timer is rearmed or cancelled before.
     void scheduleClose(Duration limit);
+    /// Watches for the end of the connection while an exchange runs.
     void watchForDisconnect();
+    /// Reads what the caller has pipelined, which would hide the end of the connection. Up to the
+    /// limit for a header; beyond that the connection is no longer watched.
+    void readAhead();
 
     TrafficState &state_;
     boost::asio::ip::tcp::socket socket_;
--- a/Tests/Gateway/CallerSessionTest.cpp
+++ b/Tests/Gateway/CallerSessionTest.cpp
@@ -143,6 +143,19 @@
     BOOST_TEST(fixture.requestsAtServer == 1U);
 }
 
+BOOST_AUTO_TEST_CASE(disconnectBehindPipelinedRequestEndsAttempt)
+{
+    SessionFixture fixture;
+    fixture.serverResponds = false;
+    fixture.send();
+    BOOST_TEST(fixture.run(milliseconds(100)).empty());
+    fixture.send();
+    BOOST_TEST(fixture.run(milliseconds(100)).empty());
+    fixture.closeCaller(milliseconds(300));
+    BOOST_TEST(fixture.requestsAtServer == 1U);
+    BOOST_TEST(fixture.serverSawClose.load());
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace jacinthroad
