DigestExchange: Bound the bytes of digests

On nodes with slow links, callers left because servers answered late, and servers worked on after the close. Requests, closes and digests share the link, and digests had a limit for datagrams but none for bytes: each repeats every server with a request in flight and up to 80 parts, to every peer. The more requests waited, the larger the digests, and the longer the requests waited.

A digest now holds about 1,200 bytes: servers that are leaving, avoided or loading weights are always included, the others in turn. The pause after a digest grows with its bytes, so that a node sends at most 250 KB a second, and the periodic digest is left out after a batch.

--- a/Source/Gateway/DigestExchange.cpp
+++ b/Source/Gateway/DigestExchange.cpp
@@ -4,6 +4,7 @@
 #include <utility>
 
 #include "Core/Log.h"
+#include "FleetPeers/DigestPacing.h"
 #include "FleetPeers/NodeDigest.h"
 #include "Gateway/BootClock.h"
 #include "Gateway/SocketOptions.h"
@@ -17,14 +18,8 @@
 
 /// Time between two digests: a fraction of the time that a request runs on a server.
 constexpr Duration DigestPeriod = milliseconds(200);
-/// Maximum number of prompt parts in one digest, which keeps it near the size of one packet.
+/// Maximum number of prompt parts in one digest.
 constexpr std::size_t MaxPartsPerDigest = 80;
-/// How long an update waits to be batched with others, per peer. This limits what a node receives
-/// to a thousand datagrams a second.
-constexpr Duration BatchDelayPerPeer = milliseconds(1);
-/// Number of peers above which the delay per peer itself grows with their number: nodes of a large
-/// fleet have little processor time and many servers, so their updates may be older.
-constexpr int PeersAtLinearDelay = 15;
 /// A node counts as down if no digest arrives for this long, that is, if several digests in a row
 /// are lost.
 constexpr Duration NodeTimeout = milliseconds(1500);
@@ -75,28 +70,28 @@
 
 void DigestExchange::scheduleDigest()
 {
-    periodicTimer_.expires_after(std::max(DigestPeriod, 2 * batchDelay()));
-    periodicTimer_.async_wait([this](error_code error) {
-        if (!error) {
+    const Instant due = lastDigestAt_ + std::max(DigestPeriod, 2 * digestBatchDelay(peers_.size()));
+    periodicTimer_.expires_at(std::max(due, nextDigestAt_));
+    periodicTimer_.async_wait([this, due](error_code error) {
+        if (error) {
+            return;
+        }
+        // A batch sent meanwhile takes the place of the periodic digest.
+        if (lastDigestAt_ < due) {
             sendDigest();
-            scheduleDigest();
         }
+        scheduleDigest();
     });
 }
 
-Duration DigestExchange::batchDelay() const
-{
-    const int peers = static_cast<int>(peers_.size());
-    return BatchDelayPerPeer * peers * std::max(PeersAtLinearDelay, peers) / PeersAtLinearDelay;
-}
-
 void DigestExchange::sendDigestSoon()
 {
     if (batchPending_ || peers_.empty()) {
         return;
     }
     batchPending_ = true;
-    batchTimer_.expires_after(batchDelay());
+    batchTimer_.expires_at(std::max(
+        nextDigestAt_, std::chrono::steady_clock::now() + digestBatchDelay(peers_.size())));
     batchTimer_.async_wait([this](error_code error) {
         batchPending_ = false;
         if (!error) {
@@ -108,6 +103,7 @@
 void DigestExchange::sendDigest()
 {
     const BootInstant now = bootNow();
+    const Instant sentAt = std::chrono::steady_clock::now();
     const auto age = state_.freshness.age(now);
     const NodeDigest digest {
         .node = state_.settings.name,
@@ -115,16 +111,17 @@
         .sequence = ++sequence_,
         .configurationVersion = state_.routes != nullptr ? state_.routes->version() : 0,
         .configurationAgeMs = age.has_value() ? wholeMilliseconds(*age) + 1 : UnknownAgeMs,
-        .servers
-        = state_.pool.takeServerUpdates(std::chrono::steady_clock::now(), MaxPartsPerDigest),
-        .desiredWeights = state_.pool.desiredWeightsAges(std::chrono::steady_clock::now()),
+        .servers = state_.pool.takeServerUpdates(sentAt, MaxPartsPerDigest, MaxDigestBytes),
+        .desiredWeights = state_.pool.desiredWeightsAges(sentAt),
         .echoes = freshness_.takeEchoes()
     };
     freshness_.noteSent(digest.sequence, now);
+    lastDigestAt_ = sentAt;
     if (!socket_.is_open()) {
         return;
     }
     const std::string datagram = encodeDigest(digest);
+    nextDigestAt_ = sentAt + digestPause(peers_.size(), datagram.size());
     for (const asio::ip::udp::endpoint &peer : peers_) {
         // A failed send is treated as a lost datagram; the next digest follows soon.
         error_code ignored;
--- a/Source/Gateway/DigestExchange.h
+++ b/Source/Gateway/DigestExchange.h
@@ -41,8 +41,6 @@
     void receive();
     void applyDatagram(std::string_view datagram);
     void scheduleDigest();
-    /// How long an update may wait before it is sent to the peers.
-    [[nodiscard]] Duration batchDelay() const;
 
     static constexpr std::size_t DatagramBytes = 65536;
 
@@ -54,6 +52,9 @@
     boost::asio::steady_timer periodicTimer_;
     boost::asio::steady_timer batchTimer_;
     bool batchPending_ = false;
+    Instant lastDigestAt_;
+    /// Earliest time of the next digest, which bounds the share of the link that digests take.
+    Instant nextDigestAt_;
     std::vector<boost::asio::ip::udp::endpoint> peers_;
     /// Boot and sequence number of the newest digest of each peer.
     std::unordered_map<std::string, std::pair<std::uint64_t, std::uint64_t>> newest_;
--- a/Source/Placement/ServerPool.h
+++ b/Source/Placement/ServerPool.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <cstdint>
+#include <limits>
 #include <map>
 #include <optional>
 #include <span>
@@ -181,9 +182,12 @@
     /// Queues all cached parts of a server or store to be sent to the peers again, as when a peer
     /// has just started.
     void resendCachedParts(const ServerId &id);
-    /// Returns the updates for the peers since the last call, with at most `maxParts` prompt parts;
-    /// the remaining parts follow with the next calls.
-    [[nodiscard]] std::vector<ServerUpdate> takeServerUpdates(Instant now, std::size_t maxParts);
+    /// Returns the updates for the peers since the last call, with at most `maxParts` prompt parts
+    /// and about `maxBytes` when encoded. The rest follows with the next calls: servers not to be
+    /// used come first and are never left out, then those that were not reported for longest.
+    [[nodiscard]] std::vector<ServerUpdate>
+    takeServerUpdates(Instant now, std::size_t maxParts,
+                      std::size_t maxBytes = std::numeric_limits<std::size_t>::max());
     /// Returns true while prompt parts are left to send to the peers.
     [[nodiscard]] bool hasPendingParts() const;
 
@@ -259,6 +263,8 @@
         unsigned reportedInFlight = 0;
         WeightsVersion reportedWeights = 0;
         bool reportedCordoned = false;
+        /// The value of `updateRound_` at which it was last reported.
+        std::uint64_t reportedRound = 0;
     };
 
     /// Returns the listed server, or null.
@@ -270,6 +276,9 @@
     [[nodiscard]] bool outdatedWeightsExpired(const Server &server, const ModelId &model,
                                               Instant now) const;
     [[nodiscard]] bool unresponsive(const Server &server, Instant now) const;
+    /// What this node reports about a server, without prompt parts.
+    [[nodiscard]] static ServerUpdate updateWithoutParts(const ServerId &id, const Server &server,
+                                                         Instant now);
     [[nodiscard]] bool acceptsWork(const Server &server, Instant now) const;
     /// A store for cached parts outside the servers.
     struct CacheStore
@@ -338,6 +347,8 @@
     /// Keyed by the name of the service.
     std::map<ServerId, CacheStore> stores_;
     DesiredWeightsHistory desiredWeights_;
+    /// Counts the calls of takeServerUpdates().
+    std::uint64_t updateRound_ = 0;
 };
 
 } // namespace jacinthroad
--- a/Source/Placement/ServerPoolPeers.cpp
+++ b/Source/Placement/ServerPoolPeers.cpp
@@ -19,17 +19,44 @@
     }
 }
 
-/// Moves up to `limit` items out of the front and subtracts their number from `limit`.
-template <typename Item> std::vector<Item> takeFront(std::vector<Item> &items, std::size_t &limit)
+/// Encoded size of an update without parts, and of one part, as an upper estimate.
+constexpr std::size_t UpdateBytes = 56;
+constexpr std::size_t PartBytes = 13;
+
+/// What still fits into a list of updates.
+struct UpdateRoom
+{
+    std::size_t parts = 0;
+    std::size_t bytes = 0;
+
+    void takeUpdate() { bytes -= std::min(bytes, UpdateBytes); }
+    void takeParts(std::size_t count)
+    {
+        parts -= count;
+        bytes -= std::min(bytes, count * PartBytes);
+    }
+    [[nodiscard]] std::size_t partLimit() const { return std::min(parts, bytes / PartBytes); }
+    [[nodiscard]] UpdateRoom half() const { return { .parts = parts / 2, .bytes = bytes / 2 }; }
+};
+
+/// Moves as many items out of the front as there is room for.
+template <typename Item> std::vector<Item> takeFront(std::vector<Item> &items, UpdateRoom &room)
 {
-    const std::size_t count = std::min(items.size(), limit);
+    const std::size_t count = std::min(items.size(), room.partLimit());
     const auto end = items.begin() + static_cast<std::ptrdiff_t>(count);
     std::vector<Item> taken(items.begin(), end);
     items.erase(items.begin(), end);
-    limit -= count;
+    room.takeParts(count);
     return taken;
 }
 
+/// Returns true if a server or store has parts that its cache events reported and that peers have
+/// not been told of.
+template <typename Holder> bool hasPending(const Holder &holder)
+{
+    return !holder.pendingPrefilled.empty() || !holder.pendingRemoved.empty();
+}
+
 } // namespace
 
 void ServerPool::applyDesiredWeightsAges(std::span<const DesiredWeightsAge> reportedAges,
@@ -96,9 +123,6 @@
 
 bool ServerPool::hasPendingParts() const
 {
-    const auto hasPending = [](const auto &holder) {
-        return !holder.pendingPrefilled.empty() || !holder.pendingRemoved.empty();
-    };
     return std::any_of(servers_.begin(), servers_.end(),
                        [&](const auto &entry) {
                            return hasPending(entry.second) || !entry.second.pendingSent.empty();
@@ -107,57 +131,93 @@
                        [&](const auto &entry) { return hasPending(entry.second); });
 }
 
-std::vector<ServerUpdate> ServerPool::takeServerUpdates(Instant now, std::size_t maxParts)
+ServerUpdate ServerPool::updateWithoutParts(const ServerId &id, const Server &server, Instant now)
 {
-    std::vector<ServerUpdate> updates;
-    std::size_t limit = maxParts;
+    ServerUpdate update { .server = id,
+                          .inFlight = server.inFlight,
+                          .pendingPrefillTokens
+                          = static_cast<std::uint32_t>(server.pendingPrefillTokens) };
+    if (server.inFlight > 0) {
+        update.unresponsiveMs = wholeMilliseconds(now - server.lastReceivedAt);
+    }
+    update.avoidMs = wholeMilliseconds(server.avoidedUntil - now);
+    if (server.facts.leaving) {
+        update.avoidMs = std::max(update.avoidMs, LeavingAvoidMs);
+    }
+    if (!server.loadingModel.empty() && server.cordonedUntil > now) {
+        update.model = server.loadingModel;
+        update.weights = server.loadingVersion;
+        update.cordonedForMs = wholeMilliseconds(server.cordonedUntil - now);
+    } else if (!server.facts.models.empty()) {
+        update.model = server.facts.models.begin()->first;
+        update.weights = server.facts.models.begin()->second;
+    }
+    return update;
+}
+
+std::vector<ServerUpdate> ServerPool::takeServerUpdates(Instant now, std::size_t maxParts,
+                                                        std::size_t maxBytes)
+{
+    struct Candidate
+    {
+        Server *server = nullptr;
+        ServerUpdate update;
+        bool urgent = false;
+    };
+    ++updateRound_;
+    std::vector<Candidate> candidates;
     for (auto &[id, server] : servers_) {
-        ServerUpdate update { .server = id,
-                              .inFlight = server.inFlight,
-                              .pendingPrefillTokens
-                              = static_cast<std::uint32_t>(server.pendingPrefillTokens) };
-        if (server.inFlight > 0) {
-            update.unresponsiveMs = wholeMilliseconds(now - server.lastReceivedAt);
-        }
-        update.avoidMs = wholeMilliseconds(server.avoidedUntil - now);
-        if (server.facts.leaving) {
-            update.avoidMs = std::max(update.avoidMs, LeavingAvoidMs);
-        }
-        if (!server.loadingModel.empty() && server.cordonedUntil > now) {
-            update.model = server.loadingModel;
-            update.weights = server.loadingVersion;
-            update.cordonedForMs = wholeMilliseconds(server.cordonedUntil - now);
-        } else if (!server.facts.models.empty()) {
-            update.model = server.facts.models.begin()->first;
-            update.weights = server.facts.models.begin()->second;
-        }
-        update.sentParts = takeFront(server.pendingSent, limit);
-        update.confirmedParts = takeFront(server.pendingPrefilled, limit);
-        update.evictedKeys = takeFront(server.pendingRemoved, limit);
-        const bool unchanged = update.inFlight == 0 && update.avoidMs == 0
-            && update.sentParts.empty() && update.confirmedParts.empty()
-            && update.evictedKeys.empty() && update.cordonedForMs == 0
-            && server.reportedInFlight == 0 && server.reportedWeights == update.weights
-            && !server.reportedCordoned;
-        server.reportedInFlight = update.inFlight;
-        server.reportedCordoned = update.cordonedForMs > 0;
-        server.reportedWeights = update.weights;
-        if (!unchanged) {
-            updates.push_back(std::move(update));
+        ServerUpdate update = updateWithoutParts(id, server, now);
+        const bool urgent = update.avoidMs > 0 || update.cordonedForMs > 0
+            || server.reportedCordoned || server.reportedWeights != update.weights;
+        if (urgent || update.inFlight > 0 || server.reportedInFlight > 0
+            || !server.pendingSent.empty() || hasPending(server)) {
+            candidates.push_back(
+                { .server = &server, .update = std::move(update), .urgent = urgent });
         }
     }
+    std::sort(candidates.begin(), candidates.end(),
+              [](const Candidate &left, const Candidate &right) {
+                  return left.urgent != right.urgent
+                      ? left.urgent
+                      : left.server->reportedRound < right.server->reportedRound;
+              });
+
+    UpdateRoom room { .parts = maxParts, .bytes = maxBytes };
+    std::vector<ServerUpdate> updates;
     std::erase_if(removedServers_, [&](const auto &entry) { return entry.second <= now; });
     for (const auto &[id, until] : removedServers_) {
         updates.push_back({ .server = id, .avoidMs = LeavingAvoidMs });
+        room.takeUpdate();
     }
     for (auto &[id, cacheStore] : stores_) {
-        if (!cacheStore.pendingPrefilled.empty() || !cacheStore.pendingRemoved.empty()) {
+        if (hasPending(cacheStore)) {
             ServerUpdate update { .server = id };
-            update.confirmedParts = takeFront(cacheStore.pendingPrefilled, limit);
-            update.evictedKeys = takeFront(cacheStore.pendingRemoved, limit);
+            room.takeUpdate();
+            // The rest is for the servers, of which any node may have news.
+            UpdateRoom share = room.half();
+            update.confirmedParts = takeFront(cacheStore.pendingPrefilled, share);
+            update.evictedKeys = takeFront(cacheStore.pendingRemoved, share);
+            room.takeParts(update.confirmedParts.size() + update.evictedKeys.size());
             updates.push_back(std::move(update));
         }
     }
+    for (Candidate &candidate : candidates) {
+        if (!candidate.urgent && room.bytes < UpdateBytes) {
+            break;
+        }
+        Server &server = *candidate.server;
+        ServerUpdate &update = candidate.update;
+        room.takeUpdate();
+        update.sentParts = takeFront(server.pendingSent, room);
+        update.confirmedParts = takeFront(server.pendingPrefilled, room);
+        update.evictedKeys = takeFront(server.pendingRemoved, room);
+        server.reportedInFlight = update.inFlight;
+        server.reportedCordoned = update.cordonedForMs > 0;
+        server.reportedWeights = update.weights;
+        server.reportedRound = updateRound_;
+        updates.push_back(std::move(update));
+    }
     return updates;
 }
 
--- a/Tests/Placement/ServerPoolTest.cpp
+++ b/Tests/Placement/ServerPoolTest.cpp
@@ -1,9 +1,12 @@
 #include <map>
+#include <set>
 #include <string>
 #include <vector>
 
 #include <boost/test/unit_test.hpp>
 
+#include "Core/Hashing.h"
+#include "FleetPeers/NodeDigest.h"
 #include "Placement/ServerPool.h"
 
 namespace jacinthroad {
@@ -394,6 +397,70 @@
     BOOST_TEST(pool.takeServerUpdates(at(3), 100)[0].sentParts.empty());
 }
 
+BOOST_AUTO_TEST_CASE(updatesOfManyBusyServersStayWithinTheSizeOfADigest)
+{
+    constexpr int ServerCount = 148;
+    constexpr std::size_t MaxBytes = 1200;
+    std::vector<ListedServer> servers;
+    for (int number = 0; number < ServerCount; ++number) {
+        servers.push_back(engine("i-" + std::to_string(1000000000 + number), 1));
+    }
+    ServerPool pool = poolOf(servers);
+    for (const ListedServer &server : servers) {
+        const std::vector<PromptPart> parts { { hash64(server.id.text()), 6000 } };
+        pool.noteSent(server.id,
+                      { .service = Engines, .model = Model, .parts = parts, .promptTokens = 8000 },
+                      0, at(0));
+    }
+    // Weights that are not known yet are urgent; they are reported once.
+    static_cast<void>(pool.takeServerUpdates(at(0), 0));
+    std::set<std::string> reported;
+    std::size_t partCount = 0;
+    for (int round = 1; round <= 20; ++round) {
+        const NodeDigest digest { .node = "front-hoogeveen-9",
+                                  .boot = 1796385283123,
+                                  .sequence = 100000,
+                                  .configurationVersion = 100000,
+                                  .configurationAgeMs = 2500,
+                                  .servers = pool.takeServerUpdates(at(round), 80, MaxBytes) };
+        BOOST_TEST(encodeDigest(digest).size() <= MaxBytes + 100);
+        for (const ServerUpdate &update : digest.servers) {
+            reported.insert(update.server.text());
+            partCount += update.sentParts.size();
+        }
+    }
+    BOOST_TEST(reported.size() == std::size_t { ServerCount });
+    BOOST_TEST(partCount == std::size_t { ServerCount });
+}
+
+BOOST_AUTO_TEST_CASE(serversNotToBeUsedAreReportedFirst)
+{
+    std::vector<ListedServer> servers;
+    for (int number = 0; number < 50; ++number) {
+        servers.push_back(engine("s" + std::to_string(number)));
+    }
+    ServerPool pool = poolOf(servers);
+    static_cast<void>(pool.takeServerUpdates(at(0), 100));
+    const PlacementRequest request { .service = Engines, .model = Model, .promptTokens = 8000 };
+    for (const ListedServer &server : servers) {
+        pool.noteSent(server.id, request, 0, at(0));
+    }
+    ListedServer leaving = engine("s17");
+    leaving.leaving = true;
+    pool.applyServer(leaving, at(1));
+    pool.cordonForLoad(ServerId("s31"), Model, 2, at(1000));
+    pool.removeServer(ServerId("s49"), at(1));
+    for (int round = 1; round <= 3; ++round) {
+        std::set<std::string> notToBeUsed;
+        for (const ServerUpdate &update : pool.takeServerUpdates(at(1 + round), 100, 60)) {
+            if (update.avoidMs > 0 || update.cordonedForMs > 0) {
+                notToBeUsed.insert(update.server.text());
+            }
+        }
+        BOOST_TEST((notToBeUsed == std::set<std::string> { "s17", "s31", "s49" }));
+    }
+}
+
 BOOST_AUTO_TEST_CASE(cachedPartsAreSentToAStartedNodeInSeveralDigests)
 {
     ServerPool sender = poolOf({ engine("a") });
