Placement: Queue cached parts once when several nodes start

A node whose peers restart one after the other resent all parts of the caches that it reads for each of them, even those still queued from the last time, and before all news.

Parts that are queued already now stay where they are, and the others are appended. A started node gets each part once, since the queue goes to all peers.

--- a/Source/Placement/ServerPool.h
+++ b/Source/Placement/ServerPool.h
@@ -180,7 +180,7 @@
     /// Applies the cache events of a server or store.
     void applyCacheEvents(const ServerId &id, const CacheEvents &events);
     /// Queues all cached parts of a server or store to be sent to the peers again, as when a peer
-    /// has just started.
+    /// has just started. Parts that are queued already stay where they are.
     void resendCachedParts(const ServerId &id);
     /// Returns the updates for the peers since the last call, with at most `maxParts` prompt parts
     /// and about `maxBytes` when encoded. The rest follows with the next calls: servers not to be
--- a/Source/Placement/ServerPoolPeers.cpp
+++ b/Source/Placement/ServerPoolPeers.cpp
@@ -1,6 +1,7 @@
 #include "Placement/ServerPool.h"
 
 #include <algorithm>
+#include <unordered_set>
 
 namespace jacinthroad {
 
@@ -111,8 +112,15 @@
 void ServerPool::resendCachedParts(const ServerId &id)
 {
     const auto queueParts = [](const CachedPartSet &cache, std::vector<CachedPart> &pendingParts) {
-        const std::vector<CachedPart> parts = cache.fetchableParts();
-        pendingParts.insert(pendingParts.begin(), parts.begin(), parts.end());
+        std::unordered_set<std::uint64_t> queuedKeys;
+        for (const CachedPart &part : pendingParts) {
+            queuedKeys.insert(part.key);
+        }
+        for (const CachedPart &part : cache.fetchableParts()) {
+            if (queuedKeys.insert(part.key).second) {
+                pendingParts.push_back(part);
+            }
+        }
     };
     if (const auto cacheStore = stores_.find(id); cacheStore != stores_.end()) {
         queueParts(cacheStore->second.cache, cacheStore->second.pendingPrefilled);
--- a/Tests/Placement/ServerPoolTest.cpp
+++ b/Tests/Placement/ServerPoolTest.cpp
@@ -486,6 +486,39 @@
                == 100U);
 }
 
+BOOST_AUTO_TEST_CASE(startsOfSeveralNodesQueueEachCachedPartOnce)
+{
+    ServerPool sender = poolOf({ engine("a") });
+    CacheEvents events;
+    for (std::uint64_t id = 1; id <= 150; ++id) {
+        events.stored.push_back({ partKey(Model, cacheSalt(1, ""), id), 100 });
+    }
+    sender.applyCacheEvents(ServerId("a"), events);
+    while (sender.hasPendingParts()) {
+        static_cast<void>(sender.takeServerUpdates(at(0), 80));
+    }
+    ServerPool first = poolOf({ engine("a") });
+    ServerPool second = poolOf({ engine("a") });
+    sender.resendCachedParts(ServerId("a"));
+    first.applyPeer("sender", sender.takeServerUpdates(at(1), 80), at(1));
+    sender.resendCachedParts(ServerId("a"));
+    unsigned digests = 0;
+    while (sender.hasPendingParts()) {
+        const auto updates = sender.takeServerUpdates(at(2), 80);
+        first.applyPeer("sender", updates, at(2));
+        second.applyPeer("sender", updates, at(2));
+        ++digests;
+    }
+    BOOST_TEST(digests == 2U);
+    for (const ServerPool *node : { &first, &second }) {
+        for (std::uint64_t id = 1; id <= 150; ++id) {
+            const std::vector<PromptPart> parts { { id, 100 } };
+            const PlacementRequest request { .service = Engines, .model = Model, .parts = parts };
+            BOOST_TEST(chosen(*node, request, at(3)).cachedPromptTokens == 100U);
+        }
+    }
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace jacinthroad
