--- a/Tests/Gateway/CallerSessionTest.cpp
+++ b/Tests/Gateway/CallerSessionTest.cpp
@@ -28,6 +28,8 @@
 
 /// Longer than the idle timeout with every margin that a session may add.
 constexpr Duration Stall = milliseconds(1000);
+/// How long a server that sends no response waits for the close of its connection.
+constexpr milliseconds ServerWait { 1000 };
 
 /// A session on a loopback connection whose event loop runs only while the test runs it, so that a
 /// test can stall the traffic thread.
@@ -125,6 +127,14 @@
         return { bytes.data(), caller.read_some(asio::buffer(bytes), ignored) };
     }
 
+    /// Closes the caller's connection and runs the event loop for a while.
+    void closeCaller(Duration time)
+    {
+        caller.close();
+        context.restart();
+        context.run_for(time);
+    }
+
     static GatewaySettings makeSettings()
     {
         GatewaySettings made;
@@ -244,6 +254,34 @@
     BOOST_TEST(received.starts_with("HTTP/1.1 503"));
 }
 
+BOOST_AUTO_TEST_CASE(requestOfDisconnectedCallerIsNotSent)
+{
+    SessionFixture fixture;
+    fixture.startSession();
+    fixture.send();
+    BOOST_TEST(fixture.run(milliseconds(200)).starts_with("HTTP/1.1 200"));
+    // The request and the close arrive while the event loop stands still.
+    fixture.send();
+    fixture.closeCaller(milliseconds(200));
+    BOOST_TEST(fixture.requestsAtServer == 1U);
+}
+
+BOOST_AUTO_TEST_CASE(disconnectBehindPipelinedRequestEndsAttempt)
+{
+    std::atomic<bool> serverSawClose { false };
+    SessionFixture fixture([&](ScriptedConnection &connection, const ReceivedRequest &) {
+        serverSawClose = connection.waitForClose(ServerWait);
+    });
+    fixture.startSession();
+    fixture.send();
+    BOOST_TEST(fixture.run(milliseconds(100)).empty());
+    fixture.send();
+    BOOST_TEST(fixture.run(milliseconds(100)).empty());
+    fixture.closeCaller(milliseconds(300));
+    BOOST_TEST(fixture.requestsAtServer == 1U);
+    BOOST_TEST(serverSawClose.load());
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace jacinthroad
