Gateway: Count requests as active while they are read and closed

A node that stopped could end while a caller still sent the body of its request, or between writing a response and the caller's reading it. The caller got a closed connection instead of a response, since the number of active requests covered only the time of the exchange itself. An exception that ended an exchange left the number one too high, so that a stop would wait for the whole grace period.

A session now holds an ActiveRequest from the first byte of a request until its response is written and, unless the connection stays open, the connection is closed. Its destructor also counts down after an exception. The count is shared, because sessions are destroyed with the event loop, after the state.

DrainTest/requestThatIsBeingReadGetsResponseBeforeProcessEnds sends the last byte of a body after the time at which the node stopped before; the caller got no response, and now gets 503. Two cases of CallerSessionTest check the count while a request is read and while a closed connection lingers; both saw 0 instead of 1 before. DrainTest/noForwardedRequestOfOpenConnectionsIsLostWhileProcessEnds passed before as well.

--- a/Source/Gateway/CallerSession.cpp
+++ b/Source/Gateway/CallerSession.cpp
@@ -81,6 +81,7 @@
         if (!dataAvailable) {
             co_return;
         }
+        const ActiveRequest active = state_.beginRequest();
         Parser parser;
         parser.header_limit(limits.headerBytes);
         parser.body_limit(limits.bodyBytes);
--- a/Source/Gateway/Exchange.cpp
+++ b/Source/Gateway/Exchange.cpp
@@ -132,7 +132,6 @@
 
 asio::awaitable<ExchangeResult> Exchange::run()
 {
-    ++state_.activeRequests;
     const std::optional<ErrorKind> refusal = admit();
     ExchangeResult end;
     if (refusal.has_value()) {
@@ -148,7 +147,6 @@
             end = co_await runAttempts();
         }
     }
-    --state_.activeRequests;
     logResult(end);
     co_return end;
 }
--- a/Source/Gateway/Gateway.cpp
+++ b/Source/Gateway/Gateway.cpp
@@ -465,7 +465,7 @@
     for (bool waiting = true; waiting;) {
         std::this_thread::sleep_for(DrainPollPeriod);
         asio::post(parts_->trafficContext,
-                   [this, &active] { active = parts_->traffic.activeRequests; });
+                   [this, &active] { active = parts_->traffic.activeRequests(); });
         const Duration passed = std::chrono::steady_clock::now() - began;
         idle = active == 0;
         waiting
--- a/Source/Gateway/TrafficState.h
+++ b/Source/Gateway/TrafficState.h
@@ -4,6 +4,7 @@
 #include <functional>
 #include <memory>
 #include <unordered_map>
+#include <utility>
 #include <vector>
 
 #include <boost/asio/io_context.hpp>
@@ -20,6 +21,23 @@
 
 namespace jacinthroad {
 
+/// Counts one request as active while it exists.
+class ActiveRequest
+{
+public:
+    explicit ActiveRequest(std::shared_ptr<unsigned> count)
+        : count_(std::move(count))
+    {
+        ++*count_;
+    }
+    ActiveRequest(const ActiveRequest &) = delete;
+    ActiveRequest &operator=(const ActiveRequest &) = delete;
+    ~ActiveRequest() { --*count_; }
+
+private:
+    std::shared_ptr<unsigned> count_;
+};
+
 /// The state on which the traffic thread bases its decisions. Only that thread accesses it; the
 /// control thread posts changes to its io_context.
 class TrafficState
@@ -54,12 +72,15 @@
     /// Set by SIGTERM. Responses then ask callers to close their connection.
     bool draining = false;
     Instant drainingSince;
-    /// Number of requests being processed.
-    unsigned activeRequests = 0;
 
     /// Called when peers should be notified of a sent request or of the first byte of its response.
     std::function<void()> notifyPeersSoon = [] {};
 
+    /// Counts a request from its first byte until its response is written and, unless the
+    /// connection stays open, the connection is closed.
+    [[nodiscard]] ActiveRequest beginRequest() { return ActiveRequest(activeRequests_); }
+    [[nodiscard]] unsigned activeRequests() const { return *activeRequests_; }
+
     /// Age from which the configuration of a peer counts as outdated, so that the peer needs a
     /// confirmation from this node.
     [[nodiscard]] Duration outdatedConfigurationAge() const;
@@ -74,6 +95,8 @@
 private:
     /// The settings in effect, which a reload may have changed.
     GatewaySettings currentSettings_;
+    /// Shared with the requests, which may outlive this object while the event loop is destroyed.
+    std::shared_ptr<unsigned> activeRequests_ = std::make_shared<unsigned>(0);
     std::size_t nodeCount_ = 0;
     std::unordered_map<ServerId, bool> listedServers_;
 };
--- a/Tests/Gateway/CallerSessionTest.cpp
+++ b/Tests/Gateway/CallerSessionTest.cpp
@@ -119,9 +119,9 @@
     {
         context.restart();
         context.run_for(time);
-        caller.non_blocking(true);
-        std::array<char, 4096> bytes {};
         error_code ignored;
+        caller.non_blocking(true, ignored);
+        std::array<char, 4096> bytes {};
         return { bytes.data(), caller.read_some(asio::buffer(bytes), ignored) };
     }
 
@@ -244,6 +244,34 @@
     BOOST_TEST(received.starts_with("HTTP/1.1 503"));
 }
 
+BOOST_AUTO_TEST_CASE(connectionThatWaitsForCallerToReadResponseCountsAsActive)
+{
+    SessionFixture fixture;
+    fixture.startSession();
+    fixture.state.draining = true;
+    fixture.state.drainingSince = std::chrono::steady_clock::now();
+    fixture.send();
+    BOOST_TEST(fixture.run(milliseconds(50)).starts_with("HTTP/1.1 200"));
+    BOOST_TEST(fixture.state.activeRequests() == 1U);
+    fixture.caller.close();
+    static_cast<void>(fixture.run(milliseconds(50)));
+    BOOST_TEST(fixture.state.activeRequests() == 0U);
+}
+
+BOOST_AUTO_TEST_CASE(requestThatIsBeingReadCountsAsActive)
+{
+    SessionFixture fixture;
+    fixture.startSession();
+    static_cast<void>(fixture.run(milliseconds(20)));
+    BOOST_TEST(fixture.state.activeRequests() == 0U);
+    asio::write(fixture.caller, asio::buffer(std::string("POST /unsafe/a HTTP/1.1\r\n")));
+    static_cast<void>(fixture.run(milliseconds(20)));
+    BOOST_TEST(fixture.state.activeRequests() == 1U);
+    fixture.caller.close();
+    static_cast<void>(fixture.run(milliseconds(20)));
+    BOOST_TEST(fixture.state.activeRequests() == 0U);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace jacinthroad
--- /dev/null
+++ b/Tests/Gateway/DrainTest.cpp
@@ -0,0 +1,134 @@
+#include <array>
+#include <atomic>
+#include <mutex>
+#include <set>
+#include <string>
+#include <thread>
+#include <vector>
+
+#include <boost/asio/write.hpp>
+#include <boost/test/unit_test.hpp>
+
+#include "GatewayFixture.h"
+
+namespace jacinthroad {
+
+namespace asio = boost::asio;
+namespace http = boost::beast::http;
+using boost::system::error_code;
+
+namespace {
+
+/// When the balancer has left a draining node and its callers have moved away.
+constexpr Duration BalancerLeft = milliseconds(2800);
+
+bool respondOk(ScriptedConnection &connection, const ReceivedRequest &request)
+{
+    connection.write(validResponse(request));
+    return true;
+}
+
+std::string requestHead(const std::string &id, std::size_t bodySize)
+{
+    return "POST /unsafe/a HTTP/1.1\r\nHost: h\r\nAuthorization: Bearer k1\r\nX-Request-Id: " + id
+        + "\r\nContent-Length: " + std::to_string(bodySize) + "\r\n\r\n";
+}
+
+/// Reads one response; returns its status, or 0 if the connection ends without a complete one.
+unsigned readStatus(asio::ip::tcp::socket &socket)
+{
+    boost::beast::flat_buffer buffer;
+    CallerResponse response;
+    error_code error;
+    http::read(socket, buffer, response, error);
+    return error ? 0 : response.result_int();
+}
+
+/// Drains and destroys the fixture's gateway, as the process does at its end.
+std::thread stopProcess(GatewayFixture &fixture)
+{
+    return std::thread([&fixture] {
+        static_cast<void>(fixture.gateway->drain());
+        fixture.gateway.reset();
+    });
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(DrainTest)
+
+BOOST_AUTO_TEST_CASE(requestThatIsBeingReadGetsResponseBeforeProcessEnds)
+{
+    GatewayFixture fixture;
+    fixture.addServer("s1", "plain", respondOk);
+    fixture.configure(1, { "k1" });
+    fixture.start();
+    std::thread stop = stopProcess(fixture);
+    std::this_thread::sleep_for(BalancerLeft + milliseconds(200));
+    auto socket = fixture.connect();
+    asio::write(socket, asio::buffer(requestHead("r1", 2) + "a"));
+    std::this_thread::sleep_for(milliseconds(600));
+    error_code error;
+    asio::write(socket, asio::buffer(std::string("b")), error);
+    BOOST_TEST(readStatus(socket) == 503U);
+    stop.join();
+    BOOST_TEST(fixture.receivedRequests("s1").empty());
+}
+
+BOOST_AUTO_TEST_CASE(noForwardedRequestOfOpenConnectionsIsLostWhileProcessEnds)
+{
+    constexpr unsigned Callers = 4;
+    GatewayFixture fixture;
+    fixture.addServer("s1", "plain", respondOk);
+    fixture.configure(1, { "k1" });
+    fixture.start();
+    std::mutex mutex;
+    std::set<std::string> answered;
+    std::atomic<bool> stopped { false };
+    std::vector<std::thread> callers;
+    for (unsigned caller = 0; caller < Callers; ++caller) {
+        callers.emplace_back([&, caller] {
+            asio::io_context context;
+            asio::ip::tcp::socket socket(context);
+            bool open = false;
+            for (unsigned count = 0; !stopped; ++count) {
+                error_code error;
+                if (!open) {
+                    socket = asio::ip::tcp::socket(context);
+                    const auto colon = fixture.settings.callerAddress.find(':');
+                    socket.connect({ asio::ip::make_address("127.0.0.1"),
+                                     static_cast<std::uint16_t>(std::stoi(
+                                         fixture.settings.callerAddress.substr(colon + 1))) },
+                                   error);
+                }
+                const std::string id = std::to_string(caller) + "-" + std::to_string(count);
+                asio::write(socket, asio::buffer(requestHead(id, 0)), error);
+                boost::beast::flat_buffer buffer;
+                CallerResponse response;
+                http::read(socket, buffer, response, error);
+                open = !error && response.keep_alive();
+                if (!error && response.result_int() == 200) {
+                    const std::lock_guard lock(mutex);
+                    answered.insert(id);
+                }
+                std::this_thread::sleep_for(milliseconds(caller));
+            }
+        });
+    }
+    stopProcess(fixture).join();
+    stopped = true;
+    for (std::thread &caller : callers) {
+        caller.join();
+    }
+    const auto received = fixture.receivedRequests("s1");
+    BOOST_TEST(received.size() > Callers);
+    unsigned lost = 0;
+    for (const ReceivedRequest &request : received) {
+        lost += answered.contains(std::string(request["X-Request-Id"])) ? 0 : 1;
+    }
+    BOOST_TEST(lost == 0U);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+} // namespace jacinthroad
