Gateway: Decide on the traffic thread when a stopping node is idle

A stopping node left idle connections open until its process ended, so callers that sent a request on one got a refusal after 2.8 s and a closed connection at the end. The thread that stops the node looked at a copy of the number of active requests that a stalled traffic thread had not updated, so it could end the process over a request that was in progress; a connection could still deliver a request after the last look. drain() also posted a reference to a local variable, and reload() wrote the grace period without synchronisation.

The traffic thread now checks itself: once the balancer has left it closes the connections that wait for a next request, at BalancerDelay it rejects new connections and closes those without a request, and reports the node idle at the next check without an active request. A connection on which a request has arrived is not closed; the request is read and refused as not run. The grace period is atomic and the posted functions own what they use.

DrainTest/idleConnectionIsClosedOnceBalancerHasLeft failed before: the connection was still open when drain() had returned. The stale count and the unsynchronised accesses are fixed without a test of their own.

--- a/Source/Gateway/CallerSession.cpp
+++ b/Source/Gateway/CallerSession.cpp
@@ -42,8 +42,19 @@
     : state_(state)
     , socket_(std::move(socket))
     , timer_(state.context)
+    , closeIdleConnection_(
+          state.closeIdleConnections.connect([this](IdleConnections which) { closeIfIdle(which); }))
 { }
 
+void CallerSession::closeIfIdle(IdleConnections which)
+{
+    const bool selected = kept_ || which == IdleConnections::All;
+    if (idle_ && selected && peek(socket_) != PeekResult::Data) {
+        error_code ignored;
+        socket_.close(ignored);
+    }
+}
+
 void CallerSession::scheduleClose(Duration limit)
 {
     timer_.expireAfter(limit, [self = shared_from_this()] {
@@ -65,8 +76,10 @@
         }
     });
     error_code error;
+    idle_ = true;
     co_await socket_.async_wait(asio::ip::tcp::socket::wait_read,
                                 asio::redirect_error(asio::use_awaitable, error));
+    idle_ = false;
     timer_.cancel();
     co_return !error && socket_.is_open();
 }
@@ -95,6 +108,7 @@
         const ExchangeResult end = co_await exchange_->run();
         ++generation_;
         exchange_.reset();
+        kept_ = true;
         error_code error;
         socket_.cancel(error);
         if (!end.connectionReusable) {
--- a/Source/Gateway/CallerSession.h
+++ b/Source/Gateway/CallerSession.h
@@ -8,6 +8,7 @@
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/http.hpp>
+#include <boost/signals2/connection.hpp>
 
 #include "Gateway/DeadlineTimer.h"
 #include "Gateway/Exchange.h"
@@ -39,6 +40,8 @@
     [[nodiscard]] boost::asio::awaitable<void> closeConnection(bool responseComplete);
     /// Closes the connection after `limit` unless the timer is rearmed or cancelled before.
     void scheduleClose(Duration limit);
+    /// Closes the connection if it waits for a request and none has arrived.
+    void closeIfIdle(IdleConnections which);
     void watchForDisconnect();
 
     TrafficState &state_;
@@ -46,6 +49,11 @@
     DeadlineTimer timer_;
     boost::beast::flat_buffer buffer_;
     std::unique_ptr<Exchange> exchange_;
+    /// True while no byte of the next request has been read.
+    bool idle_ = false;
+    /// True once the connection has carried a request.
+    bool kept_ = false;
+    boost::signals2::scoped_connection closeIdleConnection_;
     /// Counts exchanges, so that a late completion that belongs to an earlier one is ignored.
     std::uint64_t generation_ = 0;
 };
--- a/Source/Gateway/Gateway.cpp
+++ b/Source/Gateway/Gateway.cpp
@@ -2,7 +2,9 @@
 
 #include <algorithm>
 #include <atomic>
+#include <future>
 #include <map>
+#include <memory>
 #include <optional>
 #include <thread>
 #include <utility>
@@ -101,6 +103,8 @@
         , readiness(trafficContext)
         , scrapes(controlContext)
         , sweepTimer(trafficContext)
+        , drainTimer(trafficContext)
+        , stopGrace(settings.stopGrace)
         , configuration(
               controlContext, store,
               { .kind = platform::ObjectKind::Configuration,
@@ -158,6 +162,9 @@
     void cordonServer(const ServerId &server, const ModelId &model, WeightsVersion version,
                       Duration limit);
     void uncordonServer(const ServerId &server, const ModelId &model, WeightsVersion version);
+    /// Checks every DrainPollPeriod whether the node can stop, and fulfils `idle` then.
+    /// `connectionsClosed` is true once new connections are rejected and idle ones are closed.
+    void pollDrain(std::shared_ptr<std::promise<void>> idle, bool connectionsClosed);
     void reportToRollout();
     void assignCaches();
     [[nodiscard]] asio::awaitable<void> registerNode();
@@ -172,6 +179,9 @@
     asio::ip::tcp::acceptor readiness;
     asio::ip::tcp::acceptor scrapes;
     asio::steady_timer sweepTimer;
+    asio::steady_timer drainTimer;
+    /// Time from SIGTERM to SIGKILL; a reload may change it on another thread.
+    std::atomic<Duration> stopGrace;
     StoreSync configuration;
     StoreSync servers;
     StoreSync weights;
@@ -422,6 +432,32 @@
     });
 }
 
+void Gateway::Parts::pollDrain(std::shared_ptr<std::promise<void>> idle, bool connectionsClosed)
+{
+    const Instant now = std::chrono::steady_clock::now();
+    if (!traffic.acceptsRequests(now)) {
+        // Callers open their next connection to another node.
+        traffic.closeIdleConnections(IdleConnections::Kept);
+    }
+    if (now - traffic.drainingSince >= BalancerDelay) {
+        error_code ignored;
+        callers.close(ignored);
+        traffic.closeIdleConnections(IdleConnections::All);
+        // Connections that were accepted just before are closed by the second check.
+        if (connectionsClosed && traffic.activeRequests() == 0) {
+            idle->set_value();
+            return;
+        }
+        connectionsClosed = true;
+    }
+    drainTimer.expires_after(DrainPollPeriod);
+    drainTimer.async_wait([this, idle = std::move(idle), connectionsClosed](error_code error) {
+        if (!error) {
+            pollDrain(idle, connectionsClosed);
+        }
+    });
+}
+
 Gateway::Gateway(std::unique_ptr<Parts> parts)
     : parts_(std::move(parts))
 { }
@@ -449,31 +485,25 @@
 {
     asio::post(parts_->trafficContext,
                [this, settings] { parts_->traffic.applySettings(settings); });
-    parts_->settings.stopGrace = settings.stopGrace;
+    parts_->stopGrace = settings.stopGrace;
 }
 
 bool Gateway::drain()
 {
     const Instant began = std::chrono::steady_clock::now();
-    std::atomic<unsigned> active { 1 };
-    asio::post(parts_->trafficContext, [this, began] {
-        parts_->traffic.draining = true;
-        parts_->traffic.drainingSince = began;
+    auto idle = std::make_shared<std::promise<void>>();
+    std::future<void> stopped = idle->get_future();
+    asio::post(parts_->trafficContext, [parts = parts_.get(), began, idle] {
+        parts->traffic.draining = true;
+        parts->traffic.drainingSince = began;
+        parts->pollDrain(idle, false);
     });
-    asio::post(parts_->controlContext, [this] { parts_->rollout.beginDrain(); });
-    bool idle = false;
-    for (bool waiting = true; waiting;) {
-        std::this_thread::sleep_for(DrainPollPeriod);
-        asio::post(parts_->trafficContext,
-                   [this, &active] { active = parts_->traffic.activeRequests(); });
-        const Duration passed = std::chrono::steady_clock::now() - began;
-        idle = active == 0;
-        waiting
-            = passed < parts_->settings.stopGrace - StopMargin && (passed < BalancerDelay || !idle);
-    }
-    asio::post(parts_->controlContext, [this] { parts_->rollout.releaseLease(); });
+    asio::post(parts_->controlContext, [parts = parts_.get()] { parts->rollout.beginDrain(); });
+    const bool completed = stopped.wait_until(began + parts_->stopGrace.load() - StopMargin)
+        == std::future_status::ready;
+    asio::post(parts_->controlContext, [parts = parts_.get()] { parts->rollout.releaseLease(); });
     std::this_thread::sleep_for(ReleaseTime);
-    return idle;
+    return completed;
 }
 
 } // namespace jacinthroad
--- a/Source/Gateway/Gateway.h
+++ b/Source/Gateway/Gateway.h
@@ -24,7 +24,8 @@
 
     /// Stops gracefully: reports not ready at once, then keeps serving until the balancer has
     /// stopped sending connections and requests have ended, at the latest until shortly before the
-    /// end of the grace period. Returns true if no request was aborted.
+    /// end of the grace period. Closes idle connections of callers once the balancer has moved them
+    /// away, and rejects new ones after that. Returns true if no request was aborted.
     [[nodiscard]] bool drain();
 
 private:
--- a/Source/Gateway/TrafficState.h
+++ b/Source/Gateway/TrafficState.h
@@ -8,6 +8,7 @@
 #include <vector>
 
 #include <boost/asio/io_context.hpp>
+#include <boost/signals2/signal.hpp>
 
 #include "Fleet/Freshness.h"
 #include "Fleet/ListedServer.h"
@@ -21,6 +22,13 @@
 
 namespace jacinthroad {
 
+/// Which of the connections without a request in progress are closed.
+enum class IdleConnections : std::uint8_t {
+    /// Those that have carried a request and are kept open for the next one.
+    Kept,
+    All,
+};
+
 /// Counts one request as active while it exists.
 class ActiveRequest
 {
@@ -72,6 +80,8 @@
     /// Set by SIGTERM. Responses then ask callers to close their connection.
     bool draining = false;
     Instant drainingSince;
+    /// Closes connections of callers on which no request is in progress or has arrived.
+    boost::signals2::signal<void(IdleConnections)> closeIdleConnections;
 
     /// Called when peers should be notified of a sent request or of the first byte of its response.
     std::function<void()> notifyPeersSoon = [] {};
--- a/Tests/Gateway/DrainTest.cpp
+++ b/Tests/Gateway/DrainTest.cpp
@@ -57,6 +57,27 @@
 
 BOOST_AUTO_TEST_SUITE(DrainTest)
 
+BOOST_AUTO_TEST_CASE(idleConnectionIsClosedOnceBalancerHasLeft)
+{
+    GatewayFixture fixture;
+    fixture.addServer("s1", "plain", respondOk);
+    fixture.configure(1, { "k1" });
+    fixture.start();
+    auto socket = fixture.connect();
+    asio::write(socket, asio::buffer(requestHead("r1", 0)));
+    BOOST_TEST(readStatus(socket) == 200U);
+    std::thread stop([&] { static_cast<void>(fixture.gateway->drain()); });
+    std::this_thread::sleep_for(BalancerLeft - milliseconds(300));
+    socket.non_blocking(true);
+    std::array<char, 16> bytes {};
+    error_code error;
+    socket.read_some(asio::buffer(bytes), error);
+    BOOST_TEST(error == asio::error::would_block);
+    stop.join();
+    socket.read_some(asio::buffer(bytes), error);
+    BOOST_TEST(error == asio::error::eof);
+}
+
 BOOST_AUTO_TEST_CASE(requestThatIsBeingReadGetsResponseBeforeProcessEnds)
 {
     GatewayFixture fixture;
