--- a/Source/Gateway/Exchange.cpp
+++ b/Source/Gateway/Exchange.cpp
@@ -74,6 +74,11 @@
     return deadline_ - now;
 }
 
+bool Exchange::outOfTime(Instant now) const
+{
+    return timeLeft(now) < MinUsefulTime;
+}
+
 std::optional<ErrorKind> Exchange::admit()
 {
     const auto facts = platform::readCallerRequest(request_.base());
@@ -155,7 +160,7 @@
         if (callerDisconnected_) {
             co_return ExchangeResult { .outcome = "caller_left", .connectionReusable = false };
         }
-        if (timeLeft(now) < MinUsefulTime) {
+        if (outOfTime(now)) {
             co_return co_await sendRefusal(dispatchRecord_.verdict() == NotRun::True
                                                ? ErrorKind::DeadlineUnreachable
                                                : ErrorKind::TimedOut,
@@ -186,6 +191,9 @@
                                        = request_.keep_alive() && !state_.draining,
                                        .responseComplete = true };
         }
+        if (writeError_) {
+            co_return notDelivered(writeError_);
+        }
         if (end == AttemptResult::CallerDisconnected || callerDisconnected_) {
             co_return ExchangeResult { .outcome = "caller_left", .connectionReusable = false };
         }
@@ -202,6 +210,9 @@
                                        .connectionReusable = false };
         }
         if (dispatchRecord_.verdict() == NotRun::True) {
+            if (end == AttemptResult::TimedOut) {
+                co_return co_await sendRefusal(ErrorKind::DeadlineUnreachable, Duration::zero());
+            }
             co_return co_await sendRefusal(ErrorKind::NoBackendServer, milliseconds(200));
         }
         co_return co_await sendRefusal(end == AttemptResult::TimedOut ? ErrorKind::TimedOut
@@ -232,7 +243,7 @@
 
 bool Exchange::mayRetry(AttemptResult end, Instant now)
 {
-    if (timeLeft(now) < MinUsefulTime) {
+    if (outOfTime(now)) {
         return false;
     }
     const unsigned runs = sends_ - rejected_;
@@ -284,10 +295,13 @@
     state_.metrics.observeFirstByte(firstByteAt_ - received_);
     error_code error;
     co_await http::async_write(caller_, response, asio::redirect_error(asio::use_awaitable, error));
+    if (error) {
+        co_return notDelivered(error);
+    }
     co_return ExchangeResult { .outcome = "answered",
                                .status = static_cast<int>(response.result_int()),
-                               .connectionReusable = keep && !error,
-                               .responseComplete = !error };
+                               .connectionReusable = keep,
+                               .responseComplete = true };
 }
 
 asio::awaitable<ExchangeResult> Exchange::sendRefusal(ErrorKind kind, Duration retryAfter)
@@ -312,11 +326,19 @@
     response.prepare_payload();
     error_code error;
     co_await http::async_write(caller_, response, asio::redirect_error(asio::use_awaitable, error));
+    if (error) {
+        co_return notDelivered(error);
+    }
     const ErrorResponse &table = errorResponse(kind);
     co_return ExchangeResult { .outcome = std::string(table.name),
                                .status = table.status,
-                               .connectionReusable = keep && !error,
-                               .responseComplete = !error };
+                               .connectionReusable = keep,
+                               .responseComplete = true };
+}
+
+ExchangeResult Exchange::notDelivered(const error_code &error)
+{
+    return { .outcome = "not_delivered", .connectionReusable = false, .reason = error.message() };
 }
 
 void Exchange::logResult(const ExchangeResult &end) const
@@ -350,6 +372,7 @@
           { "configuration_age_ms", age.has_value() ? toMilliseconds(*age) : -1.0 },
           { "outcome", end.outcome },
           { "status", std::int64_t { end.status } },
+          { "reason", end.reason },
           { "first_byte_ms",
             firstByteAt_ == Instant() ? -1.0 : toMilliseconds(firstByteAt_ - received_) },
           { "longest_gap_ms", toMilliseconds(longestGap_) },
--- a/Source/Gateway/ExchangeAttempt.cpp
+++ b/Source/Gateway/ExchangeAttempt.cpp
@@ -61,15 +61,17 @@
     const bool connected = co_await connect(attempt);
     // The close may have arrived with the request, or while the connection was being opened.
     callerDisconnected_ = callerDisconnected_ || peek(caller_) == PeekResult::Closed;
-    if (connected && !callerDisconnected_) {
+    if (callerDisconnected_) {
+        end = AttemptResult::CallerDisconnected;
+    } else if (connected && outOfTime(std::chrono::steady_clock::now())) {
+        end = AttemptResult::TimedOut;
+    } else if (connected) {
         abortAt(attempt, deadline_);
         sendRequest(attempt);
         if (route_->retryable()) {
             monitorServer(attempt);
         }
         end = co_await receiveResponse(*attempt);
-    } else if (callerDisconnected_) {
-        end = AttemptResult::CallerDisconnected;
     }
     cancelAttempt_ = nullptr;
     attempt->deadlineTimer.cancel();
@@ -398,10 +400,9 @@
 
 asio::awaitable<bool> Exchange::writeToCaller(std::string_view bytes)
 {
-    error_code error;
     co_await asio::async_write(caller_, asio::buffer(bytes.data(), bytes.size()),
-                               asio::redirect_error(asio::use_awaitable, error));
-    co_return !error && !callerDisconnected_;
+                               asio::redirect_error(asio::use_awaitable, writeError_));
+    co_return !writeError_ && !callerDisconnected_;
 }
 
 } // namespace jacinthroad
