--- a/Source/Gateway/ExchangeAttempt.cpp
+++ b/Source/Gateway/ExchangeAttempt.cpp
@@ -61,17 +61,17 @@
     const bool connected = co_await connect(attempt);
     // The close may have arrived with the request, or while the connection was being opened.
     callerDisconnected_ = callerDisconnected_ || peek(caller_) == PeekResult::Closed;
-    if (connected && !callerDisconnected_ && outOfTime(std::chrono::steady_clock::now())) {
+    if (callerDisconnected_) {
+        end = AttemptResult::CallerDisconnected;
+    } else if (connected && outOfTime(std::chrono::steady_clock::now())) {
         end = AttemptResult::TimedOut;
-    } else if (connected && !callerDisconnected_) {
+    } else if (connected) {
         abortAt(attempt, deadline_);
         sendRequest(attempt);
         if (route_->retryable()) {
             monitorServer(attempt);
         }
         end = co_await receiveResponse(*attempt);
-    } else if (callerDisconnected_) {
-        end = AttemptResult::CallerDisconnected;
     }
     cancelAttempt_ = nullptr;
     attempt->deadlineTimer.cancel();
