--- a/Source/Gateway/Gateway.cpp
+++ b/Source/Gateway/Gateway.cpp
@@ -282,7 +282,7 @@
             if (late > LoggedTrafficDelay) {
                 logLine(LogLevel::Warning, "traffic_delayed",
                         { { "late_ms", toMilliseconds(late) },
-                          { "active_requests", std::int64_t { traffic.activeRequests } } });
+                          { "active_requests", std::int64_t { traffic.activeRequests() } } });
             }
             sweep();
         }
