Gateway: Start tasks of the control thread again after an exception

An exception in a task of the control thread ended the task for good and was discarded. After one in a handler of changed objects, the node went on with the configuration or server list of that moment and, for the configuration, stopped being ready only once it had expired.

The watches of the store, the rollout, the registration of the node and the readers of cache events log task_failed with the task, the exception and a remedy, and start again after a pause; a watch lists its objects anew, so that no change is skipped. An order that ends by an exception counts as one with an unknown outcome. Exceptions of status connections are logged.

StoreSyncTest/exceptionInHandlerDoesNotEndWatch throws in the first call of the handler. Without the restart the handler was never called again. The other tasks use the same function and have no test of their own.

--- a/Source/Gateway/CacheEventReader.cpp
+++ b/Source/Gateway/CacheEventReader.cpp
@@ -5,6 +5,7 @@
 
 #include "Gateway/ControlClient.h"
 #include "Gateway/Pause.h"
+#include "Gateway/RestartingTask.h"
 #include "platform/CacheEvents.h"
 
 namespace jacinthroad {
@@ -57,7 +58,10 @@
         if (!sources_.contains(id)) {
             auto source = std::make_shared<Source>(Source { .address = address });
             sources_[id] = source;
-            asio::co_spawn(context_, read(id, source), asio::detached);
+            asio::co_spawn(context_,
+                           runRestarting(context_, "cache_events",
+                                         [this, id, source] { return read(id, source); }),
+                           asio::detached);
         }
     }
 }
--- a/Source/Gateway/Gateway.cpp
+++ b/Source/Gateway/Gateway.cpp
@@ -23,6 +23,7 @@
 #include "Gateway/DigestExchange.h"
 #include "Gateway/Listener.h"
 #include "Gateway/Pause.h"
+#include "Gateway/RestartingTask.h"
 #include "Gateway/RolloutDriver.h"
 #include "Gateway/StatusServer.h"
 #include "Gateway/StoreSync.h"
@@ -251,10 +252,15 @@
     asio::co_spawn(controlContext, configuration.run(), asio::detached);
     asio::co_spawn(controlContext, servers.run(), asio::detached);
     asio::co_spawn(controlContext, weights.run(), asio::detached);
-    asio::co_spawn(controlContext, rollout.run(), asio::detached);
+    asio::co_spawn(controlContext,
+                   runRestarting(controlContext, "rollout", [this] { return rollout.run(); }),
+                   asio::detached);
     if (!settings.peerAddress.empty()) {
         asio::co_spawn(controlContext, nodes.run(), asio::detached);
-        asio::co_spawn(controlContext, registerNode(), asio::detached);
+        asio::co_spawn(
+            controlContext,
+            runRestarting(controlContext, "register_node", [this] { return registerNode(); }),
+            asio::detached);
     }
     asio::post(trafficContext, [this] { sweep(); });
     trafficThread = std::thread([this] { trafficContext.run(); });
--- a/Source/Gateway/RolloutDriver.cpp
+++ b/Source/Gateway/RolloutDriver.cpp
@@ -3,13 +3,13 @@
 #include <algorithm>
 
 #include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
 
 #include "Core/Hashing.h"
 #include "Core/Log.h"
 #include "Gateway/BootClock.h"
 #include "Gateway/LeaseObject.h"
 #include "Gateway/Pause.h"
+#include "Gateway/RestartingTask.h"
 #include "platform/Orders.h"
 
 namespace jacinthroad {
@@ -210,7 +210,14 @@
         if (next.action == RolloutStep::Action::Drain) {
             cordonServer_(next.server, next.model, next.version, CordonLimit);
         } else {
-            asio::co_spawn(context_, executeOrder(next), asio::detached);
+            asio::co_spawn(context_, executeOrder(next),
+                           [this, server = next.server](const std::exception_ptr &exception) {
+                               if (exception != nullptr) {
+                                   logFailure("order")(exception);
+                                   planner_.noteOrderOutcome(server, OrderOutcome::Unknown,
+                                                             std::chrono::steady_clock::now());
+                               }
+                           });
         }
     }
 }
--- a/Source/Gateway/StatusServer.cpp
+++ b/Source/Gateway/StatusServer.cpp
@@ -3,7 +3,6 @@
 #include <memory>
 
 #include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
@@ -11,6 +10,7 @@
 
 #include "Core/Time.h"
 #include "Gateway/Listener.h"
+#include "Gateway/RestartingTask.h"
 #include "Gateway/SocketOptions.h"
 
 namespace jacinthroad {
@@ -70,7 +70,8 @@
     const auto source = std::make_shared<const StatusSource>(
         StatusSource { .path = std::move(path), .page = std::move(page) });
     return acceptConnections(context, acceptor, [&context, source](asio::ip::tcp::socket socket) {
-        asio::co_spawn(context, serveConnection(std::move(socket), source), asio::detached);
+        asio::co_spawn(context, serveConnection(std::move(socket), source),
+                       logFailure("status_connection"));
     });
 }
 
--- a/Source/Gateway/StoreSync.cpp
+++ b/Source/Gateway/StoreSync.cpp
@@ -5,6 +5,7 @@
 
 #include "Core/Log.h"
 #include "Gateway/Pause.h"
+#include "Gateway/RestartingTask.h"
 
 namespace jacinthroad {
 
@@ -32,6 +33,13 @@
 
 asio::awaitable<void> StoreSync::run()
 {
+    return runRestarting(context_, options_.name, [this] { return synchronise(); });
+}
+
+asio::awaitable<void> StoreSync::synchronise()
+{
+    // A change that the handler didn't complete is reported again.
+    listed_ = false;
     for (;;) {
         bool done = false;
         if (listed_) {
--- a/Source/Gateway/StoreSync.h
+++ b/Source/Gateway/StoreSync.h
@@ -49,6 +49,8 @@
     void setMinimumPause(Duration minimumPause) { options_.minimumPause = minimumPause; }
 
 private:
+    /// Lists and watches the objects; never ends except by an exception.
+    [[nodiscard]] boost::asio::awaitable<void> synchronise();
     [[nodiscard]] boost::asio::awaitable<bool> list();
     [[nodiscard]] boost::asio::awaitable<bool> watch();
     [[nodiscard]] Duration pauseAfterFailure() const;
