Gateway: Don't capture a structured binding in a lambda

clang, and so clang-tidy, rejects a lambda that captures a structured binding, which g++ accepts. The capture of the server in CacheEventReader names a copy instead.

--- a/Source/Gateway/CacheEventReader.cpp
+++ b/Source/Gateway/CacheEventReader.cpp
@@ -60,7 +60,7 @@
             sources_[id] = source;
             asio::co_spawn(context_,
                            runRestarting(context_, "cache_events",
-                                         [this, id, source] { return read(id, source); }),
+                                         [this, id = id, source] { return read(id, source); }),
                            asio::detached);
         }
     }
