Gateway: Close the connection when a broken stream finds no other server

A caller whose stream broke after its first events got, inside the chunked body, the status line, header and JSON body of a 502 when no other server was left to resume the stream, or of a 504 when the time had just run out.

Exchange::runAttempts() looked at headerDelivered_ only after a failed attempt that may not be retried. After one that may, the next round of the loop refused the request without that check.

EdgeTest/brokenStreamThatNoServerCanResumeGetsNoErrorResponse failed on the unchanged code: the bytes ended with "HTTP/1.1 502 Bad Gateway" behind the first event. The loop now ends such a stream by closing the connection, with the outcomes `broken` and `cut_at_timeout` as elsewhere, and the test passes. The test covers the case without another server, not the case without time.

--- a/Source/Gateway/Exchange.cpp
+++ b/Source/Gateway/Exchange.cpp
@@ -156,6 +156,9 @@
             co_return ExchangeResult { .outcome = "caller_left", .connectionReusable = false };
         }
         if (timeLeft(now) < MinUsefulTime) {
+            if (headerDelivered_) {
+                co_return cutStream("cut_at_timeout");
+            }
             co_return co_await sendRefusal(dispatchRecord_.verdict() == NotRun::True
                                                ? ErrorKind::DeadlineUnreachable
                                                : ErrorKind::TimedOut,
@@ -164,6 +167,9 @@
         placementRequest_.tried = triedServers_;
         const auto chosen = state_.pool.choose(placementRequest_, now);
         if (const auto *none = std::get_if<NoPlacement>(&chosen)) {
+            if (headerDelivered_) {
+                co_return cutStream("broken");
+            }
             if (response_.has_value()) {
                 co_return co_await sendResponse();
             }
@@ -196,10 +202,7 @@
             co_return co_await sendResponse();
         }
         if (headerDelivered_) {
-            co_return ExchangeResult { .outcome = end == AttemptResult::TimedOut ? "cut_at_timeout"
-                                                                                 : "broken",
-                                       .status = 200,
-                                       .connectionReusable = false };
+            co_return cutStream(end == AttemptResult::TimedOut ? "cut_at_timeout" : "broken");
         }
         if (dispatchRecord_.verdict() == NotRun::True) {
             co_return co_await sendRefusal(ErrorKind::NoBackendServer, milliseconds(200));
@@ -210,6 +213,11 @@
     }
 }
 
+ExchangeResult Exchange::cutStream(std::string_view outcome)
+{
+    return { .outcome = std::string(outcome), .status = 200, .connectionReusable = false };
+}
+
 std::optional<Duration> Exchange::queueRefusalDelay(const Placement &placement) const
 {
     // A request that may have run already must not be reported as not run.
--- a/Source/Gateway/Exchange.h
+++ b/Source/Gateway/Exchange.h
@@ -95,6 +95,9 @@
                                           std::string_view events);
     /// True if the caller's HTTP version supports chunked encoding.
     [[nodiscard]] bool useChunkedEncoding() const { return request_.version() >= 11; }
+    /// Returns the result of a stream that ends after part of it was forwarded to the caller, whose
+    /// connection must then be closed.
+    [[nodiscard]] static ExchangeResult cutStream(std::string_view outcome);
     void recordOutcome(AttemptResult end);
     void finishAttempt(Attempt &attempt, AttemptResult end);
     void sendRequest(const std::shared_ptr<Attempt> &shared);
