Gateway: Refuse requests that crashed three servers, at all nodes

A request that crashes each server that runs it was sent to further servers as often as its caller sent it again, at any node, and up to maxAttempts times each. Every crash also ended the other requests on that server.

No node remembered crashes, and nodes told each other nothing of them; only the product's own interface quarantined requests.

CrashHistory (pure) keeps which servers crashed under which request. A crash counts only if the request was sent after the previous counted crash, so copies of a popular request on servers that fail together count once, and a completed run clears the crashes before it. CrashDetector takes a lost request as a crash only if the server's address then refuses a connection, or if the platform lists another boot or no longer lists the server. Digests (format 3) carry the observations; their merge depends on neither order nor repetition. After two crashes a node doesn't retry by itself, after three the request is refused for ten minutes with 503 and Retry-After, which states that it was not run. The own interface keeps its 422.

Evidence, on the unchanged code: CrashingRequestTest/ requestThatCrashedThreeServersReachesNoMoreServersOfAnyNode failed with "check receivedInAll(first, "plain", Servers) == 6U has failed [9 != 6]" and 502 instead of 503 at each of three nodes, one of them started after the crashes; gatewayRepeatsNoRequestThatCrashedTwoServers with [4 != 3] and [6 != 3]; streamThatCrashedThreeServersReachesNoMoreServers with [6 != 3]. All three pass now. The tests of innocent requests (living servers that break off, a popular request whose servers fail together) passed before as well.

Digests: 13 servers with 64 requests of one node in flight on each add 1,922 bytes to a digest at most, 164,520 bytes in 87 digests.

--- a/Source/FleetPeers/NodeDigest.cpp
+++ b/Source/FleetPeers/NodeDigest.cpp
@@ -9,11 +9,13 @@
 namespace {
 
 /// First element of every digest; digests of other versions are ignored.
-constexpr std::uint32_t FormatVersion = 2;
-constexpr std::uint32_t DigestFields = 9;
+constexpr std::uint32_t FormatVersion = 3;
+constexpr std::uint32_t DigestFields = 10;
 constexpr std::uint32_t EchoFields = 3;
 constexpr std::uint32_t DesiredWeightsFields = 3;
 constexpr std::uint32_t UpdateFields = 11;
+constexpr std::uint32_t CrashRecordFields = 2;
+constexpr std::uint32_t CrashReportFields = 6;
 
 std::string text(const msgpack::object &object)
 {
@@ -87,6 +89,34 @@
              .sequence = field[2].as<std::uint64_t>() };
 }
 
+CrashReport readCrashReport(const msgpack::object &object)
+{
+    if (object.type != msgpack::type::ARRAY || object.via.array.size != CrashReportFields) {
+        throw msgpack::type_error();
+    }
+    const msgpack::object *field = object.via.array.ptr;
+    return { .reporter = field[0].as<std::uint64_t>(),
+             .number = field[1].as<std::uint32_t>(),
+             .server = field[2].as<std::uint64_t>(),
+             .sentAgeMs = field[3].as<std::uint32_t>(),
+             .crashAgeMs = field[4].as<std::uint32_t>(),
+             .cleared = field[5].as<bool>() };
+}
+
+CrashRecord readCrashRecord(const msgpack::object &object)
+{
+    if (object.type != msgpack::type::ARRAY || object.via.array.size != CrashRecordFields) {
+        throw msgpack::type_error();
+    }
+    const msgpack::object *field = object.via.array.ptr;
+    CrashRecord record { .fingerprint = field[0].as<std::uint64_t>(), .crashes = {} };
+    const auto reports = field[1].as<std::vector<msgpack::object>>();
+    for (const msgpack::object &report : reports) {
+        record.crashes.push_back(readCrashReport(report));
+    }
+    return record;
+}
+
 } // namespace
 
 std::string encodeDigest(const NodeDigest &digest)
@@ -129,6 +159,21 @@
         packer.pack(echo.boot);
         packer.pack(echo.sequence);
     }
+    packer.pack_array(static_cast<std::uint32_t>(digest.crashes.size()));
+    for (const CrashRecord &record : digest.crashes) {
+        packer.pack_array(CrashRecordFields);
+        packer.pack(record.fingerprint);
+        packer.pack_array(static_cast<std::uint32_t>(record.crashes.size()));
+        for (const CrashReport &report : record.crashes) {
+            packer.pack_array(CrashReportFields);
+            packer.pack(report.reporter);
+            packer.pack(report.number);
+            packer.pack(report.server);
+            packer.pack(report.sentAgeMs);
+            packer.pack(report.crashAgeMs);
+            packer.pack(report.cleared);
+        }
+    }
     return { buffer.data(), buffer.size() };
 }
 
@@ -160,6 +205,10 @@
         for (const msgpack::object &echo : echoes) {
             digest.echoes.push_back(readEcho(echo));
         }
+        const auto crashes = field[9].as<std::vector<msgpack::object>>();
+        for (const msgpack::object &record : crashes) {
+            digest.crashes.push_back(readCrashRecord(record));
+        }
         return digest;
     } catch (const std::exception &fault) {
         logLine(LogLevel::Debug, "digest_unreadable", { { "reason", fault.what() } });
--- a/Source/FleetPeers/NodeDigest.h
+++ b/Source/FleetPeers/NodeDigest.h
@@ -9,6 +9,7 @@
 #include "Core/Ids.h"
 #include "Fleet/DesiredWeightsHistory.h"
 #include "Fleet/ListedServer.h"
+#include "Quarantine/CrashHistory.h"
 
 namespace jacinthroad {
 
@@ -73,6 +74,8 @@
     std::vector<DesiredWeightsAge> desiredWeights;
     /// Echoes of digests from nodes whose configuration is old.
     std::vector<DigestEcho> echoes {};
+    /// Requests that were running on servers that crashed.
+    std::vector<CrashRecord> crashes {};
 };
 
 [[nodiscard]] std::string encodeDigest(const NodeDigest &digest);
--- a/Source/Gateway/DigestExchange.cpp
+++ b/Source/Gateway/DigestExchange.cpp
@@ -19,6 +19,8 @@
 constexpr Duration DigestPeriod = milliseconds(200);
 /// Maximum number of prompt parts in one digest, which keeps it near the size of one packet.
 constexpr std::size_t MaxPartsPerDigest = 80;
+/// Maximum number of reports of crashes in one digest.
+constexpr std::size_t MaxCrashReportsPerDigest = 48;
 /// How long an update waits to be batched with others, per peer. This limits what a node receives
 /// to a thousand datagrams a second.
 constexpr Duration BatchDelayPerPeer = milliseconds(1);
@@ -118,7 +120,9 @@
         .servers
         = state_.pool.takeServerUpdates(std::chrono::steady_clock::now(), MaxPartsPerDigest),
         .desiredWeights = state_.pool.desiredWeightsAges(std::chrono::steady_clock::now()),
-        .echoes = freshness_.takeEchoes()
+        .echoes = freshness_.takeEchoes(),
+        .crashes = state_.crashHistory.takeRecords(std::chrono::steady_clock::now(),
+                                                   MaxCrashReportsPerDigest)
     };
     freshness_.noteSent(digest.sequence, now);
     if (!socket_.is_open()) {
@@ -174,6 +178,7 @@
     }
     newest = { digest->boot, digest->sequence };
     if (started) {
+        state_.crashHistory.resendAll();
         onPeerStarted();
     }
     receivedAt_[digest->node] = std::chrono::steady_clock::now();
@@ -186,6 +191,7 @@
         }
     }
     state_.pool.applyDesiredWeightsAges(digest->desiredWeights, std::chrono::steady_clock::now());
+    state_.mergeCrashes(digest->crashes, std::chrono::steady_clock::now());
     state_.pool.applyPeer(digest->node, digest->servers, std::chrono::steady_clock::now());
 }
 
--- a/Source/Gateway/Exchange.cpp
+++ b/Source/Gateway/Exchange.cpp
@@ -31,6 +31,14 @@
 constexpr int HighestPriority = 0;
 constexpr int LowestPriority = 9;
 
+/// Returns the HTTP status of a refusal. Callers of the gateway take only 503 and 429 as a
+/// statement that the request was not run.
+int gatewayStatus(ErrorKind kind)
+{
+    constexpr int ServiceUnavailable = 503;
+    return kind == ErrorKind::Quarantined ? ServiceUnavailable : errorResponse(kind).status;
+}
+
 std::string_view attemptResultName(int end)
 {
     constexpr std::array<std::string_view, 8> Names { "delivered", "answered",   "not_sent",
@@ -44,7 +52,7 @@
 GatewayResponse gatewayRefusalResponse(const Refusal &refusal)
 {
     GatewayResponse response;
-    response.result(static_cast<unsigned>(errorResponse(refusal.kind).status));
+    response.result(static_cast<unsigned>(gatewayStatus(refusal.kind)));
     response.version(11);
     response.set(http::field::content_type, "application/json");
     response.body() = refusalJson(refusal);
@@ -164,6 +172,20 @@
                                                : ErrorKind::TimedOut,
                                            Duration::zero());
         }
+        const CrashAssessment crashes = assessCrashes();
+        if (crashes.permission == CrashPermission::Denied
+            || (crashes.permission == CrashPermission::WithoutRetry && sends_ > rejected_)) {
+            if (headerDelivered_) {
+                co_return cutStream("broken");
+            }
+            if (response_.has_value()) {
+                co_return co_await sendResponse();
+            }
+            if (dispatchRecord_.verdict() == NotRun::True) {
+                co_return co_await sendRefusal(ErrorKind::Quarantined, crashes.remaining);
+            }
+            co_return co_await sendRefusal(ErrorKind::BackendFailed, Duration::zero());
+        }
         placementRequest_.tried = triedServers_;
         const auto chosen = state_.pool.choose(placementRequest_, now);
         if (const auto *none = std::get_if<NoPlacement>(&chosen)) {
@@ -195,6 +217,9 @@
         if (end == AttemptResult::CallerDisconnected || callerDisconnected_) {
             co_return ExchangeResult { .outcome = "caller_left", .connectionReusable = false };
         }
+        if (assessCrashes().crashes > 0) {
+            co_await state_.crashDetector.waitForProbe(placement.server);
+        }
         if (mayRetry(end, std::chrono::steady_clock::now())) {
             continue;
         }
@@ -256,7 +281,8 @@
             && state_.retryBudget.spend(placementRequest_.service, now);
     case AttemptResult::NoResponse:
     case AttemptResult::StreamBroken:
-        return route_->retryable() && runs < route_->maximumAttempts
+        return assessCrashes().permission == CrashPermission::Unrestricted && route_->retryable()
+            && runs < route_->maximumAttempts
             && state_.retryBudget.spend(placementRequest_.service, now);
     default:
         return false;
@@ -320,9 +346,8 @@
     response.prepare_payload();
     error_code error;
     co_await http::async_write(caller_, response, asio::redirect_error(asio::use_awaitable, error));
-    const ErrorResponse &table = errorResponse(kind);
-    co_return ExchangeResult { .outcome = std::string(table.name),
-                               .status = table.status,
+    co_return ExchangeResult { .outcome = std::string(errorResponse(kind).name),
+                               .status = gatewayStatus(kind),
                                .connectionReusable = keep && !error,
                                .responseComplete = !error };
 }
--- a/Source/Gateway/Exchange.h
+++ b/Source/Gateway/Exchange.h
@@ -103,7 +103,15 @@
     void sendRequest(const std::shared_ptr<Attempt> &shared);
     void monitorServer(const std::shared_ptr<Attempt> &attempt);
     static void abortAt(const std::shared_ptr<Attempt> &attempt, Instant moment);
-    [[nodiscard]] AttemptResult failure(const Attempt &attempt) const;
+    /// Returns the result of an attempt whose connection failed with `error`.
+    [[nodiscard]] AttemptResult failure(Attempt &attempt,
+                                        const boost::system::error_code &error) const;
+    /// Returns the hash by which nodes recognize this request when a caller sends it again.
+    [[nodiscard]] RequestFingerprint fingerprint();
+    /// Returns what may be done with this request after the crashes of servers that ran it.
+    [[nodiscard]] CrashAssessment assessCrashes();
+    /// Passes on what the result of an attempt tells about crashes.
+    void noteCrashEvidence(const Attempt &attempt, AttemptResult end);
     /// The retry delay to report if the expected queue wait is too long; nothing if the request can
     /// be sent.
     [[nodiscard]] std::optional<Duration> queueRefusalDelay(const Placement &placement) const;
@@ -137,6 +145,7 @@
     unsigned sends_ = 0;
     unsigned rejected_ = 0;
     DispatchRecord dispatchRecord_;
+    std::optional<RequestFingerprint> fingerprint_;
     std::optional<GatewayResponse> response_;
     bool callerDisconnected_ = false;
     bool headerDelivered_ = false;
--- a/Source/Gateway/ExchangeAttempt.cpp
+++ b/Source/Gateway/ExchangeAttempt.cpp
@@ -9,6 +9,7 @@
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/asio/write.hpp>
 
+#include "Core/Hashing.h"
 #include "Gateway/SocketOptions.h"
 
 namespace jacinthroad {
@@ -49,6 +50,14 @@
                                  "text/event-stream");
 }
 
+/// Returns true if the other side closed or reset the connection.
+bool isEndOfConnection(const error_code &error)
+{
+    return error == asio::error::eof || error == asio::error::connection_reset
+        || error == asio::error::broken_pipe || error == http::error::end_of_stream
+        || error == http::error::partial_message;
+}
+
 } // namespace
 
 asio::awaitable<Exchange::AttemptResult> Exchange::runAttempt(const Placement &placement)
@@ -143,6 +152,7 @@
     attempt.uncachedTokens
         = placementRequest_.promptTokens - std::min(placementRequest_.promptTokens, found);
     attempt.sent = true;
+    attempt.sentAt = now;
     attempt.lastReceivedAt = now;
     ++sends_;
     dispatchRecord_.noteStarted();
@@ -151,8 +161,9 @@
                       [shared](error_code error, std::size_t) { shared->requestWritten = !error; });
 }
 
-Exchange::AttemptResult Exchange::failure(const Attempt &attempt) const
+Exchange::AttemptResult Exchange::failure(Attempt &attempt, const error_code &error) const
 {
+    attempt.endedByServer = !attempt.timedOut && isEndOfConnection(error);
     if (callerDisconnected_) {
         return AttemptResult::CallerDisconnected;
     }
@@ -175,7 +186,7 @@
         co_await http::async_read_header(connection.socket, connection.buffer, *parser,
                                          asio::redirect_error(asio::use_awaitable, error));
         if (error || callerDisconnected_) {
-            co_return failure(attempt);
+            co_return failure(attempt, error);
         }
         state_.pool.noteReceived(attempt.placement.server, std::chrono::steady_clock::now());
         attempt.responseFacts
@@ -210,10 +221,10 @@
         co_await http::async_read(connection.socket, connection.buffer, rest,
                                   asio::redirect_error(asio::use_awaitable, error));
         if (error) {
-            co_return failure(attempt);
+            co_return failure(attempt, error);
         }
     }
-    co_return failure(attempt);
+    co_return failure(attempt, {});
 }
 
 asio::awaitable<Exchange::AttemptResult> Exchange::readCompleteResponse(Attempt &attempt)
@@ -226,7 +237,7 @@
                                   asio::redirect_error(asio::use_awaitable, error));
     }
     if (error || callerDisconnected_) {
-        co_return failure(attempt);
+        co_return failure(attempt, error);
     }
     attempt.firstByteReceived = true;
     attempt.reusable = parser.keep_alive() && attempt.requestWritten;
@@ -273,7 +284,7 @@
             }
         }
         if (error || callerDisconnected_) {
-            co_return failure(attempt);
+            co_return failure(attempt, error);
         }
     }
     attempt.reusable = parser.keep_alive() && attempt.requestWritten;
@@ -341,6 +352,47 @@
     }
 }
 
+RequestFingerprint Exchange::fingerprint()
+{
+    if (!fingerprint_.has_value()) {
+        RequestFingerprint hash = team_ != nullptr ? hash64(team_->name.text()) : 0;
+        const auto add = [&hash](std::string_view text) { hash = mix64(hash, hash64(text)); };
+        add({ request_.method_string().data(), request_.method_string().size() });
+        add({ request_.target().data(), request_.target().size() });
+        add(request_.body());
+        add(callerRequest_.model.text());
+        fingerprint_ = hash;
+    }
+    return *fingerprint_;
+}
+
+CrashAssessment Exchange::assessCrashes()
+{
+    return state_.crashHistory.empty()
+        ? CrashAssessment()
+        : state_.crashHistory.assess(fingerprint(), std::chrono::steady_clock::now());
+}
+
+void Exchange::noteCrashEvidence(const Attempt &attempt, AttemptResult end)
+{
+    const Instant now = std::chrono::steady_clock::now();
+    if (end == AttemptResult::Delivered || end == AttemptResult::ResponseReceived) {
+        if (!state_.crashHistory.empty()) {
+            state_.crashHistory.noteCompleted(fingerprint(), now);
+        }
+        return;
+    }
+    if (!attempt.endedByServer) {
+        return;
+    }
+    // A server that leaves ends its process on purpose.
+    const ListedServer *server = state_.pool.listed(attempt.placement.server);
+    if (server != nullptr && !server->leaving) {
+        state_.crashDetector.noteLoss(
+            *server, { .fingerprint = fingerprint(), .sentAt = attempt.sentAt, .lostAt = now });
+    }
+}
+
 void Exchange::finishAttempt(Attempt &attempt, AttemptResult end)
 {
     const Instant now = std::chrono::steady_clock::now();
@@ -369,6 +421,7 @@
     }
     if (attempt.sent) {
         recordOutcome(end);
+        noteCrashEvidence(attempt, end);
         state_.pool.noteEnd(server, verdict, attempt.firstByteReceived ? 0 : attempt.uncachedTokens,
                             now);
     } else if (end == AttemptResult::NotSent) {
--- a/Source/Gateway/ExchangeAttempt.h
+++ b/Source/Gateway/ExchangeAttempt.h
@@ -33,6 +33,9 @@
     bool sent = false;
     bool requestWritten = false;
     bool timedOut = false;
+    /// True if the server ended the connection before the response was complete.
+    bool endedByServer = false;
+    Instant sentAt;
     Instant lastReceivedAt;
     bool firstByteReceived = false;
     /// True if the response was read completely and the connection can carry another request.
--- a/Source/Gateway/TrafficState.cpp
+++ b/Source/Gateway/TrafficState.cpp
@@ -2,7 +2,9 @@
 
 #include <algorithm>
 
+#include "Core/Hashing.h"
 #include "Core/Log.h"
+#include "Core/WallClock.h"
 #include "Gateway/BootClock.h"
 
 namespace jacinthroad {
@@ -48,6 +50,14 @@
              = settings.retryAllowance / static_cast<double>(std::max(MinNodes, nodes)) };
 }
 
+void logQuarantined(RequestFingerprint fingerprint, const CrashAssessment &assessment)
+{
+    logLine(LogLevel::Warning, "quarantined",
+            { { "fingerprint", hexadecimal(fingerprint) },
+              { "crashes", std::int64_t { assessment.crashes } },
+              { "remaining_ms", toMilliseconds(assessment.remaining) } });
+}
+
 } // namespace
 
 TrafficState::TrafficState(boost::asio::io_context &ioContext, const GatewaySettings &nodeSettings,
@@ -59,8 +69,14 @@
     , pool({ .zone = ZoneId(settings.zone),
              .outdatedWeightsGrace = settings.weightsLimit - WeightsMargin })
     , retryBudget(retryBudgetOptions(settings, MinNodes))
+    , crashHistory({ .reporter = mix64(hash64(settings.name),
+                                       static_cast<std::uint64_t>(wallMilliseconds())) })
+    , crashDetector(ioContext)
     , currentSettings_(settings)
-{ }
+{
+    crashDetector.onCrash
+        = [this](const ServerId &server, const LostRequest &loss) { noteCrash(server, loss); };
+}
 
 void TrafficState::applySettings(const GatewaySettings &changed)
 {
@@ -100,6 +116,7 @@
     for (const ListedServer &server : servers) {
         listedServers_[server.id] = true;
         pool.applyServer(server, now);
+        crashDetector.noteListed(server);
     }
     for (auto entry = listedServers_.begin(); entry != listedServers_.end();) {
         if (entry->second) {
@@ -107,12 +124,40 @@
             continue;
         }
         pool.removeServer(entry->first, now);
+        crashDetector.noteRemoved(entry->first);
         connections.closeIdle(entry->first);
         entry = listedServers_.erase(entry);
     }
     serverListLoaded = true;
 }
 
+void TrafficState::noteCrash(const ServerId &server, const LostRequest &loss)
+{
+    const Instant now = std::chrono::steady_clock::now();
+    const bool wasDenied
+        = crashHistory.assess(loss.fingerprint, now).permission == CrashPermission::Denied;
+    if (!crashHistory.noteCrash(loss.fingerprint, hash64(server.text()), loss.sentAt, loss.lostAt,
+                                now)) {
+        return;
+    }
+    const CrashAssessment assessment = crashHistory.assess(loss.fingerprint, now);
+    logLine(LogLevel::Warning, "request_crashed_server",
+            { { "fingerprint", hexadecimal(loss.fingerprint) },
+              { "server", server.text() },
+              { "crashes", std::int64_t { assessment.crashes } } });
+    if (!wasDenied && assessment.permission == CrashPermission::Denied) {
+        logQuarantined(loss.fingerprint, assessment);
+    }
+    notifyPeersSoon();
+}
+
+void TrafficState::mergeCrashes(std::span<const CrashRecord> records, Instant now)
+{
+    for (const DeniedRequest &denied : crashHistory.merge(records, now)) {
+        logQuarantined(denied.fingerprint, denied.assessment);
+    }
+}
+
 CallerLimits TrafficState::limits() const
 {
     return routes != nullptr ? routes->limits() : CallerLimits();
--- a/Source/Gateway/TrafficState.h
+++ b/Source/Gateway/TrafficState.h
@@ -3,6 +3,7 @@
 #include <cstdint>
 #include <functional>
 #include <memory>
+#include <span>
 #include <unordered_map>
 #include <vector>
 
@@ -12,11 +13,13 @@
 #include "Fleet/ListedServer.h"
 #include "Fleet/RouteTable.h"
 #include "Gateway/ConnectionPool.h"
+#include "Gateway/CrashDetector.h"
 #include "Gateway/GatewayMetrics.h"
 #include "Gateway/GatewaySettings.h"
 #include "Placement/AttemptBudget.h"
 #include "Placement/QueueLimit.h"
 #include "Placement/ServerPool.h"
+#include "Quarantine/CrashHistory.h"
 
 namespace jacinthroad {
 
@@ -36,6 +39,8 @@
     void applyConfiguration(std::shared_ptr<const RouteTable> routes);
     /// Applies the platform's complete list of servers; servers missing from it are removed.
     void applyServers(const std::vector<ListedServer> &servers, Instant now);
+    /// Applies a peer's records of requests that were running on servers that crashed.
+    void mergeCrashes(std::span<const CrashRecord> records, Instant now);
 
     boost::asio::io_context &context;
     const GatewaySettings settings;
@@ -48,6 +53,8 @@
     ConnectionPool connections;
     AttemptBudget retryBudget;
     QueueLimit queueLimit { {} };
+    CrashHistory crashHistory;
+    CrashDetector crashDetector;
 
     /// True once the list of servers has been applied.
     bool serverListLoaded = false;
@@ -72,6 +79,9 @@
     [[nodiscard]] bool acceptsRequests(Instant now) const;
 
 private:
+    /// Records that a server crashed while it ran a request.
+    void noteCrash(const ServerId &server, const LostRequest &loss);
+
     /// The settings in effect, which a reload may have changed.
     GatewaySettings currentSettings_;
     std::size_t nodeCount_ = 0;
--- a/Source/Placement/ServerPool.cpp
+++ b/Source/Placement/ServerPool.cpp
@@ -65,6 +65,12 @@
     return found == servers_.end() ? nullptr : &found->second;
 }
 
+const ListedServer *ServerPool::listed(const ServerId &id) const
+{
+    const auto found = servers_.find(id);
+    return found == servers_.end() ? nullptr : &found->second.facts;
+}
+
 void ServerPool::applyServer(const ListedServer &facts, Instant now)
 {
     removedServers_.erase(facts.id);
--- a/Source/Placement/ServerPool.h
+++ b/Source/Placement/ServerPool.h
@@ -162,6 +162,8 @@
     /// Removes a server that the platform no longer lists, and reports it to peers that have not
     /// read the new list yet.
     void removeServer(const ServerId &id, Instant now);
+    /// Returns the listed server, or null.
+    [[nodiscard]] const ListedServer *listed(const ServerId &id) const;
     /// Applies the newest weights that operators have set as desired.
     void applyDesiredWeights(const DesiredWeights &desired, Instant now);
     /// Merges how long ago a peer first saw weights to be desired. A node that has just started
--- a/Tests/FleetPeers/NodeDigestTest.cpp
+++ b/Tests/FleetPeers/NodeDigestTest.cpp
@@ -1,3 +1,4 @@
+#include <algorithm>
 #include <random>
 
 #include <boost/test/unit_test.hpp>
@@ -23,7 +24,14 @@
                             .cordonedForMs = 1500,
                             .sentParts = { { 0xfedcba9876543210U, 2500 }, { 2, 6300 } },
                             .confirmedParts = { { 7, 100 } },
-                            .evictedKeys = { 8, 9 } } } };
+                            .evictedKeys = { 8, 9 } } },
+             .crashes = { { .fingerprint = 0xfedcba9876543211U,
+                            .crashes = { { .reporter = 0xfedcba9876543212U,
+                                           .number = 5,
+                                           .server = 0xfedcba9876543213U,
+                                           .sentAgeMs = 700,
+                                           .crashAgeMs = 600,
+                                           .cleared = true } } } } };
 }
 
 } // namespace
@@ -46,6 +54,47 @@
     BOOST_TEST(update.sentParts[1].tokens == 6300U);
     BOOST_TEST(update.confirmedParts[0].key == 7U);
     BOOST_TEST(update.evictedKeys.size() == 2U);
+    BOOST_REQUIRE(digest->crashes.size() == 1U);
+    BOOST_TEST(digest->crashes[0].fingerprint == 0xfedcba9876543211U);
+    BOOST_REQUIRE(digest->crashes[0].crashes.size() == 1U);
+    const CrashReport &crash = digest->crashes[0].crashes[0];
+    BOOST_TEST(crash.reporter == 0xfedcba9876543212U);
+    BOOST_TEST(crash.number == 5U);
+    BOOST_TEST(crash.server == 0xfedcba9876543213U);
+    BOOST_TEST(crash.sentAgeMs == 700U);
+    BOOST_TEST(crash.crashAgeMs == 600U);
+    BOOST_TEST(crash.cleared);
+}
+
+BOOST_AUTO_TEST_CASE(crashesOfManyServersAddLittleToEachDigest)
+{
+    constexpr std::uint64_t Servers = 13;
+    constexpr std::uint64_t RequestsPerServer = 64;
+    constexpr std::size_t MaxReports = 48;
+    constexpr std::size_t MaxAddedBytes = 2300;
+    const Instant start = Instant(std::chrono::hours(1));
+    const std::size_t emptyBytes = encodeDigest({}).size();
+    CrashHistory history({ .reporter = 0xfedcba9876543211U });
+    for (std::uint64_t server = 0; server < Servers; ++server) {
+        for (std::uint64_t request = 0; request < RequestsPerServer; ++request) {
+            static_cast<void>(history.noteCrash(~(server * RequestsPerServer + request), ~server,
+                                                start - milliseconds(900), start, start));
+        }
+    }
+    std::size_t digests = 0;
+    std::size_t largest = 0;
+    std::size_t total = 0;
+    for (Instant now = start; now < start + std::chrono::minutes(1); now += milliseconds(200)) {
+        const std::size_t added
+            = encodeDigest({ .crashes = history.takeRecords(now, MaxReports) }).size() - emptyBytes;
+        digests += added > 0 ? 1 : 0;
+        largest = std::max(largest, added);
+        total += added;
+    }
+    BOOST_TEST_MESSAGE(digests << " digests, " << largest << " bytes at most, " << total
+                               << " bytes in all");
+    BOOST_TEST(largest <= MaxAddedBytes);
+    BOOST_TEST(digests == Servers * RequestsPerServer * 5 / MaxReports + 1);
 }
 
 BOOST_AUTO_TEST_CASE(truncatedAndCorruptedDatagramsAreHandled)
--- /dev/null
+++ b/Tests/Gateway/CrashingRequestTest.cpp
@@ -0,0 +1,230 @@
+#include <atomic>
+#include <thread>
+
+#include <boost/test/unit_test.hpp>
+
+#include "GatewayFixture.h"
+
+namespace jacinthroad {
+
+namespace {
+
+constexpr const char *CrashingBody = "crash";
+/// Covers several digests and the reading of a changed list of nodes.
+constexpr auto PeerExchangeTime = milliseconds(1500);
+
+/// Adds servers that end as soon as a request with CrashingBody arrives.
+void addCrashingServers(GatewayFixture &fixture, const std::string &service, int count)
+{
+    for (int index = 0; index < count; ++index) {
+        const std::string name = service + std::to_string(index);
+        fixture.addServer(
+            name, service,
+            [&fixture, name](ScriptedConnection &connection, const ReceivedRequest &request) {
+                if (request.body() == CrashingBody) {
+                    fixture.crashServer(name);
+                    return false;
+                }
+                connection.write(validResponse(request));
+                return true;
+            });
+    }
+}
+
+std::size_t receivedInAll(GatewayFixture &fixture, const std::string &service, int count)
+{
+    std::size_t total = 0;
+    for (int index = 0; index < count; ++index) {
+        total += fixture.receivedRequests(service + std::to_string(index)).size();
+    }
+    return total;
+}
+
+unsigned status(const std::unique_ptr<CallerResponse> &response)
+{
+    return response == nullptr ? 0 : response->result_int();
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(CrashingRequestTest)
+
+BOOST_AUTO_TEST_CASE(requestThatCrashedThreeServersReachesNoMoreServersOfAnyNode)
+{
+    constexpr int Servers = 10;
+    GatewayFixture first;
+    GatewayFixture second;
+    GatewayFixture late;
+    second.settings.name = "front-2";
+    late.settings.name = "front-3";
+    addCrashingServers(first, "plain", Servers);
+    for (GatewayFixture *fixture : { &first, &second, &late }) {
+        fixture->shareServers(first);
+        fixture->configure(1, { "k1" });
+        for (GatewayFixture *peer : { &first, &second, &late }) {
+            if (peer != fixture) {
+                fixture->addPeer(*peer);
+            }
+        }
+    }
+    first.start();
+    second.start();
+    std::this_thread::sleep_for(PeerExchangeTime);
+    for (GatewayFixture *fixture : { &first, &second, &first }) {
+        BOOST_TEST(status(fixture->call("POST", "/unsafe/a", CrashingBody)) == 502U);
+        std::this_thread::sleep_for(milliseconds(300));
+    }
+    // The platform removes servers that have ended.
+    for (int index = 0; index < Servers; ++index) {
+        const std::string name = "plain" + std::to_string(index);
+        for (GatewayFixture *fixture : { &first, &second, &late }) {
+            if (!first.receivedRequests(name).empty()) {
+                fixture->store.remove("servers", name);
+            }
+        }
+    }
+    late.start();
+    std::this_thread::sleep_for(PeerExchangeTime);
+    for (GatewayFixture *fixture : { &first, &second, &late }) {
+        const auto response = fixture->call("POST", "/unsafe/a", CrashingBody);
+        BOOST_REQUIRE(response != nullptr);
+        BOOST_TEST(response->result_int() == 503U);
+        BOOST_TEST(response->count("Retry-After") == 1U);
+        BOOST_TEST(response->body().find("quarantined") != std::string::npos);
+        BOOST_TEST(status(fixture->call("POST", "/unsafe/a", "other body")) == 200U);
+    }
+    BOOST_TEST(receivedInAll(first, "plain", Servers) == 6U);
+}
+
+BOOST_AUTO_TEST_CASE(gatewayRepeatsNoRequestThatCrashedTwoServers)
+{
+    constexpr int Servers = 6;
+    GatewayFixture fixture;
+    addCrashingServers(fixture, "plain", Servers);
+    fixture.configure(1, { "k1" });
+    fixture.start();
+    BOOST_TEST(status(fixture.call("GET", "/safe/a", CrashingBody)) == 502U);
+    BOOST_TEST(receivedInAll(fixture, "plain", Servers) == 2U);
+    std::this_thread::sleep_for(milliseconds(100));
+    BOOST_TEST(status(fixture.call("GET", "/safe/a", CrashingBody)) == 502U);
+    BOOST_TEST(receivedInAll(fixture, "plain", Servers) == 3U);
+    std::this_thread::sleep_for(milliseconds(100));
+    BOOST_TEST(status(fixture.call("GET", "/safe/a", CrashingBody)) == 503U);
+    BOOST_TEST(receivedInAll(fixture, "plain", Servers) == 3U);
+}
+
+BOOST_AUTO_TEST_CASE(streamThatCrashedThreeServersReachesNoMoreServers)
+{
+    constexpr int Servers = 6;
+    GatewayFixture fixture;
+    std::atomic<int> crashes { 0 };
+    for (int index = 0; index < Servers; ++index) {
+        const std::string name = "engines" + std::to_string(index);
+        fixture.addServer(
+            name, "engines",
+            [&, name](ScriptedConnection &connection, const ReceivedRequest &request) {
+                if (request.target().starts_with("/-/")) {
+                    connection.write(responseText(404, "", ""));
+                    return true;
+                }
+                connection.write(streamHead(request) + chunk(event(1)));
+                std::this_thread::sleep_for(milliseconds(30));
+                ++crashes;
+                fixture.crashServer(name);
+                return false;
+            });
+    }
+    fixture.configure(1, { "k1" });
+    fixture.start();
+    for (int attempt = 0; attempt < 4; ++attempt) {
+        static_cast<void>(fixture.call("POST", "/stream/a", "prompt",
+                                       "Authorization: Bearer k1\r\nX-Model: m\r\n"));
+        std::this_thread::sleep_for(milliseconds(100));
+    }
+    BOOST_TEST(crashes == 3);
+}
+
+BOOST_AUTO_TEST_CASE(requestsToServersThatBreakOffButLiveAreNotQuarantined)
+{
+    GatewayFixture fixture;
+    std::atomic<bool> faulty { true };
+    for (const char *name : { "s1", "s2", "s3" }) {
+        fixture.addServer(
+            name, "plain", [&](ScriptedConnection &connection, const ReceivedRequest &request) {
+                if (faulty && request.target().ends_with("reset")) {
+                    connection.reset();
+                    return false;
+                }
+                if (faulty) {
+                    connection.write("HTTP/1.1 200 OK\r\nContent-Length: 50\r\n\r\nx");
+                    connection.close();
+                    return false;
+                }
+                connection.write(validResponse(request));
+                return true;
+            });
+    }
+    fixture.configure(1, { "k1" });
+    fixture.start();
+    for (int attempt = 0; attempt < 8; ++attempt) {
+        for (const char *path : { "/unsafe/reset", "/unsafe/short" }) {
+            static_cast<void>(fixture.call("POST", path, "x"));
+        }
+        std::this_thread::sleep_for(milliseconds(100));
+    }
+    faulty = false;
+    std::this_thread::sleep_for(milliseconds(2500));
+    BOOST_TEST(status(fixture.call("POST", "/unsafe/reset", "x")) == 200U);
+    BOOST_TEST(status(fixture.call("POST", "/unsafe/short", "x")) == 200U);
+}
+
+BOOST_AUTO_TEST_CASE(popularRequestWhoseServersFailTogetherIsNotQuarantined)
+{
+    constexpr int Servers = 5;
+    constexpr int Callers = 15;
+    GatewayFixture fixture;
+    std::atomic<int> running { 0 };
+    for (int index = 0; index < Servers; ++index) {
+        fixture.addServer("plain" + std::to_string(index), "plain",
+                          [&](ScriptedConnection &connection, const ReceivedRequest &) {
+                              ++running;
+                              static_cast<void>(connection.waitForClose(milliseconds(3000)));
+                              return false;
+                          });
+    }
+    fixture.configure(1, { "k1" });
+    fixture.start();
+    std::vector<std::thread> callers;
+    for (int index = 0; index < Callers; ++index) {
+        callers.emplace_back([&] {
+            static_cast<void>(fixture.sendBytes("GET /safe/popular HTTP/1.1\r\nHost: h\r\n"
+                                                "X-Request-Id: p\r\n"
+                                                "Authorization: Bearer k1\r\n\r\n",
+                                                milliseconds(600)));
+        });
+    }
+    while (running < Callers) {
+        std::this_thread::sleep_for(milliseconds(2));
+    }
+    for (int index = 0; index < Servers; ++index) {
+        fixture.crashServer("plain" + std::to_string(index));
+    }
+    for (std::thread &caller : callers) {
+        caller.join();
+    }
+    // The system may give the ports of the ended servers to other processes.
+    for (int index = 0; index < Servers; ++index) {
+        fixture.store.remove("servers", "plain" + std::to_string(index));
+    }
+    fixture.addServer("replacement", "plain",
+                      [](ScriptedConnection &connection, const ReceivedRequest &request) {
+                          connection.write(validResponse(request));
+                          return true;
+                      });
+    std::this_thread::sleep_for(milliseconds(2500));
+    BOOST_TEST(status(fixture.call("GET", "/safe/popular")) == 200U);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+} // namespace jacinthroad
--- a/Tests/Gateway/GatewayFixture.cpp
+++ b/Tests/Gateway/GatewayFixture.cpp
@@ -96,6 +96,10 @@
                 }
             }
         }));
+    {
+        const std::lock_guard lock(mutex_);
+        serversByName_[name] = servers_.back().get();
+    }
     Json::Value spec;
     spec["service"] = service;
     spec["address"] = servers_.back()->address();
@@ -114,6 +118,31 @@
     store.put("servers", name, spec);
 }
 
+void GatewayFixture::crashServer(const std::string &name)
+{
+    ScriptedServer *server = nullptr;
+    {
+        const std::lock_guard lock(mutex_);
+        server = serversByName_.at(name);
+    }
+    server->crash();
+}
+
+void GatewayFixture::shareServers(GatewayFixture &other)
+{
+    const std::lock_guard lock(other.mutex_);
+    for (const auto &[name, server] : other.serversByName_) {
+        store.put("servers", name, other.store.spec("servers", name));
+    }
+}
+
+void GatewayFixture::addPeer(const GatewayFixture &other)
+{
+    Json::Value peer;
+    peer["peers"] = other.settings.peerAddress;
+    store.put("nodes", other.settings.name, peer);
+}
+
 void GatewayFixture::configure(int version, const std::vector<std::string> &keys)
 {
     Json::Value spec = *parseJson(R"({"routes":[
--- a/Tests/Gateway/GatewayFixture.h
+++ b/Tests/Gateway/GatewayFixture.h
@@ -29,6 +29,13 @@
 
     /// Adds a backend server to a service.
     void addServer(const std::string &name, const std::string &service, Handler handler);
+    /// Ends a backend server as if its process had crashed; it stays listed. May be called from a
+    /// handler.
+    void crashServer(const std::string &name);
+    /// Lists the backend servers of another fixture in this one's store too.
+    void shareServers(GatewayFixture &other);
+    /// Stores another gateway as a peer of this one.
+    void addPeer(const GatewayFixture &other);
     /// Stores a configuration with this version, in which the team `north` has these keys.
     void configure(int version, const std::vector<std::string> &keys);
     /// Sets the desired weights version of model `m`, which the servers of `engines` run.
@@ -60,6 +67,7 @@
     std::mutex mutex_;
     std::map<std::string, std::vector<ReceivedRequest>> receivedRequests_;
     std::vector<std::unique_ptr<ScriptedServer>> servers_;
+    std::map<std::string, ScriptedServer *> serversByName_;
     int requestCount_ = 0;
 };
 
--- a/Tests/Gateway/ScriptedServer.cpp
+++ b/Tests/Gateway/ScriptedServer.cpp
@@ -93,6 +93,15 @@
     }
 }
 
+void ScriptedServer::crash()
+{
+    shutdown(acceptor_.native_handle(), SHUT_RDWR);
+    const std::lock_guard lock(mutex_);
+    for (const auto &connection : connections_) {
+        connection->interrupt();
+    }
+}
+
 std::string ScriptedServer::address() const
 {
     return "127.0.0.1:" + std::to_string(acceptor_.local_endpoint().port());
--- a/Tests/Gateway/ScriptedServer.h
+++ b/Tests/Gateway/ScriptedServer.h
@@ -58,6 +58,9 @@
 
     /// `127.0.0.1:port`.
     [[nodiscard]] std::string address() const;
+    /// Ends all connections and refuses new ones, as when the server's process ends. May be called
+    /// from a script.
+    void crash();
 
 private:
     void accept();
--- /dev/null
+++ b/Tests/Quarantine/CrashHistoryTest.cpp
@@ -0,0 +1,239 @@
+#include <algorithm>
+#include <map>
+#include <random>
+#include <vector>
+
+#include <boost/test/unit_test.hpp>
+
+#include "Quarantine/CrashHistory.h"
+
+namespace jacinthroad {
+
+namespace {
+
+constexpr RequestFingerprint Request = 7;
+
+Instant at(int ms)
+{
+    return Instant(std::chrono::hours(1)) + milliseconds(ms);
+}
+
+CrashHistory historyOf(std::uint64_t reporter, std::size_t capacity = 4096)
+{
+    return CrashHistory({ .reporter = reporter, .capacity = capacity });
+}
+
+unsigned countedCrashes(const CrashHistory &history, int now)
+{
+    return history.assess(Request, at(now)).crashes;
+}
+
+void noteCrash(CrashHistory &history, std::uint64_t server, int sentAt, int crashedAt)
+{
+    static_cast<void>(history.noteCrash(Request, server, at(sentAt), at(crashedAt), at(crashedAt)));
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(CrashHistoryTest)
+
+BOOST_AUTO_TEST_CASE(consecutiveCrashesDenyTheRequestForALimitedTime)
+{
+    CrashHistory history = historyOf(1);
+    BOOST_TEST((history.assess(Request, at(0)).permission == CrashPermission::Unrestricted));
+    noteCrash(history, 1, 0, 10);
+    BOOST_TEST((history.assess(Request, at(10)).permission == CrashPermission::Unrestricted));
+    noteCrash(history, 2, 10, 20);
+    BOOST_TEST((history.assess(Request, at(20)).permission == CrashPermission::WithoutRetry));
+    noteCrash(history, 3, 20, 30);
+    const CrashAssessment denied = history.assess(Request, at(30));
+    BOOST_TEST((denied.permission == CrashPermission::Denied));
+    BOOST_TEST((denied.remaining == std::chrono::minutes(10)));
+    BOOST_TEST((history.assess(Request + 1, at(30)).permission == CrashPermission::Unrestricted));
+    const int afterDenial = 30 + 10 * 60 * 1000;
+    BOOST_TEST(
+        (history.assess(Request, at(afterDenial)).permission == CrashPermission::WithoutRetry));
+    noteCrash(history, 4, afterDenial, afterDenial + 10);
+    BOOST_TEST(
+        (history.assess(Request, at(afterDenial + 10)).permission == CrashPermission::Denied));
+}
+
+BOOST_AUTO_TEST_CASE(copiesInFlightTogetherCountOnce)
+{
+    CrashHistory history = historyOf(1);
+    for (int server = 0; server < 6; ++server) {
+        noteCrash(history, static_cast<std::uint64_t>(server), server, 1000 + server);
+    }
+    BOOST_TEST(countedCrashes(history, 1010) == 1U);
+}
+
+BOOST_AUTO_TEST_CASE(crashSeenByTwoNodesCountsOnceAndTwoCrashesAddUp)
+{
+    CrashHistory first = historyOf(1);
+    CrashHistory second = historyOf(2);
+    noteCrash(first, 1, 0, 100);
+    noteCrash(second, 1, 50, 101);
+    static_cast<void>(first.merge(second.takeRecords(at(110), 10), at(130)));
+    BOOST_TEST(countedCrashes(first, 130) == 1U);
+    noteCrash(second, 2, 500, 600);
+    static_cast<void>(first.merge(second.takeRecords(at(610), 10), at(612)));
+    BOOST_TEST(countedCrashes(first, 612) == 2U);
+}
+
+BOOST_AUTO_TEST_CASE(completedRunClearsEarlierCrashesAtAllNodes)
+{
+    CrashHistory first = historyOf(1);
+    CrashHistory second = historyOf(2);
+    noteCrash(first, 1, 0, 10);
+    noteCrash(first, 2, 10, 20);
+    const auto old = first.takeRecords(at(30), 10);
+    static_cast<void>(second.merge(old, at(31)));
+    second.noteCompleted(Request, at(40));
+    BOOST_TEST(countedCrashes(second, 40) == 0U);
+    static_cast<void>(second.merge(old, at(50)));
+    BOOST_TEST(countedCrashes(second, 50) == 0U);
+    static_cast<void>(first.merge(second.takeRecords(at(200), 10), at(201)));
+    BOOST_TEST(countedCrashes(first, 201) == 0U);
+    noteCrash(first, 3, 300, 310);
+    BOOST_TEST(countedCrashes(first, 310) == 1U);
+}
+
+BOOST_AUTO_TEST_CASE(severalCrashesAreRepeatedForNewPeersAndSingleOnesAreNot)
+{
+    CrashHistory history = historyOf(1);
+    noteCrash(history, 1, 0, 10);
+    int sends = 0;
+    for (int now = 10; now < 10000; now += 50) {
+        sends += history.takeRecords(at(now), 100).empty() ? 0 : 1;
+    }
+    BOOST_TEST(sends == 5);
+    history.resendAll();
+    BOOST_TEST(history.takeRecords(at(10000), 10).size() == 1U);
+    noteCrash(history, 2, 10000, 10010);
+    sends = 0;
+    for (int now = 15000; now < 25000; now += 50) {
+        sends += history.takeRecords(at(now), 100).empty() ? 0 : 1;
+    }
+    BOOST_TEST(sends >= 9);
+}
+
+BOOST_AUTO_TEST_CASE(lostDoubledDelayedAndReorderedMessagesConverge)
+{
+    constexpr int Nodes = 5;
+    constexpr int Crashes = 4;
+    constexpr int MaxDelay = 400;
+    constexpr int End = 12000;
+    for (unsigned seed = 1; seed <= 200; ++seed) {
+        std::mt19937 random(seed);
+        std::vector<CrashHistory> nodes;
+        for (int node = 0; node < Nodes; ++node) {
+            nodes.push_back(historyOf(static_cast<std::uint64_t>(node) + 1));
+        }
+        struct Message
+        {
+            int receiver = 0;
+            std::vector<CrashRecord> records;
+        };
+        std::multimap<int, Message> inTransit;
+        for (int now = 0; now < End; now += 50) {
+            // One crash a second, each seen by a random node and by some others as well.
+            if (now % 1000 == 500 && now < Crashes * 1000) {
+                const std::size_t observer = random() % Nodes;
+                for (std::size_t node = 0; node < Nodes; ++node) {
+                    if (node == observer || random() % 4 == 0) {
+                        noteCrash(nodes[node], static_cast<std::uint64_t>(now), now - 100,
+                                  now + static_cast<int>(random() % 3));
+                    }
+                }
+            }
+            for (int node = 0; node < Nodes; ++node) {
+                const auto records
+                    = nodes[static_cast<std::size_t>(node)].takeRecords(at(now), 100);
+                for (int receiver = 0; receiver < Nodes && !records.empty(); ++receiver) {
+                    const unsigned copies = random() % 10 < 3 ? 0 : 1 + random() % 2;
+                    for (unsigned copy = 0; copy < copies && receiver != node; ++copy) {
+                        inTransit.emplace(now + static_cast<int>(random() % MaxDelay),
+                                          Message { receiver, records });
+                    }
+                }
+            }
+            while (!inTransit.empty() && inTransit.begin()->first <= now) {
+                const Message &message = inTransit.begin()->second;
+                static_cast<void>(nodes[static_cast<std::size_t>(message.receiver)].merge(
+                    message.records, at(now)));
+                inTransit.erase(inTransit.begin());
+            }
+        }
+        for (const CrashHistory &node : nodes) {
+            BOOST_TEST((node.assess(Request, at(End)).permission == CrashPermission::Denied),
+                       "seed " << seed);
+            BOOST_TEST(countedCrashes(node, End) == static_cast<unsigned>(Crashes),
+                       "seed " << seed);
+        }
+    }
+}
+
+BOOST_AUTO_TEST_CASE(popularRequestOnManyNodesAndServersCountsOnceAtAllNodes)
+{
+    constexpr int Nodes = 20;
+    constexpr int Servers = 30;
+    constexpr int MaxDelay = 100;
+    for (unsigned seed = 1; seed <= 20; ++seed) {
+        std::mt19937 random(seed);
+        std::vector<CrashHistory> nodes;
+        for (int node = 0; node < Nodes; ++node) {
+            nodes.push_back(historyOf(static_cast<std::uint64_t>(node) + 1));
+            for (int server = 0; server < Servers; ++server) {
+                if (random() % 2 == 0) {
+                    noteCrash(nodes.back(), static_cast<std::uint64_t>(server),
+                              static_cast<int>(random() % 90),
+                              100 + static_cast<int>(random() % 5));
+                }
+            }
+        }
+        for (int now = 110; now < 5000; now += 50) {
+            for (CrashHistory &sender : nodes) {
+                const auto records = sender.takeRecords(at(now), 48);
+                for (CrashHistory &receiver : nodes) {
+                    if (&receiver != &sender && !records.empty() && random() % 3 != 0) {
+                        static_cast<void>(receiver.merge(
+                            records, at(now + static_cast<int>(random() % MaxDelay))));
+                    }
+                }
+            }
+        }
+        for (const CrashHistory &node : nodes) {
+            BOOST_TEST(countedCrashes(node, 5000) == 1U, "seed " << seed);
+        }
+    }
+}
+
+BOOST_AUTO_TEST_CASE(requestsAndCrashesAreBounded)
+{
+    CrashHistory history = historyOf(1, 100);
+    for (int crash = 0; crash < 3; ++crash) {
+        noteCrash(history, static_cast<std::uint64_t>(crash), crash * 10, crash * 10 + 5);
+    }
+    for (RequestFingerprint request = 100; request < 1000; ++request) {
+        static_cast<void>(history.noteCrash(request, 1, at(100), at(101), at(101)));
+    }
+    BOOST_TEST(history.size() == 100U);
+    BOOST_TEST((history.assess(Request, at(200)).permission == CrashPermission::Denied));
+    // Many observations of crashes at the same time don't displace the others.
+    for (std::uint64_t reporter = 2; reporter < 60; ++reporter) {
+        CrashHistory other = historyOf(reporter);
+        noteCrash(other, reporter % 2 == 0 ? 2 : reporter, 20, 26);
+        static_cast<void>(history.merge(other.takeRecords(at(200), 10), at(200)));
+    }
+    BOOST_TEST((history.assess(Request, at(200)).permission == CrashPermission::Denied));
+    const auto records = history.takeRecords(at(300), 20);
+    BOOST_REQUIRE(!records.empty());
+    BOOST_TEST(records[0].fingerprint == Request);
+    BOOST_TEST(records[0].crashes.size() <= 64U);
+    static_cast<void>(history.takeRecords(at(40 * 60 * 1000), 10));
+    BOOST_TEST(history.empty());
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+} // namespace jacinthroad
