--- a/Source/Gateway/DigestExchange.cpp
+++ b/Source/Gateway/DigestExchange.cpp
@@ -20,6 +20,8 @@
 constexpr Duration DigestPeriod = milliseconds(200);
 /// Maximum number of prompt parts in one digest.
 constexpr std::size_t MaxPartsPerDigest = 80;
+/// Maximum number of reports of crashes in one digest.
+constexpr std::size_t MaxCrashReportsPerDigest = 48;
 /// A node counts as down if no digest arrives for this long, that is, if several digests in a row
 /// are lost.
 constexpr Duration NodeTimeout = milliseconds(1500);
@@ -112,7 +114,8 @@
         .configurationAgeMs = age.has_value() ? wholeMilliseconds(*age) + 1 : UnknownAgeMs,
         .servers = state_.pool.takeServerUpdates(sentAt, MaxPartsPerDigest, MaxDigestBytes),
         .desiredWeights = state_.pool.desiredWeightsAges(sentAt),
-        .echoes = freshness_.takeEchoes()
+        .echoes = freshness_.takeEchoes(),
+        .crashes = state_.crashHistory.takeRecords(sentAt, MaxCrashReportsPerDigest)
     };
     freshness_.noteSent(digest.sequence, now);
     if (!socket_.is_open()) {
@@ -171,6 +174,7 @@
     }
     newest = { digest->boot, digest->sequence };
     if (started) {
+        state_.crashHistory.resendAll();
         onPeerStarted();
     }
     receivedAt_[digest->node] = std::chrono::steady_clock::now();
@@ -183,6 +187,7 @@
         }
     }
     state_.pool.applyDesiredWeightsAges(digest->desiredWeights, std::chrono::steady_clock::now());
+    state_.mergeCrashes(digest->crashes, std::chrono::steady_clock::now());
     state_.pool.applyPeer(digest->node, digest->servers, std::chrono::steady_clock::now());
 }
 
--- a/Source/Gateway/Exchange.h
+++ b/Source/Gateway/Exchange.h
@@ -101,12 +101,23 @@
                                           std::string_view events);
     /// True if the caller's HTTP version supports chunked encoding.
     [[nodiscard]] bool useChunkedEncoding() const { return request_.version() >= 11; }
+    /// Returns the result of a stream that ends after part of it was forwarded to the caller, whose
+    /// connection must then be closed.
+    [[nodiscard]] static ExchangeResult cutStream(std::string_view outcome);
     void recordOutcome(AttemptResult end);
     void finishAttempt(Attempt &attempt, AttemptResult end);
     void sendRequest(const std::shared_ptr<Attempt> &shared);
     void monitorServer(const std::shared_ptr<Attempt> &attempt);
     static void abortAt(const std::shared_ptr<Attempt> &attempt, Instant moment);
-    [[nodiscard]] AttemptResult failure(const Attempt &attempt) const;
+    /// Returns the result of an attempt whose connection failed with `error`.
+    [[nodiscard]] AttemptResult failure(Attempt &attempt,
+                                        const boost::system::error_code &error) const;
+    /// Returns the hash by which nodes recognize this request when a caller sends it again.
+    [[nodiscard]] RequestFingerprint fingerprint();
+    /// Returns what may be done with this request after the crashes of servers that ran it.
+    [[nodiscard]] CrashAssessment assessCrashes();
+    /// Passes on what the result of an attempt tells about crashes.
+    void noteCrashEvidence(const Attempt &attempt, AttemptResult end);
     /// The retry delay to report if the expected queue wait is too long; nothing if the request can
     /// be sent.
     [[nodiscard]] std::optional<Duration> queueRefusalDelay(const Placement &placement) const;
@@ -146,6 +157,7 @@
     unsigned sends_ = 0;
     unsigned rejected_ = 0;
     DispatchRecord dispatchRecord_;
+    std::optional<RequestFingerprint> fingerprint_;
     std::optional<GatewayResponse> response_;
     bool callerDisconnected_ = false;
     bool headerDelivered_ = false;
