--- a/Source/Gateway/Exchange.h
+++ b/Source/Gateway/Exchange.h
@@ -56,6 +56,7 @@
              Instant received);
     Exchange(const Exchange &) = delete;
     Exchange &operator=(const Exchange &) = delete;
+    ~Exchange();
 
     /// Processes the request until a response was sent, a stream broke or the caller disconnected.
     [[nodiscard]] boost::asio::awaitable<ExchangeResult> run();
@@ -105,6 +106,9 @@
     /// connection must then be closed.
     [[nodiscard]] static ExchangeResult cutStream(std::string_view outcome);
     void recordOutcome(AttemptResult end);
+    /// Records the size of the response body read so far; returns false if all bodies together take
+    /// too much memory for one of this size.
+    [[nodiscard]] bool noteBuffered(std::size_t bodyBytes);
     void finishAttempt(Attempt &attempt, AttemptResult end);
     void sendRequest(const std::shared_ptr<Attempt> &shared);
     void monitorServer(const std::shared_ptr<Attempt> &attempt);
@@ -159,6 +163,8 @@
     DispatchRecord dispatchRecord_;
     std::optional<RequestFingerprint> fingerprint_;
     std::optional<GatewayResponse> response_;
+    /// This exchange's part of the buffered response bytes of the node.
+    std::size_t bufferedBytes_ = 0;
     bool callerDisconnected_ = false;
     bool headerDelivered_ = false;
     /// Why a write of part of a stream failed.
--- a/Source/Gateway/TrafficState.h
+++ b/Source/Gateway/TrafficState.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <cstddef>
 #include <cstdint>
 #include <functional>
 #include <memory>
@@ -89,6 +90,8 @@
     Instant drainingSince;
     /// Closes connections of callers on which no request is in progress or has arrived.
     boost::signals2::signal<void(IdleConnections)> closeIdleConnections;
+    /// Bytes of response bodies that are held until they are complete and sent.
+    std::size_t bufferedResponseBytes = 0;
 
     /// Called when peers should be notified of a sent request or of the first byte of its response.
     std::function<void()> notifyPeersSoon = [] {};
