FleetPeers: Keep reports of crashes within one packet

A digest with 48 reports of crashes grew by up to 1,922 bytes, beyond one packet, so losing one fragment loses all of the digest.

A digest now carries 24 reports, requests with most crashes first; the others follow with the next digests. NodeDigestTest/crashesOfManyServersAddLittleToEachDigest, whose bound goes from 2,300 to 1,200 bytes: 13 crashed servers with 64 requests of one node in flight on each add 962 bytes to a digest at most, and 164,764 bytes in 174 digests.

--- a/Source/Gateway/DigestExchange.cpp
+++ b/Source/Gateway/DigestExchange.cpp
@@ -20,7 +20,7 @@
 /// Maximum number of prompt parts in one digest, which keeps it near the size of one packet.
 constexpr std::size_t MaxPartsPerDigest = 80;
 /// Maximum number of reports of crashes in one digest.
-constexpr std::size_t MaxCrashReportsPerDigest = 48;
+constexpr std::size_t MaxCrashReportsPerDigest = 24;
 /// How long an update waits to be batched with others, per peer. This limits what a node receives
 /// to a thousand datagrams a second.
 constexpr Duration BatchDelayPerPeer = milliseconds(1);
--- a/Tests/FleetPeers/NodeDigestTest.cpp
+++ b/Tests/FleetPeers/NodeDigestTest.cpp
@@ -70,8 +70,8 @@
 {
     constexpr std::uint64_t Servers = 13;
     constexpr std::uint64_t RequestsPerServer = 64;
-    constexpr std::size_t MaxReports = 48;
-    constexpr std::size_t MaxAddedBytes = 2300;
+    constexpr std::size_t MaxReports = 24;
+    constexpr std::size_t MaxAddedBytes = 1200;
     const Instant start = Instant(std::chrono::hours(1));
     const std::size_t emptyBytes = encodeDigest({}).size();
     CrashHistory history({ .reporter = 0xfedcba9876543211U });
