Gateway: Test that the ends of leaving servers quarantine no request

A server that leaves ends its process with requests in flight. Without the check for leaving servers in Exchange::noteCrashEvidence(), a request that three such servers cut is refused: CrashingRequestTest/requestsCutByServersThatLeaveAreNotQuarantined then fails with [503 != 200], and it passes with the check.

--- a/Tests/Gateway/CrashingRequestTest.cpp
+++ b/Tests/Gateway/CrashingRequestTest.cpp
@@ -178,6 +178,52 @@
     BOOST_TEST(status(fixture.call("POST", "/unsafe/short", "x")) == 200U);
 }
 
+BOOST_AUTO_TEST_CASE(requestsCutByServersThatLeaveAreNotQuarantined)
+{
+    constexpr int LeavingServers = 3;
+    const std::string keyAndModel = "Authorization: Bearer k1\r\nX-Model: m\r\n";
+    GatewayFixture fixture;
+    std::atomic<int> running { 0 };
+    std::atomic<bool> serving { false };
+    const auto addServer = [&](const std::string &name) {
+        fixture.addServer(
+            name, "engines", [&](ScriptedConnection &connection, const ReceivedRequest &request) {
+                if (request.target().starts_with("/-/")) {
+                    connection.write(responseText(404, "", ""));
+                    return true;
+                }
+                ++running;
+                if (serving) {
+                    connection.write(streamHead(request) + chunk(event(1)) + "0\r\n\r\n");
+                    return true;
+                }
+                static_cast<void>(connection.waitForClose(milliseconds(4000)));
+                return false;
+            });
+    };
+    addServer("e0");
+    fixture.configure(1, { "k1" });
+    fixture.start();
+    for (int index = 0; index < LeavingServers; ++index) {
+        const std::string name = "e" + std::to_string(index);
+        std::thread caller(
+            [&] { static_cast<void>(fixture.call("POST", "/once/a", "prompt", keyAndModel)); });
+        while (running <= index) {
+            std::this_thread::sleep_for(milliseconds(2));
+        }
+        Json::Value leaving = fixture.store.spec("servers", name);
+        leaving["state"] = "draining";
+        fixture.store.put("servers", name, leaving);
+        std::this_thread::sleep_for(milliseconds(1500));
+        fixture.crashServer(name);
+        caller.join();
+        addServer("e" + std::to_string(index + 1));
+        std::this_thread::sleep_for(milliseconds(1500));
+    }
+    serving = true;
+    BOOST_TEST(status(fixture.call("POST", "/once/a", "prompt", keyAndModel)) == 200U);
+}
+
 BOOST_AUTO_TEST_CASE(popularRequestWhoseServersFailTogetherIsNotQuarantined)
 {
     constexpr int Servers = 5;
