--- a/Source/Gateway/DigestExchange.cpp
+++ b/Source/Gateway/DigestExchange.cpp
@@ -21,7 +21,7 @@
 /// Maximum number of prompt parts in one digest.
 constexpr std::size_t MaxPartsPerDigest = 80;
 /// Maximum number of reports of crashes in one digest.
-constexpr std::size_t MaxCrashReportsPerDigest = 48;
+constexpr std::size_t MaxCrashReportsPerDigest = 24;
 /// A node counts as down if no digest arrives for this long, that is, if several digests in a row
 /// are lost.
 constexpr Duration NodeTimeout = milliseconds(1500);
