Placement: Report loads of servers before cached parts

In a digest of limited size, the parts of the first servers could take the room of the others, whose loads then reached the peers late: more requests were sent to a second server, and prompts found fewer of their parts cached.

Loads now come first and leave at least a third of the digest to parts. Weights that have not changed are repeated in every eighth digest instead of each, so that more servers fit. Servers not to be used no longer keep loads out while they are many.

--- a/Source/Placement/ServerPoolPeers.cpp
+++ b/Source/Placement/ServerPoolPeers.cpp
@@ -21,9 +21,12 @@
 }
 
 /// Encoded size of an update without its names and parts, and of one part, as an upper estimate.
-constexpr std::size_t UpdateBytes = 26;
+constexpr std::size_t UpdateBytes = 18;
 constexpr std::size_t PartBytes = 13;
 
+/// Calls of takeServerUpdates() between two reports of weights that have not changed.
+constexpr std::uint64_t WeightsRefreshRounds = 8;
+
 std::size_t sizeWithoutParts(const ServerUpdate &update)
 {
     return UpdateBytes + update.server.text().size() + update.model.text().size();
@@ -218,19 +221,42 @@
             updates.push_back(std::move(update));
         }
     }
+    // Every node needs the load of a server, so parts get what the servers leave, but at least a
+    // third.
+    const std::size_t partBytes = room.bytes / 3;
+    std::size_t count = 0;
+    bool loadsBegun = false;
     for (Candidate &candidate : candidates) {
-        if (!candidate.urgent && room.bytes < sizeWithoutParts(candidate.update)) {
-            break;
+        const Server &server = *candidate.server;
+        ServerUpdate &update = candidate.update;
+        if (!candidate.urgent) {
+            // Servers not to be used may be many for seconds.
+            if (!loadsBegun) {
+                room.bytes = std::max(room.bytes, maxBytes / 2);
+                loadsBegun = true;
+            }
+            if (updateRound_ % WeightsRefreshRounds != server.hash % WeightsRefreshRounds) {
+                update.model = ModelId();
+                update.weights = 0;
+            }
+            if (room.bytes < partBytes + sizeWithoutParts(update)) {
+                break;
+            }
         }
+        room.takeUpdate(update);
+        ++count;
+    }
+    for (Candidate &candidate : std::span(candidates).first(count)) {
         Server &server = *candidate.server;
         ServerUpdate &update = candidate.update;
-        room.takeUpdate(update);
         update.sentParts = takeFront(server.pendingSent, room);
         update.confirmedParts = takeFront(server.pendingPrefilled, room);
         update.evictedKeys = takeFront(server.pendingRemoved, room);
         server.reportedInFlight = update.inFlight;
         server.reportedCordoned = update.cordonedForMs > 0;
-        server.reportedWeights = update.weights;
+        if (candidate.urgent) {
+            server.reportedWeights = update.weights;
+        }
         server.reportedRound = updateRound_;
         updates.push_back(std::move(update));
     }
