--- a/Source/Gateway/CallerSession.cpp
+++ b/Source/Gateway/CallerSession.cpp
@@ -46,12 +46,9 @@
 
 void CallerSession::scheduleClose(Duration limit)
 {
-    timer_.expires_after(limit);
-    timer_.async_wait([self = shared_from_this()](error_code error) {
-        if (!error) {
-            error_code ignored;
-            self->socket_.close(ignored);
-        }
+    timer_.expireAfter(limit, [self = shared_from_this()] {
+        error_code ignored;
+        self->socket_.close(ignored);
     });
 }
 
@@ -60,12 +57,18 @@
     if (buffer_.size() > 0) {
         co_return true;
     }
-    scheduleClose(limit);
+    timer_.expireAfter(limit, [self = shared_from_this()] {
+        // A request that has arrived by now is served instead.
+        if (peek(self->socket_) != PeekResult::Data) {
+            error_code ignored;
+            self->socket_.close(ignored);
+        }
+    });
     error_code error;
     co_await socket_.async_wait(asio::ip::tcp::socket::wait_read,
                                 asio::redirect_error(asio::use_awaitable, error));
     timer_.cancel();
-    co_return !error;
+    co_return !error && socket_.is_open();
 }
 
 asio::awaitable<void> CallerSession::run()
@@ -144,7 +147,8 @@
         co_await respondToParseError(error);
         co_return false;
     }
-    co_return true;
+    // The time limit may have closed the connection while the completed read was queued.
+    co_return socket_.is_open();
 }
 
 asio::awaitable<void> CallerSession::respondToParseError(const error_code &error)
@@ -164,11 +168,12 @@
     GatewayResponse response = gatewayRefusalResponse({ .kind = kind, .notRun = NotRun::True });
     response.keep_alive(false);
     response.prepare_payload();
-    state_.metrics.countRequest(std::string(errorResponse(kind).name));
-    error_code ignored;
+    error_code writeError;
     co_await http::async_write(socket_, response,
-                               asio::redirect_error(asio::use_awaitable, ignored));
-    co_await closeConnection(true);
+                               asio::redirect_error(asio::use_awaitable, writeError));
+    state_.metrics.countRequest(writeError ? "not_delivered"
+                                           : std::string(errorResponse(kind).name));
+    co_await closeConnection(!writeError);
 }
 
 void CallerSession::watchForDisconnect()
@@ -187,11 +192,26 @@
                                self->exchange_->callerDisconnected();
                                break;
                            case PeekResult::Data:
-                               // The caller has pipelined its next request, which is read after the
-                               // current one.
+                               self->readAhead();
                                break;
                            }
                        });
 }
 
+void CallerSession::readAhead()
+{
+    const std::size_t limit = state_.limits().headerBytes;
+    if (buffer_.size() >= limit) {
+        return;
+    }
+    error_code error;
+    const std::size_t size = socket_.read_some(buffer_.prepare(limit - buffer_.size()), error);
+    buffer_.commit(size);
+    if (error) {
+        exchange_->callerDisconnected();
+        return;
+    }
+    watchForDisconnect();
+}
+
 } // namespace jacinthroad
--- a/Source/Gateway/ExchangeAttempt.cpp
+++ b/Source/Gateway/ExchangeAttempt.cpp
@@ -59,18 +59,21 @@
     cancelAttempt_ = [attempt] { attempt->abort(); };
     AttemptResult end = AttemptResult::NotSent;
     const bool connected = co_await connect(attempt);
-    if (connected) {
+    // The close may have arrived with the request, or while the connection was being opened.
+    callerDisconnected_ = callerDisconnected_ || peek(caller_) == PeekResult::Closed;
+    if (callerDisconnected_) {
+        end = AttemptResult::CallerDisconnected;
+    } else if (connected && outOfTime(std::chrono::steady_clock::now())) {
+        end = AttemptResult::TimedOut;
+    } else if (connected) {
         abortAt(attempt, deadline_);
         sendRequest(attempt);
         if (route_->retryable()) {
             monitorServer(attempt);
         }
         end = co_await receiveResponse(*attempt);
-    } else if (callerDisconnected_) {
-        end = AttemptResult::CallerDisconnected;
     }
     cancelAttempt_ = nullptr;
-    attempt->ended = true;
     attempt->deadlineTimer.cancel();
     attempt->livenessTimer.cancel();
     finishAttempt(*attempt, end);
@@ -79,23 +82,16 @@
 
 void Exchange::abortAt(const std::shared_ptr<Attempt> &attempt, Instant moment)
 {
-    attempt->deadlineTimer.expires_at(moment);
-    attempt->deadlineTimer.async_wait([attempt](error_code error) {
-        if (!error) {
-            attempt->timedOut = true;
-            attempt->abort();
-        }
+    attempt->deadlineTimer.expireAt(moment, [attempt] {
+        attempt->timedOut = true;
+        attempt->abort();
     });
 }
 
 void Exchange::monitorServer(const std::shared_ptr<Attempt> &attempt)
 {
-    attempt->livenessTimer.expires_after(LivenessCheckInterval);
-    attempt->livenessTimer.async_wait([this, attempt](error_code error) {
-        // The exchange outlives the attempt, so `this` is valid while `ended` is false.
-        if (error || attempt->ended) {
-            return;
-        }
+    // The exchange outlives the attempt, which disarms the timer at its end.
+    attempt->livenessTimer.expireAfter(LivenessCheckInterval, [this, attempt] {
         const Instant now = std::chrono::steady_clock::now();
         const Duration prefillAllowance = fromMilliseconds(
             attempt->firstByteReceived ? 0 : attempt->uncachedTokens * UnresponsiveMsPerToken);
@@ -395,6 +391,8 @@
         const Duration keep = attempt.responseFacts.keepAlive.value_or(DefaultKeepAlive);
         attempt.connection->usableUntil = now + keep - std::min(keep / 2, KeepAliveMargin);
         state_.connections.addIdle(server, std::move(attempt.connection));
+    } else if (attempt.connectionReused && !attempt.sent) {
+        state_.connections.addIdle(server, std::move(attempt.connection));
     } else {
         attempt.abort();
     }
@@ -402,10 +400,9 @@
 
 asio::awaitable<bool> Exchange::writeToCaller(std::string_view bytes)
 {
-    error_code error;
     co_await asio::async_write(caller_, asio::buffer(bytes.data(), bytes.size()),
-                               asio::redirect_error(asio::use_awaitable, error));
-    co_return !error && !callerDisconnected_;
+                               asio::redirect_error(asio::use_awaitable, writeError_));
+    co_return !writeError_ && !callerDisconnected_;
 }
 
 } // namespace jacinthroad
