Gateway: Close a broken stream whose resuming server responds with an error

Callers of a resumable stream that broke got the complete error response of the server that was to resume it inside the chunked body of the stream, and their connection stayed open.

A response without a stream was forwarded before the check whether the header of the stream had been delivered. The check now comes first, so the connection is closed after the last complete event, as with the other ends of a broken stream.

EdgeTest/errorOfResumingServerIsNotWrittenIntoBrokenStream failed before. Found by review.

--- a/Source/Gateway/Exchange.cpp
+++ b/Source/Gateway/Exchange.cpp
@@ -234,12 +234,12 @@
         if (mayRetry(end, std::chrono::steady_clock::now())) {
             continue;
         }
-        if (response_.has_value()) {
-            co_return co_await sendResponse();
-        }
         if (headerDelivered_) {
             co_return cutStream(end == AttemptResult::TimedOut ? "cut_at_timeout" : "broken");
         }
+        if (response_.has_value()) {
+            co_return co_await sendResponse();
+        }
         if (dispatchRecord_.verdict() == NotRun::True) {
             if (end == AttemptResult::TimedOut) {
                 co_return co_await sendRefusal(ErrorKind::DeadlineUnreachable, Duration::zero());
--- a/Tests/Gateway/EdgeTest.cpp
+++ b/Tests/Gateway/EdgeTest.cpp
@@ -786,6 +786,35 @@
     BOOST_TEST(all.ends_with(chunk(event(1))), all);
 }
 
+BOOST_AUTO_TEST_CASE(errorOfResumingServerIsNotWrittenIntoBrokenStream)
+{
+    GatewayFixture fixture;
+    std::atomic<unsigned> sends { 0 };
+    for (const char *name : { "e1", "e2" }) {
+        fixture.addServer(name, "engines",
+                          [&](ScriptedConnection &connection, const ReceivedRequest &request) {
+                              if (request.target().starts_with("/-/")) {
+                                  connection.write(responseText(404, "", ""));
+                                  return true;
+                              }
+                              if (++sends == 2) {
+                                  connection.write(validResponse(request, 500));
+                                  return true;
+                              }
+                              connection.write(streamHead(request) + chunk(event(1)));
+                              connection.close();
+                              return false;
+                          });
+    }
+    fixture.configure(1, { "k1" });
+    fixture.start();
+    const std::string all = fixture.sendBytes(
+        requestText("POST /stream/a", "X-Request-Id: r1\r\nX-Model: m\r\nContent-Length: 0\r\n"),
+        milliseconds(500));
+    BOOST_TEST(sends == 2U);
+    BOOST_TEST(all.ends_with(chunk(event(1))), all);
+}
+
 BOOST_AUTO_TEST_CASE(rejectsFullQueueAtOnceWithRetryAfter)
 {
     GatewayFixture fixture;
