Gateway: Give up a silent attempt only if a retry is certain

Callers of resumable streams and idempotent requests had their response cut, or got an error, while the server was still at work and would have completed it.

A node ended an attempt at a server that had been silent for a while, and only then asked whether the retry budget, the crash history and the list of servers allowed another. In a large fleet a node's share of the budget is less than one retry in a window, so most of these requests ended there. A response without a stream also counted as silent while its body arrived, and after a stall of the traffic thread all servers did.

The retry is now reserved before the attempt is ended; otherwise the attempt goes on until its deadline. Bytes of a body count as received data, and a check that comes late after a stall leaves the arrived data to be read first.

EdgeTest/silentStreamIsNotCutWhenNoRetryIsLeft (the connection was closed without a complete response) and slowBodyOfRetryableRequestIsNotSentElsewhere (sent twice) failed before. The check after a stall has no test of its own.

--- a/Source/Gateway/Exchange.cpp
+++ b/Source/Gateway/Exchange.cpp
@@ -295,6 +295,9 @@
             && state_.retryBudget.spend(placementRequest_.service, now);
     case AttemptResult::NoResponse:
     case AttemptResult::StreamBroken:
+        if (std::exchange(retryReserved_, false)) {
+            return true;
+        }
         return assessCrashes().permission == CrashPermission::Unrestricted && route_->retryable()
             && runs < route_->maximumAttempts
             && state_.retryBudget.spend(placementRequest_.service, now);
@@ -303,6 +306,22 @@
     }
 }
 
+bool Exchange::reserveRetry(const ServerId &current, Instant now)
+{
+    if (outOfTime(now) || sends_ - rejected_ >= route_->maximumAttempts
+        || assessCrashes().permission != CrashPermission::Unrestricted) {
+        return false;
+    }
+    std::vector<ServerId> tried = triedServers_;
+    tried.push_back(current);
+    PlacementRequest request = placementRequest_;
+    request.tried = tried;
+    const auto chosen = state_.pool.choose(request, now);
+    retryReserved_ = std::holds_alternative<Placement>(chosen)
+        && state_.retryBudget.spend(placementRequest_.service, now);
+    return retryReserved_;
+}
+
 platform::ForwardOptions Exchange::forwardFacts(const Placement &placement, Instant now) const
 {
     platform::ForwardOptions facts { .server = placement.server,
--- a/Source/Gateway/Exchange.h
+++ b/Source/Gateway/Exchange.h
@@ -128,6 +128,9 @@
     /// The priority sent to engines, from 0 (highest) to 9 (lowest).
     [[nodiscard]] int enginePriority() const;
     [[nodiscard]] bool mayRetry(AttemptResult end, Instant now);
+    /// Reserves a retry on another server than `current`, which may still respond. Returns false if
+    /// there is no other server, no time or no retry left; the attempt then has to go on.
+    [[nodiscard]] bool reserveRetry(const ServerId &current, Instant now);
     [[nodiscard]] boost::asio::awaitable<ExchangeResult> sendResponse();
     [[nodiscard]] boost::asio::awaitable<ExchangeResult> sendRefusal(ErrorKind kind,
                                                                      Duration retryAfter);
@@ -167,6 +170,8 @@
     std::size_t bufferedBytes_ = 0;
     bool callerDisconnected_ = false;
     bool headerDelivered_ = false;
+    /// True if the retry of the current attempt has been taken from the budget already.
+    bool retryReserved_ = false;
     /// Why a write of part of a stream failed.
     boost::system::error_code writeError_;
     EventSplitter eventSplitter_;
--- a/Source/Gateway/ExchangeAttempt.cpp
+++ b/Source/Gateway/ExchangeAttempt.cpp
@@ -104,13 +104,19 @@
 void Exchange::monitorServer(const std::shared_ptr<Attempt> &attempt)
 {
     // The exchange outlives the attempt, which disarms the timer at its end, also by an exception.
-    attempt->livenessTimer.expireAfter(LivenessCheckInterval, [this, attempt] {
+    const Instant due = std::chrono::steady_clock::now() + LivenessCheckInterval;
+    attempt->livenessTimer.expireAt(due, [this, attempt, due] {
         const Instant now = std::chrono::steady_clock::now();
+        // After a stall of this thread, data that has arrived meanwhile is read first.
+        if (now - due > LivenessCheckInterval) {
+            monitorServer(attempt);
+            return;
+        }
         const Duration prefillAllowance = fromMilliseconds(
             attempt->firstByteReceived ? 0 : attempt->uncachedTokens * UnresponsiveMsPerToken);
         const bool unresponsive = state_.pool.unresponsive(attempt->placement.server, now)
             || now - attempt->lastReceivedAt > UnresponsiveTimeout + prefillAllowance;
-        if (unresponsive && sends_ - rejected_ < route_->maximumAttempts) {
+        if (unresponsive && reserveRetry(attempt->placement.server, now)) {
             attempt->abort();
             return;
         }
@@ -243,6 +249,10 @@
     while (!parser.is_done() && !error) {
         co_await http::async_read_some(connection.socket, connection.buffer, parser,
                                        asio::redirect_error(asio::use_awaitable, error));
+        if (!error) {
+            attempt.lastReceivedAt = std::chrono::steady_clock::now();
+            state_.pool.noteReceived(attempt.placement.server, attempt.lastReceivedAt);
+        }
         if (!noteBuffered(parser.get().body().size())) {
             logLine(LogLevel::Warning, "response_too_long",
                     { { "server", attempt.placement.server.text() },
--- a/Tests/Gateway/EdgeTest.cpp
+++ b/Tests/Gateway/EdgeTest.cpp
@@ -815,6 +815,61 @@
     BOOST_TEST(all.ends_with(chunk(event(1))), all);
 }
 
+BOOST_AUTO_TEST_CASE(silentStreamIsNotCutWhenNoRetryIsLeft)
+{
+    GatewayFixture fixture;
+    fixture.settings.retryShare = 0;
+    fixture.settings.retryAllowance = 0;
+    for (const char *name : { "e1", "e2" }) {
+        fixture.addServer(name, "engines",
+                          [](ScriptedConnection &connection, const ReceivedRequest &request) {
+                              if (request.target().starts_with("/-/")) {
+                                  connection.write(responseText(404, "", ""));
+                                  return true;
+                              }
+                              connection.write(streamHead(request) + chunk(event(1)));
+                              std::this_thread::sleep_for(milliseconds(1600));
+                              connection.write(chunk(event(2)) + "0\r\n\r\n");
+                              return true;
+                          });
+    }
+    fixture.configure(1, { "k1" });
+    fixture.start();
+    const auto response = fixture.call("POST", "/stream/a", "prompt", KeyHeader + "X-Model: m\r\n");
+    BOOST_REQUIRE(response != nullptr);
+    BOOST_TEST(response->body() == event(1) + event(2));
+}
+
+BOOST_AUTO_TEST_CASE(slowBodyOfRetryableRequestIsNotSentElsewhere)
+{
+    GatewayFixture fixture;
+    std::atomic<unsigned> sends { 0 };
+    for (const char *name : { "e1", "e2" }) {
+        fixture.addServer(name, "engines",
+                          [&](ScriptedConnection &connection, const ReceivedRequest &request) {
+                              if (request.target().starts_with("/-/")) {
+                                  connection.write(responseText(404, "", ""));
+                                  return true;
+                              }
+                              ++sends;
+                              connection.write("HTTP/1.1 200 OK\r\nX-Response-Stamp: stamp\r\n"
+                                               "Content-Type: text/plain\r\n"
+                                               "Content-Length: 20\r\n\r\n");
+                              for (int part = 0; part < 20; ++part) {
+                                  std::this_thread::sleep_for(milliseconds(100));
+                                  connection.write("x");
+                              }
+                              return true;
+                          });
+    }
+    fixture.configure(1, { "k1" });
+    fixture.start();
+    const auto response = fixture.call("POST", "/stream/a", "prompt", KeyHeader + "X-Model: m\r\n");
+    BOOST_REQUIRE(response != nullptr);
+    BOOST_TEST(response->result_int() == 200U);
+    BOOST_TEST(sends == 1U);
+}
+
 BOOST_AUTO_TEST_CASE(rejectsFullQueueAtOnceWithRetryAfter)
 {
     GatewayFixture fixture;
