Gateway: Apply the limits in force when a request arrives

A caller whose connection was idle while a configuration raised the limit for bodies got 413 for a request that the new limit allows: a session read the limits before it waited for the next request. It now reads them when the request has begun to arrive.

CallerSessionTest/limitsRaisedWhileConnectionIsIdleApplyToNextRequest failed before. Found by review.

--- a/Source/Gateway/CallerSession.cpp
+++ b/Source/Gateway/CallerSession.cpp
@@ -116,11 +116,11 @@
     const auto self = shared_from_this();
     setTcpTimeout(socket_, CallerTcpTimeout);
     for (;;) {
-        const CallerLimits limits = state_.limits();
-        const bool dataAvailable = co_await waitForBytes(limits.idleTimeout + IdleMargin);
+        const bool dataAvailable = co_await waitForBytes(state_.limits().idleTimeout + IdleMargin);
         if (!dataAvailable) {
             co_return;
         }
+        const CallerLimits limits = state_.limits();
         const ActiveRequest active = state_.beginRequest();
         Parser parser;
         parser.header_limit(limits.headerBytes);
--- a/Tests/Gateway/CallerSessionTest.cpp
+++ b/Tests/Gateway/CallerSessionTest.cpp
@@ -316,6 +316,29 @@
     BOOST_TEST(serverSawClose.load());
 }
 
+BOOST_AUTO_TEST_CASE(limitsRaisedWhileConnectionIsIdleApplyToNextRequest)
+{
+    SessionFixture fixture;
+    fixture.startSession();
+    BOOST_TEST(fixture.run(milliseconds(20)).empty());
+    constexpr std::size_t BodyBytes = 120'000;
+    auto raised = platform::readConfiguration(*parseJson(
+        R"({"version":2,"routes":[{"name":"unsafe","hostname":"h","pathPrefix":"/unsafe/",
+            "kind":"unsafe","timeoutMs":3000,"targetLatencyMs":300,"priority":1,
+            "service":"plain","maxAttempts":1}],
+            "services":[{"name":"plain"}],"tenants":[],
+            "limits":{"maxHeaderBytes":8192,"maxBodyBytes":200000,"headerTimeoutMs":1000,
+            "idleTimeoutMs":200}})"));
+    BOOST_REQUIRE(raised.has_value());
+    fixture.state.applyConfiguration(std::make_shared<const RouteTable>(std::move(*raised)));
+    asio::write(fixture.caller,
+                asio::buffer("POST /unsafe/a HTTP/1.1\r\nHost: h\r\nX-Request-Id: r1\r\n"
+                             "Content-Length: "
+                             + std::to_string(BodyBytes) + "\r\n\r\n"
+                             + std::string(BodyBytes, 'x')));
+    BOOST_TEST(fixture.receive("HTTP/1.1").starts_with("HTTP/1.1 200"));
+}
+
 BOOST_AUTO_TEST_CASE(connectionThatWaitsForCallerToReadResponseCountsAsActive)
 {
     SessionFixture fixture;
