--- a/Tests/Gateway/CrashingRequestTest.cpp
+++ b/Tests/Gateway/CrashingRequestTest.cpp
@@ -113,6 +113,33 @@
     BOOST_TEST(receivedInAll(fixture, "plain", Servers) == 3U);
 }
 
+BOOST_AUTO_TEST_CASE(errorResponseDoesNotClearRequestThatCrashesServers)
+{
+    constexpr int Servers = 6;
+    GatewayFixture fixture;
+    std::atomic<int> sends { 0 };
+    for (int index = 0; index < Servers; ++index) {
+        const std::string name = "plain" + std::to_string(index);
+        fixture.addServer(
+            name, "plain",
+            [&, name](ScriptedConnection &connection, const ReceivedRequest &request) {
+                if (++sends == 3) {
+                    connection.write(validResponse(request, 500));
+                    return true;
+                }
+                fixture.crashServer(name);
+                return false;
+            });
+    }
+    fixture.configure(1, { "k1" });
+    fixture.start();
+    for (const unsigned expected : { 502U, 502U, 500U, 502U, 503U }) {
+        BOOST_TEST(status(fixture.call("POST", "/unsafe/a", CrashingBody)) == expected);
+        std::this_thread::sleep_for(milliseconds(100));
+    }
+    BOOST_TEST(sends == 4);
+}
+
 BOOST_AUTO_TEST_CASE(streamThatCrashedThreeServersReachesNoMoreServers)
 {
     constexpr int Servers = 6;
