--- a/Source/Gateway/CallerSession.cpp
+++ b/Source/Gateway/CallerSession.cpp
@@ -3,10 +3,13 @@
 #include <array>
 #include <utility>
 
+#include <boost/asio/co_spawn.hpp>
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/asio/write.hpp>
 
+#include "Core/Log.h"
+#include "Gateway/RestartingTask.h"
 #include "Gateway/SocketOptions.h"
 
 namespace jacinthroad {
@@ -42,8 +45,43 @@
     : state_(state)
     , socket_(std::move(socket))
     , timer_(state.context)
+    , closeIdleConnection_(
+          state.closeIdleConnections.connect([this](IdleConnections which) { closeIfIdle(which); }))
 { }
 
+void CallerSession::start(TrafficState &state, asio::ip::tcp::socket socket)
+{
+    auto session = std::make_shared<CallerSession>(state, std::move(socket));
+    asio::co_spawn(
+        state.context, [session] { return session->run(); },
+        [session](const std::exception_ptr &exception) {
+            if (exception != nullptr) {
+                session->fail(exception);
+            }
+        });
+}
+
+void CallerSession::fail(const std::exception_ptr &exception)
+{
+    logLine(LogLevel::Error, "session_failed",
+            { { "request_id", exchange_ != nullptr ? exchange_->requestId() : std::string_view() },
+              { "reason", exceptionMessage(exception) },
+              { "remedy", "The connection is closed; report it if it repeats." } });
+    state_.metrics.countRequest("failed");
+    // Pending operations keep the session and the connection until the socket is closed.
+    error_code ignored;
+    socket_.close(ignored);
+}
+
+void CallerSession::closeIfIdle(IdleConnections which)
+{
+    const bool selected = kept_ || which == IdleConnections::All;
+    if (idle_ && selected && peek(socket_) != PeekResult::Data) {
+        error_code ignored;
+        socket_.close(ignored);
+    }
+}
+
 void CallerSession::scheduleClose(Duration limit)
 {
     timer_.expireAfter(limit, [self = shared_from_this()] {
@@ -65,8 +103,10 @@
         }
     });
     error_code error;
+    idle_ = true;
     co_await socket_.async_wait(asio::ip::tcp::socket::wait_read,
                                 asio::redirect_error(asio::use_awaitable, error));
+    idle_ = false;
     timer_.cancel();
     co_return !error && socket_.is_open();
 }
@@ -81,6 +121,7 @@
         if (!dataAvailable) {
             co_return;
         }
+        const ActiveRequest active = state_.beginRequest();
         Parser parser;
         parser.header_limit(limits.headerBytes);
         parser.body_limit(limits.bodyBytes);
@@ -94,6 +135,7 @@
         const ExchangeResult end = co_await exchange_->run();
         ++generation_;
         exchange_.reset();
+        kept_ = true;
         error_code error;
         socket_.cancel(error);
         if (!end.connectionReusable) {
--- a/Source/Gateway/CallerSession.h
+++ b/Source/Gateway/CallerSession.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <cstdint>
+#include <exception>
 #include <memory>
 #include <utility>
 
@@ -8,6 +9,7 @@
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/http.hpp>
+#include <boost/signals2/connection.hpp>
 
 #include "Gateway/DeadlineTimer.h"
 #include "Gateway/Exchange.h"
@@ -22,12 +24,15 @@
 public:
     CallerSession(TrafficState &state, boost::asio::ip::tcp::socket socket);
 
-    /// Serves the connection until it ends.
-    [[nodiscard]] boost::asio::awaitable<void> run();
+    /// Serves a connection until it ends. If that throws, logs `session_failed` and closes the
+    /// connection.
+    static void start(TrafficState &state, boost::asio::ip::tcp::socket socket);
 
 private:
     using Parser = boost::beast::http::request_parser<boost::beast::http::string_body>;
 
+    [[nodiscard]] boost::asio::awaitable<void> run();
+    void fail(const std::exception_ptr &exception);
     [[nodiscard]] boost::asio::awaitable<bool> waitForBytes(Duration limit);
     /// Reads one request. On an error returns false after sending an error response to a malformed
     /// request; other errors get no response.
@@ -39,6 +44,8 @@
     [[nodiscard]] boost::asio::awaitable<void> closeConnection(bool responseComplete);
     /// Closes the connection after `limit` unless the timer is rearmed or cancelled before.
     void scheduleClose(Duration limit);
+    /// Closes the connection if it waits for a request and none has arrived.
+    void closeIfIdle(IdleConnections which);
     /// Watches for the end of the connection while an exchange runs.
     void watchForDisconnect();
     /// Reads what the caller has pipelined, which would hide the end of the connection. Up to the
@@ -50,6 +57,11 @@
     DeadlineTimer timer_;
     boost::beast::flat_buffer buffer_;
     std::unique_ptr<Exchange> exchange_;
+    /// True while no byte of the next request has been read.
+    bool idle_ = false;
+    /// True once the connection has carried a request.
+    bool kept_ = false;
+    boost::signals2::scoped_connection closeIdleConnection_;
     /// Counts exchanges, so that a late completion that belongs to an earlier one is ignored.
     std::uint64_t generation_ = 0;
 };
