Gateway: Log how a server delimits its response and how it ends

The request log could not tell a stream that its server broke off from a complete one: both were `streamed`. The line now holds how the body is delimited, the error of the connection and the bytes of an unfinished event. No decision changes.

--- a/Source/Gateway/Exchange.cpp
+++ b/Source/Gateway/Exchange.cpp
@@ -47,6 +47,12 @@
     return Names[static_cast<std::size_t>(end)];
 }
 
+std::string_view delimiterName(int delimiter)
+{
+    constexpr std::array<std::string_view, 4> Names { "", "length", "chunks", "close" };
+    return Names[static_cast<std::size_t>(delimiter)];
+}
+
 } // namespace
 
 GatewayResponse gatewayRefusalResponse(const Refusal &refusal)
@@ -428,6 +434,9 @@
           { "outcome", end.outcome },
           { "status", std::int64_t { end.status } },
           { "reason", end.reason },
+          { "delimiter", delimiterName(static_cast<int>(delimiter_)) },
+          { "connection_error", connectionError_ ? connectionError_.message() : std::string() },
+          { "partial_event_bytes", static_cast<std::int64_t>(partialEventBytes_) },
           { "first_byte_ms",
             firstByteAt_ == Instant() ? -1.0 : toMilliseconds(firstByteAt_ - received_) },
           { "longest_gap_ms", toMilliseconds(longestGap_) },
--- a/Source/Gateway/Exchange.h
+++ b/Source/Gateway/Exchange.h
@@ -86,6 +86,16 @@
         CallerDisconnected,
     };
 
+    /// How a server marks the end of its response body.
+    enum class BodyDelimiter : std::uint8_t {
+        /// No response header has been received.
+        Unknown,
+        Length,
+        Chunks,
+        /// The body ends with the connection.
+        ConnectionClose,
+    };
+
     struct Attempt;
     struct AttemptCleanup;
 
@@ -114,8 +124,7 @@
     void monitorServer(const std::shared_ptr<Attempt> &attempt);
     static void abortAt(const std::shared_ptr<Attempt> &attempt, Instant moment);
     /// Returns the result of an attempt whose connection failed with `error`.
-    [[nodiscard]] AttemptResult failure(Attempt &attempt,
-                                        const boost::system::error_code &error) const;
+    [[nodiscard]] AttemptResult failure(Attempt &attempt, const boost::system::error_code &error);
     /// Returns the hash by which nodes recognize this request when a caller sends it again.
     [[nodiscard]] RequestFingerprint fingerprint();
     /// Returns what may be done with this request after the crashes of servers that ran it.
@@ -182,6 +191,11 @@
     Duration longestGap_ {};
     /// The latest placement, for the log.
     Placement placement_;
+    /// How the latest response marks its end, the error that ended its connection and the number of
+    /// bytes received after its last complete event, for the log.
+    BodyDelimiter delimiter_ = BodyDelimiter::Unknown;
+    boost::system::error_code connectionError_;
+    std::size_t partialEventBytes_ = 0;
 };
 
 } // namespace jacinthroad
--- a/Source/Gateway/ExchangeAttempt.cpp
+++ b/Source/Gateway/ExchangeAttempt.cpp
@@ -175,8 +175,10 @@
                       [shared](error_code error, std::size_t) { shared->requestWritten = !error; });
 }
 
-Exchange::AttemptResult Exchange::failure(Attempt &attempt, const error_code &error) const
+Exchange::AttemptResult Exchange::failure(Attempt &attempt, const error_code &error)
 {
+    connectionError_ = error;
+    partialEventBytes_ = eventSplitter_.partialEvent().size();
     attempt.endedByServer = !attempt.timedOut && isEndOfConnection(error);
     if (callerDisconnected_) {
         return AttemptResult::CallerDisconnected;
@@ -221,6 +223,9 @@
                 state_.pool.noteWeights(attempt.placement.server, callerRequest_.model,
                                         *attempt.responseFacts.weights);
             }
+            delimiter_ = parser->chunked() ? BodyDelimiter::Chunks
+                : parser->content_length() ? BodyDelimiter::Length
+                                           : BodyDelimiter::ConnectionClose;
             const bool streamed = route_->kind == RouteKind::Streaming
                 && parser->get().result_int() == 200 && isEventStream(parser->get().base());
             attempt.headerParser = std::move(parser);
@@ -324,6 +329,7 @@
             co_return failure(attempt, error);
         }
     }
+    partialEventBytes_ = eventSplitter_.partialEvent().size();
     attempt.reusable = parser.keep_alive() && attempt.requestWritten;
     if (!headerDelivered_) {
         // A stream without events is forwarded as a response with an empty body.
