Gateway: Treat a stream without a length that ends inside an event as broken

Cause: a response with neither a length nor chunks ends with its connection, and the parser reports an orderly close as the end of the message, also if the server's process has crashed. relayStream then forwarded the partial event and wrote the last chunk, and the completed run cleared the crashes of the request. The class of fault: the end of the transport was taken for the end of the content.

A partial event, or a stream without any byte, now ends the attempt as broken: it is resumed where the route allows it, otherwise the caller's connection is closed without the last chunk, and the loss counts as evidence of a crash. With a length or chunks the server itself marks the end, so nothing changes there.

--- a/Source/Gateway/EventSplitter.h
+++ b/Source/Gateway/EventSplitter.h
@@ -22,8 +22,11 @@
     [[nodiscard]] const std::string &lastId() const { return lastId_; }
     /// True if the buffered partial event is longer than any event may be.
     [[nodiscard]] bool eventTooLong() const { return pending_.size() > MaxEventBytes; }
-    /// True while a partial event is buffered.
-    [[nodiscard]] bool hasPartialEvent() const { return !pending_.empty(); }
+    /// True while a partial event is buffered. Blank lines don't belong to an event.
+    [[nodiscard]] bool hasPartialEvent() const
+    {
+        return pending_.find_first_not_of("\r\n") != std::string::npos;
+    }
     /// The buffered partial event, which is to be forwarded at the regular end of a stream.
     [[nodiscard]] const std::string &partialEvent() const { return pending_; }
 
--- a/Source/Gateway/ExchangeAttempt.cpp
+++ b/Source/Gateway/ExchangeAttempt.cpp
@@ -223,9 +223,9 @@
                 state_.pool.noteWeights(attempt.placement.server, callerRequest_.model,
                                         *attempt.responseFacts.weights);
             }
-            delimiter_ = parser->chunked() ? BodyDelimiter::Chunks
-                : parser->content_length() ? BodyDelimiter::Length
-                                           : BodyDelimiter::ConnectionClose;
+            delimiter_ = parser->need_eof() ? BodyDelimiter::ConnectionClose
+                : parser->chunked()         ? BodyDelimiter::Chunks
+                                            : BodyDelimiter::Length;
             const bool streamed = route_->kind == RouteKind::Streaming
                 && parser->get().result_int() == 200 && isEventStream(parser->get().base());
             attempt.headerParser = std::move(parser);
@@ -292,6 +292,7 @@
     const http::response_header<> header = platform::callerHeader(parser.get().base());
     constexpr std::size_t ReadBufferBytes = 16384;
     std::array<char, ReadBufferBytes> readBuffer;
+    bool bodyReceived = false;
     while (!parser.is_done()) {
         parser.get().body().data = readBuffer.data();
         parser.get().body().size = readBuffer.size();
@@ -307,8 +308,10 @@
             state_.pool.noteReceived(attempt.placement.server, attempt.lastReceivedAt);
         }
         const std::size_t size = readBuffer.size() - parser.get().body().size;
+        bodyReceived = bodyReceived || size > 0;
         std::string completeEvents = eventSplitter_.feed({ readBuffer.data(), size });
-        if (parser.is_done() && !error) {
+        // Without a length or chunks, a partial event is the sign of a stream that was broken off.
+        if (parser.is_done() && !error && delimiter_ != BodyDelimiter::ConnectionClose) {
             completeEvents.append(eventSplitter_.partialEvent());
         }
         if (!completeEvents.empty()) {
@@ -330,6 +333,10 @@
         }
     }
     partialEventBytes_ = eventSplitter_.partialEvent().size();
+    if (delimiter_ == BodyDelimiter::ConnectionClose
+        && (eventSplitter_.hasPartialEvent() || !bodyReceived)) {
+        co_return failure(attempt, asio::error::eof);
+    }
     attempt.reusable = parser.keep_alive() && attempt.requestWritten;
     if (!headerDelivered_) {
         // A stream without events is forwarded as a response with an empty body.
