Gateway: Check that a server lives before its close ends a response

Callers got a response without a length or chunks as complete when its server had crashed between two events of a stream or in the middle of a plain body: nothing in the bytes tells it. The completed run also cleared the crashes of its request.

The gateway now opens a connection to the server after such a close, as it does to prove a crash. Only a server that accepts it has ended the response on purpose. Otherwise the attempt ends as broken, with the same consequences as a cut connection. A rejection is proved by its header and needs no check.

ResponseEndTest failed before in streamOfCrashedServer... and bodyOfCrashedServer...; both pass, and so do EdgeTest and CrashingRequestTest.

--- a/Source/Gateway/CrashDetector.cpp
+++ b/Source/Gateway/CrashDetector.cpp
@@ -47,23 +47,34 @@
     }
 }
 
+asio::awaitable<error_code> CrashDetector::tryToConnect(std::string address)
+{
+    co_await pauseFor(context_, ProbeDelay);
+    error_code error = asio::error::invalid_argument;
+    if (const auto endpoint = parseEndpoint(address)) {
+        asio::ip::tcp::socket socket(context_);
+        DeadlineTimer limit(context_);
+        limit.expireAfter(ProbeTimeout, [&socket] {
+            error_code ignored;
+            socket.close(ignored);
+        });
+        co_await socket.async_connect(*endpoint, asio::redirect_error(asio::use_awaitable, error));
+    }
+    co_return error;
+}
+
+asio::awaitable<bool> CrashDetector::acceptsConnections(std::string address)
+{
+    const error_code error = co_await tryToConnect(std::move(address));
+    co_return !error;
+}
+
 asio::awaitable<void> CrashDetector::probe(ServerId server, std::string address)
 {
-    const auto endpoint = parseEndpoint(address);
     for (;;) {
-        co_await pauseFor(context_, ProbeDelay);
-        const Instant startedAt = std::chrono::steady_clock::now();
-        error_code error = asio::error::invalid_argument;
-        if (endpoint.has_value()) {
-            asio::ip::tcp::socket socket(context_);
-            DeadlineTimer limit(context_);
-            limit.expireAfter(ProbeTimeout, [&socket] {
-                error_code ignored;
-                socket.close(ignored);
-            });
-            co_await socket.async_connect(*endpoint,
-                                          asio::redirect_error(asio::use_awaitable, error));
-        }
+        // Only losses from before the attempt are decided by it.
+        const Instant startedAt = std::chrono::steady_clock::now() + ProbeDelay;
+        const error_code error = co_await tryToConnect(address);
         if (error == asio::error::connection_refused) {
             confirm(server);
         } else if (!error) {
--- a/Source/Gateway/CrashDetector.h
+++ b/Source/Gateway/CrashDetector.h
@@ -40,6 +40,9 @@
 
     /// Examines a loss. `server` is the entry that the platform listed when the request was sent.
     void noteLoss(const ListedServer &server, const LostRequest &loss);
+    /// Returns whether a server accepts connections at `address` after it has closed one. One that
+    /// refuses, or that cannot be reached within the time limit, may have crashed.
+    [[nodiscard]] boost::asio::awaitable<bool> acceptsConnections(std::string address);
     /// Applies an entry of the platform's list.
     void noteListed(const ListedServer &server);
     /// Records that the platform no longer lists a server.
@@ -56,6 +59,9 @@
         bool probing = false;
     };
 
+    /// Opens a connection after a delay and closes it; returns why that failed.
+    [[nodiscard]] boost::asio::awaitable<boost::system::error_code>
+    tryToConnect(std::string address);
     /// Tries to connect to the server's address and decides on its losses.
     [[nodiscard]] boost::asio::awaitable<void> probe(ServerId server, std::string address);
     void confirm(const ServerId &server);
--- a/Source/Gateway/Exchange.h
+++ b/Source/Gateway/Exchange.h
@@ -106,6 +106,9 @@
     [[nodiscard]] boost::asio::awaitable<AttemptResult> receiveResponse(Attempt &attempt);
     [[nodiscard]] boost::asio::awaitable<AttemptResult> readCompleteResponse(Attempt &attempt);
     [[nodiscard]] boost::asio::awaitable<AttemptResult> relayStream(Attempt &attempt);
+    /// Returns whether a response that ends with its connection is complete: a server whose process
+    /// has ended may have broken it off anywhere.
+    [[nodiscard]] boost::asio::awaitable<bool> isCompleteAtClose(Attempt &attempt);
     /// Encodes events for the caller; the first call puts the response header in front.
     [[nodiscard]] std::string frameEvents(Attempt &attempt,
                                           const boost::beast::http::response_header<> &header,
--- a/Source/Gateway/ExchangeAttempt.cpp
+++ b/Source/Gateway/ExchangeAttempt.cpp
@@ -273,10 +273,23 @@
     if (attempt.responseFacts.notRun || attempt.responseFacts.wrongServer) {
         co_return AttemptResult::Rejected;
     }
+    if (delimiter_ == BodyDelimiter::ConnectionClose) {
+        const bool complete = co_await isCompleteAtClose(attempt);
+        if (!complete || callerDisconnected_) {
+            co_return failure(attempt, asio::error::eof);
+        }
+    }
     response_ = parser.release();
     co_return AttemptResult::ResponseReceived;
 }
 
+asio::awaitable<bool> Exchange::isCompleteAtClose(Attempt &attempt)
+{
+    // The server has ended the attempt; only the caller or the deadline may still do so.
+    attempt.livenessTimer.cancel();
+    co_return co_await state_.crashDetector.acceptsConnections(attempt.placement.address);
+}
+
 bool Exchange::noteBuffered(std::size_t bodyBytes)
 {
     state_.bufferedResponseBytes += bodyBytes;
@@ -333,9 +346,14 @@
         }
     }
     partialEventBytes_ = eventSplitter_.partialEvent().size();
-    if (delimiter_ == BodyDelimiter::ConnectionClose
-        && (eventSplitter_.hasPartialEvent() || !bodyReceived)) {
-        co_return failure(attempt, asio::error::eof);
+    if (delimiter_ == BodyDelimiter::ConnectionClose) {
+        bool complete = bodyReceived && !eventSplitter_.hasPartialEvent();
+        if (complete) {
+            complete = co_await isCompleteAtClose(attempt);
+        }
+        if (!complete || callerDisconnected_) {
+            co_return failure(attempt, asio::error::eof);
+        }
     }
     attempt.reusable = parser.keep_alive() && attempt.requestWritten;
     if (!headerDelivered_) {
