Gateway: End a broken stream of an HTTP/1.0 caller with a reset

A stream to a caller without chunked encoding ends with its connection. When the stream broke, the gateway closed the connection in an orderly way, which tells such a caller that the response is complete; the same happened when an exception or the end of the process closed it. The reset is now armed before the first byte and disarmed once the stream is complete, so every other end of the connection is visible as one.

--- a/Source/Gateway/ExchangeAttempt.cpp
+++ b/Source/Gateway/ExchangeAttempt.cpp
@@ -367,6 +367,8 @@
             callerDisconnected_ = true;
             co_return AttemptResult::CallerDisconnected;
         }
+    } else {
+        setResetOnClose(caller_, false);
     }
     co_return AttemptResult::Delivered;
 }
@@ -382,6 +384,10 @@
         http::response<http::empty_body> head { header };
         head.chunked(useChunkedEncoding());
         head.keep_alive(useChunkedEncoding() && request_.keep_alive() && !state_.draining);
+        if (!useChunkedEncoding()) {
+            // To this caller an orderly close is the end of a complete response.
+            setResetOnClose(caller_, true);
+        }
         headerDelivered_ = true;
         firstByteAt_ = arrived;
         attempt.firstByteReceived = true;
--- a/Source/Gateway/SocketOptions.cpp
+++ b/Source/Gateway/SocketOptions.cpp
@@ -37,6 +37,12 @@
     setOption(handle, IPPROTO_TCP, TCP_USER_TIMEOUT, static_cast<int>(limit));
 }
 
+void setResetOnClose(boost::asio::ip::tcp::socket &socket, bool enabled)
+{
+    boost::system::error_code ignored;
+    socket.set_option(boost::asio::socket_base::linger(enabled, 0), ignored);
+}
+
 PeekResult peek(boost::asio::ip::tcp::socket &socket)
 {
     char byte = 0;
--- a/Source/Gateway/SocketOptions.h
+++ b/Source/Gateway/SocketOptions.h
@@ -13,6 +13,9 @@
 /// for `timeout`, so that an unresponsive peer is detected. Also disables Nagle's algorithm.
 void setTcpTimeout(boost::asio::ip::tcp::socket &socket, Duration timeout);
 
+/// Sets whether closing the connection sends a reset, also if the process ends without closing it.
+void setResetOnClose(boost::asio::ip::tcp::socket &socket, bool enabled);
+
 /// What can be read from a connection at the moment.
 enum class PeekResult : std::uint8_t { NoData, Data, Closed };
 
