--- a/Tests/Gateway/ResponseEndTest.cpp
+++ b/Tests/Gateway/ResponseEndTest.cpp
@@ -179,6 +179,36 @@
     BOOST_TEST(error == asio::error::connection_reset, error.message());
 }
 
+BOOST_AUTO_TEST_CASE(completeStreamToHttp10CallerThatKeepsConnectionsEndsWithItsClose)
+{
+    GatewayFixture fixture;
+    fixture.addServer("e1", "engines",
+                      [](ScriptedConnection &connection, const ReceivedRequest &request) {
+                          if (request.target().starts_with("/-/")) {
+                              connection.write(responseText(404, "", ""));
+                              return true;
+                          }
+                          connection.write(streamHead(request) + chunk(event(1)) + LastChunk);
+                          return true;
+                      });
+    fixture.configure(1, { "k1" });
+    fixture.start();
+    asio::ip::tcp::socket socket = fixture.connect();
+    asio::write(socket,
+                asio::buffer(requestOf("POST /once/a HTTP/1.0\r\nConnection: keep-alive", "r1")));
+    std::string all;
+    error_code error;
+    const auto startedAt = std::chrono::steady_clock::now();
+    while (!error) {
+        std::array<char, 1024> part {};
+        all.append(part.data(), socket.read_some(asio::buffer(part), error));
+    }
+    BOOST_TEST(all.ends_with(event(1)), all);
+    BOOST_TEST(error == asio::error::eof, error.message());
+    // The idle limit of the callers closes the connection after 3 s.
+    BOOST_TEST((std::chrono::steady_clock::now() - startedAt < milliseconds(1500)));
+}
+
 BOOST_AUTO_TEST_CASE(crashesThatEndStreamsInsideEventsCountAgainstTheirRequest)
 {
     constexpr int Servers = 6;
