Gateway: Take no response without a request id on a reused connection

A response without X-Request-Id was taken for the response to the request in progress, also on a connection that had carried earlier requests. A late second response without an id thus reached the caller of the next request (MIXED); a late rejection without an id reported the next request as not run though the server ran it (REFUSED).

Bytes without identity are now trusted only where the connection itself is the identity: as the first response on a new connection. On a reused connection they are skipped like the responses to other requests.

Before: lateSecondResponseWithoutIdIsNotTakenForNextResponse got 'second' instead of 'own' in 2 of 3 calls, lateRejectionWithoutIdDoesNotReportRequestAsNotRun 503 instead of 200. Both pass now.

--- a/Source/Gateway/ExchangeAttempt.cpp
+++ b/Source/Gateway/ExchangeAttempt.cpp
@@ -207,8 +207,10 @@
         state_.pool.noteReceived(attempt.placement.server, std::chrono::steady_clock::now());
         attempt.responseFacts
             = platform::readResponseInfo(parser->get().base(), attempt.placement.server);
+        // Without an id, only the first response on a connection certainly belongs to its request.
         const bool matchesRequest = attempt.responseFacts.request.empty()
-            || attempt.responseFacts.request == callerRequest_.id;
+            ? !attempt.connectionReused && skippedResponses == 0
+            : attempt.responseFacts.request == callerRequest_.id;
         const bool interim = parser->get().result_int() < 200;
         if (matchesRequest && !interim) {
             if (attempt.responseFacts.load.has_value()) {
--- /dev/null
+++ b/Tests/Gateway/ResponseIdentityTest.cpp
@@ -0,0 +1,80 @@
+#include <atomic>
+#include <string>
+
+#include <boost/test/unit_test.hpp>
+
+#include "GatewayFixture.h"
+
+namespace jacinthroad {
+
+namespace {
+
+/// The response of a server that doesn't echo the request id.
+std::string responseWithoutId(unsigned status, const std::string &headers, const std::string &body)
+{
+    return responseText(status, headers + "X-Response-Stamp: stamp\r\n", body);
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(ResponseIdentityTest)
+
+BOOST_AUTO_TEST_CASE(lateSecondResponseWithoutIdIsNotTakenForNextResponse)
+{
+    GatewayFixture fixture;
+    std::atomic<int> requests { 0 };
+    fixture.addServer("s1", "plain",
+                      [&](ScriptedConnection &connection, const ReceivedRequest &request) {
+                          if (requests++ > 0) {
+                              connection.write(responseWithoutId(200, "", "second"));
+                          }
+                          connection.write(validResponse(request, 200, "own"));
+                          return true;
+                      });
+    fixture.configure(1, { "k1" });
+    fixture.start();
+    for (int count = 0; count < 3; ++count) {
+        const auto response = fixture.call("POST", "/unsafe/a", "x");
+        BOOST_REQUIRE(response != nullptr);
+        BOOST_TEST(response->body() == "own");
+    }
+}
+
+BOOST_AUTO_TEST_CASE(lateRejectionWithoutIdDoesNotReportRequestAsNotRun)
+{
+    GatewayFixture fixture;
+    std::atomic<int> requests { 0 };
+    fixture.addServer("s1", "plain",
+                      [&](ScriptedConnection &connection, const ReceivedRequest &request) {
+                          if (requests++ > 0) {
+                              connection.write(responseText(503, "X-Not-Run: 1\r\n", ""));
+                          }
+                          connection.write(validResponse(request, 200, "own"));
+                          return true;
+                      });
+    fixture.configure(1, { "k1" });
+    fixture.start();
+    for (int count = 0; count < 2; ++count) {
+        const auto response = fixture.call("POST", "/unsafe/a", "x");
+        BOOST_REQUIRE(response != nullptr);
+        BOOST_TEST(response->result_int() == 200U);
+    }
+}
+
+BOOST_AUTO_TEST_CASE(firstResponseOnNewConnectionNeedsNoId)
+{
+    GatewayFixture fixture;
+    fixture.addServer("s1", "plain", [](ScriptedConnection &connection, const ReceivedRequest &) {
+        connection.write(responseText(503, "X-Not-Run: 1\r\n", ""));
+        return false;
+    });
+    fixture.configure(1, { "k1" });
+    fixture.start();
+    const auto response = fixture.call("POST", "/unsafe/a", "x");
+    BOOST_REQUIRE(response != nullptr);
+    BOOST_TEST(response->result_int() == 503U);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+} // namespace jacinthroad
