Gateway: Send no body with a refusal of a HEAD request

A refusal of a HEAD request was written with its JSON body. The readiness check had the same fault.

Before: in refusalOfHeadRequestHasNoBody the 404 to HEAD was followed by '{"error":...' instead of the response to the next request, in readinessOfHeadRequestHasNoBody by 'ready'. Both pass now.

--- a/Source/Gateway/CallerSession.cpp
+++ b/Source/Gateway/CallerSession.cpp
@@ -186,14 +186,14 @@
     }
     timer_.cancel();
     if (error) {
-        co_await respondToParseError(error);
+        co_await respondToParseError(error, parser.get().method());
         co_return false;
     }
     // The time limit may have closed the connection while the completed read was queued.
     co_return socket_.is_open();
 }
 
-asio::awaitable<void> CallerSession::respondToParseError(const error_code &error)
+asio::awaitable<void> CallerSession::respondToParseError(error_code error, http::verb method)
 {
     const bool isParseError
         = error.category() == http::make_error_code(http::error::end_of_stream).category()
@@ -210,6 +210,9 @@
     GatewayResponse response = gatewayRefusalResponse({ .kind = kind, .notRun = NotRun::True });
     response.keep_alive(false);
     response.prepare_payload();
+    if (method == http::verb::head) {
+        response.body().clear();
+    }
     error_code writeError;
     co_await http::async_write(socket_, response,
                                asio::redirect_error(asio::use_awaitable, writeError));
--- a/Source/Gateway/CallerSession.h
+++ b/Source/Gateway/CallerSession.h
@@ -37,8 +37,8 @@
     /// Reads one request. On an error returns false after sending an error response to a malformed
     /// request; other errors get no response.
     [[nodiscard]] boost::asio::awaitable<bool> readRequest(Parser &parser);
-    [[nodiscard]] boost::asio::awaitable<void>
-    respondToParseError(const boost::system::error_code &error);
+    [[nodiscard]] boost::asio::awaitable<void> respondToParseError(boost::system::error_code error,
+                                                                   boost::beast::http::verb method);
     /// Closes the connection; after a complete response without a reset that could discard it
     /// before the caller has read it.
     [[nodiscard]] boost::asio::awaitable<void> closeConnection(bool responseComplete);
--- a/Source/Gateway/Exchange.cpp
+++ b/Source/Gateway/Exchange.cpp
@@ -386,6 +386,9 @@
     const bool keep = request_.keep_alive() && !state_.draining;
     response.keep_alive(keep);
     response.prepare_payload();
+    if (request_.method() == http::verb::head) {
+        response.body().clear();
+    }
     error_code error;
     co_await http::async_write(caller_, response, asio::redirect_error(asio::use_awaitable, error));
     if (error) {
--- a/Source/Gateway/StatusServer.cpp
+++ b/Source/Gateway/StatusServer.cpp
@@ -55,6 +55,9 @@
             reply.result(http::status::not_found);
         }
         reply.prepare_payload();
+        if (request.method() == http::verb::head) {
+            reply.body().clear();
+        }
         co_await http::async_write(socket, reply, asio::redirect_error(asio::use_awaitable, error));
         if (error || !reply.keep_alive()) {
             co_return;
--- a/Tests/Gateway/ResponseIdentityTest.cpp
+++ b/Tests/Gateway/ResponseIdentityTest.cpp
@@ -1,14 +1,27 @@
 #include <atomic>
 #include <string>
 
+#include <boost/asio/read.hpp>
+#include <boost/asio/write.hpp>
 #include <boost/test/unit_test.hpp>
 
 #include "GatewayFixture.h"
 
 namespace jacinthroad {
 
+namespace asio = boost::asio;
+using boost::system::error_code;
+
 namespace {
 
+/// How long a test reads from a connection that stays open.
+constexpr milliseconds ReadTime { 500 };
+
+std::string requestText(const std::string &line, const std::string &id)
+{
+    return line + "\r\nHost: h\r\nAuthorization: Bearer k1\r\nX-Request-Id: " + id + "\r\n\r\n";
+}
+
 /// The response of a server that doesn't echo the request id.
 std::string responseWithoutId(unsigned status, const std::string &headers, const std::string &body)
 {
@@ -102,6 +115,47 @@
     }
 }
 
+BOOST_AUTO_TEST_CASE(refusalOfHeadRequestHasNoBody)
+{
+    GatewayFixture fixture;
+    fixture.addServer("s1", "plain",
+                      [](ScriptedConnection &connection, const ReceivedRequest &request) {
+                          connection.write(validResponse(request, 200, "own"));
+                          return true;
+                      });
+    fixture.configure(1, { "k1" });
+    fixture.start();
+    const std::string received = fixture.sendBytes(requestText("HEAD /nowhere/a HTTP/1.1", "r1")
+                                                       + requestText("GET /safe/a HTTP/1.1", "r2"),
+                                                   ReadTime);
+    BOOST_TEST(received.starts_with("HTTP/1.1 404"), received);
+    const std::size_t headEnd = received.find("\r\n\r\n");
+    BOOST_REQUIRE(headEnd != std::string::npos);
+    BOOST_TEST(received.substr(headEnd + 4).starts_with("HTTP/1.1 200"), received);
+}
+
+BOOST_AUTO_TEST_CASE(readinessOfHeadRequestHasNoBody)
+{
+    GatewayFixture fixture;
+    fixture.configure(1, { "k1" });
+    fixture.start();
+    const std::string address = fixture.settings.readinessAddress;
+    asio::ip::tcp::socket socket(fixture.context);
+    socket.connect(
+        { asio::ip::make_address("127.0.0.1"),
+          static_cast<std::uint16_t>(std::stoi(address.substr(address.find(':') + 1))) });
+    asio::write(socket,
+                asio::buffer(std::string("HEAD /readyz HTTP/1.1\r\nHost: h\r\n\r\n"
+                                         "GET /readyz HTTP/1.1\r\nHost: h\r\n"
+                                         "Connection: close\r\n\r\n")));
+    std::string received;
+    error_code error;
+    asio::read(socket, asio::dynamic_buffer(received), error);
+    const std::size_t headEnd = received.find("\r\n\r\n");
+    BOOST_REQUIRE(headEnd != std::string::npos);
+    BOOST_TEST(received.substr(headEnd + 4).starts_with("HTTP/1.1 "), received);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace jacinthroad
