Gateway: State the right length of responses without a body

The gateway wrote 'Content-Length: 0' on every response without a body. For HEAD and 304 that contradicts the length that the server stated for the resource, on 204 the protocol allows none. The server's length is now kept for HEAD and 304, and 204 has none.

Before: responseToHeadRequestKeepsItsLength got length 0 instead of 10, responsesWithoutBodyHaveNoLength 'Content-Length: 0' on 204 and 304. Both pass now.

--- a/Source/Gateway/Exchange.cpp
+++ b/Source/Gateway/Exchange.cpp
@@ -53,6 +53,21 @@
     return Names[static_cast<std::size_t>(delimiter)];
 }
 
+/// Sets the length of a response to `method` that a server gave with the header `from`. Where the
+/// protocol allows no body, the length is the server's statement about another response.
+void setContentLength(GatewayResponse &response, const http::response_header<> &from,
+                      http::verb method)
+{
+    if (response.result() == http::status::no_content) {
+        return;
+    }
+    if (method != http::verb::head && response.result() != http::status::not_modified) {
+        response.content_length(response.body().size());
+    } else if (from.count(http::field::content_length) > 0) {
+        response.set(http::field::content_length, from[http::field::content_length]);
+    }
+}
+
 } // namespace
 
 GatewayResponse gatewayRefusalResponse(const Refusal &refusal)
@@ -352,7 +367,7 @@
     response.body() = std::move(response_->body());
     const bool keep = request_.keep_alive() && !state_.draining;
     response.keep_alive(keep);
-    response.content_length(response.body().size());
+    setContentLength(response, response_->base(), request_.method());
     firstByteAt_ = std::chrono::steady_clock::now();
     state_.metrics.observeFirstByte(firstByteAt_ - received_);
     error_code error;
--- a/Tests/Gateway/ResponseIdentityTest.cpp
+++ b/Tests/Gateway/ResponseIdentityTest.cpp
@@ -10,6 +10,7 @@
 namespace jacinthroad {
 
 namespace asio = boost::asio;
+namespace http = boost::beast::http;
 using boost::system::error_code;
 
 namespace {
@@ -156,6 +157,49 @@
     BOOST_TEST(received.substr(headEnd + 4).starts_with("HTTP/1.1 "), received);
 }
 
+BOOST_AUTO_TEST_CASE(responseToHeadRequestKeepsItsLength)
+{
+    GatewayFixture fixture;
+    fixture.addServer("s1", "plain",
+                      [](ScriptedConnection &connection, const ReceivedRequest &request) {
+                          const std::string whole = validResponse(request, 200, "whole body");
+                          connection.write(request.method() == http::verb::head
+                                               ? whole.substr(0, whole.find("\r\n\r\n") + 4)
+                                               : whole);
+                          return true;
+                      });
+    fixture.configure(1, { "k1" });
+    fixture.start();
+    const std::string received = fixture.sendBytes(requestText("HEAD /safe/a HTTP/1.1", "r1")
+                                                       + requestText("GET /safe/a HTTP/1.1", "r2"),
+                                                   ReadTime);
+    const std::size_t headEnd = received.find("\r\n\r\n");
+    BOOST_REQUIRE(headEnd != std::string::npos);
+    BOOST_TEST(received.substr(0, headEnd).find("Content-Length: 10") != std::string::npos,
+               received);
+    BOOST_TEST(received.substr(headEnd + 4).starts_with("HTTP/1.1 200"), received);
+}
+
+BOOST_AUTO_TEST_CASE(responsesWithoutBodyHaveNoLength)
+{
+    for (const unsigned status : { 204U, 304U }) {
+        GatewayFixture fixture;
+        fixture.addServer(
+            "s1", "plain", [&](ScriptedConnection &connection, const ReceivedRequest &request) {
+                connection.write("HTTP/1.1 " + std::to_string(status)
+                                 + " X\r\nX-Request-Id: " + std::string(request["X-Request-Id"])
+                                 + "\r\nX-Response-Stamp: stamp\r\n\r\n");
+                return true;
+            });
+        fixture.configure(1, { "k1" });
+        fixture.start();
+        const std::string received
+            = fixture.sendBytes(requestText("GET /safe/a HTTP/1.1", "r1"), ReadTime);
+        BOOST_TEST(received.starts_with("HTTP/1.1 " + std::to_string(status)), received);
+        BOOST_TEST(received.find("Content-Length") == std::string::npos, received);
+    }
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace jacinthroad
