Gateway: Take a response with a status outside the protocol for malformed

A status below 100 or 101, which asks the caller for another protocol, was skipped like an interim response. Each of them now ends the attempt as a malformed response does.

Before: statusOutsideTheProtocolIsNotForwarded got 600 and 999 instead of 502. It passes now.

--- a/Source/Gateway/ExchangeAttempt.cpp
+++ b/Source/Gateway/ExchangeAttempt.cpp
@@ -60,6 +60,13 @@
     return http::to_status_class(header.result_int()) == http::status_class::successful;
 }
 
+/// Returns true if a server may give this status to a request that asks for no other protocol.
+bool isServerStatus(unsigned status)
+{
+    return http::to_status_class(status) != http::status_class::unknown
+        && status != static_cast<unsigned>(http::status::switching_protocols);
+}
+
 /// Returns true if the other side closed or reset the connection.
 bool isEndOfConnection(const error_code &error)
 {
@@ -216,6 +223,9 @@
         const bool matchesRequest = attempt.responseFacts.request.empty()
             ? !attempt.connectionReused && skippedResponses == 0
             : attempt.responseFacts.request == callerRequest_.id;
+        if (!isServerStatus(parser->get().result_int())) {
+            co_return failure(attempt, http::error::bad_status);
+        }
         const bool interim = parser->get().result_int() < 200;
         if (matchesRequest && isSuccess(parser->get()) && !attempt.responseFacts.hasResponseStamp) {
             logLine(LogLevel::Warning, "response_without_stamp",
--- a/Tests/Gateway/ResponseIdentityTest.cpp
+++ b/Tests/Gateway/ResponseIdentityTest.cpp
@@ -1,5 +1,6 @@
 #include <atomic>
 #include <string>
+#include <thread>
 
 #include <boost/asio/read.hpp>
 #include <boost/asio/write.hpp>
@@ -116,6 +117,26 @@
     }
 }
 
+BOOST_AUTO_TEST_CASE(statusOutsideTheProtocolIsNotForwarded)
+{
+    for (const std::string status : { "000", "042", "101", "600", "999" }) {
+        GatewayFixture fixture;
+        fixture.addServer(
+            "s1", "plain", [&](ScriptedConnection &connection, const ReceivedRequest &request) {
+                connection.write("HTTP/1.1 " + status
+                                 + " X\r\nX-Request-Id: " + std::string(request["X-Request-Id"])
+                                 + "\r\nX-Response-Stamp: stamp\r\nContent-Length: 1\r\n\r\nx");
+                std::this_thread::sleep_for(milliseconds(20));
+                return false;
+            });
+        fixture.configure(1, { "k1" });
+        fixture.start();
+        const auto response = fixture.call("POST", "/unsafe/a", "x");
+        BOOST_REQUIRE(response != nullptr);
+        BOOST_TEST(response->result_int() == 502U, status);
+    }
+}
+
 BOOST_AUTO_TEST_CASE(refusalOfHeadRequestHasNoBody)
 {
     GatewayFixture fixture;
