Gateway: Send a request to the same server again on another connection only

A request that a server rejects because of other weights may be sent to that server again. Both sends have the same id, so a second response to the first one was taken for the response to the second if it came on the same connection. The caller got 503, which states that the request was not run, while the server ran it (REFUSED).

The connection of such a rejection is no longer kept. A second response inside a stream gets a test too; it was handled before.

Before: doubledRejectionIsNotTakenForResponseToSecondSend got 503 instead of 200. It passes now.

--- a/Source/Gateway/ExchangeAttempt.cpp
+++ b/Source/Gateway/ExchangeAttempt.cpp
@@ -505,7 +505,8 @@
     if (end == AttemptResult::NoResponse || end == AttemptResult::StreamBroken) {
         eventSplitter_.startResumedStream();
     }
-    if (attempt.reusable && attempt.connection->buffer.size() == 0) {
+    // A server may respond twice, and a second send of this request has the same id.
+    if (attempt.reusable && !otherWeights && attempt.connection->buffer.size() == 0) {
         const Duration keep = attempt.responseFacts.keepAlive.value_or(DefaultKeepAlive);
         attempt.connection->usableUntil = now + keep - std::min(keep / 2, KeepAliveMargin);
         state_.connections.addIdle(server, std::move(attempt.connection));
--- a/Tests/Gateway/ResponseIdentityTest.cpp
+++ b/Tests/Gateway/ResponseIdentityTest.cpp
@@ -90,6 +90,49 @@
     BOOST_TEST(response->result_int() == 503U);
 }
 
+BOOST_AUTO_TEST_CASE(doubledRejectionIsNotTakenForResponseToSecondSend)
+{
+    GatewayFixture fixture;
+    std::atomic<int> requests { 0 };
+    std::atomic<const ScriptedConnection *> first { nullptr };
+    const auto handler = [&](ScriptedConnection &connection, const ReceivedRequest &request) {
+        if (request.target().starts_with("/-/")) {
+            connection.write(reportResponse(1, false, 0));
+            return true;
+        }
+        const std::string id = "X-Request-Id: " + std::string(request["X-Request-Id"]) + "\r\n";
+        const std::string otherWeights
+            = responseText(421, id + "X-Not-Run: 1\r\nX-Weight-Versions: 2\r\n", "");
+        switch (requests++) {
+        case 0:
+            first = &connection;
+            connection.write(otherWeights);
+            break;
+        case 1:
+            // Longer than a server is avoided after it has rejected a request.
+            std::this_thread::sleep_for(milliseconds(300));
+            connection.write(responseText(503, id + "X-Not-Run: 1\r\n", ""));
+            break;
+        default:
+            if (&connection == first) {
+                connection.write(otherWeights);
+            }
+            connection.write(streamHead(request) + chunk(event(1)) + "0\r\n\r\n");
+            break;
+        }
+        return true;
+    };
+    fixture.addServer("e1", "engines", handler);
+    fixture.addServer("e2", "engines", handler);
+    fixture.configure(1, { "k1" });
+    fixture.start();
+    const auto response
+        = fixture.call("POST", "/once/a", "x", "Authorization: Bearer k1\r\nX-Model: m\r\n");
+    BOOST_REQUIRE(response != nullptr);
+    BOOST_TEST(requests == 3);
+    BOOST_TEST(response->result_int() == 200U);
+}
+
 BOOST_AUTO_TEST_CASE(successWithoutResponseStampIsNotForwarded)
 {
     for (const std::string path : { "/unsafe/a", "/once/a" }) {
@@ -117,6 +160,29 @@
     }
 }
 
+BOOST_AUTO_TEST_CASE(secondResponseInsideStreamIsNotForwarded)
+{
+    GatewayFixture fixture;
+    fixture.addServer(
+        "e1", "engines", [](ScriptedConnection &connection, const ReceivedRequest &request) {
+            if (request.target().starts_with("/-/")) {
+                connection.write(reportResponse(1, false, 0));
+                return true;
+            }
+            connection.write(streamHead(request) + chunk(event(1)));
+            connection.write(responseWithoutId(200, "X-Request-Id: other\r\n", "second"));
+            connection.write(chunk(event(2)) + "0\r\n\r\n");
+            return true;
+        });
+    fixture.configure(1, { "k1" });
+    fixture.start();
+    const std::string received
+        = fixture.sendBytes(requestText("POST /once/a HTTP/1.1", "r1"), ReadTime);
+    BOOST_TEST(received.find("token 1") != std::string::npos);
+    BOOST_TEST(received.find("second") == std::string::npos);
+    BOOST_TEST(received.find("\r\n0\r\n\r\n") == std::string::npos);
+}
+
 BOOST_AUTO_TEST_CASE(statusOutsideTheProtocolIsNotForwarded)
 {
     for (const std::string status : { "000", "042", "101", "600", "999" }) {
