--- a/Source/Gateway/ExchangeAttempt.cpp
+++ b/Source/Gateway/ExchangeAttempt.cpp
@@ -55,6 +55,18 @@
                                  "text/event-stream");
 }
 
+bool isSuccess(const http::response_header<> &header)
+{
+    return http::to_status_class(header.result_int()) == http::status_class::successful;
+}
+
+/// Returns true if a server may give this status to a request that asks for no other protocol.
+bool isServerStatus(unsigned status)
+{
+    return http::to_status_class(status) != http::status_class::unknown
+        && status != static_cast<unsigned>(http::status::switching_protocols);
+}
+
 /// Returns true if the other side closed or reset the connection.
 bool isEndOfConnection(const error_code &error)
 {
@@ -207,9 +219,21 @@
         state_.pool.noteReceived(attempt.placement.server, std::chrono::steady_clock::now());
         attempt.responseFacts
             = platform::readResponseInfo(parser->get().base(), attempt.placement.server);
+        // Without an id, only the first response on a connection certainly belongs to its request.
         const bool matchesRequest = attempt.responseFacts.request.empty()
-            || attempt.responseFacts.request == callerRequest_.id;
+            ? !attempt.connectionReused && skippedResponses == 0
+            : attempt.responseFacts.request == callerRequest_.id;
+        if (!isServerStatus(parser->get().result_int())) {
+            co_return failure(attempt, http::error::bad_status);
+        }
         const bool interim = parser->get().result_int() < 200;
+        if (matchesRequest && isSuccess(parser->get()) && !attempt.responseFacts.hasResponseStamp) {
+            logLine(LogLevel::Warning, "response_without_stamp",
+                    { { "request_id", callerRequest_.id.text() },
+                      { "server", attempt.placement.server.text() },
+                      { "remedy", "The response is not forwarded; check the server." } });
+            co_return failure(attempt, {});
+        }
         if (matchesRequest && !interim) {
             if (attempt.responseFacts.load.has_value()) {
                 const platform::LoadReport &load = *attempt.responseFacts.load;
@@ -512,7 +536,8 @@
     if (end == AttemptResult::NoResponse || end == AttemptResult::StreamBroken) {
         eventSplitter_.startResumedStream();
     }
-    if (attempt.reusable && attempt.connection->buffer.size() == 0) {
+    // A server may respond twice, and a second send of this request has the same id.
+    if (attempt.reusable && !otherWeights && attempt.connection->buffer.size() == 0) {
         const Duration keep = attempt.responseFacts.keepAlive.value_or(DefaultKeepAlive);
         attempt.connection->usableUntil = now + keep - std::min(keep / 2, KeepAliveMargin);
         state_.connections.addIdle(server, std::move(attempt.connection));
