Gateway: Reset streams of HTTP/1.0 callers at the end of the process too

A node that stopped in the middle of a stream closed the connection of an HTTP/1.0 caller in an orderly way, so the stream looked complete. Cause: Asio clears SO_LINGER in the destructor of a socket if it has set the option itself. The option is now set on the descriptor.

--- a/Source/Gateway/SocketOptions.cpp
+++ b/Source/Gateway/SocketOptions.cpp
@@ -39,8 +39,10 @@
 
 void setResetOnClose(boost::asio::ip::tcp::socket &socket, bool enabled)
 {
-    boost::system::error_code ignored;
-    socket.set_option(boost::asio::socket_base::linger(enabled, 0), ignored);
+    // Asio clears the option when it destroys a socket on which it has set it itself.
+    const linger value { .l_onoff = enabled ? 1 : 0, .l_linger = 0 };
+    static_cast<void>(
+        setsockopt(socket.native_handle(), SOL_SOCKET, SO_LINGER, &value, sizeof(value)));
 }
 
 PeekResult peek(boost::asio::ip::tcp::socket &socket)
