Gateway: Take only a refused connection for the end of a server

A process that has ended refuses connections; a VM that loses power closes none. A timeout therefore proves nothing and the response counts as complete. A caller that leaves during the check is no lost connection of the server. The request log names a refusal as server_ended.

--- a/Source/Gateway/CrashDetector.cpp
+++ b/Source/Gateway/CrashDetector.cpp
@@ -63,10 +63,10 @@
     co_return error;
 }
 
-asio::awaitable<bool> CrashDetector::acceptsConnections(std::string address)
+asio::awaitable<bool> CrashDetector::refusesConnections(std::string address)
 {
     const error_code error = co_await tryToConnect(std::move(address));
-    co_return !error;
+    co_return error == asio::error::connection_refused;
 }
 
 asio::awaitable<void> CrashDetector::probe(ServerId server, std::string address)
--- a/Source/Gateway/CrashDetector.h
+++ b/Source/Gateway/CrashDetector.h
@@ -40,9 +40,9 @@
 
     /// Examines a loss. `server` is the entry that the platform listed when the request was sent.
     void noteLoss(const ListedServer &server, const LostRequest &loss);
-    /// Returns whether a server accepts connections at `address` after it has closed one. One that
-    /// refuses, or that cannot be reached within the time limit, may have crashed.
-    [[nodiscard]] boost::asio::awaitable<bool> acceptsConnections(std::string address);
+    /// Returns whether a server refuses connections at `address` after it has closed one: its
+    /// process has ended. A connection that times out proves nothing.
+    [[nodiscard]] boost::asio::awaitable<bool> refusesConnections(std::string address);
     /// Applies an entry of the platform's list.
     void noteListed(const ListedServer &server);
     /// Records that the platform no longer lists a server.
--- a/Source/Gateway/Exchange.cpp
+++ b/Source/Gateway/Exchange.cpp
@@ -454,6 +454,7 @@
           { "reason", end.reason },
           { "delimiter", delimiterName(static_cast<int>(delimiter_)) },
           { "connection_error", connectionError_ ? connectionError_.message() : std::string() },
+          { "server_ended", std::int64_t { serverEnded_ ? 1 : 0 } },
           { "partial_event_bytes", static_cast<std::int64_t>(partialEventBytes_) },
           { "first_byte_ms",
             firstByteAt_ == Instant() ? -1.0 : toMilliseconds(firstByteAt_ - received_) },
--- a/Source/Gateway/Exchange.h
+++ b/Source/Gateway/Exchange.h
@@ -199,6 +199,9 @@
     BodyDelimiter delimiter_ = BodyDelimiter::Unknown;
     boost::system::error_code connectionError_;
     std::size_t partialEventBytes_ = 0;
+    /// True if a response ended with its connection and the server's process had ended, for the
+    /// log.
+    bool serverEnded_ = false;
 };
 
 } // namespace jacinthroad
--- a/Source/Gateway/ExchangeAttempt.cpp
+++ b/Source/Gateway/ExchangeAttempt.cpp
@@ -299,7 +299,10 @@
     }
     if (delimiter_ == BodyDelimiter::ConnectionClose) {
         const bool complete = co_await isCompleteAtClose(attempt);
-        if (!complete || callerDisconnected_) {
+        if (callerDisconnected_) {
+            co_return failure(attempt, {});
+        }
+        if (!complete) {
             co_return failure(attempt, asio::error::eof);
         }
     }
@@ -311,7 +314,10 @@
 {
     // The server has ended the attempt; only the caller or the deadline may still do so.
     attempt.livenessTimer.cancel();
-    co_return co_await state_.crashDetector.acceptsConnections(attempt.placement.address);
+    const bool refused
+        = co_await state_.crashDetector.refusesConnections(attempt.placement.address);
+    serverEnded_ = refused;
+    co_return !refused;
 }
 
 bool Exchange::noteBuffered(std::size_t bodyBytes)
