Gateway: Clear no crashes by responses that end with their connection

A request that crashes servers lost its count when a response without a length was taken for complete, since such a response may have been broken off all the same (read in the code by the review). Only responses that state their end clear the crashes of their request now.

--- a/Source/Gateway/ExchangeAttempt.cpp
+++ b/Source/Gateway/ExchangeAttempt.cpp
@@ -485,7 +485,9 @@
     const Instant now = std::chrono::steady_clock::now();
     if (end == AttemptResult::Delivered || end == AttemptResult::ResponseReceived) {
         // A server that responds with an error may not have begun to run the request.
-        const bool served = end == AttemptResult::Delivered || response_->result_int() < 500;
+        // A response that ends with its connection may have been broken off all the same.
+        const bool served = delimiter_ != BodyDelimiter::ConnectionClose
+            && (end == AttemptResult::Delivered || response_->result_int() < 500);
         if (served && !state_.crashHistory.empty()) {
             state_.crashHistory.noteCompleted(fingerprint(), now);
         }
