Gateway: Treat every stream that ends inside an event as broken

The review also found the reverse: a resumed stream that had nothing left and ended with its connection was cut, although the caller had all events.

--- a/Source/Gateway/ExchangeAttempt.cpp
+++ b/Source/Gateway/ExchangeAttempt.cpp
@@ -355,11 +355,7 @@
         }
         const std::size_t size = readBuffer.size() - parser.get().body().size;
         bodyReceived = bodyReceived || size > 0;
-        std::string completeEvents = eventSplitter_.feed({ readBuffer.data(), size });
-        // Without a length or chunks, a partial event is the sign of a stream that was broken off.
-        if (parser.is_done() && !error && delimiter_ != BodyDelimiter::ConnectionClose) {
-            completeEvents.append(eventSplitter_.partialEvent());
-        }
+        const std::string completeEvents = eventSplitter_.feed({ readBuffer.data(), size });
         if (!completeEvents.empty()) {
             const std::string bytes = frameEvents(attempt, header, completeEvents);
             const bool written = co_await writeToCaller(bytes);
@@ -379,14 +375,19 @@
         }
     }
     partialEventBytes_ = eventSplitter_.partialEvent().size();
-    if (delimiter_ == BodyDelimiter::ConnectionClose) {
-        bool complete = bodyReceived && !eventSplitter_.hasPartialEvent();
+    // Whatever marks its end, a stream that ends inside an event was broken off.
+    bool complete = !eventSplitter_.hasPartialEvent();
+    if (complete && delimiter_ == BodyDelimiter::ConnectionClose) {
+        complete = bodyReceived || headerDelivered_;
         if (complete) {
             complete = co_await isCompleteAtClose(attempt);
         }
-        if (!complete || callerDisconnected_) {
-            co_return failure(attempt, asio::error::eof);
-        }
+    }
+    if (callerDisconnected_) {
+        co_return failure(attempt, {});
+    }
+    if (!complete) {
+        co_return failure(attempt, asio::error::eof);
     }
     attempt.reusable = parser.keep_alive() && attempt.requestWritten;
     if (!headerDelivered_) {
--- a/Tests/Gateway/ResponseEndTest.cpp
+++ b/Tests/Gateway/ResponseEndTest.cpp
@@ -228,6 +228,94 @@
     BOOST_TEST((std::chrono::steady_clock::now() - startedAt < milliseconds(1500)));
 }
 
+BOOST_AUTO_TEST_CASE(streamWithLengthOrChunksThatEndsInsideEventIsNotForwardedAsComplete)
+{
+    const std::string body = event(1) + "id: 2\ndata: tok";
+    for (const bool chunks : { false, true }) {
+        GatewayFixture fixture;
+        fixture.addServer(
+            "e1", "engines", [&](ScriptedConnection &connection, const ReceivedRequest &request) {
+                if (request.target().starts_with("/-/")) {
+                    connection.write(responseText(404, "", ""));
+                } else if (chunks) {
+                    connection.write(streamHead(request) + chunk(body) + LastChunk);
+                } else {
+                    connection.write(
+                        responseText(200,
+                                     "X-Request-Id: " + std::string(request["X-Request-Id"])
+                                         + "\r\nX-Response-Stamp: stamp\r\n"
+                                           "Content-Type: text/event-stream\r\n",
+                                     body));
+                }
+                return true;
+            });
+        fixture.configure(1, { "k1" });
+        fixture.start();
+        const std::string all
+            = fixture.sendBytes(requestOf("POST /once/a HTTP/1.1", "r1"), milliseconds(500));
+        BOOST_TEST(all.ends_with(chunk(event(1))), all);
+    }
+}
+
+BOOST_AUTO_TEST_CASE(completeStreamWithNothingLeftToResumeIsForwardedAsComplete)
+{
+    GatewayFixture fixture;
+    std::atomic<int> runs { 0 };
+    for (const std::string name : { "e1", "e2" }) {
+        fixture.addServer(
+            name, "engines",
+            [&, name](ScriptedConnection &connection, const ReceivedRequest &request) {
+                if (request.target().starts_with("/-/")) {
+                    connection.write(responseText(404, "", ""));
+                    return true;
+                }
+                connection.write(headWithoutLength(request, "text/event-stream")
+                                 + (runs++ == 0 ? event(1) + event(2) : ""));
+                if (runs == 1) {
+                    fixture.crashServer(name);
+                } else {
+                    connection.close();
+                }
+                return false;
+            });
+    }
+    fixture.configure(1, { "k1" });
+    fixture.start();
+    const std::string all
+        = fixture.sendBytes(requestOf("POST /stream/a HTTP/1.1", "r1"), ResponseLimit);
+    BOOST_TEST(all.ends_with(LastChunk), all);
+    BOOST_TEST(runs == 2);
+}
+
+BOOST_AUTO_TEST_CASE(streamOfHttp10CallerEndsWithResetAtTheEndOfTheProcess)
+{
+    GatewayFixture fixture;
+    fixture.addServer("e1", "engines",
+                      [](ScriptedConnection &connection, const ReceivedRequest &request) {
+                          if (request.target().starts_with("/-/")) {
+                              connection.write(responseText(404, "", ""));
+                              return true;
+                          }
+                          connection.write(streamHead(request) + chunk(event(1)));
+                          static_cast<void>(connection.waitForClose(milliseconds(1500)));
+                          return false;
+                      });
+    fixture.configure(1, { "k1" });
+    fixture.start();
+    asio::ip::tcp::socket socket = fixture.connect();
+    asio::write(socket, asio::buffer(requestOf("POST /once/a HTTP/1.0", "r1")));
+    std::string all;
+    error_code error;
+    while (!error) {
+        std::array<char, 1024> part {};
+        all.append(part.data(), socket.read_some(asio::buffer(part), error));
+        if (all.find("token 1") != std::string::npos) {
+            fixture.gateway.reset();
+        }
+    }
+    BOOST_TEST(error == asio::error::connection_reset, error.message());
+}
+
 BOOST_AUTO_TEST_CASE(crashesThatEndStreamsInsideEventsCountAgainstTheirRequest)
 {
     constexpr int Servers = 6;
