Gateway: End the connection of an HTTP/1.0 caller with its stream

A stream to an HTTP/1.0 caller has neither length nor chunks and ends with its connection. With 'Connection: keep-alive' in the request the connection stayed open, so the stream never ended, and the response to the caller's next request became part of its body (MIXED).

Before: in streamWithoutChunksEndsConnectionOfOldCaller the events were followed by the status line, header and body of the next response. It passes now.

--- a/Source/Gateway/Exchange.cpp
+++ b/Source/Gateway/Exchange.cpp
@@ -239,8 +239,8 @@
         if (end == AttemptResult::Delivered) {
             co_return ExchangeResult { .outcome = "streamed",
                                        .status = 200,
-                                       .connectionReusable
-                                       = request_.keep_alive() && !state_.draining,
+                                       .connectionReusable = useChunkedEncoding()
+                                           && request_.keep_alive() && !state_.draining,
                                        .responseComplete = true };
         }
         if (writeError_) {
--- a/Tests/Gateway/ResponseIdentityTest.cpp
+++ b/Tests/Gateway/ResponseIdentityTest.cpp
@@ -287,6 +287,32 @@
     }
 }
 
+BOOST_AUTO_TEST_CASE(streamWithoutChunksEndsConnectionOfOldCaller)
+{
+    GatewayFixture fixture;
+    fixture.addServer("e1", "engines",
+                      [](ScriptedConnection &connection, const ReceivedRequest &request) {
+                          if (request.target().starts_with("/-/")) {
+                              connection.write(reportResponse(1, false, 0));
+                              return true;
+                          }
+                          connection.write(streamHead(request) + chunk(event(1)) + "0\r\n\r\n");
+                          return true;
+                      });
+    fixture.configure(1, { "k1" });
+    fixture.start();
+    asio::ip::tcp::socket socket = fixture.connect();
+    asio::write(socket,
+                asio::buffer("POST /once/a HTTP/1.0\r\nHost: h\r\nConnection: keep-alive\r\n"
+                             "Authorization: Bearer k1\r\nX-Request-Id: r1\r\n\r\n"
+                             + requestText("GET /safe/a HTTP/1.0", "r2")));
+    std::string received;
+    error_code error;
+    asio::read(socket, asio::dynamic_buffer(received), error);
+    BOOST_TEST(error == asio::error::eof, error.message());
+    BOOST_TEST(received.ends_with(event(1)), received);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace jacinthroad
