Gateway: Reset the connection of an HTTP/1.0 caller whose stream broke off

A stream that broke off is shown to its caller by the missing last chunk. An HTTP/1.0 caller gets no chunks, and the orderly close of its connection made the broken stream look complete. The connection is now reset instead.

Before: brokenStreamWithoutChunksIsReset read the end of the stream instead of a reset. It passes now.

--- a/Source/Gateway/Exchange.cpp
+++ b/Source/Gateway/Exchange.cpp
@@ -273,9 +273,12 @@
     }
 }
 
-ExchangeResult Exchange::cutStream(std::string_view outcome)
+ExchangeResult Exchange::cutStream(std::string_view outcome) const
 {
-    return { .outcome = std::string(outcome), .status = 200, .connectionReusable = false };
+    return { .outcome = std::string(outcome),
+             .status = 200,
+             .connectionReusable = false,
+             .endedByClose = !useChunkedEncoding() };
 }
 
 std::optional<Duration> Exchange::queueRefusalDelay(const Placement &placement) const
--- a/Tests/Gateway/ResponseIdentityTest.cpp
+++ b/Tests/Gateway/ResponseIdentityTest.cpp
@@ -313,6 +313,32 @@
     BOOST_TEST(received.ends_with(event(1)), received);
 }
 
+BOOST_AUTO_TEST_CASE(brokenStreamWithoutChunksIsReset)
+{
+    GatewayFixture fixture;
+    fixture.addServer("e1", "engines",
+                      [](ScriptedConnection &connection, const ReceivedRequest &request) {
+                          if (request.target().starts_with("/-/")) {
+                              connection.write(reportResponse(1, false, 0));
+                              return true;
+                          }
+                          connection.write(streamHead(request) + chunk(event(1)));
+                          std::this_thread::sleep_for(milliseconds(50));
+                          connection.reset();
+                          return false;
+                      });
+    fixture.configure(1, { "k1" });
+    fixture.start();
+    asio::ip::tcp::socket socket = fixture.connect();
+    asio::write(socket,
+                asio::buffer(std::string("POST /once/a HTTP/1.0\r\nHost: h\r\n"
+                                         "Authorization: Bearer k1\r\nX-Request-Id: r1\r\n\r\n")));
+    std::string received;
+    error_code error;
+    asio::read(socket, asio::dynamic_buffer(received), error);
+    BOOST_TEST(error == asio::error::connection_reset, error.message());
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace jacinthroad
