Gateway: Use one connection per call for reports of and orders to servers

Responses to reports and orders carry no id, and a server may respond twice, the second time late. On a kept connection the second response to a report was thus taken for the response to the order that followed: the node noted weights as loaded that the server had rejected, and never ordered them again (VERSION). Every later response on the connection was shifted by one as well.

ControlClient now has to be told whether its connections are kept. Connections to the store are kept, as it responds once. Those for cache events are kept too: events are numbered, and a batch that arrives twice is fetched and applied again; no test shows that.

Before: lateSecondResponseIsNotTakenForResponseToNextCall failed on a client that ignored the new argument, doubledReportIsNotTakenForResponseToOrder got 1 order instead of 2. Both pass now.

--- a/Source/Gateway/CacheEventReader.cpp
+++ b/Source/Gateway/CacheEventReader.cpp
@@ -68,7 +68,8 @@
 
 asio::awaitable<void> CacheEventReader::read(ServerId id, std::shared_ptr<Source> source)
 {
-    ControlClient caller(context_, source->address);
+    // Events are numbered: a batch that arrives again is fetched and applied once more.
+    ControlClient caller(context_, source->address, ConnectionUse::Kept);
     boost::beast::http::fields headers;
     platform::setCacheEventsWait(headers, EventsWait);
     std::uint64_t since = 0;
--- a/Source/Gateway/ControlClient.cpp
+++ b/Source/Gateway/ControlClient.cpp
@@ -43,9 +43,10 @@
     boost::beast::flat_buffer buffer;
 };
 
-ControlClient::ControlClient(asio::io_context &context, std::string address)
+ControlClient::ControlClient(asio::io_context &context, std::string address, ConnectionUse use)
     : context_(context)
     , address_(std::move(address))
+    , use_(use)
 { }
 
 ControlClient::~ControlClient() = default;
@@ -95,6 +96,7 @@
         request.insert(field.name(), field.name_string(), field.value());
     }
     request.set(http::field::host, address_);
+    request.keep_alive(use_ == ConnectionUse::Kept);
     if (!call.body.empty()) {
         request.set(http::field::content_type, "application/json");
         request.body() = std::move(call.body);
@@ -113,7 +115,8 @@
     if (error) {
         co_return unavailableError(error.message());
     }
-    if (responseParser.keep_alive() && connection->buffer.size() == 0) {
+    if (use_ == ConnectionUse::Kept && responseParser.keep_alive()
+        && connection->buffer.size() == 0) {
         idle_.push_back(connection);
     }
     co_return CallResponse { .status = responseParser.get().result_int(),
--- a/Source/Gateway/ControlClient.h
+++ b/Source/Gateway/ControlClient.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <cstdint>
 #include <memory>
 #include <string>
 #include <utility>
@@ -25,12 +26,20 @@
     BootInstant sentAt;
 };
 
-/// HTTP client for small control calls to one address, with a pool of idle connections. Used by one
-/// thread only.
+/// How a ControlClient uses its connections.
+enum class ConnectionUse : std::uint8_t {
+    /// Connections carry many calls. Responses to control calls have no id, so the other side must
+    /// never respond twice, or its responses must tell by their content what they belong to.
+    Kept,
+    /// Each call has a connection of its own, which identifies its response.
+    OnePerCall,
+};
+
+/// HTTP client for small control calls to one address. Used by one thread only.
 class ControlClient
 {
 public:
-    ControlClient(boost::asio::io_context &context, std::string address);
+    ControlClient(boost::asio::io_context &context, std::string address, ConnectionUse use);
     ControlClient(const ControlClient &) = delete;
     ControlClient &operator=(const ControlClient &) = delete;
     ~ControlClient();
@@ -49,6 +58,7 @@
 
     boost::asio::io_context &context_;
     std::string address_;
+    ConnectionUse use_;
     std::vector<std::shared_ptr<Connection>> idle_;
 };
 
--- a/Source/Gateway/RolloutDriver.cpp
+++ b/Source/Gateway/RolloutDriver.cpp
@@ -300,7 +300,7 @@
         co_return;
     }
     cordonServer_(step.server, step.model, step.version, CordonLimit);
-    ControlClient caller(context_, server->second.address);
+    ControlClient caller(context_, server->second.address, ConnectionUse::OnePerCall);
     const unsigned number = ++orderCounts_[step.server];
     OrderOutcome outcome = OrderOutcome::Unknown;
     const auto state = co_await fetchReport(caller);
--- a/Source/Gateway/StoreClient.cpp
+++ b/Source/Gateway/StoreClient.cpp
@@ -29,7 +29,7 @@
 
 StoreClient::StoreClient(boost::asio::io_context &context, const std::string &address,
                          GatewayMetrics &metrics)
-    : caller_(context, address)
+    : caller_(context, address, ConnectionUse::Kept)
     , metrics_(metrics)
 { }
 
--- a/Tests/Gateway/ControlClientTest.cpp
+++ b/Tests/Gateway/ControlClientTest.cpp
@@ -1,7 +1,9 @@
 #include <atomic>
 #include <optional>
+#include <string>
 #include <thread>
 #include <utility>
+#include <vector>
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/io_context.hpp>
@@ -29,7 +31,7 @@
         }
     });
     asio::io_context context { 1 };
-    ControlClient client(context, server.address());
+    ControlClient client(context, server.address(), ConnectionUse::Kept);
     const platform::Call call { .target = "/" };
     std::optional<bool> first;
     std::optional<bool> second;
@@ -55,6 +57,37 @@
     BOOST_TEST(*second);
 }
 
+BOOST_AUTO_TEST_CASE(lateSecondResponseIsNotTakenForResponseToNextCall)
+{
+    std::atomic<int> calls { 0 };
+    ScriptedServer server([&](ScriptedConnection &connection) {
+        boost::beast::http::request<boost::beast::http::string_body> request;
+        std::string previous;
+        while (connection.read(request)) {
+            connection.write(previous);
+            previous = responseText(200, "", std::to_string(++calls));
+            connection.write(previous);
+        }
+    });
+    asio::io_context context { 1 };
+    ControlClient client(context, server.address(), ConnectionUse::OnePerCall);
+    constexpr Duration Timeout = milliseconds(1000);
+    const platform::Call call { .target = "/" };
+    std::vector<std::string> bodies;
+    asio::co_spawn(
+        context,
+        [&]() -> asio::awaitable<void> {
+            for (int count = 0; count < 3; ++count) {
+                const auto response = co_await client.call(call, {}, Timeout);
+                bodies.push_back(response.has_value() ? response->body : std::string());
+            }
+        },
+        [](const std::exception_ptr &) {});
+    context.run_for(milliseconds(3000));
+    const std::vector<std::string> expected { "1", "2", "3" };
+    BOOST_TEST(bodies == expected, boost::test_tools::per_element());
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace jacinthroad
--- a/Tests/Gateway/ResponseIdentityTest.cpp
+++ b/Tests/Gateway/ResponseIdentityTest.cpp
@@ -339,6 +339,38 @@
     BOOST_TEST(error == asio::error::connection_reset, error.message());
 }
 
+BOOST_AUTO_TEST_CASE(doubledReportIsNotTakenForResponseToOrder)
+{
+    GatewayFixture fixture;
+    std::atomic<int> orders { 0 };
+    std::atomic<const ScriptedConnection *> reported { nullptr };
+    fixture.addServer("e1", "engines",
+                      [&](ScriptedConnection &connection, const ReceivedRequest &request) {
+                          const std::string report = reportResponse(1, false, 0);
+                          if (request.target() == "/-/report") {
+                              reported = &connection;
+                              connection.write(report);
+                          } else if (request.target() == "/-/order") {
+                              if (&connection == reported) {
+                                  connection.write(report);
+                              }
+                              connection.write(responseText(409, "", ""));
+                              ++orders;
+                          } else {
+                              connection.write(responseText(404, "", ""));
+                          }
+                          return true;
+                      });
+    fixture.configure(1, { "k1" });
+    fixture.start();
+    fixture.setDesiredWeights(2);
+    for (int attempt = 0; attempt < 400 && orders < 2; ++attempt) {
+        std::this_thread::sleep_for(milliseconds(20));
+    }
+    // The server has not loaded the weights, so it is ordered to do so again.
+    BOOST_TEST(orders >= 2);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace jacinthroad
