Gateway: Send no interim response to an HTTP/1.0 caller

A request with 'Expect: 100-continue' got 'HTTP/1.1 100 Continue' also over HTTP/1.0, which has no interim responses: the caller takes it for the response, and the response for bytes behind it (MIXED).

Before: oldCallerGetsNoInterimResponse received 100 first. It passes now.

--- a/Source/Gateway/CallerSession.cpp
+++ b/Source/Gateway/CallerSession.cpp
@@ -177,7 +177,9 @@
     }
     if (!error && !parser.is_done()) {
         scheduleClose(BodyTimeout);
-        if (boost::beast::iequals(parser.get()[http::field::expect], "100-continue")) {
+        // HTTP/1.0 has no interim responses.
+        if (parser.get().version() >= 11
+            && boost::beast::iequals(parser.get()[http::field::expect], "100-continue")) {
             constexpr std::string_view Continue = "HTTP/1.1 100 Continue\r\n\r\n";
             co_await asio::async_write(socket_, asio::buffer(Continue.data(), Continue.size()),
                                        asio::redirect_error(asio::use_awaitable, error));
--- a/Tests/Gateway/ResponseIdentityTest.cpp
+++ b/Tests/Gateway/ResponseIdentityTest.cpp
@@ -371,6 +371,24 @@
     BOOST_TEST(orders >= 2);
 }
 
+BOOST_AUTO_TEST_CASE(oldCallerGetsNoInterimResponse)
+{
+    GatewayFixture fixture;
+    fixture.addServer("s1", "plain",
+                      [](ScriptedConnection &connection, const ReceivedRequest &request) {
+                          connection.write(validResponse(request, 200, "own"));
+                          return true;
+                      });
+    fixture.configure(1, { "k1" });
+    fixture.start();
+    const std::string received
+        = fixture.sendBytes("POST /unsafe/a HTTP/1.0\r\nHost: h\r\nX-Request-Id: r1\r\n"
+                            "Authorization: Bearer k1\r\nExpect: 100-continue\r\n"
+                            "Content-Length: 1\r\n\r\nx",
+                            ReadTime);
+    BOOST_TEST(received.starts_with("HTTP/1.1 200"), received);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace jacinthroad
