--- a/Tests/Gateway/ResponseIdentityTest.cpp
+++ b/Tests/Gateway/ResponseIdentityTest.cpp
@@ -287,6 +287,108 @@
     }
 }
 
+BOOST_AUTO_TEST_CASE(streamWithoutChunksEndsConnectionOfOldCaller)
+{
+    GatewayFixture fixture;
+    fixture.addServer("e1", "engines",
+                      [](ScriptedConnection &connection, const ReceivedRequest &request) {
+                          if (request.target().starts_with("/-/")) {
+                              connection.write(reportResponse(1, false, 0));
+                              return true;
+                          }
+                          connection.write(streamHead(request) + chunk(event(1)) + "0\r\n\r\n");
+                          return true;
+                      });
+    fixture.configure(1, { "k1" });
+    fixture.start();
+    asio::ip::tcp::socket socket = fixture.connect();
+    asio::write(socket,
+                asio::buffer("POST /once/a HTTP/1.0\r\nHost: h\r\nConnection: keep-alive\r\n"
+                             "Authorization: Bearer k1\r\nX-Request-Id: r1\r\n\r\n"
+                             + requestText("GET /safe/a HTTP/1.0", "r2")));
+    std::string received;
+    error_code error;
+    asio::read(socket, asio::dynamic_buffer(received), error);
+    BOOST_TEST(error == asio::error::eof, error.message());
+    BOOST_TEST(received.ends_with(event(1)), received);
+}
+
+BOOST_AUTO_TEST_CASE(brokenStreamWithoutChunksIsReset)
+{
+    GatewayFixture fixture;
+    fixture.addServer("e1", "engines",
+                      [](ScriptedConnection &connection, const ReceivedRequest &request) {
+                          if (request.target().starts_with("/-/")) {
+                              connection.write(reportResponse(1, false, 0));
+                              return true;
+                          }
+                          connection.write(streamHead(request) + chunk(event(1)));
+                          std::this_thread::sleep_for(milliseconds(50));
+                          connection.reset();
+                          return false;
+                      });
+    fixture.configure(1, { "k1" });
+    fixture.start();
+    asio::ip::tcp::socket socket = fixture.connect();
+    asio::write(socket,
+                asio::buffer(std::string("POST /once/a HTTP/1.0\r\nHost: h\r\n"
+                                         "Authorization: Bearer k1\r\nX-Request-Id: r1\r\n\r\n")));
+    std::string received;
+    error_code error;
+    asio::read(socket, asio::dynamic_buffer(received), error);
+    BOOST_TEST(error == asio::error::connection_reset, error.message());
+}
+
+BOOST_AUTO_TEST_CASE(doubledReportIsNotTakenForResponseToOrder)
+{
+    GatewayFixture fixture;
+    std::atomic<int> orders { 0 };
+    std::atomic<const ScriptedConnection *> reported { nullptr };
+    fixture.addServer("e1", "engines",
+                      [&](ScriptedConnection &connection, const ReceivedRequest &request) {
+                          const std::string report = reportResponse(1, false, 0);
+                          if (request.target() == "/-/report") {
+                              reported = &connection;
+                              connection.write(report);
+                          } else if (request.target() == "/-/order") {
+                              if (&connection == reported) {
+                                  connection.write(report);
+                              }
+                              connection.write(responseText(409, "", ""));
+                              ++orders;
+                          } else {
+                              connection.write(responseText(404, "", ""));
+                          }
+                          return true;
+                      });
+    fixture.configure(1, { "k1" });
+    fixture.start();
+    fixture.setDesiredWeights(2);
+    for (int attempt = 0; attempt < 400 && orders < 2; ++attempt) {
+        std::this_thread::sleep_for(milliseconds(20));
+    }
+    // The server has not loaded the weights, so it is ordered to do so again.
+    BOOST_TEST(orders >= 2);
+}
+
+BOOST_AUTO_TEST_CASE(oldCallerGetsNoInterimResponse)
+{
+    GatewayFixture fixture;
+    fixture.addServer("s1", "plain",
+                      [](ScriptedConnection &connection, const ReceivedRequest &request) {
+                          connection.write(validResponse(request, 200, "own"));
+                          return true;
+                      });
+    fixture.configure(1, { "k1" });
+    fixture.start();
+    const std::string received
+        = fixture.sendBytes("POST /unsafe/a HTTP/1.0\r\nHost: h\r\nX-Request-Id: r1\r\n"
+                            "Authorization: Bearer k1\r\nExpect: 100-continue\r\n"
+                            "Content-Length: 1\r\n\r\nx",
+                            ReadTime);
+    BOOST_TEST(received.starts_with("HTTP/1.1 200"), received);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace jacinthroad
