--- a/Source/Gateway/CallerSession.cpp
+++ b/Source/Gateway/CallerSession.cpp
@@ -139,9 +139,6 @@
         error_code error;
         socket_.cancel(error);
         if (!end.connectionReusable) {
-            if (end.endedByClose) {
-                socket_.set_option(asio::socket_base::linger(true, 0), error);
-            }
             co_await closeConnection(end.responseComplete);
             co_return;
         }
--- a/Source/Gateway/Exchange.cpp
+++ b/Source/Gateway/Exchange.cpp
@@ -273,12 +273,9 @@
     }
 }
 
-ExchangeResult Exchange::cutStream(std::string_view outcome) const
+ExchangeResult Exchange::cutStream(std::string_view outcome)
 {
-    return { .outcome = std::string(outcome),
-             .status = 200,
-             .connectionReusable = false,
-             .endedByClose = !useChunkedEncoding() };
+    return { .outcome = std::string(outcome), .status = 200, .connectionReusable = false };
 }
 
 std::optional<Duration> Exchange::queueRefusalDelay(const Placement &placement) const
--- a/Source/Gateway/Exchange.h
+++ b/Source/Gateway/Exchange.h
@@ -43,8 +43,6 @@
     bool connectionReusable = true;
     /// True if a complete response was written; otherwise the connection is closed at once.
     bool responseComplete = false;
-    /// True if an orderly close of the connection would make the response look complete.
-    bool endedByClose = false;
     /// Why the response could not be written; empty otherwise.
     std::string reason;
 };
@@ -119,7 +117,7 @@
     [[nodiscard]] bool useChunkedEncoding() const { return request_.version() >= 11; }
     /// Returns the result of a stream that ends after part of it was forwarded to the caller, whose
     /// connection must then be closed.
-    [[nodiscard]] ExchangeResult cutStream(std::string_view outcome) const;
+    [[nodiscard]] static ExchangeResult cutStream(std::string_view outcome);
     void recordOutcome(AttemptResult end);
     /// Records the size of the response body read so far; returns false if all bodies together take
     /// too much memory for one of this size.
