Gateway: Keep crash records in the store across restarts of all nodes

Before the fix all five tests of CrashRecordSyncTest failed: each restarted node answered 502 instead of 503, and in the first case 5 servers had crashed instead of 3.

CrashRecordKeeper decides, without I/O, when to read and write one object in the store and what to write: the union of what was read and what the node knows. The node that observed a crash writes; others do so five to ten seconds later if the store still lacks something. Nodes read the object before they apply their first configuration, so they know the denied requests before they serve any. What a node knows itself corrects the ages when wall clocks differ, and CrashHistory recognises an observation by its number, since the time of the same crash may then differ by seconds.

--- a/Source/Gateway/DigestExchange.cpp
+++ b/Source/Gateway/DigestExchange.cpp
@@ -145,6 +145,11 @@
     return names;
 }
 
+bool DigestExchange::hearsAllPeers(Instant now) const
+{
+    return liveNodes(now).size() > peers_.size();
+}
+
 void DigestExchange::receive()
 {
     socket_.async_receive_from(asio::buffer(buffer_), sender_,
--- a/Source/Gateway/DigestExchange.h
+++ b/Source/Gateway/DigestExchange.h
@@ -36,6 +36,8 @@
     std::function<void()> onPeerStarted = [] {};
     /// Names of the nodes from which a digest arrived recently, and of this node.
     [[nodiscard]] std::vector<std::string> liveNodes(Instant now) const;
+    /// True if a digest arrived recently from each listed node.
+    [[nodiscard]] bool hearsAllPeers(Instant now) const;
 
 private:
     void receive();
--- a/Source/Gateway/Gateway.cpp
+++ b/Source/Gateway/Gateway.cpp
@@ -20,6 +20,7 @@
 #include "FleetPeers/FleetRoles.h"
 #include "Gateway/BootClock.h"
 #include "Gateway/CacheEventReader.h"
+#include "Gateway/CrashRecordSync.h"
 #include "Gateway/DigestExchange.h"
 #include "Gateway/Listener.h"
 #include "Gateway/Pause.h"
@@ -133,6 +134,11 @@
               controlContext, store,
               { .kind = platform::ObjectKind::Nodes, .name = "nodes", .watchWait = NodesWait },
               [this](const ObjectTable &table) { onNodesChanged(table); }, [](BootInstant) {})
+        , crashRecords(
+              controlContext, store,
+              { .reporter = traffic.crashReporter, .seed = traffic.crashReporter },
+              [this](std::vector<CrashRecord> records) { onCrashRecordsRead(std::move(records)); },
+              [this] { applyHeldConfiguration(); })
         , boot(wallMilliseconds())
         , digests(traffic, boot)
         , rollout(
@@ -158,7 +164,12 @@
     void run();
     void sweep();
     void onConfigurationChanged(const ObjectTable &table);
+    /// Applies the configuration that was received before the crash records were read.
+    void applyHeldConfiguration();
     void onConfigurationConfirmed(BootInstant moment);
+    void onCrashRecordsRead(std::vector<CrashRecord> records);
+    /// Passes the crash records that must outlast a restart of all nodes to the control thread.
+    void reportCrashRecords();
     void onServersChanged(const ObjectTable &table);
     void onDesiredWeightsChanged(const ObjectTable &table);
     void onNodesChanged(const ObjectTable &table);
@@ -189,12 +200,18 @@
     StoreSync servers;
     StoreSync weights;
     StoreSync nodes;
+    CrashRecordSync crashRecords;
     std::int64_t boot;
     DigestExchange digests;
     RolloutDriver rollout;
     CacheEventReader cacheEventReader;
     /// Used by the control thread only.
     std::map<std::string, DecodedServer> decodedServers;
+    /// Used by the control thread only.
+    std::optional<ObjectTable> heldConfiguration;
+    /// What was last reported to the control thread; used by the traffic thread only.
+    bool crashRecordsReported = false;
+    bool peersMissingReported = false;
     /// Caches whose owner node is this node; used by the traffic thread only.
     std::map<ServerId, std::string> ownedCaches;
     unsigned sweeps = 0;
@@ -251,6 +268,8 @@
                                    }),
                        asio::detached);
     }
+    configuration.onRegained = [this] { crashRecords.noteStoreRegained(); };
+    asio::co_spawn(controlContext, crashRecords.run(), asio::detached);
     asio::co_spawn(controlContext, configuration.run(), asio::detached);
     asio::co_spawn(controlContext, servers.run(), asio::detached);
     asio::co_spawn(controlContext, weights.run(), asio::detached);
@@ -277,6 +296,7 @@
         metrics.setConfigurationAge(*age);
     }
     reportToRollout();
+    reportCrashRecords();
     if (++sweeps % SweepsPerAssignment == 0) {
         assignCaches();
     }
@@ -297,6 +317,11 @@
 
 void Gateway::Parts::onConfigurationChanged(const ObjectTable &table)
 {
+    // No request is served before the node knows which ones are denied.
+    if (!crashRecords.attempted()) {
+        heldConfiguration = table;
+        return;
+    }
     const auto found = table.find(std::string(platform::configurationName()));
     if (found == table.end()) {
         return;
@@ -313,6 +338,41 @@
                });
 }
 
+void Gateway::Parts::applyHeldConfiguration()
+{
+    if (heldConfiguration.has_value()) {
+        const ObjectTable table = std::move(*heldConfiguration);
+        heldConfiguration.reset();
+        onConfigurationChanged(table);
+    }
+}
+
+void Gateway::Parts::onCrashRecordsRead(std::vector<CrashRecord> records)
+{
+    asio::post(trafficContext, [this, records = std::move(records)] {
+        traffic.mergeCrashes(records, std::chrono::steady_clock::now());
+    });
+}
+
+void Gateway::Parts::reportCrashRecords()
+{
+    const Instant now = std::chrono::steady_clock::now();
+    const bool peersMissing = !digests.hearsAllPeers(now);
+    std::vector<CrashRecord> records;
+    if (!traffic.crashHistory.empty()) {
+        records = traffic.crashHistory.recordsToKeep(now, MaxKeptReports);
+    }
+    if (records.empty() && !crashRecordsReported && peersMissing == peersMissingReported) {
+        return;
+    }
+    crashRecordsReported = !records.empty();
+    peersMissingReported = peersMissing;
+    asio::post(controlContext, [this, peersMissing, records = std::move(records)]() mutable {
+        crashRecords.setPeersMissing(peersMissing);
+        crashRecords.setLocal(std::move(records));
+    });
+}
+
 void Gateway::Parts::onConfigurationConfirmed(BootInstant moment)
 {
     asio::post(trafficContext, [this, moment] { traffic.freshness.confirm(moment); });
--- a/Source/Gateway/StoreSync.cpp
+++ b/Source/Gateway/StoreSync.cpp
@@ -153,6 +153,7 @@
     reachable_ = reachable;
     if (reachable) {
         logLine(LogLevel::Info, "store_regained", { { "objects", options_.name } });
+        onRegained();
     } else {
         logLine(LogLevel::Warning, "store_lost",
                 { { "objects", options_.name }, { "reason", reason } });
--- a/Source/Gateway/StoreSync.h
+++ b/Source/Gateway/StoreSync.h
@@ -47,6 +47,8 @@
     [[nodiscard]] boost::asio::awaitable<void> run();
     /// Changes the minimum pause between two watches.
     void setMinimumPause(Duration minimumPause) { options_.minimumPause = minimumPause; }
+    /// Called when the store responds again after a time in which it didn't.
+    std::function<void()> onRegained = [] {};
 
 private:
     /// Lists and watches the objects; never ends except by an exception.
--- a/Source/Gateway/TrafficState.cpp
+++ b/Source/Gateway/TrafficState.cpp
@@ -69,8 +69,8 @@
     , pool({ .zone = ZoneId(settings.zone),
              .outdatedWeightsGrace = settings.weightsLimit - WeightsMargin })
     , retryBudget(retryBudgetOptions(settings, MinNodes))
-    , crashHistory({ .reporter = mix64(hash64(settings.name),
-                                       static_cast<std::uint64_t>(wallMilliseconds())) })
+    , crashReporter(mix64(hash64(settings.name), static_cast<std::uint64_t>(wallMilliseconds())))
+    , crashHistory({ .reporter = crashReporter })
     , crashDetector(ioContext)
     , currentSettings_(settings)
 {
--- a/Source/Gateway/TrafficState.h
+++ b/Source/Gateway/TrafficState.h
@@ -66,7 +66,8 @@
     void applyConfiguration(std::shared_ptr<const RouteTable> routes);
     /// Applies the platform's complete list of servers; servers missing from it are removed.
     void applyServers(const std::vector<ListedServer> &servers, Instant now);
-    /// Applies a peer's records of requests that were running on servers that crashed.
+    /// Applies records of requests that were running on servers that crashed, from a peer or from
+    /// the store.
     void mergeCrashes(std::span<const CrashRecord> records, Instant now);
 
     boost::asio::io_context &context;
@@ -80,6 +81,8 @@
     ConnectionPool connections;
     AttemptBudget retryBudget;
     QueueLimit queueLimit { {} };
+    /// Hash of the name and the boot of this node, as the reporter of crashes.
+    const std::uint64_t crashReporter;
     CrashHistory crashHistory;
     CrashDetector crashDetector;
 
--- a/Source/Quarantine/CrashHistory.h
+++ b/Source/Quarantine/CrashHistory.h
@@ -110,6 +110,10 @@
     /// peers: this node's own observations several times after each change, and requests with
     /// several crashes repeatedly. The other records follow with the next calls.
     [[nodiscard]] std::vector<CrashRecord> takeRecords(Instant now, std::size_t maxReports);
+    /// Returns what has to outlast a restart of all nodes: the counted and cleared crashes of
+    /// requests that have had two or more of these, the most important requests first, with up to
+    /// `maxReports` reports.
+    [[nodiscard]] std::vector<CrashRecord> recordsToKeep(Instant now, std::size_t maxReports) const;
     /// Makes all records due, as when a peer has just started.
     void resendAll();
 
@@ -154,6 +158,8 @@
     /// the times, which differ a little between the nodes.
     [[nodiscard]] static std::tuple<bool, std::uint64_t, std::uint32_t>
     keepOrder(const Crash &crash);
+    /// Returns a crash as it is sent to the peers.
+    [[nodiscard]] static CrashReport report(const Crash &crash, Instant now);
     /// Returns the crashes as they are sent to the peers.
     [[nodiscard]] static std::vector<CrashReport> reports(const Entry &entry, Instant now);
     [[nodiscard]] CrashAssessment assess(const Entry &entry, Instant now) const;
--- a/Tests/Gateway/StoreStandIn.cpp
+++ b/Tests/Gateway/StoreStandIn.cpp
@@ -10,6 +10,14 @@
 
 namespace {
 
+constexpr std::string_view Prefix = "/-/objects/";
+
+std::string kindOf(const std::string &target)
+{
+    const std::string path = target.substr(0, target.find('?')).substr(Prefix.size());
+    return path.substr(0, path.find('/'));
+}
+
 std::string parameter(const std::string &target, const std::string &name)
 {
     const auto query = target.find('?');
@@ -24,7 +32,8 @@
 } // namespace
 
 StoreStandIn::StoreStandIn()
-    : server_([this](ScriptedConnection &connection) { serve(connection); })
+    : server_([this](ScriptedConnection &connection) { serve(connection, false); })
+    , rejectingServer_([this](ScriptedConnection &connection) { serve(connection, true); })
 { }
 
 StoreStandIn::~StoreStandIn()
@@ -55,13 +64,43 @@
     unresponsive_ = true;
 }
 
+void StoreStandIn::resumeResponding()
+{
+    const std::lock_guard lock(mutex_);
+    unresponsive_ = false;
+}
+
+void StoreStandIn::loseResponses(const std::string &kind, int count)
+{
+    const std::lock_guard lock(mutex_);
+    responsesToLose_[kind] = count;
+}
+
+int StoreStandIn::writes(const std::string &kind)
+{
+    const std::lock_guard lock(mutex_);
+    return writes_[kind];
+}
+
 Json::Value StoreStandIn::spec(const std::string &kind, const std::string &name)
 {
     const std::lock_guard lock(mutex_);
     return objects_[kind].contains(name) ? objects_[kind][name]["spec"] : Json::Value();
 }
 
-void StoreStandIn::serve(ScriptedConnection &connection)
+bool StoreStandIn::noteWrite(const http::request<http::string_body> &request)
+{
+    const std::string kind = kindOf(std::string(request.target().data(), request.target().size()));
+    const std::lock_guard lock(mutex_);
+    ++writes_[kind];
+    if (responsesToLose_[kind] == 0) {
+        return false;
+    }
+    --responsesToLose_[kind];
+    return true;
+}
+
+void StoreStandIn::serve(ScriptedConnection &connection, bool rejectsWrites)
 {
     http::request<http::string_body> request;
     while (connection.read(request)) {
@@ -71,13 +110,18 @@
                 continue;
             }
         }
-        connection.write(respond(request));
+        const bool isWrite = request.method() != http::verb::get;
+        const bool loseResponse = isWrite && noteWrite(request);
+        const std::string response
+            = isWrite && rejectsWrites ? responseText(503, "", "{}") : respond(request);
+        if (!loseResponse) {
+            connection.write(response);
+        }
     }
 }
 
 std::string StoreStandIn::respond(const http::request<http::string_body> &request)
 {
-    constexpr std::string_view Prefix = "/-/objects/";
     const std::string target(request.target().data(), request.target().size());
     std::string path = target.substr(0, target.find('?')).substr(Prefix.size());
     const auto slash = path.find('/');
--- a/Tests/Gateway/StoreStandIn.h
+++ b/Tests/Gateway/StoreStandIn.h
@@ -28,8 +28,18 @@
     void put(const std::string &kind, const std::string &name, const Json::Value &spec);
     /// Removes an object.
     void remove(const std::string &kind, const std::string &name);
+    /// Address at which writes are rejected and reads are served, as for a node that the store
+    /// turns away.
+    [[nodiscard]] std::string rejectingAddress() const { return rejectingServer_.address(); }
     /// Leaves every further call without a response.
     void stopResponding();
+    /// Responds to further calls again.
+    void resumeResponding();
+    /// Applies further writes to objects of this kind but leaves the next `count` of them without a
+    /// response.
+    void loseResponses(const std::string &kind, int count);
+    /// Number of writes of this kind that were applied or rejected.
+    [[nodiscard]] int writes(const std::string &kind);
     /// Returns the spec of an object; null if it does not exist.
     [[nodiscard]] Json::Value spec(const std::string &kind, const std::string &name);
 
@@ -42,7 +52,10 @@
         bool removed;
     };
 
-    void serve(ScriptedConnection &connection);
+    void serve(ScriptedConnection &connection, bool rejectsWrites);
+    /// Counts a write; returns true if its response is to be lost.
+    [[nodiscard]] bool
+    noteWrite(const boost::beast::http::request<boost::beast::http::string_body> &request);
     [[nodiscard]] std::string
     respond(const boost::beast::http::request<boost::beast::http::string_body> &request);
     [[nodiscard]] std::string watch(const std::string &kind, std::uint64_t revision,
@@ -58,7 +71,10 @@
     bool stopping_ = false;
     std::map<std::string, std::map<std::string, Json::Value>> objects_;
     std::vector<Change> changes_;
+    std::map<std::string, int> writes_;
+    std::map<std::string, int> responsesToLose_;
     ScriptedServer server_;
+    ScriptedServer rejectingServer_;
 };
 
 } // namespace jacinthroad
