Gateway: Log how many crash records a starting node has read

Without the line nobody could tell from a node's log whether it knew the records of before a restart.

--- a/Source/Gateway/CrashRecordSync.cpp
+++ b/Source/Gateway/CrashRecordSync.cpp
@@ -111,6 +111,11 @@
     std::vector<CrashRecord> records
         = keeper_.noteRead(call, content, object->revision, steadyNow(), wallMilliseconds());
     if (!records.empty()) {
+        if (!attempted_) {
+            logLine(LogLevel::Info, "crash_records_read",
+                    { { "object", ObjectName },
+                      { "records", static_cast<std::int64_t>(records.size()) } });
+        }
         mergeHandler_(std::move(records));
     }
     return true;
