Quarantine: Deny prompt parts that crash one server after another

Callers of sound requests lost them in server after server, because requests that share one deadly prompt part were sent on for as long as they came.

Cause: crashes were counted for whole requests only, and no two of these requests are alike. Each shared part now has a record of its own in the crash history, under a hash of model and part, which the digests carry as before, with the part's position. Only requests that had not sent events for 250 ms count against their parts; such a run, or one that succeeds, clears them. A crash that a denied part explains counts for nothing else, so the common first part isn't denied with the deadly one. Crashes of an outage, and those of parts beside which most other servers crash, count less. After a denial one node makes a trial.

--- a/Source/FleetPeers/NodeDigest.cpp
+++ b/Source/FleetPeers/NodeDigest.cpp
@@ -9,12 +9,12 @@
 namespace {
 
 /// First element of every digest; digests of other versions are ignored.
-constexpr std::uint32_t FormatVersion = 3;
+constexpr std::uint32_t FormatVersion = 4;
 constexpr std::uint32_t DigestFields = 10;
 constexpr std::uint32_t EchoFields = 3;
 constexpr std::uint32_t DesiredWeightsFields = 3;
 constexpr std::uint32_t UpdateFields = 11;
-constexpr std::uint32_t CrashRecordFields = 2;
+constexpr std::uint32_t CrashRecordFields = 3;
 constexpr std::uint32_t CrashReportFields = 6;
 
 std::string text(const msgpack::object &object)
@@ -109,8 +109,10 @@
         throw msgpack::type_error();
     }
     const msgpack::object *field = object.via.array.ptr;
-    CrashRecord record { .fingerprint = field[0].as<std::uint64_t>(), .crashes = {} };
-    const auto reports = field[1].as<std::vector<msgpack::object>>();
+    CrashRecord record { .fingerprint = field[0].as<std::uint64_t>(),
+                         .depth = field[1].as<std::uint8_t>(),
+                         .crashes = {} };
+    const auto reports = field[2].as<std::vector<msgpack::object>>();
     for (const msgpack::object &report : reports) {
         record.crashes.push_back(readCrashReport(report));
     }
@@ -163,6 +165,7 @@
     for (const CrashRecord &record : digest.crashes) {
         packer.pack_array(CrashRecordFields);
         packer.pack(record.fingerprint);
+        packer.pack(record.depth);
         packer.pack_array(static_cast<std::uint32_t>(record.crashes.size()));
         for (const CrashReport &report : record.crashes) {
             packer.pack_array(CrashReportFields);
--- a/Source/Gateway/CrashDetector.h
+++ b/Source/Gateway/CrashDetector.h
@@ -17,10 +17,22 @@
 
 namespace jacinthroad {
 
+/// A part of a prompt that several requests share.
+struct SharedPart
+{
+    /// Hash of model and identifier, under which nodes count crashes.
+    RequestFingerprint fingerprint = 0;
+    std::uint64_t id = 0;
+    /// Position in the prompt, from 1 on.
+    std::uint8_t depth = 1;
+};
+
 /// A request whose connection the server ended before its response was complete.
 struct LostRequest
 {
     RequestFingerprint fingerprint = 0;
+    /// The parts that may have crashed the server; none if it had been responding for some time.
+    std::vector<SharedPart> suspectParts;
     Instant sentAt;
     Instant lostAt;
 };
--- a/Source/Gateway/Exchange.cpp
+++ b/Source/Gateway/Exchange.cpp
@@ -421,6 +421,8 @@
           { "wait_ms", toMilliseconds(placement_.wait) },
           { "prompt_tokens", std::int64_t { placementRequest_.promptTokens } },
           { "shared_part", sharedPart },
+          { "quarantined_part",
+            quarantinedPart_.has_value() ? hexadecimal(*quarantinedPart_) : std::string() },
           { "team", team_ != nullptr ? std::string_view(team_->name.text()) : std::string_view() },
           { "fetched_from", placement_.fetchFrom },
           { "held_tokens", std::int64_t { placement_.cachedPromptTokens } },
--- a/Source/Gateway/Exchange.h
+++ b/Source/Gateway/Exchange.h
@@ -127,10 +127,16 @@
     [[nodiscard]] AttemptResult failure(Attempt &attempt, const boost::system::error_code &error);
     /// Returns the hash by which nodes recognize this request when a caller sends it again.
     [[nodiscard]] RequestFingerprint fingerprint();
+    /// Returns the parts of the prompt that other requests share.
+    [[nodiscard]] const std::vector<SharedPart> &sharedParts();
     /// Returns what may be done with this request after the crashes of servers that ran it.
     [[nodiscard]] CrashAssessment assessCrashes();
+    /// Records that the prompt parts of a request that the server is responding to crash no server.
+    void clearParts(Attempt &attempt);
+    /// Announces the trial of a prompt part whose denial has ended.
+    void noteTrial(Instant now);
     /// Passes on what the result of an attempt tells about crashes.
-    void noteCrashEvidence(const Attempt &attempt, AttemptResult end);
+    void noteCrashEvidence(Attempt &attempt, AttemptResult end);
     /// The retry delay to report if the expected queue wait is too long; nothing if the request can
     /// be sent.
     [[nodiscard]] std::optional<Duration> queueRefusalDelay(const Placement &placement) const;
@@ -174,6 +180,9 @@
     unsigned rejected_ = 0;
     DispatchRecord dispatchRecord_;
     std::optional<RequestFingerprint> fingerprint_;
+    std::optional<std::vector<SharedPart>> sharedParts_;
+    /// The denied part because of which the request was refused, for the log.
+    std::optional<std::uint64_t> quarantinedPart_;
     std::optional<GatewayResponse> response_;
     /// This exchange's part of the buffered response bytes of the node.
     std::size_t bufferedBytes_ = 0;
--- a/Source/Gateway/ExchangeAttempt.cpp
+++ b/Source/Gateway/ExchangeAttempt.cpp
@@ -49,6 +49,11 @@
 constexpr Duration UnresponsiveTimeout = milliseconds(1000);
 constexpr double UnresponsiveMsPerToken = 0.05;
 
+/// Time for which a server sends events after which the request's prompt parts don't crash it.
+constexpr Duration HarmlessTime = milliseconds(250);
+/// Keeps the hashes of prompt parts apart from those of requests.
+constexpr std::uint64_t PartHashSeed = 1;
+
 bool isEventStream(const http::response_header<> &header)
 {
     return boost::beast::iequals(header[http::field::content_type].substr(0, 17),
@@ -169,6 +174,7 @@
     attempt.sentAt = now;
     attempt.lastReceivedAt = now;
     ++sends_;
+    noteTrial(now);
     dispatchRecord_.noteStarted();
     // The server may respond before it has read the request, so writing and reading overlap.
     http::async_write(attempt.connection->socket, attempt.forwardedRequest,
@@ -369,6 +375,13 @@
         bytes = text.str();
     }
     lastEventAt_ = arrived;
+    if (attempt.firstEventAt == Instant()) {
+        attempt.firstEventAt = arrived;
+    }
+    attempt.lastEventAt = arrived;
+    if (arrived - attempt.firstEventAt >= HarmlessTime) {
+        clearParts(attempt);
+    }
     if (useChunkedEncoding()) {
         std::array<char, 24> chunkHeader {};
         std::snprintf(chunkHeader.data(), chunkHeader.size(), "%zx\r\n", events.size());
@@ -409,14 +422,65 @@
     return *fingerprint_;
 }
 
+const std::vector<SharedPart> &Exchange::sharedParts()
+{
+    if (!sharedParts_.has_value()) {
+        sharedParts_.emplace();
+        const std::uint64_t model = hash64(callerRequest_.model.text(), PartHashSeed);
+        for (const PromptPart &part : placementRequest_.parts) {
+            sharedParts_->push_back({ .fingerprint = mix64(model, part.id),
+                                      .id = part.id,
+                                      .depth = static_cast<std::uint8_t>(std::min<std::size_t>(
+                                          sharedParts_->size() + 1, WholeRequestDepth - 1)) });
+        }
+    }
+    return *sharedParts_;
+}
+
 CrashAssessment Exchange::assessCrashes()
 {
-    return state_.crashHistory.empty()
-        ? CrashAssessment()
-        : state_.crashHistory.assess(fingerprint(), std::chrono::steady_clock::now());
+    if (state_.crashHistory.empty()) {
+        return {};
+    }
+    const Instant now = std::chrono::steady_clock::now();
+    CrashAssessment result = state_.crashHistory.assess(fingerprint(), now);
+    quarantinedPart_.reset();
+    for (const SharedPart &part : sharedParts()) {
+        const CrashAssessment assessment = state_.crashHistory.assess(part.fingerprint, now);
+        if (assessment.permission == CrashPermission::Denied) {
+            quarantinedPart_ = part.id;
+        }
+        result.permission = std::max(result.permission, assessment.permission);
+        result.crashes = std::max(result.crashes, assessment.crashes);
+        result.remaining = std::max(result.remaining, assessment.remaining);
+    }
+    return result;
+}
+
+void Exchange::noteTrial(Instant now)
+{
+    if (state_.crashHistory.empty()) {
+        return;
+    }
+    for (const SharedPart &part : sharedParts()) {
+        if (state_.crashHistory.assess(part.fingerprint, now).trial) {
+            state_.crashHistory.noteTrial(part.fingerprint, now);
+        }
+    }
 }
 
-void Exchange::noteCrashEvidence(const Attempt &attempt, AttemptResult end)
+void Exchange::clearParts(Attempt &attempt)
+{
+    if (attempt.partsCleared || state_.crashHistory.empty()) {
+        return;
+    }
+    attempt.partsCleared = true;
+    for (const SharedPart &part : sharedParts()) {
+        state_.crashHistory.noteCompleted(part.fingerprint, std::chrono::steady_clock::now());
+    }
+}
+
+void Exchange::noteCrashEvidence(Attempt &attempt, AttemptResult end)
 {
     const Instant now = std::chrono::steady_clock::now();
     if (end == AttemptResult::Delivered || end == AttemptResult::ResponseReceived) {
@@ -425,6 +489,12 @@
         if (served && !state_.crashHistory.empty()) {
             state_.crashHistory.noteCompleted(fingerprint(), now);
         }
+        // A response that ends with its connection may have been broken off.
+        if (delimiter_ != BodyDelimiter::ConnectionClose
+            && (end == AttemptResult::Delivered || response_->result_int() < 300)) {
+            attempt.partsCleared = false;
+            clearParts(attempt);
+        }
         return;
     }
     if (!attempt.endedByServer) {
@@ -434,7 +504,13 @@
     const ListedServer *server = state_.pool.listed(attempt.placement.server);
     if (server != nullptr && !server->leaving) {
         state_.crashDetector.noteLoss(
-            *server, { .fingerprint = fingerprint(), .sentAt = attempt.sentAt, .lostAt = now });
+            *server,
+            { .fingerprint = fingerprint(),
+              .suspectParts = attempt.lastEventAt - attempt.firstEventAt < HarmlessTime
+                  ? sharedParts()
+                  : std::vector<SharedPart>(),
+              .sentAt = attempt.sentAt,
+              .lostAt = now });
     }
 }
 
--- a/Source/Gateway/ExchangeAttempt.h
+++ b/Source/Gateway/ExchangeAttempt.h
@@ -38,6 +38,10 @@
     Instant sentAt;
     Instant lastReceivedAt;
     bool firstByteReceived = false;
+    Instant firstEventAt;
+    Instant lastEventAt;
+    /// True if the response has cleared the prompt parts of earlier crashes.
+    bool partsCleared = false;
     /// True if the response was read completely and the connection can carry another request.
     bool reusable = false;
     std::uint32_t uncachedTokens = 0;
--- a/Source/Gateway/TrafficState.cpp
+++ b/Source/Gateway/TrafficState.cpp
@@ -31,6 +31,9 @@
 /// need slightly longer.
 constexpr Duration DrainAcceptTime = milliseconds(2800);
 
+/// Maximum number of parts whose identifiers are kept for the log.
+constexpr std::size_t MaxPartIds = 4096;
+
 Duration fractionOf(Duration whole, double fraction)
 {
     return fromMilliseconds(toMilliseconds(whole) * fraction);
@@ -50,14 +53,6 @@
              = settings.retryAllowance / static_cast<double>(std::max(MinNodes, nodes)) };
 }
 
-void logQuarantined(RequestFingerprint fingerprint, const CrashAssessment &assessment)
-{
-    logLine(LogLevel::Warning, "quarantined",
-            { { "fingerprint", hexadecimal(fingerprint) },
-              { "crashes", std::int64_t { assessment.crashes } },
-              { "remaining_ms", toMilliseconds(assessment.remaining) } });
-}
-
 } // namespace
 
 TrafficState::TrafficState(boost::asio::io_context &ioContext, const GatewaySettings &nodeSettings,
@@ -134,27 +129,75 @@
 void TrafficState::noteCrash(const ServerId &server, const LostRequest &loss)
 {
     const Instant now = std::chrono::steady_clock::now();
-    const bool wasDenied
-        = crashHistory.assess(loss.fingerprint, now).permission == CrashPermission::Denied;
-    if (!crashHistory.noteCrash(loss.fingerprint, hash64(server.text()), loss.sentAt, loss.lostAt,
-                                now)) {
-        return;
+    const std::uint64_t serverHash = hash64(server.text());
+    const auto denied = [&](RequestFingerprint fingerprint) {
+        return crashHistory.assess(fingerprint, now).permission == CrashPermission::Denied;
+    };
+    const bool requestDenied = denied(loss.fingerprint);
+    std::vector<SharedPart> newParts;
+    for (const SharedPart &part : loss.suspectParts) {
+        rememberPart(part);
+        const bool wasDenied = denied(part.fingerprint);
+        if (crashHistory.noteCrash(part.fingerprint, serverHash, loss.sentAt, loss.lostAt, now,
+                                   part.depth)
+            && !wasDenied) {
+            newParts.push_back(part);
+        }
+    }
+    const bool newRequest
+        = crashHistory.noteCrash(loss.fingerprint, serverHash, loss.sentAt, loss.lostAt, now);
+    // Only all crashes together tell which part explains them.
+    for (const SharedPart &part : newParts) {
+        const CrashAssessment assessment = crashHistory.assess(part.fingerprint, now);
+        if (assessment.crashes > 1) {
+            logLine(LogLevel::Warning, "part_crashed_server",
+                    { { "shared_part", hexadecimal(part.id) },
+                      { "server", server.text() },
+                      { "crashes", std::int64_t { assessment.crashes } } });
+        }
+        if (assessment.permission == CrashPermission::Denied) {
+            logQuarantined(
+                { .fingerprint = part.fingerprint, .depth = part.depth, .assessment = assessment });
+        }
     }
-    const CrashAssessment assessment = crashHistory.assess(loss.fingerprint, now);
-    logLine(LogLevel::Warning, "request_crashed_server",
-            { { "fingerprint", hexadecimal(loss.fingerprint) },
-              { "server", server.text() },
-              { "crashes", std::int64_t { assessment.crashes } } });
-    if (!wasDenied && assessment.permission == CrashPermission::Denied) {
-        logQuarantined(loss.fingerprint, assessment);
+    if (newRequest) {
+        const CrashAssessment assessment = crashHistory.assess(loss.fingerprint, now);
+        logLine(LogLevel::Warning, "request_crashed_server",
+                { { "fingerprint", hexadecimal(loss.fingerprint) },
+                  { "server", server.text() },
+                  { "crashes", std::int64_t { assessment.crashes } } });
+        if (!requestDenied && assessment.permission == CrashPermission::Denied) {
+            logQuarantined({ .fingerprint = loss.fingerprint, .assessment = assessment });
+        }
+    }
+    if (newRequest || !newParts.empty()) {
+        notifyPeersSoon();
     }
-    notifyPeersSoon();
+}
+
+void TrafficState::rememberPart(const SharedPart &part)
+{
+    if (partIds_.size() >= MaxPartIds) {
+        partIds_.clear();
+    }
+    partIds_.insert_or_assign(part.fingerprint, part.id);
+}
+
+void TrafficState::logQuarantined(const DeniedRequest &denied) const
+{
+    const bool isPart = denied.depth != WholeRequestDepth;
+    const auto id = partIds_.find(denied.fingerprint);
+    logLine(LogLevel::Warning, isPart ? "part_quarantined" : "quarantined",
+            { { "fingerprint", hexadecimal(denied.fingerprint) },
+              { "shared_part", id != partIds_.end() ? hexadecimal(id->second) : std::string() },
+              { "crashes", std::int64_t { denied.assessment.crashes } },
+              { "remaining_ms", toMilliseconds(denied.assessment.remaining) } });
 }
 
 void TrafficState::mergeCrashes(std::span<const CrashRecord> records, Instant now)
 {
     for (const DeniedRequest &denied : crashHistory.merge(records, now)) {
-        logQuarantined(denied.fingerprint, denied.assessment);
+        logQuarantined(denied);
     }
 }
 
--- a/Source/Gateway/TrafficState.h
+++ b/Source/Gateway/TrafficState.h
@@ -115,6 +115,8 @@
 private:
     /// Records that a server crashed while it ran a request.
     void noteCrash(const ServerId &server, const LostRequest &loss);
+    void rememberPart(const SharedPart &part);
+    void logQuarantined(const DeniedRequest &denied) const;
 
     /// The settings in effect, which a reload may have changed.
     GatewaySettings currentSettings_;
@@ -122,6 +124,8 @@
     std::shared_ptr<unsigned> activeRequests_ = std::make_shared<unsigned>(0);
     std::size_t nodeCount_ = 0;
     std::unordered_map<ServerId, bool> listedServers_;
+    /// Identifiers of the parts that this node has seen at crashes, for the log.
+    std::unordered_map<RequestFingerprint, std::uint64_t> partIds_;
 };
 
 } // namespace jacinthroad
--- a/Source/Quarantine/CrashHistory.cpp
+++ b/Source/Quarantine/CrashHistory.cpp
@@ -10,6 +10,13 @@
 /// Observations of one server within this time belong to one crash: a server needs some seconds to
 /// restart.
 constexpr Duration SameCrashTime = milliseconds(1500);
+/// Servers that crash within this time of each other crash together, and their minimum number in
+/// an outage.
+constexpr Duration OutageTime = milliseconds(150);
+constexpr std::size_t MinOutageServers = 3;
+/// Time after which another crash under a prompt part counts, although the request was sent before
+/// the previous one.
+constexpr Duration SeparateCrashTime = milliseconds(150);
 /// How much later than the previous crash a request must have been sent if another node observed
 /// that crash: the times of other nodes are late by the transit time of their messages.
 constexpr Duration TransitAllowance = milliseconds(150);
@@ -38,17 +45,26 @@
             < std::tie(b.crashedAt, b.sentAt, b.reporter, b.number);
     });
     entry.counted = 0;
+    entry.severalServers = false;
     const Crash *previous = nullptr;
     for (Crash &crash : entry.crashes) {
         entry.lastCrashAt = std::max(entry.lastCrashAt, crash.crashedAt);
-        crash.counts = !crash.cleared
+        crash.counts = !crash.cleared && !crash.explained
             && (previous == nullptr
+                || (entry.depth != WholeRequestDepth
+                    && crash.crashedAt >= previous->crashedAt + SeparateCrashTime)
                 || crash.sentAt >= previous->crashedAt
                         + (crash.reporter == previous->reporter ? Duration::zero()
                                                                 : TransitAllowance));
         if (crash.counts) {
             ++entry.counted;
+            if (previous == nullptr) {
+                entry.firstCountedAt = crash.crashedAt;
+            }
             entry.lastCountedAt = crash.crashedAt;
+            entry.lastReporter = crash.reporter;
+            entry.severalServers
+                = entry.severalServers || (previous != nullptr && previous->server != crash.server);
             previous = &crash;
         }
     }
@@ -96,7 +112,156 @@
     recount(entry);
 }
 
-CrashHistory::Entry &CrashHistory::entryFor(RequestFingerprint fingerprint)
+unsigned CrashHistory::crashesRequired(const Entry &entry) const
+{
+    if (entry.depth == WholeRequestDepth) {
+        return options_.crashesToDeny;
+    }
+    return std::max(entry.required,
+                    entry.severalServers ? options_.crashesToDeny
+                                         : options_.uncertainCrashesToDeny);
+}
+
+void CrashHistory::explainBy(const Entries::value_type &cause)
+{
+    std::unordered_multimap<std::uint64_t, Instant> explained;
+    for (const Crash &crash : cause.second.crashes) {
+        if (!crash.cleared) {
+            explained.emplace(crash.server, crash.crashedAt);
+        }
+    }
+    for (auto &[fingerprint, entry] : entries_) {
+        if (fingerprint == cause.first) {
+            continue;
+        }
+        bool changed = false;
+        for (Crash &crash : entry.crashes) {
+            const auto [first, last] = explained.equal_range(crash.server);
+            const bool same = std::any_of(first, last, [&](const auto &known) {
+                return std::chrono::abs(known.second - crash.crashedAt) < SameCrashTime;
+            });
+            changed = changed || (same && !crash.explained);
+            crash.explained = crash.explained || same;
+        }
+        if (changed) {
+            recount(entry);
+        }
+    }
+}
+
+void CrashHistory::compareWithOtherCrashes(const std::unordered_set<RequestFingerprint> &causes)
+{
+    std::vector<Entry *> parts;
+    for (auto &[fingerprint, entry] : entries_) {
+        if (causes.contains(fingerprint)) {
+            continue;
+        }
+        entry.required = 0;
+        if (entry.depth != WholeRequestDepth && incriminated(entry)) {
+            parts.push_back(&entry);
+        }
+    }
+    if (parts.empty()) {
+        return;
+    }
+    std::vector<std::pair<Instant, std::uint64_t>> crashes;
+    for (const auto &[fingerprint, entry] : entries_) {
+        for (const Crash &crash : entry.crashes) {
+            if (!crash.explained && !causes.contains(fingerprint)) {
+                crashes.emplace_back(crash.crashedAt, crash.server);
+            }
+        }
+    }
+    std::sort(crashes.begin(), crashes.end());
+    crashes.erase(std::unique(crashes.begin(), crashes.end()), crashes.end());
+    for (Entry *entry : parts) {
+        for (Crash &crash : entry->crashes) {
+            std::unordered_set<std::uint64_t> servers;
+            for (auto other = std::lower_bound(
+                     crashes.begin(), crashes.end(),
+                     std::pair<Instant, std::uint64_t>(crash.crashedAt - OutageTime, 0));
+                 other != crashes.end() && other->first <= crash.crashedAt + OutageTime; ++other) {
+                servers.insert(other->second);
+            }
+            std::unordered_set<std::uint64_t> own;
+            for (const Crash &other : entry->crashes) {
+                if (std::chrono::abs(other.crashedAt - crash.crashedAt) <= OutageTime) {
+                    own.insert(other.server);
+                }
+            }
+            crash.explained = crash.explained
+                || (servers.size() >= MinOutageServers && own.size() * 2 < servers.size());
+            hasCauses_ = hasCauses_ || crash.explained;
+        }
+        recount(*entry);
+        noteOthers(*entry, crashes);
+    }
+}
+
+void CrashHistory::noteOthers(Entry &entry,
+                              std::span<const std::pair<Instant, std::uint64_t>> crashes)
+{
+    // Times of one crash differ between the nodes.
+    std::unordered_map<std::uint64_t, Instant> lastOfServer;
+    std::size_t all = 0;
+    for (const auto &[crashedAt, server] : crashes) {
+        if (crashedAt < entry.firstCountedAt || crashedAt > entry.lastCountedAt) {
+            continue;
+        }
+        const auto [last, added] = lastOfServer.try_emplace(server, crashedAt);
+        if (added || crashedAt - last->second >= SameCrashTime) {
+            last->second = crashedAt;
+            ++all;
+        }
+    }
+    const auto own = static_cast<std::size_t>(
+        std::count_if(entry.crashes.begin(), entry.crashes.end(), [&](const Crash &crash) {
+            return !crash.explained && crash.crashedAt >= entry.firstCountedAt
+                && crash.crashedAt <= entry.lastCountedAt;
+        }));
+    entry.required = own * 2 < all ? options_.uncertainCrashesToDeny
+        : own < all                ? options_.partCrashesToDeny
+                                   : options_.crashesToDeny;
+    hasCauses_ = true;
+}
+
+void CrashHistory::explain()
+{
+    for (auto &[fingerprint, entry] : entries_) {
+        bool changed = false;
+        for (Crash &crash : entry.crashes) {
+            changed = changed || crash.explained;
+            crash.explained = false;
+        }
+        if (changed) {
+            recount(entry);
+        }
+    }
+    hasCauses_ = false;
+    std::unordered_set<RequestFingerprint> causes;
+    compareWithOtherCrashes(causes);
+    for (;;) {
+        const Entries::value_type *cause = nullptr;
+        for (const auto &candidate : entries_) {
+            const auto &[fingerprint, entry] = candidate;
+            if (incriminated(entry) && !causes.contains(fingerprint)
+                && (cause == nullptr
+                    || std::tie(entry.counted, entry.depth, fingerprint)
+                        > std::tie(cause->second.counted, cause->second.depth, cause->first))) {
+                cause = &candidate;
+            }
+        }
+        if (cause == nullptr) {
+            return;
+        }
+        hasCauses_ = true;
+        causes.insert(cause->first);
+        explainBy(*cause);
+        compareWithOtherCrashes(causes);
+    }
+}
+
+CrashHistory::Entry &CrashHistory::entryFor(RequestFingerprint fingerprint, std::uint8_t depth)
 {
     if (entries_.size() >= options_.capacity && !entries_.contains(fingerprint)) {
         const auto least
@@ -106,28 +271,27 @@
               });
         entries_.erase(least);
     }
-    return entries_[fingerprint];
+    const auto [entry, added] = entries_.try_emplace(fingerprint);
+    entry->second.depth = added ? depth : std::max(entry->second.depth, depth);
+    return entry->second;
 }
 
 void CrashHistory::removeExpired(Instant now)
 {
-    for (auto entry = entries_.begin(); entry != entries_.end();) {
-        auto &crashes = entry->second.crashes;
-        if (std::erase_if(
-                crashes,
-                [&](const Crash &crash) { return now - crash.crashedAt > options_.retention; })
-            > 0) {
-            recount(entry->second);
-        }
-        entry = crashes.empty() ? entries_.erase(entry) : std::next(entry);
+    // Single crashes of an entry don't expire, so that it stays denied while it crashes servers.
+    const auto expired = std::erase_if(entries_, [&](const auto &entry) {
+        return now - entry.second.lastCrashAt > options_.retention;
+    });
+    if (expired > 0) {
+        explain();
     }
 }
 
 bool CrashHistory::noteCrash(RequestFingerprint fingerprint, std::uint64_t server, Instant sentAt,
-                             Instant crashedAt, Instant now)
+                             Instant crashedAt, Instant now, std::uint8_t depth)
 {
     removeExpired(now);
-    Entry &entry = entryFor(fingerprint);
+    Entry &entry = entryFor(fingerprint, depth);
     const bool added = add(entry,
                            { .reporter = options_.reporter,
                              .number = ++nextNumber_,
@@ -137,6 +301,9 @@
     if (added) {
         entry.pendingSends = SendsPerChange;
     }
+    if (mustExplain(entry)) {
+        explain();
+    }
     return added;
 }
 
@@ -157,19 +324,41 @@
     if (changed) {
         recount(entry);
         entry.pendingSends = SendsPerChange;
+        explain();
+    }
+}
+
+void CrashHistory::noteTrial(RequestFingerprint fingerprint, Instant now)
+{
+    const auto found = entries_.find(fingerprint);
+    if (found != entries_.end()) {
+        found->second.trialAt = now;
     }
 }
 
 CrashAssessment CrashHistory::assess(const Entry &entry, Instant now) const
 {
     CrashAssessment assessment { .crashes = entry.counted };
-    const Duration remaining = entry.lastCountedAt + options_.denialTime - now;
-    if (entry.counted >= options_.crashesToDeny && remaining > Duration::zero()) {
-        assessment.permission = CrashPermission::Denied;
-        assessment.remaining = remaining;
-    } else if (entry.counted >= options_.crashesToRefuseRetry) {
-        assessment.permission = CrashPermission::WithoutRetry;
+    if (!incriminated(entry)) {
+        if (entry.counted >= options_.crashesToRefuseRetry) {
+            assessment.permission = CrashPermission::WithoutRetry;
+        }
+        return assessment;
+    }
+    const bool isPart = entry.depth != WholeRequestDepth;
+    const Duration denialTime = isPart && entry.counted <= crashesRequired(entry)
+        ? options_.firstPartDenialTime
+        : options_.denialTime;
+    Instant until = entry.lastCountedAt + denialTime;
+    if (isPart) {
+        // Only the node that saw the last crash makes trials, so that nodes needn't agree on them.
+        until = entry.lastReporter == options_.reporter
+            ? std::max(until, entry.trialAt + options_.trialInterval)
+            : entry.lastCrashAt + options_.retention;
+        assessment.trial = until <= now;
     }
+    assessment.permission = until > now ? CrashPermission::Denied : CrashPermission::WithoutRetry;
+    assessment.remaining = std::max(until - now, Duration::zero());
     return assessment;
 }
 
@@ -181,31 +370,41 @@
 
 std::vector<DeniedRequest> CrashHistory::merge(std::span<const CrashRecord> records, Instant now)
 {
-    std::vector<DeniedRequest> denied;
+    bool changed = false;
+    std::vector<RequestFingerprint> notDenied;
     for (const CrashRecord &record : records) {
-        std::vector<Crash> received;
-        for (const CrashReport &report : record.crashes) {
-            const Instant crashedAt = now - milliseconds(report.crashAgeMs);
-            if (now - crashedAt <= options_.retention) {
-                received.push_back({ .reporter = report.reporter,
-                                     .number = report.number,
-                                     .server = report.server,
-                                     .sentAt = now - milliseconds(report.sentAgeMs),
-                                     .crashedAt = crashedAt,
-                                     .cleared = report.cleared });
-            }
-        }
-        if (received.empty()) {
+        const bool recent = std::any_of(
+            record.crashes.begin(), record.crashes.end(), [&](const CrashReport &report) {
+                return milliseconds(report.crashAgeMs) <= options_.retention;
+            });
+        if (!recent) {
             continue;
         }
-        Entry &entry = entryFor(record.fingerprint);
-        const bool wasDenied = assess(entry, now).permission == CrashPermission::Denied;
-        for (const Crash &crash : received) {
-            static_cast<void>(add(entry, crash));
+        if (assess(record.fingerprint, now).permission != CrashPermission::Denied) {
+            notDenied.push_back(record.fingerprint);
+        }
+        Entry &entry = entryFor(record.fingerprint, record.depth);
+        for (const CrashReport &report : record.crashes) {
+            static_cast<void>(add(entry,
+                                  { .reporter = report.reporter,
+                                    .number = report.number,
+                                    .server = report.server,
+                                    .sentAt = now - milliseconds(report.sentAgeMs),
+                                    .crashedAt = now - milliseconds(report.crashAgeMs),
+                                    .cleared = report.cleared }));
         }
-        const CrashAssessment assessment = assess(entry, now);
-        if (!wasDenied && assessment.permission == CrashPermission::Denied) {
-            denied.push_back({ .fingerprint = record.fingerprint, .assessment = assessment });
+        changed = changed || mustExplain(entry);
+    }
+    if (changed) {
+        explain();
+    }
+    std::vector<DeniedRequest> denied;
+    for (const RequestFingerprint fingerprint : notDenied) {
+        const CrashAssessment assessment = assess(fingerprint, now);
+        if (assessment.permission == CrashPermission::Denied) {
+            denied.push_back({ .fingerprint = fingerprint,
+                               .depth = entries_.at(fingerprint).depth,
+                               .assessment = assessment });
         }
     }
     return denied;
@@ -239,7 +438,9 @@
     std::size_t left = maxReports;
     for (auto *item : due) {
         Entry &entry = item->second;
-        CrashRecord record { .fingerprint = item->first, .crashes = reports(entry, now) };
+        CrashRecord record { .fingerprint = item->first,
+                             .depth = entry.depth,
+                             .crashes = reports(entry, now) };
         if (!records.empty() && record.crashes.size() > left) {
             break;
         }
--- a/Source/Quarantine/CrashHistory.h
+++ b/Source/Quarantine/CrashHistory.h
@@ -5,6 +5,7 @@
 #include <span>
 #include <tuple>
 #include <unordered_map>
+#include <unordered_set>
 #include <vector>
 
 #include "Core/Time.h"
@@ -30,10 +31,16 @@
     bool cleared = false;
 };
 
-/// The crashes of backend servers that ran one request, as exchanged between nodes.
+/// Depth of a fingerprint that stands for a whole request.
+constexpr std::uint8_t WholeRequestDepth = 255;
+
+/// The crashes of backend servers that ran one request, or that began to respond to requests with
+/// one shared prompt part, as exchanged between nodes.
 struct CrashRecord
 {
     RequestFingerprint fingerprint = 0;
+    /// Position of the part in the prompt, from 1 on; WholeRequestDepth for a request.
+    std::uint8_t depth = WholeRequestDepth;
     std::vector<CrashReport> crashes;
 };
 
@@ -46,7 +53,7 @@
     Denied,
 };
 
-/// The assessment of a request by CrashHistory.
+/// The assessment of a request or prompt part by CrashHistory.
 struct CrashAssessment
 {
     CrashPermission permission = CrashPermission::Unrestricted;
@@ -54,12 +61,16 @@
     unsigned crashes = 0;
     /// Time until the request may run again if it is denied; 0 otherwise.
     Duration remaining {};
+    /// True if sending the request is the trial of a part whose denial has ended; it must then be
+    /// announced by CrashHistory::noteTrial.
+    bool trial = false;
 };
 
-/// A request that became denied.
+/// A request or prompt part that became denied.
 struct DeniedRequest
 {
     RequestFingerprint fingerprint = 0;
+    std::uint8_t depth = WholeRequestDepth;
     CrashAssessment assessment;
 };
 
@@ -72,22 +83,35 @@
     unsigned crashesToRefuseRetry = 2;
     /// Counted crashes from which a request is denied.
     unsigned crashesToDeny = 3;
-    /// How long a request is denied after its last counted crash.
+    /// The same for a part if some servers crashed meanwhile without it.
+    unsigned partCrashesToDeny = 4;
+    /// Counted crashes from which a part is denied if all of them were on one server, or if most
+    /// of the servers that crashed meanwhile did so without the part.
+    unsigned uncertainCrashesToDeny = 5;
+    /// How long a request or part is denied after its last counted crash.
     Duration denialTime = std::chrono::minutes(10);
-    /// How long a crash is kept. A request that crashes a server again after its denial has ended
-    /// is denied again at once.
+    /// The same for a part that has crashed no server since it was first denied.
+    Duration firstPartDenialTime = std::chrono::seconds(30);
+    /// Time between two trials of a part after its denial.
+    Duration trialInterval = std::chrono::seconds(30);
+    /// How long the crashes of a request are kept after the last one. A request that crashes a
+    /// server again after its denial has ended is denied again at once.
     Duration retention = std::chrono::minutes(30);
-    /// Maximum number of requests that are kept.
-    std::size_t capacity = 2048;
+    /// Maximum number of requests and parts that are kept.
+    std::size_t capacity = 4096;
 };
 
 /// Remembers which requests were running on backend servers that crashed, and denies those that
-/// crash one server after another. The nodes exchange their observations; each node's state is the
-/// union of all observations, so the messages may be lost, doubled, delayed and reordered.
+/// crash one server after another; the same for shared prompt parts, whose requests differ. The
+/// nodes exchange their observations; each node's state is the union of all observations, so the
+/// messages may be lost, doubled, delayed and reordered.
 ///
-/// A crash counts only if the request was sent after the previous counted crash. Copies of a
+/// A crash counts only if the request was sent after the previous counted crash; one of a part also
+/// if some time has passed since that crash. Copies of a
 /// popular request that run on several servers when these fail together therefore count once, as
-/// does one crash that several nodes observe. A run that completes clears all crashes before it.
+/// does one crash that several nodes observe. A run that completes clears all crashes before it. A
+/// crash that a denied request or part explains counts for nothing else: those with the most
+/// crashes are denied first, and of these the one that stands deepest in the prompt.
 /// Does no I/O; the caller passes the time.
 class CrashHistory
 {
@@ -98,12 +122,15 @@
     /// ran a request that was sent at `sentAt`. Returns false if the crash is known for this
     /// fingerprint, also from a peer.
     [[nodiscard]] bool noteCrash(RequestFingerprint fingerprint, std::uint64_t server,
-                                 Instant sentAt, Instant crashedAt, Instant now);
-    /// Records that the request ran completely.
+                                 Instant sentAt, Instant crashedAt, Instant now,
+                                 std::uint8_t depth = WholeRequestDepth);
+    /// Records that the request ran completely, or that the part did not crash a server.
     void noteCompleted(RequestFingerprint fingerprint, Instant now);
+    /// Records that a request is sent as the trial of a part.
+    void noteTrial(RequestFingerprint fingerprint, Instant now);
     /// Returns what may be done with the request now.
     [[nodiscard]] CrashAssessment assess(RequestFingerprint fingerprint, Instant now) const;
-    /// Merges the records of a peer and returns the requests that became denied.
+    /// Merges the records of a peer and returns the requests and parts that became denied.
     [[nodiscard]] std::vector<DeniedRequest> merge(std::span<const CrashRecord> records,
                                                    Instant now);
     /// Returns one record or more with up to `maxReports` reports that are due to be sent to the
@@ -115,7 +142,7 @@
 
     /// True if no request was running during any crash.
     [[nodiscard]] bool empty() const { return entries_.empty(); }
-    /// Number of requests that are kept.
+    /// Number of requests and parts that are kept.
     [[nodiscard]] std::size_t size() const { return entries_.size(); }
 
 private:
@@ -127,23 +154,37 @@
         Instant sentAt;
         Instant crashedAt;
         bool cleared = false;
-        /// True if the request was sent after the previous counted crash.
+        /// True if a denied request or part explains the crash, or an outage of several servers.
+        bool explained = false;
+        /// True if the crash is independent of the previous counted one.
         bool counts = false;
     };
 
     struct Entry
     {
+        std::uint8_t depth = WholeRequestDepth;
         std::vector<Crash> crashes;
         /// Counted crashes, and the time of the last one.
         unsigned counted = 0;
         Instant lastCountedAt;
+        /// The node that observed the last counted crash, and whether the counted ones were on
+        /// more than one server.
+        std::uint64_t lastReporter = 0;
+        bool severalServers = false;
+        Instant firstCountedAt;
+        /// Counted crashes from which a part is denied, given the other crashes meanwhile.
+        unsigned required = 0;
         /// Time of the last crash, counted or not.
         Instant lastCrashAt;
+        /// Time of this node's last trial.
+        Instant trialAt;
         /// How many times the record is still to be sent because of its last change.
         unsigned pendingSends = 0;
         Instant sentAt;
     };
 
+    using Entries = std::unordered_map<RequestFingerprint, Entry>;
+
     /// Marks the crashes that count, and updates the totals.
     static void recount(Entry &entry);
     /// Adds a crash; returns false if it was known. Several observations of one crash become one
@@ -156,14 +197,38 @@
     keepOrder(const Crash &crash);
     /// Returns the crashes as they are sent to the peers.
     [[nodiscard]] static std::vector<CrashReport> reports(const Entry &entry, Instant now);
+    /// Marks the crashes of incriminated parts that belong to an outage: several servers crashed
+    /// at the same time, most of them without the part. Sets how many crashes of a part are
+    /// required, which depends on the servers that crashed meanwhile without it. The crashes that
+    /// `causes` explain are left out.
+    void compareWithOtherCrashes(const std::unordered_set<RequestFingerprint> &causes);
+    /// Sets Entry::required by the times and servers of all crashes.
+    void noteOthers(Entry &entry, std::span<const std::pair<Instant, std::uint64_t>> crashes);
+    /// Marks the crashes that denied requests and parts explain.
+    void explain();
+    /// Marks the crashes of other entries that `cause` explains.
+    void explainBy(const Entries::value_type &cause);
+    /// True if a change of the entry can change what is denied.
+    [[nodiscard]] bool mustExplain(const Entry &entry) const
+    {
+        return hasCauses_ || incriminated(entry);
+    }
+    /// Counted crashes from which the entry is denied.
+    [[nodiscard]] unsigned crashesRequired(const Entry &entry) const;
+    [[nodiscard]] bool incriminated(const Entry &entry) const
+    {
+        return entry.counted >= crashesRequired(entry);
+    }
     [[nodiscard]] CrashAssessment assess(const Entry &entry, Instant now) const;
     [[nodiscard]] bool isDue(const Entry &entry, Instant now) const;
-    [[nodiscard]] Entry &entryFor(RequestFingerprint fingerprint);
+    [[nodiscard]] Entry &entryFor(RequestFingerprint fingerprint, std::uint8_t depth);
     void removeExpired(Instant now);
 
     CrashHistoryOptions options_;
     std::uint32_t nextNumber_ = 0;
-    std::unordered_map<RequestFingerprint, Entry> entries_;
+    Entries entries_;
+    /// True if an entry is incriminated or a crash explained.
+    bool hasCauses_ = false;
 };
 
 } // namespace jacinthroad
--- a/Tests/Gateway/CrashingRequestTest.cpp
+++ b/Tests/Gateway/CrashingRequestTest.cpp
@@ -3,6 +3,7 @@
 
 #include <boost/test/unit_test.hpp>
 
+#include "Core/Hashing.h"
 #include "GatewayFixture.h"
 
 namespace jacinthroad {
@@ -40,6 +41,40 @@
     return total;
 }
 
+/// Adds engines that end as soon as a request with the part `dead` in its prompt arrives, and
+/// returns the number of such requests.
+std::shared_ptr<std::atomic<int>> addEnginesCrashedByPart(GatewayFixture &fixture, int count)
+{
+    auto crashes = std::make_shared<std::atomic<int>>(0);
+    for (int index = 0; index < count; ++index) {
+        const std::string name = "engines" + std::to_string(index);
+        fixture.addServer(name, "engines",
+                          [&fixture, name, crashes](ScriptedConnection &connection,
+                                                    const ReceivedRequest &request) {
+                              if (request.target().starts_with("/-/")) {
+                                  connection.write(responseText(404, "", ""));
+                                  return true;
+                              }
+                              if (request["X-Prompt-Prefix"].find("dead:") != std::string::npos) {
+                                  ++*crashes;
+                                  fixture.crashServer(name);
+                                  return false;
+                              }
+                              connection.write(streamHead(request) + chunk(event(1)) + "0\r\n\r\n");
+                              return true;
+                          });
+    }
+    return crashes;
+}
+
+/// Headers of a prompt of which the last part is used only once.
+std::string promptHeaders(const std::string &sharedParts)
+{
+    static int last = 0x1000;
+    return "Authorization: Bearer k1\r\nX-Model: m\r\nX-Prompt-Prefix: " + sharedParts + ","
+        + hexadecimal(static_cast<std::uint64_t>(++last)) + ":20\r\n";
+}
+
 unsigned status(const std::unique_ptr<CallerResponse> &response)
 {
     return response == nullptr ? 0 : response->result_int();
@@ -171,6 +206,48 @@
     BOOST_TEST(crashes == 3);
 }
 
+BOOST_AUTO_TEST_CASE(promptPartThatCrashesServersReachesNoMoreServersOfAnyNode)
+{
+    constexpr int Servers = 20;
+    constexpr int Rounds = 5;
+    constexpr int MaxCrashes = 5;
+    GatewayFixture first;
+    GatewayFixture second;
+    GatewayFixture third;
+    second.settings.name = "front-2";
+    third.settings.name = "front-3";
+    const auto crashes = addEnginesCrashedByPart(first, Servers);
+    for (GatewayFixture *fixture : { &first, &second, &third }) {
+        fixture->shareServers(first);
+        fixture->configure(1, { "k1" });
+        for (GatewayFixture *peer : { &first, &second, &third }) {
+            if (peer != fixture) {
+                fixture->addPeer(*peer);
+            }
+        }
+        fixture->start();
+    }
+    std::this_thread::sleep_for(PeerExchangeTime);
+    for (int round = 0; round < Rounds; ++round) {
+        for (GatewayFixture *fixture : { &first, &second, &third }) {
+            static_cast<void>(
+                fixture->call("POST", "/stream/a", "", promptHeaders("aa:100,dead:50")));
+            std::this_thread::sleep_for(milliseconds(300));
+            // Servers that have ended stay listed for a while.
+            BOOST_TEST(status(fixture->call("POST", "/stream/a", "", promptHeaders("aa:100,bb:50")))
+                       == 200U);
+        }
+    }
+    BOOST_TEST(crashes->load() <= MaxCrashes);
+    for (GatewayFixture *fixture : { &first, &second, &third }) {
+        const auto refused
+            = fixture->call("POST", "/stream/a", "", promptHeaders("aa:100,dead:50"));
+        BOOST_REQUIRE(refused != nullptr);
+        BOOST_TEST(refused->result_int() == 503U);
+        BOOST_TEST(refused->body().find("quarantined") != std::string::npos);
+    }
+}
+
 BOOST_AUTO_TEST_CASE(requestsToServersThatBreakOffButLiveAreNotQuarantined)
 {
     GatewayFixture fixture;
