--- a/Source/Gateway/CrashRecordsObject.cpp
+++ b/Source/Gateway/CrashRecordsObject.cpp
@@ -56,7 +56,12 @@
     if (!fingerprint.has_value()) {
         return std::nullopt;
     }
-    CrashRecord record { .fingerprint = *fingerprint, .crashes = {} };
+    const Json::Value &depth = entry["depth"];
+    const bool hasDepth = depth.isUInt() && depth.asUInt() < WholeRequestDepth;
+    CrashRecord record { .fingerprint = *fingerprint,
+                         .depth
+                         = hasDepth ? static_cast<std::uint8_t>(depth.asUInt()) : WholeRequestDepth,
+                         .crashes = {} };
     for (const Json::Value &crash : entry["crashes"]) {
         const auto report = readReport(crash);
         if (report.has_value()) {
@@ -76,6 +81,7 @@
     for (const CrashRecord &record : content.records) {
         Json::Value entry;
         entry["fingerprint"] = hexadecimal(record.fingerprint);
+        entry["depth"] = record.depth;
         entry["crashes"] = Json::Value(Json::arrayValue);
         for (const CrashReport &report : record.crashes) {
             Json::Value crash;
--- a/Tests/Gateway/CrashRecordsObjectTest.cpp
+++ b/Tests/Gateway/CrashRecordsObjectTest.cpp
@@ -19,7 +19,8 @@
                                    .sentAgeMs = 1'700'002,
                                    .crashAgeMs = 1'700'001,
                                    .cleared = index % 2 == 0 };
-        content.records.push_back({ .fingerprint = Large - index, .crashes = { report, report } });
+        content.records.push_back(
+            { .fingerprint = Large - index, .depth = 3, .crashes = { report, report } });
     }
     const std::string text = writeJson(crashRecordsSpec(content));
     BOOST_TEST(text.size() < MaxBytes);
@@ -30,6 +31,7 @@
     BOOST_REQUIRE(read->records.size() == content.records.size());
     for (std::size_t index = 0; index < read->records.size(); ++index) {
         BOOST_TEST(read->records[index].fingerprint == content.records[index].fingerprint);
+        BOOST_TEST(read->records[index].depth == 3);
         BOOST_REQUIRE(read->records[index].crashes.size() == 2U);
         const CrashReport &report = read->records[index].crashes[1];
         BOOST_TEST(report.reporter == Large + 1);
