--- a/Tests/FleetPeers/NodeDigestTest.cpp
+++ b/Tests/FleetPeers/NodeDigestTest.cpp
@@ -26,6 +26,7 @@
                             .confirmedParts = { { 7, 100 } },
                             .evictedKeys = { 8, 9 } } },
              .crashes = { { .fingerprint = 0xfedcba9876543211U,
+                            .depth = 2,
                             .crashes = { { .reporter = 0xfedcba9876543212U,
                                            .number = 5,
                                            .server = 0xfedcba9876543213U,
@@ -56,6 +57,7 @@
     BOOST_TEST(update.evictedKeys.size() == 2U);
     BOOST_REQUIRE(digest->crashes.size() == 1U);
     BOOST_TEST(digest->crashes[0].fingerprint == 0xfedcba9876543211U);
+    BOOST_TEST(digest->crashes[0].depth == 2U);
     BOOST_REQUIRE(digest->crashes[0].crashes.size() == 1U);
     const CrashReport &crash = digest->crashes[0].crashes[0];
     BOOST_TEST(crash.reporter == 0xfedcba9876543212U);
