--- a/Tests/Gateway/ScriptedServer.cpp
+++ b/Tests/Gateway/ScriptedServer.cpp
@@ -97,6 +97,7 @@
 {
     shutdown(acceptor_.native_handle(), SHUT_RDWR);
     const std::lock_guard lock(mutex_);
+    crashed_ = true;
     for (const auto &connection : connections_) {
         connection->interrupt();
     }
@@ -119,6 +120,9 @@
         socket.set_option(asio::ip::tcp::no_delay(true), error);
         auto connection = std::make_shared<ScriptedConnection>(std::move(socket));
         const std::lock_guard lock(mutex_);
+        if (crashed_) {
+            return;
+        }
         connections_.push_back(connection);
         threads_.emplace_back([this, connection] {
             script_(*connection);
--- a/Tests/Gateway/ScriptedServer.h
+++ b/Tests/Gateway/ScriptedServer.h
@@ -70,6 +70,7 @@
     Script script_;
     std::atomic<bool> stopping_ { false };
     std::mutex mutex_;
+    bool crashed_ = false;
     std::vector<std::thread> threads_;
     std::vector<std::shared_ptr<ScriptedConnection>> connections_;
     std::thread acceptThread_;
--- /dev/null
+++ b/Tests/Soak/Disturbance.cpp
@@ -0,0 +1,53 @@
+#include "Disturbance.h"
+
+#include <algorithm>
+
+namespace jacinthroad {
+
+const Disturbances &allDisturbances()
+{
+    static const Disturbances All { Disturbance::BreakOff,   Disturbance::SecondResponse,
+                                    Disturbance::DeadlyPart, Disturbance::HeldConnections,
+                                    Disturbance::Stop,       Disturbance::Kill,
+                                    Disturbance::Pause,      Disturbance::Reload,
+                                    Disturbance::RestartAll, Disturbance::Configuration };
+    return All;
+}
+
+std::string_view disturbanceName(Disturbance disturbance)
+{
+    switch (disturbance) {
+    case Disturbance::BreakOff:
+        return "break-off";
+    case Disturbance::SecondResponse:
+        return "second-response";
+    case Disturbance::DeadlyPart:
+        return "deadly-part";
+    case Disturbance::HeldConnections:
+        return "held-connections";
+    case Disturbance::Stop:
+        return "stop";
+    case Disturbance::Kill:
+        return "kill";
+    case Disturbance::Pause:
+        return "pause";
+    case Disturbance::Reload:
+        return "reload";
+    case Disturbance::RestartAll:
+        return "restart-all";
+    case Disturbance::Configuration:
+        return "configuration";
+    }
+    return {};
+}
+
+std::optional<Disturbance> findDisturbance(std::string_view name)
+{
+    const Disturbances &all = allDisturbances();
+    const auto found = std::find_if(all.begin(), all.end(), [&](Disturbance disturbance) {
+        return disturbanceName(disturbance) == name;
+    });
+    return found == all.end() ? std::nullopt : std::optional(*found);
+}
+
+} // namespace jacinthroad
--- /dev/null
+++ b/Tests/Soak/Disturbance.h
@@ -0,0 +1,44 @@
+#pragma once
+
+#include <cstdint>
+#include <optional>
+#include <set>
+#include <string>
+#include <string_view>
+
+namespace jacinthroad {
+
+/// A kind of fault or change that a soak run injects; each can be switched off.
+enum class Disturbance : std::uint8_t {
+    /// Backend servers break off responses, by a reset, a close or the end of their process.
+    BreakOff,
+    /// Backend servers send a second response or other bytes after a response.
+    SecondResponse,
+    /// Requests with one prompt part crash each backend server that begins to respond to them.
+    DeadlyPart,
+    /// Callers keep connections open until the process of the node has ended.
+    HeldConnections,
+    /// SIGTERM to a node, and its restart.
+    Stop,
+    /// SIGKILL to a node, and its restart.
+    Kill,
+    /// SIGSTOP and SIGCONT to a node.
+    Pause,
+    /// Changed settings and SIGHUP to a node.
+    Reload,
+    /// All nodes are down at the same time.
+    RestartAll,
+    /// New configurations.
+    Configuration,
+};
+
+using Disturbances = std::set<Disturbance>;
+
+/// Every disturbance.
+[[nodiscard]] const Disturbances &allDisturbances();
+/// The name on the command line.
+[[nodiscard]] std::string_view disturbanceName(Disturbance disturbance);
+/// The disturbance with this name on the command line; unset if there is none.
+[[nodiscard]] std::optional<Disturbance> findDisturbance(std::string_view name);
+
+} // namespace jacinthroad
--- a/Tests/Soak/Main.cpp
+++ b/Tests/Soak/Main.cpp
@@ -1,4 +1,5 @@
 #include <iostream>
+#include <map>
 
 #include <boost/program_options.hpp>
 
@@ -6,14 +7,56 @@
 
 namespace options = boost::program_options;
 
+namespace {
+
+std::string disturbanceNames()
+{
+    std::string names;
+    for (const jacinthroad::Disturbance disturbance : jacinthroad::allDisturbances()) {
+        names += (names.empty() ? "" : ", ");
+        names += jacinthroad::disturbanceName(disturbance);
+    }
+    return names;
+}
+
+void print(const jacinthroad::SoakReport &report)
+{
+    std::cout << report.requests << " requests, " << report.served << " served, "
+              << report.closedNotRun << " closed and not run; " << report.brokenOff
+              << " runs broken off, " << report.serverCrashes << " server crashes; " << report.stops
+              << " stops, " << report.kills << " kills, " << report.pauses << " pauses, "
+              << report.reloads << " reloads, " << report.commonRestarts
+              << " restarts with all nodes, " << report.configurations
+              << " configurations; deadly part: " << report.deadlyPart.crashes << " crashes, "
+              << report.deadlyPart.lateArrivals << " late arrivals ("
+              << report.deadlyPart.lateArrivalsFromCalmNodes << " from calm nodes), "
+              << report.deadlyPart.relatedServed << " of " << report.deadlyPart.related
+              << " related requests served; " << report.violations.size() << " violations\n";
+    std::map<std::string, unsigned> checks;
+    for (const jacinthroad::Violation &violation : report.violations) {
+        ++checks[violation.check];
+    }
+    for (const auto &[check, count] : checks) {
+        std::cout << "  " << check << ": " << count << "\n";
+    }
+    for (const jacinthroad::Violation &violation : report.violations) {
+        std::cout << "  " << violation.check << ": " << violation.text << "\n";
+    }
+    std::cout.flush();
+}
+
+} // namespace
+
 int main(int count, char **arguments)
 {
     jacinthroad::SoakOptions soak;
     std::uint64_t firstSeed = 1;
     unsigned seeds = 1;
     double seconds = 15;
+    std::vector<std::string> without;
     options::options_description syntax(
-        "GatewaySoak: faults at gateway processes under callers on open connections");
+        "GatewaySoak: faults at gateway processes and backend servers under callers on open "
+        "connections");
     syntax.add_options()("help", "prints this help");
     syntax.add_options()("program", options::value(&soak.program)->required(),
                          "path of the jacinthroad program");
@@ -24,6 +67,9 @@
     syntax.add_options()("seconds", options::value(&seconds), "time with faults in each run");
     syntax.add_options()("nodes", options::value(&soak.nodes), "number of node processes");
     syntax.add_options()("clients", options::value(&soak.clients), "number of callers");
+    syntax.add_options()(
+        "without", options::value(&without)->composing(),
+        ("disturbance to leave out; may be repeated: " + disturbanceNames()).c_str());
     options::variables_map values;
     try {
         options::store(options::parse_command_line(count, arguments, syntax), values);
@@ -36,6 +82,14 @@
         std::cerr << "GatewaySoak: " << fault.what() << "; see --help\n";
         return 2;
     }
+    for (const std::string &name : without) {
+        const auto disturbance = jacinthroad::findDisturbance(name);
+        if (!disturbance.has_value()) {
+            std::cerr << "GatewaySoak: no disturbance '" << name << "'; see --help\n";
+            return 2;
+        }
+        soak.disturbances.erase(*disturbance);
+    }
     soak.faultTime = jacinthroad::fromMilliseconds(seconds * 1000);
     const std::string folder = soak.folder;
     unsigned failedRuns = 0;
@@ -43,15 +97,8 @@
         soak.seed = firstSeed + number;
         soak.folder = folder + "/seed-" + std::to_string(soak.seed);
         const jacinthroad::SoakReport report = jacinthroad::runSoak(soak);
-        std::cout << "seed " << soak.seed << ": " << report.requests << " requests, "
-                  << report.served << " served, " << report.closedNotRun << " closed and not run; "
-                  << report.stops << " stops, " << report.kills << " kills, " << report.pauses
-                  << " pauses, " << report.reloads << " reloads, " << report.configurations
-                  << " configurations; " << report.violations.size() << " violations\n";
-        for (const std::string &violation : report.violations) {
-            std::cout << "  " << violation << "\n";
-        }
-        std::cout.flush();
+        std::cout << "seed " << soak.seed << ": ";
+        print(report);
         failedRuns += report.violations.empty() ? 0 : 1;
     }
     std::cout << seeds << " runs, " << failedRuns << " with violations\n";
--- /dev/null
+++ b/Tests/Soak/NodeFaults.cpp
@@ -0,0 +1,207 @@
+#include "NodeFaults.h"
+
+#include <algorithm>
+#include <array>
+#include <csignal>
+#include <thread>
+#include <utility>
+
+#include "SoakTraffic.h"
+
+namespace jacinthroad {
+
+namespace {
+
+/// A process that has just started ends at SIGHUP, as it does not handle the signal yet.
+constexpr Duration StartTime = milliseconds(500);
+
+Instant now()
+{
+    return std::chrono::steady_clock::now();
+}
+
+} // namespace
+
+NodeFaults::NodeFaults(NodeProcess &node, Options options, std::barrier<> &allStopped,
+                       FaultCounts &counts)
+    : node_(node)
+    , options_(std::move(options))
+    , allStopped_(allStopped)
+    , counts_(counts)
+    , random_(options_.seed)
+    , startedAt_(now())
+{
+    constexpr std::array<Disturbance, 8> Weighted { Disturbance::Kill,   Disturbance::Stop,
+                                                    Disturbance::Stop,   Disturbance::Reload,
+                                                    Disturbance::Reload, Disturbance::Pause,
+                                                    Disturbance::Pause,  Disturbance::Pause };
+    std::copy_if(Weighted.begin(), Weighted.end(), std::back_inserter(kinds_),
+                 [&](Disturbance kind) { return options_.disturbances.contains(kind); });
+}
+
+void NodeFaults::run()
+{
+    std::size_t commonRestart = 0;
+    while (now() < options_.until || commonRestart < options_.commonRestarts.size()) {
+        // Some times are longer than the stable window, so that promises to calm nodes are checked.
+        const bool calm = between(random_, 1, 4) == 1;
+        Instant next = now()
+            + (calm ? milliseconds(between(random_, 4000, 7000))
+                    : milliseconds(between(random_, 100, 1500)));
+        const bool common = commonRestart < options_.commonRestarts.size()
+            && options_.commonRestarts[commonRestart] <= next;
+        if (common) {
+            next = options_.commonRestarts[commonRestart++];
+        }
+        std::this_thread::sleep_until(std::min(next, common ? next : options_.until));
+        checkRunning();
+        if (common) {
+            restartWithAll();
+        } else if (now() < options_.until && !kinds_.empty()) {
+            injectFault();
+        }
+    }
+    checkRunning();
+}
+
+void NodeFaults::injectFault()
+{
+    const Instant begin = now();
+    switch (kinds_[random_() % kinds_.size()]) {
+    case Disturbance::Kill:
+        endProcess(false);
+        startAgain();
+        break;
+    case Disturbance::Stop:
+        stop();
+        break;
+    case Disturbance::Reload:
+        reload();
+        return;
+    default:
+        pause();
+        break;
+    }
+    node_.noteDisturbance({ .begin = begin, .end = now() });
+}
+
+void NodeFaults::stop()
+{
+    ++counts_.stops;
+    node_.signal(SIGTERM);
+    if (chance(Disturbance::Reload, 4)) {
+        wait(0, 300);
+        ++counts_.reloads;
+        node_.changeSettings(between(random_, 10, 30));
+        node_.signal(SIGHUP);
+    }
+    if (chance(Disturbance::Pause, 4)) {
+        wait(0, 300);
+        ++counts_.pauses;
+        node_.signal(SIGSTOP);
+        wait(50, 1000);
+        node_.signal(SIGCONT);
+    }
+    if (chance(Disturbance::Kill, 5)) {
+        wait(0, 300);
+        endProcess(false);
+    } else if (!node_.waitForEnd(options_.stopGrace)) {
+        ++counts_.overdueStops;
+        node_.kill();
+    }
+    startAgain();
+}
+
+void NodeFaults::pause()
+{
+    ++counts_.pauses;
+    node_.signal(SIGSTOP);
+    wait(50, 2000);
+    if (chance(Disturbance::Reload, 4)) {
+        ++counts_.reloads;
+        node_.changeSettings(between(random_, 10, 30));
+        if (now() >= startedAt_ + StartTime) {
+            node_.signal(SIGHUP);
+        }
+    }
+    if (chance(Disturbance::Kill, 6)) {
+        endProcess(false);
+        startAgain();
+        return;
+    }
+    const bool stopping = chance(Disturbance::Stop, 4);
+    if (stopping) {
+        ++counts_.stops;
+        node_.signal(SIGTERM);
+    }
+    node_.signal(SIGCONT);
+    if (stopping) {
+        if (!node_.waitForEnd(options_.stopGrace)) {
+            ++counts_.overdueStops;
+            node_.kill();
+        }
+        startAgain();
+    }
+}
+
+void NodeFaults::reload()
+{
+    ++counts_.reloads;
+    node_.changeSettings(between(random_, 10, 30));
+    if (now() >= startedAt_ + StartTime) {
+        node_.signal(SIGHUP);
+    }
+}
+
+void NodeFaults::restartWithAll()
+{
+    const Instant begin = now();
+    ++counts_.commonRestarts;
+    endProcess(between(random_, 0, 1) == 0);
+    allStopped_.arrive_and_wait();
+    startAgain();
+    node_.noteDisturbance({ .begin = begin, .end = now() });
+}
+
+void NodeFaults::endProcess(bool withTerm)
+{
+    if (withTerm) {
+        ++counts_.stops;
+        node_.signal(SIGTERM);
+        if (node_.waitForEnd(options_.stopGrace)) {
+            return;
+        }
+        ++counts_.overdueStops;
+    }
+    ++counts_.kills;
+    node_.kill();
+}
+
+void NodeFaults::startAgain()
+{
+    wait(0, 300);
+    node_.start();
+    startedAt_ = now();
+}
+
+void NodeFaults::checkRunning()
+{
+    if (node_.waitForEnd(Duration::zero())) {
+        ++counts_.unexpectedEnds;
+        node_.start();
+        startedAt_ = now();
+        node_.noteDisturbance({ .begin = startedAt_, .end = startedAt_ });
+    }
+}
+
+bool NodeFaults::chance(Disturbance disturbance, int oneIn)
+{
+    return between(random_, 1, oneIn) == 1 && options_.disturbances.contains(disturbance);
+}
+
+void NodeFaults::wait(int lowMs, int highMs)
+{
+    std::this_thread::sleep_for(milliseconds(between(random_, lowMs, highMs)));
+}
+
+} // namespace jacinthroad
--- /dev/null
+++ b/Tests/Soak/NodeFaults.h
@@ -0,0 +1,71 @@
+#pragma once
+
+#include <atomic>
+#include <barrier>
+#include <cstdint>
+#include <random>
+#include <vector>
+
+#include "Disturbance.h"
+#include "NodeProcess.h"
+
+namespace jacinthroad {
+
+/// Counts of injected faults, shared by the threads that inject them.
+struct FaultCounts
+{
+    std::atomic<unsigned> stops { 0 };
+    std::atomic<unsigned> kills { 0 };
+    std::atomic<unsigned> pauses { 0 };
+    std::atomic<unsigned> reloads { 0 };
+    std::atomic<unsigned> commonRestarts { 0 };
+    std::atomic<unsigned> configurations { 0 };
+    std::atomic<unsigned> overdueStops { 0 };
+    std::atomic<unsigned> unexpectedEnds { 0 };
+};
+
+/// Injects faults at one node, one after the other with calm times between them. Signals overlap: a
+/// node may be paused, reloaded or killed while it stops.
+class NodeFaults
+{
+public:
+    struct Options
+    {
+        Disturbances disturbances;
+        std::uint64_t seed = 0;
+        /// End of the faults.
+        Instant until;
+        /// Moments at which all nodes are stopped, before any starts again.
+        std::vector<Instant> commonRestarts;
+        /// Time from SIGTERM to SIGKILL.
+        Duration stopGrace {};
+    };
+
+    NodeFaults(NodeProcess &node, Options options, std::barrier<> &allStopped, FaultCounts &counts);
+
+    /// Injects faults until their end; returns with the node running.
+    void run();
+
+private:
+    void injectFault();
+    void stop();
+    void pause();
+    void reload();
+    void restartWithAll();
+    void startAgain();
+    void endProcess(bool withTerm);
+    /// Starts the node again if its process has ended although nothing ended it.
+    void checkRunning();
+    [[nodiscard]] bool chance(Disturbance disturbance, int oneIn);
+    void wait(int lowMs, int highMs);
+
+    NodeProcess &node_;
+    Options options_;
+    std::barrier<> &allStopped_;
+    FaultCounts &counts_;
+    std::mt19937_64 random_;
+    std::vector<Disturbance> kinds_;
+    Instant startedAt_;
+};
+
+} // namespace jacinthroad
--- a/Tests/Soak/NodeProcess.cpp
+++ b/Tests/Soak/NodeProcess.cpp
@@ -69,6 +69,7 @@
     posix_spawn_file_actions_addopen(&actions, STDOUT_FILENO, log.c_str(),
                                      O_WRONLY | O_CREAT | O_APPEND, 0644);
     posix_spawn_file_actions_adddup2(&actions, STDOUT_FILENO, STDERR_FILENO);
+    const std::lock_guard lock(mutex_);
     const int error = posix_spawn(&process_, options_.program.c_str(), &actions, nullptr,
                                   const_cast<char **>(arguments.data()), environ);
     posix_spawn_file_actions_destroy(&actions);
@@ -80,6 +81,7 @@
 
 void NodeProcess::signal(int number) const
 {
+    const std::lock_guard lock(mutex_);
     if (process_ > 0) {
         ::kill(process_, number);
     }
@@ -88,18 +90,24 @@
 bool NodeProcess::waitForEnd(Duration limit)
 {
     const Instant until = std::chrono::steady_clock::now() + limit;
-    while (process_ > 0) {
-        const pid_t ended = waitpid(process_, nullptr, WNOHANG);
-        if (ended == process_ || (ended < 0 && errno == ECHILD)) {
-            process_ = -1;
-            return true;
+    for (;;) {
+        {
+            const std::lock_guard lock(mutex_);
+            if (process_ <= 0) {
+                return true;
+            }
+            const pid_t ended = waitpid(process_, nullptr, WNOHANG);
+            if (ended == process_ || (ended < 0 && errno == ECHILD)) {
+                process_ = -1;
+                ++ends_;
+                return true;
+            }
         }
         if (std::chrono::steady_clock::now() >= until) {
             return false;
         }
         std::this_thread::sleep_for(PollInterval);
     }
-    return true;
 }
 
 void NodeProcess::kill()
@@ -109,4 +117,16 @@
     static_cast<void>(waitForEnd(std::chrono::seconds(10)));
 }
 
+void NodeProcess::noteDisturbance(TimeSpan span)
+{
+    const std::lock_guard lock(mutex_);
+    disturbances_.push_back(span);
+}
+
+std::vector<TimeSpan> NodeProcess::disturbances() const
+{
+    const std::lock_guard lock(mutex_);
+    return disturbances_;
+}
+
 } // namespace jacinthroad
--- a/Tests/Soak/NodeProcess.h
+++ b/Tests/Soak/NodeProcess.h
@@ -1,7 +1,9 @@
 #pragma once
 
 #include <atomic>
+#include <mutex>
 #include <string>
+#include <vector>
 
 #include <sys/types.h>
 
@@ -9,6 +11,13 @@
 
 namespace jacinthroad {
 
+/// A span of time in which a node was disturbed.
+struct TimeSpan
+{
+    Instant begin;
+    Instant end;
+};
+
 /// One gateway node that runs as a process of its own, with a settings file in a folder.
 class NodeProcess
 {
@@ -33,7 +42,7 @@
 
     /// Starts the process. Throws std::system_error if it cannot be started.
     void start();
-    /// Sends a signal to the process.
+    /// Sends a signal to the process. May be called by several threads.
     void signal(int number) const;
     /// Rewrites the settings file with another retry allowance, as before a SIGHUP.
     void changeSettings(int retryAllowance) const;
@@ -46,14 +55,24 @@
     [[nodiscard]] const std::string &name() const { return options_.name; }
     /// Number of kills so far. A request whose connection breaks around a kill is not judged.
     [[nodiscard]] unsigned kills() const { return kills_; }
+    /// Number of ends of the process so far, of any kind.
+    [[nodiscard]] unsigned ends() const { return ends_; }
+
+    /// Records a span in which the process was started, stopped, killed or paused.
+    void noteDisturbance(TimeSpan span);
+    [[nodiscard]] std::vector<TimeSpan> disturbances() const;
 
 private:
     Options options_;
     std::string callerAddress_;
     std::string readinessAddress_;
     std::string peerAddress_;
+    /// Guards `process_`, as its number may belong to another process after its end.
+    mutable std::mutex mutex_;
     pid_t process_ = -1;
+    std::vector<TimeSpan> disturbances_;
     std::atomic<unsigned> kills_ { 0 };
+    std::atomic<unsigned> ends_ { 0 };
 };
 
 } // namespace jacinthroad
--- /dev/null
+++ b/Tests/Soak/RunLog.cpp
@@ -0,0 +1,77 @@
+#include "RunLog.h"
+
+namespace jacinthroad {
+
+namespace {
+
+/// A node may receive the end of a connection together with the bytes before it.
+constexpr Duration DeliveryTime = milliseconds(100);
+/// A node that waits after a response without length for news of its server's end may take so long.
+constexpr Duration CloseDelimitedDecisionTime = std::chrono::seconds(1);
+
+} // namespace
+
+std::size_t RunLog::noteStarted(const std::string &requestId, const std::string &boot, bool deadly)
+{
+    const std::lock_guard lock(mutex_);
+    runs_.push_back({ .requestId = requestId,
+                      .boot = boot,
+                      .startedAt = std::chrono::steady_clock::now(),
+                      .finishedAt = {},
+                      .deadly = deadly });
+    ++runCounts_[requestId];
+    return runs_.size() - 1;
+}
+
+void RunLog::noteDelimitedByClose(std::size_t run)
+{
+    const std::lock_guard lock(mutex_);
+    runs_[run].delimitedByClose = true;
+}
+
+void RunLog::noteFinished(std::size_t run)
+{
+    const std::lock_guard lock(mutex_);
+    runs_[run].finished = true;
+    runs_[run].finishedAt = std::chrono::steady_clock::now();
+}
+
+void RunLog::noteBrokenOff(std::size_t run)
+{
+    const std::lock_guard lock(mutex_);
+    runs_[run].brokenOff = true;
+}
+
+void RunLog::noteCrash(const std::string &boot, bool byDeadlyPart)
+{
+    const std::lock_guard lock(mutex_);
+    const Instant now = std::chrono::steady_clock::now();
+    crashes_.push_back({ .boot = boot, .at = now, .byDeadlyPart = byDeadlyPart });
+    for (ServerRun &run : runs_) {
+        const Duration margin = run.delimitedByClose ? CloseDelimitedDecisionTime : DeliveryTime;
+        if (run.boot == boot && (!run.finished || now < run.finishedAt + margin)) {
+            run.brokenOff = true;
+        }
+    }
+}
+
+unsigned RunLog::runCount(const std::string &requestId) const
+{
+    const std::lock_guard lock(mutex_);
+    const auto found = runCounts_.find(requestId);
+    return found == runCounts_.end() ? 0 : found->second;
+}
+
+std::vector<ServerRun> RunLog::runs() const
+{
+    const std::lock_guard lock(mutex_);
+    return runs_;
+}
+
+std::vector<ServerCrash> RunLog::crashes() const
+{
+    const std::lock_guard lock(mutex_);
+    return crashes_;
+}
+
+} // namespace jacinthroad
--- /dev/null
+++ b/Tests/Soak/RunLog.h
@@ -0,0 +1,67 @@
+#pragma once
+
+#include <cstddef>
+#include <map>
+#include <mutex>
+#include <string>
+#include <vector>
+
+#include "Core/Time.h"
+
+namespace jacinthroad {
+
+/// One run of a request at a backend server.
+struct ServerRun
+{
+    std::string requestId;
+    /// The server's boot, which no other process shares.
+    std::string boot;
+    Instant startedAt;
+    Instant finishedAt;
+    bool deadly = false;
+    bool finished = false;
+    /// The server delimited its response by the end of the connection.
+    bool delimitedByClose = false;
+    /// The server ended before the response was complete, or broke it off.
+    bool brokenOff = false;
+};
+
+/// One end of a backend server's process.
+struct ServerCrash
+{
+    std::string boot;
+    Instant at;
+    bool byDeadlyPart = false;
+};
+
+/// Records what backend servers ran and how their runs ended. Thread-safe.
+class RunLog
+{
+public:
+    /// Records the start of a run and returns its index.
+    [[nodiscard]] std::size_t noteStarted(const std::string &requestId, const std::string &boot,
+                                          bool deadly);
+    /// Records that the response of a run ends with its connection.
+    void noteDelimitedByClose(std::size_t run);
+    /// Records that a run has written its complete response.
+    void noteFinished(std::size_t run);
+    /// Records that a run broke off its response.
+    void noteBrokenOff(std::size_t run);
+    /// Records the end of a server's process, which breaks off its runs. Runs that finished shortly
+    /// before count as broken off too, as the end may have reached the node before their last
+    /// bytes.
+    void noteCrash(const std::string &boot, bool byDeadlyPart);
+
+    /// Number of runs of a request that have begun.
+    [[nodiscard]] unsigned runCount(const std::string &requestId) const;
+    [[nodiscard]] std::vector<ServerRun> runs() const;
+    [[nodiscard]] std::vector<ServerCrash> crashes() const;
+
+private:
+    mutable std::mutex mutex_;
+    std::vector<ServerRun> runs_;
+    std::vector<ServerCrash> crashes_;
+    std::map<std::string, unsigned> runCounts_;
+};
+
+} // namespace jacinthroad
--- a/Tests/Soak/SoakClient.cpp
+++ b/Tests/Soak/SoakClient.cpp
@@ -1,12 +1,15 @@
 #include "SoakClient.h"
 
+#include <algorithm>
 #include <array>
+#include <string_view>
 #include <thread>
 #include <utility>
 
 #include <boost/asio/connect.hpp>
 #include <boost/asio/write.hpp>
 #include <boost/beast/http.hpp>
+#include <sys/socket.h>
 
 #include "Gateway/SocketOptions.h"
 
@@ -21,37 +24,28 @@
 /// Longer than the route's timeout and the longest stop of a process together.
 constexpr Duration ResponseTimeout = std::chrono::seconds(10);
 constexpr Duration ReconnectPause = milliseconds(20);
+constexpr std::size_t MostHeldConnections = 20;
 
-struct SoakRoute
+/// True if the error of a parser means that the peer sent something other than HTTP.
+bool isSyntaxError(error_code error)
 {
-    const char *method;
-    const char *path;
-    bool repeatable;
-};
-constexpr std::array<SoakRoute, 3> SoakRoutes {
-    { { "GET", "/safe/a", true }, { "POST", "/unsafe/a", false }, { "POST", "/once/a", false } }
-};
+    return error.category() == make_error_code(http::error::bad_version).category()
+        && error != http::error::end_of_stream && error != http::error::partial_message;
+}
 
 } // namespace
 
-std::string soakResponseBody(const std::string &requestId)
-{
-    return "data: " + requestId + "\n\n";
-}
-
-SoakClient::SoakClient(std::string name, std::vector<std::shared_ptr<NodeProcess>> nodes,
-                       Duration longestPause, std::uint64_t seed)
-    : name_(std::move(name))
-    , nodes_(std::move(nodes))
-    , longestPause_(longestPause)
-    , random_(seed)
+SoakClient::SoakClient(Options options)
+    : options_(std::move(options))
+    , random_(options_.seed)
 { }
 
 bool SoakClient::connect()
 {
     buffer_.clear();
-    node_ = nodes_[random_() % nodes_.size()];
-    socket_ = std::make_unique<asio::ip::tcp::socket>(context_);
+    node_ = options_.nodes[random_() % options_.nodes.size()];
+    nodeEnds_ = node_->ends();
+    socket_ = std::make_unique<Socket>(context_);
     error_code error;
     socket_->connect(*parseEndpoint(node_->callerAddress()), error);
     if (error) {
@@ -65,69 +59,142 @@
 void SoakClient::run(const std::atomic<bool> &stopping)
 {
     while (!stopping) {
+        checkHeldConnections();
         if (socket_ == nullptr && !connect()) {
             std::this_thread::sleep_for(ReconnectPause);
             continue;
         }
         sendRequest();
-        const auto pause = std::chrono::duration_cast<milliseconds>(longestPause_).count();
+        if (!options_.deadlyRoute.empty() && socket_ != nullptr) {
+            leaveConnection();
+        }
+        const auto pause = std::chrono::duration_cast<milliseconds>(options_.longestPause).count();
         // Short pauses are more frequent than long ones.
         const auto part = static_cast<std::int64_t>(random_() % static_cast<std::uint64_t>(pause));
         std::this_thread::sleep_for(milliseconds(part * part / pause));
+        if (socket_ != nullptr && !records_.empty()) {
+            checkUnsolicited(*socket_, records_.size() - 1);
+        }
     }
+    checkHeldConnections();
 }
 
 void SoakClient::sendRequest()
 {
-    const SoakRoute &route = SoakRoutes[random_() % SoakRoutes.size()];
-    const std::string id = name_ + "-" + std::to_string(records_.size());
-    std::string text = std::string(route.method) + " " + route.path
-        + " HTTP/1.1\r\nHost: h\r\nX-Request-Id: " + id + "\r\n";
-    text += route.repeatable ? "\r\n" : "Content-Length: 2\r\n\r\nab";
+    const std::string id = options_.name + "-" + std::to_string(records_.size());
+    const SoakRequest request = options_.deadlyRoute.empty()
+        ? makeSoakRequest(id, random_)
+        : makeDeadlyRequest(id, options_.deadlyRoute, random_);
     const unsigned killsBefore = node_->kills();
     CallerRecord record { .id = id,
                           .node = node_->name(),
                           .sentAt = std::chrono::steady_clock::now(),
-                          .repeatable = route.repeatable };
+                          .route = request.route,
+                          .key = request.key,
+                          .firstPart = request.firstPart,
+                          .deadly = request.deadly };
     error_code error;
-    asio::write(*socket_, asio::buffer(text), error);
+    asio::write(*socket_, asio::buffer(request.text), error);
     if (error) {
         record.outcome = CallerOutcome::ConnectionClosed;
-        socket_ = nullptr;
-    } else {
-        receive(record);
+        record.nodeKilled = node_->kills() != killsBefore;
+        records_.push_back(record);
+        leaveConnection();
+        return;
     }
+    receive(record);
     record.nodeKilled = node_->kills() != killsBefore;
     records_.push_back(record);
+    if (record.outcome != CallerOutcome::Answered || record.closing) {
+        leaveConnection();
+    }
 }
 
 void SoakClient::receive(CallerRecord &record)
 {
-    http::response_parser<http::string_body> parser;
-    error_code result = asio::error::would_block;
-    http::async_read(*socket_, buffer_, parser,
-                     [&](error_code error, std::size_t) { result = error; });
+    Parser parser;
+    bool finished = false;
+    error_code result;
+    http::async_read(*socket_, buffer_, parser, [&](error_code error, std::size_t) {
+        finished = true;
+        result = error;
+    });
     context_.restart();
     context_.run_for(ResponseTimeout);
-    if (result == asio::error::would_block) {
+    if (!finished) {
         record.outcome = CallerOutcome::TimedOut;
-        socket_->close(result);
+        socket_->cancel();
+        context_.restart();
         context_.run();
-        socket_ = nullptr;
         return;
     }
-    if (result) {
+    readOutcome(record, parser, result);
+}
+
+void SoakClient::readOutcome(CallerRecord &record, const Parser &parser, error_code result) const
+{
+    if (parser.is_header_done()) {
+        const auto &response = parser.get();
+        record.status = static_cast<int>(response.result_int());
+        record.idMatches = response["X-Request-Id"] == record.id;
+        record.stamped = response.count("X-Response-Stamp") > 0;
+        record.body = response.body();
+    }
+    if (!result) {
+        record.outcome = CallerOutcome::Answered;
+        record.closing = !parser.keep_alive();
+    } else if (isSyntaxError(result)) {
+        record.outcome = CallerOutcome::NotHttp;
+    } else {
         record.outcome = CallerOutcome::ConnectionClosed;
-        socket_ = nullptr;
+    }
+}
+
+void SoakClient::leaveConnection()
+{
+    if (options_.holdsConnections && held_.size() < MostHeldConnections) {
+        if (!records_.empty()) {
+            checkUnsolicited(*socket_, records_.size() - 1);
+        }
+        held_.push_back({ .socket = std::move(socket_),
+                          .node = node_,
+                          .ends = nodeEnds_,
+                          .record = records_.size() - 1 });
+    }
+    socket_ = nullptr;
+}
+
+void SoakClient::checkUnsolicited(Socket &socket, std::size_t record)
+{
+    std::array<char, 512> bytes {};
+    const ssize_t size
+        = recv(socket.native_handle(), bytes.data(), bytes.size(), MSG_PEEK | MSG_DONTWAIT);
+    const std::size_t buffered = &socket == socket_.get() ? buffer_.size() : 0;
+    if (size <= 0 && buffered == 0) {
         return;
     }
-    record.outcome = CallerOutcome::Answered;
-    record.status = static_cast<int>(parser.get().result_int());
-    record.matches = parser.get()["X-Request-Id"] == record.id
-        && parser.get().body() == soakResponseBody(record.id);
-    if (!parser.keep_alive()) {
-        socket_ = nullptr;
+    std::string text;
+    if (buffered > 0) {
+        text.assign(static_cast<const char *>(buffer_.data().data()), buffered);
+    }
+    text.append(bytes.data(), static_cast<std::size_t>(std::max<ssize_t>(size, 0)));
+    // A node may announce that it closes an idle connection.
+    const bool failureResponse = text.starts_with("HTTP/1.1 4") || text.starts_with("HTTP/1.1 5");
+    // After a response that was broken off, the rest of a body may follow.
+    const bool afterResponse = records_[record].outcome == CallerOutcome::Answered;
+    if (!failureResponse && afterResponse) {
+        records_[record].unsolicited = true;
+    }
+}
+
+void SoakClient::checkHeldConnections()
+{
+    for (const HeldConnection &connection : held_) {
+        checkUnsolicited(*connection.socket, connection.record);
     }
+    std::erase_if(held_, [](const HeldConnection &connection) {
+        return connection.node->ends() != connection.ends;
+    });
 }
 
 } // namespace jacinthroad
--- a/Tests/Soak/SoakClient.h
+++ b/Tests/Soak/SoakClient.h
@@ -9,9 +9,12 @@
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/http/parser.hpp>
+#include <boost/beast/http/string_body.hpp>
 
 #include "NodeProcess.h"
 #include "SoakJudge.h"
+#include "SoakTraffic.h"
 
 namespace jacinthroad {
 
@@ -20,32 +23,61 @@
 class SoakClient
 {
 public:
-    /// `longestPause` limits the time between two requests on a connection.
-    SoakClient(std::string name, std::vector<std::shared_ptr<NodeProcess>> nodes,
-               Duration longestPause, std::uint64_t seed);
+    struct Options
+    {
+        std::string name;
+        std::vector<std::shared_ptr<NodeProcess>> nodes;
+        /// Limits the time between two requests on a connection.
+        Duration longestPause {};
+        /// The caller never closes a connection before the node's process has ended. It sends
+        /// nothing more on a connection that the node asks to close.
+        bool holdsConnections = false;
+        /// All requests have the deadly prompt part and go to this route; empty sends sound
+        /// requests. Each goes to a random node.
+        std::string deadlyRoute;
+        std::uint64_t seed = 0;
+    };
+
+    explicit SoakClient(Options options);
 
     /// Sends requests until `stopping` is set.
     void run(const std::atomic<bool> &stopping);
     [[nodiscard]] const std::vector<CallerRecord> &records() const { return records_; }
 
 private:
+    using Parser = boost::beast::http::response_parser<boost::beast::http::string_body>;
+    using Socket = boost::asio::ip::tcp::socket;
+    struct HeldConnection
+    {
+        std::unique_ptr<Socket> socket;
+        std::shared_ptr<NodeProcess> node;
+        /// Ends of the node's process when the connection was opened.
+        unsigned ends;
+        /// Index of the last request's record.
+        std::size_t record;
+    };
+
     [[nodiscard]] bool connect();
     void sendRequest();
     void receive(CallerRecord &record);
+    void readOutcome(CallerRecord &record, const Parser &parser,
+                     boost::system::error_code result) const;
+    /// Ends the use of the connection; holds it open if the caller does so.
+    void leaveConnection();
+    /// Looks for bytes on a connection without a request.
+    void checkUnsolicited(Socket &socket, std::size_t record);
+    void checkHeldConnections();
 
-    std::string name_;
-    std::vector<std::shared_ptr<NodeProcess>> nodes_;
-    Duration longestPause_;
+    Options options_;
     std::mt19937_64 random_;
     boost::asio::io_context context_;
-    std::unique_ptr<boost::asio::ip::tcp::socket> socket_;
+    std::unique_ptr<Socket> socket_;
+    std::vector<HeldConnection> held_;
     boost::beast::flat_buffer buffer_;
     /// The node that the connection leads to.
     std::shared_ptr<NodeProcess> node_;
+    unsigned nodeEnds_ = 0;
     std::vector<CallerRecord> records_;
 };
 
-/// The body of a backend server's response to a request.
-[[nodiscard]] std::string soakResponseBody(const std::string &requestId);
-
 } // namespace jacinthroad
--- a/Tests/Soak/SoakJudge.cpp
+++ b/Tests/Soak/SoakJudge.cpp
@@ -1,58 +1,226 @@
 #include "SoakJudge.h"
 
+#include <algorithm>
+#include <set>
+
+#include "SoakTraffic.h"
+
 namespace jacinthroad {
 
 namespace {
 
+/// From the rules of the platform: `stableWindowMs`.
+constexpr Duration StableWindow = std::chrono::seconds(3);
+/// Crashes after which requests with a deadly part may be sent only so many times.
+constexpr std::size_t CrashesToDetect = 5;
+constexpr unsigned MostLateArrivals = 3;
+/// Least number of sound requests for a judgement on their share.
+constexpr unsigned LeastRelated = 20;
+
+/// The runs of one request.
+struct RequestRuns
+{
+    unsigned count = 0;
+    bool brokenOff = false;
+};
+
 bool promisesNotRun(int status)
 {
     return status == 408 || status == 421 || status == 429 || status == 503;
 }
 
-std::string violation(const CallerRecord &record, const std::string &what)
+bool isSuccess(int status)
 {
-    return "request " + record.id + " at node " + record.node + ": " + what;
+    return status >= 200 && status < 300;
 }
 
-} // namespace
+std::string describe(const CallerRecord &record, const RequestRuns &runs, const std::string &what)
+{
+    return "request " + record.id + " on " + record.route + " at " + record.node + ": " + what
+        + " (status " + std::to_string(record.status) + ", " + std::to_string(record.body.size())
+        + " bytes, runs " + std::to_string(runs.count) + (runs.brokenOff ? ", broken off" : "")
+        + ")";
+}
+
+/// Returns the broken promises of the response to one request.
+std::vector<Violation> checkResponse(const CallerRecord &record, const RequestRuns &runs)
+{
+    std::vector<Violation> violations;
+    const auto add = [&](const char *check, const std::string &what) {
+        violations.push_back({ .check = check, .text = describe(record, runs, what) });
+    };
+    const std::string own = soakResponseBody(record.id, isStream(record.route));
+    const bool looksComplete = record.outcome == CallerOutcome::Answered;
+    if (isSuccess(record.status)) {
+        if (runs.count == 0) {
+            add("not-own", "answered with success, and never ran");
+        }
+        if (!record.idMatches || !record.stamped) {
+            add("not-own", "success without its own id and a stamp");
+        } else if (!own.starts_with(record.body)) {
+            add(isStream(record.route) ? "event-order" : "not-own",
+                "body has other bytes than its own: " + record.body.substr(0, 200));
+        } else if (looksComplete && record.body != own) {
+            add("incomplete", "looks complete, and is short");
+        }
+    } else if (record.stamped) {
+        add("not-own", "failure with a server's stamp although no server failed it");
+    }
+    if (looksComplete && record.status >= 300 && record.status < 500
+        && !promisesNotRun(record.status)) {
+        add("denied", "refused although every configuration allows it");
+    }
+    if (record.outcome == CallerOutcome::NotHttp) {
+        add("not-http", "got bytes that are not HTTP");
+    }
+    if (record.unsolicited) {
+        add("unsolicited", "bytes came on its connection after its response");
+    }
+    return violations;
+}
+
+/// Returns the broken promises on the runs of one request.
+std::vector<Violation> checkRuns(const CallerRecord &record, const RequestRuns &runs)
+{
+    std::vector<Violation> violations;
+    const auto add = [&](const char *check, const std::string &what) {
+        violations.push_back({ .check = check, .text = describe(record, runs, what) });
+    };
+    const bool repeatable = isRepeatable(record.route);
+    if (record.outcome == CallerOutcome::ConnectionClosed && runs.count > 0 && !runs.brokenOff
+        && !record.nodeKilled) {
+        add("unanswered", "ran, and its connection closed unanswered");
+    }
+    if (record.outcome == CallerOutcome::TimedOut) {
+        add("unanswered", "neither answered nor closed in time");
+    }
+    if (!repeatable && runs.count > 1) {
+        add("ran-twice", "ran more than once");
+    }
+    if (record.outcome == CallerOutcome::Answered && promisesNotRun(record.status) && !repeatable
+        && runs.count > 0) {
+        add("refused-and-ran", "refused as not run, and ran");
+    }
+    return violations;
+}
 
-void RunCounter::noteStarted(const std::string &id)
+std::map<std::string, RequestRuns> runsByRequest(const std::vector<ServerRun> &runs)
 {
-    const std::lock_guard lock(mutex_);
-    ++runs_[id];
+    std::map<std::string, RequestRuns> all;
+    for (const ServerRun &run : runs) {
+        RequestRuns &request = all[run.requestId];
+        ++request.count;
+        request.brokenOff = request.brokenOff || run.brokenOff;
+    }
+    return all;
 }
 
-unsigned RunCounter::runs(const std::string &id) const
+/// Moments of the crashes by a deadly part, in order.
+std::vector<Instant> deadlyCrashes(const std::vector<ServerCrash> &crashes)
 {
-    const std::lock_guard lock(mutex_);
-    const auto found = runs_.find(id);
-    return found == runs_.end() ? 0 : found->second;
+    std::vector<Instant> moments;
+    for (const ServerCrash &crash : crashes) {
+        if (crash.byDeadlyPart) {
+            moments.push_back(crash.at);
+        }
+    }
+    std::sort(moments.begin(), moments.end());
+    return moments;
 }
 
-std::vector<std::string> findViolations(const std::vector<CallerRecord> &records,
-                                        const RunCounter &runs)
+/// Counts the sound requests that share the key or first part of requests with a deadly part.
+void countRelated(const SoakObservations &observations, Instant from, DeadlyPartFigures &figures)
 {
-    std::vector<std::string> violations;
-    for (const CallerRecord &record : records) {
-        const unsigned count = runs.runs(record.id);
-        if (record.outcome == CallerOutcome::ConnectionClosed && count > 0 && !record.nodeKilled) {
-            violations.push_back(violation(record, "ran, and its connection closed unanswered"));
+    std::set<std::string> routes;
+    std::set<std::string> keys;
+    std::set<std::string> firstParts;
+    Instant lastDeadly {};
+    for (const CallerRecord &record : observations.records) {
+        if (record.deadly) {
+            routes.insert(record.route);
+            keys.insert(record.key);
+            firstParts.insert(record.firstPart);
+            lastDeadly = std::max(lastDeadly, record.sentAt);
         }
-        if (record.outcome == CallerOutcome::TimedOut) {
-            violations.push_back(violation(record, "neither answered nor closed in time"));
+    }
+    const auto runs = runsByRequest(observations.runs);
+    for (const CallerRecord &record : observations.records) {
+        const auto found = runs.find(record.id);
+        const bool brokenOff = found != runs.end() && found->second.brokenOff;
+        const bool related = keys.contains(record.key) || firstParts.contains(record.firstPart);
+        if (!record.deadly && routes.contains(record.route) && related && !brokenOff
+            && record.sentAt >= from && record.sentAt <= lastDeadly
+            && wasCalm(observations.disturbances.at(record.node), record.sentAt)) {
+            ++figures.related;
+            const bool served
+                = record.outcome == CallerOutcome::Answered && isSuccess(record.status);
+            figures.relatedServed += served ? 1 : 0;
         }
-        if (!record.repeatable && count > 1) {
-            violations.push_back(violation(record, "ran more than once"));
+    }
+}
+
+} // namespace
+
+bool wasCalm(const std::vector<TimeSpan> &disturbances, Instant moment)
+{
+    return std::none_of(disturbances.begin(), disturbances.end(), [&](const TimeSpan &span) {
+        return span.begin <= moment && span.end > moment - StableWindow;
+    });
+}
+
+DeadlyPartFigures countDeadlyPart(const SoakObservations &observations)
+{
+    const std::vector<Instant> crashes = deadlyCrashes(observations.crashes);
+    DeadlyPartFigures figures { .crashes = static_cast<unsigned>(crashes.size()) };
+    if (crashes.empty()) {
+        return figures;
+    }
+    if (crashes.size() >= CrashesToDetect) {
+        const Instant from = crashes[CrashesToDetect - 1] + StableWindow;
+        std::map<std::string, std::string> nodeOf;
+        for (const CallerRecord &record : observations.records) {
+            nodeOf[record.id] = record.node;
         }
-        if (record.outcome == CallerOutcome::Answered) {
-            if (promisesNotRun(record.status) && !record.repeatable && count > 0) {
-                violations.push_back(violation(record, "refused as not run, and ran"));
-            }
-            if (record.status == 200 && !record.matches) {
-                violations.push_back(violation(record, "got a response that is not its own"));
+        for (const ServerRun &run : observations.runs) {
+            const auto node = nodeOf.find(run.requestId);
+            if (run.deadly && run.startedAt > from && node != nodeOf.end()) {
+                ++figures.lateArrivals;
+                const bool calm
+                    = wasCalm(observations.disturbances.at(node->second), run.startedAt);
+                figures.lateArrivalsFromCalmNodes += calm ? 1 : 0;
             }
         }
     }
+    const std::size_t decisive = std::min(crashes.size(), CrashesToDetect) - 1;
+    countRelated(observations, crashes[decisive] + 2 * StableWindow, figures);
+    return figures;
+}
+
+std::vector<Violation> findViolations(const SoakObservations &observations)
+{
+    std::vector<Violation> violations;
+    const auto runs = runsByRequest(observations.runs);
+    for (const CallerRecord &record : observations.records) {
+        const auto found = runs.find(record.id);
+        const RequestRuns requestRuns = found == runs.end() ? RequestRuns {} : found->second;
+        for (const auto &check : { checkResponse, checkRuns }) {
+            const std::vector<Violation> broken = check(record, requestRuns);
+            violations.insert(violations.end(), broken.begin(), broken.end());
+        }
+    }
+    const DeadlyPartFigures figures = countDeadlyPart(observations);
+    if (figures.lateArrivalsFromCalmNodes > MostLateArrivals) {
+        violations.push_back(
+            { .check = "deadly-part-sent",
+              .text = std::to_string(figures.lateArrivalsFromCalmNodes)
+                  + " requests with the deadly part reached servers after the limit" });
+    }
+    if (figures.related >= LeastRelated && figures.relatedServed * 2 < figures.related) {
+        violations.push_back({ .check = "related-unserved",
+                               .text = "only " + std::to_string(figures.relatedServed) + " of "
+                                   + std::to_string(figures.related)
+                                   + " sound requests with the same key or first part served" });
+    }
     return violations;
 }
 
--- a/Tests/Soak/SoakJudge.h
+++ b/Tests/Soak/SoakJudge.h
@@ -2,20 +2,23 @@
 
 #include <cstdint>
 #include <map>
-#include <mutex>
 #include <string>
 #include <vector>
 
 #include "Core/Time.h"
+#include "NodeProcess.h"
+#include "RunLog.h"
 
 namespace jacinthroad {
 
 /// What a caller saw of one request.
 enum class CallerOutcome : std::uint8_t {
-    /// A complete response.
+    /// A response that looks complete.
     Answered,
     /// The connection ended before a complete response.
     ConnectionClosed,
+    /// Bytes that are not HTTP.
+    NotHttp,
     /// Nothing within the caller's time limit.
     TimedOut,
 };
@@ -26,33 +29,65 @@
     std::string id;
     std::string node;
     Instant sentAt;
-    bool repeatable = false;
+    std::string route;
+    std::string key;
+    /// Identifier of the first prompt part; empty if the request has none.
+    std::string firstPart;
+    /// True if a prompt part crashes servers.
+    bool deadly = false;
     CallerOutcome outcome = CallerOutcome::TimedOut;
+    /// 0 if no header came.
     int status = 0;
-    /// True if the response is the one that the backend server made for this request.
-    bool matches = false;
+    /// True if the response has the request's id.
+    bool idMatches = false;
+    /// True if the response has a server's stamp.
+    bool stamped = false;
+    /// The body, as far as it came.
+    std::string body;
+    /// True if the node asked to close the connection.
+    bool closing = false;
+    /// True if bytes other than a failure response came on the connection after the response.
+    bool unsolicited = false;
     /// True if the node was killed while the request was in progress.
     bool nodeKilled = false;
 };
 
-/// Counts what backend servers ran, by request id. Thread-safe.
-class RunCounter
+/// What a soak run observed.
+struct SoakObservations
 {
-public:
-    void noteStarted(const std::string &id);
-    /// Number of runs that began for a request.
-    [[nodiscard]] unsigned runs(const std::string &id) const;
-
-private:
-    mutable std::mutex mutex_;
-    std::map<std::string, unsigned> runs_;
+    std::vector<CallerRecord> records;
+    std::vector<ServerRun> runs;
+    std::vector<ServerCrash> crashes;
+    /// By name of the node.
+    std::map<std::string, std::vector<TimeSpan>> disturbances;
 };
 
-/// Returns one line for each broken promise: a request that ran and whose connection was closed
-/// without a complete response although its node wasn't killed, one that ran twice and must not, a
-/// refusal that promises "not run" for one that ran, a response that belongs to another request,
-/// and a request that was neither answered nor closed.
-[[nodiscard]] std::vector<std::string> findViolations(const std::vector<CallerRecord> &records,
-                                                      const RunCounter &runs);
+/// One broken promise.
+struct Violation
+{
+    /// Name of the check, for counts.
+    std::string check;
+    std::string text;
+};
+
+/// Figures of the checks on deadly prompt parts.
+struct DeadlyPartFigures
+{
+    unsigned crashes = 0;
+    /// Requests with the part that reached servers once nodes must hold them back; those of all
+    /// nodes, and those of nodes that were undisturbed.
+    unsigned lateArrivals = 0;
+    unsigned lateArrivalsFromCalmNodes = 0;
+    /// Sound requests with the same key or first part once they must be served again, and how many
+    /// were. Requests whose server broke off are in neither.
+    unsigned related = 0;
+    unsigned relatedServed = 0;
+};
+
+/// True if a node was undisturbed for the stable window before `moment`.
+[[nodiscard]] bool wasCalm(const std::vector<TimeSpan> &disturbances, Instant moment);
+[[nodiscard]] DeadlyPartFigures countDeadlyPart(const SoakObservations &observations);
+/// Checks the promises of the gateway on single responses, runs and deadly prompt parts.
+[[nodiscard]] std::vector<Violation> findViolations(const SoakObservations &observations);
 
 } // namespace jacinthroad
--- a/Tests/Soak/SoakRun.cpp
+++ b/Tests/Soak/SoakRun.cpp
@@ -3,7 +3,7 @@
 #include <algorithm>
 #include <array>
 #include <atomic>
-#include <csignal>
+#include <barrier>
 #include <filesystem>
 #include <memory>
 #include <random>
@@ -12,20 +12,17 @@
 #include <json/value.h>
 
 #include "Core/Json.h"
+#include "NodeFaults.h"
 #include "NodeProcess.h"
-#include "ScriptedServer.h"
 #include "SoakClient.h"
-#include "SoakJudge.h"
+#include "SoakServers.h"
+#include "SoakTraffic.h"
 #include "StoreStandIn.h"
 
 namespace jacinthroad {
 
 namespace {
 
-namespace http = boost::beast::http;
-using ReceivedRequest = http::request<http::string_body>;
-
-constexpr unsigned ServerCount = 3;
 constexpr Duration StopGrace = std::chrono::seconds(5);
 /// Time between the end of the faults and the end of the callers. Each caller must be served in it.
 /// It covers two of the longest pauses, as the first request may find its idle connection closed.
@@ -35,104 +32,51 @@
 constexpr std::array<int, 4> IdleTimeoutsMs { 3000, 300, 1200, 600 };
 /// Callers reuse a connection for this part of the longest idle limit.
 constexpr double ReuseShare = 0.8;
+constexpr unsigned DeadlyCallers = 2;
+constexpr Duration LongestDeadlyPause = milliseconds(1200);
+/// Longest pause of the callers that keep their nodes' connections to servers in use.
+constexpr Duration LongestBusyPause = milliseconds(400);
+/// One in so many callers is busy.
+constexpr unsigned BusyOneIn = 3;
+/// One in so many callers never closes a connection.
+constexpr unsigned HoldingOneIn = 4;
 
-/// Number between `low` and `high` inclusive.
-int between(std::mt19937_64 &random, int low, int high)
-{
-    return low + static_cast<int>(random() % static_cast<std::uint64_t>(high - low + 1));
-}
-
-Json::Value configuration(int version)
+Json::Value configuration(int version, std::mt19937_64 &random)
 {
     Json::Value spec = *parseJson(R"({"routes":[
         {"name":"safe","hostname":"h","pathPrefix":"/safe/","kind":"safe","timeoutMs":3000,
          "targetLatencyMs":300,"priority":1,"service":"plain","maxAttempts":2},
         {"name":"unsafe","hostname":"h","pathPrefix":"/unsafe/","kind":"unsafe","timeoutMs":3000,
          "targetLatencyMs":300,"priority":1,"service":"plain","maxAttempts":1},
-        {"name":"once","hostname":"h","pathPrefix":"/once/","kind":"streaming","timeoutMs":3000,
-         "targetLatencyMs":300,"priority":0,"service":"plain","maxAttempts":1,"resumable":false}],
-        "services":[{"name":"plain"}],"tenants":[],
-        "limits":{"maxHeaderBytes":8192,"maxBodyBytes":100000,"headerTimeoutMs":1000,
-        "idleTimeoutMs":3000}})");
+        {"name":"events","hostname":"h","pathPrefix":"/events/","kind":"streaming",
+         "timeoutMs":3000,"targetLatencyMs":300,"priority":0,"service":"plain","maxAttempts":1,
+         "resumable":false},
+        {"name":"once","hostname":"h","pathPrefix":"/once/","kind":"streaming","timeoutMs":4000,
+         "targetLatencyMs":300,"priority":0,"service":"engines","maxAttempts":1,
+         "resumable":false},
+        {"name":"resumable","hostname":"h","pathPrefix":"/resumable/","kind":"streaming",
+         "timeoutMs":4000,"targetLatencyMs":300,"priority":1,"service":"engines","maxAttempts":2,
+         "resumable":true}],
+        "services":[{"name":"plain"},
+        {"name":"engines","engine":{"slotCount":8,"kvCapacityTokens":100000}}]})");
     spec["version"] = version;
+    spec["limits"]["maxHeaderBytes"] = 1024 * between(random, 4, 16);
+    spec["limits"]["maxBodyBytes"] = 1000 * between(random, 10, 100);
+    spec["limits"]["headerTimeoutMs"] = 100 * between(random, 8, 20);
     spec["limits"]["idleTimeoutMs"]
         = IdleTimeoutsMs[static_cast<std::size_t>(version - 1) % IdleTimeoutsMs.size()];
-    return spec;
-}
-
-/// A backend server that works on each request for a short time and responds to it.
-std::unique_ptr<ScriptedServer> makeServer(RunCounter &runs, std::uint64_t seed)
-{
-    return std::make_unique<ScriptedServer>([&runs, seed](ScriptedConnection &connection) {
-        std::mt19937_64 random(seed);
-        ReceivedRequest request;
-        while (connection.read(request)) {
-            const std::string id(request["X-Request-Id"]);
-            runs.noteStarted(id);
-            std::this_thread::sleep_for(milliseconds(between(random, 1, 40)));
-            const std::string headers = "X-Request-Id: " + id + "\r\nX-Response-Stamp: stamp\r\n"
-                + (request.target().starts_with("/once/") ? "Content-Type: text/event-stream\r\n"
-                                                          : "");
-            connection.write(responseText(200, headers, soakResponseBody(id)));
-        }
-    });
-}
-
-/// Counts of injected faults, shared by the threads that inject them.
-struct FaultCounts
-{
-    std::atomic<unsigned> stops { 0 };
-    std::atomic<unsigned> kills { 0 };
-    std::atomic<unsigned> pauses { 0 };
-    std::atomic<unsigned> reloads { 0 };
-    std::atomic<unsigned> configurations { 0 };
-    std::atomic<unsigned> overdueStops { 0 };
-};
-
-/// Injects one random fault at a node and waits for its end.
-void injectFault(NodeProcess &node, std::mt19937_64 &random, FaultCounts &counts)
-{
-    switch (between(random, 0, 7)) {
-    case 0:
-        ++counts.kills;
-        node.kill();
-        node.start();
-        break;
-    case 1:
-    case 2:
-        ++counts.stops;
-        node.signal(SIGTERM);
-        if (!node.waitForEnd(StopGrace)) {
-            ++counts.overdueStops;
-            node.kill();
+    const std::array<std::string, 2> names { "north", "south" };
+    for (std::size_t number = 0; number < names.size(); ++number) {
+        Json::Value team;
+        team["name"] = names[number];
+        for (std::size_t key = number; key < soakKeys().size(); key += names.size()) {
+            team["apiKeys"].append(soakKeys()[key]);
         }
-        node.start();
-        break;
-    case 3:
-    case 4:
-        ++counts.reloads;
-        node.changeSettings(between(random, 10, 30));
-        node.signal(SIGHUP);
-        break;
-    default:
-        ++counts.pauses;
-        node.signal(SIGSTOP);
-        std::this_thread::sleep_for(milliseconds(between(random, 50, 2000)));
-        node.signal(SIGCONT);
-        break;
-    }
-}
-
-void injectFaults(NodeProcess &node, std::uint64_t seed, Instant until, FaultCounts &counts)
-{
-    std::mt19937_64 random(seed);
-    for (;;) {
-        std::this_thread::sleep_for(milliseconds(between(random, 100, 1500)));
-        if (std::chrono::steady_clock::now() >= until) {
-            return;
-        }
-        injectFault(node, random, counts);
+        // Keys that no caller uses come and go.
+        team["apiKeys"].append("key-of-version-" + std::to_string(version));
+        spec["tenants"].append(team);
     }
+    return spec;
 }
 
 void changeConfigurations(StoreStandIn &store, std::uint64_t seed, Instant until,
@@ -142,24 +86,10 @@
     for (int version = 2; std::chrono::steady_clock::now() < until; ++version) {
         std::this_thread::sleep_for(milliseconds(between(random, 300, 2500)));
         ++counts.configurations;
-        store.put("config", "main", configuration(version));
+        store.put("config", "main", configuration(version, random));
     }
 }
 
-Json::Value serverSpec(const std::string &address)
-{
-    Json::Value spec;
-    spec["service"] = "plain";
-    spec["address"] = address;
-    spec["zone"] = "z";
-    spec["slotCount"] = 64;
-    spec["state"] = "ready";
-    spec["coldLeftMs"] = 0;
-    spec["born"] = 1;
-    spec["seq"] = 1;
-    return spec;
-}
-
 bool servedSince(const std::vector<CallerRecord> &records, Instant moment)
 {
     return std::any_of(records.begin(), records.end(), [&](const CallerRecord &record) {
@@ -173,7 +103,7 @@
     std::string text = "caller not served after the end of the faults; its requests since:";
     for (const CallerRecord &record : records) {
         if (record.sentAt >= moment) {
-            text += " " + record.id + " at " + record.node + " after "
+            text += " " + record.id + " on " + record.route + " at " + record.node + " after "
                 + std::to_string(static_cast<int>(toMilliseconds(record.sentAt - moment)))
                 + " ms, outcome " + std::to_string(static_cast<int>(record.outcome)) + ", status "
                 + std::to_string(record.status) + ";";
@@ -182,85 +112,165 @@
     return text;
 }
 
-} // namespace
-
-SoakReport runSoak(const SoakOptions &options)
+std::vector<std::shared_ptr<NodeProcess>> startNodes(const SoakOptions &options,
+                                                     const std::string &storeAddress)
 {
-    std::filesystem::create_directories(options.folder);
-    RunCounter runs;
-    StoreStandIn store;
-    std::vector<std::unique_ptr<ScriptedServer>> servers;
-    for (unsigned number = 0; number < ServerCount; ++number) {
-        servers.push_back(makeServer(runs, options.seed + number));
-        store.put("servers", "s" + std::to_string(number), serverSpec(servers.back()->address()));
-    }
-    store.put("config", "main", configuration(1));
     std::vector<std::shared_ptr<NodeProcess>> nodes;
     for (unsigned number = 0; number < options.nodes; ++number) {
         nodes.push_back(std::make_shared<NodeProcess>(
             NodeProcess::Options { .program = options.program,
                                    .folder = options.folder,
                                    .name = "node-" + std::to_string(number),
-                                   .storeAddress = store.address(),
+                                   .storeAddress = storeAddress,
                                    .stopGrace = StopGrace }));
         nodes.back()->start();
+        const Instant now = std::chrono::steady_clock::now();
+        nodes.back()->noteDisturbance({ .begin = now, .end = now });
     }
-    std::this_thread::sleep_for(StartTime);
+    return nodes;
+}
 
-    std::mt19937_64 random(options.seed);
-    std::atomic<bool> stopping { false };
-    FaultCounts counts;
+/// Makes the callers of sound requests and, after them, those of deadly ones.
+std::vector<std::unique_ptr<SoakClient>>
+makeClients(const SoakOptions &options, const std::vector<std::shared_ptr<NodeProcess>> &nodes,
+            std::mt19937_64 &random)
+{
     std::vector<std::unique_ptr<SoakClient>> clients;
-    std::vector<std::thread> callerThreads;
-    std::vector<std::thread> faultThreads;
-    const Instant until = std::chrono::steady_clock::now() + options.faultTime;
+    const bool holding = options.disturbances.contains(Disturbance::HeldConnections);
     for (unsigned number = 0; number < options.clients; ++number) {
         clients.push_back(std::make_unique<SoakClient>(
-            "c" + std::to_string(number), nodes,
-            fromMilliseconds(IdleTimeoutsMs.front() * ReuseShare), random()));
-        callerThreads.emplace_back(
-            [client = clients.back().get(), &stopping] { client->run(stopping); });
+            SoakClient::Options { .name = "c" + std::to_string(number),
+                                  .nodes = nodes,
+                                  .longestPause = number % BusyOneIn == 0
+                                      ? LongestBusyPause
+                                      : fromMilliseconds(IdleTimeoutsMs.front() * ReuseShare),
+                                  .holdsConnections = holding && number % HoldingOneIn == 0,
+                                  .seed = random() }));
+    }
+    if (options.disturbances.contains(Disturbance::DeadlyPart)) {
+        for (unsigned number = 0; number < DeadlyCallers; ++number) {
+            clients.push_back(std::make_unique<SoakClient>(
+                SoakClient::Options { .name = "d" + std::to_string(number),
+                                      .nodes = nodes,
+                                      .longestPause = LongestDeadlyPause,
+                                      .deadlyRoute = deadlyRoute(options.seed),
+                                      .seed = random() }));
+        }
     }
+    return clients;
+}
+
+/// Injects the faults and waits for their end.
+void injectFaults(const SoakOptions &options,
+                  const std::vector<std::shared_ptr<NodeProcess>> &nodes, StoreStandIn &store,
+                  std::mt19937_64 &random, FaultCounts &counts)
+{
+    const Instant begin = std::chrono::steady_clock::now();
+    const Instant until = begin + options.faultTime;
+    std::vector<Instant> commonRestarts;
+    if (options.disturbances.contains(Disturbance::RestartAll)) {
+        commonRestarts.push_back(begin + options.faultTime * between(random, 40, 60) / 100);
+    }
+    std::barrier<> allStopped(static_cast<std::ptrdiff_t>(nodes.size()));
+    std::vector<std::thread> threads;
     for (const auto &node : nodes) {
-        faultThreads.emplace_back(
-            [&node, seed = random(), until, &counts] { injectFaults(*node, seed, until, counts); });
+        NodeFaults faults(*node,
+                          { .disturbances = options.disturbances,
+                            .seed = random(),
+                            .until = until,
+                            .commonRestarts = commonRestarts,
+                            .stopGrace = StopGrace },
+                          allStopped, counts);
+        threads.emplace_back([faults = std::move(faults)]() mutable { faults.run(); });
     }
-    faultThreads.emplace_back([&store, seed = random(), until, &counts] {
-        changeConfigurations(store, seed, until, counts);
-    });
-    for (std::thread &thread : faultThreads) {
-        thread.join();
+    if (options.disturbances.contains(Disturbance::Configuration)) {
+        threads.emplace_back([&store, seed = random(), until, &counts] {
+            changeConfigurations(store, seed, until, counts);
+        });
     }
-    const Instant faultsEnded = std::chrono::steady_clock::now();
-    std::this_thread::sleep_for(RecoveryTime);
-    stopping = true;
-    for (std::thread &thread : callerThreads) {
+    for (std::thread &thread : threads) {
         thread.join();
     }
+    std::this_thread::sleep_until(until);
+}
 
-    SoakReport report { .stops = counts.stops,
+SoakReport makeReport(const SoakObservations &observations, const FaultCounts &counts)
+{
+    SoakReport report { .requests = static_cast<unsigned>(observations.records.size()),
+                        .serverCrashes = static_cast<unsigned>(observations.crashes.size()),
+                        .stops = counts.stops,
                         .kills = counts.kills,
                         .pauses = counts.pauses,
                         .reloads = counts.reloads,
-                        .configurations = counts.configurations };
-    std::vector<CallerRecord> records;
-    for (const auto &client : clients) {
-        records.insert(records.end(), client->records().begin(), client->records().end());
-        if (!servedSince(client->records(), faultsEnded)) {
-            report.violations.push_back(unservedCaller(client->records(), faultsEnded));
-        }
+                        .commonRestarts = counts.commonRestarts,
+                        .configurations = counts.configurations,
+                        .deadlyPart = countDeadlyPart(observations) };
+    std::map<std::string, unsigned> runs;
+    for (const ServerRun &run : observations.runs) {
+        ++runs[run.requestId];
+        report.brokenOff += run.brokenOff ? 1 : 0;
     }
-    for (const CallerRecord &record : records) {
-        ++report.requests;
-        report.served += record.status == 200 ? 1 : 0;
+    for (const CallerRecord &record : observations.records) {
         const bool closed = record.outcome == CallerOutcome::ConnectionClosed;
-        report.closedNotRun += closed && runs.runs(record.id) == 0 ? 1 : 0;
+        report.served += record.outcome == CallerOutcome::Answered && record.status == 200 ? 1 : 0;
+        report.closedNotRun += closed && !runs.contains(record.id) ? 1 : 0;
     }
+    report.violations = findViolations(observations);
     for (unsigned number = 0; number < counts.overdueStops; ++number) {
-        report.violations.push_back("a node still runs at the end of its grace period");
+        report.violations.push_back({ .check = "overdue-stop",
+                                      .text = "a node still runs at the end of its grace period" });
+    }
+    for (unsigned number = 0; number < counts.unexpectedEnds; ++number) {
+        report.violations.push_back(
+            { .check = "unexpected-end", .text = "a node's process ended by itself" });
+    }
+    return report;
+}
+
+} // namespace
+
+SoakReport runSoak(const SoakOptions &options)
+{
+    std::filesystem::create_directories(options.folder);
+    std::mt19937_64 random(options.seed);
+    RunLog log;
+    StoreStandIn store;
+    SoakServers servers(store, log, options.disturbances, random());
+    store.put("config", "main", configuration(1, random));
+    const std::vector<std::shared_ptr<NodeProcess>> nodes = startNodes(options, store.address());
+    std::this_thread::sleep_for(StartTime);
+
+    std::atomic<bool> stopping { false };
+    FaultCounts counts;
+    const std::vector<std::unique_ptr<SoakClient>> clients = makeClients(options, nodes, random);
+    std::vector<std::thread> callerThreads;
+    for (const auto &client : clients) {
+        callerThreads.emplace_back([client = client.get(), &stopping] { client->run(stopping); });
+    }
+    injectFaults(options, nodes, store, random, counts);
+    servers.endOwnFaults();
+    const Instant faultsEnded = std::chrono::steady_clock::now();
+    std::this_thread::sleep_for(RecoveryTime);
+    stopping = true;
+    for (std::thread &thread : callerThreads) {
+        thread.join();
+    }
+
+    SoakObservations observations { .runs = log.runs(), .crashes = log.crashes() };
+    for (const auto &node : nodes) {
+        observations.disturbances[node->name()] = node->disturbances();
+    }
+    std::vector<Violation> unserved;
+    for (std::size_t number = 0; number < clients.size(); ++number) {
+        const std::vector<CallerRecord> &records = clients[number]->records();
+        observations.records.insert(observations.records.end(), records.begin(), records.end());
+        if (number < options.clients && !servedSince(records, faultsEnded)) {
+            unserved.push_back(
+                { .check = "unserved-caller", .text = unservedCaller(records, faultsEnded) });
+        }
     }
-    const auto found = findViolations(records, runs);
-    report.violations.insert(report.violations.end(), found.begin(), found.end());
+    SoakReport report = makeReport(observations, counts);
+    report.violations.insert(report.violations.end(), unserved.begin(), unserved.end());
     return report;
 }
 
--- a/Tests/Soak/SoakRun.h
+++ b/Tests/Soak/SoakRun.h
@@ -5,6 +5,8 @@
 #include <vector>
 
 #include "Core/Time.h"
+#include "Disturbance.h"
+#include "SoakJudge.h"
 
 namespace jacinthroad {
 
@@ -20,6 +22,7 @@
     unsigned clients = 60;
     /// Time during which faults are injected.
     Duration faultTime = std::chrono::seconds(15);
+    Disturbances disturbances = allDisturbances();
 };
 
 /// The result of one soak run.
@@ -29,19 +32,22 @@
     unsigned served = 0;
     /// Requests whose connection closed although no server had begun to run them.
     unsigned closedNotRun = 0;
+    /// Runs whose server broke off.
+    unsigned brokenOff = 0;
+    unsigned serverCrashes = 0;
     unsigned stops = 0;
     unsigned kills = 0;
     unsigned pauses = 0;
     unsigned reloads = 0;
+    unsigned commonRestarts = 0;
     unsigned configurations = 0;
-    /// One line for each broken promise.
-    std::vector<std::string> violations;
+    DeadlyPartFigures deadlyPart;
+    std::vector<Violation> violations;
 };
 
-/// Runs nodes as processes before stand-ins of the store and of backend servers, injects faults
-/// (stops with SIGTERM, kills, pauses, reloads, new configurations) that overlap between nodes, and
-/// judges what callers on open connections saw. Equal seeds yield equal faults; their timing
-/// relative to requests varies with the scheduler.
+/// Runs nodes as processes before stand-ins of the store and of backend servers, injects faults at
+/// nodes, servers and callers that overlap, and judges what callers and servers saw. Equal seeds
+/// yield equal faults; their timing relative to requests varies with the scheduler.
 [[nodiscard]] SoakReport runSoak(const SoakOptions &options);
 
 } // namespace jacinthroad
--- /dev/null
+++ b/Tests/Soak/SoakServers.h
@@ -0,0 +1,86 @@
+#pragma once
+
+#include <atomic>
+#include <condition_variable>
+#include <functional>
+#include <memory>
+#include <mutex>
+#include <random>
+#include <string>
+#include <thread>
+#include <vector>
+
+#include "Disturbance.h"
+#include "ResponsePlan.h"
+#include "RunLog.h"
+#include "ScriptedServer.h"
+#include "StoreStandIn.h"
+
+namespace jacinthroad {
+
+/// Stand-ins of backend servers, listed in a store stand-in. Their processes end, by chance or by a
+/// deadly prompt part, and start again after some seconds under a new boot.
+class SoakServers
+{
+public:
+    SoakServers(StoreStandIn &store, RunLog &log, const Disturbances &disturbances,
+                std::uint64_t seed);
+    SoakServers(const SoakServers &) = delete;
+    SoakServers &operator=(const SoakServers &) = delete;
+    ~SoakServers();
+
+    /// Ends the faults that servers have by themselves. Deadly prompt parts go on crashing them.
+    void endOwnFaults() { ownFaults_ = false; }
+
+private:
+    using ReceivedRequest = boost::beast::http::request<boost::beast::http::string_body>;
+
+    /// One process of a server.
+    struct Boot
+    {
+        /// Unique among all boots.
+        std::string name;
+        /// Name in the store, which boots may share one after the other.
+        std::string id;
+        std::string service;
+        int number = 1;
+        std::atomic<bool> up { false };
+        std::unique_ptr<ScriptedServer> server;
+    };
+    struct Start
+    {
+        Instant at;
+        const Boot *former;
+    };
+
+    void startBoot(const std::string &service, const std::string &id, int number);
+    void startAgain(const Boot &former);
+    void maintain();
+    /// Ends the process of a server; returns false if it has ended before.
+    bool crash(Boot &boot, bool byDeadlyPart);
+    [[nodiscard]] bool mayCrash(const Boot &boot);
+    void serve(Boot &boot, ScriptedConnection &connection);
+    /// Responds to one request; returns false if the connection ends. `lateBytes` receives what is
+    /// to be sent when the next request comes.
+    [[nodiscard]] bool respond(Boot &boot, ScriptedConnection &connection,
+                               const ReceivedRequest &request, std::string &lateBytes);
+    void crashByDeadlyPart(Boot &boot, ScriptedConnection &connection,
+                           const ReceivedRequest &request);
+    [[nodiscard]] bool endResponse(Boot &boot, ScriptedConnection &connection, std::size_t run,
+                                   const ResponsePlan &plan);
+
+    StoreStandIn &store_;
+    RunLog &log_;
+    Disturbances disturbances_;
+    std::uint64_t seed_;
+    std::atomic<bool> ownFaults_ { true };
+    std::mutex mutex_;
+    std::condition_variable changed_;
+    bool stopping_ = false;
+    std::mt19937_64 random_;
+    std::vector<std::unique_ptr<Boot>> boots_;
+    std::vector<Start> starts_;
+    std::thread maintenance_;
+};
+
+} // namespace jacinthroad
--- /dev/null
+++ b/Tests/Soak/SoakTraffic.cpp
@@ -0,0 +1,177 @@
+#include "SoakTraffic.h"
+
+#include <algorithm>
+#include <array>
+#include <functional>
+
+namespace jacinthroad {
+
+namespace {
+
+struct Route
+{
+    const char *method;
+    const char *prefix;
+    bool repeatable;
+    bool stream;
+    bool prompt;
+};
+constexpr std::array<Route, 5> Routes { { { "GET", "/safe/", true, false, false },
+                                          { "POST", "/unsafe/", false, false, false },
+                                          { "POST", "/events/", false, true, false },
+                                          { "POST", "/once/", false, true, true },
+                                          { "POST", "/resumable/", true, true, true } } };
+constexpr std::string_view DeadlyPart = "dead0001";
+constexpr int FirstParts = 3;
+constexpr int MiddleParts = 4;
+/// Deadly requests use these many keys and first parts; sound requests use them and others.
+constexpr int DeadlyKeys = 2;
+constexpr int DeadlyFirstParts = 2;
+
+const Route *findRoute(std::string_view path)
+{
+    const auto *found = std::find_if(Routes.begin(), Routes.end(), [&](const Route &route) {
+        return path.starts_with(route.prefix);
+    });
+    return found == Routes.end() ? nullptr : found;
+}
+
+std::string firstPart(int number)
+{
+    return "a" + std::to_string(number);
+}
+
+std::string middlePart(int number)
+{
+    return "b" + std::to_string(number);
+}
+
+/// Hash that is the same on each run and platform.
+std::uint64_t hashOf(std::string_view text)
+{
+    std::uint64_t hash = 14695981039346656037U;
+    for (const char c : text) {
+        hash = (hash ^ static_cast<unsigned char>(c)) * 1099511628211U;
+    }
+    return hash;
+}
+
+void complete(SoakRequest &request, const Route &route, const std::vector<std::string> &parts,
+              std::mt19937_64 &random)
+{
+    const std::string body = route.repeatable && !route.stream ? "" : "prompt of " + request.id;
+    request.method = route.method;
+    request.route = route.prefix;
+    request.text = request.method + " " + request.route + request.id
+        + " HTTP/1.1\r\nHost: h\r\nX-Request-Id: " + request.id + "\r\nAuthorization: Bearer "
+        + request.key + "\r\n";
+    if (route.prompt) {
+        request.text += "X-Model: m\r\nX-Token-Counts: 400,20\r\nX-Prompt-Prefix: ";
+        for (const std::string &part : parts) {
+            request.text += part + ":100,";
+        }
+        std::string last;
+        for (int digit = 0; digit < 8; ++digit) {
+            last += "0123456789abcdef"[between(random, 0, 15)];
+        }
+        request.text += last + ":100\r\n";
+    }
+    if (!body.empty()) {
+        request.text += "Content-Length: " + std::to_string(body.size()) + "\r\n";
+    }
+    request.text += "\r\n" + body;
+}
+
+} // namespace
+
+const std::vector<std::string> &soakKeys()
+{
+    static const std::vector<std::string> Keys { "key-0", "key-1", "key-2", "key-3" };
+    return Keys;
+}
+
+int between(std::mt19937_64 &random, int low, int high)
+{
+    return low + static_cast<int>(random() % static_cast<std::uint64_t>(high - low + 1));
+}
+
+SoakRequest makeSoakRequest(const std::string &id, std::mt19937_64 &random)
+{
+    const Route &route = Routes[random() % Routes.size()];
+    SoakRequest request { .id = id, .key = soakKeys()[random() % soakKeys().size()] };
+    std::vector<std::string> parts;
+    if (route.prompt) {
+        request.firstPart = firstPart(between(random, 0, FirstParts - 1));
+        parts = { request.firstPart, middlePart(between(random, 0, MiddleParts - 1)) };
+    }
+    complete(request, route, parts, random);
+    return request;
+}
+
+SoakRequest makeDeadlyRequest(const std::string &id, const std::string &route,
+                              std::mt19937_64 &random)
+{
+    SoakRequest request {
+        .id = id,
+        .key = soakKeys()[static_cast<std::size_t>(between(random, 0, DeadlyKeys - 1))],
+        .firstPart = firstPart(between(random, 0, DeadlyFirstParts - 1)),
+        .deadly = true
+    };
+    std::vector<std::string> parts { request.firstPart,
+                                     middlePart(between(random, 0, MiddleParts - 1)) };
+    const int position = between(random, 1, static_cast<int>(parts.size()));
+    parts.insert(parts.begin() + position, std::string(DeadlyPart));
+    if (between(random, 0, 3) == 0) {
+        parts = { request.firstPart, std::string(DeadlyPart) };
+    }
+    complete(request, *findRoute(route), parts, random);
+    return request;
+}
+
+std::string deadlyRoute(std::uint64_t seed)
+{
+    return seed % 2 == 0 ? "/once/" : "/resumable/";
+}
+
+bool hasDeadlyPart(std::string_view parts)
+{
+    return parts.find(std::string(DeadlyPart) + ":") != std::string_view::npos;
+}
+
+bool isRepeatable(std::string_view path)
+{
+    const Route *route = findRoute(path);
+    return route != nullptr && route->repeatable;
+}
+
+bool isStream(std::string_view path)
+{
+    const Route *route = findRoute(path);
+    return route != nullptr && route->stream;
+}
+
+std::vector<std::string> soakResponsePieces(const std::string &id, bool stream)
+{
+    constexpr int FewestEvents = 2;
+    constexpr int MostEvents = 10;
+    std::vector<std::string> pieces;
+    std::mt19937_64 random(hashOf(id));
+    const int count = stream ? between(random, FewestEvents, MostEvents) : 3;
+    for (int number = 1; number <= count; ++number) {
+        pieces.push_back(stream ? "id: " + std::to_string(number) + "\ndata: " + id + " event "
+                                 + std::to_string(number) + "\n\n"
+                                : id + " piece " + std::to_string(number) + "\n");
+    }
+    return pieces;
+}
+
+std::string soakResponseBody(const std::string &id, bool stream)
+{
+    std::string body;
+    for (const std::string &piece : soakResponsePieces(id, stream)) {
+        body += piece;
+    }
+    return body;
+}
+
+} // namespace jacinthroad
--- /dev/null
+++ b/Tests/Soak/SoakTraffic.h
@@ -0,0 +1,55 @@
+#pragma once
+
+#include <cstdint>
+#include <random>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace jacinthroad {
+
+/// One request of a caller.
+struct SoakRequest
+{
+    std::string id;
+    std::string method;
+    /// Route of the request, which its path begins with.
+    std::string route;
+    std::string key;
+    /// Identifier of the first prompt part; empty if the request has no prompt.
+    std::string firstPart;
+    /// True if a prompt part crashes servers.
+    bool deadly = false;
+    /// Complete text, with the body.
+    std::string text;
+};
+
+/// Keys that every configuration contains.
+[[nodiscard]] const std::vector<std::string> &soakKeys();
+
+/// Number from `low` to `high` inclusive.
+[[nodiscard]] int between(std::mt19937_64 &random, int low, int high);
+
+/// Makes a request with random route, key and prompt parts.
+[[nodiscard]] SoakRequest makeSoakRequest(const std::string &id, std::mt19937_64 &random);
+/// Makes a request with the prompt part that crashes servers, on the route `route`. It shares its
+/// key and its other parts, but for the last, with sound requests.
+[[nodiscard]] SoakRequest makeDeadlyRequest(const std::string &id, const std::string &route,
+                                            std::mt19937_64 &random);
+
+/// The route on which the deadly part occurs in the run with this seed.
+[[nodiscard]] std::string deadlyRoute(std::uint64_t seed);
+/// True if the value of the header that lists the prompt parts contains the deadly part.
+[[nodiscard]] bool hasDeadlyPart(std::string_view parts);
+/// True if a request on this route or path may run more than once.
+[[nodiscard]] bool isRepeatable(std::string_view path);
+/// True if the response on this route or path is an event stream.
+[[nodiscard]] bool isStream(std::string_view path);
+
+/// The body of the only right response to a request, split into the events of a stream or into the
+/// pieces that are written one by one.
+[[nodiscard]] std::vector<std::string> soakResponsePieces(const std::string &id, bool stream);
+/// The same body as one text.
+[[nodiscard]] std::string soakResponseBody(const std::string &id, bool stream);
+
+} // namespace jacinthroad
