--- a/Tests/Soak/SoakRun.cpp
+++ b/Tests/Soak/SoakRun.cpp
@@ -244,6 +244,7 @@
     FaultCounts counts;
     const std::vector<std::unique_ptr<SoakClient>> clients = makeClients(options, nodes, random);
     std::vector<std::thread> callerThreads;
+    callerThreads.reserve(clients.size());
     for (const auto &client : clients) {
         callerThreads.emplace_back([client = client.get(), &stopping] { client->run(stopping); });
     }
