Quarantine: Keep a request denied when another crashed some of its servers

A request that had crashed three servers was sent to servers again once another request had crashed four, one of them the same: the crashes of the other explained that server, and the first fell below three. Explaining crashes away serves to tell a prompt part from what shares its requests. Two whole requests that both crash servers stay denied, so neither explains the crashes of the other.

--- a/Source/Quarantine/CrashHistory.cpp
+++ b/Source/Quarantine/CrashHistory.cpp
@@ -138,7 +138,10 @@
         }
     }
     for (auto &[fingerprint, entry] : entries_) {
-        if (fingerprint == cause.first) {
+        // Requests that crash servers stay denied although some of the servers are the same.
+        const bool bothRequests
+            = entry.depth == WholeRequestDepth && cause.second.depth == WholeRequestDepth;
+        if (fingerprint == cause.first || bothRequests) {
             continue;
         }
         bool changed = false;
--- a/Tests/Quarantine/CrashHistoryTest.cpp
+++ b/Tests/Quarantine/CrashHistoryTest.cpp
@@ -234,6 +234,22 @@
     BOOST_TEST(history.empty());
 }
 
+BOOST_AUTO_TEST_CASE(requestStaysDeniedWhenAnotherCrashedSomeOfItsServers)
+{
+    CrashHistory history = historyOf(1);
+    for (int crash = 0; crash < 3; ++crash) {
+        noteCrash(history, static_cast<std::uint64_t>(crash), crash * 3000, crash * 3000 + 10);
+    }
+    for (int crash = 2; crash < 6; ++crash) {
+        const Instant sentAt = at(crash * 3000);
+        static_cast<void>(history.noteCrash(Request + 1, static_cast<std::uint64_t>(crash), sentAt,
+                                            sentAt + milliseconds(10), sentAt + milliseconds(10)));
+    }
+    for (const RequestFingerprint request : { Request, Request + 1 }) {
+        BOOST_TEST((history.assess(request, at(16'000)).permission == CrashPermission::Denied));
+    }
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace jacinthroad
