Soak: Allow a close that a paused node sees after its server has ended

Such a response can't be told from one that its server broke off. The judge now allows it only if the node was disturbed when the response ended and that server ended up to 1 s after.

--- a/Tests/Soak/SoakJudge.cpp
+++ b/Tests/Soak/SoakJudge.cpp
@@ -159,6 +159,32 @@
     }
 }
 
+/// True if a server ended a response with its connection while the node was disturbed, and the
+/// server's process ended before the node could check that it lives.
+bool serverEndedMeanwhile(const SoakObservations &observations, const CallerRecord &record)
+{
+    constexpr Duration CheckTime = std::chrono::seconds(1);
+    for (const ServerRun &run : observations.runs) {
+        if (run.requestId != record.id || !run.delimitedByClose || !run.finished) {
+            continue;
+        }
+        for (const TimeSpan &span : observations.disturbances.at(record.node)) {
+            const bool overlaps
+                = span.begin <= run.finishedAt + CheckTime && span.end >= run.finishedAt;
+            const bool ended = std::any_of(observations.crashes.begin(), observations.crashes.end(),
+                                           [&](const ServerCrash &crash) {
+                                               return crash.boot == run.boot
+                                                   && crash.at >= run.finishedAt
+                                                   && crash.at <= span.end + CheckTime;
+                                           });
+            if (overlaps && ended) {
+                return true;
+            }
+        }
+    }
+    return false;
+}
+
 } // namespace
 
 bool wasCalm(const std::vector<TimeSpan> &disturbances, Instant moment)
@@ -202,7 +228,10 @@
     const auto runs = runsByRequest(observations.runs);
     for (const CallerRecord &record : observations.records) {
         const auto found = runs.find(record.id);
-        const RequestRuns requestRuns = found == runs.end() ? RequestRuns {} : found->second;
+        RequestRuns requestRuns = found == runs.end() ? RequestRuns {} : found->second;
+        requestRuns.brokenOff = requestRuns.brokenOff
+            || (record.outcome == CallerOutcome::ConnectionClosed
+                && serverEndedMeanwhile(observations, record));
         for (const auto &check : { checkResponse, checkRuns }) {
             const std::vector<Violation> broken = check(record, requestRuns);
             violations.insert(violations.end(), broken.begin(), broken.end());
