Tests: Let the stand-in of the store come back from an earlier copy

The stand-in can now take a copy, go back to it, assign revisions again, reject watches from revisions that it lacks, and name its era in every response. By default it names none, as before.

--- a/Tests/Gateway/StoreStandIn.cpp
+++ b/Tests/Gateway/StoreStandIn.cpp
@@ -49,6 +49,29 @@
     changed_.notify_all();
 }
 
+void StoreStandIn::sendEra(std::uint64_t era)
+{
+    const std::lock_guard lock(mutex_);
+    era_ = era;
+}
+
+void StoreStandIn::snapshot()
+{
+    const std::lock_guard lock(mutex_);
+    savedObjects_ = objects_;
+    savedRevision_ = revision_;
+}
+
+void StoreStandIn::restore()
+{
+    const std::lock_guard lock(mutex_);
+    objects_ = savedObjects_;
+    revision_ = savedRevision_;
+    std::erase_if(changes_, [this](const Change &change) { return change.revision > revision_; });
+    era_ += era_ == 0 ? 0 : 1;
+    changed_.notify_all();
+}
+
 void StoreStandIn::stopResponding()
 {
     const std::lock_guard lock(mutex_);
@@ -61,6 +84,12 @@
     return objects_[kind].contains(name) ? objects_[kind][name]["spec"] : Json::Value();
 }
 
+std::string StoreStandIn::response(unsigned status, const std::string &body) const
+{
+    return responseText(status, era_ == 0 ? "" : "Store-Era: " + std::to_string(era_) + "\r\n",
+                        body);
+}
+
 void StoreStandIn::serve(ScriptedConnection &connection)
 {
     http::request<http::string_body> request;
@@ -90,9 +119,8 @@
     if (request.method() == http::verb::get) {
         const std::lock_guard lock(mutex_);
         if (!name.empty()) {
-            return objects_[kind].contains(name)
-                ? responseText(200, "", writeJson(objects_[kind][name]))
-                : responseText(404, "", "{}");
+            return objects_[kind].contains(name) ? response(200, writeJson(objects_[kind][name]))
+                                                 : response(404, "{}");
         }
         Json::Value page;
         page["items"] = Json::Value(Json::arrayValue);
@@ -101,7 +129,7 @@
         }
         page["hasMore"] = false;
         page["currentRev"] = Json::UInt64(revision_);
-        return responseText(200, "", writeJson(page));
+        return response(200, writeJson(page));
     }
     const Json::Value body = *parseJson(request.body());
     const std::string condition = parameter(target, "revision");
@@ -114,6 +142,9 @@
                                 std::chrono::milliseconds wait)
 {
     std::unique_lock lock(mutex_);
+    if (revision > revision_) {
+        return response(410, "{}");
+    }
     Json::Value events(Json::arrayValue);
     const auto collectEvents = [&] {
         events = Json::Value(Json::arrayValue);
@@ -128,10 +159,10 @@
         return stopping_ || !events.empty();
     };
     changed_.wait_for(lock, wait, collectEvents);
-    Json::Value response;
-    response["events"] = events;
-    response["currentRev"] = Json::UInt64(revision_);
-    return responseText(200, "", writeJson(response));
+    Json::Value body;
+    body["events"] = events;
+    body["currentRev"] = Json::UInt64(revision_);
+    return response(200, writeJson(body));
 }
 
 std::string StoreStandIn::write(const std::string &kind, const std::string &name,
@@ -146,10 +177,10 @@
             && (found == objects.end()
                 || found->second["metadata"]["revision"].asUInt64() != *condition));
     if (conflict) {
-        return responseText(409, "", found == objects.end() ? "{}" : writeJson(found->second));
+        return response(409, found == objects.end() ? "{}" : writeJson(found->second));
     }
     if (found != objects.end() && found->second["spec"] == spec) {
-        return responseText(200, "", writeJson(found->second));
+        return response(200, writeJson(found->second));
     }
     Json::Value object;
     object["metadata"]["name"] = name;
@@ -158,7 +189,7 @@
     objects[name] = object;
     changes_.push_back({ revision_, kind, object, false });
     changed_.notify_all();
-    return responseText(200, "", writeJson(object));
+    return response(200, writeJson(object));
 }
 
 } // namespace jacinthroad
--- a/Tests/Gateway/StoreStandIn.h
+++ b/Tests/Gateway/StoreStandIn.h
@@ -28,12 +28,22 @@
     void put(const std::string &kind, const std::string &name, const Json::Value &spec);
     /// Removes an object.
     void remove(const std::string &kind, const std::string &name);
+    /// Numbers the eras of the store from `era` on and sends the number with every response.
+    void sendEra(std::uint64_t era);
+    /// Copies all objects and the revision for restore().
+    void snapshot();
+    /// Goes back to the last snapshot: later changes are lost, their revisions are assigned again
+    /// and the era rises by one.
+    void restore();
     /// Leaves every further call without a response.
     void stopResponding();
     /// Returns the spec of an object; null if it does not exist.
     [[nodiscard]] Json::Value spec(const std::string &kind, const std::string &name);
 
 private:
+    /// Objects by kind and name.
+    using Objects = std::map<std::string, std::map<std::string, Json::Value>>;
+
     struct Change
     {
         std::uint64_t revision;
@@ -42,6 +52,8 @@
         bool removed;
     };
 
+    /// A response of the present era; the caller holds the mutex.
+    [[nodiscard]] std::string response(unsigned status, const std::string &body) const;
     void serve(ScriptedConnection &connection);
     [[nodiscard]] std::string
     respond(const boost::beast::http::request<boost::beast::http::string_body> &request);
@@ -54,9 +66,13 @@
     std::mutex mutex_;
     std::condition_variable changed_;
     std::uint64_t revision_ = 1;
+    /// 0 while responses carry no era.
+    std::uint64_t era_ = 0;
     bool unresponsive_ = false;
     bool stopping_ = false;
-    std::map<std::string, std::map<std::string, Json::Value>> objects_;
+    Objects objects_;
+    Objects savedObjects_;
+    std::uint64_t savedRevision_ = 1;
     std::vector<Change> changes_;
     ScriptedServer server_;
 };
