Gateway: List objects anew when the store has been restored

After a restore the store assigns revisions again. A watch from a revision of the lost history, once the store has reached that number again, returned no events for what had changed in between: an object kept its lost content for good, a lost object stayed listed, a new one stayed unknown, and the configuration was confirmed as current while the store held another. Nothing read the era that the store sends.

platform/ reads the era from the header of a response; StoreClient keeps the newest one and every reply carries its era. A table belongs to the era in which it was listed: a watch answered in another era is discarded, and any response that names a new era makes each StoreSync list anew. A list whose pages come from two eras starts over. A store that names no era is read as before.

StoreSyncTest/restoredStoreThatReachesTheWatchedRevisionAgainLeavesNoStaleObjects failed on the code before with `lost != first`, front-3 missing and front-2 still listed; watchThatBelongsToAnotherEraConfirmsNothing failed as the table was confirmed with the lost content. Both pass now.

--- a/Source/Gateway/ControlClient.cpp
+++ b/Source/Gateway/ControlClient.cpp
@@ -117,6 +117,7 @@
         idle_.push_back(connection);
     }
     co_return CallResponse { .status = responseParser.get().result_int(),
+                             .headers = responseParser.get().base(),
                              .body = std::move(responseParser.get().body()),
                              .sentAt = sentAt };
 }
--- a/Source/Gateway/ControlClient.h
+++ b/Source/Gateway/ControlClient.h
@@ -20,6 +20,7 @@
 struct CallResponse
 {
     unsigned status = 0;
+    boost::beast::http::fields headers;
     std::string body;
     /// When the call was sent; the response is at least as recent as this.
     BootInstant sentAt;
--- a/Source/Gateway/StoreClient.cpp
+++ b/Source/Gateway/StoreClient.cpp
@@ -1,7 +1,10 @@
 #include "Gateway/StoreClient.h"
 
+#include <algorithm>
 #include <string_view>
 
+#include "Core/Log.h"
+
 namespace jacinthroad {
 
 namespace {
@@ -40,11 +43,28 @@
         metrics_.countStoreCall("unanswered");
         co_return tl::make_unexpected(reply.error());
     }
+    const std::optional<std::uint64_t> era = platform::readEra(reply->headers);
+    if (era.has_value()) {
+        noteEra(*era);
+    }
     const platform::StoreStatus status = platform::readStatus(reply->status);
     metrics_.countStoreCall(std::string(statusName(status)));
     co_return StoreReply { .status = status,
                            .body = std::move(reply->body),
+                           .era = era.has_value() ? era : era_,
                            .sentAt = reply->sentAt };
 }
 
+void StoreClient::noteEra(std::uint64_t era)
+{
+    if (era_.has_value() && era > *era_) {
+        logLine(LogLevel::Warning, "store_restored",
+                { { "object", "store" },
+                  { "era", static_cast<std::int64_t>(era) },
+                  { "era_before", static_cast<std::int64_t>(*era_) },
+                  { "remedy", "Check that the objects written last are still in the store." } });
+    }
+    era_ = std::max(era_.value_or(era), era);
+}
+
 } // namespace jacinthroad
--- a/Source/Gateway/StoreClient.h
+++ b/Source/Gateway/StoreClient.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include <cstdint>
+#include <optional>
 #include <string>
 #include <utility>
 
@@ -19,6 +21,9 @@
 {
     platform::StoreStatus status = platform::StoreStatus::InvalidCall;
     std::string body;
+    /// The era of the store that sent the response, or the last known one if the response names
+    /// none. Revisions of different eras cannot be compared.
+    std::optional<std::uint64_t> era;
     /// When the request was sent. The response reflects the store at this moment or later.
     BootInstant sentAt;
 };
@@ -34,10 +39,15 @@
     /// write may then have been applied, or may still be applied later.
     [[nodiscard]] boost::asio::awaitable<Result<StoreReply>> call(platform::Call call,
                                                                   Duration timeout);
+    /// The newest era that any response has named; nothing if none has.
+    [[nodiscard]] std::optional<std::uint64_t> era() const { return era_; }
 
 private:
+    void noteEra(std::uint64_t era);
+
     ControlClient caller_;
     GatewayMetrics &metrics_;
+    std::optional<std::uint64_t> era_;
 };
 
 } // namespace jacinthroad
--- a/Source/Gateway/StoreSync.cpp
+++ b/Source/Gateway/StoreSync.cpp
@@ -42,6 +42,8 @@
     listed_ = false;
     for (;;) {
         bool done = false;
+        // The response to another call may have told that the store was restored.
+        listed_ = listed_ && era_ == client_.era();
         if (listed_) {
             done = co_await watch();
         } else {
@@ -64,6 +66,7 @@
     ObjectTable table;
     std::string after;
     std::uint64_t revision = 0;
+    std::optional<std::uint64_t> era;
     BootInstant firstSent;
     for (bool more = true; more;) {
         const auto reply
@@ -81,6 +84,9 @@
         if (after.empty()) {
             firstSent = reply->sentAt;
             revision = page->revision;
+            era = reply->era;
+        } else if (reply->era != era) {
+            co_return false;
         }
         for (const platform::StoredObject &object : page->objects) {
             table[object.name] = object;
@@ -94,6 +100,7 @@
     table_ = std::move(table);
     // The watch starts at the revision of the first page and reports later changes again.
     revision_ = revision;
+    era_ = era;
     listed_ = true;
     changeHandler_(table_);
     confirmationHandler_(firstSent);
@@ -105,7 +112,7 @@
     const auto reply
         = co_await client_.call(platform::watchCall(options_.kind, revision_, options_.watchWait),
                                 options_.watchWait + CallTimeout);
-    if (reply.has_value() && reply->status == StoreStatus::HistoryGone) {
+    if (reply.has_value() && (reply->status == StoreStatus::HistoryGone || reply->era != era_)) {
         listed_ = false;
         co_return true;
     }
--- a/Source/Gateway/StoreSync.h
+++ b/Source/Gateway/StoreSync.h
@@ -3,6 +3,7 @@
 #include <cstdint>
 #include <functional>
 #include <map>
+#include <optional>
 #include <string>
 #include <utility>
 
@@ -19,6 +20,8 @@
 using ObjectTable = std::map<std::string, platform::StoredObject>;
 
 /// Keeps a local copy of all objects of one kind: lists them once, then watches for changes.
+/// Lists them anew once the store has come back from an earlier copy: the same revision may then
+/// mean another state.
 /// Used by the control thread only.
 class StoreSync
 {
@@ -63,6 +66,8 @@
     ConfirmationHandler confirmationHandler_;
     ObjectTable table_;
     std::uint64_t revision_ = 0;
+    /// The era in which the table was listed.
+    std::optional<std::uint64_t> era_;
     bool listed_ = false;
     bool reachable_ = true;
     unsigned failures_ = 0;
--- a/Tests/Gateway/StoreSyncTest.cpp
+++ b/Tests/Gateway/StoreSyncTest.cpp
@@ -39,6 +39,71 @@
     BOOST_TEST(completed == 1U);
 }
 
+BOOST_AUTO_TEST_CASE(restoredStoreThatReachesTheWatchedRevisionAgainLeavesNoStaleObjects)
+{
+    StoreStandIn store;
+    store.sendEra(1);
+    store.put("nodes", "front-1", Json::Value("first"));
+    store.snapshot();
+    store.put("nodes", "front-1", Json::Value("lost"));
+    store.put("nodes", "front-2", Json::Value("lost"));
+    asio::io_context context { 1 };
+    GatewayMetrics metrics;
+    StoreClient client(context, store.address(), metrics);
+    ObjectTable last;
+    StoreSync sync(
+        context, client,
+        { .kind = platform::ObjectKind::Nodes, .name = "nodes", .watchWait = milliseconds(100) },
+        [&](const ObjectTable &table) { last = table; }, [](BootInstant) {});
+    asio::co_spawn(context, sync.run(), asio::detached);
+    context.run_for(milliseconds(250));
+    BOOST_REQUIRE(last.size() == 2U);
+    // Between two turns of the context, the store goes back and reaches the same revision again.
+    store.restore();
+    store.put("nodes", "front-3", Json::Value("second"));
+    store.put("servers", "s1", Json::Value("second"));
+    context.run_for(milliseconds(500));
+    BOOST_TEST(last.size() == 2U);
+    BOOST_REQUIRE(last.contains("front-1"));
+    BOOST_TEST(last.at("front-1").spec.asString() == "first");
+    BOOST_TEST(last.contains("front-3"));
+    BOOST_TEST(!last.contains("front-2"));
+}
+
+BOOST_AUTO_TEST_CASE(watchThatBelongsToAnotherEraConfirmsNothing)
+{
+    StoreStandIn store;
+    store.sendEra(1);
+    store.snapshot();
+    store.put("config", "main", Json::Value("lost"));
+    asio::io_context context { 1 };
+    GatewayMetrics metrics;
+    StoreClient client(context, store.address(), metrics);
+    bool stale = false;
+    unsigned confirmed = 0;
+    std::string current = "lost";
+    ObjectTable last;
+    StoreSync sync(
+        context, client,
+        { .kind = platform::ObjectKind::Configuration,
+          .name = "configuration",
+          .watchWait = milliseconds(100) },
+        [&](const ObjectTable &table) { last = table; },
+        [&](BootInstant) {
+            ++confirmed;
+            stale = stale || !last.contains("main") || last.at("main").spec.asString() != current;
+        });
+    asio::co_spawn(context, sync.run(), asio::detached);
+    context.run_for(milliseconds(250));
+    store.restore();
+    current = "second";
+    store.put("config", "main", Json::Value("second"));
+    const unsigned before = confirmed;
+    context.run_for(milliseconds(500));
+    BOOST_TEST(confirmed > before);
+    BOOST_TEST(!stale);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace jacinthroad
--- a/Tests/Platform/WireTest.cpp
+++ b/Tests/Platform/WireTest.cpp
@@ -264,6 +264,18 @@
     BOOST_TEST(report->acceptedOrders == 2U);
 }
 
+BOOST_AUTO_TEST_CASE(readsEraOfStore)
+{
+    http::fields headers;
+    BOOST_TEST(!readEra(headers).has_value());
+    headers.set("Store-Era", "7");
+    BOOST_TEST((readEra(headers) == 7U));
+    for (const char *malformed : { "", "-1", "7x", "7.0", "99999999999999999999999" }) {
+        headers.set("Store-Era", malformed);
+        BOOST_TEST(!readEra(headers).has_value());
+    }
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace jacinthroad::platform
--- a/Utilities/check-wire-names.sh
+++ b/Utilities/check-wire-names.sh
@@ -8,7 +8,7 @@
 names+='|X-Request-Priority|X-Kv-|Kv-From|X-Weight-Versions|X-Pin-Ms|X-Hold|X-Length-Hint|Wait-Ms'
 names+='|"/-/|pathPrefix|trafficSplit|targetLatencyMs|targetGapMs|maxAttempts|allowAnonymous|apiKeys'
 names+='|maxConnections|kvStoreAddr|kvCapacityTokens|slotCount|coldLeftMs|fenceToken|opKind'
-names+='|currentRev|hasMore|allowStale|finalizers|kv-events|kv-list'
+names+='|currentRev|hasMore|allowStale|finalizers|kv-events|kv-list|Store-Era'
 if git grep -nE "$names" -- Source; then
   echo "error: the lines above use platform protocol names; translate them in platform/ instead" >&2
   exit 1
