Gateway: Discard responses that the store sent before a restore

A slow response of the time before a restore could arrive after one of the new era and was taken as the present state of the store: a list replaced the new table with lost objects, and a lost write counted as done. StoreClient now fails such a call like one without a response.

StoreClientTest/lateResponseOfAnEarlierEraIsDiscarded failed on the code before: the response of era 1 after one of era 2 was returned. It passes now.

--- a/Source/Gateway/StoreClient.cpp
+++ b/Source/Gateway/StoreClient.cpp
@@ -44,6 +44,11 @@
         co_return tl::make_unexpected(reply.error());
     }
     const std::optional<std::uint64_t> era = platform::readEra(reply->headers);
+    if (era.has_value() && era_.has_value() && *era < *era_) {
+        metrics_.countStoreCall("outdated");
+        co_return makeError(ErrorKind::PlatformUnavailable,
+                            "the store was restored after it sent this response");
+    }
     if (era.has_value()) {
         noteEra(*era);
     }
--- a/Source/Gateway/StoreClient.h
+++ b/Source/Gateway/StoreClient.h
@@ -35,8 +35,9 @@
     StoreClient(boost::asio::io_context &context, const std::string &address,
                 GatewayMetrics &metrics);
 
-    /// Makes one call. Fails with PlatformUnavailable if no response arrives within `timeout`; a
-    /// write may then have been applied, or may still be applied later.
+    /// Makes one call. Fails with PlatformUnavailable if no response arrives within `timeout`, or
+    /// one that the store sent before it was restored; a write may then have been applied, or may
+    /// still be applied later.
     [[nodiscard]] boost::asio::awaitable<Result<StoreReply>> call(platform::Call call,
                                                                   Duration timeout);
     /// The newest era that any response has named; nothing if none has.
