Gateway: Register the node again after the store was restored

A node wrote its object once, at its start. When the store came back from a copy that lacked the object, no peer that listed the nodes sent digests to it any more, for good. The node now checks after each change of era that its object is there.

--- a/Source/Gateway/Gateway.cpp
+++ b/Source/Gateway/Gateway.cpp
@@ -170,7 +170,10 @@
     void pollDrain(std::shared_ptr<std::promise<void>> idle, bool connectionsClosed);
     void reportToRollout();
     void assignCaches();
-    [[nodiscard]] asio::awaitable<void> registerNode();
+    /// Keeps this node's object in the store, also after the store has been restored.
+    [[nodiscard]] asio::awaitable<void> keepNodeRegistered();
+    /// Writes this node's object if the store lacks it; returns true if it is there.
+    [[nodiscard]] asio::awaitable<bool> registerNode();
 
     GatewaySettings settings;
     GatewayMetrics metrics;
@@ -261,7 +264,7 @@
         asio::co_spawn(controlContext, nodes.run(), asio::detached);
         asio::co_spawn(
             controlContext,
-            runRestarting(controlContext, "register_node", [this] { return registerNode(); }),
+            runRestarting(controlContext, "register_node", [this] { return keepNodeRegistered(); }),
             asio::detached);
     }
     asio::post(trafficContext, [this] { sweep(); });
@@ -364,36 +367,44 @@
     asio::post(trafficContext, [this, addresses] { digests.applyPeers(addresses); });
 }
 
-asio::awaitable<void> Gateway::Parts::registerNode()
+asio::awaitable<void> Gateway::Parts::keepNodeRegistered()
 {
-    Json::Value spec;
-    spec[PeerAddressField] = settings.peerAddress;
+    bool registered = false;
+    std::optional<std::uint64_t> era;
     for (;;) {
-        const auto reply = co_await store.call(
-            platform::createCall(platform::ObjectKind::Nodes, settings.name, spec),
-            RegisterTimeout);
-        if (reply.has_value() && reply->status == platform::StoreStatus::Done) {
-            co_return;
-        }
-        if (reply.has_value() && reply->status == platform::StoreStatus::Conflict) {
-            const auto object = platform::readObject(reply->body);
-            if (object.has_value() && object->spec == spec) {
-                co_return;
-            }
-            if (object.has_value()) {
-                const auto replaced = co_await store.call(
-                    platform::replaceCall(platform::ObjectKind::Nodes, settings.name,
-                                          object->revision, spec),
-                    RegisterTimeout);
-                if (replaced.has_value() && replaced->status == platform::StoreStatus::Done) {
-                    co_return;
-                }
-            }
+        if (!registered || era != store.era()) {
+            registered = co_await registerNode();
+            era = store.era();
         }
         co_await pauseFor(controlContext, RegisterPause);
     }
 }
 
+asio::awaitable<bool> Gateway::Parts::registerNode()
+{
+    Json::Value spec;
+    spec[PeerAddressField] = settings.peerAddress;
+    const auto reply = co_await store.call(
+        platform::createCall(platform::ObjectKind::Nodes, settings.name, spec), RegisterTimeout);
+    if (!reply.has_value()) {
+        co_return false;
+    }
+    if (reply->status != platform::StoreStatus::Conflict) {
+        co_return reply->status == platform::StoreStatus::Done;
+    }
+    const auto object = platform::readObject(reply->body);
+    if (!object.has_value()) {
+        co_return false;
+    }
+    if (object->spec == spec) {
+        co_return true;
+    }
+    const auto replaced = co_await store.call(
+        platform::replaceCall(platform::ObjectKind::Nodes, settings.name, object->revision, spec),
+        RegisterTimeout);
+    co_return replaced.has_value() && replaced->status == platform::StoreStatus::Done;
+}
+
 void Gateway::Parts::cordonServer(const ServerId &server, const ModelId &model,
                                   WeightsVersion version, Duration limit)
 {
