Gateway: Apply a version that the restored store assigned again

A node with version 5 in force ignored another configuration of version 5 that the operator wrote after a restore: its keys were refused and those it had removed were accepted. That an older version in the store was ignored was not logged.

decideConfiguration() compares version, content and era: a version in force never becomes lower, and of two configurations with one version that of the later era is newer. An older version in the store is logged once as configuration_went_back, with the remedy; newer ones are applied as they come.

StoreRestoreTest/versionAssignedAgainAfterRestoreIsApplied failed on the code before (401 for the new key, 200 for the removed one) and passes now.

--- /dev/null
+++ b/Source/Fleet/ConfigurationIdentity.h
@@ -0,0 +1,38 @@
+#pragma once
+
+#include <cstdint>
+#include <optional>
+
+namespace jacinthroad {
+
+/// What tells one configuration from another. A store that was restored from an earlier copy may
+/// assign a version again.
+struct ConfigurationIdentity
+{
+    std::uint64_t version = 0;
+    /// Hash of the whole object.
+    std::uint64_t contentHash = 0;
+    /// The newest era of the store in which it was read; nothing if the store names none.
+    std::optional<std::uint64_t> era;
+};
+
+/// What becomes of a configuration that was read.
+enum class ConfigurationDecision : std::uint8_t {
+    /// It is newer than the one in force.
+    Apply,
+    /// It has the version of the one in force, but the store was restored since and another
+    /// configuration got that version. It is newer.
+    ApplyReusedVersion,
+    /// It is the one in force, or another of that version in the same era.
+    Keep,
+    /// It is older than the one in force, which the store has lost.
+    KeepNewer,
+};
+
+/// Decides whether a configuration that was read replaces the one in force; its version never
+/// becomes lower.
+[[nodiscard]] ConfigurationDecision
+decideConfiguration(const std::optional<ConfigurationIdentity> &inForce,
+                    const ConfigurationIdentity &read);
+
+} // namespace jacinthroad
--- a/Source/Gateway/Gateway.cpp
+++ b/Source/Gateway/Gateway.cpp
@@ -15,6 +15,7 @@
 #include <boost/asio/steady_timer.hpp>
 
 #include "Core/Hashing.h"
+#include "Core/Json.h"
 #include "Core/Log.h"
 #include "Core/WallClock.h"
 #include "FleetPeers/FleetRoles.h"
@@ -310,9 +311,12 @@
                 { { "reason", read.error().message } });
         return;
     }
+    const ConfigurationIdentity identity { .version = read->version,
+                                           .contentHash = hash64(writeJson(found->second.spec)),
+                                           .era = store.era() };
     asio::post(trafficContext,
-               [this, routes = std::make_shared<const RouteTable>(std::move(*read))] {
-                   traffic.applyConfiguration(routes);
+               [this, identity, routes = std::make_shared<const RouteTable>(std::move(*read))] {
+                   traffic.applyConfiguration(identity, routes);
                });
 }
 
--- a/Source/Gateway/TrafficState.cpp
+++ b/Source/Gateway/TrafficState.cpp
@@ -96,11 +96,38 @@
     retryBudget.setOptions(retryBudgetOptions(currentSettings_, nodeCount_));
 }
 
-void TrafficState::applyConfiguration(std::shared_ptr<const RouteTable> newer)
+void TrafficState::applyConfiguration(const ConfigurationIdentity &identity,
+                                      std::shared_ptr<const RouteTable> newer)
 {
-    if (routes != nullptr && routes->version() >= newer->version()) {
+    switch (decideConfiguration(configuration_, identity)) {
+    case ConfigurationDecision::Keep:
+        if (identity.contentHash == configuration_->contentHash) {
+            configuration_->era = std::max(configuration_->era, identity.era);
+        }
+        return;
+    case ConfigurationDecision::KeepNewer:
+        if (loggedOlderVersion_ != identity.version) {
+            loggedOlderVersion_ = identity.version;
+            logLine(
+                LogLevel::Error, "configuration_went_back",
+                { { "object", "configuration" },
+                  { "version", static_cast<std::int64_t>(configuration_->version) },
+                  { "version_in_store", static_cast<std::int64_t>(identity.version) },
+                  { "reason", "the store has an older version than the one in force" },
+                  { "remedy", "Write a configuration with a version above the one in force." } });
+        }
         return;
+    case ConfigurationDecision::ApplyReusedVersion:
+        logLine(LogLevel::Warning, "configuration_version_reused",
+                { { "object", "configuration" },
+                  { "version", static_cast<std::int64_t>(identity.version) },
+                  { "reason", "the restored store assigned this version again" },
+                  { "remedy", "Check that it holds what the lost one of that version held." } });
+        break;
+    case ConfigurationDecision::Apply:
+        break;
     }
+    configuration_ = identity;
     routes = std::move(newer);
     pool.applyServices(routes->services());
     metrics.setConfigurationVersion(static_cast<double>(routes->version()));
--- a/Source/Gateway/TrafficState.h
+++ b/Source/Gateway/TrafficState.h
@@ -4,6 +4,7 @@
 #include <cstdint>
 #include <functional>
 #include <memory>
+#include <optional>
 #include <span>
 #include <unordered_map>
 #include <utility>
@@ -12,6 +13,7 @@
 #include <boost/asio/io_context.hpp>
 #include <boost/signals2/signal.hpp>
 
+#include "Fleet/ConfigurationIdentity.h"
 #include "Fleet/Freshness.h"
 #include "Fleet/ListedServer.h"
 #include "Fleet/RouteTable.h"
@@ -62,8 +64,10 @@
     void applySettings(const GatewaySettings &settings);
     /// Sets the number of nodes among which fleet-wide budgets are divided.
     void setNodeCount(std::size_t count);
-    /// Applies a newer configuration; one that is not newer is ignored.
-    void applyConfiguration(std::shared_ptr<const RouteTable> routes);
+    /// Applies a newer configuration. One that is not newer is ignored; an older one, as a restored
+    /// store returns it, is logged too.
+    void applyConfiguration(const ConfigurationIdentity &identity,
+                            std::shared_ptr<const RouteTable> routes);
     /// Applies the platform's complete list of servers; servers missing from it are removed.
     void applyServers(const std::vector<ListedServer> &servers, Instant now);
     /// Applies a peer's records of requests that were running on servers that crashed.
@@ -121,6 +125,10 @@
     /// Shared with the requests, which may outlive this object while the event loop is destroyed.
     std::shared_ptr<unsigned> activeRequests_ = std::make_shared<unsigned>(0);
     std::size_t nodeCount_ = 0;
+    /// Identity of `routes`.
+    std::optional<ConfigurationIdentity> configuration_;
+    /// The older version in the store that was logged last.
+    std::uint64_t loggedOlderVersion_ = 0;
     std::unordered_map<ServerId, bool> listedServers_;
 };
 
--- a/Tests/Gateway/CallerSessionTest.cpp
+++ b/Tests/Gateway/CallerSessionTest.cpp
@@ -66,7 +66,8 @@
                 "limits":{"maxHeaderBytes":8192,"maxBodyBytes":100000,"headerTimeoutMs":1000,
                 "idleTimeoutMs":200}})"));
         BOOST_REQUIRE(configuration.has_value());
-        state.applyConfiguration(std::make_shared<const RouteTable>(std::move(*configuration)));
+        state.applyConfiguration({ .version = 1 },
+                                 std::make_shared<const RouteTable>(std::move(*configuration)));
         state.freshness.confirm(bootNow());
         state.applyServers({ { .id = ServerId("s1"),
                                .service = ServiceId("plain"),
@@ -328,7 +329,8 @@
             "limits":{"maxHeaderBytes":8192,"maxBodyBytes":200000,"headerTimeoutMs":1000,
             "idleTimeoutMs":200}})"));
     BOOST_REQUIRE(raised.has_value());
-    fixture.state.applyConfiguration(std::make_shared<const RouteTable>(std::move(*raised)));
+    fixture.state.applyConfiguration({ .version = 2 },
+                                     std::make_shared<const RouteTable>(std::move(*raised)));
     asio::write(fixture.caller,
                 asio::buffer("POST /unsafe/a HTTP/1.1\r\nHost: h\r\nX-Request-Id: r1\r\n"
                              "Content-Length: "
--- a/Tests/Gateway/StoreRestoreTest.cpp
+++ b/Tests/Gateway/StoreRestoreTest.cpp
@@ -6,8 +6,49 @@
 
 namespace jacinthroad {
 
+namespace {
+
+bool respondOk(ScriptedConnection &connection, const ReceivedRequest &request)
+{
+    connection.write(validResponse(request));
+    return true;
+}
+
+unsigned statusOfCall(GatewayFixture &fixture, const std::string &key)
+{
+    const auto response
+        = fixture.call("GET", "/safe/a", "", "Authorization: Bearer " + key + "\r\n");
+    return response == nullptr ? 0 : response->result_int();
+}
+
+} // namespace
+
 BOOST_AUTO_TEST_SUITE(StoreRestoreTest)
 
+BOOST_AUTO_TEST_CASE(versionAssignedAgainAfterRestoreIsApplied)
+{
+    GatewayFixture fixture;
+    fixture.store.sendEra(1);
+    fixture.addServer("s1", "plain", respondOk);
+    fixture.configure(1, { "k1", "k2" });
+    fixture.store.snapshot();
+    fixture.start();
+    fixture.configure(5, { "k1" });
+    std::this_thread::sleep_for(milliseconds(500));
+    BOOST_TEST(statusOfCall(fixture, "k2") == 401U);
+    fixture.store.restore();
+    std::this_thread::sleep_for(milliseconds(1500));
+    BOOST_TEST(statusOfCall(fixture, "k2") == 401U);
+    BOOST_TEST(statusOfCall(fixture, "k1") == 200U);
+    fixture.configure(5, { "k3" });
+    std::this_thread::sleep_for(milliseconds(1500));
+    BOOST_TEST(statusOfCall(fixture, "k3") == 200U);
+    BOOST_TEST(statusOfCall(fixture, "k1") == 401U);
+    fixture.configure(4, { "k1", "k2" });
+    std::this_thread::sleep_for(milliseconds(500));
+    BOOST_TEST(statusOfCall(fixture, "k2") == 401U);
+}
+
 BOOST_AUTO_TEST_CASE(nodeRegistersAgainAfterRestore)
 {
     GatewayFixture fixture;
