Gateway: Confirm no configuration that is older than a peer's

A node that had not read the last version before the store lost it confirmed its older one from the restored store and accepted keys that the lost version had revoked, as long as its peers refused them. The same holds for a node that starts after the restore and remembers nothing.

Where the store names an era, a read now confirms the configuration only if no peer has reported a higher version in force. The node then fails closed like one that is cut off from the store, and logs configuration_behind_peers with the remedy. Any version from that of the peers on ends it.

StoreRestoreTest/nodeThatMissedALostVersionAcceptsNoKeys failed on the code before: 200 instead of 503 for the revoked key, and ready. It passes now.

--- a/Source/Gateway/DigestExchange.cpp
+++ b/Source/Gateway/DigestExchange.cpp
@@ -178,6 +178,7 @@
         onPeerStarted();
     }
     receivedAt_[digest->node] = std::chrono::steady_clock::now();
+    state_.notePeerConfiguration(digest->configurationVersion);
     freshness_.noteReceived(*digest, state_.outdatedConfigurationAge());
     if (state_.routes != nullptr) {
         const auto confirmed = freshness_.confirmedBy(*digest, state_.routes->version());
--- a/Source/Gateway/Gateway.cpp
+++ b/Source/Gateway/Gateway.cpp
@@ -322,7 +322,10 @@
 
 void Gateway::Parts::onConfigurationConfirmed(BootInstant moment)
 {
-    asio::post(trafficContext, [this, moment] { traffic.freshness.confirm(moment); });
+    // Without an era the store loses nothing, so that a completed read is proof enough.
+    asio::post(trafficContext, [this, moment, mayBeRestored = store.era().has_value()] {
+        traffic.confirmConfiguration(moment, mayBeRestored);
+    });
 }
 
 void Gateway::Parts::onServersChanged(const ObjectTable &table)
--- a/Source/Gateway/TrafficState.cpp
+++ b/Source/Gateway/TrafficState.cpp
@@ -135,6 +135,32 @@
             { { "version", static_cast<std::int64_t>(routes->version()) } });
 }
 
+void TrafficState::notePeerConfiguration(std::uint64_t version)
+{
+    peerConfigurationVersion_ = std::max(peerConfigurationVersion_, version);
+}
+
+void TrafficState::confirmConfiguration(BootInstant moment, bool mayBeRestored)
+{
+    const std::uint64_t version = configuration_.has_value() ? configuration_->version : 0;
+    if (!mayBeRestored || version >= peerConfigurationVersion_) {
+        freshness.confirm(moment);
+        return;
+    }
+    // A peer may read a new version a moment earlier; that is no fault.
+    const auto age = freshness.age(bootNow());
+    if (loggedPeerVersion_ != peerConfigurationVersion_
+        && (!age.has_value() || *age >= outdatedConfigurationAge())) {
+        loggedPeerVersion_ = peerConfigurationVersion_;
+        logLine(LogLevel::Error, "configuration_behind_peers",
+                { { "object", "configuration" },
+                  { "version", static_cast<std::int64_t>(version) },
+                  { "version_of_peers", static_cast<std::int64_t>(peerConfigurationVersion_) },
+                  { "reason", "the store lost a version that peers have in force" },
+                  { "remedy", "Write a configuration with a version above that of the peers." } });
+    }
+}
+
 void TrafficState::applyServers(const std::vector<ListedServer> &servers, Instant now)
 {
     for (auto &[id, present] : listedServers_) {
--- a/Source/Gateway/TrafficState.h
+++ b/Source/Gateway/TrafficState.h
@@ -68,6 +68,12 @@
     /// store returns it, is logged too.
     void applyConfiguration(const ConfigurationIdentity &identity,
                             std::shared_ptr<const RouteTable> routes);
+    /// Notes the version of the configuration in force at a peer.
+    void notePeerConfiguration(std::uint64_t version);
+    /// Records that a read of the store found nothing newer than the configuration in force at
+    /// `moment`. With `mayBeRestored` that proves nothing if a peer has a newer version, which a
+    /// restored store has lost.
+    void confirmConfiguration(BootInstant moment, bool mayBeRestored);
     /// Applies the platform's complete list of servers; servers missing from it are removed.
     void applyServers(const std::vector<ListedServer> &servers, Instant now);
     /// Applies a peer's records of requests that were running on servers that crashed.
@@ -127,8 +133,11 @@
     std::size_t nodeCount_ = 0;
     /// Identity of `routes`.
     std::optional<ConfigurationIdentity> configuration_;
-    /// The older version in the store that was logged last.
+    /// The highest version in force that a peer has reported.
+    std::uint64_t peerConfigurationVersion_ = 0;
+    /// The versions for which the node has logged that the store or this node lacks them.
     std::uint64_t loggedOlderVersion_ = 0;
+    std::uint64_t loggedPeerVersion_ = 0;
     std::unordered_map<ServerId, bool> listedServers_;
 };
 
--- a/Tests/Gateway/StoreRestoreTest.cpp
+++ b/Tests/Gateway/StoreRestoreTest.cpp
@@ -49,6 +49,31 @@
     BOOST_TEST(statusOfCall(fixture, "k2") == 401U);
 }
 
+BOOST_AUTO_TEST_CASE(nodeThatMissedALostVersionAcceptsNoKeys)
+{
+    // Each node has its own store, so that one can lack the version that the other has read.
+    GatewayFixture behind;
+    GatewayFixture ahead;
+    ahead.settings.name = "front-2";
+    for (GatewayFixture *fixture : { &behind, &ahead }) {
+        fixture->settings.keyRevocation = milliseconds(3000);
+        fixture->store.sendEra(1);
+        fixture->addServer("s1", "plain", respondOk);
+        fixture->configure(1, { "k1", "k2" });
+        fixture->addPeer(fixture == &behind ? ahead : behind);
+        fixture->start();
+    }
+    BOOST_TEST(statusOfCall(behind, "k1") == 200U);
+    ahead.configure(2, { "k2" });
+    std::this_thread::sleep_for(milliseconds(3500));
+    BOOST_TEST(statusOfCall(behind, "k1") == 503U);
+    BOOST_TEST(behind.readiness() == 503U);
+    behind.configure(2, { "k2" });
+    std::this_thread::sleep_for(milliseconds(500));
+    BOOST_TEST(statusOfCall(behind, "k1") == 401U);
+    BOOST_TEST(statusOfCall(behind, "k2") == 200U);
+}
+
 BOOST_AUTO_TEST_CASE(nodeRegistersAgainAfterRestore)
 {
     GatewayFixture fixture;
