FleetPeers: Let peers confirm a configuration by its content

A peer confirmed the configuration of a node that cannot reach the store by the version alone. After a restore the peer may have read another configuration of that version, which revokes keys that the node still accepts. Digests now hold the hash of the content, and a confirmation counts only for the same one. The format of digests changes, so that nodes of both releases ignore each other's during an update.

FreshnessExchangeTest/peerWithAnotherConfigurationOfTheSameVersionConfirmsNothing failed before the hash was compared and passes now. The other tests of the file pass a hash of 0 and are unchanged otherwise.

--- a/Source/FleetPeers/FreshnessExchange.cpp
+++ b/Source/FleetPeers/FreshnessExchange.cpp
@@ -48,9 +48,11 @@
 }
 
 std::optional<BootInstant> FreshnessExchange::confirmedBy(const NodeDigest &digest,
-                                                          std::uint64_t version) const
+                                                          std::uint64_t version,
+                                                          std::uint64_t contentHash) const
 {
-    if (digest.configurationVersion != version || digest.configurationAgeMs == UnknownAgeMs) {
+    if (digest.configurationVersion != version || digest.configurationHash != contentHash
+        || digest.configurationAgeMs == UnknownAgeMs) {
         return std::nullopt;
     }
     for (const DigestEcho &echo : digest.echoes) {
--- a/Source/FleetPeers/FreshnessExchange.h
+++ b/Source/FleetPeers/FreshnessExchange.h
@@ -37,10 +37,10 @@
     void noteReceived(const NodeDigest &digest, Duration oldAfter);
     /// Returns and removes the echoes for the next digest.
     [[nodiscard]] std::vector<DigestEcho> takeEchoes();
-    /// The moment at which configuration `version` was the newest according to a peer's digest;
-    /// nullopt if the digest does not prove it.
-    [[nodiscard]] std::optional<BootInstant> confirmedBy(const NodeDigest &digest,
-                                                         std::uint64_t version) const;
+    /// The moment at which the configuration of this version and content hash was the newest
+    /// according to a peer's digest; nullopt if the digest does not prove it.
+    [[nodiscard]] std::optional<BootInstant>
+    confirmedBy(const NodeDigest &digest, std::uint64_t version, std::uint64_t contentHash) const;
 
 private:
     Options options_;
--- a/Source/FleetPeers/NodeDigest.cpp
+++ b/Source/FleetPeers/NodeDigest.cpp
@@ -9,8 +9,8 @@
 namespace {
 
 /// First element of every digest; digests of other versions are ignored.
-constexpr std::uint32_t FormatVersion = 3;
-constexpr std::uint32_t DigestFields = 10;
+constexpr std::uint32_t FormatVersion = 4;
+constexpr std::uint32_t DigestFields = 11;
 constexpr std::uint32_t EchoFields = 3;
 constexpr std::uint32_t DesiredWeightsFields = 3;
 constexpr std::uint32_t UpdateFields = 11;
@@ -130,6 +130,7 @@
     packer.pack(digest.sequence);
     packer.pack(digest.configurationVersion);
     packer.pack(digest.configurationAgeMs);
+    packer.pack(digest.configurationHash);
     packer.pack_array(static_cast<std::uint32_t>(digest.servers.size()));
     for (const ServerUpdate &update : digest.servers) {
         packer.pack_array(UpdateFields);
@@ -193,19 +194,20 @@
         digest.sequence = field[3].as<std::uint64_t>();
         digest.configurationVersion = field[4].as<std::uint64_t>();
         digest.configurationAgeMs = field[5].as<std::uint32_t>();
-        const auto updates = field[6].as<std::vector<msgpack::object>>();
+        digest.configurationHash = field[6].as<std::uint64_t>();
+        const auto updates = field[7].as<std::vector<msgpack::object>>();
         for (const msgpack::object &update : updates) {
             digest.servers.push_back(readUpdate(update));
         }
-        const auto desired = field[7].as<std::vector<msgpack::object>>();
+        const auto desired = field[8].as<std::vector<msgpack::object>>();
         for (const msgpack::object &entry : desired) {
             digest.desiredWeights.push_back(readDesiredWeights(entry));
         }
-        const auto echoes = field[8].as<std::vector<msgpack::object>>();
+        const auto echoes = field[9].as<std::vector<msgpack::object>>();
         for (const msgpack::object &echo : echoes) {
             digest.echoes.push_back(readEcho(echo));
         }
-        const auto crashes = field[9].as<std::vector<msgpack::object>>();
+        const auto crashes = field[10].as<std::vector<msgpack::object>>();
         for (const msgpack::object &record : crashes) {
             digest.crashes.push_back(readCrashRecord(record));
         }
--- a/Source/FleetPeers/NodeDigest.h
+++ b/Source/FleetPeers/NodeDigest.h
@@ -66,6 +66,8 @@
     /// Increases with each digest of one boot.
     std::uint64_t sequence = 0;
     std::uint64_t configurationVersion = 0;
+    /// Hash of its content: a restored store may assign a version again.
+    std::uint64_t configurationHash = 0;
     /// Time in ms since that configuration was known to be the newest; UnknownAgeMs before the
     /// first read.
     std::uint32_t configurationAgeMs = 0;
--- a/Source/Gateway/DigestExchange.cpp
+++ b/Source/Gateway/DigestExchange.cpp
@@ -106,11 +106,14 @@
     const BootInstant now = bootNow();
     const Instant sentAt = std::chrono::steady_clock::now();
     const auto age = state_.freshness.age(now);
+    const ConfigurationIdentity configuration
+        = state_.configuration().value_or(ConfigurationIdentity());
     const NodeDigest digest {
         .node = state_.settings.name,
         .boot = boot_,
         .sequence = ++sequence_,
-        .configurationVersion = state_.routes != nullptr ? state_.routes->version() : 0,
+        .configurationVersion = configuration.version,
+        .configurationHash = configuration.contentHash,
         .configurationAgeMs = age.has_value() ? wholeMilliseconds(*age) + 1 : UnknownAgeMs,
         .servers = state_.pool.takeServerUpdates(sentAt, MaxPartsPerDigest, MaxDigestBytes),
         .desiredWeights = state_.pool.desiredWeightsAges(sentAt),
@@ -180,8 +183,10 @@
     receivedAt_[digest->node] = std::chrono::steady_clock::now();
     state_.notePeerConfiguration(digest->configurationVersion);
     freshness_.noteReceived(*digest, state_.outdatedConfigurationAge());
-    if (state_.routes != nullptr) {
-        const auto confirmed = freshness_.confirmedBy(*digest, state_.routes->version());
+    const auto &configuration = state_.configuration();
+    if (configuration.has_value()) {
+        const auto confirmed
+            = freshness_.confirmedBy(*digest, configuration->version, configuration->contentHash);
         if (confirmed.has_value()) {
             state_.freshness.confirm(*confirmed);
             state_.metrics.countPeerConfirmation();
--- a/Source/Gateway/TrafficState.h
+++ b/Source/Gateway/TrafficState.h
@@ -111,6 +111,11 @@
     [[nodiscard]] ActiveRequest beginRequest() { return ActiveRequest(activeRequests_); }
     [[nodiscard]] unsigned activeRequests() const { return *activeRequests_; }
 
+    /// Identity of `routes`; nothing before the first configuration.
+    [[nodiscard]] const std::optional<ConfigurationIdentity> &configuration() const
+    {
+        return configuration_;
+    }
     /// Age from which the configuration of a peer counts as outdated, so that the peer needs a
     /// confirmation from this node.
     [[nodiscard]] Duration outdatedConfigurationAge() const;
@@ -131,7 +136,6 @@
     /// Shared with the requests, which may outlive this object while the event loop is destroyed.
     std::shared_ptr<unsigned> activeRequests_ = std::make_shared<unsigned>(0);
     std::size_t nodeCount_ = 0;
-    /// Identity of `routes`.
     std::optional<ConfigurationIdentity> configuration_;
     /// The highest version in force that a peer has reported.
     std::uint64_t peerConfigurationVersion_ = 0;
--- a/Tests/FleetPeers/FreshnessExchangeTest.cpp
+++ b/Tests/FleetPeers/FreshnessExchangeTest.cpp
@@ -45,7 +45,7 @@
     reply.echoes = connectedNode.takeEchoes();
     BOOST_REQUIRE(reply.echoes.size() == 1U);
     // The result does not depend on when the digest is received.
-    BOOST_TEST((isolatedNode.confirmedBy(reply, 1) == at(4800)));
+    BOOST_TEST((isolatedNode.confirmedBy(reply, 1, 0) == at(4800)));
     BOOST_TEST(connectedNode.takeEchoes().empty());
 }
 
@@ -53,18 +53,30 @@
 {
     FreshnessExchange isolatedNode({ .self = "a", .boot = Boot });
     isolatedNode.noteSent(1, at(5000));
-    BOOST_TEST(!isolatedNode.confirmedBy(digestOf("b", 1, 0), 1).has_value());
+    BOOST_TEST(!isolatedNode.confirmedBy(digestOf("b", 1, 0), 1, 0).has_value());
     NodeDigest reply = digestOf("b", 1, 0);
     reply.echoes = { { .node = "a", .boot = Boot + 1, .sequence = 1 } };
-    BOOST_TEST(!isolatedNode.confirmedBy(reply, 1).has_value());
+    BOOST_TEST(!isolatedNode.confirmedBy(reply, 1, 0).has_value());
     reply.echoes = { { .node = "c", .boot = Boot, .sequence = 1 } };
-    BOOST_TEST(!isolatedNode.confirmedBy(reply, 1).has_value());
+    BOOST_TEST(!isolatedNode.confirmedBy(reply, 1, 0).has_value());
     reply.echoes = { { .node = "a", .boot = Boot, .sequence = 9 } };
-    BOOST_TEST(!isolatedNode.confirmedBy(reply, 1).has_value());
+    BOOST_TEST(!isolatedNode.confirmedBy(reply, 1, 0).has_value());
     reply.echoes = { { .node = "a", .boot = Boot, .sequence = 1 } };
-    BOOST_TEST(!isolatedNode.confirmedBy(reply, 2).has_value());
+    BOOST_TEST(!isolatedNode.confirmedBy(reply, 2, 0).has_value());
     reply.configurationAgeMs = UnknownAgeMs;
-    BOOST_TEST(!isolatedNode.confirmedBy(reply, 1).has_value());
+    BOOST_TEST(!isolatedNode.confirmedBy(reply, 1, 0).has_value());
+}
+
+BOOST_AUTO_TEST_CASE(peerWithAnotherConfigurationOfTheSameVersionConfirmsNothing)
+{
+    // A restored store assigned version 1 again; only the peer has read that.
+    FreshnessExchange isolatedNode({ .self = "a", .boot = Boot });
+    isolatedNode.noteSent(1, at(5000));
+    NodeDigest reply = digestOf("b", 1, 0);
+    reply.configurationHash = 51;
+    reply.echoes = { { .node = "a", .boot = Boot, .sequence = 1 } };
+    BOOST_TEST(!isolatedNode.confirmedBy(reply, 1, 50).has_value());
+    BOOST_TEST(isolatedNode.confirmedBy(reply, 1, 51).has_value());
 }
 
 BOOST_AUTO_TEST_CASE(nodesWithCurrentConfigurationAreNotEchoed)
@@ -132,7 +144,8 @@
                 }
             }
             while (!toIsolatedNode.empty() && toIsolatedNode.begin()->first <= now) {
-                const auto confirmed = isolatedNode.confirmedBy(toIsolatedNode.begin()->second, 1);
+                const auto confirmed
+                    = isolatedNode.confirmedBy(toIsolatedNode.begin()->second, 1, 0);
                 toIsolatedNode.erase(toIsolatedNode.begin());
                 if (confirmed.has_value()) {
                     ++confirmations;
--- a/Tests/FleetPeers/NodeDigestTest.cpp
+++ b/Tests/FleetPeers/NodeDigestTest.cpp
@@ -15,6 +15,7 @@
              .boot = 17,
              .sequence = 3,
              .configurationVersion = 9,
+             .configurationHash = 0xfedcba9876543214U,
              .configurationAgeMs = 250,
              .servers = { { .server = ServerId("s1"),
                             .inFlight = 4,
@@ -45,6 +46,7 @@
     BOOST_TEST(digest->node == "front-1");
     BOOST_TEST(digest->boot == 17U);
     BOOST_TEST(digest->configurationVersion == 9U);
+    BOOST_TEST(digest->configurationHash == 0xfedcba9876543214U);
     BOOST_REQUIRE(digest->servers.size() == 1U);
     const ServerUpdate &update = digest->servers[0];
     BOOST_TEST(update.pendingPrefillTokens == 9000U);
