Gateway: Keep the server list correct when the store was restored

A copy lacks the servers that registered after it was made, so nodes removed them until their next write; if it lacked all, every request was refused. A server that had reported that it leaves, or had left, was ready again in the copy and got new requests.

RestoredServerList keeps servers that are missing after a change of era for 2.5 s, in which they register again, and lets servers that had left count as leaving: one that reported it until another start of it registers, one whose entry was only removed until it writes its entry. Without a change of era the list is used as it is.

--- a/Source/Gateway/Gateway.cpp
+++ b/Source/Gateway/Gateway.cpp
@@ -18,6 +18,7 @@
 #include "Core/Json.h"
 #include "Core/Log.h"
 #include "Core/WallClock.h"
+#include "Fleet/RestoredServerList.h"
 #include "FleetPeers/FleetRoles.h"
 #include "Gateway/BootClock.h"
 #include "Gateway/CacheEventReader.h"
@@ -51,6 +52,12 @@
 /// lease; the other nodes learn from them which servers leave. It equals the size of a
 /// small fleet, so that an isolated zone still has some.
 constexpr std::size_t MaxActiveNodes = 8;
+/// Servers whose entries are missing after a restore of the store register again within about two
+/// seconds, according to the platform's pages.
+constexpr Duration MissingServerGrace = milliseconds(2500);
+/// How long servers that left are remembered: the copy that the store is restored from is some
+/// seconds old.
+constexpr Duration LeftServerMemory = std::chrono::seconds(60);
 /// Minimum pause between two watches of the servers on the other nodes.
 constexpr Duration PassiveServersPause = milliseconds(1800);
 constexpr Duration NodesWait = milliseconds(10000);
@@ -161,6 +168,8 @@
     void onConfigurationChanged(const ObjectTable &table);
     void onConfigurationConfirmed(BootInstant moment);
     void onServersChanged(const ObjectTable &table);
+    /// Passes the decoded server list on, and again when the time after a restore has ended.
+    void applyServerList();
     void onDesiredWeightsChanged(const ObjectTable &table);
     void onNodesChanged(const ObjectTable &table);
     void cordonServer(const ServerId &server, const ModelId &model, WeightsVersion version,
@@ -199,6 +208,9 @@
     CacheEventReader cacheEventReader;
     /// Used by the control thread only.
     std::map<std::string, DecodedServer> decodedServers;
+    RestoredServerList serverList { { .missingGrace = MissingServerGrace,
+                                      .leftMemory = LeftServerMemory } };
+    asio::steady_timer serverListTimer { controlContext };
     /// Caches whose owner node is this node; used by the traffic thread only.
     std::map<ServerId, std::string> ownedCaches;
     unsigned sweeps = 0;
@@ -331,20 +343,38 @@
 void Gateway::Parts::onServersChanged(const ObjectTable &table)
 {
     std::erase_if(decodedServers, [&](const auto &entry) { return !table.contains(entry.first); });
-    std::vector<ListedServer> list;
     for (const auto &[name, object] : table) {
         DecodedServer &known = decodedServers[name];
         if (known.revision != object.revision || known.revision == 0) {
             known = { .revision = object.revision, .server = decodeServer(name, object.spec) };
         }
+    }
+    applyServerList();
+}
+
+void Gateway::Parts::applyServerList()
+{
+    std::vector<ServerEntry> entries;
+    for (const auto &[name, known] : decodedServers) {
         if (known.server.has_value()) {
-            list.push_back(*known.server);
+            entries.push_back({ .server = *known.server, .revision = known.revision });
         }
     }
+    std::vector<ListedServer> list
+        = serverList.apply(entries, store.era().value_or(0), std::chrono::steady_clock::now());
     rollout.applyServers(list);
     asio::post(trafficContext, [this, list = std::move(list)] {
         traffic.applyServers(list, std::chrono::steady_clock::now());
     });
+    const auto again = serverList.applyAgainAt();
+    if (again.has_value()) {
+        serverListTimer.expires_at(*again);
+        serverListTimer.async_wait([this](error_code error) {
+            if (!error) {
+                applyServerList();
+            }
+        });
+    }
 }
 
 void Gateway::Parts::onDesiredWeightsChanged(const ObjectTable &table)
--- a/Tests/Gateway/StoreRestoreTest.cpp
+++ b/Tests/Gateway/StoreRestoreTest.cpp
@@ -89,6 +89,56 @@
     BOOST_TEST(fixture.store.spec("nodes", "front-1").isObject());
 }
 
+BOOST_AUTO_TEST_CASE(serversMissingAfterRestoreServeUntilTheyRegisterAgain)
+{
+    GatewayFixture fixture;
+    fixture.store.sendEra(1);
+    fixture.configure(1, { "k1" });
+    fixture.store.snapshot();
+    fixture.addServer("s1", "plain", respondOk);
+    fixture.start();
+    BOOST_TEST(statusOfCall(fixture, "k1") == 200U);
+    const Json::Value entry = fixture.store.spec("servers", "s1");
+    fixture.store.restore();
+    std::this_thread::sleep_for(milliseconds(1800));
+    BOOST_TEST(statusOfCall(fixture, "k1") == 200U);
+    fixture.store.put("servers", "s1", entry);
+    std::this_thread::sleep_for(milliseconds(3000));
+    BOOST_TEST(statusOfCall(fixture, "k1") == 200U);
+}
+
+BOOST_AUTO_TEST_CASE(serverThatDoesNotRegisterAgainAfterRestoreIsGone)
+{
+    GatewayFixture fixture;
+    fixture.store.sendEra(1);
+    fixture.configure(1, { "k1" });
+    fixture.store.snapshot();
+    fixture.addServer("s1", "plain", respondOk);
+    fixture.start();
+    fixture.store.restore();
+    std::this_thread::sleep_for(milliseconds(6000));
+    BOOST_TEST(statusOfCall(fixture, "k1") == 503U);
+}
+
+BOOST_AUTO_TEST_CASE(leavingServerThatIsReadyInTheCopyGetsNoWork)
+{
+    GatewayFixture fixture;
+    fixture.store.sendEra(1);
+    fixture.addServer("s1", "plain", respondOk);
+    fixture.configure(1, { "k1" });
+    fixture.store.snapshot();
+    fixture.start();
+    Json::Value leaving = fixture.store.spec("servers", "s1");
+    leaving["state"] = "draining";
+    fixture.store.put("servers", "s1", leaving);
+    std::this_thread::sleep_for(milliseconds(1500));
+    BOOST_TEST(statusOfCall(fixture, "k1") == 503U);
+    fixture.store.restore();
+    std::this_thread::sleep_for(milliseconds(3000));
+    BOOST_TEST(statusOfCall(fixture, "k1") == 503U);
+    BOOST_TEST(fixture.receivedRequests("s1").empty());
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace jacinthroad
