Gateway: Decode a server entry again if the store was restored

Decoded entries are kept by revision. A restored store may assign the revision of a lost entry to another state of the same server, and the node went on with the lost one: a server stayed leaving, or at an old address, until its next write. The era is part of the key now.

StoreRestoreTest/serverEntryWhoseRevisionWasAssignedAgainIsReadAnew failed on the code before with 503 and passes now.

--- a/Source/Gateway/Gateway.cpp
+++ b/Source/Gateway/Gateway.cpp
@@ -85,6 +85,8 @@
 struct DecodedServer
 {
     std::uint64_t revision = 0;
+    /// Revisions of different eras cannot be compared.
+    std::optional<std::uint64_t> era;
     /// Nothing if the entry is malformed.
     std::optional<ListedServer> server;
 };
@@ -345,8 +347,10 @@
     std::erase_if(decodedServers, [&](const auto &entry) { return !table.contains(entry.first); });
     for (const auto &[name, object] : table) {
         DecodedServer &known = decodedServers[name];
-        if (known.revision != object.revision || known.revision == 0) {
-            known = { .revision = object.revision, .server = decodeServer(name, object.spec) };
+        if (known.revision != object.revision || known.revision == 0 || known.era != store.era()) {
+            known = { .revision = object.revision,
+                      .era = store.era(),
+                      .server = decodeServer(name, object.spec) };
         }
     }
     applyServerList();
--- a/Tests/Gateway/StoreRestoreTest.cpp
+++ b/Tests/Gateway/StoreRestoreTest.cpp
@@ -139,6 +139,28 @@
     BOOST_TEST(fixture.receivedRequests("s1").empty());
 }
 
+BOOST_AUTO_TEST_CASE(serverEntryWhoseRevisionWasAssignedAgainIsReadAnew)
+{
+    GatewayFixture fixture;
+    fixture.store.sendEra(1);
+    fixture.addServer("s1", "plain", respondOk);
+    fixture.configure(1, { "k1" });
+    fixture.start();
+    std::this_thread::sleep_for(milliseconds(1000));
+    fixture.store.snapshot();
+    Json::Value entry = fixture.store.spec("servers", "s1");
+    entry["state"] = "draining";
+    fixture.store.put("servers", "s1", entry);
+    std::this_thread::sleep_for(milliseconds(1500));
+    BOOST_TEST(statusOfCall(fixture, "k1") == 503U);
+    fixture.store.restore();
+    entry["state"] = "ready";
+    entry["born"] = 2;
+    fixture.store.put("servers", "s1", entry);
+    std::this_thread::sleep_for(milliseconds(3000));
+    BOOST_TEST(statusOfCall(fixture, "k1") == 200U);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace jacinthroad
