Tests: Play a restore that loses the lease and the desired weights

It passes on the present code: the next order comes no sooner than the lease time, with a higher token, and names the version that the store lost.

--- a/Tests/Gateway/StoreRestoreTest.cpp
+++ b/Tests/Gateway/StoreRestoreTest.cpp
@@ -1,7 +1,10 @@
+#include <mutex>
 #include <thread>
+#include <vector>
 
 #include <boost/test/unit_test.hpp>
 
+#include "Core/Json.h"
 #include "GatewayFixture.h"
 
 namespace jacinthroad {
@@ -161,6 +164,68 @@
     BOOST_TEST(statusOfCall(fixture, "k1") == 200U);
 }
 
+BOOST_AUTO_TEST_CASE(ordersGoOnWithAHigherTokenAfterLeaseAndDesiredWeightsWereLost)
+{
+    struct Order
+    {
+        Instant receivedAt;
+        std::uint64_t token;
+        std::uint64_t version;
+    };
+    std::mutex mutex;
+    std::vector<Order> orders;
+    GatewayFixture fixture;
+    fixture.store.sendEra(1);
+    // The server accepts orders and stays at its old weights, so that it is ordered again.
+    fixture.addServer(
+        "e1", "engines", [&](ScriptedConnection &connection, const ReceivedRequest &request) {
+            if (request.target() == "/-/report") {
+                connection.write(reportResponse(1, false, 0));
+            } else if (request.target() == "/-/order") {
+                const Json::Value body = *parseJson(request.body());
+                const std::lock_guard lock(mutex);
+                orders.push_back({ std::chrono::steady_clock::now(), body["fenceToken"].asUInt64(),
+                                   body["version"].asUInt64() });
+                connection.write(responseText(202, "", ""));
+            } else {
+                connection.write(responseText(404, "", ""));
+            }
+            return true;
+        });
+    fixture.configure(1, { "k1" });
+    fixture.start();
+    fixture.store.snapshot();
+    fixture.setDesiredWeights(2);
+    const auto awaitOrder = [&](std::size_t count) {
+        for (int attempt = 0; attempt < 600; ++attempt) {
+            {
+                const std::lock_guard lock(mutex);
+                if (orders.size() >= count) {
+                    return;
+                }
+            }
+            std::this_thread::sleep_for(milliseconds(20));
+        }
+    };
+    awaitOrder(1);
+    fixture.store.restore();
+    const Instant restoredAt = std::chrono::steady_clock::now();
+    // Orders of the lost lease may still arrive until the node hears of the era.
+    std::this_thread::sleep_for(milliseconds(1500));
+    std::size_t before = 0;
+    {
+        const std::lock_guard lock(mutex);
+        before = orders.size();
+    }
+    awaitOrder(before + 1);
+    const std::lock_guard lock(mutex);
+    BOOST_REQUIRE(before > 0U);
+    BOOST_REQUIRE(orders.size() > before);
+    BOOST_TEST((orders[before].receivedAt - restoredAt >= fixture.settings.lease));
+    BOOST_TEST(orders[before].token > orders[before - 1].token);
+    BOOST_TEST(orders[before].version == 2U);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace jacinthroad
