--- a/Tests/Fleet/RestoredServerListTest.cpp
+++ b/Tests/Fleet/RestoredServerListTest.cpp
@@ -24,6 +24,7 @@
 std::string text(const std::vector<ListedServer> &servers)
 {
     std::vector<std::string> names;
+    names.reserve(servers.size());
     for (const ListedServer &server : servers) {
         names.push_back(server.id.text() + (server.leaving ? "- " : " "));
     }
