--- a/Source/Gateway/CrashDetector.h
+++ b/Source/Gateway/CrashDetector.h
@@ -17,10 +17,22 @@
 
 namespace jacinthroad {
 
+/// A part of a prompt that several requests share.
+struct SharedPart
+{
+    /// Hash of model and identifier, under which nodes count crashes.
+    RequestFingerprint fingerprint = 0;
+    std::uint64_t id = 0;
+    /// Position in the prompt, from 1 on.
+    std::uint8_t depth = 1;
+};
+
 /// A request whose connection the server ended before its response was complete.
 struct LostRequest
 {
     RequestFingerprint fingerprint = 0;
+    /// The parts that may have crashed the server; none if it had been responding for some time.
+    std::vector<SharedPart> suspectParts;
     Instant sentAt;
     Instant lostAt;
 };
@@ -40,6 +52,9 @@
 
     /// Examines a loss. `server` is the entry that the platform listed when the request was sent.
     void noteLoss(const ListedServer &server, const LostRequest &loss);
+    /// Returns whether a server refuses connections at `address` after it has closed one: its
+    /// process has ended. A connection that times out proves nothing.
+    [[nodiscard]] boost::asio::awaitable<bool> refusesConnections(std::string address);
     /// Applies an entry of the platform's list.
     void noteListed(const ListedServer &server);
     /// Records that the platform no longer lists a server.
@@ -56,6 +71,9 @@
         bool probing = false;
     };
 
+    /// Opens a connection after a delay and closes it; returns why that failed.
+    [[nodiscard]] boost::asio::awaitable<boost::system::error_code>
+    tryToConnect(std::string address);
     /// Tries to connect to the server's address and decides on its losses.
     [[nodiscard]] boost::asio::awaitable<void> probe(ServerId server, std::string address);
     void confirm(const ServerId &server);
--- a/Source/Gateway/EventSplitter.h
+++ b/Source/Gateway/EventSplitter.h
@@ -18,12 +18,20 @@
     [[nodiscard]] std::string feed(std::string_view bytes);
     /// Discards the partial event of a broken stream before another stream resumes it.
     void startResumedStream();
+    /// Discards the rest of the stream once another response begins behind an event. Only a stream
+    /// that ends with its connection can contain one.
+    void stopAtNextResponse() { stopsAtNextResponse_ = true; }
+    /// True once another response has begun.
+    [[nodiscard]] bool reachedNextResponse() const { return reachedNextResponse_; }
     /// Identifier of the last complete event that has one; empty before the first.
     [[nodiscard]] const std::string &lastId() const { return lastId_; }
     /// True if the buffered partial event is longer than any event may be.
     [[nodiscard]] bool eventTooLong() const { return pending_.size() > MaxEventBytes; }
-    /// True while a partial event is buffered.
-    [[nodiscard]] bool hasPartialEvent() const { return !pending_.empty(); }
+    /// True while a partial event is buffered. Blank lines don't belong to an event.
+    [[nodiscard]] bool hasPartialEvent() const
+    {
+        return pending_.find_first_not_of("\r\n") != std::string::npos;
+    }
     /// The buffered partial event, which is to be forwarded at the regular end of a stream.
     [[nodiscard]] const std::string &partialEvent() const { return pending_; }
 
@@ -37,6 +45,8 @@
     std::string lastId_;
     std::optional<std::uint64_t> lastNumber_;
     bool resumed_ = false;
+    bool stopsAtNextResponse_ = false;
+    bool reachedNextResponse_ = false;
 };
 
 } // namespace jacinthroad
--- a/Source/Gateway/Exchange.cpp
+++ b/Source/Gateway/Exchange.cpp
@@ -53,6 +53,21 @@
     return Names[static_cast<std::size_t>(delimiter)];
 }
 
+/// Sets the length of a response to `method` that a server gave with the header `from`. Where the
+/// protocol allows no body, the length is the server's statement about another response.
+void setContentLength(GatewayResponse &response, const http::response_header<> &from,
+                      http::verb method)
+{
+    if (response.result() == http::status::no_content) {
+        return;
+    }
+    if (method != http::verb::head && response.result() != http::status::not_modified) {
+        response.content_length(response.body().size());
+    } else if (from.count(http::field::content_length) > 0) {
+        response.set(http::field::content_length, from[http::field::content_length]);
+    }
+}
+
 } // namespace
 
 GatewayResponse gatewayRefusalResponse(const Refusal &refusal)
@@ -224,8 +239,8 @@
         if (end == AttemptResult::Delivered) {
             co_return ExchangeResult { .outcome = "streamed",
                                        .status = 200,
-                                       .connectionReusable
-                                       = request_.keep_alive() && !state_.draining,
+                                       .connectionReusable = useChunkedEncoding()
+                                           && request_.keep_alive() && !state_.draining,
                                        .responseComplete = true };
         }
         if (writeError_) {
@@ -352,7 +367,7 @@
     response.body() = std::move(response_->body());
     const bool keep = request_.keep_alive() && !state_.draining;
     response.keep_alive(keep);
-    response.content_length(response.body().size());
+    setContentLength(response, response_->base(), request_.method());
     firstByteAt_ = std::chrono::steady_clock::now();
     state_.metrics.observeFirstByte(firstByteAt_ - received_);
     error_code error;
@@ -386,6 +401,9 @@
     const bool keep = request_.keep_alive() && !state_.draining;
     response.keep_alive(keep);
     response.prepare_payload();
+    if (request_.method() == http::verb::head) {
+        response.body().clear();
+    }
     error_code error;
     co_await http::async_write(caller_, response, asio::redirect_error(asio::use_awaitable, error));
     if (error) {
@@ -421,6 +439,8 @@
           { "wait_ms", toMilliseconds(placement_.wait) },
           { "prompt_tokens", std::int64_t { placementRequest_.promptTokens } },
           { "shared_part", sharedPart },
+          { "quarantined_part",
+            quarantinedPart_.has_value() ? hexadecimal(*quarantinedPart_) : std::string() },
           { "team", team_ != nullptr ? std::string_view(team_->name.text()) : std::string_view() },
           { "fetched_from", placement_.fetchFrom },
           { "held_tokens", std::int64_t { placement_.cachedPromptTokens } },
@@ -436,6 +456,7 @@
           { "reason", end.reason },
           { "delimiter", delimiterName(static_cast<int>(delimiter_)) },
           { "connection_error", connectionError_ ? connectionError_.message() : std::string() },
+          { "server_ended", std::int64_t { serverEnded_ ? 1 : 0 } },
           { "partial_event_bytes", static_cast<std::int64_t>(partialEventBytes_) },
           { "first_byte_ms",
             firstByteAt_ == Instant() ? -1.0 : toMilliseconds(firstByteAt_ - received_) },
--- a/Source/Gateway/ExchangeAttempt.cpp
+++ b/Source/Gateway/ExchangeAttempt.cpp
@@ -49,12 +49,29 @@
 constexpr Duration UnresponsiveTimeout = milliseconds(1000);
 constexpr double UnresponsiveMsPerToken = 0.05;
 
+/// Time for which a server sends events after which the request's prompt parts don't crash it.
+constexpr Duration HarmlessTime = milliseconds(250);
+/// Keeps the hashes of prompt parts apart from those of requests.
+constexpr std::uint64_t PartHashSeed = 1;
+
 bool isEventStream(const http::response_header<> &header)
 {
     return boost::beast::iequals(header[http::field::content_type].substr(0, 17),
                                  "text/event-stream");
 }
 
+bool isSuccess(const http::response_header<> &header)
+{
+    return http::to_status_class(header.result_int()) == http::status_class::successful;
+}
+
+/// Returns true if a server may give this status to a request that asks for no other protocol.
+bool isServerStatus(unsigned status)
+{
+    return http::to_status_class(status) != http::status_class::unknown
+        && status != static_cast<unsigned>(http::status::switching_protocols);
+}
+
 /// Returns true if the other side closed or reset the connection.
 bool isEndOfConnection(const error_code &error)
 {
@@ -169,6 +186,7 @@
     attempt.sentAt = now;
     attempt.lastReceivedAt = now;
     ++sends_;
+    noteTrial(now);
     dispatchRecord_.noteStarted();
     // The server may respond before it has read the request, so writing and reading overlap.
     http::async_write(attempt.connection->socket, attempt.forwardedRequest,
@@ -207,9 +225,21 @@
         state_.pool.noteReceived(attempt.placement.server, std::chrono::steady_clock::now());
         attempt.responseFacts
             = platform::readResponseInfo(parser->get().base(), attempt.placement.server);
+        // Without an id, only the first response on a connection certainly belongs to its request.
         const bool matchesRequest = attempt.responseFacts.request.empty()
-            || attempt.responseFacts.request == callerRequest_.id;
+            ? !attempt.connectionReused && skippedResponses == 0
+            : attempt.responseFacts.request == callerRequest_.id;
+        if (!isServerStatus(parser->get().result_int())) {
+            co_return failure(attempt, http::error::bad_status);
+        }
         const bool interim = parser->get().result_int() < 200;
+        if (matchesRequest && isSuccess(parser->get()) && !attempt.responseFacts.hasResponseStamp) {
+            logLine(LogLevel::Warning, "response_without_stamp",
+                    { { "request_id", callerRequest_.id.text() },
+                      { "server", attempt.placement.server.text() },
+                      { "remedy", "The response is not forwarded; check the server." } });
+            co_return failure(attempt, {});
+        }
         if (matchesRequest && !interim) {
             if (attempt.responseFacts.load.has_value()) {
                 const platform::LoadReport &load = *attempt.responseFacts.load;
@@ -223,9 +253,9 @@
                 state_.pool.noteWeights(attempt.placement.server, callerRequest_.model,
                                         *attempt.responseFacts.weights);
             }
-            delimiter_ = parser->chunked() ? BodyDelimiter::Chunks
-                : parser->content_length() ? BodyDelimiter::Length
-                                           : BodyDelimiter::ConnectionClose;
+            delimiter_ = parser->need_eof() ? BodyDelimiter::ConnectionClose
+                : parser->chunked()         ? BodyDelimiter::Chunks
+                                            : BodyDelimiter::Length;
             const bool streamed = route_->kind == RouteKind::Streaming
                 && parser->get().result_int() == 200 && isEventStream(parser->get().base());
             attempt.headerParser = std::move(parser);
@@ -273,10 +303,29 @@
     if (attempt.responseFacts.notRun || attempt.responseFacts.wrongServer) {
         co_return AttemptResult::Rejected;
     }
+    if (delimiter_ == BodyDelimiter::ConnectionClose) {
+        const bool complete = co_await isCompleteAtClose(attempt);
+        if (callerDisconnected_) {
+            co_return failure(attempt, {});
+        }
+        if (!complete) {
+            co_return failure(attempt, asio::error::eof);
+        }
+    }
     response_ = parser.release();
     co_return AttemptResult::ResponseReceived;
 }
 
+asio::awaitable<bool> Exchange::isCompleteAtClose(Attempt &attempt)
+{
+    // The server has ended the attempt; only the caller or the deadline may still do so.
+    attempt.livenessTimer.cancel();
+    const bool refused
+        = co_await state_.crashDetector.refusesConnections(attempt.placement.address);
+    serverEnded_ = refused;
+    co_return !refused;
+}
+
 bool Exchange::noteBuffered(std::size_t bodyBytes)
 {
     state_.bufferedResponseBytes += bodyBytes;
@@ -292,7 +341,11 @@
     const http::response_header<> header = platform::callerHeader(parser.get().base());
     constexpr std::size_t ReadBufferBytes = 16384;
     std::array<char, ReadBufferBytes> readBuffer;
-    while (!parser.is_done()) {
+    bool bodyReceived = false;
+    if (delimiter_ == BodyDelimiter::ConnectionClose) {
+        eventSplitter_.stopAtNextResponse();
+    }
+    while (!parser.is_done() && !eventSplitter_.reachedNextResponse()) {
         parser.get().body().data = readBuffer.data();
         parser.get().body().size = readBuffer.size();
         parser.get().body().more = true;
@@ -307,10 +360,8 @@
             state_.pool.noteReceived(attempt.placement.server, attempt.lastReceivedAt);
         }
         const std::size_t size = readBuffer.size() - parser.get().body().size;
-        std::string completeEvents = eventSplitter_.feed({ readBuffer.data(), size });
-        if (parser.is_done() && !error) {
-            completeEvents.append(eventSplitter_.partialEvent());
-        }
+        bodyReceived = bodyReceived || size > 0;
+        const std::string completeEvents = eventSplitter_.feed({ readBuffer.data(), size });
         if (!completeEvents.empty()) {
             const std::string bytes = frameEvents(attempt, header, completeEvents);
             const bool written = co_await writeToCaller(bytes);
@@ -330,6 +381,20 @@
         }
     }
     partialEventBytes_ = eventSplitter_.partialEvent().size();
+    // Whatever marks its end, a stream that ends inside an event was broken off.
+    bool complete = !eventSplitter_.hasPartialEvent();
+    if (complete && delimiter_ == BodyDelimiter::ConnectionClose) {
+        complete = bodyReceived || headerDelivered_;
+        if (complete) {
+            complete = co_await isCompleteAtClose(attempt);
+        }
+    }
+    if (callerDisconnected_) {
+        co_return failure(attempt, {});
+    }
+    if (!complete) {
+        co_return failure(attempt, asio::error::eof);
+    }
     attempt.reusable = parser.keep_alive() && attempt.requestWritten;
     if (!headerDelivered_) {
         // A stream without events is forwarded as a response with an empty body.
@@ -342,6 +407,8 @@
             callerDisconnected_ = true;
             co_return AttemptResult::CallerDisconnected;
         }
+    } else {
+        setResetOnClose(caller_, false);
     }
     co_return AttemptResult::Delivered;
 }
@@ -357,6 +424,10 @@
         http::response<http::empty_body> head { header };
         head.chunked(useChunkedEncoding());
         head.keep_alive(useChunkedEncoding() && request_.keep_alive() && !state_.draining);
+        if (!useChunkedEncoding()) {
+            // To this caller an orderly close is the end of a complete response.
+            setResetOnClose(caller_, true);
+        }
         headerDelivered_ = true;
         firstByteAt_ = arrived;
         attempt.firstByteReceived = true;
@@ -369,6 +440,13 @@
         bytes = text.str();
     }
     lastEventAt_ = arrived;
+    if (attempt.firstEventAt == Instant()) {
+        attempt.firstEventAt = arrived;
+    }
+    attempt.lastEventAt = arrived;
+    if (arrived - attempt.firstEventAt >= HarmlessTime) {
+        clearParts(attempt);
+    }
     if (useChunkedEncoding()) {
         std::array<char, 24> chunkHeader {};
         std::snprintf(chunkHeader.data(), chunkHeader.size(), "%zx\r\n", events.size());
@@ -409,22 +487,81 @@
     return *fingerprint_;
 }
 
+const std::vector<SharedPart> &Exchange::sharedParts()
+{
+    if (!sharedParts_.has_value()) {
+        sharedParts_.emplace();
+        const std::uint64_t model = hash64(callerRequest_.model.text(), PartHashSeed);
+        for (const PromptPart &part : placementRequest_.parts) {
+            sharedParts_->push_back({ .fingerprint = mix64(model, part.id),
+                                      .id = part.id,
+                                      .depth = static_cast<std::uint8_t>(std::min<std::size_t>(
+                                          sharedParts_->size() + 1, WholeRequestDepth - 1)) });
+        }
+    }
+    return *sharedParts_;
+}
+
 CrashAssessment Exchange::assessCrashes()
 {
-    return state_.crashHistory.empty()
-        ? CrashAssessment()
-        : state_.crashHistory.assess(fingerprint(), std::chrono::steady_clock::now());
+    if (state_.crashHistory.empty()) {
+        return {};
+    }
+    const Instant now = std::chrono::steady_clock::now();
+    CrashAssessment result = state_.crashHistory.assess(fingerprint(), now);
+    quarantinedPart_.reset();
+    for (const SharedPart &part : sharedParts()) {
+        const CrashAssessment assessment = state_.crashHistory.assess(part.fingerprint, now);
+        if (assessment.permission == CrashPermission::Denied) {
+            quarantinedPart_ = part.id;
+        }
+        result.permission = std::max(result.permission, assessment.permission);
+        result.crashes = std::max(result.crashes, assessment.crashes);
+        result.remaining = std::max(result.remaining, assessment.remaining);
+    }
+    return result;
 }
 
-void Exchange::noteCrashEvidence(const Attempt &attempt, AttemptResult end)
+void Exchange::noteTrial(Instant now)
+{
+    if (state_.crashHistory.empty()) {
+        return;
+    }
+    for (const SharedPart &part : sharedParts()) {
+        if (state_.crashHistory.assess(part.fingerprint, now).trial) {
+            state_.crashHistory.noteTrial(part.fingerprint, now);
+        }
+    }
+}
+
+void Exchange::clearParts(Attempt &attempt)
+{
+    if (attempt.partsCleared || state_.crashHistory.empty()) {
+        return;
+    }
+    attempt.partsCleared = true;
+    for (const SharedPart &part : sharedParts()) {
+        state_.crashHistory.noteCompleted(part.fingerprint, std::chrono::steady_clock::now());
+    }
+}
+
+void Exchange::noteCrashEvidence(Attempt &attempt, AttemptResult end)
 {
     const Instant now = std::chrono::steady_clock::now();
     if (end == AttemptResult::Delivered || end == AttemptResult::ResponseReceived) {
         // A server that responds with an error may not have begun to run the request.
-        const bool served = end == AttemptResult::Delivered || response_->result_int() < 500;
+        // A response that ends with its connection may have been broken off all the same.
+        const bool served = delimiter_ != BodyDelimiter::ConnectionClose
+            && (end == AttemptResult::Delivered || response_->result_int() < 500);
         if (served && !state_.crashHistory.empty()) {
             state_.crashHistory.noteCompleted(fingerprint(), now);
         }
+        // A response that ends with its connection may have been broken off.
+        if (delimiter_ != BodyDelimiter::ConnectionClose
+            && (end == AttemptResult::Delivered || response_->result_int() < 300)) {
+            attempt.partsCleared = false;
+            clearParts(attempt);
+        }
         return;
     }
     if (!attempt.endedByServer) {
@@ -434,7 +571,13 @@
     const ListedServer *server = state_.pool.listed(attempt.placement.server);
     if (server != nullptr && !server->leaving) {
         state_.crashDetector.noteLoss(
-            *server, { .fingerprint = fingerprint(), .sentAt = attempt.sentAt, .lostAt = now });
+            *server,
+            { .fingerprint = fingerprint(),
+              .suspectParts = attempt.lastEventAt - attempt.firstEventAt < HarmlessTime
+                  ? sharedParts()
+                  : std::vector<SharedPart>(),
+              .sentAt = attempt.sentAt,
+              .lostAt = now });
     }
 }
 
@@ -481,7 +624,8 @@
     if (end == AttemptResult::NoResponse || end == AttemptResult::StreamBroken) {
         eventSplitter_.startResumedStream();
     }
-    if (attempt.reusable && attempt.connection->buffer.size() == 0) {
+    // A server may respond twice, and a second send of this request has the same id.
+    if (attempt.reusable && !otherWeights && attempt.connection->buffer.size() == 0) {
         const Duration keep = attempt.responseFacts.keepAlive.value_or(DefaultKeepAlive);
         attempt.connection->usableUntil = now + keep - std::min(keep / 2, KeepAliveMargin);
         state_.connections.addIdle(server, std::move(attempt.connection));
--- a/Source/Gateway/Gateway.cpp
+++ b/Source/Gateway/Gateway.cpp
@@ -22,6 +22,7 @@
 #include "FleetPeers/FleetRoles.h"
 #include "Gateway/BootClock.h"
 #include "Gateway/CacheEventReader.h"
+#include "Gateway/CrashRecordSync.h"
 #include "Gateway/DigestExchange.h"
 #include "Gateway/Listener.h"
 #include "Gateway/Pause.h"
@@ -143,6 +144,11 @@
               controlContext, store,
               { .kind = platform::ObjectKind::Nodes, .name = "nodes", .watchWait = NodesWait },
               [this](const ObjectTable &table) { onNodesChanged(table); }, [](BootInstant) {})
+        , crashRecords(
+              controlContext, store,
+              { .reporter = traffic.crashReporter, .seed = traffic.crashReporter },
+              [this](std::vector<CrashRecord> records) { onCrashRecordsRead(std::move(records)); },
+              [this] { applyHeldConfiguration(); })
         , boot(wallMilliseconds())
         , digests(traffic, boot)
         , rollout(
@@ -168,7 +174,12 @@
     void run();
     void sweep();
     void onConfigurationChanged(const ObjectTable &table);
+    /// Applies the configuration that was received before the crash records were read.
+    void applyHeldConfiguration();
     void onConfigurationConfirmed(BootInstant moment);
+    void onCrashRecordsRead(std::vector<CrashRecord> records);
+    /// Passes the crash records that must outlast a restart of all nodes to the control thread.
+    void reportCrashRecords();
     void onServersChanged(const ObjectTable &table);
     /// Passes the decoded server list on, and again when the time after a restore has ended.
     void applyServerList();
@@ -204,6 +215,7 @@
     StoreSync servers;
     StoreSync weights;
     StoreSync nodes;
+    CrashRecordSync crashRecords;
     std::int64_t boot;
     DigestExchange digests;
     RolloutDriver rollout;
@@ -213,6 +225,11 @@
     RestoredServerList serverList { { .missingGrace = MissingServerGrace,
                                       .leftMemory = LeftServerMemory } };
     asio::steady_timer serverListTimer { controlContext };
+    /// Used by the control thread only.
+    std::optional<ObjectTable> heldConfiguration;
+    /// What was last reported to the control thread; used by the traffic thread only.
+    bool crashRecordsReported = false;
+    bool peersMissingReported = false;
     /// Caches whose owner node is this node; used by the traffic thread only.
     std::map<ServerId, std::string> ownedCaches;
     unsigned sweeps = 0;
@@ -269,6 +286,8 @@
                                    }),
                        asio::detached);
     }
+    configuration.onRegained = [this] { crashRecords.noteStoreRegained(); };
+    asio::co_spawn(controlContext, crashRecords.run(), asio::detached);
     asio::co_spawn(controlContext, configuration.run(), asio::detached);
     asio::co_spawn(controlContext, servers.run(), asio::detached);
     asio::co_spawn(controlContext, weights.run(), asio::detached);
@@ -295,6 +314,7 @@
         metrics.setConfigurationAge(*age);
     }
     reportToRollout();
+    reportCrashRecords();
     if (++sweeps % SweepsPerAssignment == 0) {
         assignCaches();
     }
@@ -315,6 +335,11 @@
 
 void Gateway::Parts::onConfigurationChanged(const ObjectTable &table)
 {
+    // No request is served before the node knows which ones are denied.
+    if (!crashRecords.attempted()) {
+        heldConfiguration = table;
+        return;
+    }
     const auto found = table.find(std::string(platform::configurationName()));
     if (found == table.end()) {
         return;
@@ -334,6 +359,41 @@
                });
 }
 
+void Gateway::Parts::applyHeldConfiguration()
+{
+    if (heldConfiguration.has_value()) {
+        const ObjectTable table = std::move(*heldConfiguration);
+        heldConfiguration.reset();
+        onConfigurationChanged(table);
+    }
+}
+
+void Gateway::Parts::onCrashRecordsRead(std::vector<CrashRecord> records)
+{
+    asio::post(trafficContext, [this, records = std::move(records)] {
+        traffic.mergeCrashes(records, std::chrono::steady_clock::now());
+    });
+}
+
+void Gateway::Parts::reportCrashRecords()
+{
+    const Instant now = std::chrono::steady_clock::now();
+    const bool peersMissing = !digests.hearsAllPeers(now);
+    std::vector<CrashRecord> records;
+    if (!traffic.crashHistory.empty()) {
+        records = traffic.crashHistory.recordsToKeep(now, MaxKeptReports);
+    }
+    if (records.empty() && !crashRecordsReported && peersMissing == peersMissingReported) {
+        return;
+    }
+    crashRecordsReported = !records.empty();
+    peersMissingReported = peersMissing;
+    asio::post(controlContext, [this, peersMissing, records = std::move(records)]() mutable {
+        crashRecords.setPeersMissing(peersMissing);
+        crashRecords.setLocal(std::move(records));
+    });
+}
+
 void Gateway::Parts::onConfigurationConfirmed(BootInstant moment)
 {
     // Without an era the store loses nothing, so that a completed read is proof enough.
--- a/Source/Gateway/SocketOptions.cpp
+++ b/Source/Gateway/SocketOptions.cpp
@@ -37,6 +37,14 @@
     setOption(handle, IPPROTO_TCP, TCP_USER_TIMEOUT, static_cast<int>(limit));
 }
 
+void setResetOnClose(boost::asio::ip::tcp::socket &socket, bool enabled)
+{
+    // Asio clears the option when it destroys a socket on which it has set it itself.
+    const linger value { .l_onoff = enabled ? 1 : 0, .l_linger = 0 };
+    static_cast<void>(
+        setsockopt(socket.native_handle(), SOL_SOCKET, SO_LINGER, &value, sizeof(value)));
+}
+
 PeekResult peek(boost::asio::ip::tcp::socket &socket)
 {
     char byte = 0;
--- a/Source/Gateway/TrafficState.h
+++ b/Source/Gateway/TrafficState.h
@@ -76,7 +76,8 @@
     void confirmConfiguration(BootInstant moment, bool mayBeRestored);
     /// Applies the platform's complete list of servers; servers missing from it are removed.
     void applyServers(const std::vector<ListedServer> &servers, Instant now);
-    /// Applies a peer's records of requests that were running on servers that crashed.
+    /// Applies records of requests that were running on servers that crashed, from a peer or from
+    /// the store.
     void mergeCrashes(std::span<const CrashRecord> records, Instant now);
 
     boost::asio::io_context &context;
@@ -90,6 +91,8 @@
     ConnectionPool connections;
     AttemptBudget retryBudget;
     QueueLimit queueLimit { {} };
+    /// Hash of the name and the boot of this node, as the reporter of crashes.
+    const std::uint64_t crashReporter;
     CrashHistory crashHistory;
     CrashDetector crashDetector;
 
@@ -130,6 +133,8 @@
 private:
     /// Records that a server crashed while it ran a request.
     void noteCrash(const ServerId &server, const LostRequest &loss);
+    void rememberPart(const SharedPart &part);
+    void logQuarantined(const DeniedRequest &denied) const;
 
     /// The settings in effect, which a reload may have changed.
     GatewaySettings currentSettings_;
@@ -143,6 +148,8 @@
     std::uint64_t loggedOlderVersion_ = 0;
     std::uint64_t loggedPeerVersion_ = 0;
     std::unordered_map<ServerId, bool> listedServers_;
+    /// Identifiers of the parts that this node has seen at crashes, for the log.
+    std::unordered_map<RequestFingerprint, std::uint64_t> partIds_;
 };
 
 } // namespace jacinthroad
--- a/Tests/Gateway/StoreStandIn.h
+++ b/Tests/Gateway/StoreStandIn.h
@@ -35,8 +35,18 @@
     /// Goes back to the last snapshot: later changes are lost, their revisions are assigned again
     /// and the era rises by one.
     void restore();
+    /// Address at which writes are rejected and reads are served, as for a node that the store
+    /// turns away.
+    [[nodiscard]] std::string rejectingAddress() const { return rejectingServer_.address(); }
     /// Leaves every further call without a response.
     void stopResponding();
+    /// Responds to further calls again.
+    void resumeResponding();
+    /// Applies further writes to objects of this kind but leaves the next `count` of them without a
+    /// response.
+    void loseResponses(const std::string &kind, int count);
+    /// Number of writes of this kind that were applied or rejected.
+    [[nodiscard]] int writes(const std::string &kind);
     /// Returns the spec of an object; null if it does not exist.
     [[nodiscard]] Json::Value spec(const std::string &kind, const std::string &name);
 
@@ -54,7 +64,10 @@
 
     /// A response of the present era; the caller holds the mutex.
     [[nodiscard]] std::string response(unsigned status, const std::string &body) const;
-    void serve(ScriptedConnection &connection);
+    void serve(ScriptedConnection &connection, bool rejectsWrites);
+    /// Counts a write; returns true if its response is to be lost.
+    [[nodiscard]] bool
+    noteWrite(const boost::beast::http::request<boost::beast::http::string_body> &request);
     [[nodiscard]] std::string
     respond(const boost::beast::http::request<boost::beast::http::string_body> &request);
     [[nodiscard]] std::string watch(const std::string &kind, std::uint64_t revision,
@@ -74,7 +87,10 @@
     Objects savedObjects_;
     std::uint64_t savedRevision_ = 1;
     std::vector<Change> changes_;
+    std::map<std::string, int> writes_;
+    std::map<std::string, int> responsesToLose_;
     ScriptedServer server_;
+    ScriptedServer rejectingServer_;
 };
 
 } // namespace jacinthroad
