Gateway: Write crash records again after the store was restored

A restored store may have lost the records that nodes had written; they were written again only once something changed. A change of era now reads the object again, after which what it lacks is written. CrashRecordSyncTest/recordsThatARestoredStoreHasLostAreWrittenAgain covers it; it was not run without the change.

--- a/Source/Gateway/CrashRecordSync.cpp
+++ b/Source/Gateway/CrashRecordSync.cpp
@@ -1,6 +1,7 @@
 #include "Gateway/CrashRecordSync.h"
 
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <utility>
 #include <variant>
@@ -58,7 +59,13 @@
 
 asio::awaitable<void> CrashRecordSync::synchronise()
 {
+    std::optional<std::uint64_t> era = client_.era();
     for (;;) {
+        if (era != client_.era()) {
+            // A store that was restored may have lost the records.
+            era = client_.era();
+            keeper_.noteStoreRegained(steadyNow());
+        }
         const auto call = keeper_.nextCall(steadyNow(), wallMilliseconds());
         if (call.has_value()) {
             if (const auto *reading = std::get_if<ReadCrashRecords>(&*call)) {
--- a/Tests/Gateway/CrashRecordSyncTest.cpp
+++ b/Tests/Gateway/CrashRecordSyncTest.cpp
@@ -185,6 +185,20 @@
     nodes.checkRefused("crash second");
 }
 
+BOOST_AUTO_TEST_CASE(recordsThatARestoredStoreHasLostAreWrittenAgain)
+{
+    SharedStore nodes;
+    nodes.first.store.sendEra(1);
+    nodes.start();
+    nodes.first.store.snapshot();
+    BOOST_REQUIRE(SharedStore::crashUntilRefused(nodes.first, "crash"));
+    std::this_thread::sleep_for(WriteTime);
+    nodes.first.store.restore();
+    BOOST_TEST(nodes.first.store.spec(RecordsKind, "requests").isNull());
+    std::this_thread::sleep_for(WriteTime * 2);
+    BOOST_TEST(!nodes.first.store.spec(RecordsKind, "requests").isNull());
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace jacinthroad
