--- a/Source/Gateway/Gateway.cpp
+++ b/Source/Gateway/Gateway.cpp
@@ -15,8 +15,10 @@
 #include <boost/asio/steady_timer.hpp>
 
 #include "Core/Hashing.h"
+#include "Core/Json.h"
 #include "Core/Log.h"
 #include "Core/WallClock.h"
+#include "Fleet/RestoredServerList.h"
 #include "FleetPeers/FleetRoles.h"
 #include "Gateway/BootClock.h"
 #include "Gateway/CacheEventReader.h"
@@ -51,6 +53,12 @@
 /// lease; the other nodes learn from them which servers leave. It equals the size of a
 /// small fleet, so that an isolated zone still has some.
 constexpr std::size_t MaxActiveNodes = 8;
+/// Servers whose entries are missing after a restore of the store register again within about two
+/// seconds, according to the platform's pages.
+constexpr Duration MissingServerGrace = milliseconds(2500);
+/// How long servers that left are remembered: the copy that the store is restored from is some
+/// seconds old.
+constexpr Duration LeftServerMemory = std::chrono::seconds(60);
 /// Minimum pause between two watches of the servers on the other nodes.
 constexpr Duration PassiveServersPause = milliseconds(1800);
 constexpr Duration NodesWait = milliseconds(10000);
@@ -78,6 +86,8 @@
 struct DecodedServer
 {
     std::uint64_t revision = 0;
+    /// Revisions of different eras cannot be compared.
+    std::optional<std::uint64_t> era;
     /// Nothing if the entry is malformed.
     std::optional<ListedServer> server;
 };
@@ -171,6 +181,8 @@
     /// Passes the crash records that must outlast a restart of all nodes to the control thread.
     void reportCrashRecords();
     void onServersChanged(const ObjectTable &table);
+    /// Passes the decoded server list on, and again when the time after a restore has ended.
+    void applyServerList();
     void onDesiredWeightsChanged(const ObjectTable &table);
     void onNodesChanged(const ObjectTable &table);
     void cordonServer(const ServerId &server, const ModelId &model, WeightsVersion version,
@@ -181,7 +193,10 @@
     void pollDrain(std::shared_ptr<std::promise<void>> idle, bool connectionsClosed);
     void reportToRollout();
     void assignCaches();
-    [[nodiscard]] asio::awaitable<void> registerNode();
+    /// Keeps this node's object in the store, also after the store has been restored.
+    [[nodiscard]] asio::awaitable<void> keepNodeRegistered();
+    /// Writes this node's object if the store lacks it; returns true if it is there.
+    [[nodiscard]] asio::awaitable<bool> registerNode();
 
     GatewaySettings settings;
     GatewayMetrics metrics;
@@ -207,6 +222,9 @@
     CacheEventReader cacheEventReader;
     /// Used by the control thread only.
     std::map<std::string, DecodedServer> decodedServers;
+    RestoredServerList serverList { { .missingGrace = MissingServerGrace,
+                                      .leftMemory = LeftServerMemory } };
+    asio::steady_timer serverListTimer { controlContext };
     /// Used by the control thread only.
     std::optional<ObjectTable> heldConfiguration;
     /// What was last reported to the control thread; used by the traffic thread only.
@@ -280,7 +298,7 @@
         asio::co_spawn(controlContext, nodes.run(), asio::detached);
         asio::co_spawn(
             controlContext,
-            runRestarting(controlContext, "register_node", [this] { return registerNode(); }),
+            runRestarting(controlContext, "register_node", [this] { return keepNodeRegistered(); }),
             asio::detached);
     }
     asio::post(trafficContext, [this] { sweep(); });
@@ -332,9 +350,12 @@
                 { { "reason", read.error().message } });
         return;
     }
+    const ConfigurationIdentity identity { .version = read->version,
+                                           .contentHash = hash64(writeJson(found->second.spec)),
+                                           .era = store.era() };
     asio::post(trafficContext,
-               [this, routes = std::make_shared<const RouteTable>(std::move(*read))] {
-                   traffic.applyConfiguration(routes);
+               [this, identity, routes = std::make_shared<const RouteTable>(std::move(*read))] {
+                   traffic.applyConfiguration(identity, routes);
                });
 }
 
@@ -375,26 +396,49 @@
 
 void Gateway::Parts::onConfigurationConfirmed(BootInstant moment)
 {
-    asio::post(trafficContext, [this, moment] { traffic.freshness.confirm(moment); });
+    // Without an era the store loses nothing, so that a completed read is proof enough.
+    asio::post(trafficContext, [this, moment, mayBeRestored = store.era().has_value()] {
+        traffic.confirmConfiguration(moment, mayBeRestored);
+    });
 }
 
 void Gateway::Parts::onServersChanged(const ObjectTable &table)
 {
     std::erase_if(decodedServers, [&](const auto &entry) { return !table.contains(entry.first); });
-    std::vector<ListedServer> list;
     for (const auto &[name, object] : table) {
         DecodedServer &known = decodedServers[name];
-        if (known.revision != object.revision || known.revision == 0) {
-            known = { .revision = object.revision, .server = decodeServer(name, object.spec) };
+        if (known.revision != object.revision || known.revision == 0 || known.era != store.era()) {
+            known = { .revision = object.revision,
+                      .era = store.era(),
+                      .server = decodeServer(name, object.spec) };
         }
+    }
+    applyServerList();
+}
+
+void Gateway::Parts::applyServerList()
+{
+    std::vector<ServerEntry> entries;
+    for (const auto &[name, known] : decodedServers) {
         if (known.server.has_value()) {
-            list.push_back(*known.server);
+            entries.push_back({ .server = *known.server, .revision = known.revision });
         }
     }
+    std::vector<ListedServer> list
+        = serverList.apply(entries, store.era().value_or(0), std::chrono::steady_clock::now());
     rollout.applyServers(list);
     asio::post(trafficContext, [this, list = std::move(list)] {
         traffic.applyServers(list, std::chrono::steady_clock::now());
     });
+    const auto again = serverList.applyAgainAt();
+    if (again.has_value()) {
+        serverListTimer.expires_at(*again);
+        serverListTimer.async_wait([this](error_code error) {
+            if (!error) {
+                applyServerList();
+            }
+        });
+    }
 }
 
 void Gateway::Parts::onDesiredWeightsChanged(const ObjectTable &table)
@@ -424,36 +468,44 @@
     asio::post(trafficContext, [this, addresses] { digests.applyPeers(addresses); });
 }
 
-asio::awaitable<void> Gateway::Parts::registerNode()
+asio::awaitable<void> Gateway::Parts::keepNodeRegistered()
 {
-    Json::Value spec;
-    spec[PeerAddressField] = settings.peerAddress;
+    bool registered = false;
+    std::optional<std::uint64_t> era;
     for (;;) {
-        const auto reply = co_await store.call(
-            platform::createCall(platform::ObjectKind::Nodes, settings.name, spec),
-            RegisterTimeout);
-        if (reply.has_value() && reply->status == platform::StoreStatus::Done) {
-            co_return;
-        }
-        if (reply.has_value() && reply->status == platform::StoreStatus::Conflict) {
-            const auto object = platform::readObject(reply->body);
-            if (object.has_value() && object->spec == spec) {
-                co_return;
-            }
-            if (object.has_value()) {
-                const auto replaced = co_await store.call(
-                    platform::replaceCall(platform::ObjectKind::Nodes, settings.name,
-                                          object->revision, spec),
-                    RegisterTimeout);
-                if (replaced.has_value() && replaced->status == platform::StoreStatus::Done) {
-                    co_return;
-                }
-            }
+        if (!registered || era != store.era()) {
+            registered = co_await registerNode();
+            era = store.era();
         }
         co_await pauseFor(controlContext, RegisterPause);
     }
 }
 
+asio::awaitable<bool> Gateway::Parts::registerNode()
+{
+    Json::Value spec;
+    spec[PeerAddressField] = settings.peerAddress;
+    const auto reply = co_await store.call(
+        platform::createCall(platform::ObjectKind::Nodes, settings.name, spec), RegisterTimeout);
+    if (!reply.has_value()) {
+        co_return false;
+    }
+    if (reply->status != platform::StoreStatus::Conflict) {
+        co_return reply->status == platform::StoreStatus::Done;
+    }
+    const auto object = platform::readObject(reply->body);
+    if (!object.has_value()) {
+        co_return false;
+    }
+    if (object->spec == spec) {
+        co_return true;
+    }
+    const auto replaced = co_await store.call(
+        platform::replaceCall(platform::ObjectKind::Nodes, settings.name, object->revision, spec),
+        RegisterTimeout);
+    co_return replaced.has_value() && replaced->status == platform::StoreStatus::Done;
+}
+
 void Gateway::Parts::cordonServer(const ServerId &server, const ModelId &model,
                                   WeightsVersion version, Duration limit)
 {
--- a/Source/Gateway/TrafficState.cpp
+++ b/Source/Gateway/TrafficState.cpp
@@ -91,11 +91,38 @@
     retryBudget.setOptions(retryBudgetOptions(currentSettings_, nodeCount_));
 }
 
-void TrafficState::applyConfiguration(std::shared_ptr<const RouteTable> newer)
+void TrafficState::applyConfiguration(const ConfigurationIdentity &identity,
+                                      std::shared_ptr<const RouteTable> newer)
 {
-    if (routes != nullptr && routes->version() >= newer->version()) {
+    switch (decideConfiguration(configuration_, identity)) {
+    case ConfigurationDecision::Keep:
+        if (identity.contentHash == configuration_->contentHash) {
+            configuration_->era = std::max(configuration_->era, identity.era);
+        }
+        return;
+    case ConfigurationDecision::KeepNewer:
+        if (loggedOlderVersion_ != identity.version) {
+            loggedOlderVersion_ = identity.version;
+            logLine(
+                LogLevel::Error, "configuration_went_back",
+                { { "object", "configuration" },
+                  { "version", static_cast<std::int64_t>(configuration_->version) },
+                  { "version_in_store", static_cast<std::int64_t>(identity.version) },
+                  { "reason", "the store has an older version than the one in force" },
+                  { "remedy", "Write a configuration with a version above the one in force." } });
+        }
         return;
+    case ConfigurationDecision::ApplyReusedVersion:
+        logLine(LogLevel::Warning, "configuration_version_reused",
+                { { "object", "configuration" },
+                  { "version", static_cast<std::int64_t>(identity.version) },
+                  { "reason", "the restored store assigned this version again" },
+                  { "remedy", "Check that it holds what the lost one of that version held." } });
+        break;
+    case ConfigurationDecision::Apply:
+        break;
     }
+    configuration_ = identity;
     routes = std::move(newer);
     pool.applyServices(routes->services());
     metrics.setConfigurationVersion(static_cast<double>(routes->version()));
@@ -103,6 +130,32 @@
             { { "version", static_cast<std::int64_t>(routes->version()) } });
 }
 
+void TrafficState::notePeerConfiguration(std::uint64_t version)
+{
+    peerConfigurationVersion_ = std::max(peerConfigurationVersion_, version);
+}
+
+void TrafficState::confirmConfiguration(BootInstant moment, bool mayBeRestored)
+{
+    const std::uint64_t version = configuration_.has_value() ? configuration_->version : 0;
+    if (!mayBeRestored || version >= peerConfigurationVersion_) {
+        freshness.confirm(moment);
+        return;
+    }
+    // A peer may read a new version a moment earlier; that is no fault.
+    const auto age = freshness.age(bootNow());
+    if (loggedPeerVersion_ != peerConfigurationVersion_
+        && (!age.has_value() || *age >= outdatedConfigurationAge())) {
+        loggedPeerVersion_ = peerConfigurationVersion_;
+        logLine(LogLevel::Error, "configuration_behind_peers",
+                { { "object", "configuration" },
+                  { "version", static_cast<std::int64_t>(version) },
+                  { "version_of_peers", static_cast<std::int64_t>(peerConfigurationVersion_) },
+                  { "reason", "the store lost a version that peers have in force" },
+                  { "remedy", "Write a configuration with a version above that of the peers." } });
+    }
+}
+
 void TrafficState::applyServers(const std::vector<ListedServer> &servers, Instant now)
 {
     for (auto &[id, present] : listedServers_) {
--- a/Source/Gateway/TrafficState.h
+++ b/Source/Gateway/TrafficState.h
@@ -4,6 +4,7 @@
 #include <cstdint>
 #include <functional>
 #include <memory>
+#include <optional>
 #include <span>
 #include <unordered_map>
 #include <utility>
@@ -12,6 +13,7 @@
 #include <boost/asio/io_context.hpp>
 #include <boost/signals2/signal.hpp>
 
+#include "Fleet/ConfigurationIdentity.h"
 #include "Fleet/Freshness.h"
 #include "Fleet/ListedServer.h"
 #include "Fleet/RouteTable.h"
@@ -62,8 +64,16 @@
     void applySettings(const GatewaySettings &settings);
     /// Sets the number of nodes among which fleet-wide budgets are divided.
     void setNodeCount(std::size_t count);
-    /// Applies a newer configuration; one that is not newer is ignored.
-    void applyConfiguration(std::shared_ptr<const RouteTable> routes);
+    /// Applies a newer configuration. One that is not newer is ignored; an older one, as a restored
+    /// store returns it, is logged too.
+    void applyConfiguration(const ConfigurationIdentity &identity,
+                            std::shared_ptr<const RouteTable> routes);
+    /// Notes the version of the configuration in force at a peer.
+    void notePeerConfiguration(std::uint64_t version);
+    /// Records that a read of the store found nothing newer than the configuration in force at
+    /// `moment`. With `mayBeRestored` that proves nothing if a peer has a newer version, which a
+    /// restored store has lost.
+    void confirmConfiguration(BootInstant moment, bool mayBeRestored);
     /// Applies the platform's complete list of servers; servers missing from it are removed.
     void applyServers(const std::vector<ListedServer> &servers, Instant now);
     /// Applies records of requests that were running on servers that crashed, from a peer or from
@@ -104,6 +114,11 @@
     [[nodiscard]] ActiveRequest beginRequest() { return ActiveRequest(activeRequests_); }
     [[nodiscard]] unsigned activeRequests() const { return *activeRequests_; }
 
+    /// Identity of `routes`; nothing before the first configuration.
+    [[nodiscard]] const std::optional<ConfigurationIdentity> &configuration() const
+    {
+        return configuration_;
+    }
     /// Age from which the configuration of a peer counts as outdated, so that the peer needs a
     /// confirmation from this node.
     [[nodiscard]] Duration outdatedConfigurationAge() const;
@@ -126,6 +141,12 @@
     /// Shared with the requests, which may outlive this object while the event loop is destroyed.
     std::shared_ptr<unsigned> activeRequests_ = std::make_shared<unsigned>(0);
     std::size_t nodeCount_ = 0;
+    std::optional<ConfigurationIdentity> configuration_;
+    /// The highest version in force that a peer has reported.
+    std::uint64_t peerConfigurationVersion_ = 0;
+    /// The versions for which the node has logged that the store or this node lacks them.
+    std::uint64_t loggedOlderVersion_ = 0;
+    std::uint64_t loggedPeerVersion_ = 0;
     std::unordered_map<ServerId, bool> listedServers_;
     /// Identifiers of the parts that this node has seen at crashes, for the log.
     std::unordered_map<RequestFingerprint, std::uint64_t> partIds_;
--- a/Tests/Gateway/StoreStandIn.h
+++ b/Tests/Gateway/StoreStandIn.h
@@ -28,6 +28,13 @@
     void put(const std::string &kind, const std::string &name, const Json::Value &spec);
     /// Removes an object.
     void remove(const std::string &kind, const std::string &name);
+    /// Numbers the eras of the store from `era` on and sends the number with every response.
+    void sendEra(std::uint64_t era);
+    /// Copies all objects and the revision for restore().
+    void snapshot();
+    /// Goes back to the last snapshot: later changes are lost, their revisions are assigned again
+    /// and the era rises by one.
+    void restore();
     /// Address at which writes are rejected and reads are served, as for a node that the store
     /// turns away.
     [[nodiscard]] std::string rejectingAddress() const { return rejectingServer_.address(); }
@@ -44,6 +51,9 @@
     [[nodiscard]] Json::Value spec(const std::string &kind, const std::string &name);
 
 private:
+    /// Objects by kind and name.
+    using Objects = std::map<std::string, std::map<std::string, Json::Value>>;
+
     struct Change
     {
         std::uint64_t revision;
@@ -52,6 +62,8 @@
         bool removed;
     };
 
+    /// A response of the present era; the caller holds the mutex.
+    [[nodiscard]] std::string response(unsigned status, const std::string &body) const;
     void serve(ScriptedConnection &connection, bool rejectsWrites);
     /// Counts a write; returns true if its response is to be lost.
     [[nodiscard]] bool
@@ -67,9 +79,13 @@
     std::mutex mutex_;
     std::condition_variable changed_;
     std::uint64_t revision_ = 1;
+    /// 0 while responses carry no era.
+    std::uint64_t era_ = 0;
     bool unresponsive_ = false;
     bool stopping_ = false;
-    std::map<std::string, std::map<std::string, Json::Value>> objects_;
+    Objects objects_;
+    Objects savedObjects_;
+    std::uint64_t savedRevision_ = 1;
     std::vector<Change> changes_;
     std::map<std::string, int> writes_;
     std::map<std::string, int> responsesToLose_;
