Quarantine: Let other nodes try a denied part when its observer has ended

A sound prompt part that was denied by mistake stayed denied for 30 minutes at all nodes but the one that saw the last crash, and everywhere once that node had ended or restarted: only it made trials.

The other nodes now follow in steps of 30 s, each after a delay of its own, so that a guilty part still reaches one server at a time. PromptPartCrashTest/partIsTriedAgainAfterTheNode... failed before and passes now.

--- a/Source/Quarantine/CrashHistory.cpp
+++ b/Source/Quarantine/CrashHistory.cpp
@@ -28,6 +28,8 @@
 constexpr Duration MinSendInterval = milliseconds(150);
 /// Interval at which records with several crashes are sent again.
 constexpr Duration RepeatInterval = std::chrono::seconds(1);
+/// Number of different delays after which nodes make the trial of a part that another node owes.
+constexpr std::uint64_t TrialRanks = 8;
 /// Counted crashes from which a record is sent repeatedly.
 constexpr unsigned CrashesToRepeat = 2;
 /// Counted and cleared crashes from which a record is kept across restarts of all nodes, and
@@ -361,10 +363,12 @@
         : options_.denialTime;
     Instant until = entry.lastCountedAt + denialTime;
     if (isPart) {
-        // Only the node that saw the last crash makes trials, so that nodes needn't agree on them.
-        until = entry.lastReporter == options_.reporter
-            ? std::max(until, entry.trialAt + options_.trialInterval)
-            : entry.lastCrashAt + options_.retention;
+        until = std::max(until, entry.trialAt + options_.trialInterval);
+        if (entry.lastReporter != options_.reporter) {
+            // The node that saw the last crash makes the trials. The others follow one by one in
+            // case that it has ended.
+            until += options_.trialInterval * (1 + options_.reporter % TrialRanks);
+        }
         assessment.trial = until <= now;
     }
     assessment.permission = until > now ? CrashPermission::Denied : CrashPermission::WithoutRetry;
--- a/Tests/Quarantine/PromptPartCrashTest.cpp
+++ b/Tests/Quarantine/PromptPartCrashTest.cpp
@@ -560,6 +560,25 @@
                 == CrashPermission::Unrestricted));
 }
 
+BOOST_AUTO_TEST_CASE(partIsTriedAgainAfterTheNodeThatSawTheLastCrashHasEnded)
+{
+    CrashHistory observer({ .reporter = 1 });
+    CrashHistory peer({ .reporter = 2 });
+    for (int crashes = 0; crashes < 3; ++crashes) {
+        crash(observer, SomePart, Second, static_cast<std::uint64_t>(crashes), crashes * 1000,
+              crashes * 1000 + 100);
+    }
+    const int deniedAt = 2100;
+    static_cast<void>(peer.merge(observer.takeRecords(at(deniedAt), 100), at(deniedAt)));
+    BOOST_TEST(denied(peer, SomePart, deniedAt + 45 * 1000));
+    const int lastTrialAt = deniedAt + 5 * 60 * 1000;
+    BOOST_TEST(peer.assess(SomePart, at(lastTrialAt)).trial);
+    peer.noteTrial(SomePart, at(lastTrialAt));
+    BOOST_TEST(denied(peer, SomePart, lastTrialAt + 10));
+    peer.noteCompleted(SomePart, at(lastTrialAt + 500));
+    BOOST_TEST(!denied(peer, SomePart, lastTrialAt + 600));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace jacinthroad
