Platform: Lose only the entry that can't be read, not its whole list

A response of the store was parsed as a whole. One entry nested over 64 deep, with a number such as 1e999, with a key twice or half of a surrogate pair, made the page or the change unreadable: a node that was running kept the list as it was and followed no later change, and a node that started had no servers at all, so that every request was refused. An unreadable lease or crash record object was never replaced.

Now a response that the parser rejects, or that isn't UTF-8, is split into its entries, and each is read by itself. An entry that still can't be read keeps its name and revision and has a fault and no spec, so that later readers treat it as malformed. If only its status or another part of its metadata can't be read, the spec holds.

Other ways: a higher depth limit in jsoncpp moves the limit, recurses and doesn't help with numbers or keys; Boost.JSON isn't part of the Boost release in use. A response in which one entry lacks a bracket or a quote still can't be split and fails as a whole.

--- a/Tests/Platform/OddEntriesTest.cpp
+++ b/Tests/Platform/OddEntriesTest.cpp
@@ -5,6 +5,7 @@
 #include <boost/test/unit_test.hpp>
 
 #include "Core/Json.h"
+#include "platform/Store.h"
 #include "platform/StoreObjects.h"
 
 namespace jacinthroad::platform {
@@ -26,6 +27,25 @@
     return readServer("i-7f", spec).has_value();
 }
 
+/// Specs that the JSON reader doesn't accept although their brackets balance.
+std::vector<std::string> unreadableSpecs()
+{
+    return { R"({"x":)" + std::string(100000, '[') + std::string(100000, ']') + "}",
+             R"({"born":1e999})",
+             R"({"x":1,"x":2})",
+             R"({"x":"\ud800"})",
+             "{\"x\":\"\xff\xfe\"}",
+             R"({"x":NaN})",
+             R"({"x":[1}])" };
+}
+
+std::string objectText(const std::string &name, const std::string &revision,
+                       const std::string &spec)
+{
+    return R"({"metadata":{"name":")" + name + R"(","revision":)" + revision + R"(},"spec":)" + spec
+        + "}";
+}
+
 /// A configuration with one field of the only route, service, team or limits replaced.
 bool configurationIsRead(const std::string &part, const std::string &field,
                          const Json::Value &value)
@@ -110,6 +130,85 @@
     BOOST_TEST(!readConfiguration(*parseJson(R"({"version":1,"limits":"none"})")).has_value());
 }
 
+BOOST_AUTO_TEST_CASE(objectThatCannotBeReadCostsOnlyItselfOnAPage)
+{
+    for (const std::string &spec : unreadableSpecs()) {
+        const auto page = readPage(
+            R"({"items":[)" + objectText("a", "4", R"({"x":1})") + ", " + objectText("b", "5", spec)
+            + "," + objectText("c", "6", R"({"x":3})") + R"(],"hasMore":true,"currentRev":9})");
+        BOOST_REQUIRE_MESSAGE(page.has_value(), spec.substr(0, 20));
+        BOOST_TEST(page->more);
+        BOOST_TEST(page->revision == 9U);
+        BOOST_REQUIRE(page->objects.size() == 3U);
+        BOOST_TEST(page->objects[0].spec["x"].asInt() == 1);
+        BOOST_TEST(page->objects[0].fault.empty());
+        BOOST_TEST(page->objects[1].name == "b");
+        BOOST_TEST(page->objects[1].revision == 5U);
+        BOOST_TEST(page->objects[1].spec.isNull());
+        BOOST_TEST(!page->objects[1].fault.empty());
+        BOOST_TEST(page->objects[2].spec["x"].asInt() == 3);
+    }
+}
+
+BOOST_AUTO_TEST_CASE(changeThatCannotBeReadCostsOnlyItself)
+{
+    for (const std::string &spec : unreadableSpecs()) {
+        const auto changes = readChanges(
+            R"({"events":[{"object":)" + objectText("a", "4", spec) + R"(,"deleted":false},)"
+            + R"({"object":)" + objectText("b", "5", spec) + R"(,"deleted":true},)"
+            + R"({"object":)" + objectText("c", "6", R"({"x":3})") + R"(}],"currentRev":6})");
+        BOOST_REQUIRE_MESSAGE(changes.has_value(), spec.substr(0, 20));
+        BOOST_TEST(changes->revision == 6U);
+        BOOST_REQUIRE(changes->events.size() == 3U);
+        BOOST_TEST(changes->events[0].object.name == "a");
+        BOOST_TEST(changes->events[0].object.spec.isNull());
+        BOOST_TEST(!changes->events[0].removed);
+        BOOST_TEST(changes->events[1].object.name == "b");
+        BOOST_TEST(changes->events[1].removed);
+        BOOST_TEST(changes->events[2].object.spec["x"].asInt() == 3);
+    }
+}
+
+BOOST_AUTO_TEST_CASE(objectWhoseSpecCannotBeReadKeepsItsNameAndRevision)
+{
+    for (const std::string &spec : unreadableSpecs()) {
+        const auto object = readObject(objectText("a", "4", spec));
+        BOOST_REQUIRE_MESSAGE(object.has_value(), spec.substr(0, 20));
+        BOOST_TEST(object->name == "a");
+        BOOST_TEST(object->revision == 4U);
+        BOOST_TEST(object->spec.isNull());
+    }
+    BOOST_TEST(!readObject("not json").has_value());
+    BOOST_TEST(!readObject(R"({"metadata":{"name":7},"spec":1e999})").has_value());
+}
+
+BOOST_AUTO_TEST_CASE(objectWhoseStatusOrMetadataCannotBeReadKeepsItsSpec)
+{
+    for (const std::string &value : unreadableSpecs()) {
+        const auto status = readObject(
+            R"({"metadata":{"name":"a","revision":4},"spec":{"x":1},"status":)" + value + "}");
+        BOOST_REQUIRE(status.has_value());
+        BOOST_TEST(status->spec["x"].asInt() == 1);
+        BOOST_TEST(status->fault.empty());
+        const auto metadata = readObject(R"({"metadata":{"finalizers":)" + value
+                                         + R"(,"name":"a","revision":4},"spec":{"x":1}})");
+        BOOST_REQUIRE(metadata.has_value());
+        BOOST_TEST(metadata->revision == 4U);
+        BOOST_TEST(metadata->spec["x"].asInt() == 1);
+    }
+}
+
+BOOST_AUTO_TEST_CASE(objectWithTwoNamesHasNone)
+{
+    const auto page
+        = readPage(R"({"items":[{"metadata":{"name":"a","name":"b","revision":4},"spec":{}},)"
+                   + objectText("c", "5", "{}") + R"(],"currentRev":5})");
+    BOOST_REQUIRE(page.has_value());
+    BOOST_TEST(page->objects[0].name.empty());
+    BOOST_TEST(!page->objects[0].fault.empty());
+    BOOST_TEST(page->objects[1].name == "c");
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace jacinthroad::platform
