--- a/Tests/Platform/OddEntriesTest.cpp
+++ b/Tests/Platform/OddEntriesTest.cpp
@@ -209,6 +209,14 @@
     BOOST_TEST(page->objects[1].name == "c");
 }
 
+BOOST_AUTO_TEST_CASE(listContinuesAfterANameWithCharactersThatATargetCannotHold)
+{
+    BOOST_TEST(listCall(ObjectKind::Servers, "i-7f_A.b~").target
+               == "/-/objects/servers?after=i-7f_A.b~");
+    BOOST_TEST(listCall(ObjectKind::Servers, "a b&c\r\n%\xc3\xb1").target
+               == "/-/objects/servers?after=a%20b%26c%0D%0A%25%C3%B1");
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace jacinthroad::platform
