Gateway: Continue a list after the last entry that has a name

A list was continued after the name of the last entry of a page. If that entry had no readable name, the list began anew from the first page, without a pause and without an end: the node called the store as fast as it could and never learned of any server. Entries without a name also formed one entry with an empty name, and a change of such an object was applied to it.

The list now continues after the last entry with a name; a page that offers none ends the attempt, with the usual pause and the reason in `store_lost`. Entries without a name are left out. A change whose object has no name may concern any of them, so the list is read anew.

--- a/Source/Gateway/StoreSync.cpp
+++ b/Source/Gateway/StoreSync.cpp
@@ -20,6 +20,15 @@
 constexpr Duration FirstPause = milliseconds(100);
 constexpr Duration LongestPause = milliseconds(500);
 
+/// Returns the last name on a page; empty if no object has one.
+std::string lastName(const platform::ObjectPage &page)
+{
+    const auto found
+        = std::find_if(page.objects.rbegin(), page.objects.rend(),
+                       [](const platform::StoredObject &object) { return !object.name.empty(); });
+    return found == page.objects.rend() ? std::string() : found->name;
+}
+
 } // namespace
 
 StoreSync::StoreSync(asio::io_context &context, StoreClient &client, Options options,
@@ -89,11 +98,18 @@
             co_return false;
         }
         for (const platform::StoredObject &object : page->objects) {
-            table[object.name] = object;
+            if (!object.name.empty()) {
+                table[object.name] = object;
+            }
         }
         more = page->more && !page->objects.empty();
         if (more) {
-            after = page->objects.back().name;
+            std::string next = lastName(*page);
+            if (next.empty() || next == after) {
+                setReachable(false, "no entry of a page has a name to continue the list after");
+                co_return false;
+            }
+            after = std::move(next);
         }
     }
     setReachable(true, {});
@@ -128,8 +144,11 @@
         co_return false;
     }
     setReachable(true, {});
+    bool allNamed = true;
     for (const platform::ObjectEvent &event : changes->events) {
-        if (event.removed) {
+        if (event.object.name.empty()) {
+            allNamed = false;
+        } else if (event.removed) {
             table_.erase(event.object.name);
         } else {
             table_[event.object.name] = event.object;
@@ -139,6 +158,11 @@
     if (!changes->events.empty()) {
         changeHandler_(table_);
     }
+    if (!allNamed) {
+        // Any object may have changed.
+        listed_ = false;
+        co_return false;
+    }
     confirmationHandler_(reply->sentAt);
     co_return true;
 }
