Platform: Use no server whose address can't be called

An entry of the server list was accepted with any text as its address. Such a server took part in placement, and each request that was sent to it cost an attempt; 0.0.0.0 reached whatever listened on the node itself.

The address now has to be an IP address with a port from 1 to 65535, and neither unspecified nor multicast. parseEndpoint() moves from the gateway to Core, so that the reader of entries can use it.

The test fails on the code before for all 13 addresses, among them 10.128.0.9:65536, 10.128.0.9:0, server.example:8080 and 0.0.0.0:8080.

--- a/Source/Gateway/ControlClient.cpp
+++ b/Source/Gateway/ControlClient.cpp
@@ -7,6 +7,7 @@
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/http.hpp>
 
+#include "Core/Endpoint.h"
 #include "Gateway/BootClock.h"
 #include "Gateway/DeadlineTimer.h"
 #include "Gateway/SocketOptions.h"
--- a/Source/Gateway/CrashDetector.cpp
+++ b/Source/Gateway/CrashDetector.cpp
@@ -6,9 +6,9 @@
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/use_awaitable.hpp>
 
+#include "Core/Endpoint.h"
 #include "Gateway/DeadlineTimer.h"
 #include "Gateway/Pause.h"
-#include "Gateway/SocketOptions.h"
 
 namespace jacinthroad {
 
--- a/Source/Gateway/DigestExchange.cpp
+++ b/Source/Gateway/DigestExchange.cpp
@@ -3,11 +3,11 @@
 #include <algorithm>
 #include <utility>
 
+#include "Core/Endpoint.h"
 #include "Core/Log.h"
 #include "FleetPeers/DigestPacing.h"
 #include "FleetPeers/NodeDigest.h"
 #include "Gateway/BootClock.h"
-#include "Gateway/SocketOptions.h"
 
 namespace jacinthroad {
 
--- a/Source/Gateway/ExchangeAttempt.cpp
+++ b/Source/Gateway/ExchangeAttempt.cpp
@@ -9,6 +9,7 @@
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/asio/write.hpp>
 
+#include "Core/Endpoint.h"
 #include "Core/Hashing.h"
 #include "Core/Log.h"
 #include "Gateway/SocketOptions.h"
--- a/Source/Gateway/Listener.cpp
+++ b/Source/Gateway/Listener.cpp
@@ -6,10 +6,10 @@
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/use_awaitable.hpp>
 
+#include "Core/Endpoint.h"
 #include "Core/Log.h"
 #include "Gateway/CallerSession.h"
 #include "Gateway/Pause.h"
-#include "Gateway/SocketOptions.h"
 
 namespace jacinthroad {
 
--- a/Source/Gateway/SocketOptions.cpp
+++ b/Source/Gateway/SocketOptions.cpp
@@ -2,10 +2,7 @@
 
 #include <algorithm>
 #include <cerrno>
-#include <charconv>
-#include <string>
 
-#include <boost/asio/ip/address.hpp>
 #include <netinet/tcp.h>
 #include <sys/socket.h>
 
@@ -56,21 +53,4 @@
     return noData ? PeekResult::NoData : PeekResult::Closed;
 }
 
-std::optional<boost::asio::ip::tcp::endpoint> parseEndpoint(std::string_view text)
-{
-    const auto colon = text.rfind(':');
-    if (colon == std::string_view::npos) {
-        return std::nullopt;
-    }
-    std::uint16_t port = 0;
-    const char *end = text.data() + text.size();
-    const auto parsed = std::from_chars(text.data() + colon + 1, end, port);
-    boost::system::error_code error;
-    const auto address = boost::asio::ip::make_address(std::string(text.substr(0, colon)), error);
-    if (error || parsed.ec != std::errc() || parsed.ptr != end) {
-        return std::nullopt;
-    }
-    return boost::asio::ip::tcp::endpoint(address, port);
-}
-
 } // namespace jacinthroad
--- a/Source/Gateway/SocketOptions.h
+++ b/Source/Gateway/SocketOptions.h
@@ -1,7 +1,6 @@
 #pragma once
 
-#include <optional>
-#include <string_view>
+#include <cstdint>
 
 #include <boost/asio/ip/tcp.hpp>
 
@@ -22,7 +21,4 @@
 /// Checks what can be read from a connection without waiting and without consuming data.
 [[nodiscard]] PeekResult peek(boost::asio::ip::tcp::socket &socket);
 
-/// Parses `IP:port`; returns nothing if the text is invalid.
-[[nodiscard]] std::optional<boost::asio::ip::tcp::endpoint> parseEndpoint(std::string_view text);
-
 } // namespace jacinthroad
--- a/Tests/Platform/OddEntriesTest.cpp
+++ b/Tests/Platform/OddEntriesTest.cpp
@@ -93,6 +93,19 @@
     BOOST_TEST(serverIsRead("coldLeftMs", 1234.5));
 }
 
+BOOST_AUTO_TEST_CASE(serverWithAnAddressThatCannotBeCalledIsNotUsed)
+{
+    for (const char *address :
+         { "", "10.128.0.9", "10.128.0.9:", ":8080", "10.128.0.9:0", "10.128.0.9:65536",
+           "10.128.0.9:-1", "10.128.0.9:8080 ", "10.128.0.9:8080/x", "10.128.0.300:8080",
+           "server.example:8080", "0.0.0.0:8080", "224.0.0.1:8080" }) {
+        BOOST_TEST(!serverIsRead("address", address), address);
+    }
+    for (const char *address : { "10.128.0.9:1", "127.0.0.1:65535" }) {
+        BOOST_TEST(serverIsRead("address", address), address);
+    }
+}
+
 BOOST_AUTO_TEST_CASE(desiredWeightsWithANumberOutOfRangeNameNoVersion)
 {
     for (const char *number : { "1e300", "4294967297", "-1", "1.5" }) {
--- a/Tests/Soak/SoakClient.cpp
+++ b/Tests/Soak/SoakClient.cpp
@@ -11,7 +11,7 @@
 #include <boost/beast/http.hpp>
 #include <sys/socket.h>
 
-#include "Gateway/SocketOptions.h"
+#include "Core/Endpoint.h"
 
 namespace jacinthroad {
 
