Platform: Use no server with a name that a header can't hold

The name of a server's entry is sent to it in a header with each request. A name with a line end added header lines of its own to the request; one over 64 KiB made the header throw for each request placed there; an empty one was accepted as a server's name.

--- a/Tests/Platform/OddEntriesTest.cpp
+++ b/Tests/Platform/OddEntriesTest.cpp
@@ -106,6 +106,22 @@
     }
 }
 
+BOOST_AUTO_TEST_CASE(serverWhoseNameAHeaderCannotHoldIsNotUsed)
+{
+    const std::string tooLong(256, 'x');
+    for (const std::string &name :
+         { std::string(), std::string("i\r\nX-Tenant: t"), std::string("i\0", 2), tooLong }) {
+        BOOST_TEST(!readServer(name, server()).has_value(), name.substr(0, 20));
+        for (const char *field : { "service", "zone" }) {
+            BOOST_TEST(!serverIsRead(field, name), field << " " << name.substr(0, 20));
+        }
+    }
+    BOOST_TEST(serverIsRead("zone", std::string(255, 'x')));
+    BOOST_TEST(serverIsRead("zone",
+                            "coru\xc3\xb1"
+                            "a 1"));
+}
+
 BOOST_AUTO_TEST_CASE(desiredWeightsWithANumberOutOfRangeNameNoVersion)
 {
     for (const char *number : { "1e300", "4294967297", "-1", "1.5" }) {
