Gateway: Log an entry that can't be used once

An odd entry of the server list was logged with each of its changes, and odd desired weights with each change of any entry of their list, with the name and the reason as their writer left them: a writer that changes its entry each second caused a line per second and node, each of up to the size of an object.

OddEntries remembers the reason for each listed entry, and a line is written if that is new.

--- a/Source/Gateway/Gateway.cpp
+++ b/Source/Gateway/Gateway.cpp
@@ -19,6 +19,7 @@
 #include "Core/Log.h"
 #include "Core/WallClock.h"
 #include "Fleet/EraSettling.h"
+#include "Fleet/OddEntries.h"
 #include "Fleet/RestoredServerList.h"
 #include "FleetPeers/FleetRoles.h"
 #include "Gateway/BootClock.h"
@@ -29,6 +30,7 @@
 #include "Gateway/Pause.h"
 #include "Gateway/RestartingTask.h"
 #include "Gateway/RolloutDriver.h"
+#include "Gateway/ServerDecoder.h"
 #include "Gateway/StatusServer.h"
 #include "Gateway/StoreSync.h"
 #include "Routing/Rendezvous.h"
@@ -93,27 +95,6 @@
 /// Time for releasing the lease at the end: one step of the rollout driver and one store call.
 constexpr Duration ReleaseTime = milliseconds(150);
 
-/// The decoded entry of a server. Kept because there are many entries and few change at a time.
-struct DecodedServer
-{
-    std::uint64_t revision = 0;
-    /// Revisions of different eras cannot be compared.
-    std::optional<std::uint64_t> era;
-    /// Nothing if the entry is malformed.
-    std::optional<ListedServer> server;
-};
-
-std::optional<ListedServer> decodeServer(const std::string &name, const Json::Value &spec)
-{
-    auto server = platform::readServer(name, spec);
-    if (server.has_value()) {
-        return std::move(*server);
-    }
-    logLine(LogLevel::Warning, "server_unreadable",
-            { { "server", name }, { "reason", server.error().message } });
-    return std::nullopt;
-}
-
 /// Returns the era that a node's object records as settled; 0 if it records none.
 std::uint64_t settledEra(const Json::Value &node)
 {
@@ -245,7 +226,8 @@
     RolloutDriver rollout;
     CacheEventReader cacheEventReader;
     /// Used by the control thread only.
-    std::map<std::string, DecodedServer> decodedServers;
+    ServerDecoder serverDecoder;
+    OddEntries oddWeights;
     RestoredServerList serverList { { .missingGrace = MissingServerGrace,
                                       .leftMemory = LeftServerMemory } };
     asio::steady_timer serverListTimer { controlContext };
@@ -387,7 +369,7 @@
     });
     if (!read.has_value()) {
         logLine(LogLevel::Error, "configuration_unreadable",
-                { { "reason", read.error().message },
+                { { "reason", reasonOf(found->second, read.error()) },
                   { "remedy", "Write a complete configuration; the one in force stays." } });
         return;
     }
@@ -464,28 +446,14 @@
 
 void Gateway::Parts::onServersChanged(const ObjectTable &table)
 {
-    std::erase_if(decodedServers, [&](const auto &entry) { return !table.contains(entry.first); });
-    for (const auto &[name, object] : table) {
-        DecodedServer &known = decodedServers[name];
-        if (known.revision != object.revision || known.revision == 0 || known.era != store.era()) {
-            known = { .revision = object.revision,
-                      .era = store.era(),
-                      .server = decodeServer(name, object.spec) };
-        }
-    }
+    serverDecoder.apply(table, store.era());
     applyServerList();
 }
 
 void Gateway::Parts::applyServerList()
 {
-    std::vector<ServerEntry> entries;
-    for (const auto &[name, known] : decodedServers) {
-        if (known.server.has_value()) {
-            entries.push_back({ .server = *known.server, .revision = known.revision });
-        }
-    }
-    std::vector<ListedServer> list
-        = serverList.apply(entries, store.era().value_or(0), std::chrono::steady_clock::now());
+    std::vector<ListedServer> list = serverList.apply(
+        serverDecoder.entries(), store.era().value_or(0), std::chrono::steady_clock::now());
     rollout.applyServers(list);
     asio::post(trafficContext, [this, list = std::move(list)] {
         traffic.applyServers(list, std::chrono::steady_clock::now());
@@ -503,13 +471,20 @@
 
 void Gateway::Parts::onDesiredWeightsChanged(const ObjectTable &table)
 {
+    oddWeights.keepListed(table);
     for (const auto &[name, object] : table) {
         const auto named = platform::readDesiredWeights(object.spec);
         if (!named.has_value()) {
-            logLine(LogLevel::Warning, "named_weights_unreadable",
-                    { { "model", name }, { "reason", named.error().message } });
+            const std::string reason = reasonOf(object, named.error());
+            if (oddWeights.noteOdd(name, reason)) {
+                logLine(LogLevel::Warning, "named_weights_unreadable",
+                        { { "model", loggableText(name) },
+                          { "reason", reason },
+                          { "remedy", "The version named before stays; correct the entry." } });
+            }
             continue;
         }
+        oddWeights.noteUsable(name);
         rollout.applyDesiredWeights(*named);
         asio::post(trafficContext, [this, named = *named] {
             traffic.pool.applyDesiredWeights(named, std::chrono::steady_clock::now());
