Tests: Start and run a gateway beside odd entries

Three tests of a whole gateway: one that starts with unreadable entries of each kind, one that has to follow changes after them and may not use a server whose entry became odd, and one whose configuration is replaced by an unreadable one.

--- a/Tests/Gateway/OddEntriesTest.cpp
+++ b/Tests/Gateway/OddEntriesTest.cpp
@@ -1,6 +1,7 @@
 #include <atomic>
 #include <functional>
 #include <string>
+#include <thread>
 #include <utility>
 
 #include <boost/asio/co_spawn.hpp>
@@ -9,6 +10,7 @@
 #include <boost/test/unit_test.hpp>
 
 #include "Gateway/StoreSync.h"
+#include "GatewayFixture.h"
 #include "ScriptedServer.h"
 
 namespace jacinthroad {
@@ -61,6 +63,46 @@
     return target.find("watch=") != std::string::npos;
 }
 
+Json::Value nested(int depth)
+{
+    Json::Value value;
+    for (int level = 0; level < depth; ++level) {
+        Json::Value outer;
+        outer["x"] = std::move(value);
+        value = std::move(outer);
+    }
+    return value;
+}
+
+bool respondOk(ScriptedConnection &connection, const ReceivedRequest &request)
+{
+    connection.write(validResponse(request));
+    return true;
+}
+
+unsigned statusOfCall(GatewayFixture &fixture, const std::string &key = "k1")
+{
+    const auto response
+        = fixture.call("GET", "/safe/x", {}, "Authorization: Bearer " + key + "\r\n");
+    return response == nullptr ? 0 : response->result_int();
+}
+
+/// Adds entries of another writer that no node can use.
+void addOddServers(GatewayFixture &fixture, const Json::Value &entry)
+{
+    fixture.store.put("servers", "a-deep", nested(100));
+    fixture.store.put("servers", "b-text", Json::Value("text"));
+    Json::Value odd = entry;
+    odd["address"] = "127.0.0.1:70000";
+    fixture.store.put("servers", "c-port", odd);
+    odd = entry;
+    odd["born"] = 1e300;
+    fixture.store.put("servers", "d-born", odd);
+    odd = entry;
+    odd["service"] = "unknown";
+    fixture.store.put("servers", "z-service", odd);
+}
+
 } // namespace
 
 BOOST_AUTO_TEST_SUITE(OddEntriesTest)
@@ -139,6 +181,52 @@
     BOOST_TEST(table.empty());
 }
 
+BOOST_AUTO_TEST_CASE(nodeThatStartsWithOddEntriesServesWithTheOthers)
+{
+    GatewayFixture fixture;
+    fixture.configure(1, { "k1" });
+    fixture.addServer("s1", "plain", respondOk);
+    addOddServers(fixture, fixture.store.spec("servers", "s1"));
+    fixture.store.put("versions", "m", nested(100));
+    fixture.store.put("nodes", "front-odd", nested(100));
+    fixture.store.put("leases", "weights", nested(100));
+    fixture.store.put("crashes", "requests", nested(100));
+    fixture.startWithoutWaiting();
+    std::this_thread::sleep_for(milliseconds(2500));
+    BOOST_TEST(statusOfCall(fixture) == 200U);
+}
+
+BOOST_AUTO_TEST_CASE(changesAreFollowedAfterOddEntriesAndAnOddEntryIsUsedNoLonger)
+{
+    GatewayFixture fixture;
+    fixture.configure(1, { "k1" });
+    fixture.addServer("s1", "plain", respondOk);
+    fixture.start();
+    BOOST_TEST(statusOfCall(fixture) == 200U);
+    const Json::Value entry = fixture.store.spec("servers", "s1");
+    addOddServers(fixture, entry);
+    fixture.store.put("servers", "s1", nested(100));
+    std::this_thread::sleep_for(milliseconds(2500));
+    BOOST_TEST(statusOfCall(fixture) == 503U);
+    fixture.store.put("servers", "s1", entry);
+    std::this_thread::sleep_for(milliseconds(2500));
+    BOOST_TEST(statusOfCall(fixture) == 200U);
+}
+
+BOOST_AUTO_TEST_CASE(configurationThatCannotBeReadLeavesTheOneInForce)
+{
+    GatewayFixture fixture;
+    fixture.configure(1, { "k1" });
+    fixture.addServer("s1", "plain", respondOk);
+    fixture.start();
+    fixture.store.put("config", "main", nested(100));
+    std::this_thread::sleep_for(milliseconds(1000));
+    BOOST_TEST(statusOfCall(fixture) == 200U);
+    fixture.configure(3, { "k2" });
+    std::this_thread::sleep_for(milliseconds(1500));
+    BOOST_TEST(statusOfCall(fixture, "k2") == 200U);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace jacinthroad
