Rollout: Replace a lease object that can't be read

A lease object that another writer replaced by something else was taken for a missing one. Each node then tried to create it, which the store rejects because it exists, so that no node ever took the lease and no server got new weights.

A lease without a readable record but with a revision is now replaced at that revision once its last holder can no longer act. The token is above every one that the node has seen; a node that never saw the former record may still use a token that servers reject.

The test fails on the code before, which creates the lease, and does so at once.

--- a/Source/Rollout/LeaseKeeper.cpp
+++ b/Source/Rollout/LeaseKeeper.cpp
@@ -71,6 +71,16 @@
     if (!known_) {
         return std::nullopt;
     }
+    if (!record_.has_value() && revision_ != 0) {
+        // The object is unreadable; the holder that wrote it before may still act.
+        if (!wanted || now - seenAt_ < options_.handover + options_.validity) {
+            return std::nullopt;
+        }
+        return ReplaceLease {
+            .revision = revision_,
+            .record = { .holder = options_.holderId, .token = nextToken(), .era = era_ }
+        };
+    }
     if (!record_.has_value()) {
         const bool lostHolderMayAct
             = era_ != 0 && now - eraSeenAt_ < options_.handover + options_.validity;
--- a/Tests/Rollout/LeaseKeeperTest.cpp
+++ b/Tests/Rollout/LeaseKeeperTest.cpp
@@ -397,6 +397,22 @@
     }
 }
 
+BOOST_AUTO_TEST_CASE(leaseObjectThatCannotBeReadIsReplacedOnceItsHolderIsSilent)
+{
+    LeaseKeeper first = keeper("a");
+    first.observe(LeaseRecord { .holder = "b", .token = 7 }, 3, at(0));
+    first.observe(std::nullopt, 4, at(100));
+    BOOST_TEST(!first.holds(at(100)));
+    BOOST_TEST(!first.nextWrite(false, at(60000)).has_value());
+    BOOST_TEST(!first.nextWrite(true, at(100) + Handover).has_value());
+    const auto write = first.nextWrite(true, at(100) + Handover + Validity);
+    BOOST_REQUIRE(write.has_value());
+    const auto *replace = std::get_if<ReplaceLease>(&*write);
+    BOOST_REQUIRE(replace != nullptr);
+    BOOST_TEST(replace->revision == 4U);
+    BOOST_TEST(replace->record.token > 7U);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace jacinthroad
