Gateway: Take no request that a stop can't finish

Callers saw: requests that arrived during a planned stop were passed on to a server, and at the end of the grace period their connection ended without a response, also those that may not be repeated.

Cause: requests were accepted for 2.8 s after SIGTERM whatever stop_grace_s and their time limit were, and nothing answered what was still open when the process ended. With a grace of 2 s they were cut at 1.7 s.

Evidence: on these tests of DrainTest fail, each with status 0, a connection that ended without a response: unsafeRequestThatMayOutlastGraceIsRefusedAsNotRun (0 instead of 503 with graces of 2 and 3.5 s; the server had received both requests), safeRequestWithoutResponseAtEndOfGraceGetsAnswer (no response), streamWithoutEventAtEndOfGraceGetsAnswer (0 instead of 504) and requestThatIsBeingReadAtEndOfGraceIsRefused (0 instead of 503). requestThatEndsWithinShortGraceIsServed passes before and after.

Change: StopSchedule, which does no I/O, derives the moments of a stop from the grace period and gives each arriving request the time within which it is served, or refuses it as not run. An unsafe request is served only if its whole limit fits; a safe one or a stream also if requests of its route usually end in time, with a deadline at the last responses. At that moment requests without a response get 504, or 503 if no server was sent them, and those being read get 503.

The fixture of CallerSessionTest set no grace period, which now means that nothing can be served during a stop; it sets 8 s. No check of the test has changed.

--- a/Source/Gateway/CallerSession.cpp
+++ b/Source/Gateway/CallerSession.cpp
@@ -47,6 +47,7 @@
     , timer_(state.context)
     , closeIdleConnection_(
           state.closeIdleConnections.connect([this](IdleConnections which) { closeIfIdle(which); }))
+    , answerConnection_(state.answerOpenRequests.connect([this] { answerBeforeStop(); }))
 { }
 
 void CallerSession::start(TrafficState &state, asio::ip::tcp::socket socket)
@@ -82,6 +83,17 @@
     }
 }
 
+void CallerSession::answerBeforeStop()
+{
+    if (exchange_ != nullptr) {
+        exchange_->answerBeforeStop();
+    } else if (reading_) {
+        endedByStop_ = true;
+        error_code ignored;
+        socket_.cancel(ignored);
+    }
+}
+
 void CallerSession::scheduleClose(Duration limit)
 {
     timer_.expireAfter(limit, [self = shared_from_this()] {
@@ -167,6 +179,7 @@
     const CallerLimits limits = state_.limits();
     scheduleClose(limits.headerTimeout);
     error_code error;
+    reading_ = true;
     co_await http::async_read_header(socket_, buffer_, parser,
                                      asio::redirect_error(asio::use_awaitable, error));
     if (!error && hasInvalidFraming(parser.get().base())) {
@@ -187,6 +200,11 @@
         }
     }
     timer_.cancel();
+    reading_ = false;
+    if (error && endedByStop_ && socket_.is_open()) {
+        co_await refuseUnread(ErrorKind::Draining, parser.get().method());
+        co_return false;
+    }
     if (error) {
         co_await respondToParseError(error, parser.get().method());
         co_return false;
@@ -209,6 +227,11 @@
     } else if (error == http::error::header_limit) {
         kind = ErrorKind::HeaderTooLarge;
     }
+    co_await refuseUnread(kind, method);
+}
+
+asio::awaitable<void> CallerSession::refuseUnread(ErrorKind kind, http::verb method)
+{
     GatewayResponse response = gatewayRefusalResponse({ .kind = kind, .notRun = NotRun::True });
     response.keep_alive(false);
     response.prepare_payload();
--- a/Source/Gateway/CallerSession.h
+++ b/Source/Gateway/CallerSession.h
@@ -39,6 +39,11 @@
     [[nodiscard]] boost::asio::awaitable<bool> readRequest(Parser &parser);
     [[nodiscard]] boost::asio::awaitable<void> respondToParseError(boost::system::error_code error,
                                                                    boost::beast::http::verb method);
+    /// Refuses a request that was not read completely and closes the connection.
+    [[nodiscard]] boost::asio::awaitable<void> refuseUnread(ErrorKind kind,
+                                                            boost::beast::http::verb method);
+    /// Ends the request in progress, because the process ends soon.
+    void answerBeforeStop();
     /// Closes the connection; after a complete response without a reset that could discard it
     /// before the caller has read it.
     [[nodiscard]] boost::asio::awaitable<void> closeConnection(bool responseComplete);
@@ -61,7 +66,12 @@
     bool idle_ = false;
     /// True once the connection has carried a request.
     bool kept_ = false;
+    /// True while a request is being read.
+    bool reading_ = false;
+    /// True if reading was ended because the process ends soon.
+    bool endedByStop_ = false;
     boost::signals2::scoped_connection closeIdleConnection_;
+    boost::signals2::scoped_connection answerConnection_;
     /// Counts exchanges, so that a late completion that belongs to an earlier one is ignored.
     std::uint64_t generation_ = 0;
 };
--- a/Source/Gateway/Exchange.cpp
+++ b/Source/Gateway/Exchange.cpp
@@ -28,6 +28,7 @@
 constexpr int RetryAfterDivisor = 3;
 /// With less time left than this, the request is not sent.
 constexpr Duration MinUsefulTime = milliseconds(5);
+constexpr int FirstErrorStatus = 400;
 constexpr int HighestPriority = 0;
 constexpr int LowestPriority = 9;
 
@@ -103,6 +104,18 @@
     }
 }
 
+void Exchange::answerBeforeStop()
+{
+    if (headerDelivered_) {
+        return;
+    }
+    endedByStop_ = true;
+    deadline_ = std::min(deadline_, std::chrono::steady_clock::now());
+    if (cancelAttempt_) {
+        cancelAttempt_();
+    }
+}
+
 Duration Exchange::timeLeft(Instant now) const
 {
     return deadline_ - now;
@@ -120,9 +133,6 @@
         return facts.error().kind;
     }
     callerRequest_ = *facts;
-    if (!state_.acceptsRequests(received_)) {
-        return ErrorKind::Draining;
-    }
     const FreshnessLevel trust = state_.configurationTrust();
     if (routes_ == nullptr) {
         return ErrorKind::NotReady;
@@ -132,7 +142,12 @@
         return trust == FreshnessLevel::Current ? ErrorKind::NotFound : ErrorKind::NotReady;
     }
     const Duration requestedTimeout = callerRequest_.callerTimeout.value_or(route_->timeout);
-    deadline_ = received_ + std::min(requestedTimeout, route_->timeout);
+    const auto limit
+        = state_.serviceLimit(*route_, std::min(requestedTimeout, route_->timeout), received_);
+    if (!limit.has_value()) {
+        return ErrorKind::Draining;
+    }
+    deadline_ = received_ + *limit;
     if (!callerRequest_.key.empty()) {
         team_ = routes_->team(callerRequest_.key);
     }
@@ -427,6 +442,9 @@
 {
     const Instant now = std::chrono::steady_clock::now();
     state_.metrics.countRequest(end.outcome);
+    if (end.responseComplete && end.status < FirstErrorStatus && route_ != nullptr) {
+        state_.noteCompleted(*route_, now - received_);
+    }
     const std::optional<Duration> age = state_.freshness.age(bootNow());
     const std::string sharedPart = placementRequest_.parts.empty()
         ? std::string()
--- a/Source/Gateway/Exchange.h
+++ b/Source/Gateway/Exchange.h
@@ -66,6 +66,9 @@
 
     /// Aborts the current attempt because the caller has closed its connection.
     void callerDisconnected();
+    /// Ends the request because the process ends soon, unless its response has begun: the caller
+    /// gets an error, or a refusal if no server has been sent the request.
+    void answerBeforeStop();
 
 private:
     /// The result of one attempt.
@@ -198,6 +201,7 @@
     /// This exchange's part of the buffered response bytes of the node.
     std::size_t bufferedBytes_ = 0;
     bool callerDisconnected_ = false;
+    bool endedByStop_ = false;
     bool headerDelivered_ = false;
     /// True if the retry of the current attempt has been taken from the budget already.
     bool retryReserved_ = false;
--- a/Source/Gateway/ExchangeAttempt.cpp
+++ b/Source/Gateway/ExchangeAttempt.cpp
@@ -206,7 +206,7 @@
     if (callerDisconnected_) {
         return AttemptResult::CallerDisconnected;
     }
-    if (attempt.timedOut) {
+    if (attempt.timedOut || endedByStop_) {
         return AttemptResult::TimedOut;
     }
     return headerDelivered_ ? AttemptResult::StreamBroken : AttemptResult::NoResponse;
--- a/Source/Gateway/Gateway.cpp
+++ b/Source/Gateway/Gateway.cpp
@@ -84,14 +84,7 @@
 constexpr Duration LoggedTrafficDelay = milliseconds(250);
 /// Number of sweeps between two assignments of caches to owner nodes.
 constexpr unsigned SweepsPerAssignment = 4;
-/// The balancer polls readiness once a second and removes the node after two failures; its callers
-/// then need some time to move away.
-constexpr Duration BalancerDelay = milliseconds(3200);
-/// Part of the grace period that is reserved for ending the process.
-constexpr Duration StopMargin = milliseconds(450);
 constexpr Duration DrainPollPeriod = milliseconds(20);
-/// Time for releasing the lease at the end: one step of the rollout driver and one store call.
-constexpr Duration ReleaseTime = milliseconds(150);
 
 /// The decoded entry of a server. Kept because there are many entries and few change at a time.
 struct DecodedServer
@@ -636,12 +629,16 @@
 
 void Gateway::Parts::pollDrain(std::shared_ptr<std::promise<void>> idle, bool connectionsClosed)
 {
-    const Instant now = std::chrono::steady_clock::now();
-    if (!traffic.acceptsRequests(now)) {
+    const Duration sinceSignal = std::chrono::steady_clock::now() - traffic.drainingSince;
+    const StopSchedule &schedule = traffic.stopSchedule;
+    if (sinceSignal >= schedule.acceptEnd()) {
         // Callers open their next connection to another node.
         traffic.closeIdleConnections(IdleConnections::Kept);
     }
-    if (now - traffic.drainingSince >= BalancerDelay) {
+    if (sinceSignal >= schedule.answerEnd()) {
+        traffic.answerOpenRequests();
+    }
+    if (sinceSignal >= schedule.listenerEnd()) {
         error_code ignored;
         callers.close(ignored);
         traffic.closeIdleConnections(IdleConnections::All);
@@ -693,19 +690,21 @@
 bool Gateway::drain()
 {
     const Instant began = std::chrono::steady_clock::now();
+    const StopSchedule schedule(parts_->stopGrace.load());
     auto idle = std::make_shared<std::promise<void>>();
     std::future<void> stopped = idle->get_future();
-    asio::post(parts_->trafficContext, [parts = parts_.get(), began, idle] {
+    asio::post(parts_->trafficContext, [parts = parts_.get(), began, schedule, idle] {
         parts->traffic.draining = true;
         parts->traffic.drainingSince = began;
+        parts->traffic.stopSchedule = schedule;
         parts->pollDrain(idle, false);
     });
     asio::post(parts_->controlContext, [parts = parts_.get()] { parts->rollout.beginDrain(); });
-    const bool completed = stopped.wait_until(began + parts_->stopGrace.load() - StopMargin)
-        == std::future_status::ready;
+    static_cast<void>(stopped.wait_until(began + schedule.answerEnd()));
     asio::post(parts_->controlContext, [parts = parts_.get()] { parts->rollout.releaseLease(); });
-    std::this_thread::sleep_for(ReleaseTime);
-    return completed;
+    // The last responses are sent meanwhile.
+    std::this_thread::sleep_for(schedule.releaseTime());
+    return stopped.wait_for(Duration::zero()) == std::future_status::ready;
 }
 
 } // namespace jacinthroad
--- a/Source/Gateway/TrafficState.cpp
+++ b/Source/Gateway/TrafficState.cpp
@@ -27,10 +27,9 @@
 /// Subtracted from the weights limit, because a request may wait this long on a server before it
 /// starts.
 constexpr Duration WeightsMargin = milliseconds(1500);
-/// The balancer stops using a node after two failed readiness checks one second apart, and callers
-/// need slightly longer.
-constexpr Duration DrainAcceptTime = milliseconds(2800);
 
+/// Maximum number of routes whose usual durations are kept, because configurations replace routes.
+constexpr std::size_t MaxUsualDurations = 4096;
 /// Maximum number of parts and groups whose names are kept for the log.
 constexpr std::size_t MaxPartNames = 4096;
 
@@ -67,6 +66,7 @@
     , crashReporter(mix64(hash64(settings.name), static_cast<std::uint64_t>(wallMilliseconds())))
     , crashHistory({ .reporter = crashReporter })
     , crashDetector(ioContext)
+    , stopSchedule(settings.stopGrace)
     , currentSettings_(settings)
 {
     crashDetector.onCrash
@@ -300,9 +300,27 @@
     return routes != nullptr ? routes->limits() : CallerLimits();
 }
 
-bool TrafficState::acceptsRequests(Instant now) const
+std::optional<Duration> TrafficState::serviceLimit(const Route &route, Duration limit,
+                                                   Instant now) const
 {
-    return !draining || now - drainingSince < DrainAcceptTime;
+    if (!draining) {
+        return limit;
+    }
+    const auto usual = usualDurations_.find(route.name);
+    return stopSchedule.serviceLimit({ .sinceSignal = now - drainingSince,
+                                       .limit = limit,
+                                       .mayBeEnded = route.kind != RouteKind::Unsafe,
+                                       .usualDuration = usual != usualDurations_.end()
+                                           ? usual->second.estimate()
+                                           : std::nullopt });
+}
+
+void TrafficState::noteCompleted(const Route &route, Duration duration)
+{
+    if (usualDurations_.size() >= MaxUsualDurations) {
+        usualDurations_.clear();
+    }
+    usualDurations_[route.name].note(duration);
 }
 
 bool TrafficState::ready() const
--- a/Source/Gateway/TrafficState.h
+++ b/Source/Gateway/TrafficState.h
@@ -18,6 +18,8 @@
 #include "Fleet/Freshness.h"
 #include "Fleet/ListedServer.h"
 #include "Fleet/RouteTable.h"
+#include "Fleet/StopSchedule.h"
+#include "Fleet/UsualDuration.h"
 #include "Gateway/ConnectionPool.h"
 #include "Gateway/CrashDetector.h"
 #include "Gateway/GatewayMetrics.h"
@@ -109,8 +111,13 @@
     /// Set by SIGTERM. Responses then ask callers to close their connection.
     bool draining = false;
     Instant drainingSince;
+    /// What is still done between SIGTERM and the end of the process. Set with `draining`.
+    StopSchedule stopSchedule;
     /// Closes connections of callers on which no request is in progress or has arrived.
     boost::signals2::signal<void(IdleConnections)> closeIdleConnections;
+    /// Ends requests that have no response yet with a refusal or an error, because the process
+    /// ends.
+    boost::signals2::signal<void()> answerOpenRequests;
     /// Bytes of response bodies that are held until they are complete and sent.
     std::size_t bufferedResponseBytes = 0;
 
@@ -137,9 +144,12 @@
     [[nodiscard]] CallerLimits limits() const;
     /// True if the balancer may send new connections to this node.
     [[nodiscard]] bool ready() const;
-    /// True while requests are accepted. A draining node accepts them until the balancer has
-    /// stopped sending, and none after that because it might have to abort them.
-    [[nodiscard]] bool acceptsRequests(Instant now) const;
+    /// Returns the time within which a request that has arrived at `now` is served, at most
+    /// `limit`; nothing if the node is stopping and must refuse it.
+    [[nodiscard]] std::optional<Duration> serviceLimit(const Route &route, Duration limit,
+                                                       Instant now) const;
+    /// Records how long a request of a route took to complete.
+    void noteCompleted(const Route &route, Duration duration);
 
 private:
     /// Records that a server crashed while it ran a request.
@@ -162,6 +172,8 @@
     std::uint64_t loggedOlderVersion_ = 0;
     std::uint64_t loggedPeerVersion_ = 0;
     std::unordered_map<ServerId, bool> listedServers_;
+    /// By name of the route.
+    std::unordered_map<std::string, UsualDuration> usualDurations_;
     /// Names of the parts and groups that this node has seen at crashes, for the log.
     std::unordered_map<RequestFingerprint, std::string> partNames_;
 };
--- a/Tests/Gateway/CallerSessionTest.cpp
+++ b/Tests/Gateway/CallerSessionTest.cpp
@@ -168,6 +168,7 @@
         made.keyRevocation = std::chrono::seconds(30);
         made.weightsLimit = std::chrono::seconds(15);
         made.retryWindow = std::chrono::seconds(10);
+        made.stopGrace = std::chrono::seconds(8);
         return made;
     }
 
--- a/Tests/Gateway/DrainTest.cpp
+++ b/Tests/Gateway/DrainTest.cpp
@@ -28,20 +28,38 @@
     return true;
 }
 
-std::string requestHead(const std::string &id, std::size_t bodySize)
+std::string requestHead(const std::string &id, std::size_t bodySize,
+                        const std::string &path = "/unsafe/a")
 {
-    return "POST /unsafe/a HTTP/1.1\r\nHost: h\r\nAuthorization: Bearer k1\r\nX-Request-Id: " + id
-        + "\r\nContent-Length: " + std::to_string(bodySize) + "\r\n\r\n";
+    return "POST " + path + " HTTP/1.1\r\nHost: h\r\nAuthorization: Bearer k1\r\nX-Request-Id: "
+        + id + "\r\nContent-Length: " + std::to_string(bodySize) + "\r\n\r\n";
 }
 
-/// Reads one response; returns its status, or 0 if the connection ends without a complete one.
-unsigned readStatus(asio::ip::tcp::socket &socket)
+GatewayFixture::Handler respondAfter(milliseconds delay)
+{
+    return [delay](ScriptedConnection &connection, const ReceivedRequest &request) {
+        std::this_thread::sleep_for(delay);
+        return respondOk(connection, request);
+    };
+}
+
+/// Reads one response; its status is 0 if the connection ends without a complete one.
+CallerResponse readResponse(asio::ip::tcp::socket &socket)
 {
     boost::beast::flat_buffer buffer;
     CallerResponse response;
     error_code error;
     http::read(socket, buffer, response, error);
-    return error ? 0 : response.result_int();
+    if (error) {
+        response.result(0);
+    }
+    return response;
+}
+
+/// Reads one response; returns its status, or 0 if the connection ends without a complete one.
+unsigned readStatus(asio::ip::tcp::socket &socket)
+{
+    return readResponse(socket).result_int();
 }
 
 /// Drains and destroys the fixture's gateway, as the process does at its end.
@@ -150,6 +168,108 @@
     BOOST_TEST(lost == 0U);
 }
 
+BOOST_AUTO_TEST_CASE(unsafeRequestThatMayOutlastGraceIsRefusedAsNotRun)
+{
+    struct Arrival
+    {
+        milliseconds grace;
+        milliseconds sinceStop;
+    };
+    // The route allows 1.2 s.
+    for (const auto &[grace, sinceStop] :
+         { Arrival { .grace = milliseconds(2000), .sinceStop = milliseconds(1000) },
+           Arrival { .grace = milliseconds(3500), .sinceStop = milliseconds(2500) } }) {
+        BOOST_TEST_CONTEXT("grace " << grace.count() << " ms")
+        {
+            GatewayFixture fixture;
+            fixture.settings.stopGrace = grace;
+            fixture.addServer("s1", "plain", respondAfter(milliseconds(1100)));
+            fixture.configure(1, { "k1" });
+            fixture.start();
+            std::thread stop = stopProcess(fixture);
+            std::this_thread::sleep_for(sinceStop);
+            auto socket = fixture.connect();
+            asio::write(socket, asio::buffer(requestHead("r1", 0)));
+            const CallerResponse response = readResponse(socket);
+            BOOST_TEST(response.result_int() == 503U);
+            BOOST_TEST(!response.keep_alive());
+            stop.join();
+            BOOST_TEST(fixture.receivedRequests("s1").empty());
+        }
+    }
+}
+
+BOOST_AUTO_TEST_CASE(requestThatEndsWithinShortGraceIsServed)
+{
+    GatewayFixture fixture;
+    fixture.settings.stopGrace = milliseconds(2000);
+    fixture.addServer("s1", "plain", respondOk);
+    fixture.configure(1, { "k1" });
+    fixture.start();
+    BOOST_TEST(fixture.call("GET", "/safe/a")->result_int() == 200U);
+    std::thread stop = stopProcess(fixture);
+    std::this_thread::sleep_for(milliseconds(300));
+    BOOST_TEST(fixture.call("POST", "/unsafe/a")->result_int() == 200U);
+    std::this_thread::sleep_for(milliseconds(700));
+    BOOST_TEST(fixture.call("GET", "/safe/a")->result_int() == 200U);
+    stop.join();
+}
+
+BOOST_AUTO_TEST_CASE(safeRequestWithoutResponseAtEndOfGraceGetsAnswer)
+{
+    GatewayFixture fixture;
+    fixture.settings.stopGrace = milliseconds(2000);
+    std::atomic<bool> silent { false };
+    fixture.addServer("s1", "plain", [&](ScriptedConnection &connection, const auto &request) {
+        return silent ? !connection.waitForClose(std::chrono::seconds(5))
+                      : respondOk(connection, request);
+    });
+    fixture.configure(1, { "k1" });
+    fixture.start();
+    BOOST_TEST(fixture.call("GET", "/safe/a")->result_int() == 200U);
+    silent = true;
+    std::thread stop = stopProcess(fixture);
+    std::this_thread::sleep_for(milliseconds(1000));
+    const auto response = fixture.call("GET", "/safe/a");
+    stop.join();
+    BOOST_REQUIRE(response != nullptr);
+    BOOST_TEST(response->result_int() == 504U);
+}
+
+BOOST_AUTO_TEST_CASE(streamWithoutEventAtEndOfGraceGetsAnswer)
+{
+    GatewayFixture fixture;
+    fixture.settings.stopGrace = milliseconds(1500);
+    fixture.addServer("e1", "engines", [](ScriptedConnection &connection, const auto &) {
+        return !connection.waitForClose(std::chrono::seconds(5));
+    });
+    fixture.configure(1, { "k1" });
+    fixture.start();
+    auto socket = fixture.connect();
+    asio::write(socket, asio::buffer(requestHead("r1", 0, "/once/a")));
+    while (fixture.receivedRequests("e1").empty()) {
+        std::this_thread::sleep_for(milliseconds(5));
+    }
+    std::thread stop = stopProcess(fixture);
+    BOOST_TEST(readStatus(socket) == 504U);
+    stop.join();
+}
+
+BOOST_AUTO_TEST_CASE(requestThatIsBeingReadAtEndOfGraceIsRefused)
+{
+    GatewayFixture fixture;
+    fixture.settings.stopGrace = milliseconds(1500);
+    fixture.addServer("s1", "plain", respondOk);
+    fixture.configure(1, { "k1" });
+    fixture.start();
+    auto socket = fixture.connect();
+    asio::write(socket, asio::buffer(requestHead("r1", 2) + "a"));
+    std::thread stop = stopProcess(fixture);
+    BOOST_TEST(readStatus(socket) == 503U);
+    stop.join();
+    BOOST_TEST(fixture.receivedRequests("s1").empty());
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace jacinthroad
