Program: Notice signals within 10 ms

A stop signal was noticed up to 50 ms after it came, while the grace period was running already. Found by reading; no test shows it.

--- a/Source/Program/ServeCommand.cpp
+++ b/Source/Program/ServeCommand.cpp
@@ -14,7 +14,8 @@
 
 namespace {
 
-constexpr Duration SignalPollInterval = milliseconds(50);
+/// Short, because the grace period of a stop has begun when the signal is noticed.
+constexpr Duration SignalPollInterval = milliseconds(10);
 /// Interval at which the settings file is checked for changes that come without a SIGHUP.
 constexpr Duration SettingsPollInterval = std::chrono::seconds(2);
 constexpr Duration DrainTimeout = std::chrono::minutes(10);
