Gateway: Let a silent server go on while another one is tried

Callers lost streams of sound servers that were silent for a second and then went on: their connections were closed in the middle of the stream. Requests without a byte of response got 502.

Cause: the node closed the connection to the silent server first and then sent the request to another one. When that one rejected the request, could not be reached or broke off, there was no server left to wait for. The class of fault: a step that can't be undone is taken before its replacement is known to work.

The attempt at the silent server is now set aside with its connection and the state of its response, and is ended when another server sends its first event or a complete response. If none does, the exchange reads on where it stopped.

A request whose body is not written completely when its server falls silent is still given up first.

--- a/Source/Gateway/Exchange.cpp
+++ b/Source/Gateway/Exchange.cpp
@@ -11,6 +11,7 @@
 #include "Core/Hashing.h"
 #include "Core/Log.h"
 #include "Gateway/BootClock.h"
+#include "Gateway/ExchangeAttempt.h"
 #include "platform/CallerWire.h"
 
 namespace jacinthroad {
@@ -41,9 +42,9 @@
 
 std::string_view attemptResultName(int end)
 {
-    constexpr std::array<std::string_view, 8> Names { "delivered", "answered",   "not_sent",
-                                                      "rejected",  "lost",       "broken",
-                                                      "timed_out", "caller_left" };
+    constexpr std::array<std::string_view, 9> Names { "delivered", "answered",    "not_sent",
+                                                      "rejected",  "lost",        "broken",
+                                                      "timed_out", "caller_left", "silent" };
     return Names[static_cast<std::size_t>(end)];
 }
 
@@ -92,6 +93,10 @@
 
 Exchange::~Exchange()
 {
+    if (silentAttempt_ != nullptr) {
+        silentAttempt_->waiting = false;
+        const AttemptCleanup cleanup { *silentAttempt_ };
+    }
     state_.bufferedResponseBytes -= bufferedBytes_;
 }
 
@@ -180,6 +185,7 @@
             placementRequest_.service = *service;
             state_.retryBudget.noteRequest(*service, std::chrono::steady_clock::now());
             end = co_await runAttempts();
+            dropSilentAttempt();
         }
     }
     logResult(end);
@@ -188,6 +194,7 @@
 
 asio::awaitable<ExchangeResult> Exchange::runAttempts()
 {
+    bool resumeSilent = false;
     for (;;) {
         const Instant now = std::chrono::steady_clock::now();
         if (callerDisconnected_) {
@@ -203,8 +210,9 @@
                                            Duration::zero());
         }
         const CrashAssessment crashes = assessCrashes();
-        if (crashes.permission == CrashPermission::Denied
-            || (crashes.permission == CrashPermission::WithoutRetry && sends_ > rejected_)) {
+        if (!resumeSilent
+            && (crashes.permission == CrashPermission::Denied
+                || (crashes.permission == CrashPermission::WithoutRetry && sends_ > rejected_))) {
             if (headerDelivered_) {
                 co_return cutStream("broken");
             }
@@ -218,7 +226,9 @@
         }
         placementRequest_.tried = triedServers_;
         const auto chosen = state_.pool.choose(placementRequest_, now);
-        if (const auto *none = std::get_if<NoPlacement>(&chosen)) {
+        const auto *none = std::get_if<NoPlacement>(&chosen);
+        resumeSilent = silentAttempt_ != nullptr && (resumeSilent || none != nullptr);
+        if (none != nullptr && !resumeSilent) {
             if (headerDelivered_) {
                 co_return cutStream("broken");
             }
@@ -232,12 +242,17 @@
                 dispatchRecord_.verdict() == NotRun::True ? refused : ErrorKind::BackendFailed,
                 none->retryAfter);
         }
-        const Placement &placement = std::get<Placement>(chosen);
-        if (const auto queueDelay = queueRefusalDelay(placement)) {
-            placement_ = placement;
-            co_return co_await sendRefusal(ErrorKind::Overloaded, *queueDelay);
+        AttemptResult end = AttemptResult::NotSent;
+        if (std::exchange(resumeSilent, false)) {
+            end = co_await resumeSilentAttempt();
+        } else {
+            const Placement &placement = std::get<Placement>(chosen);
+            if (const auto queueDelay = queueRefusalDelay(placement)) {
+                placement_ = placement;
+                co_return co_await sendRefusal(ErrorKind::Overloaded, *queueDelay);
+            }
+            end = co_await runAttempt(placement);
         }
-        const AttemptResult end = co_await runAttempt(placement);
         state_.metrics.countAttempt(std::string(attemptResultName(static_cast<int>(end))));
         if (end == AttemptResult::Delivered) {
             co_return ExchangeResult { .outcome = "streamed",
@@ -253,9 +268,13 @@
             co_return ExchangeResult { .outcome = "caller_left", .connectionReusable = false };
         }
         if (assessCrashes().crashes > 0) {
-            co_await state_.crashDetector.waitForProbe(placement.server);
+            co_await state_.crashDetector.waitForProbe(placement_.server);
+        }
+        if (end == AttemptResult::Silent || mayRetry(end, std::chrono::steady_clock::now())) {
+            continue;
         }
-        if (mayRetry(end, std::chrono::steady_clock::now())) {
+        if (mayResumeSilentAttempt(end)) {
+            resumeSilent = true;
             continue;
         }
         if (headerDelivered_) {
--- a/Source/Gateway/Exchange.h
+++ b/Source/Gateway/Exchange.h
@@ -84,6 +84,8 @@
         StreamBroken,
         TimedOut,
         CallerDisconnected,
+        /// The server stopped responding and the attempt waits while another server is tried.
+        Silent,
     };
 
     /// How a server marks the end of its response body.
@@ -103,6 +105,8 @@
     [[nodiscard]] boost::asio::awaitable<ExchangeResult> runAttempts();
     [[nodiscard]] boost::asio::awaitable<AttemptResult> runAttempt(const Placement &placement);
     [[nodiscard]] boost::asio::awaitable<bool> connect(std::shared_ptr<Attempt> attempt);
+    /// Receives the response, also from where an earlier call was interrupted.
+    [[nodiscard]] boost::asio::awaitable<AttemptResult> receive(Attempt &attempt);
     [[nodiscard]] boost::asio::awaitable<AttemptResult> receiveResponse(Attempt &attempt);
     [[nodiscard]] boost::asio::awaitable<AttemptResult> readCompleteResponse(Attempt &attempt);
     [[nodiscard]] boost::asio::awaitable<AttemptResult> relayStream(Attempt &attempt);
@@ -123,6 +127,16 @@
     /// too much memory for one of this size.
     [[nodiscard]] bool noteBuffered(std::size_t bodyBytes);
     void finishAttempt(Attempt &attempt, AttemptResult end);
+    /// Keeps an attempt whose server is silent until another server responds.
+    void setAside(const std::shared_ptr<Attempt> &attempt);
+    /// Waits for the silent server after all, because no other server responds to the request.
+    [[nodiscard]] boost::asio::awaitable<AttemptResult> resumeSilentAttempt();
+    /// Ends the attempt that was set aside, if there is one.
+    void dropSilentAttempt();
+    /// True if a silent server may still give a better response than `end`.
+    [[nodiscard]] bool mayResumeSilentAttempt(AttemptResult end) const;
+    /// Prepares for resuming a stream that ended early.
+    void noteBrokenStream(AttemptResult end);
     void sendRequest(const std::shared_ptr<Attempt> &shared);
     void monitorServer(const std::shared_ptr<Attempt> &attempt);
     static void abortAt(const std::shared_ptr<Attempt> &attempt, Instant moment);
@@ -205,6 +219,8 @@
     boost::system::error_code writeError_;
     EventSplitter eventSplitter_;
     std::function<void()> cancelAttempt_;
+    /// The attempt whose server fell silent while another server is tried.
+    std::shared_ptr<Attempt> silentAttempt_;
     Instant firstByteAt_;
     Instant lastEventAt_;
     /// Longest time between two events forwarded to the caller.
--- a/Source/Gateway/ExchangeAttempt.cpp
+++ b/Source/Gateway/ExchangeAttempt.cpp
@@ -106,10 +106,15 @@
         if (route_->retryable()) {
             monitorServer(attempt);
         }
-        end = co_await receiveResponse(*attempt);
+        end = co_await receive(*attempt);
     }
     cancelAttempt_ = nullptr;
+    if (end == AttemptResult::Silent) {
+        setAside(attempt);
+        co_return end;
+    }
     finishAttempt(*attempt, end);
+    noteBrokenStream(end);
     co_return end;
 }
 
@@ -136,9 +141,9 @@
             attempt->firstByteReceived ? 0 : attempt->uncachedTokens * UnresponsiveMsPerToken);
         const bool unresponsive = state_.pool.unresponsive(attempt->placement.server, now)
             || now - attempt->lastReceivedAt > UnresponsiveTimeout + prefillAllowance;
-        if (unresponsive && reserveRetry(attempt->placement.server, now)) {
-            attempt->abort();
-            return;
+        if (unresponsive && (retryReserved_ || reserveRetry(attempt->placement.server, now))) {
+            attempt->silent = true;
+            attempt->interruptRead();
         }
         monitorServer(attempt);
     });
@@ -215,24 +220,31 @@
 asio::awaitable<Exchange::AttemptResult> Exchange::receiveResponse(Attempt &attempt)
 {
     ServerConnection &connection = *attempt.connection;
-    for (unsigned skippedResponses = 0; skippedResponses <= MaxForeignResponses;
-         ++skippedResponses) {
-        auto parser = std::make_unique<http::response_parser<http::empty_body>>();
-        parser->header_limit(MaxHeaderBytes);
-        parser->body_limit(MaxResponseBytes);
-        parser->skip(request_.method() == http::verb::head);
+    for (; attempt.skippedResponses <= MaxForeignResponses; ++attempt.skippedResponses) {
+        auto parser = std::move(attempt.headerParser);
+        if (parser == nullptr) {
+            parser = std::make_unique<http::response_parser<http::empty_body>>();
+            parser->header_limit(MaxHeaderBytes);
+            parser->body_limit(MaxResponseBytes);
+            parser->skip(request_.method() == http::verb::head);
+        }
         error_code error;
         co_await http::async_read_header(connection.socket, connection.buffer, *parser,
                                          asio::redirect_error(asio::use_awaitable, error));
+        if (attempt.wasInterrupted(error)) {
+            attempt.headerParser = std::move(parser);
+            co_return AttemptResult::Silent;
+        }
         if (error || callerDisconnected_) {
             co_return failure(attempt, error);
         }
+        attempt.silent = false;
         state_.pool.noteReceived(attempt.placement.server, std::chrono::steady_clock::now());
         attempt.responseFacts
             = platform::readResponseInfo(parser->get().base(), attempt.placement.server);
         // Without an id, only the first response on a connection certainly belongs to its request.
         const bool matchesRequest = attempt.responseFacts.request.empty()
-            ? !attempt.connectionReused && skippedResponses == 0
+            ? !attempt.connectionReused && attempt.skippedResponses == 0
             : attempt.responseFacts.request == callerRequest_.id;
         if (!isServerStatus(parser->get().result_int())) {
             co_return failure(attempt, http::error::bad_status);
@@ -282,12 +294,17 @@
 asio::awaitable<Exchange::AttemptResult> Exchange::readCompleteResponse(Attempt &attempt)
 {
     ServerConnection &connection = *attempt.connection;
-    http::response_parser<http::string_body> parser { std::move(*attempt.headerParser) };
+    if (attempt.bodyParser == nullptr) {
+        attempt.bodyParser = std::make_unique<http::response_parser<http::string_body>>(
+            std::move(*attempt.headerParser));
+    }
+    http::response_parser<http::string_body> &parser = *attempt.bodyParser;
     error_code error;
     while (!parser.is_done() && !error) {
         co_await http::async_read_some(connection.socket, connection.buffer, parser,
                                        asio::redirect_error(asio::use_awaitable, error));
         if (!error) {
+            attempt.silent = false;
             attempt.lastReceivedAt = std::chrono::steady_clock::now();
             state_.pool.noteReceived(attempt.placement.server, attempt.lastReceivedAt);
         }
@@ -298,6 +315,9 @@
             co_return failure(attempt, {});
         }
     }
+    if (attempt.wasInterrupted(error)) {
+        co_return AttemptResult::Silent;
+    }
     if (error || callerDisconnected_) {
         co_return failure(attempt, error);
     }
@@ -340,11 +360,14 @@
 asio::awaitable<Exchange::AttemptResult> Exchange::relayStream(Attempt &attempt)
 {
     ServerConnection &connection = *attempt.connection;
-    http::response_parser<http::buffer_body> parser { std::move(*attempt.headerParser) };
+    if (attempt.streamParser == nullptr) {
+        attempt.streamParser = std::make_unique<http::response_parser<http::buffer_body>>(
+            std::move(*attempt.headerParser));
+    }
+    http::response_parser<http::buffer_body> &parser = *attempt.streamParser;
     const http::response_header<> header = platform::callerHeader(parser.get().base());
     constexpr std::size_t ReadBufferBytes = 16384;
     std::array<char, ReadBufferBytes> readBuffer;
-    bool bodyReceived = false;
     if (delimiter_ == BodyDelimiter::ConnectionClose) {
         eventSplitter_.stopAtNextResponse();
     }
@@ -359,11 +382,12 @@
             error = {};
         }
         if (!error) {
+            attempt.silent = false;
             attempt.lastReceivedAt = std::chrono::steady_clock::now();
             state_.pool.noteReceived(attempt.placement.server, attempt.lastReceivedAt);
         }
         const std::size_t size = readBuffer.size() - parser.get().body().size;
-        bodyReceived = bodyReceived || size > 0;
+        attempt.bodyReceived = attempt.bodyReceived || size > 0;
         const std::string completeEvents = eventSplitter_.feed({ readBuffer.data(), size });
         if (!completeEvents.empty()) {
             const std::string bytes = frameEvents(attempt, header, completeEvents);
@@ -379,6 +403,9 @@
                     { { "server", attempt.placement.server.text() } });
             co_return failure(attempt, {});
         }
+        if (attempt.wasInterrupted(error)) {
+            co_return AttemptResult::Silent;
+        }
         if (error || callerDisconnected_) {
             co_return failure(attempt, error);
         }
@@ -387,7 +414,7 @@
     // Whatever marks its end, a stream that ends inside an event was broken off.
     bool complete = !eventSplitter_.hasPartialEvent();
     if (complete && delimiter_ == BodyDelimiter::ConnectionClose) {
-        complete = bodyReceived || headerDelivered_;
+        complete = attempt.bodyReceived || headerDelivered_;
         if (complete) {
             complete = co_await isCompleteAtClose(attempt);
         }
@@ -419,6 +446,7 @@
 std::string Exchange::frameEvents(Attempt &attempt, const http::response_header<> &header,
                                   std::string_view events)
 {
+    dropSilentAttempt();
     std::string bytes;
     const Instant arrived = std::chrono::steady_clock::now();
     if (headerDelivered_) {
@@ -665,6 +693,7 @@
     case AttemptResult::NotSent:
     case AttemptResult::TimedOut:
     case AttemptResult::CallerDisconnected:
+    case AttemptResult::Silent:
         verdict = AttemptOutcome::Abandoned;
         break;
     }
@@ -682,9 +711,6 @@
     if (!otherWeights) {
         triedServers_.push_back(server);
     }
-    if (end == AttemptResult::NoResponse || end == AttemptResult::StreamBroken) {
-        eventSplitter_.startResumedStream();
-    }
     const ListedServer *listed = state_.pool.listed(server);
     const bool sameStart = listed != nullptr && listed->bootedAt == attempt.placement.bootedAt
         && listed->address == attempt.placement.address;
--- a/Source/Gateway/ExchangeAttempt.h
+++ b/Source/Gateway/ExchangeAttempt.h
@@ -26,8 +26,16 @@
     DeadlineTimer deadlineTimer;
     DeadlineTimer livenessTimer;
     HttpRequest forwardedRequest;
+    /// The response as far as it has been read: its header, or a body of either kind.
     std::unique_ptr<boost::beast::http::response_parser<boost::beast::http::empty_body>>
         headerParser;
+    std::unique_ptr<boost::beast::http::response_parser<boost::beast::http::string_body>>
+        bodyParser;
+    std::unique_ptr<boost::beast::http::response_parser<boost::beast::http::buffer_body>>
+        streamParser;
+    bool bodyReceived = false;
+    /// Responses to other requests that were skipped.
+    unsigned skippedResponses = 0;
     platform::ResponseInfo responseFacts;
     bool connectionReused = false;
     bool sent = false;
@@ -45,6 +53,30 @@
     /// True if the response was read completely and the connection can carry another request.
     bool reusable = false;
     std::uint32_t uncachedTokens = 0;
+    /// True once the server counts as unresponsive and a retry is reserved, until data arrives.
+    bool silent = false;
+    /// True while the attempt waits without being read; the state of its stream is kept here.
+    bool waiting = false;
+    EventSplitter eventSplitter;
+    BodyDelimiter delimiter = BodyDelimiter::Unknown;
+
+    /// Ends the pending read without closing the connection. A request that is not written
+    /// completely would be spoiled, so that its connection is closed.
+    void interruptRead()
+    {
+        boost::system::error_code ignored;
+        if (requestWritten) {
+            connection->socket.cancel(ignored);
+        } else {
+            connection->socket.close(ignored);
+        }
+    }
+    /// True if interruptRead() ended a read with `error`.
+    [[nodiscard]] bool wasInterrupted(const boost::system::error_code &error) const
+    {
+        return silent && error == boost::asio::error::operation_aborted
+            && connection->socket.is_open();
+    }
 
     /// Closes the connection, so that pending operations on it fail.
     void abort()
@@ -57,13 +89,16 @@
 };
 
 /// Disarms the timers of an attempt and closes its connection, unless that is kept, at the end of
-/// the attempt.
+/// the attempt. An attempt that waits goes on.
 struct Exchange::AttemptCleanup
 {
     Attempt &attempt;
 
     ~AttemptCleanup()
     {
+        if (attempt.waiting) {
+            return;
+        }
         attempt.deadlineTimer.cancel();
         attempt.livenessTimer.cancel();
         attempt.abort();
