Gateway: Log how a caller's connection ended

A request with outcome caller_left didn't tell whether the caller closed its connection, reset it or stopped acknowledging, so that the hypotheses on connections closed without a response could not be told apart. The field reason now names it. CallerSessionTest/resultTellsWhetherCallerClosedOrResetItsConnection covers the first two; before, the field was empty.

--- a/Source/Gateway/CallerSession.cpp
+++ b/Source/Gateway/CallerSession.cpp
@@ -231,12 +231,13 @@
                                || self->exchange_ == nullptr) {
                                return;
                            }
-                           switch (peek(self->socket_)) {
+                           error_code closeReason;
+                           switch (peek(self->socket_, closeReason)) {
                            case PeekResult::NoData:
                                self->watchForDisconnect();
                                break;
                            case PeekResult::Closed:
-                               self->exchange_->callerDisconnected();
+                               self->exchange_->callerDisconnected(closeReason);
                                break;
                            case PeekResult::Data:
                                self->readAhead();
@@ -255,7 +256,7 @@
     const std::size_t size = socket_.read_some(buffer_.prepare(limit - buffer_.size()), error);
     buffer_.commit(size);
     if (error) {
-        exchange_->callerDisconnected();
+        exchange_->callerDisconnected(error);
         return;
     }
     watchForDisconnect();
--- a/Source/Gateway/Exchange.cpp
+++ b/Source/Gateway/Exchange.cpp
@@ -100,9 +100,10 @@
     state_.bufferedResponseBytes -= bufferedBytes_;
 }
 
-void Exchange::callerDisconnected()
+void Exchange::callerDisconnected(const error_code &reason)
 {
     callerDisconnected_ = true;
+    callerError_ = reason;
     if (cancelAttempt_) {
         cancelAttempt_();
     }
@@ -198,7 +199,7 @@
     for (;;) {
         const Instant now = std::chrono::steady_clock::now();
         if (callerDisconnected_) {
-            co_return ExchangeResult { .outcome = "caller_left", .connectionReusable = false };
+            co_return callerLeft();
         }
         if (outOfTime(now)) {
             if (headerDelivered_) {
@@ -265,7 +266,7 @@
             co_return notDelivered(writeError_);
         }
         if (end == AttemptResult::CallerDisconnected || callerDisconnected_) {
-            co_return ExchangeResult { .outcome = "caller_left", .connectionReusable = false };
+            co_return callerLeft();
         }
         if (assessCrashes().crashes > 0) {
             co_await state_.crashDetector.waitForProbe(placement_.server);
@@ -437,6 +438,13 @@
                                .responseComplete = true };
 }
 
+ExchangeResult Exchange::callerLeft() const
+{
+    return { .outcome = "caller_left",
+             .connectionReusable = false,
+             .reason = callerError_ ? callerError_.message() : std::string() };
+}
+
 ExchangeResult Exchange::notDelivered(const error_code &error)
 {
     return { .outcome = "not_delivered", .connectionReusable = false, .reason = error.message() };
--- a/Source/Gateway/Exchange.h
+++ b/Source/Gateway/Exchange.h
@@ -64,8 +64,8 @@
     /// The request's id; empty before run() has read it.
     [[nodiscard]] std::string_view requestId() const { return callerRequest_.id.text(); }
 
-    /// Aborts the current attempt because the caller has closed its connection.
-    void callerDisconnected();
+    /// Aborts the current attempt because the caller's connection has ended with `reason`.
+    void callerDisconnected(const boost::system::error_code &reason);
 
 private:
     /// The result of one attempt.
@@ -177,6 +177,8 @@
     /// Writes part of a stream. Returns false if the caller has left or the write fails, in which
     /// case `writeError_` is set.
     [[nodiscard]] boost::asio::awaitable<bool> writeToCaller(std::string_view bytes);
+    /// The result of an exchange whose caller has left.
+    [[nodiscard]] ExchangeResult callerLeft() const;
     /// The result of an exchange whose response could not be written.
     [[nodiscard]] static ExchangeResult notDelivered(const boost::system::error_code &error);
     [[nodiscard]] Duration timeLeft(Instant now) const;
@@ -212,6 +214,8 @@
     /// This exchange's part of the buffered response bytes of the node.
     std::size_t bufferedBytes_ = 0;
     bool callerDisconnected_ = false;
+    /// How the caller's connection ended, for the log.
+    boost::system::error_code callerError_;
     bool headerDelivered_ = false;
     /// True if the retry of the current attempt has been taken from the budget already.
     bool retryReserved_ = false;
--- a/Source/Gateway/ExchangeAttempt.cpp
+++ b/Source/Gateway/ExchangeAttempt.cpp
@@ -95,7 +95,9 @@
     AttemptResult end = AttemptResult::NotSent;
     const bool connected = co_await connect(attempt);
     // The close may have arrived with the request, or while the connection was being opened.
-    callerDisconnected_ = callerDisconnected_ || peek(caller_) == PeekResult::Closed;
+    if (!callerDisconnected_) {
+        callerDisconnected_ = peek(caller_, callerError_) == PeekResult::Closed;
+    }
     if (callerDisconnected_) {
         end = AttemptResult::CallerDisconnected;
     } else if (connected && outOfTime(std::chrono::steady_clock::now())) {
--- a/Source/Gateway/SocketOptions.cpp
+++ b/Source/Gateway/SocketOptions.cpp
@@ -5,6 +5,7 @@
 #include <charconv>
 #include <string>
 
+#include <boost/asio/error.hpp>
 #include <boost/asio/ip/address.hpp>
 #include <netinet/tcp.h>
 #include <sys/socket.h>
@@ -46,14 +47,27 @@
 }
 
 PeekResult peek(boost::asio::ip::tcp::socket &socket)
+{
+    boost::system::error_code ignored;
+    return peek(socket, ignored);
+}
+
+PeekResult peek(boost::asio::ip::tcp::socket &socket, boost::system::error_code &error)
 {
     char byte = 0;
     const ssize_t size = recv(socket.native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
     if (size > 0) {
         return PeekResult::Data;
     }
-    const bool noData = size < 0 && (errno == EAGAIN || errno == EWOULDBLOCK || errno == EINTR);
-    return noData ? PeekResult::NoData : PeekResult::Closed;
+    if (size < 0 && (errno == EAGAIN || errno == EWOULDBLOCK || errno == EINTR)) {
+        return PeekResult::NoData;
+    }
+    if (size == 0) {
+        error = boost::asio::error::eof;
+    } else {
+        error.assign(errno, boost::system::system_category());
+    }
+    return PeekResult::Closed;
 }
 
 std::optional<boost::asio::ip::tcp::endpoint> parseEndpoint(std::string_view text)
--- a/Source/Gateway/SocketOptions.h
+++ b/Source/Gateway/SocketOptions.h
@@ -21,6 +21,9 @@
 
 /// Checks what can be read from a connection without waiting and without consuming data.
 [[nodiscard]] PeekResult peek(boost::asio::ip::tcp::socket &socket);
+/// The same; sets `error` if the result is Closed: to `eof` if the peer has closed the connection.
+[[nodiscard]] PeekResult peek(boost::asio::ip::tcp::socket &socket,
+                              boost::system::error_code &error);
 
 /// Parses `IP:port`; returns nothing if the text is invalid.
 [[nodiscard]] std::optional<boost::asio::ip::tcp::endpoint> parseEndpoint(std::string_view text);
--- a/Tests/Gateway/CallerSessionTest.cpp
+++ b/Tests/Gateway/CallerSessionTest.cpp
@@ -255,6 +255,25 @@
     BOOST_TEST(result->outcome == "not_delivered");
 }
 
+BOOST_AUTO_TEST_CASE(resultTellsWhetherCallerClosedOrResetItsConnection)
+{
+    for (const bool reset : { false, true }) {
+        SessionFixture fixture;
+        std::optional<ExchangeResult> result;
+        if (reset) {
+            fixture.caller.set_option(asio::socket_base::linger(true, 0));
+        }
+        fixture.caller.close();
+        fixture.startExchange("/unsafe/a", result);
+        BOOST_TEST(fixture.runUntil([&] { return result.has_value(); }));
+        BOOST_REQUIRE(result.has_value());
+        const error_code expected
+            = reset ? error_code(asio::error::connection_reset) : error_code(asio::error::eof);
+        BOOST_TEST(result->outcome == "caller_left");
+        BOOST_TEST(result->reason == expected.message());
+    }
+}
+
 BOOST_AUTO_TEST_CASE(connectTimeoutDoesNotEndRequestThatWasSentAfterStall)
 {
     SessionFixture fixture([](ScriptedConnection &connection, const ReceivedRequest &request) {
