--- a/Source/Gateway/Exchange.h
+++ b/Source/Gateway/Exchange.h
@@ -64,8 +64,8 @@
     /// The request's id; empty before run() has read it.
     [[nodiscard]] std::string_view requestId() const { return callerRequest_.id.text(); }
 
-    /// Aborts the current attempt because the caller has closed its connection.
-    void callerDisconnected();
+    /// Aborts the current attempt because the caller's connection has ended with `reason`.
+    void callerDisconnected(const boost::system::error_code &reason);
     /// Ends the request because the process ends soon, unless its response has begun: the caller
     /// gets an error, or a refusal if no server has been sent the request.
     void answerBeforeStop();
@@ -87,6 +87,8 @@
         StreamBroken,
         TimedOut,
         CallerDisconnected,
+        /// The server stopped responding and the attempt waits while another server is tried.
+        Silent,
     };
 
     /// How a server marks the end of its response body.
@@ -106,6 +108,8 @@
     [[nodiscard]] boost::asio::awaitable<ExchangeResult> runAttempts();
     [[nodiscard]] boost::asio::awaitable<AttemptResult> runAttempt(const Placement &placement);
     [[nodiscard]] boost::asio::awaitable<bool> connect(std::shared_ptr<Attempt> attempt);
+    /// Receives the response, also from where an earlier call was interrupted.
+    [[nodiscard]] boost::asio::awaitable<AttemptResult> receive(Attempt &attempt);
     [[nodiscard]] boost::asio::awaitable<AttemptResult> receiveResponse(Attempt &attempt);
     [[nodiscard]] boost::asio::awaitable<AttemptResult> readCompleteResponse(Attempt &attempt);
     [[nodiscard]] boost::asio::awaitable<AttemptResult> relayStream(Attempt &attempt);
@@ -126,6 +130,16 @@
     /// too much memory for one of this size.
     [[nodiscard]] bool noteBuffered(std::size_t bodyBytes);
     void finishAttempt(Attempt &attempt, AttemptResult end);
+    /// Keeps an attempt whose server is silent until another server responds.
+    void setAside(const std::shared_ptr<Attempt> &attempt);
+    /// Waits for the silent server after all, because no other server responds to the request.
+    [[nodiscard]] boost::asio::awaitable<AttemptResult> resumeSilentAttempt();
+    /// Ends the attempt that was set aside, if there is one.
+    void dropSilentAttempt();
+    /// True if a silent server may still give a better response than `end`.
+    [[nodiscard]] bool mayResumeSilentAttempt(AttemptResult end) const;
+    /// Prepares for resuming a stream that ended early.
+    void noteBrokenStream(AttemptResult end);
     void sendRequest(const std::shared_ptr<Attempt> &shared);
     void monitorServer(const std::shared_ptr<Attempt> &attempt);
     static void abortAt(const std::shared_ptr<Attempt> &attempt, Instant moment);
@@ -166,6 +180,8 @@
     /// Writes part of a stream. Returns false if the caller has left or the write fails, in which
     /// case `writeError_` is set.
     [[nodiscard]] boost::asio::awaitable<bool> writeToCaller(std::string_view bytes);
+    /// The result of an exchange whose caller has left.
+    [[nodiscard]] ExchangeResult callerLeft() const;
     /// The result of an exchange whose response could not be written.
     [[nodiscard]] static ExchangeResult notDelivered(const boost::system::error_code &error);
     [[nodiscard]] Duration timeLeft(Instant now) const;
@@ -202,6 +218,8 @@
     std::size_t bufferedBytes_ = 0;
     bool callerDisconnected_ = false;
     bool endedByStop_ = false;
+    /// How the caller's connection ended, for the log.
+    boost::system::error_code callerError_;
     bool headerDelivered_ = false;
     /// True if the retry of the current attempt has been taken from the budget already.
     bool retryReserved_ = false;
@@ -209,6 +227,8 @@
     boost::system::error_code writeError_;
     EventSplitter eventSplitter_;
     std::function<void()> cancelAttempt_;
+    /// The attempt whose server fell silent while another server is tried.
+    std::shared_ptr<Attempt> silentAttempt_;
     Instant firstByteAt_;
     Instant lastEventAt_;
     /// Longest time between two events forwarded to the caller.
