Gateway: End a silent attempt before two servers run its request for long

A server that fell silent within a stream and went on ran the request beside the server that it was sent to meanwhile, until that one sent its first event.

Cause: an attempt that is set aside had a limit only before the first event, and it counted from the setting aside, not from the second send.

Now the silent attempt is given up 300 ms after the request was sent to another server. One that is rejected, refused or broken off within that time still leads back to the silent server.

--- a/Source/Gateway/Exchange.h
+++ b/Source/Gateway/Exchange.h
@@ -132,6 +132,8 @@
     void finishAttempt(Attempt &attempt, AttemptResult end);
     /// Keeps an attempt whose server is silent until another server responds.
     void setAside(const std::shared_ptr<Attempt> &attempt);
+    /// Gives the silent server up soon after the request was sent to another one.
+    void limitOverlap();
     /// Waits for the silent server after all, because no other server responds to the request.
     [[nodiscard]] boost::asio::awaitable<AttemptResult> resumeSilentAttempt();
     /// Ends the attempt that was set aside, if there is one.
--- a/Source/Gateway/ExchangeAttempt.cpp
+++ b/Source/Gateway/ExchangeAttempt.cpp
@@ -200,6 +200,7 @@
     attempt.lastReceivedAt = now;
     ++sends_;
     noteTrial(now);
+    limitOverlap();
     dispatchRecord_.noteStarted();
     // The server may respond before it has read the request, so writing and reading overlap.
     http::async_write(attempt.connection->socket, attempt.forwardedRequest,
--- a/Source/Gateway/SilentAttempt.cpp
+++ b/Source/Gateway/SilentAttempt.cpp
@@ -9,9 +9,9 @@
 
 namespace {
 
-/// Time after which another server counts as having accepted a request that it has not rejected.
-/// Longer than the timeout of a connection.
-constexpr Duration AcceptanceTime = milliseconds(500);
+/// Time after a request was sent to another server after which the silent one is given up. Shorter
+/// than the 400 ms for which two servers may run it according to the platform's pages.
+constexpr Duration OverlapLimit = milliseconds(300);
 
 } // namespace
 
@@ -32,10 +32,6 @@
     attempt->silent = false;
     attempt->waiting = true;
     attempt->livenessTimer.cancel();
-    if (!headerDelivered_) {
-        // Two servers that run a request to its first byte would add load where servers are slow.
-        attempt->livenessTimer.expireAfter(AcceptanceTime, [attempt] { attempt->abort(); });
-    }
     attempt->eventSplitter = eventSplitter_;
     attempt->delimiter = delimiter_;
     eventSplitter_.startResumedStream();
@@ -44,6 +40,14 @@
     silentAttempt_ = attempt;
 }
 
+void Exchange::limitOverlap()
+{
+    if (silentAttempt_ != nullptr) {
+        silentAttempt_->livenessTimer.expireAfter(OverlapLimit,
+                                                  [attempt = silentAttempt_] { attempt->abort(); });
+    }
+}
+
 asio::awaitable<Exchange::AttemptResult> Exchange::resumeSilentAttempt()
 {
     const std::shared_ptr<Attempt> attempt = std::exchange(silentAttempt_, nullptr);
--- a/Tests/Gateway/SilentServerTest.cpp
+++ b/Tests/Gateway/SilentServerTest.cpp
@@ -106,6 +106,32 @@
     BOOST_TEST(response->body() == event(1) + event(2));
 }
 
+BOOST_AUTO_TEST_CASE(streamDoesNotRunAtSilentServerAndAtAnotherForLong)
+{
+    constexpr milliseconds OverlapLimit { 400 };
+    using Clock = std::chrono::steady_clock;
+    std::atomic<Clock::rep> closedAt { 0 };
+    std::atomic<Clock::rep> sentAgainAt { 0 };
+    SilentServerFixture fixture(
+        [&](ScriptedConnection &connection, const ReceivedRequest &request) {
+            connection.write(streamHead(request) + chunk(event(1)));
+            if (connection.waitForClose(milliseconds(5000))) {
+                closedAt = Clock::now().time_since_epoch().count();
+            }
+        },
+        [&](ScriptedConnection &connection, const ReceivedRequest &request) {
+            sentAgainAt = Clock::now().time_since_epoch().count();
+            std::this_thread::sleep_for(2 * OverlapLimit);
+            connection.write(streamHead(request) + chunk(event(2)) + "0\r\n\r\n");
+        });
+    const auto response = fixture.gateway.call("POST", "/stream/a", "prompt", Headers);
+    BOOST_REQUIRE(response != nullptr);
+    BOOST_TEST(response->body() == event(1) + event(2));
+    BOOST_REQUIRE(closedAt != 0);
+    const Clock::duration overlap(closedAt - sentAgainAt);
+    BOOST_TEST(overlap < OverlapLimit);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace jacinthroad
