Soak: Leave odd entries among the servers

Nothing in the soak wrote entries that a node can't use. Another writer now leaves objects that are nested 80 deep, have numbers too large, ports out of range, fields of other types, unknown states and services, or bytes that are not UTF-8 or JSON: as new entries, as changes of servers' entries and under `versions`. They stay for nodes that start.

The nodes log store_lost for the servers, for example "'-1e999' is not a number", and stop following the list. No process ended by itself.

--- a/Tests/Gateway/StoreStandIn.cpp
+++ b/Tests/Gateway/StoreStandIn.cpp
@@ -48,6 +48,17 @@
     static_cast<void>(write(kind, name, spec, std::nullopt, false));
 }
 
+void StoreStandIn::putText(const std::string &kind, const std::string &name,
+                           const std::string &text)
+{
+    const std::string standIn = "text-" + std::to_string(std::hash<std::string>()(text));
+    {
+        const std::lock_guard lock(mutex_);
+        texts_["\"" + standIn + "\""] = text;
+    }
+    put(kind, name, standIn);
+}
+
 void StoreStandIn::remove(const std::string &kind, const std::string &name)
 {
     const std::lock_guard lock(mutex_);
@@ -113,8 +124,15 @@
 
 std::string StoreStandIn::response(unsigned status, const std::string &body) const
 {
+    std::string sent = body;
+    for (const auto &[standIn, text] : texts_) {
+        for (std::size_t at = sent.find(standIn); at != std::string::npos;
+             at = sent.find(standIn, at + text.size())) {
+            sent.replace(at, standIn.size(), text);
+        }
+    }
     return responseText(status, era_ == 0 ? "" : "Store-Era: " + std::to_string(era_) + "\r\n",
-                        body);
+                        sent);
 }
 
 bool StoreStandIn::noteWrite(const http::request<http::string_body> &request)
--- a/Tests/Gateway/StoreStandIn.h
+++ b/Tests/Gateway/StoreStandIn.h
@@ -26,6 +26,8 @@
     [[nodiscard]] std::string address() const { return server_.address(); }
     /// Writes an object unconditionally, as operators and servers do.
     void put(const std::string &kind, const std::string &name, const Json::Value &spec);
+    /// Writes an object whose spec is this text, which need not be valid JSON.
+    void putText(const std::string &kind, const std::string &name, const std::string &text);
     /// Removes an object.
     void remove(const std::string &kind, const std::string &name);
     /// Numbers the eras of the store from `era` on and sends the number with every response.
@@ -87,6 +89,8 @@
     Objects savedObjects_;
     std::uint64_t savedRevision_ = 1;
     std::vector<Change> changes_;
+    /// Texts of putText() by the string that stands for each of them in the objects.
+    std::map<std::string, std::string> texts_;
     std::map<std::string, int> writes_;
     std::map<std::string, int> responsesToLose_;
     ScriptedServer server_;
--- a/Tests/Soak/Disturbance.cpp
+++ b/Tests/Soak/Disturbance.cpp
@@ -13,7 +13,7 @@
                                     Disturbance::RestartAll,   Disturbance::Configuration,
                                     Disturbance::DeadlyKey,    Disturbance::Statements,
                                     Disturbance::StoreRestore, Disturbance::SoftwareVersions,
-                                    Disturbance::TakeUps };
+                                    Disturbance::TakeUps,      Disturbance::OddEntries };
     return All;
 }
 
@@ -50,6 +50,8 @@
         return "software-versions";
     case Disturbance::TakeUps:
         return "take-ups";
+    case Disturbance::OddEntries:
+        return "odd-entries";
     }
     return {};
 }
--- a/Tests/Soak/Disturbance.h
+++ b/Tests/Soak/Disturbance.h
@@ -40,6 +40,8 @@
     SoftwareVersions,
     /// Callers take streams that broke off up again; all nodes are killed at once several times.
     TakeUps,
+    /// Another writer leaves entries that can't be used among the servers and elsewhere.
+    OddEntries,
 };
 
 using Disturbances = std::set<Disturbance>;
--- a/Tests/Soak/NodeFaults.h
+++ b/Tests/Soak/NodeFaults.h
@@ -22,6 +22,7 @@
     std::atomic<unsigned> configurations { 0 };
     std::atomic<unsigned> storeRestores { 0 };
     std::atomic<unsigned> releases { 0 };
+    std::atomic<unsigned> oddEntries { 0 };
     std::atomic<unsigned> overdueStops { 0 };
     std::atomic<unsigned> unexpectedEnds { 0 };
     /// Spans in which the store was away or lacked what had been written; written by one thread.
--- a/Tests/Soak/SoakRun.cpp
+++ b/Tests/Soak/SoakRun.cpp
@@ -15,6 +15,7 @@
 #include "Core/Json.h"
 #include "NodeFaults.h"
 #include "NodeProcess.h"
+#include "OddEntries.h"
 #include "Releases.h"
 #include "SoakClient.h"
 #include "SoakServers.h"
@@ -281,6 +282,11 @@
             releaseVersions(servers, seed, until, counts.releases);
         });
     }
+    if (options.disturbances.contains(Disturbance::OddEntries)) {
+        threads.emplace_back([&store, &servers, seed = random(), until, &counts] {
+            writeOddEntries(store, servers, seed, until, counts.oddEntries);
+        });
+    }
     if (options.disturbances.contains(Disturbance::StoreRestore)) {
         threads.emplace_back([&store, &servers, &last, seed = random(), until, &counts] {
             restoreStore(store, servers, last, seed, until, counts);
@@ -306,6 +312,7 @@
                         .deadlyPart = countDeadlyPart(observations),
                         .deadlyKey = countDeadlyKey(observations),
                         .releases = counts.releases,
+                        .oddEntries = counts.oddEntries,
                         .streamVersions = countStreamVersions(observations) };
     std::map<std::string, unsigned> runs;
     for (const ServerRun &run : observations.runs) {
--- a/Tests/Soak/SoakRun.h
+++ b/Tests/Soak/SoakRun.h
@@ -54,6 +54,7 @@
     DeadlyPartFigures deadlyPart;
     DeadlyPartFigures deadlyKey;
     unsigned releases = 0;
+    unsigned oddEntries = 0;
     StreamVersionFigures streamVersions;
     StatementFigures statements;
     std::vector<Violation> violations;
--- a/Tests/Soak/SoakServers.cpp
+++ b/Tests/Soak/SoakServers.cpp
@@ -139,6 +139,12 @@
     }
 }
 
+std::string SoakServers::entryName(std::uint64_t choice)
+{
+    const std::lock_guard lock(mutex_);
+    return boots_[choice % boots_.size()]->id;
+}
+
 void SoakServers::startAgain(const Start &start)
 {
     const Boot &former = *start.former;
--- a/Tests/Soak/SoakServers.h
+++ b/Tests/Soak/SoakServers.h
@@ -33,6 +33,8 @@
     void endOwnFaults() { ownFaults_ = false; }
     /// Writes the entries of all servers anew, as they do after a restore of the store.
     void registerAgain();
+    /// The name of the entry of some server.
+    [[nodiscard]] std::string entryName(std::uint64_t choice);
     /// Replaces a share of the engine servers, or all, by servers of a newer software version, one
     /// each `gap`. With `overlapping`, each new server starts when its predecessor begins to leave.
     void release(double share, Duration gap, bool overlapping);
