Soak: Send long requests while nodes stop, with several grace periods

Requests of the soak lasted less than half a second and all nodes had a grace period of 5 s, so that a stopping node could hardly cut one.

Callers now use open connections for requests of 0.5 to 2 s until the node's process has ended, each start of a node has a grace period of 4 to 7 s, and there are more stops; they overlap with reloads, pauses, kills and configurations as before.

--- a/Tests/Soak/Disturbance.cpp
+++ b/Tests/Soak/Disturbance.cpp
@@ -13,7 +13,8 @@
                                     Disturbance::RestartAll,   Disturbance::Configuration,
                                     Disturbance::DeadlyKey,    Disturbance::Statements,
                                     Disturbance::StoreRestore, Disturbance::SoftwareVersions,
-                                    Disturbance::TakeUps,      Disturbance::OddEntries };
+                                    Disturbance::TakeUps,      Disturbance::OddEntries,
+                                    Disturbance::LateRequests };
     return All;
 }
 
@@ -52,6 +53,8 @@
         return "take-ups";
     case Disturbance::OddEntries:
         return "odd-entries";
+    case Disturbance::LateRequests:
+        return "late-requests";
     }
     return {};
 }
--- a/Tests/Soak/Disturbance.h
+++ b/Tests/Soak/Disturbance.h
@@ -42,6 +42,8 @@
     TakeUps,
     /// Another writer leaves entries that can't be used among the servers and elsewhere.
     OddEntries,
+    /// Long requests until the process of the node has ended, and grace periods of several lengths.
+    LateRequests,
 };
 
 using Disturbances = std::set<Disturbance>;
--- a/Tests/Soak/NodeFaults.cpp
+++ b/Tests/Soak/NodeFaults.cpp
@@ -14,6 +14,11 @@
 
 /// A process that has just started ends at SIGHUP, as it does not handle the signal yet.
 constexpr Duration StartTime = milliseconds(500);
+/// Weight of stops beyond the usual while long requests are sent.
+constexpr std::size_t FurtherStops = 3;
+/// So long that a request that the rules let the end of a stop cut was sent well before that end.
+constexpr int ShortestGraceS = 4;
+constexpr int LongestGraceS = 7;
 
 Instant now()
 {
@@ -37,6 +42,10 @@
                                                     Disturbance::Pause,  Disturbance::Pause };
     std::copy_if(Weighted.begin(), Weighted.end(), std::back_inserter(kinds_),
                  [&](Disturbance kind) { return options_.disturbances.contains(kind); });
+    if (options_.disturbances.contains(Disturbance::LateRequests)
+        && options_.disturbances.contains(Disturbance::Stop)) {
+        kinds_.insert(kinds_.end(), FurtherStops, Disturbance::Stop);
+    }
 }
 
 void NodeFaults::run()
@@ -105,7 +114,7 @@
     if (chance(Disturbance::Kill, 5)) {
         wait(0, 300);
         endProcess(false);
-    } else if (!node_.waitForEnd(options_.stopGrace)) {
+    } else if (!node_.waitForEnd(node_.stopGrace())) {
         ++counts_.overdueStops;
         node_.kill();
     }
@@ -136,7 +145,7 @@
     }
     node_.signal(SIGCONT);
     if (stopping) {
-        if (!node_.waitForEnd(options_.stopGrace)) {
+        if (!node_.waitForEnd(node_.stopGrace())) {
             ++counts_.overdueStops;
             node_.kill();
         }
@@ -168,7 +177,7 @@
     if (withTerm) {
         ++counts_.stops;
         node_.signal(SIGTERM);
-        if (node_.waitForEnd(options_.stopGrace)) {
+        if (node_.waitForEnd(node_.stopGrace())) {
             return;
         }
         ++counts_.overdueStops;
@@ -180,6 +189,10 @@
 void NodeFaults::startAgain()
 {
     wait(0, 300);
+    if (options_.disturbances.contains(Disturbance::LateRequests)) {
+        node_.setStopGrace(std::chrono::seconds(between(random_, ShortestGraceS, LongestGraceS)));
+        node_.changeSettings(between(random_, 10, 30));
+    }
     node_.start();
     startedAt_ = now();
 }
--- a/Tests/Soak/NodeFaults.h
+++ b/Tests/Soak/NodeFaults.h
@@ -50,8 +50,6 @@
         Instant until;
         /// In order.
         std::vector<CommonRestart> commonRestarts;
-        /// Time from SIGTERM to SIGKILL.
-        Duration stopGrace {};
     };
 
     NodeFaults(NodeProcess &node, Options options, std::barrier<> &allStopped, FaultCounts &counts);
--- a/Tests/Soak/NodeProcess.cpp
+++ b/Tests/Soak/NodeProcess.cpp
@@ -72,6 +72,7 @@
     // A connection that the node inherits isn't reset when a stand-in closes it.
     posix_spawn_file_actions_addclosefrom_np(&actions, STDERR_FILENO + 1);
     const std::lock_guard lock(mutex_);
+    paused_ = false;
     const int error = posix_spawn(&process_, options_.program.c_str(), &actions, nullptr,
                                   const_cast<char **>(arguments.data()), environ);
     posix_spawn_file_actions_destroy(&actions);
@@ -85,9 +86,16 @@
 {
     const std::lock_guard lock(mutex_);
     if (process_ > 0) {
+        if (number == SIGSTOP || number == SIGCONT) {
+            paused_ = number == SIGSTOP;
+            if (paused_ && !stops_.empty()) {
+                stops_.back().paused = true;
+            }
+        }
         if (number == SIGTERM) {
-            stops_.push_back(
-                { .at = std::chrono::steady_clock::now(), .grace = options_.stopGrace });
+            stops_.push_back({ .at = std::chrono::steady_clock::now(),
+                               .grace = options_.stopGrace,
+                               .paused = paused_ });
         }
         ::kill(process_, number);
     }
--- a/Tests/Soak/NodeProcess.h
+++ b/Tests/Soak/NodeProcess.h
@@ -24,6 +24,8 @@
     Instant at;
     /// Time until SIGKILL.
     Duration grace {};
+    /// The process was paused before its end.
+    bool paused = false;
 };
 
 /// One gateway node that runs as a process of its own, with a settings file in a folder.
@@ -54,6 +56,9 @@
     void signal(int number);
     /// Rewrites the settings file with another retry allowance, as before a SIGHUP.
     void changeSettings(int retryAllowance) const;
+    /// Changes the time from SIGTERM to SIGKILL, in the settings file from its next change on.
+    void setStopGrace(Duration grace) { options_.stopGrace = grace; }
+    [[nodiscard]] Duration stopGrace() const { return options_.stopGrace; }
     /// Waits until the process has ended, for `limit` at most; returns false if it still runs.
     [[nodiscard]] bool waitForEnd(Duration limit);
     /// Kills the process and waits for its end.
@@ -81,6 +86,7 @@
     pid_t process_ = -1;
     std::vector<TimeSpan> disturbances_;
     std::vector<NodeStop> stops_;
+    bool paused_ = false;
     std::atomic<unsigned> kills_ { 0 };
     std::atomic<unsigned> ends_ { 0 };
 };
--- a/Tests/Soak/SoakClient.cpp
+++ b/Tests/Soak/SoakClient.cpp
@@ -115,6 +115,9 @@
     if (options_.takesUp) {
         return makeSlowStreamRequest(id, random_);
     }
+    if (options_.sendsLongRequests) {
+        return makeLongRequest(id, random_);
+    }
     return options_.deadlyRoute.empty() ? makeSoakRequest(id, random_)
         : options_.deadlyRoute == DeadlyKeyRoute
         ? makeDeadlyKeyRequest(id, random_)
--- a/Tests/Soak/SoakClient.h
+++ b/Tests/Soak/SoakClient.h
@@ -37,6 +37,8 @@
         std::string deadlyRoute;
         /// The caller requests streams with pauses and takes them up again when they break off.
         bool takesUp = false;
+        /// The caller sends requests that servers work on for long.
+        bool sendsLongRequests = false;
         std::uint64_t seed = 0;
     };
 
--- a/Tests/Soak/SoakJudge.cpp
+++ b/Tests/Soak/SoakJudge.cpp
@@ -203,7 +203,7 @@
 }
 
 /// True if the end of a stop may cut this request: its server was still at work in the last sixth
-/// of the grace period, and it was sent soon after the beginning of the stop.
+/// of the grace period, and it was sent soon after the beginning of the stop; or it was paused.
 bool mayBeCutByStop(const SoakObservations &observations, const CallerRecord &record)
 {
     constexpr Duration EarlyTime = std::chrono::seconds(3);
@@ -215,7 +215,9 @@
                        return run.requestId == record.id && run.startedAt <= record.endedAt
                            && (!run.finished || run.finishedAt >= lastSixth);
                    });
-               return atWork && record.sentAt <= stop.at + EarlyTime && record.endedAt >= lastSixth
+               const bool early
+                   = atWork && record.sentAt <= stop.at + EarlyTime && record.endedAt >= lastSixth;
+               return (early || stop.paused) && record.endedAt >= stop.at
                    && record.endedAt <= stop.at + stop.grace + std::chrono::seconds(1);
            });
 }
--- a/Tests/Soak/SoakRun.cpp
+++ b/Tests/Soak/SoakRun.cpp
@@ -50,6 +50,9 @@
 constexpr unsigned HoldingOneIn = 4;
 /// For so many callers there is one more that takes streams up again.
 constexpr unsigned TakingUpOneIn = 3;
+/// For so many callers there is one more that sends long requests.
+constexpr unsigned LongOneIn = 4;
+constexpr Duration LongestPauseAfterLong = milliseconds(100);
 /// Parts of the time with faults, in percent, in which all nodes are killed at once.
 constexpr std::array<std::pair<int, int>, 2> CommonKillPercents { { { 20, 30 }, { 70, 80 } } };
 
@@ -210,6 +213,17 @@
                                       .seed = random() }));
         }
     }
+    if (options.disturbances.contains(Disturbance::LateRequests)) {
+        for (unsigned number = 0; number < options.clients / LongOneIn; ++number) {
+            clients.push_back(std::make_unique<SoakClient>(
+                SoakClient::Options { .name = "l" + std::to_string(number),
+                                      .nodes = nodes,
+                                      .longestPause = LongestPauseAfterLong,
+                                      .holdsConnections = true,
+                                      .sendsLongRequests = true,
+                                      .seed = random() }));
+        }
+    }
     if (options.disturbances.contains(Disturbance::DeadlyPart)) {
         for (unsigned number = 0; number < DeadlyCallers; ++number) {
             clients.push_back(std::make_unique<SoakClient>(
@@ -267,8 +281,7 @@
                           { .disturbances = options.disturbances,
                             .seed = random(),
                             .until = until,
-                            .commonRestarts = restarts,
-                            .stopGrace = StopGrace },
+                            .commonRestarts = restarts },
                           allStopped, counts);
         threads.emplace_back([faults = std::move(faults)]() mutable { faults.run(); });
     }
--- a/Tests/Soak/SoakServers.cpp
+++ b/Tests/Soak/SoakServers.cpp
@@ -387,6 +387,9 @@
     if (request.count(PieceTimeHeader) > 0) {
         plan.pieceTime = milliseconds(std::stoi(std::string(request[PieceTimeHeader])));
     }
+    if (request.count(WorkTimeHeader) > 0) {
+        plan.workTime = milliseconds(std::stoi(std::string(request[WorkTimeHeader])));
+    }
     if (plan.delimiter == Delimiter::ConnectionEnd) {
         log_.noteDelimitedByClose(run);
     }
--- a/Tests/Soak/SoakTraffic.cpp
+++ b/Tests/Soak/SoakTraffic.cpp
@@ -133,6 +133,17 @@
     return request;
 }
 
+SoakRequest makeLongRequest(const std::string &id, std::mt19937_64 &random)
+{
+    constexpr int ShortestWorkMs = 500;
+    constexpr int LongestWorkMs = 2000;
+    SoakRequest request { .id = id, .key = soakKeys()[random() % soakKeys().size()], .slow = true };
+    complete(request, *findRoute(between(random, 0, 1) == 0 ? "/safe/" : "/unsafe/"), {}, random);
+    addHeader(request, WorkTimeHeader,
+              std::to_string(between(random, ShortestWorkMs, LongestWorkMs)));
+    return request;
+}
+
 SoakRequest makeTakeUp(const SoakRequest &first, const std::string &id, unsigned resumeAfter)
 {
     SoakRequest request = first;
--- a/Tests/Soak/SoakTraffic.h
+++ b/Tests/Soak/SoakTraffic.h
@@ -41,6 +41,10 @@
 [[nodiscard]] SoakRequest makeSoakRequest(const std::string &id, std::mt19937_64 &random);
 /// Makes a request for a resumable stream with pauses between its events.
 [[nodiscard]] SoakRequest makeSlowStreamRequest(const std::string &id, std::mt19937_64 &random);
+/// Makes a request to the plain service whose server works on it for up to two seconds.
+[[nodiscard]] SoakRequest makeLongRequest(const std::string &id, std::mt19937_64 &random);
+/// Header with the milliseconds that a server works before its response.
+inline constexpr const char *WorkTimeHeader = "X-Soak-Work-Ms";
 /// Makes the request that takes up the stream of `first` again after the event with the number
 /// `resumeAfter`.
 [[nodiscard]] SoakRequest makeTakeUp(const SoakRequest &first, const std::string &id,
