Soak: Let sound servers fall silent for a second

No server of the soak was silent and sound. Servers now neither send nor read for 0.8 to 1.5 s, health included, with all connections open, and go on. A new check, `ended-in-silence`, finds requests that end by a close, 502 or 504 before the timeout of their route meanwhile.

--- a/Tests/Soak/Disturbance.cpp
+++ b/Tests/Soak/Disturbance.cpp
@@ -14,7 +14,7 @@
                                     Disturbance::DeadlyKey,    Disturbance::Statements,
                                     Disturbance::StoreRestore, Disturbance::SoftwareVersions,
                                     Disturbance::TakeUps,      Disturbance::OddEntries,
-                                    Disturbance::LateRequests };
+                                    Disturbance::LateRequests, Disturbance::SilentServers };
     return All;
 }
 
@@ -55,6 +55,8 @@
         return "odd-entries";
     case Disturbance::LateRequests:
         return "late-requests";
+    case Disturbance::SilentServers:
+        return "silent-servers";
     }
     return {};
 }
--- a/Tests/Soak/Disturbance.h
+++ b/Tests/Soak/Disturbance.h
@@ -44,6 +44,8 @@
     OddEntries,
     /// Long requests until the process of the node has ended, and grace periods of several lengths.
     LateRequests,
+    /// Sound backend servers neither send nor read for a second or so.
+    SilentServers,
 };
 
 using Disturbances = std::set<Disturbance>;
--- a/Tests/Soak/Main.cpp
+++ b/Tests/Soak/Main.cpp
@@ -36,9 +36,9 @@
               << report.deadlyKey.lateArrivalsFromCalmNodes << " from calm nodes); "
               << report.storeRestores << " restores; responses of servers that leave "
               << report.statements.leaving << ", with a pause " << report.statements.pauses
-              << ", with a limit " << report.statements.limits << "; " << report.oddEntries
-              << " odd entries, " << report.releases << " releases, "
-              << report.streamVersions.joined << " streams of several versions, "
+              << ", with a limit " << report.statements.limits << "; " << report.silences
+              << " silent servers, " << report.oddEntries << " odd entries, " << report.releases
+              << " releases, " << report.streamVersions.joined << " streams of several versions, "
               << report.streamVersions.takeUps << " take-ups ("
               << report.streamVersions.judgedWentOn << " of " << report.streamVersions.judgedTakeUps
               << " judged went on, " << report.streamVersions.newStreamsBegun << " of "
--- a/Tests/Soak/RunLog.cpp
+++ b/Tests/Soak/RunLog.cpp
@@ -127,4 +127,28 @@
     return servingSpans_;
 }
 
+void RunLog::noteSpoiled(const std::string &requestId)
+{
+    const std::lock_guard lock(mutex_);
+    spoiled_.insert(requestId);
+}
+
+std::set<std::string> RunLog::spoiled() const
+{
+    const std::lock_guard lock(mutex_);
+    return spoiled_;
+}
+
+void RunLog::noteSilence(const ServerSilence &silence)
+{
+    const std::lock_guard lock(mutex_);
+    silences_.push_back(silence);
+}
+
+std::vector<ServerSilence> RunLog::silences() const
+{
+    const std::lock_guard lock(mutex_);
+    return silences_;
+}
+
 } // namespace jacinthroad
--- a/Tests/Soak/RunLog.h
+++ b/Tests/Soak/RunLog.h
@@ -3,6 +3,7 @@
 #include <cstddef>
 #include <map>
 #include <mutex>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -61,6 +62,14 @@
     Instant end = Instant::max();
 };
 
+/// A time in which a server neither sent nor read.
+struct ServerSilence
+{
+    std::string boot;
+    Instant begin;
+    Instant end;
+};
+
 /// Records what backend servers ran and how their runs ended. Thread-safe.
 class RunLog
 {
@@ -90,12 +99,18 @@
     /// Records that a server leaves or has ended.
     void noteServingEnded(const std::string &boot);
 
+    /// Records that bytes of no response came on the connection before this request.
+    void noteSpoiled(const std::string &requestId);
+    void noteSilence(const ServerSilence &silence);
+
     /// Number of runs of a request that have begun.
     [[nodiscard]] unsigned runCount(const std::string &requestId) const;
     [[nodiscard]] std::vector<ServerRun> runs() const;
     [[nodiscard]] std::vector<ServerCrash> crashes() const;
     [[nodiscard]] std::vector<ServerArrival> arrivals() const;
     [[nodiscard]] std::vector<ServingSpan> servingSpans() const;
+    [[nodiscard]] std::vector<ServerSilence> silences() const;
+    [[nodiscard]] std::set<std::string> spoiled() const;
 
 private:
     /// Marks the runs that the end of a server's process breaks off; the caller holds the mutex.
@@ -106,6 +121,8 @@
     std::vector<ServerCrash> crashes_;
     std::vector<ServerArrival> arrivals_;
     std::vector<ServingSpan> servingSpans_;
+    std::vector<ServerSilence> silences_;
+    std::set<std::string> spoiled_;
     std::map<std::string, unsigned> runCounts_;
 };
 
--- a/Tests/Soak/SoakJudge.cpp
+++ b/Tests/Soak/SoakJudge.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <set>
 
+#include "SilenceJudge.h"
 #include "SoakStatementJudge.h"
 #include "SoakTraffic.h"
 #include "StreamVersionJudge.h"
@@ -202,26 +203,6 @@
     return false;
 }
 
-/// True if the end of a stop may cut this request: its server was still at work in the last sixth
-/// of the grace period, and it was sent soon after the beginning of the stop; or it was paused.
-bool mayBeCutByStop(const SoakObservations &observations, const CallerRecord &record)
-{
-    constexpr Duration EarlyTime = std::chrono::seconds(3);
-    const auto &stops = observations.stops.at(record.node);
-    return record.slow && std::any_of(stops.begin(), stops.end(), [&](const NodeStop &stop) {
-               const Instant lastSixth = stop.at + stop.grace * 5 / 6;
-               const bool atWork = std::any_of(
-                   observations.runs.begin(), observations.runs.end(), [&](const ServerRun &run) {
-                       return run.requestId == record.id && run.startedAt <= record.endedAt
-                           && (!run.finished || run.finishedAt >= lastSixth);
-                   });
-               const bool early
-                   = atWork && record.sentAt <= stop.at + EarlyTime && record.endedAt >= lastSixth;
-               return (early || stop.paused) && record.endedAt >= stop.at
-                   && record.endedAt <= stop.at + stop.grace + std::chrono::seconds(1);
-           });
-}
-
 /// Counts the deadly requests that reached servers after `from`.
 void countLateArrivals(const SoakObservations &observations, Instant from, bool ServerRun::*deadly,
                        DeadlyPartFigures &figures)
@@ -249,6 +230,30 @@
     });
 }
 
+bool mayBeCutByStop(const SoakObservations &observations, const CallerRecord &record)
+{
+    // The server was still at work in the last sixth of the grace period on a request that was sent
+    // soon after the beginning of the stop; or the node was paused.
+    constexpr Duration EarlyTime = std::chrono::seconds(3);
+    std::vector<ServerRun> runs;
+    std::copy_if(observations.runs.begin(), observations.runs.end(), std::back_inserter(runs),
+                 [&](const ServerRun &run) {
+                     return run.requestId == record.id
+                         && (record.slow || wasSilent(observations, run, record));
+                 });
+    const auto &stops = observations.stops.at(record.node);
+    return !runs.empty() && std::any_of(stops.begin(), stops.end(), [&](const NodeStop &stop) {
+        const Instant lastSixth = stop.at + stop.grace * 5 / 6;
+        const bool atWork = std::any_of(runs.begin(), runs.end(), [&](const ServerRun &run) {
+            return !run.finished || run.finishedAt >= lastSixth;
+        });
+        const bool early
+            = atWork && record.sentAt <= stop.at + EarlyTime && record.endedAt >= lastSixth;
+        return (early || stop.paused) && record.endedAt >= stop.at
+            && record.endedAt <= stop.at + stop.grace + std::chrono::seconds(1);
+    });
+}
+
 DeadlyPartFigures countDeadlyPart(const SoakObservations &observations)
 {
     const std::vector<Instant> crashes
@@ -308,7 +313,8 @@
               .text = std::to_string(keyFigures.lateArrivalsFromCalmNodes)
                   + " requests of the deadly key reached servers after the limit" });
     }
-    for (const auto &check : { findStatementViolations, findStreamVersionViolations }) {
+    for (const auto &check :
+         { findStatementViolations, findStreamVersionViolations, findSilenceViolations }) {
         const std::vector<Violation> broken = check(observations);
         violations.insert(violations.end(), broken.begin(), broken.end());
     }
--- a/Tests/Soak/SoakJudge.h
+++ b/Tests/Soak/SoakJudge.h
@@ -2,6 +2,7 @@
 
 #include <cstdint>
 #include <map>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -67,6 +68,9 @@
     std::vector<ServerCrash> crashes;
     std::vector<ServerArrival> arrivals;
     std::vector<ServingSpan> servingSpans;
+    std::vector<ServerSilence> silences;
+    /// Requests on whose connections servers had sent bytes of no response before.
+    std::set<std::string> spoiled;
     /// By name of the node.
     std::map<std::string, std::vector<TimeSpan>> disturbances;
     std::map<std::string, std::vector<NodeStop>> stops;
@@ -101,6 +105,8 @@
 [[nodiscard]] DeadlyPartFigures countDeadlyPart(const SoakObservations &observations);
 /// The same for the deadly key; related requests are not counted.
 [[nodiscard]] DeadlyPartFigures countDeadlyKey(const SoakObservations &observations);
+/// True if the end of a stop of its node may cut this request by the rules.
+[[nodiscard]] bool mayBeCutByStop(const SoakObservations &observations, const CallerRecord &record);
 /// Checks the promises of the gateway on single responses, runs and deadly prompt parts.
 [[nodiscard]] std::vector<Violation> findViolations(const SoakObservations &observations);
 
--- a/Tests/Soak/SoakRun.cpp
+++ b/Tests/Soak/SoakRun.cpp
@@ -326,6 +326,7 @@
                         .deadlyKey = countDeadlyKey(observations),
                         .releases = counts.releases,
                         .oddEntries = counts.oddEntries,
+                        .silences = static_cast<unsigned>(observations.silences.size()),
                         .streamVersions = countStreamVersions(observations) };
     std::map<std::string, unsigned> runs;
     for (const ServerRun &run : observations.runs) {
@@ -391,6 +392,8 @@
                                     .crashes = log.crashes(),
                                     .arrivals = log.arrivals(),
                                     .servingSpans = log.servingSpans(),
+                                    .silences = log.silences(),
+                                    .spoiled = log.spoiled(),
                                     .storeDisturbances = counts.storeDisturbances };
     for (const auto &node : nodes) {
         observations.disturbances[node->name()] = node->disturbances();
--- a/Tests/Soak/SoakRun.h
+++ b/Tests/Soak/SoakRun.h
@@ -55,6 +55,7 @@
     DeadlyPartFigures deadlyKey;
     unsigned releases = 0;
     unsigned oddEntries = 0;
+    unsigned silences = 0;
     StreamVersionFigures streamVersions;
     StatementFigures statements;
     std::vector<Violation> violations;
--- a/Tests/Soak/SoakServers.cpp
+++ b/Tests/Soak/SoakServers.cpp
@@ -25,6 +25,9 @@
 constexpr Duration LeavingTime = milliseconds(3500);
 constexpr Duration LimitTime = milliseconds(5000);
 constexpr double LimitPerSecond = 2;
+constexpr int ShortestSilenceMs = 800;
+constexpr int LongestSilenceMs = 1500;
+constexpr Duration SilencePollInterval = milliseconds(5);
 
 std::string versionName(int number)
 {
@@ -242,6 +245,7 @@
     std::unique_lock lock(mutex_);
     while (!stopping_) {
         beginStatement();
+        beginSilence();
         if (!doDue(lock)) {
             changed_.wait_for(lock, milliseconds(20));
         }
@@ -282,6 +286,30 @@
     }
 }
 
+void SoakServers::beginSilence()
+{
+    const Instant now = std::chrono::steady_clock::now();
+    if (!ownFaults_ || !disturbances_.contains(Disturbance::SilentServers) || now < nextSilence_) {
+        return;
+    }
+    nextSilence_ = now + milliseconds(between(random_, 300, 1500));
+    Boot &boot = *boots_[static_cast<std::size_t>(
+        between(random_, 0, static_cast<int>(boots_.size()) - 1))];
+    const Instant end = now + milliseconds(between(random_, ShortestSilenceMs, LongestSilenceMs));
+    if (boot.up && !boot.leaving && boot.silentUntil.load() < now) {
+        boot.silentUntil = end;
+        log_.noteSilence({ .boot = boot.name, .begin = now, .end = end });
+    }
+}
+
+void SoakServers::write(const Boot &boot, ScriptedConnection &connection, const std::string &bytes)
+{
+    while (boot.up && std::chrono::steady_clock::now() < boot.silentUntil.load()) {
+        std::this_thread::sleep_for(SilencePollInterval);
+    }
+    connection.write(bytes);
+}
+
 void SoakServers::endStatement(const StatementEnd &end)
 {
     Boot &boot = *end.boot;
@@ -337,28 +365,34 @@
 void SoakServers::serve(Boot &boot, ScriptedConnection &connection)
 {
     ReceivedRequest request;
-    std::string lateBytes;
+    LateState late;
     while (connection.read(request) && boot.up) {
-        connection.write(lateBytes);
-        lateBytes.clear();
+        // A silent server reads nothing: a request that comes begins after the silence.
+        write(boot, connection, late.bytes);
+        if (late.spoilsNext) {
+            log_.noteSpoiled(std::string(request["X-Request-Id"]));
+        }
+        late = {};
         if (request.target().starts_with("/-/")) {
-            connection.write(responseText(404, "", ""));
+            write(boot, connection, responseText(404, "", ""));
             continue;
         }
-        if (!respond(boot, connection, request, lateBytes)) {
+        if (!respond(boot, connection, request, late)) {
             return;
         }
     }
 }
 
 bool SoakServers::respond(Boot &boot, ScriptedConnection &connection,
-                          const ReceivedRequest &request, std::string &lateBytes)
+                          const ReceivedRequest &request, LateState &late)
 {
     const std::string id(request["X-Request-Id"]);
     ServerArrival arrival = statementOf(boot, id);
     if (arrival.pausedUntil != Instant()) {
-        connection.write(responseText(
-            503, "X-Request-Id: " + id + "\r\nX-Not-Run: 1\r\n" + statementLines(arrival), ""));
+        write(boot, connection,
+              responseText(503,
+                           "X-Request-Id: " + id + "\r\nX-Not-Run: 1\r\n" + statementLines(arrival),
+                           ""));
         arrival.answeredAt = std::chrono::steady_clock::now();
         log_.noteArrival(arrival);
         return true;
@@ -402,23 +436,24 @@
         for (const std::string &piece : pieces) {
             length += piece.size();
         }
-        connection.write(serverHeader(plan, id, stream, length, arrival));
+        write(boot, connection, serverHeader(plan, id, stream, length, arrival));
         arrival.answeredAt = std::chrono::steady_clock::now();
     }
     log_.noteArrival(arrival);
     for (const std::string &piece : plan.pieces) {
         std::this_thread::sleep_for(plan.pieceTime);
-        connection.write(plan.delimiter == Delimiter::Chunks ? chunkOf(piece) : piece);
+        write(boot, connection, plan.delimiter == Delimiter::Chunks ? chunkOf(piece) : piece);
     }
     if (!endResponse(boot, connection, run, plan)) {
         return false;
     }
-    const std::string late = lateBytesText(plan.lateBytes, id);
+    const std::string bytes = lateBytesText(plan.lateBytes, id);
+    late.spoilsNext = !bytes.empty();
     if (plan.lateWithNextResponse) {
-        lateBytes = late;
-    } else if (!late.empty()) {
+        late.bytes = bytes;
+    } else if (!bytes.empty()) {
         std::this_thread::sleep_for(plan.lateBy);
-        connection.write(late);
+        write(boot, connection, bytes);
     }
     return plan.lateBytes != LateBytes::CutSecondResponse && !plan.connectionClose;
 }
@@ -441,7 +476,7 @@
         break;
     }
     if (plan.delimiter == Delimiter::Chunks) {
-        connection.write("0\r\n\r\n");
+        write(boot, connection, "0\r\n\r\n");
     }
     log_.noteFinished(run);
     return plan.delimiter != Delimiter::ConnectionEnd;
@@ -459,11 +494,12 @@
     // Some servers end before their first byte is sent, some after it.
     const auto stage = std::hash<std::string>()(id) % 3;
     if (stage > 0) {
-        connection.write(serverHeader(plan, id, stream, soakResponseBody(id, stream).size(), {}));
+        write(boot, connection,
+              serverHeader(plan, id, stream, soakResponseBody(id, stream).size(), {}));
     }
     if (stage > 1) {
         const std::string part = plan.pieces.front().substr(0, plan.pieces.front().size() / 2);
-        connection.write(plan.delimiter == Delimiter::Chunks ? chunkOf(part) : part);
+        write(boot, connection, plan.delimiter == Delimiter::Chunks ? chunkOf(part) : part);
     }
     crash(boot, !byKey, byKey);
 }
--- a/Tests/Soak/SoakServers.h
+++ b/Tests/Soak/SoakServers.h
@@ -57,6 +57,7 @@
         std::atomic<bool> leaving { false };
         std::atomic<Instant> pausedUntil { Instant() };
         std::atomic<double> limit { 0 };
+        std::atomic<Instant> silentUntil { Instant() };
         /// Another server has taken its place, so that it doesn't start again.
         std::atomic<bool> replaced { false };
         std::unique_ptr<ScriptedServer> server;
@@ -76,6 +77,14 @@
         std::string version;
         bool overlapping;
     };
+    /// What a server sends on a connection after a response.
+    struct LateState
+    {
+        /// To be sent when the next request comes.
+        std::string bytes;
+        /// The next request meets bytes of no response.
+        bool spoilsNext = false;
+    };
     /// The end of what a server states: of its limit, or of the process of one that leaves.
     struct StatementEnd
     {
@@ -95,6 +104,9 @@
     void putEntry(const Boot &boot);
     /// Lets a random server state something; the caller holds the mutex.
     void beginStatement();
+    /// Lets a random sound server fall silent; the caller holds the mutex.
+    void beginSilence();
+    void write(const Boot &boot, ScriptedConnection &connection, const std::string &bytes);
     void endStatement(const StatementEnd &end);
     /// What the response to a request states, and its header lines.
     [[nodiscard]] ServerArrival statementOf(const Boot &boot, const std::string &requestId) const;
@@ -104,10 +116,10 @@
                const std::string &nextVersion = {});
     [[nodiscard]] bool mayCrash(const Boot &boot);
     void serve(Boot &boot, ScriptedConnection &connection);
-    /// Responds to one request; returns false if the connection ends. `lateBytes` receives what is
-    /// to be sent when the next request comes.
+    /// Responds to one request; returns false if the connection ends. `late` receives what
+    /// is sent after the response.
     [[nodiscard]] bool respond(Boot &boot, ScriptedConnection &connection,
-                               const ReceivedRequest &request, std::string &lateBytes);
+                               const ReceivedRequest &request, LateState &late);
     void crashByRequest(Boot &boot, ScriptedConnection &connection, const ReceivedRequest &request,
                         bool byKey);
     [[nodiscard]] bool endResponse(Boot &boot, ScriptedConnection &connection, std::size_t run,
@@ -128,6 +140,7 @@
     std::vector<Replacement> replacements_;
     int newestVersion_ = 1;
     Instant nextStatement_;
+    Instant nextSilence_;
     std::thread maintenance_;
 };
 
