--- a/Tests/Soak/Disturbance.h
+++ b/Tests/Soak/Disturbance.h
@@ -36,6 +36,16 @@
     Configuration,
     /// The store comes back from an earlier copy.
     StoreRestore,
+    /// Releases replace engine servers by those of a newer software version.
+    SoftwareVersions,
+    /// Callers take streams that broke off up again; all nodes are killed at once several times.
+    TakeUps,
+    /// Another writer leaves entries that can't be used among the servers and elsewhere.
+    OddEntries,
+    /// Long requests until the process of the node has ended, and grace periods of several lengths.
+    LateRequests,
+    /// Sound backend servers neither send nor read for a second or so.
+    SilentServers,
 };
 
 using Disturbances = std::set<Disturbance>;
--- a/Tests/Soak/NodeProcess.h
+++ b/Tests/Soak/NodeProcess.h
@@ -18,6 +18,16 @@
     Instant end;
 };
 
+/// A stop that was asked for with SIGTERM.
+struct NodeStop
+{
+    Instant at;
+    /// Time until SIGKILL.
+    Duration grace {};
+    /// The process was paused before its end.
+    bool paused = false;
+};
+
 /// One gateway node that runs as a process of its own, with a settings file in a folder.
 class NodeProcess
 {
@@ -43,9 +53,12 @@
     /// Starts the process. Throws std::system_error if it cannot be started.
     void start();
     /// Sends a signal to the process. May be called by several threads.
-    void signal(int number) const;
+    void signal(int number);
     /// Rewrites the settings file with another retry allowance, as before a SIGHUP.
     void changeSettings(int retryAllowance) const;
+    /// Changes the time from SIGTERM to SIGKILL, in the settings file from its next change on.
+    void setStopGrace(Duration grace) { options_.stopGrace = grace; }
+    [[nodiscard]] Duration stopGrace() const { return options_.stopGrace; }
     /// Waits until the process has ended, for `limit` at most; returns false if it still runs.
     [[nodiscard]] bool waitForEnd(Duration limit);
     /// Kills the process and waits for its end.
@@ -61,6 +74,7 @@
     /// Records a span in which the process was started, stopped, killed or paused.
     void noteDisturbance(TimeSpan span);
     [[nodiscard]] std::vector<TimeSpan> disturbances() const;
+    [[nodiscard]] std::vector<NodeStop> stops() const;
 
 private:
     Options options_;
@@ -71,6 +85,8 @@
     mutable std::mutex mutex_;
     pid_t process_ = -1;
     std::vector<TimeSpan> disturbances_;
+    std::vector<NodeStop> stops_;
+    bool paused_ = false;
     std::atomic<unsigned> kills_ { 0 };
     std::atomic<unsigned> ends_ { 0 };
 };
--- a/Tests/Soak/SoakJudge.cpp
+++ b/Tests/Soak/SoakJudge.cpp
@@ -3,8 +3,10 @@
 #include <algorithm>
 #include <set>
 
+#include "SilenceJudge.h"
 #include "SoakStatementJudge.h"
 #include "SoakTraffic.h"
+#include "StreamVersionJudge.h"
 
 namespace jacinthroad {
 
@@ -43,6 +45,18 @@
         + ")";
 }
 
+/// The body of the only right response to a request, without software versions.
+std::string ownBody(const CallerRecord &record)
+{
+    const std::vector<std::string> pieces
+        = soakResponsePieces(record.stream, isStream(record.route));
+    std::string body;
+    for (std::size_t number = record.resumeAfter; number < pieces.size(); ++number) {
+        body += pieces[number];
+    }
+    return body;
+}
+
 /// Returns the broken promises of the response to one request.
 std::vector<Violation> checkResponse(const CallerRecord &record, const RequestRuns &runs)
 {
@@ -50,7 +64,9 @@
     const auto add = [&](const char *check, const std::string &what) {
         violations.push_back({ .check = check, .text = describe(record, runs, what) });
     };
-    const std::string own = soakResponseBody(record.id, isStream(record.route));
+    const std::string own = ownBody(record);
+    std::set<std::string> versions;
+    const std::string body = withoutVersions(record.body, versions);
     const bool looksComplete = record.outcome == CallerOutcome::Answered;
     if (isSuccess(record.status)) {
         if (runs.count == 0) {
@@ -58,10 +74,10 @@
         }
         if (!record.idMatches || !record.stamped) {
             add("not-own", "success without its own id and a stamp");
-        } else if (!own.starts_with(record.body)) {
+        } else if (!own.starts_with(body)) {
             add(isStream(record.route) ? "event-order" : "not-own",
                 "body has other bytes than its own: " + record.body.substr(0, 200));
-        } else if (looksComplete && record.body != own) {
+        } else if (looksComplete && body != own) {
             add("incomplete", "looks complete, and is short");
         }
     } else if (record.stamped) {
@@ -214,6 +230,30 @@
     });
 }
 
+bool mayBeCutByStop(const SoakObservations &observations, const CallerRecord &record)
+{
+    // The server was still at work in the last sixth of the grace period on a request that was sent
+    // soon after the beginning of the stop; or the node was paused.
+    constexpr Duration EarlyTime = std::chrono::seconds(3);
+    std::vector<ServerRun> runs;
+    std::copy_if(observations.runs.begin(), observations.runs.end(), std::back_inserter(runs),
+                 [&](const ServerRun &run) {
+                     return run.requestId == record.id
+                         && (record.slow || wasSilent(observations, run, record));
+                 });
+    const auto &stops = observations.stops.at(record.node);
+    return !runs.empty() && std::any_of(stops.begin(), stops.end(), [&](const NodeStop &stop) {
+        const Instant lastSixth = stop.at + stop.grace * 5 / 6;
+        const bool atWork = std::any_of(runs.begin(), runs.end(), [&](const ServerRun &run) {
+            return !run.finished || run.finishedAt >= lastSixth;
+        });
+        const bool early
+            = atWork && record.sentAt <= stop.at + EarlyTime && record.endedAt >= lastSixth;
+        return (early || stop.paused) && record.endedAt >= stop.at
+            && record.endedAt <= stop.at + stop.grace + std::chrono::seconds(1);
+    });
+}
+
 DeadlyPartFigures countDeadlyPart(const SoakObservations &observations)
 {
     const std::vector<Instant> crashes
@@ -252,7 +292,8 @@
         RequestRuns requestRuns = found == runs.end() ? RequestRuns {} : found->second;
         requestRuns.brokenOff = requestRuns.brokenOff
             || (record.outcome == CallerOutcome::ConnectionClosed
-                && serverEndedMeanwhile(observations, record));
+                && (serverEndedMeanwhile(observations, record)
+                    || mayBeCutByStop(observations, record)));
         for (const auto &check : { checkResponse, checkRuns }) {
             const std::vector<Violation> broken = check(record, requestRuns);
             violations.insert(violations.end(), broken.begin(), broken.end());
@@ -272,8 +313,11 @@
               .text = std::to_string(keyFigures.lateArrivalsFromCalmNodes)
                   + " requests of the deadly key reached servers after the limit" });
     }
-    const std::vector<Violation> statements = findStatementViolations(observations);
-    violations.insert(violations.end(), statements.begin(), statements.end());
+    for (const auto &check :
+         { findStatementViolations, findStreamVersionViolations, findSilenceViolations }) {
+        const std::vector<Violation> broken = check(observations);
+        violations.insert(violations.end(), broken.begin(), broken.end());
+    }
     if (figures.related >= LeastRelated && figures.relatedServed * 2 < figures.related) {
         violations.push_back({ .check = "related-unserved",
                                .text = "only " + std::to_string(figures.relatedServed) + " of "
--- a/Tests/Soak/SoakJudge.h
+++ b/Tests/Soak/SoakJudge.h
@@ -2,6 +2,7 @@
 
 #include <cstdint>
 #include <map>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -27,14 +28,21 @@
 struct CallerRecord
 {
     std::string id;
+    /// Request whose response this one goes on with; its own id unless it takes a stream up again.
+    std::string stream;
+    /// Number of the last event that the caller had; 0 for a request from the start.
+    unsigned resumeAfter = 0;
     std::string node;
     Instant sentAt;
+    Instant endedAt;
     std::string route;
     std::string key;
     /// Identifier of the first prompt part; empty if the request has none.
     std::string firstPart;
     /// True if a prompt part crashes servers.
     bool deadly = false;
+    /// True if its response takes so long that the end of a stop may cut it.
+    bool slow = false;
     CallerOutcome outcome = CallerOutcome::TimedOut;
     /// 0 if no header came.
     int status = 0;
@@ -59,8 +67,15 @@
     std::vector<ServerRun> runs;
     std::vector<ServerCrash> crashes;
     std::vector<ServerArrival> arrivals;
+    std::vector<ServingSpan> servingSpans;
+    std::vector<ServerSilence> silences;
+    /// Requests on whose connections servers had sent bytes of no response before.
+    std::set<std::string> spoiled;
     /// By name of the node.
     std::map<std::string, std::vector<TimeSpan>> disturbances;
+    std::map<std::string, std::vector<NodeStop>> stops;
+    /// Spans in which the store was away or lacked what had been written.
+    std::vector<TimeSpan> storeDisturbances;
 };
 
 /// One broken promise.
@@ -90,6 +105,8 @@
 [[nodiscard]] DeadlyPartFigures countDeadlyPart(const SoakObservations &observations);
 /// The same for the deadly key; related requests are not counted.
 [[nodiscard]] DeadlyPartFigures countDeadlyKey(const SoakObservations &observations);
+/// True if the end of a stop of its node may cut this request by the rules.
+[[nodiscard]] bool mayBeCutByStop(const SoakObservations &observations, const CallerRecord &record);
 /// Checks the promises of the gateway on single responses, runs and deadly prompt parts.
 [[nodiscard]] std::vector<Violation> findViolations(const SoakObservations &observations);
 
