--- a/Source/Fleet/ListedServer.h
+++ b/Source/Fleet/ListedServer.h
@@ -12,6 +12,9 @@
 /// The version of a model's weights; starts at 1 and increases.
 using WeightsVersion = std::uint32_t;
 
+/// The version of a server's software; servers of several versions may serve one service.
+using SoftwareVersion = std::string;
+
 /// One start of a backend server's process.
 struct ServerInstance
 {
@@ -39,6 +42,8 @@
     /// Remaining warm-up time after the start, during which the server is slow.
     Duration warmUpRemaining {};
     std::map<ModelId, WeightsVersion> models;
+    /// Empty if the platform names none.
+    SoftwareVersion softwareVersion;
     /// Boot time in Unix milliseconds; tells restarts under the same identifier apart.
     std::int64_t bootedAt = 0;
 
