--- a/Tests/Platform/WireTest.cpp
+++ b/Tests/Platform/WireTest.cpp
@@ -211,6 +211,19 @@
     BOOST_TEST(readServer("i-7f", state)->leaving);
 }
 
+BOOST_AUTO_TEST_CASE(serverEntryNamesItsSoftwareVersion)
+{
+    BOOST_TEST(readServer("i-7f", sampleServer())->softwareVersion == "v1");
+    Json::Value entry = sampleServer();
+    entry.removeMember("version");
+    BOOST_REQUIRE(readServer("i-7f", entry).has_value());
+    BOOST_TEST(readServer("i-7f", entry)->softwareVersion.empty());
+    for (const char *odd : { "1", "1.5", "true", "[]", "{}", R"(["v1"])" }) {
+        entry["version"] = *parseJson(odd);
+        BOOST_TEST(!readServer("i-7f", entry).has_value(), odd);
+    }
+}
+
 BOOST_AUTO_TEST_CASE(decodesConfiguration)
 {
     const auto read = readConfiguration(*parseJson(
