Gateway: Keep the version table and stream records in the store

StreamVersionSync reads and writes the version table and this node's stream records, and answers which version a resumed stream began at: from memory, else from one read for all resumes that wait. Everything is on the control thread; the traffic thread doesn't use the admitted versions yet.

While a restored store may lack what nodes wrote last, a single version proves nothing.

--- a/Source/Gateway/Gateway.cpp
+++ b/Source/Gateway/Gateway.cpp
@@ -6,6 +6,7 @@
 #include <map>
 #include <memory>
 #include <optional>
+#include <set>
 #include <thread>
 #include <utility>
 
@@ -31,6 +32,7 @@
 #include "Gateway/RolloutDriver.h"
 #include "Gateway/StatusServer.h"
 #include "Gateway/StoreSync.h"
+#include "Gateway/StreamVersionSync.h"
 #include "Routing/Rendezvous.h"
 #include "platform/StoreObjects.h"
 
@@ -114,6 +116,20 @@
     return std::nullopt;
 }
 
+/// Returns the services whose streams can be resumed.
+std::set<ServiceId> resumableServices(const FleetConfiguration &configuration)
+{
+    std::set<ServiceId> services;
+    for (const Route &route : configuration.routes) {
+        if (route.kind == RouteKind::Streaming && route.resumable) {
+            for (const ServiceShare &share : route.services) {
+                services.insert(share.service);
+            }
+        }
+    }
+    return services;
+}
+
 /// Returns the era that a node's object records as settled; 0 if it records none.
 std::uint64_t settledEra(const Json::Value &node)
 {
@@ -150,7 +166,11 @@
                 .name = "servers",
                 .watchWait = ServersWait,
                 .minimumPause = ServersMinimumPause },
-              [this](const ObjectTable &table) { onServersChanged(table); }, [](BootInstant) {})
+              [this](const ObjectTable &table) { onServersChanged(table); },
+              [this](BootInstant moment) {
+                  streamVersions.confirmServers(std::chrono::steady_clock::now()
+                                                - (bootNow() - moment));
+              })
         , weights(
               controlContext, store,
               { .kind = platform::ObjectKind::DesiredWeights,
@@ -167,6 +187,8 @@
               { .reporter = traffic.crashReporter, .seed = traffic.crashReporter },
               [this](std::vector<CrashRecord> records) { onCrashRecordsRead(std::move(records)); },
               [this] { applyHeldConfiguration(); })
+        , streamVersions(controlContext, store, { .node = settings.name },
+                         [this](const VersionTable &table) { onAdmittedVersions(table); })
         , boot(wallMilliseconds())
         , digests(traffic, boot)
         , rollout(
@@ -204,6 +226,8 @@
     void onCrashRecordsRead(std::vector<CrashRecord> records);
     /// Passes the crash records that must outlast a restart of all nodes to the control thread.
     void reportCrashRecords();
+    /// Passes the versions that streams may be sent to to the traffic thread.
+    void onAdmittedVersions(const VersionTable &table);
     void onServersChanged(const ObjectTable &table);
     /// Passes the decoded server list on, and again when the time after a restore has ended.
     void applyServerList();
@@ -240,6 +264,7 @@
     StoreSync weights;
     StoreSync nodes;
     CrashRecordSync crashRecords;
+    StreamVersionSync streamVersions;
     std::int64_t boot;
     DigestExchange digests;
     RolloutDriver rollout;
@@ -325,6 +350,7 @@
     }
     configuration.onRegained = [this] { crashRecords.noteStoreRegained(); };
     asio::co_spawn(controlContext, crashRecords.run(), asio::detached);
+    asio::co_spawn(controlContext, streamVersions.run(), asio::detached);
     asio::co_spawn(controlContext, configuration.run(), asio::detached);
     asio::co_spawn(controlContext, servers.run(), asio::detached);
     asio::co_spawn(controlContext, weights.run(), asio::detached);
@@ -395,6 +421,7 @@
                                            .contentHash = hash64(writeJson(found->second.spec)),
                                            .era = store.era(),
                                            .revision = found->second.revision };
+    streamVersions.applyServices(resumableServices(*read));
     asio::post(trafficContext,
                [this, identity, routes = std::make_shared<const RouteTable>(std::move(*read))] {
                    traffic.applyConfiguration(identity, routes);
@@ -436,10 +463,16 @@
     });
 }
 
+void Gateway::Parts::onAdmittedVersions(const VersionTable &table)
+{
+    asio::post(trafficContext, [table] { static_cast<void>(table); });
+}
+
 void Gateway::Parts::onConfigurationConfirmed(BootInstant moment)
 {
     eraSettling.noteEra(store.era().value_or(0), bootNow());
     const bool proves = eraSettling.readsProve(bootNow());
+    streamVersions.setStoreSettled(proves);
     configuration.setWatchWait(proves ? ConfigurationWait : UnsettledWait);
     if (!proves) {
         if (unprovenEra != store.era()) {
@@ -487,6 +520,8 @@
     std::vector<ListedServer> list
         = serverList.apply(entries, store.era().value_or(0), std::chrono::steady_clock::now());
     rollout.applyServers(list);
+    // Versions that may no longer be used are passed on before the servers that have them.
+    streamVersions.applyServers(list);
     asio::post(trafficContext, [this, list = std::move(list)] {
         traffic.applyServers(list, std::chrono::steady_clock::now());
     });
@@ -526,6 +561,7 @@
         }
         eraSettling.noteRecorded(settledEra(object.spec));
     }
+    streamVersions.setNodeCount(addresses.size());
     asio::post(trafficContext, [this, addresses] { digests.applyPeers(addresses); });
 }
 
--- a/Tests/Gateway/StoreStandIn.cpp
+++ b/Tests/Gateway/StoreStandIn.cpp
@@ -105,6 +105,12 @@
     return writes_[kind];
 }
 
+int StoreStandIn::calls()
+{
+    const std::lock_guard lock(mutex_);
+    return calls_;
+}
+
 Json::Value StoreStandIn::spec(const std::string &kind, const std::string &name)
 {
     const std::lock_guard lock(mutex_);
@@ -135,6 +141,7 @@
     while (connection.read(request)) {
         {
             const std::lock_guard lock(mutex_);
+            ++calls_;
             if (unresponsive_) {
                 continue;
             }
--- a/Tests/Gateway/StoreStandIn.h
+++ b/Tests/Gateway/StoreStandIn.h
@@ -47,6 +47,8 @@
     void loseResponses(const std::string &kind, int count);
     /// Number of writes of this kind that were applied or rejected.
     [[nodiscard]] int writes(const std::string &kind);
+    /// Number of calls of any kind that were received.
+    [[nodiscard]] int calls();
     /// Returns the spec of an object; null if it does not exist.
     [[nodiscard]] Json::Value spec(const std::string &kind, const std::string &name);
 
@@ -87,6 +89,7 @@
     Objects savedObjects_;
     std::uint64_t savedRevision_ = 1;
     std::vector<Change> changes_;
+    int calls_ = 0;
     std::map<std::string, int> writes_;
     std::map<std::string, int> responsesToLose_;
     ScriptedServer server_;
