--- a/Source/Gateway/StreamVersionsObject.cpp
+++ b/Source/Gateway/StreamVersionsObject.cpp
@@ -135,7 +135,7 @@
         entry["at_ms"] = Json::Int64(batch.atMs);
         entry["service"] = batch.service.text();
         entry["version"] = batch.version;
-        entry["streams"] = std::move(streams);
+        entry["streams"] = streams;
         spec["batches"].append(std::move(entry));
     }
     return spec;
--- a/Source/StreamVersions/ServedVersions.cpp
+++ b/Source/StreamVersions/ServedVersions.cpp
@@ -84,9 +84,10 @@
             sightings_[service][version].listedAt = at;
         }
     }
-    for (auto &[service, versions] : sightings_) {
-        std::erase_if(versions, [&](const auto &item) {
-            return !isListed(service, item.first) && !contains(table_.versions, service, item.first)
+    for (auto &row : sightings_) {
+        std::erase_if(row.second, [&](const auto &item) {
+            return !isListed(row.first, item.first)
+                && !contains(table_.versions, row.first, item.first)
                 && (!item.second.listedAt.has_value()
                     || at - *item.second.listedAt >= options_.retention);
         });
--- a/Tests/StreamVersions/ServedVersionsTest.cpp
+++ b/Tests/StreamVersions/ServedVersionsTest.cpp
@@ -123,7 +123,12 @@
     fixture.pass(1000, RetentionMs);
     BOOST_TEST((fixture.stored() == VersionSet { "v1", "v2" }));
     BOOST_TEST((fixture.admitted(RetentionMs) == VersionSet { "v1", "v2" }));
-    fixture.pass(RetentionMs + 1000, RetentionMs + 3000);
+    // The removal is announced, and follows once the list was confirmed again.
+    fixture.pass(RetentionMs + 1000, RetentionMs + 1000);
+    fixture.run(RetentionMs + 1900);
+    BOOST_TEST((fixture.stored() == VersionSet { "v1", "v2" }));
+    BOOST_TEST((fixture.content.leaving == VersionTable { { Service, { "v1" } } }));
+    fixture.pass(RetentionMs + 2000, RetentionMs + 3000);
     BOOST_TEST((fixture.stored() == VersionSet { "v2" }));
     BOOST_TEST(fixture.content.leaving.empty());
     BOOST_TEST((fixture.node.known(Service, at(RetentionMs + 3000)) == VersionSet { "v2" }));
