--- a/Tests/Gateway/StoreStandIn.h
+++ b/Tests/Gateway/StoreStandIn.h
@@ -49,6 +49,8 @@
     void loseResponses(const std::string &kind, int count);
     /// Number of writes of this kind that were applied or rejected.
     [[nodiscard]] int writes(const std::string &kind);
+    /// Number of calls of any kind that were received.
+    [[nodiscard]] int calls();
     /// Returns the spec of an object; null if it does not exist.
     [[nodiscard]] Json::Value spec(const std::string &kind, const std::string &name);
 
@@ -91,6 +93,7 @@
     std::vector<Change> changes_;
     /// Texts of putText() by the string that stands for each of them in the objects.
     std::map<std::string, std::string> texts_;
+    int calls_ = 0;
     std::map<std::string, int> writes_;
     std::map<std::string, int> responsesToLose_;
     ScriptedServer server_;
