Platform: Read the origin of a resumed stream and the boot in reports

A caller that resumes a stream names in Resumes the attempt that brought its first event. A server's report names the boot of the process that gives it, which tells a server that started again under its id from the listed one.

--- a/Source/Fleet/CallerRequest.h
+++ b/Source/Fleet/CallerRequest.h
@@ -36,6 +36,9 @@
     /// Identifier of the last event received by the caller when it resumes a stream; empty
     /// otherwise.
     std::string resumeAfter;
+    /// The attempt that brought the first event of the stream that the caller resumes; empty
+    /// otherwise, or if the caller doesn't name it.
+    RequestId resumes;
 };
 
 } // namespace jacinthroad
--- a/Tests/Platform/WireTest.cpp
+++ b/Tests/Platform/WireTest.cpp
@@ -60,6 +60,20 @@
     BOOST_TEST(request->parts[1].tokens == 410U);
     BOOST_TEST(request->promptTokens == 1460U);
     BOOST_TEST(request->maximumOutputTokens == 80U);
+    BOOST_TEST(request->resumes.empty());
+}
+
+BOOST_AUTO_TEST_CASE(decodesOriginOfResumedStream)
+{
+    http::request_header<> header = sampleHeader();
+    header.set("Last-Event-Id", "12");
+    header.set("Resumes", "5e0c");
+    const auto request = readCallerRequest(header);
+    BOOST_REQUIRE(request.has_value());
+    BOOST_TEST(request->resumeAfter == "12");
+    BOOST_TEST(request->resumes.text() == "5e0c");
+    header.insert("Resumes", "other");
+    BOOST_TEST(!readCallerRequest(header).has_value());
 }
 
 BOOST_AUTO_TEST_CASE(rejectsMalformedMissingAndRepeatedHeaders)
@@ -316,6 +330,14 @@
     BOOST_TEST(report->acceptedOrders == 2U);
 }
 
+BOOST_AUTO_TEST_CASE(readsBootInReport)
+{
+    BOOST_TEST((readReportedBoot(R"({"seq":2,"born":1700000000123})") == 1700000000123));
+    for (const char *body : { R"({"seq":2})", R"({"born":"1"})", R"({"born":1.5})", "[1]", "x" }) {
+        BOOST_TEST(!readReportedBoot(body).has_value(), body);
+    }
+}
+
 BOOST_AUTO_TEST_CASE(readsEraOfStore)
 {
     http::fields headers;
