Placement: Choose among servers of given software versions

A request may name the software versions that may take it. Other servers are neither candidates nor owners of its prompt, so that the nodes agree on the owner among those that are left.

--- a/Source/Placement/ServerPool.h
+++ b/Source/Placement/ServerPool.h
@@ -4,6 +4,7 @@
 #include <limits>
 #include <map>
 #include <optional>
+#include <set>
 #include <span>
 #include <string>
 #include <string_view>
@@ -36,6 +37,8 @@
     std::span<const ServerId> tried;
     /// Spreads the return of callers that are refused together.
     std::uint64_t seed = 0;
+    /// The software versions of the servers that may take it; null for any.
+    const std::set<SoftwareVersion> *softwareVersions = nullptr;
 };
 
 /// The server chosen for a request.
@@ -45,6 +48,7 @@
     std::string address;
     /// Boot time of the server in Unix milliseconds.
     std::int64_t bootedAt = 0;
+    SoftwareVersion softwareVersion;
     /// Version of the weights that the server is known to run; none if it runs no model.
     std::optional<WeightsVersion> weights;
     /// Prompt tokens that the server is believed to have cached.
--- a/Source/Placement/ServerPoolPlacement.cpp
+++ b/Source/Placement/ServerPoolPlacement.cpp
@@ -269,6 +269,10 @@
             continue;
         }
         ++listed;
+        if (request.softwareVersions != nullptr
+            && !request.softwareVersions->contains(server.facts.softwareVersion)) {
+            continue;
+        }
         if (!acceptsWork(server, now) || outdatedWeightsExpired(server, request.model, now)) {
             continue;
         }
@@ -331,6 +335,7 @@
     Placement placement { .server = best->facts.id,
                           .address = best->facts.address,
                           .bootedAt = best->facts.bootedAt,
+                          .softwareVersion = best->facts.softwareVersion,
                           .cachedPromptTokens = bestCached,
                           .cost = bestCost.totalMs,
                           .wait = fromMilliseconds(bestCost.waitMs),
--- a/Tests/Placement/ServerPoolTest.cpp
+++ b/Tests/Placement/ServerPoolTest.cpp
@@ -519,6 +519,55 @@
     }
 }
 
+BOOST_AUTO_TEST_CASE(onlyServersOfTheNamedSoftwareVersionsTakeARequest)
+{
+    ListedServer old = engine("e1");
+    old.softwareVersion = "v1";
+    ListedServer newer = engine("e2");
+    newer.softwareVersion = "v2";
+    ServerPool pool = poolOf({ old, newer });
+    const std::set<SoftwareVersion> oldOnly { "v1" };
+    const std::set<SoftwareVersion> both { "v1", "v2" };
+    const std::set<SoftwareVersion> none;
+    const std::vector<ServerId> tried { old.id };
+    PlacementRequest request { .service = Engines, .model = Model, .softwareVersions = &oldOnly };
+    for (int count = 0; count < 10; ++count) {
+        const Placement placement = chosen(pool, request, at(1));
+        BOOST_TEST((placement.server == old.id));
+        BOOST_TEST(placement.softwareVersion == "v1");
+        BOOST_TEST(placement.candidates == 1U);
+        pool.noteSent(placement.server, request, 0, at(1));
+    }
+    request.tried = tried;
+    BOOST_TEST(std::holds_alternative<NoPlacement>(pool.choose(request, at(1))));
+    request.softwareVersions = &both;
+    BOOST_TEST((chosen(pool, request, at(1)).server == newer.id));
+    request.softwareVersions = &none;
+    BOOST_TEST(std::holds_alternative<NoPlacement>(pool.choose(request, at(1))));
+}
+
+BOOST_AUTO_TEST_CASE(ownerOfAPromptIsAmongTheServersOfTheNamedSoftwareVersions)
+{
+    std::vector<ListedServer> servers;
+    for (int index = 0; index < 8; ++index) {
+        servers.push_back(engine("e" + std::to_string(index)));
+        servers.back().softwareVersion = index % 2 == 0 ? "v1" : "v2";
+    }
+    const std::vector<ListedServer> old { servers[0], servers[2], servers[4], servers[6] };
+    const std::set<SoftwareVersion> oldOnly { "v1" };
+    const ServerPool pool = poolOf(servers);
+    const ServerPool oldPool = poolOf(old);
+    for (std::uint64_t id = 1; id <= 20; ++id) {
+        const std::vector<PromptPart> parts { { .id = id, .tokens = 500 } };
+        PlacementRequest request {
+            .service = Engines, .model = Model, .parts = parts, .promptTokens = 600
+        };
+        const Placement expected = chosen(oldPool, request, at(1));
+        request.softwareVersions = &oldOnly;
+        BOOST_TEST((chosen(pool, request, at(1)).server == expected.server));
+    }
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace jacinthroad
