Gateway: Keep a stream at the software version that began it

Callers got streams that were joined from two software versions of a service: within one response, when a server broke off or fell silent and the stream went on at a server of another version, and over their tries, when they resumed a stream at a node that knew nothing of its beginning, most of all after all nodes had ended at once. Nothing in the responses showed it.

Cause: software versions took no part in the choice of a server, and no node knew which version had begun a stream.

A resumable stream is now sent only to versions that the version table contains, its first send fixes the version for all further attempts, and the node remembers it and has it recorded while several versions serve. A request that resumes a stream goes to the version that memory, the records or a proven single version name; otherwise it is refused as not run with the new kind stream_origin_unknown. While several versions serve, or after a connection to a server was lost, a new connection is used for a resumable stream only after the server's report on it has named the listed boot. A split route leads a resumed stream to the service that began it. Requests are logged with software_version, resumes and resume_refused, and resumes are counted by outcome.

--- a/Source/Core/ErrorKind.cpp
+++ b/Source/Core/ErrorKind.cpp
@@ -6,7 +6,7 @@
 
 namespace {
 
-constexpr std::array<ErrorResponse, 26> Responses { {
+constexpr std::array<ErrorResponse, 27> Responses { {
     { ErrorKind::InvalidRequest, "invalid_request", 400, 0,
       "Correct the named field and send the request again." },
     { ErrorKind::Unauthorized, "unauthorized", 401, 0,
@@ -31,6 +31,8 @@
       "Send the request again; the balancer will pick another node." },
     { ErrorKind::NoBackendServer, "no_backend_server", 503, 2000,
       "Send the request again later; operators see the reason in 'jacinthroad status'." },
+    { ErrorKind::StreamOriginUnknown, "stream_origin_unknown", 503, 500,
+      "Send the request again, or start the stream anew without Last-Event-Id." },
     { ErrorKind::PlatformUnavailable, "platform_unavailable", 503, 2000,
       "Calls that may not be repeated wait for the platform; send it again later." },
     { ErrorKind::IdempotencyKeyMissing, "idempotency_key_missing", 400, 0,
--- a/Source/Core/ErrorKind.h
+++ b/Source/Core/ErrorKind.h
@@ -21,6 +21,7 @@
     DeadlineUnreachable,
     Draining,
     NoBackendServer,
+    StreamOriginUnknown,
     PlatformUnavailable,
     IdempotencyKeyMissing,
     IdempotencyKeyReused,
--- a/Source/Fleet/RouteTable.cpp
+++ b/Source/Fleet/RouteTable.cpp
@@ -23,6 +23,13 @@
     }
 }
 
+bool RouteTable::hasResumableStreams() const
+{
+    return std::any_of(
+        configuration_.routes.begin(), configuration_.routes.end(),
+        [](const Route &route) { return route.kind == RouteKind::Streaming && route.resumable; });
+}
+
 const Route *RouteTable::route(std::string_view host, std::string_view path) const
 {
     const auto routes = byHost_.find(std::string(host));
--- a/Source/Fleet/RouteTable.h
+++ b/Source/Fleet/RouteTable.h
@@ -26,6 +26,8 @@
     }
     /// True if requests need a key, except on anonymous routes.
     [[nodiscard]] bool hasTeams() const { return !configuration_.teams.empty(); }
+    /// True if callers can resume the streams of a route.
+    [[nodiscard]] bool hasResumableStreams() const;
 
     /// The route of a host (lower case, without a port) with the longest prefix of the path, or
     /// null.
--- a/Source/Gateway/ConnectionPool.cpp
+++ b/Source/Gateway/ConnectionPool.cpp
@@ -17,6 +17,12 @@
         && peek(connection.socket) == PeekResult::NoData;
 }
 
+/// Returns true if the server closed an idle connection before the time that it had announced.
+bool wasClosedEarly(ServerConnection &connection, Instant now)
+{
+    return now < connection.usableUntil && peek(connection.socket) == PeekResult::Closed;
+}
+
 } // namespace
 
 std::unique_ptr<ServerConnection> ConnectionPool::acquire(const ServerId &server,
@@ -37,6 +43,9 @@
         if (isUsable(*connection, now)) {
             return connection;
         }
+        if (wasClosedEarly(*connection, now)) {
+            noteLost(server);
+        }
     }
     return nullptr;
 }
@@ -57,8 +66,14 @@
 {
     for (auto entry = idle_.begin(); entry != idle_.end();) {
         auto &connections = entry->second;
-        std::erase_if(connections,
-                      [&](const auto &connection) { return !isUsable(*connection, now); });
+        const ServerId &server = entry->first;
+        std::erase_if(connections, [&](const auto &connection) {
+            const bool usable = isUsable(*connection, now);
+            if (!usable && wasClosedEarly(*connection, now)) {
+                noteLost(server);
+            }
+            return !usable;
+        });
         entry = connections.empty() ? idle_.erase(entry) : std::next(entry);
     }
 }
--- a/Source/Gateway/ConnectionPool.h
+++ b/Source/Gateway/ConnectionPool.h
@@ -4,6 +4,7 @@
 #include <memory>
 #include <string>
 #include <unordered_map>
+#include <unordered_set>
 #include <vector>
 
 #include <boost/asio/ip/tcp.hpp>
@@ -46,9 +47,15 @@
     void closeIdle(const ServerId &server);
     /// Closes connections that were idle too long, received data or were closed by the server.
     void closeExpired(Instant now);
+    /// Records that a connection to a server was lost, so that another process may listen now.
+    void noteLost(const ServerId &server) { lost_.insert(server); }
+    /// Returns true if a connection to a server was lost since forgetLost() was called last.
+    [[nodiscard]] bool hasLost(const ServerId &server) const { return lost_.contains(server); }
+    void forgetLost(const ServerId &server) { lost_.erase(server); }
 
 private:
     std::unordered_map<ServerId, std::vector<std::unique_ptr<ServerConnection>>> idle_;
+    std::unordered_set<ServerId> lost_;
 };
 
 } // namespace jacinthroad
--- a/Source/Gateway/Exchange.cpp
+++ b/Source/Gateway/Exchange.cpp
@@ -173,13 +173,21 @@
         end = co_await sendRefusal(*refusal, milliseconds(errorResponse(*refusal).retryAfterMs));
     } else {
         preparePlacement();
-        const ServiceId *service = RouteTable::target(*route_, hash64(callerRequest_.id.text()));
+        // A route that is split leads a stream to the service that began it.
+        const ServiceId *service = RouteTable::target(*route_, hash64(originId()));
         if (service == nullptr) {
             end = co_await sendRefusal(ErrorKind::NoBackendServer, milliseconds(500));
         } else {
             placementRequest_.service = *service;
             state_.retryBudget.noteRequest(*service, std::chrono::steady_clock::now());
-            end = co_await runAttempts();
+            const bool originFound = co_await findOrigin();
+            if (originFound) {
+                end = co_await runAttempts();
+            } else {
+                end = co_await sendRefusal(
+                    ErrorKind::StreamOriginUnknown,
+                    milliseconds(errorResponse(ErrorKind::StreamOriginUnknown).retryAfterMs));
+            }
         }
     }
     logResult(end);
@@ -217,6 +225,7 @@
             co_return co_await sendRefusal(ErrorKind::BackendFailed, Duration::zero());
         }
         placementRequest_.tried = triedServers_;
+        restrictVersions();
         const auto chosen = state_.pool.choose(placementRequest_, now);
         if (const auto *none = std::get_if<NoPlacement>(&chosen)) {
             if (headerDelivered_) {
@@ -226,6 +235,7 @@
                 co_return co_await sendResponse();
             }
             withheld_ = none->withheld;
+            noteNoServer();
             const ErrorKind refused
                 = none->withheld.allowed() ? ErrorKind::NoBackendServer : ErrorKind::Overloaded;
             co_return co_await sendRefusal(
@@ -338,6 +348,7 @@
     }
     std::vector<ServerId> tried = triedServers_;
     tried.push_back(current);
+    restrictVersions();
     PlacementRequest request = placementRequest_;
     request.tried = tried;
     const auto chosen = state_.pool.choose(request, now);
@@ -448,6 +459,9 @@
           { "held_tokens", std::int64_t { placement_.cachedPromptTokens } },
           { "fetched_tokens", std::int64_t { placement_.tokensAfterFetch } },
           { "weights", std::int64_t { placement_.weights.value_or(0) } },
+          { "software_version", placement_.softwareVersion },
+          { "resumes", callerRequest_.resumes.text() },
+          { "resume_refused", resumeRefusal_ },
           { "withheld", withholdReasonName(withheld_.reason) },
           { "statement_age_ms", toMilliseconds(withheld_.age) },
           { "sends", std::int64_t { sends_ } },
--- a/Source/Gateway/Exchange.h
+++ b/Source/Gateway/Exchange.h
@@ -103,6 +103,12 @@
     [[nodiscard]] boost::asio::awaitable<ExchangeResult> runAttempts();
     [[nodiscard]] boost::asio::awaitable<AttemptResult> runAttempt(const Placement &placement);
     [[nodiscard]] boost::asio::awaitable<bool> connect(std::shared_ptr<Attempt> attempt);
+    /// Asks the process at the other end of a new connection for its boot; returns false if it is
+    /// not the listed one, or if that is unknown while several software versions serve.
+    [[nodiscard]] boost::asio::awaitable<bool> confirmProcess(Attempt &attempt,
+                                                              bool severalVersions);
+    /// Records that the attempt lost its connection, if the server is listed with the same start.
+    void noteConnectionLost(const Attempt &attempt, AttemptResult end, bool sameStart);
     [[nodiscard]] boost::asio::awaitable<AttemptResult> receiveResponse(Attempt &attempt);
     [[nodiscard]] boost::asio::awaitable<AttemptResult> readCompleteResponse(Attempt &attempt);
     [[nodiscard]] boost::asio::awaitable<AttemptResult> relayStream(Attempt &attempt);
@@ -171,6 +177,24 @@
     [[nodiscard]] platform::ForwardOptions forwardFacts(const Placement &placement,
                                                         Instant now) const;
     void preparePlacement();
+
+    /// True if all events of the response, and of the stream that it continues, must come from
+    /// servers of one software version.
+    [[nodiscard]] bool keepsVersion() const;
+    /// True if the caller already has events of the stream.
+    [[nodiscard]] bool resumesStream() const;
+    /// The id of the attempt that began the stream.
+    [[nodiscard]] std::string_view originId() const;
+    /// Fixes the version at which a resumed stream goes on; returns false if it is unknown.
+    [[nodiscard]] boost::asio::awaitable<bool> findOrigin();
+    [[nodiscard]] boost::asio::awaitable<ResumeDecision> decideOrigin(StreamId stream);
+    /// Sets the versions that the next attempt may be sent to.
+    void restrictVersions();
+    /// Fixes the version that the request is being sent to, also for further attempts.
+    void noteVersionSent(const Placement &placement, Instant now);
+    /// Counts a resumed stream that no server of its version can take.
+    void noteNoServer();
+
     void logResult(const ExchangeResult &end) const;
 
     TrafficState &state_;
@@ -185,6 +209,10 @@
     const FleetTeam *team_ = nullptr;
     PlacementRequest placementRequest_;
     std::vector<ServerId> triedServers_;
+    /// The software version that the request is bound to; empty while it may go to any.
+    VersionSet version_;
+    /// Why a resumed stream was refused, for the log.
+    std::string resumeRefusal_;
 
     /// Requests sent to servers so far, and those that servers reported as not run.
     unsigned sends_ = 0;
--- a/Source/Gateway/ExchangeAttempt.cpp
+++ b/Source/Gateway/ExchangeAttempt.cpp
@@ -21,12 +21,6 @@
 
 namespace {
 
-/// Backend servers in the same region accept a connection within a few milliseconds; a longer time
-/// means that the server is unreachable or its VM no longer exists.
-constexpr Duration ConnectTimeout = milliseconds(400);
-/// Time without acknowledgements after which TCP closes a connection to a backend server. Longer
-/// than the longest stall of a connection that loses single packets.
-constexpr Duration ServerTcpTimeout = milliseconds(2500);
 /// Lifetime of an idle connection if the server sends no Keep-Alive timeout.
 constexpr Duration DefaultKeepAlive = std::chrono::seconds(4);
 /// Idle connections are discarded this much before the server closes them, because a request in
@@ -144,32 +138,6 @@
     });
 }
 
-asio::awaitable<bool> Exchange::connect(std::shared_ptr<Attempt> attempt)
-{
-    const Instant now = std::chrono::steady_clock::now();
-    attempt->connection = state_.connections.acquire(attempt->placement.server,
-                                                     hash64(callerRequest_.id.text()), now);
-    if (attempt->connection != nullptr) {
-        attempt->connectionReused = true;
-        co_return true;
-    }
-    const auto endpoint = parseEndpoint(attempt->placement.address);
-    if (!endpoint.has_value()) {
-        co_return false;
-    }
-    state_.metrics.countConnect();
-    attempt->connection = std::make_unique<ServerConnection>(state_.context.get_executor());
-    asio::ip::tcp::socket &socket = attempt->connection->socket;
-    abortAt(attempt, now + std::min(ConnectTimeout, timeLeft(now)));
-    error_code error;
-    co_await socket.async_connect(*endpoint, asio::redirect_error(asio::use_awaitable, error));
-    if (error || attempt->timedOut || callerDisconnected_) {
-        co_return false;
-    }
-    setTcpTimeout(socket, ServerTcpTimeout);
-    co_return true;
-}
-
 void Exchange::sendRequest(const std::shared_ptr<Attempt> &shared)
 {
     Attempt &attempt = *shared;
@@ -190,6 +158,7 @@
     attempt.sent = true;
     attempt.sentAt = now;
     attempt.lastReceivedAt = now;
+    noteVersionSent(attempt.placement, now);
     ++sends_;
     noteTrial(now);
     dispatchRecord_.noteStarted();
@@ -232,7 +201,7 @@
             = platform::readResponseInfo(parser->get().base(), attempt.placement.server);
         // Without an id, only the first response on a connection certainly belongs to its request.
         const bool matchesRequest = attempt.responseFacts.request.empty()
-            ? !attempt.connectionReused && skippedResponses == 0
+            ? !attempt.connectionReused && !attempt.reportRead && skippedResponses == 0
             : attempt.responseFacts.request == callerRequest_.id;
         if (!isServerStatus(parser->get().result_int())) {
             co_return failure(attempt, http::error::bad_status);
@@ -688,6 +657,7 @@
     const ListedServer *listed = state_.pool.listed(server);
     const bool sameStart = listed != nullptr && listed->bootedAt == attempt.placement.bootedAt
         && listed->address == attempt.placement.address;
+    noteConnectionLost(attempt, end, sameStart);
     // A server may respond twice, and a second send of this request has the same id.
     if (attempt.reusable && sameStart && !otherWeights && attempt.connection->buffer.size() == 0) {
         const Duration keep = attempt.responseFacts.keepAlive.value_or(DefaultKeepAlive);
--- a/Source/Gateway/ExchangeAttempt.h
+++ b/Source/Gateway/ExchangeAttempt.h
@@ -30,6 +30,8 @@
         headerParser;
     platform::ResponseInfo responseFacts;
     bool connectionReused = false;
+    /// True if the connection has carried the server's report, which has no request id.
+    bool reportRead = false;
     bool sent = false;
     bool requestWritten = false;
     bool timedOut = false;
--- a/Source/Gateway/Gateway.cpp
+++ b/Source/Gateway/Gateway.cpp
@@ -32,6 +32,7 @@
 #include "Gateway/RolloutDriver.h"
 #include "Gateway/StatusServer.h"
 #include "Gateway/StoreSync.h"
+#include "Gateway/StreamVersionLink.h"
 #include "Gateway/StreamVersionSync.h"
 #include "Routing/Rendezvous.h"
 #include "platform/StoreObjects.h"
@@ -322,6 +323,7 @@
 
 void Gateway::Parts::run()
 {
+    linkStreamVersions(trafficContext, traffic.streamVersions, controlContext, streamVersions);
     traffic.notifyPeersSoon = [this] { digests.sendDigestSoon(); };
     traffic.onServerPaused = [this] {
         reportToRollout();
@@ -465,7 +467,9 @@
 
 void Gateway::Parts::onAdmittedVersions(const VersionTable &table)
 {
-    asio::post(trafficContext, [table] { static_cast<void>(table); });
+    asio::post(trafficContext, [this, table] {
+        traffic.streamVersions.setAdmitted(table, std::chrono::steady_clock::now());
+    });
 }
 
 void Gateway::Parts::onConfigurationConfirmed(BootInstant moment)
--- a/Source/Gateway/GatewayMetrics.cpp
+++ b/Source/Gateway/GatewayMetrics.cpp
@@ -30,6 +30,10 @@
                      .Name("jacinthroad_attempts_total")
                      .Help("Attempts at backend servers by how they ended")
                      .Register(*registry_))
+    , resumes_(&prometheus::BuildCounter()
+                    .Name("jacinthroad_resumes_total")
+                    .Help("Requests to resume a stream by outcome")
+                    .Register(*registry_))
     , storeCalls_(&prometheus::BuildCounter()
                        .Name("jacinthroad_store_calls_total")
                        .Help("Calls to the platform's store by result")
@@ -102,6 +106,11 @@
     attempts_->Add({ { "end", end } }).Increment();
 }
 
+void GatewayMetrics::countResume(const std::string &outcome)
+{
+    resumes_->Add({ { "outcome", outcome } }).Increment();
+}
+
 void GatewayMetrics::countStoreCall(const std::string &result)
 {
     storeCalls_->Add({ { "result", result } }).Increment();
--- a/Source/Gateway/GatewayMetrics.h
+++ b/Source/Gateway/GatewayMetrics.h
@@ -32,6 +32,8 @@
     void countRequest(const std::string &outcome);
     /// Counts an attempt at a backend server that ended with `end`.
     void countAttempt(const std::string &end);
+    /// Counts a request to resume a stream by whether it went on, or why not.
+    void countResume(const std::string &outcome);
     /// Counts a call to the platform's store that ended with `result`.
     void countStoreCall(const std::string &result);
     /// Counts an opened connection to a backend server.
@@ -60,6 +62,7 @@
     std::shared_ptr<prometheus::Registry> registry_;
     prometheus::Family<prometheus::Counter> *requests_;
     prometheus::Family<prometheus::Counter> *attempts_;
+    prometheus::Family<prometheus::Counter> *resumes_;
     prometheus::Family<prometheus::Counter> *storeCalls_;
     prometheus::Counter *connects_;
     prometheus::Counter *peerConfirmations_;
--- a/Source/Gateway/TrafficState.cpp
+++ b/Source/Gateway/TrafficState.cpp
@@ -31,6 +31,10 @@
 /// need slightly longer.
 constexpr Duration DrainAcceptTime = milliseconds(2800);
 
+/// Time in which a node that has started learns the versions that streams may be sent to. Without
+/// them it serves all other requests.
+constexpr Duration AdmissionTime = milliseconds(1500);
+
 /// Maximum number of parts and groups whose names are kept for the log.
 constexpr std::size_t MaxPartNames = 4096;
 
@@ -177,6 +181,7 @@
         if (known != nullptr && known->instance() != server.instance()) {
             // They lead to another start of the server, which a restored list may have replaced.
             connections.closeIdle(server.id);
+            connections.forgetLost(server.id);
         }
         pool.applyServer(server, now);
         crashDetector.noteListed(server);
@@ -189,9 +194,12 @@
         pool.removeServer(entry->first, now);
         crashDetector.noteRemoved(entry->first);
         connections.closeIdle(entry->first);
+        connections.forgetLost(entry->first);
         entry = listedServers_.erase(entry);
     }
-    serverListLoaded = true;
+    if (!serverListLoadedAt.has_value()) {
+        serverListLoadedAt = now;
+    }
 }
 
 void TrafficState::noteStatement(const ServerInstance &server, const ServerStatement &statement)
@@ -307,8 +315,15 @@
 
 bool TrafficState::ready() const
 {
-    return !draining && routes != nullptr && serverListLoaded
+    return !draining && routes != nullptr && serverListLoadedAt.has_value()
+        && readyForStreams(std::chrono::steady_clock::now())
         && freshness.level(bootNow()) != FreshnessLevel::Expired;
 }
 
+bool TrafficState::readyForStreams(Instant now) const
+{
+    return streamVersions.hasAdmitted() || !routes->hasResumableStreams()
+        || now - *serverListLoadedAt >= AdmissionTime;
+}
+
 } // namespace jacinthroad
--- a/Source/Gateway/TrafficState.h
+++ b/Source/Gateway/TrafficState.h
@@ -22,6 +22,7 @@
 #include "Gateway/CrashDetector.h"
 #include "Gateway/GatewayMetrics.h"
 #include "Gateway/GatewaySettings.h"
+#include "Gateway/StreamVersionGate.h"
 #include "Placement/AttemptBudget.h"
 #include "Placement/QueueLimit.h"
 #include "Placement/ServerPool.h"
@@ -103,9 +104,10 @@
     const std::uint64_t crashReporter;
     CrashHistory crashHistory;
     CrashDetector crashDetector;
+    StreamVersionGate streamVersions;
 
-    /// True once the list of servers has been applied.
-    bool serverListLoaded = false;
+    /// When the list of servers was first applied.
+    std::optional<Instant> serverListLoadedAt;
     /// Set by SIGTERM. Responses then ask callers to close their connection.
     bool draining = false;
     Instant drainingSince;
@@ -142,6 +144,8 @@
     [[nodiscard]] bool acceptsRequests(Instant now) const;
 
 private:
+    /// True if streams can be sent, or if the versions for that are overdue.
+    [[nodiscard]] bool readyForStreams(Instant now) const;
     /// Records that a server crashed while it ran a request.
     void noteCrash(const ServerId &server, const LostRequest &loss);
     void rememberPart(const SharedPart &part);
--- a/Tests/Gateway/GatewayFixture.cpp
+++ b/Tests/Gateway/GatewayFixture.cpp
@@ -47,7 +47,8 @@
 
 GatewayFixture::~GatewayFixture() = default;
 
-void GatewayFixture::addServer(const std::string &name, const std::string &service, Handler handler)
+void GatewayFixture::addServer(const std::string &name, const std::string &service, Handler handler,
+                               const std::string &softwareVersion)
 {
     servers_.push_back(std::make_unique<ScriptedServer>(
         [this, name, handler = std::move(handler)](ScriptedConnection &connection) {
@@ -76,6 +77,7 @@
     spec["service"] = service;
     spec["address"] = servers_.back()->address();
     spec["zone"] = "z";
+    spec["version"] = softwareVersion;
     spec["slotCount"] = 8;
     spec["state"] = "ready";
     spec["coldLeftMs"] = 0;
@@ -100,6 +102,16 @@
     server->crash();
 }
 
+void GatewayFixture::restartServer(const std::string &name)
+{
+    ScriptedServer *server = nullptr;
+    {
+        const std::lock_guard lock(mutex_);
+        server = serversByName_.at(name);
+    }
+    server->endConnections();
+}
+
 void GatewayFixture::shareServers(GatewayFixture &other)
 {
     const std::lock_guard lock(other.mutex_);
--- a/Tests/Gateway/GatewayFixture.h
+++ b/Tests/Gateway/GatewayFixture.h
@@ -27,11 +27,15 @@
     GatewayFixture();
     ~GatewayFixture();
 
-    /// Adds a backend server to a service.
-    void addServer(const std::string &name, const std::string &service, Handler handler);
+    /// Adds a backend server with this version of its software to a service.
+    void addServer(const std::string &name, const std::string &service, Handler handler,
+                   const std::string &softwareVersion = "v1");
     /// Ends a backend server as if its process had crashed; it stays listed. May be called from a
     /// handler.
     void crashServer(const std::string &name);
+    /// Ends the connections of a backend server as if its process had ended and started again; its
+    /// entry stays as it was.
+    void restartServer(const std::string &name);
     /// Lists the backend servers of another fixture in this one's store too.
     void shareServers(GatewayFixture &other);
     /// Stores another gateway as a peer of this one.
--- a/Tests/Gateway/ScriptedServer.cpp
+++ b/Tests/Gateway/ScriptedServer.cpp
@@ -124,6 +124,14 @@
     }
 }
 
+void ScriptedServer::endConnections()
+{
+    const std::lock_guard lock(mutex_);
+    for (const auto &connection : connections_) {
+        connection->interrupt();
+    }
+}
+
 std::string ScriptedServer::address() const
 {
     return "127.0.0.1:" + std::to_string(acceptor_.local_endpoint().port());
--- a/Tests/Gateway/ScriptedServer.h
+++ b/Tests/Gateway/ScriptedServer.h
@@ -61,6 +61,8 @@
     /// Ends all connections and refuses new ones, as when the server's process ends. May be called
     /// from a script.
     void crash();
+    /// Ends all connections and accepts new ones, as when the server's process starts again.
+    void endConnections();
 
 private:
     void accept();
