--- a/Source/Gateway/ExchangeAttempt.h
+++ b/Source/Gateway/ExchangeAttempt.h
@@ -38,6 +38,8 @@
     unsigned skippedResponses = 0;
     platform::ResponseInfo responseFacts;
     bool connectionReused = false;
+    /// True if the connection has carried the server's report, which has no request id.
+    bool reportRead = false;
     bool sent = false;
     bool requestWritten = false;
     bool timedOut = false;
--- a/Source/Gateway/TrafficState.h
+++ b/Source/Gateway/TrafficState.h
@@ -24,6 +24,7 @@
 #include "Gateway/CrashDetector.h"
 #include "Gateway/GatewayMetrics.h"
 #include "Gateway/GatewaySettings.h"
+#include "Gateway/StreamVersionGate.h"
 #include "Placement/AttemptBudget.h"
 #include "Placement/QueueLimit.h"
 #include "Placement/ServerPool.h"
@@ -105,9 +106,10 @@
     const std::uint64_t crashReporter;
     CrashHistory crashHistory;
     CrashDetector crashDetector;
+    StreamVersionGate streamVersions;
 
-    /// True once the list of servers has been applied.
-    bool serverListLoaded = false;
+    /// When the list of servers was first applied.
+    std::optional<Instant> serverListLoadedAt;
     /// Set by SIGTERM. Responses then ask callers to close their connection.
     bool draining = false;
     Instant drainingSince;
@@ -152,6 +154,8 @@
     void noteCompleted(const Route &route, Duration duration);
 
 private:
+    /// True if streams can be sent, or if the versions for that are overdue.
+    [[nodiscard]] bool readyForStreams(Instant now) const;
     /// Records that a server crashed while it ran a request.
     void noteCrash(const ServerId &server, const LostRequest &loss);
     void rememberPart(const SharedPart &part);
