Gateway: Report ready without an engine whose version streams wait for

A node whose resumable streams had no engine listed waited 1.5 s for versions that can't come, before it reported itself ready. EdgeTest/rejectsUnknownKeysAndRoutesOnlyWithCurrentConfiguration failed with that four times of four (503 for 401 and 404) and passes again.

--- a/Source/Gateway/TrafficState.cpp
+++ b/Source/Gateway/TrafficState.cpp
@@ -322,8 +322,17 @@
 
 bool TrafficState::readyForStreams(Instant now) const
 {
-    return streamVersions.hasAdmitted() || !routes->hasResumableStreams()
-        || now - *serverListLoadedAt >= AdmissionTime;
+    if (streamVersions.hasAdmitted() || !routes->hasResumableStreams()
+        || now - *serverListLoadedAt >= AdmissionTime) {
+        return true;
+    }
+    // Without an engine there is no version to wait for.
+    return std::none_of(listedServers_.begin(), listedServers_.end(), [this](const auto &entry) {
+        const ListedServer *server = pool.listed(entry.first);
+        const ServiceDefinition *service
+            = server != nullptr ? routes->service(server->service) : nullptr;
+        return service != nullptr && service->engine.has_value();
+    });
 }
 
 } // namespace jacinthroad
