Gateway: Resume a silent server instead of refusing after a crash record

Found by reading, no test shows it: while an attempt at a silent server was set aside, a crash record that arrived for its request ended the exchange with 502 or a cut stream, although that server might still respond. The exchange now reads on there. And a silent server whose request ended because its caller left or its time was over counted as failed; it no longer does.

--- a/Source/Gateway/Exchange.cpp
+++ b/Source/Gateway/Exchange.cpp
@@ -234,9 +234,10 @@
                                            Duration::zero());
         }
         const CrashAssessment crashes = assessCrashes();
-        if (!resumeSilent
-            && (crashes.permission == CrashPermission::Denied
-                || (crashes.permission == CrashPermission::WithoutRetry && sends_ > rejected_))) {
+        const bool blocked = crashes.permission == CrashPermission::Denied
+            || (crashes.permission == CrashPermission::WithoutRetry && sends_ > rejected_);
+        resumeSilent = resumeSilent || (blocked && silentAttempt_ != nullptr);
+        if (blocked && !resumeSilent) {
             if (headerDelivered_) {
                 co_return cutStream("broken");
             }
--- a/Source/Gateway/SilentAttempt.cpp
+++ b/Source/Gateway/SilentAttempt.cpp
@@ -73,7 +73,11 @@
     const std::shared_ptr<Attempt> attempt = std::exchange(silentAttempt_, nullptr);
     attempt->waiting = false;
     const AttemptCleanup cleanup { *attempt };
-    finishAttempt(*attempt, AttemptResult::NoResponse);
+    // Only a server that another one has replaced counts as failed.
+    finishAttempt(*attempt,
+                  callerDisconnected_ || outOfTime(std::chrono::steady_clock::now())
+                      ? AttemptResult::CallerDisconnected
+                      : AttemptResult::NoResponse);
 }
 
 bool Exchange::mayResumeSilentAttempt(AttemptResult end) const
