--- a/Tests/Soak/SoakServers.cpp
+++ b/Tests/Soak/SoakServers.cpp
@@ -374,7 +374,10 @@
         }
         late = {};
         if (request.target().starts_with("/-/")) {
-            write(boot, connection, responseText(404, "", ""));
+            const bool report = request.target() == "/-/report";
+            write(boot, connection,
+                  report ? responseText(200, "", R"({"born":)" + std::to_string(boot.number) + "}")
+                         : responseText(404, "", ""));
             continue;
         }
         if (!respond(boot, connection, request, late)) {
