Soak: Blame no node for a silent server that crashes meanwhile

Only runs that the server broke off by plan were excused, not those that a crash of the server ended.

A run is now excused too if its server crashed between the sending and the end of the request; other ends are judged as before.

--- a/Tests/Soak/SilenceJudge.cpp
+++ b/Tests/Soak/SilenceJudge.cpp
@@ -29,6 +29,17 @@
         && record.status != 504;
 }
 
+/// True if the server's process ended while the caller waited.
+bool crashedMeanwhile(const SoakObservations &observations, const ServerRun &run,
+                      const CallerRecord &record)
+{
+    return std::any_of(observations.crashes.begin(), observations.crashes.end(),
+                       [&](const ServerCrash &crash) {
+                           return crash.boot == run.boot && crash.at >= record.sentAt
+                               && crash.at <= record.endedAt;
+                       });
+}
+
 } // namespace
 
 bool wasSilent(const SoakObservations &observations, const ServerRun &run,
@@ -58,8 +69,9 @@
             continue;
         }
         const auto &own = found->second;
-        const bool sound = std::all_of(own.begin(), own.end(),
-                                       [](const ServerRun *run) { return !run->brokenOff; });
+        const bool sound = std::all_of(own.begin(), own.end(), [&](const ServerRun *run) {
+            return !run->brokenOff && !crashedMeanwhile(observations, *run, record);
+        });
         const bool silent = std::any_of(own.begin(), own.end(), [&](const ServerRun *run) {
             return wasSilent(observations, *run, record);
         });
