Gateway: Prove the process of a server while the node is out of step

Cause: a new connection to a server was taken for the listed process while one version was known to serve, however old the list was. At a node that was cut off or stood still for seconds, a server that had started again under its id with another version got a stream as one of the old version, which other nodes then continued there. The age of the list was measured by the steady clock, which stands while a VM is suspended, and the versions admitted before a stop stayed in the traffic thread until the control thread withdrew them.

Evidence: newStreamIsNotSentToServerThatStartedAgainWhileTheNodeWasOutOfStep failed with the check switched off (an event of v2, 2 failures).

Change: with a list older than 4 s, a new connection carries a resumable stream only after the server's report has named the listed start. The list's validity is measured by the boot clock, and the traffic thread checks it at each use.

--- a/Source/Gateway/ExchangeConnect.cpp
+++ b/Source/Gateway/ExchangeConnect.cpp
@@ -7,6 +7,7 @@
 #include "Core/Endpoint.h"
 #include "Core/Hashing.h"
 #include "Core/Log.h"
+#include "Gateway/BootClock.h"
 #include "Gateway/ExchangeAttempt.h"
 #include "Gateway/SocketOptions.h"
 #include "platform/Orders.h"
@@ -54,8 +55,10 @@
     }
     setTcpTimeout(socket, ServerTcpTimeout);
     const bool severalVersions = state_.streamVersions.recordsNeeded(placementRequest_.service);
-    if (!keepsVersion()
-        || !(severalVersions || state_.connections.hasLost(attempt->placement.server))) {
+    const bool processKnown = !severalVersions
+        && !state_.connections.hasLost(attempt->placement.server)
+        && !state_.streamVersions.listOutdated(bootNow());
+    if (!keepsVersion() || processKnown) {
         co_return true;
     }
     const bool confirmed = co_await confirmProcess(*attempt, severalVersions);
--- a/Source/Gateway/ExchangeVersions.cpp
+++ b/Source/Gateway/ExchangeVersions.cpp
@@ -6,6 +6,7 @@
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
 
+#include "Gateway/BootClock.h"
 #include "Gateway/Exchange.h"
 
 namespace jacinthroad {
@@ -103,7 +104,8 @@
         return;
     }
     static const VersionSet None;
-    const VersionSet &admitted = state_.streamVersions.admitted(placementRequest_.service);
+    const VersionSet &admitted
+        = state_.streamVersions.admitted(placementRequest_.service, bootNow());
     if (version_.empty()) {
         placementRequest_.softwareVersions = &admitted;
     } else {
--- a/Source/Gateway/Gateway.cpp
+++ b/Source/Gateway/Gateway.cpp
@@ -143,8 +143,10 @@
                 .minimumPause = ServersMinimumPause },
               [this](const ObjectTable &table) { onServersChanged(table); },
               [this](BootInstant moment) {
-                  streamVersions.confirmServers(std::chrono::steady_clock::now()
-                                                - (bootNow() - moment));
+                  streamVersions.confirmServers(moment);
+                  asio::post(trafficContext, [this, moment] {
+                      traffic.streamVersions.confirmList(moment);
+                  });
               })
         , weights(
               controlContext, store,
--- a/Source/Gateway/StreamVersionGate.cpp
+++ b/Source/Gateway/StreamVersionGate.cpp
@@ -28,16 +28,24 @@
     }
 }
 
-const VersionSet &StreamVersionGate::admitted(const ServiceId &service) const
+const VersionSet &StreamVersionGate::admitted(const ServiceId &service, BootInstant now) const
 {
     static const VersionSet None;
     const auto found = admitted_.find(service);
-    return found == admitted_.end() ? None : found->second;
+    const bool listValid
+        = listConfirmedAt_.has_value() && now - *listConfirmedAt_ < options_.listValidity;
+    return found == admitted_.end() || !listValid ? None : found->second;
+}
+
+bool StreamVersionGate::listOutdated(BootInstant now) const
+{
+    return !listConfirmedAt_.has_value() || now - *listConfirmedAt_ >= options_.listOutdatedAfter;
 }
 
 bool StreamVersionGate::recordsNeeded(const ServiceId &service) const
 {
-    return admitted(service).size() > 1;
+    const auto found = admitted_.find(service);
+    return found != admitted_.end() && found->second.size() > 1;
 }
 
 void StreamVersionGate::noteSent(const StreamOrigin &origin, Instant now)
--- a/Source/Gateway/StreamVersionGate.h
+++ b/Source/Gateway/StreamVersionGate.h
@@ -4,13 +4,16 @@
 #include <cstdint>
 #include <deque>
 #include <functional>
+#include <optional>
 #include <set>
 #include <unordered_map>
 #include <utility>
 #include <vector>
 
 #include "Core/Time.h"
+#include "Fleet/Freshness.h"
 #include "StreamVersions/ResumeDecision.h"
+#include "StreamVersions/ServedVersions.h"
 
 namespace jacinthroad {
 
@@ -27,6 +30,12 @@
         Duration retention = std::chrono::seconds(30);
         /// Maximum number of sends; about 100 bytes each. The oldest is forgotten first.
         std::size_t maxSends = 20'000;
+        /// Time for which the list of servers may be used without a confirmation, as in
+        /// ServedVersions.
+        Duration listValidity = ServedVersions::Options().listValidity;
+        /// Age of the list from which it counts as outdated. Longer than the time between two
+        /// confirmations at a node that is in touch with the store.
+        Duration listOutdatedAfter = std::chrono::seconds(4);
     };
 
     StreamVersionGate()
@@ -47,8 +56,16 @@
     /// Sets the versions that streams may be sent to. If a service gets a second one, all streams
     /// of it that are remembered have to be recorded.
     void setAdmitted(VersionTable admitted, Instant now);
-    /// The versions of a service that streams may be sent to; none before the first are known.
-    [[nodiscard]] const VersionSet &admitted(const ServiceId &service) const;
+    /// Notes that the list of servers, on which the admitted versions rest, was current then.
+    void confirmList(BootInstant moment) { listConfirmedAt_ = moment; }
+    /// The versions of a service that streams may be sent to; none before the first are known, and
+    /// none once the list of servers is too old: other nodes may have removed a version meanwhile.
+    /// The node can stand still between any two of its steps, so that the control thread may not
+    /// have withdrawn them.
+    [[nodiscard]] const VersionSet &admitted(const ServiceId &service, BootInstant now) const;
+    /// True if the list of servers may still name the earlier process of a server that has started
+    /// again, so that new connections need a proof of the process.
+    [[nodiscard]] bool listOutdated(BootInstant now) const;
     /// True once streams may be sent to a version of any service.
     [[nodiscard]] bool hasAdmitted() const { return !admitted_.empty(); }
     /// True if several versions may serve, so that streams have to be recorded.
@@ -75,6 +92,7 @@
 
     Options options_;
     VersionTable admitted_;
+    std::optional<BootInstant> listConfirmedAt_;
     /// All pairs of service and version, which the many streams share.
     std::set<Target> targets_;
     std::unordered_map<StreamId, Stream> streams_;
--- a/Source/Gateway/StreamVersionSync.cpp
+++ b/Source/Gateway/StreamVersionSync.cpp
@@ -8,6 +8,7 @@
 
 #include "Core/Log.h"
 #include "Core/WallClock.h"
+#include "Gateway/BootClock.h"
 #include "Gateway/RestartingTask.h"
 #include "Gateway/StreamVersionsObject.h"
 
@@ -31,6 +32,24 @@
     return std::chrono::steady_clock::now();
 }
 
+/// The time of a clock that goes on while the VM is suspended. ServedVersions measures by it how
+/// old the list of servers is, because other nodes remove versions meanwhile.
+Instant bootClock(BootInstant moment)
+{
+    return Instant(moment.sinceBoot);
+}
+
+Instant versionsNow()
+{
+    return bootClock(bootNow());
+}
+
+/// The time of the steady clock that corresponds to one of versionsNow().
+std::optional<Instant> steadyTime(std::optional<Instant> time)
+{
+    return time.has_value() ? std::optional(steadyNow() + (*time - versionsNow())) : std::nullopt;
+}
+
 std::string joined(const VersionSet &versions)
 {
     std::string text;
@@ -79,15 +98,15 @@
     for (const ListedServer &server : servers) {
         listed[server.service].insert(server.softwareVersion);
     }
-    served_.setListed(std::move(listed), steadyNow());
+    served_.setListed(std::move(listed), versionsNow());
     updateAdmitted();
     tableWakeUp_.wake();
 }
 
-void StreamVersionSync::confirmServers(Instant moment)
+void StreamVersionSync::confirmServers(BootInstant moment)
 {
     noteEra();
-    served_.confirmList(moment);
+    served_.confirmList(bootClock(moment));
     updateAdmitted();
     tableWakeUp_.wake();
 }
@@ -122,7 +141,7 @@
 
 void StreamVersionSync::updateAdmitted()
 {
-    VersionTable admitted = served_.admitted(steadyNow());
+    VersionTable admitted = served_.admitted(versionsNow());
     if (admitted != admitted_) {
         logAdmitted(admitted);
         admitted_ = std::move(admitted);
@@ -156,10 +175,10 @@
     for (;;) {
         noteEra();
         updateAdmitted();
-        const Instant now = steadyNow();
+        const Instant now = versionsNow();
         const auto call = served_.nextCall(now);
         if (!call.has_value()) {
-            co_await tableWakeUp_.waitUntil(served_.nextChange(now));
+            co_await tableWakeUp_.waitUntil(steadyTime(served_.nextChange(now)));
         } else if (std::holds_alternative<ReadVersionTable>(*call)) {
             co_await readTable();
         } else {
@@ -170,12 +189,12 @@
 
 asio::awaitable<void> StreamVersionSync::readTable()
 {
-    const Instant startedAt = steadyNow();
+    const Instant startedAt = versionsNow();
     const auto reply = co_await client_.call(
         platform::readCall(ObjectKind::SoftwareVersions, TableName), CallTimeout);
     noteEra();
     if (!applyTableRead(reply, startedAt).applied) {
-        served_.noteFailed(steadyNow());
+        served_.noteFailed(versionsNow());
     }
 }
 
@@ -186,7 +205,7 @@
         return {};
     }
     if (reply->status == StoreStatus::Missing) {
-        served_.noteMissing(startedAt, steadyNow());
+        served_.noteMissing(startedAt, versionsNow());
         updateAdmitted();
         return { .applied = true, .content = KeptVersions {} };
     }
@@ -211,7 +230,7 @@
                   { "reason", "services is missing or mistyped" },
                   { "remedy", "The next write of a node replaces it; find its writer." } });
     }
-    served_.noteRead(content, object->revision, startedAt, steadyNow());
+    served_.noteRead(content, object->revision, startedAt, versionsNow());
     updateAdmitted();
     tableWakeUp_.wake();
     return { .applied = true, .content = std::move(content) };
@@ -224,13 +243,13 @@
     platform::Call request = call.revision.has_value()
         ? platform::replaceCall(kind, TableName, *call.revision, spec)
         : platform::createCall(kind, TableName, spec);
-    const Instant startedAt = steadyNow();
+    const Instant startedAt = versionsNow();
     const auto reply = co_await client_.call(std::move(request), CallTimeout);
     noteEra();
     if (reply.has_value() && reply->status == StoreStatus::Done) {
         const auto object = platform::readObject(reply->body);
         if (object.has_value() && object->revision != 0) {
-            served_.noteRead(call.content, object->revision, startedAt, steadyNow());
+            served_.noteRead(call.content, object->revision, startedAt, versionsNow());
             co_return;
         }
     }
@@ -238,7 +257,7 @@
         && applyTable(reply->body, startedAt).applied) {
         co_return;
     }
-    served_.noteFailed(steadyNow());
+    served_.noteFailed(versionsNow());
 }
 
 asio::awaitable<void> StreamVersionSync::keepRecords()
@@ -392,7 +411,7 @@
     }
     const auto row = table->versions.find(resume.service);
     if (row != table->versions.end()) {
-        evidence.versions = served_.known(resume.service, steadyNow());
+        evidence.versions = served_.known(resume.service, versionsNow());
         evidence.versions.insert(row->second.begin(), row->second.end());
     }
     return evidence;
@@ -400,7 +419,7 @@
 
 asio::awaitable<void> StreamVersionSync::answer()
 {
-    const Instant startedAt = steadyNow();
+    const Instant startedAt = versionsNow();
     const auto reply = co_await client_.call(
         platform::readCall(ObjectKind::SoftwareVersions, TableName), CallTimeout);
     noteEra();
--- a/Source/Gateway/StreamVersionSync.h
+++ b/Source/Gateway/StreamVersionSync.h
@@ -54,7 +54,7 @@
     void applyServers(std::span<const ListedServer> servers);
     /// Notes that the list of servers was current at this time. Without confirmations, no version
     /// is admitted after a while.
-    void confirmServers(Instant moment);
+    void confirmServers(BootInstant moment);
     /// Sets whether nodes have had the time to write again what a restored store had lost.
     void setStoreSettled(bool settled) { storeSettled_ = settled; }
     /// Sets the number of nodes, among which the writes are divided.
--- a/Tests/Gateway/StoreStandIn.cpp
+++ b/Tests/Gateway/StoreStandIn.cpp
@@ -92,6 +92,12 @@
     changed_.notify_all();
 }
 
+void StoreStandIn::hideChanges(const std::string &kind)
+{
+    const std::lock_guard lock(mutex_);
+    hiddenKinds_.insert(kind);
+}
+
 void StoreStandIn::stopResponding()
 {
     const std::lock_guard lock(mutex_);
@@ -166,15 +172,16 @@
         }
         const bool isWrite = request.method() != http::verb::get;
         const bool loseResponse = isWrite && noteWrite(request);
-        const std::string response
-            = isWrite && rejectsWrites ? responseText(503, "", "{}") : respond(request);
+        const std::string response = isWrite && rejectsWrites ? responseText(503, "", "{}")
+                                                              : respond(request, rejectsWrites);
         if (!loseResponse) {
             connection.write(response);
         }
     }
 }
 
-std::string StoreStandIn::respond(const http::request<http::string_body> &request)
+std::string StoreStandIn::respond(const http::request<http::string_body> &request,
+                                  bool hidesChanges)
 {
     const std::string target(request.target().data(), request.target().size());
     std::string path = target.substr(0, target.find('?')).substr(Prefix.size());
@@ -183,7 +190,8 @@
     const std::string name = slash == std::string::npos ? "" : path.substr(slash + 1);
     if (request.method() == http::verb::get && !parameter(target, "watch").empty()) {
         return watch(kind, std::stoull(parameter(target, "watch")),
-                     std::chrono::milliseconds(std::stoll(parameter(target, "waitMs"))));
+                     std::chrono::milliseconds(std::stoll(parameter(target, "waitMs"))),
+                     hidesChanges);
     }
     if (request.method() == http::verb::get) {
         const std::lock_guard lock(mutex_);
@@ -208,7 +216,7 @@
 }
 
 std::string StoreStandIn::watch(const std::string &kind, std::uint64_t revision,
-                                std::chrono::milliseconds wait)
+                                std::chrono::milliseconds wait, bool hidesChanges)
 {
     std::unique_lock lock(mutex_);
     if (revision > revision_) {
@@ -217,6 +225,9 @@
     Json::Value events(Json::arrayValue);
     const auto collectEvents = [&] {
         events = Json::Value(Json::arrayValue);
+        if (hidesChanges && hiddenKinds_.contains(kind)) {
+            return stopping_;
+        }
         for (const Change &change : changes_) {
             if (change.revision > revision && change.kind == kind) {
                 Json::Value event;
--- a/Tests/Gateway/StoreStandIn.h
+++ b/Tests/Gateway/StoreStandIn.h
@@ -5,6 +5,7 @@
 #include <map>
 #include <mutex>
 #include <optional>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -40,6 +41,9 @@
     /// Address at which writes are rejected and reads are served, as for a node that the store
     /// turns away.
     [[nodiscard]] std::string rejectingAddress() const { return rejectingServer_.address(); }
+    /// Hides further changes of a kind from watches at rejectingAddress(), as from a node that is
+    /// out of step with the store.
+    void hideChanges(const std::string &kind);
     /// Leaves every further call without a response.
     void stopResponding();
     /// Responds to further calls again.
@@ -73,9 +77,10 @@
     [[nodiscard]] bool
     noteWrite(const boost::beast::http::request<boost::beast::http::string_body> &request);
     [[nodiscard]] std::string
-    respond(const boost::beast::http::request<boost::beast::http::string_body> &request);
+    respond(const boost::beast::http::request<boost::beast::http::string_body> &request,
+            bool hidesChanges);
     [[nodiscard]] std::string watch(const std::string &kind, std::uint64_t revision,
-                                    std::chrono::milliseconds wait);
+                                    std::chrono::milliseconds wait, bool hidesChanges);
     [[nodiscard]] std::string write(const std::string &kind, const std::string &name,
                                     const Json::Value &spec, std::optional<std::uint64_t> condition,
                                     bool create);
@@ -95,6 +100,7 @@
     std::map<std::string, std::string> texts_;
     int calls_ = 0;
     std::map<std::string, int> writes_;
+    std::set<std::string> hiddenKinds_;
     std::map<std::string, int> responsesToLose_;
     ScriptedServer server_;
     ScriptedServer rejectingServer_;
--- a/Tests/Gateway/StreamVersionGateTest.cpp
+++ b/Tests/Gateway/StreamVersionGateTest.cpp
@@ -9,6 +9,8 @@
 const ServiceId Engines("engines");
 const ServiceId Others("others");
 constexpr Instant Start { std::chrono::seconds(1000) };
+/// The same moment on the clock that goes on while the VM is suspended.
+constexpr BootInstant BootStart { std::chrono::seconds(5000) };
 
 StreamOrigin origin(StreamId stream, const SoftwareVersion &version,
                     const ServiceId &service = Engines)
@@ -38,11 +40,32 @@
 BOOST_AUTO_TEST_CASE(serviceWithoutAdmittedVersionsTakesNone)
 {
     StreamVersionGate gate;
-    BOOST_TEST(gate.admitted(Engines).empty());
+    BOOST_TEST(gate.admitted(Engines, BootStart).empty());
     BOOST_TEST(!gate.recordsNeeded(Engines));
     gate.setAdmitted({ { Engines, { "v1" } } }, Start);
-    BOOST_TEST(gate.admitted(Engines).contains("v1"));
-    BOOST_TEST(gate.admitted(Others).empty());
+    gate.confirmList(BootStart);
+    BOOST_TEST(gate.admitted(Engines, BootStart).contains("v1"));
+    BOOST_TEST(gate.admitted(Others, BootStart).empty());
+}
+
+BOOST_AUTO_TEST_CASE(versionsAdmittedBeforeALongStopAreNotUsedAfterIt)
+{
+    StreamVersionGate gate;
+    gate.setAdmitted({ { Engines, { "v1" } } }, Start);
+    gate.confirmList(BootStart);
+    BOOST_TEST(gate.admitted(Engines, BootStart + std::chrono::seconds(34)).contains("v1"));
+    BOOST_TEST(gate.admitted(Engines, BootStart + std::chrono::seconds(35)).empty());
+    gate.confirmList(BootStart + std::chrono::seconds(36));
+    BOOST_TEST(gate.admitted(Engines, BootStart + std::chrono::seconds(36)).contains("v1"));
+}
+
+BOOST_AUTO_TEST_CASE(listIsOutdatedAfterAStopOfSeconds)
+{
+    StreamVersionGate gate;
+    BOOST_TEST(gate.listOutdated(BootStart));
+    gate.confirmList(BootStart);
+    BOOST_TEST(!gate.listOutdated(BootStart + milliseconds(3500)));
+    BOOST_TEST(gate.listOutdated(BootStart + milliseconds(4500)));
 }
 
 BOOST_AUTO_TEST_CASE(nothingIsRecordedWhileOneVersionServes)
--- a/Tests/Gateway/StreamVersionSyncTest.cpp
+++ b/Tests/Gateway/StreamVersionSyncTest.cpp
@@ -11,6 +11,7 @@
 #include <boost/test/unit_test.hpp>
 
 #include "Core/Json.h"
+#include "Gateway/BootClock.h"
 #include "Gateway/StreamVersionSync.h"
 #include "StoreStandIn.h"
 
@@ -51,7 +52,7 @@
             servers.push_back(server);
         }
         sync.applyServers(servers);
-        sync.confirmServers(std::chrono::steady_clock::now());
+        sync.confirmServers(bootNow());
     }
 
     void record(StreamId stream, const SoftwareVersion &version)
--- a/Tests/Gateway/StreamVersionTest.cpp
+++ b/Tests/Gateway/StreamVersionTest.cpp
@@ -391,6 +391,61 @@
     BOOST_TEST(isRefusedAsNotRun(response), response);
 }
 
+BOOST_AUTO_TEST_CASE(newStreamIsNotSentToServerThatStartedAgainWhileTheNodeWasOutOfStep)
+{
+    GatewayFixture fixture;
+    std::atomic<int> starts { 1 };
+    fixture.addServer(
+        "e1", "engines", [&](ScriptedConnection &connection, const ReceivedRequest &request) {
+            if (request.target().starts_with("/-/")) {
+                connection.write(bootReport(starts));
+                return true;
+            }
+            return respond(connection, request, "v" + std::to_string(starts), EngineEnd::Stalls);
+        });
+    fixture.configure(1, { "k1" });
+    fixture.settings.keyRevocation = std::chrono::seconds(30);
+    fixture.start();
+    // The node hears nothing of the new process, which has another version under the same id.
+    fixture.store.stopResponding();
+    std::this_thread::sleep_for(milliseconds(4500));
+    starts = 2;
+    fixture.restartServer("e1");
+    const std::string response = fixture.sendBytes(requestOf("r1", ""), ResponseLimit);
+    BOOST_TEST(versionsOf(response).empty(), response);
+    BOOST_TEST(isRefusedAsNotRun(response), response);
+    fixture.store.resumeResponding();
+}
+
+BOOST_AUTO_TEST_CASE(streamOfAJoinedVersionIsNotResumedAtTheOldOneByANodeWithAnOldList)
+{
+    GatewayFixture first;
+    GatewayFixture second;
+    joinFleet(second, first, "front-2");
+    second.settings.storeAddress = first.store.rejectingAddress();
+    addEngine(first, "e1", "v1", EngineEnd::Stalls);
+    first.configure(1, { "k1" });
+    first.start();
+    second.start();
+    std::vector<OpenStream> streams;
+    streams.push_back(openStream(first, "begun-before"));
+    first.store.hideChanges("servers");
+    addEngine(first, "e2", "v2", EngineEnd::Stalls);
+    slowDown(first, "e1");
+    std::this_thread::sleep_for(ListTime);
+    streams.push_back(openStream(first, "begun-after"));
+    BOOST_REQUIRE(streams.back().version == "v2");
+    // At once, before the records are in the store, and then with them.
+    for (const char *suffix : { "-at-once", "-later" }) {
+        for (const OpenStream &stream : streams) {
+            const std::string response = resume(second, stream.id + suffix, stream.id, 1);
+            BOOST_TEST((isRefusedAsNotRun(response) || goesOnAt(response, stream.version)),
+                       response);
+        }
+        std::this_thread::sleep_for(RecordTime);
+    }
+}
+
 BOOST_AUTO_TEST_CASE(resumeIsRefusedInTimeWhileTheStoreDoesNotRespond)
 {
     GatewayFixture first;
