FleetPeers: Derive the timeout of nodes from the period of their digests

Cause: a node counted as down after 1.5 s without a digest, but digests to 294 peers are 11.5 s apart. From about 80 peers on each node believed that it was alone, owned the caches of all servers and stood for the lease.

Evidence: nodesOfAFleetOfAnySizeDoNotBelieveThatTheyAreAlone fails for 150, 294 and 1,000 peers with the fixed timeout.

Change: the period and the timeout are functions of the number of peers; a node is down after three periods, and after 1.5 s in a small fleet as before.

--- a/Source/Gateway/DigestExchange.cpp
+++ b/Source/Gateway/DigestExchange.cpp
@@ -16,15 +16,10 @@
 
 namespace {
 
-/// Time between two digests: a fraction of the time that a request runs on a server.
-constexpr Duration DigestPeriod = milliseconds(200);
 /// Maximum number of prompt parts in one digest.
 constexpr std::size_t MaxPartsPerDigest = 80;
 /// Maximum number of reports of crashes in one digest.
 constexpr std::size_t MaxCrashReportsPerDigest = 24;
-/// A node counts as down if no digest arrives for this long, that is, if several digests in a row
-/// are lost.
-constexpr Duration NodeTimeout = milliseconds(1500);
 
 } // namespace
 
@@ -78,8 +73,8 @@
 
 void DigestExchange::scheduleDigest()
 {
-    const Duration period = std::max(DigestPeriod, 2 * digestBatchDelay(peers_.size()));
-    periodicTimer_.expires_at(std::max(nextDigestAt_, std::chrono::steady_clock::now() + period));
+    periodicTimer_.expires_at(std::max(
+        nextDigestAt_, std::chrono::steady_clock::now() + digestPeriod(peers_.size())));
     periodicTimer_.async_wait([this](error_code error) {
         if (!error) {
             // The pause may have grown with a batch that was sent meanwhile.
@@ -146,9 +141,10 @@
 
 std::vector<std::string> DigestExchange::liveNodes(Instant now) const
 {
+    const Duration timeout = nodeTimeout(peers_.size());
     std::vector<std::string> names { state_.settings.name };
     for (const auto &[name, received] : receivedAt_) {
-        if (now - received < NodeTimeout) {
+        if (now - received < timeout) {
             names.push_back(name);
         }
     }
--- a/Tests/FleetPeers/DigestPacingTest.cpp
+++ b/Tests/FleetPeers/DigestPacingTest.cpp
@@ -24,6 +24,28 @@
     }
 }
 
+BOOST_AUTO_TEST_CASE(nodesOfAFleetOfAnySizeDoNotBelieveThatTheyAreAlone)
+{
+    for (const std::size_t peers : { 1, 6, 60, 150, 294, 1000 }) {
+        const Duration between = std::max(digestPeriod(peers), digestPause(peers, MaxDigestBytes));
+        BOOST_TEST((nodeTimeout(peers) >= 3 * between), peers);
+    }
+}
+
+BOOST_AUTO_TEST_CASE(smallFleetsNoticeALostNodeAsSoonAsBefore)
+{
+    BOOST_CHECK(nodeTimeout(7) == milliseconds(1500));
+}
+
+BOOST_AUTO_TEST_CASE(summariesStayWithinTheirShareOfTheLink)
+{
+    for (const std::size_t receivers : { 1, 49, 245, 1000 }) {
+        const double seconds = toMilliseconds(summaryPeriod(receivers)) / 1000;
+        const double rate = static_cast<double>(receivers * MaxDigestBytes) / seconds;
+        BOOST_TEST(rate <= 1.001 * MaxDigestBytesPerSecond);
+    }
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace jacinthroad
