--- a/Source/FleetPeers/NodeDigest.cpp
+++ b/Source/FleetPeers/NodeDigest.cpp
@@ -11,6 +11,10 @@
 /// First element of every digest; digests of other versions are ignored.
 constexpr std::uint32_t FormatVersion = 5;
 constexpr std::uint32_t DigestFields = 11;
+/// First element of every summary of a zone, which has the zone as an additional last field. Older
+/// builds ignore it.
+constexpr std::uint32_t SummaryFormatVersion = 6;
+constexpr std::uint32_t SummaryFields = DigestFields + 1;
 constexpr std::uint32_t EchoFields = 3;
 constexpr std::uint32_t DesiredWeightsFields = 3;
 constexpr std::uint32_t UpdateFields = 13;
@@ -127,8 +131,9 @@
 {
     msgpack::sbuffer buffer;
     msgpack::packer<msgpack::sbuffer> packer(buffer);
-    packer.pack_array(DigestFields);
-    packer.pack(FormatVersion);
+    const bool summary = !digest.summarizedZone.empty();
+    packer.pack_array(summary ? SummaryFields : DigestFields);
+    packer.pack(summary ? SummaryFormatVersion : FormatVersion);
     packer.pack(digest.node);
     packer.pack(digest.boot);
     packer.pack(digest.sequence);
@@ -182,6 +187,9 @@
             packer.pack(report.cleared);
         }
     }
+    if (summary) {
+        packer.pack(digest.summarizedZone);
+    }
     return { buffer.data(), buffer.size() };
 }
 
@@ -190,8 +198,13 @@
     try {
         const msgpack::object_handle handle = msgpack::unpack(datagram.data(), datagram.size());
         const msgpack::object &root = handle.get();
-        if (root.type != msgpack::type::ARRAY || root.via.array.size != DigestFields
-            || root.via.array.ptr[0].as<std::uint32_t>() != FormatVersion) {
+        if (root.type != msgpack::type::ARRAY || root.via.array.size == 0) {
+            return std::nullopt;
+        }
+        const auto version = root.via.array.ptr[0].as<std::uint32_t>();
+        const std::uint32_t fields = root.via.array.size;
+        const bool summary = version == SummaryFormatVersion && fields == SummaryFields;
+        if (!summary && (version != FormatVersion || fields != DigestFields)) {
             return std::nullopt;
         }
         const msgpack::object *field = root.via.array.ptr;
@@ -218,6 +231,12 @@
         for (const msgpack::object &record : crashes) {
             digest.crashes.push_back(readCrashRecord(record));
         }
+        if (summary) {
+            digest.summarizedZone = text(field[DigestFields]);
+            if (digest.summarizedZone.empty()) {
+                return std::nullopt;
+            }
+        }
         return digest;
     } catch (const std::exception &fault) {
         logLine(LogLevel::Debug, "digest_unreadable", { { "reason", fault.what() } });
--- a/Source/FleetPeers/NodeDigest.h
+++ b/Source/FleetPeers/NodeDigest.h
@@ -85,6 +85,9 @@
     std::vector<DigestEcho> echoes {};
     /// Requests that were running on servers that crashed.
     std::vector<CrashRecord> crashes {};
+    /// The availability zone whose nodes' updates are summed up here; empty in a digest of a single
+    /// node.
+    std::string summarizedZone {};
 };
 
 [[nodiscard]] std::string encodeDigest(const NodeDigest &digest);
--- a/Source/Placement/ServerPool.h
+++ b/Source/Placement/ServerPool.h
@@ -117,6 +117,17 @@
     Abandoned,
 };
 
+/// Whose load a peer's update reports.
+enum class PeerScope : std::uint8_t {
+    /// That of one node.
+    Node,
+    /// The sum over the nodes of another availability zone.
+    Zone,
+};
+
+/// Name under which the sums of an availability zone are kept beside the loads of nodes.
+[[nodiscard]] std::string zonePeerName(std::string_view zone);
+
 /// The backend servers as one node sees them, from the platform's list, the responses, the peers
 /// and the requests that this node has sent. Chooses the server with the lowest expected time to
 /// the first byte, to which a penalty for recomputing shared prompt parts is added. Does no I/O;
@@ -199,7 +210,8 @@
     /// Returns the number of listed servers whose statements keep requests from them, by reason.
     [[nodiscard]] std::map<WithholdReason, std::size_t> withheldServers(Instant now) const;
     /// Applies a peer's updates: its requests in flight, weight loads in progress and weights seen.
-    void applyPeer(const std::string &peer, std::span<const ServerUpdate> updates, Instant now);
+    void applyPeer(const std::string &peer, std::span<const ServerUpdate> updates, Instant now,
+                   PeerScope scope = PeerScope::Node);
     /// Applies the cache events of a server or store.
     void applyCacheEvents(const ServerId &id, const CacheEvents &events);
     /// Queues all cached parts of a server or store to be sent to the peers again, as when a peer
@@ -211,6 +223,10 @@
     [[nodiscard]] std::vector<ServerUpdate>
     takeServerUpdates(Instant now, std::size_t maxParts,
                       std::size_t maxBytes = std::numeric_limits<std::size_t>::max());
+    /// Returns the sums over this node and the nodes that report to it, for other availability
+    /// zones, of about `maxBytes` when encoded. The rest follows with the next calls: servers not
+    /// to be used come first, then those that were not reported for longest.
+    [[nodiscard]] std::vector<ServerUpdate> takeZoneSummary(Instant now, std::size_t maxBytes);
     /// Returns true while prompt parts are left to send to the peers.
     [[nodiscard]] bool hasPendingParts() const;
 
@@ -250,6 +266,7 @@
         std::uint32_t pendingPrefillTokens = 0;
         std::uint32_t silentMs = 0;
         Instant at;
+        PeerScope scope = PeerScope::Node;
     };
 
     struct Server
@@ -286,6 +303,10 @@
         unsigned reportedInFlight = 0;
         WeightsVersion reportedWeights = 0;
         bool reportedCordoned = false;
+        /// When it was last in a summary for other zones, and what that reported.
+        Instant summarizedAt;
+        bool summarizedLoad = false;
+        bool summarizedCordon = false;
         /// The value of `updateRound_` at which it was last reported.
         std::uint64_t reportedRound = 0;
     };
@@ -302,6 +323,13 @@
     /// What this node reports about a server, without prompt parts.
     [[nodiscard]] static ServerUpdate updateWithoutParts(const ServerId &id, const Server &server,
                                                          Instant now);
+    /// The same summed over this node and the nodes that report to it.
+    [[nodiscard]] static ServerUpdate summaryUpdate(const ServerId &id, const Server &server,
+                                                    Instant now);
+    /// Encoded size of an update without its parts, as an upper estimate.
+    [[nodiscard]] static std::size_t encodedSizeWithoutParts(const ServerUpdate &update);
+    /// Age from which the report of a node is left out of summaries.
+    static constexpr Duration SummarizedReportLifetime = std::chrono::seconds(1);
     /// Returns true if a server could take requests, apart from what it stated and from
     /// suspensions after failures.
     [[nodiscard]] bool acceptsWork(const Server &server, Instant now) const;
--- a/Source/Placement/ServerPoolPeers.cpp
+++ b/Source/Placement/ServerPoolPeers.cpp
@@ -35,22 +35,13 @@
 /// Smallest age that says something about a limit.
 constexpr std::uint32_t MinLimitAgeMs = 1;
 
-std::size_t sizeWithoutParts(const ServerUpdate &update)
-{
-    const std::size_t limitBytes = update.limitAgeMs != NoLimitReport ? LimitBytes : 0;
-    return UpdateBytes + limitBytes + update.server.text().size() + update.model.text().size();
-}
-
 /// What still fits into a list of updates.
 struct UpdateRoom
 {
     std::size_t parts = 0;
     std::size_t bytes = 0;
 
-    void takeUpdate(const ServerUpdate &update)
-    {
-        bytes -= std::min(bytes, sizeWithoutParts(update));
-    }
+    void takeUpdate(std::size_t size) { bytes -= std::min(bytes, size); }
     void takeParts(std::size_t count)
     {
         parts -= count;
@@ -80,6 +71,12 @@
 
 } // namespace
 
+std::size_t ServerPool::encodedSizeWithoutParts(const ServerUpdate &update)
+{
+    const std::size_t limitBytes = update.limitAgeMs != NoLimitReport ? LimitBytes : 0;
+    return UpdateBytes + limitBytes + update.server.text().size() + update.model.text().size();
+}
+
 void ServerPool::applyDesiredWeightsAges(std::span<const DesiredWeightsAge> reportedAges,
                                          Instant now)
 {
@@ -92,7 +89,7 @@
 }
 
 void ServerPool::applyPeer(const std::string &peer, std::span<const ServerUpdate> updates,
-                           Instant now)
+                           Instant now, PeerScope scope)
 {
     for (const ServerUpdate &update : updates) {
         if (const auto cacheStore = stores_.find(update.server); cacheStore != stores_.end()) {
@@ -107,7 +104,8 @@
         server.peers[peer] = { .inFlight = update.inFlight,
                                .pendingPrefillTokens = update.pendingPrefillTokens,
                                .silentMs = update.unresponsiveMs,
-                               .at = now };
+                               .at = now,
+                               .scope = scope };
         if (update.limitAgeMs != NoLimitReport) {
             const Instant observedAt = now - milliseconds(update.limitAgeMs);
             const std::optional<double> limit = update.limitPerThousandSeconds > 0
@@ -241,12 +239,12 @@
     std::erase_if(removedServers_, [&](const auto &entry) { return entry.second <= now; });
     for (const auto &[id, until] : removedServers_) {
         updates.push_back({ .server = id, .avoidMs = LeavingAvoidMs });
-        room.takeUpdate(updates.back());
+        room.takeUpdate(encodedSizeWithoutParts(updates.back()));
     }
     for (auto &[id, cacheStore] : stores_) {
         if (hasPending(cacheStore)) {
             ServerUpdate update { .server = id };
-            room.takeUpdate(update);
+            room.takeUpdate(encodedSizeWithoutParts(update));
             // The rest is for the servers, of which any node may have news.
             UpdateRoom share = room.half();
             update.confirmedParts = takeFront(cacheStore.pendingPrefilled, share);
@@ -273,11 +271,11 @@
                 update.model = ModelId();
                 update.weights = 0;
             }
-            if (room.bytes < partBytes + sizeWithoutParts(update)) {
+            if (room.bytes < partBytes + encodedSizeWithoutParts(update)) {
                 break;
             }
         }
-        room.takeUpdate(update);
+        room.takeUpdate(encodedSizeWithoutParts(update));
         ++count;
     }
     for (Candidate &candidate : std::span(candidates).first(count)) {
--- a/Source/Placement/ServerPoolPlacement.cpp
+++ b/Source/Placement/ServerPoolPlacement.cpp
@@ -13,6 +13,8 @@
 /// Time in which a load report that is not renewed loses half of its weight; about the duration of
 /// a request on a server.
 constexpr Duration LoadReportHalfLife = milliseconds(400);
+/// The same for the sums of another availability zone, which follow each other more slowly.
+constexpr Duration ZoneReportHalfLife = milliseconds(1000);
 /// Retry delay if no server takes work; about the time until a suspended server is tried again.
 constexpr Duration NoServerRetryAfter = milliseconds(300);
 /// Age from which a peer's report is not used to decide whether a server is unresponsive.
@@ -28,9 +30,9 @@
 constexpr Duration ReturnSpread = milliseconds(500);
 constexpr std::uint64_t ReturnSlots = 64;
 
-double decayed(double value, Duration age)
+double decayed(double value, Duration age, Duration halfLife = LoadReportHalfLife)
 {
-    const double halves = toMilliseconds(age) / toMilliseconds(LoadReportHalfLife);
+    const double halves = toMilliseconds(age) / toMilliseconds(halfLife);
     return halves > 10 ? 0 : value * std::exp2(-halves);
 }
 
@@ -208,8 +210,10 @@
     double loadOfPeers = 0;
     double prefillTokensOfPeers = 0;
     for (const auto &[peer, peerLoad] : server.peers) {
-        loadOfPeers += decayed(peerLoad.inFlight, now - peerLoad.at);
-        prefillTokensOfPeers += decayed(peerLoad.pendingPrefillTokens, now - peerLoad.at);
+        const Duration halfLife
+            = peerLoad.scope == PeerScope::Zone ? ZoneReportHalfLife : LoadReportHalfLife;
+        loadOfPeers += decayed(peerLoad.inFlight, now - peerLoad.at, halfLife);
+        prefillTokensOfPeers += decayed(peerLoad.pendingPrefillTokens, now - peerLoad.at, halfLife);
     }
     loadOfPeers
         = std::max(loadOfPeers, decayed(std::max(0.0, reported - server.inFlightAtLoad), loadAge));
--- a/Tests/FleetPeers/NodeDigestTest.cpp
+++ b/Tests/FleetPeers/NodeDigestTest.cpp
@@ -118,6 +118,24 @@
     }
 }
 
+BOOST_AUTO_TEST_CASE(summaryOfAZoneIsDecodedAsEncodedAndNotTakenForADigest)
+{
+    NodeDigest summary;
+    summary.node = "front-1";
+    summary.summarizedZone = "zone-1";
+    const std::string datagram = encodeDigest(summary);
+    const auto decoded = decodeDigest(datagram);
+    BOOST_REQUIRE(decoded.has_value());
+    BOOST_TEST(decoded->summarizedZone == "zone-1");
+    for (std::size_t size = 0; size < datagram.size(); ++size) {
+        BOOST_TEST(!decodeDigest(std::string_view(datagram).substr(0, size)).has_value());
+    }
+    summary.summarizedZone.clear();
+    const auto digest = decodeDigest(encodeDigest(summary));
+    BOOST_REQUIRE(digest.has_value());
+    BOOST_TEST(digest->summarizedZone.empty());
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace jacinthroad
