StoreRelay: Add readers of the store for a zone and what they pass on

Store calls grow with the nodes, as each watches the configuration, the list of servers, the weights and the nodes itself; they are the largest price of large fleets.

--- /dev/null
+++ b/Source/StoreRelay/ReadPacing.cpp
@@ -0,0 +1,35 @@
+#include "StoreRelay/ReadPacing.h"
+
+namespace jacinthroad {
+
+namespace {
+
+constexpr Duration ConfigurationWait = milliseconds(1000);
+constexpr Duration UnprovenWait = milliseconds(250);
+constexpr Duration ServersWait = milliseconds(1500);
+/// A leaving server has to be known within two seconds, of which a store that does not respond for
+/// a second may take one.
+constexpr Duration ServersPause = milliseconds(600);
+/// Wait and pause of a node that passes objects on.
+constexpr Duration ShortWait = milliseconds(10);
+constexpr Duration PassingOnPause = milliseconds(1000);
+
+} // namespace
+
+ReadPacing configurationPacing(const ReadSituation &situation)
+{
+    if (!situation.proven) {
+        return { .wait = UnprovenWait, .pause = {} };
+    }
+    if (situation.passesOn) {
+        return { .wait = ShortWait, .pause = PassingOnPause };
+    }
+    return { .wait = ConfigurationWait, .pause = {} };
+}
+
+ReadPacing serversPacing(const ReadSituation &situation)
+{
+    return { .wait = ServersWait, .pause = situation.passesOn ? PassingOnPause : ServersPause };
+}
+
+} // namespace jacinthroad
