Gateway: Tell only the own zone everything and read the store once a zone

Cause: in a large fleet each node told each other everything and read the store for itself.

Change: above 16 nodes, digests stay inside the zone, sums go to other zones, and nodes get the objects of the store from a node of their zone over the address for peers. What is passed on proves nothing newer than the asking node's own sending less the age that the reader names. A node whose reader does not respond, is behind or too old asks the next one and then the store. Two nodes of a zone resend crash records to a started peer instead of all, and two ask for the lease. The registration of a node moves into a file of its own.

Tests: RelayedObjectsTest (reader that ends, stands still, loses the store, or is behind).

--- a/Source/Gateway/DigestExchange.cpp
+++ b/Source/Gateway/DigestExchange.cpp
@@ -6,6 +6,7 @@
 #include "Core/Endpoint.h"
 #include "Core/Log.h"
 #include "FleetPeers/DigestPacing.h"
+#include "FleetPeers/FleetRoles.h"
 #include "FleetPeers/NodeDigest.h"
 #include "Gateway/BootClock.h"
 
@@ -20,6 +21,20 @@
 constexpr std::size_t MaxPartsPerDigest = 80;
 /// Maximum number of reports of crashes in one digest.
 constexpr std::size_t MaxCrashReportsPerDigest = 24;
+/// Number of nodes of a large fleet that resend the crash records to a node that has started.
+constexpr std::size_t NodesThatInform = 2;
+
+std::vector<asio::ip::udp::endpoint> endpointsOf(std::span<const FleetNode> nodes)
+{
+    std::vector<asio::ip::udp::endpoint> endpoints;
+    for (const FleetNode &node : nodes) {
+        const auto endpoint = parseEndpoint(node.address);
+        if (endpoint.has_value()) {
+            endpoints.emplace_back(endpoint->address(), endpoint->port());
+        }
+    }
+    return endpoints;
+}
 
 } // namespace
 
@@ -30,6 +45,7 @@
     , socket_(state.context)
     , periodicTimer_(state.context)
     , batchTimer_(state.context)
+    , summaryTimer_(state.context)
 { }
 
 Result<void> DigestExchange::open(const std::string &address)
@@ -50,31 +66,27 @@
     }
     receive();
     scheduleDigest();
+    scheduleSummary();
     return {};
 }
 
-void DigestExchange::applyPeers(const std::unordered_map<std::string, std::string> &addresses)
+void DigestExchange::applyNodes(std::span<const FleetNode> nodes)
 {
-    state_.setNodeCount(addresses.size());
-    peers_.clear();
+    state_.setNodeCount(nodes.size());
     std::vector<std::string> names;
-    names.reserve(addresses.size());
-    for (const auto &[name, address] : addresses) {
-        names.push_back(name);
+    names.reserve(nodes.size());
+    for (const FleetNode &node : nodes) {
+        names.push_back(node.name);
     }
     state_.pool.setNodes(state_.settings.name, names);
-    for (const auto &[name, address] : addresses) {
-        const auto endpoint = parseEndpoint(address);
-        if (name != state_.settings.name && endpoint.has_value()) {
-            peers_.emplace_back(endpoint->address(), endpoint->port());
-        }
-    }
+    topology_ = FleetTopology(state_.settings.name, state_.settings.zone, nodes);
+    peers_ = endpointsOf(topology_.neighbours());
 }
 
 void DigestExchange::scheduleDigest()
 {
-    periodicTimer_.expires_at(std::max(
-        nextDigestAt_, std::chrono::steady_clock::now() + digestPeriod(peers_.size())));
+    periodicTimer_.expires_at(
+        std::max(nextDigestAt_, std::chrono::steady_clock::now() + digestPeriod(peers_.size())));
     periodicTimer_.async_wait([this](error_code error) {
         if (!error) {
             // The pause may have grown with a batch that was sent meanwhile.
@@ -102,25 +114,60 @@
     });
 }
 
-void DigestExchange::sendDigest()
+NodeDigest DigestExchange::emptyDigest(BootInstant now)
 {
-    const BootInstant now = bootNow();
-    const Instant sentAt = std::chrono::steady_clock::now();
     const auto age = state_.freshness.age(now);
     const ConfigurationIdentity configuration
         = state_.configuration().value_or(ConfigurationIdentity());
-    const NodeDigest digest {
-        .node = state_.settings.name,
-        .boot = boot_,
-        .sequence = ++sequence_,
-        .configurationVersion = configuration.version,
-        .configurationHash = configuration.contentHash,
-        .configurationAgeMs = age.has_value() ? wholeMilliseconds(*age) + 1 : UnknownAgeMs,
-        .servers = state_.pool.takeServerUpdates(sentAt, MaxPartsPerDigest, MaxDigestBytes),
-        .desiredWeights = state_.pool.desiredWeightsAges(sentAt),
-        .echoes = freshness_.takeEchoes(),
-        .crashes = state_.crashHistory.takeRecords(sentAt, MaxCrashReportsPerDigest)
-    };
+    return { .node = state_.settings.name,
+             .boot = boot_,
+             .sequence = ++sequence_,
+             .configurationVersion = configuration.version,
+             .configurationHash = configuration.contentHash,
+             .configurationAgeMs = age.has_value() ? wholeMilliseconds(*age) + 1 : UnknownAgeMs,
+             .servers = {},
+             .desiredWeights = state_.pool.desiredWeightsAges(std::chrono::steady_clock::now()) };
+}
+
+void DigestExchange::scheduleSummary()
+{
+    summaryTimer_.expires_after(summaryPeriod(peers_.size()));
+    summaryTimer_.async_wait([this](error_code error) {
+        if (!error) {
+            sendSummary();
+            scheduleSummary();
+        }
+    });
+}
+
+void DigestExchange::sendSummary()
+{
+    const Instant sentAt = std::chrono::steady_clock::now();
+    const std::vector<asio::ip::udp::endpoint> receivers
+        = endpointsOf(topology_.summaryReceivers(liveNodes(sentAt)));
+    if (receivers.empty() || !socket_.is_open()) {
+        return;
+    }
+    NodeDigest summary = emptyDigest(bootNow());
+    summary.servers = state_.pool.takeZoneSummary(sentAt, MaxDigestBytes);
+    summary.crashes = state_.crashHistory.recordsToKeep(sentAt, MaxCrashReportsPerDigest);
+    summary.summarizedZone = state_.settings.zone;
+    const std::string datagram = encodeDigest(summary);
+    for (const asio::ip::udp::endpoint &receiver : receivers) {
+        error_code ignored;
+        socket_.send_to(asio::buffer(datagram), receiver, 0, ignored);
+    }
+    state_.metrics.countDigestsSent(receivers.size(), datagram.size());
+}
+
+void DigestExchange::sendDigest()
+{
+    const BootInstant now = bootNow();
+    const Instant sentAt = std::chrono::steady_clock::now();
+    NodeDigest digest = emptyDigest(now);
+    digest.servers = state_.pool.takeServerUpdates(sentAt, MaxPartsPerDigest, MaxDigestBytes);
+    digest.echoes = freshness_.takeEchoes();
+    digest.crashes = state_.crashHistory.takeRecords(sentAt, MaxCrashReportsPerDigest);
     freshness_.noteSent(digest.sequence, now);
     if (!socket_.is_open()) {
         return;
@@ -174,18 +221,27 @@
 void DigestExchange::applyDatagram(std::string_view datagram)
 {
     const auto digest = decodeDigest(datagram);
-    if (!digest.has_value() || digest->node == state_.settings.name) {
+    if (!digest.has_value()) {
+        state_.metrics.countDigestRejected();
+        return;
+    }
+    if (digest->node == state_.settings.name) {
         return;
     }
-    auto &newest = newest_[digest->node];
+    const bool summary = !digest->summarizedZone.empty();
+    auto &newest = newest_[summary ? digest->node + "/summary" : digest->node];
     // The wall clock may have jumped back between two boots, so a different boot counts as newer.
     const bool started = newest.first != digest->boot;
     if (!started && digest->sequence <= newest.second) {
         return;
     }
     newest = { digest->boot, digest->sequence };
+    if (summary) {
+        applySummary(*digest);
+        return;
+    }
     if (started) {
-        state_.crashHistory.resendAll();
+        informStartedPeer();
         onPeerStarted();
     }
     receivedAt_[digest->node] = std::chrono::steady_clock::now();
@@ -205,4 +261,25 @@
     state_.pool.applyPeer(digest->node, digest->servers, std::chrono::steady_clock::now());
 }
 
+void DigestExchange::applySummary(const NodeDigest &summary)
+{
+    if (summary.summarizedZone == state_.settings.zone) {
+        return;
+    }
+    const Instant now = std::chrono::steady_clock::now();
+    state_.notePeerConfiguration(summary.configurationVersion);
+    state_.pool.applyDesiredWeightsAges(summary.desiredWeights, now);
+    state_.mergeCrashes(summary.crashes, now);
+    state_.pool.applyPeer(zonePeerName(summary.summarizedZone), summary.servers, now,
+                          PeerScope::Zone);
+}
+
+void DigestExchange::informStartedPeer()
+{
+    const std::vector<std::string> live = liveNodes(std::chrono::steady_clock::now());
+    if (!topology_.zoned() || isFleetDelegate(state_.settings.name, live, NodesThatInform)) {
+        state_.crashHistory.resendAll();
+    }
+}
+
 } // namespace jacinthroad
--- a/Source/Gateway/DigestExchange.h
+++ b/Source/Gateway/DigestExchange.h
@@ -3,6 +3,7 @@
 #include <array>
 #include <cstdint>
 #include <functional>
+#include <span>
 #include <string>
 #include <unordered_map>
 #include <vector>
@@ -11,6 +12,7 @@
 #include <boost/asio/steady_timer.hpp>
 
 #include "Core/Error.h"
+#include "FleetPeers/FleetTopology.h"
 #include "FleetPeers/FreshnessExchange.h"
 #include "Gateway/TrafficState.h"
 
@@ -26,8 +28,10 @@
 
     /// Binds to `IP:port` and starts; fails with InvalidSettings if the address cannot be bound.
     [[nodiscard]] Result<void> open(const std::string &address);
-    /// Replaces the `IP:port` addresses of all nodes, by node name.
-    void applyPeers(const std::unordered_map<std::string, std::string> &addresses);
+    /// Replaces the registered nodes.
+    void applyNodes(std::span<const FleetNode> nodes);
+    /// Which nodes this one tells what.
+    [[nodiscard]] const FleetTopology &topology() const { return topology_; }
     /// Sends a digest immediately.
     void sendDigest();
     /// Sends a digest after a short delay, together with all updates until then.
@@ -36,13 +40,19 @@
     std::function<void()> onPeerStarted = [] {};
     /// Names of the nodes from which a digest arrived recently, and of this node.
     [[nodiscard]] std::vector<std::string> liveNodes(Instant now) const;
-    /// True if a digest arrived recently from each listed node.
+    /// True if a digest arrived recently from each node that sends this one digests.
     [[nodiscard]] bool hearsAllPeers(Instant now) const;
 
 private:
     void receive();
     void applyDatagram(std::string_view datagram);
+    void applySummary(const NodeDigest &summary);
+    /// Resends the crash records to a peer that has started, unless others do.
+    void informStartedPeer();
     void scheduleDigest();
+    void scheduleSummary();
+    void sendSummary();
+    [[nodiscard]] NodeDigest emptyDigest(BootInstant now);
 
     static constexpr std::size_t DatagramBytes = 65536;
 
@@ -53,9 +63,11 @@
     boost::asio::ip::udp::socket socket_;
     boost::asio::steady_timer periodicTimer_;
     boost::asio::steady_timer batchTimer_;
+    boost::asio::steady_timer summaryTimer_;
     bool batchPending_ = false;
     /// Earliest time of the next digest, which bounds the share of the link that digests take.
     Instant nextDigestAt_;
+    FleetTopology topology_;
     std::vector<boost::asio::ip::udp::endpoint> peers_;
     /// Boot and sequence number of the newest digest of each peer.
     std::unordered_map<std::string, std::pair<std::uint64_t, std::uint64_t>> newest_;
--- a/Source/Gateway/Gateway.cpp
+++ b/Source/Gateway/Gateway.cpp
@@ -28,7 +28,8 @@
 #include "Gateway/CrashRecordSync.h"
 #include "Gateway/DigestExchange.h"
 #include "Gateway/Listener.h"
-#include "Gateway/Pause.h"
+#include "Gateway/NodeRegistration.h"
+#include "Gateway/RelayServer.h"
 #include "Gateway/RestartingTask.h"
 #include "Gateway/RolloutDriver.h"
 #include "Gateway/ServerDecoder.h"
@@ -46,21 +47,13 @@
 
 namespace {
 
-/// How long watches wait for a change. Those of the configuration renew the freshness that checks
-/// of keys depend on, those of the servers determine how soon a leaving server gets no new
-/// requests, and weights rarely change.
-constexpr Duration ConfigurationWait = milliseconds(1000);
-/// The same while no read proves the configuration yet, so that the first that does follows soon.
-constexpr Duration UnsettledWait = milliseconds(250);
-constexpr Duration ServersWait = milliseconds(1500);
+/// Weights rarely change.
 constexpr Duration WeightsWait = milliseconds(4000);
-/// Server entries change with every heartbeat, so changes are batched. A leaving server has to be
-/// known within two seconds, of which a store that does not respond for a second may take one.
-constexpr Duration ServersMinimumPause = milliseconds(600);
-/// Maximum number of active nodes, which read the list of servers this often and request the
-/// lease; the other nodes learn from them which servers leave. It equals the size of a
-/// small fleet, so that an isolated zone still has some.
+/// Nodes of a fleet that starts register one after the other.
+constexpr Duration NodesPause = milliseconds(500);
+/// Number of nodes that ask for the lease in a small fleet, and in each zone of a large one.
 constexpr std::size_t MaxActiveNodes = 8;
+constexpr std::size_t LeaseCandidatesPerZone = 2;
 /// Servers whose entries are missing after a restore of the store register again within about two
 /// seconds, according to the platform's pages.
 constexpr Duration MissingServerGrace = milliseconds(2500);
@@ -73,16 +66,7 @@
 /// How long servers that left are remembered: the copy that the store is restored from is some
 /// seconds old.
 constexpr Duration LeftServerMemory = std::chrono::seconds(60);
-/// Minimum pause between two watches of the servers on the other nodes.
-constexpr Duration PassiveServersPause = milliseconds(1800);
 constexpr Duration NodesWait = milliseconds(10000);
-/// Pause between attempts to register this node in the store.
-constexpr Duration RegisterPause = milliseconds(700);
-constexpr Duration RegisterTimeout = milliseconds(900);
-/// Field of a node's object with the address for digests.
-constexpr const char *PeerAddressField = "peers";
-/// Field of a node's object with the era of the store that the node has found settled.
-constexpr const char *SettledEraField = "settled_era";
 /// Period of the sweep over idle connections, and of passing the data of responses to the rollout.
 constexpr Duration SweepPeriod = milliseconds(200);
 /// Delay of a sweep from which it is logged: the traffic thread or the VM stood still.
@@ -105,19 +89,13 @@
     return services;
 }
 
-/// Returns the era that a node's object records as settled; 0 if it records none.
-std::uint64_t settledEra(const Json::Value &node)
-{
-    const bool records = node.isObject() && node[SettledEraField].isUInt64();
-    return records ? node[SettledEraField].asUInt64() : 0;
-}
-
 } // namespace
 
 struct Gateway::Parts
 {
     explicit Parts(const GatewaySettings &nodeSettings)
         : settings(nodeSettings)
+        , boot(wallMilliseconds())
         , trafficContext(1)
         , controlContext(1)
         , traffic(trafficContext, settings, metrics)
@@ -125,6 +103,7 @@
         , callers(trafficContext)
         , readiness(trafficContext)
         , scrapes(controlContext)
+        , relayQueries(controlContext)
         , sweepTimer(trafficContext)
         , drainTimer(trafficContext)
         , stopGrace(settings.stopGrace)
@@ -132,32 +111,46 @@
               controlContext, store,
               { .kind = platform::ObjectKind::Configuration,
                 .name = "configuration",
-                .watchWait = ConfigurationWait },
+                .watchWait = configurationPacing({}).wait,
+                .relayWait = RelayedConfigurationWait,
+                .node = settings.name,
+                .boot = relaySource() },
               [this](const ObjectTable &table) { onConfigurationChanged(table); },
               [this](BootInstant moment) { onConfigurationConfirmed(moment); })
         , servers(
               controlContext, store,
               { .kind = platform::ObjectKind::Servers,
                 .name = "servers",
-                .watchWait = ServersWait,
-                .minimumPause = ServersMinimumPause },
+                .watchWait = serversPacing({}).wait,
+                .minimumPause = serversPacing({}).pause,
+                .relayWait = RelayedServersWait,
+                .node = settings.name,
+                .boot = relaySource() },
               [this](const ObjectTable &table) { onServersChanged(table); },
               [this](BootInstant moment) {
                   streamVersions.confirmServers(moment);
-                  asio::post(trafficContext, [this, moment] {
-                      traffic.streamVersions.confirmList(moment);
-                  });
+                  asio::post(trafficContext,
+                             [this, moment] { traffic.streamVersions.confirmList(moment); });
               })
         , weights(
               controlContext, store,
               { .kind = platform::ObjectKind::DesiredWeights,
                 .name = "named_weights",
-                .watchWait = WeightsWait },
+                .watchWait = WeightsWait,
+                .relayWait = RelayedRareWait,
+                .node = settings.name,
+                .boot = relaySource() },
               [this](const ObjectTable &table) { onDesiredWeightsChanged(table); },
               [](BootInstant) {})
         , nodes(
               controlContext, store,
-              { .kind = platform::ObjectKind::Nodes, .name = "nodes", .watchWait = NodesWait },
+              { .kind = platform::ObjectKind::Nodes,
+                .name = "nodes",
+                .watchWait = NodesWait,
+                .minimumPause = NodesPause,
+                .relayWait = RelayedRareWait,
+                .node = settings.name,
+                .boot = relaySource() },
               [this](const ObjectTable &table) { onNodesChanged(table); }, [](BootInstant) {})
         , crashRecords(
               controlContext, store,
@@ -166,8 +159,12 @@
               [this] { applyHeldConfiguration(); })
         , streamVersions(controlContext, store, { .node = settings.name },
                          [this](const VersionTable &table) { onAdmittedVersions(table); })
-        , boot(wallMilliseconds())
         , digests(traffic, boot)
+        , relay(controlContext, metrics)
+        , registration(
+              controlContext, store,
+              { .name = settings.name, .zone = settings.zone, .address = settings.peerAddress },
+              eraSettling)
         , rollout(
               controlContext, store,
               { .node = settings.name, .boot = boot, .lease = settings.lease },
@@ -195,6 +192,8 @@
 
     Result<void> open();
     void run();
+    /// Lets other nodes of the zone get the objects of the store from this one.
+    void passOnStoreObjects();
     void sweep();
     void onConfigurationChanged(const ObjectTable &table);
     /// Applies the configuration that was received before the crash records were read.
@@ -218,12 +217,14 @@
     void pollDrain(std::shared_ptr<std::promise<void>> idle, bool connectionsClosed);
     void reportToRollout();
     void assignCaches();
-    /// Keeps this node's object in the store, also after the store has been restored.
-    [[nodiscard]] asio::awaitable<void> keepNodeRegistered();
-    /// Writes this node's object if the store lacks it; returns true if it is there.
-    [[nodiscard]] asio::awaitable<bool> registerNode();
+    /// Identifies this process to nodes that get objects of the store from it.
+    [[nodiscard]] std::uint64_t relaySource() const
+    {
+        return mix64(hash64(settings.name), static_cast<std::uint64_t>(boot));
+    }
 
     GatewaySettings settings;
+    std::int64_t boot;
     GatewayMetrics metrics;
     asio::io_context trafficContext;
     asio::io_context controlContext;
@@ -232,6 +233,7 @@
     asio::ip::tcp::acceptor callers;
     asio::ip::tcp::acceptor readiness;
     asio::ip::tcp::acceptor scrapes;
+    asio::ip::tcp::acceptor relayQueries;
     asio::steady_timer sweepTimer;
     asio::steady_timer drainTimer;
     /// Time from SIGTERM to SIGKILL; a reload may change it on another thread.
@@ -242,8 +244,9 @@
     StoreSync nodes;
     CrashRecordSync crashRecords;
     StreamVersionSync streamVersions;
-    std::int64_t boot;
     DigestExchange digests;
+    RelayServer relay;
+    NodeRegistration registration;
     RolloutDriver rollout;
     CacheEventReader cacheEventReader;
     /// Used by the control thread only.
@@ -257,10 +260,10 @@
                                 .recordDelay = EraRecordSpread
                                     * (hash64(settings.name) % EraRecordSlots) / EraRecordSlots,
                                 .proofValidity = settings.keyRevocation } };
+    /// Other nodes may get the objects of the store from this one; used by the control thread only.
+    bool passesOnObjects = false;
     /// The last era of which a read proved nothing; used by the control thread only.
     std::optional<std::uint64_t> unprovenEra;
-    /// The era that this node's object records; used by the control thread only.
-    std::uint64_t recordedEra = 0;
     /// Used by the control thread only.
     std::optional<ObjectTable> heldConfiguration;
     /// What was last reported to the control thread; used by the traffic thread only.
@@ -293,6 +296,11 @@
         scrapes = std::move(*opened);
     }
     if (!settings.peerAddress.empty()) {
+        opened = openAcceptor(controlContext, settings.peerAddress);
+        if (!opened.has_value()) {
+            return tl::make_unexpected(opened.error());
+        }
+        relayQueries = std::move(*opened);
         return digests.open(settings.peerAddress);
     }
     return {};
@@ -337,17 +345,30 @@
                    runRestarting(controlContext, "rollout", [this] { return rollout.run(); }),
                    asio::detached);
     if (!settings.peerAddress.empty()) {
+        passOnStoreObjects();
         asio::co_spawn(controlContext, nodes.run(), asio::detached);
-        asio::co_spawn(
-            controlContext,
-            runRestarting(controlContext, "register_node", [this] { return keepNodeRegistered(); }),
-            asio::detached);
+        asio::co_spawn(controlContext, registration.run(), asio::detached);
     }
     asio::post(trafficContext, [this] { sweep(); });
     trafficThread = std::thread([this] { trafficContext.run(); });
     controlThread = std::thread([this] { controlContext.run(); });
 }
 
+void Gateway::Parts::passOnStoreObjects()
+{
+    const std::pair<platform::ObjectKind, StoreSync *> passedOn[] = {
+        { platform::ObjectKind::Configuration, &configuration },
+        { platform::ObjectKind::Servers, &servers },
+        { platform::ObjectKind::DesiredWeights, &weights },
+        { platform::ObjectKind::Nodes, &nodes },
+    };
+    for (const auto &[kind, sync] : passedOn) {
+        relay.add(kind, sync->relayLog());
+        sync->onRelayChange = [this, kind = kind] { relay.noteChange(kind); };
+    }
+    asio::co_spawn(controlContext, relay.serve(relayQueries), asio::detached);
+}
+
 void Gateway::Parts::sweep()
 {
     traffic.connections.closeExpired(std::chrono::steady_clock::now());
@@ -454,7 +475,7 @@
     eraSettling.noteEra(store.era().value_or(0), bootNow());
     const bool proves = eraSettling.readsProve(bootNow());
     streamVersions.setStoreSettled(proves);
-    configuration.setWatchWait(proves ? ConfigurationWait : UnsettledWait);
+    configuration.setPacing(configurationPacing({ .proven = proves, .passesOn = passesOnObjects }));
     if (!proves) {
         if (unprovenEra != store.era()) {
             unprovenEra = store.era();
@@ -528,65 +549,20 @@
 
 void Gateway::Parts::onNodesChanged(const ObjectTable &table)
 {
-    std::unordered_map<std::string, std::string> addresses;
-    for (const auto &[name, object] : table) {
-        if (object.spec.isObject() && object.spec[PeerAddressField].isString()) {
-            addresses[name] = object.spec[PeerAddressField].asString();
-        }
-        eraSettling.noteRecorded(settledEra(object.spec));
-    }
-    streamVersions.setNodeCount(addresses.size());
-    asio::post(trafficContext, [this, addresses] { digests.applyPeers(addresses); });
-}
-
-asio::awaitable<void> Gateway::Parts::keepNodeRegistered()
-{
-    bool registered = false;
-    std::optional<std::uint64_t> era;
-    for (;;) {
-        const std::optional<std::uint64_t> eraToRecord = eraSettling.eraToRecord(bootNow());
-        if (!registered || era != store.era() || eraToRecord.has_value()) {
-            recordedEra = eraToRecord.value_or(recordedEra);
-            registered = co_await registerNode();
-            era = store.era();
+    std::vector<FleetNode> all = registration.applyNodes(table);
+    streamVersions.setNodeCount(all.size());
+    std::vector<RelayNode> zone;
+    passesOnObjects = FleetTopology(settings.name, settings.zone, all).zoned();
+    servers.setPacing(serversPacing({ .passesOn = passesOnObjects }));
+    for (const FleetNode &node : all) {
+        if (passesOnObjects && node.zone == settings.zone) {
+            zone.push_back({ .name = node.name, .address = node.address });
         }
-        co_await pauseFor(controlContext, RegisterPause);
-    }
-}
-
-asio::awaitable<bool> Gateway::Parts::registerNode()
-{
-    Json::Value spec;
-    spec[PeerAddressField] = settings.peerAddress;
-    if (recordedEra != 0) {
-        spec[SettledEraField] = Json::UInt64(recordedEra);
-    }
-    const auto reply = co_await store.call(
-        platform::createCall(platform::ObjectKind::Nodes, settings.name, spec), RegisterTimeout);
-    if (!reply.has_value()) {
-        co_return false;
     }
-    if (reply->status != platform::StoreStatus::Conflict) {
-        co_return reply->status == platform::StoreStatus::Done;
+    for (StoreSync *sync : { &configuration, &servers, &weights, &nodes }) {
+        sync->readerChoice().setZone(zone);
     }
-    const auto object = platform::readObject(reply->body);
-    if (!object.has_value()) {
-        co_return false;
-    }
-    // The record of a process that this one follows may be the only one.
-    const std::uint64_t earlierRecord = settledEra(object->spec);
-    eraSettling.noteRecorded(earlierRecord);
-    recordedEra = std::max(recordedEra, earlierRecord);
-    if (recordedEra != 0) {
-        spec[SettledEraField] = Json::UInt64(recordedEra);
-    }
-    if (object->spec == spec) {
-        co_return true;
-    }
-    const auto replaced = co_await store.call(
-        platform::replaceCall(platform::ObjectKind::Nodes, settings.name, object->revision, spec),
-        RegisterTimeout);
-    co_return replaced.has_value() && replaced->status == platform::StoreStatus::Done;
+    asio::post(trafficContext, [this, all = std::move(all)] { digests.applyNodes(all); });
 }
 
 void Gateway::Parts::cordonServer(const ServerId &server, const ModelId &model,
@@ -624,10 +600,14 @@
         }
     }
     ownedCaches = own;
-    const bool isActiveNode = isFleetDelegate(settings.name, live, MaxActiveNodes);
-    asio::post(controlContext, [this, isActiveNode] {
-        servers.setMinimumPause(isActiveNode ? ServersMinimumPause : PassiveServersPause);
-        rollout.setCandidate(isActiveNode);
+    const bool zoned = digests.topology().zoned();
+    const bool isCandidate
+        = isFleetDelegate(settings.name, live, zoned ? LeaseCandidatesPerZone : MaxActiveNodes);
+    asio::post(controlContext, [this, isCandidate, live] {
+        for (StoreSync *sync : { &configuration, &servers, &weights, &nodes }) {
+            sync->readerChoice().setLive(live);
+        }
+        rollout.setCandidate(isCandidate);
     });
     asio::post(controlContext, [this, own = std::move(own)] { cacheEventReader.assign(own); });
 }
--- a/Source/Gateway/GatewayMetrics.cpp
+++ b/Source/Gateway/GatewayMetrics.cpp
@@ -38,6 +38,15 @@
                        .Name("jacinthroad_store_calls_total")
                        .Help("Calls to the platform's store by result")
                        .Register(*registry_))
+    , relayQueries_(&prometheus::BuildCounter()
+                         .Name("jacinthroad_relay_queries_total")
+                         .Help("Queries of other nodes for objects of the store by result")
+                         .Register(*registry_))
+    , digestsRejected_(&prometheus::BuildCounter()
+                            .Name("jacinthroad_digests_rejected_total")
+                            .Help("Datagrams of peers that are malformed or of another format")
+                            .Register(*registry_)
+                            .Add({}))
     , connects_(&prometheus::BuildCounter()
                      .Name("jacinthroad_server_connects_total")
                      .Help("Connections opened to backend servers")
@@ -116,6 +125,16 @@
     storeCalls_->Add({ { "result", result } }).Increment();
 }
 
+void GatewayMetrics::countRelayQuery(const std::string &result)
+{
+    relayQueries_->Add({ { "result", result } }).Increment();
+}
+
+void GatewayMetrics::countDigestRejected()
+{
+    digestsRejected_->Increment();
+}
+
 void GatewayMetrics::countConnect()
 {
     connects_->Increment();
--- a/Source/Gateway/GatewayMetrics.h
+++ b/Source/Gateway/GatewayMetrics.h
@@ -36,6 +36,10 @@
     void countResume(const std::string &outcome);
     /// Counts a call to the platform's store that ended with `result`.
     void countStoreCall(const std::string &result);
+    /// Counts a query of another node for objects of the store by its result.
+    void countRelayQuery(const std::string &result);
+    /// Counts a datagram of another node that is not a digest.
+    void countDigestRejected();
     /// Counts an opened connection to a backend server.
     void countConnect();
     /// Counts a confirmation by a peer that the configuration is current.
@@ -64,6 +68,8 @@
     prometheus::Family<prometheus::Counter> *attempts_;
     prometheus::Family<prometheus::Counter> *resumes_;
     prometheus::Family<prometheus::Counter> *storeCalls_;
+    prometheus::Family<prometheus::Counter> *relayQueries_;
+    prometheus::Counter *digestsRejected_;
     prometheus::Counter *connects_;
     prometheus::Counter *peerConfirmations_;
     prometheus::Counter *digestsSent_;
--- a/Source/Gateway/StoreClient.cpp
+++ b/Source/Gateway/StoreClient.cpp
@@ -60,6 +60,17 @@
                            .sentAt = reply->sentAt };
 }
 
+bool StoreClient::adoptEra(std::optional<std::uint64_t> era)
+{
+    if (era.value_or(0) < era_.value_or(0)) {
+        return false;
+    }
+    if (era.has_value()) {
+        noteEra(*era);
+    }
+    return true;
+}
+
 void StoreClient::noteEra(std::uint64_t era)
 {
     if (era_.has_value() && era > *era_) {
--- a/Source/Gateway/StoreClient.h
+++ b/Source/Gateway/StoreClient.h
@@ -40,6 +40,9 @@
     /// still be applied later.
     [[nodiscard]] boost::asio::awaitable<Result<StoreReply>> call(platform::Call call,
                                                                   Duration timeout);
+    /// Adopts the era that objects of another node belong to; returns false if it is older than
+    /// that of the newest response.
+    [[nodiscard]] bool adoptEra(std::optional<std::uint64_t> era);
     /// The newest era that any response has named; nothing if none has.
     [[nodiscard]] std::optional<std::uint64_t> era() const { return era_; }
 
--- a/Source/Gateway/StoreSync.cpp
+++ b/Source/Gateway/StoreSync.cpp
@@ -4,6 +4,7 @@
 #include <utility>
 
 #include "Core/Log.h"
+#include "Gateway/BootClock.h"
 #include "Gateway/Pause.h"
 #include "Gateway/RestartingTask.h"
 
@@ -38,6 +39,8 @@
     , options_(std::move(options))
     , changeHandler_(std::move(changeHandler))
     , confirmationHandler_(std::move(confirmationHandler))
+    , readerChoice_({ .self = options_.node, .kind = std::string(relayKindName(options_.kind)) })
+    , relayLog_({ .kind = options_.kind, .source = options_.boot })
 { }
 
 asio::awaitable<void> StoreSync::run()
@@ -53,6 +56,13 @@
         bool done = false;
         // The response to another call may have told that the store was restored.
         listed_ = listed_ && era_ == client_.era();
+        const auto reader = readerChoice_.reader(std::chrono::steady_clock::now());
+        if (reader.has_value()) {
+            if (!co_await follow(*reader)) {
+                readerChoice_.noteFailed(reader->name, std::chrono::steady_clock::now());
+            }
+            continue;
+        }
         if (listed_) {
             done = co_await watch();
         } else {
@@ -118,8 +128,8 @@
     revision_ = revision;
     era_ = era;
     listed_ = true;
-    changeHandler_(table_);
-    confirmationHandler_(firstSent);
+    reportChange();
+    reportConfirmation(firstSent);
     co_return true;
 }
 
@@ -144,29 +154,120 @@
         co_return false;
     }
     setReachable(true, {});
-    bool allNamed = true;
-    for (const platform::ObjectEvent &event : changes->events) {
-        if (event.object.name.empty()) {
-            allNamed = false;
-        } else if (event.removed) {
-            table_.erase(event.object.name);
-        } else {
-            table_[event.object.name] = event.object;
-        }
-    }
+    const bool allNamed = std::none_of(
+        changes->events.begin(), changes->events.end(),
+        [](const platform::ObjectEvent &event) { return event.object.name.empty(); });
+    applyEvents(changes->events);
     revision_ = std::max(revision_, changes->revision);
     if (!changes->events.empty()) {
-        changeHandler_(table_);
+        reportChange();
     }
     if (!allNamed) {
         // Any object may have changed.
         listed_ = false;
         co_return false;
     }
-    confirmationHandler_(reply->sentAt);
+    reportConfirmation(reply->sentAt);
     co_return true;
 }
 
+asio::awaitable<bool> StoreSync::follow(RelayNode reader)
+{
+    if (relay_ == nullptr || relay_->address() != reader.address) {
+        relay_ = std::make_unique<RelayClient>(context_, reader.address);
+        relayPosition_ = {};
+    }
+    const auto reply = co_await relay_->query(
+        { .kind = options_.kind, .position = relayPosition_, .wait = options_.relayWait });
+    if (!reply.has_value()) {
+        logLine(LogLevel::Info, "relay_lost",
+                { { "objects", options_.name },
+                  { "node", reader.name },
+                  { "reason", reply.error().message } });
+        co_return false;
+    }
+    if (!applyRelayed(*reply)) {
+        relayPosition_ = {};
+        // After a change of the reader, the new one may be behind for a moment.
+        if (confirmedAt_.has_value() && bootNow() - *confirmedAt_ <= relayedAgeLimit()) {
+            co_await pauseFor(context_, FirstPause);
+            co_return true;
+        }
+        logLine(LogLevel::Info, "relay_behind",
+                { { "objects", options_.name },
+                  { "node", reader.name },
+                  { "age_ms", toMilliseconds(reply->changes.age) } });
+        co_return false;
+    }
+    failures_ = 0;
+    co_return true;
+}
+
+bool StoreSync::applyRelayed(const RelayReply &reply)
+{
+    const RelayedChanges &changes = reply.changes;
+    if (changes.age > relayedAgeLimit() || !client_.adoptEra(changes.era)) {
+        return false;
+    }
+    const bool sameEra = era_ == client_.era();
+    if (sameEra && changes.revision < revision_) {
+        return false;
+    }
+    if (!changes.complete && (!listed_ || !sameEra)) {
+        // These changes belong to a table that this node does not have any more.
+        relayPosition_ = {};
+        return true;
+    }
+    const bool first = !listed_;
+    if (changes.complete) {
+        table_.clear();
+    }
+    applyEvents(changes.events);
+    relayPosition_ = changes.position;
+    revision_ = changes.revision;
+    era_ = client_.era();
+    listed_ = true;
+    if (first || changes.complete || !changes.events.empty()) {
+        reportChange();
+    }
+    reportConfirmation(reply.sentAt - changes.age);
+    return true;
+}
+
+void StoreSync::applyEvents(const std::vector<platform::ObjectEvent> &events)
+{
+    for (const platform::ObjectEvent &event : events) {
+        if (event.object.name.empty()) {
+            continue;
+        }
+        if (event.removed) {
+            table_.erase(event.object.name);
+        } else {
+            table_[event.object.name] = event.object;
+        }
+    }
+}
+
+void StoreSync::reportChange()
+{
+    if (relayLog_.applyTable(table_, revision_, era_)) {
+        onRelayChange();
+    }
+    changeHandler_(table_);
+}
+
+void StoreSync::reportConfirmation(BootInstant moment)
+{
+    relayLog_.confirm(moment, revision_);
+    confirmedAt_ = std::max(confirmedAt_.value_or(moment), moment);
+    confirmationHandler_(moment);
+}
+
+Duration StoreSync::relayedAgeLimit() const
+{
+    return 2 * options_.relayWait + options_.minimumPause + CallTimeout;
+}
+
 Duration StoreSync::pauseAfterFailure() const
 {
     Duration wait = FirstPause;
--- /dev/null
+++ b/Tests/Gateway/RelayedObjectsTest.cpp
@@ -0,0 +1,184 @@
+#include <memory>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/io_context.hpp>
+#include <boost/test/unit_test.hpp>
+
+#include "FreeAddress.h"
+#include "Gateway/BootClock.h"
+#include "Gateway/Listener.h"
+#include "Gateway/RelayServer.h"
+#include "Gateway/StoreSync.h"
+#include "StoreStandIn.h"
+
+namespace jacinthroad {
+
+namespace asio = boost::asio;
+
+namespace {
+
+constexpr platform::ObjectKind Kind = platform::ObjectKind::Nodes;
+constexpr const char *KindName = "nodes";
+
+/// A node that keeps a copy of the objects and passes them on.
+class CopyingNode
+{
+public:
+    CopyingNode(asio::io_context &context, StoreStandIn &store, std::string name)
+        : node { .name = std::move(name), .address = freeAddress() }
+        , client(context, store.address(), metrics)
+        , relay(context, metrics)
+        , acceptor(context)
+        , sync(
+              context, client,
+              { .kind = Kind,
+                .name = KindName,
+                .watchWait = milliseconds(200),
+                .relayWait = milliseconds(200),
+                .node = node.name,
+                .boot = ++boots_ },
+              [this](const ObjectTable &objects) { table = objects; },
+              [this](BootInstant moment) { confirmedAt = moment; })
+    {
+        relay.add(Kind, sync.relayLog());
+        sync.onRelayChange = [this] { relay.noteChange(Kind); };
+        acceptor = std::move(*openAcceptor(context, node.address));
+        asio::co_spawn(context, relay.serve(acceptor), asio::detached);
+        asio::co_spawn(context, sync.run(), asio::detached);
+    }
+
+    /// Sets the nodes of the zone, all of which this node hears.
+    void setZone(const std::vector<RelayNode> &zone)
+    {
+        std::vector<std::string> names;
+        for (const RelayNode &member : zone) {
+            names.push_back(member.name);
+        }
+        sync.readerChoice().setZone(zone);
+        sync.readerChoice().setLive(names);
+    }
+
+    RelayNode node;
+    GatewayMetrics metrics;
+    StoreClient client;
+    RelayServer relay;
+    asio::ip::tcp::acceptor acceptor;
+    ObjectTable table;
+    BootInstant confirmedAt;
+    StoreSync sync;
+
+private:
+    static inline std::uint64_t boots_ = 0;
+};
+
+/// Returns two names of which the first one is the reader.
+std::pair<std::string, std::string> readerAndFollower()
+{
+    ReaderChoice choice({ .self = "front-1", .kind = KindName });
+    choice.setZone({ { .name = "front-1", .address = "" }, { .name = "front-2", .address = "" } });
+    choice.setLive(std::vector<std::string> { "front-1", "front-2" });
+    return choice.reader(Instant()).has_value() ? std::pair("front-2", "front-1")
+                                                : std::pair("front-1", "front-2");
+}
+
+struct TwoNodes
+{
+    TwoNodes()
+    {
+        store.put(KindName, "a", Json::Value("first"));
+        const std::vector<RelayNode> zone = { reader.node, follower.node };
+        reader.setZone(zone);
+        follower.setZone(zone);
+    }
+
+    void runFor(Duration time) { context.run_for(time); }
+
+    asio::io_context context { 1 };
+    StoreStandIn store;
+    CopyingNode reader { context, store, readerAndFollower().first };
+    CopyingNode follower { context, store, readerAndFollower().second };
+};
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(RelayedObjectsTest)
+
+BOOST_AUTO_TEST_CASE(followerGetsChangesAndConfirmationsWithoutStoreCalls)
+{
+    TwoNodes nodes;
+    nodes.runFor(milliseconds(600));
+    BOOST_REQUIRE(nodes.follower.table.contains("a"));
+    const int before = nodes.store.calls();
+    nodes.store.put(KindName, "b", Json::Value("second"));
+    nodes.runFor(milliseconds(1000));
+    BOOST_TEST(nodes.follower.table.contains("b"));
+    // The reader alone makes about five calls a second.
+    BOOST_TEST(nodes.store.calls() - before <= 8);
+    BOOST_TEST((bootNow() - nodes.follower.confirmedAt < milliseconds(900)));
+}
+
+BOOST_AUTO_TEST_CASE(followerReadsTheStoreWhenItsReaderEnds)
+{
+    TwoNodes nodes;
+    nodes.runFor(milliseconds(600));
+    boost::system::error_code ignored;
+    nodes.reader.acceptor.close(ignored);
+    nodes.reader.relay.noteChange(Kind);
+    nodes.follower.setZone({ nodes.follower.node });
+    nodes.store.put(KindName, "b", Json::Value("second"));
+    nodes.runFor(milliseconds(1500));
+    BOOST_TEST(nodes.follower.table.contains("b"));
+    BOOST_TEST((bootNow() - nodes.follower.confirmedAt < milliseconds(900)));
+}
+
+BOOST_AUTO_TEST_CASE(followerReadsTheStoreWhileItsReaderStandsStill)
+{
+    asio::io_context context { 1 };
+    asio::io_context frozenContext { 1 };
+    StoreStandIn store;
+    store.put(KindName, "a", Json::Value("first"));
+    // Connections are accepted by the operating system, but nothing answers.
+    CopyingNode frozen(frozenContext, store, readerAndFollower().first);
+    CopyingNode follower(context, store, readerAndFollower().second);
+    follower.setZone({ frozen.node, follower.node });
+    context.run_for(milliseconds(1500));
+    BOOST_TEST(follower.table.contains("a"));
+    BOOST_TEST((bootNow() - follower.confirmedAt < milliseconds(900)));
+}
+
+BOOST_AUTO_TEST_CASE(confirmationIsNoNewerThanThatOfAReaderThatLostTheStore)
+{
+    TwoNodes nodes;
+    nodes.runFor(milliseconds(600));
+    nodes.store.stopResponding();
+    const BootInstant lost = bootNow();
+    nodes.runFor(milliseconds(700));
+    BOOST_TEST((nodes.follower.confirmedAt <= lost));
+    nodes.store.resumeResponding();
+}
+
+BOOST_AUTO_TEST_CASE(readerThatIsBehindDoesNotTakeTheFollowerBack)
+{
+    TwoNodes nodes;
+    // The follower reads the store itself first, and sees more than its later reader.
+    nodes.follower.setZone({ nodes.follower.node });
+    nodes.runFor(milliseconds(400));
+    nodes.store.put(KindName, "b", Json::Value("second"));
+    nodes.runFor(milliseconds(400));
+    BOOST_REQUIRE(nodes.follower.table.contains("b"));
+
+    StoreStandIn oldStore;
+    oldStore.put(KindName, "a", Json::Value("first"));
+    CopyingNode behind(nodes.context, oldStore, readerAndFollower().first);
+    nodes.follower.setZone({ behind.node, nodes.follower.node });
+    nodes.runFor(milliseconds(1200));
+    BOOST_TEST(nodes.follower.table.contains("b"));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+} // namespace jacinthroad
