FleetPeers: Pace summaries by the nodes that they are sent to

A node that sends the sums of its zone to several zones paced them by the number of its own neighbours, so two zones took twice the share of the link. Found by reading.

--- a/Source/Gateway/DigestExchange.cpp
+++ b/Source/Gateway/DigestExchange.cpp
@@ -131,7 +131,7 @@
 
 void DigestExchange::scheduleSummary()
 {
-    summaryTimer_.expires_after(summaryPeriod(peers_.size()));
+    summaryTimer_.expires_after(summaryPeriod(summarizedTo_));
     summaryTimer_.async_wait([this](error_code error) {
         if (!error) {
             sendSummary();
@@ -145,6 +145,7 @@
     const Instant sentAt = std::chrono::steady_clock::now();
     const std::vector<asio::ip::udp::endpoint> receivers
         = endpointsOf(topology_.summaryReceivers(liveNodes(sentAt)));
+    summarizedTo_ = receivers.size();
     if (receivers.empty() || !socket_.is_open()) {
         return;
     }
--- a/Source/Gateway/DigestExchange.h
+++ b/Source/Gateway/DigestExchange.h
@@ -64,6 +64,8 @@
     boost::asio::steady_timer periodicTimer_;
     boost::asio::steady_timer batchTimer_;
     boost::asio::steady_timer summaryTimer_;
+    /// Number of nodes that the last summary was sent to.
+    std::size_t summarizedTo_ = 0;
     bool batchPending_ = false;
     /// Earliest time of the next digest, which bounds the share of the link that digests take.
     Instant nextDigestAt_;
