--- a/Source/Gateway/GatewaySettings.cpp
+++ b/Source/Gateway/GatewaySettings.cpp
@@ -45,7 +45,8 @@
     { .name = "peers",
       .type = FieldType::String,
       .defaultText = "\"\"",
-      .help = "IP:port for datagrams between nodes; empty sends peers nothing" },
+      .help = "IP:port for datagrams and, over TCP, objects of the store between nodes; empty "
+              "sends peers nothing" },
 } };
 constexpr ObjectSchema ListenSchema { "listen", ListenFields };
 
