Placement: Report limits of idle servers to other zones

Cause: a summary contained servers with load, those to avoid and those being loaded, but not an idle one that names a limit, so nodes of other zones did not hear of the limit.

Evidence: ZoneSummaryTest/limitOfAServerWithoutLoadIsReported failed before and passes now.

--- a/Source/Placement/ServerPoolSummary.cpp
+++ b/Source/Placement/ServerPoolSummary.cpp
@@ -40,7 +40,8 @@
     std::vector<Candidate> candidates;
     for (auto &[id, server] : servers_) {
         ServerUpdate update = summaryUpdate(id, server, now);
-        const bool urgent = update.avoidMs > 0 || update.cordonedForMs > 0;
+        const bool urgent
+            = update.avoidMs > 0 || update.cordonedForMs > 0 || update.limitAgeMs != NoLimitReport;
         if (urgent || update.inFlight > 0 || server.summarizedLoad || server.summarizedCordon) {
             candidates.push_back(
                 { .server = &server, .update = std::move(update), .urgent = urgent });
--- a/Tests/Placement/ZoneSummaryTest.cpp
+++ b/Tests/Placement/ZoneSummaryTest.cpp
@@ -94,6 +94,20 @@
     BOOST_TEST(rounds <= 6U);
 }
 
+BOOST_AUTO_TEST_CASE(limitOfAServerWithoutLoadIsReported)
+{
+    ServerPool pool = poolWith(2);
+    ServerUpdate limited = load("s0", 0, 0);
+    limited.limitPerThousandSeconds = 2000;
+    limited.limitAgeMs = 50;
+    const Instant now = Start + milliseconds(100);
+    pool.applyPeer("front-1", std::vector { limited }, now);
+    const std::vector<ServerUpdate> summary = pool.takeZoneSummary(now, 1400);
+    BOOST_REQUIRE(summary.size() == 1U);
+    BOOST_TEST(summary.front().limitPerThousandSeconds == 2000U);
+    BOOST_TEST(summary.front().limitAgeMs != NoLimitReport);
+}
+
 BOOST_AUTO_TEST_CASE(summaryOfAnotherZoneKeepsWorkOffALoadedServer)
 {
     ServerPool pool = poolWith(2);
