Quarantine: Tell other zones of single crashes too

Cause: summaries carried the records that must outlast a restart, which leave out requests with a single crash. A request that crashed one server in each of three zones counted once everywhere and was not denied.

Evidence: singleCrashesInThreeZonesDenyTheRequestInEachOfThem and zonesThatTellEachOtherNothingNewFallSilent failed with the former records (no denial, 0 crashes in place of 1) and pass now.

--- a/Source/Gateway/DigestExchange.cpp
+++ b/Source/Gateway/DigestExchange.cpp
@@ -151,7 +151,7 @@
     }
     NodeDigest summary = emptyDigest(bootNow());
     summary.servers = state_.pool.takeZoneSummary(sentAt, MaxDigestBytes);
-    summary.crashes = state_.crashHistory.recordsToKeep(sentAt, MaxCrashReportsPerDigest);
+    summary.crashes = state_.crashHistory.takeSummaryRecords(sentAt, MaxCrashReportsPerDigest);
     summary.summarizedZone = state_.settings.zone;
     const std::string datagram = encodeDigest(summary);
     for (const asio::ip::udp::endpoint &receiver : receivers) {
--- a/Source/Quarantine/CrashHistory.cpp
+++ b/Source/Quarantine/CrashHistory.cpp
@@ -126,12 +126,16 @@
         entry.crashes.push_back(crash);
         recount(entry);
         dropExcessCrash(entry);
+        entry.pendingSummaries = SendsPerChange;
         return true;
     }
     // Delays make the times late, so the earliest are the most accurate.
     known->sentAt = std::min(known->sentAt, crash.sentAt);
     known->crashedAt = std::min(known->crashedAt, crash.crashedAt);
-    known->cleared = known->cleared || crash.cleared;
+    if (crash.cleared && !known->cleared) {
+        known->cleared = true;
+        entry.pendingSummaries = SendsPerChange;
+    }
     if (std::tie(crash.reporter, crash.number) < std::tie(known->reporter, known->number)) {
         known->reporter = crash.reporter;
         known->number = crash.number;
@@ -455,6 +459,7 @@
     if (changed) {
         recount(entry);
         entry.pendingSends = SendsPerChange;
+        entry.pendingSummaries = SendsPerChange;
         explain();
     }
 }
@@ -480,6 +485,7 @@
     earliest->cleared = true;
     recount(entry);
     entry.pendingSends = SendsPerChange;
+    entry.pendingSummaries = SendsPerChange;
     explain();
 }
 
@@ -580,12 +586,35 @@
         return {};
     }
     removeExpired(now);
-    std::vector<std::pair<const RequestFingerprint, Entry> *> due;
+    std::vector<Entries::value_type *> due;
     for (auto &entry : entries_) {
         if (isDue(entry.second, now)) {
             due.push_back(&entry);
         }
     }
+    std::vector<CrashRecord> records
+        = takeDue(std::move(due), now, maxReports, &Entry::pendingSends);
+    for (const CrashRecord &record : records) {
+        entries_.at(record.fingerprint).sentAt = now;
+    }
+    return records;
+}
+
+std::vector<CrashRecord> CrashHistory::takeSummaryRecords(Instant now, std::size_t maxReports)
+{
+    std::vector<Entries::value_type *> due;
+    for (auto &entry : entries_) {
+        if (entry.second.pendingSummaries > 0) {
+            due.push_back(&entry);
+        }
+    }
+    return takeDue(std::move(due), now, maxReports, &Entry::pendingSummaries);
+}
+
+std::vector<CrashRecord> CrashHistory::takeDue(std::vector<Entries::value_type *> due, Instant now,
+                                               std::size_t maxReports,
+                                               unsigned Entry::*pending) const
+{
     // Requests with more crashes first, and of these the one that was sent the longest ago.
     std::sort(due.begin(), due.end(), [](const auto *a, const auto *b) {
         return std::tie(b->second.counted, a->second.sentAt, a->first)
@@ -593,7 +622,7 @@
     });
     std::vector<CrashRecord> records;
     std::size_t left = maxReports;
-    for (auto *item : due) {
+    for (Entries::value_type *item : due) {
         Entry &entry = item->second;
         CrashRecord record { .fingerprint = item->first,
                              .depth = entry.depth,
@@ -602,8 +631,7 @@
             break;
         }
         left -= std::min(left, record.crashes.size());
-        entry.pendingSends -= entry.pendingSends > 0 ? 1 : 0;
-        entry.sentAt = now;
+        entry.*pending -= entry.*pending > 0 ? 1 : 0;
         records.push_back(std::move(record));
     }
     return records;
--- a/Source/Quarantine/CrashHistory.h
+++ b/Source/Quarantine/CrashHistory.h
@@ -157,6 +157,9 @@
     /// peers: this node's own observations several times after each change, and requests with
     /// several crashes repeatedly. The other records follow with the next calls.
     [[nodiscard]] std::vector<CrashRecord> takeRecords(Instant now, std::size_t maxReports);
+    /// The same for the nodes of other availability zones, which hear this zone's reports from a
+    /// single node: each record, also one that peers reported, several times after each change.
+    [[nodiscard]] std::vector<CrashRecord> takeSummaryRecords(Instant now, std::size_t maxReports);
     /// Returns what has to outlast a restart of all nodes: the counted and cleared crashes of
     /// requests that have had two or more of these, the most important requests first, with up to
     /// `maxReports` reports. If there are any, also the single crashes of parts and groups.
@@ -207,10 +210,18 @@
         /// How many times the record is still to be sent because of its last change.
         unsigned pendingSends = 0;
         Instant sentAt;
+        /// The same for the nodes of other availability zones.
+        unsigned pendingSummaries = 0;
     };
 
     using Entries = std::unordered_map<RequestFingerprint, Entry>;
 
+    /// Returns the records of due entries with up to `maxReports` reports, those with more crashes
+    /// first, and counts them down in `pending`.
+    [[nodiscard]] std::vector<CrashRecord> takeDue(std::vector<Entries::value_type *> due,
+                                                   Instant now, std::size_t maxReports,
+                                                   unsigned Entry::*pending) const;
+
     /// Marks the crashes that count, and updates the totals.
     static void recount(Entry &entry);
     /// True if both are observations of one crash of a server.
--- a/Tests/Quarantine/CrashHistoryTest.cpp
+++ b/Tests/Quarantine/CrashHistoryTest.cpp
@@ -250,6 +250,51 @@
     }
 }
 
+BOOST_AUTO_TEST_CASE(singleCrashesInThreeZonesDenyTheRequestInEachOfThem)
+{
+    // In each zone another node sees the crash than the one that tells the other zones.
+    CrashHistory observers[] = { historyOf(1), historyOf(2), historyOf(3) };
+    CrashHistory tellers[] = { historyOf(11), historyOf(12), historyOf(13) };
+    for (unsigned zone = 0; zone < 3; ++zone) {
+        const int sentAt = static_cast<int>(zone) * 1000;
+        noteCrash(observers[zone], zone + 1, sentAt, sentAt + 10);
+        static_cast<void>(
+            tellers[zone].merge(observers[zone].takeRecords(at(sentAt + 20), 24), at(sentAt + 20)));
+    }
+    for (const CrashHistory &teller : tellers) {
+        BOOST_TEST(countedCrashes(teller, 2500) == 1U);
+    }
+    for (CrashHistory &from : tellers) {
+        const std::vector<CrashRecord> summary = from.takeSummaryRecords(at(2500), 24);
+        for (CrashHistory &to : tellers) {
+            if (&to != &from) {
+                static_cast<void>(to.merge(summary, at(2501)));
+            }
+        }
+    }
+    for (const CrashHistory &teller : tellers) {
+        BOOST_TEST(countedCrashes(teller, 2600) == 3U);
+        BOOST_TEST((teller.assess(Request, at(2600)).permission == CrashPermission::Denied));
+    }
+}
+
+BOOST_AUTO_TEST_CASE(zonesThatTellEachOtherNothingNewFallSilent)
+{
+    CrashHistory first = historyOf(1);
+    CrashHistory second = historyOf(2);
+    noteCrash(first, 1, 0, 10);
+    unsigned sent = 0;
+    for (int round = 0; round < 50; ++round) {
+        const std::vector<CrashRecord> there = first.takeSummaryRecords(at(20 + round), 24);
+        static_cast<void>(second.merge(there, at(20 + round)));
+        const std::vector<CrashRecord> back = second.takeSummaryRecords(at(20 + round), 24);
+        static_cast<void>(first.merge(back, at(20 + round)));
+        sent += static_cast<unsigned>(there.size() + back.size());
+    }
+    BOOST_TEST(sent <= 10U);
+    BOOST_TEST(countedCrashes(second, 100) == 1U);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace jacinthroad
