StoreRelay: Judge the age of passed-on objects by the reader's pacing

Cause: the age from which passed-on objects are too old came from the wait of the query. Weights and nodes, whose readers wait for 4 and 10 s, were too old most of the time, so that the nodes of a zone read the store themselves; and a follower relied on a servers reader without the store for 3.3 s, longer than the 3 s within which a leaving server must be out of use in fleets with zones.

Evidence: followerOfObjectsThatRarelyChangeDoesNotReadTheStore failed with the former limit.

Change: the limit is what the pacing explains, and a reader of servers that others ask reads once a second without waiting, as for the configuration.

--- a/Source/Gateway/StoreSync.cpp
+++ b/Source/Gateway/StoreSync.cpp
@@ -265,7 +265,9 @@
 
 Duration StoreSync::relayedAgeLimit() const
 {
-    return 2 * options_.relayWait + options_.minimumPause + CallTimeout;
+    // All nodes of a fleet pace their calls alike, so this node's pacing is that of its reader.
+    return relayAgeLimit({ .wait = options_.watchWait, .pause = options_.minimumPause })
+        + CallTimeout;
 }
 
 Duration StoreSync::pauseAfterFailure() const
--- a/Source/StoreRelay/ReadPacing.cpp
+++ b/Source/StoreRelay/ReadPacing.cpp
@@ -29,7 +29,16 @@
 
 ReadPacing serversPacing(const ReadSituation &situation)
 {
-    return { .wait = ServersWait, .pause = situation.passesOn ? PassingOnPause : ServersPause };
+    if (situation.passesOn) {
+        return { .wait = ShortWait, .pause = PassingOnPause };
+    }
+    return { .wait = ServersWait, .pause = ServersPause };
+}
+
+Duration relayAgeLimit(const ReadPacing &pacing)
+{
+    // The sending of one read, its wait and pause, and the wait of the next read.
+    return 2 * pacing.wait + pacing.pause;
 }
 
 } // namespace jacinthroad
--- a/Source/StoreRelay/ReadPacing.h
+++ b/Source/StoreRelay/ReadPacing.h
@@ -32,6 +32,10 @@
 /// leaving server gets no new requests.
 [[nodiscard]] ReadPacing serversPacing(const ReadSituation &situation);
 
+/// Longest time for which a node that keeps this pacing goes without a new proof that its objects
+/// are current, apart from the duration of a call.
+[[nodiscard]] Duration relayAgeLimit(const ReadPacing &pacing);
+
 /// How long a query of another node waits there for a change of the configuration or the servers.
 /// Also determines how soon a node that does not respond is noticed.
 constexpr Duration RelayedConfigurationWait = milliseconds(500);
--- a/Tests/Gateway/RelayedObjectsTest.cpp
+++ b/Tests/Gateway/RelayedObjectsTest.cpp
@@ -28,7 +28,8 @@
 class CopyingNode
 {
 public:
-    CopyingNode(asio::io_context &context, StoreStandIn &store, std::string name)
+    CopyingNode(asio::io_context &context, StoreStandIn &store, std::string name,
+                Duration watchWait = milliseconds(200))
         : node { .name = std::move(name), .address = freeAddress() }
         , client(context, store.address(), metrics)
         , relay(context, metrics)
@@ -37,7 +38,7 @@
               context, client,
               { .kind = Kind,
                 .name = KindName,
-                .watchWait = milliseconds(200),
+                .watchWait = watchWait,
                 .relayWait = milliseconds(200),
                 .node = node.name,
                 .boot = ++boots_ },
@@ -87,7 +88,9 @@
 
 struct TwoNodes
 {
-    TwoNodes()
+    explicit TwoNodes(Duration watchWait = milliseconds(200))
+        : reader(context, store, readerAndFollower().first, watchWait)
+        , follower(context, store, readerAndFollower().second, watchWait)
     {
         store.put(KindName, "a", Json::Value("first"));
         const std::vector<RelayNode> zone = { reader.node, follower.node };
@@ -99,8 +102,8 @@
 
     asio::io_context context { 1 };
     StoreStandIn store;
-    CopyingNode reader { context, store, readerAndFollower().first };
-    CopyingNode follower { context, store, readerAndFollower().second };
+    CopyingNode reader;
+    CopyingNode follower;
 };
 
 } // namespace
@@ -179,6 +182,19 @@
     BOOST_TEST(nodes.follower.table.contains("b"));
 }
 
+BOOST_AUTO_TEST_CASE(followerOfObjectsThatRarelyChangeDoesNotReadTheStore)
+{
+    // The proofs of the reader are older than the wait of a query.
+    TwoNodes nodes(milliseconds(2500));
+    nodes.runFor(milliseconds(400));
+    BOOST_REQUIRE(nodes.follower.table.contains("a"));
+    const int before = nodes.store.calls();
+    nodes.runFor(milliseconds(4500));
+    BOOST_TEST(nodes.store.calls() - before <= 4);
+    BOOST_TEST(
+        nodes.follower.sync.readerChoice().reader(std::chrono::steady_clock::now()).has_value());
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace jacinthroad
