Log: Keep the sink during a reload

Cause: configureLog removed all sinks before it added the new one. Until then Boost.Log writes lines to its default sink: unformatted, to standard output, and waiting for a slow reader. The count of dropped lines was lost with the sink.

Change: one sink for the process, whose options are replaced under its lock. It also writes to standard error, where a failed write no longer ends the log.

--- a/Source/Core/Log.cpp
+++ b/Source/Core/Log.cpp
@@ -2,7 +2,6 @@
 
 #include <array>
 #include <atomic>
-#include <iostream>
 #include <string>
 
 #include <boost/log/core.hpp>
@@ -10,7 +9,6 @@
 #include <boost/log/sinks/sync_frontend.hpp>
 #include <boost/log/sources/record_ostream.hpp>
 #include <boost/log/sources/severity_logger.hpp>
-#include <boost/log/utility/setup/console.hpp>
 #include <boost/make_shared.hpp>
 #include <json/value.h>
 #include <unistd.h>
@@ -25,6 +23,7 @@
 namespace {
 
 using Logger = boost::log::sources::severity_logger_mt<int>;
+using Sink = boost::log::sinks::synchronous_sink<LogSink>;
 
 std::atomic<LogLevel> minimumLevel { LogLevel::Info };
 std::atomic<bool> jsonLines { true };
@@ -41,6 +40,19 @@
     return instance;
 }
 
+/// The only sink of the process. It stays while its options change, as Boost.Log writes lines to a
+/// sink of its own if there is no other one.
+Sink &sink()
+{
+    static const boost::shared_ptr<Sink> Instance = [] {
+        auto added = boost::make_shared<Sink>(boost::make_shared<LogSink>());
+        added->set_formatter(boost::log::expressions::stream << boost::log::expressions::smessage);
+        boost::log::core::get()->add_sink(added);
+        return added;
+    }();
+    return *Instance;
+}
+
 std::string jsonText(LogLevel level, std::string_view event, std::initializer_list<LogField> fields)
 {
     Json::Value line;
@@ -82,19 +94,10 @@
 {
     minimumLevel = options.minimumLevel;
     jsonLines = options.json;
-    boost::log::core::get()->remove_all_sinks();
-    if (options.standardOutput) {
-        using Sink = boost::log::sinks::synchronous_sink<LogSink>;
-        const auto sink = boost::make_shared<Sink>(
-            boost::make_shared<LogSink>(STDOUT_FILENO, options.linesPerSecond));
-        sink->set_formatter(boost::log::expressions::stream << boost::log::expressions::smessage);
-        boost::log::core::get()->add_sink(sink);
-        return;
-    }
-    boost::log::add_console_log(std::clog,
-                                boost::log::keywords::format = boost::log::expressions::stream
-                                    << boost::log::expressions::smessage,
-                                boost::log::keywords::auto_flush = true);
+    sink().locked_backend()->setOptions(
+        { .descriptor = options.standardOutput ? STDOUT_FILENO : STDERR_FILENO,
+          .dropsLines = options.standardOutput,
+          .linesPerSecond = options.standardOutput ? options.linesPerSecond : 0 });
 }
 
 void logLine(LogLevel level, std::string_view event, std::initializer_list<LogField> fields)
--- a/Source/Core/LogSink.cpp
+++ b/Source/Core/LogSink.cpp
@@ -1,14 +1,15 @@
 #include "Core/LogSink.h"
 
+#include <cerrno>
+
 #include <poll.h>
-#include <unistd.h>
 
 namespace jacinthroad {
 
-LogSink::LogSink(int descriptor, std::uint32_t linesPerSecond)
-    : descriptor_(descriptor)
-    , linesPerSecond_(linesPerSecond)
-{ }
+void LogSink::setOptions(const LogSinkOptions &options)
+{
+    options_ = options;
+}
 
 void LogSink::consume(const boost::log::record_view &, const string_type &line)
 {
@@ -23,18 +24,34 @@
         second_ = second;
         linesInSecond_ = 0;
     }
-    return linesPerSecond_ == 0 || ++linesInSecond_ <= linesPerSecond_;
+    return options_.linesPerSecond == 0 || ++linesInSecond_ <= options_.linesPerSecond;
 }
 
 bool LogSink::tryWrite(const std::string &line) const
 {
+    const std::string terminatedLine = line + "\n";
+    if (!options_.dropsLines) {
+        return writeWhole(terminatedLine);
+    }
     // A pipe that poll() reports as writable accepts PIPE_BUF bytes without blocking.
-    pollfd pollState { .fd = descriptor_, .events = POLLOUT, .revents = 0 };
+    pollfd pollState { .fd = options_.descriptor, .events = POLLOUT, .revents = 0 };
     if (poll(&pollState, 1, 0) != 1 || (pollState.revents & POLLOUT) == 0) {
         return false;
     }
-    const std::string terminatedLine = line + "\n";
-    return ::write(descriptor_, terminatedLine.data(), terminatedLine.size()) > 0;
+    return ::write(options_.descriptor, terminatedLine.data(), terminatedLine.size()) > 0;
+}
+
+bool LogSink::writeWhole(std::string_view bytes) const
+{
+    while (!bytes.empty()) {
+        const ssize_t size = ::write(options_.descriptor, bytes.data(), bytes.size());
+        if (size > 0) {
+            bytes.remove_prefix(static_cast<std::size_t>(size));
+        } else if (errno != EINTR) {
+            return false;
+        }
+    }
+    return true;
 }
 
 void LogSink::write(const std::string &line, std::chrono::steady_clock::time_point now)
