LogSink: Write long lines without blocking

Cause: a pipe that poll() reports as writable accepts PIPE_BUF bytes (4096) without blocking, but the sink wrote lines of any length at once. A line with a long path halted the thread that wrote it, and with it all requests of the node, until the reader of the log went on.

Evidence: lineLongerThanThePipeHasRoomForDoesNotBlock failed (blocked until the reader went on after 5 s) and passes now.

Change: lines are written in parts of PIPE_BUF; the rest of a line that the pipe accepts in part is written before the next line.

--- a/Source/Core/LogSink.cpp
+++ b/Source/Core/LogSink.cpp
@@ -1,6 +1,9 @@
 #include "Core/LogSink.h"
 
+#include <algorithm>
 #include <cerrno>
+#include <climits>
+#include <utility>
 
 #include <poll.h>
 
@@ -27,18 +30,41 @@
     return options_.linesPerSecond == 0 || ++linesInSecond_ <= options_.linesPerSecond;
 }
 
-bool LogSink::tryWrite(const std::string &line) const
+bool LogSink::tryWrite(std::string line)
 {
-    const std::string terminatedLine = line + "\n";
+    line += '\n';
     if (!options_.dropsLines) {
-        return writeWhole(terminatedLine);
+        const std::string unsent = std::exchange(unsent_, {});
+        return writeWhole(unsent) && writeWhole(line);
     }
-    // A pipe that poll() reports as writable accepts PIPE_BUF bytes without blocking.
-    pollfd pollState { .fd = options_.descriptor, .events = POLLOUT, .revents = 0 };
-    if (poll(&pollState, 1, 0) != 1 || (pollState.revents & POLLOUT) == 0) {
+    if (!tryWriteUnsent()) {
         return false;
     }
-    return ::write(options_.descriptor, terminatedLine.data(), terminatedLine.size()) > 0;
+    unsent_ = std::move(line);
+    const std::size_t size = unsent_.size();
+    if (!tryWriteUnsent() && unsent_.size() == size) {
+        unsent_.clear();
+        return false;
+    }
+    return true;
+}
+
+bool LogSink::tryWriteUnsent()
+{
+    while (!unsent_.empty()) {
+        // A pipe that poll() reports as writable accepts PIPE_BUF bytes without blocking.
+        pollfd pollState { .fd = options_.descriptor, .events = POLLOUT, .revents = 0 };
+        if (poll(&pollState, 1, 0) != 1 || (pollState.revents & POLLOUT) == 0) {
+            return false;
+        }
+        const ssize_t size = ::write(options_.descriptor, unsent_.data(),
+                                     std::min(unsent_.size(), std::size_t { PIPE_BUF }));
+        if (size <= 0) {
+            return false;
+        }
+        unsent_.erase(0, static_cast<std::size_t>(size));
+    }
+    return true;
 }
 
 bool LogSink::writeWhole(std::string_view bytes) const
--- a/Source/Core/LogSink.h
+++ b/Source/Core/LogSink.h
@@ -15,7 +15,8 @@
 struct LogSinkOptions
 {
     int descriptor = STDERR_FILENO;
-    /// Drops lines if the descriptor's reader is slow; otherwise waits for it.
+    /// Drops lines if the descriptor's reader is slow; otherwise waits for it. The rest of a line
+    /// that it accepts in part precedes the next line.
     bool dropsLines = false;
     /// Maximum lines per second; 0 means no limit. Lines over it are dropped.
     std::uint32_t linesPerSecond = 0;
@@ -38,10 +39,13 @@
 
 private:
     [[nodiscard]] bool withinRateLimit(std::chrono::steady_clock::time_point now);
-    [[nodiscard]] bool tryWrite(const std::string &line) const;
+    [[nodiscard]] bool tryWrite(std::string line);
+    [[nodiscard]] bool tryWriteUnsent();
     [[nodiscard]] bool writeWhole(std::string_view bytes) const;
 
     LogSinkOptions options_;
+    /// The rest of a line whose beginning is written.
+    std::string unsent_;
     /// The current second of the monotonic clock and the lines counted in it.
     std::int64_t second_ = 0;
     std::uint32_t linesInSecond_ = 0;
--- a/Tests/Core/LogTest.cpp
+++ b/Tests/Core/LogTest.cpp
@@ -2,7 +2,9 @@
 
 #include <array>
 #include <atomic>
+#include <chrono>
 #include <cstdio>
+#include <future>
 #include <iostream>
 #include <memory>
 #include <set>
@@ -166,4 +168,37 @@
     BOOST_TEST((*parseJson(lines[1]))["event"].asString() == "written");
 }
 
+BOOST_AUTO_TEST_CASE(lineLongerThanThePipeHasRoomForDoesNotBlock)
+{
+    constexpr std::size_t PageSize = 4096;
+    const Pipe pipe;
+    pipe.fill();
+    std::array<char, PageSize> page {};
+    BOOST_REQUIRE(read(pipe.readEnd(), page.data(), page.size()) == ssize_t { PageSize });
+    BOOST_REQUIRE(fcntl(pipe.writeEnd(), F_SETFL, 0) == 0);
+    const std::string path(3 * PageSize, 'p');
+    std::vector<std::string> lines;
+    bool blocked = false;
+    {
+        const OutputRedirection redirection(pipe.writeEnd());
+        configureLog({ .standardOutput = true });
+        auto written = std::async(std::launch::async, [&path] {
+            logLine(LogLevel::Info, "long", { { "path", path } });
+        });
+        blocked = written.wait_for(std::chrono::seconds(5)) != std::future_status::ready;
+        lines = readLines(pipe.readEnd());
+        written.wait();
+        logLine(LogLevel::Info, "next");
+        configureLog({ .minimumLevel = LogLevel::Error });
+    }
+    BOOST_TEST(!blocked);
+    const std::vector<std::string> rest = readLines(pipe.readEnd());
+    BOOST_REQUIRE(lines.size() == 1U);
+    BOOST_REQUIRE(rest.size() == 2U);
+    const auto line = parseJson(lines[0].substr(lines[0].rfind('\0') + 1) + rest[0]);
+    BOOST_REQUIRE(line.has_value());
+    BOOST_TEST((*line)["path"].asString() == path);
+    BOOST_TEST((*parseJson(rest[1]))["event"].asString() == "next");
+}
+
 BOOST_AUTO_TEST_SUITE_END()
