--- a/Source/Gateway/RelayClient.cpp
+++ b/Source/Gateway/RelayClient.cpp
@@ -2,14 +2,14 @@
 
 #include <utility>
 
+#include "StoreRelay/TransferLimits.h"
+
 namespace jacinthroad {
 
 namespace asio = boost::asio;
 
 namespace {
 
-/// Added to the time for which the other node waits; nodes of a zone respond within milliseconds.
-constexpr Duration ResponseTimeout = milliseconds(500);
 constexpr unsigned HttpOk = 200;
 
 } // namespace
@@ -24,7 +24,7 @@
     platform::Call call { .method = boost::beast::http::verb::get,
                           .target = relayTarget(query),
                           .body = {} };
-    const auto response = co_await client_.call(std::move(call), {}, query.wait + ResponseTimeout);
+    const auto response = co_await client_.call(std::move(call), {}, relayLimits(query.wait).whole);
     if (!response.has_value()) {
         co_return tl::make_unexpected(response.error());
     }
