ControlClient: Limit the time without progress of large responses

A store call ended 900 ms after its wait, a query to another node 500 ms, however much of the response was still arriving: a limit that doesn't know the size of what it waits for. All nodes then asked again for the first byte.

The limit is now the time to the connection, the first byte and each further one, with 30 s for the whole. It applies to store lists and watches, queries to other nodes, crash records, the records of streams and cache events. Writes, leases and orders, whose responses are small and whose end others depend on, keep a limit for the whole. The reason of a call that was given up is in words.

Tests: responseThatIsStillArrivingIsNotCut, responseThatStopsArrivingIsGivenUp.

--- a/Source/Gateway/CacheEventReader.cpp
+++ b/Source/Gateway/CacheEventReader.cpp
@@ -76,8 +76,8 @@
     std::uint64_t boot = 0;
     while (source->active) {
         Duration pause = FailedPause;
-        const auto reply
-            = co_await caller.call(platform::cacheEventsCall(since), headers, EventsTimeout);
+        const auto reply = co_await caller.call(platform::cacheEventsCall(since), headers,
+                                                readLimits(EventsTimeout));
         if (reply.has_value() && reply->status == 200) {
             const auto batch = platform::readCacheEvents(reply->body);
             if (batch.has_value()) {
--- a/Source/Gateway/ControlClient.cpp
+++ b/Source/Gateway/ControlClient.cpp
@@ -39,8 +39,15 @@
         , timer(context)
     { }
 
+    /// Describes why a call on this connection failed.
+    [[nodiscard]] std::string reason(const error_code &error) const
+    {
+        return timedOut ? "nothing arrived in time" : error.message();
+    }
+
     asio::ip::tcp::socket socket;
     DeadlineTimer timer;
+    bool timedOut = false;
     boost::beast::flat_buffer buffer;
 };
 
@@ -54,6 +61,14 @@
 
 asio::awaitable<Result<CallResponse>> ControlClient::call(platform::Call call, http::fields headers,
                                                           Duration timeout)
+{
+    return this->call(std::move(call), std::move(headers),
+                      TransferLimits { .progress = timeout, .whole = timeout });
+}
+
+asio::awaitable<Result<CallResponse>> ControlClient::call(platform::Call call, http::fields headers,
+                                                          TransferLimits limits,
+                                                          TransferProgress *progress)
 {
     std::shared_ptr<Connection> connection;
     while (connection == nullptr && !idle_.empty()) {
@@ -66,19 +81,26 @@
     if (connection == nullptr) {
         connection = std::make_shared<Connection>(context_);
     }
-    auto response = co_await performCall(connection, std::move(call), std::move(headers), timeout);
+    auto response
+        = co_await performCall(connection, std::move(call), std::move(headers), limits, progress);
     connection->timer.cancel();
     co_return response;
 }
 
 asio::awaitable<Result<CallResponse>>
 ControlClient::performCall(std::shared_ptr<Connection> connection, platform::Call call,
-                           http::fields headers, Duration timeout)
+                           http::fields headers, TransferLimits limits, TransferProgress *progress)
 {
-    connection->timer.expireAfter(timeout, [connection] {
-        error_code ignored;
-        connection->socket.close(ignored);
-    });
+    const Instant began = std::chrono::steady_clock::now();
+    const auto noteProgress = [connection, limits, began] {
+        connection->timer.expireAt(
+            transferDeadline(limits, began, std::chrono::steady_clock::now()), [connection] {
+                connection->timedOut = true;
+                error_code ignored;
+                connection->socket.close(ignored);
+            });
+    };
+    noteProgress();
     error_code error;
     if (!connection->socket.is_open()) {
         const auto endpoint = parseEndpoint(address_);
@@ -88,8 +110,9 @@
         co_await connection->socket.async_connect(*endpoint,
                                                   asio::redirect_error(asio::use_awaitable, error));
         if (error) {
-            co_return unavailableError(error.message());
+            co_return unavailableError(connection->reason(error));
         }
+        noteProgress();
         setTcpTimeout(connection->socket, CallTcpTimeout);
     }
     http::request<http::string_body> request(call.method, call.target, 11);
@@ -107,14 +130,27 @@
     co_await http::async_write(connection->socket, request,
                                asio::redirect_error(asio::use_awaitable, error));
     if (error) {
-        co_return unavailableError(error.message());
+        co_return unavailableError(connection->reason(error));
     }
+    noteProgress();
     http::response_parser<http::string_body> responseParser;
     responseParser.body_limit(MaxResponseBytes);
-    co_await http::async_read(connection->socket, connection->buffer, responseParser,
-                              asio::redirect_error(asio::use_awaitable, error));
+    co_await http::async_read_header(connection->socket, connection->buffer, responseParser,
+                                     asio::redirect_error(asio::use_awaitable, error));
+    if (!error && progress != nullptr) {
+        progress->ofBytes = responseParser.content_length().value_or(0);
+        progress->onSizeKnown();
+    }
+    while (!error && !responseParser.is_done()) {
+        noteProgress();
+        co_await http::async_read_some(connection->socket, connection->buffer, responseParser,
+                                       asio::redirect_error(asio::use_awaitable, error));
+        if (progress != nullptr) {
+            progress->bytes = responseParser.get().body().size();
+        }
+    }
     if (error) {
-        co_return unavailableError(error.message());
+        co_return unavailableError(connection->reason(error));
     }
     if (use_ == ConnectionUse::Kept && responseParser.keep_alive()
         && connection->buffer.size() == 0) {
--- a/Source/Gateway/ControlClient.h
+++ b/Source/Gateway/ControlClient.h
@@ -13,6 +13,7 @@
 #include "Core/Error.h"
 #include "Core/Time.h"
 #include "Fleet/Freshness.h"
+#include "StoreRelay/TransferLimits.h"
 #include "platform/Store.h"
 
 namespace jacinthroad {
@@ -36,7 +37,7 @@
     OnePerCall,
 };
 
-/// HTTP client for small control calls to one address. Used by one thread only.
+/// HTTP client for control calls to one address. Used by one thread only.
 class ControlClient
 {
 public:
@@ -45,8 +46,13 @@
     ControlClient &operator=(const ControlClient &) = delete;
     ~ControlClient();
 
-    /// Makes one call with additional headers. Fails with PlatformUnavailable if no response was
-    /// received within `timeout`; the server may then have processed the call or process it later.
+    /// Makes one call with additional headers. Fails with PlatformUnavailable if the response
+    /// exceeds the limits; the server may then have processed the call or process it later.
+    /// `progress` may be null and must outlive the call.
+    [[nodiscard]] boost::asio::awaitable<Result<CallResponse>>
+    call(platform::Call call, boost::beast::http::fields headers, TransferLimits limits,
+         TransferProgress *progress = nullptr);
+    /// The same for a small response, which has to be complete within `timeout`.
     [[nodiscard]] boost::asio::awaitable<Result<CallResponse>>
     call(platform::Call call, boost::beast::http::fields headers, Duration timeout);
 
@@ -55,7 +61,8 @@
 
     [[nodiscard]] boost::asio::awaitable<Result<CallResponse>>
     performCall(std::shared_ptr<Connection> connection, platform::Call call,
-                boost::beast::http::fields headers, Duration timeout);
+                boost::beast::http::fields headers, TransferLimits limits,
+                TransferProgress *progress);
 
     boost::asio::io_context &context_;
     std::string address_;
--- a/Source/Gateway/CrashRecordSync.cpp
+++ b/Source/Gateway/CrashRecordSync.cpp
@@ -84,7 +84,8 @@
         = call.mayBeStale ? platform::ReadMode::MayBeStale : platform::ReadMode::Current;
     const Duration timeout = attempted_ ? CallTimeout : FirstReadTimeout;
     const auto reply = co_await client_.call(
-        platform::readCall(platform::ObjectKind::CrashRecords, ObjectName, mode), timeout);
+        platform::readCall(platform::ObjectKind::CrashRecords, ObjectName, mode),
+        readLimits(timeout));
     if (reply.has_value() && reply->status == StoreStatus::Missing) {
         keeper_.noteMissing(call, steadyNow());
     } else if (!reply.has_value() || reply->status != StoreStatus::Done
--- a/Source/Gateway/RelayClient.cpp
+++ b/Source/Gateway/RelayClient.cpp
@@ -24,7 +24,7 @@
     platform::Call call { .method = boost::beast::http::verb::get,
                           .target = relayTarget(query),
                           .body = {} };
-    const auto response = co_await client_.call(std::move(call), {}, relayLimits(query.wait).whole);
+    const auto response = co_await client_.call(std::move(call), {}, relayLimits(query.wait));
     if (!response.has_value()) {
         co_return tl::make_unexpected(response.error());
     }
--- a/Source/Gateway/StoreClient.cpp
+++ b/Source/Gateway/StoreClient.cpp
@@ -38,7 +38,13 @@
 
 boost::asio::awaitable<Result<StoreReply>> StoreClient::call(platform::Call call, Duration timeout)
 {
-    auto reply = co_await caller_.call(std::move(call), {}, timeout);
+    return this->call(std::move(call), TransferLimits { .progress = timeout, .whole = timeout });
+}
+
+boost::asio::awaitable<Result<StoreReply>>
+StoreClient::call(platform::Call call, TransferLimits limits, TransferProgress *progress)
+{
+    auto reply = co_await caller_.call(std::move(call), {}, limits, progress);
     if (!reply.has_value()) {
         metrics_.countStoreCall("unanswered");
         co_return tl::make_unexpected(reply.error());
--- a/Source/Gateway/StoreClient.h
+++ b/Source/Gateway/StoreClient.h
@@ -35,9 +35,12 @@
     StoreClient(boost::asio::io_context &context, const std::string &address,
                 GatewayMetrics &metrics);
 
-    /// Makes one call. Fails with PlatformUnavailable if no response arrives within `timeout`, or
-    /// one that the store sent before it was restored; a write may then have been applied, or may
-    /// still be applied later.
+    /// Makes one call. Fails with PlatformUnavailable if the response exceeds the limits, or the
+    /// store sent it before it was restored; a write may then have been applied, or may still be
+    /// applied later. `progress` may be null and must outlive the call.
+    [[nodiscard]] boost::asio::awaitable<Result<StoreReply>>
+    call(platform::Call call, TransferLimits limits, TransferProgress *progress = nullptr);
+    /// The same for a small response, which has to be complete within `timeout`.
     [[nodiscard]] boost::asio::awaitable<Result<StoreReply>> call(platform::Call call,
                                                                   Duration timeout);
     /// Adopts the era that objects of another node belong to; returns false if it is older than
--- a/Source/Gateway/StoreSync.cpp
+++ b/Source/Gateway/StoreSync.cpp
@@ -88,8 +88,8 @@
     std::optional<std::uint64_t> era;
     BootInstant firstSent;
     for (bool more = true; more;) {
-        const auto reply
-            = co_await client_.call(platform::listCall(options_.kind, after), CallTimeout);
+        const auto reply = co_await client_.call(platform::listCall(options_.kind, after),
+                                                 readLimits(CallTimeout));
         if (!reply.has_value() || reply->status != StoreStatus::Done) {
             setReachable(false,
                          reply.has_value() ? "unexpected response status" : reply.error().message);
@@ -137,7 +137,7 @@
 {
     const auto reply
         = co_await client_.call(platform::watchCall(options_.kind, revision_, options_.watchWait),
-                                options_.watchWait + CallTimeout);
+                                readLimits(options_.watchWait + CallTimeout));
     if (reply.has_value() && (reply->status == StoreStatus::HistoryGone || reply->era != era_)) {
         listed_ = false;
         co_return true;
--- a/Source/Gateway/StreamVersionSync.cpp
+++ b/Source/Gateway/StreamVersionSync.cpp
@@ -191,7 +191,7 @@
 {
     const Instant startedAt = versionsNow();
     const auto reply = co_await client_.call(
-        platform::readCall(ObjectKind::SoftwareVersions, TableName), CallTimeout);
+        platform::readCall(ObjectKind::SoftwareVersions, TableName), readLimits(CallTimeout));
     noteEra();
     if (!applyTableRead(reply, startedAt).applied) {
         served_.noteFailed(versionsNow());
@@ -278,7 +278,7 @@
 asio::awaitable<void> StreamVersionSync::readRecords()
 {
     const auto reply = co_await client_.call(
-        platform::readCall(ObjectKind::StreamOrigins, options_.node), CallTimeout);
+        platform::readCall(ObjectKind::StreamOrigins, options_.node), readLimits(CallTimeout));
     noteEra();
     if (reply.has_value() && reply->status == StoreStatus::Missing) {
         recordsRevision_.reset();
@@ -421,7 +421,7 @@
 {
     const Instant startedAt = versionsNow();
     const auto reply = co_await client_.call(
-        platform::readCall(ObjectKind::SoftwareVersions, TableName), CallTimeout);
+        platform::readCall(ObjectKind::SoftwareVersions, TableName), readLimits(CallTimeout));
     noteEra();
     const std::optional<KeptVersions> table = applyTableRead(reply, startedAt).content;
     FoundOrigins found;
@@ -460,7 +460,7 @@
     std::string after;
     for (bool more = true; more;) {
         const auto reply = co_await client_.call(
-            platform::listCall(ObjectKind::StreamOrigins, after), CallTimeout);
+            platform::listCall(ObjectKind::StreamOrigins, after), readLimits(CallTimeout));
         noteEra();
         if (!reply.has_value() || reply->status != StoreStatus::Done) {
             co_return false;
--- a/Source/StoreRelay/TransferLimits.cpp
+++ b/Source/StoreRelay/TransferLimits.cpp
@@ -9,6 +9,9 @@
 /// Added to the time for which the other node waits; nodes of a zone respond within milliseconds.
 constexpr Duration ResponseTimeout = milliseconds(500);
 
+/// The largest response on a link of which it gets a few Mbit/s.
+constexpr Duration LongestTransfer = std::chrono::seconds(30);
+
 } // namespace
 
 Instant transferDeadline(const TransferLimits &limits, Instant began, Instant lastProgress)
@@ -16,9 +19,14 @@
     return std::min(began + limits.whole, lastProgress + limits.progress);
 }
 
+TransferLimits readLimits(Duration progress)
+{
+    return { .progress = progress, .whole = std::max(progress, LongestTransfer) };
+}
+
 TransferLimits relayLimits(Duration wait)
 {
-    return { .progress = wait + ResponseTimeout, .whole = wait + ResponseTimeout };
+    return readLimits(wait + ResponseTimeout);
 }
 
 } // namespace jacinthroad
--- a/Source/StoreRelay/TransferLimits.h
+++ b/Source/StoreRelay/TransferLimits.h
@@ -1,5 +1,8 @@
 #pragma once
 
+#include <cstdint>
+#include <functional>
+
 #include "Core/Time.h"
 
 namespace jacinthroad {
@@ -13,11 +16,24 @@
     Duration whole {};
 };
 
+/// How far the response to a call has arrived.
+struct TransferProgress
+{
+    /// Bytes of the body that arrived, and of how many; 0 until the size is known.
+    std::uint64_t bytes = 0;
+    std::uint64_t ofBytes = 0;
+    /// Called once the size is known.
+    std::function<void()> onSizeKnown = [] {};
+};
+
 /// Returns the moment at which a call that began at `began` and last made progress at
 /// `lastProgress` is given up.
 [[nodiscard]] Instant transferDeadline(const TransferLimits &limits, Instant began,
                                        Instant lastProgress);
 
+/// Limits of a read whose response may be large, if it may take `progress` until a byte arrives.
+[[nodiscard]] TransferLimits readLimits(Duration progress);
+
 /// Limits of a query to another node that waits up to `wait` for a change.
 [[nodiscard]] TransferLimits relayLimits(Duration wait);
 
--- a/Tests/Gateway/ControlClientTest.cpp
+++ b/Tests/Gateway/ControlClientTest.cpp
@@ -88,6 +88,68 @@
     BOOST_TEST(bodies == expected, boost::test_tools::per_element());
 }
 
+namespace {
+
+constexpr std::size_t PieceBytes = 1000;
+constexpr int Pieces = 10;
+constexpr Duration PiecePause = milliseconds(60);
+constexpr Duration ProgressLimit = milliseconds(250);
+
+/// Calls a server that sends `sent` of the pieces of its response, and notes the progress.
+Result<CallResponse> callForPieces(int sent, TransferProgress &progress)
+{
+    ScriptedServer server([sent](ScriptedConnection &connection) {
+        boost::beast::http::request<boost::beast::http::string_body> request;
+        if (!connection.read(request)) {
+            return;
+        }
+        connection.write("HTTP/1.1 200 OK\r\nContent-Length: " + std::to_string(Pieces * PieceBytes)
+                         + "\r\n\r\n");
+        for (int piece = 0; piece < sent; ++piece) {
+            connection.write(std::string(PieceBytes, 'x'));
+            std::this_thread::sleep_for(PiecePause);
+        }
+        static_cast<void>(connection.waitForClose(milliseconds(3000)));
+    });
+    asio::io_context context { 1 };
+    ControlClient client(context, server.address(), ConnectionUse::Kept);
+    Result<CallResponse> result = makeError(ErrorKind::PlatformUnavailable, "the call didn't end");
+    asio::co_spawn(
+        context,
+        [&]() -> asio::awaitable<void> {
+            result
+                = co_await client.call({ .target = "/" }, {}, readLimits(ProgressLimit), &progress);
+        },
+        [](const std::exception_ptr &) {});
+    context.run_for(milliseconds(3000));
+    return result;
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_CASE(responseThatIsStillArrivingIsNotCut)
+{
+    TransferProgress progress;
+    std::uint64_t announced = 0;
+    progress.onSizeKnown = [&] { announced = progress.ofBytes; };
+    const auto response = callForPieces(Pieces, progress);
+    BOOST_REQUIRE(response.has_value());
+    BOOST_TEST(response->body.size() == Pieces * PieceBytes);
+    BOOST_TEST(announced == Pieces * PieceBytes);
+    BOOST_TEST(progress.bytes == Pieces * PieceBytes);
+}
+
+BOOST_AUTO_TEST_CASE(responseThatStopsArrivingIsGivenUp)
+{
+    TransferProgress progress;
+    const Instant began = std::chrono::steady_clock::now();
+    const auto response = callForPieces(3, progress);
+    BOOST_REQUIRE(!response.has_value());
+    BOOST_TEST(response.error().message == "no response: nothing arrived in time");
+    BOOST_TEST(progress.bytes == 3 * PieceBytes);
+    BOOST_TEST((std::chrono::steady_clock::now() - began < milliseconds(1500)));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace jacinthroad
