StoreRelay: Read the store on nodes with wide links

The reader of a zone was the first by rendezvous, whatever its link: 10 Mbit/s in most cases, though zones have nodes with 200 Mbit/s. A node now registers its link (limits.link_mbps, from the platform's settings), and nodes rank by its power of two, then by rendezvous. A rank that depends on the widest link of the zone would differ between nodes that know different nodes, and two could then ask each other. Nodes that name no link, as older builds, rank last.

Test: nodesWithWideLinksReadForAZoneOfNarrowOnes.

--- a/Source/FleetPeers/FleetTopology.h
+++ b/Source/FleetPeers/FleetTopology.h
@@ -14,6 +14,8 @@
     std::string zone;
     /// `IP:port` for digests.
     std::string address;
+    /// Its link in Mbit/s; 0 if it names none.
+    double linkMbps = 0;
 
     friend bool operator==(const FleetNode &, const FleetNode &) = default;
 };
--- a/Source/Gateway/Gateway.cpp
+++ b/Source/Gateway/Gateway.cpp
@@ -114,6 +114,7 @@
                 .watchWait = configurationPacing({}).wait,
                 .relayWait = RelayedConfigurationWait,
                 .node = settings.name,
+                .linkMbps = settings.linkMbps,
                 .boot = relaySource() },
               [this](const ObjectTable &table) { onConfigurationChanged(table); },
               [this](BootInstant moment) { onConfigurationConfirmed(moment); })
@@ -125,6 +126,7 @@
                 .minimumPause = serversPacing({}).pause,
                 .relayWait = RelayedServersWait,
                 .node = settings.name,
+                .linkMbps = settings.linkMbps,
                 .boot = relaySource() },
               [this](const ObjectTable &table) { onServersChanged(table); },
               [this](BootInstant moment) {
@@ -139,6 +141,7 @@
                 .watchWait = WeightsWait,
                 .relayWait = RelayedRareWait,
                 .node = settings.name,
+                .linkMbps = settings.linkMbps,
                 .boot = relaySource() },
               [this](const ObjectTable &table) { onDesiredWeightsChanged(table); },
               [](BootInstant) {})
@@ -150,6 +153,7 @@
                 .minimumPause = NodesPause,
                 .relayWait = RelayedRareWait,
                 .node = settings.name,
+                .linkMbps = settings.linkMbps,
                 .boot = relaySource() },
               [this](const ObjectTable &table) { onNodesChanged(table); }, [](BootInstant) {})
         , crashRecords(
@@ -161,10 +165,12 @@
                          [this](const VersionTable &table) { onAdmittedVersions(table); })
         , digests(traffic, boot)
         , relay(controlContext, metrics)
-        , registration(
-              controlContext, store,
-              { .name = settings.name, .zone = settings.zone, .address = settings.peerAddress },
-              eraSettling)
+        , registration(controlContext, store,
+                       { .name = settings.name,
+                         .zone = settings.zone,
+                         .address = settings.peerAddress,
+                         .linkMbps = settings.linkMbps },
+                       eraSettling)
         , rollout(
               controlContext, store,
               { .node = settings.name, .boot = boot, .lease = settings.lease },
@@ -558,7 +564,8 @@
     servers.setPacing(serversPacing({ .passesOn = passesOnObjects }));
     for (const FleetNode &node : all) {
         if (passesOnObjects && node.zone == settings.zone) {
-            zone.push_back({ .name = node.name, .address = node.address });
+            zone.push_back(
+                { .name = node.name, .address = node.address, .linkMbps = node.linkMbps });
         }
     }
     for (StoreSync *sync : { &configuration, &servers, &weights, &nodes }) {
--- a/Source/Gateway/GatewaySettings.cpp
+++ b/Source/Gateway/GatewaySettings.cpp
@@ -58,6 +58,18 @@
 } };
 constexpr ObjectSchema StoreSchema { "store", StoreFields };
 
+constexpr std::array<FieldRule, 1> LimitFields { {
+    { .name = "link_mbps",
+      .type = FieldType::Number,
+      .defaultText = "0",
+      .minimum = 0,
+      .maximum = 1000000,
+      .unit = "Mbit/s",
+      .help = "link of this node; nodes with wide links read the store for their zone; 0 if it is "
+              "not known" },
+} };
+constexpr ObjectSchema LimitSchema { "limits", LimitFields };
+
 constexpr FieldRule millisecondsRule(std::string_view name, std::string_view defaultText,
                                      std::string_view help)
 {
@@ -125,9 +137,9 @@
 } };
 constexpr ObjectSchema LogSchema { "log", LogFields };
 
-const std::array<FieldRule, 6> &rootFields()
+const std::array<FieldRule, 7> &rootFields()
 {
-    static const std::array<FieldRule, 6> Fields { {
+    static const std::array<FieldRule, 7> Fields { {
         { .name = "edge",
           .type = FieldType::String,
           .required = true,
@@ -152,6 +164,10 @@
           .type = FieldType::Object,
           .nested = &BoundSchema,
           .help = "limits that operators set for the fleet" },
+        { .name = "limits",
+          .type = FieldType::Object,
+          .nested = &LimitSchema,
+          .help = "what this node's machine has" },
         { .name = "log", .type = FieldType::Object, .nested = &LogSchema, .help = "logging" },
     } };
     return Fields;
@@ -196,6 +212,7 @@
     const FieldReader listen(ListenSchema, document["listen"]);
     const FieldReader store(StoreSchema, document["store"]);
     const FieldReader bounds(BoundSchema, document["bounds"]);
+    const FieldReader limits(LimitSchema, document["limits"]);
     const FieldReader log(LogSchema, document["log"]);
     const std::string level = log.text("level");
     const auto levelAt = std::find(LevelChoices.begin(), LevelChoices.end(), level);
@@ -208,6 +225,7 @@
         .metricsAddress = listen.text("metrics"),
         .peerAddress = listen.text("peers"),
         .storeAddress = store.text("address"),
+        .linkMbps = limits.number("link_mbps"),
         .keyRevocation = milliseconds(bounds.integer("key_revocation_ms")),
         .configurationLimit = milliseconds(bounds.integer("configuration_ms")),
         .stopGrace = fromMilliseconds(bounds.number("stop_grace_s") * 1000),
--- a/Source/Gateway/GatewaySettings.h
+++ b/Source/Gateway/GatewaySettings.h
@@ -25,6 +25,9 @@
     std::string peerAddress;
     std::string storeAddress;
 
+    /// Link of this node in Mbit/s; 0 if it is not known.
+    double linkMbps = 0;
+
     /// Time after which a revoked key must be rejected.
     Duration keyRevocation {};
     /// Time within which a new configuration must be in force.
--- a/Source/Gateway/NodeRegistration.cpp
+++ b/Source/Gateway/NodeRegistration.cpp
@@ -17,10 +17,14 @@
 constexpr Duration RegisterPause = milliseconds(700);
 constexpr Duration RegisterTimeout = milliseconds(900);
 /// Fields of a node's object: the address for digests and queries of other nodes, the availability
-/// zone, and the era of the store that the node has found settled.
+/// zone, the era of the store that the node has found settled, and the link.
 constexpr const char *PeerAddressField = "peers";
 constexpr const char *ZoneField = "zone";
 constexpr const char *SettledEraField = "settled_era";
+/// Whole numbers stay equal when the store writes them anew.
+constexpr const char *LinkField = "link_kbit_s";
+constexpr double KilobitsPerMegabit = 1000;
+constexpr double MaxLinkKilobits = 1e9;
 
 /// Returns the era that a node's object records as settled; 0 if it records none.
 std::uint64_t settledEra(const Json::Value &node)
@@ -54,7 +58,9 @@
             nodes.push_back(
                 { .name = name,
                   .zone = spec[ZoneField].isString() ? spec[ZoneField].asString() : std::string(),
-                  .address = spec[PeerAddressField].asString() });
+                  .address = spec[PeerAddressField].asString(),
+                  .linkMbps
+                  = spec[LinkField].isUInt() ? spec[LinkField].asUInt() / KilobitsPerMegabit : 0 });
         }
     }
     return nodes;
@@ -80,6 +86,10 @@
     Json::Value spec;
     spec[PeerAddressField] = node_.address;
     spec[ZoneField] = node_.zone;
+    if (node_.linkMbps > 0) {
+        spec[LinkField] = static_cast<Json::Int>(
+            std::min(node_.linkMbps * KilobitsPerMegabit, MaxLinkKilobits));
+    }
     if (recordedEra_ != 0) {
         spec[SettledEraField] = Json::UInt64(recordedEra_);
     }
--- a/Source/Gateway/StoreSync.cpp
+++ b/Source/Gateway/StoreSync.cpp
@@ -39,7 +39,9 @@
     , options_(std::move(options))
     , changeHandler_(std::move(changeHandler))
     , confirmationHandler_(std::move(confirmationHandler))
-    , readerChoice_({ .self = options_.node, .kind = std::string(relayKindName(options_.kind)) })
+    , readerChoice_({ .self = options_.node,
+                      .kind = std::string(relayKindName(options_.kind)),
+                      .linkMbps = options_.linkMbps })
     , relayLog_({ .kind = options_.kind, .source = options_.boot })
 { }
 
--- a/Source/Gateway/StoreSync.h
+++ b/Source/Gateway/StoreSync.h
@@ -44,6 +44,8 @@
         Duration relayWait = milliseconds(500);
         /// Name of this node, and a number that identifies this start of its process.
         std::string node;
+        /// Link of this node in Mbit/s; 0 if it is not known.
+        double linkMbps = 0;
         std::uint64_t boot = 1;
     };
     /// Called with the table after it may have changed.
--- a/Source/StoreRelay/ReaderChoice.cpp
+++ b/Source/StoreRelay/ReaderChoice.cpp
@@ -1,6 +1,8 @@
 #include "StoreRelay/ReaderChoice.h"
 
 #include <algorithm>
+#include <cmath>
+#include <limits>
 #include <utility>
 
 #include "Core/Hashing.h"
@@ -8,6 +10,17 @@
 
 namespace jacinthroad {
 
+namespace {
+
+/// Links of one class are at most a factor of two apart. The class depends on nothing but the link,
+/// so that nodes which know different nodes rank them alike.
+int linkClass(double linkMbps)
+{
+    return linkMbps > 0 ? std::ilogb(linkMbps) : std::numeric_limits<int>::min();
+}
+
+} // namespace
+
 ReaderChoice::ReaderChoice(Options options)
     : options_(std::move(options))
 { }
@@ -32,21 +45,25 @@
 {
     // Hash input; all nodes of a fleet must use the same text to choose the same readers.
     const std::uint64_t key = mix64(hash64("reads the store"), hash64(options_.kind));
-    const auto ranksAbove = [key](const std::string &left, const std::string &right) {
-        const std::uint64_t leftScore = rendezvousScore(key, hash64(left));
-        const std::uint64_t rightScore = rendezvousScore(key, hash64(right));
-        return leftScore != rightScore ? leftScore > rightScore : left < right;
+    const auto ranksAbove = [key](const RelayNode &left, const RelayNode &right) {
+        const int leftClass = linkClass(left.linkMbps);
+        const int rightClass = linkClass(right.linkMbps);
+        if (leftClass != rightClass) {
+            return leftClass > rightClass;
+        }
+        const std::uint64_t leftScore = rendezvousScore(key, hash64(left.name));
+        const std::uint64_t rightScore = rendezvousScore(key, hash64(right.name));
+        return leftScore != rightScore ? leftScore > rightScore : left.name < right.name;
     };
+    const RelayNode self { .name = options_.self, .address = {}, .linkMbps = options_.linkMbps };
     ranked_.clear();
     for (const RelayNode &node : zone_) {
-        if (node.name != options_.self && ranksAbove(node.name, options_.self)
+        if (node.name != options_.self && ranksAbove(node, self)
             && std::find(live_.begin(), live_.end(), node.name) != live_.end()) {
             ranked_.push_back(node);
         }
     }
-    std::sort(ranked_.begin(), ranked_.end(), [&](const RelayNode &left, const RelayNode &right) {
-        return ranksAbove(left.name, right.name);
-    });
+    std::sort(ranked_.begin(), ranked_.end(), ranksAbove);
     if (ranked_.size() > options_.maxTried) {
         ranked_.resize(options_.maxTried);
     }
--- a/Source/StoreRelay/ReaderChoice.h
+++ b/Source/StoreRelay/ReaderChoice.h
@@ -17,13 +17,16 @@
     std::string name;
     /// `IP:port` at which it passes them on.
     std::string address;
+    /// Its link in Mbit/s; 0 if it names none, as older builds do.
+    double linkMbps = 0;
 
     friend bool operator==(const RelayNode &, const RelayNode &) = default;
 };
 
 /// Decides from which node of its zone a node gets the objects of one kind, so that store calls
 /// grow with the zones and not with the nodes. All nodes that reach each other choose the same one,
-/// which reads the store. A node only chooses nodes that rank above itself, so that no two nodes
+/// which reads the store: one with a wide link if there is one, as a reader sends a change to its
+/// whole zone. A node only chooses nodes that rank above itself, so that no two nodes
 /// wait for each other whatever each of them believes. Answers the load of a large fleet on the
 /// store. Does no I/O; the time is passed in.
 class ReaderChoice
@@ -34,6 +37,8 @@
         std::string self;
         /// Name of the kind of objects; different kinds have different readers.
         std::string kind;
+        /// Link of this node in Mbit/s; 0 if it is not known.
+        double linkMbps = 0;
         /// Number of nodes that are tried one after the other before this one reads the store.
         std::size_t maxTried = 2;
         /// Time for which a node that did not pass on current objects is not asked again.
--- a/Tests/StoreRelay/ReaderChoiceTest.cpp
+++ b/Tests/StoreRelay/ReaderChoiceTest.cpp
@@ -159,6 +159,34 @@
     BOOST_TEST(sourceOf(fleet, fleet.zone(1).front().name, later) == frozen);
 }
 
+BOOST_AUTO_TEST_CASE(nodesWithWideLinksReadForAZoneOfNarrowOnes)
+{
+    for (const char *kind : Kinds) {
+        std::vector<RelayNode> zone;
+        std::vector<std::string> names;
+        for (int index = 0; index < 15; ++index) {
+            names.push_back("front-" + std::to_string(index));
+            // The last node is of an older build.
+            const double link = index < 2 ? 200 : index < 14 ? 10 : 0;
+            zone.push_back({ .name = names.back(), .address = "", .linkMbps = link });
+        }
+        const auto readerOf = [&](std::size_t index) {
+            ReaderChoice choice(
+                { .self = zone[index].name, .kind = kind, .linkMbps = zone[index].linkMbps });
+            choice.setZone(zone);
+            choice.setLive(names);
+            return choice.reader(Instant());
+        };
+        const bool firstReads = !readerOf(0).has_value();
+        const std::string expected = firstReads ? "front-0" : "front-1";
+        BOOST_TEST(!readerOf(firstReads ? 0 : 1).has_value());
+        for (std::size_t index = 2; index < zone.size(); ++index) {
+            BOOST_REQUIRE(readerOf(index).has_value());
+            BOOST_TEST(readerOf(index)->name == expected);
+        }
+    }
+}
+
 BOOST_AUTO_TEST_CASE(nodesWithDifferentViewsNeverWaitForEachOther)
 {
     Fleet fleet(295, 6, "nodes");
