ControlClientTest: Keep the call out of the co_await expression

g++ 12 destroys an aggregate with strings that is written within such an expression twice: the two tests of slow responses ended with an invalid free. With a named call they pass.

--- a/Tests/Gateway/ControlClientTest.cpp
+++ b/Tests/Gateway/ControlClientTest.cpp
@@ -113,12 +113,12 @@
     });
     asio::io_context context { 1 };
     ControlClient client(context, server.address(), ConnectionUse::Kept);
+    const platform::Call call { .target = "/" };
     Result<CallResponse> result = makeError(ErrorKind::PlatformUnavailable, "the call didn't end");
     asio::co_spawn(
         context,
         [&]() -> asio::awaitable<void> {
-            result
-                = co_await client.call({ .target = "/" }, {}, readLimits(ProgressLimit), &progress);
+            result = co_await client.call(call, {}, readLimits(ProgressLimit), &progress);
         },
         [](const std::exception_ptr &) {});
     context.run_for(milliseconds(3000));
