StoreRelay: Ask a reader that goes on failing more and more rarely

A reader that has itself got nothing was asked again each 5 s by each node of its zone; relay_behind named objects of 22,685 ms. The time for which it isn't asked now doubles with each failure, from 5 s up to 60 s, and begins anew once it passed on current objects.

Test: readerThatGoesOnFailingIsAskedMoreAndMoreRarely.

--- a/Source/Gateway/StoreSync.cpp
+++ b/Source/Gateway/StoreSync.cpp
@@ -202,6 +202,7 @@
         co_return false;
     }
     failures_ = 0;
+    readerChoice_.noteUsable(reader.name);
     co_return true;
 }
 
--- a/Source/StoreRelay/ReaderChoice.cpp
+++ b/Source/StoreRelay/ReaderChoice.cpp
@@ -28,7 +28,7 @@
 void ReaderChoice::setZone(std::vector<RelayNode> nodes)
 {
     zone_ = std::move(nodes);
-    std::erase_if(failedAt_, [this](const auto &entry) {
+    std::erase_if(failures_, [this](const auto &entry) {
         return std::none_of(zone_.begin(), zone_.end(),
                             [&](const RelayNode &node) { return node.name == entry.first; });
     });
@@ -71,14 +71,26 @@
 
 void ReaderChoice::noteFailed(std::string_view name, Instant now)
 {
-    failedAt_.insert_or_assign(std::string(name), now);
+    const auto [found, added] = failures_.try_emplace(std::string(name));
+    Failure &failure = found->second;
+    failure.at = now;
+    failure.retryAfter
+        = added ? options_.retryAfter : std::min(2 * failure.retryAfter, options_.maxRetryAfter);
+}
+
+void ReaderChoice::noteUsable(std::string_view name)
+{
+    const auto found = failures_.find(name);
+    if (found != failures_.end()) {
+        failures_.erase(found);
+    }
 }
 
 std::optional<RelayNode> ReaderChoice::reader(Instant now) const
 {
     for (const RelayNode &node : ranked_) {
-        const auto failed = failedAt_.find(node.name);
-        if (failed == failedAt_.end() || now - failed->second >= options_.retryAfter) {
+        const auto failure = failures_.find(node.name);
+        if (failure == failures_.end() || now - failure->second.at >= failure->second.retryAfter) {
             return node;
         }
     }
--- a/Source/StoreRelay/ReaderChoice.h
+++ b/Source/StoreRelay/ReaderChoice.h
@@ -41,8 +41,10 @@
         double linkMbps = 0;
         /// Number of nodes that are tried one after the other before this one reads the store.
         std::size_t maxTried = 2;
-        /// Time for which a node that did not pass on current objects is not asked again.
+        /// Time for which a node that did not pass on current objects is not asked again; doubles
+        /// with each further failure.
         Duration retryAfter = std::chrono::seconds(5);
+        Duration maxRetryAfter = std::chrono::seconds(60);
     };
 
     explicit ReaderChoice(Options options);
@@ -54,10 +56,18 @@
     void setLive(std::span<const std::string> names);
     /// Records that a node did not pass on current objects.
     void noteFailed(std::string_view name, Instant now);
+    /// Records that a node passed on current objects.
+    void noteUsable(std::string_view name);
     /// Returns the node to get the objects from; nothing if this node reads the store itself.
     [[nodiscard]] std::optional<RelayNode> reader(Instant now) const;
 
 private:
+    struct Failure
+    {
+        Instant at;
+        Duration retryAfter {};
+    };
+
     void rank();
 
     Options options_;
@@ -65,7 +75,7 @@
     std::vector<std::string> live_;
     /// The live nodes of the zone that rank above this one, best first.
     std::vector<RelayNode> ranked_;
-    std::map<std::string, Instant, std::less<>> failedAt_;
+    std::map<std::string, Failure, std::less<>> failures_;
 };
 
 } // namespace jacinthroad
--- a/Tests/StoreRelay/ReaderChoiceTest.cpp
+++ b/Tests/StoreRelay/ReaderChoiceTest.cpp
@@ -187,6 +187,29 @@
     }
 }
 
+BOOST_AUTO_TEST_CASE(readerThatGoesOnFailingIsAskedMoreAndMoreRarely)
+{
+    Fleet fleet(61, 4, "nodes");
+    Instant now = Instant() + std::chrono::seconds(10);
+    const std::string reader = sourceOf(fleet, fleet.zone(1).front().name, now);
+    const std::string last = fleet.zone(1).back().name != reader ? fleet.zone(1).back().name
+                                                                 : fleet.zone(1).front().name;
+    ReaderChoice &choice = fleet.choice(last);
+    const auto pauseAfterFailure = [&] {
+        choice.noteFailed(reader, now);
+        const Instant failed = now;
+        while (!choice.reader(now).has_value() || choice.reader(now)->name != reader) {
+            now += std::chrono::seconds(1);
+        }
+        return std::chrono::duration_cast<std::chrono::seconds>(now - failed).count();
+    };
+    for (const int seconds : { 5, 10, 20, 40, 60, 60 }) {
+        BOOST_TEST(pauseAfterFailure() == seconds);
+    }
+    choice.noteUsable(reader);
+    BOOST_TEST(pauseAfterFailure() == 5);
+}
+
 BOOST_AUTO_TEST_CASE(nodesWithDifferentViewsNeverWaitForEachOther)
 {
     Fleet fleet(295, 6, "nodes");
