StoreRelay: Pass objects on in pages, or have them read in the store

A reader sent all changes since a position in one response, encoded anew for each follower. A transfer that was cut began again with its first byte, and with 10 Mbit/s a configuration of 1 MB never reached 15 followers (270 transfers cut in 20 s).

- RelayLog keeps changes in their order with each event encoded once, and sends pages of 32 KB.
A transfer of all objects is a position too (RelayPosition::began), so that it goes on after a cut.
- RelayCollector keeps the pages; they are applied and prove freshness only once they reach the newest change of the reader, so versions never mix.
RelayFollower, the follower's side, goes on at the same node after a lost connection if that got further than the last time.
- A query names the digest of the node's objects.
A node with the same ones, after a change of reader or a read of its own, gets a proof and no objects.
- RelayResponder has the objects read in the store if passing them on would occupy its link for more than a quarter of the configuration limit, and before its own read ends if that takes so long.
A node that can't read the store asks for them all the same.
This is for the configuration alone.
- A reader whose objects are older than the asking node needs says so (503) and sends none.

The format of messages is 2; builds with another read the store themselves.

Tests of RelayLog and RelayMessage read the pages through the message instead of a struct and check the same values.

--- a/Source/Gateway/Gateway.cpp
+++ b/Source/Gateway/Gateway.cpp
@@ -38,6 +38,7 @@
 #include "Gateway/StreamVersionLink.h"
 #include "Gateway/StreamVersionSync.h"
 #include "Routing/Rendezvous.h"
+#include "StoreRelay/TransferChoice.h"
 #include "platform/StoreObjects.h"
 
 namespace jacinthroad {
@@ -369,9 +370,18 @@
         { platform::ObjectKind::Nodes, &nodes },
     };
     for (const auto &[kind, sync] : passedOn) {
-        relay.add(kind, sync->relayLog());
+        // Only the configuration has parts that are the same wherever they come from.
+        const bool mayBeInStore = kind == platform::ObjectKind::Configuration;
+        relay.add(kind, sync->relayLog(),
+                  { .linkMbps = settings.linkMbps,
+                    .passingOnLimit = mayBeInStore
+                        ? std::optional(passingOnLimit(settings.configurationLimit))
+                        : std::nullopt });
         sync->onRelayChange = [this, kind = kind] { relay.noteNews(kind); };
     }
+    configuration.onRelayExpected = [this](std::uint64_t bytes) {
+        relay.noteExpected(platform::ObjectKind::Configuration, bytes);
+    };
     configuration.onRelayConfirmed
         = [this] { relay.noteNews(platform::ObjectKind::Configuration); };
     asio::co_spawn(controlContext, relay.serve(relayQueries), asio::detached);
--- a/Source/Gateway/RelayClient.cpp
+++ b/Source/Gateway/RelayClient.cpp
@@ -2,6 +2,7 @@
 
 #include <utility>
 
+#include "Fleet/OddEntries.h"
 #include "StoreRelay/TransferLimits.h"
 
 namespace jacinthroad {
@@ -19,19 +20,22 @@
     , client_(context, address, ConnectionUse::Kept)
 { }
 
-asio::awaitable<Result<RelayReply>> RelayClient::query(RelayQuery query)
+asio::awaitable<Result<RelayReply>> RelayClient::query(RelayQuery query, TransferProgress *progress)
 {
     platform::Call call { .method = boost::beast::http::verb::get,
                           .target = relayTarget(query),
                           .body = {} };
-    const auto response = co_await client_.call(std::move(call), {}, relayLimits(query.wait));
+    const auto response
+        = co_await client_.call(std::move(call), {}, relayLimits(query.wait), progress);
     if (!response.has_value()) {
         co_return tl::make_unexpected(response.error());
     }
     if (response->status != HttpOk) {
         co_return makeError(ErrorKind::PlatformUnavailable,
-                            "the node has no objects to pass on: status "
-                                + std::to_string(response->status));
+                            "the node has no objects to pass on: "
+                                + (response->body.empty()
+                                       ? "status " + std::to_string(response->status)
+                                       : loggableText(response->body)));
     }
     auto changes = decodeRelayedChanges(response->body);
     if (!changes.has_value()) {
--- a/Source/Gateway/RelayClient.h
+++ b/Source/Gateway/RelayClient.h
@@ -26,8 +26,10 @@
 public:
     RelayClient(boost::asio::io_context &context, const std::string &address);
 
-    /// Fails with PlatformUnavailable if there is no usable response.
-    [[nodiscard]] boost::asio::awaitable<Result<RelayReply>> query(RelayQuery query);
+    /// Fails with PlatformUnavailable if there is no usable response. `progress` must outlive the
+    /// call.
+    [[nodiscard]] boost::asio::awaitable<Result<RelayReply>> query(RelayQuery query,
+                                                                   TransferProgress *progress);
     /// `IP:port` of the node.
     [[nodiscard]] const std::string &address() const { return address_; }
 
--- a/Source/Gateway/RelayServer.cpp
+++ b/Source/Gateway/RelayServer.cpp
@@ -32,9 +32,10 @@
     , metrics_(metrics)
 { }
 
-void RelayServer::add(platform::ObjectKind kind, const RelayLog &log)
+void RelayServer::add(platform::ObjectKind kind, const RelayLog &log,
+                      const RelayResponder::Options &options)
 {
-    logs_[kind] = &log;
+    passed_.emplace(kind, Passed { .responder = RelayResponder(log, options) });
 }
 
 asio::awaitable<void> RelayServer::serve(asio::ip::tcp::acceptor &acceptor)
@@ -46,16 +47,25 @@
 
 void RelayServer::noteNews(platform::ObjectKind kind)
 {
-    for (asio::steady_timer *timer : waiting_[kind]) {
+    for (asio::steady_timer *timer : passed_.at(kind).waiting) {
         timer->cancel();
     }
 }
 
+void RelayServer::noteExpected(platform::ObjectKind kind, std::uint64_t bytes)
+{
+    if (passed_.at(kind).responder.noteExpected(bytes)) {
+        noteNews(kind);
+    }
+}
+
 asio::awaitable<void> RelayServer::serveConnection(asio::ip::tcp::socket socket)
 {
     setTcpTimeout(socket, RelayTcpTimeout);
     boost::beast::flat_buffer buffer;
     error_code error;
+    // Counts this connection among those that asked.
+    std::shared_ptr<const char> presence;
     for (;;) {
         http::request_parser<http::empty_body> parser;
         parser.header_limit(MaxQueryHeaderBytes);
@@ -70,19 +80,31 @@
         response.keep_alive(request.keep_alive());
         const auto query
             = parseRelayTarget(std::string_view(request.target().data(), request.target().size()));
-        const auto log = query.has_value() ? logs_.find(query->kind) : logs_.end();
-        if (log == logs_.end()) {
+        const auto found = query.has_value() ? passed_.find(query->kind) : passed_.end();
+        if (found == passed_.end()) {
             response.result(http::status::bad_request);
             metrics_.countRelayQuery("malformed");
         } else {
-            co_await waitForChanges(*query, *log->second);
-            const bool filled = log->second->filled();
-            response.result(filled ? http::status::ok : http::status::service_unavailable);
-            if (filled) {
+            Passed &passed = found->second;
+            presence = passed.presence;
+            co_await waitForNews(*query, passed);
+            const BootInstant now = bootNow();
+            const RelayLog &log = passed.responder.log();
+            if (!log.filled()) {
+                response.result(http::status::service_unavailable);
+                response.body() = "it has read none yet";
+                metrics_.countRelayQuery("nothing_yet");
+            } else if (log.age(now) > query->maxAge) {
+                response.result(http::status::service_unavailable);
+                response.body() = "its objects are "
+                    + std::to_string(wholeMilliseconds(log.age(now))) + " ms old";
+                metrics_.countRelayQuery("too_old");
+            } else {
+                response.result(http::status::ok);
                 response.body()
-                    = encodeRelayedChanges(log->second->changesAfter(query->position, bootNow()));
+                    = encodeRelayPage(passed.responder.answer(*query, passed.followers(), now));
+                metrics_.countRelayQuery("answered");
             }
-            metrics_.countRelayQuery(filled ? "answered" : "nothing_yet");
         }
         response.prepare_payload();
         co_await http::async_write(socket, response,
@@ -93,17 +115,17 @@
     }
 }
 
-asio::awaitable<void> RelayServer::waitForChanges(RelayQuery query, const RelayLog &log)
+asio::awaitable<void> RelayServer::waitForNews(RelayQuery query, Passed &passed)
 {
-    if (log.hasChanges(query.position)) {
+    if (passed.responder.hasNews(query, passed.followers())) {
         co_return;
     }
     asio::steady_timer timer(context_);
     timer.expires_after(query.wait);
-    waiting_[query.kind].insert(&timer);
+    passed.waiting.insert(&timer);
     error_code ignored;
     co_await timer.async_wait(asio::redirect_error(asio::use_awaitable, ignored));
-    waiting_[query.kind].erase(&timer);
+    passed.waiting.erase(&timer);
 }
 
 } // namespace jacinthroad
--- a/Source/Gateway/StoreSync.cpp
+++ b/Source/Gateway/StoreSync.cpp
@@ -43,6 +43,8 @@
                       .kind = std::string(relayKindName(options_.kind)),
                       .linkMbps = options_.linkMbps })
     , relayLog_({ .kind = options_.kind, .source = options_.boot })
+    , follower_(context,
+                { .kind = options_.kind, .name = options_.name, .wait = options_.relayWait })
 { }
 
 asio::awaitable<void> StoreSync::run()
@@ -137,9 +139,12 @@
 
 asio::awaitable<bool> StoreSync::watch()
 {
+    TransferProgress progress;
+    progress.onSizeKnown = [this, &progress] { onRelayExpected(progress.ofBytes); };
     const auto reply
         = co_await client_.call(platform::watchCall(options_.kind, revision_, options_.watchWait),
-                                readLimits(options_.watchWait + CallTimeout));
+                                readLimits(options_.watchWait + CallTimeout), &progress);
+    onRelayExpected(0);
     if (reply.has_value() && (reply->status == StoreStatus::HistoryGone || reply->era != era_)) {
         listed_ = false;
         co_return true;
@@ -175,21 +180,20 @@
 
 asio::awaitable<bool> StoreSync::follow(RelayNode reader)
 {
-    if (relay_ == nullptr || relay_->address() != reader.address) {
-        relay_ = std::make_unique<RelayClient>(context_, reader.address);
-        relayPosition_ = {};
-    }
-    const auto reply = co_await relay_->query(
-        { .kind = options_.kind, .position = relayPosition_, .wait = options_.relayWait });
+    const bool sameEra = era_ == client_.era();
+    const auto reply
+        = co_await follower_.ask(reader,
+                                 { .digest = listed_ && sameEra ? relayLog_.digest() : 0,
+                                   .maxAge = relayedAgeLimit(),
+                                   .onlyHere = onlyFromReader_ });
     if (!reply.has_value()) {
-        logLine(LogLevel::Info, "relay_lost",
-                { { "objects", options_.name },
-                  { "node", reader.name },
-                  { "reason", reply.error().message } });
-        co_return false;
+        co_return follower_.mayGoOn();
+    }
+    if (reply->content == RelayContent::InStore) {
+        co_await readInStore(reply->position);
+        co_return true;
     }
     if (!applyRelayed(*reply)) {
-        relayPosition_ = {};
         // After a change of the reader, the new one may be behind for a moment.
         if (confirmedAt_.has_value() && bootNow() - *confirmedAt_ <= relayedAgeLimit()) {
             co_await pauseFor(context_, FirstPause);
@@ -198,7 +202,7 @@
         logLine(LogLevel::Info, "relay_behind",
                 { { "objects", options_.name },
                   { "node", reader.name },
-                  { "age_ms", toMilliseconds(reply->changes.age) } });
+                  { "age_ms", toMilliseconds(reply->age) } });
         co_return false;
     }
     failures_ = 0;
@@ -206,34 +210,58 @@
     co_return true;
 }
 
-bool StoreSync::applyRelayed(const RelayReply &reply)
+asio::awaitable<void> StoreSync::readInStore(RelayPosition position)
+{
+    const bool again = toldToReadAt_ == position;
+    toldToReadAt_ = position;
+    if (again) {
+        onlyFromReader_ = true;
+        co_return;
+    }
+    const bool done = co_await list();
+    onlyFromReader_ = !done;
+}
+
+bool StoreSync::applyRelayed(const RelayFollower::Reply &reply)
 {
-    const RelayedChanges &changes = reply.changes;
-    if (changes.age > relayedAgeLimit() || !client_.adoptEra(changes.era)) {
+    if (!client_.adoptEra(reply.era)) {
+        follower_.collector().reset();
         return false;
     }
-    const bool sameEra = era_ == client_.era();
-    if (sameEra && changes.revision < revision_) {
+    if (!reply.complete) {
+        return true;
+    }
+    if (reply.age > relayedAgeLimit()) {
         return false;
     }
-    if (!changes.complete && (!listed_ || !sameEra)) {
+    const bool sameEra = era_ == client_.era();
+    const bool replacesAll = follower_.collector().replacesAll();
+    if (!replacesAll && (!listed_ || !sameEra)) {
         // These changes belong to a table that this node does not have any more.
-        relayPosition_ = {};
+        follower_.collector().reset();
         return true;
     }
-    const bool first = !listed_;
-    if (changes.complete) {
-        table_.clear();
-    }
-    applyEvents(changes.events);
-    relayPosition_ = changes.position;
-    revision_ = changes.revision;
-    era_ = client_.era();
-    listed_ = true;
-    if (first || changes.complete || !changes.events.empty()) {
-        reportChange();
+    if (reply.content != RelayContent::Same) {
+        if (sameEra && reply.revision < revision_) {
+            return false;
+        }
+        const bool first = !listed_;
+        if (replacesAll) {
+            table_.clear();
+        }
+        applyEvents(follower_.collector().events());
+        revision_ = reply.revision;
+        era_ = client_.era();
+        listed_ = true;
+        if (first || replacesAll || !follower_.collector().events().empty()) {
+            reportChange();
+        }
     }
-    reportConfirmation(reply.sentAt - changes.age);
+    revision_ = std::max(revision_, reply.revision);
+    follower_.collector().clear();
+    onlyFromReader_ = false;
+    toldToReadAt_.reset();
+    reportConfirmation(reply.sentAt - reply.age);
     return true;
 }
 
--- a/Source/Gateway/StoreSync.h
+++ b/Source/Gateway/StoreSync.h
@@ -13,7 +13,7 @@
 #include <boost/asio/io_context.hpp>
 
 #include "Fleet/Freshness.h"
-#include "Gateway/RelayClient.h"
+#include "Gateway/RelayFollower.h"
 #include "Gateway/StoreClient.h"
 #include "StoreRelay/ReadPacing.h"
 #include "StoreRelay/ReaderChoice.h"
@@ -72,6 +72,8 @@
     std::function<void()> onRelayChange = [] {};
     /// Called when what this node passes on is known to have been current at a later moment.
     std::function<void()> onRelayConfirmed = [] {};
+    /// Called with the size of a change that is arriving from the store, and with 0 at its end.
+    std::function<void(std::uint64_t)> onRelayExpected = [](std::uint64_t) {};
     /// Called when the store responds again after a time in which it didn't.
     std::function<void()> onRegained = [] {};
 
@@ -83,7 +85,9 @@
     /// Gets changes from another node; returns false if it did not respond, or is behind.
     [[nodiscard]] boost::asio::awaitable<bool> follow(RelayNode reader);
     /// Applies what another node passed on; returns false if it is behind this node.
-    [[nodiscard]] bool applyRelayed(const RelayReply &reply);
+    [[nodiscard]] bool applyRelayed(const RelayFollower::Reply &reply);
+    /// Reads what another node said is read sooner from the store.
+    [[nodiscard]] boost::asio::awaitable<void> readInStore(RelayPosition position);
     void applyEvents(const std::vector<platform::ObjectEvent> &events);
     void reportChange();
     void reportConfirmation(BootInstant moment);
@@ -99,8 +103,11 @@
     ConfirmationHandler confirmationHandler_;
     ReaderChoice readerChoice_;
     RelayLog relayLog_;
-    std::unique_ptr<RelayClient> relay_;
-    RelayPosition relayPosition_;
+    RelayFollower follower_;
+    /// The position of another node at which this one was last told to read the store.
+    std::optional<RelayPosition> toldToReadAt_;
+    /// The store did not respond, or had the same objects.
+    bool onlyFromReader_ = false;
     /// The latest moment at which the table is known to have been current.
     std::optional<BootInstant> confirmedAt_;
     ObjectTable table_;
--- a/Source/StoreRelay/RelayLog.cpp
+++ b/Source/StoreRelay/RelayLog.cpp
@@ -3,8 +3,19 @@
 #include <algorithm>
 #include <vector>
 
+#include "Core/Hashing.h"
+
 namespace jacinthroad {
 
+namespace {
+
+std::uint64_t objectDigest(const platform::StoredObject &object)
+{
+    return mix64(hash64(object.name), object.revision);
+}
+
+} // namespace
+
 bool RelayLog::applyTable(const ObjectTable &table, std::uint64_t revision,
                           std::optional<std::uint64_t> era)
 {
@@ -14,6 +25,8 @@
         era_ = era;
         objects_.clear();
         removedAt_.clear();
+        changes_.clear();
+        objectsDigest_ = 0;
         forgottenUntil_ = sequence_++;
         confirmedAt_.reset();
     }
@@ -41,21 +54,40 @@
         return;
     }
     const bool changed = added || !platform::meansTheSame(options_.kind, entry.object, object);
+    if (!added) {
+        objectsDigest_ -= objectDigest(entry.object);
+    }
+    objectsDigest_ += objectDigest(object);
     entry.object = object;
-    if (changed) {
-        entry.changedAt = ++sequence_;
-        removedAt_.erase(object.name);
+    if (!changed) {
+        changes_.at(entry.changedAt).encoded.clear();
+        return;
+    }
+    changes_.erase(entry.changedAt);
+    entry.changedAt = ++sequence_;
+    changes_.emplace(sequence_, Change { .name = object.name });
+    const auto removal = removedAt_.find(object.name);
+    if (removal != removedAt_.end()) {
+        changes_.erase(removal->second);
+        removedAt_.erase(removal);
     }
 }
 
 void RelayLog::remove(const std::string &name)
 {
-    objects_.erase(name);
+    const auto entry = objects_.find(name);
+    objectsDigest_ -= objectDigest(entry->second.object);
+    changes_.erase(entry->second.changedAt);
+    objects_.erase(entry);
     if (removedAt_.size() >= options_.maxRemovals) {
+        for (const auto &[forgotten, number] : removedAt_) {
+            changes_.erase(number);
+        }
         removedAt_.clear();
         forgottenUntil_ = sequence_;
     }
     removedAt_[name] = ++sequence_;
+    changes_.emplace(sequence_, Change { .name = name, .removed = true });
 }
 
 void RelayLog::confirm(BootInstant moment, std::uint64_t revision)
@@ -64,10 +96,17 @@
     confirmedAt_ = std::max(confirmedAt_.value_or(moment), moment);
 }
 
+std::uint64_t RelayLog::digest() const
+{
+    return mix64(objectsDigest_, era_.value_or(0));
+}
+
 bool RelayLog::knows(const RelayPosition &position) const
 {
-    return position.source == options_.source && position.sequence > forgottenUntil_
-        && position.sequence <= sequence_;
+    // Whoever began with all objects needs no removals from before.
+    return position.source == options_.source
+        && std::max(position.sequence, position.began) > forgottenUntil_
+        && position.sequence <= sequence_ && position.began <= sequence_;
 }
 
 bool RelayLog::hasChanges(const RelayPosition &position) const
@@ -75,29 +114,66 @@
     return filled() && (!knows(position) || position.sequence < sequence_);
 }
 
-RelayedChanges RelayLog::changesAfter(const RelayPosition &position, BootInstant now) const
+const std::string &RelayLog::encodedEvent(const Change &change) const
 {
-    RelayedChanges changes { .position = { .source = options_.source, .sequence = sequence_ },
-                             .complete = !knows(position),
-                             .revision = revision_,
-                             .era = era_,
-                             .age = now - *confirmedAt_,
-                             .events = {} };
-    for (const auto &[name, entry] : objects_) {
-        if (changes.complete || entry.changedAt > position.sequence) {
-            changes.events.push_back({ .object = entry.object, .removed = false });
-        }
+    if (change.encoded.empty()) {
+        platform::ObjectEvent event { .object = {}, .removed = change.removed };
+        event.object.name = change.name;
+        change.encoded = encodeRelayedEvent(
+            change.removed ? event.object : objects_.at(change.name).object, change.removed);
     }
-    if (!changes.complete) {
-        for (const auto &[name, removedAt] : removedAt_) {
-            if (removedAt > position.sequence) {
-                platform::StoredObject object;
-                object.name = name;
-                changes.events.push_back({ .object = std::move(object), .removed = true });
-            }
+    return change.encoded;
+}
+
+std::size_t RelayLog::bytesAfter(const RelayPosition &position) const
+{
+    std::size_t bytes = 0;
+    const std::uint64_t after = knows(position) ? position.sequence : 0;
+    for (auto change = changes_.upper_bound(after); change != changes_.end(); ++change) {
+        bytes += encodedEvent(change->second).size();
+    }
+    return bytes;
+}
+
+RelayPage RelayLog::emptyPage(RelayContent content, BootInstant now) const
+{
+    return { .head = { .position
+                       = { .source = options_.source, .sequence = sequence_, .began = sequence_ },
+                       .content = content,
+                       .revision = revision_,
+                       .era = era_,
+                       .age = age(now),
+                       .events = {} },
+             .events = {} };
+}
+
+RelayPage RelayLog::pageAfter(const RelayPosition &position, BootInstant now) const
+{
+    const bool known = knows(position);
+    RelayPage page = emptyPage(known ? RelayContent::Changes : RelayContent::All, now);
+    if (known) {
+        page.head.position.began = position.began;
+    }
+    auto change = changes_.upper_bound(known ? position.sequence : 0);
+    std::size_t bytes = 0;
+    for (; change != changes_.end(); ++change) {
+        const std::string &event = encodedEvent(change->second);
+        if (bytes > 0 && bytes + event.size() > options_.pageBytes) {
+            break;
         }
+        if (known || !change->second.removed) {
+            page.events.push_back(event);
+            bytes += event.size();
+        }
+        page.head.position.sequence = change->first;
+    }
+    if (change == changes_.end()) {
+        page.head.position.sequence = sequence_;
+    }
+    for (; change != changes_.end(); ++change) {
+        page.head.bytesLeft += encodedEvent(change->second).size();
     }
-    return changes;
+    return page;
 }
 
 } // namespace jacinthroad
--- a/Source/StoreRelay/RelayMessage.cpp
+++ b/Source/StoreRelay/RelayMessage.cpp
@@ -16,11 +16,12 @@
 using platform::ObjectKind;
 
 /// First element of every message; messages of other formats are rejected.
-constexpr std::uint32_t FormatVersion = 1;
-constexpr std::uint32_t MessageFields = 9;
-constexpr std::uint32_t EventFields = 5;
+constexpr std::uint32_t FormatVersion = 2;
+constexpr std::uint32_t MessageFields = 11;
+constexpr std::uint32_t EventFields = 6;
 /// Longest wait that a query may ask for.
 constexpr std::uint64_t MaxWaitMs = 30'000;
+constexpr std::uint64_t MaxAgeMs = 3'600'000;
 
 constexpr std::string_view Prefix = "/objects/";
 
@@ -48,8 +49,10 @@
     event.object.revision = field[1].as<std::uint64_t>();
     event.removed = field[2].as<bool>();
     event.object.fault = field[4].as<std::string>();
-    const auto text = field[3].as<std::string>();
-    if (!text.empty()) {
+    auto text = field[3].as<std::string>();
+    if (field[5].as<bool>()) {
+        event.object.text = std::move(text);
+    } else if (!text.empty()) {
         auto spec = parseJson(text);
         if (!spec.has_value()) {
             throw msgpack::type_error();
@@ -76,27 +79,44 @@
 
 } // namespace
 
-std::string encodeRelayedChanges(const RelayedChanges &changes)
+std::string encodeRelayedEvent(const platform::StoredObject &object, bool removed)
 {
+    msgpack::sbuffer buffer;
+    msgpack::packer<msgpack::sbuffer> packer(buffer);
+    packer.pack_array(EventFields);
+    packer.pack(object.name);
+    packer.pack(object.revision);
+    packer.pack(removed);
+    const bool isText = !object.text.empty();
+    if (isText) {
+        packer.pack(object.text);
+    } else {
+        packer.pack(object.spec.isNull() ? std::string() : writeJson(object.spec));
+    }
+    packer.pack(object.fault);
+    packer.pack(isText);
+    return { buffer.data(), buffer.size() };
+}
+
+std::string encodeRelayPage(const RelayPage &page)
+{
+    const RelayedChanges &head = page.head;
     msgpack::sbuffer buffer;
     msgpack::packer<msgpack::sbuffer> packer(buffer);
     packer.pack_array(MessageFields);
     packer.pack(FormatVersion);
-    packer.pack(changes.position.source);
-    packer.pack(changes.position.sequence);
-    packer.pack(changes.complete);
-    packer.pack(changes.revision);
-    packer.pack(changes.era.has_value());
-    packer.pack(changes.era.value_or(0));
-    packer.pack(wholeMilliseconds(changes.age) + 1);
-    packer.pack_array(static_cast<std::uint32_t>(changes.events.size()));
-    for (const platform::ObjectEvent &event : changes.events) {
-        packer.pack_array(EventFields);
-        packer.pack(event.object.name);
-        packer.pack(event.object.revision);
-        packer.pack(event.removed);
-        packer.pack(event.object.spec.isNull() ? std::string() : writeJson(event.object.spec));
-        packer.pack(event.object.fault);
+    packer.pack(head.position.source);
+    packer.pack(head.position.sequence);
+    packer.pack(head.position.began);
+    packer.pack(static_cast<std::uint32_t>(head.content));
+    packer.pack(head.bytesLeft);
+    packer.pack(head.revision);
+    packer.pack(head.era.has_value());
+    packer.pack(head.era.value_or(0));
+    packer.pack(wholeMilliseconds(head.age) + 1);
+    packer.pack_array(static_cast<std::uint32_t>(page.events.size()));
+    for (const std::string_view event : page.events) {
+        buffer.write(event.data(), event.size());
     }
     return { buffer.data(), buffer.size() };
 }
@@ -113,15 +133,21 @@
         }
         const msgpack::object *field = root.via.array.ptr;
         RelayedChanges changes;
-        changes.position
-            = { .source = field[1].as<std::uint64_t>(), .sequence = field[2].as<std::uint64_t>() };
-        changes.complete = field[3].as<bool>();
-        changes.revision = field[4].as<std::uint64_t>();
-        if (field[5].as<bool>()) {
-            changes.era = field[6].as<std::uint64_t>();
+        changes.position = { .source = field[1].as<std::uint64_t>(),
+                             .sequence = field[2].as<std::uint64_t>(),
+                             .began = field[3].as<std::uint64_t>() };
+        const auto content = field[4].as<std::uint32_t>();
+        if (content > static_cast<std::uint32_t>(RelayContent::InStore)) {
+            throw msgpack::type_error();
+        }
+        changes.content = static_cast<RelayContent>(content);
+        changes.bytesLeft = field[5].as<std::uint64_t>();
+        changes.revision = field[6].as<std::uint64_t>();
+        if (field[7].as<bool>()) {
+            changes.era = field[8].as<std::uint64_t>();
         }
-        changes.age = milliseconds(field[7].as<std::uint32_t>());
-        for (const msgpack::object &event : field[8].as<std::vector<msgpack::object>>()) {
+        changes.age = milliseconds(field[9].as<std::uint32_t>());
+        for (const msgpack::object &event : field[10].as<std::vector<msgpack::object>>()) {
             changes.events.push_back(readEvent(event));
         }
         return changes;
@@ -141,8 +167,11 @@
 std::string relayTarget(const RelayQuery &query)
 {
     return std::string(Prefix) + std::string(relayKindName(query.kind))
-        + "?source=" + std::to_string(query.position.source)
-        + "&after=" + std::to_string(query.position.sequence)
+        + "?source=" + std::to_string(query.position.source) + "&after="
+        + std::to_string(query.position.sequence) + "&began=" + std::to_string(query.position.began)
+        + "&digest=" + std::to_string(query.digest)
+        + "&max_age_ms=" + std::to_string(wholeMilliseconds(query.maxAge))
+        + "&only_here=" + (query.onlyHere ? "1" : "0")
         + "&wait_ms=" + std::to_string(wholeMilliseconds(query.wait));
 }
 
@@ -161,13 +190,21 @@
     target.remove_prefix(name.size());
     const auto source = takeNumber(target, "?source=");
     const auto sequence = takeNumber(target, "&after=");
+    const auto began = takeNumber(target, "&began=");
+    const auto digest = takeNumber(target, "&digest=");
+    const auto maxAgeMs = takeNumber(target, "&max_age_ms=");
+    const auto onlyHere = takeNumber(target, "&only_here=");
     const auto waitMs = takeNumber(target, "&wait_ms=");
-    if (!source.has_value() || !sequence.has_value() || !waitMs.has_value() || !target.empty()
-        || *waitMs > MaxWaitMs) {
+    if (!source.has_value() || !sequence.has_value() || !began.has_value() || !digest.has_value()
+        || !maxAgeMs.has_value() || !onlyHere.has_value() || !waitMs.has_value() || !target.empty()
+        || *waitMs > MaxWaitMs || *maxAgeMs > MaxAgeMs || *onlyHere > 1) {
         return std::nullopt;
     }
     return RelayQuery { .kind = kind->kind,
-                        .position = { .source = *source, .sequence = *sequence },
+                        .position = { .source = *source, .sequence = *sequence, .began = *began },
+                        .digest = *digest,
+                        .maxAge = milliseconds(*maxAgeMs),
+                        .onlyHere = *onlyHere == 1,
                         .wait = milliseconds(*waitMs) };
 }
 
--- a/Tests/Gateway/RelayedObjectsTest.cpp
+++ b/Tests/Gateway/RelayedObjectsTest.cpp
@@ -1,4 +1,6 @@
+#include <algorithm>
 #include <memory>
+#include <mutex>
 #include <string>
 #include <utility>
 #include <vector>
@@ -13,6 +15,7 @@
 #include "Gateway/Listener.h"
 #include "Gateway/RelayServer.h"
 #include "Gateway/StoreSync.h"
+#include "ScriptedServer.h"
 #include "StoreStandIn.h"
 
 namespace jacinthroad {
@@ -29,7 +32,7 @@
 {
 public:
     CopyingNode(asio::io_context &context, StoreStandIn &store, std::string name,
-                Duration watchWait = milliseconds(200))
+                Duration watchWait = milliseconds(200), const RelayResponder::Options &passing = {})
         : node { .name = std::move(name), .address = freeAddress() }
         , client(context, store.address(), metrics)
         , relay(context, metrics)
@@ -45,7 +48,8 @@
               [this](const ObjectTable &objects) { table = objects; },
               [this](BootInstant moment) { confirmedAt = moment; })
     {
-        relay.add(Kind, sync.relayLog());
+        relay.add(Kind, sync.relayLog(), passing);
+        sync.onRelayExpected = [this](std::uint64_t bytes) { relay.noteExpected(Kind, bytes); };
         sync.onRelayChange = [this] { relay.noteNews(Kind); };
         acceptor = std::move(*openAcceptor(context, node.address));
         asio::co_spawn(context, relay.serve(acceptor), asio::detached);
@@ -88,8 +92,9 @@
 
 struct TwoNodes
 {
-    explicit TwoNodes(Duration watchWait = milliseconds(200))
-        : reader(context, store, readerAndFollower().first, watchWait)
+    explicit TwoNodes(Duration watchWait = milliseconds(200),
+                      const RelayResponder::Options &passing = {})
+        : reader(context, store, readerAndFollower().first, watchWait, passing)
         , follower(context, store, readerAndFollower().second, watchWait)
     {
         store.put(KindName, "a", Json::Value("first"));
@@ -106,10 +111,138 @@
     CopyingNode follower;
 };
 
+constexpr int Parts = 60;
+
+/// Writes objects of several pages in all.
+void putParts(StoreStandIn &store, char content)
+{
+    for (int part = 0; part < Parts; ++part) {
+        store.put(KindName, "part-" + std::to_string(part), std::string(5000, content));
+    }
+}
+
+/// A reader that sends pages of a log and ends one connection in the middle of the third page.
+class BreakingReader
+{
+public:
+    BreakingReader()
+        : server_([this](ScriptedConnection &connection) { serve(connection); })
+    {
+        ObjectTable table;
+        for (int part = 0; part < Parts; ++part) {
+            platform::StoredObject object { .name = "part-" + std::to_string(part), .revision = 2 };
+            object.spec = std::string(5000, 'x');
+            table[object.name] = object;
+        }
+        log_.applyTable(table, 1000, {});
+    }
+
+    [[nodiscard]] std::string address() const { return server_.address(); }
+    /// Numbers of the last changes that the queries named.
+    [[nodiscard]] std::vector<std::uint64_t> positions()
+    {
+        const std::scoped_lock lock(mutex_);
+        return positions_;
+    }
+
+private:
+    void serve(ScriptedConnection &connection)
+    {
+        boost::beast::http::request<boost::beast::http::string_body> request;
+        while (connection.read(request)) {
+            const auto query = parseRelayTarget(std::string(request.target()));
+            const std::scoped_lock lock(mutex_);
+            positions_.push_back(query->position.sequence);
+            log_.confirm(bootNow(), 1000);
+            const std::string response = responseText(
+                200, "", encodeRelayPage(log_.pageAfter(query->position, bootNow())));
+            if (positions_.size() == 3) {
+                connection.write(response.substr(0, response.size() / 2));
+                connection.close();
+                return;
+            }
+            connection.write(response);
+        }
+    }
+
+    std::mutex mutex_;
+    RelayLog log_ { { .kind = Kind, .source = 77 } };
+    std::vector<std::uint64_t> positions_;
+    ScriptedServer server_;
+};
+
 } // namespace
 
 BOOST_AUTO_TEST_SUITE(RelayedObjectsTest)
 
+BOOST_AUTO_TEST_CASE(largeChangeIsAppliedAsAWhole)
+{
+    TwoNodes nodes;
+    putParts(nodes.store, 'a');
+    nodes.runFor(milliseconds(800));
+    BOOST_TEST(nodes.follower.table.size() == Parts + 1U);
+    const int before = nodes.store.calls();
+    putParts(nodes.store, 'b');
+    nodes.store.remove(KindName, "a");
+    nodes.runFor(milliseconds(800));
+    BOOST_TEST(nodes.follower.table.size() == std::size_t { Parts });
+    for (const auto &[name, object] : nodes.follower.table) {
+        BOOST_TEST(object.spec.asString() == std::string(5000, 'b'));
+    }
+    BOOST_TEST(nodes.store.calls() - before <= 8);
+    BOOST_TEST((bootNow() - nodes.follower.confirmedAt < milliseconds(900)));
+}
+
+BOOST_AUTO_TEST_CASE(transferThatIsCutWithinAPageGoesOnAtItsPosition)
+{
+    asio::io_context context { 1 };
+    StoreStandIn store;
+    store.stopResponding();
+    BreakingReader reader;
+    CopyingNode follower(context, store, readerAndFollower().second);
+    follower.setZone(
+        { { .name = readerAndFollower().first, .address = reader.address() }, follower.node });
+    context.run_for(milliseconds(800));
+    BOOST_TEST(follower.table.size() == std::size_t { Parts });
+    const std::vector<std::uint64_t> positions = reader.positions();
+    BOOST_REQUIRE(positions.size() > 4U);
+    BOOST_TEST(positions[2] > positions[1]);
+    BOOST_TEST(positions[3] == positions[2]);
+    BOOST_TEST(std::is_sorted(positions.begin(), positions.end()));
+    store.resumeResponding();
+}
+
+BOOST_AUTO_TEST_CASE(largeContentOfANarrowReaderIsReadFromTheStoreOnce)
+{
+    TwoNodes nodes(milliseconds(200), { .linkMbps = 1, .passingOnLimit = milliseconds(100) });
+    putParts(nodes.store, 'a');
+    nodes.runFor(milliseconds(800));
+    BOOST_TEST(nodes.follower.table.size() == Parts + 1U);
+    const int before = nodes.store.calls();
+    nodes.runFor(milliseconds(1000));
+    // The reader alone makes about five calls a second.
+    BOOST_TEST(nodes.store.calls() - before <= 8);
+    BOOST_TEST((bootNow() - nodes.follower.confirmedAt < milliseconds(900)));
+}
+
+BOOST_AUTO_TEST_CASE(largeContentOfANarrowReaderArrivesWhileTheStoreIsLost)
+{
+    TwoNodes nodes(milliseconds(1500), { .linkMbps = 1, .passingOnLimit = milliseconds(100) });
+    nodes.follower.setZone({ nodes.follower.node });
+    nodes.runFor(milliseconds(300));
+    putParts(nodes.store, 'a');
+    // Only the reader has read it.
+    nodes.reader.setZone({ nodes.reader.node });
+    nodes.runFor(milliseconds(300));
+    BOOST_REQUIRE(nodes.reader.table.contains("part-0"));
+    CopyingNode late(nodes.context, nodes.store, readerAndFollower().second);
+    nodes.store.stopResponding();
+    late.setZone({ nodes.reader.node, late.node });
+    nodes.runFor(milliseconds(1500));
+    BOOST_TEST(late.table.contains("part-0"));
+    nodes.store.resumeResponding();
+}
+
 BOOST_AUTO_TEST_CASE(followerGetsChangesAndConfirmationsWithoutStoreCalls)
 {
     TwoNodes nodes;
--- a/Tests/StoreRelay/RelayLogTest.cpp
+++ b/Tests/StoreRelay/RelayLogTest.cpp
@@ -26,6 +26,17 @@
     return table;
 }
 
+/// What a node at a position receives first.
+RelayedChanges changesAfter(const RelayLog &log, const RelayPosition &position, BootInstant now)
+{
+    const RelayPage page = log.pageAfter(position, now);
+    auto changes = decodeRelayedChanges(encodeRelayPage(page));
+    BOOST_REQUIRE(changes.has_value());
+    // Messages round the age up to milliseconds.
+    changes->age = page.head.age;
+    return *changes;
+}
+
 RelayLog serversLog()
 {
     return RelayLog({ .kind = platform::ObjectKind::Servers, .source = 7 });
@@ -40,12 +51,12 @@
     RelayLog log = serversLog();
     BOOST_TEST(log.applyTable(tableOf({ server("a", 1, 1), server("b", 2, 1) }), 2, {}));
     log.confirm(Start, 2);
-    const RelayPosition position = log.changesAfter({}, Start).position;
+    const RelayPosition position = changesAfter(log, {}, Start).position;
     BOOST_TEST(!log.applyTable(tableOf({ server("a", 3, 2), server("b", 4, 2) }), 4, {}));
     log.confirm(Start + milliseconds(500), 4);
     BOOST_TEST(!log.hasChanges(position));
-    const RelayedChanges changes = log.changesAfter(position, Start + milliseconds(600));
-    BOOST_TEST(!changes.complete);
+    const RelayedChanges changes = changesAfter(log, position, Start + milliseconds(600));
+    BOOST_CHECK(changes.content == RelayContent::Changes);
     BOOST_TEST(changes.events.empty());
     BOOST_TEST(changes.revision == 4U);
     BOOST_CHECK(changes.age == milliseconds(100));
@@ -56,11 +67,11 @@
     RelayLog log = serversLog();
     log.applyTable(tableOf({ server("a", 1, 1), server("b", 2, 1) }), 2, {});
     log.confirm(Start, 2);
-    const RelayPosition position = log.changesAfter({}, Start).position;
+    const RelayPosition position = changesAfter(log, {}, Start).position;
     BOOST_TEST(log.applyTable(tableOf({ server("a", 3, 2, "draining") }), 3, {}));
     log.confirm(Start, 3);
-    const RelayedChanges changes = log.changesAfter(position, Start);
-    BOOST_TEST(!changes.complete);
+    const RelayedChanges changes = changesAfter(log, position, Start);
+    BOOST_CHECK(changes.content == RelayContent::Changes);
     BOOST_REQUIRE(changes.events.size() == 2U);
     BOOST_TEST(changes.events[0].object.name == "a");
     BOOST_TEST(!changes.events[0].removed);
@@ -73,8 +84,8 @@
     RelayLog log = serversLog();
     log.applyTable(tableOf({ server("a", 1, 1) }), 2, {});
     log.confirm(Start, 2);
-    const RelayedChanges changes = log.changesAfter({ .source = 6, .sequence = 2 }, Start);
-    BOOST_TEST(changes.complete);
+    const RelayedChanges changes = changesAfter(log, { .source = 6, .sequence = 2 }, Start);
+    BOOST_CHECK(changes.content == RelayContent::All);
     BOOST_TEST(changes.events.size() == 1U);
     BOOST_TEST(log.hasChanges({ .source = 6, .sequence = 2 }));
 }
@@ -84,7 +95,8 @@
     RelayLog log = serversLog();
     log.applyTable(tableOf({ server("a", 1, 1) }), 2, {});
     log.confirm(Start, 2);
-    BOOST_TEST(log.changesAfter({ .source = 7, .sequence = 99 }, Start).complete);
+    BOOST_CHECK(changesAfter(log, { .source = 7, .sequence = 99 }, Start).content
+                == RelayContent::All);
 }
 
 BOOST_AUTO_TEST_CASE(restoredStoreIsPassedOnAsAWholeAndNotBeforeItIsConfirmed)
@@ -92,12 +104,12 @@
     RelayLog log = serversLog();
     log.applyTable(tableOf({ server("a", 5, 1), server("b", 6, 1) }), 6, 1);
     log.confirm(Start, 6);
-    const RelayPosition position = log.changesAfter({}, Start).position;
+    const RelayPosition position = changesAfter(log, {}, Start).position;
     BOOST_TEST(log.applyTable(tableOf({ server("a", 5, 1) }), 5, 2));
     BOOST_TEST(!log.filled());
     log.confirm(Start + milliseconds(10), 5);
-    const RelayedChanges changes = log.changesAfter(position, Start + milliseconds(10));
-    BOOST_TEST(changes.complete);
+    const RelayedChanges changes = changesAfter(log, position, Start + milliseconds(10));
+    BOOST_CHECK(changes.content == RelayContent::All);
     BOOST_CHECK(changes.era == std::optional<std::uint64_t>(2));
     BOOST_TEST(changes.events.size() == 1U);
 }
@@ -109,7 +121,7 @@
     log.confirm(Start, 2);
     // A confirmation of an earlier read arrives late.
     log.confirm(Start - milliseconds(300), 2);
-    BOOST_CHECK(log.changesAfter({}, Start + milliseconds(250)).age == milliseconds(250));
+    BOOST_CHECK(changesAfter(log, {}, Start + milliseconds(250)).age == milliseconds(250));
 }
 
 BOOST_AUTO_TEST_CASE(forgottenRemovalsMakeTheNextResponseComplete)
@@ -119,9 +131,9 @@
         tableOf({ server("a", 1, 1), server("b", 1, 1), server("c", 1, 1), server("d", 1, 1) }), 2,
         {});
     log.confirm(Start, 2);
-    const RelayPosition position = log.changesAfter({}, Start).position;
+    const RelayPosition position = changesAfter(log, {}, Start).position;
     log.applyTable(tableOf({ server("a", 1, 1) }), 3, {});
-    BOOST_TEST(log.changesAfter(position, Start).complete);
+    BOOST_CHECK(changesAfter(log, position, Start).content == RelayContent::All);
 }
 
 BOOST_AUTO_TEST_SUITE_END()
--- a/Tests/StoreRelay/ZoneModel.cpp
+++ b/Tests/StoreRelay/ZoneModel.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 
 #include "StoreRelay/ReadPacing.h"
+#include "StoreRelay/TransferChoice.h"
 #include "StoreRelay/TransferLimits.h"
 
 namespace jacinthroad {
@@ -10,8 +11,10 @@
 namespace {
 
 constexpr milliseconds Step { 1 };
-/// Time that a whole core takes to write a megabyte as JSON.
+constexpr double StoreMbps = 1000;
+/// Time that a whole core takes to encode a megabyte, and to send one that is encoded.
 constexpr double EncodeMsPerMegabyte = 20;
+constexpr double SendMsPerMegabyte = 1;
 constexpr Duration Wait = RelayedConfigurationWait;
 
 double bytesPerStep(double mbps)
@@ -26,11 +29,11 @@
 
 double sizeOf(const ObjectTable &table)
 {
-    double size = 0;
+    std::size_t size = 0;
     for (const auto &[name, object] : table) {
-        size += static_cast<double>(object.spec.asString().size());
+        size += object.text.size();
     }
-    return size;
+    return static_cast<double>(size);
 }
 
 } // namespace
@@ -40,12 +43,22 @@
     , writes_(std::move(writes))
     , followers_(options.followers)
     , log_({ .kind = platform::ObjectKind::Configuration, .source = 1 })
+    , responder_(log_,
+                 { .linkMbps = options.readerMbps,
+                   .passingOnLimit = passingOnLimit(options.configurationLimit) })
 {
+    writes_.insert(writes_.begin(), Write {});
+    for (const Write &write : writes_) {
+        RelayLog log({ .kind = platform::ObjectKind::Configuration, .source = 2 });
+        log.applyTable(write.table, 1, {});
+        digests_.push_back(log.digest());
+    }
+    inForceAt_.resize(writes_.size());
     log_.applyTable({}, 1, {});
     log_.confirm(bootTime(now_), 1);
-    const RelayPosition position = log_.changesAfter({}, bootTime(now_)).position;
     for (Follower &follower : followers_) {
-        follower.position = position;
+        follower.collector.take(log_.pageAfter({}, bootTime(now_)).head);
+        follower.collector.clear();
         follower.confirmedAt = bootTime(now_);
         ask(follower);
     }
@@ -54,59 +67,87 @@
 void ZoneModel::run(milliseconds limit)
 {
     const Instant end = now_ + limit;
-    const std::uint64_t last = writes_.size() + 1;
-    while (now_ < end && !allDone_.has_value()) {
+    while (now_ < end && !inForceAt_.back().has_value()) {
         now_ += Step;
-        readStore();
+        stepReader();
         encode();
-        send();
-        bool done = true;
+        move(State::Receiving, options_.readerMbps);
+        move(State::ReadingStore, StoreMbps);
+        std::size_t oldest = writes_.size();
         for (Follower &follower : followers_) {
             receive(follower);
-            done = done && follower.revision == last;
-            longestUnproven_ = std::max(
-                longestUnproven_,
-                std::chrono::duration_cast<milliseconds>(bootTime(now_) - follower.confirmedAt));
+            oldest = std::min(oldest, follower.version);
+            const auto unproven = bootTime(now_) - follower.confirmedAt;
+            longestUnproven_
+                = std::max(longestUnproven_, std::chrono::duration_cast<milliseconds>(unproven));
         }
-        if (done) {
-            allDone_ = now_;
+        for (std::size_t version = 0; version <= oldest && version < writes_.size(); ++version) {
+            inForceAt_[version] = inForceAt_[version].value_or(now_);
         }
     }
 }
 
 std::optional<milliseconds> ZoneModel::inForceAfter() const
 {
-    if (!allDone_.has_value()) {
-        return std::nullopt;
+    milliseconds longest {};
+    for (std::size_t version = 1; version < writes_.size(); ++version) {
+        if (!inForceAt_[version].has_value()) {
+            return std::nullopt;
+        }
+        longest = std::max(longest,
+                           std::chrono::duration_cast<milliseconds>(
+                               inForceAt_[version]->time_since_epoch() - writes_[version].at));
     }
-    return std::chrono::duration_cast<milliseconds>(allDone_->time_since_epoch()
-                                                    - writes_.back().at);
+    return longest;
 }
 
-void ZoneModel::readStore()
+std::size_t ZoneModel::versionInStore() const
+{
+    std::size_t version = 0;
+    while (version + 1 < writes_.size() && Instant() + writes_[version + 1].at <= now_) {
+        ++version;
+    }
+    return version;
+}
+
+void ZoneModel::stepReader()
 {
-    // A watch begins right before the write, or after the pause of the reader.
     const ReadPacing pacing = configurationPacing({ .passesOn = true });
-    if (now_ < readDone_ || writesRead_ == writes_.size()) {
-        if (now_ >= readDone_) {
-            log_.confirm(bootTime(now_), writesRead_ + 1);
+    if (readLeft_.has_value()) {
+        *readLeft_ -= bytesPerStep(options_.readerMbps);
+        if (*readLeft_ > 0) {
+            return;
         }
+        readLeft_.reset();
+        versionRead_ = versionBeingRead_;
+        responder_.noteExpected(0);
+        log_.applyTable(writes_[versionRead_].table, versionRead_ + 1, {});
+    } else if (now_ < watchSentAt_) {
+        return;
+    } else if (versionInStore() > versionRead_) {
+        // Each change is an event with the whole object.
+        versionBeingRead_ = versionInStore();
+        readLeft_ = 0;
+        for (std::size_t version = versionRead_ + 1; version <= versionBeingRead_; ++version) {
+            *readLeft_ += sizeOf(writes_[version].table);
+        }
+        if (responder_.noteExpected(static_cast<std::uint64_t>(*readLeft_))) {
+            wakeFollowers();
+        }
+        return;
+    } else if (now_ < watchSentAt_ + pacing.wait) {
         return;
     }
-    const Write &write = writes_[writesRead_];
-    const Instant seen = Instant() + write.at + pacing.pause;
-    const Instant read = seen
-        + milliseconds(static_cast<int>(sizeOf(write.table) / bytesPerStep(options_.readerMbps)));
-    if (now_ < seen) {
-        log_.confirm(bootTime(now_), writesRead_ + 1);
-    } else if (now_ >= read) {
-        ++writesRead_;
-        log_.applyTable(write.table, writesRead_ + 1, {});
-        log_.confirm(bootTime(now_), writesRead_ + 1);
-        for (Follower &follower : followers_) {
-            if (follower.waiting) {
-                answer(follower);
-            }
+    log_.confirm(bootTime(watchSentAt_), versionRead_ + 1);
+    watchSentAt_ = now_ + pacing.pause;
+    wakeFollowers();
+}
+
+void ZoneModel::wakeFollowers()
+{
+    for (Follower &follower : followers_) {
+        if (follower.state == State::Waiting) {
+            answer(follower);
         }
     }
 }
@@ -115,78 +156,105 @@
 {
     double left = options_.readerShare;
     while (left > 0 && !encoding_.empty()) {
-        Follower &follower = followers_[encoding_.front()];
-        const double taken = std::min(left, follower.encodeLeft);
-        follower.encodeLeft -= taken;
+        Follower &follower = *encoding_.front();
+        const double taken = std::min(left, follower.work);
+        follower.work -= taken;
         left -= taken;
-        if (follower.encodeLeft <= 0) {
+        if (follower.work <= 0) {
+            follower.state = State::Receiving;
+            follower.lastProgress = now_;
             encoding_.pop_front();
         }
     }
 }
 
-void ZoneModel::send()
+void ZoneModel::move(State state, double mbps)
 {
-    std::vector<Follower *> sending;
+    std::vector<Follower *> moving;
     for (Follower &follower : followers_) {
-        if (!follower.response.empty() && follower.encodeLeft <= 0) {
-            sending.push_back(&follower);
+        if (follower.state == state) {
+            moving.push_back(&follower);
         }
     }
-    for (Follower *follower : sending) {
-        const double share
-            = bytesPerStep(options_.readerMbps) / static_cast<double>(sending.size());
+    for (Follower *follower : moving) {
+        const double share = bytesPerStep(mbps) / static_cast<double>(moving.size());
         const double bytes
-            = std::min({ share, bytesPerStep(options_.followerMbps),
-                         static_cast<double>(follower->response.size()) - follower->received });
-        follower->received += bytes;
+            = std::min({ share, bytesPerStep(options_.followerMbps), follower->bytesLeft });
+        follower->bytesLeft -= bytes;
         follower->lastProgress = now_;
-        sentBytes_ += bytes;
+        if (state == State::Receiving) {
+            passedOnBytes_ += bytes;
+        }
     }
 }
 
 void ZoneModel::receive(Follower &follower)
 {
-    if (!follower.response.empty()
-        && follower.received >= static_cast<double>(follower.response.size())) {
-        const auto changes = decodeRelayedChanges(follower.response);
-        follower.position = changes->position;
-        follower.revision = changes->revision;
-        follower.confirmedAt
-            = std::max(follower.confirmedAt, bootTime(follower.sentAt) - changes->age);
-        follower.response.clear();
+    if (follower.state == State::ReadingStore) {
+        if (follower.bytesLeft <= 0) {
+            follower.version = follower.versionRead;
+            follower.confirmedAt = std::max(follower.confirmedAt, bootTime(follower.sentAt));
+            ask(follower);
+        }
+        return;
+    }
+    if (follower.state == State::Receiving && follower.bytesLeft <= 0) {
+        const auto page = decodeRelayedChanges(follower.response);
+        if (page->content == RelayContent::InStore) {
+            ++storeReads_;
+            follower.state = State::ReadingStore;
+            follower.sentAt = now_;
+            follower.versionRead = versionInStore();
+            follower.bytesLeft = sizeOf(writes_[follower.versionRead].table);
+            return;
+        }
+        const std::size_t version = page->revision - 1;
+        const BootInstant moment = bootTime(follower.sentAt) - page->age;
+        if (follower.collector.take(*page) && version >= follower.version) {
+            follower.collector.clear();
+            follower.version = version;
+            follower.confirmedAt = std::max(follower.confirmedAt, moment);
+        }
         ask(follower);
         return;
     }
-    if (follower.waiting && now_ >= follower.sentAt + Wait) {
+    if (follower.state == State::Waiting && now_ >= follower.sentAt + Wait) {
         answer(follower);
     }
     if (now_ >= transferDeadline(relayLimits(Wait), follower.sentAt, follower.lastProgress)) {
         ++cuts_;
-        follower.response.clear();
-        std::erase_if(encoding_,
-                      [&](std::size_t index) { return &followers_[index] == &follower; });
+        std::erase(encoding_, &follower);
         ask(follower);
     }
 }
 
+RelayQuery ZoneModel::queryOf(const Follower &follower) const
+{
+    return { .position = follower.collector.position(), .digest = digests_[follower.version] };
+}
+
 void ZoneModel::ask(Follower &follower)
 {
     follower.sentAt = now_;
     follower.lastProgress = now_;
-    follower.waiting = true;
-    if (log_.hasChanges(follower.position)) {
+    follower.state = State::Waiting;
+    if (responder_.hasNews(queryOf(follower), followers_.size())) {
         answer(follower);
     }
 }
 
 void ZoneModel::answer(Follower &follower)
 {
-    follower.waiting = false;
-    follower.response = encodeRelayedChanges(log_.changesAfter(follower.position, bootTime(now_)));
-    follower.received = 0;
-    follower.encodeLeft = static_cast<double>(follower.response.size()) / 1e6 * EncodeMsPerMegabyte;
-    encoding_.push_back(static_cast<std::size_t>(&follower - followers_.data()));
+    follower.response
+        = encodeRelayPage(responder_.answer(queryOf(follower), followers_.size(), bootTime(now_)));
+    follower.bytesLeft = static_cast<double>(follower.response.size());
+    follower.work = follower.bytesLeft / 1e6 * SendMsPerMegabyte;
+    if (versionEncoded_ != versionRead_) {
+        versionEncoded_ = versionRead_;
+        follower.work += sizeOf(writes_[versionRead_].table) / 1e6 * EncodeMsPerMegabyte;
+    }
+    follower.state = State::Encoding;
+    encoding_.push_back(&follower);
 }
 
 } // namespace jacinthroad
