--- a/Source/Gateway/Gateway.cpp
+++ b/Source/Gateway/Gateway.cpp
@@ -38,6 +38,7 @@
 #include "Gateway/StreamVersionLink.h"
 #include "Gateway/StreamVersionSync.h"
 #include "Routing/Rendezvous.h"
+#include "StoreRelay/TransferChoice.h"
 #include "platform/StoreObjects.h"
 
 namespace jacinthroad {
@@ -114,6 +115,7 @@
                 .watchWait = configurationPacing({}).wait,
                 .relayWait = RelayedConfigurationWait,
                 .node = settings.name,
+                .linkMbps = settings.linkMbps,
                 .boot = relaySource() },
               [this](const ObjectTable &table) { onConfigurationChanged(table); },
               [this](BootInstant moment) { onConfigurationConfirmed(moment); })
@@ -125,6 +127,7 @@
                 .minimumPause = serversPacing({}).pause,
                 .relayWait = RelayedServersWait,
                 .node = settings.name,
+                .linkMbps = settings.linkMbps,
                 .boot = relaySource() },
               [this](const ObjectTable &table) { onServersChanged(table); },
               [this](BootInstant moment) {
@@ -139,6 +142,7 @@
                 .watchWait = WeightsWait,
                 .relayWait = RelayedRareWait,
                 .node = settings.name,
+                .linkMbps = settings.linkMbps,
                 .boot = relaySource() },
               [this](const ObjectTable &table) { onDesiredWeightsChanged(table); },
               [](BootInstant) {})
@@ -150,6 +154,7 @@
                 .minimumPause = NodesPause,
                 .relayWait = RelayedRareWait,
                 .node = settings.name,
+                .linkMbps = settings.linkMbps,
                 .boot = relaySource() },
               [this](const ObjectTable &table) { onNodesChanged(table); }, [](BootInstant) {})
         , crashRecords(
@@ -161,10 +166,12 @@
                          [this](const VersionTable &table) { onAdmittedVersions(table); })
         , digests(traffic, boot)
         , relay(controlContext, metrics)
-        , registration(
-              controlContext, store,
-              { .name = settings.name, .zone = settings.zone, .address = settings.peerAddress },
-              eraSettling)
+        , registration(controlContext, store,
+                       { .name = settings.name,
+                         .zone = settings.zone,
+                         .address = settings.peerAddress,
+                         .linkMbps = settings.linkMbps },
+                       eraSettling)
         , rollout(
               controlContext, store,
               { .node = settings.name, .boot = boot, .lease = settings.lease },
@@ -363,9 +370,20 @@
         { platform::ObjectKind::Nodes, &nodes },
     };
     for (const auto &[kind, sync] : passedOn) {
-        relay.add(kind, sync->relayLog());
-        sync->onRelayChange = [this, kind = kind] { relay.noteChange(kind); };
+        // Only the configuration has parts that are the same wherever they come from.
+        const bool mayBeInStore = kind == platform::ObjectKind::Configuration;
+        relay.add(kind, sync->relayLog(),
+                  { .linkMbps = settings.linkMbps,
+                    .passingOnLimit = mayBeInStore
+                        ? std::optional(passingOnLimit(settings.configurationLimit))
+                        : std::nullopt });
+        sync->onRelayChange = [this, kind = kind] { relay.noteNews(kind); };
     }
+    configuration.onRelayExpected = [this](std::uint64_t bytes) {
+        relay.noteExpected(platform::ObjectKind::Configuration, bytes);
+    };
+    configuration.onRelayConfirmed
+        = [this] { relay.noteNews(platform::ObjectKind::Configuration); };
     asio::co_spawn(controlContext, relay.serve(relayQueries), asio::detached);
 }
 
@@ -556,7 +574,8 @@
     servers.setPacing(serversPacing({ .passesOn = passesOnObjects }));
     for (const FleetNode &node : all) {
         if (passesOnObjects && node.zone == settings.zone) {
-            zone.push_back({ .name = node.name, .address = node.address });
+            zone.push_back(
+                { .name = node.name, .address = node.address, .linkMbps = node.linkMbps });
         }
     }
     for (StoreSync *sync : { &configuration, &servers, &weights, &nodes }) {
