RelayedObjectsTest: End a reader in the middle of a transfer

Half a transfer proves nothing and is not applied, and the store is read once the reader is found to be gone.

--- a/Tests/Gateway/RelayedObjectsTest.cpp
+++ b/Tests/Gateway/RelayedObjectsTest.cpp
@@ -121,12 +121,16 @@
     }
 }
 
-/// A reader that sends pages of a log and ends one connection in the middle of the third page.
+/// A reader that sends pages of a log, and in the middle of the third one ends the connection or
+/// itself.
 class BreakingReader
 {
 public:
-    BreakingReader()
-        : server_([this](ScriptedConnection &connection) { serve(connection); })
+    enum class Fault { Connection, Process };
+
+    explicit BreakingReader(Fault fault)
+        : fault_(fault)
+        , server_([this](ScriptedConnection &connection) { serve(connection); })
     {
         ObjectTable table;
         for (int part = 0; part < Parts; ++part) {
@@ -158,13 +162,18 @@
                 200, "", encodeRelayPage(log_.pageAfter(query->position, bootNow())));
             if (positions_.size() == 3) {
                 connection.write(response.substr(0, response.size() / 2));
-                connection.close();
+                if (fault_ == Fault::Process) {
+                    server_.crash();
+                } else {
+                    connection.close();
+                }
                 return;
             }
             connection.write(response);
         }
     }
 
+    Fault fault_;
     std::mutex mutex_;
     RelayLog log_ { { .kind = Kind, .source = 77 } };
     std::vector<std::uint64_t> positions_;
@@ -198,7 +207,7 @@
     asio::io_context context { 1 };
     StoreStandIn store;
     store.stopResponding();
-    BreakingReader reader;
+    BreakingReader reader(BreakingReader::Fault::Connection);
     CopyingNode follower(context, store, readerAndFollower().second);
     follower.setZone(
         { { .name = readerAndFollower().first, .address = reader.address() }, follower.node });
@@ -212,6 +221,29 @@
     store.resumeResponding();
 }
 
+BOOST_AUTO_TEST_CASE(transferWhoseReaderEndsProvesNothingAndTheStoreIsRead)
+{
+    asio::io_context context { 1 };
+    StoreStandIn store;
+    putParts(store, 'y');
+    store.stopResponding();
+    BreakingReader reader(BreakingReader::Fault::Process);
+    CopyingNode follower(context, store, readerAndFollower().second);
+    follower.setZone(
+        { { .name = readerAndFollower().first, .address = reader.address() }, follower.node });
+    context.run_for(milliseconds(500));
+    BOOST_TEST(reader.positions().size() == 3U);
+    BOOST_TEST(follower.table.empty());
+    BOOST_CHECK(follower.confirmedAt == BootInstant());
+    store.resumeResponding();
+    context.run_for(milliseconds(1500));
+    BOOST_TEST(follower.table.size() == std::size_t { Parts });
+    for (const auto &[name, object] : follower.table) {
+        BOOST_TEST(object.spec.asString() == std::string(5000, 'y'));
+    }
+    BOOST_TEST((bootNow() - follower.confirmedAt < milliseconds(900)));
+}
+
 BOOST_AUTO_TEST_CASE(largeContentOfANarrowReaderIsReadFromTheStoreOnce)
 {
     TwoNodes nodes(milliseconds(200), { .linkMbps = 1, .passingOnLimit = milliseconds(100) });
@@ -235,10 +267,10 @@
     nodes.reader.setZone({ nodes.reader.node });
     nodes.runFor(milliseconds(300));
     BOOST_REQUIRE(nodes.reader.table.contains("part-0"));
-    CopyingNode late(nodes.context, nodes.store, readerAndFollower().second);
+    CopyingNode late(nodes.context, nodes.store, readerAndFollower().second, milliseconds(1500));
     nodes.store.stopResponding();
     late.setZone({ nodes.reader.node, late.node });
-    nodes.runFor(milliseconds(1500));
+    nodes.runFor(milliseconds(2500));
     BOOST_TEST(late.table.contains("part-0"));
     nodes.store.resumeResponding();
 }
