ProcessFailure: Log how a process ends by itself

A process that ended by an uncaught exception or a fatal signal wrote no line, so that the log could not tell such an end from a kill. It now writes a process_failed line with reason, signal, thread, the number of requests in progress, and the address and instruction at fault; then the default action ends it as before.

--- a/Source/Gateway/Gateway.cpp
+++ b/Source/Gateway/Gateway.cpp
@@ -18,6 +18,7 @@
 #include "Core/Hashing.h"
 #include "Core/Json.h"
 #include "Core/Log.h"
+#include "Core/ProcessFailure.h"
 #include "Core/WallClock.h"
 #include "Fleet/EraSettling.h"
 #include "Fleet/OddEntries.h"
@@ -350,8 +351,14 @@
         asio::co_spawn(controlContext, registration.run(), asio::detached);
     }
     asio::post(trafficContext, [this] { sweep(); });
-    trafficThread = std::thread([this] { trafficContext.run(); });
-    controlThread = std::thread([this] { controlContext.run(); });
+    trafficThread = std::thread([this] {
+        const ReportedThread reported("traffic");
+        trafficContext.run();
+    });
+    controlThread = std::thread([this] {
+        const ReportedThread reported("control");
+        controlContext.run();
+    });
 }
 
 void Gateway::Parts::passOnStoreObjects()
--- a/Source/Gateway/TrafficState.h
+++ b/Source/Gateway/TrafficState.h
@@ -14,6 +14,7 @@
 #include <boost/asio/io_context.hpp>
 #include <boost/signals2/signal.hpp>
 
+#include "Core/ProcessFailure.h"
 #include "Fleet/ConfigurationIdentity.h"
 #include "Fleet/Freshness.h"
 #include "Fleet/ListedServer.h"
@@ -47,10 +48,15 @@
         : count_(std::move(count))
     {
         ++*count_;
+        noteOpenRequests(1);
     }
     ActiveRequest(const ActiveRequest &) = delete;
     ActiveRequest &operator=(const ActiveRequest &) = delete;
-    ~ActiveRequest() { --*count_; }
+    ~ActiveRequest()
+    {
+        --*count_;
+        noteOpenRequests(-1);
+    }
 
 private:
     std::shared_ptr<unsigned> count_;
--- a/Source/Program/ServeCommand.cpp
+++ b/Source/Program/ServeCommand.cpp
@@ -3,7 +3,10 @@
 #include <iostream>
 #include <thread>
 
+#include <unistd.h>
+
 #include "Core/Log.h"
+#include "Core/ProcessFailure.h"
 #include "Gateway/Gateway.h"
 #include "Node/Node.h"
 #include "Program/Commands.h"
@@ -113,6 +116,8 @@
         printError(text.error());
         return ExitCode::Failed;
     }
+    const ReportedThread reported("main");
+    installFailureReports(STDOUT_FILENO);
     if (isGatewaySettings(*text)) {
         return serveGateway(*text, file);
     }
