EventLoop: Go on after a handler that throws

An exception that left a handler of the traffic or the control thread ended the process and with it the requests of all callers. The loops now log handler_failed, count it in jacinthroad_handlers_failed_total and go on.

EventLoopTest/openRequestIsAnsweredAfterAHandlerThrows and handlersAfterOneThatThrowsAreRun failed with a loop that only calls run() (SIGABRT, and the exception); all three cases pass.

--- a/Source/Gateway/DigestExchange.cpp
+++ b/Source/Gateway/DigestExchange.cpp
@@ -9,6 +9,7 @@
 #include "FleetPeers/FleetRoles.h"
 #include "FleetPeers/NodeDigest.h"
 #include "Gateway/BootClock.h"
+#include "Gateway/EventLoop.h"
 
 namespace jacinthroad {
 
@@ -89,11 +90,14 @@
         std::max(nextDigestAt_, std::chrono::steady_clock::now() + digestPeriod(peers_.size())));
     periodicTimer_.async_wait([this](error_code error) {
         if (!error) {
-            // The pause may have grown with a batch that was sent meanwhile.
-            if (std::chrono::steady_clock::now() >= nextDigestAt_) {
-                sendDigest();
-            }
-            scheduleDigest();
+            runThen(
+                [this] {
+                    // The pause may have grown with a batch that was sent meanwhile.
+                    if (std::chrono::steady_clock::now() >= nextDigestAt_) {
+                        sendDigest();
+                    }
+                },
+                [this] { scheduleDigest(); });
         }
     });
 }
@@ -134,8 +138,7 @@
     summaryTimer_.expires_after(summaryPeriod(summarizedTo_));
     summaryTimer_.async_wait([this](error_code error) {
         if (!error) {
-            sendSummary();
-            scheduleSummary();
+            runThen([this] { sendSummary(); }, [this] { scheduleSummary(); });
         }
     });
 }
@@ -211,11 +214,14 @@
                                    if (error == asio::error::operation_aborted) {
                                        return;
                                    }
-                                   if (!error) {
-                                       state_.metrics.countDigestReceived(size);
-                                       applyDatagram({ buffer_.data(), size });
-                                   }
-                                   receive();
+                                   runThen(
+                                       [&] {
+                                           if (!error) {
+                                               state_.metrics.countDigestReceived(size);
+                                               applyDatagram({ buffer_.data(), size });
+                                           }
+                                       },
+                                       [this] { receive(); });
                                });
 }
 
--- a/Source/Gateway/Gateway.cpp
+++ b/Source/Gateway/Gateway.cpp
@@ -18,7 +18,6 @@
 #include "Core/Hashing.h"
 #include "Core/Json.h"
 #include "Core/Log.h"
-#include "Core/ProcessFailure.h"
 #include "Core/WallClock.h"
 #include "Fleet/EraSettling.h"
 #include "Fleet/OddEntries.h"
@@ -28,6 +27,7 @@
 #include "Gateway/CacheEventReader.h"
 #include "Gateway/CrashRecordSync.h"
 #include "Gateway/DigestExchange.h"
+#include "Gateway/EventLoop.h"
 #include "Gateway/Listener.h"
 #include "Gateway/NodeRegistration.h"
 #include "Gateway/RelayServer.h"
@@ -351,14 +351,8 @@
         asio::co_spawn(controlContext, registration.run(), asio::detached);
     }
     asio::post(trafficContext, [this] { sweep(); });
-    trafficThread = std::thread([this] {
-        const ReportedThread reported("traffic");
-        trafficContext.run();
-    });
-    controlThread = std::thread([this] {
-        const ReportedThread reported("control");
-        controlContext.run();
-    });
+    trafficThread = std::thread([this] { runEventLoop(trafficContext, "traffic", metrics); });
+    controlThread = std::thread([this] { runEventLoop(controlContext, "control", metrics); });
 }
 
 void Gateway::Parts::passOnStoreObjects()
@@ -378,16 +372,7 @@
 
 void Gateway::Parts::sweep()
 {
-    traffic.connections.closeExpired(std::chrono::steady_clock::now());
-    const auto age = traffic.freshness.age(bootNow());
-    if (age.has_value()) {
-        metrics.setConfigurationAge(*age);
-    }
-    reportToRollout();
-    reportCrashRecords();
-    if (++sweeps % SweepsPerAssignment == 0) {
-        assignCaches();
-    }
+    // A sweep that throws doesn't end the series.
     sweepTimer.expires_after(SweepPeriod);
     sweepTimer.async_wait([this](error_code error) {
         if (!error) {
@@ -401,6 +386,16 @@
             sweep();
         }
     });
+    traffic.connections.closeExpired(std::chrono::steady_clock::now());
+    const auto age = traffic.freshness.age(bootNow());
+    if (age.has_value()) {
+        metrics.setConfigurationAge(*age);
+    }
+    reportToRollout();
+    reportCrashRecords();
+    if (++sweeps % SweepsPerAssignment == 0) {
+        assignCaches();
+    }
 }
 
 void Gateway::Parts::onConfigurationChanged(const ObjectTable &table)
@@ -634,6 +629,15 @@
 void Gateway::Parts::pollDrain(std::shared_ptr<std::promise<void>> idle, bool connectionsClosed)
 {
     const Duration sinceSignal = std::chrono::steady_clock::now() - traffic.drainingSince;
+    const bool listenerEnded = sinceSignal >= traffic.stopSchedule.listenerEnd();
+    // A check that throws is followed by the next one all the same.
+    drainTimer.expires_after(DrainPollPeriod);
+    drainTimer.async_wait(
+        [this, idle, again = connectionsClosed || listenerEnded](error_code error) {
+            if (!error) {
+                pollDrain(idle, again);
+            }
+        });
     const StopSchedule &schedule = traffic.stopSchedule;
     if (sinceSignal >= schedule.acceptEnd()) {
         // Callers open their next connection to another node.
@@ -642,23 +646,16 @@
     if (sinceSignal >= schedule.answerEnd()) {
         traffic.answerOpenRequests();
     }
-    if (sinceSignal >= schedule.listenerEnd()) {
+    if (listenerEnded) {
         error_code ignored;
         callers.close(ignored);
         traffic.closeIdleConnections(IdleConnections::All);
         // Connections that were accepted just before are closed by the second check.
         if (connectionsClosed && traffic.activeRequests() == 0) {
+            drainTimer.cancel();
             idle->set_value();
-            return;
         }
-        connectionsClosed = true;
     }
-    drainTimer.expires_after(DrainPollPeriod);
-    drainTimer.async_wait([this, idle = std::move(idle), connectionsClosed](error_code error) {
-        if (!error) {
-            pollDrain(idle, connectionsClosed);
-        }
-    });
 }
 
 Gateway::Gateway(std::unique_ptr<Parts> parts)
--- a/Source/Gateway/GatewayMetrics.cpp
+++ b/Source/Gateway/GatewayMetrics.cpp
@@ -42,6 +42,10 @@
                          .Name("jacinthroad_relay_queries_total")
                          .Help("Queries of other nodes for objects of the store by result")
                          .Register(*registry_))
+    , handlerFailures_(&prometheus::BuildCounter()
+                            .Name("jacinthroad_handlers_failed_total")
+                            .Help("Handlers that ended with an exception by thread")
+                            .Register(*registry_))
     , digestsRejected_(&prometheus::BuildCounter()
                             .Name("jacinthroad_digests_rejected_total")
                             .Help("Datagrams of peers that are malformed or of another format")
@@ -157,6 +161,11 @@
     digestBytesReceived_->Increment(static_cast<double>(bytes));
 }
 
+void GatewayMetrics::countHandlerFailure(const std::string &thread)
+{
+    handlerFailures_->Add({ { "thread", thread } }).Increment();
+}
+
 void GatewayMetrics::observeTrafficDelay(Duration late)
 {
     trafficDelay_->Observe(std::chrono::duration<double>(late).count());
--- a/Source/Gateway/GatewayMetrics.h
+++ b/Source/Gateway/GatewayMetrics.h
@@ -48,6 +48,8 @@
     void countDigestsSent(std::size_t peers, std::size_t bytes);
     /// Counts a datagram of `bytes` from a peer.
     void countDigestReceived(std::size_t bytes);
+    /// Counts a handler on an event loop of `thread` that ended with an exception.
+    void countHandlerFailure(const std::string &thread);
     /// Records how late a periodic task of the traffic thread began.
     void observeTrafficDelay(Duration late);
     /// Records the time from a complete request to the first byte of its response to the caller.
@@ -69,6 +71,7 @@
     prometheus::Family<prometheus::Counter> *resumes_;
     prometheus::Family<prometheus::Counter> *storeCalls_;
     prometheus::Family<prometheus::Counter> *relayQueries_;
+    prometheus::Family<prometheus::Counter> *handlerFailures_;
     prometheus::Counter *digestsRejected_;
     prometheus::Counter *connects_;
     prometheus::Counter *peerConfirmations_;
