--- a/Source/Gateway/Gateway.cpp
+++ b/Source/Gateway/Gateway.cpp
@@ -38,6 +38,7 @@
 #include "Gateway/StoreSync.h"
 #include "Gateway/StreamVersionLink.h"
 #include "Gateway/StreamVersionSync.h"
+#include "Gateway/TrafficDelay.h"
 #include "Routing/Rendezvous.h"
 #include "platform/StoreObjects.h"
 
@@ -70,8 +71,6 @@
 constexpr Duration NodesWait = milliseconds(10000);
 /// Period of the sweep over idle connections, and of passing the data of responses to the rollout.
 constexpr Duration SweepPeriod = milliseconds(200);
-/// Delay of a sweep from which it is logged: the traffic thread or the VM stood still.
-constexpr Duration LoggedTrafficDelay = milliseconds(250);
 /// Number of sweeps between two assignments of caches to owner nodes.
 constexpr unsigned SweepsPerAssignment = 4;
 constexpr Duration DrainPollPeriod = milliseconds(20);
@@ -273,8 +272,11 @@
     /// Caches whose owner node is this node; used by the traffic thread only.
     std::map<ServerId, std::string> ownedCaches;
     unsigned sweeps = 0;
-    std::thread trafficThread;
+    /// Used by the traffic thread only.
+    TrafficDelay trafficDelay;
+    /// Set before the traffic thread starts, which reads its processor time.
     std::thread controlThread;
+    std::thread trafficThread;
 };
 
 Result<void> Gateway::Parts::open()
@@ -351,8 +353,8 @@
         asio::co_spawn(controlContext, registration.run(), asio::detached);
     }
     asio::post(trafficContext, [this] { sweep(); });
-    trafficThread = std::thread([this] { runEventLoop(trafficContext, "traffic", metrics); });
     controlThread = std::thread([this] { runEventLoop(controlContext, "control", metrics); });
+    trafficThread = std::thread([this] { runEventLoop(trafficContext, "traffic", metrics); });
 }
 
 void Gateway::Parts::passOnStoreObjects()
@@ -378,11 +380,11 @@
         if (!error) {
             const Duration late = std::chrono::steady_clock::now() - sweepTimer.expiry();
             metrics.observeTrafficDelay(late);
-            if (late > LoggedTrafficDelay) {
-                logLine(LogLevel::Warning, "traffic_delayed",
-                        { { "late_ms", toMilliseconds(late) },
-                          { "active_requests", std::int64_t { traffic.activeRequests() } } });
-            }
+            trafficDelay.note(
+                { .late = late,
+                  .controlThread = controlThread.native_handle(),
+                  .activeRequests = traffic.activeRequests(),
+                  .configuration = traffic.routes != nullptr ? traffic.routes->version() : 0 });
             sweep();
         }
     });
