--- a/Source/Gateway/Gateway.cpp
+++ b/Source/Gateway/Gateway.cpp
@@ -6,7 +6,6 @@
 #include <map>
 #include <memory>
 #include <optional>
-#include <set>
 #include <thread>
 #include <utility>
 
@@ -75,20 +74,6 @@
 constexpr unsigned SweepsPerAssignment = 4;
 constexpr Duration DrainPollPeriod = milliseconds(20);
 
-/// Returns the services whose streams can be resumed.
-std::set<ServiceId> resumableServices(const FleetConfiguration &configuration)
-{
-    std::set<ServiceId> services;
-    for (const Route &route : configuration.routes) {
-        if (route.kind == RouteKind::Streaming && route.resumable) {
-            for (const ServiceShare &share : route.services) {
-                services.insert(share.service);
-            }
-        }
-    }
-    return services;
-}
-
 } // namespace
 
 struct Gateway::Parts
@@ -411,6 +396,7 @@
     if (found == table.end()) {
         return;
     }
+    const Duration processorTime = threadProcessorTime();
     auto read = platform::readConfiguration(found->second.spec);
     asio::post(trafficContext, [this, readable = read.has_value()] {
         traffic.noteConfigurationReadable(readable);
@@ -421,15 +407,19 @@
                   { "remedy", "Write a complete configuration; the one in force stays." } });
         return;
     }
+    const std::string text = writeJson(found->second.spec);
     const ConfigurationIdentity identity { .version = read->version,
-                                           .contentHash = hash64(writeJson(found->second.spec)),
+                                           .contentHash = hash64(text),
                                            .era = store.era(),
                                            .revision = found->second.revision };
     streamVersions.applyServices(resumableServices(*read));
-    asio::post(trafficContext,
-               [this, identity, routes = std::make_shared<const RouteTable>(std::move(*read))] {
-                   traffic.applyConfiguration(identity, routes);
-               });
+    auto routes = std::make_shared<const RouteTable>(std::move(*read));
+    const ConfigurationTiming timing { .postedAt = std::chrono::steady_clock::now(),
+                                       .readTime = threadProcessorTime() - processorTime,
+                                       .bytes = text.size() };
+    asio::post(trafficContext, [this, identity, timing, routes = std::move(routes)] {
+        traffic.applyConfiguration(identity, routes, timing);
+    });
 }
 
 void Gateway::Parts::applyHeldConfiguration()
--- a/Source/Gateway/StreamVersionLink.cpp
+++ b/Source/Gateway/StreamVersionLink.cpp
@@ -8,6 +8,19 @@
 
 namespace asio = boost::asio;
 
+std::set<ServiceId> resumableServices(const FleetConfiguration &configuration)
+{
+    std::set<ServiceId> services;
+    for (const Route &route : configuration.routes) {
+        if (route.kind == RouteKind::Streaming && route.resumable) {
+            for (const ServiceShare &share : route.services) {
+                services.insert(share.service);
+            }
+        }
+    }
+    return services;
+}
+
 void linkStreamVersions(asio::io_context &trafficContext, StreamVersionGate &gate,
                         asio::io_context &controlContext, StreamVersionSync &sync)
 {
--- a/Source/Gateway/TrafficState.cpp
+++ b/Source/Gateway/TrafficState.cpp
@@ -96,8 +96,10 @@
 }
 
 void TrafficState::applyConfiguration(const ConfigurationIdentity &identity,
-                                      std::shared_ptr<const RouteTable> newer)
+                                      std::shared_ptr<const RouteTable> newer,
+                                      const ConfigurationTiming &timing)
 {
+    const Instant began = std::chrono::steady_clock::now();
     switch (decideConfiguration(configuration_, identity, replacedContents_)) {
     case ConfigurationDecision::Keep:
         if (identity.contentHash == configuration_->contentHash
@@ -134,7 +136,13 @@
     pool.applyServices(routes->services());
     metrics.setConfigurationVersion(static_cast<double>(routes->version()));
     logLine(LogLevel::Info, "configuration",
-            { { "version", static_cast<std::int64_t>(routes->version()) } });
+            { { "version", static_cast<std::int64_t>(routes->version()) },
+              { "bytes", static_cast<std::int64_t>(timing.bytes) },
+              { "read_ms", toMilliseconds(timing.readTime) },
+              { "queued_ms",
+                timing.postedAt == Instant() ? 0.0 : toMilliseconds(began - timing.postedAt) },
+              { "apply_ms", toMilliseconds(std::chrono::steady_clock::now() - began) },
+              { "active_requests", std::int64_t { activeRequests() } } });
 }
 
 FreshnessLevel TrafficState::configurationTrust() const
--- a/Source/Gateway/TrafficState.h
+++ b/Source/Gateway/TrafficState.h
@@ -62,6 +62,16 @@
     std::shared_ptr<unsigned> count_;
 };
 
+/// What it took to read a configuration, for the log.
+struct ConfigurationTiming
+{
+    /// When the configuration was passed to the traffic thread.
+    Instant postedAt;
+    /// Processor time that the control thread used for reading it.
+    Duration readTime {};
+    std::size_t bytes = 0;
+};
+
 /// The state on which the traffic thread bases its decisions. Only that thread accesses it; the
 /// control thread posts changes to its io_context.
 class TrafficState
@@ -77,7 +87,8 @@
     /// Applies a newer configuration. One that is not newer is ignored; an older one, as a restored
     /// store returns it, is logged too.
     void applyConfiguration(const ConfigurationIdentity &identity,
-                            std::shared_ptr<const RouteTable> routes);
+                            std::shared_ptr<const RouteTable> routes,
+                            const ConfigurationTiming &timing = {});
     /// Notes whether the store's configuration can be decoded. While it can't, the one in force may
     /// not be the newest.
     void noteConfigurationReadable(bool readable) { configurationReadable_ = readable; }
