Exchange: Log requests that are cut

A request whose session failed, or that was in progress when the process ended, left no line with its id. Its exchange logs request_cut when it is destroyed before its end, which covers every path; the stopped line names the number of open requests.

--- a/Source/Gateway/Exchange.cpp
+++ b/Source/Gateway/Exchange.cpp
@@ -94,6 +94,9 @@
 
 Exchange::~Exchange()
 {
+    if (inProgress_) {
+        logCut();
+    }
     if (silentAttempt_ != nullptr) {
         silentAttempt_->waiting = false;
         const AttemptCleanup cleanup { *silentAttempt_ };
@@ -188,6 +191,7 @@
 
 asio::awaitable<ExchangeResult> Exchange::run()
 {
+    inProgress_ = true;
     const std::optional<ErrorKind> refusal = admit();
     ExchangeResult end;
     if (refusal.has_value()) {
@@ -477,8 +481,26 @@
     return { .outcome = "not_delivered", .connectionReusable = false, .reason = error.message() };
 }
 
-void Exchange::logResult(const ExchangeResult &end) const
+void Exchange::logCut() const
+{
+    try {
+        logLine(
+            LogLevel::Warning, "request_cut",
+            { { "request_id", callerRequest_.id.text() },
+              { "route", route_ != nullptr ? std::string_view(route_->name) : std::string_view() },
+              { "server", placement_.server.text() },
+              { "sends", std::int64_t { sends_ } },
+              { "response_begun", std::int64_t { headerDelivered_ ? 1 : 0 } },
+              { "total_ms", toMilliseconds(std::chrono::steady_clock::now() - received_) } });
+    } catch (const std::exception &) {
+        // Without memory for the line, the rest of the exchange is still released.
+        return;
+    }
+}
+
+void Exchange::logResult(const ExchangeResult &end)
 {
+    inProgress_ = false;
     const Instant now = std::chrono::steady_clock::now();
     state_.metrics.countRequest(end.outcome);
     if (end.responseComplete && end.status < FirstErrorStatus && route_ != nullptr) {
--- a/Source/Gateway/Exchange.h
+++ b/Source/Gateway/Exchange.h
@@ -216,7 +216,9 @@
     /// Counts a resumed stream that no server of its version can take.
     void noteNoServer();
 
-    void logResult(const ExchangeResult &end) const;
+    void logResult(const ExchangeResult &end);
+    /// Logs a request whose exchange is destroyed before its end.
+    void logCut() const;
 
     TrafficState &state_;
     boost::asio::ip::tcp::socket &caller_;
@@ -275,6 +277,8 @@
     /// True if a response ended with its connection and the server's process had ended, for the
     /// log.
     bool serverEnded_ = false;
+    /// True between the beginning of run() and the log line of its result.
+    bool inProgress_ = false;
 };
 
 } // namespace jacinthroad
--- a/Source/Program/ServeCommand.cpp
+++ b/Source/Program/ServeCommand.cpp
@@ -95,7 +95,9 @@
     logLine(LogLevel::Info, "stopping", { { "node", settings->name } });
     const bool completed = (*gateway)->drain();
     logLine(completed ? LogLevel::Info : LogLevel::Warning, "stopped",
-            { { "node", settings->name }, { "requests_cut", std::int64_t { completed ? 0 : 1 } } });
+            { { "node", settings->name },
+              { "requests_cut", std::int64_t { completed ? 0 : 1 } },
+              { "open_requests", openRequests() } });
     return ExitCode::Success;
 }
 
