DigestExchange: Drop a datagram instead of waiting for room

Without the non-blocking mode, Asio's send_to() polls without a time limit when the send buffer is full (sync_sendto in Boost 1.74), which holds up all requests of the node. A failed send is a lost datagram already.

Found by reading. There is no test: on loopback the send buffer doesn't fill.

--- a/Source/Gateway/DigestExchange.cpp
+++ b/Source/Gateway/DigestExchange.cpp
@@ -59,6 +59,11 @@
         if (!error) {
             socket_.bind(own, error);
         }
+        if (!error) {
+            // A datagram is dropped if the send buffer is full; waiting for room would hold up all
+            // requests.
+            socket_.non_blocking(true, error);
+        }
     }
     if (!endpoint.has_value() || error) {
         return makeError(ErrorKind::InvalidSettings,
