CallerSession: Don't take an interrupted read as the caller's leaving

readAhead() used Asio's synchronous read, which returns `interrupted` when a signal comes (sync_recv in Boost 1.74), and then ended the request as left by its caller; without data it would have waited without a limit. It now reads what is there, as peek() does.

Found by reading; no input is known that led to it.

--- a/Source/Gateway/CallerSession.cpp
+++ b/Source/Gateway/CallerSession.cpp
@@ -276,7 +276,7 @@
         return;
     }
     error_code error;
-    const std::size_t size = socket_.read_some(buffer_.prepare(limit - buffer_.size()), error);
+    const std::size_t size = readAvailable(socket_, buffer_.prepare(limit - buffer_.size()), error);
     buffer_.commit(size);
     if (error) {
         exchange_->callerDisconnected(error);
--- a/Source/Gateway/SocketOptions.cpp
+++ b/Source/Gateway/SocketOptions.cpp
@@ -20,6 +20,23 @@
     static_cast<void>(setsockopt(socket, level, option, &value, sizeof(value)));
 }
 
+/// Returns what a call of recv() that returned `size` found.
+PeekResult result(ssize_t size, boost::system::error_code &error)
+{
+    if (size > 0) {
+        return PeekResult::Data;
+    }
+    if (size < 0 && (errno == EAGAIN || errno == EWOULDBLOCK || errno == EINTR)) {
+        return PeekResult::NoData;
+    }
+    if (size == 0) {
+        error = boost::asio::error::eof;
+    } else {
+        error.assign(errno, boost::system::system_category());
+    }
+    return PeekResult::Closed;
+}
+
 } // namespace
 
 void setTcpTimeout(boost::asio::ip::tcp::socket &socket, Duration timeout)
@@ -52,19 +69,14 @@
 PeekResult peek(boost::asio::ip::tcp::socket &socket, boost::system::error_code &error)
 {
     char byte = 0;
-    const ssize_t size = recv(socket.native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
-    if (size > 0) {
-        return PeekResult::Data;
-    }
-    if (size < 0 && (errno == EAGAIN || errno == EWOULDBLOCK || errno == EINTR)) {
-        return PeekResult::NoData;
-    }
-    if (size == 0) {
-        error = boost::asio::error::eof;
-    } else {
-        error.assign(errno, boost::system::system_category());
-    }
-    return PeekResult::Closed;
+    return result(recv(socket.native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT), error);
+}
+
+std::size_t readAvailable(boost::asio::ip::tcp::socket &socket, boost::asio::mutable_buffer buffer,
+                          boost::system::error_code &error)
+{
+    const ssize_t size = recv(socket.native_handle(), buffer.data(), buffer.size(), MSG_DONTWAIT);
+    return result(size, error) == PeekResult::Data ? static_cast<std::size_t>(size) : 0;
 }
 
 } // namespace jacinthroad
--- a/Source/Gateway/SocketOptions.h
+++ b/Source/Gateway/SocketOptions.h
@@ -1,7 +1,9 @@
 #pragma once
 
+#include <cstddef>
 #include <cstdint>
 
+#include <boost/asio/buffer.hpp>
 #include <boost/asio/ip/tcp.hpp>
 
 #include "Core/Time.h"
@@ -24,4 +26,10 @@
 [[nodiscard]] PeekResult peek(boost::asio::ip::tcp::socket &socket,
                               boost::system::error_code &error);
 
+/// Reads what a connection has received, without waiting. Returns 0 and no error if that is nothing
+/// or a signal came in between; sets `error` if the connection has ended, as peek() does.
+[[nodiscard]] std::size_t readAvailable(boost::asio::ip::tcp::socket &socket,
+                                        boost::asio::mutable_buffer buffer,
+                                        boost::system::error_code &error);
+
 } // namespace jacinthroad
