ServeCommand: Keep serving when a reload throws

An exception in a reload left the main loop, so that the process stopped and closed all connections. It is logged as settings_rejected. Found by reading; no settings are known that throw.

--- a/Source/Program/ServeCommand.cpp
+++ b/Source/Program/ServeCommand.cpp
@@ -1,5 +1,6 @@
 #include <atomic>
 #include <csignal>
+#include <exception>
 #include <iostream>
 #include <thread>
 
@@ -89,7 +90,12 @@
         if (reloadSignalCount > 0 || now - lastCheck >= SettingsPollInterval) {
             reloadSignalCount = 0;
             lastCheck = now;
-            reload(**gateway, file, activeText);
+            try {
+                reload(**gateway, file, activeText);
+            } catch (const std::exception &failure) {
+                // Leaving the loop would close the connections of all callers.
+                logLine(LogLevel::Error, "settings_rejected", { { "reason", failure.what() } });
+            }
         }
     }
     logLine(LogLevel::Info, "stopping", { { "node", settings->name } });
