Soak: Change configurations in series and judge the logs of the nodes

Half of the changes of configurations are series of 2 to 6, 5 to 150 ms apart, that grow to 2,000 routes; reloads come up to three times in a row. Two checks are new: read-unanswered, for requests that a node has read but not sent on, and node-failure, for lines that report a failure of the node itself.

--- a/Tests/Soak/NodeFaults.cpp
+++ b/Tests/Soak/NodeFaults.cpp
@@ -19,6 +19,7 @@
 /// So long that a request that the rules let the end of a stop cut was sent well before that end.
 constexpr int ShortestGraceS = 4;
 constexpr int LongestGraceS = 7;
+constexpr int LongestReloadSeries = 3;
 
 Instant now()
 {
@@ -34,6 +35,7 @@
     , allStopped_(allStopped)
     , counts_(counts)
     , random_(options_.seed)
+    , reloadRandom_(options_.seed)
     , startedAt_(now())
 {
     constexpr std::array<Disturbance, 8> Weighted { Disturbance::Kill,   Disturbance::Stop,
@@ -155,10 +157,16 @@
 
 void NodeFaults::reload()
 {
-    ++counts_.reloads;
-    node_.changeSettings(between(random_, 10, 30));
-    if (now() >= startedAt_ + StartTime) {
-        node_.signal(SIGHUP);
+    const int series = between(reloadRandom_, 1, LongestReloadSeries);
+    for (int number = 0; number < series; ++number) {
+        ++counts_.reloads;
+        node_.changeSettings(between(number == 0 ? random_ : reloadRandom_, 10, 30));
+        if (now() >= startedAt_ + StartTime) {
+            node_.signal(SIGHUP);
+        }
+        if (number + 1 < series) {
+            std::this_thread::sleep_for(milliseconds(between(reloadRandom_, 5, 100)));
+        }
     }
 }
 
--- a/Tests/Soak/NodeFaults.h
+++ b/Tests/Soak/NodeFaults.h
@@ -75,6 +75,8 @@
     std::barrier<> &allStopped_;
     FaultCounts &counts_;
     std::mt19937_64 random_;
+    /// Lengths of reload series don't change the other faults of a seed.
+    std::mt19937_64 reloadRandom_;
     std::vector<Disturbance> kinds_;
     Instant startedAt_;
 };
--- /dev/null
+++ b/Tests/Soak/NodeLogJudge.cpp
@@ -0,0 +1,75 @@
+#include "NodeLogJudge.h"
+
+#include <algorithm>
+#include <array>
+#include <set>
+
+#include <json/value.h>
+
+#include "Core/Json.h"
+
+namespace jacinthroad {
+
+namespace {
+
+constexpr std::array<std::string_view, 4> FailureEvents { "process_failed", "handler_failed",
+                                                          "session_failed", "task_failed" };
+
+/// True if the node was paused while it stopped, so that its grace period may have passed.
+bool wasPausedInStop(const SoakObservations &observations, const CallerRecord &record)
+{
+    const auto &stops = observations.stops.at(record.node);
+    return std::any_of(stops.begin(), stops.end(), [&](const NodeStop &stop) {
+        return stop.paused && record.endedAt >= stop.at
+            && record.endedAt <= stop.at + stop.grace + std::chrono::seconds(1);
+    });
+}
+
+} // namespace
+
+void readNodeLog(std::string_view node, const std::vector<std::string> &lines, NodeLog &log)
+{
+    for (const std::string &text : lines) {
+        const auto line = parseJson(text);
+        if (!line.has_value() || !line->isObject()) {
+            continue;
+        }
+        const std::string event = (*line)["event"].asString();
+        if (event == "request") {
+            log.outcomes[(*line)["request_id"].asString()] = (*line)["outcome"].asString();
+        } else if (event == "request_cut") {
+            log.outcomes[(*line)["request_id"].asString()] = event;
+        } else if (std::find(FailureEvents.begin(), FailureEvents.end(), event)
+                   != FailureEvents.end()) {
+            log.failures.push_back(std::string(node) + ": " + text);
+        }
+    }
+}
+
+std::vector<Violation> findNodeLogViolations(const SoakObservations &observations)
+{
+    std::vector<Violation> violations;
+    for (const std::string &failure : observations.nodeLog.failures) {
+        violations.push_back({ .check = "node-failure", .text = failure });
+    }
+    std::set<std::string> run;
+    for (const ServerRun &each : observations.runs) {
+        run.insert(each.requestId);
+    }
+    for (const CallerRecord &record : observations.records) {
+        const auto found = observations.nodeLog.outcomes.find(record.id);
+        // Requests that ran are judged with their runs.
+        if (record.outcome == CallerOutcome::ConnectionClosed && !record.nodeKilled
+            && found != observations.nodeLog.outcomes.end() && !run.contains(record.id)
+            && !wasPausedInStop(observations, record)) {
+            violations.push_back({ .check = "read-unanswered",
+                                   .text = "request " + record.id + " on " + record.route + " at "
+                                       + record.node
+                                       + ": read, not run, and its connection closed (outcome "
+                                       + found->second + ")" });
+        }
+    }
+    return violations;
+}
+
+} // namespace jacinthroad
--- a/Tests/Soak/NodeProcess.cpp
+++ b/Tests/Soak/NodeProcess.cpp
@@ -3,6 +3,7 @@
 #include <array>
 #include <cerrno>
 #include <csignal>
+#include <filesystem>
 #include <fstream>
 #include <system_error>
 #include <thread>
@@ -32,6 +33,9 @@
     , readinessAddress_(freeAddress())
     , peerAddress_(freeAddress())
 {
+    std::error_code ignored;
+    const std::uintmax_t size = std::filesystem::file_size(logFile(), ignored);
+    logBegin_ = ignored ? 0 : size;
     constexpr int UsualRetryAllowance = 20;
     changeSettings(UsualRetryAllowance);
 }
@@ -61,7 +65,7 @@
 void NodeProcess::start()
 {
     const std::string settings = options_.folder + "/" + options_.name + ".json";
-    const std::string log = options_.folder + "/" + options_.name + ".log";
+    const std::string log = logFile();
     std::array<const char *, 5> arguments { options_.program.c_str(), "serve", "--settings",
                                             settings.c_str(), nullptr };
     posix_spawn_file_actions_t actions;
@@ -137,6 +141,22 @@
     disturbances_.push_back(span);
 }
 
+std::string NodeProcess::logFile() const
+{
+    return options_.folder + "/" + options_.name + ".log";
+}
+
+std::vector<std::string> NodeProcess::loggedLines() const
+{
+    std::ifstream log(logFile());
+    log.seekg(static_cast<std::streamoff>(logBegin_));
+    std::vector<std::string> lines;
+    for (std::string line; std::getline(log, line);) {
+        lines.push_back(line);
+    }
+    return lines;
+}
+
 std::vector<NodeStop> NodeProcess::stops() const
 {
     const std::lock_guard lock(mutex_);
--- a/Tests/Soak/NodeProcess.h
+++ b/Tests/Soak/NodeProcess.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <atomic>
+#include <cstdint>
 #include <mutex>
 #include <string>
 #include <vector>
@@ -75,8 +76,12 @@
     void noteDisturbance(TimeSpan span);
     [[nodiscard]] std::vector<TimeSpan> disturbances() const;
     [[nodiscard]] std::vector<NodeStop> stops() const;
+    /// The lines that the process has written since this object was made.
+    [[nodiscard]] std::vector<std::string> loggedLines() const;
 
 private:
+    [[nodiscard]] std::string logFile() const;
+
     Options options_;
     std::string callerAddress_;
     std::string readinessAddress_;
@@ -87,6 +92,8 @@
     std::vector<TimeSpan> disturbances_;
     std::vector<NodeStop> stops_;
     bool paused_ = false;
+    /// Size of the log of earlier runs in the same folder.
+    std::uintmax_t logBegin_ = 0;
     std::atomic<unsigned> kills_ { 0 };
     std::atomic<unsigned> ends_ { 0 };
 };
--- /dev/null
+++ b/Tests/Soak/SoakConfigurations.cpp
@@ -0,0 +1,105 @@
+#include "SoakConfigurations.h"
+
+#include <array>
+#include <string>
+#include <thread>
+
+#include "Core/Json.h"
+#include "SoakTraffic.h"
+
+namespace jacinthroad {
+
+namespace {
+
+/// Idle limits that configurations set in turn; the longest is that of the first.
+constexpr std::array<int, 4> IdleTimeoutsMs { 3000, 300, 1200, 600 };
+/// One change in so many begins a series.
+constexpr int SeriesOneIn = 2;
+constexpr int LongestSeries = 6;
+/// Routes that the configurations of a series add one after the other.
+constexpr int GrowthOfSeries = 400;
+
+/// Adds routes that no caller uses.
+void addRoutes(Json::Value &spec, int count)
+{
+    for (int number = 0; number < count; ++number) {
+        Json::Value route = spec["routes"][0];
+        const std::string name = "further-" + std::to_string(number);
+        route["name"] = name;
+        route["pathPrefix"] = "/" + name + "/";
+        spec["routes"].append(route);
+    }
+}
+
+} // namespace
+
+Json::Value soakConfiguration(int version, std::mt19937_64 &random)
+{
+    Json::Value spec = *parseJson(R"({"routes":[
+        {"name":"safe","hostname":"h","pathPrefix":"/safe/","kind":"safe","timeoutMs":3000,
+         "targetLatencyMs":300,"priority":1,"service":"plain","maxAttempts":2},
+        {"name":"unsafe","hostname":"h","pathPrefix":"/unsafe/","kind":"unsafe","timeoutMs":3000,
+         "targetLatencyMs":300,"priority":1,"service":"plain","maxAttempts":1},
+        {"name":"events","hostname":"h","pathPrefix":"/events/","kind":"streaming",
+         "timeoutMs":3000,"targetLatencyMs":300,"priority":0,"service":"plain","maxAttempts":1,
+         "resumable":false},
+        {"name":"once","hostname":"h","pathPrefix":"/once/","kind":"streaming","timeoutMs":4000,
+         "targetLatencyMs":300,"priority":0,"service":"engines","maxAttempts":1,
+         "resumable":false},
+        {"name":"resumable","hostname":"h","pathPrefix":"/resumable/","kind":"streaming",
+         "timeoutMs":4000,"targetLatencyMs":300,"priority":1,"service":"engines","maxAttempts":2,
+         "resumable":true}],
+        "services":[{"name":"plain"},
+        {"name":"engines","engine":{"slotCount":8,"kvCapacityTokens":100000}}]})");
+    spec["version"] = version;
+    spec["limits"]["maxHeaderBytes"] = 1024 * between(random, 4, 16);
+    spec["limits"]["maxBodyBytes"] = 1000 * between(random, 10, 100);
+    spec["limits"]["headerTimeoutMs"] = 100 * between(random, 8, 20);
+    spec["limits"]["idleTimeoutMs"]
+        = IdleTimeoutsMs[static_cast<std::size_t>(version - 1) % IdleTimeoutsMs.size()];
+    const std::array<std::string, 2> names { "north", "south" };
+    for (std::size_t number = 0; number < names.size(); ++number) {
+        Json::Value team;
+        team["name"] = names[number];
+        for (std::size_t key = number; key < soakKeys().size(); key += names.size()) {
+            team["apiKeys"].append(soakKeys()[key]);
+        }
+        if (number + 1 == names.size()) {
+            team["apiKeys"].append(DeadlyKey);
+        }
+        // Keys that no caller uses come and go.
+        team["apiKeys"].append("key-of-version-" + std::to_string(version));
+        spec["tenants"].append(team);
+    }
+    return spec;
+}
+
+int longestIdleLimit()
+{
+    return IdleTimeoutsMs.front();
+}
+
+void changeConfigurations(StoreStandIn &store, LastConfiguration &last, std::uint64_t seed,
+                          Instant until, FaultCounts &counts)
+{
+    std::mt19937_64 random(seed);
+    for (int version = 2; std::chrono::steady_clock::now() < until;) {
+        std::this_thread::sleep_for(milliseconds(between(random, 300, 2500)));
+        const bool isSeries = between(random, 1, SeriesOneIn) == 1;
+        const int length = isSeries ? between(random, 2, LongestSeries) : 1;
+        for (int change = 0; change < length; ++change, ++version) {
+            ++counts.configurations;
+            {
+                const std::lock_guard lock(last.mutex);
+                last.spec = soakConfiguration(version, random);
+                addRoutes(last.spec, change * GrowthOfSeries);
+                store.put("config", "main", last.spec);
+            }
+            if (isSeries) {
+                std::this_thread::sleep_for(milliseconds(between(random, 5, 150)));
+            }
+        }
+    }
+}
+
+} // namespace jacinthroad
--- a/Tests/Soak/SoakJudge.cpp
+++ b/Tests/Soak/SoakJudge.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <set>
 
+#include "NodeLogJudge.h"
 #include "SilenceJudge.h"
 #include "SoakStatementJudge.h"
 #include "SoakTraffic.h"
@@ -313,8 +314,8 @@
               .text = std::to_string(keyFigures.lateArrivalsFromCalmNodes)
                   + " requests of the deadly key reached servers after the limit" });
     }
-    for (const auto &check :
-         { findStatementViolations, findStreamVersionViolations, findSilenceViolations }) {
+    for (const auto &check : { findStatementViolations, findStreamVersionViolations,
+                               findSilenceViolations, findNodeLogViolations }) {
         const std::vector<Violation> broken = check(observations);
         violations.insert(violations.end(), broken.begin(), broken.end());
     }
--- a/Tests/Soak/SoakJudge.h
+++ b/Tests/Soak/SoakJudge.h
@@ -60,6 +60,15 @@
     bool nodeKilled = false;
 };
 
+/// What the logs of the nodes tell.
+struct NodeLog
+{
+    /// Requests that a node has read, with the outcome that it logged.
+    std::map<std::string, std::string> outcomes;
+    /// Lines that report a failure of the node itself, with its name.
+    std::vector<std::string> failures;
+};
+
 /// What a soak run observed.
 struct SoakObservations
 {
@@ -76,6 +85,7 @@
     std::map<std::string, std::vector<NodeStop>> stops;
     /// Spans in which the store was away or lacked what had been written.
     std::vector<TimeSpan> storeDisturbances;
+    NodeLog nodeLog;
 };
 
 /// One broken promise.
--- a/Tests/Soak/SoakRun.cpp
+++ b/Tests/Soak/SoakRun.cpp
@@ -6,18 +6,18 @@
 #include <barrier>
 #include <filesystem>
 #include <memory>
-#include <mutex>
 #include <random>
 #include <thread>
 
 #include <json/value.h>
 
-#include "Core/Json.h"
 #include "NodeFaults.h"
+#include "NodeLogJudge.h"
 #include "NodeProcess.h"
 #include "OddEntries.h"
 #include "Releases.h"
 #include "SoakClient.h"
+#include "SoakConfigurations.h"
 #include "SoakServers.h"
 #include "SoakTraffic.h"
 #include "StoreStandIn.h"
@@ -36,8 +36,6 @@
 /// time until a node has recorded the era as settled; until then, nodes that start serve no keys.
 constexpr Duration RestoreMargin = std::chrono::seconds(7);
 constexpr Duration LongestDeadlyKeyPause = milliseconds(2000);
-/// Idle limits that configurations set in turn; the longest is that of the first.
-constexpr std::array<int, 4> IdleTimeoutsMs { 3000, 300, 1200, 600 };
 /// Callers reuse a connection for this part of the longest idle limit.
 constexpr double ReuseShare = 0.8;
 constexpr unsigned DeadlyCallers = 2;
@@ -56,67 +54,6 @@
 /// Parts of the time with faults, in percent, in which all nodes are killed at once.
 constexpr std::array<std::pair<int, int>, 2> CommonKillPercents { { { 20, 30 }, { 70, 80 } } };
 
-Json::Value configuration(int version, std::mt19937_64 &random)
-{
-    Json::Value spec = *parseJson(R"({"routes":[
-        {"name":"safe","hostname":"h","pathPrefix":"/safe/","kind":"safe","timeoutMs":3000,
-         "targetLatencyMs":300,"priority":1,"service":"plain","maxAttempts":2},
-        {"name":"unsafe","hostname":"h","pathPrefix":"/unsafe/","kind":"unsafe","timeoutMs":3000,
-         "targetLatencyMs":300,"priority":1,"service":"plain","maxAttempts":1},
-        {"name":"events","hostname":"h","pathPrefix":"/events/","kind":"streaming",
-         "timeoutMs":3000,"targetLatencyMs":300,"priority":0,"service":"plain","maxAttempts":1,
-         "resumable":false},
-        {"name":"once","hostname":"h","pathPrefix":"/once/","kind":"streaming","timeoutMs":4000,
-         "targetLatencyMs":300,"priority":0,"service":"engines","maxAttempts":1,
-         "resumable":false},
-        {"name":"resumable","hostname":"h","pathPrefix":"/resumable/","kind":"streaming",
-         "timeoutMs":4000,"targetLatencyMs":300,"priority":1,"service":"engines","maxAttempts":2,
-         "resumable":true}],
-        "services":[{"name":"plain"},
-        {"name":"engines","engine":{"slotCount":8,"kvCapacityTokens":100000}}]})");
-    spec["version"] = version;
-    spec["limits"]["maxHeaderBytes"] = 1024 * between(random, 4, 16);
-    spec["limits"]["maxBodyBytes"] = 1000 * between(random, 10, 100);
-    spec["limits"]["headerTimeoutMs"] = 100 * between(random, 8, 20);
-    spec["limits"]["idleTimeoutMs"]
-        = IdleTimeoutsMs[static_cast<std::size_t>(version - 1) % IdleTimeoutsMs.size()];
-    const std::array<std::string, 2> names { "north", "south" };
-    for (std::size_t number = 0; number < names.size(); ++number) {
-        Json::Value team;
-        team["name"] = names[number];
-        for (std::size_t key = number; key < soakKeys().size(); key += names.size()) {
-            team["apiKeys"].append(soakKeys()[key]);
-        }
-        if (number + 1 == names.size()) {
-            team["apiKeys"].append(DeadlyKey);
-        }
-        // Keys that no caller uses come and go.
-        team["apiKeys"].append("key-of-version-" + std::to_string(version));
-        spec["tenants"].append(team);
-    }
-    return spec;
-}
-
-/// The configuration that operators wrote last.
-struct LastConfiguration
-{
-    std::mutex mutex;
-    Json::Value spec;
-};
-
-void changeConfigurations(StoreStandIn &store, LastConfiguration &last, std::uint64_t seed,
-                          Instant until, FaultCounts &counts)
-{
-    std::mt19937_64 random(seed);
-    for (int version = 2; std::chrono::steady_clock::now() < until; ++version) {
-        std::this_thread::sleep_for(milliseconds(between(random, 300, 2500)));
-        ++counts.configurations;
-        const std::lock_guard lock(last.mutex);
-        last.spec = configuration(version, random);
-        store.put("config", "main", last.spec);
-    }
-}
-
 /// Restores the store from a copy, again and again; operators and servers write their objects again
 /// some time after each.
 void restoreStore(StoreStandIn &store, SoakServers &servers, LastConfiguration &last,
@@ -199,7 +136,7 @@
                                   .nodes = nodes,
                                   .longestPause = number % BusyOneIn == 0
                                       ? LongestBusyPause
-                                      : fromMilliseconds(IdleTimeoutsMs.front() * ReuseShare),
+                                      : fromMilliseconds(longestIdleLimit() * ReuseShare),
                                   .holdsConnections = holding && number % HoldingOneIn == 0,
                                   .seed = random() }));
     }
@@ -365,7 +302,7 @@
     StoreStandIn store;
     SoakServers servers(store, log, options.disturbances, random());
     LastConfiguration last;
-    last.spec = configuration(1, random);
+    last.spec = soakConfiguration(1, random);
     store.sendEra(1);
     store.put("config", "main", last.spec);
     const std::vector<std::shared_ptr<NodeProcess>> nodes = startNodes(options, store.address());
@@ -398,6 +335,7 @@
     for (const auto &node : nodes) {
         observations.disturbances[node->name()] = node->disturbances();
         observations.stops[node->name()] = node->stops();
+        readNodeLog(node->name(), node->loggedLines(), observations.nodeLog);
     }
     std::vector<Violation> unserved;
     for (std::size_t number = 0; number < clients.size(); ++number) {
