--- a/Source/Gateway/Gateway.cpp
+++ b/Source/Gateway/Gateway.cpp
@@ -6,7 +6,6 @@
 #include <map>
 #include <memory>
 #include <optional>
-#include <set>
 #include <thread>
 #include <utility>
 
@@ -27,6 +26,7 @@
 #include "Gateway/CacheEventReader.h"
 #include "Gateway/CrashRecordSync.h"
 #include "Gateway/DigestExchange.h"
+#include "Gateway/EventLoop.h"
 #include "Gateway/Listener.h"
 #include "Gateway/NodeRegistration.h"
 #include "Gateway/RelayServer.h"
@@ -37,6 +37,7 @@
 #include "Gateway/StoreSync.h"
 #include "Gateway/StreamVersionLink.h"
 #include "Gateway/StreamVersionSync.h"
+#include "Gateway/TrafficDelay.h"
 #include "Routing/Rendezvous.h"
 #include "StoreRelay/TransferChoice.h"
 #include "platform/StoreObjects.h"
@@ -70,26 +71,10 @@
 constexpr Duration NodesWait = milliseconds(10000);
 /// Period of the sweep over idle connections, and of passing the data of responses to the rollout.
 constexpr Duration SweepPeriod = milliseconds(200);
-/// Delay of a sweep from which it is logged: the traffic thread or the VM stood still.
-constexpr Duration LoggedTrafficDelay = milliseconds(250);
 /// Number of sweeps between two assignments of caches to owner nodes.
 constexpr unsigned SweepsPerAssignment = 4;
 constexpr Duration DrainPollPeriod = milliseconds(20);
 
-/// Returns the services whose streams can be resumed.
-std::set<ServiceId> resumableServices(const FleetConfiguration &configuration)
-{
-    std::set<ServiceId> services;
-    for (const Route &route : configuration.routes) {
-        if (route.kind == RouteKind::Streaming && route.resumable) {
-            for (const ServiceShare &share : route.services) {
-                services.insert(share.service);
-            }
-        }
-    }
-    return services;
-}
-
 } // namespace
 
 struct Gateway::Parts
@@ -279,8 +264,11 @@
     /// Caches whose owner node is this node; used by the traffic thread only.
     std::map<ServerId, std::string> ownedCaches;
     unsigned sweeps = 0;
-    std::thread trafficThread;
+    /// Used by the traffic thread only.
+    TrafficDelay trafficDelay;
+    /// Set before the traffic thread starts, which reads its processor time.
     std::thread controlThread;
+    std::thread trafficThread;
 };
 
 Result<void> Gateway::Parts::open()
@@ -357,8 +345,8 @@
         asio::co_spawn(controlContext, registration.run(), asio::detached);
     }
     asio::post(trafficContext, [this] { sweep(); });
-    trafficThread = std::thread([this] { trafficContext.run(); });
-    controlThread = std::thread([this] { controlContext.run(); });
+    controlThread = std::thread([this] { runEventLoop(controlContext, "control", metrics); });
+    trafficThread = std::thread([this] { runEventLoop(trafficContext, "traffic", metrics); });
 }
 
 void Gateway::Parts::passOnStoreObjects()
@@ -389,6 +377,20 @@
 
 void Gateway::Parts::sweep()
 {
+    // A sweep that throws doesn't end the series.
+    sweepTimer.expires_after(SweepPeriod);
+    sweepTimer.async_wait([this](error_code error) {
+        if (!error) {
+            const Duration late = std::chrono::steady_clock::now() - sweepTimer.expiry();
+            metrics.observeTrafficDelay(late);
+            trafficDelay.note(
+                { .late = late,
+                  .controlThread = controlThread.native_handle(),
+                  .activeRequests = traffic.activeRequests(),
+                  .configuration = traffic.routes != nullptr ? traffic.routes->version() : 0 });
+            sweep();
+        }
+    });
     traffic.connections.closeExpired(std::chrono::steady_clock::now());
     const auto age = traffic.freshness.age(bootNow());
     if (age.has_value()) {
@@ -399,19 +401,6 @@
     if (++sweeps % SweepsPerAssignment == 0) {
         assignCaches();
     }
-    sweepTimer.expires_after(SweepPeriod);
-    sweepTimer.async_wait([this](error_code error) {
-        if (!error) {
-            const Duration late = std::chrono::steady_clock::now() - sweepTimer.expiry();
-            metrics.observeTrafficDelay(late);
-            if (late > LoggedTrafficDelay) {
-                logLine(LogLevel::Warning, "traffic_delayed",
-                        { { "late_ms", toMilliseconds(late) },
-                          { "active_requests", std::int64_t { traffic.activeRequests() } } });
-            }
-            sweep();
-        }
-    });
 }
 
 void Gateway::Parts::onConfigurationChanged(const ObjectTable &table)
@@ -425,6 +414,7 @@
     if (found == table.end()) {
         return;
     }
+    const Duration processorTime = threadProcessorTime();
     auto read = platform::readConfiguration(found->second.spec);
     asio::post(trafficContext, [this, readable = read.has_value()] {
         traffic.noteConfigurationReadable(readable);
@@ -435,15 +425,19 @@
                   { "remedy", "Write a complete configuration; the one in force stays." } });
         return;
     }
+    const std::string text = writeJson(found->second.spec);
     const ConfigurationIdentity identity { .version = read->version,
-                                           .contentHash = hash64(writeJson(found->second.spec)),
+                                           .contentHash = hash64(text),
                                            .era = store.era(),
                                            .revision = found->second.revision };
     streamVersions.applyServices(resumableServices(*read));
-    asio::post(trafficContext,
-               [this, identity, routes = std::make_shared<const RouteTable>(std::move(*read))] {
-                   traffic.applyConfiguration(identity, routes);
-               });
+    auto routes = std::make_shared<const RouteTable>(std::move(*read));
+    const ConfigurationTiming timing { .postedAt = std::chrono::steady_clock::now(),
+                                       .readTime = threadProcessorTime() - processorTime,
+                                       .bytes = text.size() };
+    asio::post(trafficContext, [this, identity, timing, routes = std::move(routes)] {
+        traffic.applyConfiguration(identity, routes, timing);
+    });
 }
 
 void Gateway::Parts::applyHeldConfiguration()
@@ -646,6 +640,15 @@
 void Gateway::Parts::pollDrain(std::shared_ptr<std::promise<void>> idle, bool connectionsClosed)
 {
     const Duration sinceSignal = std::chrono::steady_clock::now() - traffic.drainingSince;
+    const bool listenerEnded = sinceSignal >= traffic.stopSchedule.listenerEnd();
+    // A check that throws is followed by the next one all the same.
+    drainTimer.expires_after(DrainPollPeriod);
+    drainTimer.async_wait(
+        [this, idle, again = connectionsClosed || listenerEnded](error_code error) {
+            if (!error) {
+                pollDrain(idle, again);
+            }
+        });
     const StopSchedule &schedule = traffic.stopSchedule;
     if (sinceSignal >= schedule.acceptEnd()) {
         // Callers open their next connection to another node.
@@ -654,23 +657,16 @@
     if (sinceSignal >= schedule.answerEnd()) {
         traffic.answerOpenRequests();
     }
-    if (sinceSignal >= schedule.listenerEnd()) {
+    if (listenerEnded) {
         error_code ignored;
         callers.close(ignored);
         traffic.closeIdleConnections(IdleConnections::All);
         // Connections that were accepted just before are closed by the second check.
         if (connectionsClosed && traffic.activeRequests() == 0) {
+            drainTimer.cancel();
             idle->set_value();
-            return;
         }
-        connectionsClosed = true;
     }
-    drainTimer.expires_after(DrainPollPeriod);
-    drainTimer.async_wait([this, idle = std::move(idle), connectionsClosed](error_code error) {
-        if (!error) {
-            pollDrain(idle, connectionsClosed);
-        }
-    });
 }
 
 Gateway::Gateway(std::unique_ptr<Parts> parts)
--- a/Source/Program/ServeCommand.cpp
+++ b/Source/Program/ServeCommand.cpp
@@ -1,9 +1,13 @@
 #include <atomic>
 #include <csignal>
+#include <exception>
 #include <iostream>
 #include <thread>
 
+#include <unistd.h>
+
 #include "Core/Log.h"
+#include "Core/ProcessFailure.h"
 #include "Gateway/Gateway.h"
 #include "Node/Node.h"
 #include "Program/Commands.h"
@@ -86,13 +90,20 @@
         if (reloadSignalCount > 0 || now - lastCheck >= SettingsPollInterval) {
             reloadSignalCount = 0;
             lastCheck = now;
-            reload(**gateway, file, activeText);
+            try {
+                reload(**gateway, file, activeText);
+            } catch (const std::exception &failure) {
+                // Leaving the loop would close the connections of all callers.
+                logLine(LogLevel::Error, "settings_rejected", { { "reason", failure.what() } });
+            }
         }
     }
     logLine(LogLevel::Info, "stopping", { { "node", settings->name } });
     const bool completed = (*gateway)->drain();
     logLine(completed ? LogLevel::Info : LogLevel::Warning, "stopped",
-            { { "node", settings->name }, { "requests_cut", std::int64_t { completed ? 0 : 1 } } });
+            { { "node", settings->name },
+              { "requests_cut", std::int64_t { completed ? 0 : 1 } },
+              { "open_requests", openRequests() } });
     return ExitCode::Success;
 }
 
@@ -113,6 +124,8 @@
         printError(text.error());
         return ExitCode::Failed;
     }
+    const ReportedThread reported("main");
+    installFailureReports(STDOUT_FILENO);
     if (isGatewaySettings(*text)) {
         return serveGateway(*text, file);
     }
