--- a/Source/Core/Json.cpp
+++ b/Source/Core/Json.cpp
@@ -1,7 +1,10 @@
 #include "Core/Json.h"
 
+#include <cstdint>
+#include <cstring>
 #include <memory>
 
+#include <boost/locale/utf.hpp>
 #include <json/reader.h>
 #include <json/writer.h>
 
@@ -46,8 +49,9 @@
 
 Result<Json::Value> parseJson(std::string_view text)
 {
-    static const Json::CharReaderBuilder Builder = makeReaderBuilder();
-    const std::unique_ptr<Json::CharReader> reader(Builder.newCharReader());
+    // Creating a reader takes as long as parsing a small object.
+    thread_local const std::unique_ptr<Json::CharReader> reader(
+        makeReaderBuilder().newCharReader());
     Json::Value value;
     std::string report;
     try {
@@ -61,6 +65,29 @@
                      "Correct the JSON at the named line.");
 }
 
+bool isUtf8(std::string_view text)
+{
+    using Traits = boost::locale::utf::utf_traits<char>;
+    constexpr std::uint64_t HighBits = 0x8080808080808080ULL;
+    const char *position = text.data();
+    const char *const end = position + text.size();
+    for (std::uint64_t word = 0; static_cast<std::size_t>(end - position) >= sizeof(word);
+         position += sizeof(word)) {
+        std::memcpy(&word, position, sizeof(word));
+        if ((word & HighBits) != 0) {
+            break;
+        }
+    }
+    while (position != end) {
+        const auto codePoint = Traits::decode(position, end);
+        if (codePoint == boost::locale::utf::illegal
+            || codePoint == boost::locale::utf::incomplete) {
+            return false;
+        }
+    }
+    return true;
+}
+
 std::string writeJson(const Json::Value &value)
 {
     static const Json::StreamWriterBuilder Builder = [] {
--- a/Source/Core/Json.h
+++ b/Source/Core/Json.h
@@ -13,6 +13,9 @@
 /// and nesting deeper than 64 levels fail with InvalidRequest; the message contains the line.
 [[nodiscard]] Result<Json::Value> parseJson(std::string_view text);
 
+/// True for valid UTF-8, which parseJson() doesn't check.
+[[nodiscard]] bool isUtf8(std::string_view text);
+
 /// Serializes a value on a single line.
 [[nodiscard]] std::string writeJson(const Json::Value &value);
 
--- a/Source/Core/JsonExtents.cpp
+++ b/Source/Core/JsonExtents.cpp
@@ -1,110 +1,16 @@
 #include "Core/JsonExtents.h"
 
-#include <cstddef>
+#include <cstring>
 #include <utility>
 
 namespace jacinthroad {
 
 namespace {
 
-constexpr std::string_view Whitespace = " \t\r\n";
-
-/// Moves over JSON text. Nested values are counted, not recursed into.
-class JsonCursor
+bool isWhitespace(char character)
 {
-public:
-    explicit JsonCursor(std::string_view text)
-        : text_(text)
-    {
-        skipWhitespace();
-    }
-
-    [[nodiscard]] bool atEnd() const { return position_ >= text_.size(); }
-    [[nodiscard]] bool at(char character) const
-    {
-        return !atEnd() && text_[position_] == character;
-    }
-
-    /// Skips a character and the whitespace after it; returns false if another one follows.
-    bool skip(char character)
-    {
-        if (!at(character)) {
-            return false;
-        }
-        ++position_;
-        skipWhitespace();
-        return true;
-    }
-
-    /// Skips a string with its quotes, or any other value, and the whitespace after it.
-    std::optional<std::string_view> skipString()
-    {
-        const std::size_t begin = position_;
-        return at('"') && passString() ? std::optional(endAt(begin)) : std::nullopt;
-    }
-
-    std::optional<std::string_view> skipValue()
-    {
-        const std::size_t begin = position_;
-        std::size_t depth = 0;
-        while (!atEnd()) {
-            const char character = text_[position_];
-            if (character == '"') {
-                if (!passString()) {
-                    return std::nullopt;
-                }
-                continue;
-            }
-            const bool closes = character == ']' || character == '}';
-            if (depth == 0 && (closes || character == ',')) {
-                break;
-            }
-            if (character == '[' || character == '{') {
-                ++depth;
-            } else if (closes) {
-                --depth;
-            }
-            ++position_;
-        }
-        if (depth != 0 || position_ == begin) {
-            return std::nullopt;
-        }
-        return endAt(begin);
-    }
-
-private:
-    void skipWhitespace()
-    {
-        position_ = text_.find_first_not_of(Whitespace, position_);
-        if (position_ == std::string_view::npos) {
-            position_ = text_.size();
-        }
-    }
-
-    bool passString()
-    {
-        for (++position_; !atEnd(); ++position_) {
-            if (text_[position_] == '\\') {
-                ++position_;
-            } else if (text_[position_] == '"') {
-                ++position_;
-                return true;
-            }
-        }
-        return false;
-    }
-
-    std::string_view endAt(std::size_t begin)
-    {
-        std::string_view value = text_.substr(begin, position_ - begin);
-        value = value.substr(0, value.find_last_not_of(Whitespace) + 1);
-        skipWhitespace();
-        return value;
-    }
-
-    std::string_view text_;
-    std::size_t position_ = 0;
-};
+    return character == ' ' || character == '\n' || character == '\r' || character == '\t';
+}
 
 /// Reads the items between two brackets, separated by commas, with `readItem`.
 template <typename ReadItem>
@@ -128,6 +34,81 @@
 
 } // namespace
 
+std::optional<std::string_view> JsonCursor::skipString()
+{
+    const std::size_t begin = position_;
+    return at('"') && passString() ? std::optional(endAt(begin)) : std::nullopt;
+}
+
+std::optional<std::string_view> JsonCursor::skipValue()
+{
+    const std::size_t begin = position_;
+    std::size_t depth = 0;
+    while (!atEnd()) {
+        const char character = text_[position_];
+        if (character == '"') {
+            if (!passString()) {
+                return std::nullopt;
+            }
+            continue;
+        }
+        const bool closes = character == ']' || character == '}';
+        if (depth == 0 && (closes || character == ',')) {
+            break;
+        }
+        if (character == '[' || character == '{') {
+            ++depth;
+        } else if (closes) {
+            --depth;
+        }
+        ++position_;
+    }
+    if (depth != 0 || position_ == begin) {
+        return std::nullopt;
+    }
+    return endAt(begin);
+}
+
+void JsonCursor::skipWhitespace()
+{
+    while (!atEnd() && isWhitespace(text_[position_])) {
+        ++position_;
+    }
+}
+
+bool JsonCursor::passString()
+{
+    const std::size_t begin = ++position_;
+    while (!atEnd()) {
+        const void *found = std::memchr(text_.data() + position_, '"', text_.size() - position_);
+        if (found == nullptr) {
+            break;
+        }
+        const auto end = static_cast<std::size_t>(static_cast<const char *>(found) - text_.data());
+        position_ = end + 1;
+        // An odd number of backslashes before the quote escapes it.
+        std::size_t backslashes = 0;
+        while (end - backslashes > begin && text_[end - backslashes - 1] == '\\') {
+            ++backslashes;
+        }
+        if (backslashes % 2 == 0) {
+            return true;
+        }
+    }
+    position_ = text_.size();
+    return false;
+}
+
+std::string_view JsonCursor::endAt(std::size_t begin)
+{
+    std::size_t end = position_;
+    while (end > begin && isWhitespace(text_[end - 1])) {
+        --end;
+    }
+    skipWhitespace();
+    return text_.substr(begin, end - begin);
+}
+
 std::optional<std::vector<JsonMember>> jsonMembers(std::string_view text)
 {
     JsonCursor cursor(text);
--- a/Source/Core/JsonExtents.h
+++ b/Source/Core/JsonExtents.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <cstddef>
 #include <optional>
 #include <string_view>
 #include <vector>
@@ -21,4 +22,47 @@
 [[nodiscard]] std::optional<std::vector<JsonMember>> jsonMembers(std::string_view text);
 [[nodiscard]] std::optional<std::vector<std::string_view>> jsonElements(std::string_view text);
 
+/// Moves over JSON text without parsing values, and can stop after any of them. Nested values are
+/// counted, not recursed into.
+class JsonCursor
+{
+public:
+    /// Refers to `text`, and begins after leading whitespace.
+    explicit JsonCursor(std::string_view text)
+        : text_(text)
+    {
+        skipWhitespace();
+    }
+
+    /// Number of bytes that were moved over.
+    [[nodiscard]] std::size_t position() const { return position_; }
+    [[nodiscard]] bool atEnd() const { return position_ >= text_.size(); }
+    [[nodiscard]] bool at(char character) const
+    {
+        return !atEnd() && text_[position_] == character;
+    }
+    /// Skips a character and the whitespace after it; returns false if another one follows.
+    bool skip(char character)
+    {
+        if (!at(character)) {
+            return false;
+        }
+        ++position_;
+        skipWhitespace();
+        return true;
+    }
+    /// Skips a string with its quotes, or any other value, and the whitespace after it. Returns
+    /// nothing if none begins here or if it doesn't end.
+    std::optional<std::string_view> skipString();
+    std::optional<std::string_view> skipValue();
+
+private:
+    void skipWhitespace();
+    bool passString();
+    std::string_view endAt(std::size_t begin);
+
+    std::string_view text_;
+    std::size_t position_ = 0;
+};
+
 } // namespace jacinthroad
--- a/Source/Fleet/ConfigurationIdentity.h
+++ b/Source/Fleet/ConfigurationIdentity.h
@@ -11,7 +11,8 @@
 struct ConfigurationIdentity
 {
     std::uint64_t version = 0;
-    /// Hash of the whole object.
+    /// Sum of the hashes of the parts of the object, each with its name, so that it depends neither
+    /// on how nor on the order in which they arrived. Other spacing in the store gives another one.
     std::uint64_t contentHash = 0;
     /// The newest era of the store in which it was read; nothing if the store names none.
     std::optional<std::uint64_t> era;
--- a/Source/Fleet/FleetConfiguration.h
+++ b/Source/Fleet/FleetConfiguration.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <cstdint>
+#include <memory>
 #include <optional>
 #include <string>
 #include <vector>
@@ -109,4 +110,17 @@
     CallerLimits limits;
 };
 
+/// The same with routes and teams that several versions share.
+struct SharedConfiguration
+{
+    std::uint64_t version = 0;
+    std::vector<std::shared_ptr<const Route>> routes;
+    std::vector<ServiceDefinition> services;
+    std::vector<std::shared_ptr<const FleetTeam>> teams;
+    CallerLimits limits;
+};
+
+/// Moves the routes and teams of a configuration into shared ones.
+[[nodiscard]] SharedConfiguration share(FleetConfiguration configuration);
+
 } // namespace jacinthroad
--- a/Source/Fleet/RouteTable.cpp
+++ b/Source/Fleet/RouteTable.cpp
@@ -5,34 +5,32 @@
 
 namespace jacinthroad {
 
-RouteTable::RouteTable(FleetConfiguration configuration)
+RouteTable::RouteTable(SharedConfiguration configuration)
     : configuration_(std::move(configuration))
 {
-    for (const Route &route : configuration_.routes) {
-        byHost_[route.host].push_back(&route);
+    for (const auto &route : configuration_.routes) {
+        byHost_[route->host].push_back(route.get());
+        if (route->kind == RouteKind::Streaming && route->resumable) {
+            for (const ServiceShare &share : route->services) {
+                resumableServices_.insert(share.service);
+            }
+        }
     }
     for (auto &[host, routes] : byHost_) {
         std::stable_sort(routes.begin(), routes.end(), [](const Route *left, const Route *right) {
             return left->prefix.size() > right->prefix.size();
         });
     }
-    for (const FleetTeam &team : configuration_.teams) {
-        for (const std::string &key : team.keys) {
-            byKey_.emplace(key, &team);
+    for (const auto &team : configuration_.teams) {
+        for (const std::string &key : team->keys) {
+            byKey_.emplace(key, team.get());
         }
     }
 }
 
-bool RouteTable::hasResumableStreams() const
-{
-    return std::any_of(
-        configuration_.routes.begin(), configuration_.routes.end(),
-        [](const Route &route) { return route.kind == RouteKind::Streaming && route.resumable; });
-}
-
 const Route *RouteTable::route(std::string_view host, std::string_view path) const
 {
-    const auto routes = byHost_.find(std::string(host));
+    const auto routes = byHost_.find(host);
     if (routes == byHost_.end()) {
         return nullptr;
     }
@@ -44,7 +42,7 @@
 
 const FleetTeam *RouteTable::team(std::string_view key) const
 {
-    const auto found = byKey_.find(std::string(key));
+    const auto found = byKey_.find(key);
     return found == byKey_.end() ? nullptr : found->second;
 }
 
--- a/Source/Fleet/RouteTable.h
+++ b/Source/Fleet/RouteTable.h
@@ -2,9 +2,11 @@
 
 #include <cstdint>
 #include <memory>
+#include <set>
 #include <string>
 #include <string_view>
 #include <unordered_map>
+#include <utility>
 #include <vector>
 
 #include "Fleet/FleetConfiguration.h"
@@ -16,7 +18,11 @@
 class RouteTable
 {
 public:
-    explicit RouteTable(FleetConfiguration configuration);
+    /// Refers to the routes and teams of `configuration` rather than copies them.
+    explicit RouteTable(SharedConfiguration configuration);
+    explicit RouteTable(FleetConfiguration configuration)
+        : RouteTable(share(std::move(configuration)))
+    { }
 
     [[nodiscard]] std::uint64_t version() const { return configuration_.version; }
     [[nodiscard]] const CallerLimits &limits() const { return configuration_.limits; }
@@ -27,7 +33,12 @@
     /// True if requests need a key, except on anonymous routes.
     [[nodiscard]] bool hasTeams() const { return !configuration_.teams.empty(); }
     /// True if callers can resume the streams of a route.
-    [[nodiscard]] bool hasResumableStreams() const;
+    [[nodiscard]] bool hasResumableStreams() const { return !resumableServices_.empty(); }
+    /// The services whose streams callers can resume.
+    [[nodiscard]] const std::set<ServiceId> &resumableServices() const
+    {
+        return resumableServices_;
+    }
 
     /// The route of a host (lower case, without a port) with the longest prefix of the path, or
     /// null.
@@ -44,10 +55,12 @@
     [[nodiscard]] static const ServiceId *target(const Route &route, std::uint64_t draw);
 
 private:
-    FleetConfiguration configuration_;
-    /// Routes of one host, longest prefix first.
-    std::unordered_map<std::string, std::vector<const Route *>> byHost_;
-    std::unordered_map<std::string, const FleetTeam *> byKey_;
+    SharedConfiguration configuration_;
+    /// Routes of one host, longest prefix first. The names of hosts, and the keys below, are those
+    /// in the parts.
+    std::unordered_map<std::string_view, std::vector<const Route *>> byHost_;
+    std::unordered_map<std::string_view, const FleetTeam *> byKey_;
+    std::set<ServiceId> resumableServices_;
 };
 
 } // namespace jacinthroad
