Gateway: Decode a configuration in slices and keep it in parts

StoreSync keeps the configuration as a table of its parts, so that a change passes on only the parts that differ; a message of the relay carries their text as it is, in a new format that builds which know whole configurations only reject. ConfigurationReader takes the place of onConfigurationChanged(): it decodes in slices with a sleep of 1 ms in between, so that the traffic thread gets the core; a newer table is taken up at the next slice. What confirms a table is held back until the table was passed on, and forgotten if the era changes before: a node never reports itself current for content that isn't in force. Splitting sleeps between slices too; if the era changes meanwhile the table is listed anew.

StoreSyncTest compares the text of an object, which it kept as a tree before.

--- a/Source/Gateway/Gateway.cpp
+++ b/Source/Gateway/Gateway.cpp
@@ -6,7 +6,6 @@
 #include <map>
 #include <memory>
 #include <optional>
-#include <set>
 #include <thread>
 #include <utility>
 
@@ -16,7 +15,6 @@
 #include <boost/asio/steady_timer.hpp>
 
 #include "Core/Hashing.h"
-#include "Core/Json.h"
 #include "Core/Log.h"
 #include "Core/WallClock.h"
 #include "Fleet/EraSettling.h"
@@ -25,6 +23,7 @@
 #include "FleetPeers/FleetRoles.h"
 #include "Gateway/BootClock.h"
 #include "Gateway/CacheEventReader.h"
+#include "Gateway/ConfigurationReader.h"
 #include "Gateway/CrashRecordSync.h"
 #include "Gateway/DigestExchange.h"
 #include "Gateway/Listener.h"
@@ -75,20 +74,6 @@
 constexpr unsigned SweepsPerAssignment = 4;
 constexpr Duration DrainPollPeriod = milliseconds(20);
 
-/// Returns the services whose streams can be resumed.
-std::set<ServiceId> resumableServices(const FleetConfiguration &configuration)
-{
-    std::set<ServiceId> services;
-    for (const Route &route : configuration.routes) {
-        if (route.kind == RouteKind::Streaming && route.resumable) {
-            for (const ServiceShare &share : route.services) {
-                services.insert(share.service);
-            }
-        }
-    }
-    return services;
-}
-
 } // namespace
 
 struct Gateway::Parts
@@ -107,6 +92,25 @@
         , sweepTimer(trafficContext)
         , drainTimer(trafficContext)
         , stopGrace(settings.stopGrace)
+        , configurationReader(controlContext,
+                              { .onReadable =
+                                    [this](bool readable) {
+                                        asio::post(trafficContext, [this, readable] {
+                                            traffic.noteConfigurationReadable(readable);
+                                        });
+                                    },
+                                .onDecoded =
+                                    [this](const ConfigurationIdentity &identity,
+                                           std::shared_ptr<const RouteTable> routes) {
+                                        applyConfiguration(identity, std::move(routes));
+                                    },
+                                .onConfirmed =
+                                    [this](BootInstant moment, bool mayBeRestored) {
+                                        eraSettling.noteProof(moment);
+                                        asio::post(trafficContext, [this, moment, mayBeRestored] {
+                                            traffic.confirmConfiguration(moment, mayBeRestored);
+                                        });
+                                    } })
         , configuration(
               controlContext, store,
               { .kind = platform::ObjectKind::Configuration,
@@ -115,7 +119,7 @@
                 .relayWait = RelayedConfigurationWait,
                 .node = settings.name,
                 .boot = relaySource() },
-              [this](const ObjectTable &table) { onConfigurationChanged(table); },
+              [this](const ObjectTable &table) { configurationReader.apply(table, store.era()); },
               [this](BootInstant moment) { onConfigurationConfirmed(moment); })
         , servers(
               controlContext, store,
@@ -156,7 +160,7 @@
               controlContext, store,
               { .reporter = traffic.crashReporter, .seed = traffic.crashReporter },
               [this](std::vector<CrashRecord> records) { onCrashRecordsRead(std::move(records)); },
-              [this] { applyHeldConfiguration(); })
+              [this] { configurationReader.release(); })
         , streamVersions(controlContext, store, { .node = settings.name },
                          [this](const VersionTable &table) { onAdmittedVersions(table); })
         , digests(traffic, boot)
@@ -195,9 +199,8 @@
     /// Lets other nodes of the zone get the objects of the store from this one.
     void passOnStoreObjects();
     void sweep();
-    void onConfigurationChanged(const ObjectTable &table);
-    /// Applies the configuration that was received before the crash records were read.
-    void applyHeldConfiguration();
+    void applyConfiguration(const ConfigurationIdentity &identity,
+                            std::shared_ptr<const RouteTable> routes);
     void onConfigurationConfirmed(BootInstant moment);
     void onCrashRecordsRead(std::vector<CrashRecord> records);
     /// Passes the crash records that must outlast a restart of all nodes to the control thread.
@@ -238,6 +241,9 @@
     asio::steady_timer drainTimer;
     /// Time from SIGTERM to SIGKILL; a reload may change it on another thread.
     std::atomic<Duration> stopGrace;
+    /// Passes nothing on before the crash records were read: no request is served before the node
+    /// knows which ones are denied.
+    ConfigurationReader configurationReader;
     StoreSync configuration;
     StoreSync servers;
     StoreSync weights;
@@ -264,8 +270,6 @@
     bool passesOnObjects = false;
     /// The last era of which a read proved nothing; used by the control thread only.
     std::optional<std::uint64_t> unprovenEra;
-    /// Used by the control thread only.
-    std::optional<ObjectTable> heldConfiguration;
     /// What was last reported to the control thread; used by the traffic thread only.
     bool crashRecordsReported = false;
     bool peersMissingReported = false;
@@ -396,45 +400,13 @@
     });
 }
 
-void Gateway::Parts::onConfigurationChanged(const ObjectTable &table)
+void Gateway::Parts::applyConfiguration(const ConfigurationIdentity &identity,
+                                        std::shared_ptr<const RouteTable> routes)
 {
-    // No request is served before the node knows which ones are denied.
-    if (!crashRecords.attempted()) {
-        heldConfiguration = table;
-        return;
-    }
-    const auto found = table.find(std::string(platform::configurationName()));
-    if (found == table.end()) {
-        return;
-    }
-    auto read = platform::readConfiguration(found->second.spec);
-    asio::post(trafficContext, [this, readable = read.has_value()] {
-        traffic.noteConfigurationReadable(readable);
+    streamVersions.applyServices(routes->resumableServices());
+    asio::post(trafficContext, [this, identity, routes = std::move(routes)] {
+        traffic.applyConfiguration(identity, routes);
     });
-    if (!read.has_value()) {
-        logLine(LogLevel::Error, "configuration_unreadable",
-                { { "reason", reasonOf(found->second, read.error()) },
-                  { "remedy", "Write a complete configuration; the one in force stays." } });
-        return;
-    }
-    const ConfigurationIdentity identity { .version = read->version,
-                                           .contentHash = hash64(writeJson(found->second.spec)),
-                                           .era = store.era(),
-                                           .revision = found->second.revision };
-    streamVersions.applyServices(resumableServices(*read));
-    asio::post(trafficContext,
-               [this, identity, routes = std::make_shared<const RouteTable>(std::move(*read))] {
-                   traffic.applyConfiguration(identity, routes);
-               });
-}
-
-void Gateway::Parts::applyHeldConfiguration()
-{
-    if (heldConfiguration.has_value()) {
-        const ObjectTable table = std::move(*heldConfiguration);
-        heldConfiguration.reset();
-        onConfigurationChanged(table);
-    }
 }
 
 void Gateway::Parts::onCrashRecordsRead(std::vector<CrashRecord> records)
@@ -490,11 +462,8 @@
         }
         return;
     }
-    eraSettling.noteProof(moment);
     // Without an era the store loses nothing, so that a completed read is proof enough.
-    asio::post(trafficContext, [this, moment, mayBeRestored = store.era().has_value()] {
-        traffic.confirmConfiguration(moment, mayBeRestored);
-    });
+    configurationReader.confirm(moment, store.era());
 }
 
 void Gateway::Parts::onServersChanged(const ObjectTable &table)
--- a/Source/Gateway/RelayClient.cpp
+++ b/Source/Gateway/RelayClient.cpp
@@ -33,7 +33,7 @@
                             "the node has no objects to pass on: status "
                                 + std::to_string(response->status));
     }
-    auto changes = decodeRelayedChanges(response->body);
+    auto changes = decodeRelayedChanges(response->body, platform::specForm(query.kind));
     if (!changes.has_value()) {
         co_return tl::make_unexpected(changes.error());
     }
--- a/Source/Gateway/StoreSync.cpp
+++ b/Source/Gateway/StoreSync.cpp
@@ -5,8 +5,11 @@
 
 #include "Core/Log.h"
 #include "Gateway/BootClock.h"
+#include "Gateway/ConfigurationSlices.h"
 #include "Gateway/Pause.h"
 #include "Gateway/RestartingTask.h"
+#include "platform/ConfigurationSplitter.h"
+#include "platform/StoreObjects.h"
 
 namespace jacinthroad {
 
@@ -95,7 +98,7 @@
                          reply.has_value() ? "unexpected response status" : reply.error().message);
             co_return false;
         }
-        const auto page = platform::readPage(reply->body);
+        auto page = platform::readPage(reply->body, platform::specForm(options_.kind));
         if (!page.has_value()) {
             setReachable(false, page.error().message);
             co_return false;
@@ -107,22 +110,26 @@
         } else if (reply->era != era) {
             co_return false;
         }
-        for (const platform::StoredObject &object : page->objects) {
+        const std::string last = lastName(*page);
+        for (platform::StoredObject &object : page->objects) {
             if (!object.name.empty()) {
-                table[object.name] = object;
+                co_await put(table, std::move(object));
             }
         }
         more = page->more && !page->objects.empty();
         if (more) {
-            std::string next = lastName(*page);
-            if (next.empty() || next == after) {
+            if (last.empty() || last == after) {
                 setReachable(false, "no entry of a page has a name to continue the list after");
                 co_return false;
             }
-            after = std::move(next);
+            after = last;
         }
     }
     setReachable(true, {});
+    if (era != client_.era()) {
+        // The store was restored while a configuration was split.
+        co_return true;
+    }
     table_ = std::move(table);
     // The watch starts at the revision of the first page and reports later changes again.
     revision_ = revision;
@@ -147,7 +154,7 @@
                      reply.has_value() ? "unexpected response status" : reply.error().message);
         co_return false;
     }
-    const auto changes = platform::readChanges(reply->body);
+    auto changes = platform::readChanges(reply->body, platform::specForm(options_.kind));
     if (!changes.has_value()) {
         setReachable(false, changes.error().message);
         listed_ = false;
@@ -157,7 +164,21 @@
     const bool allNamed = std::none_of(
         changes->events.begin(), changes->events.end(),
         [](const platform::ObjectEvent &event) { return event.object.name.empty(); });
-    applyEvents(changes->events);
+    for (platform::ObjectEvent &event : changes->events) {
+        if (event.object.name.empty()) {
+            continue;
+        }
+        if (event.removed) {
+            remove(event.object.name);
+        } else {
+            co_await put(table_, std::move(event.object));
+        }
+    }
+    if (era_ != client_.era()) {
+        // The store was restored while a configuration was split.
+        listed_ = false;
+        co_return true;
+    }
     revision_ = std::max(revision_, changes->revision);
     if (!changes->events.empty()) {
         reportChange();
@@ -171,6 +192,32 @@
     co_return true;
 }
 
+void StoreSync::remove(const std::string &name)
+{
+    if (options_.kind != platform::ObjectKind::Configuration) {
+        table_.erase(name);
+    } else if (name == platform::configurationName()) {
+        table_.clear();
+    }
+}
+
+asio::awaitable<void> StoreSync::put(ObjectTable &table, platform::StoredObject object)
+{
+    if (options_.kind != platform::ObjectKind::Configuration) {
+        std::string name = object.name;
+        table.insert_or_assign(std::move(name), std::move(object));
+        co_return;
+    }
+    if (object.name != platform::configurationName()) {
+        co_return;
+    }
+    platform::ConfigurationSplitter splitter(std::move(object));
+    while (!splitter.splitSome(SplitSliceBytes)) {
+        co_await pauseFor(context_, SlicePause);
+    }
+    table = splitter.takeTable();
+}
+
 asio::awaitable<bool> StoreSync::follow(RelayNode reader)
 {
     if (relay_ == nullptr || relay_->address() != reader.address) {
--- a/Source/Gateway/StoreSync.h
+++ b/Source/Gateway/StoreSync.h
@@ -75,7 +75,12 @@
     /// Lists and watches the objects; never ends except by an exception.
     [[nodiscard]] boost::asio::awaitable<void> synchronise();
     [[nodiscard]] boost::asio::awaitable<bool> list();
+    /// Puts an object that the store returned into a table: a configuration in its parts.
+    [[nodiscard]] boost::asio::awaitable<void> put(ObjectTable &table,
+                                                   platform::StoredObject object);
     [[nodiscard]] boost::asio::awaitable<bool> watch();
+    /// Removes what put() made of an object.
+    void remove(const std::string &name);
     /// Gets changes from another node; returns false if it did not respond, or is behind.
     [[nodiscard]] boost::asio::awaitable<bool> follow(RelayNode reader);
     /// Applies what another node passed on; returns false if it is behind this node.
--- a/Source/StoreRelay/RelayMessage.cpp
+++ b/Source/StoreRelay/RelayMessage.cpp
@@ -16,7 +16,7 @@
 using platform::ObjectKind;
 
 /// First element of every message; messages of other formats are rejected.
-constexpr std::uint32_t FormatVersion = 1;
+constexpr std::uint32_t FormatVersion = 2;
 constexpr std::uint32_t MessageFields = 9;
 constexpr std::uint32_t EventFields = 5;
 /// Longest wait that a query may ask for.
@@ -37,7 +37,7 @@
     KindName { ObjectKind::Nodes, "nodes" },
 };
 
-platform::ObjectEvent readEvent(const msgpack::object &object)
+platform::ObjectEvent readEvent(const msgpack::object &object, platform::SpecForm form)
 {
     if (object.type != msgpack::type::ARRAY || object.via.array.size != EventFields) {
         throw msgpack::type_error();
@@ -48,8 +48,10 @@
     event.object.revision = field[1].as<std::uint64_t>();
     event.removed = field[2].as<bool>();
     event.object.fault = field[4].as<std::string>();
-    const auto text = field[3].as<std::string>();
-    if (!text.empty()) {
+    auto text = field[3].as<std::string>();
+    if (form == platform::SpecForm::Text) {
+        event.object.text = std::move(text);
+    } else if (!text.empty()) {
         auto spec = parseJson(text);
         if (!spec.has_value()) {
             throw msgpack::type_error();
@@ -95,13 +97,13 @@
         packer.pack(event.object.name);
         packer.pack(event.object.revision);
         packer.pack(event.removed);
-        packer.pack(event.object.spec.isNull() ? std::string() : writeJson(event.object.spec));
+        packer.pack(event.object.spec.isNull() ? event.object.text : writeJson(event.object.spec));
         packer.pack(event.object.fault);
     }
     return { buffer.data(), buffer.size() };
 }
 
-Result<RelayedChanges> decodeRelayedChanges(std::string_view message)
+Result<RelayedChanges> decodeRelayedChanges(std::string_view message, platform::SpecForm form)
 {
     try {
         const msgpack::object_handle handle = msgpack::unpack(message.data(), message.size());
@@ -122,7 +124,7 @@
         }
         changes.age = milliseconds(field[7].as<std::uint32_t>());
         for (const msgpack::object &event : field[8].as<std::vector<msgpack::object>>()) {
-            changes.events.push_back(readEvent(event));
+            changes.events.push_back(readEvent(event, form));
         }
         return changes;
     } catch (const std::exception &fault) {
--- a/Source/StoreRelay/RelayMessage.h
+++ b/Source/StoreRelay/RelayMessage.h
@@ -40,8 +40,9 @@
 
 [[nodiscard]] std::string encodeRelayedChanges(const RelayedChanges &changes);
 /// Fails with InvalidRequest if the message is truncated, has another format or a field of another
-/// type.
-[[nodiscard]] Result<RelayedChanges> decodeRelayedChanges(std::string_view message);
+/// type. Specs are put into objects in the form in which the store's are.
+[[nodiscard]] Result<RelayedChanges>
+decodeRelayedChanges(std::string_view message, platform::SpecForm form = platform::SpecForm::Tree);
 
 /// Asks a node for the objects of one kind.
 struct RelayQuery
--- a/Tests/Gateway/StoreSyncTest.cpp
+++ b/Tests/Gateway/StoreSyncTest.cpp
@@ -91,7 +91,7 @@
         [&](const ObjectTable &table) { last = table; },
         [&](BootInstant) {
             ++confirmed;
-            stale = stale || !last.contains("main") || last.at("main").spec.asString() != current;
+            stale = stale || !last.contains("main") || last.at("main").text != '"' + current + '"';
         });
     asio::co_spawn(context, sync.run(), asio::detached);
     context.run_for(milliseconds(250));
--- a/Tests/StoreRelay/RelayMessageTest.cpp
+++ b/Tests/StoreRelay/RelayMessageTest.cpp
@@ -77,6 +77,21 @@
     }
 }
 
+BOOST_AUTO_TEST_CASE(textOfAPartIsPassedOnAsItIs)
+{
+    RelayedChanges changes = example();
+    platform::StoredObject part;
+    part.name = "main/routes/r";
+    part.revision = 7;
+    part.text = R"({ "name" : "r" })";
+    changes.events = { { .object = part, .removed = false } };
+    const auto decoded
+        = decodeRelayedChanges(encodeRelayedChanges(changes), platform::SpecForm::Text);
+    BOOST_REQUIRE(decoded.has_value());
+    BOOST_TEST(decoded->events.at(0).object.text == part.text);
+    BOOST_TEST(decoded->events.at(0).object.spec.isNull());
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace jacinthroad
