Gateway: Build the route table after a pause of its own

The last slice of decoding and the building of the table (0.6 ms of processor time for 2,800 routes) were one turn of the control thread. A table that arrives in that pause is taken up before anything is built. A case of StoreSyncTest shows that of a configuration only the header and the changed part are passed on.

--- a/Source/Gateway/ConfigurationReader.cpp
+++ b/Source/Gateway/ConfigurationReader.cpp
@@ -63,7 +63,13 @@
 
 asio::awaitable<void> ConfigurationReader::decode()
 {
-    while (!decoder_.decodeSome(DecodedSliceBytes)) {
+    for (bool sliced = false;;) {
+        const bool done = decoder_.decodeSome(DecodedSliceBytes);
+        if (done && !sliced) {
+            break;
+        }
+        // The table is built after a pause of its own.
+        sliced = !done;
         co_await pauseFor(context_, SlicePause);
     }
     if (released_) {
--- a/Tests/Gateway/StoreSyncTest.cpp
+++ b/Tests/Gateway/StoreSyncTest.cpp
@@ -6,6 +6,7 @@
 #include <boost/asio/io_context.hpp>
 #include <boost/test/unit_test.hpp>
 
+#include "Gateway/BootClock.h"
 #include "Gateway/StoreSync.h"
 #include "StoreStandIn.h"
 
@@ -104,6 +105,43 @@
     BOOST_TEST(!stale);
 }
 
+BOOST_AUTO_TEST_CASE(unchangedPartsOfAConfigurationAreNotPassedOnAgain)
+{
+    const auto specOf = [](int version, const std::string &changed) {
+        Json::Value spec;
+        spec["version"] = version;
+        spec["routes"][0]["name"] = "first";
+        spec["routes"][1]["name"] = "second";
+        spec["routes"][1]["service"] = changed;
+        return spec;
+    };
+    StoreStandIn store;
+    store.put("config", "main", specOf(1, "a"));
+    asio::io_context context { 1 };
+    GatewayMetrics metrics;
+    StoreClient client(context, store.address(), metrics);
+    ObjectTable last;
+    StoreSync sync(
+        context, client,
+        { .kind = platform::ObjectKind::Configuration,
+          .name = "configuration",
+          .watchWait = milliseconds(100) },
+        [&](const ObjectTable &table) { last = table; }, [](BootInstant) {});
+    asio::co_spawn(context, sync.run(), asio::detached);
+    context.run_for(milliseconds(250));
+    BOOST_TEST(last.size() == 3U);
+    const RelayedChanges all = sync.relayLog().changesAfter({}, bootNow());
+    BOOST_TEST(all.events.size() == 3U);
+    store.put("config", "main", specOf(2, "b"));
+    context.run_for(milliseconds(250));
+    const RelayedChanges changes = sync.relayLog().changesAfter(all.position, bootNow());
+    BOOST_TEST(!changes.complete);
+    BOOST_TEST(changes.events.size() == 2U);
+    store.remove("config", "main");
+    context.run_for(milliseconds(250));
+    BOOST_TEST(last.empty());
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace jacinthroad
