--- a/Source/Gateway/TrafficState.h
+++ b/Source/Gateway/TrafficState.h
@@ -21,6 +21,7 @@
 #include "Fleet/RouteTable.h"
 #include "Fleet/StopSchedule.h"
 #include "Fleet/UsualDuration.h"
+#include "Gateway/ConfigurationTiming.h"
 #include "Gateway/ConnectionPool.h"
 #include "Gateway/CrashDetector.h"
 #include "Gateway/GatewayMetrics.h"
@@ -62,16 +63,6 @@
     std::shared_ptr<unsigned> count_;
 };
 
-/// What it took to read a configuration, for the log.
-struct ConfigurationTiming
-{
-    /// When the configuration was passed to the traffic thread.
-    Instant postedAt;
-    /// Processor time that the control thread used for reading it.
-    Duration readTime {};
-    std::size_t bytes = 0;
-};
-
 /// The state on which the traffic thread bases its decisions. Only that thread accesses it; the
 /// control thread posts changes to its io_context.
 class TrafficState
