Serve: Share the state of signals between threads by atomics

Cause: a signal is handled by any thread of the process, and the main thread reads what the handler has written. volatile sig_atomic_t is defined for one thread only.

Change: atomic flags that the handlers set.

--- a/Source/Program/ServeCommand.cpp
+++ b/Source/Program/ServeCommand.cpp
@@ -20,17 +20,19 @@
 constexpr Duration SettingsPollInterval = std::chrono::seconds(2);
 constexpr Duration DrainTimeout = std::chrono::minutes(10);
 
-volatile std::sig_atomic_t stopSignalCount = 0;
-volatile std::sig_atomic_t reloadSignalCount = 0;
+/// Any thread may handle a signal.
+std::atomic<bool> stopRequested { false };
+std::atomic<bool> reloadRequested { false };
+static_assert(std::atomic<bool>::is_always_lock_free, "signal handlers must not wait for a lock");
 
 void onStopSignal(int)
 {
-    stopSignalCount = stopSignalCount + 1;
+    stopRequested = true;
 }
 
 void onReloadSignal(int)
 {
-    reloadSignalCount = reloadSignalCount + 1;
+    reloadRequested = true;
 }
 
 void installSignalHandlers()
@@ -80,11 +82,10 @@
             { { "node", settings->name }, { "callers", settings->callerAddress } });
     std::string activeText = text;
     Instant lastCheck = std::chrono::steady_clock::now();
-    while (stopSignalCount == 0) {
+    while (!stopRequested) {
         std::this_thread::sleep_for(SignalPollInterval);
         const Instant now = std::chrono::steady_clock::now();
-        if (reloadSignalCount > 0 || now - lastCheck >= SettingsPollInterval) {
-            reloadSignalCount = 0;
+        if (reloadRequested.exchange(false) || now - lastCheck >= SettingsPollInterval) {
             lastCheck = now;
             reload(**gateway, file, activeText);
         }
@@ -132,7 +133,7 @@
             { { "node", settings->name },
               { "caller_port", static_cast<std::int64_t>((*node)->callerPort()) },
               { "operator_port", static_cast<std::int64_t>((*node)->operatorPort()) } });
-    while (stopSignalCount == 0 && !(*node)->drainRequested()) {
+    while (!stopRequested && !(*node)->drainRequested()) {
         std::this_thread::sleep_for(SignalPollInterval);
     }
     const bool drained = (*node)->drain(DrainTimeout);
