--- a/Tests/StoreRelay/RelayLogTest.cpp
+++ b/Tests/StoreRelay/RelayLogTest.cpp
@@ -136,6 +136,22 @@
     BOOST_CHECK(changesAfter(log, position, Start).content == RelayContent::All);
 }
 
+BOOST_AUTO_TEST_CASE(configurationWrittenAgainWithTheSameHeaderIsPassedOnWithItsNewRevision)
+{
+    RelayLog log({ .kind = platform::ObjectKind::Configuration, .source = 7 });
+    platform::StoredObject header { .name = "main", .revision = 2 };
+    header.text = "{\"version\":4}";
+    log.applyTable(tableOf({ header }), 2, {});
+    log.confirm(Start, 2);
+    const RelayPosition position = changesAfter(log, {}, Start).position;
+    header.revision = 3;
+    BOOST_TEST(log.applyTable(tableOf({ header }), 3, {}));
+    log.confirm(Start, 3);
+    const RelayedChanges changes = changesAfter(log, position, Start);
+    BOOST_REQUIRE(changes.events.size() == 1U);
+    BOOST_TEST(changes.events[0].object.revision == 3U);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace jacinthroad
