ConfigurationReader: Confirm nothing after a newer table was replaced by an unreadable one

A table that was being decoded and is replaced by one that can't be read, or by none, was skipped, and what its reads proved was counted for the configuration in force: a key that the skipped one revokes stayed valid. Now nothing is confirmed until a table can be read again. Found by review; the new case of ConfigurationReaderTest plays both.

--- a/Source/Gateway/ConfigurationReader.cpp
+++ b/Source/Gateway/ConfigurationReader.cpp
@@ -35,6 +35,7 @@
         heldMoment_.reset();
         era_ = era;
     }
+    overtaken_ = overtaken_ || pending_;
     decoder_.setTable(table);
     readTime_ = {};
     bytes_ = 0;
@@ -52,9 +53,9 @@
 
 void ConfigurationReader::confirm(BootInstant moment, std::optional<std::uint64_t> era)
 {
-    if (!pending_) {
+    if (!pending_ && !overtaken_) {
         handlers_.onConfirmed(moment, era.has_value());
-    } else if (era == era_) {
+    } else if (pending_ && era == era_) {
         heldMoment_ = std::max(heldMoment_.value_or(moment), moment);
     }
 }
@@ -92,6 +93,7 @@
         auto read = decoder_.result();
         handlers_.onReadable(read.has_value());
         if (read.has_value()) {
+            overtaken_ = false;
             const ConfigurationIdentity identity { .version = read->configuration.version,
                                                    .contentHash = read->contentHash,
                                                    .era = era_,
@@ -115,6 +117,10 @@
         }
     }
     pending_ = false;
+    if (overtaken_) {
+        // What is in force isn't the newest that could be read.
+        heldMoment_.reset();
+    }
     if (heldMoment_.has_value()) {
         handlers_.onConfirmed(*std::exchange(heldMoment_, std::nullopt), era_.has_value());
     }
--- a/Source/Gateway/ConfigurationReader.h
+++ b/Source/Gateway/ConfigurationReader.h
@@ -72,6 +72,8 @@
     bool decoding_ = false;
     /// The table in the decoder was not passed on.
     bool pending_ = false;
+    /// A table that was newer than the one in force was replaced before it was passed on.
+    bool overtaken_ = false;
     bool released_ = false;
 };
 
--- a/Tests/Gateway/ConfigurationReaderTest.cpp
+++ b/Tests/Gateway/ConfigurationReaderTest.cpp
@@ -1,3 +1,4 @@
+#include <algorithm>
 #include <atomic>
 #include <chrono>
 #include <memory>
@@ -165,6 +166,32 @@
     BOOST_TEST(fixture.events == Events({ "unreadable", "confirmed 5", "confirmed 6" }));
 }
 
+BOOST_AUTO_TEST_CASE(configurationInForceIsNotConfirmedAfterANewerOneWasReplacedByAnUnreadableOne)
+{
+    for (const char *last : { R"({"version":3,"routes":[{"name":"r"}]})", "" }) {
+        ReaderFixture fixture;
+        fixture.reader.apply(tableOf(R"({"version":1})"), Era);
+        fixture.context.run();
+        fixture.reader.apply(largeTable(2), Era);
+        fixture.reader.confirm(moment(5), Era);
+        const std::string text = last;
+        fixture.reader.apply(text.empty() ? platform::ConfigurationTable() : tableOf(text), Era);
+        fixture.reader.confirm(moment(6), Era);
+        fixture.context.restart();
+        fixture.context.run();
+        fixture.reader.confirm(moment(7), Era);
+        const auto confirmed = std::count_if(
+            fixture.events.begin(), fixture.events.end(),
+            [](const std::string &event) { return event.starts_with("confirmed"); });
+        BOOST_TEST(confirmed == 0);
+        fixture.reader.apply(tableOf(R"({"version":4})"), Era);
+        fixture.reader.confirm(moment(8), Era);
+        fixture.context.restart();
+        fixture.context.run();
+        BOOST_TEST(fixture.events.back() == "confirmed 8");
+    }
+}
+
 BOOST_AUTO_TEST_CASE(nothingIsPassedOnBeforeTheRelease)
 {
     ReaderFixture fixture(false);
