StoreSync: Apply no changes on objects that were read elsewhere meanwhile

A follower kept its position at a reader while it replaced its objects by those of the store, and then applied the changes since that position on them. What the reader had never seen, such as a key that was added and removed between two of its reads, stayed, and was confirmed as current. A message now names the digest of the reader's objects; if the changes don't lead to it, nothing is confirmed and all objects are asked for. Digests cover the objects as they are passed on, without heartbeats. Found by review; RelayedObjectsTest/changesAreNotAppliedOnObjectsThatWereReadFromTheStoreMeanwhile is new and was not run on the code before.

An exception in a watch no longer leaves the size of an expected change behind.

--- a/Source/Gateway/RelayFollower.cpp
+++ b/Source/Gateway/RelayFollower.cpp
@@ -55,6 +55,7 @@
                    .revision = changes.revision,
                    .era = changes.era,
                    .age = changes.age,
+                   .digest = changes.digest,
                    .sentAt = reply->sentAt };
     result.complete = collector_.take(std::move(changes));
     noteArrival(reader, progress);
--- a/Source/Gateway/RelayFollower.h
+++ b/Source/Gateway/RelayFollower.h
@@ -42,6 +42,8 @@
         std::uint64_t revision = 0;
         std::optional<std::uint64_t> era;
         Duration age {};
+        /// objectsDigest() of all objects of the other node.
+        std::uint64_t digest = 0;
         BootInstant sentAt;
         /// True if the collected changes are complete.
         bool complete = false;
--- a/Source/Gateway/StoreSync.cpp
+++ b/Source/Gateway/StoreSync.cpp
@@ -59,6 +59,7 @@
 {
     // A change that the handler didn't complete is reported again.
     listed_ = false;
+    onRelayExpected(0);
     for (;;) {
         bool done = false;
         // The response to another call may have told that the store was restored.
@@ -228,11 +229,10 @@
 asio::awaitable<bool> StoreSync::follow(RelayNode reader)
 {
     const bool sameEra = era_ == client_.era();
-    const auto reply
-        = co_await follower_.ask(reader,
-                                 { .digest = listed_ && sameEra ? relayLog_.digest() : 0,
-                                   .maxAge = relayedAgeLimit(),
-                                   .onlyHere = onlyFromReader_ });
+    const auto reply = co_await follower_.ask(reader,
+                                              { .digest = listed_ && sameEra ? tableDigest_ : 0,
+                                                .maxAge = relayedAgeLimit(),
+                                                .onlyHere = onlyFromReader_ });
     if (!reply.has_value()) {
         co_return follower_.mayGoOn();
     }
@@ -296,11 +296,21 @@
         if (replacesAll) {
             table_.clear();
         }
+        const bool changed = first || replacesAll || !follower_.collector().events().empty();
         applyEvents(follower_.collector().events());
         revision_ = reply.revision;
         era_ = client_.era();
+        if (changed) {
+            tableDigest_ = objectsDigest(table_, era_);
+        }
+        if (!replacesAll && tableDigest_ != reply.digest) {
+            // The changes follow objects that this node has replaced by those of the store.
+            listed_ = false;
+            follower_.collector().reset();
+            return true;
+        }
         listed_ = true;
-        if (first || replacesAll || !follower_.collector().events().empty()) {
+        if (changed) {
             reportChange();
         }
     }
@@ -328,6 +338,7 @@
 
 void StoreSync::reportChange()
 {
+    tableDigest_ = objectsDigest(table_, era_);
     if (relayLog_.applyTable(table_, revision_, era_)) {
         onRelayChange();
     }
--- a/Source/Gateway/StoreSync.h
+++ b/Source/Gateway/StoreSync.h
@@ -116,6 +116,7 @@
     /// The latest moment at which the table is known to have been current.
     std::optional<BootInstant> confirmedAt_;
     ObjectTable table_;
+    std::uint64_t tableDigest_ = 0;
     std::uint64_t revision_ = 0;
     /// The era in which the table was listed.
     std::optional<std::uint64_t> era_;
--- a/Source/StoreRelay/RelayLog.cpp
+++ b/Source/StoreRelay/RelayLog.cpp
@@ -16,6 +16,15 @@
 
 } // namespace
 
+std::uint64_t objectsDigest(const ObjectTable &table, std::optional<std::uint64_t> era)
+{
+    std::uint64_t sum = 0;
+    for (const auto &[name, object] : table) {
+        sum += objectDigest(object);
+    }
+    return mix64(sum, era.value_or(0));
+}
+
 bool RelayLog::applyTable(const ObjectTable &table, std::uint64_t revision,
                           std::optional<std::uint64_t> era)
 {
@@ -50,19 +59,18 @@
 {
     const auto [found, added] = objects_.try_emplace(object.name);
     Entry &entry = found->second;
-    if (!added && entry.object.revision == object.revision) {
+    if (!added && entry.revision == object.revision) {
+        return;
+    }
+    entry.revision = object.revision;
+    if (!added && platform::meansTheSame(options_.kind, entry.object, object)) {
         return;
     }
-    const bool changed = added || !platform::meansTheSame(options_.kind, entry.object, object);
     if (!added) {
         objectsDigest_ -= objectDigest(entry.object);
     }
     objectsDigest_ += objectDigest(object);
     entry.object = object;
-    if (!changed) {
-        changes_.at(entry.changedAt).encoded.clear();
-        return;
-    }
     changes_.erase(entry.changedAt);
     entry.changedAt = ++sequence_;
     changes_.emplace(sequence_, Change { .name = object.name });
@@ -143,6 +151,7 @@
                        .revision = revision_,
                        .era = era_,
                        .age = age(now),
+                       .digest = digest(),
                        .events = {} },
              .events = {} };
 }
--- a/Source/StoreRelay/RelayLog.h
+++ b/Source/StoreRelay/RelayLog.h
@@ -14,6 +14,10 @@
 /// The objects of one kind by name, at one revision of the store.
 using ObjectTable = std::map<std::string, platform::StoredObject>;
 
+/// Identifies objects and their era: equal for nodes that hold the same ones.
+[[nodiscard]] std::uint64_t objectsDigest(const ObjectTable &table,
+                                          std::optional<std::uint64_t> era);
+
 /// What a node passes on of one kind of objects, with its changes in their order. A change that
 /// overtakes another one replaces it. Changes that mean nothing to other nodes, such as heartbeats,
 /// are left out. Does no I/O; the time is passed in.
@@ -45,7 +49,7 @@
     [[nodiscard]] bool filled() const { return confirmedAt_.has_value(); }
     /// Time since the store was last known to hold nothing newer; filled() must be true.
     [[nodiscard]] Duration age(BootInstant now) const { return now - *confirmedAt_; }
-    /// Identifies the objects and their era: equal for nodes that hold the same ones.
+    /// objectsDigest() of the objects as they are passed on.
     [[nodiscard]] std::uint64_t digest() const;
     /// True if there are changes after a position.
     [[nodiscard]] bool hasChanges(const RelayPosition &position) const;
@@ -61,7 +65,10 @@
 private:
     struct Entry
     {
+        /// As it is passed on.
         platform::StoredObject object;
+        /// The last revision, which may have been a heartbeat.
+        std::uint64_t revision = 0;
         std::uint64_t changedAt = 0;
     };
     struct Change
--- a/Source/StoreRelay/RelayMessage.cpp
+++ b/Source/StoreRelay/RelayMessage.cpp
@@ -17,7 +17,7 @@
 
 /// First element of every message; messages of other formats are rejected.
 constexpr std::uint32_t FormatVersion = 2;
-constexpr std::uint32_t MessageFields = 11;
+constexpr std::uint32_t MessageFields = 12;
 constexpr std::uint32_t EventFields = 6;
 /// Longest wait that a query may ask for.
 constexpr std::uint64_t MaxWaitMs = 30'000;
@@ -114,6 +114,7 @@
     packer.pack(head.era.has_value());
     packer.pack(head.era.value_or(0));
     packer.pack(wholeMilliseconds(head.age) + 1);
+    packer.pack(head.digest);
     packer.pack_array(static_cast<std::uint32_t>(page.events.size()));
     for (const std::string_view event : page.events) {
         buffer.write(event.data(), event.size());
@@ -147,7 +148,8 @@
             changes.era = field[8].as<std::uint64_t>();
         }
         changes.age = milliseconds(field[9].as<std::uint32_t>());
-        for (const msgpack::object &event : field[10].as<std::vector<msgpack::object>>()) {
+        changes.digest = field[10].as<std::uint64_t>();
+        for (const msgpack::object &event : field[11].as<std::vector<msgpack::object>>()) {
             changes.events.push_back(readEvent(event));
         }
         return changes;
--- a/Source/StoreRelay/RelayMessage.h
+++ b/Source/StoreRelay/RelayMessage.h
@@ -50,6 +50,8 @@
     std::optional<std::uint64_t> era;
     /// Time since the store was last known to hold nothing newer, when the response was composed.
     Duration age {};
+    /// objectsDigest() of all objects of the node.
+    std::uint64_t digest = 0;
     std::vector<platform::ObjectEvent> events;
 };
 
--- a/Tests/Gateway/RelayedObjectsTest.cpp
+++ b/Tests/Gateway/RelayedObjectsTest.cpp
@@ -2,6 +2,7 @@
 #include <memory>
 #include <mutex>
 #include <string>
+#include <thread>
 #include <utility>
 #include <vector>
 
@@ -180,10 +181,80 @@
     ScriptedServer server_;
 };
 
+/// A reader whose objects the test sets.
+class ScriptedReader
+{
+public:
+    ScriptedReader()
+        : server_([this](ScriptedConnection &connection) { serve(connection); })
+    { }
+
+    [[nodiscard]] std::string address() const { return server_.address(); }
+    void apply(const ObjectTable &table, std::uint64_t revision)
+    {
+        const std::scoped_lock lock(mutex_);
+        revision_ = revision;
+        log_.applyTable(table, revision, {});
+    }
+
+private:
+    void serve(ScriptedConnection &connection)
+    {
+        boost::beast::http::request<boost::beast::http::string_body> request;
+        while (connection.read(request)) {
+            std::this_thread::sleep_for(std::chrono::milliseconds(20));
+            const auto query = parseRelayTarget(std::string(request.target()));
+            const std::scoped_lock lock(mutex_);
+            log_.confirm(bootNow(), revision_);
+            connection.write(
+                responseText(200, "", encodeRelayPage(log_.pageAfter(query->position, bootNow()))));
+        }
+    }
+
+    std::mutex mutex_;
+    RelayLog log_ { { .kind = Kind, .source = 78 } };
+    std::uint64_t revision_ = 0;
+    ScriptedServer server_;
+};
+
+platform::StoredObject objectOf(const std::string &name, std::uint64_t revision,
+                                const std::string &spec)
+{
+    platform::StoredObject object { .name = name, .revision = revision };
+    object.spec = spec;
+    return object;
+}
+
 } // namespace
 
 BOOST_AUTO_TEST_SUITE(RelayedObjectsTest)
 
+BOOST_AUTO_TEST_CASE(changesAreNotAppliedOnObjectsThatWereReadFromTheStoreMeanwhile)
+{
+    asio::io_context context { 1 };
+    StoreStandIn store;
+    ScriptedReader reader;
+    reader.apply({ { "keys", objectOf("keys", 2, "k1") }, { "head", objectOf("head", 2, "v2") } },
+                 100);
+    CopyingNode follower(context, store, readerAndFollower().second);
+    const RelayNode asked { .name = readerAndFollower().first, .address = reader.address() };
+    follower.setZone({ asked, follower.node });
+    context.run_for(milliseconds(400));
+    BOOST_REQUIRE(follower.table.contains("keys"));
+    // The reader doesn't see the version that is in the store for a moment.
+    store.put(KindName, "keys", Json::Value("k1 k2"));
+    store.put(KindName, "head", Json::Value("v3"));
+    follower.setZone({ follower.node });
+    context.run_for(milliseconds(800));
+    BOOST_REQUIRE(follower.table.at("keys").spec.asString() == "k1 k2");
+    reader.apply({ { "keys", objectOf("keys", 2, "k1") }, { "head", objectOf("head", 102, "v4") } },
+                 103);
+    follower.setZone({ asked, follower.node });
+    context.run_for(milliseconds(800));
+    BOOST_TEST(follower.table.at("head").spec.asString() == "v4");
+    BOOST_TEST(follower.table.at("keys").spec.asString() == "k1");
+}
+
 BOOST_AUTO_TEST_CASE(largeChangeIsAppliedAsAWhole)
 {
     TwoNodes nodes;
