--- a/Tests/Gateway/RelayedObjectsTest.cpp
+++ b/Tests/Gateway/RelayedObjectsTest.cpp
@@ -234,7 +234,7 @@
     asio::io_context context { 1 };
     StoreStandIn store;
     ScriptedReader reader;
-    reader.apply({ { "keys", objectOf("keys", 2, "k1") }, { "head", objectOf("head", 2, "v2") } },
+    reader.apply({ { "keys", objectOf("keys", 50, "k1") }, { "head", objectOf("head", 2, "v2") } },
                  100);
     CopyingNode follower(context, store, readerAndFollower().second);
     const RelayNode asked { .name = readerAndFollower().first, .address = reader.address() };
@@ -247,8 +247,8 @@
     follower.setZone({ follower.node });
     context.run_for(milliseconds(800));
     BOOST_REQUIRE(follower.table.at("keys").spec.asString() == "k1 k2");
-    reader.apply({ { "keys", objectOf("keys", 2, "k1") }, { "head", objectOf("head", 102, "v4") } },
-                 103);
+    reader.apply(
+        { { "keys", objectOf("keys", 50, "k1") }, { "head", objectOf("head", 102, "v4") } }, 103);
     follower.setZone({ asked, follower.node });
     context.run_for(milliseconds(800));
     BOOST_TEST(follower.table.at("head").spec.asString() == "v4");
