ScriptedServer: Release the threads of ended connections

Cause: the server joined the threads of its connections at its own end only.

Change: each accepted connection joins the threads that have ended.

--- a/Tests/Gateway/ScriptedServer.cpp
+++ b/Tests/Gateway/ScriptedServer.cpp
@@ -109,8 +109,8 @@
             connection->interrupt();
         }
     }
-    for (std::thread &thread : threads_) {
-        thread.join();
+    for (const auto &worker : workers_) {
+        worker->thread.join();
     }
 }
 
@@ -153,13 +153,27 @@
             return;
         }
         connections_.push_back(connection);
-        threads_.emplace_back([this, connection] {
+        joinEnded();
+        workers_.push_back(std::make_unique<Worker>());
+        workers_.back()->thread = std::thread([this, connection, worker = workers_.back().get()] {
             script_(*connection);
             connection->close();
+            worker->ended = true;
         });
     }
 }
 
+void ScriptedServer::joinEnded()
+{
+    std::erase_if(workers_, [](const std::unique_ptr<Worker> &worker) {
+        if (!worker->ended) {
+            return false;
+        }
+        worker->thread.join();
+        return true;
+    });
+}
+
 std::string responseText(unsigned status, const std::string &headers, const std::string &body)
 {
     return "HTTP/1.1 " + std::to_string(status) + " X\r\n" + headers
--- a/Tests/Gateway/ScriptedServer.h
+++ b/Tests/Gateway/ScriptedServer.h
@@ -65,7 +65,15 @@
     void endConnections();
 
 private:
+    struct Worker
+    {
+        std::atomic<bool> ended { false };
+        std::thread thread;
+    };
+
     void accept();
+    /// Releases the threads of connections that have ended. Needs the lock.
+    void joinEnded();
 
     boost::asio::io_context context_;
     boost::asio::ip::tcp::acceptor acceptor_;
@@ -73,7 +81,8 @@
     std::atomic<bool> stopping_ { false };
     std::mutex mutex_;
     bool crashed_ = false;
-    std::vector<std::thread> threads_;
+    std::vector<std::unique_ptr<Worker>> workers_;
+    /// All connections, so that scripts can tell them by their addresses.
     std::vector<std::shared_ptr<ScriptedConnection>> connections_;
     std::thread acceptThread_;
 };
