Tests: End scripts before what they use

Cause: scripts of servers run until the server's destructor, but GatewayFixture declared the map of server names after the servers and so destroyed it first, as one test did with the text of its response. Calls from several threads also shared a plain count of requests.

Change: the servers are the fixture's last member, the count is atomic, and the test declares what its script uses before the fixture.

--- a/Tests/Gateway/GatewayFixture.h
+++ b/Tests/Gateway/GatewayFixture.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <atomic>
 #include <memory>
 #include <mutex>
 #include <string>
@@ -72,9 +73,10 @@
 private:
     std::mutex mutex_;
     std::map<std::string, std::vector<ReceivedRequest>> receivedRequests_;
-    std::vector<std::unique_ptr<ScriptedServer>> servers_;
     std::map<std::string, ScriptedServer *> serversByName_;
-    int requestCount_ = 0;
+    std::atomic<int> requestCount_ { 0 };
+    /// Last, as the destructors wait for handlers, which use the other members.
+    std::vector<std::unique_ptr<ScriptedServer>> servers_;
 };
 
 /// The response of a healthy server, with the caller's request id, a response stamp and a load
--- a/Tests/Gateway/ResponseIdentityTest.cpp
+++ b/Tests/Gateway/ResponseIdentityTest.cpp
@@ -140,11 +140,11 @@
         for (const std::string path : { "/unsafe/a", "/once/a", "/stream/a" }) {
             for (const std::string version : { "1.1", "1.0" }) {
                 const bool resumes = path == "/stream/a";
-                GatewayFixture fixture;
                 std::atomic<int> requests { 0 };
                 std::atomic<const ScriptedConnection *> first { nullptr };
                 const std::string refusal = "HTTP/1.1 " + head
                     + "X-Request-Id: r1\r\nX-Response-Stamp: stamp\r\nContent-Length: 0\r\n\r\n";
+                GatewayFixture fixture;
                 const auto handler
                     = [&](ScriptedConnection &connection, const ReceivedRequest &request) {
                           if (request.target().starts_with("/-/")) {
