NodeDigest: Allocate no more than a datagram can hold

Cause: the header of a MessagePack array or map states its number of entries, and the library allocates memory for all of them before it reads them. A corrupted datagram of a peer made the node ask for up to 137 GB (0x2000000008 bytes); what the system grants of that counts against a limit of the address space.

Evidence: truncatedAndCorruptedDatagramsAreHandled ended with an out-of-memory report of the address sanitizer and passes now, with all 26 cases of FleetPeersTest.

Change: sizes are limited by the datagram's, and the nesting by 16 levels.

--- a/Source/FleetPeers/NodeDigest.cpp
+++ b/Source/FleetPeers/NodeDigest.cpp
@@ -20,6 +20,8 @@
 constexpr std::uint32_t UpdateFields = 13;
 constexpr std::uint32_t CrashRecordFields = 3;
 constexpr std::uint32_t CrashReportFields = 6;
+/// Levels of arrays in a datagram; more than any format has.
+constexpr std::size_t MaximumNesting = 16;
 
 std::string text(const msgpack::object &object)
 {
@@ -196,7 +198,11 @@
 std::optional<NodeDigest> decodeDigest(std::string_view datagram)
 {
     try {
-        const msgpack::object_handle handle = msgpack::unpack(datagram.data(), datagram.size());
+        // A header may state more entries than follow, for which memory is allocated at once.
+        const std::size_t size = datagram.size();
+        const msgpack::unpack_limit limit(size, size, size, size, size, MaximumNesting);
+        const msgpack::object_handle handle
+            = msgpack::unpack(datagram.data(), size, nullptr, nullptr, limit);
         const msgpack::object &root = handle.get();
         if (root.type != msgpack::type::ARRAY || root.via.array.size == 0) {
             return std::nullopt;
