RelayMessage: Allocate no more than a message can hold

Sizes are limited by the message's. RelayMessageTest/messageThatStatesMoreEntriesThanFollow... is new; it was not run on the code before.

--- a/Source/StoreRelay/RelayMessage.cpp
+++ b/Source/StoreRelay/RelayMessage.cpp
@@ -22,6 +22,8 @@
 /// Longest wait that a query may ask for.
 constexpr std::uint64_t MaxWaitMs = 30'000;
 constexpr std::uint64_t MaxAgeMs = 3'600'000;
+/// Levels of arrays in a message; more than the format has.
+constexpr std::size_t MaximumNesting = 16;
 
 constexpr std::string_view Prefix = "/objects/";
 
@@ -125,7 +127,11 @@
 Result<RelayedChanges> decodeRelayedChanges(std::string_view message)
 {
     try {
-        const msgpack::object_handle handle = msgpack::unpack(message.data(), message.size());
+        // A header may state more entries than follow, for which memory is allocated at once.
+        const std::size_t size = message.size();
+        const msgpack::unpack_limit limit(size, size, size, size, size, MaximumNesting);
+        const msgpack::object_handle handle
+            = msgpack::unpack(message.data(), size, nullptr, nullptr, limit);
         const msgpack::object &root = handle.get();
         if (root.type != msgpack::type::ARRAY || root.via.array.size != MessageFields
             || root.via.array.ptr[0].as<std::uint32_t>() != FormatVersion) {
--- a/Tests/StoreRelay/RelayMessageTest.cpp
+++ b/Tests/StoreRelay/RelayMessageTest.cpp
@@ -61,6 +61,14 @@
     BOOST_TEST(!decodeRelayedChanges("HTTP/1.1 200 OK").has_value());
 }
 
+BOOST_AUTO_TEST_CASE(messageThatStatesMoreEntriesThanFollowIsRejectedWithoutAllocatingThem)
+{
+    const std::string_view message("\xdd\xff\xff\xff\xff\x02", 6);
+    const auto decoded = decodeRelayedChanges(message);
+    BOOST_REQUIRE(!decoded.has_value());
+    BOOST_TEST(decoded.error().message.find("size") != std::string::npos);
+}
+
 BOOST_AUTO_TEST_CASE(queriesAreParsedAsWritten)
 {
     const RelayQuery query { .kind = platform::ObjectKind::Servers,
