--- a/Source/Gateway/Gateway.cpp
+++ b/Source/Gateway/Gateway.cpp
@@ -6,7 +6,6 @@
 #include <map>
 #include <memory>
 #include <optional>
-#include <set>
 #include <thread>
 #include <utility>
 
@@ -16,7 +15,6 @@
 #include <boost/asio/steady_timer.hpp>
 
 #include "Core/Hashing.h"
-#include "Core/Json.h"
 #include "Core/Log.h"
 #include "Core/WallClock.h"
 #include "Fleet/EraSettling.h"
@@ -25,8 +23,10 @@
 #include "FleetPeers/FleetRoles.h"
 #include "Gateway/BootClock.h"
 #include "Gateway/CacheEventReader.h"
+#include "Gateway/ConfigurationReader.h"
 #include "Gateway/CrashRecordSync.h"
 #include "Gateway/DigestExchange.h"
+#include "Gateway/EventLoop.h"
 #include "Gateway/Listener.h"
 #include "Gateway/NodeRegistration.h"
 #include "Gateway/RelayServer.h"
@@ -37,6 +37,7 @@
 #include "Gateway/StoreSync.h"
 #include "Gateway/StreamVersionLink.h"
 #include "Gateway/StreamVersionSync.h"
+#include "Gateway/TrafficDelay.h"
 #include "Routing/Rendezvous.h"
 #include "StoreRelay/TransferChoice.h"
 #include "platform/StoreObjects.h"
@@ -70,26 +71,10 @@
 constexpr Duration NodesWait = milliseconds(10000);
 /// Period of the sweep over idle connections, and of passing the data of responses to the rollout.
 constexpr Duration SweepPeriod = milliseconds(200);
-/// Delay of a sweep from which it is logged: the traffic thread or the VM stood still.
-constexpr Duration LoggedTrafficDelay = milliseconds(250);
 /// Number of sweeps between two assignments of caches to owner nodes.
 constexpr unsigned SweepsPerAssignment = 4;
 constexpr Duration DrainPollPeriod = milliseconds(20);
 
-/// Returns the services whose streams can be resumed.
-std::set<ServiceId> resumableServices(const FleetConfiguration &configuration)
-{
-    std::set<ServiceId> services;
-    for (const Route &route : configuration.routes) {
-        if (route.kind == RouteKind::Streaming && route.resumable) {
-            for (const ServiceShare &share : route.services) {
-                services.insert(share.service);
-            }
-        }
-    }
-    return services;
-}
-
 } // namespace
 
 struct Gateway::Parts
@@ -108,6 +93,26 @@
         , sweepTimer(trafficContext)
         , drainTimer(trafficContext)
         , stopGrace(settings.stopGrace)
+        , configurationReader(controlContext,
+                              { .onReadable =
+                                    [this](bool readable) {
+                                        asio::post(trafficContext, [this, readable] {
+                                            traffic.noteConfigurationReadable(readable);
+                                        });
+                                    },
+                                .onDecoded =
+                                    [this](const ConfigurationIdentity &identity,
+                                           std::shared_ptr<const RouteTable> routes,
+                                           const ConfigurationTiming &timing) {
+                                        applyConfiguration(identity, std::move(routes), timing);
+                                    },
+                                .onConfirmed =
+                                    [this](BootInstant moment, bool mayBeRestored) {
+                                        eraSettling.noteProof(moment);
+                                        asio::post(trafficContext, [this, moment, mayBeRestored] {
+                                            traffic.confirmConfiguration(moment, mayBeRestored);
+                                        });
+                                    } })
         , configuration(
               controlContext, store,
               { .kind = platform::ObjectKind::Configuration,
@@ -117,7 +122,7 @@
                 .node = settings.name,
                 .linkMbps = settings.linkMbps,
                 .boot = relaySource() },
-              [this](const ObjectTable &table) { onConfigurationChanged(table); },
+              [this](const ObjectTable &table) { configurationReader.apply(table, store.era()); },
               [this](BootInstant moment) { onConfigurationConfirmed(moment); })
         , servers(
               controlContext, store,
@@ -161,7 +166,7 @@
               controlContext, store,
               { .reporter = traffic.crashReporter, .seed = traffic.crashReporter },
               [this](std::vector<CrashRecord> records) { onCrashRecordsRead(std::move(records)); },
-              [this] { applyHeldConfiguration(); })
+              [this] { configurationReader.release(); })
         , streamVersions(controlContext, store, { .node = settings.name },
                          [this](const VersionTable &table) { onAdmittedVersions(table); })
         , digests(traffic, boot)
@@ -202,9 +207,9 @@
     /// Lets other nodes of the zone get the objects of the store from this one.
     void passOnStoreObjects();
     void sweep();
-    void onConfigurationChanged(const ObjectTable &table);
-    /// Applies the configuration that was received before the crash records were read.
-    void applyHeldConfiguration();
+    void applyConfiguration(const ConfigurationIdentity &identity,
+                            std::shared_ptr<const RouteTable> routes,
+                            const ConfigurationTiming &timing);
     void onConfigurationConfirmed(BootInstant moment);
     void onCrashRecordsRead(std::vector<CrashRecord> records);
     /// Passes the crash records that must outlast a restart of all nodes to the control thread.
@@ -245,6 +250,9 @@
     asio::steady_timer drainTimer;
     /// Time from SIGTERM to SIGKILL; a reload may change it on another thread.
     std::atomic<Duration> stopGrace;
+    /// Passes nothing on before the crash records were read: no request is served before the node
+    /// knows which ones are denied.
+    ConfigurationReader configurationReader;
     StoreSync configuration;
     StoreSync servers;
     StoreSync weights;
@@ -271,16 +279,17 @@
     bool passesOnObjects = false;
     /// The last era of which a read proved nothing; used by the control thread only.
     std::optional<std::uint64_t> unprovenEra;
-    /// Used by the control thread only.
-    std::optional<ObjectTable> heldConfiguration;
     /// What was last reported to the control thread; used by the traffic thread only.
     bool crashRecordsReported = false;
     bool peersMissingReported = false;
     /// Caches whose owner node is this node; used by the traffic thread only.
     std::map<ServerId, std::string> ownedCaches;
     unsigned sweeps = 0;
-    std::thread trafficThread;
+    /// Used by the traffic thread only.
+    TrafficDelay trafficDelay;
+    /// Set before the traffic thread starts, which reads its processor time.
     std::thread controlThread;
+    std::thread trafficThread;
 };
 
 Result<void> Gateway::Parts::open()
@@ -357,8 +366,8 @@
         asio::co_spawn(controlContext, registration.run(), asio::detached);
     }
     asio::post(trafficContext, [this] { sweep(); });
-    trafficThread = std::thread([this] { trafficContext.run(); });
-    controlThread = std::thread([this] { controlContext.run(); });
+    controlThread = std::thread([this] { runEventLoop(controlContext, "control", metrics); });
+    trafficThread = std::thread([this] { runEventLoop(trafficContext, "traffic", metrics); });
 }
 
 void Gateway::Parts::passOnStoreObjects()
@@ -389,6 +398,20 @@
 
 void Gateway::Parts::sweep()
 {
+    // A sweep that throws doesn't end the series.
+    sweepTimer.expires_after(SweepPeriod);
+    sweepTimer.async_wait([this](error_code error) {
+        if (!error) {
+            const Duration late = std::chrono::steady_clock::now() - sweepTimer.expiry();
+            metrics.observeTrafficDelay(late);
+            trafficDelay.note(
+                { .late = late,
+                  .controlThread = controlThread.native_handle(),
+                  .activeRequests = traffic.activeRequests(),
+                  .configuration = traffic.routes != nullptr ? traffic.routes->version() : 0 });
+            sweep();
+        }
+    });
     traffic.connections.closeExpired(std::chrono::steady_clock::now());
     const auto age = traffic.freshness.age(bootNow());
     if (age.has_value()) {
@@ -399,60 +422,16 @@
     if (++sweeps % SweepsPerAssignment == 0) {
         assignCaches();
     }
-    sweepTimer.expires_after(SweepPeriod);
-    sweepTimer.async_wait([this](error_code error) {
-        if (!error) {
-            const Duration late = std::chrono::steady_clock::now() - sweepTimer.expiry();
-            metrics.observeTrafficDelay(late);
-            if (late > LoggedTrafficDelay) {
-                logLine(LogLevel::Warning, "traffic_delayed",
-                        { { "late_ms", toMilliseconds(late) },
-                          { "active_requests", std::int64_t { traffic.activeRequests() } } });
-            }
-            sweep();
-        }
-    });
 }
 
-void Gateway::Parts::onConfigurationChanged(const ObjectTable &table)
+void Gateway::Parts::applyConfiguration(const ConfigurationIdentity &identity,
+                                        std::shared_ptr<const RouteTable> routes,
+                                        const ConfigurationTiming &timing)
 {
-    // No request is served before the node knows which ones are denied.
-    if (!crashRecords.attempted()) {
-        heldConfiguration = table;
-        return;
-    }
-    const auto found = table.find(std::string(platform::configurationName()));
-    if (found == table.end()) {
-        return;
-    }
-    auto read = platform::readConfiguration(found->second.spec);
-    asio::post(trafficContext, [this, readable = read.has_value()] {
-        traffic.noteConfigurationReadable(readable);
+    streamVersions.applyServices(routes->resumableServices());
+    asio::post(trafficContext, [this, identity, timing, routes = std::move(routes)] {
+        traffic.applyConfiguration(identity, routes, timing);
     });
-    if (!read.has_value()) {
-        logLine(LogLevel::Error, "configuration_unreadable",
-                { { "reason", reasonOf(found->second, read.error()) },
-                  { "remedy", "Write a complete configuration; the one in force stays." } });
-        return;
-    }
-    const ConfigurationIdentity identity { .version = read->version,
-                                           .contentHash = hash64(writeJson(found->second.spec)),
-                                           .era = store.era(),
-                                           .revision = found->second.revision };
-    streamVersions.applyServices(resumableServices(*read));
-    asio::post(trafficContext,
-               [this, identity, routes = std::make_shared<const RouteTable>(std::move(*read))] {
-                   traffic.applyConfiguration(identity, routes);
-               });
-}
-
-void Gateway::Parts::applyHeldConfiguration()
-{
-    if (heldConfiguration.has_value()) {
-        const ObjectTable table = std::move(*heldConfiguration);
-        heldConfiguration.reset();
-        onConfigurationChanged(table);
-    }
 }
 
 void Gateway::Parts::onCrashRecordsRead(std::vector<CrashRecord> records)
@@ -508,11 +487,8 @@
         }
         return;
     }
-    eraSettling.noteProof(moment);
     // Without an era the store loses nothing, so that a completed read is proof enough.
-    asio::post(trafficContext, [this, moment, mayBeRestored = store.era().has_value()] {
-        traffic.confirmConfiguration(moment, mayBeRestored);
-    });
+    configurationReader.confirm(moment, store.era());
 }
 
 void Gateway::Parts::onServersChanged(const ObjectTable &table)
@@ -646,6 +622,15 @@
 void Gateway::Parts::pollDrain(std::shared_ptr<std::promise<void>> idle, bool connectionsClosed)
 {
     const Duration sinceSignal = std::chrono::steady_clock::now() - traffic.drainingSince;
+    const bool listenerEnded = sinceSignal >= traffic.stopSchedule.listenerEnd();
+    // A check that throws is followed by the next one all the same.
+    drainTimer.expires_after(DrainPollPeriod);
+    drainTimer.async_wait(
+        [this, idle, again = connectionsClosed || listenerEnded](error_code error) {
+            if (!error) {
+                pollDrain(idle, again);
+            }
+        });
     const StopSchedule &schedule = traffic.stopSchedule;
     if (sinceSignal >= schedule.acceptEnd()) {
         // Callers open their next connection to another node.
@@ -654,23 +639,16 @@
     if (sinceSignal >= schedule.answerEnd()) {
         traffic.answerOpenRequests();
     }
-    if (sinceSignal >= schedule.listenerEnd()) {
+    if (listenerEnded) {
         error_code ignored;
         callers.close(ignored);
         traffic.closeIdleConnections(IdleConnections::All);
         // Connections that were accepted just before are closed by the second check.
         if (connectionsClosed && traffic.activeRequests() == 0) {
+            drainTimer.cancel();
             idle->set_value();
-            return;
         }
-        connectionsClosed = true;
     }
-    drainTimer.expires_after(DrainPollPeriod);
-    drainTimer.async_wait([this, idle = std::move(idle), connectionsClosed](error_code error) {
-        if (!error) {
-            pollDrain(idle, connectionsClosed);
-        }
-    });
 }
 
 Gateway::Gateway(std::unique_ptr<Parts> parts)
--- a/Source/Gateway/TrafficState.h
+++ b/Source/Gateway/TrafficState.h
@@ -14,12 +14,14 @@
 #include <boost/asio/io_context.hpp>
 #include <boost/signals2/signal.hpp>
 
+#include "Core/ProcessFailure.h"
 #include "Fleet/ConfigurationIdentity.h"
 #include "Fleet/Freshness.h"
 #include "Fleet/ListedServer.h"
 #include "Fleet/RouteTable.h"
 #include "Fleet/StopSchedule.h"
 #include "Fleet/UsualDuration.h"
+#include "Gateway/ConfigurationTiming.h"
 #include "Gateway/ConnectionPool.h"
 #include "Gateway/CrashDetector.h"
 #include "Gateway/GatewayMetrics.h"
@@ -47,10 +49,15 @@
         : count_(std::move(count))
     {
         ++*count_;
+        noteOpenRequests(1);
     }
     ActiveRequest(const ActiveRequest &) = delete;
     ActiveRequest &operator=(const ActiveRequest &) = delete;
-    ~ActiveRequest() { --*count_; }
+    ~ActiveRequest()
+    {
+        --*count_;
+        noteOpenRequests(-1);
+    }
 
 private:
     std::shared_ptr<unsigned> count_;
@@ -71,7 +78,8 @@
     /// Applies a newer configuration. One that is not newer is ignored; an older one, as a restored
     /// store returns it, is logged too.
     void applyConfiguration(const ConfigurationIdentity &identity,
-                            std::shared_ptr<const RouteTable> routes);
+                            std::shared_ptr<const RouteTable> routes,
+                            const ConfigurationTiming &timing = {});
     /// Notes whether the store's configuration can be decoded. While it can't, the one in force may
     /// not be the newest.
     void noteConfigurationReadable(bool readable) { configurationReadable_ = readable; }
