--- a/Source/Gateway/Gateway.cpp
+++ b/Source/Gateway/Gateway.cpp
@@ -226,7 +226,7 @@
     void uncordonServer(const ServerId &server, const ModelId &model, WeightsVersion version);
     /// Checks every DrainPollPeriod whether the node can stop, and fulfils `idle` then.
     /// `connectionsClosed` is true once new connections are rejected and idle ones are closed.
-    void pollDrain(std::shared_ptr<std::promise<void>> idle, bool connectionsClosed);
+    void pollDrain(const std::shared_ptr<std::promise<void>> &idle, bool connectionsClosed);
     void reportToRollout();
     void assignCaches();
     /// Identifies this process to nodes that get objects of the store from it.
@@ -619,7 +619,8 @@
     });
 }
 
-void Gateway::Parts::pollDrain(std::shared_ptr<std::promise<void>> idle, bool connectionsClosed)
+void Gateway::Parts::pollDrain(const std::shared_ptr<std::promise<void>> &idle,
+                               bool connectionsClosed)
 {
     const Duration sinceSignal = std::chrono::steady_clock::now() - traffic.drainingSince;
     const bool listenerEnded = sinceSignal >= traffic.stopSchedule.listenerEnd();
