--- a/Source/Core/Json.cpp
+++ b/Source/Core/Json.cpp
@@ -50,12 +50,12 @@
 Result<Json::Value> parseJson(std::string_view text)
 {
     // Creating a reader takes as long as parsing a small object.
-    thread_local const std::unique_ptr<Json::CharReader> reader(
+    thread_local const std::unique_ptr<Json::CharReader> Reader(
         makeReaderBuilder().newCharReader());
     Json::Value value;
     std::string report;
     try {
-        if (reader->parse(text.data(), text.data() + text.size(), &value, &report)) {
+        if (Reader->parse(text.data(), text.data() + text.size(), &value, &report)) {
             return value;
         }
     } catch (const Json::Exception &exception) {
