ProcessFailure: Install the signal handlers over others again

Keeping handlers that were there already left those of Boost.Test in the children of ProcessFailureTest, three of whose cases failed in the first full test run. Under a sanitizer, a node's invalid access is told by process_failed only; that stays open.

--- a/Source/Core/ProcessFailure.cpp
+++ b/Source/Core/ProcessFailure.cpp
@@ -235,10 +235,6 @@
     for (const FatalSignal &signal : FatalSignals) {
         struct sigaction action
         { };
-        // A sanitizer reports with a handler of its own.
-        if (sigaction(signal.number, nullptr, &action) != 0 || action.sa_handler != SIG_DFL) {
-            continue;
-        }
         action.sa_sigaction = onFatalSignal;
         action.sa_flags = static_cast<int>(SA_SIGINFO | SA_ONSTACK | SA_RESETHAND);
         sigemptyset(&action.sa_mask);
