--- a/review/standin/Cases.cpp
+++ b/review/standin/Cases.cpp
@@ -13,6 +13,7 @@
         { "revoked-key-on-open-route", revokedKeyOnOpenRoute },
         { "long-bodies", longBodies },
         { "second-model-is-named", secondModelIsNamed },
+        { "pipelined-at-stop", pipelinedAtStop },
     };
     return Cases;
 }
@@ -459,4 +460,93 @@
     return left > 1 ? RuleBroken : RuleHeld;
 }
 
+int pipelinedAtStop(Context &context)
+{
+    constexpr int GraceMs = 8000;
+    constexpr int LostSlackMs = 200;
+    constexpr int Callers = 8;
+    Store &store = *new Store;
+    Json::Value state = desiredState(7);
+    state["tenants"].append(tenant("parish-envigado", { "key-of-parish-envigado" }));
+    store.put("config", "main", state);
+    std::vector<PlainRunner *> runners;
+    for (int index = 1; index <= 4; ++index) {
+        runners.push_back(new PlainRunner(store,
+                                          { .id = "i-turnos-" + std::to_string(index),
+                                            .work = Ms(400) },
+                                          context.record));
+    }
+    std::vector<std::unique_ptr<Node>> nodes;
+    nodes.push_back(std::make_unique<Node>(Node::Options {
+        .name = "front-1", .store = store.address(), .folder = context.folder }));
+    if (!startNodes(context, nodes)) {
+        return CouldNotRun;
+    }
+    Node &node = *nodes[0];
+    const auto requestText = [](const Order &order) {
+        std::string text = "GET /stock/white HTTP/1.1\r\n";
+        for (const auto &[name, value] : plainHeaders(order)) {
+            text += name + ": " + value + "\r\n";
+        }
+        return text + "\r\n";
+    };
+    std::atomic<int> lost { 0 };
+    std::atomic<int> failed { 0 };
+    std::vector<std::thread> callers;
+    for (int index = 0; index < Callers; ++index) {
+        callers.emplace_back([&] {
+            const auto connection = connectTo(node.port(), Ms(4000));
+            Message answer;
+            const Order first { .key = "key-of-parish-envigado" };
+            if (connection == nullptr || !connection->write(requestText(first))
+                || !connection->readResponse(answer) || answer.status != 200) {
+                ++failed;
+                return;
+            }
+            // Two requests at once; the answers come in their order.
+            const Order second { .key = "key-of-parish-envigado" };
+            const Order third { .key = "key-of-parish-envigado" };
+            const bool sent = connection->write(requestText(second) + requestText(third));
+            const auto sentAt = Clock::now();
+            context.record.line("sent " + second.id + " and " + third.id
+                                + " GET /stock/white on one kept connection");
+            if (!sent || !connection->readResponse(answer)) {
+                ++failed;
+                return;
+            }
+            context.record.line("answer to " + second.id + ": " + std::to_string(answer.status)
+                                + ", Connection: '" + headerOf(answer.headers, "Connection") + "'");
+            const bool answered = connection->readResponse(answer) && answer.complete;
+            const auto waited
+                = std::chrono::duration_cast<Ms>(Clock::now() - sentAt).count();
+            context.record.line("answer to " + third.id + ": "
+                                + (answered ? std::to_string(answer.status)
+                                            : "none, the connection was closed "
+                                                + std::to_string(waited)
+                                                + " ms after its last byte was sent"));
+            lost += !answered && waited > LostSlackMs ? 1 : 0;
+        });
+    }
+    // The first requests end after 0.8 s; the others are read by then and wait or run.
+    sleepFor(Ms(1100));
+    if (context.disturbed) {
+        context.record.line("SIGTERM to the node");
+        node.signal(SIGTERM);
+    }
+    for (std::thread &caller : callers) {
+        caller.join();
+    }
+    const auto until = Clock::now() + Ms(GraceMs);
+    while (context.disturbed && !node.ended() && Clock::now() < until) {
+        sleepFor(Ms(50));
+    }
+    if (failed > 0) {
+        return CouldNotRun;
+    }
+    context.record.line("LOST: requests that the node had read and whose connection it closed "
+                        "without an answer, later than lostSlackMs after their last byte: "
+                        + std::to_string(lost.load()) + " of " + std::to_string(Callers));
+    return lost > 0 ? RuleBroken : RuleHeld;
+}
+
 } // namespace review
--- a/review/standin/Cases.h
+++ b/review/standin/Cases.h
@@ -29,5 +29,6 @@
 int revokedKeyOnOpenRoute(Context &context);
 int longBodies(Context &context);
 int secondModelIsNamed(Context &context);
+int pipelinedAtStop(Context &context);
 
 } // namespace review
