Review, case 5: callers come one after the other

Case: as before, long bodies within the limits exceed a node's memory. The 16 callers now come 0.12 s apart, so that requests run at the runner well before the memory limit is reached, whatever the speed of the machine.

--- a/review/standin/Cases.cpp
+++ b/review/standin/Cases.cpp
@@ -290,6 +290,7 @@
 {
     constexpr long MemoryMb = 110;
     constexpr std::size_t Callers = 16;
+    constexpr Ms CallerInterval { 120 };
     constexpr std::size_t LongBytes = 4190000;
     constexpr std::size_t UsualBytes = 1700;
     // Connections may outlast the case, so the stand-ins are never destroyed.
@@ -329,7 +330,7 @@
     std::mutex idsMutex;
     std::vector<std::string> openIds;
     for (std::size_t index = 0; index < Callers; ++index) {
-        callers.emplace_back([&] {
+        callers.emplace_back([&, index] {
             const auto connection = connectTo(node.port(), Ms(16000));
             if (connection == nullptr) {
                 return;
@@ -345,6 +346,10 @@
             };
             const std::size_t bytes = context.disturbed ? LongBytes : UsualBytes;
             for (int round = 0; round < 2; ++round) {
+                if (round > 0) {
+                    // The callers come one after the other, within two seconds.
+                    sleepFor(CallerInterval * index);
+                }
                 const std::string id = newId();
                 const Message answer
                     = callOn(*connection, "POST", "/nota/breve", headers(id),
