--- a/review/standin/Cases.h
+++ b/review/standin/Cases.h
@@ -30,5 +30,6 @@
 int longBodies(Context &context);
 int secondModelIsNamed(Context &context);
 int pipelinedAtStop(Context &context);
+int copiesOfDeadlyRequest(Context &context);
 
 } // namespace review
--- a/review/standin/Kit.cpp
+++ b/review/standin/Kit.cpp
@@ -300,10 +300,21 @@
 
 Server::~Server()
 {
-    stopping_ = true;
+    end();
+}
+
+void Server::end()
+{
+    if (stopping_.exchange(true)) {
+        return;
+    }
     shutdown(handle_, SHUT_RDWR);
     thread_.join();
     ::close(handle_);
+    const std::lock_guard lock(mutex_);
+    for (const int handle : open_) {
+        shutdown(handle, SHUT_RDWR);
+    }
 }
 
 void Server::accept()
@@ -319,9 +330,15 @@
         }
         const int on = 1;
         setsockopt(handle, IPPROTO_TCP, TCP_NODELAY, &on, sizeof(on));
+        {
+            const std::lock_guard lock(mutex_);
+            open_.insert(handle);
+        }
         std::thread([this, handle] {
             Connection connection(handle);
             handler_(connection);
+            const std::lock_guard lock(mutex_);
+            open_.erase(handle);
         }).detach();
     }
 }
--- a/review/standin/Kit.h
+++ b/review/standin/Kit.h
@@ -106,10 +106,14 @@
     ~Server();
     [[nodiscard]] int port() const { return port_; }
     [[nodiscard]] std::string address() const { return "127.0.0.1:" + std::to_string(port_); }
+    /// Ends as a process that crashes: closes the listening socket and all connections.
+    void end();
 
 private:
     void accept();
     Handler handler_;
+    std::mutex mutex_;
+    std::set<int> open_;
     int handle_ = -1;
     int port_ = 0;
     std::atomic<bool> stopping_ { false };
--- a/review/standin/Runners.cpp
+++ b/review/standin/Runners.cpp
@@ -426,4 +426,107 @@
     return written;
 }
 
+MortalRunners::MortalRunners(Store &store, const Options &options, Record &record)
+    : store_(store)
+    , options_(options)
+    , record_(record)
+{
+    for (int index = 0; index < options.count; ++index) {
+        start();
+    }
+}
+
+std::vector<Run> MortalRunners::deadlyRuns()
+{
+    const std::lock_guard lock(mutex_);
+    return deadlyRuns_;
+}
+
+std::vector<Clock::time_point> MortalRunners::ends()
+{
+    const std::lock_guard lock(mutex_);
+    return ends_;
+}
+
+int MortalRunners::alive()
+{
+    const std::lock_guard lock(mutex_);
+    return static_cast<int>(
+        std::count_if(processes_.begin(), processes_.end(),
+                      [](const auto &process) { return !process->ended; }));
+}
+
+void MortalRunners::start()
+{
+    auto process = std::make_shared<Process>();
+    {
+        const std::lock_guard lock(mutex_);
+        process->id = "i-turnos-" + std::to_string(++started_);
+        processes_.push_back(process);
+    }
+    process->server = std::make_unique<Server>(
+        [this, process](Connection &connection) { serve(*process, connection); });
+    process->registration = std::make_unique<Registration>(
+        store_, process->id,
+        entryOf("turnos-prestamo", "aburra-norte", process->server->address(), PlainSlots));
+}
+
+void MortalRunners::crash(Process &process)
+{
+    if (process.ended.exchange(true)) {
+        return;
+    }
+    record_.line(process.id + " ends");
+    {
+        const std::lock_guard lock(mutex_);
+        ends_.push_back(Clock::now());
+    }
+    // Its thread serves a connection of the process that ends.
+    std::thread([this, &process] {
+        process.server->end();
+        process.registration.reset();
+        std::this_thread::sleep_for(options_.backAfter);
+        start();
+        // The platform removes an entry after three heartbeats of silence.
+        const auto removed = Heartbeat * 3;
+        std::this_thread::sleep_for(removed - std::min<Ms>(removed, options_.backAfter));
+        store_.remove("servers", process.id);
+    }).detach();
+}
+
+void MortalRunners::serve(Process &process, Connection &connection)
+{
+    Message request;
+    while (!process.ended && connection.readRequest(request)) {
+        const std::string id = headerOf(request.headers, "X-Request-Id");
+        if (request.target == "/health") {
+            connection.write(responseText(200, { { "X-Instance-Id", process.id } }, ""));
+            continue;
+        }
+        if (const std::string refusal = rejection(request, process.id); !refusal.empty()) {
+            connection.write(refusal);
+            continue;
+        }
+        if (request.target.find(options_.deadly) != std::string::npos) {
+            {
+                const std::lock_guard lock(mutex_);
+                deadlyRuns_.push_back(runOf(request, process.id));
+            }
+            record_.line("ran  " + id + ' ' + request.method + ' ' + request.target + " at "
+                         + process.id);
+            std::this_thread::sleep_for(options_.crashAfter);
+            crash(process);
+            return;
+        }
+        std::this_thread::sleep_for(Ms(30));
+        if (process.ended
+            || !connection.write(responseText(200,
+                                              { { "X-Request-Id", id },
+                                                { "X-Response-Stamp", newStamp(process.id, id) } },
+                                              std::string(PlainBodyBytes, 'r')))) {
+            return;
+        }
+    }
+}
+
 } // namespace review
--- a/review/standin/Runners.h
+++ b/review/standin/Runners.h
@@ -135,6 +135,48 @@
     Registration registration_;
 };
 
+/// The back ends of a plain service, some requests of which end the process that runs them. A back
+/// end is back after some seconds under a new id, at a new address.
+class MortalRunners
+{
+public:
+    struct Options
+    {
+        int count = 4;
+        /// Requests whose target has this in it end the back end.
+        std::string deadly;
+        Ms crashAfter = Ms(100);
+        Ms backAfter = Ms(2500);
+    };
+    MortalRunners(Store &store, const Options &options, Record &record);
+    /// Runs of the deadly request.
+    std::vector<Run> deadlyRuns();
+    /// When back ends ended.
+    std::vector<Clock::time_point> ends();
+    [[nodiscard]] int alive();
+
+private:
+    struct Process
+    {
+        std::string id;
+        std::unique_ptr<Server> server;
+        std::unique_ptr<Registration> registration;
+        std::atomic<bool> ended { false };
+    };
+    void start();
+    void serve(Process &process, Connection &connection);
+    void crash(Process &process);
+
+    Store &store_;
+    Options options_;
+    Record &record_;
+    std::mutex mutex_;
+    std::vector<Run> deadlyRuns_;
+    std::vector<Clock::time_point> ends_;
+    std::vector<std::shared_ptr<Process>> processes_;
+    int started_ = 0;
+};
+
 /// Unix milliseconds.
 std::int64_t wallMs();
 
