--- a/review/standin/Cases.cpp
+++ b/review/standin/Cases.cpp
@@ -572,10 +572,10 @@
 int copiesOfDeadlyRequest(Context &context)
 {
     constexpr int StableWindowMs = 3000;
-    constexpr int Waves = 7;
-    constexpr Ms WaveInterval { 5000 };
-    // retry_abuse: a client repeats its request three times more, at once.
-    const int copies = context.disturbed ? 4 : 1;
+    // retry_abuse, for 5.5 s: a client repeats its request three times more, at once. After that it
+    // comes again once at a time.
+    constexpr Ms AbuseTime { 5500 };
+    const std::vector<Ms> comesAt { Ms(0), Ms(3700), Ms(5450), Ms(9400), Ms(13400), Ms(17400) };
     Store &store = *new Store;
     Json::Value state = desiredState(7);
     state["tenants"].append(tenant("parish-envigado", { "key-of-parish-envigado" }));
@@ -606,22 +606,35 @@
         }
     });
     sleepFor(Ms(3500));
-    for (int wave = 0; wave < Waves; ++wave) {
-        context.record.line("wave " + std::to_string(wave + 1) + ": the caller sends the request "
-                            + std::to_string(copies) + " times, " + std::to_string(turnos.alive())
-                            + " back ends are up");
+    const auto began = Clock::now();
+    const auto send = [&](std::size_t wave) {
+        const int copies = context.disturbed && Clock::now() - began < AbuseTime ? 4 : 1;
+        context.record.line("the caller sends the request " + std::to_string(copies) + " times, "
+                            + std::to_string(turnos.alive()) + " back ends are up");
         std::vector<std::thread> senders;
         for (int copy = 0; copy < copies; ++copy) {
             senders.emplace_back([&, copy, wave] {
-                sendOrder(context, *nodes[static_cast<std::size_t>(copy + wave) % nodes.size()],
+                sendOrder(context, *nodes[(static_cast<std::size_t>(copy) + wave) % nodes.size()],
                           "key-of-parish-envigado", "/reserva/deadly");
             });
         }
         for (std::thread &sender : senders) {
             sender.join();
         }
-        sleepFor(WaveInterval);
+    };
+    for (std::size_t wave = 0; wave < comesAt.size(); ++wave) {
+        std::this_thread::sleep_until(began + comesAt[wave]);
+        send(wave);
+        if (context.disturbed && wave == 0) {
+            // It repeats until three back ends have ended.
+            sleepFor(Ms(150));
+            while (turnos.ends().size() < 3 && Clock::now() - began < Ms(400)) {
+                send(wave);
+                sleepFor(Ms(150));
+            }
+        }
     }
+    sleepFor(Ms(500));
     done = true;
     ordinary.join();
     const auto ends = turnos.ends();
