Placement: Change the shared cache salt when a team becomes isolated

Cause: the salt of all teams that aren't isolated was that of the weights alone, before and after such a change.

Change: RouteTable::cacheScope() adds a hash of the names of the isolated teams to the salt of the others. Only teams outside one set of isolated ones ever make parts under its salt, so changes in a row, skipped versions and a restart of all nodes need no state. Each attempt takes the scope of the configuration in force.

Parts of the other teams are cold once after each change of the set.

--- a/Source/Fleet/RouteTable.cpp
+++ b/Source/Fleet/RouteTable.cpp
@@ -3,8 +3,18 @@
 #include <algorithm>
 #include <utility>
 
+#include "Core/Hashing.h"
+
 namespace jacinthroad {
 
+namespace {
+
+/// First characters of scopes, which keep shared scopes apart from those of isolated teams.
+constexpr char TeamScopeMark = '-';
+constexpr char SharedScopeMark = '.';
+
+} // namespace
+
 RouteTable::RouteTable(SharedConfiguration configuration)
     : configuration_(std::move(configuration))
 {
@@ -25,6 +35,16 @@
         for (const std::string &key : team->keys) {
             byKey_.emplace(key, team.get());
         }
+        if (team->isolated) {
+            isolatedTeams_.insert(team->name);
+        }
+    }
+    if (!isolatedTeams_.empty()) {
+        std::uint64_t names = 0;
+        for (const TeamId &team : isolatedTeams_) {
+            names = mix64(names, hash64(team.text()));
+        }
+        sharedScope_ = SharedScopeMark + hexadecimal(names);
     }
 }
 
@@ -46,6 +66,11 @@
     return found == byKey_.end() ? nullptr : found->second;
 }
 
+std::string RouteTable::cacheScope(const TeamId &team) const
+{
+    return isolatedTeams_.contains(team) ? TeamScopeMark + team.text() : sharedScope_;
+}
+
 const ServiceDefinition *RouteTable::service(const ServiceId &name) const
 {
     const auto found
--- a/Source/Fleet/RouteTable.h
+++ b/Source/Fleet/RouteTable.h
@@ -47,6 +47,13 @@
     /// The team that a key belongs to, or null.
     [[nodiscard]] const FleetTeam *team(std::string_view key) const;
 
+    /// Returns the scope within which requests of this team share cached prompt parts; an empty
+    /// name stands for requests without a team. An isolated team has a scope of its own. All others
+    /// share one, which depends on the names of the isolated teams: parts that a team left there
+    /// before it became isolated are out of reach afterwards, also for a node that has just
+    /// started and knows only the present configuration.
+    [[nodiscard]] std::string cacheScope(const TeamId &team) const;
+
     /// A service by its name, or null.
     [[nodiscard]] const ServiceDefinition *service(const ServiceId &name) const;
 
@@ -61,6 +68,9 @@
     std::unordered_map<std::string_view, std::vector<const Route *>> byHost_;
     std::unordered_map<std::string_view, const FleetTeam *> byKey_;
     std::set<ServiceId> resumableServices_;
+    std::set<TeamId> isolatedTeams_;
+    /// The scope of the teams that aren't isolated.
+    std::string sharedScope_;
 };
 
 } // namespace jacinthroad
--- a/Source/Gateway/Exchange.cpp
+++ b/Source/Gateway/Exchange.cpp
@@ -182,13 +182,16 @@
     placementRequest_.parts
         = std::span(callerRequest_.parts)
               .first(callerRequest_.parts.empty() ? 0 : callerRequest_.parts.size() - 1);
-    if (team_ != nullptr && team_->isolated) {
-        placementRequest_.isolationScope = team_->name.text();
-    }
     placementRequest_.seed = hash64(callerRequest_.id.text());
     placementRequest_.promptTokens = std::max(tokens, callerRequest_.promptTokens);
 }
 
+void Exchange::updateCacheScope()
+{
+    cacheScope_ = state_.routes->cacheScope(team_ != nullptr ? team_->name : TeamId());
+    placementRequest_.cacheScope = cacheScope_;
+}
+
 asio::awaitable<ExchangeResult> Exchange::run()
 {
     inProgress_ = true;
@@ -254,6 +257,7 @@
             co_return co_await sendRefusal(ErrorKind::BackendFailed, Duration::zero());
         }
         placementRequest_.tried = triedServers_;
+        updateCacheScope();
         restrictVersions();
         const auto chosen = state_.pool.choose(placementRequest_, now);
         const auto *none = std::get_if<NoPlacement>(&chosen);
@@ -404,8 +408,7 @@
                                      .timeLeft = timeLeft(now),
                                      .weights = placement.weights };
     if (!callerRequest_.model.empty()) {
-        facts.cacheSalt
-            = cacheSalt(placement.weights.value_or(0), placementRequest_.isolationScope);
+        facts.cacheSalt = cacheSalt(placement.weights.value_or(0), placementRequest_.cacheScope);
         facts.urgency = enginePriority();
     }
     facts.fetchFrom = placement.fetchFrom;
--- a/Source/Gateway/Exchange.h
+++ b/Source/Gateway/Exchange.h
@@ -198,6 +198,9 @@
     [[nodiscard]] platform::ForwardOptions forwardFacts(const Placement &placement,
                                                         Instant now) const;
     void preparePlacement();
+    /// Sets the cache scope of the next attempt by the configuration that is in force now, which
+    /// may have isolated teams since the request was admitted.
+    void updateCacheScope();
 
     /// True if all events of the response, and of the stream that it continues, must come from
     /// servers of one software version.
@@ -231,6 +234,7 @@
     const Route *route_ = nullptr;
     const FleetTeam *team_ = nullptr;
     PlacementRequest placementRequest_;
+    std::string cacheScope_;
     std::vector<ServerId> triedServers_;
     /// The software version that the request is bound to; empty while it may go to any.
     VersionSet version_;
--- a/Source/Placement/CachedPartSet.cpp
+++ b/Source/Placement/CachedPartSet.cpp
@@ -6,13 +6,9 @@
 
 namespace jacinthroad {
 
-std::string cacheSalt(WeightsVersion weights, std::string_view isolationScope)
+std::string cacheSalt(WeightsVersion weights, std::string_view cacheScope)
 {
-    std::string salt = "v" + std::to_string(weights);
-    if (!isolationScope.empty()) {
-        salt.append("-").append(isolationScope);
-    }
-    return salt;
+    return std::string("v").append(std::to_string(weights)).append(cacheScope);
 }
 
 std::uint64_t partKey(const ModelId &model, std::string_view salt, std::uint64_t id)
--- a/Source/Placement/CachedPartSet.h
+++ b/Source/Placement/CachedPartSet.h
@@ -15,9 +15,8 @@
 namespace jacinthroad {
 
 /// Returns the salt under which a server caches the parts of a request. Parts of other weights or
-/// of other isolation scopes never match it. `isolationScope` is the isolated team's name, or
-/// empty.
-[[nodiscard]] std::string cacheSalt(WeightsVersion weights, std::string_view isolationScope);
+/// of other cache scopes, as given by RouteTable::cacheScope(), never match it.
+[[nodiscard]] std::string cacheSalt(WeightsVersion weights, std::string_view cacheScope);
 
 /// Returns the cache key of a prompt part under a salt; it is the same on all nodes.
 [[nodiscard]] std::uint64_t partKey(const ModelId &model, std::string_view salt, std::uint64_t id);
--- a/Source/Placement/ServerPool.h
+++ b/Source/Placement/ServerPool.h
@@ -30,8 +30,9 @@
     ModelId model;
     /// The prompt parts that other requests may share.
     std::span<const PromptPart> parts;
-    /// Name of the team if its cached parts are isolated from other teams; empty otherwise.
-    std::string_view isolationScope;
+    /// Requests share cached parts only with those of the same scope; see
+    /// RouteTable::cacheScope().
+    std::string_view cacheScope;
     std::uint32_t promptTokens = 0;
     /// Servers that this request must not be sent to again.
     std::span<const ServerId> tried;
--- a/Source/Placement/ServerPoolPlacement.cpp
+++ b/Source/Placement/ServerPoolPlacement.cpp
@@ -101,7 +101,7 @@
 std::vector<CachedPart> ServerPool::cachedParts(WeightsVersion weights,
                                                 const PlacementRequest &request)
 {
-    const std::string salt = cacheSalt(weights, request.isolationScope);
+    const std::string salt = cacheSalt(weights, request.cacheScope);
     std::vector<CachedPart> parts;
     parts.reserve(request.parts.size());
     for (const PromptPart &part : request.parts) {
@@ -267,7 +267,7 @@
     std::uint64_t ownerScore = 0;
     const std::uint64_t ownerKey = request.parts.empty()
         ? 0
-        : mix64(request.parts.back().id, hash64(request.isolationScope));
+        : mix64(request.parts.back().id, hash64(request.cacheScope));
     for (const auto &[id, server] : servers_) {
         if (server.facts.service != request.service) {
             continue;
--- a/Tests/Fleet/RouteTableTest.cpp
+++ b/Tests/Fleet/RouteTableTest.cpp
@@ -48,6 +48,26 @@
     BOOST_TEST(table.team("") == nullptr);
 }
 
+// Parts in the shared scope may come from any team that wasn't isolated when they were made.
+BOOST_AUTO_TEST_CASE(sharedScopeIsUsedOnlyByTeamsOutsideTheSameIsolatedOnes)
+{
+    const auto scope = [](const std::vector<FleetTeam> &teams, const char *team) {
+        return RouteTable(FleetConfiguration { .teams = teams }).cacheScope(TeamId(team));
+    };
+    const FleetTeam north { .name = TeamId("north"), .isolated = true };
+    const FleetTeam south { .name = TeamId("south"), .isolated = true };
+    BOOST_TEST(scope({}, "east") == "");
+    BOOST_TEST(scope({ north }, "east") != "");
+    BOOST_TEST(scope({ north }, "east") == scope({ north }, ""));
+    BOOST_TEST(scope({ north }, "east") != scope({ south }, "east"));
+    BOOST_TEST(scope({ north, south }, "east") == scope({ south, north }, "east"));
+    BOOST_TEST(scope({ north }, "north") == scope({ north, south }, "north"));
+    // The name of a team can't lead into the shared scope.
+    const std::string shared = scope({ north }, "east");
+    const FleetTeam imitator { .name = TeamId(shared), .isolated = true };
+    BOOST_TEST(scope({ imitator }, shared.c_str()) != shared);
+}
+
 BOOST_AUTO_TEST_CASE(splitFollowsTheWeights)
 {
     const Route route { .services = { { .service = ServiceId("a"), .weight = 90 },
