Configuration: Require keys while the list of teams is empty

Cause: keys were asked for if the list of teams had entries, and the split of a configuration into parts dropped an empty list.

Change: the header part keeps the member without its entries, and keys are required as soon as a configuration has the member.

--- a/Source/Fleet/FleetConfiguration.cpp
+++ b/Source/Fleet/FleetConfiguration.cpp
@@ -24,6 +24,7 @@
              .routes = shareAll(std::move(configuration.routes)),
              .services = std::move(configuration.services),
              .teams = shareAll(std::move(configuration.teams)),
+             .keysRequired = configuration.keysRequired,
              .limits = configuration.limits };
 }
 
--- a/Source/Fleet/FleetConfiguration.h
+++ b/Source/Fleet/FleetConfiguration.h
@@ -107,6 +107,9 @@
     std::vector<Route> routes;
     std::vector<ServiceDefinition> services;
     std::vector<FleetTeam> teams;
+    /// Requests need a key, except on anonymous routes. Also true for a list of teams without
+    /// entries.
+    bool keysRequired = false;
     CallerLimits limits;
 };
 
@@ -117,6 +120,7 @@
     std::vector<std::shared_ptr<const Route>> routes;
     std::vector<ServiceDefinition> services;
     std::vector<std::shared_ptr<const FleetTeam>> teams;
+    bool keysRequired = false;
     CallerLimits limits;
 };
 
--- a/Source/Fleet/RouteTable.h
+++ b/Source/Fleet/RouteTable.h
@@ -31,7 +31,10 @@
         return configuration_.services;
     }
     /// True if requests need a key, except on anonymous routes.
-    [[nodiscard]] bool hasTeams() const { return !configuration_.teams.empty(); }
+    [[nodiscard]] bool keysRequired() const
+    {
+        return configuration_.keysRequired || !configuration_.teams.empty();
+    }
     /// True if callers can resume the streams of a route.
     [[nodiscard]] bool hasResumableStreams() const { return !resumableServices_.empty(); }
     /// The services whose streams callers can resume.
--- a/Source/Gateway/Exchange.cpp
+++ b/Source/Gateway/Exchange.cpp
@@ -160,7 +160,7 @@
     if (!callerRequest_.key.empty()) {
         team_ = routes_->team(callerRequest_.key);
     }
-    if (routes_->hasTeams() && !route_->anonymous) {
+    if (routes_->keysRequired() && !route_->anonymous) {
         if (trust == FreshnessLevel::Expired) {
             return ErrorKind::NotReady;
         }
--- a/Tests/Gateway/CallerSessionTest.cpp
+++ b/Tests/Gateway/CallerSessionTest.cpp
@@ -62,7 +62,7 @@
                 {"name":"once","hostname":"h","pathPrefix":"/once/",
                 "kind":"streaming","timeoutMs":3000,"targetLatencyMs":300,"priority":1,
                 "service":"plain","maxAttempts":1,"resumable":false}],
-                "services":[{"name":"plain"}],"tenants":[],
+                "services":[{"name":"plain"}],
                 "limits":{"maxHeaderBytes":8192,"maxBodyBytes":100000,"headerTimeoutMs":1000,
                 "idleTimeoutMs":200}})"));
         BOOST_REQUIRE(configuration.has_value());
@@ -345,7 +345,7 @@
         R"({"version":2,"routes":[{"name":"unsafe","hostname":"h","pathPrefix":"/unsafe/",
             "kind":"unsafe","timeoutMs":3000,"targetLatencyMs":300,"priority":1,
             "service":"plain","maxAttempts":1}],
-            "services":[{"name":"plain"}],"tenants":[],
+            "services":[{"name":"plain"}],
             "limits":{"maxHeaderBytes":8192,"maxBodyBytes":200000,"headerTimeoutMs":1000,
             "idleTimeoutMs":200}})"));
     BOOST_REQUIRE(raised.has_value());
--- a/Tests/Gateway/EventLoopTest.cpp
+++ b/Tests/Gateway/EventLoopTest.cpp
@@ -44,7 +44,7 @@
         R"({"version":1,"routes":[{"name":"unsafe","hostname":"h","pathPrefix":"/unsafe/",
             "kind":"unsafe","timeoutMs":3000,"targetLatencyMs":300,"priority":1,
             "service":"plain","maxAttempts":1}],
-            "services":[{"name":"plain"}],"tenants":[],
+            "services":[{"name":"plain"}],
             "limits":{"maxHeaderBytes":8192,"maxBodyBytes":100000,"headerTimeoutMs":1000,
             "idleTimeoutMs":3000}})"));
     BOOST_REQUIRE(configuration.has_value());
--- a/Tests/Platform/ConfigurationPartsTest.cpp
+++ b/Tests/Platform/ConfigurationPartsTest.cpp
@@ -131,6 +131,23 @@
         == 1U);
 }
 
+// With the last team the list of teams became empty, and requests with any key or none ran.
+BOOST_AUTO_TEST_CASE(emptyListOfTeamsRequiresKeysLikeAnyOther)
+{
+    const auto keysRequired = [](const std::string &members) {
+        return RouteTable(decode(R"({"version":1)" + members + "}")->configuration).keysRequired();
+    };
+    BOOST_TEST(!keysRequired(""));
+    BOOST_TEST(!keysRequired(R"(,"routes":[],"services":[])"));
+    BOOST_TEST(keysRequired(R"(,"tenants":[])"));
+    BOOST_TEST(keysRequired(R"(,"routes":[],"tenants":[ ],"limits":{})"));
+    BOOST_TEST(keysRequired(R"(,"tenants":null)"));
+    BOOST_TEST(keysRequired(R"(,"tenants":[{"name":"t","apiKeys":[]}])"));
+    BOOST_TEST(keysRequired(R"(,"tenants":[{"name":"t","apiKeys":["k1"]}])"));
+    // A text that isn't split is decoded as a whole.
+    BOOST_TEST(keysRequired(R"(,/* [ */"tenants":[])"));
+}
+
 BOOST_AUTO_TEST_CASE(responsesKeepTheTextOfSpecs)
 {
     const std::string object = R"({"metadata":{"name":"main","revision":4},"spec": {"a" :[1]} })";
