Quarantine: Try a request whose copies crashed three servers one at a time

Cause: a crash counts only if its request was sent after the previous counted one, so that a wave of copies counts once however many servers it ends.

Change: once copies have crashed three servers, the request is tried by the two nodes that are first in rendezvous order, once at a time each, and by one node more for each 5 s without a crash; all others refuse it as not run. A complete run lifts this, one more counted crash denies the request. The kept records hold the crashes of such copies, for a restart of all nodes.

--- a/Source/Gateway/DigestExchange.cpp
+++ b/Source/Gateway/DigestExchange.cpp
@@ -85,6 +85,12 @@
         names.push_back(node.name);
     }
     state_.pool.setNodes(state_.settings.name, names);
+    std::vector<std::uint64_t> hashes;
+    hashes.reserve(names.size());
+    for (const std::string &name : names) {
+        hashes.push_back(hash64(name));
+    }
+    state_.crashHistory.setNodes(hash64(state_.settings.name), std::move(hashes));
     topology_ = FleetTopology(state_.settings.name, state_.settings.zone, nodes);
     peers_ = endpointsOf(topology_.neighbours());
 }
--- a/Source/Gateway/Exchange.cpp
+++ b/Source/Gateway/Exchange.cpp
@@ -241,8 +241,7 @@
                                            Duration::zero());
         }
         const CrashAssessment crashes = assessCrashes();
-        const bool blocked = crashes.permission == CrashPermission::Denied
-            || (crashes.permission == CrashPermission::WithoutRetry && sends_ > rejected_);
+        const bool blocked = blockedBy(crashes);
         resumeSilent = resumeSilent || (blocked && silentAttempt_ != nullptr);
         if (blocked && !resumeSilent) {
             if (headerDelivered_) {
@@ -286,6 +285,7 @@
                 placement_ = placement;
                 co_return co_await sendRefusal(ErrorKind::Overloaded, *queueDelay);
             }
+            claimTrial(now);
             end = co_await runAttempt(placement);
         }
         state_.metrics.countAttempt(std::string(attemptResultName(static_cast<int>(end))));
@@ -330,6 +330,21 @@
     }
 }
 
+bool Exchange::blockedBy(const CrashAssessment &crashes) const
+{
+    switch (crashes.permission) {
+    case CrashPermission::Unrestricted:
+        return false;
+    case CrashPermission::WithoutRetry:
+        return sends_ > rejected_;
+    case CrashPermission::AwaitTrial:
+        return sends_ > rejected_ || !isTrial_;
+    case CrashPermission::Denied:
+        break;
+    }
+    return true;
+}
+
 ExchangeResult Exchange::cutStream(std::string_view outcome)
 {
     return { .outcome = std::string(outcome), .status = 200, .connectionReusable = false };
--- a/Source/Gateway/Exchange.h
+++ b/Source/Gateway/Exchange.h
@@ -168,6 +168,11 @@
     void clearParts(Attempt &attempt);
     /// Announces the trial of a prompt part whose denial has ended.
     void noteTrial(Instant now);
+    /// Makes this request the trial of those that are alike, if one is due. Other copies await its
+    /// end from then on, even while it is not sent yet.
+    void claimTrial(Instant now);
+    /// True if the crashes of servers forbid to send the request.
+    [[nodiscard]] bool blockedBy(const CrashAssessment &crashes) const;
     /// Logs what identifies a request that the server ended without a complete response. Queries
     /// and bodies, which may be confidential, are logged as hashes.
     void logLoss(const Attempt &attempt, Instant now);
@@ -246,6 +251,8 @@
     unsigned rejected_ = 0;
     DispatchRecord dispatchRecord_;
     std::optional<RequestFingerprint> fingerprint_;
+    /// True if the request is sent as the trial of those that are alike.
+    bool isTrial_ = false;
     std::optional<std::vector<SharedPart>> sharedParts_;
     /// Name of the denied part or group because of which the request was refused, for the log.
     std::string quarantinedPart_;
--- a/Source/Gateway/ExchangeAttempt.cpp
+++ b/Source/Gateway/ExchangeAttempt.cpp
@@ -563,6 +563,14 @@
     }
 }
 
+void Exchange::claimTrial(Instant now)
+{
+    if (!state_.crashHistory.empty() && state_.crashHistory.assess(fingerprint(), now).trial) {
+        state_.crashHistory.noteTrial(fingerprint(), now);
+        isTrial_ = true;
+    }
+}
+
 void Exchange::clearParts(Attempt &attempt)
 {
     if (attempt.partsCleared || state_.crashHistory.empty() || callerRequest_.model.empty()) {
--- a/Source/Quarantine/CrashHistory.cpp
+++ b/Source/Quarantine/CrashHistory.cpp
@@ -4,6 +4,8 @@
 #include <cmath>
 #include <tuple>
 
+#include "Core/Hashing.h"
+
 namespace jacinthroad {
 
 namespace {
@@ -78,10 +80,12 @@
             < std::tie(b.crashedAt, b.sentAt, b.reporter, b.number);
     });
     entry.counted = 0;
+    entry.uncleared = 0;
     entry.severalServers = false;
     const Crash *previous = nullptr;
     for (Crash &crash : entry.crashes) {
         entry.lastCrashAt = std::max(entry.lastCrashAt, crash.crashedAt);
+        entry.uncleared += !crash.cleared && !crash.explained ? 1 : 0;
         crash.counts = !crash.cleared && !crash.explained
             && (previous == nullptr
                 || (entry.depth != WholeRequestDepth
@@ -159,7 +163,7 @@
 unsigned CrashHistory::crashesRequired(const Entry &entry) const
 {
     if (entry.depth == WholeRequestDepth) {
-        return options_.crashesToDeny;
+        return crashedByCopies(entry) ? options_.copyCrashesToDeny : options_.crashesToDeny;
     }
     return std::max(entry.required,
                     entry.severalServers ? options_.crashesToDeny
@@ -497,9 +501,38 @@
     }
 }
 
-CrashAssessment CrashHistory::assess(const Entry &entry, Instant now) const
+void CrashHistory::setNodes(std::uint64_t self, std::vector<std::uint64_t> all)
+{
+    self_ = self;
+    nodes_ = std::move(all);
+}
+
+Duration CrashHistory::trialDelay(RequestFingerprint fingerprint, const Entry &entry,
+                                  Instant now) const
+{
+    const std::uint64_t own = mix64(fingerprint, self_);
+    const auto rank = static_cast<std::uint64_t>(
+        std::count_if(nodes_.begin(), nodes_.end(),
+                      [&](std::uint64_t node) { return mix64(fingerprint, node) > own; }));
+    const std::uint64_t wait = rank - std::min(rank, options_.trialNodes - 1);
+    Instant from = entry.lastCrashAt + options_.trialNodeInterval * wait;
+    if (entry.trialAt != Instant()) {
+        from = std::max(from, entry.trialAt + options_.requestTrialInterval);
+    }
+    return std::max(from - now, Duration::zero());
+}
+
+CrashAssessment CrashHistory::assess(RequestFingerprint fingerprint, const Entry &entry,
+                                     Instant now) const
 {
     CrashAssessment assessment { .crashes = entry.counted };
+    if (!incriminated(entry) && crashedByCopies(entry)) {
+        assessment.remaining = trialDelay(fingerprint, entry, now);
+        assessment.trial = assessment.remaining == Duration::zero();
+        assessment.permission
+            = assessment.trial ? CrashPermission::WithoutRetry : CrashPermission::AwaitTrial;
+        return assessment;
+    }
     if (!incriminated(entry)) {
         if (entry.counted >= options_.crashesToRefuseRetry && !isRequestGroup(entry.depth)) {
             assessment.permission = CrashPermission::WithoutRetry;
@@ -528,7 +561,7 @@
 CrashAssessment CrashHistory::assess(RequestFingerprint fingerprint, Instant now) const
 {
     const auto found = entries_.find(fingerprint);
-    return found == entries_.end() ? CrashAssessment() : assess(found->second, now);
+    return found == entries_.end() ? CrashAssessment() : assess(fingerprint, found->second, now);
 }
 
 std::vector<DeniedRequest> CrashHistory::merge(std::span<const CrashRecord> records, Instant now)
@@ -677,7 +710,9 @@
         for (auto crash = entry.crashes.rbegin();
              crash != entry.crashes.rend() && item.record.crashes.size() < MaxKeptCrashes;
              ++crash) {
-            if ((crash->counts || crash->cleared) && now - crash->crashedAt <= options_.retention) {
+            const bool isEvidence
+                = crash->counts || crash->cleared || (crashedByCopies(entry) && !crash->explained);
+            if (isEvidence && now - crash->crashedAt <= options_.retention) {
                 item.record.crashes.push_back(report(*crash, now));
             }
         }
--- a/Source/Quarantine/CrashHistory.h
+++ b/Source/Quarantine/CrashHistory.h
@@ -62,6 +62,9 @@
     Unrestricted,
     /// The request may be sent to one server for each request of a caller.
     WithoutRetry,
+    /// The request must not be sent yet: copies of it have crashed several servers, and it is tried
+    /// once at a time.
+    AwaitTrial,
     /// The request must not be sent to a server.
     Denied,
 };
@@ -72,10 +75,10 @@
     CrashPermission permission = CrashPermission::Unrestricted;
     /// Number of counted crashes.
     unsigned crashes = 0;
-    /// Time until the request may run again if it is denied; 0 otherwise.
+    /// Time until the request may run again if it is denied or awaits its trial; 0 otherwise.
     Duration remaining {};
-    /// True if sending the request is the trial of a part whose denial has ended; it must then be
-    /// announced by CrashHistory::noteTrial.
+    /// True if sending the request is its trial, or that of a part whose denial has ended; it must
+    /// then be announced by CrashHistory::noteTrial.
     bool trial = false;
 };
 
@@ -96,6 +99,15 @@
     unsigned crashesToRefuseRetry = 2;
     /// Counted crashes from which a request is denied.
     unsigned crashesToDeny = 3;
+    /// The same if copies of the request crashed several servers together: `crashesToDeny` servers
+    /// in all. Before that it is only tried, by few nodes at a time.
+    unsigned copyCrashesToDeny = 2;
+    /// Number of nodes that may try such a request, and the time without a crash after which one
+    /// more may, because some of the nodes may have ended.
+    std::uint64_t trialNodes = 2;
+    Duration trialNodeInterval = std::chrono::seconds(5);
+    /// Time between two trials of such a request by one node.
+    Duration requestTrialInterval = std::chrono::seconds(5);
     /// The same for a part if some servers crashed meanwhile without it.
     unsigned partCrashesToDeny = 4;
     /// Counted crashes from which a part is denied if all of them were on one server, or if most
@@ -123,11 +135,12 @@
 /// A crash counts only if the request was sent after the previous counted crash; one of a part also
 /// if some time has passed since that crash. Copies of a
 /// popular request that run on several servers when these fail together therefore count once, as
-/// does one crash that several nodes observe. A run that completes clears all crashes before it. A
-/// crash that a denied request or part explains counts for nothing else: those with the most
-/// crashes are denied first, and of these the one that stands deepest in the prompt. Of groups the
-/// smallest is denied first, and of these the one with the most evidence; requests and groups don't
-/// explain each other's crashes.
+/// does one crash that several nodes observe. Such copies may also have crashed the servers, so
+/// that the request is then tried once at a time until a run completes, and a single further crash
+/// denies it. A run that completes clears all crashes before it. A crash that a denied request or
+/// part explains counts for nothing else: those with the most crashes are denied first, and of
+/// these the one that stands deepest in the prompt. Of groups the smallest is denied first, and of
+/// these the one with the most evidence; requests and groups don't explain each other's crashes.
 /// Does no I/O; the caller passes the time.
 class CrashHistory
 {
@@ -164,6 +177,9 @@
     /// requests that have had two or more of these, the most important requests first, with up to
     /// `maxReports` reports. If there are any, also the single crashes of parts and groups.
     [[nodiscard]] std::vector<CrashRecord> recordsToKeep(Instant now, std::size_t maxReports) const;
+    /// Sets the hashes of the names of this node and of all nodes, which share the trials of
+    /// requests.
+    void setNodes(std::uint64_t self, std::vector<std::uint64_t> all);
     /// Makes all records due, as when a peer has just started.
     void resendAll();
 
@@ -193,6 +209,8 @@
         std::vector<Crash> crashes;
         /// Counted crashes, and the time of the last one.
         unsigned counted = 0;
+        /// Crashes that are neither cleared nor explained, counted or not.
+        unsigned uncleared = 0;
         Instant lastCountedAt;
         /// The node that observed the last counted crash, and whether the counted ones were on
         /// more than one server.
@@ -271,12 +289,25 @@
     {
         return entry.counted >= crashesRequired(entry);
     }
-    [[nodiscard]] CrashAssessment assess(const Entry &entry, Instant now) const;
+    [[nodiscard]] CrashAssessment assess(RequestFingerprint fingerprint, const Entry &entry,
+                                         Instant now) const;
+    /// True if copies of a request crashed several servers together, enough to deny the request if
+    /// each of these crashes counted.
+    [[nodiscard]] bool crashedByCopies(const Entry &entry) const
+    {
+        return entry.depth == WholeRequestDepth && entry.counted < entry.uncleared
+            && entry.uncleared >= options_.crashesToDeny;
+    }
+    /// Returns the time until this node may try a request whose copies crashed several servers.
+    [[nodiscard]] Duration trialDelay(RequestFingerprint fingerprint, const Entry &entry,
+                                      Instant now) const;
     [[nodiscard]] bool isDue(const Entry &entry, Instant now) const;
     [[nodiscard]] Entry &entryFor(RequestFingerprint fingerprint, std::uint8_t depth);
     void removeExpired(Instant now);
 
     CrashHistoryOptions options_;
+    std::uint64_t self_ = 0;
+    std::vector<std::uint64_t> nodes_;
     std::uint32_t nextNumber_ = 0;
     Entries entries_;
     /// True if an entry is incriminated or a crash explained.
--- a/Tests/Gateway/CrashingRequestTest.cpp
+++ b/Tests/Gateway/CrashingRequestTest.cpp
@@ -132,6 +132,54 @@
     BOOST_TEST(receivedInAll(first, "plain", Servers) == 6U);
 }
 
+// Copies of a request that were in flight together ended servers with each wave of copies.
+BOOST_AUTO_TEST_CASE(copiesSentTogetherReachFewServersAfterTheyCrashedThree)
+{
+    constexpr int Servers = 20;
+    constexpr std::size_t AllowedLateSends = 3;
+    GatewayFixture first;
+    GatewayFixture second;
+    second.settings.name = "front-2";
+    addCrashingServers(first, "plain", Servers);
+    second.shareServers(first);
+    first.configure(1, { "k1" });
+    second.configure(1, { "k1" });
+    first.addPeer(second);
+    second.addPeer(first);
+    first.start();
+    second.start();
+    std::this_thread::sleep_for(PeerExchangeTime);
+    const auto sendCopies = [&] {
+        std::vector<std::thread> callers;
+        for (GatewayFixture *fixture : { &first, &second, &first, &second }) {
+            callers.emplace_back(
+                [fixture] { static_cast<void>(fixture->call("POST", "/unsafe/a", CrashingBody)); });
+        }
+        for (std::thread &caller : callers) {
+            caller.join();
+        }
+    };
+    sendCopies();
+    std::this_thread::sleep_for(PeerExchangeTime);
+    const std::size_t firstWave = receivedInAll(first, "plain", Servers);
+    BOOST_REQUIRE(firstWave >= 3U);
+    for (int wave = 0; wave < 3; ++wave) {
+        sendCopies();
+        std::this_thread::sleep_for(PeerExchangeTime);
+    }
+    BOOST_TEST(receivedInAll(first, "plain", Servers) - firstWave <= AllowedLateSends);
+    BOOST_TEST(status(first.call("POST", "/unsafe/a", CrashingBody)) == 503U);
+    // The platform removes servers that have ended.
+    for (int index = 0; index < Servers; ++index) {
+        const std::string name = "plain" + std::to_string(index);
+        if (!first.receivedRequests(name).empty()) {
+            second.store.remove("servers", name);
+        }
+    }
+    std::this_thread::sleep_for(PeerExchangeTime);
+    BOOST_TEST(status(second.call("POST", "/unsafe/a", "other body")) == 200U);
+}
+
 BOOST_AUTO_TEST_CASE(gatewayRepeatsNoRequestThatCrashedTwoServers)
 {
     constexpr int Servers = 6;
--- a/Tests/Quarantine/CrashHistoryTest.cpp
+++ b/Tests/Quarantine/CrashHistoryTest.cpp
@@ -67,6 +67,91 @@
     BOOST_TEST(countedCrashes(history, 1010) == 1U);
 }
 
+// Copies of a request that were sent together ended more servers with each wave, because a whole
+// wave counted as one crash.
+BOOST_AUTO_TEST_CASE(copiesThatCrashedThreeServersAreTriedOneAtATimeAndDeniedAtTheNextCrash)
+{
+    CrashHistory history = historyOf(1);
+    const auto permission = [&](int now) { return history.assess(Request, at(now)).permission; };
+    noteCrash(history, 1, 0, 100);
+    noteCrash(history, 2, 1, 101);
+    BOOST_TEST((permission(200) == CrashPermission::Unrestricted));
+    noteCrash(history, 3, 2, 102);
+    const CrashAssessment trial = history.assess(Request, at(4000));
+    BOOST_TEST((trial.permission == CrashPermission::WithoutRetry));
+    BOOST_TEST(trial.trial);
+    history.noteTrial(Request, at(4000));
+    const CrashAssessment other = history.assess(Request, at(4001));
+    BOOST_TEST((other.permission == CrashPermission::AwaitTrial));
+    BOOST_TEST((other.remaining == milliseconds(4999)));
+    BOOST_TEST((permission(9000) == CrashPermission::WithoutRetry));
+    noteCrash(history, 4, 4000, 4100);
+    BOOST_TEST((permission(4100) == CrashPermission::Denied));
+}
+
+BOOST_AUTO_TEST_CASE(fewNodesTryCopiesThatCrashedServersAndMoreFollow)
+{
+    constexpr std::uint64_t Nodes = 7;
+    std::vector<std::uint64_t> names;
+    std::vector<CrashHistory> nodes;
+    for (std::uint64_t node = 1; node <= Nodes; ++node) {
+        names.push_back(node * 1000);
+        nodes.push_back(historyOf(node));
+        for (std::uint64_t server = 1; server <= 4; ++server) {
+            noteCrash(nodes.back(), server, 0, 100);
+        }
+    }
+    const auto trials = [&](int now) {
+        return std::count_if(nodes.begin(), nodes.end(), [&](const CrashHistory &node) {
+            return node.assess(Request, at(now)).trial;
+        });
+    };
+    for (std::uint64_t node = 0; node < Nodes; ++node) {
+        nodes[node].setNodes(names[node], names);
+    }
+    BOOST_TEST(trials(200) == 2);
+    BOOST_TEST(trials(4900) == 2);
+    BOOST_TEST(trials(5200) == 3);
+    // The others may have ended.
+    BOOST_TEST(trials(30'000) == 7);
+    // A node that knows no others tries.
+    nodes[0].setNodes(names[0], {});
+    BOOST_TEST(nodes[0].assess(Request, at(200)).trial);
+}
+
+BOOST_AUTO_TEST_CASE(popularRequestWhoseServersFailedTogetherIsUnrestrictedAfterOneRun)
+{
+    CrashHistory first = historyOf(1);
+    CrashHistory second = historyOf(2);
+    for (std::uint64_t server = 1; server <= 6; ++server) {
+        noteCrash(first, server, 0, 100);
+    }
+    static_cast<void>(second.merge(first.takeRecords(at(110), 10), at(120)));
+    BOOST_TEST(second.assess(Request, at(200)).trial);
+    second.noteCompleted(Request, at(300));
+    BOOST_TEST((second.assess(Request, at(300)).permission == CrashPermission::Unrestricted));
+    static_cast<void>(first.merge(second.takeRecords(at(300), 10), at(310)));
+    BOOST_TEST((first.assess(Request, at(310)).permission == CrashPermission::Unrestricted));
+}
+
+BOOST_AUTO_TEST_CASE(trialOfCopiesOutlastsARestartOfAllNodes)
+{
+    CrashHistory history = historyOf(1);
+    for (std::uint64_t server = 1; server <= 20; ++server) {
+        noteCrash(history, server, 0, 100);
+    }
+    CrashHistory started = historyOf(2);
+    static_cast<void>(started.merge(history.recordsToKeep(at(1000), 100), at(1000)));
+    BOOST_TEST(started.assess(Request, at(1000)).trial);
+    started.noteTrial(Request, at(1000));
+    BOOST_TEST((started.assess(Request, at(1001)).permission == CrashPermission::AwaitTrial));
+    noteCrash(started, 21, 1000, 1100);
+    BOOST_TEST((started.assess(Request, at(1100)).permission == CrashPermission::Denied));
+    CrashHistory startedAgain = historyOf(3);
+    static_cast<void>(startedAgain.merge(started.recordsToKeep(at(2000), 100), at(2000)));
+    BOOST_TEST((startedAgain.assess(Request, at(2000)).permission == CrashPermission::Denied));
+}
+
 BOOST_AUTO_TEST_CASE(crashSeenByTwoNodesCountsOnceAndTwoCrashesAddUp)
 {
     CrashHistory first = historyOf(1);
