Gateway: Go on without an address that is in use, and try it again

Cause: each of the five sockets was bound once, and a failure ended the process.

Evidence: ListenerTest on: "started.has_value() has failed" in the five cases with an address in use.

Change: an address that is taken or missing, or a lack of descriptors or memory, is logged as not_listening with its settings field and tried every 100 ms while the node does the rest of its work. It isn't ready without its caller address and registers once peers can reach it. Malformed and forbidden addresses still end the process. A failed open is no longer hidden by the calls after it. Signal handlers are installed before the settings are read.

Measured: ListenerTest passes.

--- a/Source/Gateway/DigestExchange.cpp
+++ b/Source/Gateway/DigestExchange.cpp
@@ -49,26 +49,27 @@
     , summaryTimer_(state.context)
 { }
 
-Result<void> DigestExchange::open(const std::string &address)
+error_code DigestExchange::open(const std::string &address)
 {
     const auto endpoint = parseEndpoint(address);
+    if (!endpoint.has_value()) {
+        return asio::error::invalid_argument;
+    }
+    const asio::ip::udp::endpoint own(endpoint->address(), endpoint->port());
     error_code error;
-    if (endpoint.has_value()) {
-        const asio::ip::udp::endpoint own(endpoint->address(), endpoint->port());
-        socket_.open(own.protocol(), error);
-        if (!error) {
-            socket_.bind(own, error);
-        }
-        if (!error) {
-            // A datagram is dropped if the send buffer is full; waiting for room would hold up all
-            // requests.
-            socket_.non_blocking(true, error);
-        }
+    socket_.open(own.protocol(), error);
+    if (!error) {
+        socket_.bind(own, error);
+    }
+    if (!error) {
+        // A datagram is dropped if the send buffer is full; waiting for room would hold up all
+        // requests.
+        socket_.non_blocking(true, error);
     }
-    if (!endpoint.has_value() || error) {
-        return makeError(ErrorKind::InvalidSettings,
-                         "peer address '" + address + "' cannot be bound",
-                         "Write IP:port with this VM's address and a free UDP port.");
+    if (error) {
+        error_code ignored;
+        socket_.close(ignored);
+        return error;
     }
     receive();
     scheduleDigest();
@@ -177,6 +178,9 @@
 
 void DigestExchange::sendDigest()
 {
+    if (!socket_.is_open()) {
+        return;
+    }
     const BootInstant now = bootNow();
     const Instant sentAt = std::chrono::steady_clock::now();
     NodeDigest digest = emptyDigest(now);
@@ -184,9 +188,6 @@
     digest.echoes = freshness_.takeEchoes();
     digest.crashes = state_.crashHistory.takeRecords(sentAt, MaxCrashReportsPerDigest);
     freshness_.noteSent(digest.sequence, now);
-    if (!socket_.is_open()) {
-        return;
-    }
     const std::string datagram = encodeDigest(digest);
     nextDigestAt_ = sentAt + digestPause(peers_.size(), datagram.size());
     for (const asio::ip::udp::endpoint &peer : peers_) {
--- a/Source/Gateway/DigestExchange.h
+++ b/Source/Gateway/DigestExchange.h
@@ -26,8 +26,10 @@
 public:
     DigestExchange(TrafficState &state, std::int64_t boot);
 
-    /// Binds to `IP:port` and starts; fails with InvalidSettings if the address cannot be bound.
-    [[nodiscard]] Result<void> open(const std::string &address);
+    /// Binds to `IP:port` and starts. Returns the error, after which it may be called again;
+    /// `invalid_argument` if the address is not of that form.
+    [[nodiscard]] boost::system::error_code open(const std::string &address);
+    [[nodiscard]] bool isOpen() const { return socket_.is_open(); }
     /// Replaces the registered nodes.
     void applyNodes(std::span<const FleetNode> nodes);
     /// Which nodes this one tells what.
--- a/Source/Gateway/Gateway.cpp
+++ b/Source/Gateway/Gateway.cpp
@@ -202,8 +202,32 @@
         })
     { }
 
+    /// Opens all listening sockets. An address that is in use is tried again by run(), so that the
+    /// node does the rest of its work meanwhile.
     Result<void> open();
     void run();
+    /// Serves an acceptor of open(), as soon as its address can be had.
+    static void serveOnceListening(asio::io_context &context, asio::ip::tcp::acceptor &acceptor,
+                                   ListenAddress address,
+                                   std::function<asio::awaitable<void>()> serve);
+    /// The same for connections of callers, unless the node is stopping by then.
+    [[nodiscard]] asio::awaitable<void> acceptOnceListening();
+    [[nodiscard]] ListenAddress callerAddress() const
+    {
+        return { "listen.callers", settings.callerAddress };
+    }
+    [[nodiscard]] ListenAddress readinessAddress() const
+    {
+        return { "listen.readiness", settings.readinessAddress };
+    }
+    [[nodiscard]] ListenAddress metricsAddress() const
+    {
+        return { "listen.metrics", settings.metricsAddress };
+    }
+    [[nodiscard]] ListenAddress peerAddress() const
+    {
+        return { "listen.peers", settings.peerAddress };
+    }
     /// Lets other nodes of the zone get the objects of the store from this one.
     void passOnStoreObjects();
     void sweep();
@@ -294,34 +318,50 @@
 
 Result<void> Gateway::Parts::open()
 {
-    auto opened = openAcceptor(trafficContext, settings.callerAddress);
-    if (!opened.has_value()) {
-        return tl::make_unexpected(opened.error());
-    }
-    callers = std::move(*opened);
-    opened = openAcceptor(trafficContext, settings.readinessAddress);
-    if (!opened.has_value()) {
-        return tl::make_unexpected(opened.error());
-    }
-    readiness = std::move(*opened);
+    std::vector<std::pair<ListenAddress, error_code>> attempts;
+    const auto listen = [&](asio::ip::tcp::acceptor &acceptor, const ListenAddress &address) {
+        attempts.emplace_back(address, listenOn(acceptor, address.address));
+    };
+    listen(callers, callerAddress());
+    listen(readiness, readinessAddress());
     if (!settings.metricsAddress.empty()) {
-        opened = openAcceptor(controlContext, settings.metricsAddress);
-        if (!opened.has_value()) {
-            return tl::make_unexpected(opened.error());
-        }
-        scrapes = std::move(*opened);
+        listen(scrapes, metricsAddress());
     }
     if (!settings.peerAddress.empty()) {
-        opened = openAcceptor(controlContext, settings.peerAddress);
-        if (!opened.has_value()) {
-            return tl::make_unexpected(opened.error());
+        listen(relayQueries, peerAddress());
+        attempts.emplace_back(peerAddress(), digests.open(settings.peerAddress));
+    }
+    for (const auto &[address, error] : attempts) {
+        const Result<bool> listening = checkListening(address, error);
+        if (!listening.has_value()) {
+            return tl::make_unexpected(listening.error());
         }
-        relayQueries = std::move(*opened);
-        return digests.open(settings.peerAddress);
     }
     return {};
 }
 
+void Gateway::Parts::serveOnceListening(asio::io_context &context,
+                                        asio::ip::tcp::acceptor &acceptor, ListenAddress address,
+                                        std::function<asio::awaitable<void>()> serve)
+{
+    asio::co_spawn(
+        context,
+        [&context, &acceptor, address = std::move(address),
+         serve = std::move(serve)]() -> asio::awaitable<void> {
+            if (!acceptor.is_open()) {
+                const bool listening = co_await listenLater(
+                    context, address,
+                    [&acceptor, &address] { return listenOn(acceptor, address.address); },
+                    [] { return true; });
+                if (!listening) {
+                    co_return;
+                }
+            }
+            co_await serve();
+        },
+        logFailure("listener"));
+}
+
 void Gateway::Parts::run()
 {
     linkStreamVersions(trafficContext, traffic.streamVersions, controlContext, streamVersions);
@@ -335,20 +375,27 @@
             traffic.pool.resendCachedParts(id);
         }
     };
-    asio::co_spawn(trafficContext, acceptCallers(traffic, callers), asio::detached);
-    asio::co_spawn(trafficContext,
-                   serveStatus(trafficContext, readiness, settings.readinessPath,
-                               [this]() -> StatusPage {
-                                   return traffic.ready() ? StatusPage { 200, "ready\n" }
-                                                          : StatusPage { 503, "not ready\n" };
-                               }),
-                   asio::detached);
-    if (scrapes.is_open()) {
-        asio::co_spawn(controlContext,
-                       serveStatus(controlContext, scrapes, "/metrics",
-                                   [this]() -> StatusPage {
-                                       return { 200, metrics.render() };
-                                   }),
+    asio::co_spawn(trafficContext, acceptOnceListening(), logFailure("listener"));
+    serveOnceListening(trafficContext, readiness, readinessAddress(), [this] {
+        return serveStatus(
+            trafficContext, readiness, settings.readinessPath, [this]() -> StatusPage {
+                return callers.is_open() && traffic.ready() ? StatusPage { 200, "ready\n" }
+                                                            : StatusPage { 503, "not ready\n" };
+            });
+    });
+    if (!settings.metricsAddress.empty()) {
+        serveOnceListening(controlContext, scrapes, metricsAddress(), [this] {
+            return serveStatus(controlContext, scrapes, "/metrics", [this]() -> StatusPage {
+                return { 200, metrics.render() };
+            });
+        });
+    }
+    if (!settings.peerAddress.empty() && !digests.isOpen()) {
+        asio::co_spawn(trafficContext,
+                       listenLater(
+                           trafficContext, peerAddress(),
+                           [this] { return digests.open(settings.peerAddress); },
+                           [] { return true; }),
                        asio::detached);
     }
     configuration.onRegained = [this] { crashRecords.noteStoreRegained(); };
@@ -363,7 +410,6 @@
     if (!settings.peerAddress.empty()) {
         passOnStoreObjects();
         asio::co_spawn(controlContext, nodes.run(), asio::detached);
-        asio::co_spawn(controlContext, registration.run(), asio::detached);
     }
     asio::post(trafficContext, [this] { sweep(); });
     controlThread = std::thread([this] { runEventLoop(controlContext, "control", metrics); });
@@ -393,7 +439,25 @@
     };
     configuration.onRelayConfirmed
         = [this] { relay.noteNews(platform::ObjectKind::Configuration); };
-    asio::co_spawn(controlContext, relay.serve(relayQueries), asio::detached);
+    serveOnceListening(controlContext, relayQueries, peerAddress(), [this] {
+        // Other nodes hear of this one once they can reach it.
+        asio::co_spawn(controlContext, registration.run(), asio::detached);
+        return relay.serve(relayQueries);
+    });
+}
+
+asio::awaitable<void> Gateway::Parts::acceptOnceListening()
+{
+    if (!callers.is_open()) {
+        const bool listening = co_await listenLater(
+            trafficContext, callerAddress(),
+            [this] { return listenOn(callers, settings.callerAddress); },
+            [this] { return !traffic.draining; });
+        if (!listening) {
+            co_return;
+        }
+    }
+    co_await acceptCallers(traffic, callers);
 }
 
 void Gateway::Parts::sweep()
--- a/Source/Gateway/Listener.cpp
+++ b/Source/Gateway/Listener.cpp
@@ -1,5 +1,7 @@
 #include "Gateway/Listener.h"
 
+#include <algorithm>
+#include <array>
 #include <exception>
 #include <utility>
 
@@ -21,31 +23,91 @@
 /// Delay after a failed accept, for example when no file descriptors are left.
 constexpr Duration AcceptRetryDelay = milliseconds(20);
 constexpr int ListenBacklog = 1024;
+/// Pause between two attempts to listen on an address that is in use.
+constexpr Duration ListenRetryInterval = milliseconds(100);
+/// Interval at which such an address is logged again.
+constexpr Duration ListenLogInterval = std::chrono::seconds(10);
+
+void logNotListening(const ListenAddress &address, const error_code &error)
+{
+    logLine(LogLevel::Error, "not_listening",
+            { { "field", address.field },
+              { "address", address.address },
+              { "reason", error.message() },
+              { "remedy", "Free the address or write another one; the node goes on trying." } });
+}
 
 } // namespace
 
-Result<asio::ip::tcp::acceptor> openAcceptor(asio::io_context &context, const std::string &address)
+error_code listenOn(asio::ip::tcp::acceptor &acceptor, const std::string &address)
 {
     const auto endpoint = parseEndpoint(address);
     if (!endpoint.has_value()) {
-        return makeError(ErrorKind::InvalidSettings,
-                         "listen address '" + address + "' is not IP:port",
-                         "Write an address such as 127.0.0.1:8080.");
+        return asio::error::invalid_argument;
     }
-    asio::ip::tcp::acceptor acceptor(context);
     error_code error;
     acceptor.open(endpoint->protocol(), error);
-    acceptor.set_option(asio::ip::tcp::acceptor::reuse_address(true), error);
-    acceptor.bind(*endpoint, error);
+    if (!error) {
+        acceptor.set_option(asio::ip::tcp::acceptor::reuse_address(true), error);
+    }
+    if (!error) {
+        acceptor.bind(*endpoint, error);
+    }
     if (!error) {
         acceptor.listen(ListenBacklog, error);
     }
     if (error) {
+        error_code ignored;
+        acceptor.close(ignored);
+    }
+    return error;
+}
+
+bool mayListenLater(const error_code &error)
+{
+    namespace errc = boost::system::errc;
+    constexpr std::array Passing { errc::address_in_use,      errc::address_not_available,
+                                   errc::too_many_files_open, errc::too_many_files_open_in_system,
+                                   errc::no_buffer_space,     errc::not_enough_memory };
+    return std::any_of(Passing.begin(), Passing.end(),
+                       [&](errc::errc_t passing) { return error == passing; });
+}
+
+Result<bool> checkListening(const ListenAddress &address, const error_code &error)
+{
+    if (error && !mayListenLater(error)) {
         return makeError(ErrorKind::InvalidSettings,
-                         "cannot listen on " + address + ": " + error.message(),
-                         "Check that the address is this VM's and that the port is free.");
+                         address.field + ": cannot listen on '" + address.address
+                             + "': " + error.message(),
+                         "Write IP:port with an address of this VM and a port that the process may "
+                         "use, such as 127.0.0.1:8080.");
+    }
+    if (error) {
+        logNotListening(address, error);
+    }
+    return !error;
+}
+
+asio::awaitable<bool> listenLater(asio::io_context &context, ListenAddress address,
+                                  std::function<error_code()> listen, std::function<bool()> wanted)
+{
+    Instant loggedAt = std::chrono::steady_clock::now();
+    for (;;) {
+        co_await pauseFor(context, ListenRetryInterval);
+        if (!wanted()) {
+            co_return false;
+        }
+        const error_code error = listen();
+        if (!error) {
+            logLine(LogLevel::Info, "listening",
+                    { { "field", address.field }, { "address", address.address } });
+            co_return true;
+        }
+        if (std::chrono::steady_clock::now() - loggedAt >= ListenLogInterval) {
+            loggedAt = std::chrono::steady_clock::now();
+            logNotListening(address, error);
+        }
     }
-    return acceptor;
 }
 
 asio::awaitable<void> acceptConnections(asio::io_context &context,
--- a/Source/Gateway/Listener.h
+++ b/Source/Gateway/Listener.h
@@ -13,10 +13,35 @@
 
 namespace jacinthroad {
 
-/// Opens a listening socket on `IP:port`. Fails with InvalidSettings if the address is invalid or
-/// cannot be bound.
-[[nodiscard]] Result<boost::asio::ip::tcp::acceptor> openAcceptor(boost::asio::io_context &context,
-                                                                  const std::string &address);
+/// An address on which the node listens.
+struct ListenAddress
+{
+    /// The settings field, such as `listen.callers`, for the log.
+    std::string field;
+    /// `IP:port`.
+    std::string address;
+};
+
+/// Opens a listening socket on `IP:port`. Returns the error, after which the acceptor is closed;
+/// `invalid_argument` if the address is not of that form.
+[[nodiscard]] boost::system::error_code listenOn(boost::asio::ip::tcp::acceptor &acceptor,
+                                                 const std::string &address);
+
+/// True if a listening socket that can't be had because of `error` may be later: another process
+/// has the address, it isn't configured yet, or the process has too few descriptors or too little
+/// memory.
+[[nodiscard]] bool mayListenLater(const boost::system::error_code &error);
+
+/// Judges the first attempt to listen. Returns true if the node listens. Logs an error that may
+/// pass, and returns false; fails with InvalidSettings otherwise.
+[[nodiscard]] Result<bool> checkListening(const ListenAddress &address,
+                                          const boost::system::error_code &error);
+
+/// Calls `listen` every ListenRetryInterval until it succeeds or `wanted` returns false. Returns
+/// whether the node listens.
+[[nodiscard]] boost::asio::awaitable<bool>
+listenLater(boost::asio::io_context &context, ListenAddress address,
+            std::function<boost::system::error_code()> listen, std::function<bool()> wanted);
 
 /// Accepts connections until the acceptor is closed and passes each to `onAccept`.
 [[nodiscard]] boost::asio::awaitable<void>
--- a/Source/Program/ServeCommand.cpp
+++ b/Source/Program/ServeCommand.cpp
@@ -76,7 +76,6 @@
         return ExitCode::Failed;
     }
     configureLog(settings->log);
-    installSignalHandlers();
     auto gateway = Gateway::start(*settings);
     if (!gateway.has_value()) {
         printError(gateway.error());
@@ -112,6 +111,8 @@
 
 ExitCode runServe(const Arguments &arguments)
 {
+    // First of all: a signal that comes earlier ends the process.
+    installSignalHandlers();
     CommandSyntax syntax { .usage = "jacinthroad serve --settings FILE" };
     syntax.options.add_options()("settings", options::value<std::string>()->required(),
                                  "settings file of this node");
@@ -136,7 +137,6 @@
         return ExitCode::Failed;
     }
     configureLog(settings->log);
-    installSignalHandlers();
     auto node = Node::start(*settings);
     if (!node.has_value()) {
         printError(node.error());
--- a/Tests/Gateway/RelayedObjectsTest.cpp
+++ b/Tests/Gateway/RelayedObjectsTest.cpp
@@ -52,7 +52,7 @@
         relay.add(Kind, sync.relayLog(), passing);
         sync.onRelayExpected = [this](std::uint64_t bytes) { relay.noteExpected(Kind, bytes); };
         sync.onRelayChange = [this] { relay.noteNews(Kind); };
-        acceptor = std::move(*openAcceptor(context, node.address));
+        BOOST_REQUIRE(!listenOn(acceptor, node.address));
         asio::co_spawn(context, relay.serve(acceptor), asio::detached);
         asio::co_spawn(context, sync.run(), asio::detached);
     }
