--- a/Source/Placement/ServerPoolPlacement.cpp
+++ b/Source/Placement/ServerPoolPlacement.cpp
@@ -265,9 +265,8 @@
     std::vector<const Server *> available;
     const Server *owner = nullptr;
     std::uint64_t ownerScore = 0;
-    const std::uint64_t ownerKey = request.parts.empty()
-        ? 0
-        : mix64(request.parts.back().id, hash64(request.cacheScope));
+    const std::uint64_t ownerKey
+        = request.parts.empty() ? 0 : mix64(request.parts.back().id, hash64(request.cacheScope));
     for (const auto &[id, server] : servers_) {
         if (server.facts.service != request.service) {
             continue;
--- a/Tests/Placement/ServerPoolTest.cpp
+++ b/Tests/Placement/ServerPoolTest.cpp
@@ -243,15 +243,13 @@
     ServerPool pool = poolOf({ engine("a") });
     const std::vector<PromptPart> parts { { 42, 6000 } };
     pool.noteSent(ServerId("a"),
-                  { .service = Engines, .model = Model, .parts = parts, .cacheScope = "north" },
-                  0, at(0));
+                  { .service = Engines, .model = Model, .parts = parts, .cacheScope = "north" }, 0,
+                  at(0));
     const Placement other = chosen(
-        pool, { .service = Engines, .model = Model, .parts = parts, .cacheScope = "south" },
-        at(1));
+        pool, { .service = Engines, .model = Model, .parts = parts, .cacheScope = "south" }, at(1));
     BOOST_TEST(other.cachedPromptTokens == 0U);
     const Placement own = chosen(
-        pool, { .service = Engines, .model = Model, .parts = parts, .cacheScope = "north" },
-        at(1));
+        pool, { .service = Engines, .model = Model, .parts = parts, .cacheScope = "north" }, at(1));
     BOOST_TEST(own.cachedPromptTokens == 6000U);
 }
 
