--- a/Source/Gateway/CacheEventReader.cpp
+++ b/Source/Gateway/CacheEventReader.cpp
@@ -69,7 +69,7 @@
 asio::awaitable<void> CacheEventReader::read(ServerId id, std::shared_ptr<Source> source)
 {
     // Events are numbered: a batch that arrives again is fetched and applied once more.
-    ControlClient caller(context_, source->address, ConnectionUse::Kept);
+    ControlClient caller(context_, source->address, ConnectionUse::Kept, MaxServerResponseBytes);
     boost::beast::http::fields headers;
     platform::setCacheEventsWait(headers, EventsWait);
     std::uint64_t since = 0;
--- a/Source/Gateway/ControlClient.cpp
+++ b/Source/Gateway/ControlClient.cpp
@@ -22,8 +22,6 @@
 
 /// Time without acknowledgements after which TCP closes a connection.
 constexpr Duration CallTcpTimeout = milliseconds(2500);
-/// A page of a list is about one megabyte and never reaches two.
-constexpr std::uint64_t MaxResponseBytes = 8 * 1024 * 1024;
 
 tl::unexpected<Error> unavailableError(const std::string &reason)
 {
@@ -51,10 +49,12 @@
     boost::beast::flat_buffer buffer;
 };
 
-ControlClient::ControlClient(asio::io_context &context, std::string address, ConnectionUse use)
+ControlClient::ControlClient(asio::io_context &context, std::string address, ConnectionUse use,
+                             std::uint64_t maxResponseBytes)
     : context_(context)
     , address_(std::move(address))
     , use_(use)
+    , maxResponseBytes_(maxResponseBytes)
 { }
 
 ControlClient::~ControlClient() = default;
@@ -134,7 +134,7 @@
     }
     noteProgress();
     http::response_parser<http::string_body> responseParser;
-    responseParser.body_limit(MaxResponseBytes);
+    responseParser.body_limit(maxResponseBytes_);
     co_await http::async_read_header(connection->socket, connection->buffer, responseParser,
                                      asio::redirect_error(asio::use_awaitable, error));
     if (!error && progress != nullptr) {
--- a/Source/Gateway/ControlClient.h
+++ b/Source/Gateway/ControlClient.h
@@ -37,11 +37,20 @@
     OnePerCall,
 };
 
+/// Maximum size in bytes of a response of the store or of another node. A page of a list is about
+/// one megabyte and never reaches two.
+constexpr std::uint64_t MaxObjectResponseBytes = 8 * 1024 * 1024;
+/// The same of a backend server's response to an order, its report or a batch of its cache events.
+/// Many servers may be faulty at a time.
+constexpr std::uint64_t MaxServerResponseBytes = 512 * 1024;
+
 /// HTTP client for control calls to one address. Used by one thread only.
 class ControlClient
 {
 public:
-    ControlClient(boost::asio::io_context &context, std::string address, ConnectionUse use);
+    /// A longer response than `maxResponseBytes` is given up.
+    ControlClient(boost::asio::io_context &context, std::string address, ConnectionUse use,
+                  std::uint64_t maxResponseBytes);
     ControlClient(const ControlClient &) = delete;
     ControlClient &operator=(const ControlClient &) = delete;
     ~ControlClient();
@@ -67,6 +76,7 @@
     boost::asio::io_context &context_;
     std::string address_;
     ConnectionUse use_;
+    std::uint64_t maxResponseBytes_;
     std::vector<std::shared_ptr<Connection>> idle_;
 };
 
--- a/Source/Gateway/RelayClient.cpp
+++ b/Source/Gateway/RelayClient.cpp
@@ -17,7 +17,7 @@
 
 RelayClient::RelayClient(asio::io_context &context, const std::string &address)
     : address_(address)
-    , client_(context, address, ConnectionUse::Kept)
+    , client_(context, address, ConnectionUse::Kept, MaxObjectResponseBytes)
 { }
 
 asio::awaitable<Result<RelayReply>> RelayClient::query(RelayQuery query, TransferProgress *progress)
--- a/Source/Gateway/RolloutDriver.cpp
+++ b/Source/Gateway/RolloutDriver.cpp
@@ -345,7 +345,8 @@
         co_return;
     }
     cordonServer_(step.server, step.model, step.version, CordonLimit);
-    ControlClient caller(context_, server->second.address, ConnectionUse::OnePerCall);
+    ControlClient caller(context_, server->second.address, ConnectionUse::OnePerCall,
+                         MaxServerResponseBytes);
     const unsigned number = ++orderCounts_[step.server];
     OrderOutcome outcome = withheld(step.server) ? OrderOutcome::Rejected : OrderOutcome::Unknown;
     if (outcome == OrderOutcome::Unknown) {
--- a/Source/Gateway/StoreClient.cpp
+++ b/Source/Gateway/StoreClient.cpp
@@ -32,7 +32,7 @@
 
 StoreClient::StoreClient(boost::asio::io_context &context, const std::string &address,
                          GatewayMetrics &metrics)
-    : caller_(context, address, ConnectionUse::Kept)
+    : caller_(context, address, ConnectionUse::Kept, MaxObjectResponseBytes)
     , metrics_(metrics)
 { }
 
--- a/Tests/Gateway/ControlClientTest.cpp
+++ b/Tests/Gateway/ControlClientTest.cpp
@@ -31,7 +31,7 @@
         }
     });
     asio::io_context context { 1 };
-    ControlClient client(context, server.address(), ConnectionUse::Kept);
+    ControlClient client(context, server.address(), ConnectionUse::Kept, MaxObjectResponseBytes);
     const platform::Call call { .target = "/" };
     std::optional<bool> first;
     std::optional<bool> second;
@@ -70,7 +70,8 @@
         }
     });
     asio::io_context context { 1 };
-    ControlClient client(context, server.address(), ConnectionUse::OnePerCall);
+    ControlClient client(context, server.address(), ConnectionUse::OnePerCall,
+                         MaxServerResponseBytes);
     constexpr Duration Timeout = milliseconds(1000);
     const platform::Call call { .target = "/" };
     std::vector<std::string> bodies;
@@ -112,7 +113,7 @@
         static_cast<void>(connection.waitForClose(milliseconds(3000)));
     });
     asio::io_context context { 1 };
-    ControlClient client(context, server.address(), ConnectionUse::Kept);
+    ControlClient client(context, server.address(), ConnectionUse::Kept, MaxObjectResponseBytes);
     const platform::Call call { .target = "/" };
     Result<CallResponse> result = makeError(ErrorKind::PlatformUnavailable, "the call didn't end");
     asio::co_spawn(
