Gateway: Wait longer only for callers that still send a refused body

Cause, suspected: the wait for a caller to close its connection was renewed with each of its bytes for up to 2 s, also after ordinary responses and while the node stops. Callers that go on using a connection get a node late.

Change: ordinary responses wait 500 ms again, whatever arrives. Only the refusal of a body that doesn't fit waits 2 s, and not on a stopping node.

--- a/Source/Gateway/CallerSession.cpp
+++ b/Source/Gateway/CallerSession.cpp
@@ -1,6 +1,5 @@
 #include "Gateway/CallerSession.h"
 
-#include <algorithm>
 #include <array>
 #include <new>
 #include <utility>
@@ -29,10 +28,10 @@
 constexpr Duration CallerTcpTimeout = std::chrono::seconds(6);
 /// Time limit for receiving the complete body after the header.
 constexpr Duration BodyTimeout = std::chrono::seconds(20);
-/// How long a connection that accepts no more requests waits for bytes of the caller or its close,
-/// and how long in all while the caller still sends the body of a request that was refused.
+/// How long a connection that accepts no more requests waits for the caller to close it, and how
+/// long if the caller still sends the body of a request that was refused.
 constexpr Duration LingerTimeout = milliseconds(500);
-constexpr Duration MaxLingerTime = milliseconds(2000);
+constexpr Duration RefusedBodyLingerTimeout = milliseconds(2000);
 /// Callers may reuse a connection until the idle limit, so it is closed this much later.
 constexpr Duration IdleMargin = milliseconds(500);
 
@@ -161,23 +160,21 @@
         error_code error;
         socket_.cancel(error);
         if (!end.connectionReusable) {
-            co_await closeConnection(end.responseComplete);
+            co_await closeConnection(end.responseComplete, LingerTimeout);
             co_return;
         }
     }
 }
 
-asio::awaitable<void> CallerSession::closeConnection(bool responseComplete)
+asio::awaitable<void> CallerSession::closeConnection(bool responseComplete, Duration linger)
 {
     error_code error;
     if (responseComplete) {
         // Closing a socket with unread bytes sends a reset, which could discard the response.
         socket_.shutdown(asio::ip::tcp::socket::shutdown_send, error);
-        const Instant lingerEnd = std::chrono::steady_clock::now() + MaxLingerTime;
+        scheduleClose(linger);
         std::array<char, 4096> rest;
         while (!error) {
-            scheduleClose(
-                std::min<Duration>(LingerTimeout, lingerEnd - std::chrono::steady_clock::now()));
             co_await socket_.async_read_some(asio::buffer(rest),
                                              asio::redirect_error(asio::use_awaitable, error));
         }
@@ -298,7 +295,8 @@
     co_await http::async_write(socket_, response,
                                asio::redirect_error(asio::use_awaitable, writeError));
     state_.metrics.countRequest(writeError ? "not_delivered" : std::string(answer.name));
-    co_await closeConnection(!writeError);
+    const bool bodyArrives = kind == ErrorKind::BodyMemoryFull && !state_.draining;
+    co_await closeConnection(!writeError, bodyArrives ? RefusedBodyLingerTimeout : LingerTimeout);
 }
 
 void CallerSession::watchForDisconnect()
--- a/Source/Gateway/CallerSession.h
+++ b/Source/Gateway/CallerSession.h
@@ -49,8 +49,9 @@
     /// Ends the request in progress, because the process ends soon.
     void answerBeforeStop();
     /// Closes the connection; after a complete response without a reset that could discard it
-    /// before the caller has read it.
-    [[nodiscard]] boost::asio::awaitable<void> closeConnection(bool responseComplete);
+    /// before the caller has read it, for which it waits up to `linger`.
+    [[nodiscard]] boost::asio::awaitable<void> closeConnection(bool responseComplete,
+                                                               Duration linger);
     /// Closes the connection after `limit` unless the timer is rearmed or cancelled before.
     void scheduleClose(Duration limit);
     /// Closes the connection if it waits for a request and none has arrived.
