--- a/Source/Gateway/GatewaySettings.cpp
+++ b/Source/Gateway/GatewaySettings.cpp
@@ -72,9 +72,9 @@
 
 constexpr std::array<FieldRule, 1> MemoryFields { {
     { .name = "total_mb",
-      .type = FieldType::Integer,
+      .type = FieldType::Number,
       .defaultText = "128",
-      .minimum = 32,
+      .minimum = 1,
       .maximum = 1000000,
       .unit = "MB",
       .help = "memory that this process may use; requests with long bodies are refused while too "
@@ -243,7 +243,7 @@
         .peerAddress = listen.text("peers"),
         .storeAddress = store.text("address"),
         .linkMbps = limits.number("link_mbps"),
-        .memoryMb = static_cast<std::uint64_t>(memory.integer("total_mb")),
+        .memoryMb = memory.number("total_mb"),
         .keyRevocation = milliseconds(bounds.integer("key_revocation_ms")),
         .configurationLimit = milliseconds(bounds.integer("configuration_ms")),
         .stopGrace = fromMilliseconds(bounds.number("stop_grace_s") * 1000),
--- a/Source/Gateway/GatewaySettings.h
+++ b/Source/Gateway/GatewaySettings.h
@@ -1,6 +1,5 @@
 #pragma once
 
-#include <cstdint>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -30,7 +29,7 @@
     double linkMbps = 0;
 
     /// Memory that this process may use, in units of 1,000,000 bytes.
-    std::uint64_t memoryMb = 128;
+    double memoryMb = 128;
 
     /// Time after which a revoked key must be rejected.
     Duration keyRevocation {};
--- a/Source/Gateway/TrafficState.cpp
+++ b/Source/Gateway/TrafficState.cpp
@@ -56,7 +56,7 @@
 /// Memory in bytes that remains for bodies.
 std::size_t bodyMemoryLimit(const GatewaySettings &settings)
 {
-    const std::size_t all = settings.memoryMb * BytesPerMb;
+    const auto all = static_cast<std::size_t>(settings.memoryMb * BytesPerMb);
     return all - std::min(std::max(all / 4, MinOtherMemory), all / 4 * 3);
 }
 
