Serve: End at once on a SIGTERM that comes before anything is open

What callers saw: nothing. With signal handlers set before the settings are read, such a process would start to serve and then drain for seconds, late against the grace period that began with the signal. Found by reading, after overdue-stop in soak runs at a load of 47; whether it explains them is open.

Change: the command ends with status 0 before it opens an address.

--- a/Source/Program/ServeCommand.cpp
+++ b/Source/Program/ServeCommand.cpp
@@ -85,6 +85,10 @@
         return ExitCode::Failed;
     }
     configureLog(settings->log);
+    if (stopRequested) {
+        // Nothing is open yet that would have to be drained.
+        return ExitCode::Success;
+    }
     auto gateway = Gateway::start(*settings);
     if (!gateway.has_value()) {
         printError(gateway.error());
