CrashingRequestTest: Go on until copies have crashed three servers

Change: servers hold a copy for 200 ms, each node sends four copies, and waves follow until three servers have crashed. The precondition counts servers in place of sends; the bound of 3 late sends stays.

--- a/Tests/Gateway/CrashingRequestTest.cpp
+++ b/Tests/Gateway/CrashingRequestTest.cpp
@@ -136,11 +136,26 @@
 BOOST_AUTO_TEST_CASE(copiesSentTogetherReachFewServersAfterTheyCrashedThree)
 {
     constexpr int Servers = 20;
+    constexpr int CopiesPerNode = 4;
     constexpr std::size_t AllowedLateSends = 3;
     GatewayFixture first;
     GatewayFixture second;
     second.settings.name = "front-2";
-    addCrashingServers(first, "plain", Servers);
+    for (int index = 0; index < Servers; ++index) {
+        const std::string name = "plain" + std::to_string(index);
+        first.addServer(
+            name, "plain",
+            [&first, name](ScriptedConnection &connection, const ReceivedRequest &request) {
+                if (request.body() == CrashingBody) {
+                    // The copies of a node go to different servers meanwhile.
+                    std::this_thread::sleep_for(milliseconds(200));
+                    first.crashServer(name);
+                    return false;
+                }
+                connection.write(validResponse(request));
+                return true;
+            });
+    }
     second.shareServers(first);
     first.configure(1, { "k1" });
     second.configure(1, { "k1" });
@@ -151,23 +166,36 @@
     std::this_thread::sleep_for(PeerExchangeTime);
     const auto sendCopies = [&] {
         std::vector<std::thread> callers;
-        for (GatewayFixture *fixture : { &first, &second, &first, &second }) {
-            callers.emplace_back(
-                [fixture] { static_cast<void>(fixture->call("POST", "/unsafe/a", CrashingBody)); });
+        for (int copy = 0; copy < CopiesPerNode; ++copy) {
+            for (GatewayFixture *fixture : { &first, &second }) {
+                callers.emplace_back([fixture] {
+                    static_cast<void>(fixture->call("POST", "/unsafe/a", CrashingBody));
+                });
+            }
         }
         for (std::thread &caller : callers) {
             caller.join();
         }
     };
-    sendCopies();
+    const auto crashedServers = [&] {
+        int crashed = 0;
+        for (int index = 0; index < Servers; ++index) {
+            crashed += first.receivedRequests("plain" + std::to_string(index)).empty() ? 0 : 1;
+        }
+        return crashed;
+    };
+    // Copies may go to the same servers.
+    for (int wave = 0; wave < 3 && crashedServers() < 3; ++wave) {
+        sendCopies();
+    }
+    BOOST_REQUIRE(crashedServers() >= 3);
     std::this_thread::sleep_for(PeerExchangeTime);
-    const std::size_t firstWave = receivedInAll(first, "plain", Servers);
-    BOOST_REQUIRE(firstWave >= 3U);
+    const std::size_t sendsBefore = receivedInAll(first, "plain", Servers);
     for (int wave = 0; wave < 3; ++wave) {
         sendCopies();
         std::this_thread::sleep_for(PeerExchangeTime);
     }
-    BOOST_TEST(receivedInAll(first, "plain", Servers) - firstWave <= AllowedLateSends);
+    BOOST_TEST(receivedInAll(first, "plain", Servers) - sendsBefore <= AllowedLateSends);
     BOOST_TEST(status(first.call("POST", "/unsafe/a", CrashingBody)) == 503U);
     // The platform removes servers that have ended.
     for (int index = 0; index < Servers; ++index) {
