CallerSession: Log and count why callers' connections are closed

A connection that the node closed itself left no line unless an exchange ran on it, so that a request which was read in part, or had just arrived, ended without a trace: limits for the header and the body, the idle limit, the stop, and what had been sent behind the last answered request.

The metric jacinthroad_caller_connections_closed_total counts every close by reason. A line connection_closed is written where bytes without a response were left, with what was read, unread and discarded.

--- a/Source/Gateway/CallerSession.cpp
+++ b/Source/Gateway/CallerSession.cpp
@@ -67,6 +67,34 @@
         });
 }
 
+std::string_view CallerSession::closeReasonName(CloseReason reason)
+{
+    constexpr std::array<std::string_view, 8> Names { "caller",         "idle_timeout",
+                                                      "header_timeout", "body_timeout",
+                                                      "stop",           "responded",
+                                                      "no_response",    "failed" };
+    return Names[static_cast<std::size_t>(reason)];
+}
+
+void CallerSession::close(CloseReason reason)
+{
+    if (!socket_.is_open()) {
+        return;
+    }
+    error_code error;
+    const std::size_t unread = socket_.available(error);
+    state_.metrics.countConnectionClosed(std::string(closeReasonName(reason)));
+    if (requestOpen_ || unread > 0 || discardedBytes_ > 0) {
+        logLine(LogLevel::Info, "connection_closed",
+                { { "reason", closeReasonName(reason) },
+                  { "requests", requests_ },
+                  { "read_bytes", static_cast<std::int64_t>(buffer_.size()) },
+                  { "unread_bytes", static_cast<std::int64_t>(unread) },
+                  { "discarded_bytes", static_cast<std::int64_t>(discardedBytes_) } });
+    }
+    socket_.close(error);
+}
+
 void CallerSession::fail(const std::exception_ptr &exception)
 {
     logLine(LogLevel::Error, "session_failed",
@@ -75,16 +103,14 @@
               { "remedy", "The connection is closed; report it if it repeats." } });
     state_.metrics.countRequest("failed");
     // Pending operations keep the session and the connection until the socket is closed.
-    error_code ignored;
-    socket_.close(ignored);
+    close(CloseReason::Failed);
 }
 
 void CallerSession::closeIfIdle(IdleConnections which)
 {
-    const bool selected = kept_ || which == IdleConnections::All;
+    const bool selected = requests_ > 0 || which == IdleConnections::All;
     if (idle_ && selected && peek(socket_) != PeekResult::Data) {
-        error_code ignored;
-        socket_.close(ignored);
+        close(CloseReason::Stop);
     }
 }
 
@@ -99,12 +125,9 @@
     }
 }
 
-void CallerSession::scheduleClose(Duration limit)
+void CallerSession::scheduleClose(Duration limit, CloseReason reason)
 {
-    timer_.expireAfter(limit, [self = shared_from_this()] {
-        error_code ignored;
-        self->socket_.close(ignored);
-    });
+    timer_.expireAfter(limit, [self = shared_from_this(), reason] { self->close(reason); });
 }
 
 asio::awaitable<bool> CallerSession::waitForBytes(Duration limit)
@@ -115,8 +138,7 @@
     timer_.expireAfter(limit, [self = shared_from_this()] {
         // A request that has arrived by now is served instead.
         if (peek(self->socket_) != PeekResult::Data) {
-            error_code ignored;
-            self->socket_.close(ignored);
+            self->close(CloseReason::IdleTimeout);
         }
     });
     error_code error;
@@ -135,6 +157,7 @@
     for (;;) {
         const bool dataAvailable = co_await waitForBytes(state_.limits().idleTimeout + IdleMargin);
         if (!dataAvailable) {
+            close(CloseReason::Caller);
             co_return;
         }
         const CallerLimits limits = state_.limits();
@@ -156,7 +179,7 @@
         const ExchangeResult end = co_await exchange_->run();
         ++generation_;
         exchange_.reset();
-        kept_ = true;
+        ++requests_;
         error_code error;
         socket_.cancel(error);
         if (!end.connectionReusable) {
@@ -172,34 +195,36 @@
     if (responseComplete) {
         // Closing a socket with unread bytes sends a reset, which could discard the response.
         socket_.shutdown(asio::ip::tcp::socket::shutdown_send, error);
-        scheduleClose(linger);
+        scheduleClose(linger, CloseReason::Responded);
         std::array<char, 4096> rest;
         while (!error) {
-            co_await socket_.async_read_some(asio::buffer(rest),
-                                             asio::redirect_error(asio::use_awaitable, error));
+            discardedBytes_ += co_await socket_.async_read_some(
+                asio::buffer(rest), asio::redirect_error(asio::use_awaitable, error));
         }
         timer_.cancel();
     }
-    socket_.close(error);
+    close(responseComplete ? CloseReason::Responded : CloseReason::NoResponse);
 }
 
 asio::awaitable<bool> CallerSession::readRequest(Parser &parser, MemoryReservation &bodyMemory)
 {
     const CallerLimits limits = state_.limits();
-    scheduleClose(limits.headerTimeout);
+    scheduleClose(limits.headerTimeout, CloseReason::HeaderTimeout);
     error_code error;
     reading_ = true;
+    requestOpen_ = true;
     co_await http::async_read_header(socket_, buffer_, parser,
                                      asio::redirect_error(asio::use_awaitable, error));
     if (!error && hasInvalidFraming(parser.get().base())) {
         error = http::error::bad_transfer_encoding;
     }
     if (!error && !parser.is_done()) {
-        scheduleClose(BodyTimeout);
+        scheduleClose(BodyTimeout, CloseReason::BodyTimeout);
         error = co_await readBody(parser, bodyMemory);
     }
     timer_.cancel();
     reading_ = false;
+    requestOpen_ = error && parser.got_some();
     if (error == boost::system::errc::not_enough_memory) {
         logLine(LogLevel::Warning, "body_refused",
                 { { "bytes", static_cast<std::int64_t>(parser.content_length().value_or(0)) },
@@ -259,6 +284,7 @@
         = error.category() == http::make_error_code(http::error::end_of_stream).category()
         && error != http::error::end_of_stream && error != http::error::partial_message;
     if (!isParseError || !socket_.is_open()) {
+        close(CloseReason::Caller);
         co_return;
     }
     ErrorKind kind = ErrorKind::InvalidRequest;
@@ -295,6 +321,7 @@
     co_await http::async_write(socket_, response,
                                asio::redirect_error(asio::use_awaitable, writeError));
     state_.metrics.countRequest(writeError ? "not_delivered" : std::string(answer.name));
+    requestOpen_ = writeError.failed();
     const bool bodyArrives = kind == ErrorKind::BodyMemoryFull && !state_.draining;
     co_await closeConnection(!writeError, bodyArrives ? RefusedBodyLingerTimeout : LingerTimeout);
 }
--- a/Source/Gateway/CallerSession.h
+++ b/Source/Gateway/CallerSession.h
@@ -1,8 +1,10 @@
 #pragma once
 
+#include <cstddef>
 #include <cstdint>
 #include <exception>
 #include <memory>
+#include <string_view>
 #include <utility>
 
 #include <boost/asio/awaitable.hpp>
@@ -31,7 +33,29 @@
 private:
     using Parser = boost::beast::http::request_parser<boost::beast::http::string_body>;
 
+    /// Why a connection was closed.
+    enum class CloseReason : std::uint8_t {
+        /// The caller closed or reset the connection, or TCP gave it up.
+        Caller,
+        IdleTimeout,
+        HeaderTimeout,
+        BodyTimeout,
+        /// The process ends soon and no request was in progress.
+        Stop,
+        /// A complete response was the last one on the connection.
+        Responded,
+        /// An exchange, whose request line tells why, ended without a complete response.
+        NoResponse,
+        /// An exception ended the session.
+        Failed,
+    };
+
+    [[nodiscard]] static std::string_view closeReasonName(CloseReason reason);
+
     [[nodiscard]] boost::asio::awaitable<void> run();
+    /// Closes the connection and counts why. Logs `connection_closed` if that leaves part of a
+    /// request without a response.
+    void close(CloseReason reason);
     void fail(const std::exception_ptr &exception);
     [[nodiscard]] boost::asio::awaitable<bool> waitForBytes(Duration limit);
     /// Reads one request. On an error returns false after sending an error response to a malformed
@@ -53,7 +77,7 @@
     [[nodiscard]] boost::asio::awaitable<void> closeConnection(bool responseComplete,
                                                                Duration linger);
     /// Closes the connection after `limit` unless the timer is rearmed or cancelled before.
-    void scheduleClose(Duration limit);
+    void scheduleClose(Duration limit, CloseReason reason);
     /// Closes the connection if it waits for a request and none has arrived.
     void closeIfIdle(IdleConnections which);
     /// Watches for the end of the connection while an exchange runs.
@@ -69,12 +93,16 @@
     std::unique_ptr<Exchange> exchange_;
     /// True while no byte of the next request has been read.
     bool idle_ = false;
-    /// True once the connection has carried a request.
-    bool kept_ = false;
+    /// Number of requests for which an exchange has ended on the connection.
+    std::int64_t requests_ = 0;
     /// True while a request is being read.
     bool reading_ = false;
+    /// True from the first byte of a request until its exchange begins or it has an error response.
+    bool requestOpen_ = false;
     /// True if reading was ended because the process ends soon.
     bool endedByStop_ = false;
+    /// Bytes that arrived behind the last request and were discarded, for the log.
+    std::size_t discardedBytes_ = 0;
     boost::signals2::scoped_connection closeIdleConnection_;
     boost::signals2::scoped_connection answerConnection_;
     /// Counts exchanges, so that a late completion that belongs to an earlier one is ignored.
--- a/Source/Gateway/GatewayMetrics.cpp
+++ b/Source/Gateway/GatewayMetrics.cpp
@@ -26,6 +26,10 @@
                      .Name("jacinthroad_requests_total")
                      .Help("Requests by outcome")
                      .Register(*registry_))
+    , connectionsClosed_(&prometheus::BuildCounter()
+                              .Name("jacinthroad_caller_connections_closed_total")
+                              .Help("Connections of callers that were closed by reason")
+                              .Register(*registry_))
     , attempts_(&prometheus::BuildCounter()
                      .Name("jacinthroad_attempts_total")
                      .Help("Attempts at backend servers by how they ended")
@@ -114,6 +118,11 @@
     requests_->Add({ { "outcome", outcome } }).Increment();
 }
 
+void GatewayMetrics::countConnectionClosed(const std::string &reason)
+{
+    connectionsClosed_->Add({ { "reason", reason } }).Increment();
+}
+
 void GatewayMetrics::countAttempt(const std::string &end)
 {
     attempts_->Add({ { "end", end } }).Increment();
--- a/Source/Gateway/GatewayMetrics.h
+++ b/Source/Gateway/GatewayMetrics.h
@@ -30,6 +30,8 @@
 
     /// Counts a request that ended with `outcome`, a value of the decision log.
     void countRequest(const std::string &outcome);
+    /// Counts a connection of a caller that was closed because of `reason`.
+    void countConnectionClosed(const std::string &reason);
     /// Counts an attempt at a backend server that ended with `end`.
     void countAttempt(const std::string &end);
     /// Counts a request to resume a stream by whether it went on, or why not.
@@ -67,6 +69,7 @@
 private:
     std::shared_ptr<prometheus::Registry> registry_;
     prometheus::Family<prometheus::Counter> *requests_;
+    prometheus::Family<prometheus::Counter> *connectionsClosed_;
     prometheus::Family<prometheus::Counter> *attempts_;
     prometheus::Family<prometheus::Counter> *resumes_;
     prometheus::Family<prometheus::Counter> *storeCalls_;
--- a/Tests/Gateway/CallerSessionTest.cpp
+++ b/Tests/Gateway/CallerSessionTest.cpp
@@ -206,6 +206,29 @@
     BOOST_TEST(received.starts_with("HTTP/1.1 200"));
 }
 
+BOOST_AUTO_TEST_CASE(connectionsThatTheNodeClosesAreCountedByReason)
+{
+    struct Case
+    {
+        std::string sent;
+        std::string reason;
+    };
+    for (const auto &[sent, reason] :
+         { Case { .sent = "", .reason = "idle_timeout" },
+           Case { .sent = "POST /unsafe/a HTTP/1.1\r\n", .reason = "header_timeout" } }) {
+        BOOST_TEST_CONTEXT(reason)
+        {
+            SessionFixture fixture;
+            fixture.startSession();
+            asio::write(fixture.caller, asio::buffer(sent));
+            const std::string wanted
+                = "jacinthroad_caller_connections_closed_total{reason=\"" + reason + "\"} 1";
+            BOOST_TEST(fixture.runUntil(
+                [&] { return fixture.metrics.render().find(wanted) != std::string::npos; }));
+        }
+    }
+}
+
 BOOST_AUTO_TEST_CASE(responseThatCannotBeWrittenIsNotLoggedAsAnswered)
 {
     std::promise<void> closed;
