CallerSession: Read what has arrived before a limit closes the connection

After a stall of the traffic thread, a caller whose whole request had arrived within the limit for the header could be disconnected without a response or a refusal, and without a line in the log. The limit and the first bytes become due in the same turn of the event loop; the read that goes on is queued behind the limit, which closed the connection with the rest of the request unread (unread_bytes 5038 in the test). The limit for the body acted alike.

When a limit ends, the session now reads on for 50 ms, and as long as unread bytes are found then. The sizes of header and body bound that.

requestThatArrivedWithinItsHeaderLimitIsServedAfterAStall failed before and passes; CallerSessionTest passed three times.

--- a/Source/Gateway/CallerSession.cpp
+++ b/Source/Gateway/CallerSession.cpp
@@ -28,6 +28,8 @@
 constexpr Duration CallerTcpTimeout = std::chrono::seconds(6);
 /// Time limit for receiving the complete body after the header.
 constexpr Duration BodyTimeout = std::chrono::seconds(20);
+/// Time for reading the bytes of a request that had arrived when its time limit ended.
+constexpr Duration ReadAfterLimit = milliseconds(50);
 /// How long a connection that accepts no more requests waits for the caller to close it, and how
 /// long if the caller still sends the body of a request that was refused.
 constexpr Duration LingerTimeout = milliseconds(500);
@@ -130,6 +132,19 @@
     timer_.expireAfter(limit, [self = shared_from_this(), reason] { self->close(reason); });
 }
 
+void CallerSession::limitReading(Duration limit, CloseReason reason)
+{
+    timer_.expireAfter(limit, [self = shared_from_this(), reason] {
+        self->timer_.expireAfter(ReadAfterLimit, [self, reason] {
+            if (peek(self->socket_) == PeekResult::Data) {
+                self->limitReading(Duration::zero(), reason);
+            } else {
+                self->close(reason);
+            }
+        });
+    });
+}
+
 asio::awaitable<bool> CallerSession::waitForBytes(Duration limit)
 {
     if (buffer_.size() > 0) {
@@ -209,7 +224,7 @@
 asio::awaitable<bool> CallerSession::readRequest(Parser &parser, MemoryReservation &bodyMemory)
 {
     const CallerLimits limits = state_.limits();
-    scheduleClose(limits.headerTimeout, CloseReason::HeaderTimeout);
+    limitReading(limits.headerTimeout, CloseReason::HeaderTimeout);
     error_code error;
     reading_ = true;
     requestOpen_ = true;
@@ -219,7 +234,7 @@
         error = http::error::bad_transfer_encoding;
     }
     if (!error && !parser.is_done()) {
-        scheduleClose(BodyTimeout, CloseReason::BodyTimeout);
+        limitReading(BodyTimeout, CloseReason::BodyTimeout);
         error = co_await readBody(parser, bodyMemory);
     }
     timer_.cancel();
--- a/Source/Gateway/CallerSession.h
+++ b/Source/Gateway/CallerSession.h
@@ -78,6 +78,9 @@
                                                                Duration linger);
     /// Closes the connection after `limit` unless the timer is rearmed or cancelled before.
     void scheduleClose(Duration limit, CloseReason reason);
+    /// The same while a request is being read. What has arrived by then is read first, which a
+    /// stall of the thread may have held up.
+    void limitReading(Duration limit, CloseReason reason);
     /// Closes the connection if it waits for a request and none has arrived.
     void closeIfIdle(IdleConnections which);
     /// Watches for the end of the connection while an exchange runs.
--- a/Tests/Gateway/CallerSessionTest.cpp
+++ b/Tests/Gateway/CallerSessionTest.cpp
@@ -229,6 +229,20 @@
     }
 }
 
+BOOST_AUTO_TEST_CASE(requestThatArrivedWithinItsHeaderLimitIsServedAfterAStall)
+{
+    SessionFixture fixture;
+    fixture.startSession();
+    asio::write(fixture.caller, asio::buffer(std::string("POST /unsafe/a HTTP/1.1\r\n")));
+    BOOST_TEST(fixture.run(milliseconds(50)).empty());
+    // Larger than one read, so that the limit is due before the last byte is read.
+    asio::write(fixture.caller,
+                asio::buffer("Host: h\r\nX-Request-Id: r1\r\nX-Filler: " + std::string(6000, 'x')
+                             + "\r\nContent-Length: 2\r\n\r\nab"));
+    std::this_thread::sleep_for(Stall);
+    BOOST_TEST(fixture.receive("whole body").starts_with("HTTP/1.1 200"));
+}
+
 BOOST_AUTO_TEST_CASE(responseThatCannotBeWrittenIsNotLoggedAsAnswered)
 {
     std::promise<void> closed;
