Exchange: Read a response that arrived before the deadline after a stall

After a stall of the traffic thread, a caller got 504 although the whole response of its server had arrived before the deadline. Same cause as for the limits of a request: the deadline becomes due in the same turn as the first bytes of the response, and the read that goes on is queued behind it.

If there are unread bytes at the deadline, the attempt is ended 50 ms later.

--- a/Source/Gateway/ExchangeAttempt.cpp
+++ b/Source/Gateway/ExchangeAttempt.cpp
@@ -33,6 +33,8 @@
 /// Maximum size of a response that is buffered completely.
 constexpr std::uint64_t MaxResponseBytes = 16 * 1024 * 1024;
 constexpr std::uint32_t MaxHeaderBytes = 64 * 1024;
+/// Time for reading the part of a response that had arrived at the deadline.
+constexpr Duration ReadAfterDeadline = milliseconds(50);
 /// Interval of the check whether a server that runs a retryable request has stopped responding.
 constexpr Duration LivenessCheckInterval = milliseconds(100);
 /// Time without data on a connection after which a retryable request is sent to another server.
@@ -114,9 +116,17 @@
 
 void Exchange::abortAt(const std::shared_ptr<Attempt> &attempt, Instant moment)
 {
-    attempt->deadlineTimer.expireAt(moment, [attempt] {
+    const auto end = [attempt] {
         attempt->timedOut = true;
         attempt->abort();
+    };
+    attempt->deadlineTimer.expireAt(moment, [attempt, end] {
+        // After a stall of this thread, a response that arrived in time is still read.
+        if (peek(attempt->connection->socket) == PeekResult::Data) {
+            attempt->deadlineTimer.expireAfter(ReadAfterDeadline, end);
+        } else {
+            end();
+        }
     });
 }
 
--- a/Tests/Gateway/CallerSessionTest.cpp
+++ b/Tests/Gateway/CallerSessionTest.cpp
@@ -345,6 +345,20 @@
     BOOST_TEST(received.starts_with("HTTP/1.1 503"));
 }
 
+BOOST_AUTO_TEST_CASE(responseThatArrivedWithinTheDeadlineIsDeliveredAfterAStall)
+{
+    constexpr std::size_t BodyBytes = 300'000;
+    SessionFixture fixture([](ScriptedConnection &connection, const ReceivedRequest &request) {
+        connection.write(validResponse(request, 200, std::string(BodyBytes, 'x')));
+    });
+    std::optional<ExchangeResult> result;
+    fixture.startExchange("/unsafe/a", result, "300");
+    BOOST_TEST(fixture.runUntil([&] { return fixture.requestsAtServer == 1U; }));
+    std::this_thread::sleep_for(milliseconds(600));
+    const std::string received = fixture.receive("\r\n\r\n");
+    BOOST_TEST(received.starts_with("HTTP/1.1 200"));
+}
+
 BOOST_AUTO_TEST_CASE(requestOfDisconnectedCallerIsNotSent)
 {
     SessionFixture fixture;
