CallerSession: Answer pipelined requests before a stop closes the connection

A response during a stop keeps the connection open if another request has arrived by then; that one is served or refused like any other request, and the last of them closes the connection. Bytes that are still in the socket are read before the request before them stops counting as active, so that the node doesn't end in between. A stream whose header announced the close still closes.

DrainTest/pipelinedRequestsGetResponsesDuringAStop and pipelinedRequestBehindAnUnansweredOneIsRefusedAtEndOfGrace failed before and pass; DrainTest passed twice.

--- a/Source/Gateway/CallerSession.cpp
+++ b/Source/Gateway/CallerSession.cpp
@@ -190,6 +190,9 @@
             state_, socket_, HttpRequest(std::move(request.base())),
             HeldBody { .text = std::move(request.body()), .memory = std::move(bodyMemory) },
             std::chrono::steady_clock::now());
+        if (buffer_.size() > 0) {
+            exchange_->noteNextRequest();
+        }
         watchForDisconnect();
         const ExchangeResult end = co_await exchange_->run();
         ++generation_;
@@ -201,6 +204,10 @@
             co_await closeConnection(end.responseComplete, LingerTimeout);
             co_return;
         }
+        if (state_.draining) {
+            // The node may stop once no request counts as active.
+            readArrived(error);
+        }
     }
 }
 
@@ -366,13 +373,12 @@
 
 void CallerSession::readAhead()
 {
-    const std::size_t limit = state_.limits().headerBytes;
-    if (buffer_.size() >= limit) {
+    error_code error;
+    if (!readArrived(error)) {
+        // The connection is no longer watched.
         return;
     }
-    error_code error;
-    const std::size_t size = readAvailable(socket_, buffer_.prepare(limit - buffer_.size()), error);
-    buffer_.commit(size);
+    exchange_->noteNextRequest();
     if (error) {
         exchange_->callerDisconnected(error);
         return;
@@ -380,4 +386,14 @@
     watchForDisconnect();
 }
 
+bool CallerSession::readArrived(error_code &error)
+{
+    const std::size_t limit = state_.limits().headerBytes;
+    if (buffer_.size() >= limit) {
+        return false;
+    }
+    buffer_.commit(readAvailable(socket_, buffer_.prepare(limit - buffer_.size()), error));
+    return true;
+}
+
 } // namespace jacinthroad
--- a/Source/Gateway/CallerSession.h
+++ b/Source/Gateway/CallerSession.h
@@ -85,9 +85,11 @@
     void closeIfIdle(IdleConnections which);
     /// Watches for the end of the connection while an exchange runs.
     void watchForDisconnect();
-    /// Reads what the caller has pipelined, which would hide the end of the connection. Up to the
-    /// limit for a header; beyond that the connection is no longer watched.
+    /// Reads what the caller has pipelined, which would hide the end of the connection.
     void readAhead();
+    /// Adds the bytes that have arrived to `buffer_`, up to the limit for a header. Returns false
+    /// if it holds that many already.
+    bool readArrived(boost::system::error_code &error);
 
     TrafficState &state_;
     boost::asio::ip::tcp::socket socket_;
--- a/Source/Gateway/Exchange.cpp
+++ b/Source/Gateway/Exchange.cpp
@@ -12,6 +12,7 @@
 #include "Core/Log.h"
 #include "Gateway/BootClock.h"
 #include "Gateway/ExchangeAttempt.h"
+#include "Gateway/SocketOptions.h"
 #include "platform/CallerWire.h"
 
 namespace jacinthroad {
@@ -292,8 +293,7 @@
         if (end == AttemptResult::Delivered) {
             co_return ExchangeResult { .outcome = "streamed",
                                        .status = 200,
-                                       .connectionReusable = useChunkedEncoding()
-                                           && request_.keep_alive() && !state_.draining,
+                                       .connectionReusable = keepAnnounced_ && keepConnection(),
                                        .responseComplete = true };
         }
         if (writeError_) {
@@ -433,11 +433,17 @@
     return facts;
 }
 
+bool Exchange::keepConnection() const
+{
+    return request_.keep_alive()
+        && (!state_.draining || nextRequestArrived_ || peek(caller_) == PeekResult::Data);
+}
+
 asio::awaitable<ExchangeResult> Exchange::sendResponse()
 {
     GatewayResponse response { platform::callerHeader(response_->base()) };
     response.body() = std::move(response_->body());
-    const bool keep = request_.keep_alive() && !state_.draining;
+    const bool keep = keepConnection();
     response.keep_alive(keep);
     setContentLength(response, response_->base(), request_.method());
     firstByteAt_ = std::chrono::steady_clock::now();
@@ -470,7 +476,7 @@
     if (dispatchRecord_.verdict() == NotRun::True && retryAfter > Duration::zero()) {
         platform::setRetryAfter(response.base(), retryAfter);
     }
-    const bool keep = request_.keep_alive() && !state_.draining;
+    const bool keep = keepConnection();
     response.keep_alive(keep);
     response.prepare_payload();
     if (request_.method() == http::verb::head) {
--- a/Source/Gateway/Exchange.h
+++ b/Source/Gateway/Exchange.h
@@ -67,6 +67,9 @@
 
     /// Aborts the current attempt because the caller's connection has ended with `reason`.
     void callerDisconnected(const boost::system::error_code &reason);
+    /// Keeps the connection open after the response although the node is stopping, because the
+    /// caller has sent another request, which must be answered too.
+    void noteNextRequest() { nextRequestArrived_ = true; }
     /// Ends the request because the process ends soon, unless its response has begun: the caller
     /// gets an error, or a refusal if no server has been sent the request.
     void answerBeforeStop();
@@ -127,6 +130,8 @@
     [[nodiscard]] std::string frameEvents(Attempt &attempt,
                                           const boost::beast::http::response_header<> &header,
                                           std::string_view events);
+    /// True if the caller's connection is kept open after the response.
+    [[nodiscard]] bool keepConnection() const;
     /// True if the caller's HTTP version supports chunked encoding.
     [[nodiscard]] bool useChunkedEncoding() const { return request_.version() >= 11; }
     /// Returns the result of a stream that ends after part of it was forwarded to the caller, whose
@@ -269,6 +274,9 @@
     /// How the caller's connection ended, for the log.
     boost::system::error_code callerError_;
     bool headerDelivered_ = false;
+    /// True if the header of the stream lets the caller send another request.
+    bool keepAnnounced_ = false;
+    bool nextRequestArrived_ = false;
     /// True if the retry of the current attempt has been taken from the budget already.
     bool retryReserved_ = false;
     /// Why a write of part of a stream failed.
--- a/Source/Gateway/ExchangeAttempt.cpp
+++ b/Source/Gateway/ExchangeAttempt.cpp
@@ -451,7 +451,8 @@
     } else {
         http::response<http::empty_body> head { header };
         head.chunked(useChunkedEncoding());
-        head.keep_alive(useChunkedEncoding() && request_.keep_alive() && !state_.draining);
+        keepAnnounced_ = useChunkedEncoding() && keepConnection();
+        head.keep_alive(keepAnnounced_);
         if (!useChunkedEncoding()) {
             // To this caller an orderly close is the end of a complete response.
             setResetOnClose(caller_, true);
--- a/Tests/Gateway/DrainTest.cpp
+++ b/Tests/Gateway/DrainTest.cpp
@@ -168,6 +168,62 @@
     BOOST_TEST(lost == 0U);
 }
 
+BOOST_AUTO_TEST_CASE(pipelinedRequestsGetResponsesDuringAStop)
+{
+    constexpr int Requests = 3;
+    GatewayFixture fixture;
+    fixture.addServer("s1", "plain", respondAfter(milliseconds(300)));
+    fixture.configure(1, { "k1" });
+    fixture.start();
+    auto socket = fixture.connect();
+    std::string sent;
+    for (int number = 0; number < Requests; ++number) {
+        sent += requestHead("r" + std::to_string(number), 0);
+    }
+    asio::write(socket, asio::buffer(sent));
+    while (fixture.receivedRequests("s1").empty()) {
+        std::this_thread::sleep_for(milliseconds(5));
+    }
+    std::thread stop = stopProcess(fixture);
+    boost::beast::flat_buffer buffer;
+    for (int number = 0; number < Requests; ++number) {
+        CallerResponse response;
+        error_code error;
+        http::read(socket, buffer, response, error);
+        BOOST_TEST(!error.failed());
+        BOOST_TEST(response.result_int() == 200U);
+        BOOST_TEST(response.keep_alive() == (number + 1 < Requests));
+    }
+    stop.join();
+}
+
+BOOST_AUTO_TEST_CASE(pipelinedRequestBehindAnUnansweredOneIsRefusedAtEndOfGrace)
+{
+    GatewayFixture fixture;
+    fixture.settings.stopGrace = milliseconds(1500);
+    fixture.addServer("s1", "plain", [](ScriptedConnection &connection, const auto &) {
+        return !connection.waitForClose(std::chrono::seconds(5));
+    });
+    fixture.configure(1, { "k1" });
+    fixture.start();
+    auto socket = fixture.connect();
+    asio::write(socket, asio::buffer(requestHead("r1", 0) + requestHead("r2", 0)));
+    while (fixture.receivedRequests("s1").empty()) {
+        std::this_thread::sleep_for(milliseconds(5));
+    }
+    std::thread stop = stopProcess(fixture);
+    boost::beast::flat_buffer buffer;
+    for (const unsigned status : { 504U, 503U }) {
+        CallerResponse response;
+        error_code error;
+        http::read(socket, buffer, response, error);
+        BOOST_TEST(!error.failed());
+        BOOST_TEST(response.result_int() == status);
+    }
+    stop.join();
+    BOOST_TEST(fixture.receivedRequests("s1").size() == 1U);
+}
+
 BOOST_AUTO_TEST_CASE(unsafeRequestThatMayOutlastGraceIsRefusedAsNotRun)
 {
     struct Arrival
