RolloutPlanner: Tell the loads of a server's models apart

Weights of a second model of a server were never ordered once its first model was at that version or above, and orders for the first model were repeated: progress was kept by server only, and removeFinished() compared its target with the version of whichever model of the server was listed first.

Progress names its model. A server still loads one model at a time, and a load of another model counts against the share of servers that may load.

RolloutPlannerTest/weightsOfSecondModelAreOrderedWhateverVersionTheFirstHas failed before with the first model at versions 1, 2 and 3 and passes, as does the rest of RolloutTest.

--- a/Source/Rollout/RolloutPlanner.cpp
+++ b/Source/Rollout/RolloutPlanner.cpp
@@ -24,8 +24,9 @@
     std::erase_if(progress_, [&](const auto &entry) {
         const Progress &progress = entry.second;
         const auto server
-            = std::find_if(servers.begin(), servers.end(),
-                           [&](const RolloutServer &one) { return one.id == entry.first; });
+            = std::find_if(servers.begin(), servers.end(), [&](const RolloutServer &one) {
+                  return one.id == entry.first && one.model == progress.model;
+              });
         if (server == servers.end() || server->bootedAt != progress.bootedAt || server->leaving
             || server->version >= progress.target) {
             return true;
@@ -84,7 +85,7 @@
     for (const RolloutServer &server : servers) {
         const auto progress = progress_.find(server.id);
         const bool due = server.model == model && progress != progress_.end()
-            && progress->second.stage == Stage::Draining
+            && progress->second.model == model && progress->second.stage == Stage::Draining
             && now - progress->second.since >= options_.drainTime && loading < maxLoading;
         if (due) {
             ++loading;
@@ -108,9 +109,11 @@
             break;
         }
         ++draining;
-        progress_[server->id] = {
-            .stage = Stage::Draining, .target = target, .bootedAt = server->bootedAt, .since = now
-        };
+        progress_[server->id] = { .stage = Stage::Draining,
+                                  .model = model,
+                                  .target = target,
+                                  .bootedAt = server->bootedAt,
+                                  .since = now };
         steps.push_back({ .action = RolloutStep::Action::Drain,
                           .server = server->id,
                           .model = model,
--- a/Source/Rollout/RolloutPlanner.h
+++ b/Source/Rollout/RolloutPlanner.h
@@ -85,6 +85,7 @@
     struct Progress
     {
         Stage stage = Stage::Draining;
+        ModelId model;
         WeightsVersion target = 0;
         std::int64_t bootedAt = 0;
         Instant since;
@@ -96,6 +97,7 @@
                    std::vector<RolloutStep> &steps);
 
     Options options_;
+    /// A server loads the weights of one model at a time.
     std::unordered_map<ServerId, Progress> progress_;
 };
 
--- a/Tests/Rollout/RolloutPlannerTest.cpp
+++ b/Tests/Rollout/RolloutPlannerTest.cpp
@@ -71,6 +71,47 @@
     BOOST_TEST(now < 15000);
 }
 
+BOOST_AUTO_TEST_CASE(weightsOfSecondModelAreOrderedWhateverVersionTheFirstHas)
+{
+    const ModelId first("a");
+    const ModelId second("b");
+    for (const WeightsVersion firstVersion : { 1U, 2U, 3U }) {
+        BOOST_TEST_CONTEXT("first model at version " << firstVersion)
+        {
+            RolloutPlanner planner({});
+            std::vector<RolloutServer> servers;
+            for (const char *id : { "s1", "s2" }) {
+                for (const auto &[model, version] :
+                     { std::pair(first, firstVersion), std::pair(second, WeightsVersion { 1 }) }) {
+                    servers.push_back(
+                        { .id = ServerId(id), .model = model, .version = version, .bootedAt = 1 });
+                }
+            }
+            const std::map<ModelId, WeightsVersion> desired { { first, firstVersion },
+                                                              { second, 2 } };
+            unsigned orders = 0;
+            std::int64_t now = 0;
+            for (; now < 5000 && RolloutPlanner::hasOutdatedServers(servers, desired); now += 50) {
+                for (const RolloutStep &step : planner.plan(servers, desired, at(now))) {
+                    if (step.action != RolloutStep::Action::Order) {
+                        continue;
+                    }
+                    ++orders;
+                    BOOST_TEST((step.model == second));
+                    planner.noteOrderOutcome(step.server, OrderOutcome::Accepted, at(now));
+                    for (RolloutServer &server : servers) {
+                        if (server.id == step.server && server.model == step.model) {
+                            server.version = step.version;
+                        }
+                    }
+                }
+            }
+            BOOST_TEST(orders == 2U);
+            BOOST_TEST(now < 5000);
+        }
+    }
+}
+
 BOOST_AUTO_TEST_CASE(serversAreDrainedBeforeTheirOrder)
 {
     RolloutPlanner planner({ .drainTime = milliseconds(300) });
