Exchange: Name no team by a key that may have been revoked on an open route

The age of the configuration counted only where a key is needed.

A request whose key belongs to a team is refused as not run (503, not_ready) once the configuration has expired, on open routes too. Requests without a key, or with one that no team has, are served on.

CallerSessionTest/keyThatMayBeRevokedNamesNoTeamOnAnOpenRoute failed before and passes, with CallerSessionTest, DrainTest, LastTeamTest, CacheScopeTest and StoreRestoreTest.

--- a/Source/Gateway/Exchange.cpp
+++ b/Source/Gateway/Exchange.cpp
@@ -161,13 +161,13 @@
     if (!callerRequest_.key.empty()) {
         team_ = routes_->team(callerRequest_.key);
     }
-    if (routes_->keysRequired() && !route_->anonymous) {
-        if (trust == FreshnessLevel::Expired) {
-            return ErrorKind::NotReady;
-        }
-        if (team_ == nullptr) {
-            return trust == FreshnessLevel::Current ? ErrorKind::Unauthorized : ErrorKind::NotReady;
-        }
+    const bool keyRequired = routes_->keysRequired() && !route_->anonymous;
+    // A key may have been revoked since; no request is sent in the name of its former team.
+    if ((keyRequired || team_ != nullptr) && trust == FreshnessLevel::Expired) {
+        return ErrorKind::NotReady;
+    }
+    if (keyRequired && team_ == nullptr) {
+        return trust == FreshnessLevel::Current ? ErrorKind::Unauthorized : ErrorKind::NotReady;
     }
     return std::nullopt;
 }
--- a/Tests/Gateway/CallerSessionTest.cpp
+++ b/Tests/Gateway/CallerSessionTest.cpp
@@ -388,6 +388,28 @@
     BOOST_TEST(fixture.requestsAtServer == 1U);
 }
 
+BOOST_AUTO_TEST_CASE(keyThatMayBeRevokedNamesNoTeamOnAnOpenRoute)
+{
+    SessionFixture fixture;
+    auto configuration = platform::readConfiguration(*parseJson(
+        R"({"version":2,"routes":[{"name":"open","hostname":"h","pathPrefix":"/open/",
+            "kind":"unsafe","timeoutMs":3000,"targetLatencyMs":300,"priority":1,
+            "service":"plain","maxAttempts":1,"allowAnonymous":true}],
+            "services":[{"name":"plain"}],"tenants":[{"name":"north","apiKeys":["k1"]}]})"));
+    BOOST_REQUIRE(configuration.has_value());
+    fixture.state.applyConfiguration({ .version = 2 },
+                                     std::make_shared<const RouteTable>(std::move(*configuration)));
+    fixture.state.freshness.setOptions(
+        { .staleAfter = Duration::zero(), .expiredAfter = Duration::zero() });
+    fixture.startSession();
+    const std::string head = "GET /open/a HTTP/1.1\r\nHost: h\r\nX-Request-Id: ";
+    asio::write(fixture.caller, asio::buffer(head + "r1\r\nAuthorization: Bearer k1\r\n\r\n"));
+    BOOST_TEST(fixture.receive("\r\n\r\n").starts_with("HTTP/1.1 503"));
+    BOOST_TEST(fixture.requestsAtServer == 0U);
+    asio::write(fixture.caller, asio::buffer(head + "r2\r\n\r\n"));
+    BOOST_TEST(fixture.receive("whole body").starts_with("HTTP/1.1 200"));
+}
+
 BOOST_AUTO_TEST_CASE(limitsRaisedWhileConnectionIsIdleApplyToNextRequest)
 {
     SessionFixture fixture;
