Exchange: Read the end of a response that ends with its connection after a stall

After a stall of the traffic thread over the deadline, a caller got 504 although the whole response of its server had arrived in time, if that response has no length and ends with the connection. The first read takes all of its bytes, so that only the end of the connection is unread when the deadline is handled; that counted as nothing to read, and the attempt was ended.

Unread bytes and an unread end of the connection are now treated alike.

responseThatEndsWithItsConnectionIsDeliveredAfterAStall failed before (504, connection_error "Bad file descriptor") and passed three times.

--- a/Source/Gateway/ExchangeAttempt.cpp
+++ b/Source/Gateway/ExchangeAttempt.cpp
@@ -121,8 +121,10 @@
         attempt->abort();
     };
     attempt->deadlineTimer.expireAt(moment, [attempt, end] {
-        // After a stall of this thread, a response that arrived in time is still read.
-        if (peek(attempt->connection->socket) == PeekResult::Data) {
+        // After a stall of this thread, a response that arrived in time is still read, and so is
+        // the end of the connection, which may be its end.
+        asio::ip::tcp::socket &socket = attempt->connection->socket;
+        if (socket.is_open() && peek(socket) != PeekResult::NoData) {
             attempt->deadlineTimer.expireAfter(ReadAfterDeadline, end);
         } else {
             end();
--- a/Tests/Gateway/CallerSessionTest.cpp
+++ b/Tests/Gateway/CallerSessionTest.cpp
@@ -359,6 +359,26 @@
     BOOST_TEST(received.starts_with("HTTP/1.1 200"));
 }
 
+BOOST_AUTO_TEST_CASE(responseThatEndsWithItsConnectionIsDeliveredAfterAStall)
+{
+    SessionFixture fixture([](ScriptedConnection &connection, const ReceivedRequest &request) {
+        std::string response = validResponse(request, 200, "whole");
+        const std::string length = "Content-Length: 5\r\n";
+        const std::size_t found = response.find(length);
+        BOOST_TEST_REQUIRE(found != std::string::npos);
+        response.erase(found, length.size());
+        // Arrives during the stall.
+        std::this_thread::sleep_for(milliseconds(50));
+        connection.write(response);
+        connection.close();
+    });
+    std::optional<ExchangeResult> result;
+    fixture.startExchange("/unsafe/a", result, "1000");
+    BOOST_TEST(fixture.runUntil([&] { return fixture.requestsAtServer == 1U; }));
+    std::this_thread::sleep_for(milliseconds(1300));
+    BOOST_TEST(fixture.receive("\r\n\r\n").starts_with("HTTP/1.1 200"));
+}
+
 BOOST_AUTO_TEST_CASE(requestOfDisconnectedCallerIsNotSent)
 {
     SessionFixture fixture;
