Exchange: Read a response in spite of a second stall after the deadline

A caller got 504 although its response had arrived before the deadline, if the traffic thread stalled over the deadline and again while it read the response: the time for reading was measured by the clock, so that the second stall took it up. A node that has used up its share of the processor stalls in each tenth of a second.

The time for reading doesn't count if its end is handled more than 5 ms late; it begins anew then, at most ten times.

responseThatArrivedWithinTheDeadlineIsDeliveredAfterTwoStalls failed before (504) and passes. Found by review.

--- a/Source/Gateway/Exchange.h
+++ b/Source/Gateway/Exchange.h
@@ -159,6 +159,8 @@
     void sendRequest(const std::shared_ptr<Attempt> &shared);
     void monitorServer(const std::shared_ptr<Attempt> &attempt);
     static void abortAt(const std::shared_ptr<Attempt> &attempt, Instant moment);
+    /// Aborts the attempt once what has arrived for it has had time to be read.
+    static void abortAfterReading(const std::shared_ptr<Attempt> &attempt, unsigned maxStalls);
     /// Returns the result of an attempt whose connection failed with `error`.
     [[nodiscard]] AttemptResult failure(Attempt &attempt, const boost::system::error_code &error);
     /// Returns the hash by which nodes recognize this request when a caller sends it again.
--- a/Source/Gateway/ExchangeAttempt.cpp
+++ b/Source/Gateway/ExchangeAttempt.cpp
@@ -35,6 +35,10 @@
 constexpr std::uint32_t MaxHeaderBytes = 64 * 1024;
 /// Time for reading the part of a response that had arrived at the deadline.
 constexpr Duration ReadAfterDeadline = milliseconds(50);
+/// That time doesn't count if it ends this late, because the thread has stalled again, up to a
+/// number of stalls.
+constexpr Duration ReadingStall = milliseconds(5);
+constexpr unsigned MaxStallsAfterDeadline = 10;
 /// Interval of the check whether a server that runs a retryable request has stopped responding.
 constexpr Duration LivenessCheckInterval = milliseconds(100);
 /// Time without data on a connection after which a retryable request is sent to another server.
@@ -116,18 +120,27 @@
 
 void Exchange::abortAt(const std::shared_ptr<Attempt> &attempt, Instant moment)
 {
-    const auto end = [attempt] {
-        attempt->timedOut = true;
-        attempt->abort();
-    };
-    attempt->deadlineTimer.expireAt(moment, [attempt, end] {
+    attempt->deadlineTimer.expireAt(moment, [attempt] {
         // After a stall of this thread, a response that arrived in time is still read, and so is
         // the end of the connection, which may be its end.
         asio::ip::tcp::socket &socket = attempt->connection->socket;
         if (socket.is_open() && peek(socket) != PeekResult::NoData) {
-            attempt->deadlineTimer.expireAfter(ReadAfterDeadline, end);
+            abortAfterReading(attempt, MaxStallsAfterDeadline);
+        } else {
+            attempt->endAtDeadline();
+        }
+    });
+}
+
+void Exchange::abortAfterReading(const std::shared_ptr<Attempt> &attempt, unsigned maxStalls)
+{
+    const Instant due = std::chrono::steady_clock::now() + ReadAfterDeadline;
+    attempt->deadlineTimer.expireAt(due, [attempt, due, maxStalls] {
+        // Another stall may have taken that time.
+        if (std::chrono::steady_clock::now() - due > ReadingStall && maxStalls > 0) {
+            abortAfterReading(attempt, maxStalls - 1);
         } else {
-            end();
+            attempt->endAtDeadline();
         }
     });
 }
--- a/Source/Gateway/ExchangeAttempt.h
+++ b/Source/Gateway/ExchangeAttempt.h
@@ -85,6 +85,13 @@
             && connection->socket.is_open();
     }
 
+    /// Aborts the attempt because its time limit has ended.
+    void endAtDeadline()
+    {
+        timedOut = true;
+        abort();
+    }
+
     /// Closes the connection, so that pending operations on it fail.
     void abort()
     {
--- a/Tests/Gateway/CallerSessionTest.cpp
+++ b/Tests/Gateway/CallerSessionTest.cpp
@@ -29,6 +29,8 @@
 
 /// Longer than the idle timeout with every margin that a session may add.
 constexpr Duration Stall = milliseconds(1000);
+/// Longer than the time for reading what had arrived when a limit ended.
+constexpr Duration SecondStall = milliseconds(90);
 /// Time after which a test fails, much longer than what it waits for takes.
 constexpr Duration TestTimeout = std::chrono::seconds(10);
 /// How long a server that sends no response waits for the close of its connection: less than the
@@ -137,6 +139,15 @@
         context.run_for(time);
     }
 
+    /// Runs at most `count` handlers that are ready.
+    void runHandlers(int count)
+    {
+        context.restart();
+        for (int number = 0; number < count; ++number) {
+            context.poll_one();
+        }
+    }
+
     /// Runs the event loop until a condition holds; returns false if it doesn't within TestTimeout.
     bool runUntil(const std::function<bool()> &condition)
     {
@@ -379,6 +390,24 @@
     BOOST_TEST(fixture.receive("\r\n\r\n").starts_with("HTTP/1.1 200"));
 }
 
+BOOST_AUTO_TEST_CASE(responseThatArrivedWithinTheDeadlineIsDeliveredAfterTwoStalls)
+{
+    constexpr std::size_t BodyBytes = 50'000;
+    constexpr int HandlersBetween = 8;
+    SessionFixture fixture([](ScriptedConnection &connection, const ReceivedRequest &request) {
+        // Arrives during the first stall.
+        std::this_thread::sleep_for(milliseconds(50));
+        connection.write(validResponse(request, 200, std::string(BodyBytes, 'x')));
+    });
+    std::optional<ExchangeResult> result;
+    fixture.startExchange("/unsafe/a", result, "1000");
+    BOOST_TEST(fixture.runUntil([&] { return fixture.requestsAtServer == 1U; }));
+    std::this_thread::sleep_for(milliseconds(1300));
+    fixture.runHandlers(HandlersBetween);
+    std::this_thread::sleep_for(SecondStall);
+    BOOST_TEST(fixture.receive("\r\n\r\n").starts_with("HTTP/1.1 200"));
+}
+
 BOOST_AUTO_TEST_CASE(requestOfDisconnectedCallerIsNotSent)
 {
     SessionFixture fixture;
