CallerSession: Serve a request in spite of a second stall after its limit

A caller whose whole request had arrived within the limit for the header was disconnected without an answer, if the traffic thread stalled over the limit and again while it read the request. The last bytes had been taken from the socket by then and their completion was queued behind the limit, which found nothing unread and closed the connection (read_bytes 3530, unread_bytes 0).

The time for reading doesn't count if its end is handled more than 5 ms late; it begins anew then, at most ten times.

requestThatArrivedWithinItsHeaderLimitIsServedAfterTwoStalls failed before, with six handlers between the stalls, and passes. Found by review.

--- a/Source/Gateway/CallerSession.cpp
+++ b/Source/Gateway/CallerSession.cpp
@@ -30,6 +30,10 @@
 constexpr Duration BodyTimeout = std::chrono::seconds(20);
 /// Time for reading the bytes of a request that had arrived when its time limit ended.
 constexpr Duration ReadAfterLimit = milliseconds(50);
+/// That time doesn't count if it ends this late, because the thread has stalled again, up to a
+/// number of stalls.
+constexpr Duration ReadingStall = milliseconds(5);
+constexpr unsigned MaxStallsAfterLimit = 10;
 /// How long a connection that accepts no more requests waits for the caller to close it, and how
 /// long if the caller still sends the body of a request that was refused.
 constexpr Duration LingerTimeout = milliseconds(500);
@@ -135,13 +139,21 @@
 void CallerSession::limitReading(Duration limit, CloseReason reason)
 {
     timer_.expireAfter(limit, [self = shared_from_this(), reason] {
-        self->timer_.expireAfter(ReadAfterLimit, [self, reason] {
-            if (peek(self->socket_) == PeekResult::Data) {
-                self->limitReading(Duration::zero(), reason);
-            } else {
-                self->close(reason);
-            }
-        });
+        self->closeAfterReading(reason, MaxStallsAfterLimit);
+    });
+}
+
+void CallerSession::closeAfterReading(CloseReason reason, unsigned maxStalls)
+{
+    const Instant due = std::chrono::steady_clock::now() + ReadAfterLimit;
+    timer_.expireAt(due, [self = shared_from_this(), reason, due, maxStalls] {
+        // Another stall may have taken that time. What was read last may still be queued then.
+        const bool stalled = maxStalls > 0 && std::chrono::steady_clock::now() - due > ReadingStall;
+        if (stalled || peek(self->socket_) == PeekResult::Data) {
+            self->closeAfterReading(reason, stalled ? maxStalls - 1 : maxStalls);
+        } else {
+            self->close(reason);
+        }
     });
 }
 
--- a/Tests/Gateway/CallerSessionTest.cpp
+++ b/Tests/Gateway/CallerSessionTest.cpp
@@ -254,6 +254,27 @@
     BOOST_TEST(fixture.receive("whole body").starts_with("HTTP/1.1 200"));
 }
 
+BOOST_AUTO_TEST_CASE(requestThatArrivedWithinItsHeaderLimitIsServedAfterTwoStalls)
+{
+    constexpr int MaxHandlersBetween = 8;
+    for (int handlers = 1; handlers <= MaxHandlersBetween; ++handlers) {
+        BOOST_TEST_CONTEXT(handlers << " handlers between the stalls")
+        {
+            SessionFixture fixture;
+            fixture.startSession();
+            asio::write(fixture.caller, asio::buffer(std::string("POST /unsafe/a HTTP/1.1\r\n")));
+            BOOST_TEST(fixture.run(milliseconds(50)).empty());
+            asio::write(fixture.caller,
+                        asio::buffer("Host: h\r\nX-Request-Id: r1\r\nX-Filler: "
+                                     + std::string(6000, 'x') + "\r\nContent-Length: 2\r\n\r\nab"));
+            std::this_thread::sleep_for(Stall);
+            fixture.runHandlers(handlers);
+            std::this_thread::sleep_for(SecondStall);
+            BOOST_TEST(fixture.receive("whole body").starts_with("HTTP/1.1 200"));
+        }
+    }
+}
+
 BOOST_AUTO_TEST_CASE(responseThatCannotBeWrittenIsNotLoggedAsAnswered)
 {
     std::promise<void> closed;
