--- a/Tests/Gateway/CallerSessionTest.cpp
+++ b/Tests/Gateway/CallerSessionTest.cpp
@@ -29,6 +29,8 @@
 
 /// Longer than the idle timeout with every margin that a session may add.
 constexpr Duration Stall = milliseconds(1000);
+/// Longer than the time for reading what had arrived when a limit ended.
+constexpr Duration SecondStall = milliseconds(90);
 /// Time after which a test fails, much longer than what it waits for takes.
 constexpr Duration TestTimeout = std::chrono::seconds(10);
 /// How long a server that sends no response waits for the close of its connection: less than the
@@ -137,6 +139,15 @@
         context.run_for(time);
     }
 
+    /// Runs at most `count` handlers that are ready.
+    void runHandlers(int count)
+    {
+        context.restart();
+        for (int number = 0; number < count; ++number) {
+            context.poll_one();
+        }
+    }
+
     /// Runs the event loop until a condition holds; returns false if it doesn't within TestTimeout.
     bool runUntil(const std::function<bool()> &condition)
     {
@@ -243,6 +254,27 @@
     BOOST_TEST(fixture.receive("whole body").starts_with("HTTP/1.1 200"));
 }
 
+BOOST_AUTO_TEST_CASE(requestThatArrivedWithinItsHeaderLimitIsServedAfterTwoStalls)
+{
+    constexpr int MaxHandlersBetween = 8;
+    for (int handlers = 1; handlers <= MaxHandlersBetween; ++handlers) {
+        BOOST_TEST_CONTEXT(handlers << " handlers between the stalls")
+        {
+            SessionFixture fixture;
+            fixture.startSession();
+            asio::write(fixture.caller, asio::buffer(std::string("POST /unsafe/a HTTP/1.1\r\n")));
+            BOOST_TEST(fixture.run(milliseconds(50)).empty());
+            asio::write(fixture.caller,
+                        asio::buffer("Host: h\r\nX-Request-Id: r1\r\nX-Filler: "
+                                     + std::string(6000, 'x') + "\r\nContent-Length: 2\r\n\r\nab"));
+            std::this_thread::sleep_for(Stall);
+            fixture.runHandlers(handlers);
+            std::this_thread::sleep_for(SecondStall);
+            BOOST_TEST(fixture.receive("whole body").starts_with("HTTP/1.1 200"));
+        }
+    }
+}
+
 BOOST_AUTO_TEST_CASE(responseThatCannotBeWrittenIsNotLoggedAsAnswered)
 {
     std::promise<void> closed;
@@ -359,6 +391,44 @@
     BOOST_TEST(received.starts_with("HTTP/1.1 200"));
 }
 
+BOOST_AUTO_TEST_CASE(responseThatEndsWithItsConnectionIsDeliveredAfterAStall)
+{
+    SessionFixture fixture([](ScriptedConnection &connection, const ReceivedRequest &request) {
+        std::string response = validResponse(request, 200, "whole");
+        const std::string length = "Content-Length: 5\r\n";
+        const std::size_t found = response.find(length);
+        BOOST_TEST_REQUIRE(found != std::string::npos);
+        response.erase(found, length.size());
+        // Arrives during the stall.
+        std::this_thread::sleep_for(milliseconds(50));
+        connection.write(response);
+        connection.close();
+    });
+    std::optional<ExchangeResult> result;
+    fixture.startExchange("/unsafe/a", result, "1000");
+    BOOST_TEST(fixture.runUntil([&] { return fixture.requestsAtServer == 1U; }));
+    std::this_thread::sleep_for(milliseconds(1300));
+    BOOST_TEST(fixture.receive("\r\n\r\n").starts_with("HTTP/1.1 200"));
+}
+
+BOOST_AUTO_TEST_CASE(responseThatArrivedWithinTheDeadlineIsDeliveredAfterTwoStalls)
+{
+    constexpr std::size_t BodyBytes = 50'000;
+    constexpr int HandlersBetween = 8;
+    SessionFixture fixture([](ScriptedConnection &connection, const ReceivedRequest &request) {
+        // Arrives during the first stall.
+        std::this_thread::sleep_for(milliseconds(50));
+        connection.write(validResponse(request, 200, std::string(BodyBytes, 'x')));
+    });
+    std::optional<ExchangeResult> result;
+    fixture.startExchange("/unsafe/a", result, "1000");
+    BOOST_TEST(fixture.runUntil([&] { return fixture.requestsAtServer == 1U; }));
+    std::this_thread::sleep_for(milliseconds(1300));
+    fixture.runHandlers(HandlersBetween);
+    std::this_thread::sleep_for(SecondStall);
+    BOOST_TEST(fixture.receive("\r\n\r\n").starts_with("HTTP/1.1 200"));
+}
+
 BOOST_AUTO_TEST_CASE(requestOfDisconnectedCallerIsNotSent)
 {
     SessionFixture fixture;
