Gateway: Accept waiting connections before a stop closes the listener

After a stall in a stop, callers on new connections got a reset instead of a response or a refusal, and the node logged nothing.

The listener is closed 3.2 s after SIGTERM, and the kernel resets connections that wait to be accepted then. After a stall of the traffic thread the first of them and the timer become due in the same turn of the event loop; the accept that goes on is queued behind the timer, which closes the listener.

The node now accepts all waiting connections before it closes the listener. Their requests are refused as not run.

requestsOnConnectionsThatWaitForAcceptanceGetResponsesAfterAStall left 298 and 297 of 300 requests unanswered before and passes, four times of four.

--- a/Source/Gateway/Gateway.cpp
+++ b/Source/Gateway/Gateway.cpp
@@ -705,8 +705,9 @@
         traffic.answerOpenRequests();
     }
     if (listenerEnded) {
-        error_code ignored;
-        callers.close(ignored);
+        if (callers.is_open()) {
+            acceptLastCallers(traffic, callers);
+        }
         traffic.closeIdleConnections(IdleConnections::All);
         // Connections that were accepted just before are closed by the second check.
         if (connectionsClosed && traffic.activeRequests() == 0) {
--- a/Source/Gateway/Listener.cpp
+++ b/Source/Gateway/Listener.cpp
@@ -143,4 +143,18 @@
     });
 }
 
+void acceptLastCallers(TrafficState &state, asio::ip::tcp::acceptor &acceptor)
+{
+    error_code error;
+    acceptor.non_blocking(true, error);
+    while (!error) {
+        asio::ip::tcp::socket socket(state.context);
+        acceptor.accept(socket, error);
+        if (!error) {
+            CallerSession::start(state, std::move(socket));
+        }
+    }
+    acceptor.close(error);
+}
+
 } // namespace jacinthroad
--- a/Source/Gateway/Listener.h
+++ b/Source/Gateway/Listener.h
@@ -52,4 +52,8 @@
 [[nodiscard]] boost::asio::awaitable<void> acceptCallers(TrafficState &state,
                                                          boost::asio::ip::tcp::acceptor &acceptor);
 
+/// Runs a CallerSession for each connection that waits to be accepted and closes the acceptor.
+/// Closing it alone resets these connections, and with them requests that have arrived.
+void acceptLastCallers(TrafficState &state, boost::asio::ip::tcp::acceptor &acceptor);
+
 } // namespace jacinthroad
--- a/Tests/Gateway/DrainTest.cpp
+++ b/Tests/Gateway/DrainTest.cpp
@@ -8,7 +8,14 @@
 
 #include <boost/asio/write.hpp>
 #include <boost/test/unit_test.hpp>
+#include <csignal>
+#include <sys/wait.h>
+#include <unistd.h>
 
+#include "Core/Endpoint.h"
+#include "Core/Log.h"
+#include "FreeAddress.h"
+#include "Gateway/GatewaySettings.h"
 #include "GatewayFixture.h"
 
 namespace jacinthroad {
@@ -71,6 +78,63 @@
     });
 }
 
+/// A process with a gateway that has no store and has begun to stop.
+class StoppingProcess
+{
+public:
+    StoppingProcess()
+        : settings_(*readGatewaySettings(
+            R"({"edge":"gateway","node":{"name":"front-1","zone":"z"},)"
+            R"("listen":{"callers":")"
+                + freeAddress() + R"(","readiness":")" + freeAddress()
+                + R"("},"store":{"address":")" + freeAddress()
+                + R"("},"bounds":{"stop_grace_s":5},"log":{"level":"warning"}})",
+            "settings.json"))
+    {
+        std::array<int, 2> channel {};
+        BOOST_REQUIRE(pipe(channel.data()) == 0);
+        process_ = fork();
+        BOOST_REQUIRE(process_ >= 0);
+        if (process_ == 0) {
+            run(channel[1]);
+        }
+        char begun = 0;
+        BOOST_REQUIRE(read(channel[0], &begun, 1) == 1);
+        close(channel[0]);
+        close(channel[1]);
+    }
+    StoppingProcess(const StoppingProcess &) = delete;
+    StoppingProcess &operator=(const StoppingProcess &) = delete;
+    ~StoppingProcess()
+    {
+        signal(SIGCONT);
+        waitpid(process_, nullptr, 0);
+    }
+
+    void signal(int number) const { ::kill(process_, number); }
+    [[nodiscard]] asio::ip::tcp::socket connect()
+    {
+        asio::ip::tcp::socket socket(context_);
+        socket.connect(*parseEndpoint(settings_.callerAddress));
+        return socket;
+    }
+
+private:
+    [[noreturn]] void run(int channel) const
+    {
+        configureLog(settings_.log);
+        const auto gateway = Gateway::start(settings_);
+        if (gateway.has_value() && write(channel, "b", 1) == 1) {
+            static_cast<void>((*gateway)->drain());
+        }
+        _exit(0);
+    }
+
+    GatewaySettings settings_;
+    pid_t process_ = -1;
+    asio::io_context context_;
+};
+
 } // namespace
 
 BOOST_AUTO_TEST_SUITE(DrainTest)
@@ -114,6 +178,27 @@
     BOOST_TEST(fixture.receivedRequests("s1").empty());
 }
 
+BOOST_AUTO_TEST_CASE(requestsOnConnectionsThatWaitForAcceptanceGetResponsesAfterAStall)
+{
+    constexpr int Requests = 300;
+    constexpr Duration Stall = milliseconds(700);
+    StoppingProcess process;
+    std::this_thread::sleep_for(BalancerLeft);
+    process.signal(SIGSTOP);
+    std::vector<asio::ip::tcp::socket> callers;
+    for (int number = 0; number < Requests; ++number) {
+        callers.push_back(process.connect());
+        asio::write(callers.back(), asio::buffer(requestHead("r" + std::to_string(number), 0)));
+    }
+    std::this_thread::sleep_for(Stall);
+    process.signal(SIGCONT);
+    int unanswered = 0;
+    for (asio::ip::tcp::socket &caller : callers) {
+        unanswered += readStatus(caller) == 503U ? 0 : 1;
+    }
+    BOOST_TEST(unanswered == 0);
+}
+
 BOOST_AUTO_TEST_CASE(noForwardedRequestOfOpenConnectionsIsLostWhileProcessEnds)
 {
     constexpr unsigned Callers = 4;
