CallerSessionTest: Let the response arrive during the stall

responseThatArrivedWithinTheDeadlineIsDeliveredAfterAStall could fail without a fault if the server was reached later than 300 ms, and could pass without a test if the response was read before the stall. The server now responds 50 ms into the stall, and the deadline is 1 s. The check is the same.

Exchange: a connection to a server that the deadline closed while the last read was queued is no longer put back into the pool, where it would count as lost by the server. Both found by review.

--- a/Source/Gateway/ExchangeAttempt.cpp
+++ b/Source/Gateway/ExchangeAttempt.cpp
@@ -736,8 +736,11 @@
     const bool sameStart = listed != nullptr && listed->bootedAt == attempt.placement.bootedAt
         && listed->address == attempt.placement.address;
     noteConnectionLost(attempt, end, sameStart);
+    // The deadline may have closed the connection while the completed read was queued.
+    const bool open = attempt.connection != nullptr && attempt.connection->socket.is_open();
     // A server may respond twice, and a second send of this request has the same id.
-    if (attempt.reusable && sameStart && !otherWeights && attempt.connection->buffer.size() == 0) {
+    if (open && attempt.reusable && sameStart && !otherWeights
+        && attempt.connection->buffer.size() == 0) {
         const Duration keep = attempt.responseFacts.keepAlive.value_or(DefaultKeepAlive);
         attempt.connection->usableUntil = now + keep - std::min(keep / 2, KeepAliveMargin);
         state_.connections.addIdle(server, std::move(attempt.connection));
--- a/Tests/Gateway/CallerSessionTest.cpp
+++ b/Tests/Gateway/CallerSessionTest.cpp
@@ -379,14 +379,16 @@
 
 BOOST_AUTO_TEST_CASE(responseThatArrivedWithinTheDeadlineIsDeliveredAfterAStall)
 {
-    constexpr std::size_t BodyBytes = 300'000;
+    constexpr std::size_t BodyBytes = 50'000;
     SessionFixture fixture([](ScriptedConnection &connection, const ReceivedRequest &request) {
+        // Arrives during the stall.
+        std::this_thread::sleep_for(milliseconds(50));
         connection.write(validResponse(request, 200, std::string(BodyBytes, 'x')));
     });
     std::optional<ExchangeResult> result;
-    fixture.startExchange("/unsafe/a", result, "300");
+    fixture.startExchange("/unsafe/a", result, "1000");
     BOOST_TEST(fixture.runUntil([&] { return fixture.requestsAtServer == 1U; }));
-    std::this_thread::sleep_for(milliseconds(600));
+    std::this_thread::sleep_for(milliseconds(1300));
     const std::string received = fixture.receive("\r\n\r\n");
     BOOST_TEST(received.starts_with("HTTP/1.1 200"));
 }
