Exchange: Keep callers from the paths that servers serve the system at

A caller's POST /-/order on a route with the prefix "/" was forwarded to the engine, which loaded the version that the caller named (seen by hand). On any route, paths that lead there through dot segments were forwarded too. Paths are forwarded unchanged, and nothing told these from others.

CallerRequest says whether a server may resolve the path to one below /-/: after percent-decoding, with slashes merged or not, with encoded slashes separating segments or not, and on its way through dot segments. Such a request is refused as not_found (404) with any method, whatever its key, and not sent. All other paths are forwarded unchanged.

EdgeTest/callersReachNoPathThatServersKeepForTheSystem failed without the check in Exchange (all 48 requests reached a server) and passes with it, as do the rest of EdgeTest, CallerSessionTest, ResponseIdentityTest and StreamVersionTest (85 cases) and PlatformTest, with 26 paths that are refused and 29 that are not.

--- a/Source/Fleet/CallerRequest.h
+++ b/Source/Fleet/CallerRequest.h
@@ -25,6 +25,9 @@
     std::string host;
     /// Path without the query.
     std::string path;
+    /// The path leads to the calls that backend servers keep for the system, in any spelling that a
+    /// server may resolve to one of them.
+    bool pathReserved = false;
     /// Bearer key; empty if none was sent.
     std::string key;
     /// Maximum time that the caller waits for the response.
--- a/Source/Gateway/Exchange.cpp
+++ b/Source/Gateway/Exchange.cpp
@@ -148,6 +148,9 @@
         return ErrorKind::NotReady;
     }
     route_ = routes_->route(callerRequest_.host, callerRequest_.path);
+    if (callerRequest_.pathReserved) {
+        return ErrorKind::NotFound;
+    }
     if (route_ == nullptr) {
         return trust == FreshnessLevel::Current ? ErrorKind::NotFound : ErrorKind::NotReady;
     }
--- a/Tests/Gateway/EdgeTest.cpp
+++ b/Tests/Gateway/EdgeTest.cpp
@@ -737,6 +737,58 @@
     BOOST_TEST(call() == 200U);
 }
 
+BOOST_AUTO_TEST_CASE(callersReachNoPathThatServersKeepForTheSystem)
+{
+    GatewayFixture fixture;
+    std::mutex mutex;
+    std::vector<std::string> targets;
+    const auto respond = [&](ScriptedConnection &connection, const ReceivedRequest &request) {
+        if (request.count("X-Request-Id") == 0) {
+            connection.write(reportResponse(1, false, 0));
+            return true;
+        }
+        const std::lock_guard lock(mutex);
+        targets.emplace_back(request.target());
+        connection.write(validResponse(request));
+        return true;
+    };
+    fixture.addServer("s1", "plain", respond);
+    fixture.addServer("e1", "engines", respond);
+    fixture.configure(1, { "k1" });
+    Json::Value spec = fixture.store.spec("config", "main");
+    Json::Value whole = spec["routes"][0];
+    whole["name"] = "whole";
+    whole["pathPrefix"] = "/";
+    whole["service"] = "engines";
+    spec["routes"].append(whole);
+    fixture.store.put("config", "main", spec);
+    fixture.start();
+    const std::string order
+        = R"({"opKind":"load","model":"m","version":2,"holder":"x","fenceToken":9})";
+    for (const char *path : { "/-/order", "/%2D/order", "/%2d%2Forder", "//-/order", "/./-/order",
+                              "/safe/../-/order", "/safe/%2e%2e/-/order", "/stream/..//-/order" }) {
+        for (const char *method : { "GET", "POST", "PUT", "DELETE", "PATCH" }) {
+            const auto response = fixture.call(method, path, order, KeyHeader + "X-Model: m\r\n");
+            BOOST_REQUIRE(response != nullptr);
+            BOOST_TEST(response->result_int() == 404U, method << ' ' << path);
+            BOOST_TEST(response->body().find("not_found") != std::string::npos, response->body());
+        }
+        BOOST_TEST(fixture
+                       .sendBytes(requestText(std::string("HEAD ") + path,
+                                              "X-Request-Id: h\r\nConnection: close\r\n"),
+                                  milliseconds(1000))
+                       .starts_with("HTTP/1.1 404 "));
+    }
+    const std::vector<std::string> others { "/a/-/b", "/-a/%2e/", "/%2d", "/a//b/../c?x=/-/order" };
+    for (const std::string &path : others) {
+        const auto response = fixture.call("POST", path, order, KeyHeader + "X-Model: m\r\n");
+        BOOST_REQUIRE(response != nullptr);
+        BOOST_TEST(response->result_int() == 200U, path);
+    }
+    const std::lock_guard lock(mutex);
+    BOOST_TEST(targets == others, boost::test_tools::per_element());
+}
+
 BOOST_AUTO_TEST_CASE(outdatedWeightsStayOutdatedAfterNodeRestart)
 {
     GatewayFixture fixture;
--- a/Tests/Platform/WireTest.cpp
+++ b/Tests/Platform/WireTest.cpp
@@ -76,6 +76,68 @@
     BOOST_TEST(!readCallerRequest(header).has_value());
 }
 
+BOOST_AUTO_TEST_CASE(pathsThatServersMayResolveToReservedOnesAreReserved)
+{
+    for (const char *target : { "/-/order",          "/-/",
+                                "/-/order?x=1",      "/-/kv-pin/5c1e",
+                                "/-//order",         "/-/../a",
+                                "/%2D/order",        "/%2d/order",
+                                "/%2d%2Forder",      "/-%2forder",
+                                "/%2F-/order",       "//-/order",
+                                "///-//order",       "/./-/order",
+                                "/.//./-/order",     "/../-/order",
+                                "/a/../-/order",     "/a/b/../../-/order",
+                                "/a//../-/order",    "/a/%2e%2e/-/order",
+                                "/a/.%2E/%2d/order", "/a%2F../-/order",
+                                "/a%2Fb/../-/order", "/a%2Fb/../-%2Forder",
+                                "/%2e/-/order",      "/b/../-/a//../../x" }) {
+        http::request_header<> header = sampleHeader();
+        header.target(target);
+        const auto request = readCallerRequest(header);
+        BOOST_REQUIRE(request.has_value());
+        BOOST_TEST(request->pathReserved, target);
+    }
+}
+
+BOOST_AUTO_TEST_CASE(otherPathsAreNotReserved)
+{
+    for (const char *target : { "/",
+                                "//",
+                                "/-",
+                                "/%2d",
+                                "/-?x=/-/order",
+                                "/a?x=/-/order",
+                                "/a?/../-/order",
+                                "/-a/",
+                                "/-a/order",
+                                "/a-/order",
+                                "/--/order",
+                                "/-./order",
+                                "/-%20/order",
+                                "/a/-/b",
+                                "/a/-/",
+                                "/a//-/b",
+                                "/a/./-/b",
+                                "/a/b/../-/c",
+                                "/a%2F-/b",
+                                "/a%2Fb/-/c",
+                                "/%2Fa/-/b",
+                                "/.../-/b",
+                                "/%/-/b",
+                                "/%2/-/b",
+                                "/%zz/-/b",
+                                "/%",
+                                "/%2",
+                                "/a/../-",
+                                "/%2d%3F/order" }) {
+        http::request_header<> header = sampleHeader();
+        header.target(target);
+        const auto request = readCallerRequest(header);
+        BOOST_REQUIRE(request.has_value());
+        BOOST_TEST(!request->pathReserved, target);
+    }
+}
+
 BOOST_AUTO_TEST_CASE(rejectsMalformedMissingAndRepeatedHeaders)
 {
     const std::vector<std::pair<const char *, const char *>> malformedValues {
