Gateway: Let the traffic thread answer before a stop ends the process

If a whole process stands still over the end of the time for answers, the main thread and the traffic thread become due together. The main thread went on by the clock and could end the process before the traffic thread had given open requests their final responses, so that all of them were closed at one moment.

At the end of that time the main thread now waits until the traffic thread has ended the open requests, for half of what is left of the grace period at most; the other half stays for releasing the lease.

Found by review, read in the code; no test shows the race.

--- a/Source/Fleet/StopSchedule.cpp
+++ b/Source/Fleet/StopSchedule.cpp
@@ -40,6 +40,11 @@
     return grace_ - std::min(StopMargin, grace_ / MarginDivisor);
 }
 
+Duration StopSchedule::answerTime() const
+{
+    return (grace_ - answerEnd()) / 2;
+}
+
 Duration StopSchedule::releaseTime() const
 {
     return std::min(ReleaseTime, (grace_ - answerEnd()) / 2);
--- a/Source/Fleet/StopSchedule.h
+++ b/Source/Fleet/StopSchedule.h
@@ -33,6 +33,8 @@
     [[nodiscard]] Duration listenerEnd() const;
     /// When requests without a response get their final one.
     [[nodiscard]] Duration answerEnd() const;
+    /// Time within which the final responses are given after answerEnd().
+    [[nodiscard]] Duration answerTime() const;
     /// Time from the last responses to the end of the process.
     [[nodiscard]] Duration releaseTime() const;
 
--- a/Source/Gateway/Gateway.cpp
+++ b/Source/Gateway/Gateway.cpp
@@ -251,6 +251,9 @@
     /// Checks every DrainPollPeriod whether the node can stop, and fulfils `idle` then.
     /// `connectionsClosed` is true once new connections are rejected and idle ones are closed.
     void pollDrain(const std::shared_ptr<std::promise<void>> &idle, bool connectionsClosed);
+    /// Ends the requests that are left at the end of a stop. Waits up to `limit` for the traffic
+    /// thread, which is late after a stall of the process.
+    void answerOpenRequests(Duration limit);
     void reportToRollout();
     void assignCaches();
     /// Identifies this process to nodes that get objects of the store from it.
@@ -717,6 +720,17 @@
     }
 }
 
+void Gateway::Parts::answerOpenRequests(Duration limit)
+{
+    auto done = std::make_shared<std::promise<void>>();
+    std::future<void> answered = done->get_future();
+    asio::post(trafficContext, [this, done] {
+        traffic.answerOpenRequests();
+        done->set_value();
+    });
+    static_cast<void>(answered.wait_for(limit));
+}
+
 Gateway::Gateway(std::unique_ptr<Parts> parts)
     : parts_(std::move(parts))
 { }
@@ -759,7 +773,11 @@
         parts->pollDrain(idle, false);
     });
     asio::post(parts_->controlContext, [parts = parts_.get()] { parts->rollout.beginDrain(); });
-    static_cast<void>(stopped.wait_until(signalled + schedule.answerEnd()));
+    const bool ended
+        = stopped.wait_until(signalled + schedule.answerEnd()) == std::future_status::ready;
+    if (!ended) {
+        parts_->answerOpenRequests(schedule.answerTime());
+    }
     asio::post(parts_->controlContext, [parts = parts_.get()] { parts->rollout.releaseLease(); });
     // The last responses are sent meanwhile.
     std::this_thread::sleep_for(schedule.releaseTime());
--- a/Tests/Fleet/StopScheduleTest.cpp
+++ b/Tests/Fleet/StopScheduleTest.cpp
@@ -115,6 +115,16 @@
     BOOST_TEST((*usual.estimate() < milliseconds(1050)));
 }
 
+BOOST_AUTO_TEST_CASE(finalResponsesAndReleaseEndWithinTheGracePeriod)
+{
+    for (const auto grace : { milliseconds(0), milliseconds(500), milliseconds(2000),
+                              milliseconds(3500), milliseconds(8000), milliseconds(60000) }) {
+        const StopSchedule schedule(grace);
+        BOOST_TEST(
+            (schedule.answerEnd() + schedule.answerTime() + schedule.releaseTime() <= grace));
+    }
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace jacinthroad
