CallerSessionTest: No request is sent once its connection or its sending side is closed

The record of the incident has a connection that is closed by the node before the request on it is sent to a server. The tests close an idle connection, or end the last response on one, at each of the first 16 handlers around the arrival of a request: it is answered, or it reaches no server.

--- a/Tests/Gateway/CallerSessionTest.cpp
+++ b/Tests/Gateway/CallerSessionTest.cpp
@@ -217,6 +217,63 @@
     BOOST_TEST(received.starts_with("HTTP/1.1 200"));
 }
 
+BOOST_AUTO_TEST_CASE(requestIsNotSentOnceItsIdleConnectionIsClosed)
+{
+    constexpr int MaxHandlersBefore = 15;
+    bool served = false;
+    bool closed = false;
+    for (int handlers = 0; handlers <= MaxHandlersBefore; ++handlers) {
+        for (const bool arrivesLast : { false, true }) {
+            BOOST_TEST_CONTEXT(handlers << " handlers before the close, request arrives "
+                                        << (arrivesLast ? "behind it" : "before them"))
+            {
+                SessionFixture fixture;
+                fixture.startSession();
+                fixture.send();
+                BOOST_TEST(fixture.receive("whole body").starts_with("HTTP/1.1 200"));
+                if (!arrivesLast) {
+                    fixture.send();
+                }
+                fixture.runHandlers(handlers);
+                fixture.state.closeIdleConnections(IdleConnections::All);
+                if (arrivesLast) {
+                    fixture.send();
+                }
+                const bool answered = fixture.run(milliseconds(60)).starts_with("HTTP/1.1 200");
+                BOOST_TEST(fixture.requestsAtServer == (answered ? 2U : 1U));
+                BOOST_TEST(answered != arrivesLast);
+                served = served || answered;
+                closed = closed || !answered;
+            }
+        }
+    }
+    BOOST_TEST(served);
+    BOOST_TEST(closed);
+}
+
+BOOST_AUTO_TEST_CASE(requestBehindTheLastResponseOfAConnectionIsNotSent)
+{
+    constexpr int MaxHandlersBefore = 15;
+    for (int handlers = 0; handlers <= MaxHandlersBefore; ++handlers) {
+        BOOST_TEST_CONTEXT(handlers << " handlers before the second request arrives")
+        {
+            SessionFixture fixture;
+            fixture.startSession();
+            asio::write(fixture.caller,
+                        asio::buffer(std::string("POST /unsafe/a HTTP/1.1\r\nHost: h\r\n"
+                                                 "X-Request-Id: r0\r\nConnection: close\r\n"
+                                                 "Content-Length: 2\r\n\r\nab")));
+            BOOST_TEST(fixture.runUntil([&] { return fixture.requestsAtServer == 1U; }));
+            fixture.runHandlers(handlers);
+            fixture.send();
+            const std::string received = fixture.receive("whole body");
+            BOOST_TEST(received.find("Connection: close") != std::string::npos);
+            BOOST_TEST(fixture.run(milliseconds(60)).empty());
+            BOOST_TEST(fixture.requestsAtServer == 1U);
+        }
+    }
+}
+
 BOOST_AUTO_TEST_CASE(connectionsThatTheNodeClosesAreCountedByReason)
 {
     struct Case
