Gateway: Answer callers that close only their sending side, and tell them from those that left

A caller that shuts its sending side down after its request, which HTTP allows, and reads on got a closed connection: the end of its stream counts as its leaving.

Such a caller is now sent an error response, caller_closed: 503 if the request was not run, else 502. The server's connection is closed at once as before, since a close of one side looks like a close of both until something is written. A caller that has closed both answers with a reset; one that doesn't within 500 ms is logged as caller_half_closed and counted with the reason half_closed.

--- a/Source/Core/ErrorKind.cpp
+++ b/Source/Core/ErrorKind.cpp
@@ -6,7 +6,7 @@
 
 namespace {
 
-constexpr std::array<ErrorResponse, 28> Responses { {
+constexpr std::array<ErrorResponse, 29> Responses { {
     { ErrorKind::InvalidRequest, "invalid_request", 400, 0,
       "Correct the named field and send the request again." },
     { ErrorKind::Unauthorized, "unauthorized", 401, 0,
@@ -60,6 +60,8 @@
       "Shorten the request line and headers below the configured limit." },
     { ErrorKind::BodyMemoryFull, "body_memory_full", 503, 500,
       "Send the request again after retry_after_ms; operators raise memory.total_mb." },
+    { ErrorKind::CallerClosed, "caller_closed", 503, 100,
+      "Keep the connection open in both directions until the response is complete." },
     { ErrorKind::Internal, "internal", 500, 1000, "Report the request_id to the operators." },
 } };
 
--- a/Source/Core/ErrorKind.h
+++ b/Source/Core/ErrorKind.h
@@ -37,6 +37,8 @@
     HeaderTooLarge,
     /// The bodies of other requests take the memory that this one's body needs.
     BodyMemoryFull,
+    /// The caller closed its sending side before its request had a response.
+    CallerClosed,
     Internal,
 };
 
--- a/Source/Gateway/CallerSession.cpp
+++ b/Source/Gateway/CallerSession.cpp
@@ -38,6 +38,8 @@
 /// long if the caller still sends the body of a request that was refused.
 constexpr Duration LingerTimeout = milliseconds(500);
 constexpr Duration RefusedBodyLingerTimeout = milliseconds(2000);
+/// Time for the reset with which a caller that has closed its connection answers a response.
+constexpr Duration ResetTimeout = milliseconds(500);
 /// Callers may reuse a connection until the idle limit, so it is closed this much later.
 constexpr Duration IdleMargin = milliseconds(500);
 
@@ -75,10 +77,10 @@
 
 std::string_view CallerSession::closeReasonName(CloseReason reason)
 {
-    constexpr std::array<std::string_view, 8> Names { "caller",         "idle_timeout",
-                                                      "header_timeout", "body_timeout",
-                                                      "stop",           "responded",
-                                                      "no_response",    "failed" };
+    constexpr std::array<std::string_view, 9> Names {
+        "caller", "half_closed", "idle_timeout", "header_timeout", "body_timeout",
+        "stop",   "responded",   "no_response",  "failed"
+    };
     return Names[static_cast<std::size_t>(reason)];
 }
 
@@ -208,10 +210,15 @@
         watchForDisconnect();
         const ExchangeResult end = co_await exchange_->run();
         ++generation_;
+        std::string requestId(exchange_->requestId());
         exchange_.reset();
         ++requests_;
         error_code error;
         socket_.cancel(error);
+        if (end.callerMayRead && !state_.draining) {
+            co_await closeHalfClosed(std::move(requestId));
+            co_return;
+        }
         if (!end.connectionReusable) {
             co_await closeConnection(end.responseComplete, LingerTimeout);
             co_return;
@@ -240,6 +247,27 @@
     close(responseComplete ? CloseReason::Responded : CloseReason::NoResponse);
 }
 
+asio::awaitable<void> CallerSession::closeHalfClosed(std::string request)
+{
+    timer_.expireAfter(ResetTimeout, [self = shared_from_this()] {
+        error_code ignored;
+        self->socket_.cancel(ignored);
+    });
+    error_code error;
+    co_await socket_.async_wait(asio::ip::tcp::socket::wait_error,
+                                asio::redirect_error(asio::use_awaitable, error));
+    timer_.cancel();
+    const bool reset = takeError(socket_);
+    if (!reset) {
+        logLine(
+            LogLevel::Info, "caller_half_closed",
+            { { "request_id", request },
+              { "remedy",
+                "The caller must keep its sending side open until the response is complete." } });
+    }
+    close(reset ? CloseReason::Caller : CloseReason::HalfClosed);
+}
+
 asio::awaitable<bool> CallerSession::readRequest(Parser &parser, MemoryReservation &bodyMemory)
 {
     const CallerLimits limits = state_.limits();
--- a/Source/Gateway/CallerSession.h
+++ b/Source/Gateway/CallerSession.h
@@ -4,6 +4,7 @@
 #include <cstdint>
 #include <exception>
 #include <memory>
+#include <string>
 #include <string_view>
 #include <utility>
 
@@ -37,6 +38,8 @@
     enum class CloseReason : std::uint8_t {
         /// The caller closed or reset the connection, or TCP gave it up.
         Caller,
+        /// The caller closed only its sending side.
+        HalfClosed,
         IdleTimeout,
         HeaderTimeout,
         BodyTimeout,
@@ -76,6 +79,10 @@
     /// before the caller has read it, for which it waits up to `linger`.
     [[nodiscard]] boost::asio::awaitable<void> closeConnection(bool responseComplete,
                                                                Duration linger);
+    /// Closes the connection of a caller that has closed its sending side and was sent an error
+    /// response to `request`. Logs `caller_half_closed` unless the caller answers that with a
+    /// reset, as it does if it has closed both sides.
+    [[nodiscard]] boost::asio::awaitable<void> closeHalfClosed(std::string request);
     /// Closes the connection after `limit` unless the timer is rearmed or cancelled before.
     void scheduleClose(Duration limit, CloseReason reason);
     /// The same while a request is being read. What has arrived by then is read first, which a
--- a/Source/Gateway/Exchange.cpp
+++ b/Source/Gateway/Exchange.cpp
@@ -36,9 +36,13 @@
 
 /// Returns the HTTP status of a refusal. Callers of the gateway take only 503 and 429 as a
 /// statement that the request was not run.
-int gatewayStatus(ErrorKind kind)
+int gatewayStatus(ErrorKind kind, NotRun notRun)
 {
     constexpr int ServiceUnavailable = 503;
+    constexpr int BadGateway = 502;
+    if (kind == ErrorKind::CallerClosed && notRun != NotRun::True) {
+        return BadGateway;
+    }
     return kind == ErrorKind::Quarantined ? ServiceUnavailable : errorResponse(kind).status;
 }
 
@@ -76,7 +80,7 @@
 GatewayResponse gatewayRefusalResponse(const Refusal &refusal)
 {
     GatewayResponse response;
-    response.result(static_cast<unsigned>(gatewayStatus(refusal.kind)));
+    response.result(static_cast<unsigned>(gatewayStatus(refusal.kind, refusal.notRun)));
     response.version(11);
     response.set(http::field::content_type, "application/json");
     response.body() = refusalJson(refusal);
@@ -233,7 +237,7 @@
     for (;;) {
         const Instant now = std::chrono::steady_clock::now();
         if (callerDisconnected_) {
-            co_return callerLeft();
+            co_return co_await callerLeft();
         }
         if (outOfTime(now)) {
             if (headerDelivered_) {
@@ -303,7 +307,7 @@
             co_return notDelivered(writeError_);
         }
         if (end == AttemptResult::CallerDisconnected || callerDisconnected_) {
-            co_return callerLeft();
+            co_return co_await callerLeft();
         }
         if (assessCrashes().crashes > 0) {
             co_await state_.crashDetector.waitForProbe(placement_.server);
@@ -479,7 +483,7 @@
     if (dispatchRecord_.verdict() == NotRun::True && retryAfter > Duration::zero()) {
         platform::setRetryAfter(response.base(), retryAfter);
     }
-    const bool keep = keepConnection();
+    const bool keep = !callerDisconnected_ && keepConnection();
     response.keep_alive(keep);
     response.prepare_payload();
     if (request_.method() == http::verb::head) {
@@ -491,16 +495,27 @@
         co_return notDelivered(error);
     }
     co_return ExchangeResult { .outcome = std::string(errorResponse(kind).name),
-                               .status = gatewayStatus(kind),
+                               .status = gatewayStatus(kind, dispatchRecord_.verdict()),
                                .connectionReusable = keep,
                                .responseComplete = true };
 }
 
-ExchangeResult Exchange::callerLeft() const
+asio::awaitable<ExchangeResult> Exchange::callerLeft()
 {
-    return { .outcome = "caller_left",
-             .connectionReusable = false,
-             .reason = callerError_ ? callerError_.message() : std::string() };
+    ExchangeResult result { .outcome = "caller_left",
+                            .connectionReusable = false,
+                            .reason = callerError_ ? callerError_.message() : std::string() };
+    // A caller that has closed only its sending side still reads.
+    if (callerError_ == asio::error::eof && !headerDelivered_) {
+        dropSilentAttempt();
+        const ExchangeResult sent = co_await sendRefusal(
+            ErrorKind::CallerClosed,
+            milliseconds(errorResponse(ErrorKind::CallerClosed).retryAfterMs));
+        result.status = sent.status;
+        result.responseComplete = sent.responseComplete;
+        result.callerMayRead = sent.responseComplete;
+    }
+    co_return result;
 }
 
 ExchangeResult Exchange::notDelivered(const error_code &error)
--- a/Source/Gateway/Exchange.h
+++ b/Source/Gateway/Exchange.h
@@ -46,6 +46,9 @@
     bool responseComplete = false;
     /// Why the response could not be written; empty otherwise.
     std::string reason;
+    /// True if the caller closed its sending side and was sent an error response, which it may
+    /// still read.
+    bool callerMayRead = false;
 };
 
 /// Processes one request of a caller: admits and places it, sends it to one or more backend servers
@@ -203,8 +206,9 @@
     /// Writes part of a stream. Returns false if the caller has left or the write fails, in which
     /// case `writeError_` is set.
     [[nodiscard]] boost::asio::awaitable<bool> writeToCaller(std::string_view bytes);
-    /// The result of an exchange whose caller has left.
-    [[nodiscard]] ExchangeResult callerLeft() const;
+    /// The result of an exchange whose caller has left. A caller that has closed only its sending
+    /// side gets a refusal.
+    [[nodiscard]] boost::asio::awaitable<ExchangeResult> callerLeft();
     /// The result of an exchange whose response could not be written.
     [[nodiscard]] static ExchangeResult notDelivered(const boost::system::error_code &error);
     [[nodiscard]] Duration timeLeft(Instant now) const;
--- a/Source/Gateway/SocketOptions.cpp
+++ b/Source/Gateway/SocketOptions.cpp
@@ -72,6 +72,14 @@
     return result(recv(socket.native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT), error);
 }
 
+bool takeError(boost::asio::ip::tcp::socket &socket)
+{
+    int error = 0;
+    socklen_t size = sizeof(error);
+    const int result = getsockopt(socket.native_handle(), SOL_SOCKET, SO_ERROR, &error, &size);
+    return result != 0 || error != 0;
+}
+
 std::size_t readAvailable(boost::asio::ip::tcp::socket &socket, boost::asio::mutable_buffer buffer,
                           boost::system::error_code &error)
 {
--- a/Tests/Gateway/CallerSessionTest.cpp
+++ b/Tests/Gateway/CallerSessionTest.cpp
@@ -501,6 +501,48 @@
     BOOST_TEST(fixture.metrics.render().find("{outcome=\"caller_left\"} 1") != std::string::npos);
 }
 
+BOOST_AUTO_TEST_CASE(callerThatClosesOnlyItsSendingSideGetsARefusal)
+{
+    const std::string closed
+        = "jacinthroad_caller_connections_closed_total{reason=\"half_closed\"} 1";
+    for (const bool sent : { false, true }) {
+        BOOST_TEST_CONTEXT((sent ? "after" : "before") << " its request was sent to a server")
+        {
+            std::atomic<bool> serverSawClose { false };
+            SessionFixture fixture([&](ScriptedConnection &connection, const ReceivedRequest &) {
+                serverSawClose = connection.waitForClose(ServerWait);
+            });
+            fixture.startSession();
+            fixture.send();
+            if (sent) {
+                BOOST_TEST(fixture.runUntil([&] { return fixture.requestsAtServer == 1U; }));
+            }
+            fixture.caller.shutdown(asio::ip::tcp::socket::shutdown_send);
+            const std::string received = fixture.receive("\"caller_closed\"");
+            BOOST_TEST(received.starts_with(sent ? "HTTP/1.1 502" : "HTTP/1.1 503"));
+            BOOST_TEST(received.find("Connection: close") != std::string::npos);
+            BOOST_TEST(fixture.requestsAtServer == (sent ? 1U : 0U));
+            BOOST_TEST(fixture.runUntil([&] { return serverSawClose == sent; }));
+            BOOST_TEST(fixture.runUntil(
+                [&] { return fixture.metrics.render().find(closed) != std::string::npos; }));
+        }
+    }
+}
+
+BOOST_AUTO_TEST_CASE(callerThatClosesItsConnectionDoesNotCountAsHalfClosed)
+{
+    SessionFixture fixture([](ScriptedConnection &connection, const ReceivedRequest &) {
+        static_cast<void>(connection.waitForClose(ServerWait));
+    });
+    fixture.startSession();
+    fixture.send();
+    BOOST_TEST(fixture.runUntil([&] { return fixture.requestsAtServer == 1U; }));
+    fixture.caller.close();
+    const std::string closed = "jacinthroad_caller_connections_closed_total{reason=\"caller\"} 1";
+    BOOST_TEST(fixture.runUntil(
+        [&] { return fixture.metrics.render().find(closed) != std::string::npos; }));
+}
+
 BOOST_AUTO_TEST_CASE(disconnectBehindPipelinedRequestEndsAttempt)
 {
     std::atomic<bool> serverSawClose { false };
