Gateway: Keep the connection that the header of a stream announced as reusable

A caller whose stream began before its node was told to stop, and ended after that, could lose its next request: it was read whole and got neither a response nor a refusal. The header of the stream lets the caller use the connection again; at its end the node asked once more whether the connection is kept, and since it was stopping by then, it shut its sending side down and discarded what arrived behind.

What the header announced decides. The connection then waits like any other of a stopping node: a request that arrives is served or refused with Connection: close, and an idle connection is closed only if nothing has arrived.

requestBehindAStreamThatBeganBeforeAStopGetsAResponse failed before (no bytes received, 75 bytes discarded) and passes; CallerSessionTest and DrainTest pass.

--- a/Source/Gateway/Exchange.cpp
+++ b/Source/Gateway/Exchange.cpp
@@ -300,7 +300,7 @@
         if (end == AttemptResult::Delivered) {
             co_return ExchangeResult { .outcome = "streamed",
                                        .status = 200,
-                                       .connectionReusable = keepAnnounced_ && keepConnection(),
+                                       .connectionReusable = keepAnnounced_,
                                        .responseComplete = true };
         }
         if (writeError_) {
--- a/Tests/Gateway/CallerSessionTest.cpp
+++ b/Tests/Gateway/CallerSessionTest.cpp
@@ -618,6 +618,34 @@
     BOOST_TEST(fixture.runUntil([&] { return fixture.state.activeRequests() == 0U; }));
 }
 
+BOOST_AUTO_TEST_CASE(requestBehindAStreamThatBeganBeforeAStopGetsAResponse)
+{
+    std::promise<void> stopped;
+    SessionFixture fixture([&](ScriptedConnection &connection, const ReceivedRequest &request) {
+        if (request.target() != "/once/a") {
+            SessionFixture::respondOk(connection, request);
+            return;
+        }
+        connection.write(streamHead(request) + chunk(event(1)));
+        stopped.get_future().wait();
+        connection.write(chunk(event(2)) + "0\r\n\r\n");
+    });
+    fixture.startSession();
+    asio::write(fixture.caller,
+                asio::buffer(std::string("POST /once/a HTTP/1.1\r\nHost: h\r\nX-Request-Id: r0\r\n"
+                                         "Content-Length: 0\r\n\r\n")));
+    const std::string begin = fixture.receive("token 1");
+    BOOST_TEST(begin.find("Connection: close") == std::string::npos);
+    fixture.state.draining = true;
+    fixture.state.drainingSince = std::chrono::steady_clock::now();
+    stopped.set_value();
+    BOOST_TEST(fixture.receive("0\r\n\r\n").find("token 2") != std::string::npos);
+    fixture.send();
+    const std::string received = fixture.receive("\r\n\r\n");
+    BOOST_TEST(received.starts_with("HTTP/1.1 "));
+    BOOST_TEST(received.find("Connection: close") != std::string::npos);
+}
+
 BOOST_AUTO_TEST_CASE(requestThatIsBeingReadCountsAsActive)
 {
     SessionFixture fixture;
