CallerSession: Let a raised idle limit apply to connections that wait already

A caller that used a kept connection within the idle limit of the configuration in force could find it closed, without a response: the session had armed its timer with the limit from before the change and closed the connection at its end, so that the next request crossed the close.

When the timer is due the limit in force is looked up, and the timer is armed again for the rest of it. A lowered limit applies from the next wait on, as before.

connectionThatWaitsWhileTheIdleLimitIsRaisedIsNotClosedAtTheFormerLimit failed before (no response) and passes; CallerSessionTest passes.

--- a/Source/Gateway/CallerSession.cpp
+++ b/Source/Gateway/CallerSession.cpp
@@ -159,17 +159,25 @@
     });
 }
 
-asio::awaitable<bool> CallerSession::waitForBytes(Duration limit)
+void CallerSession::limitIdleTime(Instant since)
 {
-    if (buffer_.size() > 0) {
-        co_return true;
-    }
-    timer_.expireAfter(limit, [self = shared_from_this()] {
-        // A request that has arrived by now is served instead.
-        if (peek(self->socket_) != PeekResult::Data) {
+    const Instant due = since + state_.limits().idleTimeout + IdleMargin;
+    timer_.expireAt(due, [self = shared_from_this(), since, due] {
+        if (since + self->state_.limits().idleTimeout + IdleMargin > due) {
+            self->limitIdleTime(since);
+        } else if (peek(self->socket_) != PeekResult::Data) {
+            // A request that has arrived by now is served instead.
             self->close(CloseReason::IdleTimeout);
         }
     });
+}
+
+asio::awaitable<bool> CallerSession::waitForBytes()
+{
+    if (buffer_.size() > 0) {
+        co_return true;
+    }
+    limitIdleTime(std::chrono::steady_clock::now());
     error_code error;
     idle_ = true;
     co_await socket_.async_wait(asio::ip::tcp::socket::wait_read,
@@ -184,7 +192,7 @@
     const auto self = shared_from_this();
     setTcpTimeout(socket_, CallerTcpTimeout);
     for (;;) {
-        const bool dataAvailable = co_await waitForBytes(state_.limits().idleTimeout + IdleMargin);
+        const bool dataAvailable = co_await waitForBytes();
         if (!dataAvailable) {
             close(CloseReason::Caller);
             co_return;
--- a/Source/Gateway/CallerSession.h
+++ b/Source/Gateway/CallerSession.h
@@ -60,7 +60,10 @@
     /// request without a response.
     void close(CloseReason reason);
     void fail(const std::exception_ptr &exception);
-    [[nodiscard]] boost::asio::awaitable<bool> waitForBytes(Duration limit);
+    [[nodiscard]] boost::asio::awaitable<bool> waitForBytes();
+    /// Closes the connection at the end of the idle limit, which a configuration may raise until
+    /// then, unless a request has arrived.
+    void limitIdleTime(Instant since);
     /// Reads one request. On an error returns false after sending an error response to a malformed
     /// request; other errors get no response.
     [[nodiscard]] boost::asio::awaitable<bool> readRequest(Parser &parser,
--- a/Tests/Gateway/CallerSessionTest.cpp
+++ b/Tests/Gateway/CallerSessionTest.cpp
@@ -605,6 +605,31 @@
     BOOST_TEST(fixture.receive("HTTP/1.1").starts_with("HTTP/1.1 200"));
 }
 
+BOOST_AUTO_TEST_CASE(connectionThatWaitsWhileTheIdleLimitIsRaisedIsNotClosedAtTheFormerLimit)
+{
+    SessionFixture fixture;
+    fixture.startSession();
+    BOOST_TEST(fixture.run(milliseconds(20)).empty());
+    auto raised = platform::readConfiguration(*parseJson(
+        R"({"version":2,"routes":[{"name":"unsafe","hostname":"h","pathPrefix":"/unsafe/",
+            "kind":"unsafe","timeoutMs":3000,"targetLatencyMs":300,"priority":1,
+            "service":"plain","maxAttempts":1}],
+            "services":[{"name":"plain"}],
+            "limits":{"maxHeaderBytes":8192,"maxBodyBytes":100000,"headerTimeoutMs":1000,
+            "idleTimeoutMs":1000}})"));
+    BOOST_REQUIRE(raised.has_value());
+    fixture.state.applyConfiguration({ .version = 2 },
+                                     std::make_shared<const RouteTable>(std::move(*raised)));
+    // Longer than the former limit, shorter than the raised one, each with its margin.
+    BOOST_TEST(fixture.run(milliseconds(1000)).empty());
+    fixture.send();
+    BOOST_TEST(fixture.receive("whole body").starts_with("HTTP/1.1 200"));
+    const std::string closed
+        = "jacinthroad_caller_connections_closed_total{reason=\"idle_timeout\"} 1";
+    BOOST_TEST(fixture.runUntil(
+        [&] { return fixture.metrics.render().find(closed) != std::string::npos; }));
+}
+
 BOOST_AUTO_TEST_CASE(connectionThatWaitsForCallerToReadResponseCountsAsActive)
 {
     SessionFixture fixture;
