CallerSession: Let raised limits apply to a request that is arriving

A caller whose request was being read while a configuration raised a limit was held to the former one: its connection was closed without a response at the former limit for the header, or its body, which the configuration in force allows, was refused with 413, after which callers don't retry. The session took the limits at the first byte, as it took the idle limit.

The limit for the header is looked up again when it is due, and the limit for the body when the header is complete.

--- a/Source/Gateway/CallerSession.cpp
+++ b/Source/Gateway/CallerSession.cpp
@@ -1,6 +1,7 @@
 #include "Gateway/CallerSession.h"
 
 #include <array>
+#include <limits>
 #include <new>
 #include <utility>
 
@@ -145,6 +146,18 @@
     });
 }
 
+void CallerSession::limitHeaderTime(Instant since)
+{
+    const Instant due = since + state_.limits().headerTimeout;
+    timer_.expireAt(due, [self = shared_from_this(), since, due] {
+        if (since + self->state_.limits().headerTimeout > due) {
+            self->limitHeaderTime(since);
+        } else {
+            self->closeAfterReading(CloseReason::HeaderTimeout, MaxStallsAfterLimit);
+        }
+    });
+}
+
 void CallerSession::closeAfterReading(CloseReason reason, unsigned maxStalls)
 {
     const Instant due = std::chrono::steady_clock::now() + ReadAfterLimit;
@@ -201,7 +214,6 @@
         const ActiveRequest active = state_.beginRequest();
         Parser parser;
         parser.header_limit(limits.headerBytes);
-        parser.body_limit(limits.bodyBytes);
         MemoryReservation bodyMemory(state_.bodyMemory, BodyKind::Request);
         const bool requestComplete = co_await readRequest(parser, bodyMemory);
         if (!requestComplete) {
@@ -278,8 +290,9 @@
 
 asio::awaitable<bool> CallerSession::readRequest(Parser &parser, MemoryReservation &bodyMemory)
 {
-    const CallerLimits limits = state_.limits();
-    limitReading(limits.headerTimeout, CloseReason::HeaderTimeout);
+    limitHeaderTime(std::chrono::steady_clock::now());
+    // The limit is checked with the configuration that is in force when the header is complete.
+    parser.body_limit(std::numeric_limits<std::uint64_t>::max());
     error_code error;
     reading_ = true;
     requestOpen_ = true;
@@ -320,6 +333,11 @@
     const auto noMemory
         = boost::system::errc::make_error_code(boost::system::errc::not_enough_memory);
     const auto length = parser.content_length();
+    const std::uint64_t limit = state_.limits().bodyBytes;
+    if (length.value_or(0) > limit) {
+        co_return http::error::body_limit;
+    }
+    parser.body_limit(limit);
     // Refused before the caller sends what can't be kept.
     if (length.has_value() && !bodyMemory.resize(*length)) {
         co_return noMemory;
@@ -332,7 +350,6 @@
         co_await asio::async_write(socket_, asio::buffer(Continue.data(), Continue.size()),
                                    asio::redirect_error(asio::use_awaitable, error));
     }
-    const std::uint64_t limit = state_.limits().bodyBytes;
     try {
         while (!error && !parser.is_done()) {
             if (!length.has_value()
--- a/Source/Gateway/CallerSession.h
+++ b/Source/Gateway/CallerSession.h
@@ -91,6 +91,9 @@
     /// The same while a request is being read. What has arrived by then is read first, which a
     /// stall of the thread may have held up.
     void limitReading(Duration limit, CloseReason reason);
+    /// The same for the header of a request that has begun to arrive at `since`. A configuration
+    /// may raise the limit until its end.
+    void limitHeaderTime(Instant since);
     /// Closes the connection once what has arrived has had time to be read.
     void closeAfterReading(CloseReason reason, unsigned maxStalls);
     /// Closes the connection if it waits for a request and none has arrived.
--- a/Tests/Gateway/CallerSessionTest.cpp
+++ b/Tests/Gateway/CallerSessionTest.cpp
@@ -630,6 +630,54 @@
         [&] { return fixture.metrics.render().find(closed) != std::string::npos; }));
 }
 
+BOOST_AUTO_TEST_CASE(limitsRaisedWhileARequestArrivesApplyToIt)
+{
+    constexpr std::size_t BodyBytes = 120'000;
+    struct Case
+    {
+        std::string name;
+        std::string limits;
+        Duration pause;
+        std::string body;
+    };
+    for (const Case &raisedLimit :
+         { Case { .name = "header",
+                  .limits = R"("maxBodyBytes":100000,"headerTimeoutMs":3000)",
+                  .pause = milliseconds(1500),
+                  .body = "ab" },
+           Case { .name = "body",
+                  .limits = R"("maxBodyBytes":200000,"headerTimeoutMs":1000)",
+                  .pause = milliseconds(20),
+                  .body = std::string(BodyBytes, 'x') } }) {
+        BOOST_TEST_CONTEXT(raisedLimit.name)
+        {
+            SessionFixture fixture;
+            fixture.startSession();
+            asio::write(fixture.caller,
+                        asio::buffer(std::string("POST /unsafe/a HTTP/1.1\r\nHost: h\r\n")));
+            BOOST_TEST(fixture.run(milliseconds(20)).empty());
+            auto raised = platform::readConfiguration(*parseJson(
+                R"({"version":2,"routes":[{"name":"unsafe","hostname":"h","pathPrefix":"/unsafe/",
+                    "kind":"unsafe","timeoutMs":3000,"targetLatencyMs":300,"priority":1,
+                    "service":"plain","maxAttempts":1}],
+                    "services":[{"name":"plain"}],
+                    "limits":{"maxHeaderBytes":8192,"idleTimeoutMs":200,)"
+                + raisedLimit.limits + "}}"));
+            BOOST_REQUIRE(raised.has_value());
+            fixture.state.applyConfiguration(
+                { .version = 2 }, std::make_shared<const RouteTable>(std::move(*raised)));
+            BOOST_TEST(fixture.run(raisedLimit.pause).empty());
+            error_code ignored;
+            asio::write(fixture.caller,
+                        asio::buffer("X-Request-Id: r1\r\nContent-Length: "
+                                     + std::to_string(raisedLimit.body.size()) + "\r\n\r\n"
+                                     + raisedLimit.body),
+                        ignored);
+            BOOST_TEST(fixture.receive("\r\n\r\n").starts_with("HTTP/1.1 200"));
+        }
+    }
+}
+
 BOOST_AUTO_TEST_CASE(connectionThatWaitsForCallerToReadResponseCountsAsActive)
 {
     SessionFixture fixture;
