Gateway: Derive the wait for the configuration from the revocation time

A completed watch confirms the configuration as of its sending, so that the age reaches twice the wait of 1 s plus the time of two responses, each second. From 0.4 of key_revocation_ms on, 2 s by default, no key is rejected for good.

The fractions of the revocation time move to Freshness, because the pacing needs them too. A reload of key_revocation_ms changes the wait as well.

--- a/Source/Fleet/Freshness.cpp
+++ b/Source/Fleet/Freshness.cpp
@@ -2,6 +2,21 @@
 
 namespace jacinthroad {
 
+namespace {
+
+/// Fractions of the time within which a revoked key must be rejected.
+constexpr double StaleFraction = 0.4;
+constexpr double ExpiredFraction = 0.8;
+
+} // namespace
+
+Freshness::Options Freshness::limitsFor(Duration keyRevocation)
+{
+    const double whole = toMilliseconds(keyRevocation);
+    return { .staleAfter = fromMilliseconds(whole * StaleFraction),
+             .expiredAfter = fromMilliseconds(whole * ExpiredFraction) };
+}
+
 Freshness::Freshness(const Options &options)
     : options_(options)
 { }
--- a/Source/Fleet/Freshness.h
+++ b/Source/Fleet/Freshness.h
@@ -53,6 +53,9 @@
         Duration expiredAfter;
     };
 
+    /// Age limits for the time within which a revoked key must be rejected.
+    [[nodiscard]] static Options limitsFor(Duration keyRevocation);
+
     explicit Freshness(const Options &options);
 
     /// Replaces the age limits.
--- a/Source/Gateway/Gateway.cpp
+++ b/Source/Gateway/Gateway.cpp
@@ -113,11 +113,12 @@
                                             traffic.confirmConfiguration(moment, mayBeRestored);
                                         });
                                     } })
+        , staleAfter(Freshness::limitsFor(settings.keyRevocation).staleAfter)
         , configuration(
               controlContext, store,
               { .kind = platform::ObjectKind::Configuration,
                 .name = "configuration",
-                .watchWait = configurationPacing({}).wait,
+                .watchWait = configurationPacing({ .staleAfter = staleAfter }).wait,
                 .relayWait = RelayedConfigurationWait,
                 .node = settings.name,
                 .linkMbps = settings.linkMbps,
@@ -280,6 +281,8 @@
     /// Passes nothing on before the crash records were read: no request is served before the node
     /// knows which ones are denied.
     ConfigurationReader configurationReader;
+    /// Age from which the configuration rejects no key for good; used by the control thread only.
+    Duration staleAfter;
     StoreSync configuration;
     StoreSync servers;
     StoreSync weights;
@@ -539,7 +542,8 @@
     eraSettling.noteEra(store.era().value_or(0), bootNow());
     const bool proves = eraSettling.readsProve(bootNow());
     streamVersions.setStoreSettled(proves);
-    configuration.setPacing(configurationPacing({ .proven = proves, .passesOn = passesOnObjects }));
+    configuration.setPacing(configurationPacing(
+        { .proven = proves, .passesOn = passesOnObjects, .staleAfter = staleAfter }));
     if (!proves) {
         if (unprovenEra != store.era()) {
             unprovenEra = store.era();
@@ -758,6 +762,10 @@
 {
     asio::post(parts_->trafficContext,
                [this, settings] { parts_->traffic.applySettings(settings); });
+    asio::post(parts_->controlContext,
+               [this, staleAfter = Freshness::limitsFor(settings.keyRevocation).staleAfter] {
+                   parts_->staleAfter = staleAfter;
+               });
     parts_->stopGrace = settings.stopGrace;
 }
 
--- a/Source/Gateway/TrafficState.cpp
+++ b/Source/Gateway/TrafficState.cpp
@@ -17,12 +17,9 @@
 /// Share of the fleet-wide retry ratio that one node uses, because requests are distributed
 /// unevenly.
 constexpr double RetryShareUsed = 0.7;
-/// Fractions of the time within which a revoked key must be rejected. OutdatedFraction exceeds the
-/// age that a node connected to the store ever reaches: its watch waits for one second, and the age
-/// of a response counts from the sending of the query.
-constexpr double StaleFraction = 0.4;
+/// Fraction of the time within which a revoked key must be rejected. Exceeds the age that a node
+/// connected to the store ever reaches, which stays below that of a stale configuration.
 constexpr double OutdatedFraction = 0.5;
-constexpr double ExpiredFraction = 0.8;
 
 /// Subtracted from the weights limit, because a request may wait this long on a server before it
 /// starts.
@@ -47,12 +44,6 @@
     return fromMilliseconds(toMilliseconds(whole) * fraction);
 }
 
-Freshness::Options freshnessOptions(const GatewaySettings &settings)
-{
-    return { .staleAfter = fractionOf(settings.keyRevocation, StaleFraction),
-             .expiredAfter = fractionOf(settings.keyRevocation, ExpiredFraction) };
-}
-
 /// Memory in bytes that remains for bodies.
 std::size_t bodyMemoryLimit(const GatewaySettings &settings)
 {
@@ -75,7 +66,7 @@
     : context(ioContext)
     , settings(nodeSettings)
     , metrics(gatewayMetrics)
-    , freshness(freshnessOptions(settings))
+    , freshness(Freshness::limitsFor(settings.keyRevocation))
     , pool({ .zone = ZoneId(settings.zone),
              .outdatedWeightsGrace = settings.weightsLimit - WeightsMargin })
     , retryBudget(retryBudgetOptions(settings, MinNodes))
@@ -94,7 +85,7 @@
 {
     currentSettings_ = changed;
     bodyMemory->setLimit(bodyMemoryLimit(currentSettings_));
-    freshness.setOptions(freshnessOptions(currentSettings_));
+    freshness.setOptions(Freshness::limitsFor(currentSettings_.keyRevocation));
     retryBudget.setOptions(retryBudgetOptions(currentSettings_, nodeCount_));
 }
 
--- a/Source/StoreRelay/ReadPacing.h
+++ b/Source/StoreRelay/ReadPacing.h
@@ -21,11 +21,14 @@
     bool proven = true;
     /// Other nodes of the zone get the objects from this one.
     bool passesOn = false;
+    /// Age from which the configuration rejects no key for good.
+    Duration staleAfter {};
 };
 
 /// Pacing for the configuration, whose reads renew the freshness that checks of keys depend on. A
 /// read proves what was true when it was sent. So a node that passes the configuration on waits
-/// for a shorter time, and responds to waiting nodes with each new proof.
+/// for a shorter time, and responds to waiting nodes with each new proof. With a store that
+/// responds, the configuration does not become stale between two proofs.
 [[nodiscard]] ReadPacing configurationPacing(const ReadSituation &situation);
 
 /// Pacing for the list of servers, which changes with each heartbeat. It determines how soon a
--- a/Tests/Gateway/RelayedObjectsTest.cpp
+++ b/Tests/Gateway/RelayedObjectsTest.cpp
@@ -11,6 +11,7 @@
 #include <boost/asio/io_context.hpp>
 #include <boost/test/unit_test.hpp>
 
+#include "Fleet/Freshness.h"
 #include "FreeAddress.h"
 #include "Gateway/BootClock.h"
 #include "Gateway/Listener.h"
@@ -33,7 +34,8 @@
 {
 public:
     CopyingNode(asio::io_context &context, StoreStandIn &store, std::string name,
-                Duration watchWait = milliseconds(200), const RelayResponder::Options &passing = {})
+                Duration watchWait = milliseconds(200), const RelayResponder::Options &passing = {},
+                Duration relayWait = milliseconds(200))
         : node { .name = std::move(name), .address = freeAddress() }
         , client(context, store.address(), metrics)
         , relay(context, metrics)
@@ -43,11 +45,11 @@
               { .kind = Kind,
                 .name = KindName,
                 .watchWait = watchWait,
-                .relayWait = milliseconds(200),
+                .relayWait = relayWait,
                 .node = node.name,
                 .boot = ++boots_ },
               [this](const ObjectTable &objects) { table = objects; },
-              [this](BootInstant moment) { confirmedAt = moment; })
+              [this](BootInstant moment) { confirm(moment); })
     {
         relay.add(Kind, sync.relayLog(), passing);
         sync.onRelayExpected = [this](std::uint64_t bytes) { relay.noteExpected(Kind, bytes); };
@@ -75,9 +77,19 @@
     asio::ip::tcp::acceptor acceptor;
     ObjectTable table;
     BootInstant confirmedAt;
+    /// The highest age of the table since its first confirmation.
+    Duration highestAge {};
     StoreSync sync;
 
 private:
+    void confirm(BootInstant moment)
+    {
+        if (confirmedAt != BootInstant()) {
+            highestAge = std::max(highestAge, bootNow() - confirmedAt);
+        }
+        confirmedAt = moment;
+    }
+
     static inline std::uint64_t boots_ = 0;
 };
 
@@ -360,6 +372,27 @@
     BOOST_TEST((bootNow() - nodes.follower.confirmedAt < milliseconds(900)));
 }
 
+BOOST_AUTO_TEST_CASE(followerDoesNotBecomeStaleWhileTheStoreAnswersLate)
+{
+    const Duration stale = Freshness::limitsFor(milliseconds(5000)).staleAfter;
+    const Duration wait = configurationPacing({ .passesOn = true, .staleAfter = stale }).wait;
+    asio::io_context context { 1 };
+    StoreStandIn store;
+    store.put(KindName, "a", Json::Value("first"));
+    store.delayWatches(std::chrono::milliseconds(100));
+    const auto names = readerAndFollower();
+    CopyingNode reader(context, store, names.first, wait, {}, RelayedConfigurationWait);
+    CopyingNode follower(context, store, names.second, wait, {}, RelayedConfigurationWait);
+    reader.sync.onRelayConfirmed = [&reader] { reader.relay.noteNews(Kind); };
+    reader.setZone({ reader.node, follower.node });
+    follower.setZone({ reader.node, follower.node });
+    context.run_for(milliseconds(5000));
+    BOOST_TEST((reader.highestAge > Duration::zero()));
+    BOOST_TEST((reader.highestAge < stale));
+    BOOST_TEST((follower.highestAge > Duration::zero()));
+    BOOST_TEST((follower.highestAge < stale));
+}
+
 BOOST_AUTO_TEST_CASE(followerReadsTheStoreWhenItsReaderEnds)
 {
     TwoNodes nodes;
--- a/Tests/Gateway/StoreStandIn.cpp
+++ b/Tests/Gateway/StoreStandIn.cpp
@@ -98,6 +98,12 @@
     hiddenKinds_.insert(kind);
 }
 
+void StoreStandIn::delayWatches(std::chrono::milliseconds delay)
+{
+    const std::lock_guard lock(mutex_);
+    watchDelay_ = delay;
+}
+
 void StoreStandIn::stopResponding()
 {
     const std::lock_guard lock(mutex_);
@@ -242,6 +248,7 @@
     Json::Value body;
     body["events"] = events;
     body["currentRev"] = Json::UInt64(revision_);
+    changed_.wait_for(lock, watchDelay_, [this] { return stopping_; });
     return response(200, writeJson(body));
 }
 
--- a/Tests/Gateway/StoreStandIn.h
+++ b/Tests/Gateway/StoreStandIn.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <chrono>
 #include <condition_variable>
 #include <cstdint>
 #include <map>
@@ -44,6 +45,8 @@
     /// Hides further changes of a kind from watches at rejectingAddress(), as from a node that is
     /// out of step with the store.
     void hideChanges(const std::string &kind);
+    /// Sends the response of each further watch later by this time.
+    void delayWatches(std::chrono::milliseconds delay);
     /// Leaves every further call without a response.
     void stopResponding();
     /// Responds to further calls again.
@@ -91,6 +94,7 @@
     /// 0 while responses carry no era.
     std::uint64_t era_ = 0;
     bool unresponsive_ = false;
+    std::chrono::milliseconds watchDelay_ {};
     bool stopping_ = false;
     Objects objects_;
     Objects savedObjects_;
--- a/Tests/StoreRelay/ZoneModel.cpp
+++ b/Tests/StoreRelay/ZoneModel.cpp
@@ -16,6 +16,8 @@
 constexpr double EncodeMsPerMegabyte = 20;
 constexpr double SendMsPerMegabyte = 1;
 constexpr Duration Wait = RelayedConfigurationWait;
+/// Age from which a configuration rejects no key for good.
+constexpr Duration StaleAge = milliseconds(2000);
 
 double bytesPerStep(double mbps)
 {
@@ -112,7 +114,7 @@
 
 void ZoneModel::stepReader()
 {
-    const ReadPacing pacing = configurationPacing({ .passesOn = true });
+    const ReadPacing pacing = configurationPacing({ .passesOn = true, .staleAfter = StaleAge });
     if (readLeft_.has_value()) {
         *readLeft_ -= bytesPerStep(options_.readerMbps);
         if (*readLeft_ > 0) {
