--- a/Source/StoreRelay/ReadPacing.cpp
+++ b/Source/StoreRelay/ReadPacing.cpp
@@ -14,7 +14,7 @@
 /// Limits the calls of a node whose settings allow hardly any age.
 constexpr Duration ShortestWait = milliseconds(100);
 /// Share of the age of a stale configuration that waits may use. The rest is for the responses.
-constexpr double WaitShare = 0.8;
+constexpr double WaitShare = 0.85;
 /// Waits between the sending of a read and the end of the next one, and of nodes that get the
 /// configuration passed on: their query is sent up to one wait before the proof arrives.
 constexpr int WaitsOfAProof = 2;
