Exchange: Wait for the decision on a resumed stream behind a stall

A caller that resumed a stream at a node whose process stood still for longer than 0.8 s got 503, although the store's response had arrived meanwhile: the time limit of the decision was handled in the first turn of the event loop, and the control thread had yet to read the response and to pass the decision on.

If the limit is handled over 5 ms late, the decision now has 50 ms more, up to ten times, as a response has that arrives before its deadline. A caller that leaves, a stop and the deadline of the request end that as before.

resumedStreamWhoseDecisionArrivesBehindAStallGoesOn failed before, with a 503, and passes now.

--- a/Source/Gateway/ExchangeVersions.cpp
+++ b/Source/Gateway/ExchangeVersions.cpp
@@ -19,6 +19,12 @@
 /// Longest time that a caller waits until the store has told which version began its stream; a
 /// caller abandons a stream without an event after two seconds.
 constexpr Duration DecisionTimeout = milliseconds(800);
+/// Time for a decision that is on its way when that time ends late, because the process has
+/// stalled.
+constexpr Duration DecisionAfterStall = milliseconds(50);
+/// A time limit that is handled this late counts as stalled, up to a number of stalls.
+constexpr Duration DecisionStall = milliseconds(5);
+constexpr unsigned MaxStallsOfDecision = 10;
 
 /// A decision that the control thread takes.
 struct PendingDecision
@@ -82,17 +88,25 @@
 asio::awaitable<ResumeDecision> Exchange::decideOrigin(StreamId stream)
 {
     auto pending = std::make_shared<PendingDecision>(state_.context);
-    pending->timer.expires_at(
-        std::min(deadline_, std::chrono::steady_clock::now() + DecisionTimeout));
+    Instant due = std::min(deadline_, std::chrono::steady_clock::now() + DecisionTimeout);
+    pending->timer.expires_at(due);
     cancelAttempt_ = [pending] { pending->timer.cancel(); };
     state_.streamVersions.resolve(stream, placementRequest_.service,
                                   [pending](const ResumeDecision &decision) {
                                       pending->decision = decision;
                                       pending->timer.cancel();
                                   });
-    if (!pending->decision.has_value() && !callerDisconnected_) {
-        error_code ignored;
-        co_await pending->timer.async_wait(asio::redirect_error(asio::use_awaitable, ignored));
+    for (unsigned stalls = 0; stalls <= MaxStallsOfDecision && !pending->decision.has_value()
+         && !callerDisconnected_ && !endedByStop_;
+         ++stalls) {
+        error_code error;
+        co_await pending->timer.async_wait(asio::redirect_error(asio::use_awaitable, error));
+        const Instant now = std::chrono::steady_clock::now();
+        if (error || now - due <= DecisionStall || outOfTime(now)) {
+            break;
+        }
+        due = now + DecisionAfterStall;
+        pending->timer.expires_at(due);
     }
     cancelAttempt_ = nullptr;
     co_return pending->decision.value_or(ResumeUnknown { UnknownOrigin::StoreUnavailable });
--- a/Tests/Gateway/CallerSessionTest.cpp
+++ b/Tests/Gateway/CallerSessionTest.cpp
@@ -63,7 +63,10 @@
                 "service":"plain","maxAttempts":1},
                 {"name":"once","hostname":"h","pathPrefix":"/once/",
                 "kind":"streaming","timeoutMs":3000,"targetLatencyMs":300,"priority":1,
-                "service":"plain","maxAttempts":1,"resumable":false}],
+                "service":"plain","maxAttempts":1,"resumable":false},
+                {"name":"stream","hostname":"h","pathPrefix":"/stream/",
+                "kind":"streaming","timeoutMs":3000,"targetLatencyMs":300,"priority":1,
+                "service":"plain","maxAttempts":1,"resumable":true}],
                 "services":[{"name":"plain"}],
                 "limits":{"maxHeaderBytes":8192,"maxBodyBytes":100000,"headerTimeoutMs":1000,
                 "idleTimeoutMs":200}})"));
@@ -275,6 +278,31 @@
     }
 }
 
+BOOST_AUTO_TEST_CASE(resumedStreamWhoseDecisionArrivesBehindAStallGoesOn)
+{
+    SessionFixture fixture([](ScriptedConnection &connection, const ReceivedRequest &request) {
+        connection.write(streamHead(request) + chunk(event(2)) + "0\r\n\r\n");
+    });
+    std::function<void(ResumeDecision)> decide;
+    fixture.state.streamVersions.resolve
+        = [&decide](StreamId, const ServiceId &, std::function<void(ResumeDecision)> decided) {
+              decide = std::move(decided);
+          };
+    fixture.state.streamVersions.setAdmitted({ { ServiceId("plain"), { SoftwareVersion() } } },
+                                             std::chrono::steady_clock::now());
+    fixture.state.streamVersions.confirmList(bootNow());
+    fixture.startSession();
+    asio::write(fixture.caller,
+                asio::buffer(std::string("POST /stream/a HTTP/1.1\r\nHost: h\r\n"
+                                         "X-Request-Id: r2\r\nResumes: r1\r\n"
+                                         "Last-Event-Id: 1\r\nContent-Length: 0\r\n\r\n")));
+    BOOST_REQUIRE(fixture.runUntil([&decide] { return decide != nullptr; }));
+    std::this_thread::sleep_for(Stall);
+    asio::steady_timer controlThread(fixture.context, milliseconds(10));
+    controlThread.async_wait([&decide](error_code) { decide(ResumeAt {}); });
+    BOOST_TEST(fixture.receive("\r\n\r\n").starts_with("HTTP/1.1 200"));
+}
+
 BOOST_AUTO_TEST_CASE(responseThatCannotBeWrittenIsNotLoggedAsAnswered)
 {
     std::promise<void> closed;
