CallerSession: End a request that is over its limit and still arrives

A request whose header or body was over its time limit was read on for as long as unread bytes were found, each 50 ms. So a caller that sent faster than a busy node read passed the limit for the body up to its maximum size, and with long chunk extensions far beyond.

The time for reading what had arrived is now given twenty times at most, for unread bytes and stalls together. In a second and more the node reads what a socket holds.

bodyThatArrivesWithoutEndIsCutAfterItsLimit failed before: the connection was open 5 s after the limit. The test lasts 22 s, as the limit is 20 s.

--- a/Source/Gateway/CallerSession.cpp
+++ b/Source/Gateway/CallerSession.cpp
@@ -30,10 +30,10 @@
 constexpr Duration BodyTimeout = std::chrono::seconds(20);
 /// Time for reading the bytes of a request that had arrived when its time limit ended.
 constexpr Duration ReadAfterLimit = milliseconds(50);
-/// That time doesn't count if it ends this late, because the thread has stalled again, up to a
-/// number of stalls.
+/// That time is given again if it ends this late, because the thread has stalled again, or leaves
+/// unread bytes. All that a socket holds is read in that many times.
 constexpr Duration ReadingStall = milliseconds(5);
-constexpr unsigned MaxStallsAfterLimit = 10;
+constexpr unsigned MaxReadsAfterLimit = 20;
 /// How long a connection that accepts no more requests waits for the caller to close it, and how
 /// long if the caller still sends the body of a request that was refused.
 constexpr Duration LingerTimeout = milliseconds(500);
@@ -139,18 +139,18 @@
 void CallerSession::limitReading(Duration limit, CloseReason reason)
 {
     timer_.expireAfter(limit, [self = shared_from_this(), reason] {
-        self->closeAfterReading(reason, MaxStallsAfterLimit);
+        self->closeAfterReading(reason, MaxReadsAfterLimit);
     });
 }
 
-void CallerSession::closeAfterReading(CloseReason reason, unsigned maxStalls)
+void CallerSession::closeAfterReading(CloseReason reason, unsigned maxReads)
 {
     const Instant due = std::chrono::steady_clock::now() + ReadAfterLimit;
-    timer_.expireAt(due, [self = shared_from_this(), reason, due, maxStalls] {
+    timer_.expireAt(due, [self = shared_from_this(), reason, due, maxReads] {
         // Another stall may have taken that time. What was read last may still be queued then.
-        const bool stalled = maxStalls > 0 && std::chrono::steady_clock::now() - due > ReadingStall;
-        if (stalled || peek(self->socket_) == PeekResult::Data) {
-            self->closeAfterReading(reason, stalled ? maxStalls - 1 : maxStalls);
+        const bool stalled = std::chrono::steady_clock::now() - due > ReadingStall;
+        if (maxReads > 0 && (stalled || peek(self->socket_) == PeekResult::Data)) {
+            self->closeAfterReading(reason, maxReads - 1);
         } else {
             self->close(reason);
         }
--- a/Source/Gateway/CallerSession.h
+++ b/Source/Gateway/CallerSession.h
@@ -81,8 +81,9 @@
     /// The same while a request is being read. What has arrived by then is read first, which a
     /// stall of the thread may have held up.
     void limitReading(Duration limit, CloseReason reason);
-    /// Closes the connection once what has arrived has had time to be read.
-    void closeAfterReading(CloseReason reason, unsigned maxStalls);
+    /// Closes the connection once what has arrived has had time to be read, `maxReads` times more
+    /// if bytes are still unread then.
+    void closeAfterReading(CloseReason reason, unsigned maxReads);
     /// Closes the connection if it waits for a request and none has arrived.
     void closeIfIdle(IdleConnections which);
     /// Watches for the end of the connection while an exchange runs.
--- a/Tests/Gateway/CallerSessionTest.cpp
+++ b/Tests/Gateway/CallerSessionTest.cpp
@@ -31,6 +31,10 @@
 constexpr Duration Stall = milliseconds(1000);
 /// Longer than the time for reading what had arrived when a limit ended.
 constexpr Duration SecondStall = milliseconds(90);
+/// The time limit for the body of a request.
+constexpr Duration BodyLimit = std::chrono::seconds(20);
+/// Time within which a request is cut after its limit.
+constexpr Duration CutTime = std::chrono::seconds(5);
 /// Time after which a test fails, much longer than what it waits for takes.
 constexpr Duration TestTimeout = std::chrono::seconds(10);
 /// How long a server that sends no response waits for the close of its connection: less than the
@@ -68,7 +72,7 @@
                 "kind":"streaming","timeoutMs":3000,"targetLatencyMs":300,"priority":1,
                 "service":"plain","maxAttempts":1,"resumable":true}],
                 "services":[{"name":"plain"}],
-                "limits":{"maxHeaderBytes":8192,"maxBodyBytes":100000,"headerTimeoutMs":1000,
+                "limits":{"maxHeaderBytes":8192,"maxBodyBytes":1000000,"headerTimeoutMs":1000,
                 "idleTimeoutMs":200}})"));
         BOOST_REQUIRE(configuration.has_value());
         state.applyConfiguration({ .version = 1 },
@@ -278,6 +282,38 @@
     }
 }
 
+BOOST_AUTO_TEST_CASE(bodyThatArrivesWithoutEndIsCutAfterItsLimit)
+{
+    SessionFixture fixture;
+    fixture.startSession();
+    asio::write(fixture.caller,
+                asio::buffer(std::string("POST /unsafe/a HTTP/1.1\r\nHost: h\r\n"
+                                         "Transfer-Encoding: chunked\r\n\r\n")));
+    fixture.context.run_for(milliseconds(50));
+    std::this_thread::sleep_for(BodyLimit);
+    // Chunks whose long extensions keep bytes unread, but the body below its maximum size.
+    std::atomic<bool> ended { false };
+    std::thread sender([&] {
+        const std::string bytes = "1;" + std::string(12000, 'x') + "\r\na\r\n";
+        error_code error;
+        while (!error && !ended) {
+            asio::write(fixture.caller, asio::buffer(bytes), error);
+        }
+        ended = true;
+    });
+    const Instant limit = std::chrono::steady_clock::now() + CutTime;
+    while (!ended && std::chrono::steady_clock::now() < limit) {
+        fixture.context.restart();
+        fixture.context.run_for(milliseconds(20));
+    }
+    const bool cut = ended.exchange(true);
+    error_code ignored;
+    fixture.caller.shutdown(asio::ip::tcp::socket::shutdown_both, ignored);
+    sender.join();
+    BOOST_TEST(cut);
+    BOOST_TEST(fixture.metrics.render().find("reason=\"body_timeout\"} 1") != std::string::npos);
+}
+
 BOOST_AUTO_TEST_CASE(resumedStreamWhoseDecisionArrivesBehindAStallGoesOn)
 {
     SessionFixture fixture([](ScriptedConnection &connection, const ReceivedRequest &request) {
