--- a/Source/Gateway/CallerSession.h
+++ b/Source/Gateway/CallerSession.h
@@ -94,8 +94,9 @@
     /// The same for the header of a request that has begun to arrive at `since`. A configuration
     /// may raise the limit until its end.
     void limitHeaderTime(Instant since);
-    /// Closes the connection once what has arrived has had time to be read.
-    void closeAfterReading(CloseReason reason, unsigned maxStalls);
+    /// Closes the connection once what has arrived has had time to be read, `maxReads` times more
+    /// if bytes are still unread then.
+    void closeAfterReading(CloseReason reason, unsigned maxReads);
     /// Closes the connection if it waits for a request and none has arrived.
     void closeIfIdle(IdleConnections which);
     /// Watches for the end of the connection while an exchange runs.
