Gateway: Keep a silent server while its request is at no other server

What callers saw: a stream or a safe request whose server fell silent for a second ended with a closed connection or 502, although the server went on and the second server had refused the request.

Cause: the timer that gives the silent server up 300 ms after the request was sent to another one ran on after that other one had refused it or broken off. It fired while a third server was being connected to, for up to 400 ms, or while the result of a probe was awaited.

Change: the timer ends with the attempt whose overlap it limits. While the request is at the silent server only, there is no overlap.

Evidence: streamIsNotCutWhileThirdServerIsConnectedToAfterSecondRejected failed before (no complete response) and passes now.

--- a/Source/Gateway/Exchange.h
+++ b/Source/Gateway/Exchange.h
@@ -148,6 +148,8 @@
     void setAside(const std::shared_ptr<Attempt> &attempt);
     /// Gives the silent server up soon after the request was sent to another one.
     void limitOverlap();
+    /// Lets the silent server go on because the request is at no other server any more.
+    void endOverlap();
     /// Waits for the silent server after all, because no other server responds to the request.
     [[nodiscard]] boost::asio::awaitable<AttemptResult> resumeSilentAttempt();
     /// Ends the attempt that was set aside, if there is one.
--- a/Source/Gateway/ExchangeAttempt.cpp
+++ b/Source/Gateway/ExchangeAttempt.cpp
@@ -113,6 +113,7 @@
         setAside(attempt);
         co_return end;
     }
+    endOverlap();
     finishAttempt(*attempt, end);
     noteBrokenStream(end);
     co_return end;
--- a/Source/Gateway/SilentAttempt.cpp
+++ b/Source/Gateway/SilentAttempt.cpp
@@ -48,6 +48,13 @@
     }
 }
 
+void Exchange::endOverlap()
+{
+    if (silentAttempt_ != nullptr) {
+        silentAttempt_->livenessTimer.cancel();
+    }
+}
+
 asio::awaitable<Exchange::AttemptResult> Exchange::resumeSilentAttempt()
 {
     const std::shared_ptr<Attempt> attempt = std::exchange(silentAttempt_, nullptr);
--- a/Tests/Gateway/SilentServerTest.cpp
+++ b/Tests/Gateway/SilentServerTest.cpp
@@ -1,9 +1,12 @@
+#include <array>
 #include <atomic>
 #include <chrono>
 #include <functional>
 #include <string>
 #include <thread>
 
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
 #include <boost/test/unit_test.hpp>
 
 #include "GatewayFixture.h"
@@ -11,6 +14,8 @@
 
 namespace jacinthroad {
 
+namespace asio = boost::asio;
+
 namespace {
 
 /// Longer than the time after which a node takes a server for unresponsive, shorter than the time
@@ -51,6 +56,36 @@
     GatewayFixture gateway;
 };
 
+/// A server whose queue of connections is full, so that new ones are not established.
+class UnreachableServer
+{
+public:
+    UnreachableServer()
+    {
+        const asio::ip::tcp::endpoint loopback(asio::ip::address_v4::loopback(), 0);
+        acceptor_.open(loopback.protocol());
+        acceptor_.bind(loopback);
+        acceptor_.listen(0);
+        for (Socket &socket : waiting_) {
+            // Begins to connect at once; nothing waits for the end.
+            socket.async_connect(acceptor_.local_endpoint(), [](boost::system::error_code) {});
+        }
+        std::this_thread::sleep_for(milliseconds(20));
+    }
+
+    [[nodiscard]] std::string address() const
+    {
+        return "127.0.0.1:" + std::to_string(acceptor_.local_endpoint().port());
+    }
+
+private:
+    using Socket = asio::ip::tcp::socket;
+    asio::io_context context_;
+    asio::ip::tcp::acceptor acceptor_ { context_ };
+    /// One more than the queue holds for a backlog of 0.
+    std::array<Socket, 2> waiting_ { Socket(context_), Socket(context_) };
+};
+
 void pauseInsideStream(ScriptedConnection &connection, const ReceivedRequest &request)
 {
     connection.write(streamHead(request) + chunk(event(1)));
@@ -106,6 +141,26 @@
     BOOST_TEST(response->body() == event(1) + event(2));
 }
 
+BOOST_AUTO_TEST_CASE(streamIsNotCutWhileThirdServerIsConnectedToAfterSecondRejected)
+{
+    UnreachableServer third;
+    SilentServerFixture *servers = nullptr;
+    SilentServerFixture fixture(
+        pauseInsideStream, [&](ScriptedConnection &connection, const ReceivedRequest &request) {
+            StoreStandIn &store = servers->gateway.store;
+            Json::Value entry = store.spec("servers", "e1");
+            entry["address"] = third.address();
+            store.put("servers", "e3", entry);
+            std::this_thread::sleep_for(milliseconds(200));
+            reject(connection, request);
+        });
+    servers = &fixture;
+    const auto response = fixture.gateway.call("POST", "/stream/a", "prompt", Headers);
+    BOOST_TEST(fixture.sends == 2U);
+    BOOST_REQUIRE(response != nullptr);
+    BOOST_TEST(response->body() == event(1) + event(2));
+}
+
 BOOST_AUTO_TEST_CASE(streamDoesNotRunAtSilentServerAndAtAnotherForLong)
 {
     constexpr milliseconds OverlapLimit { 400 };
