Gateway: Look for a response of the silent server before giving it up

What callers saw: 502 or a closed connection 0.3 s and more after their request had been sent to a second server, although the first one had fallen silent for a second only and had responded again in time.

Cause: 300 ms after the second send the silent server was given up whatever had arrived from it. Where the second server then fell silent or refused, nothing was left.

Request c12-1, read at 48.631, sent to p0 and p3; p0 answered others from 49.248 on, p3 refused all that it had at 49.781, and the request ended at 49.786 with 502 and "Bad file descriptor", the read of the connection that had been given up. When the second send was made isn't in the log, so that this is the likely cause of that one. streamIsNotCutWhenItsServerGoesOnBefore- SlowOtherRejects failed before (no complete response) and passes now.

Change: at the end of the overlap the gateway gives up the second server instead if that has not responded and data of the first one waits to be read. Such an attempt ends as "superseded" and doesn't count as a failure of its server. Two servers run the request for no longer than before.

--- a/Source/Gateway/Exchange.cpp
+++ b/Source/Gateway/Exchange.cpp
@@ -44,9 +44,10 @@
 
 std::string_view attemptResultName(int end)
 {
-    constexpr std::array<std::string_view, 9> Names { "delivered", "answered",    "not_sent",
-                                                      "rejected",  "lost",        "broken",
-                                                      "timed_out", "caller_left", "silent" };
+    constexpr std::array<std::string_view, 10> Names { "delivered", "answered",    "not_sent",
+                                                       "rejected",  "lost",        "broken",
+                                                       "timed_out", "caller_left", "silent",
+                                                       "superseded" };
     return Names[static_cast<std::size_t>(end)];
 }
 
--- a/Source/Gateway/Exchange.h
+++ b/Source/Gateway/Exchange.h
@@ -93,6 +93,8 @@
         CallerDisconnected,
         /// The server stopped responding and the attempt waits while another server is tried.
         Silent,
+        /// The attempt was aborted because the silent server has responded before.
+        Superseded,
     };
 
     /// How a server marks the end of its response body.
@@ -146,8 +148,9 @@
     void finishAttempt(Attempt &attempt, AttemptResult end);
     /// Keeps an attempt whose server is silent until another server responds.
     void setAside(const std::shared_ptr<Attempt> &attempt);
-    /// Gives the silent server up soon after the request was sent to another one.
-    void limitOverlap();
+    /// Soon after the request was sent to another server in `current`, gives up that or the silent
+    /// one.
+    void limitOverlap(const std::shared_ptr<Attempt> &current);
     /// Lets the silent server go on because the request is at no other server any more.
     void endOverlap();
     /// Waits for the silent server after all, because no other server responds to the request.
--- a/Source/Gateway/ExchangeAttempt.cpp
+++ b/Source/Gateway/ExchangeAttempt.cpp
@@ -193,7 +193,7 @@
     noteVersionSent(attempt.placement, now);
     ++sends_;
     noteTrial(now);
-    limitOverlap();
+    limitOverlap(shared);
     dispatchRecord_.noteStarted();
     // The server may respond before it has read the request, so writing and reading overlap.
     http::async_write(attempt.connection->socket, attempt.forwardedRequest,
@@ -211,6 +211,9 @@
     if (attempt.timedOut || endedByStop_) {
         return AttemptResult::TimedOut;
     }
+    if (attempt.superseded) {
+        return AttemptResult::Superseded;
+    }
     return headerDelivered_ ? AttemptResult::StreamBroken : AttemptResult::NoResponse;
 }
 
@@ -232,7 +235,7 @@
             attempt.headerParser = std::move(parser);
             co_return AttemptResult::Silent;
         }
-        if (error || callerDisconnected_) {
+        if (error || callerDisconnected_ || attempt.superseded) {
             co_return failure(attempt, error);
         }
         attempt.silent = false;
@@ -716,6 +719,7 @@
     case AttemptResult::TimedOut:
     case AttemptResult::CallerDisconnected:
     case AttemptResult::Silent:
+    case AttemptResult::Superseded:
         verdict = AttemptOutcome::Abandoned;
         break;
     }
--- a/Source/Gateway/ExchangeAttempt.h
+++ b/Source/Gateway/ExchangeAttempt.h
@@ -64,6 +64,8 @@
     bool silent = false;
     /// True while the attempt waits without being read; the state of its stream is kept here.
     bool waiting = false;
+    /// True if it was aborted because the silent server has responded before.
+    bool superseded = false;
     EventSplitter eventSplitter;
     BodyDelimiter delimiter = BodyDelimiter::Unknown;
 
@@ -85,6 +87,12 @@
             && connection->socket.is_open();
     }
 
+    /// True once the header of the response has been read.
+    [[nodiscard]] bool hasResponse() const
+    {
+        return bodyParser != nullptr || streamParser != nullptr;
+    }
+
     /// Aborts the attempt because its time limit has ended.
     void endAtDeadline()
     {
--- a/Source/Gateway/SilentAttempt.cpp
+++ b/Source/Gateway/SilentAttempt.cpp
@@ -2,6 +2,7 @@
 #include <utility>
 
 #include "Gateway/ExchangeAttempt.h"
+#include "Gateway/SocketOptions.h"
 
 namespace jacinthroad {
 
@@ -9,7 +10,7 @@
 
 namespace {
 
-/// Time after a request was sent to another server after which the silent one is given up. Shorter
+/// Time after a request was sent to another server after which one of the two is given up. Shorter
 /// than the 400 ms for which two servers may run it according to the platform's pages.
 constexpr Duration OverlapLimit = milliseconds(300);
 
@@ -40,12 +41,21 @@
     silentAttempt_ = attempt;
 }
 
-void Exchange::limitOverlap()
+void Exchange::limitOverlap(const std::shared_ptr<Attempt> &current)
 {
-    if (silentAttempt_ != nullptr) {
-        silentAttempt_->livenessTimer.expireAfter(OverlapLimit,
-                                                  [attempt = silentAttempt_] { attempt->abort(); });
+    if (silentAttempt_ == nullptr) {
+        return;
     }
+    silentAttempt_->livenessTimer.expireAfter(OverlapLimit, [silent = silentAttempt_, current] {
+        asio::ip::tcp::socket &socket = silent->connection->socket;
+        const bool responded = socket.is_open() && peek(socket) == PeekResult::Data;
+        if (responded && !current->hasResponse()) {
+            current->superseded = true;
+            current->abort();
+        } else {
+            silent->abort();
+        }
+    });
 }
 
 void Exchange::endOverlap()
@@ -94,6 +104,7 @@
     case AttemptResult::Rejected:
     case AttemptResult::NoResponse:
     case AttemptResult::StreamBroken:
+    case AttemptResult::Superseded:
         return silentAttempt_ != nullptr;
     case AttemptResult::ResponseReceived:
         return silentAttempt_ != nullptr && (headerDelivered_ || response_->result_int() >= 500);
--- a/Tests/Gateway/SilentServerTest.cpp
+++ b/Tests/Gateway/SilentServerTest.cpp
@@ -141,6 +141,32 @@
     BOOST_TEST(response->body() == event(1) + event(2));
 }
 
+BOOST_AUTO_TEST_CASE(streamIsNotCutWhenItsServerGoesOnBeforeSlowOtherRejects)
+{
+    constexpr milliseconds PollInterval { 5 };
+    constexpr int MaxPolls = 600;
+    SilentServerFixture *servers = nullptr;
+    SilentServerFixture fixture(
+        [&](ScriptedConnection &connection, const ReceivedRequest &request) {
+            connection.write(streamHead(request) + chunk(event(1)));
+            for (int polls = 0; polls < MaxPolls && servers->sends < 2; ++polls) {
+                std::this_thread::sleep_for(PollInterval);
+            }
+            std::this_thread::sleep_for(milliseconds(50));
+            connection.write(chunk(event(2)));
+            std::this_thread::sleep_for(milliseconds(800));
+            connection.write(chunk(event(3)) + "0\r\n\r\n");
+        },
+        [](ScriptedConnection &connection, const ReceivedRequest &request) {
+            std::this_thread::sleep_for(milliseconds(600));
+            reject(connection, request);
+        });
+    servers = &fixture;
+    const auto response = fixture.gateway.call("POST", "/stream/a", "prompt", Headers);
+    BOOST_REQUIRE(response != nullptr);
+    BOOST_TEST(response->body() == event(1) + event(2) + event(3));
+}
+
 BOOST_AUTO_TEST_CASE(streamIsNotCutWhileThirdServerIsConnectedToAfterSecondRejected)
 {
     UnreachableServer third;
