Soak: Tell how long a connection had been idle before a request

Entry 14 of KNOWN-RED.txt suspects that the stand-in callers reuse connections for longer than the idle limit allows; neither the counts nor the line of an unserved caller showed it. Each record now holds the idle time of its connection and the limit of the configuration written last, the line of an unserved caller prints both, and the counts tell how many of the requests that were closed and not run were past that limit.

--- a/Tests/Soak/Main.cpp
+++ b/Tests/Soak/Main.cpp
@@ -23,7 +23,8 @@
 void print(const jacinthroad::SoakReport &report)
 {
     std::cout << report.requests << " requests, " << report.served << " served, "
-              << report.closedNotRun << " closed and not run; " << report.brokenOff
+              << report.closedNotRun << " closed and not run (" << report.closedPastIdleLimit
+              << " on connections past their idle limit); " << report.brokenOff
               << " runs broken off, " << report.serverCrashes << " server crashes; " << report.stops
               << " stops, " << report.kills << " kills, " << report.pauses << " pauses, "
               << report.reloads << " reloads, " << report.commonRestarts
--- a/Tests/Soak/SoakClient.cpp
+++ b/Tests/Soak/SoakClient.cpp
@@ -74,6 +74,7 @@
         return false;
     }
     socket_->set_option(asio::ip::tcp::no_delay(true), error);
+    idleSince_ = std::chrono::steady_clock::now();
     return true;
 }
 
@@ -156,7 +157,9 @@
                           .key = request.key,
                           .firstPart = request.firstPart,
                           .deadly = request.deadly,
-                          .slow = request.slow };
+                          .slow = request.slow,
+                          .idleLimit = milliseconds(options_.idleLimitMs.load()) };
+    record.idle = record.sentAt - idleSince_;
     error_code error;
     asio::write(*socket_, asio::buffer(request.text), error);
     if (error) {
@@ -169,6 +172,7 @@
     }
     receive(record);
     record.endedAt = std::chrono::steady_clock::now();
+    idleSince_ = record.endedAt;
     record.nodeKilled = node_->kills() != killsBefore;
     records_.push_back(record);
     if (record.outcome != CallerOutcome::Answered || record.closing) {
--- a/Tests/Soak/SoakClient.h
+++ b/Tests/Soak/SoakClient.h
@@ -27,6 +27,8 @@
     {
         std::string name;
         std::vector<std::shared_ptr<NodeProcess>> nodes;
+        /// The idle limit of the configuration that was written last.
+        const std::atomic<int> &idleLimitMs;
         /// Limits the time between two requests on a connection.
         Duration longestPause {};
         /// The caller never closes a connection before the node's process has ended. It sends
@@ -85,6 +87,8 @@
     /// The node that the connection leads to.
     std::shared_ptr<NodeProcess> node_;
     unsigned nodeEnds_ = 0;
+    /// When the connection was opened or its last response ended.
+    Instant idleSince_;
     std::vector<CallerRecord> records_;
 };
 
--- a/Tests/Soak/SoakConfigurations.cpp
+++ b/Tests/Soak/SoakConfigurations.cpp
@@ -3,6 +3,7 @@
 #include <array>
 #include <string>
 #include <thread>
+#include <utility>
 
 #include "Core/Json.h"
 #include "SoakTraffic.h"
@@ -74,6 +75,13 @@
     return spec;
 }
 
+void writeConfiguration(StoreStandIn &store, LastConfiguration &last, Json::Value spec)
+{
+    last.spec = std::move(spec);
+    last.idleLimitMs = last.spec["limits"]["idleTimeoutMs"].asInt();
+    store.put("config", "main", last.spec);
+}
+
 int longestIdleLimit()
 {
     return IdleTimeoutsMs.front();
@@ -91,9 +99,9 @@
             ++counts.configurations;
             {
                 const std::lock_guard lock(last.mutex);
-                last.spec = soakConfiguration(version, random);
-                addRoutes(last.spec, change * GrowthOfSeries);
-                store.put("config", "main", last.spec);
+                Json::Value spec = soakConfiguration(version, random);
+                addRoutes(spec, change * GrowthOfSeries);
+                writeConfiguration(store, last, std::move(spec));
             }
             if (isSeries) {
                 std::this_thread::sleep_for(milliseconds(between(random, 5, 150)));
--- a/Tests/Soak/SoakConfigurations.h
+++ b/Tests/Soak/SoakConfigurations.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <atomic>
 #include <cstdint>
 #include <mutex>
 #include <random>
@@ -17,10 +18,14 @@
 {
     std::mutex mutex;
     Json::Value spec;
+    /// Its idle limit in ms, for readers without the mutex.
+    std::atomic<int> idleLimitMs { 0 };
 };
 
 /// A configuration with the routes and keys that all have.
 [[nodiscard]] Json::Value soakConfiguration(int version, std::mt19937_64 &random);
+/// Writes the configuration to the store as the last one. Needs the lock of `last`.
+void writeConfiguration(StoreStandIn &store, LastConfiguration &last, Json::Value spec);
 /// The longest idle limit of all configurations, in ms; that of the first.
 [[nodiscard]] int longestIdleLimit();
 /// Writes newer configurations until a moment, also in series with few ms between them. Some have
--- a/Tests/Soak/SoakJudge.h
+++ b/Tests/Soak/SoakJudge.h
@@ -58,6 +58,10 @@
     bool unsolicited = false;
     /// True if the node was killed while the request was in progress.
     bool nodeKilled = false;
+    /// How long its connection had been idle.
+    Duration idle {};
+    /// The idle limit of the configuration that was written last when it was sent.
+    Duration idleLimit {};
 };
 
 /// What the logs of the nodes tell.
--- a/Tests/Soak/SoakRun.cpp
+++ b/Tests/Soak/SoakRun.cpp
@@ -99,7 +99,10 @@
             text += " " + record.id + " on " + record.route + " at " + record.node + " after "
                 + std::to_string(static_cast<int>(toMilliseconds(record.sentAt - moment)))
                 + " ms, outcome " + std::to_string(static_cast<int>(record.outcome)) + ", status "
-                + std::to_string(record.status) + ";";
+                + std::to_string(record.status) + ", on a connection idle for "
+                + std::to_string(static_cast<int>(toMilliseconds(record.idle)))
+                + " ms at a limit of "
+                + std::to_string(static_cast<int>(toMilliseconds(record.idleLimit))) + " ms;";
         }
     }
     return text;
@@ -126,7 +129,7 @@
 /// Makes the callers of sound requests and, after them, those of deadly ones.
 std::vector<std::unique_ptr<SoakClient>>
 makeClients(const SoakOptions &options, const std::vector<std::shared_ptr<NodeProcess>> &nodes,
-            std::mt19937_64 &random)
+            const LastConfiguration &last, std::mt19937_64 &random)
 {
     std::vector<std::unique_ptr<SoakClient>> clients;
     const bool holding = options.disturbances.contains(Disturbance::HeldConnections);
@@ -134,6 +137,7 @@
         clients.push_back(std::make_unique<SoakClient>(
             SoakClient::Options { .name = "c" + std::to_string(number),
                                   .nodes = nodes,
+                                  .idleLimitMs = last.idleLimitMs,
                                   .longestPause = number % BusyOneIn == 0
                                       ? LongestBusyPause
                                       : fromMilliseconds(longestIdleLimit() * ReuseShare),
@@ -145,6 +149,7 @@
             clients.push_back(std::make_unique<SoakClient>(
                 SoakClient::Options { .name = "t" + std::to_string(number),
                                       .nodes = nodes,
+                                      .idleLimitMs = last.idleLimitMs,
                                       .longestPause = LongestBusyPause,
                                       .takesUp = true,
                                       .seed = random() }));
@@ -155,6 +160,7 @@
             clients.push_back(std::make_unique<SoakClient>(
                 SoakClient::Options { .name = "l" + std::to_string(number),
                                       .nodes = nodes,
+                                      .idleLimitMs = last.idleLimitMs,
                                       .longestPause = LongestPauseAfterLong,
                                       .holdsConnections = true,
                                       .sendsLongRequests = true,
@@ -166,6 +172,7 @@
             clients.push_back(std::make_unique<SoakClient>(
                 SoakClient::Options { .name = "d" + std::to_string(number),
                                       .nodes = nodes,
+                                      .idleLimitMs = last.idleLimitMs,
                                       .longestPause = LongestDeadlyPause,
                                       .deadlyRoute = deadlyRoute(options.seed),
                                       .seed = random() }));
@@ -175,6 +182,7 @@
         clients.push_back(std::make_unique<SoakClient>(
             SoakClient::Options { .name = "k",
                                   .nodes = nodes,
+                                  .idleLimitMs = last.idleLimitMs,
                                   .longestPause = LongestDeadlyKeyPause,
                                   .deadlyRoute = DeadlyKeyRoute,
                                   .seed = random() }));
@@ -274,6 +282,8 @@
         const bool closed = record.outcome == CallerOutcome::ConnectionClosed;
         report.served += record.outcome == CallerOutcome::Answered && record.status == 200 ? 1 : 0;
         report.closedNotRun += closed && !runs.contains(record.id) ? 1 : 0;
+        report.closedPastIdleLimit
+            += closed && !runs.contains(record.id) && record.idle > record.idleLimit ? 1 : 0;
     }
     for (const ServerArrival &arrival : observations.arrivals) {
         report.statements.leaving += arrival.leaving ? 1 : 0;
@@ -302,15 +312,18 @@
     StoreStandIn store;
     SoakServers servers(store, log, options.disturbances, random());
     LastConfiguration last;
-    last.spec = soakConfiguration(1, random);
     store.sendEra(1);
-    store.put("config", "main", last.spec);
+    {
+        const std::lock_guard lock(last.mutex);
+        writeConfiguration(store, last, soakConfiguration(1, random));
+    }
     const std::vector<std::shared_ptr<NodeProcess>> nodes = startNodes(options, store.address());
     std::this_thread::sleep_for(StartTime);
 
     std::atomic<bool> stopping { false };
     FaultCounts counts;
-    const std::vector<std::unique_ptr<SoakClient>> clients = makeClients(options, nodes, random);
+    const std::vector<std::unique_ptr<SoakClient>> clients
+        = makeClients(options, nodes, last, random);
     std::vector<std::thread> callerThreads;
     callerThreads.reserve(clients.size());
     for (const auto &client : clients) {
--- a/Tests/Soak/SoakRun.h
+++ b/Tests/Soak/SoakRun.h
@@ -41,6 +41,8 @@
     unsigned served = 0;
     /// Requests whose connection closed although no server had begun to run them.
     unsigned closedNotRun = 0;
+    /// Those of them that were sent on a connection idle for longer than the configuration allows.
+    unsigned closedPastIdleLimit = 0;
     /// Runs whose server broke off.
     unsigned brokenOff = 0;
     unsigned serverCrashes = 0;
