Soak: Let callers reuse connections within the idle limit in force

Callers of the platform reuse a connection that has been idle for up to four fifths of the idle limit, and no longer.

Change: a caller leaves a connection that has been idle for more than four fifths of the limit of the configuration written last. Pauses, bounds and checks are as before; requests still cross closes where a new configuration lowers the limit.

--- a/Tests/Soak/SoakClient.cpp
+++ b/Tests/Soak/SoakClient.cpp
@@ -23,6 +23,9 @@
 
 /// Longer than the route's timeout and the longest stop of a process together.
 constexpr Duration ResponseTimeout = std::chrono::seconds(10);
+/// Callers reuse a connection that has been idle for up to four fifths of the idle limit.
+constexpr int ReuseFactor = 4;
+constexpr int ReuseDivisor = 5;
 constexpr Duration ReconnectPause = milliseconds(20);
 constexpr std::size_t MostHeldConnections = 20;
 /// Time after its first request in which a caller takes a stream up again.
@@ -100,6 +103,7 @@
         std::this_thread::sleep_for(milliseconds(part * part / pause));
         if (socket_ != nullptr && !records_.empty()) {
             checkUnsolicited(*socket_, records_.size() - 1);
+            leaveIdleConnection();
         }
     }
     checkHeldConnections();
@@ -234,6 +238,15 @@
     socket_ = nullptr;
 }
 
+void SoakClient::leaveIdleConnection()
+{
+    const Duration limit = milliseconds(options_.idleLimitMs.load());
+    const Duration idle = std::chrono::steady_clock::now() - idleSince_;
+    if (idle * ReuseDivisor > limit * ReuseFactor) {
+        leaveConnection();
+    }
+}
+
 void SoakClient::checkUnsolicited(Socket &socket, std::size_t record)
 {
     std::array<char, 512> bytes {};
--- a/Tests/Soak/SoakClient.h
+++ b/Tests/Soak/SoakClient.h
@@ -19,7 +19,8 @@
 namespace jacinthroad {
 
 /// A caller that sends requests one after the other with pauses between them. It uses its
-/// connection until the node closes it or asks to close it, and then connects to another node.
+/// connection until the node closes it or asks to close it, or the idle limit forbids its reuse,
+/// and then connects to another node.
 class SoakClient
 {
 public:
@@ -74,6 +75,8 @@
                      boost::system::error_code result) const;
     /// Ends the use of the connection; holds it open if the caller does so.
     void leaveConnection();
+    /// Ends the use of the connection if it has been idle for longer than callers reuse one.
+    void leaveIdleConnection();
     /// Looks for bytes on a connection without a request.
     void checkUnsolicited(Socket &socket, std::size_t record);
     void checkHeldConnections();
--- a/Tests/Soak/SoakRun.cpp
+++ b/Tests/Soak/SoakRun.cpp
@@ -36,8 +36,8 @@
 /// time until a node has recorded the era as settled; until then, nodes that start serve no keys.
 constexpr Duration RestoreMargin = std::chrono::seconds(7);
 constexpr Duration LongestDeadlyKeyPause = milliseconds(2000);
-/// Callers reuse a connection for this part of the longest idle limit.
-constexpr double ReuseShare = 0.8;
+/// The longest pause between the requests of a caller, as a part of the longest idle limit.
+constexpr double LongestPauseShare = 0.8;
 constexpr unsigned DeadlyCallers = 2;
 constexpr Duration LongestDeadlyPause = milliseconds(1200);
 /// Longest pause of the callers that keep their nodes' connections to servers in use.
@@ -140,7 +140,7 @@
                                   .idleLimitMs = last.idleLimitMs,
                                   .longestPause = number % BusyOneIn == 0
                                       ? LongestBusyPause
-                                      : fromMilliseconds(longestIdleLimit() * ReuseShare),
+                                      : fromMilliseconds(longestIdleLimit() * LongestPauseShare),
                                   .holdsConnections = holding && number % HoldingOneIn == 0,
                                   .seed = random() }));
     }
