--- a/Tests/Soak/SoakClient.cpp
+++ b/Tests/Soak/SoakClient.cpp
@@ -23,6 +23,9 @@
 
 /// Longer than the route's timeout and the longest stop of a process together.
 constexpr Duration ResponseTimeout = std::chrono::seconds(10);
+/// Callers reuse a connection that has been idle for up to four fifths of the idle limit.
+constexpr int ReuseFactor = 4;
+constexpr int ReuseDivisor = 5;
 constexpr Duration ReconnectPause = milliseconds(20);
 constexpr std::size_t MostHeldConnections = 20;
 /// Time after its first request in which a caller takes a stream up again.
@@ -74,6 +77,7 @@
         return false;
     }
     socket_->set_option(asio::ip::tcp::no_delay(true), error);
+    idleSince_ = std::chrono::steady_clock::now();
     return true;
 }
 
@@ -99,6 +103,7 @@
         std::this_thread::sleep_for(milliseconds(part * part / pause));
         if (socket_ != nullptr && !records_.empty()) {
             checkUnsolicited(*socket_, records_.size() - 1);
+            leaveIdleConnection();
         }
     }
     checkHeldConnections();
@@ -156,7 +161,9 @@
                           .key = request.key,
                           .firstPart = request.firstPart,
                           .deadly = request.deadly,
-                          .slow = request.slow };
+                          .slow = request.slow,
+                          .idleLimit = milliseconds(options_.idleLimitMs.load()) };
+    record.idle = record.sentAt - idleSince_;
     error_code error;
     asio::write(*socket_, asio::buffer(request.text), error);
     if (error) {
@@ -169,6 +176,7 @@
     }
     receive(record);
     record.endedAt = std::chrono::steady_clock::now();
+    idleSince_ = record.endedAt;
     record.nodeKilled = node_->kills() != killsBefore;
     records_.push_back(record);
     if (record.outcome != CallerOutcome::Answered || record.closing) {
@@ -230,6 +238,15 @@
     socket_ = nullptr;
 }
 
+void SoakClient::leaveIdleConnection()
+{
+    const Duration limit = milliseconds(options_.idleLimitMs.load());
+    const Duration idle = std::chrono::steady_clock::now() - idleSince_;
+    if (idle * ReuseDivisor > limit * ReuseFactor) {
+        leaveConnection();
+    }
+}
+
 void SoakClient::checkUnsolicited(Socket &socket, std::size_t record)
 {
     std::array<char, 512> bytes {};
--- a/Tests/Soak/SoakClient.h
+++ b/Tests/Soak/SoakClient.h
@@ -19,7 +19,8 @@
 namespace jacinthroad {
 
 /// A caller that sends requests one after the other with pauses between them. It uses its
-/// connection until the node closes it or asks to close it, and then connects to another node.
+/// connection until the node closes it or asks to close it, or the idle limit forbids its reuse,
+/// and then connects to another node.
 class SoakClient
 {
 public:
@@ -27,6 +28,8 @@
     {
         std::string name;
         std::vector<std::shared_ptr<NodeProcess>> nodes;
+        /// The idle limit of the configuration that was written last.
+        const std::atomic<int> &idleLimitMs;
         /// Limits the time between two requests on a connection.
         Duration longestPause {};
         /// The caller never closes a connection before the node's process has ended. It sends
@@ -72,6 +75,8 @@
                      boost::system::error_code result) const;
     /// Ends the use of the connection; holds it open if the caller does so.
     void leaveConnection();
+    /// Ends the use of the connection if it has been idle for longer than callers reuse one.
+    void leaveIdleConnection();
     /// Looks for bytes on a connection without a request.
     void checkUnsolicited(Socket &socket, std::size_t record);
     void checkHeldConnections();
@@ -85,6 +90,8 @@
     /// The node that the connection leads to.
     std::shared_ptr<NodeProcess> node_;
     unsigned nodeEnds_ = 0;
+    /// When the connection was opened or its last response ended.
+    Instant idleSince_;
     std::vector<CallerRecord> records_;
 };
 
