Utilities: Balance the tries of callers with the log of all nodes

A try that ends with a closed connection and no response is allowed if no node had read it, and a fault if one had. Nothing told the two apart without counting by hand.

The script compares the counts of a play's report with the request lines of all nodes and lists each request that was read and got no response, with time, node and id.

--- /dev/null
+++ b/Utilities/balance-requests.py
@@ -0,0 +1,206 @@
+#!/usr/bin/env python3
+"""Balances the tries that callers counted with the lines of all nodes that served them.
+
+The log holds JSON lines, with or without a time and the node's name in front. The report is a JSON
+object whose members `tries`, `ends` and `looks` count the callers' tries, the last two by how they
+ended. The exit code is 1 if the tries don't balance or if a node closed a connection on which it
+had read a request.
+"""
+
+import argparse
+import collections
+import json
+import pathlib
+import re
+import sys
+
+NO_CONNECTION = "no connection"
+CUT = "cut, no answer"
+CUT_IN_RESPONSE = "cut in the answer"
+LEFT_AT_LIMIT = "deadline"
+
+FAILURES = ("process_failed", "handler_failed", "session_failed", "task_failed")
+CUT_STREAMS = ("broken", "cut_at_timeout")
+CALLER_GONE = ("caller_left", "not_delivered")
+# A failed write with another reason means that the node had closed the connection.
+REASONS_OF_CALLER = ("Broken pipe", "Connection reset by peer")
+
+
+class InputError(Exception):
+    """A file that can't be used; the message names file, fault and remedy."""
+
+
+def read_text(path):
+    try:
+        return pathlib.Path(path).read_text(encoding="utf-8", errors="replace")
+    except OSError as error:
+        raise InputError(f"{path} can't be read ({error.strerror}); name a readable file") from error
+
+
+def read_log(paths):
+    """Returns the log lines as (time, node, event object), and the number of incomplete lines."""
+    lines = []
+    incomplete = 0
+    for path in paths:
+        for text in read_text(path).split("\n"):
+            start = text.find('{"')
+            if start < 0:
+                continue
+            prefix = text[:start].split()
+            if start > 0 and not (len(prefix) == 2 and re.fullmatch(r"-?\d+\.\d+", prefix[0])):
+                continue
+            try:
+                event = json.loads(text[start:])
+            except ValueError:
+                incomplete += 1
+                continue
+            if "event" not in event:
+                continue
+            if prefix:
+                lines.append((prefix[0], prefix[1], event))
+            else:
+                node = event.get("node", pathlib.Path(path).stem)
+                lines.append((event.get("time", ""), node, event))
+    return lines, incomplete
+
+
+def read_report(path):
+    """Returns the number of tries and how many ended in each way."""
+    try:
+        report = json.loads(read_text(path))
+        ends = collections.Counter(report["ends"])
+        ends.update(report["looks"])
+        return report["tries"], ends
+    except (ValueError, KeyError, TypeError) as error:
+        raise InputError(f"{path} is not a report with tries, ends and looks ({error}); "
+                         "name the file that the play wrote") from error
+
+
+def status_of(end):
+    """Returns the status of an end such as "500 from a server", or None."""
+    found = re.match(r"\d{3}\b", end)
+    return found.group() if found else None
+
+
+def count_lines(lines):
+    """Returns the number of `request` lines by what the caller should have seen."""
+    counts = collections.Counter()
+    for _, _, event in lines:
+        if event["event"] != "request":
+            continue
+        if event["outcome"] in CUT_STREAMS:
+            counts[CUT_IN_RESPONSE] += 1
+        elif event["outcome"] in CALLER_GONE:
+            counts[LEFT_AT_LIMIT] += 1
+        else:
+            counts[str(event["status"])] += 1
+    return counts
+
+
+def describe_unanswered(event):
+    """Returns what a line tells of a request without a response and whether the caller closed, or None."""
+    name = event["event"]
+    if name == "request_cut":
+        return (f"{event['request_id']}  request_cut, sends {event['sends']}, "
+                f"response_begun {event['response_begun']}", False)
+    if name == "request" and event["outcome"] == "not_delivered":
+        return (f"{event['request_id']}  not_delivered, {event['reason']}, sends {event['sends']}",
+                event["reason"] in REASONS_OF_CALLER)
+    if name == "connection_closed":
+        bytes_left = ", ".join(f"{kind} {event[kind + '_bytes']}"
+                               for kind in ("read", "unread", "discarded"))
+        return (f"-  connection_closed, {event['reason']}, bytes {bytes_left}, "
+                f"requests before {event['requests']}", event["reason"] == "caller")
+    return None
+
+
+def print_table(title, rows, columns=()):
+    print((f"{title:<46}" + "".join(f"{column:>12}" for column in columns)).rstrip())
+    for name, *values in rows:
+        print(f"  {name:<44}" + "".join(f"{value:>12}" for value in values))
+    print()
+
+
+def print_unanswered(title, entries):
+    print(f"{title}: {len(entries)}")
+    for time, node, text in entries:
+        print(f"  {time:>9}  {node}  {text}")
+    print()
+
+
+def balance(lines, tries, ends):
+    """Prints the balance. Returns False if something is missing or was closed by a node."""
+    events = collections.Counter(event["event"] for _, _, event in lines)
+    outcomes = collections.Counter(
+        (event["outcome"], event["status"], event["reason"])
+        for _, _, event in lines if event["event"] == "request")
+    print_table("request lines by outcome, status and reason",
+                [(" ".join(str(part) for part in key if part not in ("", 0)), number)
+                 for key, number in sorted(outcomes.items())])
+
+    seen = collections.Counter()
+    for end, number in ends.items():
+        seen[status_of(end) or end] += number
+    logged = count_lines(lines)
+    print_table("how tries ended",
+                [(end, seen[end], logged[end], seen[end] - logged[end])
+                 for end in sorted(set(seen) | set(logged))],
+                ("callers", "lines", "difference"))
+
+    closed_by_node = []
+    closed_by_caller = []
+    for time, node, event in lines:
+        described = describe_unanswered(event)
+        if described is not None:
+            text, by_caller = described
+            (closed_by_caller if by_caller else closed_by_node).append((time, node, text))
+    print_unanswered("read, no response, closed by the node", closed_by_node)
+    print_unanswered("read, no response, the caller had left", closed_by_caller)
+    failures = [(name, events[name]) for name in FAILURES if events[name] > 0]
+    if failures:
+        print_table("failures of nodes", failures)
+
+    with_line = events["request"] + events["request_cut"] + events["body_refused"]
+    without_line = tries - seen[NO_CONNECTION] - with_line
+    print_table("balance",
+                [("tries", tries),
+                 ("  without a connection", seen[NO_CONNECTION]),
+                 ("  with a request line", events["request"]),
+                 ("  with request_cut", events["request_cut"]),
+                 ("  with body_refused", events["body_refused"]),
+                 ("  without a line", without_line),
+                 (f"tries that ended \"{CUT}\"", seen[CUT]),
+                 ("  closed by the node, with bytes read", len(closed_by_node)),
+                 ("  read by no node, or closed in front of it", seen[CUT] - len(closed_by_node))])
+
+    whole = sum(ends.values()) == tries
+    if not whole:
+        print(f"The ends add up to {sum(ends.values())}, not to the {tries} tries.")
+    if without_line != seen[CUT]:
+        print(f"{without_line} tries have no line, {seen[CUT]} were cut without a response: compare the rows "
+              "above. A try that was refused or given up before it was read has no line; a cut try with a "
+              "line is among caller_left and not_delivered.")
+    return whole and without_line == seen[CUT] and not closed_by_node
+
+
+def main():
+    parser = argparse.ArgumentParser(description=__doc__.split("\n", maxsplit=1)[0])
+    parser.add_argument("report", help="JSON report of the play")
+    parser.add_argument("log", nargs="+", help="lines of all nodes, in one or more files")
+    arguments = parser.parse_args()
+    try:
+        tries, ends = read_report(arguments.report)
+        lines, incomplete = read_log(arguments.log)
+        if not any(event["event"] == "request" for _, _, event in lines):
+            raise InputError(f"{', '.join(arguments.log)} holds no request line; log all nodes in the play")
+    except InputError as error:
+        print(f"balance-requests: {error}", file=sys.stderr)
+        return 2
+    balanced = balance(lines, tries, ends)
+    if incomplete > 0:
+        print(f"{incomplete} lines of the log are incomplete and were left out.")
+    return 0 if balanced and incomplete == 0 else 1
+
+
+if __name__ == "__main__":
+    sys.exit(main())
