GatewaySoak: Planned work only, rates of an installation and a trace of requests

The soak could not be told to do planned work only, with one grace period and the traffic of an installation, and named only the requests that broke a check.

No check and no disturbance of the other runs changes.

--- a/Tests/Soak/Main.cpp
+++ b/Tests/Soak/Main.cpp
@@ -1,6 +1,9 @@
 #include <algorithm>
+#include <cstdlib>
 #include <iostream>
 #include <map>
+#include <optional>
+#include <sstream>
 
 #include <boost/program_options.hpp>
 
@@ -20,6 +23,22 @@
     return names;
 }
 
+/// The rates that a text with commas lists; unset unless they are valid.
+std::optional<jacinthroad::SoakRates> parseRates(const std::string &text)
+{
+    jacinthroad::SoakRates rates {};
+    std::istringstream stream(text + ",");
+    char comma = 0;
+    for (double &rate : rates) {
+        if (!(stream >> rate >> comma) || comma != ',' || rate < 0) {
+            return std::nullopt;
+        }
+    }
+    const bool ended = stream.peek() == std::istringstream::traits_type::eof();
+    const bool any = std::any_of(rates.begin(), rates.end(), [](double rate) { return rate > 0; });
+    return ended && any ? std::optional(rates) : std::nullopt;
+}
+
 void print(const jacinthroad::SoakReport &report)
 {
     std::cout << report.requests << " requests, " << report.served << " served, "
@@ -83,6 +102,15 @@
     syntax.add_options()(
         "without", options::value(&without)->composing(),
         ("disturbance to leave out; may be repeated: " + disturbanceNames()).c_str());
+    std::vector<std::string> only;
+    syntax.add_options()("only", options::value(&only)->composing(),
+                         "disturbance to keep while all others are left out; may be repeated");
+    double grace = 0;
+    syntax.add_options()("grace", options::value(&grace), "grace period of every stop in seconds");
+    std::string rates;
+    syntax.add_options()("rates", options::value(&rates),
+                         "requests a second on the routes safe, unsafe, events, once and "
+                         "resumable, separated by commas; servers work on them for longer");
     std::vector<std::string> known;
     syntax.add_options()(
         "known", options::value(&known)->composing(),
@@ -99,13 +127,34 @@
         std::cerr << "GatewaySoak: " << fault.what() << "; see --help\n";
         return 2;
     }
-    for (const std::string &name : without) {
-        const auto disturbance = jacinthroad::findDisturbance(name);
-        if (!disturbance.has_value()) {
-            std::cerr << "GatewaySoak: no disturbance '" << name << "'; see --help\n";
+    const auto named = [](const std::vector<std::string> &names) {
+        jacinthroad::Disturbances found;
+        for (const std::string &name : names) {
+            const auto disturbance = jacinthroad::findDisturbance(name);
+            if (!disturbance.has_value()) {
+                std::cerr << "GatewaySoak: no disturbance '" << name << "'; see --help\n";
+                std::exit(2);
+            }
+            found.insert(*disturbance);
+        }
+        return found;
+    };
+    if (!only.empty()) {
+        soak.disturbances = named(only);
+    }
+    for (const jacinthroad::Disturbance disturbance : named(without)) {
+        soak.disturbances.erase(disturbance);
+    }
+    if (values.count("grace") > 0) {
+        soak.stopGrace = jacinthroad::fromMilliseconds(grace * 1000);
+    }
+    if (!rates.empty()) {
+        soak.rates = parseRates(rates);
+        if (!soak.rates.has_value()) {
+            std::cerr << "GatewaySoak: --rates '" << rates
+                      << "' is not five numbers from 0 on, one of them above 0; see --help\n";
             return 2;
         }
-        soak.disturbances.erase(*disturbance);
     }
     soak.faultTime = jacinthroad::fromMilliseconds(seconds * 1000);
     const std::string folder = soak.folder;
--- a/Tests/Soak/NodeFaults.cpp
+++ b/Tests/Soak/NodeFaults.cpp
@@ -197,7 +197,7 @@
 void NodeFaults::startAgain()
 {
     wait(0, 300);
-    if (options_.disturbances.contains(Disturbance::LateRequests)) {
+    if (options_.disturbances.contains(Disturbance::LateRequests) && !options_.stopGrace) {
         node_.setStopGrace(std::chrono::seconds(between(random_, ShortestGraceS, LongestGraceS)));
         node_.changeSettings(between(random_, 10, 30));
     }
--- a/Tests/Soak/NodeFaults.h
+++ b/Tests/Soak/NodeFaults.h
@@ -3,6 +3,7 @@
 #include <atomic>
 #include <barrier>
 #include <cstdint>
+#include <optional>
 #include <random>
 #include <vector>
 
@@ -45,6 +46,8 @@
     struct Options
     {
         Disturbances disturbances;
+        /// Grace period of every stop; unset lets late requests vary it.
+        std::optional<Duration> stopGrace;
         std::uint64_t seed = 0;
         /// End of the faults.
         Instant until;
--- a/Tests/Soak/SoakClient.cpp
+++ b/Tests/Soak/SoakClient.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <array>
+#include <cerrno>
 #include <string_view>
 #include <thread>
 #include <utility>
@@ -66,6 +67,7 @@
         node_ = options_.nodes[random_() % options_.nodes.size()];
     } while (node_ == former && options_.nodes.size() > 1);
     nodeEnds_ = node_->ends();
+    requestsSent_ = 0;
     socket_ = std::make_unique<Socket>(context_);
     error_code error;
     socket_->connect(*parseEndpoint(node_->callerAddress()), error);
@@ -81,6 +83,9 @@
 {
     while (!stopping) {
         checkHeldConnections();
+        if (options_.rates.has_value() && socket_ != nullptr && isClosedByNode()) {
+            leaveConnection();
+        }
         if (socket_ == nullptr && !connect()) {
             std::this_thread::sleep_for(ReconnectPause);
             continue;
@@ -118,6 +123,9 @@
     if (options_.sendsLongRequests) {
         return makeLongRequest(id, random_);
     }
+    if (options_.rates.has_value()) {
+        return makeSiteRequest(id, *options_.rates, random_);
+    }
     return options_.deadlyRoute.empty() ? makeSoakRequest(id, random_)
         : options_.deadlyRoute == DeadlyKeyRoute
         ? makeDeadlyKeyRequest(id, random_)
@@ -156,10 +164,12 @@
                           .key = request.key,
                           .firstPart = request.firstPart,
                           .deadly = request.deadly,
-                          .slow = request.slow };
+                          .slow = request.slow,
+                          .earlierRequests = requestsSent_++ };
     error_code error;
     asio::write(*socket_, asio::buffer(request.text), error);
     if (error) {
+        record.error = error.message();
         record.outcome = CallerOutcome::ConnectionClosed;
         record.endedAt = std::chrono::steady_clock::now();
         record.nodeKilled = node_->kills() != killsBefore;
@@ -206,6 +216,9 @@
         record.stamped = response.count("X-Response-Stamp") > 0;
         record.body = response.body();
     }
+    if (result) {
+        record.error = result.message();
+    }
     if (!result) {
         record.outcome = CallerOutcome::Answered;
         record.closing = !parser.keep_alive();
@@ -253,6 +266,13 @@
     }
 }
 
+bool SoakClient::isClosedByNode() const
+{
+    char byte = 0;
+    const ssize_t size = recv(socket_->native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+    return size == 0 || (size < 0 && errno != EAGAIN && errno != EWOULDBLOCK);
+}
+
 void SoakClient::checkHeldConnections()
 {
     for (const HeldConnection &connection : held_) {
--- a/Tests/Soak/SoakClient.h
+++ b/Tests/Soak/SoakClient.h
@@ -2,6 +2,7 @@
 
 #include <atomic>
 #include <memory>
+#include <optional>
 #include <random>
 #include <string>
 #include <vector>
@@ -39,6 +40,9 @@
         bool takesUp = false;
         /// The caller sends requests that servers work on for long.
         bool sendsLongRequests = false;
+        /// Proportion of the routes; the usual traffic if unset. Such a caller sends nothing on a
+        /// connection whose end has reached it.
+        std::optional<SoakRates> rates;
         std::uint64_t seed = 0;
     };
 
@@ -72,6 +76,8 @@
                      boost::system::error_code result) const;
     /// Ends the use of the connection; holds it open if the caller does so.
     void leaveConnection();
+    /// True if the end of the connection has reached the caller.
+    [[nodiscard]] bool isClosedByNode() const;
     /// Looks for bytes on a connection without a request.
     void checkUnsolicited(Socket &socket, std::size_t record);
     void checkHeldConnections();
@@ -85,6 +91,8 @@
     /// The node that the connection leads to.
     std::shared_ptr<NodeProcess> node_;
     unsigned nodeEnds_ = 0;
+    /// Requests that were sent on the connection.
+    unsigned requestsSent_ = 0;
     std::vector<CallerRecord> records_;
 };
 
--- a/Tests/Soak/SoakJudge.h
+++ b/Tests/Soak/SoakJudge.h
@@ -58,6 +58,10 @@
     bool unsolicited = false;
     /// True if the node was killed while the request was in progress.
     bool nodeKilled = false;
+    /// Number of requests that were sent before on its connection.
+    unsigned earlierRequests = 0;
+    /// Why sending or receiving ended; empty after a complete response.
+    std::string error;
 };
 
 /// What the logs of the nodes tell.
--- a/Tests/Soak/SoakRun.cpp
+++ b/Tests/Soak/SoakRun.cpp
@@ -6,6 +6,7 @@
 #include <barrier>
 #include <filesystem>
 #include <memory>
+#include <numeric>
 #include <random>
 #include <thread>
 
@@ -16,6 +17,7 @@
 #include "NodeProcess.h"
 #include "OddEntries.h"
 #include "Releases.h"
+#include "RequestTrace.h"
 #include "SoakClient.h"
 #include "SoakConfigurations.h"
 #include "SoakServers.h"
@@ -115,7 +117,7 @@
                                    .folder = options.folder,
                                    .name = "node-" + std::to_string(number),
                                    .storeAddress = storeAddress,
-                                   .stopGrace = StopGrace }));
+                                   .stopGrace = options.stopGrace.value_or(StopGrace) }));
         nodes.back()->start();
         const Instant now = std::chrono::steady_clock::now();
         nodes.back()->noteDisturbance({ .begin = now, .end = now });
@@ -123,6 +125,18 @@
     return nodes;
 }
 
+/// Longest pause of a caller between two requests.
+Duration longestPause(const SoakOptions &options, unsigned caller)
+{
+    const Duration reusable = fromMilliseconds(longestIdleLimit() * ReuseShare);
+    if (options.rates.has_value()) {
+        // The mean pause is a third of the longest one.
+        const double rate = std::accumulate(options.rates->begin(), options.rates->end(), 0.0);
+        return std::min(reusable, fromMilliseconds(3 * 1000 * options.clients / rate));
+    }
+    return caller % BusyOneIn == 0 ? LongestBusyPause : reusable;
+}
+
 /// Makes the callers of sound requests and, after them, those of deadly ones.
 std::vector<std::unique_ptr<SoakClient>>
 makeClients(const SoakOptions &options, const std::vector<std::shared_ptr<NodeProcess>> &nodes,
@@ -134,10 +148,9 @@
         clients.push_back(std::make_unique<SoakClient>(
             SoakClient::Options { .name = "c" + std::to_string(number),
                                   .nodes = nodes,
-                                  .longestPause = number % BusyOneIn == 0
-                                      ? LongestBusyPause
-                                      : fromMilliseconds(longestIdleLimit() * ReuseShare),
+                                  .longestPause = longestPause(options, number),
                                   .holdsConnections = holding && number % HoldingOneIn == 0,
+                                  .rates = options.rates,
                                   .seed = random() }));
     }
     if (options.disturbances.contains(Disturbance::TakeUps)) {
@@ -216,6 +229,7 @@
     for (const auto &node : nodes) {
         NodeFaults faults(*node,
                           { .disturbances = options.disturbances,
+                            .stopGrace = options.stopGrace,
                             .seed = random(),
                             .until = until,
                             .commonRestarts = restarts },
@@ -346,6 +360,7 @@
                 { .check = "unserved-caller", .text = unservedCaller(records, faultsEnded) });
         }
     }
+    writeRequestTrace(options.folder + "/requests.jsonl", observations);
     SoakReport report = makeReport(observations, counts);
     report.violations.insert(report.violations.end(), unserved.begin(), unserved.end());
     return report;
--- a/Tests/Soak/SoakRun.h
+++ b/Tests/Soak/SoakRun.h
@@ -1,12 +1,14 @@
 #pragma once
 
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <vector>
 
 #include "Core/Time.h"
 #include "Disturbance.h"
 #include "SoakJudge.h"
+#include "SoakTraffic.h"
 #include "StreamVersionJudge.h"
 
 namespace jacinthroad {
@@ -24,6 +26,10 @@
     /// Time during which faults are injected.
     Duration faultTime = std::chrono::seconds(15);
     Disturbances disturbances = allDisturbances();
+    /// Grace period of every stop; the usual ones if unset.
+    std::optional<Duration> stopGrace;
+    /// Requests a second of all sound callers by route; the usual traffic if unset.
+    std::optional<SoakRates> rates;
 };
 
 /// Responses of servers that stated something, by what they stated.
--- a/Tests/Soak/SoakTraffic.cpp
+++ b/Tests/Soak/SoakTraffic.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <array>
+#include <cmath>
 #include <functional>
 
 namespace jacinthroad {
@@ -92,6 +93,18 @@
     request.text += "\r\n" + body;
 }
 
+SoakRequest makeRouteRequest(const std::string &id, const Route &route, std::mt19937_64 &random)
+{
+    SoakRequest request { .id = id, .key = soakKeys()[random() % soakKeys().size()] };
+    std::vector<std::string> parts;
+    if (route.prompt) {
+        request.firstPart = firstPart(between(random, 0, FirstParts - 1));
+        parts = { request.firstPart, middlePart(between(random, 0, MiddleParts - 1)) };
+    }
+    complete(request, route, parts, random);
+    return request;
+}
+
 } // namespace
 
 const std::vector<std::string> &soakKeys()
@@ -107,14 +120,25 @@
 
 SoakRequest makeSoakRequest(const std::string &id, std::mt19937_64 &random)
 {
-    const Route &route = Routes[random() % Routes.size()];
-    SoakRequest request { .id = id, .key = soakKeys()[random() % soakKeys().size()] };
-    std::vector<std::string> parts;
-    if (route.prompt) {
-        request.firstPart = firstPart(between(random, 0, FirstParts - 1));
-        parts = { request.firstPart, middlePart(between(random, 0, MiddleParts - 1)) };
+    return makeRouteRequest(id, Routes[random() % Routes.size()], random);
+}
+
+SoakRequest makeSiteRequest(const std::string &id, const SoakRates &rates, std::mt19937_64 &random)
+{
+    constexpr double MeanWorkMs = 60;
+    constexpr double WorkSpread = 0.5;
+    constexpr int ShortestPieceMs = 10;
+    constexpr int LongestPieceMs = 150;
+    std::discrete_distribution<std::size_t> routes(rates.begin(), rates.end());
+    const Route &route = Routes[routes(random)];
+    SoakRequest request = makeRouteRequest(id, route, random);
+    request.slow = true;
+    std::lognormal_distribution<double> work(std::log(MeanWorkMs), WorkSpread);
+    addHeader(request, WorkTimeHeader, std::to_string(static_cast<int>(work(random))));
+    if (route.stream) {
+        addHeader(request, PieceTimeHeader,
+                  std::to_string(between(random, ShortestPieceMs, LongestPieceMs)));
     }
-    complete(request, route, parts, random);
     return request;
 }
 
--- a/Tests/Soak/SoakTraffic.h
+++ b/Tests/Soak/SoakTraffic.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <array>
 #include <cstdint>
 #include <random>
 #include <set>
@@ -37,8 +38,15 @@
 /// Number from `low` to `high` inclusive.
 [[nodiscard]] int between(std::mt19937_64 &random, int low, int high);
 
+/// Requests a second on the routes safe, unsafe, events, once and resumable.
+using SoakRates = std::array<double, 5>;
+
 /// Makes a request with random route, key and prompt parts.
 [[nodiscard]] SoakRequest makeSoakRequest(const std::string &id, std::mt19937_64 &random);
+/// The same with the routes in this proportion. Servers work on it for some 60 ms, or send a stream
+/// for up to a second and a half.
+[[nodiscard]] SoakRequest makeSiteRequest(const std::string &id, const SoakRates &rates,
+                                          std::mt19937_64 &random);
 /// Makes a request for a resumable stream with pauses between its events.
 [[nodiscard]] SoakRequest makeSlowStreamRequest(const std::string &id, std::mt19937_64 &random);
 /// Makes a request to the plain service whose server works on it for up to two seconds.
