GatewaySoak: Check that nodes drop nothing behind a reusable response

A node that stops dropped requests that it had read: a stream had begun before SIGTERM with a header that let the caller use its connection again, the node shut its sending side down at the end of the stream and read the caller's next request without an answer. The request has no line, so that read-unanswered did not see it.

The check read-dropped reports connection_closed lines of reason "responded" with discarded bytes: callers of the soak send nothing behind a response that announces the end of its connection.

--- a/Tests/Soak/NodeLogJudge.cpp
+++ b/Tests/Soak/NodeLogJudge.cpp
@@ -39,6 +39,9 @@
             log.outcomes[(*line)["request_id"].asString()] = (*line)["outcome"].asString();
         } else if (event == "request_cut") {
             log.outcomes[(*line)["request_id"].asString()] = event;
+        } else if (event == "connection_closed" && (*line)["reason"] == "responded"
+                   && (*line)["requests"].asInt() > 0 && (*line)["discarded_bytes"].asInt64() > 0) {
+            log.dropped.push_back(std::string(node) + ": " + text);
         } else if (std::find(FailureEvents.begin(), FailureEvents.end(), event)
                    != FailureEvents.end()) {
             log.failures.push_back(std::string(node) + ": " + text);
@@ -52,6 +55,10 @@
     for (const std::string &failure : observations.nodeLog.failures) {
         violations.push_back({ .check = "node-failure", .text = failure });
     }
+    // Callers send nothing behind a response that announces the end of its connection.
+    for (const std::string &dropped : observations.nodeLog.dropped) {
+        violations.push_back({ .check = "read-dropped", .text = dropped });
+    }
     std::set<std::string> run;
     for (const ServerRun &each : observations.runs) {
         run.insert(each.requestId);
--- a/Tests/Soak/SoakJudge.h
+++ b/Tests/Soak/SoakJudge.h
@@ -71,6 +71,9 @@
     std::map<std::string, std::string> outcomes;
     /// Lines that report a failure of the node itself, with its name.
     std::vector<std::string> failures;
+    /// Lines that report bytes that a node read behind its last response on a connection and
+    /// dropped, with its name.
+    std::vector<std::string> dropped;
 };
 
 /// What a soak run observed.
