--- a/Tests/Soak/SoakClient.h
+++ b/Tests/Soak/SoakClient.h
@@ -2,6 +2,7 @@
 
 #include <atomic>
 #include <memory>
+#include <optional>
 #include <random>
 #include <string>
 #include <vector>
@@ -42,6 +43,9 @@
         bool takesUp = false;
         /// The caller sends requests that servers work on for long.
         bool sendsLongRequests = false;
+        /// Proportion of the routes; the usual traffic if unset. Such a caller sends nothing on a
+        /// connection whose end has reached it.
+        std::optional<SoakRates> rates;
         std::uint64_t seed = 0;
     };
 
@@ -77,6 +81,8 @@
     void leaveConnection();
     /// Ends the use of the connection if it has been idle for longer than callers reuse one.
     void leaveIdleConnection();
+    /// True if the end of the connection has reached the caller.
+    [[nodiscard]] bool isClosedByNode() const;
     /// Looks for bytes on a connection without a request.
     void checkUnsolicited(Socket &socket, std::size_t record);
     void checkHeldConnections();
@@ -92,6 +98,8 @@
     unsigned nodeEnds_ = 0;
     /// When the connection was opened or its last response ended.
     Instant idleSince_;
+    /// Requests that were sent on the connection.
+    unsigned requestsSent_ = 0;
     std::vector<CallerRecord> records_;
 };
 
--- a/Tests/Soak/SoakJudge.h
+++ b/Tests/Soak/SoakJudge.h
@@ -62,6 +62,10 @@
     Duration idle {};
     /// The idle limit of the configuration that was written last when it was sent.
     Duration idleLimit {};
+    /// Number of requests that were sent before on its connection.
+    unsigned earlierRequests = 0;
+    /// Why sending or receiving ended; empty after a complete response.
+    std::string error;
 };
 
 /// What the logs of the nodes tell.
@@ -71,6 +75,9 @@
     std::map<std::string, std::string> outcomes;
     /// Lines that report a failure of the node itself, with its name.
     std::vector<std::string> failures;
+    /// Lines that report bytes that a node read behind its last response on a connection and
+    /// dropped, with its name.
+    std::vector<std::string> dropped;
 };
 
 /// What a soak run observed.
