CallerSession: Hold the connection of a caller that left for 200 ms at most

Found by the review: a caller that had closed only its sending side and read to the end of the connection waited 498 ms behind a complete response (one trial), and the request counted as active meanwhile. A reset comes back within one round trip; after 200 ms without one the caller has closed only its sending side.

--- a/Source/Gateway/CallerSession.cpp
+++ b/Source/Gateway/CallerSession.cpp
@@ -40,7 +40,7 @@
 constexpr Duration LingerTimeout = milliseconds(500);
 constexpr Duration RefusedBodyLingerTimeout = milliseconds(2000);
 /// Time for the reset with which a caller that has closed its connection answers a response.
-constexpr Duration ResetTimeout = milliseconds(500);
+constexpr Duration ResetTimeout = milliseconds(200);
 /// Callers may reuse a connection until the idle limit, so it is closed this much later.
 constexpr Duration IdleMargin = milliseconds(500);
 
