CallerSession: Log pipelined requests that are dropped with their connection

A request that was read ahead of its turn and dropped at the end of its connection, as behind a stream that broke off, had neither a request line nor connection_closed: the condition of that line left out the bytes in the session's buffer.

--- a/Source/Gateway/CallerSession.cpp
+++ b/Source/Gateway/CallerSession.cpp
@@ -93,7 +93,7 @@
     error_code error;
     const std::size_t unread = socket_.available(error);
     state_.metrics.countConnectionClosed(std::string(closeReasonName(reason)));
-    if (requestOpen_ || unread > 0 || discardedBytes_ > 0) {
+    if (requestOpen_ || unread > 0 || discardedBytes_ > 0 || buffer_.size() > 0) {
         logLine(LogLevel::Info, "connection_closed",
                 { { "reason", closeReasonName(reason) },
                   { "requests", requests_ },
