CallerSession: Wait in a stop for the request that a stream has announced

The session now waits for that request up to the time for lingering, as it did before it closed the connection itself, and counts as active meanwhile.

requestBehindAStreamThatBeganBeforeAStopGetsAResponse checks that now too, with the close of idle connections that a stop repeats.

--- a/Source/Gateway/CallerSession.cpp
+++ b/Source/Gateway/CallerSession.cpp
@@ -200,6 +200,22 @@
     co_return !error && socket_.is_open();
 }
 
+asio::awaitable<PeekResult> CallerSession::waitForAnnouncedRequest()
+{
+    if (buffer_.size() > 0) {
+        co_return PeekResult::Data;
+    }
+    timer_.expireAfter(LingerTimeout, [self = shared_from_this()] {
+        error_code ignored;
+        self->socket_.cancel(ignored);
+    });
+    error_code error;
+    co_await socket_.async_wait(asio::ip::tcp::socket::wait_read,
+                                asio::redirect_error(asio::use_awaitable, error));
+    timer_.cancel();
+    co_return peek(socket_);
+}
+
 asio::awaitable<void> CallerSession::run()
 {
     const auto self = shared_from_this();
@@ -246,6 +262,11 @@
         if (state_.draining) {
             // The node may stop once no request counts as active.
             readArrived(error);
+            const PeekResult next = co_await waitForAnnouncedRequest();
+            if (next != PeekResult::Data) {
+                close(next == PeekResult::Closed ? CloseReason::Caller : CloseReason::Stop);
+                co_return;
+            }
         }
     }
 }
--- a/Source/Gateway/CallerSession.h
+++ b/Source/Gateway/CallerSession.h
@@ -16,6 +16,7 @@
 
 #include "Gateway/DeadlineTimer.h"
 #include "Gateway/Exchange.h"
+#include "Gateway/SocketOptions.h"
 #include "Gateway/TrafficState.h"
 
 namespace jacinthroad {
@@ -61,6 +62,9 @@
     void close(CloseReason reason);
     void fail(const std::exception_ptr &exception);
     [[nodiscard]] boost::asio::awaitable<bool> waitForBytes();
+    /// Waits in a stopping node for the request that the response before has allowed the caller to
+    /// send, for as long as it lingers at most. Returns what can be read then.
+    [[nodiscard]] boost::asio::awaitable<PeekResult> waitForAnnouncedRequest();
     /// Closes the connection at the end of the idle limit, which a configuration may raise until
     /// then, unless a request has arrived.
     void limitIdleTime(Instant since);
--- a/Tests/Gateway/CallerSessionTest.cpp
+++ b/Tests/Gateway/CallerSessionTest.cpp
@@ -777,6 +777,9 @@
     fixture.state.drainingSince = std::chrono::steady_clock::now();
     stopped.set_value();
     BOOST_TEST(fixture.receive("0\r\n\r\n").find("token 2") != std::string::npos);
+    // As at each check of a stop once the balancer has left the node.
+    fixture.state.closeIdleConnections(IdleConnections::All);
+    BOOST_TEST(fixture.run(milliseconds(20)).empty());
     fixture.send();
     const std::string received = fixture.receive("\r\n\r\n");
     BOOST_TEST(received.starts_with("HTTP/1.1 "));
