Gateway: Keep the second server when the silent one refuses

Cause: at the end of the overlap the second server was given up for any bytes of the silent one, also for a refusal, after which nothing was left.

Change: before its header has been read, the silent server counts as having responded only by the header of a stamped success to this request.

--- a/Source/Gateway/SilentAttempt.cpp
+++ b/Source/Gateway/SilentAttempt.cpp
@@ -1,18 +1,51 @@
+#include <array>
 #include <chrono>
 #include <utility>
 
+#include <sys/socket.h>
+
 #include "Gateway/ExchangeAttempt.h"
 #include "Gateway/SocketOptions.h"
 
 namespace jacinthroad {
 
 namespace asio = boost::asio;
+namespace http = boost::beast::http;
 
 namespace {
 
 /// Time after a request was sent to another server after which one of the two is given up. Shorter
 /// than the 400 ms for which two servers may run it according to the platform's pages.
 constexpr Duration OverlapLimit = milliseconds(300);
+/// Bytes of a response in which its header is looked for.
+constexpr std::size_t MaxPeekedBytes = 8 * 1024;
+
+/// True if what a connection has received is data that waits to be read.
+bool hasUnreadData(asio::ip::tcp::socket &socket)
+{
+    return socket.is_open() && peek(socket) == PeekResult::Data;
+}
+
+/// True if what a connection has received begins with a success of `server` to this request.
+bool hasUnreadSuccess(asio::ip::tcp::socket &socket, const ServerId &server,
+                      const RequestId &request)
+{
+    std::array<char, MaxPeekedBytes> bytes {};
+    const ssize_t size
+        = recv(socket.native_handle(), bytes.data(), bytes.size(), MSG_PEEK | MSG_DONTWAIT);
+    if (size <= 0) {
+        return false;
+    }
+    http::response_parser<http::empty_body> parser;
+    boost::system::error_code ignored;
+    parser.put(asio::buffer(bytes.data(), static_cast<std::size_t>(size)), ignored);
+    if (!parser.is_header_done()
+        || http::to_status_class(parser.get().result_int()) != http::status_class::successful) {
+        return false;
+    }
+    const platform::ResponseInfo facts = platform::readResponseInfo(parser.get().base(), server);
+    return facts.request == request && facts.hasResponseStamp;
+}
 
 } // namespace
 
@@ -46,16 +79,20 @@
     if (silentAttempt_ == nullptr) {
         return;
     }
-    silentAttempt_->livenessTimer.expireAfter(OverlapLimit, [silent = silentAttempt_, current] {
-        asio::ip::tcp::socket &socket = silent->connection->socket;
-        const bool responded = socket.is_open() && peek(socket) == PeekResult::Data;
-        if (responded && !current->hasResponse()) {
-            current->superseded = true;
-            current->abort();
-        } else {
-            silent->abort();
-        }
-    });
+    silentAttempt_->livenessTimer.expireAfter(
+        OverlapLimit, [this, silent = silentAttempt_, current] {
+            asio::ip::tcp::socket &socket = silent->connection->socket;
+            // A refusal is no reason to take the request from the other server.
+            const bool responded = hasUnreadData(socket)
+                && (silent->hasResponse()
+                    || hasUnreadSuccess(socket, silent->placement.server, callerRequest_.id));
+            if (responded && !current->hasResponse()) {
+                current->superseded = true;
+                current->abort();
+            } else {
+                silent->abort();
+            }
+        });
 }
 
 void Exchange::endOverlap()
--- a/Tests/Gateway/SilentServerTest.cpp
+++ b/Tests/Gateway/SilentServerTest.cpp
@@ -167,6 +167,30 @@
     BOOST_TEST(response->body() == event(1) + event(2) + event(3));
 }
 
+BOOST_AUTO_TEST_CASE(requestIsNotTakenFromSecondServerWhenSilentOneRejectsIt)
+{
+    constexpr milliseconds PollInterval { 5 };
+    constexpr int MaxPolls = 600;
+    SilentServerFixture *servers = nullptr;
+    SilentServerFixture fixture(
+        [&](ScriptedConnection &connection, const ReceivedRequest &request) {
+            for (int polls = 0; polls < MaxPolls && servers->sends < 2; ++polls) {
+                std::this_thread::sleep_for(PollInterval);
+            }
+            std::this_thread::sleep_for(milliseconds(50));
+            reject(connection, request);
+        },
+        [](ScriptedConnection &connection, const ReceivedRequest &request) {
+            std::this_thread::sleep_for(milliseconds(600));
+            connection.write(streamHead(request) + chunk(event(1)) + "0\r\n\r\n");
+        });
+    servers = &fixture;
+    const auto response = fixture.gateway.call("POST", "/stream/a", "prompt", Headers);
+    BOOST_REQUIRE(response != nullptr);
+    BOOST_TEST(response->result_int() == 200U);
+    BOOST_TEST(response->body() == event(1));
+}
+
 BOOST_AUTO_TEST_CASE(streamIsNotCutWhileThirdServerIsConnectedToAfterSecondRejected)
 {
     UnreachableServer third;
