Gateway: Keep a new connection open for its first request at the end of the listener

A caller that opened its connection right before a stopping node closed its listener saw the connection closed without an answer: connections without a request were closed at the next check, 20 ms later at most, with their first request on its way. No node had read these requests.

A connection that has carried no request is now closed 500 ms after its acceptance, and the stop ends once no connection is open instead of at the second check without an active request. That also covers a request that arrives in the turn of the last check, which counted as not active until its session was resumed.

DrainTest/firstRequestOnItsWayWhenTheListenerEndsGetsAResponse failed in 2 of 2 runs before (no response instead of 503).

--- a/Source/Gateway/CallerSession.cpp
+++ b/Source/Gateway/CallerSession.cpp
@@ -41,6 +41,8 @@
 constexpr Duration RefusedBodyLingerTimeout = milliseconds(2000);
 /// Time for the reset with which a caller that has closed its connection answers a response.
 constexpr Duration ResetTimeout = milliseconds(200);
+/// Time after the acceptance of a connection in which its first request may be on its way.
+constexpr Duration FirstRequestTime = milliseconds(500);
 /// Callers may reuse a connection until the idle limit, so it is closed this much later.
 constexpr Duration IdleMargin = milliseconds(500);
 
@@ -117,7 +119,9 @@
 
 void CallerSession::closeIfIdle(IdleConnections which)
 {
-    const bool selected = requests_ > 0 || which == IdleConnections::All;
+    const bool overdue = which == IdleConnections::Overdue
+        && std::chrono::steady_clock::now() - acceptedAt_ >= FirstRequestTime;
+    const bool selected = requests_ > 0 || overdue || which == IdleConnections::All;
     if (idle_ && selected && peek(socket_) != PeekResult::Data) {
         close(CloseReason::Stop);
     }
--- a/Source/Gateway/CallerSession.h
+++ b/Source/Gateway/CallerSession.h
@@ -120,6 +120,7 @@
     bool idle_ = false;
     /// Number of requests for which an exchange has ended on the connection.
     std::int64_t requests_ = 0;
+    Instant acceptedAt_ = std::chrono::steady_clock::now();
     /// True while a request is being read.
     bool reading_ = false;
     /// True from the first byte of a request until its exchange begins or it has an error response.
--- a/Source/Gateway/Gateway.cpp
+++ b/Source/Gateway/Gateway.cpp
@@ -250,8 +250,7 @@
                       Duration limit);
     void uncordonServer(const ServerId &server, const ModelId &model, WeightsVersion version);
     /// Checks every DrainPollPeriod whether the node can stop, and fulfils `idle` then.
-    /// `connectionsClosed` is true once new connections are rejected and idle ones are closed.
-    void pollDrain(const std::shared_ptr<std::promise<void>> &idle, bool connectionsClosed);
+    void pollDrain(const std::shared_ptr<std::promise<void>> &idle);
     /// Ends the requests that are left at the end of a stop. Waits up to `limit` for the traffic
     /// thread, which is late after a stall of the process.
     void answerOpenRequests(Duration limit);
@@ -690,19 +689,17 @@
     });
 }
 
-void Gateway::Parts::pollDrain(const std::shared_ptr<std::promise<void>> &idle,
-                               bool connectionsClosed)
+void Gateway::Parts::pollDrain(const std::shared_ptr<std::promise<void>> &idle)
 {
     const Duration sinceSignal = std::chrono::steady_clock::now() - traffic.drainingSince;
     const bool listenerEnded = sinceSignal >= traffic.stopSchedule.listenerEnd();
     // A check that throws is followed by the next one all the same.
     drainTimer.expires_after(DrainPollPeriod);
-    drainTimer.async_wait(
-        [this, idle, again = connectionsClosed || listenerEnded](error_code error) {
-            if (!error) {
-                pollDrain(idle, again);
-            }
-        });
+    drainTimer.async_wait([this, idle](error_code error) {
+        if (!error) {
+            pollDrain(idle);
+        }
+    });
     const StopSchedule &schedule = traffic.stopSchedule;
     if (sinceSignal >= schedule.acceptEnd()) {
         // Callers open their next connection to another node.
@@ -715,9 +712,9 @@
         if (callers.is_open()) {
             acceptLastCallers(traffic, callers);
         }
-        traffic.closeIdleConnections(IdleConnections::All);
-        // Connections that were accepted just before are closed by the second check.
-        if (connectionsClosed && traffic.activeRequests() == 0) {
+        traffic.closeIdleConnections(
+            sinceSignal >= schedule.answerEnd() ? IdleConnections::All : IdleConnections::Overdue);
+        if (!traffic.hasCallerConnections()) {
             drainTimer.cancel();
             idle->set_value();
         }
@@ -778,7 +775,7 @@
         parts->traffic.draining = true;
         parts->traffic.drainingSince = signalled;
         parts->traffic.stopSchedule = schedule;
-        parts->pollDrain(idle, false);
+        parts->pollDrain(idle);
     });
     asio::post(parts_->controlContext, [parts = parts_.get()] { parts->rollout.beginDrain(); });
     const bool ended
--- a/Source/Gateway/TrafficState.h
+++ b/Source/Gateway/TrafficState.h
@@ -39,6 +39,8 @@
 enum class IdleConnections : std::uint8_t {
     /// Those that have carried a request and are kept open for the next one.
     Kept,
+    /// Also those whose first request would have arrived by now.
+    Overdue,
     All,
 };
 
@@ -129,6 +131,8 @@
     StopSchedule stopSchedule;
     /// Closes connections of callers on which no request is in progress or has arrived.
     boost::signals2::signal<void(IdleConnections)> closeIdleConnections;
+    /// True while a connection of a caller is open.
+    [[nodiscard]] bool hasCallerConnections() const { return !closeIdleConnections.empty(); }
     /// Ends requests that have no response yet with a refusal or an error, because the process
     /// ends.
     boost::signals2::signal<void()> answerOpenRequests;
--- a/Tests/Gateway/DrainTest.cpp
+++ b/Tests/Gateway/DrainTest.cpp
@@ -199,6 +199,26 @@
     BOOST_TEST(unanswered == 0);
 }
 
+BOOST_AUTO_TEST_CASE(firstRequestOnItsWayWhenTheListenerEndsGetsAResponse)
+{
+    constexpr Duration OnItsWay = milliseconds(200);
+    GatewayFixture fixture;
+    fixture.addServer("s1", "plain", respondOk);
+    fixture.configure(1, { "k1" });
+    fixture.start();
+    std::thread stop = stopProcess(fixture);
+    std::this_thread::sleep_for(BalancerLeft + milliseconds(350));
+    auto socket = fixture.connect();
+    std::this_thread::sleep_for(OnItsWay);
+    error_code error;
+    asio::write(socket, asio::buffer(requestHead("r1", 0)), error);
+    const CallerResponse response = readResponse(socket);
+    BOOST_TEST(response.result_int() == 503U);
+    BOOST_TEST(!response.keep_alive());
+    stop.join();
+    BOOST_TEST(fixture.receivedRequests("s1").empty());
+}
+
 BOOST_AUTO_TEST_CASE(noForwardedRequestOfOpenConnectionsIsLostWhileProcessEnds)
 {
     constexpr unsigned Callers = 4;
