Gateway: Send a request again to the silent server that was given up for one that rejects it

A request whose server was silent for a second was sent to a second server. If neither responded within 0.3 s, the silent one was given up, since two servers may run a request for 0.4 s at most. When the second server rejected the request later and no other was left, its caller got 502, or a cut stream, although the first server was sound and the request had run nowhere else.

Its server stayed among those that had been tried. Now the given-up attempt is ended as abandoned and its server may be chosen again, if the route allows another run. The retry is the one that the rejection has taken from the budget.

--- a/Source/Gateway/Exchange.cpp
+++ b/Source/Gateway/Exchange.cpp
@@ -269,6 +269,10 @@
         restrictVersions();
         const auto chosen = state_.pool.choose(placementRequest_, now);
         const auto *none = std::get_if<NoPlacement>(&chosen);
+        if (none != nullptr && mayReturnToSilentServer()) {
+            returnToSilentServer();
+            continue;
+        }
         resumeSilent = silentAttempt_ != nullptr && (resumeSilent || none != nullptr);
         if (none != nullptr && !resumeSilent) {
             if (headerDelivered_) {
--- a/Source/Gateway/Exchange.h
+++ b/Source/Gateway/Exchange.h
@@ -158,6 +158,11 @@
     void endOverlap();
     /// Waits for the silent server after all, because no other server responds to the request.
     [[nodiscard]] boost::asio::awaitable<AttemptResult> resumeSilentAttempt();
+    /// True if the request may be sent again to the silent server, whose attempt was given up for
+    /// one at another server.
+    [[nodiscard]] bool mayReturnToSilentServer() const;
+    /// Ends the attempt that was given up and lets its server be chosen again.
+    void returnToSilentServer();
     /// Ends the attempt that was set aside, if there is one.
     void dropSilentAttempt();
     /// True if a silent server may still give a better response than `end`.
--- a/Source/Gateway/SilentAttempt.cpp
+++ b/Source/Gateway/SilentAttempt.cpp
@@ -119,6 +119,21 @@
     co_return end;
 }
 
+bool Exchange::mayReturnToSilentServer() const
+{
+    return silentAttempt_ != nullptr && !silentAttempt_->connection->socket.is_open()
+        && sends_ - rejected_ < route_->maximumAttempts;
+}
+
+void Exchange::returnToSilentServer()
+{
+    const std::shared_ptr<Attempt> attempt = std::exchange(silentAttempt_, nullptr);
+    attempt->waiting = false;
+    const AttemptCleanup cleanup { *attempt };
+    finishAttempt(*attempt, AttemptResult::Superseded);
+    std::erase(triedServers_, attempt->placement.server);
+}
+
 void Exchange::dropSilentAttempt()
 {
     if (silentAttempt_ == nullptr) {
--- a/Tests/Gateway/SilentServerTest.cpp
+++ b/Tests/Gateway/SilentServerTest.cpp
@@ -191,6 +191,27 @@
     BOOST_TEST(response->body() == event(1));
 }
 
+BOOST_AUTO_TEST_CASE(requestReturnsToSilentServerThatWasGivenUpForOneThatRejectsIt)
+{
+    SilentServerFixture fixture(
+        [](ScriptedConnection &connection, const ReceivedRequest &) {
+            static_cast<void>(connection.waitForClose(milliseconds(5000)));
+        },
+        [&](ScriptedConnection &connection, const ReceivedRequest &request) {
+            if (fixture.sends == 2) {
+                std::this_thread::sleep_for(milliseconds(600));
+                reject(connection, request);
+            } else {
+                connection.write(streamHead(request) + chunk(event(1)) + "0\r\n\r\n");
+            }
+        });
+    const auto response = fixture.gateway.call("POST", "/stream/a", "prompt", Headers);
+    BOOST_TEST(fixture.sends == 3U);
+    BOOST_REQUIRE(response != nullptr);
+    BOOST_TEST(response->result_int() == 200U);
+    BOOST_TEST(response->body() == event(1));
+}
+
 BOOST_AUTO_TEST_CASE(streamIsNotCutWhileThirdServerIsConnectedToAfterSecondRejected)
 {
     UnreachableServer third;
