Gateway: Close a connection with pipelined requests behind the last one that was read in a late stop

A caller that pipelined requests without end held a stop until the end of the grace period (7.7 s of 8 s), and what it had sent by then was dropped all the same. During a stop a response kept its connection whenever another request, or part of one, had arrived.

From the end of the listener on, a connection is kept only for whole requests that have been read: the session reads nothing ahead, and the response to the last one that it holds says `Connection: close`. What is unread then stays unread, so that no request that the node has read goes without an answer; the caller is told by the response and sends the rest elsewhere.

--- a/Source/Gateway/CallerSession.cpp
+++ b/Source/Gateway/CallerSession.cpp
@@ -244,10 +244,15 @@
             state_, socket_, HttpRequest(std::move(request.base())),
             HeldBody { .text = std::move(request.body()), .memory = std::move(bodyMemory) },
             std::chrono::steady_clock::now());
-        if (buffer_.size() > 0) {
+        readsOn_ = !state_.readsNoFurtherRequests(std::chrono::steady_clock::now());
+        if (readsOn_ ? buffer_.size() > 0 : holdsRequest()) {
             exchange_->noteNextRequest();
         }
-        watchForDisconnect();
+        if (readsOn_) {
+            watchForDisconnect();
+        } else {
+            exchange_->ignoreUnreadRequests();
+        }
         const ExchangeResult end = co_await exchange_->run();
         ++generation_;
         std::string requestId(exchange_->requestId());
@@ -265,7 +270,9 @@
         }
         if (state_.draining) {
             // The node may stop once no request counts as active.
-            readArrived(error);
+            if (readsOn_) {
+                readArrived(error);
+            }
             const PeekResult next = co_await waitForAnnouncedRequest();
             if (next != PeekResult::Data) {
                 close(next == PeekResult::Closed ? CloseReason::Caller : CloseReason::Stop);
@@ -282,6 +289,11 @@
         // Closing a socket with unread bytes sends a reset, which could discard the response.
         socket_.shutdown(asio::ip::tcp::socket::shutdown_send, error);
         scheduleClose(linger, CloseReason::Responded);
+        if (!readsOn_) {
+            co_await socket_.async_wait(asio::ip::tcp::socket::wait_error,
+                                        asio::redirect_error(asio::use_awaitable, error));
+            error = asio::error::operation_aborted;
+        }
         std::array<char, 4096> rest;
         while (!error) {
             discardedBytes_ += co_await socket_.async_read_some(
@@ -476,6 +488,17 @@
     watchForDisconnect();
 }
 
+bool CallerSession::holdsRequest() const
+{
+    Parser parser;
+    parser.eager(true);
+    parser.body_limit(std::numeric_limits<std::uint64_t>::max());
+    error_code error;
+    parser.put(buffer_.data(), error);
+    // A malformed request gets an error response.
+    return parser.is_done() || (error && error != http::error::need_more);
+}
+
 bool CallerSession::readArrived(error_code &error)
 {
     const std::size_t limit = state_.limits().headerBytes;
--- a/Source/Gateway/CallerSession.h
+++ b/Source/Gateway/CallerSession.h
@@ -107,6 +107,8 @@
     void watchForDisconnect();
     /// Reads what the caller has pipelined, which would hide the end of the connection.
     void readAhead();
+    /// True if a whole request has been read behind the one in progress.
+    [[nodiscard]] bool holdsRequest() const;
     /// Adds the bytes that have arrived to `buffer_`, up to the limit for a header. Returns false
     /// if it holds that many already.
     bool readArrived(boost::system::error_code &error);
@@ -127,6 +129,8 @@
     bool requestOpen_ = false;
     /// True if reading was ended because the process ends soon.
     bool endedByStop_ = false;
+    /// False once a stop is so late that only requests that have been read are answered.
+    bool readsOn_ = true;
     /// Bytes that arrived behind the last request and were discarded, for the log.
     std::size_t discardedBytes_ = 0;
     boost::signals2::scoped_connection closeIdleConnection_;
--- a/Source/Gateway/Exchange.cpp
+++ b/Source/Gateway/Exchange.cpp
@@ -447,8 +447,10 @@
 
 bool Exchange::keepConnection() const
 {
-    return request_.keep_alive()
-        && (!state_.draining || nextRequestArrived_ || peek(caller_) == PeekResult::Data);
+    if (!request_.keep_alive() || !state_.draining) {
+        return request_.keep_alive();
+    }
+    return nextRequestArrived_ || (!ignoresUnread_ && peek(caller_) == PeekResult::Data);
 }
 
 asio::awaitable<ExchangeResult> Exchange::sendResponse()
--- a/Source/Gateway/Exchange.h
+++ b/Source/Gateway/Exchange.h
@@ -73,6 +73,9 @@
     /// Keeps the connection open after the response although the node is stopping, because the
     /// caller has sent another request, which must be answered too.
     void noteNextRequest() { nextRequestArrived_ = true; }
+    /// Ends the connection with the response although the caller may have sent another request that
+    /// has not been read, unless noteNextRequest() was called.
+    void ignoreUnreadRequests() { ignoresUnread_ = true; }
     /// Ends the request because the process ends soon, unless its response has begun: the caller
     /// gets an error, or a refusal if no server has been sent the request.
     void answerBeforeStop();
@@ -293,6 +296,7 @@
     /// True if the header of the stream lets the caller send another request.
     bool keepAnnounced_ = false;
     bool nextRequestArrived_ = false;
+    bool ignoresUnread_ = false;
     /// True if the retry of the current attempt has been taken from the budget already.
     bool retryReserved_ = false;
     /// Why a write of part of a stream failed.
--- a/Source/Gateway/TrafficState.cpp
+++ b/Source/Gateway/TrafficState.cpp
@@ -336,6 +336,11 @@
                                            : std::nullopt });
 }
 
+bool TrafficState::readsNoFurtherRequests(Instant now) const
+{
+    return draining && now - drainingSince >= stopSchedule.listenerEnd();
+}
+
 void TrafficState::noteCompleted(const Route &route, Duration duration)
 {
     if (usualDurations_.size() >= MaxUsualDurations) {
--- a/Source/Gateway/TrafficState.h
+++ b/Source/Gateway/TrafficState.h
@@ -164,6 +164,9 @@
     /// `limit`; nothing if the node is stopping and must refuse it.
     [[nodiscard]] std::optional<Duration> serviceLimit(const Route &route, Duration limit,
                                                        Instant now) const;
+    /// True in a stop once callers have had the time to move away. Each connection is kept only for
+    /// requests that have been read.
+    [[nodiscard]] bool readsNoFurtherRequests(Instant now) const;
     /// Records how long a request of a route took to complete.
     void noteCompleted(const Route &route, Duration duration);
 
--- a/Tests/Gateway/DrainTest.cpp
+++ b/Tests/Gateway/DrainTest.cpp
@@ -302,6 +302,42 @@
     stop.join();
 }
 
+BOOST_AUTO_TEST_CASE(callerThatPipelinesWithoutEndDoesNotHoldAStopUntilTheEndOfGrace)
+{
+    GatewayFixture fixture;
+    fixture.addServer("s1", "plain", respondOk);
+    fixture.configure(1, { "k1" });
+    fixture.start();
+    auto socket = fixture.connect();
+    std::thread sender([&] {
+        const std::string request = requestHead("r1", 1) + "a";
+        error_code error;
+        while (!error) {
+            asio::write(socket, asio::buffer(request), error);
+        }
+    });
+    Duration stopTime {};
+    std::thread stop([&] {
+        const Instant begin = std::chrono::steady_clock::now();
+        static_cast<void>(fixture.gateway->drain());
+        stopTime = std::chrono::steady_clock::now() - begin;
+        fixture.gateway.reset();
+    });
+    boost::beast::flat_buffer buffer;
+    bool announced = false;
+    error_code error;
+    while (!announced && !error) {
+        CallerResponse response;
+        http::read(socket, buffer, response, error);
+        announced = !error && !response.keep_alive();
+    }
+    BOOST_TEST(announced);
+    socket.shutdown(asio::ip::tcp::socket::shutdown_both, error);
+    sender.join();
+    stop.join();
+    BOOST_TEST(toMilliseconds(stopTime) < toMilliseconds(fixture.settings.stopGrace) - 700);
+}
+
 BOOST_AUTO_TEST_CASE(pipelinedRequestBehindAnUnansweredOneIsRefusedAtEndOfGrace)
 {
     GatewayFixture fixture;
