Gateway: Keep connections through two seconds of silence of the other side

A connection to a server, the store or another node was reset 3.0 s after the last segment if the other side received nothing for little more than a second, even when it had gone on since. A caller of a stream that may run only once got a broken connection.

Cause: while TCP_USER_TIMEOUT is set, Linux gives up at the first probe that is due after it, whatever TCP_KEEPCNT. With 2.5 s, probes go out 1 s and 2 s after the last segment and the connection is closed at 3 s, so both probes fall into a silence that begins just before the first. The timeout of callers, 6 s with probes at 4 s and 5 s, had the same fault.

Measured before, with a socket filter that discards all segments on loopback: silent for 1.2 s from 0.95 s on, closed at 3.08 s (2.5 s) and, silent from 3.95 s on, at 6.14 s (6 s). Now three probes are sent, and the shortest timeout is 4 s: with a silence of 2 s both stay open, and a dead peer is given up 4.09 s after its last segment.

HttpClient asks libcurl for no keep-alive, so it has no such timeout.

--- a/Source/Gateway/ControlClient.cpp
+++ b/Source/Gateway/ControlClient.cpp
@@ -21,7 +21,7 @@
 namespace {
 
 /// Time without acknowledgements after which TCP closes a connection.
-constexpr Duration CallTcpTimeout = milliseconds(2500);
+constexpr Duration CallTcpTimeout = ShortestTcpTimeout;
 
 tl::unexpected<Error> unavailableError(const std::string &reason)
 {
--- a/Source/Gateway/ExchangeConnect.cpp
+++ b/Source/Gateway/ExchangeConnect.cpp
@@ -23,9 +23,8 @@
 /// Backend servers in the same region accept a connection within a few milliseconds; a longer time
 /// means that the server is unreachable or its VM no longer exists.
 constexpr Duration ConnectTimeout = milliseconds(400);
-/// Time without acknowledgements after which TCP closes a connection to a backend server. Longer
-/// than the longest stall of a connection that loses single packets.
-constexpr Duration ServerTcpTimeout = milliseconds(2500);
+/// Time without acknowledgements after which TCP closes a connection to a backend server.
+constexpr Duration ServerTcpTimeout = ShortestTcpTimeout;
 /// Maximum size of a server's report.
 constexpr std::uint64_t MaxReportBytes = 256 * 1024;
 
--- a/Source/Gateway/RelayServer.cpp
+++ b/Source/Gateway/RelayServer.cpp
@@ -22,7 +22,7 @@
 namespace {
 
 /// Time without acknowledgements after which TCP closes a connection.
-constexpr Duration RelayTcpTimeout = milliseconds(2500);
+constexpr Duration RelayTcpTimeout = ShortestTcpTimeout;
 constexpr std::uint32_t MaxQueryHeaderBytes = 4096;
 
 } // namespace
--- a/Source/Gateway/SocketOptions.cpp
+++ b/Source/Gateway/SocketOptions.cpp
@@ -11,8 +11,9 @@
 
 namespace {
 
-constexpr int ProbeIntervalSeconds = 1;
-constexpr int MaxMissedProbes = 2;
+constexpr std::chrono::seconds ProbeInterval { 1 };
+/// Probes that stay unanswered before a connection is closed.
+constexpr int MaxMissedProbes = 3;
 
 void setOption(int socket, int level, int option, int value)
 {
@@ -39,17 +40,41 @@
 
 } // namespace
 
+KeepAliveTiming keepAliveTiming(Duration timeout)
+{
+    const Duration limit = std::max(timeout, ShortestTcpTimeout);
+    return { .idle = std::chrono::duration_cast<std::chrono::seconds>(limit)
+                 - MaxMissedProbes * ProbeInterval,
+             .interval = ProbeInterval,
+             .userTimeout = std::chrono::duration_cast<milliseconds>(limit) };
+}
+
+Duration idleCloseTime(const KeepAliveTiming &timing)
+{
+    // At least one probe must have been sent.
+    Duration due = timing.idle + timing.interval;
+    while (due < timing.userTimeout) {
+        due += timing.interval;
+    }
+    return due;
+}
+
+Duration toleratedSilence(const KeepAliveTiming &timing)
+{
+    // The silence begins just before the first probe at the worst.
+    return idleCloseTime(timing) - timing.interval - timing.idle;
+}
+
 void setTcpTimeout(boost::asio::ip::tcp::socket &socket, Duration timeout)
 {
     const int handle = socket.native_handle();
-    const auto limit = std::chrono::duration_cast<milliseconds>(timeout).count();
-    const int idleSeconds = std::max(1, static_cast<int>(limit / 1000) - MaxMissedProbes);
+    const KeepAliveTiming timing = keepAliveTiming(timeout);
     setOption(handle, IPPROTO_TCP, TCP_NODELAY, 1);
     setOption(handle, SOL_SOCKET, SO_KEEPALIVE, 1);
-    setOption(handle, IPPROTO_TCP, TCP_KEEPIDLE, idleSeconds);
-    setOption(handle, IPPROTO_TCP, TCP_KEEPINTVL, ProbeIntervalSeconds);
+    setOption(handle, IPPROTO_TCP, TCP_KEEPIDLE, static_cast<int>(timing.idle.count()));
+    setOption(handle, IPPROTO_TCP, TCP_KEEPINTVL, static_cast<int>(timing.interval.count()));
     setOption(handle, IPPROTO_TCP, TCP_KEEPCNT, MaxMissedProbes);
-    setOption(handle, IPPROTO_TCP, TCP_USER_TIMEOUT, static_cast<int>(limit));
+    setOption(handle, IPPROTO_TCP, TCP_USER_TIMEOUT, static_cast<int>(timing.userTimeout.count()));
 }
 
 void setResetOnClose(boost::asio::ip::tcp::socket &socket, bool enabled)
--- a/Source/Gateway/SocketOptions.h
+++ b/Source/Gateway/SocketOptions.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <chrono>
 #include <cstddef>
 #include <cstdint>
 
@@ -10,8 +11,36 @@
 
 namespace jacinthroad {
 
+/// The shortest TCP timeout that leaves time for three probes, of which a peer that is silent for
+/// two seconds answers one.
+constexpr Duration ShortestTcpTimeout = std::chrono::seconds(4);
+
+/// How TCP looks for a peer that has ended without a word.
+struct KeepAliveTiming
+{
+    /// Time without a segment of the peer after which the first probe is sent.
+    std::chrono::seconds idle {};
+    /// Time between two probes.
+    std::chrono::seconds interval {};
+    /// The limit for unacknowledged data and for the time without a segment of the peer. While it
+    /// is set, Linux doesn't count probes.
+    milliseconds userTimeout {};
+};
+
+/// Returns the timing that setTcpTimeout() sets for a timeout, at least ShortestTcpTimeout.
+[[nodiscard]] KeepAliveTiming keepAliveTiming(Duration timeout);
+
+/// Returns the time after the peer's last segment at which Linux closes a connection on which
+/// nothing is sent: at the first probe that is due once the user timeout has passed.
+[[nodiscard]] Duration idleCloseTime(const KeepAliveTiming &timing);
+
+/// Returns the longest time for which a peer may receive nothing, starting at any moment, without
+/// the connection being closed while nothing is sent: it still answers the last probe.
+[[nodiscard]] Duration toleratedSilence(const KeepAliveTiming &timing);
+
 /// Configures TCP to close the connection when sent data or keep-alive probes stay unacknowledged
-/// for `timeout`, so that an unresponsive peer is detected. Also disables Nagle's algorithm.
+/// for `timeout`, at least ShortestTcpTimeout, so that an unresponsive peer is detected. Also
+/// disables Nagle's algorithm.
 void setTcpTimeout(boost::asio::ip::tcp::socket &socket, Duration timeout);
 
 /// Sets whether closing the connection sends a reset, also if the process ends without closing it.
