Placement: Use a server again soon after it was silent with many requests

A sound server that fell silent for about a second with several streams stayed suspended for up to 2 s, at all nodes, while it served again: its capacity was missing for longer than its silence.

Cause: each request that another server took over counted as a failure to reach the silent one, and each failure doubles the suspension. One silence with ten streams gave the longest suspension at once.

Now such requests end with an outcome of their own. All that were taken over during one suspension count once, and the suspension ends as soon as the server sends anything. A server that can't be connected to is suspended as before.

--- a/Source/Gateway/ExchangeAttempt.cpp
+++ b/Source/Gateway/ExchangeAttempt.cpp
@@ -713,7 +713,9 @@
         break;
     case AttemptResult::NoResponse:
     case AttemptResult::StreamBroken:
-        verdict = attempt.connectionReused ? AttemptOutcome::Failed : AttemptOutcome::Unreachable;
+        verdict = attempt.replaced     ? AttemptOutcome::Silent
+            : attempt.connectionReused ? AttemptOutcome::Failed
+                                       : AttemptOutcome::Unreachable;
         break;
     case AttemptResult::NotSent:
     case AttemptResult::TimedOut:
--- a/Source/Gateway/ExchangeAttempt.h
+++ b/Source/Gateway/ExchangeAttempt.h
@@ -64,6 +64,8 @@
     bool silent = false;
     /// True while the attempt waits without being read; the state of its stream is kept here.
     bool waiting = false;
+    /// True once another server has taken over the request from this one, which is silent.
+    bool replaced = false;
     /// True if it was aborted because the silent server has responded before.
     bool superseded = false;
     EventSplitter eventSplitter;
--- a/Source/Gateway/SilentAttempt.cpp
+++ b/Source/Gateway/SilentAttempt.cpp
@@ -127,11 +127,11 @@
     const std::shared_ptr<Attempt> attempt = std::exchange(silentAttempt_, nullptr);
     attempt->waiting = false;
     const AttemptCleanup cleanup { *attempt };
-    // Only a server that another one has replaced counts as failed.
+    // Only a server that another one has replaced counts as silent.
+    attempt->replaced = !callerDisconnected_ && !outOfTime(std::chrono::steady_clock::now());
     finishAttempt(*attempt,
-                  callerDisconnected_ || outOfTime(std::chrono::steady_clock::now())
-                      ? AttemptResult::CallerDisconnected
-                      : AttemptResult::NoResponse);
+                  attempt->replaced ? AttemptResult::NoResponse
+                                    : AttemptResult::CallerDisconnected);
 }
 
 bool Exchange::mayResumeSilentAttempt(AttemptResult end) const
--- a/Source/Placement/ServerPool.cpp
+++ b/Source/Placement/ServerPool.cpp
@@ -85,6 +85,7 @@
                         .cache = CachedPartSet(cacheCapacity(facts.service)) };
         server.suspendedUntil = now;
         server.avoidedUntil = now;
+        server.silentUntil = now;
         server.lastReceivedAt = now;
         server.cordonedUntil = now;
         server.listedAt = now;
@@ -262,6 +263,10 @@
 {
     if (Server *server = find(id)) {
         server->lastReceivedAt = now;
+        if (server->silentUntil > now && server->silentUntil == server->suspendedUntil) {
+            server->suspendedUntil = now;
+            server->avoidedUntil = now;
+        }
     }
 }
 
@@ -329,6 +334,13 @@
     }
 }
 
+void ServerPool::suspend(Server &server, Instant now)
+{
+    const unsigned doublings = std::min(server.failures++, MaxDoublings);
+    server.suspendedUntil = now + std::min(MaxSuspension, FirstSuspension * (1U << doublings));
+    server.avoidedUntil = server.suspendedUntil;
+}
+
 void ServerPool::applyOutcome(Server &server, AttemptOutcome outcome, Instant now)
 {
     switch (outcome) {
@@ -343,12 +355,16 @@
             server.suspendedUntil = now + FirstSuspension;
         }
         break;
-    case AttemptOutcome::Unreachable: {
-        const unsigned doublings = std::min(server.failures++, MaxDoublings);
-        server.suspendedUntil = now + std::min(MaxSuspension, FirstSuspension * (1U << doublings));
-        server.avoidedUntil = server.suspendedUntil;
+    case AttemptOutcome::Unreachable:
+        suspend(server, now);
+        break;
+    case AttemptOutcome::Silent:
+        // All requests that it had when it fell silent count once.
+        if (server.silentUntil <= now) {
+            suspend(server, now);
+            server.silentUntil = server.suspendedUntil;
+        }
         break;
-    }
     case AttemptOutcome::Abandoned:
         break;
     }
--- a/Source/Placement/ServerPool.h
+++ b/Source/Placement/ServerPool.h
@@ -114,6 +114,8 @@
     Failed,
     /// The server could not be reached or stopped responding.
     Unreachable,
+    /// Another server has taken over the request because this one sent nothing for a while.
+    Silent,
     /// The caller disconnected or the time ran out; not attributed to the server.
     Abandoned,
 };
@@ -287,6 +289,8 @@
         Instant suspendedUntil;
         /// End of the suspension that this node decided itself and reports to peers.
         Instant avoidedUntil;
+        /// End of the suspension because it was silent; it ends before when data arrives.
+        Instant silentUntil;
         /// When data was last received, or when the first of the current requests was sent.
         Instant lastReceivedAt;
         /// Weights that it is to load; it is cordoned until `cordonedUntil` for it.
@@ -375,6 +379,8 @@
     /// Returns the shared parts under each version that a server of the service runs.
     [[nodiscard]] std::map<WeightsVersion, VersionParts>
     versionParts(const PlacementRequest &request, Instant now) const;
+    /// Suspends a server that can't be reached, each time for longer.
+    static void suspend(Server &server, Instant now);
     static void applyOutcome(Server &server, AttemptOutcome outcome, Instant now);
     [[nodiscard]] static WeightsVersion weightsOf(const Server &server, const ModelId &model);
     /// The expected cost of a request on one server, in milliseconds.
--- a/Tests/Placement/ServerPoolTest.cpp
+++ b/Tests/Placement/ServerPoolTest.cpp
@@ -74,6 +74,37 @@
     BOOST_TEST(owners.size() == 3U);
 }
 
+BOOST_AUTO_TEST_CASE(serverWhoseRequestsFellSilentTogetherIsTriedAgainSoon)
+{
+    ServerPool pool = poolOf({ engine("a") });
+    const PlacementRequest request { .service = Engines, .model = Model };
+    const auto usable = [&](std::int64_t ms) {
+        return std::holds_alternative<Placement>(pool.choose(request, at(ms)));
+    };
+    for (int count = 0; count < 10; ++count) {
+        pool.noteEnd(ServerId("a"), AttemptOutcome::Silent, 0, at(count));
+    }
+    BOOST_TEST(!usable(20));
+    BOOST_TEST(usable(300));
+    // It is silent still.
+    pool.noteEnd(ServerId("a"), AttemptOutcome::Silent, 0, at(700));
+    BOOST_TEST(!usable(1100));
+    BOOST_TEST(usable(1300));
+}
+
+BOOST_AUTO_TEST_CASE(silentServerIsUsedAgainAtOnceWhenItSendsData)
+{
+    ServerPool pool = poolOf({ engine("a") });
+    const PlacementRequest request { .service = Engines, .model = Model };
+    pool.noteEnd(ServerId("a"), AttemptOutcome::Silent, 0, at(0));
+    pool.noteReceived(ServerId("a"), at(50));
+    BOOST_TEST(std::holds_alternative<Placement>(pool.choose(request, at(60))));
+    // A server that can't be reached has failed otherwise.
+    pool.noteEnd(ServerId("a"), AttemptOutcome::Unreachable, 0, at(100));
+    pool.noteReceived(ServerId("a"), at(150));
+    BOOST_TEST(std::holds_alternative<NoPlacement>(pool.choose(request, at(160))));
+}
+
 BOOST_AUTO_TEST_CASE(burstOfLongPromptsIsSpreadOverTheServers)
 {
     // Twelve long prompts with a shared prefix arrive at once and one server has the prefix cached.
