Placement: Keep the rejections of brittle servers below what they tolerate

The servers of a service may say in all their responses that they are brittle: `Server-Brittle` names how many requests in a second each tolerates to reject for want of room, from all nodes together. With one more it fails for some seconds. Callers got refusals and broken connections from services whose servers fell over one after the other.

Cause: nothing decoded the header, and a node reacts to a rejection with a pause of 60 ms, after the requests of a burst are on their way.

RejectionLimit (pure) divides the places and half of the tolerated number among the nodes, by the order of nodes that limits use already, so no message is needed. What finds no place at any server is refused at once with 503 and the time in which a place may be free. A statement counts for all servers of the service that have not responded since, also for a new start.

--- a/Source/Fleet/ServerStatement.h
+++ b/Source/Fleet/ServerStatement.h
@@ -24,6 +24,11 @@
     bool rejection = false;
     /// Requests a second that it takes from all nodes together, if it names a limit.
     std::optional<double> requestsPerSecond;
+    /// It has rejected the request because it is full.
+    bool full = false;
+    /// Rejections a second, of requests of all nodes together, after which it fails, if it is
+    /// brittle.
+    std::optional<unsigned> toleratedRejections;
     /// Time for which it takes no requests from this node, if it asks for a pause.
     std::optional<Duration> pause;
     std::optional<ReportedLoad> load;
--- a/Source/Gateway/ExchangeAttempt.cpp
+++ b/Source/Gateway/ExchangeAttempt.cpp
@@ -730,8 +730,11 @@
         noteCrashEvidence(attempt, end);
         state_.pool.noteEnd(server, verdict, attempt.firstByteReceived ? 0 : attempt.uncachedTokens,
                             now);
-    } else if (end == AttemptResult::NotSent) {
-        state_.pool.noteUnreachable(server, now);
+    } else {
+        state_.pool.noteNotSent(server);
+        if (end == AttemptResult::NotSent) {
+            state_.pool.noteUnreachable(server, now);
+        }
     }
     const bool otherWeights = end == AttemptResult::Rejected && !attempt.responseFacts.wrongServer
         && attempt.responseFacts.weights.has_value()
--- a/Source/Gateway/GatewayMetrics.cpp
+++ b/Source/Gateway/GatewayMetrics.cpp
@@ -187,8 +187,8 @@
 
 void GatewayMetrics::setWithheldServers(const std::map<WithholdReason, std::size_t> &counts)
 {
-    for (const WithholdReason reason :
-         { WithholdReason::Leaving, WithholdReason::Pause, WithholdReason::Limit }) {
+    for (const WithholdReason reason : { WithholdReason::Leaving, WithholdReason::Pause,
+                                         WithholdReason::Limit, WithholdReason::Rejections }) {
         const auto count = counts.find(reason);
         withheldServers_->Add({ { "reason", withholdReasonName(reason) } })
             .Set(count != counts.end() ? static_cast<double>(count->second) : 0);
--- a/Source/Gateway/TrafficState.cpp
+++ b/Source/Gateway/TrafficState.cpp
@@ -230,7 +230,11 @@
               { "boot", server.bootedAt },
               { "leaving", std::int64_t { statement.leaving ? 1 : 0 } },
               { "pause_ms", statement.pause.has_value() ? toMilliseconds(*statement.pause) : 0.0 },
-              { "requests_per_second", statement.requestsPerSecond.value_or(0) } });
+              { "requests_per_second", statement.requestsPerSecond.value_or(0) },
+              { "tolerated_rejections",
+                std::int64_t { statement.toleratedRejections.has_value()
+                                   ? std::int64_t { *statement.toleratedRejections }
+                                   : -1 } } });
     if (changes.pause) {
         onServerPaused();
     }
--- a/Source/Placement/ServerPool.cpp
+++ b/Source/Placement/ServerPool.cpp
@@ -218,7 +218,12 @@
         }
         return {};
     }
-    const ServerStatements::Changes changes = server->statements.note(statement, now);
+    const ServerStatements::Changes changes
+        = server->statements.note(statement, now, server->facts.slots);
+    if (server->statements.rejections().observedAt() == now) {
+        serviceRejections_[server->facts.service]
+            = { .perSecond = server->statements.rejections().perSecond(), .observedAt = now };
+    }
     if (statement.load.has_value()) {
         server->inFlightAtLoad = server->inFlight;
     }
@@ -233,6 +238,18 @@
 {
     if (Server *server = find(id)) {
         server->statements.noteSent(now);
+        if (toleratedRejections(*server).has_value()) {
+            server->statements.rejections().noteSent(placeAmongNodes(*server), room(*server, now),
+                                                     now);
+        }
+        ++server->sending;
+    }
+}
+
+void ServerPool::noteNotSent(const ServerId &id)
+{
+    if (Server *server = find(id)) {
+        server->sending -= server->sending > 0 ? 1 : 0;
     }
 }
 
@@ -254,6 +271,9 @@
             ++counts[WithholdReason::Pause];
         } else if (statements.limit().perSecond().has_value()) {
             ++counts[WithholdReason::Limit];
+        } else if (toleratedRejections(server).has_value()
+                   && server.statements.rejections().full()) {
+            ++counts[WithholdReason::Rejections];
         }
     }
     return counts;
@@ -263,6 +283,7 @@
 {
     if (Server *server = find(id)) {
         server->lastReceivedAt = now;
+        server->statements.rejections().noteReceived(now);
         if (server->silentUntil > now && server->silentUntil == server->suspendedUntil) {
             server->suspendedUntil = now;
             server->avoidedUntil = now;
@@ -278,6 +299,7 @@
         return;
     }
     Server &server = *found;
+    server.sending -= server.sending > 0 ? 1 : 0;
     if (server.inFlight++ == 0) {
         server.lastReceivedAt = now;
     }
--- a/Source/Placement/ServerPool.h
+++ b/Source/Placement/ServerPool.h
@@ -206,8 +206,10 @@
     /// now. Returns what changed.
     ServerStatements::Changes noteStatement(const ServerInstance &server,
                                             const ServerStatement &statement, Instant now);
-    /// Records that a request is about to be sent to a server.
+    /// Records that a request is about to be sent to a server. noteSent() or noteNotSent() follows.
     void noteSending(const ServerId &id, Instant now);
+    /// Records that it was not sent after all.
+    void noteNotSent(const ServerId &id);
     /// Records a call of the node itself to a server.
     void noteControlCall(const ServerId &id, Instant now);
     /// Returns the number of listed servers whose statements keep requests from them, by reason.
@@ -278,6 +280,8 @@
         std::uint64_t hash = 0;
         CachedPartSet cache { 0 };
         unsigned inFlight = 0;
+        /// Requests that are about to be sent.
+        unsigned sending = 0;
         /// Prompt tokens sent and not prefilled yet.
         std::uint64_t pendingPrefillTokens = 0;
         ServerStatements statements;
@@ -340,6 +344,23 @@
     [[nodiscard]] bool acceptsWork(const Server &server, Instant now) const;
     /// Returns whether the statements of a server allow this node to send a request.
     [[nodiscard]] SendPermission permission(const Server &server, Instant now) const;
+    /// Returns this node's place in the order of nodes of a server; unset if it doesn't know the
+    /// nodes.
+    [[nodiscard]] std::optional<LimitRank> limitRank(const Server &server) const;
+    /// Returns the number of requests of peers that a server has, as they and the server report.
+    [[nodiscard]] double loadOfPeers(const Server &server, Instant now) const;
+    [[nodiscard]] ServerRoom room(const Server &server, Instant now) const;
+    /// Returns the rejections a second that a server tolerates, if it is brittle. Servers of a
+    /// service are alike, so the latest statement counts for those that have not responded since.
+    [[nodiscard]] std::optional<unsigned> toleratedRejections(const Server &server) const;
+    /// Returns the same place, or the last of very many if it is unknown.
+    [[nodiscard]] LimitRank placeAmongNodes(const Server &server) const;
+    /// What the latest response of any server of a service stated about rejections.
+    struct ServiceRejections
+    {
+        std::optional<unsigned> perSecond;
+        Instant observedAt;
+    };
     /// The statements of a server that is not listed any more. It may be listed again.
     struct FormerServer
     {
@@ -416,6 +437,7 @@
     std::vector<std::uint64_t> nodeHashes_;
     std::unordered_map<ServiceId, ServiceDefinition> services_;
     std::unordered_map<ServerId, Server> servers_;
+    std::unordered_map<ServiceId, ServiceRejections> serviceRejections_;
     /// Servers that the platform no longer lists, and until when they are reported to peers.
     std::map<ServerId, Instant> removedServers_;
     std::map<ServerId, FormerServer> formerServers_;
--- a/Source/Placement/ServerPoolPeers.cpp
+++ b/Source/Placement/ServerPoolPeers.cpp
@@ -106,6 +106,9 @@
                                .silentMs = update.unresponsiveMs,
                                .at = now,
                                .scope = scope };
+        if (toleratedRejections(server).has_value()) {
+            server.statements.rejections().noteRoom(room(server, now), now);
+        }
         if (update.limitAgeMs != NoLimitReport) {
             const Instant observedAt = now - milliseconds(update.limitAgeMs);
             const std::optional<double> limit = update.limitPerThousandSeconds > 0
--- a/Source/Placement/ServerPoolPlacement.cpp
+++ b/Source/Placement/ServerPoolPlacement.cpp
@@ -30,6 +30,15 @@
 constexpr Duration ReturnSpread = milliseconds(500);
 constexpr std::uint64_t ReturnSlots = 64;
 
+/// Time for which what one server of a service stated about itself counts against a later
+/// statement of another.
+constexpr Duration StatementLifetime = std::chrono::seconds(1);
+
+Duration halfLife(PeerScope scope)
+{
+    return scope == PeerScope::Zone ? ZoneReportHalfLife : LoadReportHalfLife;
+}
+
 double decayed(double value, Duration age, Duration halfLife = LoadReportHalfLife)
 {
     const double halves = toMilliseconds(age) / toMilliseconds(halfLife);
@@ -81,21 +90,68 @@
     return !server.facts.leaving && !unresponsive(server, now) && server.cordonedUntil <= now;
 }
 
-SendPermission ServerPool::permission(const Server &server, Instant now) const
+std::optional<LimitRank> ServerPool::limitRank(const Server &server) const
 {
-    if (!server.statements.limit().perSecond().has_value()) {
-        return server.statements.permission({}, now);
-    }
-    // Without the list of nodes, this one doesn't know its place among them.
     if (std::find(nodeHashes_.begin(), nodeHashes_.end(), selfHash_) == nodeHashes_.end()) {
-        return { .reason = WithholdReason::Limit, .after = server.statements.limit().retryAfter() };
+        return std::nullopt;
     }
     const std::uint64_t own = rendezvousScore(server.hash, selfHash_);
     const auto rank = static_cast<std::size_t>(
         std::count_if(nodeHashes_.begin(), nodeHashes_.end(), [&](std::uint64_t node) {
             return rendezvousScore(server.hash, node) > own;
         }));
-    return server.statements.permission({ .rank = rank, .nodes = nodeHashes_.size() }, now);
+    return LimitRank { .rank = rank, .nodes = nodeHashes_.size() };
+}
+
+LimitRank ServerPool::placeAmongNodes(const Server &server) const
+{
+    constexpr std::size_t Unknown = std::numeric_limits<std::uint32_t>::max();
+    return limitRank(server).value_or(LimitRank { .rank = Unknown - 1, .nodes = Unknown });
+}
+
+std::optional<unsigned> ServerPool::toleratedRejections(const Server &server) const
+{
+    const RejectionLimit &own = server.statements.rejections();
+    const auto service = serviceRejections_.find(server.facts.service);
+    if (service == serviceRejections_.end()) {
+        return own.perSecond();
+    }
+    const bool current = own.observedAt().has_value()
+        && service->second.observedAt - *own.observedAt() <= StatementLifetime;
+    return current ? own.perSecond() : service->second.perSecond;
+}
+
+ServerRoom ServerPool::room(const Server &server, Instant now) const
+{
+    const unsigned own = server.inFlight + server.sending;
+    return { .slots = server.facts.slots, .own = own, .all = own + loadOfPeers(server, now) };
+}
+
+SendPermission ServerPool::permission(const Server &server, Instant now) const
+{
+    SendPermission permitted = server.statements.permission({}, now);
+    if (server.statements.limit().perSecond().has_value()) {
+        const std::optional<LimitRank> place = limitRank(server);
+        if (!place.has_value()) {
+            // Without the list of nodes, this one doesn't know its place among them.
+            return { .reason = WithholdReason::Limit,
+                     .after = server.statements.limit().retryAfter() };
+        }
+        permitted = server.statements.permission(*place, now);
+    }
+    const std::optional<unsigned> tolerated = toleratedRejections(server);
+    if (!permitted.allowed() || !tolerated.has_value()) {
+        return permitted;
+    }
+    const RejectionLimit &rejections = server.statements.rejections();
+    const Duration after
+        = rejections.sendAfter(*tolerated, placeAmongNodes(server), room(server, now), now);
+    if (after <= Duration::zero()) {
+        return permitted;
+    }
+    return { .reason = WithholdReason::Rejections,
+             .after = after,
+             .age = now - rejections.observedAt().value_or(now) };
 }
 
 std::vector<CachedPart> ServerPool::cachedParts(WeightsVersion weights,
@@ -200,24 +256,31 @@
     return versions;
 }
 
+double ServerPool::loadOfPeers(const Server &server, Instant now) const
+{
+    double load = 0;
+    for (const auto &[peer, peerLoad] : server.peers) {
+        load += decayed(peerLoad.inFlight, now - peerLoad.at, halfLife(peerLoad.scope));
+    }
+    const ReportedLoad &report = server.statements.load();
+    const double reported = report.running + report.waiting;
+    return std::max(
+        load,
+        decayed(std::max(0.0, reported - server.inFlightAtLoad), now - server.statements.loadAt()));
+}
+
 ServerPool::Cost ServerPool::cost(const Server &server, const PlacementRequest &request,
                                   std::uint32_t cachedPromptTokens, const Holder *source,
                                   Instant now) const
 {
     const ReportedLoad &reportedLoad = server.statements.load();
     const Duration loadAge = now - server.statements.loadAt();
-    const double reported = reportedLoad.running + reportedLoad.waiting;
-    double loadOfPeers = 0;
     double prefillTokensOfPeers = 0;
     for (const auto &[peer, peerLoad] : server.peers) {
-        const Duration halfLife
-            = peerLoad.scope == PeerScope::Zone ? ZoneReportHalfLife : LoadReportHalfLife;
-        loadOfPeers += decayed(peerLoad.inFlight, now - peerLoad.at, halfLife);
-        prefillTokensOfPeers += decayed(peerLoad.pendingPrefillTokens, now - peerLoad.at, halfLife);
+        prefillTokensOfPeers
+            += decayed(peerLoad.pendingPrefillTokens, now - peerLoad.at, halfLife(peerLoad.scope));
     }
-    loadOfPeers
-        = std::max(loadOfPeers, decayed(std::max(0.0, reported - server.inFlightAtLoad), loadAge));
-    const double load = server.inFlight + loadOfPeers;
+    const double load = server.inFlight + loadOfPeers(server, now);
     const double slowdown = 1 + decayed(std::max(0.0, reportedLoad.slowdown - 1), loadAge);
     double expected = server.facts.zone == options_.zone ? 0 : options_.otherZoneMs;
     // A limit whose end may have been missed is tried without preference.
--- a/Source/Placement/ServerStatements.cpp
+++ b/Source/Placement/ServerStatements.cpp
@@ -30,11 +30,14 @@
         return "return";
     case WithholdReason::Limit:
         return "limit";
+    case WithholdReason::Rejections:
+        return "rejections";
     }
     return "";
 }
 
-ServerStatements::Changes ServerStatements::note(const ServerStatement &statement, Instant now)
+ServerStatements::Changes ServerStatements::note(const ServerStatement &statement, Instant now,
+                                                 unsigned slots)
 {
     Changes changes;
     if (statement.leaving && !leavingSince_.has_value()) {
@@ -54,10 +57,19 @@
     if (!statement.rejection || statement.requestsPerSecond.has_value()) {
         changes.limit = limit_.note(statement.requestsPerSecond, now);
     }
+    if (!statement.rejection || statement.toleratedRejections.has_value()) {
+        changes.toleratedRejections = rejections_.note(statement.toleratedRejections, now);
+    }
     if (statement.load.has_value()) {
         load_ = *statement.load;
         loadAt_ = now;
     }
+    if (statement.full) {
+        rejections_.noteRejected(statement.load, now);
+    } else if (statement.load.has_value()) {
+        rejections_.noteLoad(*statement.load, slots, now);
+    }
+    rejections_.noteReceived(now);
     return changes;
 }
 
--- a/Source/Placement/ServerStatements.h
+++ b/Source/Placement/ServerStatements.h
@@ -5,6 +5,7 @@
 
 #include "Core/Time.h"
 #include "Fleet/ServerStatement.h"
+#include "Placement/RejectionLimit.h"
 #include "Placement/ServerLimit.h"
 
 namespace jacinthroad {
@@ -18,6 +19,8 @@
     /// It takes requests again after a pause, one after the other at first.
     Return,
     Limit,
+    /// It is brittle, and may have to reject the request.
+    Rejections,
 };
 
 /// Name of a reason in logs.
@@ -49,13 +52,14 @@
         bool leaving = false;
         bool pause = false;
         bool limit = false;
+        bool toleratedRejections = false;
 
-        [[nodiscard]] bool any() const { return leaving || pause || limit; }
+        [[nodiscard]] bool any() const { return leaving || pause || limit || toleratedRejections; }
     };
 
-    /// Applies the statement of a response that arrived at `now`. A pause never ends earlier than
-    /// one that was stated before; a server that leaves does so for good.
-    Changes note(const ServerStatement &statement, Instant now);
+    /// Applies the statement of a response of a server with `slots` that arrived at `now`. A pause
+    /// never ends earlier than one that was stated before; a server that leaves does so for good.
+    Changes note(const ServerStatement &statement, Instant now, unsigned slots = 1);
     /// Applies a limit, or the absence of one, that a peer saw in a response at `observedAt`.
     /// Returns true if the limit changed.
     [[nodiscard]] bool noteLimitOfPeer(std::optional<double> perSecond, Instant observedAt);
@@ -73,6 +77,8 @@
     /// True while a pause lasts.
     [[nodiscard]] bool paused(Instant now) const;
     [[nodiscard]] const ServerLimit &limit() const { return limit_; }
+    [[nodiscard]] const RejectionLimit &rejections() const { return rejections_; }
+    [[nodiscard]] RejectionLimit &rejections() { return rejections_; }
     [[nodiscard]] const ReportedLoad &load() const { return load_; }
     /// When the load was reported.
     [[nodiscard]] Instant loadAt() const { return loadAt_; }
@@ -89,6 +95,7 @@
     unsigned sentAfterPause_ = 0;
     Instant nextSendAt_;
     ServerLimit limit_;
+    RejectionLimit rejections_;
     ReportedLoad load_;
     Instant loadAt_;
 };
--- a/Tests/Platform/WireTest.cpp
+++ b/Tests/Platform/WireTest.cpp
@@ -245,6 +245,34 @@
     }
 }
 
+BOOST_AUTO_TEST_CASE(decodesHowManyRejectionsABrittleServerTolerates)
+{
+    const auto tolerated = [](const std::string &value, unsigned status) {
+        http::response_header<> header;
+        header.set("Server-Brittle", value);
+        return readServerStatement(header, status, 0).toleratedRejections;
+    };
+    for (const unsigned status : { 200U, 202U, 421U, 429U, 500U, 503U }) {
+        BOOST_TEST((tolerated("3", status) == 3U), status);
+        BOOST_TEST((tolerated("0", status) == 0U), status);
+    }
+    for (const std::string value : { "", "-1", "x", "99999999999" }) {
+        BOOST_TEST(!tolerated(value, 200).has_value(), value);
+    }
+    BOOST_TEST(!readServerStatement(http::response_header<>(), 200, 0).toleratedRejections);
+}
+
+BOOST_AUTO_TEST_CASE(onlyA503ThatStatesThatItHasNotRunTheRequestSaysThatTheServerIsFull)
+{
+    http::response_header<> header;
+    BOOST_TEST(!readServerStatement(header, 503, 0).full);
+    header.set("X-Not-Run", "1");
+    BOOST_TEST(readServerStatement(header, 503, 0).full);
+    for (const unsigned status : { 200U, 400U, 421U, 429U }) {
+        BOOST_TEST(!readServerStatement(header, status, 0).full, status);
+    }
+}
+
 BOOST_AUTO_TEST_CASE(decodesLoadWithAndWithoutSlowdown)
 {
     http::response_header<> header;
