--- a/Source/Gateway/ExchangeAttempt.cpp
+++ b/Source/Gateway/ExchangeAttempt.cpp
@@ -713,7 +713,9 @@
         break;
     case AttemptResult::NoResponse:
     case AttemptResult::StreamBroken:
-        verdict = attempt.connectionReused ? AttemptOutcome::Failed : AttemptOutcome::Unreachable;
+        verdict = attempt.replaced     ? AttemptOutcome::Silent
+            : attempt.connectionReused ? AttemptOutcome::Failed
+                                       : AttemptOutcome::Unreachable;
         break;
     case AttemptResult::NotSent:
     case AttemptResult::TimedOut:
@@ -728,8 +730,11 @@
         noteCrashEvidence(attempt, end);
         state_.pool.noteEnd(server, verdict, attempt.firstByteReceived ? 0 : attempt.uncachedTokens,
                             now);
-    } else if (end == AttemptResult::NotSent) {
-        state_.pool.noteUnreachable(server, now);
+    } else {
+        state_.pool.noteNotSent(server);
+        if (end == AttemptResult::NotSent) {
+            state_.pool.noteUnreachable(server, now);
+        }
     }
     const bool otherWeights = end == AttemptResult::Rejected && !attempt.responseFacts.wrongServer
         && attempt.responseFacts.weights.has_value()
--- a/Source/Placement/ServerPool.cpp
+++ b/Source/Placement/ServerPool.cpp
@@ -85,6 +85,7 @@
                         .cache = CachedPartSet(cacheCapacity(facts.service)) };
         server.suspendedUntil = now;
         server.avoidedUntil = now;
+        server.silentUntil = now;
         server.lastReceivedAt = now;
         server.cordonedUntil = now;
         server.listedAt = now;
@@ -217,7 +218,12 @@
         }
         return {};
     }
-    const ServerStatements::Changes changes = server->statements.note(statement, now);
+    const ServerStatements::Changes changes
+        = server->statements.note(statement, now, server->facts.slots);
+    if (server->statements.rejections().observedAt() == now) {
+        serviceRejections_[server->facts.service]
+            = { .perSecond = server->statements.rejections().perSecond(), .observedAt = now };
+    }
     if (statement.load.has_value()) {
         server->inFlightAtLoad = server->inFlight;
     }
@@ -232,6 +238,18 @@
 {
     if (Server *server = find(id)) {
         server->statements.noteSent(now);
+        if (toleratedRejections(*server).has_value()) {
+            server->statements.rejections().noteSent(placeAmongNodes(*server), room(*server, now),
+                                                     now);
+        }
+        ++server->sending;
+    }
+}
+
+void ServerPool::noteNotSent(const ServerId &id)
+{
+    if (Server *server = find(id)) {
+        server->sending -= server->sending > 0 ? 1 : 0;
     }
 }
 
@@ -253,6 +271,9 @@
             ++counts[WithholdReason::Pause];
         } else if (statements.limit().perSecond().has_value()) {
             ++counts[WithholdReason::Limit];
+        } else if (toleratedRejections(server).has_value()
+                   && server.statements.rejections().full()) {
+            ++counts[WithholdReason::Rejections];
         }
     }
     return counts;
@@ -262,6 +283,11 @@
 {
     if (Server *server = find(id)) {
         server->lastReceivedAt = now;
+        server->statements.rejections().noteReceived(now);
+        if (server->silentUntil > now && server->silentUntil == server->suspendedUntil) {
+            server->suspendedUntil = now;
+            server->avoidedUntil = now;
+        }
     }
 }
 
@@ -273,6 +299,7 @@
         return;
     }
     Server &server = *found;
+    server.sending -= server.sending > 0 ? 1 : 0;
     if (server.inFlight++ == 0) {
         server.lastReceivedAt = now;
     }
@@ -329,6 +356,13 @@
     }
 }
 
+void ServerPool::suspend(Server &server, Instant now)
+{
+    const unsigned doublings = std::min(server.failures++, MaxDoublings);
+    server.suspendedUntil = now + std::min(MaxSuspension, FirstSuspension * (1U << doublings));
+    server.avoidedUntil = server.suspendedUntil;
+}
+
 void ServerPool::applyOutcome(Server &server, AttemptOutcome outcome, Instant now)
 {
     switch (outcome) {
@@ -343,12 +377,16 @@
             server.suspendedUntil = now + FirstSuspension;
         }
         break;
-    case AttemptOutcome::Unreachable: {
-        const unsigned doublings = std::min(server.failures++, MaxDoublings);
-        server.suspendedUntil = now + std::min(MaxSuspension, FirstSuspension * (1U << doublings));
-        server.avoidedUntil = server.suspendedUntil;
+    case AttemptOutcome::Unreachable:
+        suspend(server, now);
+        break;
+    case AttemptOutcome::Silent:
+        // All requests that it had when it fell silent count once.
+        if (server.silentUntil <= now) {
+            suspend(server, now);
+            server.silentUntil = server.suspendedUntil;
+        }
         break;
-    }
     case AttemptOutcome::Abandoned:
         break;
     }
