Soak: Cut the links of nodes to all backend servers

Each node of the soak reaches the servers through proxies of its own now; the disturbance link-cuts resets them, refuses new connections only, or holds all bytes back, for up to half of the nodes, whatever else happens to them. The check unserved-without-links compares nodes without links with the others, from the stable window on.

The checks on statements name the node that sent a request to the server.

--- a/Tests/Gateway/ScriptedServer.cpp
+++ b/Tests/Gateway/ScriptedServer.cpp
@@ -74,10 +74,6 @@
     }
 }
 
-namespace {
-
-/// Listens on a free port. The system releases a port that it has chosen itself when the listening
-/// ends, and may assign it to another server; one that was asked for stays reserved.
 asio::ip::tcp::acceptor listenOnReservedPort(asio::io_context &context)
 {
     const asio::ip::tcp::endpoint any(asio::ip::make_address("127.0.0.1"), 0);
@@ -93,8 +89,6 @@
     }
 }
 
-} // namespace
-
 ScriptedServer::ScriptedServer(Script script)
     : acceptor_(listenOnReservedPort(context_))
     , script_(std::move(script))
--- a/Tests/Gateway/ScriptedServer.h
+++ b/Tests/Gateway/ScriptedServer.h
@@ -87,6 +87,10 @@
     std::thread acceptThread_;
 };
 
+/// Listens on a free port. The system releases a port that it has chosen itself when the listening
+/// ends, and may assign it to another server; one that was asked for stays reserved.
+[[nodiscard]] boost::asio::ip::tcp::acceptor listenOnReservedPort(boost::asio::io_context &context);
+
 /// Builds a response with a Content-Length header.
 [[nodiscard]] std::string responseText(unsigned status, const std::string &headers,
                                        const std::string &body);
--- a/Tests/Gateway/StoreStandIn.cpp
+++ b/Tests/Gateway/StoreStandIn.cpp
@@ -1,6 +1,6 @@
 #include "StoreStandIn.h"
 
-#include <thread>
+#include <utility>
 
 #include "Core/Json.h"
 
@@ -165,7 +165,17 @@
     return true;
 }
 
-void StoreStandIn::serve(ScriptedConnection &connection, bool rejectsWrites)
+std::string StoreStandIn::addressThrough(std::function<std::string(std::string)> rewrite)
+{
+    rewritingServers_.push_back(std::make_unique<ScriptedServer>(
+        [this, rewrite = std::move(rewrite)](ScriptedConnection &connection) {
+            serve(connection, false, rewrite);
+        }));
+    return rewritingServers_.back()->address();
+}
+
+void StoreStandIn::serve(ScriptedConnection &connection, bool rejectsWrites,
+                         const std::function<std::string(std::string)> &rewrite)
 {
     http::request<http::string_body> request;
     while (connection.read(request)) {
@@ -181,7 +191,7 @@
         const std::string response = isWrite && rejectsWrites ? responseText(503, "", "{}")
                                                               : respond(request, rejectsWrites);
         if (!loseResponse) {
-            connection.write(response);
+            connection.write(rewrite ? rewrite(response) : response);
         }
     }
 }
--- a/Tests/Gateway/StoreStandIn.h
+++ b/Tests/Gateway/StoreStandIn.h
@@ -3,7 +3,9 @@
 #include <chrono>
 #include <condition_variable>
 #include <cstdint>
+#include <functional>
 #include <map>
+#include <memory>
 #include <mutex>
 #include <optional>
 #include <set>
@@ -42,6 +44,9 @@
     /// Address at which writes are rejected and reads are served, as for a node that the store
     /// turns away.
     [[nodiscard]] std::string rejectingAddress() const { return rejectingServer_.address(); }
+    /// Returns an address at which all texts that the store sends pass through `rewrite`, which
+    /// keeps their length. Called before threads use the store.
+    [[nodiscard]] std::string addressThrough(std::function<std::string(std::string)> rewrite);
     /// Hides further changes of a kind from watches at rejectingAddress(), as from a node that is
     /// out of step with the store.
     void hideChanges(const std::string &kind);
@@ -75,7 +80,8 @@
 
     /// A response of the present era; the caller holds the mutex.
     [[nodiscard]] std::string response(unsigned status, const std::string &body) const;
-    void serve(ScriptedConnection &connection, bool rejectsWrites);
+    void serve(ScriptedConnection &connection, bool rejectsWrites,
+               const std::function<std::string(std::string)> &rewrite = {});
     /// Counts a write; returns true if its response is to be lost.
     [[nodiscard]] bool
     noteWrite(const boost::beast::http::request<boost::beast::http::string_body> &request);
@@ -108,6 +114,7 @@
     std::map<std::string, int> responsesToLose_;
     ScriptedServer server_;
     ScriptedServer rejectingServer_;
+    std::vector<std::unique_ptr<ScriptedServer>> rewritingServers_;
 };
 
 } // namespace jacinthroad
--- a/Tests/Soak/Disturbance.cpp
+++ b/Tests/Soak/Disturbance.cpp
@@ -14,7 +14,8 @@
                                     Disturbance::DeadlyKey,    Disturbance::Statements,
                                     Disturbance::StoreRestore, Disturbance::SoftwareVersions,
                                     Disturbance::TakeUps,      Disturbance::OddEntries,
-                                    Disturbance::LateRequests, Disturbance::SilentServers };
+                                    Disturbance::LateRequests, Disturbance::SilentServers,
+                                    Disturbance::LinkCuts };
     return All;
 }
 
@@ -57,6 +58,8 @@
         return "late-requests";
     case Disturbance::SilentServers:
         return "silent-servers";
+    case Disturbance::LinkCuts:
+        return "link-cuts";
     }
     return {};
 }
--- a/Tests/Soak/Disturbance.h
+++ b/Tests/Soak/Disturbance.h
@@ -46,6 +46,8 @@
     LateRequests,
     /// Sound backend servers neither send nor read for a second or so.
     SilentServers,
+    /// Some nodes lose their links to all backend servers for seconds.
+    LinkCuts,
 };
 
 using Disturbances = std::set<Disturbance>;
--- a/Tests/Soak/Main.cpp
+++ b/Tests/Soak/Main.cpp
@@ -58,8 +58,12 @@
               << report.storeRestores << " restores; responses of servers that leave "
               << report.statements.leaving << ", with a pause " << report.statements.pauses
               << ", with a limit " << report.statements.limits << "; " << report.silences
-              << " silent servers, " << report.oddEntries << " odd entries, " << report.releases
-              << " releases, " << report.streamVersions.joined << " streams of several versions, "
+              << " silent servers, " << report.linkCuts << " cuts of a node's links (served "
+              << report.withoutLinks.cutServed << " of " << report.withoutLinks.cut
+              << " without links, " << report.withoutLinks.otherServed << " of "
+              << report.withoutLinks.other << " with links), " << report.oddEntries
+              << " odd entries, " << report.releases << " releases, "
+              << report.streamVersions.joined << " streams of several versions, "
               << report.streamVersions.takeUps << " take-ups ("
               << report.streamVersions.judgedWentOn << " of " << report.streamVersions.judgedTakeUps
               << " judged went on, " << report.streamVersions.newStreamsBegun << " of "
--- a/Tests/Soak/NodeFaults.h
+++ b/Tests/Soak/NodeFaults.h
@@ -9,6 +9,7 @@
 
 #include "Disturbance.h"
 #include "NodeProcess.h"
+#include "RunLog.h"
 
 namespace jacinthroad {
 
@@ -28,6 +29,8 @@
     std::atomic<unsigned> unexpectedEnds { 0 };
     /// Spans in which the store was away or lacked what had been written; written by one thread.
     std::vector<TimeSpan> storeDisturbances;
+    /// Written by one thread.
+    std::vector<LinkCut> linkCuts;
 };
 
 /// A moment at which all nodes are stopped, before any starts again.
--- a/Tests/Soak/NodeLogJudge.cpp
+++ b/Tests/Soak/NodeLogJudge.cpp
@@ -36,7 +36,15 @@
         }
         const std::string event = (*line)["event"].asString();
         if (event == "request") {
-            log.outcomes[(*line)["request_id"].asString()] = (*line)["outcome"].asString();
+            const std::string id = (*line)["request_id"].asString();
+            const std::string forwardedTo = (*line)["forwarded_to"].asString();
+            // A node to which a request was forwarded logs it too.
+            if ((*line)["forwarded_by"].asString().empty()) {
+                log.outcomes[id] = (*line)["outcome"].asString();
+            }
+            if (!forwardedTo.empty()) {
+                log.forwardedTo[id] = forwardedTo;
+            }
         } else if (event == "request_cut") {
             log.outcomes[(*line)["request_id"].asString()] = event;
         } else if (event == "connection_closed" && (*line)["reason"] == "responded"
--- a/Tests/Soak/NodeProcess.cpp
+++ b/Tests/Soak/NodeProcess.cpp
@@ -131,6 +131,10 @@
 void NodeProcess::kill()
 {
     ++kills_;
+    {
+        const std::lock_guard lock(mutex_);
+        killMoments_.push_back(std::chrono::steady_clock::now());
+    }
     signal(SIGKILL);
     static_cast<void>(waitForEnd(std::chrono::seconds(10)));
 }
@@ -163,6 +167,12 @@
     return stops_;
 }
 
+std::vector<Instant> NodeProcess::killMoments() const
+{
+    const std::lock_guard lock(mutex_);
+    return killMoments_;
+}
+
 std::vector<TimeSpan> NodeProcess::disturbances() const
 {
     const std::lock_guard lock(mutex_);
--- a/Tests/Soak/NodeProcess.h
+++ b/Tests/Soak/NodeProcess.h
@@ -76,6 +76,8 @@
     void noteDisturbance(TimeSpan span);
     [[nodiscard]] std::vector<TimeSpan> disturbances() const;
     [[nodiscard]] std::vector<NodeStop> stops() const;
+    /// Moments of the kills.
+    [[nodiscard]] std::vector<Instant> killMoments() const;
     /// The lines that the process has written since this object was made.
     [[nodiscard]] std::vector<std::string> loggedLines() const;
 
@@ -91,6 +93,7 @@
     pid_t process_ = -1;
     std::vector<TimeSpan> disturbances_;
     std::vector<NodeStop> stops_;
+    std::vector<Instant> killMoments_;
     bool paused_ = false;
     /// Size of the log of earlier runs in the same folder.
     std::uintmax_t logBegin_ = 0;
--- a/Tests/Soak/RunLog.h
+++ b/Tests/Soak/RunLog.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <cstddef>
+#include <cstdint>
 #include <map>
 #include <mutex>
 #include <set>
@@ -70,6 +71,26 @@
     Instant end;
 };
 
+/// How the links of a node to all backend servers are cut.
+enum class LinkCutKind : std::uint8_t {
+    None,
+    /// Connections are reset, and new ones refused.
+    Reset,
+    /// Connections live on, and new ones are refused.
+    NewRefused,
+    /// Nothing gets through, and nothing answers new connections.
+    Silent,
+};
+
+/// A time in which a node had no links to backend servers.
+struct LinkCut
+{
+    std::string node;
+    LinkCutKind kind = LinkCutKind::None;
+    Instant begin;
+    Instant end;
+};
+
 /// Records what backend servers ran and how their runs ended. Thread-safe.
 class RunLog
 {
--- a/Tests/Soak/SilenceJudge.cpp
+++ b/Tests/Soak/SilenceJudge.cpp
@@ -2,6 +2,8 @@
 
 #include <algorithm>
 
+#include "LinkJudge.h"
+
 namespace jacinthroad {
 
 namespace {
@@ -65,7 +67,7 @@
         if (found == runs.end() || isAnswered(record) || record.deadly
             || observations.spoiled.contains(record.id)
             || record.endedAt - record.sentAt > LongestTime
-            || !nodeUndisturbed(observations, record)) {
+            || !nodeUndisturbed(observations, record) || brokenOffAtNode(observations, record)) {
             continue;
         }
         const auto &own = found->second;
--- a/Tests/Soak/SoakJudge.cpp
+++ b/Tests/Soak/SoakJudge.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <set>
 
+#include "LinkJudge.h"
 #include "NodeLogJudge.h"
 #include "SilenceJudge.h"
 #include "SoakStatementJudge.h"
@@ -291,7 +292,7 @@
     for (const CallerRecord &record : observations.records) {
         const auto found = runs.find(record.id);
         RequestRuns requestRuns = found == runs.end() ? RequestRuns {} : found->second;
-        requestRuns.brokenOff = requestRuns.brokenOff
+        requestRuns.brokenOff = requestRuns.brokenOff || brokenOffAtNode(observations, record)
             || (record.outcome == CallerOutcome::ConnectionClosed
                 && (serverEndedMeanwhile(observations, record)
                     || mayBeCutByStop(observations, record)));
@@ -315,7 +316,7 @@
                   + " requests of the deadly key reached servers after the limit" });
     }
     for (const auto &check : { findStatementViolations, findStreamVersionViolations,
-                               findSilenceViolations, findNodeLogViolations }) {
+                               findSilenceViolations, findNodeLogViolations, findLinkViolations }) {
         const std::vector<Violation> broken = check(observations);
         violations.insert(violations.end(), broken.begin(), broken.end());
     }
--- a/Tests/Soak/SoakJudge.h
+++ b/Tests/Soak/SoakJudge.h
@@ -78,6 +78,8 @@
     /// Lines that report bytes that a node read behind its last response on a connection and
     /// dropped, with its name.
     std::vector<std::string> dropped;
+    /// By request that a node forwarded: the node that it forwarded it to last.
+    std::map<std::string, std::string> forwardedTo;
 };
 
 /// What a soak run observed.
@@ -94,6 +96,9 @@
     /// By name of the node.
     std::map<std::string, std::vector<TimeSpan>> disturbances;
     std::map<std::string, std::vector<NodeStop>> stops;
+    /// Moments at which nodes were killed, by name.
+    std::map<std::string, std::vector<Instant>> kills;
+    std::vector<LinkCut> linkCuts;
     /// Spans in which the store was away or lacked what had been written.
     std::vector<TimeSpan> storeDisturbances;
     NodeLog nodeLog;
--- a/Tests/Soak/SoakRun.cpp
+++ b/Tests/Soak/SoakRun.cpp
@@ -12,6 +12,7 @@
 
 #include <json/value.h>
 
+#include "LinkCuts.h"
 #include "NodeFaults.h"
 #include "NodeLogJudge.h"
 #include "NodeProcess.h"
@@ -110,16 +111,33 @@
     return text;
 }
 
+std::string nodeName(unsigned number)
+{
+    return "node-" + std::to_string(number);
+}
+
+/// Links of all nodes that can be cut; none if they are not to be.
+std::vector<NodeLinks> makeLinks(const SoakOptions &options)
+{
+    std::vector<NodeLinks> links;
+    if (options.disturbances.contains(Disturbance::LinkCuts)) {
+        for (unsigned number = 0; number < options.nodes; ++number) {
+            links.push_back({ .node = nodeName(number), .links = std::make_shared<ServerLinks>() });
+        }
+    }
+    return links;
+}
+
 std::vector<std::shared_ptr<NodeProcess>> startNodes(const SoakOptions &options,
-                                                     const std::string &storeAddress)
+                                                     const std::vector<std::string> &storeAddresses)
 {
     std::vector<std::shared_ptr<NodeProcess>> nodes;
     for (unsigned number = 0; number < options.nodes; ++number) {
         nodes.push_back(std::make_shared<NodeProcess>(
             NodeProcess::Options { .program = options.program,
                                    .folder = options.folder,
-                                   .name = "node-" + std::to_string(number),
-                                   .storeAddress = storeAddress,
+                                   .name = nodeName(number),
+                                   .storeAddress = storeAddresses[number],
                                    .stopGrace = options.stopGrace.value_or(StopGrace) }));
         nodes.back()->start();
         const Instant now = std::chrono::steady_clock::now();
@@ -225,9 +243,9 @@
 
 /// Injects the faults and waits for their end.
 void injectFaults(const SoakOptions &options,
-                  const std::vector<std::shared_ptr<NodeProcess>> &nodes, StoreStandIn &store,
-                  SoakServers &servers, LastConfiguration &last, std::mt19937_64 &random,
-                  FaultCounts &counts)
+                  const std::vector<std::shared_ptr<NodeProcess>> &nodes,
+                  const std::vector<NodeLinks> &links, StoreStandIn &store, SoakServers &servers,
+                  LastConfiguration &last, std::mt19937_64 &random, FaultCounts &counts)
 {
     const Instant begin = std::chrono::steady_clock::now();
     const Instant until = begin + options.faultTime;
@@ -259,6 +277,11 @@
             writeOddEntries(store, servers, seed, until, counts.oddEntries);
         });
     }
+    if (!links.empty()) {
+        threads.emplace_back([&links, seed = random(), until, &counts] {
+            counts.linkCuts = cutLinks(links, seed, until);
+        });
+    }
     if (options.disturbances.contains(Disturbance::StoreRestore)) {
         threads.emplace_back([&store, &servers, &last, seed = random(), until, &counts] {
             restoreStore(store, servers, last, seed, until, counts);
@@ -286,6 +309,8 @@
                         .releases = counts.releases,
                         .oddEntries = counts.oddEntries,
                         .silences = static_cast<unsigned>(observations.silences.size()),
+                        .linkCuts = static_cast<unsigned>(observations.linkCuts.size()),
+                        .withoutLinks = countLinkCuts(observations),
                         .streamVersions = countStreamVersions(observations) };
     std::map<std::string, unsigned> runs;
     for (const ServerRun &run : observations.runs) {
@@ -324,14 +349,24 @@
     std::mt19937_64 random(options.seed);
     RunLog log;
     StoreStandIn store;
-    SoakServers servers(store, log, options.disturbances, random());
+    const std::vector<NodeLinks> links = makeLinks(options);
+    std::vector<std::shared_ptr<ServerLinks>> serverLinks;
+    std::vector<std::string> storeAddresses(options.nodes, store.address());
+    for (std::size_t number = 0; number < links.size(); ++number) {
+        serverLinks.push_back(links[number].links);
+        storeAddresses[number]
+            = store.addressThrough([links = links[number].links](std::string text) {
+                  return links->throughProxies(std::move(text));
+              });
+    }
+    SoakServers servers(store, log, options.disturbances, serverLinks, random());
     LastConfiguration last;
     store.sendEra(1);
     {
         const std::lock_guard lock(last.mutex);
         writeConfiguration(store, last, soakConfiguration(1, random));
     }
-    const std::vector<std::shared_ptr<NodeProcess>> nodes = startNodes(options, store.address());
+    const std::vector<std::shared_ptr<NodeProcess>> nodes = startNodes(options, storeAddresses);
     std::this_thread::sleep_for(StartTime);
 
     std::atomic<bool> stopping { false };
@@ -343,7 +378,7 @@
     for (const auto &client : clients) {
         callerThreads.emplace_back([client = client.get(), &stopping] { client->run(stopping); });
     }
-    injectFaults(options, nodes, store, servers, last, random, counts);
+    injectFaults(options, nodes, links, store, servers, last, random, counts);
     servers.endOwnFaults();
     const Instant faultsEnded = std::chrono::steady_clock::now();
     std::this_thread::sleep_for(RecoveryTime);
@@ -358,10 +393,12 @@
                                     .servingSpans = log.servingSpans(),
                                     .silences = log.silences(),
                                     .spoiled = log.spoiled(),
+                                    .linkCuts = counts.linkCuts,
                                     .storeDisturbances = counts.storeDisturbances };
     for (const auto &node : nodes) {
         observations.disturbances[node->name()] = node->disturbances();
         observations.stops[node->name()] = node->stops();
+        observations.kills[node->name()] = node->killMoments();
         readNodeLog(node->name(), node->loggedLines(), observations.nodeLog);
     }
     std::vector<Violation> unserved;
--- a/Tests/Soak/SoakRun.h
+++ b/Tests/Soak/SoakRun.h
@@ -7,6 +7,7 @@
 
 #include "Core/Time.h"
 #include "Disturbance.h"
+#include "LinkJudge.h"
 #include "SoakJudge.h"
 #include "SoakTraffic.h"
 #include "StreamVersionJudge.h"
@@ -64,6 +65,8 @@
     unsigned releases = 0;
     unsigned oddEntries = 0;
     unsigned silences = 0;
+    unsigned linkCuts = 0;
+    LinkCutFigures withoutLinks;
     StreamVersionFigures streamVersions;
     StatementFigures statements;
     std::vector<Violation> violations;
--- a/Tests/Soak/SoakServers.cpp
+++ b/Tests/Soak/SoakServers.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <cmath>
 #include <optional>
+#include <utility>
 
 #include <json/value.h>
 
@@ -37,10 +38,11 @@
 } // namespace
 
 SoakServers::SoakServers(StoreStandIn &store, RunLog &log, const Disturbances &disturbances,
-                         std::uint64_t seed)
+                         std::vector<std::shared_ptr<ServerLinks>> links, std::uint64_t seed)
     : store_(store)
     , log_(log)
     , disturbances_(disturbances)
+    , links_(std::move(links))
     , seed_(seed)
     , random_(seed)
 {
@@ -82,6 +84,9 @@
     boot->name = id + "/" + std::to_string(number);
     boot->server = std::make_unique<ScriptedServer>(
         [this, boot = boot.get()](ScriptedConnection &connection) { serve(*boot, connection); });
+    for (const auto &links : links_) {
+        links->addServer(boot->server->address());
+    }
     boot->up = true;
     Boot *started = boot.get();
     {
@@ -339,6 +344,9 @@
         return false;
     }
     log_.noteCrash(boot.name, byDeadlyPart, byDeadlyKey);
+    for (const auto &links : links_) {
+        links->endServer(boot.server->address());
+    }
     boot.server->crash();
     log_.noteProcessEnded(boot.name);
     if (boot.replaced) {
--- a/Tests/Soak/SoakServers.h
+++ b/Tests/Soak/SoakServers.h
@@ -14,6 +14,7 @@
 #include "ResponsePlan.h"
 #include "RunLog.h"
 #include "ScriptedServer.h"
+#include "ServerLinks.h"
 #include "StoreStandIn.h"
 
 namespace jacinthroad {
@@ -23,8 +24,9 @@
 class SoakServers
 {
 public:
+    /// Nodes reach the servers through `links`.
     SoakServers(StoreStandIn &store, RunLog &log, const Disturbances &disturbances,
-                std::uint64_t seed);
+                std::vector<std::shared_ptr<ServerLinks>> links, std::uint64_t seed);
     SoakServers(const SoakServers &) = delete;
     SoakServers &operator=(const SoakServers &) = delete;
     ~SoakServers();
@@ -128,6 +130,7 @@
     StoreStandIn &store_;
     RunLog &log_;
     Disturbances disturbances_;
+    std::vector<std::shared_ptr<ServerLinks>> links_;
     std::uint64_t seed_;
     std::atomic<bool> ownFaults_ { true };
     std::mutex mutex_;
--- a/Tests/Soak/SoakStatementJudge.cpp
+++ b/Tests/Soak/SoakStatementJudge.cpp
@@ -2,10 +2,11 @@
 
 #include <algorithm>
 #include <map>
-#include <optional>
 #include <string>
 #include <utility>
 
+#include "LinkJudge.h"
+
 namespace jacinthroad {
 
 namespace {
@@ -16,6 +17,8 @@
 constexpr Duration StableWindow = std::chrono::seconds(3);
 constexpr Duration BindingTime = milliseconds(500);
 constexpr unsigned MostInPause = 2;
+/// Longest time that a response takes to a node with links.
+constexpr Duration TransitTime = milliseconds(100);
 constexpr Duration LimitWindow = std::chrono::seconds(4);
 constexpr double LimitFactor = 1.5;
 constexpr double LimitAllowance = 5;
@@ -50,13 +53,23 @@
     }
     [[nodiscard]] bool sameNode(const ServerArrival &left, const ServerArrival &right) const
     {
-        return record(left).node == record(right).node;
+        return node(left) == node(right);
+    }
+    /// The node that sent the request to the server.
+    [[nodiscard]] std::string node(const ServerArrival &arrival) const
+    {
+        return sendingNode(observations_, record(arrival));
+    }
+    /// True if the response to an arrival may have been held back on its way to the node.
+    [[nodiscard]] bool heldBack(const ServerArrival &arrival) const
+    {
+        return linksCut(observations_, node(arrival), arrival.at, arrival.answeredAt + TransitTime);
     }
     /// True if the node of an arrival was neither started, stopped, killed nor paused between
     /// these moments.
     [[nodiscard]] bool undisturbed(const ServerArrival &arrival, Instant from, Instant to) const
     {
-        const auto &spans = observations_.disturbances.at(record(arrival).node);
+        const auto &spans = observations_.disturbances.at(node(arrival));
         return std::none_of(spans.begin(), spans.end(), [&](const TimeSpan &span) {
             return span.begin <= to && span.end >= from;
         });
@@ -79,7 +92,8 @@
     for (const ServerArrival *late : arrivals) {
         const bool broken
             = std::any_of(arrivals.begin(), arrivals.end(), [&](const ServerArrival *told) {
-                  return told->leaving && answered(*told) && boots.sameNode(*told, *late)
+                  return told->leaving && answered(*told) && !boots.heldBack(*told)
+                      && boots.sameNode(*told, *late)
                       && boots.record(*late).sentAt > told->answeredAt + DrainTime
                       && boots.undisturbed(*told, told->answeredAt, late->at);
               });
@@ -95,7 +109,7 @@
                 std::vector<Violation> &violations)
 {
     for (const ServerArrival *told : arrivals) {
-        if (told->pausedUntil == Instant() || !answered(*told)
+        if (told->pausedUntil == Instant() || !answered(*told) || boots.heldBack(*told)
             || !boots.undisturbed(*told, told->answeredAt, told->pausedUntil)) {
             continue;
         }
@@ -107,8 +121,7 @@
         if (count > MostInPause) {
             violations.push_back({ .check = "sent-in-pause",
                                    .text = std::to_string(count) + " requests from "
-                                       + boots.record(*told).node + " reached " + boot
-                                       + " in a pause" });
+                                       + boots.node(*told) + " reached " + boot + " in a pause" });
         }
     }
 }
@@ -116,26 +129,26 @@
 void checkLimit(const ArrivalsByBoot &boots, const std::string &boot, const Arrivals &arrivals,
                 std::vector<Violation> &violations)
 {
-    std::optional<Instant> firstNamed;
+    Instant firstNamed {};
     std::map<std::string, Instant> toldAt;
     // Arrivals that count, with the limit in force.
     std::vector<std::pair<Instant, double>> counted;
     for (const ServerArrival *arrival : arrivals) {
-        const std::string &node = boots.record(*arrival).node;
+        const std::string node = boots.node(*arrival);
         if (arrival->limit == 0) {
-            firstNamed.reset();
+            firstNamed = {};
             toldAt.clear();
             counted.clear();
             continue;
         }
-        firstNamed = firstNamed.value_or(arrival->at);
+        firstNamed = firstNamed == Instant() ? arrival->at : firstNamed;
         const auto told = toldAt.find(node);
         if (told != toldAt.end() && arrival->at >= told->second + BindingTime
-            && arrival->at >= *firstNamed + StableWindow
+            && arrival->at >= firstNamed + StableWindow
             && boots.undisturbed(*arrival, told->second, arrival->at)) {
             counted.emplace_back(arrival->at, arrival->limit);
         }
-        if (answered(*arrival) && told == toldAt.end()) {
+        if (answered(*arrival) && !boots.heldBack(*arrival) && told == toldAt.end()) {
             toldAt[node] = arrival->answeredAt;
         }
         const auto begin = std::find_if(counted.begin(), counted.end(), [&](const auto &one) {
