Placement: Tell a node's lost links to all servers from servers that failed

LinkHealth counts failed and overdue connections since a server last accepted one. Servers of up to three services must have failed; probes, a few at a time, look for one that still accepts. A silence of all servers starts them too, and one probe each 150 ms finds the end. The state travels in digests as a map behind the array, which older builds ignore; DigestExchange::peersWithLinks() names the live peers that have links. Nothing is decided by it yet.

--- a/Source/FleetPeers/NodeDigest.cpp
+++ b/Source/FleetPeers/NodeDigest.cpp
@@ -1,5 +1,8 @@
 #include "FleetPeers/NodeDigest.h"
 
+#include <map>
+#include <string_view>
+
 #include <msgpack.hpp>
 
 #include "Core/Log.h"
@@ -20,6 +23,8 @@
 constexpr std::uint32_t UpdateFields = 13;
 constexpr std::uint32_t CrashRecordFields = 3;
 constexpr std::uint32_t CrashReportFields = 6;
+/// Keys of the map that follows the array if it has an entry. Older builds ignore what follows.
+constexpr std::string_view LinksLostKey = "links_lost";
 /// Levels of arrays in a datagram; more than any format has.
 constexpr std::size_t MaximumNesting = 16;
 
@@ -127,6 +132,15 @@
     return record;
 }
 
+/// Reads the map that follows the array; unknown keys are those of newer builds.
+void readAdditions(const msgpack::object &object, NodeDigest &digest)
+{
+    const auto additions = object.as<std::map<std::string, msgpack::object>>();
+    if (const auto found = additions.find(std::string(LinksLostKey)); found != additions.end()) {
+        digest.linksLost = found->second.as<bool>();
+    }
+}
+
 } // namespace
 
 std::string encodeDigest(const NodeDigest &digest)
@@ -192,6 +206,11 @@
     if (summary) {
         packer.pack(digest.summarizedZone);
     }
+    if (digest.linksLost) {
+        packer.pack_map(1);
+        packer.pack(LinksLostKey);
+        packer.pack(true);
+    }
     return { buffer.data(), buffer.size() };
 }
 
@@ -201,8 +220,9 @@
         // A header may state more entries than follow, for which memory is allocated at once.
         const std::size_t size = datagram.size();
         const msgpack::unpack_limit limit(size, size, size, size, size, MaximumNesting);
+        std::size_t end = 0;
         const msgpack::object_handle handle
-            = msgpack::unpack(datagram.data(), size, nullptr, nullptr, limit);
+            = msgpack::unpack(datagram.data(), size, end, nullptr, nullptr, limit);
         const msgpack::object &root = handle.get();
         if (root.type != msgpack::type::ARRAY || root.via.array.size == 0) {
             return std::nullopt;
@@ -243,6 +263,11 @@
                 return std::nullopt;
             }
         }
+        if (end < size) {
+            const msgpack::object_handle additions
+                = msgpack::unpack(datagram.data(), size, end, nullptr, nullptr, limit);
+            readAdditions(additions.get(), digest);
+        }
         return digest;
     } catch (const std::exception &fault) {
         logLine(LogLevel::Debug, "digest_unreadable", { { "reason", fault.what() } });
--- a/Source/FleetPeers/NodeDigest.h
+++ b/Source/FleetPeers/NodeDigest.h
@@ -88,6 +88,9 @@
     /// The availability zone whose nodes' updates are summed up here; empty in a digest of a single
     /// node.
     std::string summarizedZone {};
+    /// True if the sender has lost its links to the backend servers as a whole, so that what it
+    /// reports of unreachable servers says nothing about them.
+    bool linksLost = false;
 };
 
 [[nodiscard]] std::string encodeDigest(const NodeDigest &digest);
--- a/Source/Gateway/DigestExchange.cpp
+++ b/Source/Gateway/DigestExchange.cpp
@@ -142,7 +142,8 @@
              .configurationHash = configuration.contentHash,
              .configurationAgeMs = age.has_value() ? wholeMilliseconds(*age) + 1 : UnknownAgeMs,
              .servers = {},
-             .desiredWeights = state_.pool.desiredWeightsAges(std::chrono::steady_clock::now()) };
+             .desiredWeights = state_.pool.desiredWeightsAges(std::chrono::steady_clock::now()),
+             .linksLost = state_.links.lost(std::chrono::steady_clock::now()) };
 }
 
 void DigestExchange::scheduleSummary()
@@ -206,8 +207,8 @@
 {
     const Duration timeout = nodeTimeout(peers_.size());
     std::vector<std::string> names { state_.settings.name };
-    for (const auto &[name, received] : receivedAt_) {
-        if (now - received < timeout) {
+    for (const auto &[name, peer] : heard_) {
+        if (now - peer.receivedAt < timeout) {
             names.push_back(name);
         }
     }
@@ -219,6 +220,20 @@
     return liveNodes(now).size() > peers_.size();
 }
 
+std::vector<FleetNode> DigestExchange::peersWithLinks(Instant now) const
+{
+    const Duration timeout = nodeTimeout(peers_.size());
+    std::vector<FleetNode> nodes;
+    for (const FleetNode &node : topology_.neighbours()) {
+        const auto found = heard_.find(node.name);
+        if (found != heard_.end() && now - found->second.receivedAt < timeout
+            && !found->second.linksLost) {
+            nodes.push_back(node);
+        }
+    }
+    return nodes;
+}
+
 void DigestExchange::receive()
 {
     socket_.async_receive_from(asio::buffer(buffer_), sender_,
@@ -263,7 +278,8 @@
         informStartedPeer();
         onPeerStarted();
     }
-    receivedAt_[digest->node] = std::chrono::steady_clock::now();
+    heard_[digest->node]
+        = { .receivedAt = std::chrono::steady_clock::now(), .linksLost = digest->linksLost };
     state_.notePeerConfiguration(digest->configurationVersion);
     freshness_.noteReceived(*digest, state_.outdatedConfigurationAge());
     const auto &configuration = state_.configuration();
--- a/Source/Gateway/DigestExchange.h
+++ b/Source/Gateway/DigestExchange.h
@@ -44,6 +44,9 @@
     [[nodiscard]] std::vector<std::string> liveNodes(Instant now) const;
     /// True if a digest arrived recently from each node that sends this one digests.
     [[nodiscard]] bool hearsAllPeers(Instant now) const;
+    /// Returns the nodes that send this one digests, from which one arrived recently and that have
+    /// not lost their links to the backend servers.
+    [[nodiscard]] std::vector<FleetNode> peersWithLinks(Instant now) const;
 
 private:
     void receive();
@@ -75,7 +78,13 @@
     std::vector<boost::asio::ip::udp::endpoint> peers_;
     /// Boot and sequence number of the newest digest of each peer.
     std::unordered_map<std::string, std::pair<std::uint64_t, std::uint64_t>> newest_;
-    std::unordered_map<std::string, Instant> receivedAt_;
+    /// When a digest of each peer arrived last, and whether that peer has lost its links.
+    struct PeerState
+    {
+        Instant receivedAt;
+        bool linksLost = false;
+    };
+    std::unordered_map<std::string, PeerState> heard_;
     std::array<char, DatagramBytes> buffer_ {};
     boost::asio::ip::udp::endpoint sender_;
 };
--- a/Source/Gateway/Exchange.h
+++ b/Source/Gateway/Exchange.h
@@ -121,6 +121,9 @@
     /// not the listed one, or if that is unknown while several software versions serve.
     [[nodiscard]] boost::asio::awaitable<bool> confirmProcess(Attempt &attempt,
                                                               bool severalVersions);
+    /// Records how opening the attempt's connection ended.
+    void noteConnectEnd(const Attempt &attempt, Instant began,
+                        const boost::system::error_code &error);
     /// Records that the attempt lost its connection, if the server is listed with the same start.
     void noteConnectionLost(const Attempt &attempt, AttemptResult end, bool sameStart);
     /// Receives the response, also from where an earlier call was interrupted.
--- a/Source/Gateway/ExchangeAttempt.cpp
+++ b/Source/Gateway/ExchangeAttempt.cpp
@@ -183,6 +183,7 @@
     const std::uint32_t found
         = std::max(attempt.placement.cachedPromptTokens, attempt.placement.tokensAfterFetch);
     state_.pool.noteSent(attempt.placement.server, placementRequest_, found, now);
+    state_.links.noteSent(now);
     state_.notifyPeersSoon();
     attempt.uncachedTokens
         = placementRequest_.promptTokens - std::min(placementRequest_.promptTokens, found);
@@ -239,7 +240,7 @@
             co_return failure(attempt, error);
         }
         attempt.silent = false;
-        state_.pool.noteReceived(attempt.placement.server, std::chrono::steady_clock::now());
+        state_.noteReceived(attempt.placement.server, std::chrono::steady_clock::now());
         attempt.responseFacts
             = platform::readResponseInfo(parser->get().base(), attempt.placement.server);
         // Without an id, only the first response on a connection certainly belongs to its request.
@@ -318,7 +319,7 @@
         if (!error) {
             attempt.silent = false;
             attempt.lastReceivedAt = std::chrono::steady_clock::now();
-            state_.pool.noteReceived(attempt.placement.server, attempt.lastReceivedAt);
+            state_.noteReceived(attempt.placement.server, attempt.lastReceivedAt);
         }
     }
     if (attempt.wasInterrupted(error)) {
@@ -400,7 +401,7 @@
         if (!error) {
             attempt.silent = false;
             attempt.lastReceivedAt = std::chrono::steady_clock::now();
-            state_.pool.noteReceived(attempt.placement.server, attempt.lastReceivedAt);
+            state_.noteReceived(attempt.placement.server, attempt.lastReceivedAt);
         }
         const std::size_t size = readBuffer.size() - parser.get().body().size;
         attempt.bodyReceived = attempt.bodyReceived || size > 0;
--- a/Source/Gateway/ExchangeConnect.cpp
+++ b/Source/Gateway/ExchangeConnect.cpp
@@ -48,8 +48,10 @@
     attempt->connection = std::make_unique<ServerConnection>(state_.context.get_executor());
     asio::ip::tcp::socket &socket = attempt->connection->socket;
     abortAt(attempt, now + std::min(ConnectTimeout, timeLeft(now)));
+    state_.links.noteConnecting(attempt->placement.server, now);
     error_code error;
     co_await socket.async_connect(*endpoint, asio::redirect_error(asio::use_awaitable, error));
+    noteConnectEnd(*attempt, now, error);
     if (error || attempt->timedOut || callerDisconnected_) {
         co_return false;
     }
@@ -65,6 +67,21 @@
     co_return confirmed && !attempt->timedOut && !callerDisconnected_;
 }
 
+void Exchange::noteConnectEnd(const Attempt &attempt, Instant began, const error_code &error)
+{
+    const ServerId &server = attempt.placement.server;
+    const Instant now = std::chrono::steady_clock::now();
+    // The caller left, or the request had less time.
+    const bool givenUp = error == asio::error::operation_aborted && now - began < ConnectTimeout;
+    if (!error) {
+        state_.links.noteConnected(server, now);
+    } else if (givenUp) {
+        state_.links.noteConnectAbandoned(server);
+    } else {
+        state_.links.noteConnectFailed(server, now);
+    }
+}
+
 void Exchange::noteConnectionLost(const Attempt &attempt, AttemptResult end, bool sameStart)
 {
     const bool lost = end == AttemptResult::NoResponse || end == AttemptResult::StreamBroken
--- a/Source/Gateway/Gateway.cpp
+++ b/Source/Gateway/Gateway.cpp
@@ -27,6 +27,7 @@
 #include "Gateway/CrashRecordSync.h"
 #include "Gateway/DigestExchange.h"
 #include "Gateway/EventLoop.h"
+#include "Gateway/LinkProbes.h"
 #include "Gateway/Listener.h"
 #include "Gateway/NodeRegistration.h"
 #include "Gateway/RelayServer.h"
@@ -171,6 +172,7 @@
         , streamVersions(controlContext, store, { .node = settings.name },
                          [this](const VersionTable &table) { onAdmittedVersions(table); })
         , digests(traffic, boot)
+        , linkProbes(traffic)
         , relay(controlContext, metrics)
         , registration(controlContext, store,
                        { .name = settings.name,
@@ -290,6 +292,7 @@
     CrashRecordSync crashRecords;
     StreamVersionSync streamVersions;
     DigestExchange digests;
+    LinkProbes linkProbes;
     RelayServer relay;
     NodeRegistration registration;
     RolloutDriver rollout;
@@ -381,6 +384,7 @@
             traffic.pool.resendCachedParts(id);
         }
     };
+    linkProbes.start();
     asio::co_spawn(trafficContext, acceptOnceListening(), logFailure("listener"));
     serveOnceListening(trafficContext, readiness, readinessAddress(), [this] {
         return serveStatus(
--- /dev/null
+++ b/Source/Gateway/LinkProbes.cpp
@@ -0,0 +1,70 @@
+#include "Gateway/LinkProbes.h"
+
+#include <utility>
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/use_awaitable.hpp>
+
+#include "Core/Endpoint.h"
+#include "Gateway/EventLoop.h"
+#include "Gateway/RestartingTask.h"
+
+namespace jacinthroad {
+
+namespace asio = boost::asio;
+using boost::system::error_code;
+
+namespace {
+
+/// Time after which a probe is given up.
+constexpr Duration ProbeTimeout = milliseconds(400);
+
+/// Opens a connection to a server and closes it.
+asio::awaitable<void> probe(TrafficState &state, ListedServer server)
+{
+    const auto endpoint = parseEndpoint(server.address);
+    if (!endpoint.has_value()) {
+        co_return;
+    }
+    asio::ip::tcp::socket socket(state.context);
+    DeadlineTimer limit(state.context);
+    limit.expireAfter(ProbeTimeout, [&socket] {
+        error_code ignored;
+        socket.close(ignored);
+    });
+    state.links.noteConnecting(server.id, std::chrono::steady_clock::now());
+    error_code error;
+    co_await socket.async_connect(*endpoint, asio::redirect_error(asio::use_awaitable, error));
+    const Instant now = std::chrono::steady_clock::now();
+    if (error) {
+        state.links.noteConnectFailed(server.id, now);
+    } else {
+        state.links.noteConnected(server.id, now);
+    }
+}
+
+} // namespace
+
+LinkProbes::LinkProbes(TrafficState &state)
+    : state_(state)
+    , timer_(state.context)
+{ }
+
+void LinkProbes::start()
+{
+    timer_.expireAfter(LinkHealth::UpdateInterval,
+                       [this] { runThen([this] { update(); }, [this] { start(); }); });
+}
+
+void LinkProbes::update()
+{
+    for (const ServerId &id : state_.links.update(std::chrono::steady_clock::now())) {
+        if (const ListedServer *server = state_.pool.listed(id)) {
+            asio::co_spawn(state_.context, probe(state_, *server), logFailure("link_probe"));
+        }
+    }
+}
+
+} // namespace jacinthroad
--- a/Source/Gateway/TrafficState.cpp
+++ b/Source/Gateway/TrafficState.cpp
@@ -1,6 +1,7 @@
 #include "Gateway/TrafficState.h"
 
 #include <algorithm>
+#include <map>
 
 #include "Core/Hashing.h"
 #include "Core/Log.h"
@@ -185,6 +186,7 @@
 
 void TrafficState::applyServers(const std::vector<ListedServer> &servers, Instant now)
 {
+    std::map<ServerId, ServiceId> services;
     for (auto &[id, present] : listedServers_) {
         present = false;
     }
@@ -197,6 +199,7 @@
             connections.forgetLost(server.id);
         }
         pool.applyServer(server, now);
+        services.emplace(server.id, server.service);
         crashDetector.noteListed(server);
     }
     for (auto entry = listedServers_.begin(); entry != listedServers_.end();) {
@@ -210,6 +213,7 @@
         connections.forgetLost(entry->first);
         entry = listedServers_.erase(entry);
     }
+    links.setServers(std::move(services));
     if (!serverListLoadedAt.has_value()) {
         serverListLoadedAt = now;
     }
@@ -237,6 +241,12 @@
     notifyPeersSoon();
 }
 
+void TrafficState::noteReceived(const ServerId &server, Instant now)
+{
+    pool.noteReceived(server, now);
+    links.noteReceived(server, now);
+}
+
 void TrafficState::noteCrash(const ServerId &server, const LostRequest &loss)
 {
     const Instant now = std::chrono::steady_clock::now();
--- a/Source/Gateway/TrafficState.h
+++ b/Source/Gateway/TrafficState.h
@@ -29,6 +29,7 @@
 #include "Gateway/GatewaySettings.h"
 #include "Gateway/StreamVersionGate.h"
 #include "Placement/AttemptBudget.h"
+#include "Placement/LinkHealth.h"
 #include "Placement/QueueLimit.h"
 #include "Placement/ServerPool.h"
 #include "Quarantine/CrashHistory.h"
@@ -96,6 +97,8 @@
     void applyServers(const std::vector<ListedServer> &servers, Instant now);
     /// Applies what a response stated about its server.
     void noteStatement(const ServerInstance &server, const ServerStatement &statement);
+    /// Records that data was received from a server.
+    void noteReceived(const ServerId &server, Instant now);
     /// Applies records of requests that were running on servers that crashed, from a peer or from
     /// the store.
     void mergeCrashes(std::span<const CrashRecord> records, Instant now);
@@ -109,6 +112,8 @@
     Freshness freshness;
     ServerPool pool;
     ConnectionPool connections;
+    /// Of this node to the backend servers.
+    LinkHealth links;
     AttemptBudget retryBudget;
     /// Memory for the bodies of requests and responses. Shared with the requests, which may outlive
     /// this object while the event loop is destroyed.
--- /dev/null
+++ b/Source/Placement/LinkHealth.h
@@ -0,0 +1,100 @@
+#pragma once
+
+#include <cstddef>
+#include <map>
+#include <optional>
+#include <vector>
+
+#include "Core/Ids.h"
+#include "Core/Time.h"
+
+namespace jacinthroad {
+
+/// Tells whether this node has lost its links to the backend servers as a whole, as opposed to
+/// servers that have failed. The links count as lost while servers of several services have
+/// accepted no connection and no other server has accepted one since. Connections that live on
+/// prove nothing, because new ones may fail all the same. Does no I/O; the caller passes the time
+/// and makes the probes that update() asks for, which find the servers that still accept
+/// connections, and the end of the loss.
+class LinkHealth
+{
+public:
+    struct Options
+    {
+        /// Time after which a connection that is not accepted yet counts as failed. Servers in the
+        /// same region accept one within a few milliseconds.
+        Duration connectTime = milliseconds(150);
+        /// Time without data from any server, while requests wait for some, after which probes are
+        /// made.
+        Duration silence = milliseconds(250);
+        /// How long a failed connection counts.
+        Duration evidenceLifetime = std::chrono::seconds(2);
+        /// Time between two rounds of probes.
+        Duration probeInterval = milliseconds(150);
+        /// Number of servers, and of services unless fewer are known, that must have failed. With
+        /// fewer servers a lost link can't be told from their failure.
+        std::size_t servers = 3;
+        std::size_t services = 3;
+        /// Maximum number of probes of a round before the links count as lost; one a round then.
+        std::size_t probesOfRound = 3;
+    };
+
+    /// Interval at which update() is to be called.
+    static constexpr Duration UpdateInterval = milliseconds(50);
+
+    LinkHealth() = default;
+    explicit LinkHealth(const Options &options)
+        : options_(options)
+    { }
+
+    /// Sets the listed servers and their services. Only these count, and are probed.
+    void setServers(std::map<ServerId, ServiceId> servers);
+    /// Records that a connection to a server is being opened. One of the next three calls follows.
+    void noteConnecting(const ServerId &server, Instant now);
+    void noteConnected(const ServerId &server, Instant now);
+    void noteConnectFailed(const ServerId &server, Instant now);
+    /// Records that an attempt to connect was given up, which proves nothing.
+    void noteConnectAbandoned(const ServerId &server);
+    /// Records that a request was sent, for which a server is to send data.
+    void noteSent(Instant now);
+    /// Records data from a server.
+    void noteReceived(const ServerId &server, Instant now);
+
+    /// Judges the connections that are being opened, and returns the servers to be probed now by
+    /// opening a connection, which is to be reported as any other. To be called at UpdateInterval;
+    /// a longer interval, as after a stall of the calling thread, proves nothing.
+    [[nodiscard]] std::vector<ServerId> update(Instant now);
+
+    /// True if this node has lost its links to the servers as a whole.
+    [[nodiscard]] bool lost(Instant now) const;
+    /// Number of servers that have failed to accept a connection recently.
+    [[nodiscard]] std::size_t failedServers(Instant now) const;
+
+private:
+    struct Listed
+    {
+        ServiceId service;
+        /// Connections that are being opened, and the begin of the oldest one that counts.
+        unsigned connecting = 0;
+        std::optional<Instant> connectingSince;
+        /// When a connection failed last, unless a server has accepted one since.
+        std::optional<Instant> failedAt;
+        std::optional<Instant> probedAt;
+        std::optional<Instant> receivedAt;
+    };
+
+    [[nodiscard]] Listed *find(const ServerId &server);
+    [[nodiscard]] bool hasFailed(const Listed &server, Instant now) const;
+    static void endAttempt(Listed &server);
+    /// Returns the servers that are worth a probe, the best ones first.
+    [[nodiscard]] std::vector<std::map<ServerId, Listed>::iterator> probeOrder(Instant now);
+
+    Options options_;
+    std::map<ServerId, Listed> servers_;
+    /// When the first of the requests was sent for which no data has arrived.
+    std::optional<Instant> waitingSince_;
+    std::optional<Instant> updatedAt_;
+    std::optional<Instant> probedAt_;
+};
+
+} // namespace jacinthroad
