--- a/Source/Gateway/LinkProbes.cpp
+++ b/Source/Gateway/LinkProbes.cpp
@@ -1,6 +1,8 @@
 #include "Gateway/LinkProbes.h"
 
+#include <cstdint>
 #include <utility>
+#include <vector>
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/ip/tcp.hpp>
@@ -8,6 +10,7 @@
 #include <boost/asio/use_awaitable.hpp>
 
 #include "Core/Endpoint.h"
+#include "Core/Log.h"
 #include "Gateway/EventLoop.h"
 #include "Gateway/RestartingTask.h"
 
@@ -60,11 +63,35 @@
 
 void LinkProbes::update()
 {
-    for (const ServerId &id : state_.links.update(std::chrono::steady_clock::now())) {
+    const Instant now = std::chrono::steady_clock::now();
+    const std::vector<ServerId> probes = state_.links.update(now);
+    noteChange(now);
+    for (const ServerId &id : probes) {
         if (const ListedServer *server = state_.pool.listed(id)) {
             asio::co_spawn(state_.context, probe(state_, *server), logFailure("link_probe"));
         }
     }
 }
 
+void LinkProbes::noteChange(Instant now)
+{
+    const bool lost = state_.links.lost(now);
+    if (lost == lostAt_.has_value()) {
+        return;
+    }
+    if (lost) {
+        lostAt_ = now;
+        logLine(LogLevel::Warning, "links_lost",
+                { { "failed_servers", static_cast<std::int64_t>(state_.links.failedServers(now)) },
+                  { "listed_servers", static_cast<std::int64_t>(state_.links.listedServers()) },
+                  { "reason", "no backend server accepts connections of this node" },
+                  { "remedy", "Check the network between this node and the backend servers." } });
+    } else {
+        logLine(LogLevel::Info, "links_restored",
+                { { "lost_ms", toMilliseconds(now - *lostAt_) } });
+        lostAt_.reset();
+    }
+    state_.notifyPeersSoon();
+}
+
 } // namespace jacinthroad
--- a/Source/Gateway/LinkProbes.h
+++ b/Source/Gateway/LinkProbes.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include <optional>
+
 #include "Gateway/DeadlineTimer.h"
 #include "Gateway/TrafficState.h"
 
@@ -16,9 +18,13 @@
 
 private:
     void update();
+    /// Logs when the links were lost or regained.
+    void noteChange(Instant now);
 
     TrafficState &state_;
     DeadlineTimer timer_;
+    /// When the links were found to be lost; nothing while this node has some.
+    std::optional<Instant> lostAt_;
 };
 
 } // namespace jacinthroad
--- a/Source/Gateway/TrafficState.cpp
+++ b/Source/Gateway/TrafficState.cpp
@@ -78,6 +78,9 @@
     , stopSchedule(settings.stopGrace)
     , currentSettings_(settings)
 {
+    pool.onSuspended = [this](const Suspension &suspension, Instant now) {
+        suspensionLog_.note(suspension, now);
+    };
     crashDetector.onCrash
         = [this](const ServerId &server, const LostRequest &loss) { noteCrash(server, loss); };
 }
--- a/Source/Gateway/TrafficState.h
+++ b/Source/Gateway/TrafficState.h
@@ -28,6 +28,7 @@
 #include "Gateway/GatewayMetrics.h"
 #include "Gateway/GatewaySettings.h"
 #include "Gateway/StreamVersionGate.h"
+#include "Gateway/SuspensionLog.h"
 #include "Placement/AttemptBudget.h"
 #include "Placement/LinkHealth.h"
 #include "Placement/QueueLimit.h"
@@ -190,6 +191,7 @@
     /// The versions for which the node has logged that the store or this node lacks them.
     std::uint64_t loggedOlderVersion_ = 0;
     std::uint64_t loggedPeerVersion_ = 0;
+    SuspensionLog suspensionLog_;
     std::unordered_map<ServerId, bool> listedServers_;
     /// By name of the route.
     std::unordered_map<std::string, UsualDuration> usualDurations_;
--- a/Source/Placement/LinkHealth.h
+++ b/Source/Placement/LinkHealth.h
@@ -69,6 +69,7 @@
     [[nodiscard]] bool lost(Instant now) const;
     /// Number of servers that have failed to accept a connection recently.
     [[nodiscard]] std::size_t failedServers(Instant now) const;
+    [[nodiscard]] std::size_t listedServers() const { return servers_.size(); }
 
 private:
     struct Listed
--- a/Source/Placement/ServerPool.cpp
+++ b/Source/Placement/ServerPool.cpp
@@ -319,17 +319,18 @@
     server.inFlight -= server.inFlight > 0 ? 1 : 0;
     server.pendingPrefillTokens
         -= std::min<std::uint64_t>(server.pendingPrefillTokens, unprefilledTokens);
-    applyOutcome(server, outcome, now);
+    applyOutcome(server, outcome, SuspensionCause::ConnectionLost, now);
 }
 
 void ServerPool::noteUnreachable(const ServerId &id, Instant now)
 {
     if (Server *server = find(id)) {
-        applyOutcome(*server, AttemptOutcome::Unreachable, now);
+        applyOutcome(*server, AttemptOutcome::Unreachable, SuspensionCause::NotConnected, now);
     }
 }
 
-void ServerPool::applyOutcome(Server &server, AttemptOutcome outcome, Instant now)
+void ServerPool::applyOutcome(Server &server, AttemptOutcome outcome, SuspensionCause cause,
+                              Instant now)
 {
     switch (outcome) {
     case AttemptOutcome::Served:
@@ -341,12 +342,18 @@
     case AttemptOutcome::Failed:
         if (++server.failures >= FailuresToSuspend) {
             server.suspendedUntil = now + FirstSuspension;
+            onSuspended({ .server = server.facts.id,
+                          .cause = SuspensionCause::Failed,
+                          .time = FirstSuspension },
+                        now);
         }
         break;
     case AttemptOutcome::Unreachable: {
         const unsigned doublings = std::min(server.failures++, MaxDoublings);
         server.suspendedUntil = now + std::min(MaxSuspension, FirstSuspension * (1U << doublings));
         server.avoidedUntil = server.suspendedUntil;
+        onSuspended(
+            { .server = server.facts.id, .cause = cause, .time = server.avoidedUntil - now }, now);
         break;
     }
     case AttemptOutcome::Abandoned:
--- a/Source/Placement/ServerPool.h
+++ b/Source/Placement/ServerPool.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <cstdint>
+#include <functional>
 #include <limits>
 #include <map>
 #include <optional>
@@ -118,6 +119,28 @@
     Abandoned,
 };
 
+/// On what evidence a server gets no requests for a while.
+enum class SuspensionCause : std::uint8_t {
+    /// This node could not connect to it.
+    NotConnected,
+    /// It ended a connection without a response, or runs under another name.
+    ConnectionLost,
+    /// Several requests in a row failed on it.
+    Failed,
+    /// A peer, or another zone, avoids it.
+    PeerReport,
+};
+
+/// A server that gets no requests for `time`.
+struct Suspension
+{
+    ServerId server;
+    SuspensionCause cause = SuspensionCause::NotConnected;
+    /// The peer that reported it; empty without one.
+    std::string_view peer;
+    Duration time {};
+};
+
 /// Whose load a peer's update reports.
 enum class PeerScope : std::uint8_t {
     /// That of one node.
@@ -177,6 +200,10 @@
 
     explicit ServerPool(const Options &options);
 
+    /// Called when a server is suspended, or its suspension lasts longer.
+    std::function<void(const Suspension &, Instant now)> onSuspended
+        = [](const Suspension &, Instant) {};
+
     /// Applies the services of a new configuration.
     void applyServices(std::span<const ServiceDefinition> services);
     /// Adds or updates a server as the platform lists it now.
@@ -375,7 +402,7 @@
     /// Returns the shared parts under each version that a server of the service runs.
     [[nodiscard]] std::map<WeightsVersion, VersionParts>
     versionParts(const PlacementRequest &request, Instant now) const;
-    static void applyOutcome(Server &server, AttemptOutcome outcome, Instant now);
+    void applyOutcome(Server &server, AttemptOutcome outcome, SuspensionCause cause, Instant now);
     [[nodiscard]] static WeightsVersion weightsOf(const Server &server, const ModelId &model);
     /// The expected cost of a request on one server, in milliseconds.
     struct Cost
--- a/Source/Placement/ServerPoolPeers.cpp
+++ b/Source/Placement/ServerPoolPeers.cpp
@@ -117,9 +117,14 @@
                 server.limitChangedAt = now;
             }
         }
-        if (update.avoidMs > 0) {
-            server.suspendedUntil
-                = std::max(server.suspendedUntil, now + milliseconds(update.avoidMs));
+        if (const Duration avoid = milliseconds(update.avoidMs);
+            update.avoidMs > 0 && server.suspendedUntil < now + avoid) {
+            server.suspendedUntil = now + avoid;
+            onSuspended({ .server = update.server,
+                          .cause = SuspensionCause::PeerReport,
+                          .peer = peer,
+                          .time = avoid },
+                        now);
         }
         if (update.cordonedForMs > 0) {
             cordonForLoad(update.server, update.model, update.weights,
--- a/Tests/Placement/ServerPoolTest.cpp
+++ b/Tests/Placement/ServerPoolTest.cpp
@@ -566,6 +566,25 @@
     }
 }
 
+BOOST_AUTO_TEST_CASE(suspensionsNameTheirEvidence)
+{
+    ServerPool pool = poolOf({ engine("a"), engine("b") });
+    std::vector<std::string> suspensions;
+    pool.onSuspended = [&](const Suspension &suspension, Instant) {
+        suspensions.push_back(suspension.server.text() + " "
+                              + std::to_string(static_cast<int>(suspension.cause)) + " "
+                              + std::string(suspension.peer));
+    };
+    const std::vector<ServerUpdate> updates { { .server = ServerId("b"), .avoidMs = 500 } };
+    pool.noteUnreachable(ServerId("a"), at(0));
+    pool.applyPeer("peer", updates, at(1));
+    const std::vector<std::string> expected {
+        "a " + std::to_string(static_cast<int>(SuspensionCause::NotConnected)) + " ",
+        "b " + std::to_string(static_cast<int>(SuspensionCause::PeerReport)) + " peer"
+    };
+    BOOST_TEST(suspensions == expected, boost::test_tools::per_element());
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace jacinthroad
