Placement: Keep what a node learns of its own link apart from what it learns of servers

A node reports a server as unreachable only after another connection has proven its links, and reports neither that nor loads nor silence while they are lost; receivers drop what such a node reported before. A report is outweighed by data from the server within 500 ms before it, or by fresh data that another peer reports, which covers nodes of older builds. Servers that leave or are no longer listed are told apart by their longer time (more than MaxUnreachableMs) and are still avoided by all. When the links are back, no server stays suspended for what failed meanwhile.

--- a/Source/FleetPeers/NodeDigest.h
+++ b/Source/FleetPeers/NodeDigest.h
@@ -23,6 +23,10 @@
 /// Age in an update that says nothing about a limit; small, since most updates contain it.
 constexpr std::uint32_t NoLimitReport = 0;
 
+/// Longest time for which a node avoids a server that it could not reach, ms. A longer time is that
+/// of a server that is leaving or no longer listed.
+constexpr std::uint32_t MaxUnreachableMs = 2000;
+
 /// State of one backend server as reported by a node to its peers.
 struct ServerUpdate
 {
@@ -37,7 +41,8 @@
     WeightsVersion weights = 0;
     /// Time in ms since the server last sent data to this node, which has requests on it.
     std::uint32_t unresponsiveMs = 0;
-    /// Time in ms for which this node avoids the server because it could not be reached.
+    /// Time in ms for which this node avoids the server: because it could not be reached, or if
+    /// longer than MaxUnreachableMs because it is leaving or no longer listed.
     std::uint32_t avoidMs = 0;
     /// Time in ms for which the server is cordoned; 0 if it accepts new work.
     std::uint32_t cordonedForMs = 0;
--- a/Source/Gateway/DigestExchange.cpp
+++ b/Source/Gateway/DigestExchange.cpp
@@ -220,6 +220,18 @@
     return liveNodes(now).size() > peers_.size();
 }
 
+std::vector<std::string> DigestExchange::liveNodesWithLinks(Instant now) const
+{
+    std::vector<std::string> names;
+    if (!state_.links.lost(now)) {
+        names.push_back(state_.settings.name);
+    }
+    for (const FleetNode &node : peersWithLinks(now)) {
+        names.push_back(node.name);
+    }
+    return names.empty() ? liveNodes(now) : names;
+}
+
 std::vector<FleetNode> DigestExchange::peersWithLinks(Instant now) const
 {
     const Duration timeout = nodeTimeout(peers_.size());
@@ -293,7 +305,8 @@
     }
     state_.pool.applyDesiredWeightsAges(digest->desiredWeights, std::chrono::steady_clock::now());
     state_.mergeCrashes(digest->crashes, std::chrono::steady_clock::now());
-    state_.pool.applyPeer(digest->node, digest->servers, std::chrono::steady_clock::now());
+    state_.pool.applyPeer(digest->node, digest->servers, std::chrono::steady_clock::now(),
+                          digest->linksLost ? PeerScope::NodeWithoutLinks : PeerScope::Node);
 }
 
 void DigestExchange::applySummary(const NodeDigest &summary)
--- a/Source/Gateway/DigestExchange.h
+++ b/Source/Gateway/DigestExchange.h
@@ -42,6 +42,8 @@
     std::function<void()> onPeerStarted = [] {};
     /// Names of the nodes from which a digest arrived recently, and of this node.
     [[nodiscard]] std::vector<std::string> liveNodes(Instant now) const;
+    /// The same without nodes that have lost their links to the backend servers, unless all have.
+    [[nodiscard]] std::vector<std::string> liveNodesWithLinks(Instant now) const;
     /// True if a digest arrived recently from each node that sends this one digests.
     [[nodiscard]] bool hearsAllPeers(Instant now) const;
     /// Returns the nodes that send this one digests, from which one arrived recently and that have
--- a/Source/Gateway/LinkProbes.cpp
+++ b/Source/Gateway/LinkProbes.cpp
@@ -44,7 +44,7 @@
     if (error) {
         state.links.noteConnectFailed(server.id, now);
     } else {
-        state.links.noteConnected(server.id, now);
+        state.noteConnected(server.id, now);
     }
 }
 
@@ -79,6 +79,7 @@
     if (lost == lostAt_.has_value()) {
         return;
     }
+    state_.pool.setLinksLost(lost);
     if (lost) {
         lostAt_ = now;
         logLine(LogLevel::Warning, "links_lost",
--- a/Source/Gateway/SuspensionLog.cpp
+++ b/Source/Gateway/SuspensionLog.cpp
@@ -15,6 +15,8 @@
         return "connection_lost";
     case SuspensionCause::Failed:
         return "failed_responses";
+    case SuspensionCause::Leaving:
+        return "leaving";
     case SuspensionCause::PeerReport:
         return "peer_report";
     }
--- a/Source/Gateway/TrafficState.cpp
+++ b/Source/Gateway/TrafficState.cpp
@@ -244,6 +244,12 @@
     notifyPeersSoon();
 }
 
+void TrafficState::noteConnected(const ServerId &server, Instant now)
+{
+    links.noteConnected(server, now);
+    pool.noteConnected(server, now);
+}
+
 void TrafficState::noteReceived(const ServerId &server, Instant now)
 {
     pool.noteReceived(server, now);
--- a/Source/Gateway/TrafficState.h
+++ b/Source/Gateway/TrafficState.h
@@ -98,6 +98,8 @@
     void applyServers(const std::vector<ListedServer> &servers, Instant now);
     /// Applies what a response stated about its server.
     void noteStatement(const ServerInstance &server, const ServerStatement &statement);
+    /// Records that a server has accepted a connection of this node.
+    void noteConnected(const ServerId &server, Instant now);
     /// Records that data was received from a server.
     void noteReceived(const ServerId &server, Instant now);
     /// Applies records of requests that were running on servers that crashed, from a peer or from
--- a/Source/Placement/ServerPool.cpp
+++ b/Source/Placement/ServerPool.cpp
@@ -10,7 +10,7 @@
 
 /// Suspension after a server could not be reached; doubles with each consecutive failure.
 constexpr Duration FirstSuspension = milliseconds(250);
-constexpr Duration MaxSuspension = std::chrono::seconds(2);
+constexpr Duration MaxSuspension = milliseconds(MaxUnreachableMs);
 constexpr unsigned MaxDoublings = 3;
 /// Consecutive failed requests after which a server is suspended.
 constexpr unsigned FailuresToSuspend = 3;
@@ -83,8 +83,6 @@
         Server server { .facts = facts,
                         .hash = hash64(facts.id.text()),
                         .cache = CachedPartSet(cacheCapacity(facts.service)) };
-        server.suspendedUntil = now;
-        server.avoidedUntil = now;
         server.lastReceivedAt = now;
         server.cordonedUntil = now;
         server.listedAt = now;
@@ -262,9 +260,29 @@
 {
     if (Server *server = find(id)) {
         server->lastReceivedAt = now;
+        server->reachedAt = now;
     }
 }
 
+void ServerPool::noteConnected(const ServerId &id, Instant now)
+{
+    linksProvenAt_ = now;
+    if (Server *server = find(id)) {
+        server->reachedAt = now;
+    }
+}
+
+void ServerPool::setLinksLost(bool lost)
+{
+    if (linksLost_ && !lost) {
+        for (auto &[id, server] : servers_) {
+            server.failures = 0;
+            server.avoidedUntil = {};
+        }
+    }
+    linksLost_ = lost;
+}
+
 void ServerPool::noteSent(const ServerId &id, const PlacementRequest &request,
                           std::uint32_t cachedPromptTokens, Instant now)
 {
@@ -337,11 +355,11 @@
         server.failures = 0;
         break;
     case AttemptOutcome::Rejected:
-        server.suspendedUntil = std::max(server.suspendedUntil, now + RejectionPause);
+        server.pausedUntil = std::max(server.pausedUntil, now + RejectionPause);
         break;
     case AttemptOutcome::Failed:
         if (++server.failures >= FailuresToSuspend) {
-            server.suspendedUntil = now + FirstSuspension;
+            server.pausedUntil = std::max(server.pausedUntil, now + FirstSuspension);
             onSuspended({ .server = server.facts.id,
                           .cause = SuspensionCause::Failed,
                           .time = FirstSuspension },
@@ -350,8 +368,9 @@
         break;
     case AttemptOutcome::Unreachable: {
         const unsigned doublings = std::min(server.failures++, MaxDoublings);
-        server.suspendedUntil = now + std::min(MaxSuspension, FirstSuspension * (1U << doublings));
-        server.avoidedUntil = server.suspendedUntil;
+        server.unreachableAt = now;
+        server.avoidedUntil = now + std::min(MaxSuspension, FirstSuspension * (1U << doublings));
+        server.reachedAt.reset();
         onSuspended(
             { .server = server.facts.id, .cause = cause, .time = server.avoidedUntil - now }, now);
         break;
--- a/Source/Placement/ServerPool.h
+++ b/Source/Placement/ServerPool.h
@@ -127,8 +127,10 @@
     ConnectionLost,
     /// Several requests in a row failed on it.
     Failed,
-    /// A peer, or another zone, avoids it.
+    /// A peer, or another zone, could not reach it.
     PeerReport,
+    /// A peer, or another zone, knows that it is leaving or no longer listed.
+    Leaving,
 };
 
 /// A server that gets no requests for `time`.
@@ -145,6 +147,9 @@
 enum class PeerScope : std::uint8_t {
     /// That of one node.
     Node,
+    /// That of one node that has lost its links to the servers, whose reports of loads, silence and
+    /// unreachable servers say nothing about the servers.
+    NodeWithoutLinks,
     /// The sum over the nodes of another availability zone.
     Zone,
 };
@@ -269,6 +274,12 @@
     /// `weights`: the prefill of its `prefilledTokens` is complete.
     void noteFirstByte(const ServerId &id, const PlacementRequest &request,
                        std::optional<WeightsVersion> weights, std::uint32_t prefilledTokens);
+    /// Records that a server has accepted a connection, which proves the links of this node.
+    void noteConnected(const ServerId &id, Instant now);
+    /// Sets whether this node has lost its links to the servers as a whole. Meanwhile it reports
+    /// nothing that it finds out about its link; at the end no server stays suspended because of
+    /// that.
+    void setLinksLost(bool lost);
     /// Records that a server could not be reached, so that nothing was sent to it.
     void noteUnreachable(const ServerId &id, Instant now);
     /// Records the end of a request that was sent. `unprefilledTokens` are the tokens that
@@ -293,6 +304,8 @@
         unsigned inFlight = 0;
         std::uint32_t pendingPrefillTokens = 0;
         std::uint32_t silentMs = 0;
+        /// End of the time for which the peer avoids a server that it could not reach.
+        Instant unreachableUntil;
         Instant at;
         PeerScope scope = PeerScope::Node;
     };
@@ -311,9 +324,18 @@
         Instant limitChangedAt;
         unsigned inFlightAtLoad = 0;
         unsigned failures = 0;
-        Instant suspendedUntil;
-        /// End of the suspension that this node decided itself and reports to peers.
+        /// End of the pause after requests that it rejected or that failed on it.
+        Instant pausedUntil;
+        /// When this node could not reach it, and the end of the suspension for that.
+        Instant unreachableAt;
         Instant avoidedUntil;
+        /// End of the suspensions that peers reported: because it is leaving or no longer listed,
+        /// and the latest one because they could not reach it.
+        Instant leavingUntil;
+        Instant unreachableForPeersUntil;
+        /// When it last sent data to this node or accepted a connection, unless this node could not
+        /// reach it since.
+        std::optional<Instant> reachedAt;
         /// When data was last received, or when the first of the current requests was sent.
         Instant lastReceivedAt;
         /// Weights that it is to load; it is cordoned until `cordonedUntil` for it.
@@ -348,12 +370,23 @@
     [[nodiscard]] bool outdatedWeightsExpired(const Server &server, const ModelId &model,
                                               Instant now) const;
     [[nodiscard]] bool unresponsive(const Server &server, Instant now) const;
+    void applyPeerLoad(Server &server, const std::string &peer, const ServerUpdate &update,
+                       Instant now, PeerScope scope);
+    void noteLeaving(Server &server, const std::string &peer, const ServerUpdate &update,
+                     Instant now);
+    /// Returns true while a server gets no requests after failures, or because of what peers
+    /// report.
+    [[nodiscard]] static bool suspended(const Server &server, Instant now);
+    /// Returns until when peers avoid a server that they could not reach, as far as nothing speaks
+    /// against it: fresh data for this node or for another peer outweighs the report of a peer,
+    /// whose own link may be to blame.
+    [[nodiscard]] static Instant unreachableUntil(const Server &server, Instant now);
     /// What this node reports about a server, without prompt parts.
-    [[nodiscard]] static ServerUpdate updateWithoutParts(const ServerId &id, const Server &server,
-                                                         Instant now);
+    [[nodiscard]] ServerUpdate updateWithoutParts(const ServerId &id, const Server &server,
+                                                  Instant now) const;
     /// The same summed over this node and the nodes that report to it.
-    [[nodiscard]] static ServerUpdate summaryUpdate(const ServerId &id, const Server &server,
-                                                    Instant now);
+    [[nodiscard]] ServerUpdate summaryUpdate(const ServerId &id, const Server &server,
+                                             Instant now) const;
     /// Encoded size of an update without its parts, as an upper estimate.
     [[nodiscard]] static std::size_t encodedSizeWithoutParts(const ServerUpdate &update);
     /// Age from which the report of a node is left out of summaries.
@@ -443,6 +476,9 @@
     /// Keyed by the name of the service.
     std::map<ServerId, CacheStore> stores_;
     DesiredWeightsHistory desiredWeights_;
+    /// When a server last accepted a connection of this node.
+    Instant linksProvenAt_;
+    bool linksLost_ = false;
     /// Counts the calls of takeServerUpdates().
     std::uint64_t updateRound_ = 0;
 };
--- a/Source/Placement/ServerPoolPeers.cpp
+++ b/Source/Placement/ServerPoolPeers.cpp
@@ -10,6 +10,13 @@
 /// How long peers avoid a server that is leaving or no longer listed, ms: until they have read the
 /// new list themselves.
 constexpr std::uint32_t LeavingAvoidMs = 3000;
+static_assert(LeavingAvoidMs > MaxUnreachableMs);
+
+/// Age of data up to which it outweighs a peer's report that the server can't be reached, and the
+/// same for data that another peer reports. A server that fails silently is noticed that much
+/// later.
+constexpr Duration FreshEvidenceAge = milliseconds(500);
+constexpr Duration FreshPeerEvidenceAge = milliseconds(250);
 
 void applyParts(CachedPartSet &cache, const ServerUpdate &update)
 {
@@ -88,9 +95,82 @@
     return desiredWeights_.ages(now);
 }
 
+void ServerPool::noteLeaving(Server &server, const std::string &peer, const ServerUpdate &update,
+                             Instant now)
+{
+    const Duration avoid = milliseconds(update.avoidMs);
+    if (server.leavingUntil < now + avoid) {
+        server.leavingUntil = now + avoid;
+        onSuspended({ .server = server.facts.id,
+                      .cause = SuspensionCause::Leaving,
+                      .peer = peer,
+                      .time = avoid },
+                    now);
+    }
+}
+
+void ServerPool::applyPeerLoad(Server &server, const std::string &peer, const ServerUpdate &update,
+                               Instant now, PeerScope scope)
+{
+    PeerLoad &load = server.peers[peer];
+    load = { .inFlight = update.inFlight,
+             .pendingPrefillTokens = update.pendingPrefillTokens,
+             .silentMs = update.unresponsiveMs,
+             .at = now,
+             .scope = scope };
+    if (update.avoidMs == 0 || update.avoidMs > MaxUnreachableMs) {
+        return;
+    }
+    load.unreachableUntil = now + milliseconds(update.avoidMs);
+    server.unreachableForPeersUntil
+        = std::max(server.unreachableForPeersUntil, load.unreachableUntil);
+    if (const Instant until = unreachableUntil(server, now); until > now) {
+        onSuspended({ .server = server.facts.id,
+                      .cause = SuspensionCause::PeerReport,
+                      .peer = peer,
+                      .time = until - now },
+                    now);
+    }
+}
+
+Instant ServerPool::unreachableUntil(const Server &server, Instant now)
+{
+    Instant until;
+    if (server.unreachableForPeersUntil <= now) {
+        return until;
+    }
+    const auto reachedBy = [&](const PeerLoad &other) {
+        return other.scope == PeerScope::Node && other.inFlight > 0 && other.unreachableUntil <= now
+            && milliseconds(other.silentMs) + (now - other.at) < FreshPeerEvidenceAge;
+    };
+    const bool peerReaches
+        = std::any_of(server.peers.begin(), server.peers.end(),
+                      [&](const auto &entry) { return reachedBy(entry.second); });
+    for (const auto &[peer, report] : server.peers) {
+        const bool reachedSince
+            = server.reachedAt.has_value() && report.at - *server.reachedAt < FreshEvidenceAge;
+        if (!peerReaches && !reachedSince) {
+            until = std::max(until, report.unreachableUntil);
+        }
+    }
+    return until;
+}
+
+bool ServerPool::suspended(const Server &server, Instant now)
+{
+    return server.pausedUntil > now || server.avoidedUntil > now || server.leavingUntil > now
+        || unreachableUntil(server, now) > now;
+}
+
 void ServerPool::applyPeer(const std::string &peer, std::span<const ServerUpdate> updates,
                            Instant now, PeerScope scope)
 {
+    const bool withoutLinks = scope == PeerScope::NodeWithoutLinks;
+    if (withoutLinks) {
+        for (auto &[id, server] : servers_) {
+            server.peers.erase(peer);
+        }
+    }
     for (const ServerUpdate &update : updates) {
         if (const auto cacheStore = stores_.find(update.server); cacheStore != stores_.end()) {
             applyParts(cacheStore->second.cache, update);
@@ -101,11 +181,12 @@
             continue;
         }
         Server &server = *found;
-        server.peers[peer] = { .inFlight = update.inFlight,
-                               .pendingPrefillTokens = update.pendingPrefillTokens,
-                               .silentMs = update.unresponsiveMs,
-                               .at = now,
-                               .scope = scope };
+        if (!withoutLinks) {
+            applyPeerLoad(server, peer, update, now, scope);
+        }
+        if (update.avoidMs > MaxUnreachableMs) {
+            noteLeaving(server, peer, update, now);
+        }
         if (update.limitAgeMs != NoLimitReport) {
             const Instant observedAt = now - milliseconds(update.limitAgeMs);
             const std::optional<double> limit = update.limitPerThousandSeconds > 0
@@ -117,15 +198,6 @@
                 server.limitChangedAt = now;
             }
         }
-        if (const Duration avoid = milliseconds(update.avoidMs);
-            update.avoidMs > 0 && server.suspendedUntil < now + avoid) {
-            server.suspendedUntil = now + avoid;
-            onSuspended({ .server = update.server,
-                          .cause = SuspensionCause::PeerReport,
-                          .peer = peer,
-                          .time = avoid },
-                        now);
-        }
         if (update.cordonedForMs > 0) {
             cordonForLoad(update.server, update.model, update.weights,
                           now + milliseconds(update.cordonedForMs));
@@ -180,16 +252,21 @@
     return relevant && now - *server.statements.limit().observedAt() < LimitReportTime;
 }
 
-ServerUpdate ServerPool::updateWithoutParts(const ServerId &id, const Server &server, Instant now)
+ServerUpdate ServerPool::updateWithoutParts(const ServerId &id, const Server &server,
+                                            Instant now) const
 {
-    ServerUpdate update { .server = id,
-                          .inFlight = server.inFlight,
-                          .pendingPrefillTokens
-                          = static_cast<std::uint32_t>(server.pendingPrefillTokens) };
-    if (server.inFlight > 0) {
-        update.unresponsiveMs = wholeMilliseconds(now - server.lastReceivedAt);
+    ServerUpdate update { .server = id };
+    if (!linksLost_) {
+        update.inFlight = server.inFlight;
+        update.pendingPrefillTokens = static_cast<std::uint32_t>(server.pendingPrefillTokens);
+        if (server.inFlight > 0) {
+            update.unresponsiveMs = wholeMilliseconds(now - server.lastReceivedAt);
+        }
+        // Before another connection succeeds, the link of this node may be to blame.
+        if (linksProvenAt_ > server.unreachableAt) {
+            update.avoidMs = wholeMilliseconds(server.avoidedUntil - now);
+        }
     }
-    update.avoidMs = wholeMilliseconds(server.avoidedUntil - now);
     if (hasLimitNews(server, now)) {
         update.limitPerThousandSeconds = static_cast<std::uint32_t>(std::min(
             server.statements.limit().perSecond().value_or(0) * 1000, MaxLimitPerThousandSeconds));
--- a/Source/Placement/ServerPoolPlacement.cpp
+++ b/Source/Placement/ServerPoolPlacement.cpp
@@ -177,8 +177,8 @@
             version->second.parts = cachedParts(weights, request);
         }
         // A cordoned server may be loading, so its cached parts may belong to other weights.
-        const bool available = server.suspendedUntil <= now && server.cordonedUntil <= now
-            && !unresponsive(server, now);
+        const bool available
+            = !suspended(server, now) && server.cordonedUntil <= now && !unresponsive(server, now);
         if (!available) {
             continue;
         }
@@ -287,7 +287,7 @@
             }
             continue;
         }
-        if (server.suspendedUntil > now) {
+        if (suspended(server, now)) {
             continue;
         }
         available.push_back(&server);
--- a/Source/Placement/ServerPoolSummary.cpp
+++ b/Source/Placement/ServerPoolSummary.cpp
@@ -10,10 +10,11 @@
     return "zone/" + std::string(zone);
 }
 
-ServerUpdate ServerPool::summaryUpdate(const ServerId &id, const Server &server, Instant now)
+ServerUpdate ServerPool::summaryUpdate(const ServerId &id, const Server &server, Instant now) const
 {
     ServerUpdate update = updateWithoutParts(id, server, now);
-    update.avoidMs = std::max(update.avoidMs, wholeMilliseconds(server.suspendedUntil - now));
+    const Instant avoidedUntil = std::max(server.leavingUntil, unreachableUntil(server, now));
+    update.avoidMs = std::max(update.avoidMs, wholeMilliseconds(avoidedUntil - now));
     for (const auto &[peer, load] : server.peers) {
         if (load.scope != PeerScope::Node || now - load.at >= SummarizedReportLifetime) {
             continue;
--- a/Tests/Placement/ServerPoolTest.cpp
+++ b/Tests/Placement/ServerPoolTest.cpp
@@ -1,3 +1,4 @@
+#include <algorithm>
 #include <map>
 #include <set>
 #include <string>
@@ -566,8 +567,7 @@
     }
 }
 
-BOOST_AUTO_TEST_CASE(peerThatCannotConnectTakesNoServerThatHasJustSentData,
-                     *boost::unit_test::disabled())
+BOOST_AUTO_TEST_CASE(peerThatCannotConnectTakesNoServerThatHasJustSentData)
 {
     ServerPool pool = poolOf({ engine("a"), engine("b"), engine("c") });
     const PlacementRequest request { .service = Engines, .model = Model, .promptTokens = 500 };
@@ -582,6 +582,101 @@
     }
 }
 
+BOOST_AUTO_TEST_CASE(peerThatHasDataOfAServerOutweighsOneThatCannotConnect)
+{
+    ServerPool pool = poolOf({ engine("a"), engine("b") });
+    const PlacementRequest request { .service = Engines, .model = Model, .promptTokens = 500 };
+    const std::vector<ServerUpdate> sound {
+        { .server = ServerId("a"), .inFlight = 1, .unresponsiveMs = 20 }
+    };
+    const std::vector<ServerUpdate> avoiding { { .server = ServerId("a"), .avoidMs = 500 } };
+    pool.applyPeer("sound", sound, at(0));
+    pool.applyPeer("cut", avoiding, at(10));
+    BOOST_TEST(chosen(pool, request, at(20)).candidates == 2U);
+    // Nor does the sound one have any data for long.
+    BOOST_TEST(chosen(pool, request, at(400)).candidates == 1U);
+}
+
+BOOST_AUTO_TEST_CASE(serverThatSentDataAndThenFailedIsAvoidedOnReportsOfPeers)
+{
+    ServerPool pool = poolOf({ engine("a"), engine("b") });
+    const PlacementRequest request { .service = Engines, .model = Model, .promptTokens = 500 };
+    pool.noteReceived(ServerId("a"), at(0));
+    const std::vector<ServerUpdate> avoiding { { .server = ServerId("a"), .avoidMs = 1000 } };
+    pool.applyPeer("peer", avoiding, at(510));
+    BOOST_TEST(chosen(pool, request, at(520)).candidates == 1U);
+    pool.noteReceived(ServerId("a"), at(600));
+    BOOST_TEST(chosen(pool, request, at(610)).candidates == 2U);
+}
+
+BOOST_AUTO_TEST_CASE(peerWithoutLinksTakesBackItsReports)
+{
+    ServerPool pool = poolOf({ engine("a"), engine("b") });
+    const PlacementRequest request { .service = Engines, .model = Model, .promptTokens = 500 };
+    const std::vector<ServerUpdate> avoiding {
+        { .server = ServerId("a"), .avoidMs = 1000 },
+        { .server = ServerId("b"), .inFlight = 3, .unresponsiveMs = 900 }
+    };
+    pool.applyPeer("cut", avoiding, at(0));
+    BOOST_TEST(std::holds_alternative<NoPlacement>(pool.choose(request, at(10))));
+    pool.applyPeer("cut", avoiding, at(20), PeerScope::NodeWithoutLinks);
+    BOOST_TEST(chosen(pool, request, at(30)).candidates == 2U);
+}
+
+BOOST_AUTO_TEST_CASE(peerWithoutLinksStillReportsServersThatLeave)
+{
+    ServerPool reader = poolOf({ engine("a"), engine("b"), engine("c") });
+    ServerPool other = poolOf({ engine("a"), engine("b"), engine("c") });
+    ListedServer leaving = engine("a");
+    leaving.leaving = true;
+    reader.setLinksLost(true);
+    reader.noteUnreachable(ServerId("c"), at(1000));
+    reader.applyServer(leaving, at(1000));
+    reader.removeServer(ServerId("b"), at(1000));
+    for (const char *name : { "a", "b" }) {
+        other.noteReceived(ServerId(name), at(1010));
+    }
+    other.applyPeer("reader", reader.takeServerUpdates(at(1010), 10), at(1011),
+                    PeerScope::NodeWithoutLinks);
+    const PlacementRequest request { .service = Engines, .model = Model, .promptTokens = 10 };
+    BOOST_TEST(chosen(other, request, at(1020)).server.text() == "c");
+    BOOST_TEST(chosen(other, request, at(1020)).candidates == 1U);
+}
+
+BOOST_AUTO_TEST_CASE(unreachableServerIsReportedOnceALinkIsProven)
+{
+    ServerPool pool = poolOf({ engine("a"), engine("b") });
+    const auto avoidMs = [&](std::int64_t milli) {
+        std::uint32_t longest = 0;
+        for (const ServerUpdate &update : pool.takeServerUpdates(at(milli), 10)) {
+            longest = std::max(longest, update.avoidMs);
+        }
+        return longest;
+    };
+    pool.noteConnected(ServerId("b"), at(0));
+    pool.noteUnreachable(ServerId("a"), at(10));
+    BOOST_TEST(avoidMs(20) == 0U);
+    pool.noteConnected(ServerId("b"), at(30));
+    BOOST_TEST(avoidMs(40) > 0U);
+    pool.setLinksLost(true);
+    BOOST_TEST(avoidMs(50) == 0U);
+}
+
+BOOST_AUTO_TEST_CASE(noServerStaysSuspendedAfterALostLink)
+{
+    ServerPool pool = poolOf({ engine("a"), engine("b"), engine("c") });
+    const PlacementRequest request { .service = Engines, .model = Model, .promptTokens = 500 };
+    pool.setLinksLost(true);
+    for (std::int64_t milli = 0; milli < 12000; milli += 500) {
+        for (const char *name : { "a", "b", "c" }) {
+            pool.noteUnreachable(ServerId(name), at(milli));
+        }
+    }
+    BOOST_TEST(std::holds_alternative<NoPlacement>(pool.choose(request, at(11990))));
+    pool.setLinksLost(false);
+    BOOST_TEST(chosen(pool, request, at(12000)).candidates == 3U);
+}
+
 BOOST_AUTO_TEST_CASE(suspensionsNameTheirEvidence)
 {
     ServerPool pool = poolOf({ engine("a"), engine("b") });
