--- a/Source/Gateway/TrafficState.h
+++ b/Source/Gateway/TrafficState.h
@@ -28,7 +28,9 @@
 #include "Gateway/GatewayMetrics.h"
 #include "Gateway/GatewaySettings.h"
 #include "Gateway/StreamVersionGate.h"
+#include "Gateway/SuspensionLog.h"
 #include "Placement/AttemptBudget.h"
+#include "Placement/LinkHealth.h"
 #include "Placement/QueueLimit.h"
 #include "Placement/ServerPool.h"
 #include "Quarantine/CrashHistory.h"
@@ -98,6 +100,10 @@
     void applyServers(const std::vector<ListedServer> &servers, Instant now);
     /// Applies what a response stated about its server.
     void noteStatement(const ServerInstance &server, const ServerStatement &statement);
+    /// Records that a server has accepted a connection of this node.
+    void noteConnected(const ServerId &server, Instant now);
+    /// Records that data was received from a server.
+    void noteReceived(const ServerId &server, Instant now);
     /// Applies records of requests that were running on servers that crashed, from a peer or from
     /// the store.
     void mergeCrashes(std::span<const CrashRecord> records, Instant now);
@@ -111,6 +117,8 @@
     Freshness freshness;
     ServerPool pool;
     ConnectionPool connections;
+    /// Of this node to the backend servers.
+    LinkHealth links;
     AttemptBudget retryBudget;
     /// Memory for the bodies of requests and responses. Shared with the requests, which may outlive
     /// this object while the event loop is destroyed.
@@ -192,6 +200,7 @@
     /// The versions for which the node has logged that the store or this node lacks them.
     std::uint64_t loggedOlderVersion_ = 0;
     std::uint64_t loggedPeerVersion_ = 0;
+    SuspensionLog suspensionLog_;
     std::unordered_map<ServerId, bool> listedServers_;
     /// By name of the route.
     std::unordered_map<std::string, UsualDuration> usualDurations_;
--- a/Source/Placement/ServerPool.cpp
+++ b/Source/Placement/ServerPool.cpp
@@ -10,7 +10,7 @@
 
 /// Suspension after a server could not be reached; doubles with each consecutive failure.
 constexpr Duration FirstSuspension = milliseconds(250);
-constexpr Duration MaxSuspension = std::chrono::seconds(2);
+constexpr Duration MaxSuspension = milliseconds(MaxUnreachableMs);
 constexpr unsigned MaxDoublings = 3;
 /// Consecutive failed requests after which a server is suspended.
 constexpr unsigned FailuresToSuspend = 3;
@@ -83,9 +83,6 @@
         Server server { .facts = facts,
                         .hash = hash64(facts.id.text()),
                         .cache = CachedPartSet(cacheCapacity(facts.service)) };
-        server.suspendedUntil = now;
-        server.avoidedUntil = now;
-        server.silentUntil = now;
         server.lastReceivedAt = now;
         server.cordonedUntil = now;
         server.listedAt = now;
@@ -283,14 +280,33 @@
 {
     if (Server *server = find(id)) {
         server->lastReceivedAt = now;
+        server->reachedAt = now;
         server->statements.rejections().noteReceived(now);
-        if (server->silentUntil > now && server->silentUntil == server->suspendedUntil) {
-            server->suspendedUntil = now;
+        if (server->silentUntil > now && server->silentUntil == server->avoidedUntil) {
             server->avoidedUntil = now;
         }
     }
 }
 
+void ServerPool::noteConnected(const ServerId &id, Instant now)
+{
+    linksProvenAt_ = now;
+    if (Server *server = find(id)) {
+        server->reachedAt = now;
+    }
+}
+
+void ServerPool::setLinksLost(bool lost)
+{
+    if (linksLost_ && !lost) {
+        for (auto &[id, server] : servers_) {
+            server.failures = 0;
+            server.avoidedUntil = {};
+        }
+    }
+    linksLost_ = lost;
+}
+
 void ServerPool::noteSent(const ServerId &id, const PlacementRequest &request,
                           std::uint32_t cachedPromptTokens, Instant now)
 {
@@ -346,45 +362,53 @@
     server.inFlight -= server.inFlight > 0 ? 1 : 0;
     server.pendingPrefillTokens
         -= std::min<std::uint64_t>(server.pendingPrefillTokens, unprefilledTokens);
-    applyOutcome(server, outcome, now);
+    applyOutcome(server, outcome, SuspensionCause::ConnectionLost, now);
 }
 
 void ServerPool::noteUnreachable(const ServerId &id, Instant now)
 {
     if (Server *server = find(id)) {
-        applyOutcome(*server, AttemptOutcome::Unreachable, now);
+        applyOutcome(*server, AttemptOutcome::Unreachable, SuspensionCause::NotConnected, now);
     }
 }
 
-void ServerPool::suspend(Server &server, Instant now)
+void ServerPool::suspend(Server &server, SuspensionCause cause, Instant now)
 {
     const unsigned doublings = std::min(server.failures++, MaxDoublings);
-    server.suspendedUntil = now + std::min(MaxSuspension, FirstSuspension * (1U << doublings));
-    server.avoidedUntil = server.suspendedUntil;
+    server.unreachableAt = now;
+    server.avoidedUntil = now + std::min(MaxSuspension, FirstSuspension * (1U << doublings));
+    server.reachedAt.reset();
+    onSuspended({ .server = server.facts.id, .cause = cause, .time = server.avoidedUntil - now },
+                now);
 }
 
-void ServerPool::applyOutcome(Server &server, AttemptOutcome outcome, Instant now)
+void ServerPool::applyOutcome(Server &server, AttemptOutcome outcome, SuspensionCause cause,
+                              Instant now)
 {
     switch (outcome) {
     case AttemptOutcome::Served:
         server.failures = 0;
         break;
     case AttemptOutcome::Rejected:
-        server.suspendedUntil = std::max(server.suspendedUntil, now + RejectionPause);
+        server.pausedUntil = std::max(server.pausedUntil, now + RejectionPause);
         break;
     case AttemptOutcome::Failed:
         if (++server.failures >= FailuresToSuspend) {
-            server.suspendedUntil = now + FirstSuspension;
+            server.pausedUntil = std::max(server.pausedUntil, now + FirstSuspension);
+            onSuspended({ .server = server.facts.id,
+                          .cause = SuspensionCause::Failed,
+                          .time = FirstSuspension },
+                        now);
         }
         break;
     case AttemptOutcome::Unreachable:
-        suspend(server, now);
+        suspend(server, cause, now);
         break;
     case AttemptOutcome::Silent:
         // All requests that it had when it fell silent count once.
         if (server.silentUntil <= now) {
-            suspend(server, now);
-            server.silentUntil = server.suspendedUntil;
+            suspend(server, SuspensionCause::Silent, now);
+            server.silentUntil = server.avoidedUntil;
         }
         break;
     case AttemptOutcome::Abandoned:
