--- a/Source/FleetPeers/FleetTopology.h
+++ b/Source/FleetPeers/FleetTopology.h
@@ -16,6 +16,8 @@
     std::string address;
     /// Its link in Mbit/s; 0 if it names none.
     double linkMbps = 0;
+    /// `IP:port` for forwarded requests; empty if the node takes none, as older builds do.
+    std::string forwardingAddress {};
 
     friend bool operator==(const FleetNode &, const FleetNode &) = default;
 };
@@ -35,6 +37,8 @@
     [[nodiscard]] bool zoned() const { return zoned_; }
     /// The nodes with which this one exchanges digests, without itself.
     [[nodiscard]] const std::vector<FleetNode> &neighbours() const { return neighbours_; }
+    /// The nodes of other zones with which it exchanges none, in a large fleet.
+    [[nodiscard]] const std::vector<FleetNode> &remote() const { return remote_; }
     /// The nodes to which this one sends the sums of its zone, if `live` are the names of the nodes
     /// of the zone that were heard from recently, this one included.
     [[nodiscard]] std::vector<FleetNode> summaryReceivers(std::span<const std::string> live) const;
--- a/Source/Gateway/CallerSession.cpp
+++ b/Source/Gateway/CallerSession.cpp
@@ -44,6 +44,9 @@
 /// Callers may reuse a connection until the idle limit, so it is closed this much later.
 constexpr Duration IdleMargin = milliseconds(500);
 
+/// Bytes that another node adds to the header of a request that it forwards, at most.
+constexpr std::uint32_t MaxForwardingBytes = 4096;
+
 bool hasInvalidFraming(const http::request_header<> &header)
 {
     const auto encoding = header[http::field::transfer_encoding];
@@ -55,18 +58,20 @@
 
 } // namespace
 
-CallerSession::CallerSession(TrafficState &state, asio::ip::tcp::socket socket)
+CallerSession::CallerSession(TrafficState &state, asio::ip::tcp::socket socket,
+                             RequestSource source)
     : state_(state)
     , socket_(std::move(socket))
+    , source_(source)
     , timer_(state.context)
     , closeIdleConnection_(
           state.closeIdleConnections.connect([this](IdleConnections which) { closeIfIdle(which); }))
     , answerConnection_(state.answerOpenRequests.connect([this] { answerBeforeStop(); }))
 { }
 
-void CallerSession::start(TrafficState &state, asio::ip::tcp::socket socket)
+void CallerSession::start(TrafficState &state, asio::ip::tcp::socket socket, RequestSource source)
 {
-    auto session = std::make_shared<CallerSession>(state, std::move(socket));
+    auto session = std::make_shared<CallerSession>(state, std::move(socket), source);
     asio::co_spawn(
         state.context, [session] { return session->run(); },
         [session](const std::exception_ptr &exception) {
@@ -229,7 +234,8 @@
         const CallerLimits limits = state_.limits();
         const ActiveRequest active = state_.beginRequest();
         Parser parser;
-        parser.header_limit(limits.headerBytes);
+        parser.header_limit(limits.headerBytes
+                            + (source_ == RequestSource::Peer ? MaxForwardingBytes : 0));
         MemoryReservation bodyMemory(state_.bodyMemory, BodyKind::Request);
         const bool requestComplete = co_await readRequest(parser, bodyMemory);
         if (!requestComplete) {
@@ -239,7 +245,7 @@
         exchange_ = std::make_unique<Exchange>(
             state_, socket_, HttpRequest(std::move(request.base())),
             HeldBody { .text = std::move(request.body()), .memory = std::move(bodyMemory) },
-            std::chrono::steady_clock::now());
+            std::chrono::steady_clock::now(), source_);
         if (buffer_.size() > 0) {
             exchange_->noteNextRequest();
         }
@@ -420,6 +426,11 @@
     if (answer.retryAfterMs > 0) {
         platform::setRetryAfter(response.base(), milliseconds(answer.retryAfterMs));
     }
+    if (source_ == RequestSource::Peer) {
+        setForwardedResult(response.base(),
+                           { .outcome = outcomeOfRefusal(kind, false, NotRun::True),
+                             .refusal = std::string(answer.name) });
+    }
     response.keep_alive(false);
     response.prepare_payload();
     if (parser.get().method() == http::verb::head) {
--- a/Source/Gateway/CallerSession.h
+++ b/Source/Gateway/CallerSession.h
@@ -21,16 +21,18 @@
 
 namespace jacinthroad {
 
-/// One connection of a caller. Reads requests one after the other, runs an Exchange for each and
-/// detects meanwhile whether the caller disconnects.
+/// One connection of a caller, or of a node that forwards requests of its callers. Reads requests
+/// one after the other, runs an Exchange for each and detects meanwhile whether the caller
+/// disconnects.
 class CallerSession : public std::enable_shared_from_this<CallerSession>
 {
 public:
-    CallerSession(TrafficState &state, boost::asio::ip::tcp::socket socket);
+    CallerSession(TrafficState &state, boost::asio::ip::tcp::socket socket, RequestSource source);
 
     /// Serves a connection until it ends. If that throws, logs `session_failed` and closes the
     /// connection.
-    static void start(TrafficState &state, boost::asio::ip::tcp::socket socket);
+    static void start(TrafficState &state, boost::asio::ip::tcp::socket socket,
+                      RequestSource source = RequestSource::Caller);
 
 private:
     using Parser = boost::beast::http::request_parser<boost::beast::http::string_body>;
@@ -113,6 +115,7 @@
 
     TrafficState &state_;
     boost::asio::ip::tcp::socket socket_;
+    RequestSource source_;
     DeadlineTimer timer_;
     boost::beast::flat_buffer buffer_;
     std::unique_ptr<Exchange> exchange_;
--- a/Source/Gateway/DigestExchange.cpp
+++ b/Source/Gateway/DigestExchange.cpp
@@ -215,6 +215,26 @@
     return names;
 }
 
+std::vector<ForwardPeer> DigestExchange::forwardPeers(Instant now) const
+{
+    std::vector<ForwardPeer> peers;
+    for (const FleetNode &node : peersWithLinks(now)) {
+        if (!node.forwardingAddress.empty()) {
+            peers.push_back(
+                { .name = node.name, .zone = node.zone, .address = node.forwardingAddress });
+        }
+    }
+    for (const FleetNode &node : topology_.remote()) {
+        if (!node.forwardingAddress.empty()) {
+            peers.push_back({ .name = node.name,
+                              .zone = node.zone,
+                              .address = node.forwardingAddress,
+                              .reportsLinks = false });
+        }
+    }
+    return peers;
+}
+
 bool DigestExchange::hearsAllPeers(Instant now) const
 {
     return liveNodes(now).size() > peers_.size();
--- a/Source/Gateway/DigestExchange.h
+++ b/Source/Gateway/DigestExchange.h
@@ -42,6 +42,8 @@
     std::function<void()> onPeerStarted = [] {};
     /// Names of the nodes from which a digest arrived recently, and of this node.
     [[nodiscard]] std::vector<std::string> liveNodes(Instant now) const;
+    /// The nodes that take forwarded requests, without those that are known not to help.
+    [[nodiscard]] std::vector<ForwardPeer> forwardPeers(Instant now) const;
     /// True if a digest arrived recently from each node that sends this one digests.
     [[nodiscard]] bool hearsAllPeers(Instant now) const;
     /// Returns the nodes that send this one digests, from which one arrived recently and that have
--- a/Source/Gateway/Exchange.cpp
+++ b/Source/Gateway/Exchange.cpp
@@ -28,6 +28,8 @@
 constexpr unsigned MaxRejections = 2;
 /// Retry-After is at most the caller's remaining time divided by this.
 constexpr int RetryAfterDivisor = 3;
+/// Retry-After while this node and those that could help it have lost their links to the servers.
+constexpr Duration LostLinksRetryDelay = milliseconds(500);
 /// With less time left than this, the request is not sent.
 constexpr Duration MinUsefulTime = milliseconds(5);
 constexpr int FirstErrorStatus = 400;
@@ -89,13 +91,14 @@
 }
 
 Exchange::Exchange(TrafficState &state, asio::ip::tcp::socket &caller, HttpRequest request,
-                   HeldBody body, Instant received)
+                   HeldBody body, Instant received, RequestSource source)
     : state_(state)
     , caller_(caller)
     , request_(std::move(request))
     , body_(std::make_shared<const HeldBody>(std::move(body)))
     , received_(received)
     , deadline_(received)
+    , source_(source)
     , routes_(state.routes)
 { }
 
@@ -148,8 +151,24 @@
         return facts.error().kind;
     }
     callerRequest_ = *facts;
+    if (source_ == RequestSource::Peer) {
+        const auto forwarded = readForwardedRequest(request_.base());
+        if (!forwarded.has_value()) {
+            return ErrorKind::InvalidRequest;
+        }
+        forwarded_ = *forwarded;
+        triedServers_ = forwarded_.tried;
+        if (state_.draining) {
+            return ErrorKind::Draining;
+        }
+        if (state_.links.lost(received_)) {
+            return ErrorKind::NoBackendServer;
+        }
+    }
+    removeForwardingFields(request_.base());
     const FreshnessLevel trust = state_.configurationTrust();
-    if (routes_ == nullptr) {
+    // Keys and routes must not go back to what they were before the other node's configuration.
+    if (routes_ == nullptr || routes_->version() < forwarded_.configurationVersion) {
         return ErrorKind::NotReady;
     }
     route_ = routes_->route(callerRequest_.host, callerRequest_.path);
@@ -216,7 +235,9 @@
             end = co_await sendRefusal(ErrorKind::NoBackendServer, milliseconds(500));
         } else {
             placementRequest_.service = *service;
-            state_.retryBudget.noteRequest(*service, std::chrono::steady_clock::now());
+            if (source_ == RequestSource::Caller) {
+                state_.retryBudget.noteRequest(*service, std::chrono::steady_clock::now());
+            }
             const bool originFound = co_await findOrigin();
             if (originFound) {
                 end = co_await runAttempts();
@@ -250,7 +271,9 @@
                                            Duration::zero());
         }
         const CrashAssessment crashes = assessCrashes();
-        const bool blocked = blockedBy(crashes);
+        const std::optional<ForwardPeer> preferred
+            = !resumeSilent && prefersForwarding(now) ? chooseHelper(now) : std::nullopt;
+        const bool blocked = blockedBy(crashes, preferred.has_value());
         resumeSilent = resumeSilent || (blocked && silentAttempt_ != nullptr);
         if (blocked && !resumeSilent) {
             if (headerDelivered_) {
@@ -267,16 +290,29 @@
         placementRequest_.tried = triedServers_;
         updateCacheScope();
         restrictVersions();
-        const auto chosen = state_.pool.choose(placementRequest_, now);
+        // Without links, only probes connect to servers.
+        const auto chosen = state_.links.lost(now) ? std::variant<Placement, NoPlacement>(
+                                NoPlacement { .retryAfter = LostLinksRetryDelay })
+                                                   : state_.pool.choose(placementRequest_, now);
         const auto *none = std::get_if<NoPlacement>(&chosen);
-        resumeSilent = silentAttempt_ != nullptr && (resumeSilent || none != nullptr);
-        if (none != nullptr && !resumeSilent) {
+        std::optional<ForwardPeer> helper = resumeSilent ? std::nullopt : preferred;
+        // Without a statement of a server that forbids it, another node may reach one.
+        if (none != nullptr && !helper.has_value() && !resumeSilent && unsentForwards_ == 0
+            && none->listed > 0 && none->withheld.allowed()) {
+            helper = chooseHelper(now);
+        }
+        resumeSilent = silentAttempt_ != nullptr
+            && (resumeSilent || (none != nullptr && !helper.has_value()));
+        if (none != nullptr && !resumeSilent && !helper.has_value()) {
             if (headerDelivered_) {
                 co_return cutStream("broken");
             }
             if (response_.has_value()) {
                 co_return co_await sendResponse();
             }
+            if (hasHelperRefusal()) {
+                co_return co_await passOnRefusal();
+            }
             withheld_ = none->withheld;
             noteNoServer();
             const ErrorKind refused
@@ -288,6 +324,8 @@
         AttemptResult end = AttemptResult::NotSent;
         if (std::exchange(resumeSilent, false)) {
             end = co_await resumeSilentAttempt();
+        } else if (helper.has_value()) {
+            end = co_await forwardTo(*helper);
         } else {
             const Placement &placement = std::get<Placement>(chosen);
             if (const auto queueDelay = queueRefusalDelay(placement)) {
@@ -310,7 +348,7 @@
         if (end == AttemptResult::CallerDisconnected || callerDisconnected_) {
             co_return co_await callerLeft();
         }
-        if (assessCrashes().crashes > 0) {
+        if (assessCrashes().crashes > 0 && !placement_.server.empty()) {
             co_await state_.crashDetector.waitForProbe(placement_.server);
         }
         if (end == AttemptResult::Silent || mayRetry(end, std::chrono::steady_clock::now())) {
@@ -326,6 +364,9 @@
         if (response_.has_value()) {
             co_return co_await sendResponse();
         }
+        if (hasHelperRefusal()) {
+            co_return co_await passOnRefusal();
+        }
         if (dispatchRecord_.verdict() == NotRun::True) {
             if (end == AttemptResult::TimedOut) {
                 co_return co_await sendRefusal(ErrorKind::DeadlineUnreachable, Duration::zero());
@@ -338,7 +379,7 @@
     }
 }
 
-bool Exchange::blockedBy(const CrashAssessment &crashes) const
+bool Exchange::blockedBy(const CrashAssessment &crashes, bool forwards) const
 {
     switch (crashes.permission) {
     case CrashPermission::Unrestricted:
@@ -346,7 +387,8 @@
     case CrashPermission::WithoutRetry:
         return sends_ > rejected_;
     case CrashPermission::AwaitTrial:
-        return sends_ > rejected_ || !isTrial_;
+        // Of a forwarded request, the helping node makes the trial.
+        return sends_ > rejected_ || (!isTrial_ && !forwards);
     case CrashPermission::Denied:
         break;
     }
@@ -361,7 +403,8 @@
 std::optional<Duration> Exchange::queueRefusalDelay(const Placement &placement) const
 {
     // A request that may have run already must not be reported as not run.
-    if (placementRequest_.model.empty() || dispatchRecord_.verdict() != NotRun::True) {
+    if (placementRequest_.model.empty() || dispatchRecord_.verdict() != NotRun::True
+        || forwarded_.repeated) {
         return std::nullopt;
     }
     return state_.queueLimit.retryDelay({ .wait = placement.wait,
@@ -383,10 +426,20 @@
     if (outOfTime(now)) {
         return false;
     }
+    // The node that has forwarded the request sends it again, if it may.
+    if (source_ == RequestSource::Peer && sends_ > 0) {
+        return false;
+    }
     const unsigned runs = sends_ - rejected_;
     switch (end) {
     case AttemptResult::NotSent:
-        return triedServers_.size() < MaxUnsentAttempts + runs + rejected_;
+        if (lastForwarded_) {
+            // chooseHelper() bounds their number.
+            return helperResult_.outcome != ForwardedOutcome::NotSent;
+        }
+        // The node that has forwarded the request asks another one.
+        return failedConnects_ < MaxUnsentAttempts
+            && (source_ == RequestSource::Caller || overdueConnects_ == 0);
     case AttemptResult::Rejected:
         return rejected_ <= MaxRejections
             && state_.retryBudget.spend(placementRequest_.service, now);
@@ -409,7 +462,8 @@
 
 bool Exchange::reserveRetry(const ServerId &current, Instant now)
 {
-    if (outOfTime(now) || sends_ - rejected_ >= route_->maximumAttempts
+    if (source_ == RequestSource::Peer || outOfTime(now)
+        || sends_ - rejected_ >= route_->maximumAttempts
         || assessCrashes().permission != CrashPermission::Unrestricted) {
         return false;
     }
@@ -418,9 +472,9 @@
     restrictVersions();
     PlacementRequest request = placementRequest_;
     request.tried = tried;
-    const auto chosen = state_.pool.choose(request, now);
-    retryReserved_ = std::holds_alternative<Placement>(chosen)
-        && state_.retryBudget.spend(placementRequest_.service, now);
+    const bool possible = (prefersForwarding(now) && chooseHelper(now).has_value())
+        || std::holds_alternative<Placement>(state_.pool.choose(request, now));
+    retryReserved_ = possible && state_.retryBudget.spend(placementRequest_.service, now);
     return retryReserved_;
 }
 
@@ -450,6 +504,7 @@
 asio::awaitable<ExchangeResult> Exchange::sendResponse()
 {
     GatewayResponse response { platform::callerHeader(response_->base()) };
+    setResult(response.base(), ForwardedOutcome::Relayed);
     response.body() = std::move(response_->body());
     const bool keep = keepConnection();
     response.keep_alive(keep);
@@ -484,6 +539,8 @@
     if (dispatchRecord_.verdict() == NotRun::True && retryAfter > Duration::zero()) {
         platform::setRetryAfter(response.base(), retryAfter);
     }
+    setResult(response.base(), outcomeOfRefusal(kind, sends_ > 0, dispatchRecord_.verdict()),
+              errorResponse(kind).name);
     const bool keep = !callerDisconnected_ && keepConnection();
     response.keep_alive(keep);
     response.prepare_payload();
@@ -545,7 +602,12 @@
 {
     inProgress_ = false;
     const Instant now = std::chrono::steady_clock::now();
-    state_.metrics.countRequest(end.outcome);
+    // Each request counts at the node of its caller.
+    if (source_ == RequestSource::Caller) {
+        state_.metrics.countRequest(end.outcome);
+    } else {
+        state_.metrics.countHelped(end.outcome);
+    }
     if (end.responseComplete && end.status < FirstErrorStatus && route_ != nullptr) {
         state_.noteCompleted(*route_, now - received_);
     }
@@ -559,6 +621,8 @@
           { "route", route_ != nullptr ? std::string_view(route_->name) : std::string_view() },
           { "service", placementRequest_.service.text() },
           { "server", triedServers_.empty() ? std::string_view() : triedServers_.back().text() },
+          { "forwarded_by", forwarded_.node },
+          { "forwarded_to", helper_ },
           { "candidates", std::int64_t { placement_.candidates } },
           { "predicted_ms", placement_.cost },
           { "wait_ms", toMilliseconds(placement_.wait) },
--- a/Source/Gateway/Exchange.h
+++ b/Source/Gateway/Exchange.h
@@ -18,7 +18,9 @@
 #include "Core/Refusal.h"
 #include "Fleet/CallerRequest.h"
 #include "Gateway/EventSplitter.h"
+#include "Gateway/ForwardingFields.h"
 #include "Gateway/TrafficState.h"
+#include "Placement/ForwardChoice.h"
 #include "Routing/DispatchRecord.h"
 #include "platform/ServerWire.h"
 
@@ -33,6 +35,13 @@
 /// header are left to the calling code.
 [[nodiscard]] GatewayResponse gatewayRefusalResponse(const Refusal &refusal);
 
+/// Who sends the requests of a connection.
+enum class RequestSource : std::uint8_t {
+    Caller,
+    /// Another node, which forwards requests of its callers.
+    Peer,
+};
+
 /// The result of an exchange, from which the session decides what to do with the caller's
 /// connection.
 struct ExchangeResult
@@ -52,12 +61,14 @@
 };
 
 /// Processes one request of a caller: admits and places it, sends it to one or more backend servers
-/// as its route kind allows, and responds. Used on the traffic thread only.
+/// as its route kind allows, and responds. A node that can't reach the servers forwards the request
+/// to another node instead, which sends it to one server at most: what follows is decided where the
+/// caller is connected. Used on the traffic thread only.
 class Exchange
 {
 public:
     Exchange(TrafficState &state, boost::asio::ip::tcp::socket &caller, HttpRequest request,
-             HeldBody body, Instant received);
+             HeldBody body, Instant received, RequestSource source = RequestSource::Caller);
     Exchange(const Exchange &) = delete;
     Exchange &operator=(const Exchange &) = delete;
     ~Exchange();
@@ -116,7 +127,36 @@
     [[nodiscard]] std::optional<ErrorKind> admit();
     [[nodiscard]] boost::asio::awaitable<ExchangeResult> runAttempts();
     [[nodiscard]] boost::asio::awaitable<AttemptResult> runAttempt(const Placement &placement);
+    /// Sends the request over the connection of the attempt and receives the response.
+    [[nodiscard]] boost::asio::awaitable<AttemptResult> transfer(std::shared_ptr<Attempt> attempt,
+                                                                 bool connected);
     [[nodiscard]] boost::asio::awaitable<bool> connect(std::shared_ptr<Attempt> attempt);
+    /// Opens the connection of the attempt, unless that takes too long.
+    [[nodiscard]] boost::asio::awaitable<boost::system::error_code>
+    openConnection(std::shared_ptr<Attempt> attempt, boost::asio::ip::tcp::endpoint endpoint);
+
+    /// True if the request is better forwarded than sent to a server from here.
+    [[nodiscard]] bool prefersForwarding(Instant now) const;
+    /// Returns the node to forward the request to, if it may be forwarded.
+    [[nodiscard]] std::optional<ForwardPeer> chooseHelper(Instant now) const;
+    [[nodiscard]] boost::asio::awaitable<AttemptResult> forwardTo(const ForwardPeer &helper);
+    [[nodiscard]] boost::asio::awaitable<bool> connectToHelper(std::shared_ptr<Attempt> attempt);
+    /// Builds the header of the request to a helping node.
+    [[nodiscard]] boost::beast::http::request_header<> helperHeader(Instant now) const;
+    /// Reads what the helping node states in the header of its response. Returns false if it is not
+    /// the response of a helping node.
+    [[nodiscard]] bool readHelperHeader(Attempt &attempt,
+                                        const boost::beast::http::response_header<> &header);
+    /// Keeps the refusal of a helping node and returns what it means for the attempt.
+    [[nodiscard]] AttemptResult noteHelperRefusal(const Attempt &attempt, GatewayResponse refusal);
+    void finishForwarding(Attempt &attempt, AttemptResult end);
+    /// Sets what a response tells the node that has forwarded the request.
+    void setResult(boost::beast::http::fields &fields, ForwardedOutcome outcome,
+                   std::string_view refusal = {}) const;
+    /// Passes a helping node's refusal on to the caller.
+    [[nodiscard]] boost::asio::awaitable<ExchangeResult> passOnRefusal();
+    /// True if a helping node refused the request and no server may have run it.
+    [[nodiscard]] bool hasHelperRefusal() const;
     /// Asks the process at the other end of a new connection for its boot; returns false if it is
     /// not the listed one, or if that is unknown while several software versions serve.
     [[nodiscard]] boost::asio::awaitable<bool> confirmProcess(Attempt &attempt,
@@ -151,6 +191,8 @@
     [[nodiscard]] static boost::asio::awaitable<boost::system::error_code>
     skipResponse(Attempt &attempt,
                  boost::beast::http::response_parser<boost::beast::http::empty_body> &header);
+    /// Records that data was received for an attempt.
+    void noteReceived(Attempt &attempt);
     void finishAttempt(Attempt &attempt, AttemptResult end);
     /// Keeps an attempt whose server is silent until another server responds.
     void setAside(const std::shared_ptr<Attempt> &attempt);
@@ -192,8 +234,8 @@
     /// Makes this request the trial of those that are alike, if one is due. Other copies await its
     /// end from then on, even while it is not sent yet.
     void claimTrial(Instant now);
-    /// True if the crashes of servers forbid to send the request.
-    [[nodiscard]] bool blockedBy(const CrashAssessment &crashes) const;
+    /// True if the crashes of servers forbid to send the request, or to forward it.
+    [[nodiscard]] bool blockedBy(const CrashAssessment &crashes, bool forwards) const;
     /// Logs what identifies a request that the server ended without a complete response. Queries
     /// and bodies, which may be confidential, are logged as hashes.
     void logLoss(const Attempt &attempt, Instant now);
@@ -257,6 +299,9 @@
     std::shared_ptr<const HeldBody> body_;
     Instant received_;
     Instant deadline_;
+    RequestSource source_;
+    /// What the node states that has forwarded this request.
+    ForwardedRequest forwarded_;
 
     CallerRequest callerRequest_;
     std::shared_ptr<const RouteTable> routes_;
@@ -265,14 +310,30 @@
     PlacementRequest placementRequest_;
     std::string cacheScope_;
     std::vector<ServerId> triedServers_;
+    /// Those of them that it was sent to.
+    std::vector<ServerId> sentServers_;
     /// The software version that the request is bound to; empty while it may go to any.
     VersionSet version_;
     /// Why a resumed stream was refused, for the log.
     std::string resumeRefusal_;
 
-    /// Requests sent to servers so far, and those that servers reported as not run.
+    /// Requests sent to servers so far, also by helping nodes, and those that servers reported as
+    /// not run.
     unsigned sends_ = 0;
     unsigned rejected_ = 0;
+    /// Connections to servers that could not be made, and those of them that took too long.
+    unsigned failedConnects_ = 0;
+    unsigned overdueConnects_ = 0;
+    /// The nodes that were asked for help in vain, and the one that was asked last.
+    std::vector<std::string> triedHelpers_;
+    std::string helper_;
+    /// True if the last attempt was made by way of another node.
+    bool lastForwarded_ = false;
+    /// Attempts by way of other nodes that ended without the request being sent to a server.
+    unsigned unsentForwards_ = 0;
+    /// The last refusal of a helping node and what that told about it.
+    std::optional<GatewayResponse> helperRefusal_;
+    ForwardedResult helperResult_;
     DispatchRecord dispatchRecord_;
     std::optional<RequestFingerprint> fingerprint_;
     /// True if the request is sent as the trial of those that are alike.
--- a/Source/Gateway/ExchangeAttempt.cpp
+++ b/Source/Gateway/ExchangeAttempt.cpp
@@ -90,8 +90,19 @@
     state_.pool.noteSending(placement.server, std::chrono::steady_clock::now());
     cancelAttempt_ = [attempt] { attempt->abort(); };
     const AttemptCleanup cleanup { *attempt };
-    AttemptResult end = AttemptResult::NotSent;
+    lastForwarded_ = false;
     const bool connected = co_await connect(attempt);
+    if (!connected) {
+        ++failedConnects_;
+        overdueConnects_ += attempt->timedOut ? 1 : 0;
+    }
+    co_return co_await transfer(attempt, connected);
+}
+
+asio::awaitable<Exchange::AttemptResult> Exchange::transfer(std::shared_ptr<Attempt> attempt,
+                                                            bool connected)
+{
+    AttemptResult end = AttemptResult::NotSent;
     // The close may have arrived with the request, or while the connection was being opened.
     if (!callerDisconnected_) {
         callerDisconnected_ = peek(caller_, callerError_) == PeekResult::Closed;
@@ -159,7 +170,8 @@
         }
         const Duration prefillAllowance = fromMilliseconds(
             attempt->firstByteReceived ? 0 : attempt->uncachedTokens * UnresponsiveMsPerToken);
-        const bool unresponsive = state_.pool.unresponsive(attempt->placement.server, now)
+        const bool unresponsive
+            = (!attempt->isForwarded() && state_.pool.unresponsive(attempt->placement.server, now))
             || now - attempt->lastReceivedAt > UnresponsiveTimeout + prefillAllowance;
         if (unresponsive && (retryReserved_ || reserveRetry(attempt->placement.server, now))) {
             attempt->silent = true;
@@ -173,8 +185,9 @@
 {
     Attempt &attempt = *shared;
     const Instant now = std::chrono::steady_clock::now();
-    attempt.forwardedRequest.base()
-        = platform::forwardHeader(request_.base(), forwardFacts(attempt.placement, now));
+    attempt.forwardedRequest.base() = attempt.isForwarded()
+        ? helperHeader(now)
+        : platform::forwardHeader(request_.base(), forwardFacts(attempt.placement, now));
     attempt.body = body_;
     attempt.forwardedRequest.body() = { body_->text.data(), body_->text.size() };
     if (!body_->text.empty() || request_.has_content_length() || request_.chunked()) {
@@ -182,18 +195,20 @@
     }
     const std::uint32_t found
         = std::max(attempt.placement.cachedPromptTokens, attempt.placement.tokensAfterFetch);
-    state_.pool.noteSent(attempt.placement.server, placementRequest_, found, now);
-    state_.links.noteSent(now);
-    state_.notifyPeersSoon();
+    if (!attempt.isForwarded()) {
+        state_.pool.noteSent(attempt.placement.server, placementRequest_, found, now);
+        state_.links.noteSent(now);
+        state_.notifyPeersSoon();
+        noteVersionSent(attempt.placement, now);
+        noteTrial(now);
+    }
     attempt.uncachedTokens
         = placementRequest_.promptTokens - std::min(placementRequest_.promptTokens, found);
     attempt.connection->carriedRequests.push_back(hash64(callerRequest_.id.text()));
     attempt.sent = true;
     attempt.sentAt = now;
     attempt.lastReceivedAt = now;
-    noteVersionSent(attempt.placement, now);
     ++sends_;
-    noteTrial(now);
     limitOverlap(shared);
     dispatchRecord_.noteStarted();
     // The server may respond before it has read the request, so writing and reading overlap.
@@ -239,8 +254,7 @@
         if (error || callerDisconnected_ || attempt.superseded) {
             co_return failure(attempt, error);
         }
-        attempt.silent = false;
-        state_.noteReceived(attempt.placement.server, std::chrono::steady_clock::now());
+        noteReceived(attempt);
         attempt.responseFacts
             = platform::readResponseInfo(parser->get().base(), attempt.placement.server);
         // Without an id, only the first response on a connection certainly belongs to its request.
@@ -251,6 +265,9 @@
             co_return failure(attempt, http::error::bad_status);
         }
         const bool interim = parser->get().result_int() < 200;
+        if (attempt.isForwarded() && !interim && !readHelperHeader(attempt, parser->get())) {
+            co_return failure(attempt, http::error::bad_field);
+        }
         if (matchesRequest && isSuccess(parser->get()) && !attempt.responseFacts.hasResponseStamp) {
             logLine(LogLevel::Warning, "response_without_stamp",
                     { { "request_id", callerRequest_.id.text() },
@@ -259,13 +276,13 @@
             co_return failure(attempt, {});
         }
         if (matchesRequest && !interim) {
-            if (!attempt.responseFacts.wrongServer) {
+            if (!attempt.responseFacts.wrongServer && !attempt.isForwarded()) {
                 state_.noteStatement({ .id = attempt.placement.server,
                                        .bootedAt = attempt.placement.bootedAt,
                                        .address = attempt.placement.address },
                                      attempt.responseFacts.statement);
             }
-            if (attempt.responseFacts.weights.has_value()) {
+            if (attempt.responseFacts.weights.has_value() && !attempt.isForwarded()) {
                 state_.pool.noteWeights(attempt.placement.server, callerRequest_.model,
                                         *attempt.responseFacts.weights);
             }
@@ -317,9 +334,7 @@
         co_await http::async_read_some(connection.socket, connection.buffer, parser,
                                        asio::redirect_error(asio::use_awaitable, error));
         if (!error) {
-            attempt.silent = false;
-            attempt.lastReceivedAt = std::chrono::steady_clock::now();
-            state_.noteReceived(attempt.placement.server, attempt.lastReceivedAt);
+            noteReceived(attempt);
         }
     }
     if (attempt.wasInterrupted(error)) {
@@ -330,6 +345,9 @@
     }
     attempt.firstByteReceived = true;
     attempt.reusable = parser.keep_alive() && attempt.requestWritten;
+    if (attempt.isForwarded() && attempt.forwardedResult.outcome != ForwardedOutcome::Relayed) {
+        co_return noteHelperRefusal(attempt, parser.release());
+    }
     if (attempt.responseFacts.notRun || attempt.responseFacts.wrongServer) {
         co_return AttemptResult::Rejected;
     }
@@ -351,6 +369,10 @@
 {
     // The server has ended the attempt; only the caller or the deadline may still do so.
     attempt.livenessTimer.cancel();
+    if (attempt.isForwarded()) {
+        // Helping nodes mark the end of their responses.
+        co_return false;
+    }
     const bool refused
         = co_await state_.crashDetector.refusesConnections(attempt.placement.address);
     serverEnded_ = refused;
@@ -399,9 +421,7 @@
             error = {};
         }
         if (!error) {
-            attempt.silent = false;
-            attempt.lastReceivedAt = std::chrono::steady_clock::now();
-            state_.noteReceived(attempt.placement.server, attempt.lastReceivedAt);
+            noteReceived(attempt);
         }
         const std::size_t size = readBuffer.size() - parser.get().body().size;
         attempt.bodyReceived = attempt.bodyReceived || size > 0;
@@ -473,6 +493,7 @@
         head.chunked(useChunkedEncoding());
         keepAnnounced_ = useChunkedEncoding() && keepConnection();
         head.keep_alive(keepAnnounced_);
+        setResult(head.base(), ForwardedOutcome::Relayed);
         if (!useChunkedEncoding()) {
             // To this caller an orderly close is the end of a complete response.
             setResetOnClose(caller_, true);
@@ -480,9 +501,11 @@
         headerDelivered_ = true;
         firstByteAt_ = arrived;
         attempt.firstByteReceived = true;
-        state_.pool.noteFirstByte(attempt.placement.server, placementRequest_,
-                                  attempt.placement.weights, attempt.uncachedTokens);
-        state_.notifyPeersSoon();
+        if (!attempt.isForwarded()) {
+            state_.pool.noteFirstByte(attempt.placement.server, placementRequest_,
+                                      attempt.placement.weights, attempt.uncachedTokens);
+            state_.notifyPeersSoon();
+        }
         state_.metrics.observeFirstByte(firstByteAt_ - received_);
         std::ostringstream text;
         text << head.base();
@@ -493,7 +516,7 @@
         attempt.firstEventAt = arrived;
     }
     attempt.lastEventAt = arrived;
-    if (arrived - attempt.firstEventAt >= HarmlessTime) {
+    if (arrived - attempt.firstEventAt >= HarmlessTime && !attempt.isForwarded()) {
         clearParts(attempt);
     }
     if (useChunkedEncoding()) {
@@ -694,8 +717,21 @@
           { "ran_ms", toMilliseconds(now - attempt.sentAt) } });
 }
 
+void Exchange::noteReceived(Attempt &attempt)
+{
+    attempt.silent = false;
+    attempt.lastReceivedAt = std::chrono::steady_clock::now();
+    if (!attempt.isForwarded()) {
+        state_.noteReceived(attempt.placement.server, attempt.lastReceivedAt);
+    }
+}
+
 void Exchange::finishAttempt(Attempt &attempt, AttemptResult end)
 {
+    if (attempt.isForwarded()) {
+        finishForwarding(attempt, end);
+        return;
+    }
     const Instant now = std::chrono::steady_clock::now();
     const ServerId &server = attempt.placement.server;
     AttemptOutcome verdict = AttemptOutcome::Served;
@@ -737,6 +773,9 @@
         && attempt.responseFacts.weights != attempt.placement.weights;
     if (!otherWeights) {
         triedServers_.push_back(server);
+        if (attempt.sent) {
+            sentServers_.push_back(server);
+        }
     }
     const ListedServer *listed = state_.pool.listed(server);
     const bool sameStart = listed != nullptr && listed->bootedAt == attempt.placement.bootedAt
--- a/Source/Gateway/ExchangeAttempt.h
+++ b/Source/Gateway/ExchangeAttempt.h
@@ -14,7 +14,8 @@
 
 namespace jacinthroad {
 
-/// One attempt to send the request of an exchange to a backend server.
+/// One attempt to send the request of an exchange to a backend server, or to a node that sends it
+/// to one.
 struct Exchange::Attempt
 {
     explicit Attempt(boost::asio::io_context &context)
@@ -22,7 +23,13 @@
         , livenessTimer(context)
     { }
 
+    /// Without a server if the request is forwarded.
     Placement placement;
+    /// Name of the node that the request is forwarded to; empty if it is sent to a server.
+    std::string helper;
+    ForwardUse helperUse;
+    /// What that node states.
+    ForwardedResult forwardedResult;
     std::unique_ptr<ServerConnection> connection;
     DeadlineTimer deadlineTimer;
     DeadlineTimer livenessTimer;
@@ -69,6 +76,8 @@
     EventSplitter eventSplitter;
     BodyDelimiter delimiter = BodyDelimiter::Unknown;
 
+    [[nodiscard]] bool isForwarded() const { return !helper.empty(); }
+
     /// Ends the pending read without closing the connection. A request that is not written
     /// completely would be spoiled, so that its connection is closed.
     void interruptRead()
--- a/Source/Gateway/ExchangeConnect.cpp
+++ b/Source/Gateway/ExchangeConnect.cpp
@@ -45,17 +45,12 @@
         co_return false;
     }
     state_.metrics.countConnect();
-    attempt->connection = std::make_unique<ServerConnection>(state_.context.get_executor());
-    asio::ip::tcp::socket &socket = attempt->connection->socket;
-    abortAt(attempt, now + std::min(ConnectTimeout, timeLeft(now)));
     state_.links.noteConnecting(attempt->placement.server, now);
-    error_code error;
-    co_await socket.async_connect(*endpoint, asio::redirect_error(asio::use_awaitable, error));
+    const error_code error = co_await openConnection(attempt, *endpoint);
     noteConnectEnd(*attempt, now, error);
     if (error || attempt->timedOut || callerDisconnected_) {
         co_return false;
     }
-    setTcpTimeout(socket, ServerTcpTimeout);
     const bool severalVersions = state_.streamVersions.recordsNeeded(placementRequest_.service);
     const bool processKnown = !severalVersions
         && !state_.connections.hasLost(attempt->placement.server)
@@ -67,6 +62,21 @@
     co_return confirmed && !attempt->timedOut && !callerDisconnected_;
 }
 
+asio::awaitable<error_code> Exchange::openConnection(std::shared_ptr<Attempt> attempt,
+                                                     asio::ip::tcp::endpoint endpoint)
+{
+    const Instant now = std::chrono::steady_clock::now();
+    attempt->connection = std::make_unique<ServerConnection>(state_.context.get_executor());
+    asio::ip::tcp::socket &socket = attempt->connection->socket;
+    abortAt(attempt, now + std::min(ConnectTimeout, timeLeft(now)));
+    error_code error;
+    co_await socket.async_connect(endpoint, asio::redirect_error(asio::use_awaitable, error));
+    if (!error) {
+        setTcpTimeout(socket, ServerTcpTimeout);
+    }
+    co_return error;
+}
+
 void Exchange::noteConnectEnd(const Attempt &attempt, Instant began, const error_code &error)
 {
     const ServerId &server = attempt.placement.server;
--- a/Source/Gateway/ExchangeVersions.cpp
+++ b/Source/Gateway/ExchangeVersions.cpp
@@ -58,7 +58,11 @@
 
 asio::awaitable<bool> Exchange::findOrigin()
 {
-    if (!resumesStream()) {
+    if (!resumesStream() && forwarded_.softwareVersion.empty()) {
+        co_return true;
+    }
+    if (!forwarded_.softwareVersion.empty()) {
+        version_ = { forwarded_.softwareVersion };
         co_return true;
     }
     const Instant now = std::chrono::steady_clock::now();
--- a/Source/Gateway/Gateway.cpp
+++ b/Source/Gateway/Gateway.cpp
@@ -88,6 +88,7 @@
         , traffic(trafficContext, settings, metrics)
         , store(controlContext, settings.storeAddress, metrics)
         , callers(trafficContext)
+        , forwards(trafficContext)
         , readiness(trafficContext)
         , scrapes(controlContext)
         , relayQueries(controlContext)
@@ -178,7 +179,8 @@
                        { .name = settings.name,
                          .zone = settings.zone,
                          .address = settings.peerAddress,
-                         .linkMbps = settings.linkMbps },
+                         .linkMbps = settings.linkMbps,
+                         .forwardingAddress = settings.forwardingAddress },
                        eraSettling)
         , rollout(
               controlContext, store,
@@ -231,6 +233,15 @@
     {
         return { "listen.peers", settings.peerAddress };
     }
+    [[nodiscard]] ListenAddress forwardingAddress() const
+    {
+        return { "listen.forwarding", settings.forwardingAddress };
+    }
+    /// Takes requests that other nodes forward, and forwards some itself.
+    [[nodiscard]] bool exchangesRequests() const
+    {
+        return !settings.peerAddress.empty() && !settings.forwardingAddress.empty();
+    }
     /// Lets other nodes of the zone get the objects of the store from this one.
     void passOnStoreObjects();
     void sweep();
@@ -273,6 +284,7 @@
     TrafficState traffic;
     StoreClient store;
     asio::ip::tcp::acceptor callers;
+    asio::ip::tcp::acceptor forwards;
     asio::ip::tcp::acceptor readiness;
     asio::ip::tcp::acceptor scrapes;
     asio::ip::tcp::acceptor relayQueries;
@@ -340,6 +352,9 @@
         listen(relayQueries, peerAddress());
         attempts.emplace_back(peerAddress(), digests.open(settings.peerAddress));
     }
+    if (exchangesRequests()) {
+        listen(forwards, forwardingAddress());
+    }
     for (const auto &[address, error] : attempts) {
         const Result<bool> listening = checkListening(address, error);
         if (!listening.has_value()) {
@@ -386,6 +401,11 @@
     };
     linkProbes.start();
     asio::co_spawn(trafficContext, acceptOnceListening(), logFailure("listener"));
+    if (exchangesRequests()) {
+        serveOnceListening(trafficContext, forwards, forwardingAddress(), [this] {
+            return acceptCallers(traffic, forwards, RequestSource::Peer);
+        });
+    }
     serveOnceListening(trafficContext, readiness, readinessAddress(), [this] {
         return serveStatus(
             trafficContext, readiness, settings.readinessPath, [this]() -> StatusPage {
@@ -486,7 +506,13 @@
             sweep();
         }
     });
-    traffic.connections.closeExpired(std::chrono::steady_clock::now());
+    const Instant now = std::chrono::steady_clock::now();
+    traffic.connections.closeExpired(now);
+    traffic.peerConnections.closeExpired(now);
+    if (exchangesRequests()) {
+        traffic.forwarding.setPeers(digests.forwardPeers(now));
+    }
+    traffic.othersHaveLinks = !digests.peersWithLinks(now).empty();
     const auto age = traffic.freshness.age(bootNow());
     if (age.has_value()) {
         metrics.setConfigurationAge(*age);
@@ -698,6 +724,10 @@
                                bool connectionsClosed)
 {
     const Duration sinceSignal = std::chrono::steady_clock::now() - traffic.drainingSince;
+    if (forwards.is_open()) {
+        // Other nodes can go elsewhere at once.
+        acceptLastCallers(traffic, forwards, RequestSource::Peer);
+    }
     const bool listenerEnded = sinceSignal >= traffic.stopSchedule.listenerEnd();
     // A check that throws is followed by the next one all the same.
     drainTimer.expires_after(DrainPollPeriod);
--- a/Source/Gateway/GatewayMetrics.cpp
+++ b/Source/Gateway/GatewayMetrics.cpp
@@ -34,6 +34,14 @@
                      .Name("jacinthroad_attempts_total")
                      .Help("Attempts at backend servers by how they ended")
                      .Register(*registry_))
+    , forwarded_(&prometheus::BuildCounter()
+                      .Name("jacinthroad_forwarded_requests_total")
+                      .Help("Attempts that were made by way of other nodes by how they ended")
+                      .Register(*registry_))
+    , helped_(&prometheus::BuildCounter()
+                   .Name("jacinthroad_helped_requests_total")
+                   .Help("Requests that other nodes have forwarded by outcome")
+                   .Register(*registry_))
     , resumes_(&prometheus::BuildCounter()
                     .Name("jacinthroad_resumes_total")
                     .Help("Requests to resume a stream by outcome")
@@ -128,6 +136,16 @@
     attempts_->Add({ { "end", end } }).Increment();
 }
 
+void GatewayMetrics::countForwarded(const std::string &end)
+{
+    forwarded_->Add({ { "end", end } }).Increment();
+}
+
+void GatewayMetrics::countHelped(const std::string &outcome)
+{
+    helped_->Add({ { "outcome", outcome } }).Increment();
+}
+
 void GatewayMetrics::countResume(const std::string &outcome)
 {
     resumes_->Add({ { "outcome", outcome } }).Increment();
--- a/Source/Gateway/GatewayMetrics.h
+++ b/Source/Gateway/GatewayMetrics.h
@@ -34,6 +34,10 @@
     void countConnectionClosed(const std::string &reason);
     /// Counts an attempt at a backend server that ended with `end`.
     void countAttempt(const std::string &end);
+    /// Counts an attempt that was made by way of another node by how it ended.
+    void countForwarded(const std::string &end);
+    /// Counts a request of another node that ended with `outcome`, a value of the decision log.
+    void countHelped(const std::string &outcome);
     /// Counts a request to resume a stream by whether it went on, or why not.
     void countResume(const std::string &outcome);
     /// Counts a call to the platform's store that ended with `result`.
@@ -71,6 +75,8 @@
     prometheus::Family<prometheus::Counter> *requests_;
     prometheus::Family<prometheus::Counter> *connectionsClosed_;
     prometheus::Family<prometheus::Counter> *attempts_;
+    prometheus::Family<prometheus::Counter> *forwarded_;
+    prometheus::Family<prometheus::Counter> *helped_;
     prometheus::Family<prometheus::Counter> *resumes_;
     prometheus::Family<prometheus::Counter> *storeCalls_;
     prometheus::Family<prometheus::Counter> *relayQueries_;
--- a/Source/Gateway/GatewaySettings.cpp
+++ b/Source/Gateway/GatewaySettings.cpp
@@ -25,7 +25,7 @@
 } };
 constexpr ObjectSchema NodeSchema { "node", NodeFields };
 
-constexpr std::array<FieldRule, 5> ListenFields { {
+constexpr std::array<FieldRule, 6> ListenFields { {
     { .name = "callers",
       .type = FieldType::String,
       .required = true,
@@ -47,6 +47,11 @@
       .defaultText = "\"\"",
       .help = "IP:port for datagrams and, over TCP, objects of the store between nodes; empty "
               "sends peers nothing" },
+    { .name = "forwarding",
+      .type = FieldType::String,
+      .defaultText = "\"\"",
+      .help = "IP:port for requests that nodes forward which can't reach the backend servers; "
+              "needs 'peers'; empty takes none and forwards none" },
 } };
 constexpr ObjectSchema ListenSchema { "listen", ListenFields };
 
@@ -241,6 +246,7 @@
         .readinessPath = listen.text("readiness_path"),
         .metricsAddress = listen.text("metrics"),
         .peerAddress = listen.text("peers"),
+        .forwardingAddress = listen.text("forwarding"),
         .storeAddress = store.text("address"),
         .linkMbps = limits.number("link_mbps"),
         .memoryMb = memory.number("total_mb"),
--- a/Source/Gateway/GatewaySettings.h
+++ b/Source/Gateway/GatewaySettings.h
@@ -23,6 +23,8 @@
     std::string readinessPath;
     std::string metricsAddress;
     std::string peerAddress;
+    /// Empty if the node helps no others and no others help it.
+    std::string forwardingAddress;
     std::string storeAddress;
 
     /// Link of this node in Mbit/s; 0 if it is not known.
--- a/Source/Gateway/Listener.cpp
+++ b/Source/Gateway/Listener.cpp
@@ -136,14 +136,16 @@
     }
 }
 
-asio::awaitable<void> acceptCallers(TrafficState &state, asio::ip::tcp::acceptor &acceptor)
+asio::awaitable<void> acceptCallers(TrafficState &state, asio::ip::tcp::acceptor &acceptor,
+                                    RequestSource source)
 {
-    return acceptConnections(state.context, acceptor, [&state](asio::ip::tcp::socket socket) {
-        CallerSession::start(state, std::move(socket));
-    });
+    return acceptConnections(state.context, acceptor,
+                             [&state, source](asio::ip::tcp::socket socket) {
+                                 CallerSession::start(state, std::move(socket), source);
+                             });
 }
 
-void acceptLastCallers(TrafficState &state, asio::ip::tcp::acceptor &acceptor)
+void acceptLastCallers(TrafficState &state, asio::ip::tcp::acceptor &acceptor, RequestSource source)
 {
     error_code error;
     acceptor.non_blocking(true, error);
@@ -151,7 +153,7 @@
         asio::ip::tcp::socket socket(state.context);
         acceptor.accept(socket, error);
         if (!error) {
-            CallerSession::start(state, std::move(socket));
+            CallerSession::start(state, std::move(socket), source);
         }
     }
     acceptor.close(error);
--- a/Source/Gateway/Listener.h
+++ b/Source/Gateway/Listener.h
@@ -9,6 +9,7 @@
 #include <boost/asio/ip/tcp.hpp>
 
 #include "Core/Error.h"
+#include "Gateway/Exchange.h"
 #include "Gateway/TrafficState.h"
 
 namespace jacinthroad {
@@ -48,12 +49,15 @@
 acceptConnections(boost::asio::io_context &context, boost::asio::ip::tcp::acceptor &acceptor,
                   std::function<void(boost::asio::ip::tcp::socket)> onAccept);
 
-/// Accepts connections of callers until the acceptor is closed and runs a CallerSession for each.
-[[nodiscard]] boost::asio::awaitable<void> acceptCallers(TrafficState &state,
-                                                         boost::asio::ip::tcp::acceptor &acceptor);
+/// Accepts connections of callers, or of nodes that forward requests, until the acceptor is closed
+/// and runs a CallerSession for each.
+[[nodiscard]] boost::asio::awaitable<void>
+acceptCallers(TrafficState &state, boost::asio::ip::tcp::acceptor &acceptor,
+              RequestSource source = RequestSource::Caller);
 
 /// Runs a CallerSession for each connection that waits to be accepted and closes the acceptor.
 /// Closing it alone resets these connections, and with them requests that have arrived.
-void acceptLastCallers(TrafficState &state, boost::asio::ip::tcp::acceptor &acceptor);
+void acceptLastCallers(TrafficState &state, boost::asio::ip::tcp::acceptor &acceptor,
+                       RequestSource source = RequestSource::Caller);
 
 } // namespace jacinthroad
--- a/Source/Gateway/NodeRegistration.cpp
+++ b/Source/Gateway/NodeRegistration.cpp
@@ -16,9 +16,11 @@
 /// Pause between attempts to register this node in the store.
 constexpr Duration RegisterPause = milliseconds(700);
 constexpr Duration RegisterTimeout = milliseconds(900);
-/// Fields of a node's object: the address for digests and queries of other nodes, the availability
-/// zone, the era of the store that the node has found settled, and the link.
+/// Fields of a node's object: the address for digests and queries of other nodes, that for
+/// forwarded requests, the availability zone, the era of the store that the node has found settled,
+/// and the link.
 constexpr const char *PeerAddressField = "peers";
+constexpr const char *ForwardingAddressField = "forwarding";
 constexpr const char *ZoneField = "zone";
 constexpr const char *SettledEraField = "settled_era";
 /// Whole numbers stay equal when the store writes them anew.
@@ -60,7 +62,10 @@
                   .zone = spec[ZoneField].isString() ? spec[ZoneField].asString() : std::string(),
                   .address = spec[PeerAddressField].asString(),
                   .linkMbps
-                  = spec[LinkField].isUInt() ? spec[LinkField].asUInt() / KilobitsPerMegabit : 0 });
+                  = spec[LinkField].isUInt() ? spec[LinkField].asUInt() / KilobitsPerMegabit : 0,
+                  .forwardingAddress = spec[ForwardingAddressField].isString()
+                      ? spec[ForwardingAddressField].asString()
+                      : std::string() });
         }
     }
     return nodes;
@@ -86,6 +91,9 @@
     Json::Value spec;
     spec[PeerAddressField] = node_.address;
     spec[ZoneField] = node_.zone;
+    if (!node_.forwardingAddress.empty()) {
+        spec[ForwardingAddressField] = node_.forwardingAddress;
+    }
     if (node_.linkMbps > 0) {
         spec[LinkField] = static_cast<Json::Int>(
             std::min(node_.linkMbps * KilobitsPerMegabit, MaxLinkKilobits));
--- a/Source/Gateway/SilentAttempt.cpp
+++ b/Source/Gateway/SilentAttempt.cpp
@@ -69,7 +69,10 @@
     attempt->eventSplitter = eventSplitter_;
     attempt->delimiter = delimiter_;
     eventSplitter_.startResumedStream();
-    triedServers_.push_back(attempt->placement.server);
+    if (!attempt->isForwarded()) {
+        triedServers_.push_back(attempt->placement.server);
+        sentServers_.push_back(attempt->placement.server);
+    }
     retryReserved_ = false;
     silentAttempt_ = attempt;
 }
--- a/Source/Gateway/TrafficState.cpp
+++ b/Source/Gateway/TrafficState.cpp
@@ -70,6 +70,7 @@
     , freshness(Freshness::limitsFor(settings.keyRevocation))
     , pool({ .zone = ZoneId(settings.zone),
              .outdatedWeightsGrace = settings.weightsLimit - WeightsMargin })
+    , forwarding({ .zone = settings.zone })
     , retryBudget(retryBudgetOptions(settings, MinNodes))
     , bodyMemory(std::make_shared<MemoryBudget>(bodyMemoryLimit(settings)))
     , crashReporter(mix64(hash64(settings.name), static_cast<std::uint64_t>(wallMilliseconds())))
@@ -356,8 +357,11 @@
 
 bool TrafficState::ready() const
 {
-    return !draining && routes != nullptr && serverListLoadedAt.has_value()
-        && readyForStreams(std::chrono::steady_clock::now())
+    const Instant now = std::chrono::steady_clock::now();
+    if (links.lost(now) && othersHaveLinks && !forwarding.hasPeers()) {
+        return false;
+    }
+    return !draining && routes != nullptr && serverListLoadedAt.has_value() && readyForStreams(now)
         && freshness.level(bootNow()) != FreshnessLevel::Expired;
 }
 
--- a/Source/Gateway/TrafficState.h
+++ b/Source/Gateway/TrafficState.h
@@ -29,6 +29,7 @@
 #include "Gateway/GatewaySettings.h"
 #include "Gateway/StreamVersionGate.h"
 #include "Placement/AttemptBudget.h"
+#include "Placement/ForwardChoice.h"
 #include "Placement/LinkHealth.h"
 #include "Placement/QueueLimit.h"
 #include "Placement/ServerPool.h"
@@ -112,6 +113,12 @@
     Freshness freshness;
     ServerPool pool;
     ConnectionPool connections;
+    /// The nodes that help when this one can't reach the backend servers, and the connections to
+    /// them, by name.
+    ForwardChoice forwarding;
+    ConnectionPool peerConnections;
+    /// Other nodes have reported lately that they reach backend servers.
+    bool othersHaveLinks = false;
     /// Of this node to the backend servers.
     LinkHealth links;
     AttemptBudget retryBudget;
@@ -159,7 +166,8 @@
     [[nodiscard]] Duration outdatedConfigurationAge() const;
     /// Limits on what callers send: those of the configuration, or defaults before the first one.
     [[nodiscard]] CallerLimits limits() const;
-    /// True if the balancer may send new connections to this node.
+    /// True if the balancer may send new connections to this node. A node without links to the
+    /// servers is ready if others can help, and if all are alike.
     [[nodiscard]] bool ready() const;
     /// Returns the time within which a request that has arrived at `now` is served, at most
     /// `limit`; nothing if the node is stopping and must refuse it.
--- a/Tests/Gateway/ForwardingTest.cpp
+++ b/Tests/Gateway/ForwardingTest.cpp
@@ -1,72 +1,140 @@
+#include <atomic>
 #include <thread>
 
+#include <boost/asio/write.hpp>
 #include <boost/test/unit_test.hpp>
 
+#include "Core/Endpoint.h"
 #include "GatewayFixture.h"
 #include "UnreachableServer.h"
 
 namespace jacinthroad {
 
+namespace asio = boost::asio;
+
 namespace {
 
 /// Time from the loss of the links after which first tries must be served.
 constexpr milliseconds StableWindow { 3000 };
+constexpr milliseconds PollInterval { 5 };
+constexpr const char *StreamHeaders = "Authorization: Bearer k1\r\nX-Model: m\r\n";
 
-/// Two nodes, of which one can't connect to any server.
+/// Nodes of which one can't connect to any server.
 class CutNodeFixture
 {
 public:
-    CutNodeFixture()
+    using Handler = GatewayFixture::Handler;
+
+    explicit CutNodeFixture(Handler handler = serve())
     {
         helper.settings.name = "front-2";
-        helper.addServer("s1", "plain", serve());
-        helper.addServer("s2", "plain", serve());
-        helper.addServer("e1", "engines", serve());
-        helper.addServer("e2", "engines", serve());
+        for (const char *name : { "s1", "s2" }) {
+            helper.addServer(name, "plain", handler);
+        }
+        for (const char *name : { "e1", "e2" }) {
+            helper.addServer(name, "engines", handler);
+        }
     }
 
-    /// Starts both nodes.
+    /// Starts both nodes and lets them hear of each other.
     void start()
     {
-        cut.shareServers(helper);
-        for (const char *name : { "s1", "s2", "e1", "e2" }) {
-            Json::Value entry = cut.store.spec("servers", name);
-            entry["address"] = unreachable.address();
-            cut.store.put("servers", name, entry);
-        }
-        cut.addPeer(helper);
-        helper.addPeer(cut);
         helper.configure(1, { "k1" });
         cut.configure(1, { "k1" });
+        startConfigured();
+    }
+
+    void startConfigured()
+    {
+        listUnreachable(cut);
+        cut.addPeer(helper);
+        helper.addPeer(cut);
         helper.start();
         cut.start();
+        awaitPeers();
     }
 
-    static GatewayFixture::Handler serve()
+    /// Lists the servers in the store of a node at an address that accepts no connection.
+    void listUnreachable(GatewayFixture &node)
     {
-        return [](ScriptedConnection &connection, const ReceivedRequest &request) {
-            if (request.target().starts_with("/-/")) {
-                connection.write(responseText(404, "", ""));
-            } else if (request.target().starts_with("/stream/")) {
+        node.shareServers(helper);
+        for (const char *name : { "s1", "s2", "e1", "e2" }) {
+            Json::Value entry = node.store.spec("servers", name);
+            entry["address"] = unreachable.address();
+            node.store.put("servers", name, entry);
+        }
+    }
+
+    static void awaitPeers() { std::this_thread::sleep_for(milliseconds(1500)); }
+
+    /// Responds to requests, and to nothing else.
+    static Handler serve()
+    {
+        return respondBy([](ScriptedConnection &connection, const ReceivedRequest &request) {
+            if (request.target().starts_with("/stream/")) {
                 connection.write(streamHead(request) + chunk(event(1)) + chunk(event(2))
                                  + "0\r\n\r\n");
             } else {
                 connection.write(validResponse(request));
             }
+        });
+    }
+
+    static Handler
+    respondBy(std::function<void(ScriptedConnection &, const ReceivedRequest &)> script)
+    {
+        return [script = std::move(script)](ScriptedConnection &connection,
+                                            const ReceivedRequest &request) {
+            if (request.target().starts_with("/-/")) {
+                connection.write(responseText(404, "", ""));
+            } else {
+                script(connection, request);
+            }
             return true;
         };
     }
 
+    /// Number of requests that the servers have received.
+    std::size_t received()
+    {
+        std::size_t count = 0;
+        for (const char *name : { "s1", "s2", "e1", "e2" }) {
+            count += helper.receivedRequests(name).size();
+        }
+        return count;
+    }
+
+    bool awaitReceived(std::size_t count)
+    {
+        constexpr int MaxPolls = 600;
+        for (int polls = 0; polls < MaxPolls && received() < count; ++polls) {
+            std::this_thread::sleep_for(PollInterval);
+        }
+        return received() >= count;
+    }
+
     UnreachableServer unreachable;
     GatewayFixture helper;
     GatewayFixture cut;
 };
 
+bool statesNotRun(const CallerResponse &response)
+{
+    return response.body().find("\"not_run\":true") != std::string::npos
+        || response.body().find("\"not_run\":\"true\"") != std::string::npos;
+}
+
+void reject(ScriptedConnection &connection, const ReceivedRequest &request)
+{
+    connection.write(responseText(
+        503, "X-Not-Run: 1\r\nX-Request-Id: " + std::string(request["X-Request-Id"]) + "\r\n", ""));
+}
+
 } // namespace
 
 BOOST_AUTO_TEST_SUITE(ForwardingTest)
 
-BOOST_AUTO_TEST_CASE(callersOfANodeThatLostItsLinksAreNotServed, *boost::unit_test::disabled())
+BOOST_AUTO_TEST_CASE(callersOfANodeThatLostItsLinksAreNotServed)
 {
     CutNodeFixture fixture;
     fixture.start();
@@ -80,6 +148,342 @@
     BOOST_TEST(served >= Calls * 0.85);
 }
 
+BOOST_AUTO_TEST_CASE(forwardedRequestLosesItsTeamOrKeepsFieldsOfNodes)
+{
+    CutNodeFixture fixture;
+    fixture.start();
+    const auto response
+        = fixture.cut.call("POST", "/unsafe/a", "body",
+                           "Authorization: Bearer k1\r\nJacinthroad-Forwarded-By: caller\r\n");
+    BOOST_REQUIRE(response != nullptr);
+    BOOST_TEST(response->result_int() == 200U);
+    BOOST_TEST(response->count("Jacinthroad-Forwarded-Result") == 0U);
+    BOOST_REQUIRE(fixture.received() == 1U);
+    auto requests = fixture.helper.receivedRequests("s1");
+    const auto others = fixture.helper.receivedRequests("s2");
+    requests.insert(requests.end(), others.begin(), others.end());
+    BOOST_TEST(std::string(requests.front()["X-Tenant"]) == "north");
+    BOOST_TEST(requests.front().count("Jacinthroad-Forwarded-By") == 0U);
+    BOOST_TEST(requests.front().count("Authorization") == 0U);
+    BOOST_TEST(requests.front().body() == "body");
+}
+
+BOOST_AUTO_TEST_CASE(unsafeRequestRunsTwiceWhenItsServerBreaksOffBehindAForward)
+{
+    CutNodeFixture fixture(CutNodeFixture::respondBy(
+        [](ScriptedConnection &connection, const ReceivedRequest &) { connection.reset(); }));
+    fixture.start();
+    const auto response = fixture.cut.call("POST", "/unsafe/a", "body");
+    BOOST_REQUIRE(response != nullptr);
+    BOOST_TEST(response->result_int() == 502U);
+    BOOST_TEST(!statesNotRun(*response));
+    BOOST_TEST(fixture.received() == 1U);
+}
+
+BOOST_AUTO_TEST_CASE(requestThatRanBehindABrokenForwardIsReportedAsNotRun)
+{
+    std::atomic<bool> release { false };
+    CutNodeFixture fixture(CutNodeFixture::respondBy(
+        [&](ScriptedConnection &connection, const ReceivedRequest &request) {
+            while (!release) {
+                std::this_thread::sleep_for(PollInterval);
+            }
+            connection.write(validResponse(request));
+        }));
+    fixture.start();
+    std::unique_ptr<CallerResponse> response;
+    std::thread caller([&] { response = fixture.cut.call("POST", "/unsafe/a", "body"); });
+    const bool received = fixture.awaitReceived(1);
+    fixture.helper.gateway.reset();
+    caller.join();
+    release = true;
+    BOOST_TEST(received);
+    BOOST_REQUIRE(response != nullptr);
+    BOOST_TEST(response->result_int() == 502U);
+    BOOST_TEST(!statesNotRun(*response));
+    BOOST_TEST(fixture.received() == 1U);
+}
+
+BOOST_AUTO_TEST_CASE(requestThatServersRejectBehindAForwardIsNotReportedAsNotRun)
+{
+    CutNodeFixture fixture(CutNodeFixture::respondBy(reject));
+    fixture.start();
+    const auto response = fixture.cut.call("POST", "/unsafe/a", "body");
+    BOOST_REQUIRE(response != nullptr);
+    BOOST_TEST(response->result_int() == 503U);
+    BOOST_TEST(statesNotRun(*response));
+}
+
+BOOST_AUTO_TEST_CASE(requestIsNotRefusedAsNotRunWhenTheHelpingNodeIsGone)
+{
+    CutNodeFixture fixture;
+    fixture.start();
+    fixture.helper.gateway.reset();
+    const auto response = fixture.cut.call("POST", "/unsafe/a", "body");
+    BOOST_REQUIRE(response != nullptr);
+    BOOST_TEST(response->result_int() == 503U);
+    BOOST_TEST(statesNotRun(*response));
+    BOOST_TEST(fixture.received() == 0U);
+}
+
+BOOST_AUTO_TEST_CASE(safeRequestHasMoreAttemptsAcrossForwardsThanItsRouteAllows)
+{
+    CutNodeFixture fixture(CutNodeFixture::respondBy(
+        [](ScriptedConnection &connection, const ReceivedRequest &request) {
+            connection.write(validResponse(request, 500, "failed"));
+        }));
+    fixture.start();
+    const auto response = fixture.cut.call("GET", "/safe/a");
+    BOOST_REQUIRE(response != nullptr);
+    BOOST_TEST(response->result_int() == 500U);
+    BOOST_TEST(fixture.helper.receivedRequests("s1").size() == 1U);
+    BOOST_TEST(fixture.helper.receivedRequests("s2").size() == 1U);
+}
+
+BOOST_AUTO_TEST_CASE(retriesBehindForwardsExceedTheBudget)
+{
+    CutNodeFixture fixture(CutNodeFixture::respondBy(
+        [](ScriptedConnection &connection, const ReceivedRequest &request) {
+            connection.write(validResponse(request, 500, "failed"));
+        }));
+    fixture.cut.settings.retryShare = 0;
+    fixture.cut.settings.retryAllowance = 0;
+    fixture.start();
+    constexpr unsigned Calls = 5;
+    for (unsigned number = 0; number < Calls; ++number) {
+        BOOST_REQUIRE(fixture.cut.call("GET", "/safe/a") != nullptr);
+    }
+    BOOST_TEST(fixture.received() == Calls);
+}
+
+BOOST_AUTO_TEST_CASE(serverRunsOnAfterTheCallerOfAForwardedRequestHasLeft)
+{
+    std::atomic<bool> closed { false };
+    CutNodeFixture fixture(
+        CutNodeFixture::respondBy([&](ScriptedConnection &connection, const ReceivedRequest &) {
+            closed = connection.waitForClose(milliseconds(3000));
+        }));
+    fixture.start();
+    asio::ip::tcp::socket caller = fixture.cut.connect();
+    asio::write(caller,
+                asio::buffer(std::string("POST /once/a HTTP/1.1\r\nHost: h\r\nX-Request-Id: left"
+                                         "\r\nAuthorization: Bearer k1\r\nX-Model: m\r\n"
+                                         "Content-Length: 1\r\n\r\nb")));
+    BOOST_REQUIRE(fixture.awaitReceived(1));
+    caller.close();
+    constexpr milliseconds CancelLimit { 400 };
+    const auto until = std::chrono::steady_clock::now() + CancelLimit;
+    while (!closed && std::chrono::steady_clock::now() < until) {
+        std::this_thread::sleep_for(PollInterval);
+    }
+    BOOST_TEST(closed);
+}
+
+BOOST_AUTO_TEST_CASE(forwardedRequestHasMoreTimeThanItsCallerGives)
+{
+    std::atomic<bool> closed { false };
+    CutNodeFixture fixture(
+        CutNodeFixture::respondBy([&](ScriptedConnection &connection, const ReceivedRequest &) {
+            closed = connection.waitForClose(milliseconds(3000));
+        }));
+    fixture.start();
+    constexpr milliseconds Deadline { 900 };
+    const auto began = std::chrono::steady_clock::now();
+    const auto response = fixture.cut.call("POST", "/unsafe/a", "body",
+                                           "Authorization: Bearer k1\r\nX-Deadline-Ms: 900\r\n");
+    const auto took = std::chrono::steady_clock::now() - began;
+    BOOST_REQUIRE(response != nullptr);
+    BOOST_TEST(!statesNotRun(*response));
+    BOOST_TEST((took < Deadline + milliseconds(200)));
+    BOOST_REQUIRE(fixture.received() == 1U);
+    auto requests = fixture.helper.receivedRequests("s1");
+    const auto others = fixture.helper.receivedRequests("s2");
+    requests.insert(requests.end(), others.begin(), others.end());
+    // Nothing is left of the time that the connection took that could not be made.
+    BOOST_TEST(std::stoi(std::string(requests.front()["X-Deadline-Ms"])) <= 600);
+}
+
+BOOST_AUTO_TEST_CASE(streamIsCutWhenItsServerBreaksOffBehindAForward)
+{
+    std::atomic<unsigned> sends { 0 };
+    CutNodeFixture fixture(CutNodeFixture::respondBy(
+        [&](ScriptedConnection &connection, const ReceivedRequest &request) {
+            if (sends++ == 0) {
+                connection.write(streamHead(request) + chunk(event(1)));
+                connection.reset();
+            } else if (request["Last-Event-Id"] == "1") {
+                connection.write(streamHead(request) + chunk(event(2)) + "0\r\n\r\n");
+            }
+        }));
+    fixture.start();
+    const auto response = fixture.cut.call("POST", "/stream/a", "prompt", StreamHeaders);
+    BOOST_REQUIRE(response != nullptr);
+    BOOST_TEST(response->body() == event(1) + event(2));
+    BOOST_TEST(sends == 2U);
+}
+
+BOOST_AUTO_TEST_CASE(streamIsCutWhenItsHelpingNodeDies)
+{
+    std::atomic<unsigned> sends { 0 };
+    std::atomic<bool> closed { false };
+    CutNodeFixture fixture(CutNodeFixture::respondBy(
+        [&](ScriptedConnection &connection, const ReceivedRequest &request) {
+            if (sends++ == 0) {
+                connection.write(streamHead(request) + chunk(event(1)));
+                closed = connection.waitForClose(milliseconds(3000));
+            } else if (request["Last-Event-Id"] == "1") {
+                connection.write(streamHead(request) + chunk(event(2)) + "0\r\n\r\n");
+            }
+        }));
+    GatewayFixture other;
+    other.settings.name = "front-3";
+    other.shareServers(fixture.helper);
+    other.configure(1, { "k1" });
+    for (GatewayFixture *node : { &fixture.helper, &fixture.cut }) {
+        node->addPeer(other);
+        other.addPeer(*node);
+    }
+    other.start();
+    fixture.start();
+    std::unique_ptr<CallerResponse> response;
+    std::thread caller(
+        [&] { response = fixture.cut.call("POST", "/stream/a", "prompt", StreamHeaders); });
+    const bool received = fixture.awaitReceived(1);
+    std::this_thread::sleep_for(milliseconds(100));
+    // Only one of them has the request.
+    fixture.helper.gateway.reset();
+    std::this_thread::sleep_for(milliseconds(100));
+    if (!closed) {
+        other.gateway.reset();
+        fixture.helper.start();
+    }
+    caller.join();
+    BOOST_TEST(received);
+    BOOST_REQUIRE(response != nullptr);
+    BOOST_TEST(response->body().starts_with(event(1)));
+}
+
+BOOST_AUTO_TEST_CASE(nodesWithoutLinksForwardToEachOther)
+{
+    CutNodeFixture fixture;
+    GatewayFixture other;
+    other.settings.name = "front-3";
+    other.configure(1, { "k1" });
+    fixture.cut.configure(1, { "k1" });
+    fixture.listUnreachable(fixture.cut);
+    fixture.listUnreachable(other);
+    fixture.cut.addPeer(other);
+    other.addPeer(fixture.cut);
+    other.start();
+    fixture.cut.start();
+    CutNodeFixture::awaitPeers();
+    const auto began = std::chrono::steady_clock::now();
+    const auto response = fixture.cut.call("POST", "/unsafe/a", "body");
+    const auto took = std::chrono::steady_clock::now() - began;
+    BOOST_REQUIRE(response != nullptr);
+    BOOST_TEST(response->result_int() == 503U);
+    BOOST_TEST(statesNotRun(*response));
+    BOOST_TEST((took < milliseconds(1200)));
+}
+
+BOOST_AUTO_TEST_CASE(nodeWithAnOlderConfigurationServesForwardedRequests)
+{
+    CutNodeFixture fixture;
+    fixture.helper.configure(1, { "k1" });
+    fixture.cut.configure(2, { "k1" });
+    fixture.startConfigured();
+    const auto response = fixture.cut.call("POST", "/unsafe/a", "body");
+    BOOST_REQUIRE(response != nullptr);
+    BOOST_TEST(response->result_int() == 503U);
+    BOOST_TEST(statesNotRun(*response));
+    BOOST_TEST(fixture.received() == 0U);
+}
+
+BOOST_AUTO_TEST_CASE(keyRevokedAtTheHelpingNodeIsServed)
+{
+    CutNodeFixture fixture;
+    fixture.helper.configure(2, { "k2" });
+    fixture.cut.configure(1, { "k1" });
+    fixture.startConfigured();
+    const auto response = fixture.cut.call("POST", "/unsafe/a", "body");
+    BOOST_REQUIRE(response != nullptr);
+    BOOST_TEST(response->result_int() == 401U);
+    BOOST_TEST(fixture.received() == 0U);
+}
+
+BOOST_AUTO_TEST_CASE(stoppingNodeTakesForwardedRequestsOrCutsThem)
+{
+    std::atomic<bool> release { false };
+    CutNodeFixture fixture(CutNodeFixture::respondBy(
+        [&](ScriptedConnection &connection, const ReceivedRequest &request) {
+            while (!release) {
+                std::this_thread::sleep_for(PollInterval);
+            }
+            connection.write(validResponse(request));
+        }));
+    fixture.start();
+    std::unique_ptr<CallerResponse> first;
+    std::thread caller([&] { first = fixture.cut.call("POST", "/unsafe/a", "body"); });
+    const bool received = fixture.awaitReceived(1);
+    std::thread stop([&] {
+        static_cast<void>(fixture.helper.gateway->drain(std::chrono::steady_clock::now()));
+    });
+    std::this_thread::sleep_for(milliseconds(100));
+    const auto second = fixture.cut.call("POST", "/unsafe/a", "body");
+    release = true;
+    caller.join();
+    stop.join();
+    BOOST_TEST(received);
+    BOOST_REQUIRE(first != nullptr);
+    BOOST_TEST(first->result_int() == 200U);
+    BOOST_REQUIRE(second != nullptr);
+    BOOST_TEST(second->result_int() == 503U);
+    BOOST_TEST(statesNotRun(*second));
+    BOOST_TEST(fixture.received() == 1U);
+}
+
+BOOST_AUTO_TEST_CASE(slowCallerOfAForwardedStreamFillsTheMemoryOfNodes)
+{
+    constexpr std::size_t EventBytes = 10000;
+    constexpr std::size_t MaxBytes = 64 * 1000 * 1000;
+    constexpr std::size_t MaxBuffered = MaxBytes / 2;
+    std::atomic<std::size_t> written { 0 };
+    CutNodeFixture fixture(CutNodeFixture::respondBy(
+        [&](ScriptedConnection &connection, const ReceivedRequest &request) {
+            connection.write(streamHead(request));
+            const std::string part = chunk("id: 1\ndata: " + std::string(EventBytes, 'x') + "\n\n");
+            while (written < MaxBytes) {
+                connection.write(part);
+                written += part.size();
+            }
+        }));
+    fixture.start();
+    asio::ip::tcp::socket caller = fixture.cut.connect();
+    asio::write(caller,
+                asio::buffer(std::string("POST /once/a HTTP/1.1\r\nHost: h\r\nX-Request-Id: slow"
+                                         "\r\nAuthorization: Bearer k1\r\nX-Model: m\r\n"
+                                         "Content-Length: 1\r\n\r\nb")));
+    BOOST_REQUIRE(fixture.awaitReceived(1));
+    std::this_thread::sleep_for(milliseconds(1500));
+    BOOST_TEST(written < MaxBuffered);
+    // Ends the script: the server's connection breaks.
+    caller.close();
+    written = MaxBytes;
+}
+
+BOOST_AUTO_TEST_CASE(requestsAreForwardedAfterTheLinksAreBack)
+{
+    CutNodeFixture fixture;
+    fixture.start();
+    BOOST_REQUIRE(fixture.cut.call("POST", "/unsafe/a", "body") != nullptr);
+    fixture.cut.shareServers(fixture.helper);
+    std::this_thread::sleep_for(StableWindow);
+    fixture.helper.gateway.reset();
+    const auto response = fixture.cut.call("POST", "/unsafe/a", "body");
+    BOOST_REQUIRE(response != nullptr);
+    BOOST_TEST(response->result_int() == 200U);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace jacinthroad
--- a/Tests/Gateway/GatewayFixture.cpp
+++ b/Tests/Gateway/GatewayFixture.cpp
@@ -32,6 +32,7 @@
     settings.callerAddress = freeAddress();
     settings.readinessAddress = freeAddress();
     settings.peerAddress = freeAddress();
+    settings.forwardingAddress = freeAddress();
     settings.readinessPath = "/readyz";
     settings.storeAddress = store.address();
     settings.keyRevocation = milliseconds(5000);
@@ -124,6 +125,7 @@
 {
     Json::Value peer;
     peer["peers"] = other.settings.peerAddress;
+    peer["forwarding"] = other.settings.forwardingAddress;
     store.put("nodes", other.settings.name, peer);
 }
 
