--- a/Tests/Placement/ServerPoolTest.cpp
+++ b/Tests/Placement/ServerPoolTest.cpp
@@ -566,6 +566,41 @@
     }
 }
 
+BOOST_AUTO_TEST_CASE(peerThatCannotConnectTakesNoServerThatHasJustSentData,
+                     *boost::unit_test::disabled())
+{
+    ServerPool pool = poolOf({ engine("a"), engine("b"), engine("c") });
+    const PlacementRequest request { .service = Engines, .model = Model, .promptTokens = 500 };
+    for (std::int64_t milli = 0; milli < 2000; milli += 100) {
+        std::vector<ServerUpdate> updates;
+        for (const char *name : { "a", "b", "c" }) {
+            pool.noteReceived(ServerId(name), at(milli));
+            updates.push_back({ .server = ServerId(name), .avoidMs = 500 });
+        }
+        pool.applyPeer("peer", updates, at(milli + 10));
+        BOOST_TEST(chosen(pool, request, at(milli + 20)).candidates == 3U);
+    }
+}
+
+BOOST_AUTO_TEST_CASE(suspensionsNameTheirEvidence)
+{
+    ServerPool pool = poolOf({ engine("a"), engine("b") });
+    std::vector<std::string> suspensions;
+    pool.onSuspended = [&](const Suspension &suspension, Instant) {
+        suspensions.push_back(suspension.server.text() + " "
+                              + std::to_string(static_cast<int>(suspension.cause)) + " "
+                              + std::string(suspension.peer));
+    };
+    const std::vector<ServerUpdate> updates { { .server = ServerId("b"), .avoidMs = 500 } };
+    pool.noteUnreachable(ServerId("a"), at(0));
+    pool.applyPeer("peer", updates, at(1));
+    const std::vector<std::string> expected {
+        "a " + std::to_string(static_cast<int>(SuspensionCause::NotConnected)) + " ",
+        "b " + std::to_string(static_cast<int>(SuspensionCause::PeerReport)) + " peer"
+    };
+    BOOST_TEST(suspensions == expected, boost::test_tools::per_element());
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace jacinthroad
