Gateway: Forward requests for a single service that a node can't reach

ServicePaths tells for each service whether half of its servers have accepted no connection lately, and none one since. Requests for such a service are forwarded at once, forwarded ones are declined, and probes find the end of the loss. A node that declines is left out for this service only, and up to four nodes are asked. Here a wrong verdict costs a hop, which is why it may come sooner than that of LinkHealth.

--- a/Source/Gateway/Exchange.cpp
+++ b/Source/Gateway/Exchange.cpp
@@ -28,7 +28,7 @@
 constexpr unsigned MaxRejections = 2;
 /// Retry-After is at most the caller's remaining time divided by this.
 constexpr int RetryAfterDivisor = 3;
-/// Retry-After while this node and those that could help it have lost their links to the servers.
+/// Retry-After while this node and those that could help it can't reach the servers.
 constexpr Duration LostLinksRetryDelay = milliseconds(500);
 /// With less time left than this, the request is not sent.
 constexpr Duration MinUsefulTime = milliseconds(5);
@@ -235,6 +235,11 @@
             end = co_await sendRefusal(ErrorKind::NoBackendServer, milliseconds(500));
         } else {
             placementRequest_.service = *service;
+            if (source_ == RequestSource::Peer && state_.paths.unreachable(*service, received_)) {
+                end = co_await sendRefusal(ErrorKind::NoBackendServer, LostLinksRetryDelay);
+                logResult(end);
+                co_return end;
+            }
             if (source_ == RequestSource::Caller) {
                 state_.retryBudget.noteRequest(*service, std::chrono::steady_clock::now());
             }
--- a/Source/Gateway/ExchangeConnect.cpp
+++ b/Source/Gateway/ExchangeConnect.cpp
@@ -84,11 +84,11 @@
     // The caller left, or the request had less time.
     const bool givenUp = error == asio::error::operation_aborted && now - began < ConnectTimeout;
     if (!error) {
-        state_.links.noteConnected(server, now);
+        state_.noteConnected(server, now);
     } else if (givenUp) {
         state_.links.noteConnectAbandoned(server);
     } else {
-        state_.links.noteConnectFailed(server, now);
+        state_.noteConnectFailed(server, now);
     }
 }
 
--- a/Source/Gateway/ExchangeForward.cpp
+++ b/Source/Gateway/ExchangeForward.cpp
@@ -17,7 +17,7 @@
 /// that takes too long, nothing is learnt by trying the next server.
 constexpr unsigned MaxRefusedConnects = 2;
 /// Maximum number of nodes that are asked to send a request without any of them sending it.
-constexpr unsigned MaxUnsentForwards = 2;
+constexpr unsigned MaxUnsentForwards = 4;
 /// Idle connections between nodes are closed by the sender after this time, and after this share
 /// of the time after which the other node closes them.
 constexpr Duration MaxIdleTime = std::chrono::seconds(4);
@@ -28,8 +28,8 @@
 bool Exchange::prefersForwarding(Instant now) const
 {
     return source_ == RequestSource::Caller
-        && (state_.links.lost(now) || overdueConnects_ > 0
-            || failedConnects_ >= MaxRefusedConnects);
+        && (state_.links.lost(now) || state_.paths.unreachable(placementRequest_.service, now)
+            || overdueConnects_ > 0 || failedConnects_ >= MaxRefusedConnects);
 }
 
 std::optional<ForwardPeer> Exchange::chooseHelper(Instant now) const
@@ -37,8 +37,8 @@
     if (source_ == RequestSource::Peer || unsentForwards_ >= MaxUnsentForwards) {
         return std::nullopt;
     }
-    return state_.forwarding.choose(triedHelpers_, mix64(hash64(callerRequest_.id.text()), sends_),
-                                    now);
+    return state_.forwarding.choose(placementRequest_.service, triedHelpers_,
+                                    mix64(hash64(callerRequest_.id.text()), sends_), now);
 }
 
 asio::awaitable<Exchange::AttemptResult> Exchange::forwardTo(const ForwardPeer &helper)
@@ -148,7 +148,7 @@
         helperEnd = ForwardEnd::Unreachable;
     }
     attempt.helperUse.reset();
-    state_.forwarding.noteEnd(attempt.helper, helperEnd, now);
+    state_.forwarding.noteEnd(attempt.helper, placementRequest_.service, helperEnd, now);
     if (end == AttemptResult::NotSent) {
         ++unsentForwards_;
     }
--- a/Source/Gateway/LinkProbes.cpp
+++ b/Source/Gateway/LinkProbes.cpp
@@ -1,6 +1,7 @@
 #include "Gateway/LinkProbes.h"
 
 #include <cstdint>
+#include <set>
 #include <utility>
 #include <vector>
 
@@ -42,9 +43,9 @@
     co_await socket.async_connect(*endpoint, asio::redirect_error(asio::use_awaitable, error));
     const Instant now = std::chrono::steady_clock::now();
     if (error) {
-        state.links.noteConnectFailed(server.id, now);
+        state.noteConnectFailed(server.id, now);
     } else {
-        state.links.noteConnected(server.id, now);
+        state.noteConnected(server.id, now);
     }
 }
 
@@ -64,8 +65,12 @@
 void LinkProbes::update()
 {
     const Instant now = std::chrono::steady_clock::now();
-    const std::vector<ServerId> probes = state_.links.update(now);
+    const std::vector<ServerId> linkProbes = state_.links.update(now);
     noteChange(now);
+    std::set<ServerId> probes(linkProbes.begin(), linkProbes.end());
+    for (const ServerId &id : state_.paths.probes(now)) {
+        probes.insert(id);
+    }
     for (const ServerId &id : probes) {
         if (const ListedServer *server = state_.pool.listed(id)) {
             asio::co_spawn(state_.context, probe(state_, *server), logFailure("link_probe"));
--- a/Source/Gateway/TrafficState.cpp
+++ b/Source/Gateway/TrafficState.cpp
@@ -217,6 +217,7 @@
         connections.forgetLost(entry->first);
         entry = listedServers_.erase(entry);
     }
+    paths.setServers(services);
     links.setServers(std::move(services));
     if (!serverListLoadedAt.has_value()) {
         serverListLoadedAt = now;
@@ -245,6 +246,18 @@
     notifyPeersSoon();
 }
 
+void TrafficState::noteConnected(const ServerId &server, Instant now)
+{
+    links.noteConnected(server, now);
+    paths.noteReached(server);
+}
+
+void TrafficState::noteConnectFailed(const ServerId &server, Instant now)
+{
+    links.noteConnectFailed(server, now);
+    paths.noteFailed(server, now);
+}
+
 void TrafficState::noteReceived(const ServerId &server, Instant now)
 {
     pool.noteReceived(server, now);
--- a/Source/Gateway/TrafficState.h
+++ b/Source/Gateway/TrafficState.h
@@ -34,6 +34,7 @@
 #include "Placement/LinkHealth.h"
 #include "Placement/QueueLimit.h"
 #include "Placement/ServerPool.h"
+#include "Placement/ServicePaths.h"
 #include "Quarantine/CrashHistory.h"
 
 namespace jacinthroad {
@@ -101,6 +102,9 @@
     void noteStatement(const ServerInstance &server, const ServerStatement &statement);
     /// Records that data was received from a server.
     void noteReceived(const ServerId &server, Instant now);
+    /// Records that a connection to a server was made, or could not be made.
+    void noteConnected(const ServerId &server, Instant now);
+    void noteConnectFailed(const ServerId &server, Instant now);
     /// Applies records of requests that were running on servers that crashed, from a peer or from
     /// the store.
     void mergeCrashes(std::span<const CrashRecord> records, Instant now);
@@ -122,6 +126,8 @@
     bool othersHaveLinks = false;
     /// Of this node to the backend servers.
     LinkHealth links;
+    /// Which services this node can't reach, whatever the reason.
+    ServicePaths paths;
     AttemptBudget retryBudget;
     /// Memory for the bodies of requests and responses. Shared with the requests, which may outlive
     /// this object while the event loop is destroyed.
--- a/Source/Placement/ForwardChoice.cpp
+++ b/Source/Placement/ForwardChoice.cpp
@@ -28,13 +28,20 @@
     });
 }
 
+bool ForwardChoice::Load::avoidedFor(const ServiceId &service, Instant now) const
+{
+    const auto declined = declinedUntil.find(service);
+    return now < avoidedUntil || (declined != declinedUntil.end() && now < declined->second);
+}
+
 unsigned ForwardChoice::inFlight(const std::string &name) const
 {
     const auto load = loads_.find(name);
     return load != loads_.end() ? *load->second.inFlight : 0;
 }
 
-std::optional<ForwardPeer> ForwardChoice::choose(std::span<const std::string> tried,
+std::optional<ForwardPeer> ForwardChoice::choose(const ServiceId &service,
+                                                 std::span<const std::string> tried,
                                                  std::uint64_t seed, Instant now) const
 {
     std::vector<const ForwardPeer *> near;
@@ -42,7 +49,7 @@
     std::vector<const ForwardPeer *> others;
     for (const ForwardPeer &peer : peers_) {
         const auto load = loads_.find(peer.name);
-        const bool avoided = load != loads_.end() && now < load->second.avoidedUntil;
+        const bool avoided = load != loads_.end() && load->second.avoidedFor(service, now);
         const unsigned busy = inFlight(peer.name);
         if (avoided || busy >= options_.maxInFlight
             || std::find(tried.begin(), tried.end(), peer.name) != tried.end()) {
@@ -72,14 +79,15 @@
     return { nullptr, [count](void *) { --*count; } };
 }
 
-void ForwardChoice::noteEnd(const std::string &name, ForwardEnd end, Instant now)
+void ForwardChoice::noteEnd(const std::string &name, const ServiceId &service, ForwardEnd end,
+                            Instant now)
 {
     Load &load = loads_[name];
     switch (end) {
     case ForwardEnd::Handled:
         break;
     case ForwardEnd::Declined:
-        load.avoidedUntil = std::max(load.avoidedUntil, now + options_.declinedPause);
+        load.declinedUntil[service] = now + options_.declinedPause;
         break;
     case ForwardEnd::Unreachable:
         load.avoidedUntil = std::max(load.avoidedUntil, now + options_.unreachablePause);
--- a/Source/Placement/ForwardChoice.h
+++ b/Source/Placement/ForwardChoice.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <cstdint>
+#include <map>
 #include <memory>
 #include <optional>
 #include <span>
@@ -8,6 +9,7 @@
 #include <unordered_map>
 #include <vector>
 
+#include "Core/Ids.h"
 #include "Core/Time.h"
 
 namespace jacinthroad {
@@ -28,7 +30,7 @@
 enum class ForwardEnd : std::uint8_t {
     /// The node has dealt with the request, also by refusing it for what it is.
     Handled,
-    /// The node can't help now.
+    /// The node can't help now, for this service at least.
     Declined,
     /// No connection to the node could be made, or it broke.
     Unreachable,
@@ -53,8 +55,8 @@
         unsigned maxInFlight = 256;
         /// Up to this number, a helping node of the own zone comes before those of other zones.
         unsigned zoneInFlight = 48;
-        /// Time for which a node is left out after it declined a request.
-        Duration declinedPause = milliseconds(300);
+        /// Time for which a node is left out for a service after it declined a request.
+        Duration declinedPause = milliseconds(500);
         /// The same after a connection to it could not be made or broke.
         Duration unreachablePause = milliseconds(1000);
     };
@@ -65,13 +67,14 @@
     void setPeers(std::vector<ForwardPeer> peers);
     /// True if a node that could help is known, however busy.
     [[nodiscard]] bool hasPeers() const { return !peers_.empty(); }
-    /// Returns the node to forward a request to, or nothing if none can take it now.
-    [[nodiscard]] std::optional<ForwardPeer> choose(std::span<const std::string> tried,
+    /// Returns the node to forward a request for a service to, or nothing if none can take it now.
+    [[nodiscard]] std::optional<ForwardPeer> choose(const ServiceId &service,
+                                                    std::span<const std::string> tried,
                                                     std::uint64_t seed, Instant now) const;
     /// Counts a request as forwarded to a node until the object returned is destroyed.
     [[nodiscard]] ForwardUse begin(const std::string &name);
-    /// Records how a forwarded request ended.
-    void noteEnd(const std::string &name, ForwardEnd end, Instant now);
+    /// Records how a forwarded request for a service ended.
+    void noteEnd(const std::string &name, const ServiceId &service, ForwardEnd end, Instant now);
 
 private:
     struct Load
@@ -79,6 +82,10 @@
         /// Shared with the requests, which may outlive this object.
         std::shared_ptr<unsigned> inFlight = std::make_shared<unsigned>(0);
         Instant avoidedUntil;
+        /// A node may reach some services and not others.
+        std::map<ServiceId, Instant> declinedUntil;
+
+        [[nodiscard]] bool avoidedFor(const ServiceId &service, Instant now) const;
     };
 
     [[nodiscard]] unsigned inFlight(const std::string &name) const;
--- a/Tests/Gateway/ForwardingTest.cpp
+++ b/Tests/Gateway/ForwardingTest.cpp
@@ -54,11 +54,11 @@
         awaitPeers();
     }
 
-    /// Lists the servers in the store of a node at an address that accepts no connection.
+    /// Lists the servers in the store of a node, these at an address that accepts no connection.
     void listUnreachable(GatewayFixture &node)
     {
         node.shareServers(helper);
-        for (const char *name : { "s1", "s2", "e1", "e2" }) {
+        for (const char *name : unreachableServers) {
             Json::Value entry = node.store.spec("servers", name);
             entry["address"] = unreachable.address();
             node.store.put("servers", name, entry);
@@ -114,6 +114,7 @@
     }
 
     UnreachableServer unreachable;
+    std::vector<const char *> unreachableServers { "s1", "s2", "e1", "e2" };
     GatewayFixture helper;
     GatewayFixture cut;
 };
@@ -148,6 +149,27 @@
     BOOST_TEST(served >= Calls * 0.85);
 }
 
+BOOST_AUTO_TEST_CASE(callersWaitForConnectionsToTheOneServiceThatANodeCannotReach)
+{
+    constexpr milliseconds ConnectTime { 400 };
+    CutNodeFixture fixture;
+    fixture.unreachableServers = { "e1", "e2" };
+    fixture.start();
+    for (int number = 0; number < 4; ++number) {
+        BOOST_REQUIRE(fixture.cut.call("POST", "/once/a", "body", StreamHeaders) != nullptr);
+    }
+    std::this_thread::sleep_for(StableWindow);
+    for (int number = 0; number < 5; ++number) {
+        BOOST_REQUIRE(fixture.cut.call("POST", "/unsafe/a", "body") != nullptr);
+        const auto began = std::chrono::steady_clock::now();
+        const auto response = fixture.cut.call("POST", "/once/a", "body", StreamHeaders);
+        const auto took = std::chrono::steady_clock::now() - began;
+        BOOST_REQUIRE(response != nullptr);
+        BOOST_TEST(response->result_int() == 200U);
+        BOOST_TEST((took < ConnectTime));
+    }
+}
+
 BOOST_AUTO_TEST_CASE(forwardedRequestLosesItsTeamOrKeepsFieldsOfNodes)
 {
     CutNodeFixture fixture;
--- a/Tests/Placement/ForwardChoiceTest.cpp
+++ b/Tests/Placement/ForwardChoiceTest.cpp
@@ -9,6 +9,8 @@
 
 namespace {
 
+const ServiceId Service("s");
+
 Instant at(std::int64_t milli)
 {
     return Instant(milliseconds(milli));
@@ -29,7 +31,7 @@
     choice.setPeers({ peer("near", "a"), peer("far", "b") });
     std::vector<ForwardUse> uses;
     for (std::uint64_t seed = 0; seed < 2; ++seed) {
-        const auto chosen = choice.choose({}, seed, at(0));
+        const auto chosen = choice.choose(Service, {}, seed, at(0));
         BOOST_REQUIRE(chosen.has_value());
         BOOST_TEST(chosen->name == "near");
         uses.push_back(choice.begin("near"));
@@ -37,7 +39,7 @@
     uses.push_back(choice.begin("near"));
     std::map<std::string, int> counts;
     for (std::uint64_t seed = 0; seed < 100; ++seed) {
-        ++counts[choice.choose({}, seed, at(0))->name];
+        ++counts[choice.choose(Service, {}, seed, at(0))->name];
     }
     BOOST_TEST(counts["far"] > counts["near"]);
 }
@@ -50,7 +52,7 @@
     std::map<std::string, unsigned> counts;
     std::vector<ForwardUse> uses;
     for (std::uint64_t seed = 0; seed < Requests; ++seed) {
-        const auto chosen = choice.choose({}, seed, at(0));
+        const auto chosen = choice.choose(Service, {}, seed, at(0));
         BOOST_REQUIRE(chosen.has_value());
         uses.push_back(choice.begin(chosen->name));
         ++counts[chosen->name];
@@ -65,23 +67,24 @@
     ForwardChoice choice({ .zone = "a", .maxInFlight = 2 });
     choice.setPeers({ peer("n", "a") });
     const ForwardUse first = choice.begin("n");
-    BOOST_TEST(choice.choose({}, 0, at(0)).has_value());
+    BOOST_TEST(choice.choose(Service, {}, 0, at(0)).has_value());
     ForwardUse second = choice.begin("n");
-    BOOST_TEST(!choice.choose({}, 0, at(0)).has_value());
+    BOOST_TEST(!choice.choose(Service, {}, 0, at(0)).has_value());
     second.reset();
-    BOOST_TEST(choice.choose({}, 0, at(0)).has_value());
+    BOOST_TEST(choice.choose(Service, {}, 0, at(0)).has_value());
 }
 
 BOOST_AUTO_TEST_CASE(nodesThatDeclineOrAreUnreachableAreLeftOutForAWhile)
 {
     ForwardChoice choice({ .zone = "a" });
     choice.setPeers({ peer("n", "a") });
-    choice.noteEnd("n", ForwardEnd::Declined, at(0));
-    BOOST_TEST(!choice.choose({}, 0, at(299)).has_value());
-    BOOST_TEST(choice.choose({}, 0, at(300)).has_value());
-    choice.noteEnd("n", ForwardEnd::Unreachable, at(1000));
-    BOOST_TEST(!choice.choose({}, 0, at(1999)).has_value());
-    BOOST_TEST(choice.choose({}, 0, at(2000)).has_value());
+    choice.noteEnd("n", Service, ForwardEnd::Declined, at(0));
+    BOOST_TEST(!choice.choose(Service, {}, 0, at(499)).has_value());
+    BOOST_TEST(choice.choose(Service, {}, 0, at(500)).has_value());
+    BOOST_TEST(choice.choose(ServiceId("other"), {}, 0, at(1)).has_value());
+    choice.noteEnd("n", Service, ForwardEnd::Unreachable, at(1000));
+    BOOST_TEST(!choice.choose(Service, {}, 0, at(1999)).has_value());
+    BOOST_TEST(choice.choose(Service, {}, 0, at(2000)).has_value());
 }
 
 BOOST_AUTO_TEST_CASE(nodesOfUnknownLinksAndTriedNodesComeLastOrNotAtAll)
@@ -90,8 +93,8 @@
     choice.setPeers({ peer("unknown", "a", false), peer("known", "b") });
     const std::vector<std::string> tried { "known" };
     for (std::uint64_t seed = 0; seed < 20; ++seed) {
-        BOOST_TEST(choice.choose({}, seed, at(0))->name == "known");
-        BOOST_TEST(choice.choose(tried, seed, at(0))->name == "unknown");
+        BOOST_TEST(choice.choose(Service, {}, seed, at(0))->name == "known");
+        BOOST_TEST(choice.choose(Service, tried, seed, at(0))->name == "unknown");
     }
 }
 
