--- a/Source/Gateway/DigestExchange.h
+++ b/Source/Gateway/DigestExchange.h
@@ -44,6 +44,8 @@
     [[nodiscard]] std::vector<std::string> liveNodes(Instant now) const;
     /// The same without nodes that have lost their links to the backend servers, unless all have.
     [[nodiscard]] std::vector<std::string> liveNodesWithLinks(Instant now) const;
+    /// The nodes that take forwarded requests, without those that are known not to help.
+    [[nodiscard]] std::vector<ForwardPeer> forwardPeers(Instant now) const;
     /// True if a digest arrived recently from each node that sends this one digests.
     [[nodiscard]] bool hearsAllPeers(Instant now) const;
     /// Returns the nodes that send this one digests, from which one arrived recently and that have
--- a/Source/Gateway/TrafficState.cpp
+++ b/Source/Gateway/TrafficState.cpp
@@ -70,6 +70,7 @@
     , freshness(Freshness::limitsFor(settings.keyRevocation))
     , pool({ .zone = ZoneId(settings.zone),
              .outdatedWeightsGrace = settings.weightsLimit - WeightsMargin })
+    , forwarding({ .zone = settings.zone })
     , retryBudget(retryBudgetOptions(settings, MinNodes))
     , bodyMemory(std::make_shared<MemoryBudget>(bodyMemoryLimit(settings)))
     , crashReporter(mix64(hash64(settings.name), static_cast<std::uint64_t>(wallMilliseconds())))
@@ -216,6 +217,7 @@
         connections.forgetLost(entry->first);
         entry = listedServers_.erase(entry);
     }
+    paths.setServers(services);
     links.setServers(std::move(services));
     if (!serverListLoadedAt.has_value()) {
         serverListLoadedAt = now;
@@ -252,6 +254,13 @@
 {
     links.noteConnected(server, now);
     pool.noteConnected(server, now);
+    paths.noteReached(server);
+}
+
+void TrafficState::noteConnectFailed(const ServerId &server, Instant now)
+{
+    links.noteConnectFailed(server, now);
+    paths.noteFailed(server, now);
 }
 
 void TrafficState::noteReceived(const ServerId &server, Instant now)
@@ -374,8 +383,11 @@
 
 bool TrafficState::ready() const
 {
-    return !draining && routes != nullptr && serverListLoadedAt.has_value()
-        && readyForStreams(std::chrono::steady_clock::now())
+    const Instant now = std::chrono::steady_clock::now();
+    if (links.lost(now) && othersHaveLinks && !forwarding.hasPeers()) {
+        return false;
+    }
+    return !draining && routes != nullptr && serverListLoadedAt.has_value() && readyForStreams(now)
         && freshness.level(bootNow()) != FreshnessLevel::Expired;
 }
 
--- a/Source/Gateway/TrafficState.h
+++ b/Source/Gateway/TrafficState.h
@@ -30,9 +30,11 @@
 #include "Gateway/StreamVersionGate.h"
 #include "Gateway/SuspensionLog.h"
 #include "Placement/AttemptBudget.h"
+#include "Placement/ForwardChoice.h"
 #include "Placement/LinkHealth.h"
 #include "Placement/QueueLimit.h"
 #include "Placement/ServerPool.h"
+#include "Placement/ServicePaths.h"
 #include "Quarantine/CrashHistory.h"
 
 namespace jacinthroad {
@@ -102,6 +104,8 @@
     void noteStatement(const ServerInstance &server, const ServerStatement &statement);
     /// Records that a server has accepted a connection of this node.
     void noteConnected(const ServerId &server, Instant now);
+    /// Records that a connection to a server could not be made.
+    void noteConnectFailed(const ServerId &server, Instant now);
     /// Records that data was received from a server.
     void noteReceived(const ServerId &server, Instant now);
     /// Applies records of requests that were running on servers that crashed, from a peer or from
@@ -117,8 +121,16 @@
     Freshness freshness;
     ServerPool pool;
     ConnectionPool connections;
+    /// The nodes that help when this one can't reach the backend servers, and the connections to
+    /// them, by name.
+    ForwardChoice forwarding;
+    ConnectionPool peerConnections;
+    /// Other nodes have reported lately that they reach backend servers.
+    bool othersHaveLinks = false;
     /// Of this node to the backend servers.
     LinkHealth links;
+    /// Which services this node can't reach, whatever the reason.
+    ServicePaths paths;
     AttemptBudget retryBudget;
     /// Memory for the bodies of requests and responses. Shared with the requests, which may outlive
     /// this object while the event loop is destroyed.
@@ -166,7 +178,8 @@
     [[nodiscard]] Duration outdatedConfigurationAge() const;
     /// Limits on what callers send: those of the configuration, or defaults before the first one.
     [[nodiscard]] CallerLimits limits() const;
-    /// True if the balancer may send new connections to this node.
+    /// True if the balancer may send new connections to this node. A node without links to the
+    /// servers is ready if others can help, and if all are alike.
     [[nodiscard]] bool ready() const;
     /// Returns the time within which a request that has arrived at `now` is served, at most
     /// `limit`; nothing if the node is stopping and must refuse it.
