Tests: Check that one server's silence leaves retries for other failures

A server with 60 requests that falls silent asks for as many retries at once, nine or ten at each of seven nodes.

--- a/Tests/Placement/AttemptBudgetTest.cpp
+++ b/Tests/Placement/AttemptBudgetTest.cpp
@@ -38,6 +38,29 @@
     BOOST_TEST(retries >= Ratio * requests);
 }
 
+BOOST_AUTO_TEST_CASE(silenceOfAServerWithSixtyRequestsLeavesRetriesForOtherFailures)
+{
+    // The rates and bounds of the deployment lienzo-andino.
+    constexpr unsigned Nodes = 7;
+    constexpr unsigned RequestsOfServer = 60;
+    constexpr double Slack = 54;
+    const ServiceId service("s");
+    AttemptBudget budget(
+        { .retryRatio = 0.2, .window = std::chrono::seconds(10), .allowance = Slack / Nodes });
+    for (std::int64_t now = 1000000; now < 1010000; now += 75) {
+        budget.noteRequest(service, at(now));
+    }
+    constexpr unsigned OfThisNode = RequestsOfServer / Nodes + 1;
+    for (unsigned count = 0; count < OfThisNode; ++count) {
+        BOOST_TEST(budget.spend(service, at(1009990)));
+    }
+    unsigned left = 0;
+    while (left < 1000 && budget.spend(service, at(1009995))) {
+        ++left;
+    }
+    BOOST_TEST(left >= OfThisNode);
+}
+
 BOOST_AUTO_TEST_CASE(requestsOutsideTheWindowAllowNoRetries)
 {
     const ServiceId service("s");
