CallerSession: Answer all pipelined requests that have arrived when a late stop stops reading

What has arrived when the session stops reading ahead is now read once, up to the limit for a header, and answered.

--- a/Source/Gateway/CallerSession.cpp
+++ b/Source/Gateway/CallerSession.cpp
@@ -244,7 +244,12 @@
             state_, socket_, HttpRequest(std::move(request.base())),
             HeldBody { .text = std::move(request.body()), .memory = std::move(bodyMemory) },
             std::chrono::steady_clock::now());
-        readsOn_ = !state_.readsNoFurtherRequests(std::chrono::steady_clock::now());
+        error_code error;
+        if (readsOn_ && state_.readsNoFurtherRequests(std::chrono::steady_clock::now())) {
+            // All that has arrived by now is answered.
+            readArrived(error);
+            readsOn_ = false;
+        }
         if (readsOn_ ? buffer_.size() > 0 : holdsRequest()) {
             exchange_->noteNextRequest();
         }
@@ -258,7 +263,6 @@
         std::string requestId(exchange_->requestId());
         exchange_.reset();
         ++requests_;
-        error_code error;
         socket_.cancel(error);
         if (end.callerMayRead && !state_.draining) {
             co_await closeHalfClosed(std::move(requestId));
--- a/Tests/Gateway/DrainTest.cpp
+++ b/Tests/Gateway/DrainTest.cpp
@@ -338,6 +338,34 @@
     BOOST_TEST(toMilliseconds(stopTime) < toMilliseconds(fixture.settings.stopGrace) - 700);
 }
 
+BOOST_AUTO_TEST_CASE(pipelinedRequestsThatArriveTogetherAfterTheEndOfTheListenerGetResponses)
+{
+    constexpr int Requests = 5;
+    GatewayFixture fixture;
+    fixture.addServer("s1", "plain", respondOk);
+    fixture.configure(1, { "k1" });
+    fixture.start();
+    std::thread stop = stopProcess(fixture);
+    std::this_thread::sleep_for(BalancerLeft + milliseconds(350));
+    auto socket = fixture.connect();
+    std::this_thread::sleep_for(milliseconds(200));
+    std::string sent;
+    for (int number = 0; number < Requests; ++number) {
+        sent += requestHead("r" + std::to_string(number), 0, "/unsafe/" + std::string(300, 'a'));
+    }
+    asio::write(socket, asio::buffer(sent));
+    boost::beast::flat_buffer buffer;
+    for (int number = 0; number < Requests; ++number) {
+        CallerResponse response;
+        error_code error;
+        http::read(socket, buffer, response, error);
+        BOOST_TEST(!error.failed());
+        BOOST_TEST(response.result_int() == 503U);
+        BOOST_TEST(response.keep_alive() == (number + 1 < Requests));
+    }
+    stop.join();
+}
+
 BOOST_AUTO_TEST_CASE(pipelinedRequestBehindAnUnansweredOneIsRefusedAtEndOfGrace)
 {
     GatewayFixture fixture;
