--- a/Tests/Gateway/DrainTest.cpp
+++ b/Tests/Gateway/DrainTest.cpp
@@ -338,6 +338,54 @@
     BOOST_TEST(toMilliseconds(stopTime) < toMilliseconds(fixture.settings.stopGrace) - 700);
 }
 
+BOOST_AUTO_TEST_CASE(callerThatClosesOnlyItsSendingSideDuringAStopGetsARefusal)
+{
+    for (const Duration sinceStop :
+         { Duration(milliseconds(100)), BalancerLeft + milliseconds(350) }) {
+        GatewayFixture fixture;
+        fixture.addServer("s1", "plain", respondAfter(milliseconds(300)));
+        fixture.configure(1, { "k1" });
+        fixture.start();
+        std::thread stop = stopProcess(fixture);
+        std::this_thread::sleep_for(sinceStop);
+        auto socket = fixture.connect();
+        asio::write(socket, asio::buffer(requestHead("r1", 0)));
+        socket.shutdown(asio::ip::tcp::socket::shutdown_send);
+        const CallerResponse response = readResponse(socket);
+        BOOST_TEST((response.result_int() == 503U || response.result_int() == 502U));
+        BOOST_TEST(!response.keep_alive());
+        stop.join();
+    }
+}
+
+BOOST_AUTO_TEST_CASE(pipelinedRequestsThatArriveTogetherAfterTheEndOfTheListenerGetResponses)
+{
+    constexpr int Requests = 5;
+    GatewayFixture fixture;
+    fixture.addServer("s1", "plain", respondOk);
+    fixture.configure(1, { "k1" });
+    fixture.start();
+    std::thread stop = stopProcess(fixture);
+    std::this_thread::sleep_for(BalancerLeft + milliseconds(350));
+    auto socket = fixture.connect();
+    std::this_thread::sleep_for(milliseconds(200));
+    std::string sent;
+    for (int number = 0; number < Requests; ++number) {
+        sent += requestHead("r" + std::to_string(number), 0, "/unsafe/" + std::string(300, 'a'));
+    }
+    asio::write(socket, asio::buffer(sent));
+    boost::beast::flat_buffer buffer;
+    for (int number = 0; number < Requests; ++number) {
+        CallerResponse response;
+        error_code error;
+        http::read(socket, buffer, response, error);
+        BOOST_TEST(!error.failed());
+        BOOST_TEST(response.result_int() == 503U);
+        BOOST_TEST(response.keep_alive() == (number + 1 < Requests));
+    }
+    stop.join();
+}
+
 BOOST_AUTO_TEST_CASE(pipelinedRequestBehindAnUnansweredOneIsRefusedAtEndOfGrace)
 {
     GatewayFixture fixture;
