--- a/Tests/Program/ServeSignalTest.cpp
+++ b/Tests/Program/ServeSignalTest.cpp
@@ -48,6 +48,14 @@
     }
 }
 
+BOOST_AUTO_TEST_CASE(stopIsNoticedThoughTheParentBlockedItsSignal)
+{
+    ServeProcess process({ .blockedSignals = { SIGTERM, SIGHUP, SIGINT } });
+    BOOST_REQUIRE(process.waitForOutput("\"serving\""));
+    process.signal(SIGTERM);
+    BOOST_TEST(process.waitForOutput("\"stopping\""));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace jacinthroad
