Program: Open the null device for standard files that are closed

A process that is started without standard input, output or error gave their numbers to the first files it opened, an eventfd, the epoll instance and a timer, or a socket. Lines of the log then went there: into an event counter, or to a peer.

ServeStartTest/logOfAProcessWithoutStandardFilesGoesIntoNoSocket failed on all three files before.

--- a/Source/Program/ProgramMain.cpp
+++ b/Source/Program/ProgramMain.cpp
@@ -1,10 +1,14 @@
 #include <array>
+#include <cerrno>
 #include <csignal>
 #include <iostream>
 #include <span>
 #include <string_view>
 #include <vector>
 
+#include <fcntl.h>
+#include <unistd.h>
+
 #include "Core/Schema.h"
 #include "Program/Commands.h"
 #include "Program/ProgramMain.h"
@@ -81,10 +85,23 @@
     return unknownCommand(name);
 }
 
+/// Opens the null device in place of standard input, output and error where they are closed, so
+/// that no line of the log is written into a socket that got one of their numbers.
+void openMissingStandardFiles()
+{
+    for (int descriptor = STDIN_FILENO; descriptor <= STDERR_FILENO; ++descriptor) {
+        if (fcntl(descriptor, F_GETFD) < 0 && errno == EBADF) {
+            // The lowest free number is `descriptor`.
+            static_cast<void>(open("/dev/null", O_RDWR));
+        }
+    }
+}
+
 } // namespace
 
 extern "C" int jacinthroadMain(int argc, char **argv, const sigset_t *inherited)
 {
+    openMissingStandardFiles();
     try {
         return static_cast<int>(run(std::span(argv, static_cast<std::size_t>(argc)), *inherited));
     } catch (const std::exception &failure) {
--- /dev/null
+++ b/Tests/Program/ServeStartTest.cpp
@@ -0,0 +1,22 @@
+#include <string>
+
+#include <boost/test/unit_test.hpp>
+
+#include "ServeProcess.h"
+
+namespace jacinthroad {
+
+BOOST_AUTO_TEST_SUITE(ServeStartTest)
+
+BOOST_AUTO_TEST_CASE(logOfAProcessWithoutStandardFilesGoesIntoNoSocket)
+{
+    ServeProcess process({ .closedStandardFiles = true });
+    BOOST_REQUIRE(process.waitUntilListening());
+    for (const std::string &file : process.standardFiles()) {
+        BOOST_TEST(file == "/dev/null");
+    }
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+} // namespace jacinthroad
