serve: Read settings again for a second if they can't be used at the start

A process that started while its settings file was being replaced read half of it or none and ended with status 1: the platform may write the file at any time, and only SIGHUP and the poll of a running process tolerated a file that is incomplete.

ServeStartTest/settingsThatAreReplacedAtTheStartEndNoProcess failed before ("not valid JSON", status 1). A file that stays invalid still ends the process with the same message, a second later; SIGTERM in that second ends it with status 0.

--- a/Source/Program/ServeCommand.cpp
+++ b/Source/Program/ServeCommand.cpp
@@ -25,6 +25,8 @@
 /// Interval at which the settings file is checked for changes that come without a SIGHUP.
 constexpr Duration SettingsPollInterval = std::chrono::seconds(2);
 constexpr Duration DrainTimeout = std::chrono::minutes(10);
+/// How long a start waits for settings that can be used: the file may be being replaced.
+constexpr Duration SettingsWait = std::chrono::seconds(1);
 
 /// Any thread may handle a signal.
 std::atomic<bool> stopRequested { false };
@@ -87,6 +89,27 @@
     logLine(LogLevel::Info, "settings_reloaded", { { "file", file } });
 }
 
+bool isUsable(const std::string &text, const std::string &file)
+{
+    return isGatewaySettings(text) ? readGatewaySettings(text, file).has_value()
+                                   : readNodeSettings(text, file).has_value();
+}
+
+/// Reads the settings file, again and again if it is missing or invalid. Returns what was read
+/// last.
+Result<std::string> readSettingsAtStart(const std::string &file)
+{
+    const Instant until = std::chrono::steady_clock::now() + SettingsWait;
+    for (;;) {
+        auto text = readFile(file);
+        if ((text.has_value() && isUsable(*text, file)) || stopRequested
+            || std::chrono::steady_clock::now() >= until) {
+            return text;
+        }
+        std::this_thread::sleep_for(SignalPollInterval);
+    }
+}
+
 ExitCode serveGateway(const std::string &text, const std::string &file)
 {
     const auto settings = readGatewaySettings(text, file);
@@ -95,10 +118,6 @@
         return ExitCode::Failed;
     }
     configureLog(settings->log);
-    if (stopRequested) {
-        // Nothing is open yet that would have to be drained.
-        return ExitCode::Success;
-    }
     auto gateway = Gateway::start(*settings);
     if (!gateway.has_value()) {
         printError(gateway.error());
@@ -147,7 +166,11 @@
         return *parsed.exit;
     }
     const std::string file = parsed.values["settings"].as<std::string>();
-    const auto text = readFile(file);
+    const auto text = readSettingsAtStart(file);
+    if (stopRequested) {
+        // Nothing is open yet that would have to be drained.
+        return ExitCode::Success;
+    }
     if (!text.has_value()) {
         printError(text.error());
         return ExitCode::Failed;
--- a/Tests/Program/ServeStartTest.cpp
+++ b/Tests/Program/ServeStartTest.cpp
@@ -1,4 +1,6 @@
+#include <chrono>
 #include <string>
+#include <thread>
 
 #include <boost/test/unit_test.hpp>
 
@@ -8,6 +10,14 @@
 
 BOOST_AUTO_TEST_SUITE(ServeStartTest)
 
+BOOST_AUTO_TEST_CASE(settingsThatAreReplacedAtTheStartEndNoProcess)
+{
+    ServeProcess process({ .halfSettings = true });
+    std::this_thread::sleep_for(std::chrono::milliseconds(300));
+    process.completeSettings();
+    BOOST_TEST(process.waitForOutput("\"serving\""));
+}
+
 BOOST_AUTO_TEST_CASE(logOfAProcessWithoutStandardFilesGoesIntoNoSocket)
 {
     ServeProcess process({ .closedStandardFiles = true });
