Soak: Signal nodes while they are being loaded

The soak sent no SIGHUP in the first 500 ms of a process, as that ended it, so the check unexpected-end could not see the fault. The part early-signals sends SIGHUP and SIGTERM from the moment at which a library of the program is mapped; reloads no longer wait.

--- a/Tests/Soak/Disturbance.cpp
+++ b/Tests/Soak/Disturbance.cpp
@@ -14,7 +14,8 @@
                                     Disturbance::DeadlyKey,    Disturbance::Statements,
                                     Disturbance::StoreRestore, Disturbance::SoftwareVersions,
                                     Disturbance::TakeUps,      Disturbance::OddEntries,
-                                    Disturbance::LateRequests, Disturbance::SilentServers };
+                                    Disturbance::LateRequests, Disturbance::SilentServers,
+                                    Disturbance::EarlySignals };
     return All;
 }
 
@@ -33,6 +34,8 @@
         return "stop";
     case Disturbance::Kill:
         return "kill";
+    case Disturbance::EarlySignals:
+        return "early-signals";
     case Disturbance::Pause:
         return "pause";
     case Disturbance::Reload:
--- a/Tests/Soak/Disturbance.h
+++ b/Tests/Soak/Disturbance.h
@@ -26,6 +26,8 @@
     Stop,
     /// SIGKILL to a node, and its restart.
     Kill,
+    /// SIGHUP and SIGTERM to a node within the first 50 ms of its process.
+    EarlySignals,
     /// SIGSTOP and SIGCONT to a node.
     Pause,
     /// Changed settings and SIGHUP to a node.
--- a/Tests/Soak/Main.cpp
+++ b/Tests/Soak/Main.cpp
@@ -46,8 +46,8 @@
               << " on connections past their idle limit); " << report.brokenOff
               << " runs broken off, " << report.serverCrashes << " server crashes; " << report.stops
               << " stops, " << report.kills << " kills, " << report.pauses << " pauses, "
-              << report.reloads << " reloads, " << report.commonRestarts
-              << " restarts with all nodes, " << report.configurations
+              << report.reloads << " reloads, " << report.earlySignals << " early signals, "
+              << report.commonRestarts << " restarts with all nodes, " << report.configurations
               << " configurations; deadly part: " << report.deadlyPart.crashes << " crashes, "
               << report.deadlyPart.lateArrivals << " late arrivals ("
               << report.deadlyPart.lateArrivalsFromCalmNodes << " from calm nodes), "
--- a/Tests/Soak/NodeFaults.cpp
+++ b/Tests/Soak/NodeFaults.cpp
@@ -12,8 +12,8 @@
 
 namespace {
 
-/// A process that has just started ends at SIGHUP, as it does not handle the signal yet.
-constexpr Duration StartTime = milliseconds(500);
+/// Longest time from a start to an early signal.
+constexpr int LatestEarlySignalMs = 50;
 /// Weight of stops beyond the usual while long requests are sent.
 constexpr std::size_t FurtherStops = 3;
 /// So long that a request that the rules let the end of a stop cut was sent well before that end.
@@ -36,7 +36,7 @@
     , counts_(counts)
     , random_(options_.seed)
     , reloadRandom_(options_.seed)
-    , startedAt_(now())
+    , earlyRandom_(options_.seed)
 {
     constexpr std::array<Disturbance, 8> Weighted { Disturbance::Kill,   Disturbance::Stop,
                                                     Disturbance::Stop,   Disturbance::Reload,
@@ -52,6 +52,7 @@
 
 void NodeFaults::run()
 {
+    node_.waitUntilLoading();
     std::size_t commonRestart = 0;
     while (now() < options_.until || commonRestart < options_.commonRestarts.size()) {
         // Some times are longer than the stable window, so that promises to calm nodes are checked.
@@ -131,9 +132,7 @@
     if (chance(Disturbance::Reload, 4)) {
         ++counts_.reloads;
         node_.changeSettings(between(random_, 10, 30));
-        if (now() >= startedAt_ + StartTime) {
-            node_.signal(SIGHUP);
-        }
+        node_.signal(SIGHUP);
     }
     if (chance(Disturbance::Kill, 6)) {
         endProcess(false);
@@ -161,9 +160,7 @@
     for (int number = 0; number < series; ++number) {
         ++counts_.reloads;
         node_.changeSettings(between(number == 0 ? random_ : reloadRandom_, 10, 30));
-        if (now() >= startedAt_ + StartTime) {
-            node_.signal(SIGHUP);
-        }
+        node_.signal(SIGHUP);
         if (number + 1 < series) {
             std::this_thread::sleep_for(milliseconds(between(reloadRandom_, 5, 100)));
         }
@@ -202,7 +199,34 @@
         node_.changeSettings(between(random_, 10, 30));
     }
     node_.start();
-    startedAt_ = now();
+    signalEarly();
+}
+
+void NodeFaults::signalEarly()
+{
+    node_.waitUntilLoading();
+    if (!options_.disturbances.contains(Disturbance::EarlySignals)
+        || between(earlyRandom_, 1, 2) == 1) {
+        return;
+    }
+    for (int number = between(earlyRandom_, 1, LongestReloadSeries); number > 0; --number) {
+        const bool atOnce = between(earlyRandom_, 1, 2) == 1;
+        std::this_thread::sleep_for(
+            milliseconds(atOnce ? 0 : between(earlyRandom_, 0, LatestEarlySignalMs)));
+        ++counts_.earlySignals;
+        node_.signal(SIGHUP);
+    }
+    if (between(earlyRandom_, 1, 3) == 1) {
+        ++counts_.earlySignals;
+        ++counts_.stops;
+        node_.signal(SIGTERM);
+        if (!node_.waitForEnd(node_.stopGrace())) {
+            ++counts_.overdueStops;
+            node_.kill();
+        }
+        node_.start();
+        node_.waitUntilLoading();
+    }
 }
 
 void NodeFaults::checkRunning()
@@ -210,8 +234,9 @@
     if (node_.waitForEnd(Duration::zero())) {
         ++counts_.unexpectedEnds;
         node_.start();
-        startedAt_ = now();
-        node_.noteDisturbance({ .begin = startedAt_, .end = startedAt_ });
+        node_.waitUntilLoading();
+        const Instant started = now();
+        node_.noteDisturbance({ .begin = started, .end = started });
     }
 }
 
--- a/Tests/Soak/NodeFaults.h
+++ b/Tests/Soak/NodeFaults.h
@@ -19,6 +19,7 @@
     std::atomic<unsigned> kills { 0 };
     std::atomic<unsigned> pauses { 0 };
     std::atomic<unsigned> reloads { 0 };
+    std::atomic<unsigned> earlySignals { 0 };
     std::atomic<unsigned> commonRestarts { 0 };
     std::atomic<unsigned> configurations { 0 };
     std::atomic<unsigned> storeRestores { 0 };
@@ -67,6 +68,8 @@
     void reload();
     void restartWithAll(bool killsAll);
     void startAgain();
+    /// Signals a process that is being started, and stops and starts it again in one case of six.
+    void signalEarly();
     void endProcess(bool withTerm);
     /// Starts the node again if its process has ended although nothing ended it.
     void checkRunning();
@@ -78,10 +81,10 @@
     std::barrier<> &allStopped_;
     FaultCounts &counts_;
     std::mt19937_64 random_;
-    /// Lengths of reload series don't change the other faults of a seed.
+    /// Lengths of reload series and early signals don't change the other faults of a seed.
     std::mt19937_64 reloadRandom_;
+    std::mt19937_64 earlyRandom_;
     std::vector<Disturbance> kinds_;
-    Instant startedAt_;
 };
 
 } // namespace jacinthroad
--- a/Tests/Soak/NodeProcess.cpp
+++ b/Tests/Soak/NodeProcess.cpp
@@ -24,6 +24,8 @@
 namespace {
 
 constexpr Duration PollInterval = milliseconds(10);
+/// A library that the program needs and the C library doesn't.
+constexpr const char *ProgramLibrary = "libboost";
 
 } // namespace
 
@@ -86,6 +88,27 @@
     }
 }
 
+void NodeProcess::waitUntilLoading() const
+{
+    std::string file;
+    {
+        const std::lock_guard lock(mutex_);
+        file = "/proc/" + std::to_string(process_) + "/maps";
+    }
+    for (;;) {
+        std::ifstream maps(file);
+        bool running = false;
+        for (std::string line; std::getline(maps, line); running = true) {
+            if (line.find(ProgramLibrary) != std::string::npos) {
+                return;
+            }
+        }
+        if (!running) {
+            return;
+        }
+    }
+}
+
 void NodeProcess::signal(int number)
 {
     const std::lock_guard lock(mutex_);
--- a/Tests/Soak/NodeProcess.h
+++ b/Tests/Soak/NodeProcess.h
@@ -53,6 +53,9 @@
 
     /// Starts the process. Throws std::system_error if it cannot be started.
     void start();
+    /// Waits until the loader has mapped a library of the program or the process has ended. From
+    /// then on no signal that the program handles may end it.
+    void waitUntilLoading() const;
     /// Sends a signal to the process. May be called by several threads.
     void signal(int number);
     /// Rewrites the settings file with another retry allowance, as before a SIGHUP.
--- a/Tests/Soak/SoakRun.cpp
+++ b/Tests/Soak/SoakRun.cpp
@@ -278,6 +278,7 @@
                         .kills = counts.kills,
                         .pauses = counts.pauses,
                         .reloads = counts.reloads,
+                        .earlySignals = counts.earlySignals,
                         .commonRestarts = counts.commonRestarts,
                         .configurations = counts.configurations,
                         .storeRestores = counts.storeRestores,
--- a/Tests/Soak/SoakRun.h
+++ b/Tests/Soak/SoakRun.h
@@ -56,6 +56,7 @@
     unsigned kills = 0;
     unsigned pauses = 0;
     unsigned reloads = 0;
+    unsigned earlySignals = 0;
     unsigned commonRestarts = 0;
     unsigned configurations = 0;
     unsigned storeRestores = 0;
