--- a/Tests/Soak/Disturbance.cpp
+++ b/Tests/Soak/Disturbance.cpp
@@ -15,7 +15,7 @@
                                     Disturbance::StoreRestore, Disturbance::SoftwareVersions,
                                     Disturbance::TakeUps,      Disturbance::OddEntries,
                                     Disturbance::LateRequests, Disturbance::SilentServers,
-                                    Disturbance::LinkCuts };
+                                    Disturbance::LinkCuts,     Disturbance::EarlySignals };
     return All;
 }
 
@@ -34,6 +34,8 @@
         return "stop";
     case Disturbance::Kill:
         return "kill";
+    case Disturbance::EarlySignals:
+        return "early-signals";
     case Disturbance::Pause:
         return "pause";
     case Disturbance::Reload:
