--- a/Source/Gateway/DigestExchange.h
+++ b/Source/Gateway/DigestExchange.h
@@ -42,6 +42,8 @@
     std::function<void()> onPeerStarted = [] {};
     /// Names of the nodes from which a digest arrived recently, and of this node.
     [[nodiscard]] std::vector<std::string> liveNodes(Instant now) const;
+    /// The same without nodes that have lost their links to the backend servers, unless all have.
+    [[nodiscard]] std::vector<std::string> liveNodesWithLinks(Instant now) const;
     /// The nodes that take forwarded requests, without those that are known not to help.
     [[nodiscard]] std::vector<ForwardPeer> forwardPeers(Instant now) const;
     /// True if a digest arrived recently from each node that sends this one digests.
--- a/Source/Gateway/LinkProbes.cpp
+++ b/Source/Gateway/LinkProbes.cpp
@@ -84,6 +84,7 @@
     if (lost == lostAt_.has_value()) {
         return;
     }
+    state_.pool.setLinksLost(lost);
     if (lost) {
         lostAt_ = now;
         logLine(LogLevel::Warning, "links_lost",
--- a/Source/Gateway/TrafficState.cpp
+++ b/Source/Gateway/TrafficState.cpp
@@ -249,6 +249,7 @@
 void TrafficState::noteConnected(const ServerId &server, Instant now)
 {
     links.noteConnected(server, now);
+    pool.noteConnected(server, now);
     paths.noteReached(server);
 }
 
--- a/Source/Gateway/TrafficState.h
+++ b/Source/Gateway/TrafficState.h
@@ -100,10 +100,11 @@
     void applyServers(const std::vector<ListedServer> &servers, Instant now);
     /// Applies what a response stated about its server.
     void noteStatement(const ServerInstance &server, const ServerStatement &statement);
+    /// Records that a server has accepted a connection of this node.
+    void noteConnected(const ServerId &server, Instant now);
     /// Records that data was received from a server.
     void noteReceived(const ServerId &server, Instant now);
-    /// Records that a connection to a server was made, or could not be made.
-    void noteConnected(const ServerId &server, Instant now);
+    /// Records that a connection to a server could not be made.
     void noteConnectFailed(const ServerId &server, Instant now);
     /// Applies records of requests that were running on servers that crashed, from a peer or from
     /// the store.
