Exchange: Try the servers that are left when no other node can help

While LinkHealth counted the links as lost and no other node could help, a request was refused without a look at the servers. LinkHealth needs three servers without an accepted connection, and of a service with one server more that one may still serve. A request is now refused at once only if a connection for it hung and other nodes declined it.

--- a/Source/Gateway/Exchange.cpp
+++ b/Source/Gateway/Exchange.cpp
@@ -295,10 +295,11 @@
         placementRequest_.tried = triedServers_;
         updateCacheScope();
         restrictVersions();
-        // Without links, only probes connect to servers.
-        const auto chosen = state_.links.lost(now) ? std::variant<Placement, NoPlacement>(
+        // Neither this node nor another one has reached a server for the request.
+        const bool noWayLeft = overdueConnects_ > 0 && unsentForwards_ > 0;
+        const auto chosen = noWayLeft ? std::variant<Placement, NoPlacement>(
                                 NoPlacement { .retryAfter = LostLinksRetryDelay })
-                                                   : state_.pool.choose(placementRequest_, now);
+                                      : state_.pool.choose(placementRequest_, now);
         const auto *none = std::get_if<NoPlacement>(&chosen);
         std::optional<ForwardPeer> helper = resumeSilent ? std::nullopt : preferred;
         // Without a statement of a server that forbids it, another node may reach one.
