Placement: Judge a node's links by service, and the evidence with them

LinkHealth tells the loss by service: three of its servers have failed and none has accepted a connection since; lost() without a service stays the loss as a whole. Whether the link or the servers are to blame only other nodes can tell, so digests name the services (lost_services, ignored by older builds) and DigestExchange::peersWithLinks(service) the peers that reach them. Proofs of the link, reports that are dropped and suspensions that end count by service too. LinkHealth also tells what a refused connection proves (causeOfRefusal), which nothing uses yet.

Tests: LinkHealthTest/linksToOneServiceAreLostWhileOthersAccept, two cases of refusals, ServerPoolTest/peerWithoutLinksToAServiceTakesBackItsReportsOfIt.

--- a/Source/FleetPeers/NodeDigest.cpp
+++ b/Source/FleetPeers/NodeDigest.cpp
@@ -25,6 +25,7 @@
 constexpr std::uint32_t CrashReportFields = 6;
 /// Keys of the map that follows the array if it has an entry. Older builds ignore what follows.
 constexpr std::string_view LinksLostKey = "links_lost";
+constexpr std::string_view LostServicesKey = "lost_services";
 /// Levels of arrays in a datagram; more than any format has.
 constexpr std::size_t MaximumNesting = 16;
 
@@ -139,6 +140,11 @@
     if (const auto found = additions.find(std::string(LinksLostKey)); found != additions.end()) {
         digest.linksLost = found->second.as<bool>();
     }
+    if (const auto found = additions.find(std::string(LostServicesKey)); found != additions.end()) {
+        for (const std::string &service : found->second.as<std::vector<std::string>>()) {
+            digest.lostServices.emplace_back(service);
+        }
+    }
 }
 
 } // namespace
@@ -206,10 +212,15 @@
     if (summary) {
         packer.pack(digest.summarizedZone);
     }
-    if (digest.linksLost) {
-        packer.pack_map(1);
+    if (digest.linksLost || !digest.lostServices.empty()) {
+        packer.pack_map(2);
         packer.pack(LinksLostKey);
-        packer.pack(true);
+        packer.pack(digest.linksLost);
+        packer.pack(LostServicesKey);
+        packer.pack_array(static_cast<std::uint32_t>(digest.lostServices.size()));
+        for (const ServiceId &service : digest.lostServices) {
+            packer.pack(service.text());
+        }
     }
     return { buffer.data(), buffer.size() };
 }
--- a/Source/FleetPeers/NodeDigest.h
+++ b/Source/FleetPeers/NodeDigest.h
@@ -96,6 +96,8 @@
     /// True if the sender has lost its links to the backend servers as a whole, so that what it
     /// reports of unreachable servers says nothing about them.
     bool linksLost = false;
+    /// The services whose servers accept no connection of the sender, with the same consequence.
+    std::vector<ServiceId> lostServices {};
 };
 
 [[nodiscard]] std::string encodeDigest(const NodeDigest &digest);
--- a/Source/Gateway/DigestExchange.cpp
+++ b/Source/Gateway/DigestExchange.cpp
@@ -1,6 +1,7 @@
 #include "Gateway/DigestExchange.h"
 
 #include <algorithm>
+#include <set>
 #include <utility>
 
 #include "Core/Endpoint.h"
@@ -133,6 +134,7 @@
 NodeDigest DigestExchange::emptyDigest(BootInstant now)
 {
     const auto age = state_.freshness.age(now);
+    const std::set<ServiceId> lost = state_.links.lostServices(std::chrono::steady_clock::now());
     const ConfigurationIdentity configuration
         = state_.configuration().value_or(ConfigurationIdentity());
     return { .node = state_.settings.name,
@@ -143,7 +145,8 @@
              .configurationAgeMs = age.has_value() ? wholeMilliseconds(*age) + 1 : UnknownAgeMs,
              .servers = {},
              .desiredWeights = state_.pool.desiredWeightsAges(std::chrono::steady_clock::now()),
-             .linksLost = state_.links.lost(std::chrono::steady_clock::now()) };
+             .linksLost = state_.links.lost(std::chrono::steady_clock::now()),
+             .lostServices = { lost.begin(), lost.end() } };
 }
 
 void DigestExchange::scheduleSummary()
@@ -220,18 +223,6 @@
     return liveNodes(now).size() > peers_.size();
 }
 
-std::vector<std::string> DigestExchange::liveNodesWithLinks(Instant now) const
-{
-    std::vector<std::string> names;
-    if (!state_.links.lost(now)) {
-        names.push_back(state_.settings.name);
-    }
-    for (const FleetNode &node : peersWithLinks(now)) {
-        names.push_back(node.name);
-    }
-    return names.empty() ? liveNodes(now) : names;
-}
-
 std::vector<FleetNode> DigestExchange::peersWithLinks(Instant now) const
 {
     const Duration timeout = nodeTimeout(peers_.size());
@@ -246,6 +237,16 @@
     return nodes;
 }
 
+std::vector<FleetNode> DigestExchange::peersWithLinks(const ServiceId &service, Instant now) const
+{
+    std::vector<FleetNode> nodes = peersWithLinks(now);
+    std::erase_if(nodes, [&](const FleetNode &node) {
+        const std::vector<ServiceId> &lost = heard_.at(node.name).lostServices;
+        return std::find(lost.begin(), lost.end(), service) != lost.end();
+    });
+    return nodes;
+}
+
 void DigestExchange::receive()
 {
     socket_.async_receive_from(asio::buffer(buffer_), sender_,
@@ -290,8 +291,9 @@
         informStartedPeer();
         onPeerStarted();
     }
-    heard_[digest->node]
-        = { .receivedAt = std::chrono::steady_clock::now(), .linksLost = digest->linksLost };
+    heard_[digest->node] = { .receivedAt = std::chrono::steady_clock::now(),
+                             .linksLost = digest->linksLost,
+                             .lostServices = digest->lostServices };
     state_.notePeerConfiguration(digest->configurationVersion);
     freshness_.noteReceived(*digest, state_.outdatedConfigurationAge());
     const auto &configuration = state_.configuration();
@@ -306,7 +308,8 @@
     state_.pool.applyDesiredWeightsAges(digest->desiredWeights, std::chrono::steady_clock::now());
     state_.mergeCrashes(digest->crashes, std::chrono::steady_clock::now());
     state_.pool.applyPeer(digest->node, digest->servers, std::chrono::steady_clock::now(),
-                          digest->linksLost ? PeerScope::NodeWithoutLinks : PeerScope::Node);
+                          digest->linksLost ? PeerScope::NodeWithoutLinks : PeerScope::Node,
+                          digest->lostServices);
 }
 
 void DigestExchange::applySummary(const NodeDigest &summary)
--- a/Source/Gateway/DigestExchange.h
+++ b/Source/Gateway/DigestExchange.h
@@ -42,13 +42,14 @@
     std::function<void()> onPeerStarted = [] {};
     /// Names of the nodes from which a digest arrived recently, and of this node.
     [[nodiscard]] std::vector<std::string> liveNodes(Instant now) const;
-    /// The same without nodes that have lost their links to the backend servers, unless all have.
-    [[nodiscard]] std::vector<std::string> liveNodesWithLinks(Instant now) const;
     /// True if a digest arrived recently from each node that sends this one digests.
     [[nodiscard]] bool hearsAllPeers(Instant now) const;
     /// Returns the nodes that send this one digests, from which one arrived recently and that have
     /// not lost their links to the backend servers.
     [[nodiscard]] std::vector<FleetNode> peersWithLinks(Instant now) const;
+    /// The same for the servers of one service.
+    [[nodiscard]] std::vector<FleetNode> peersWithLinks(const ServiceId &service,
+                                                        Instant now) const;
 
 private:
     void receive();
@@ -85,6 +86,7 @@
     {
         Instant receivedAt;
         bool linksLost = false;
+        std::vector<ServiceId> lostServices;
     };
     std::unordered_map<std::string, PeerState> heard_;
     std::array<char, DatagramBytes> buffer_ {};
--- a/Source/Gateway/LinkProbes.cpp
+++ b/Source/Gateway/LinkProbes.cpp
@@ -1,6 +1,7 @@
 #include "Gateway/LinkProbes.h"
 
 #include <cstdint>
+#include <set>
 #include <utility>
 #include <vector>
 
@@ -75,24 +76,36 @@
 
 void LinkProbes::noteChange(Instant now)
 {
-    const bool lost = state_.links.lost(now);
-    if (lost == lostAt_.has_value()) {
-        return;
-    }
-    state_.pool.setLinksLost(lost);
-    if (lost) {
-        lostAt_ = now;
-        logLine(LogLevel::Warning, "links_lost",
-                { { "failed_servers", static_cast<std::int64_t>(state_.links.failedServers(now)) },
+    std::set<ServiceId> lost = state_.links.lostServices(now);
+    bool changed = false;
+    for (const ServiceId &service : lost) {
+        if (lostAt_.try_emplace(service, now).second) {
+            changed = true;
+            logLine(
+                LogLevel::Warning, "links_lost",
+                { { "service", service.text() },
+                  { "failed_servers", static_cast<std::int64_t>(state_.links.failedServers(now)) },
                   { "listed_servers", static_cast<std::int64_t>(state_.links.listedServers()) },
-                  { "reason", "no backend server accepts connections of this node" },
+                  { "all_services", std::int64_t { state_.links.lost(now) ? 1 : 0 } },
+                  { "reason", "no server of the service accepts connections of this node" },
                   { "remedy", "Check the network between this node and the backend servers." } });
-    } else {
+        }
+    }
+    for (auto entry = lostAt_.begin(); entry != lostAt_.end();) {
+        if (lost.contains(entry->first)) {
+            ++entry;
+            continue;
+        }
+        changed = true;
         logLine(LogLevel::Info, "links_restored",
-                { { "lost_ms", toMilliseconds(now - *lostAt_) } });
-        lostAt_.reset();
+                { { "service", entry->first.text() },
+                  { "lost_ms", toMilliseconds(now - entry->second) } });
+        entry = lostAt_.erase(entry);
+    }
+    if (changed) {
+        state_.pool.setLostServices(std::move(lost));
+        state_.notifyPeersSoon();
     }
-    state_.notifyPeersSoon();
 }
 
 } // namespace jacinthroad
--- a/Source/Gateway/LinkProbes.h
+++ b/Source/Gateway/LinkProbes.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include <optional>
+#include <map>
 
 #include "Gateway/DeadlineTimer.h"
 #include "Gateway/TrafficState.h"
@@ -23,8 +23,8 @@
 
     TrafficState &state_;
     DeadlineTimer timer_;
-    /// When the links were found to be lost; nothing while this node has some.
-    std::optional<Instant> lostAt_;
+    /// The services without links, and when they were found to be lost.
+    std::map<ServiceId, Instant> lostAt_;
 };
 
 } // namespace jacinthroad
--- a/Source/Placement/LinkHealth.cpp
+++ b/Source/Placement/LinkHealth.cpp
@@ -48,13 +48,17 @@
 
 void LinkHealth::noteConnected(const ServerId &server, Instant now)
 {
-    for (auto &[id, listed] : servers_) {
-        listed.failedAt.reset();
-        // An attempt that began before proves nothing about the time after.
-        listed.connectingSince.reset();
-    }
     waitingSince_.reset();
+    connectedAt_ = now;
     if (Listed *listed = find(server)) {
+        for (auto &[id, other] : servers_) {
+            if (other.service == listed->service) {
+                other.failedAt.reset();
+                // An attempt that began before proves nothing about the time after.
+                other.connectingSince.reset();
+            }
+        }
+        serviceConnectedAt_[listed->service] = now;
         endAttempt(*listed);
         listed->receivedAt = now;
     }
@@ -65,11 +69,20 @@
     if (Listed *listed = find(server)) {
         if (listed->connecting == 0 || listed->connectingSince.has_value()) {
             listed->failedAt = now;
+            listed->failedBegin = listed->connectingSince.value_or(now);
         }
         endAttempt(*listed);
     }
 }
 
+void LinkHealth::noteRefused(const ServerId &server, Instant now)
+{
+    if (Listed *listed = find(server)) {
+        listed->failedAt = now;
+        listed->failedBegin = now;
+    }
+}
+
 void LinkHealth::noteConnectAbandoned(const ServerId &server)
 {
     if (Listed *listed = find(server)) {
@@ -97,6 +110,12 @@
     return server.failedAt.has_value() && now - *server.failedAt < options_.evidenceLifetime;
 }
 
+bool LinkHealth::hasFailedLast(const Listed &server, Instant now) const
+{
+    return hasFailed(server, now)
+        && (!connectedAt_.has_value() || server.failedBegin >= *connectedAt_);
+}
+
 std::size_t LinkHealth::failedServers(Instant now) const
 {
     return static_cast<std::size_t>(
@@ -108,18 +127,60 @@
 {
     std::set<ServiceId> services;
     std::set<ServiceId> failedServices;
+    std::size_t failed = 0;
     for (const auto &[id, server] : servers_) {
         services.insert(server.service);
-        if (hasFailed(server, now)) {
+        if (hasFailedLast(server, now)) {
             failedServices.insert(server.service);
+            ++failed;
         }
     }
-    return failedServers(now) >= options_.servers
+    return failed >= options_.servers
         && failedServices.size() >= std::min(options_.services, services.size());
 }
 
+std::set<ServiceId> LinkHealth::lostServices(Instant now) const
+{
+    std::map<ServiceId, std::size_t> failed;
+    for (const auto &[id, server] : servers_) {
+        failed[server.service] += hasFailed(server, now) ? 1 : 0;
+    }
+    std::set<ServiceId> lost;
+    for (const auto &[service, count] : failed) {
+        if (count >= options_.servers) {
+            lost.insert(service);
+        }
+    }
+    return lost;
+}
+
+bool LinkHealth::lost(const ServiceId &service, Instant now) const
+{
+    return lostServices(now).contains(service);
+}
+
+RefusalCause LinkHealth::causeOfRefusal(const ServerId &server, Instant refusedAt,
+                                        Instant now) const
+{
+    const auto found = servers_.find(server);
+    if (found == servers_.end()) {
+        return RefusalCause::Server;
+    }
+    const ServiceId &service = found->second.service;
+    const auto listed = std::count_if(servers_.begin(), servers_.end(), [&](const auto &entry) {
+        return entry.second.service == service;
+    });
+    const auto connected = serviceConnectedAt_.find(service);
+    if (static_cast<std::size_t>(listed) < options_.servers
+        || (connected != serviceConnectedAt_.end() && connected->second >= refusedAt)) {
+        return RefusalCause::Server;
+    }
+    return lost(service, now) ? RefusalCause::Link : RefusalCause::Undecided;
+}
+
 std::vector<std::map<ServerId, LinkHealth::Listed>::iterator> LinkHealth::probeOrder(Instant now)
 {
+    const bool proven = connectedAt_.has_value() && now - *connectedAt_ < options_.provenTime;
     std::set<ServiceId> failedServices;
     std::vector<std::map<ServerId, Listed>::iterator> order;
     for (auto entry = servers_.begin(); entry != servers_.end(); ++entry) {
@@ -131,6 +192,11 @@
             order.push_back(entry);
         }
     }
+    if (proven) {
+        std::erase_if(order, [&](const auto &entry) {
+            return !failedServices.contains(entry->second.service);
+        });
+    }
     const auto rank = [&](const Listed &server) {
         return std::tuple(hasFailed(server, now), failedServices.contains(server.service),
                           server.probedAt.value_or(Instant::min()),
@@ -156,6 +222,7 @@
             server.connectingSince = now;
         } else if (now - *server.connectingSince >= options_.connectTime) {
             server.failedAt = now;
+            server.failedBegin = *server.connectingSince;
         }
     }
     if (stalled && waitingSince_.has_value()) {
@@ -168,7 +235,7 @@
     }
     probedAt_ = now;
     std::vector<ServerId> probes;
-    const std::size_t limit = lost(now) ? 1 : options_.probesOfRound;
+    const std::size_t limit = lostServices(now).empty() && !lost(now) ? options_.probesOfRound : 1;
     std::set<ServiceId> services;
     const auto order = probeOrder(now);
     for (const bool firstOfService : { true, false }) {
--- a/Source/Placement/ServerPool.cpp
+++ b/Source/Placement/ServerPool.cpp
@@ -266,21 +266,21 @@
 
 void ServerPool::noteConnected(const ServerId &id, Instant now)
 {
-    linksProvenAt_ = now;
     if (Server *server = find(id)) {
         server->reachedAt = now;
+        linksProvenAt_[server->facts.service] = now;
     }
 }
 
-void ServerPool::setLinksLost(bool lost)
+void ServerPool::setLostServices(std::set<ServiceId> lost)
 {
-    if (linksLost_ && !lost) {
-        for (auto &[id, server] : servers_) {
+    for (auto &[id, server] : servers_) {
+        if (lostServices_.contains(server.facts.service) && !lost.contains(server.facts.service)) {
             server.failures = 0;
             server.avoidedUntil = {};
         }
     }
-    linksLost_ = lost;
+    lostServices_ = std::move(lost);
 }
 
 void ServerPool::noteSent(const ServerId &id, const PlacementRequest &request,
--- a/Source/Placement/ServerPool.h
+++ b/Source/Placement/ServerPool.h
@@ -243,8 +243,9 @@
     /// Returns the number of listed servers whose statements keep requests from them, by reason.
     [[nodiscard]] std::map<WithholdReason, std::size_t> withheldServers(Instant now) const;
     /// Applies a peer's updates: its requests in flight, weight loads in progress and weights seen.
+    /// The peer has no links to the servers of `lostServices`.
     void applyPeer(const std::string &peer, std::span<const ServerUpdate> updates, Instant now,
-                   PeerScope scope = PeerScope::Node);
+                   PeerScope scope = PeerScope::Node, std::span<const ServiceId> lostServices = {});
     /// Applies the cache events of a server or store.
     void applyCacheEvents(const ServerId &id, const CacheEvents &events);
     /// Queues all cached parts of a server or store to be sent to the peers again, as when a peer
@@ -276,10 +277,10 @@
                        std::optional<WeightsVersion> weights, std::uint32_t prefilledTokens);
     /// Records that a server has accepted a connection, which proves the links of this node.
     void noteConnected(const ServerId &id, Instant now);
-    /// Sets whether this node has lost its links to the servers as a whole. Meanwhile it reports
+    /// Sets the services to whose servers this node has lost its links. Meanwhile it reports
     /// nothing that it finds out about its link; at the end no server stays suspended because of
     /// that.
-    void setLinksLost(bool lost);
+    void setLostServices(std::set<ServiceId> lost);
     /// Records that a server could not be reached, so that nothing was sent to it.
     void noteUnreachable(const ServerId &id, Instant now);
     /// Records the end of a request that was sent. `unprefilledTokens` are the tokens that
@@ -476,9 +477,9 @@
     /// Keyed by the name of the service.
     std::map<ServerId, CacheStore> stores_;
     DesiredWeightsHistory desiredWeights_;
-    /// When a server last accepted a connection of this node.
-    Instant linksProvenAt_;
-    bool linksLost_ = false;
+    /// When a server of each service last accepted a connection of this node.
+    std::unordered_map<ServiceId, Instant> linksProvenAt_;
+    std::set<ServiceId> lostServices_;
     /// Counts the calls of takeServerUpdates().
     std::uint64_t updateRound_ = 0;
 };
--- a/Source/Placement/ServerPoolPeers.cpp
+++ b/Source/Placement/ServerPoolPeers.cpp
@@ -163,12 +163,18 @@
 }
 
 void ServerPool::applyPeer(const std::string &peer, std::span<const ServerUpdate> updates,
-                           Instant now, PeerScope scope)
+                           Instant now, PeerScope scope, std::span<const ServiceId> lostServices)
 {
-    const bool withoutLinks = scope == PeerScope::NodeWithoutLinks;
-    if (withoutLinks) {
+    const auto withoutLinks = [&](const Server &server) {
+        return scope == PeerScope::NodeWithoutLinks
+            || std::find(lostServices.begin(), lostServices.end(), server.facts.service)
+            != lostServices.end();
+    };
+    if (scope == PeerScope::NodeWithoutLinks || !lostServices.empty()) {
         for (auto &[id, server] : servers_) {
-            server.peers.erase(peer);
+            if (withoutLinks(server)) {
+                server.peers.erase(peer);
+            }
         }
     }
     for (const ServerUpdate &update : updates) {
@@ -181,7 +187,7 @@
             continue;
         }
         Server &server = *found;
-        if (!withoutLinks) {
+        if (!withoutLinks(server)) {
             applyPeerLoad(server, peer, update, now, scope);
         }
         if (update.avoidMs > MaxUnreachableMs) {
@@ -256,14 +262,15 @@
                                             Instant now) const
 {
     ServerUpdate update { .server = id };
-    if (!linksLost_) {
+    if (!lostServices_.contains(server.facts.service)) {
         update.inFlight = server.inFlight;
         update.pendingPrefillTokens = static_cast<std::uint32_t>(server.pendingPrefillTokens);
         if (server.inFlight > 0) {
             update.unresponsiveMs = wholeMilliseconds(now - server.lastReceivedAt);
         }
         // Before another connection succeeds, the link of this node may be to blame.
-        if (linksProvenAt_ > server.unreachableAt) {
+        const auto proven = linksProvenAt_.find(server.facts.service);
+        if (proven != linksProvenAt_.end() && proven->second > server.unreachableAt) {
             update.avoidMs = wholeMilliseconds(server.avoidedUntil - now);
         }
     }
--- a/Tests/FleetPeers/NodeDigestTest.cpp
+++ b/Tests/FleetPeers/NodeDigestTest.cpp
@@ -76,12 +76,15 @@
     const std::string usual = encodeDigest(digest);
     BOOST_TEST(!decodeDigest(usual)->linksLost);
     digest.linksLost = true;
+    digest.lostServices = { ServiceId("engines") };
     const std::string datagram = encodeDigest(digest);
     // An older build decodes the array and ignores what follows.
     BOOST_TEST(datagram.substr(0, usual.size()) == usual);
     const auto decoded = decodeDigest(datagram);
     BOOST_REQUIRE(decoded.has_value());
     BOOST_TEST(decoded->linksLost);
+    BOOST_REQUIRE(decoded->lostServices.size() == 1U);
+    BOOST_TEST(decoded->lostServices[0].text() == "engines");
     BOOST_TEST(decoded->node == "front-1");
     for (std::size_t size = usual.size() + 1; size < datagram.size(); ++size) {
         BOOST_TEST(!decodeDigest(std::string_view(datagram).substr(0, size)).has_value());
--- a/Tests/Placement/LinkHealthTest.cpp
+++ b/Tests/Placement/LinkHealthTest.cpp
@@ -208,6 +208,48 @@
     }
 }
 
+BOOST_AUTO_TEST_CASE(linksToOneServiceAreLostWhileOthersAccept)
+{
+    LinkedNode node({ "a", "b" }, 18);
+    const auto withoutA = [](const ServerId &id) {
+        return id.text().front() == 'a' ? LinkedNode::Answer::Hangs : LinkedNode::Answer::Accepts;
+    };
+    node.answer = withoutA;
+    node.connect(server("a", 1), at(0));
+    for (std::int64_t milli = 0; milli < 500; milli += 50) {
+        node.connect(server("b", 1), at(milli));
+        node.run(milli, milli + 50);
+    }
+    BOOST_TEST(node.links.lost(ServiceId("a"), at(500)));
+    BOOST_TEST(!node.links.lost(ServiceId("b"), at(500)));
+    BOOST_TEST(!node.links.lost(at(500)));
+    node.answer = [](const ServerId &) { return LinkedNode::Answer::Accepts; };
+    node.run(500, 1000);
+    BOOST_TEST(!node.links.lost(ServiceId("a"), at(1000)));
+}
+
+BOOST_AUTO_TEST_CASE(refusalBehindALostLinkTellsNothingOfTheServer)
+{
+    LinkedNode node({ "a", "b", "c" });
+    node.answer = [](const ServerId &) { return LinkedNode::Answer::Refuses; };
+    node.links.noteRefused(server("a", 1), at(0));
+    BOOST_TEST(
+        (node.links.causeOfRefusal(server("a", 1), at(0), at(0)) == RefusalCause::Undecided));
+    node.run(0, 400);
+    BOOST_TEST((node.links.causeOfRefusal(server("a", 1), at(0), at(400)) == RefusalCause::Link));
+}
+
+BOOST_AUTO_TEST_CASE(refusalWithSoundLinksIsSoonKnownToBeTheServers)
+{
+    LinkedNode node({ "a", "b", "c" });
+    node.answer = [](const ServerId &id) {
+        return id == server("a", 1) ? LinkedNode::Answer::Refuses : LinkedNode::Answer::Accepts;
+    };
+    node.links.noteRefused(server("a", 1), at(0));
+    node.run(50, 100);
+    BOOST_TEST((node.links.causeOfRefusal(server("a", 1), at(0), at(100)) == RefusalCause::Server));
+}
+
 BOOST_AUTO_TEST_CASE(fewServersAreNotToldFromALostLink)
 {
     LinkedNode node({ "a" }, 2);
--- a/Tests/Placement/ServerPoolTest.cpp
+++ b/Tests/Placement/ServerPoolTest.cpp
@@ -623,13 +623,26 @@
     BOOST_TEST(chosen(pool, request, at(30)).candidates == 2U);
 }
 
+BOOST_AUTO_TEST_CASE(peerWithoutLinksToAServiceTakesBackItsReportsOfIt)
+{
+    ServerPool pool = poolOf({ engine("a"), engine("b") });
+    const PlacementRequest request { .service = Engines, .model = Model, .promptTokens = 500 };
+    const std::vector<ServerUpdate> avoiding { { .server = ServerId("a"), .avoidMs = 1000 } };
+    const std::vector<ServiceId> otherService { Stock };
+    const std::vector<ServiceId> service { Engines };
+    pool.applyPeer("cut", avoiding, at(0), PeerScope::Node, otherService);
+    BOOST_TEST(chosen(pool, request, at(10)).candidates == 1U);
+    pool.applyPeer("cut", avoiding, at(20), PeerScope::Node, service);
+    BOOST_TEST(chosen(pool, request, at(30)).candidates == 2U);
+}
+
 BOOST_AUTO_TEST_CASE(peerWithoutLinksStillReportsServersThatLeave)
 {
     ServerPool reader = poolOf({ engine("a"), engine("b"), engine("c") });
     ServerPool other = poolOf({ engine("a"), engine("b"), engine("c") });
     ListedServer leaving = engine("a");
     leaving.leaving = true;
-    reader.setLinksLost(true);
+    reader.setLostServices({ Engines });
     reader.noteUnreachable(ServerId("c"), at(1000));
     reader.applyServer(leaving, at(1000));
     reader.removeServer(ServerId("b"), at(1000));
@@ -658,7 +671,7 @@
     BOOST_TEST(avoidMs(20) == 0U);
     pool.noteConnected(ServerId("b"), at(30));
     BOOST_TEST(avoidMs(40) > 0U);
-    pool.setLinksLost(true);
+    pool.setLostServices({ Engines });
     BOOST_TEST(avoidMs(50) == 0U);
 }
 
@@ -666,14 +679,14 @@
 {
     ServerPool pool = poolOf({ engine("a"), engine("b"), engine("c") });
     const PlacementRequest request { .service = Engines, .model = Model, .promptTokens = 500 };
-    pool.setLinksLost(true);
+    pool.setLostServices({ Engines });
     for (std::int64_t milli = 0; milli < 12000; milli += 500) {
         for (const char *name : { "a", "b", "c" }) {
             pool.noteUnreachable(ServerId(name), at(milli));
         }
     }
     BOOST_TEST(std::holds_alternative<NoPlacement>(pool.choose(request, at(11990))));
-    pool.setLinksLost(false);
+    pool.setLostServices({});
     BOOST_TEST(chosen(pool, request, at(12000)).candidates == 3U);
 }
 
