Gateway: Take a refused connection for a crash only with links to the servers

A refusal now waits, 400 ms at most, until another server of the service has accepted a connection since, or the links to the service are found lost. In the latter case it proves nothing while a peer has links to the service; the platform's list may still explain the loss. If all nodes have lost them, or with fewer than three servers, the servers have failed.

--- a/Source/Gateway/CrashDetector.cpp
+++ b/Source/Gateway/CrashDetector.cpp
@@ -25,6 +25,9 @@
 /// Maximum time that a retry waits for a probe, and the interval of the check.
 constexpr Duration MaxProbeWait = milliseconds(120);
 constexpr Duration ProbeWaitInterval = milliseconds(5);
+/// Maximum time until it must be known whether a refusal tells of the server or of this node's
+/// link.
+constexpr Duration MaxRefusalWait = milliseconds(400);
 /// How long the platform's list may explain a loss. The platform removes a silent server after
 /// three of its heartbeats, and nodes read the list every two seconds at most.
 constexpr Duration ExplanationTime = std::chrono::seconds(15);
@@ -69,13 +72,30 @@
     co_return error == asio::error::connection_refused;
 }
 
+asio::awaitable<bool> CrashDetector::refusedByServer(ServerId server)
+{
+    const Instant refusedAt = std::chrono::steady_clock::now();
+    RefusalCause cause = causeOfRefusal(server, refusedAt);
+    while (cause == RefusalCause::Undecided
+           && std::chrono::steady_clock::now() < refusedAt + MaxRefusalWait) {
+        co_await pauseFor(context_, ProbeWaitInterval);
+        cause = causeOfRefusal(server, refusedAt);
+    }
+    co_return cause != RefusalCause::Link;
+}
+
 asio::awaitable<void> CrashDetector::probe(ServerId server, std::string address)
 {
     for (;;) {
         // Only losses from before the attempt are decided by it.
         const Instant startedAt = std::chrono::steady_clock::now() + ProbeDelay;
         const error_code error = co_await tryToConnect(address);
-        if (error == asio::error::connection_refused) {
+        // Separate statements because g++ 12 miscompiles co_await inside a conditional operator.
+        bool ended = error == asio::error::connection_refused;
+        if (ended) {
+            ended = co_await refusedByServer(server);
+        }
+        if (ended) {
             confirm(server);
         } else if (!error) {
             dropLosses(server, startedAt);
--- a/Source/Gateway/CrashDetector.h
+++ b/Source/Gateway/CrashDetector.h
@@ -13,6 +13,7 @@
 #include "Core/Ids.h"
 #include "Core/Time.h"
 #include "Fleet/ListedServer.h"
+#include "Placement/LinkHealth.h"
 #include "Quarantine/Quarantine.h"
 
 namespace jacinthroad {
@@ -41,8 +42,9 @@
 
 /// Finds out whether a lost request met the end of the server's process. Servers also reset
 /// connections and break off responses while they live, so a loss counts as a crash only if the
-/// server's address then refuses a connection, or if the platform lists another boot of the server
-/// or no longer lists it. Used by the traffic thread only.
+/// server's address then refuses a connection while this node has links to other servers, or if the
+/// platform lists another boot of the server or no longer lists it. Used by the traffic thread
+/// only.
 class CrashDetector
 {
 public:
@@ -52,6 +54,11 @@
     std::function<void(const ServerId &, const LostRequest &)> onCrash
         = [](const ServerId &, const LostRequest &) {};
 
+    /// Returns what it tells that a server refused a connection at a moment; asked again while that
+    /// is undecided.
+    std::function<RefusalCause(const ServerId &, Instant refusedAt)> causeOfRefusal
+        = [](const ServerId &, Instant) { return RefusalCause::Server; };
+
     /// Examines a loss. `server` is the entry that the platform listed when the request was sent.
     void noteLoss(const ListedServer &server, const LostRequest &loss);
     /// Returns whether a server refuses connections at `address` after it has closed one: its
@@ -76,6 +83,8 @@
     /// Opens a connection after a delay and closes it; returns why that failed.
     [[nodiscard]] boost::asio::awaitable<boost::system::error_code>
     tryToConnect(std::string address);
+    /// Returns whether a refused connection tells that the server's process has ended.
+    [[nodiscard]] boost::asio::awaitable<bool> refusedByServer(ServerId server);
     /// Tries to connect to the server's address and decides on its losses.
     [[nodiscard]] boost::asio::awaitable<void> probe(ServerId server, std::string address);
     void confirm(const ServerId &server);
--- a/Source/Gateway/Gateway.cpp
+++ b/Source/Gateway/Gateway.cpp
@@ -379,10 +379,8 @@
         reportToRollout();
         assignCaches();
     };
-    digests.onPeerStarted = [this] {
-        for (const auto &[id, address] : ownedCaches) {
-            traffic.pool.resendCachedParts(id);
-        }
+    traffic.peersHaveLinks = [this](const ServiceId &service) {
+        return !digests.peersWithLinks(service, std::chrono::steady_clock::now()).empty();
     };
     linkProbes.start();
     asio::co_spawn(trafficContext, acceptOnceListening(), logFailure("listener"));
--- a/Source/Gateway/TrafficState.cpp
+++ b/Source/Gateway/TrafficState.cpp
@@ -81,6 +81,9 @@
     pool.onSuspended = [this](const Suspension &suspension, Instant now) {
         suspensionLog_.note(suspension, now);
     };
+    crashDetector.causeOfRefusal = [this](const ServerId &server, Instant refusedAt) {
+        return causeOfRefusal(server, refusedAt);
+    };
     crashDetector.onCrash
         = [this](const ServerId &server, const LostRequest &loss) { noteCrash(server, loss); };
 }
@@ -256,6 +259,18 @@
     links.noteReceived(server, now);
 }
 
+RefusalCause TrafficState::causeOfRefusal(const ServerId &server, Instant refusedAt)
+{
+    const Instant now = std::chrono::steady_clock::now();
+    const RefusalCause cause = links.causeOfRefusal(server, refusedAt, now);
+    if (cause == RefusalCause::Undecided) {
+        links.noteRefused(server, now);
+    }
+    const ListedServer *listed = pool.listed(server);
+    const bool peersReach = listed != nullptr && peersHaveLinks(listed->service);
+    return cause == RefusalCause::Link && !peersReach ? RefusalCause::Server : cause;
+}
+
 void TrafficState::noteCrash(const ServerId &server, const LostRequest &loss)
 {
     const Instant now = std::chrono::steady_clock::now();
--- a/Source/Gateway/TrafficState.h
+++ b/Source/Gateway/TrafficState.h
@@ -144,6 +144,9 @@
     /// Called when peers should be notified of a sent request or of the first byte of its response.
     std::function<void()> notifyPeersSoon = [] {};
 
+    /// Returns true if another node has links to the servers of a service.
+    std::function<bool(const ServiceId &)> peersHaveLinks = [](const ServiceId &) { return false; };
+
     /// Called when a server has asked for a pause, which binds the node's own calls too.
     std::function<void()> onServerPaused = [] {};
 
@@ -174,6 +177,9 @@
 private:
     /// True if streams can be sent, or if the versions for that are overdue.
     [[nodiscard]] bool readyForStreams(Instant now) const;
+    /// Returns what a refused connection tells of a server. If all nodes have lost their links, the
+    /// servers have failed.
+    [[nodiscard]] RefusalCause causeOfRefusal(const ServerId &server, Instant refusedAt);
     /// Records that a server crashed while it ran a request.
     void noteCrash(const ServerId &server, const LostRequest &loss);
     void rememberPart(const SharedPart &part);
