Placement: Examine the silence of each service's servers

The order of probes also no longer subtracts the least time, which overflows.

Test: LinkHealthTest/silenceOfOneServiceIsExaminedWhileAnotherSendsData.

--- a/Source/Gateway/ExchangeAttempt.cpp
+++ b/Source/Gateway/ExchangeAttempt.cpp
@@ -183,7 +183,7 @@
     const std::uint32_t found
         = std::max(attempt.placement.cachedPromptTokens, attempt.placement.tokensAfterFetch);
     state_.pool.noteSent(attempt.placement.server, placementRequest_, found, now);
-    state_.links.noteSent(now);
+    state_.links.noteSent(attempt.placement.server, now);
     state_.notifyPeersSoon();
     attempt.uncachedTokens
         = placementRequest_.promptTokens - std::min(placementRequest_.promptTokens, found);
--- a/Source/Placement/LinkHealth.cpp
+++ b/Source/Placement/LinkHealth.cpp
@@ -48,7 +48,6 @@
 
 void LinkHealth::noteConnected(const ServerId &server, Instant now)
 {
-    waitingSince_.reset();
     connectedAt_ = now;
     if (Listed *listed = find(server)) {
         for (auto &[id, other] : servers_) {
@@ -59,6 +58,7 @@
             }
         }
         serviceConnectedAt_[listed->service] = now;
+        waitingSince_.erase(listed->service);
         endAttempt(*listed);
         listed->receivedAt = now;
     }
@@ -90,17 +90,17 @@
     }
 }
 
-void LinkHealth::noteSent(Instant now)
+void LinkHealth::noteSent(const ServerId &server, Instant now)
 {
-    if (!waitingSince_.has_value()) {
-        waitingSince_ = now;
+    if (const Listed *listed = find(server)) {
+        waitingSince_.try_emplace(listed->service, now);
     }
 }
 
 void LinkHealth::noteReceived(const ServerId &server, Instant now)
 {
-    waitingSince_.reset();
     if (Listed *listed = find(server)) {
+        waitingSince_.erase(listed->service);
         listed->receivedAt = now;
     }
 }
@@ -182,25 +182,30 @@
 {
     const bool proven = connectedAt_.has_value() && now - *connectedAt_ < options_.provenTime;
     std::set<ServiceId> failedServices;
+    std::set<ServiceId> suspect;
+    for (const auto &[service, since] : waitingSince_) {
+        if (now - since >= options_.silence) {
+            suspect.insert(service);
+        }
+    }
     std::vector<std::map<ServerId, Listed>::iterator> order;
     for (auto entry = servers_.begin(); entry != servers_.end(); ++entry) {
         const Listed &server = entry->second;
         if (hasFailed(server, now)) {
             failedServices.insert(server.service);
+            suspect.insert(server.service);
         }
         if (server.connecting == 0) {
             order.push_back(entry);
         }
     }
-    if (proven) {
-        std::erase_if(order, [&](const auto &entry) {
-            return !failedServices.contains(entry->second.service);
-        });
-    }
+    std::erase_if(order, [&](const auto &entry) {
+        return suspect.empty() || (proven && !suspect.contains(entry->second.service));
+    });
     const auto rank = [&](const Listed &server) {
         return std::tuple(hasFailed(server, now), failedServices.contains(server.service),
                           server.probedAt.value_or(Instant::min()),
-                          Instant::max() - server.receivedAt.value_or(Instant::min()));
+                          -server.receivedAt.value_or(Instant()).time_since_epoch());
     };
     std::stable_sort(order.begin(), order.end(), [&](const auto &left, const auto &right) {
         return rank(left->second) < rank(right->second);
@@ -225,19 +230,20 @@
             server.failedBegin = *server.connectingSince;
         }
     }
-    if (stalled && waitingSince_.has_value()) {
-        waitingSince_ = now;
+    if (stalled) {
+        for (auto &[service, since] : waitingSince_) {
+            since = now;
+        }
     }
-    const bool silent = waitingSince_.has_value() && now - *waitingSince_ >= options_.silence;
     const bool probeDue = !probedAt_.has_value() || now - *probedAt_ >= options_.probeInterval;
-    if (!probeDue || (failedServers(now) == 0 && !silent)) {
+    const auto order = probeDue ? probeOrder(now) : decltype(probeOrder(now)) {};
+    if (order.empty()) {
         return {};
     }
     probedAt_ = now;
     std::vector<ServerId> probes;
     const std::size_t limit = lostServices(now).empty() && !lost(now) ? options_.probesOfRound : 1;
     std::set<ServiceId> services;
-    const auto order = probeOrder(now);
     for (const bool firstOfService : { true, false }) {
         for (const auto &entry : order) {
             auto &[id, server] = *entry;
--- a/Source/Placement/LinkHealth.h
+++ b/Source/Placement/LinkHealth.h
@@ -37,8 +37,8 @@
         /// Time after which a connection that is not accepted yet counts as failed. Servers in the
         /// same region accept one within a few milliseconds.
         Duration connectTime = milliseconds(150);
-        /// Time without data from any server, while requests wait for some, after which probes are
-        /// made.
+        /// Time without data from any server of a service, while requests wait for some, after
+        /// which its servers are probed.
         Duration silence = milliseconds(250);
         /// How long a failed connection counts.
         Duration evidenceLifetime = std::chrono::seconds(2);
@@ -73,8 +73,8 @@
     void noteRefused(const ServerId &server, Instant now);
     /// Records that an attempt to connect was given up, which proves nothing.
     void noteConnectAbandoned(const ServerId &server);
-    /// Records that a request was sent, for which a server is to send data.
-    void noteSent(Instant now);
+    /// Records that a request was sent to a server, which is to send data for it.
+    void noteSent(const ServerId &server, Instant now);
     /// Records data from a server.
     void noteReceived(const ServerId &server, Instant now);
 
@@ -123,8 +123,8 @@
 
     Options options_;
     std::map<ServerId, Listed> servers_;
-    /// When the first of the requests was sent for which no data has arrived.
-    std::optional<Instant> waitingSince_;
+    /// When the first request was sent to each service since data arrived from it.
+    std::map<ServiceId, Instant> waitingSince_;
     /// When a server last accepted a connection, and a server of each service.
     std::optional<Instant> connectedAt_;
     std::map<ServiceId, Instant> serviceConnectedAt_;
--- a/Tests/Placement/LinkHealthTest.cpp
+++ b/Tests/Placement/LinkHealthTest.cpp
@@ -97,15 +97,30 @@
 {
     LinkedNode node({ "a", "b", "c" });
     node.answer = [](const ServerId &) { return LinkedNode::Answer::Hangs; };
-    node.links.noteSent(at(0));
+    node.links.noteSent(server("a", 0), at(0));
     node.run(0, 800);
     BOOST_TEST(node.links.lost(at(800)));
 }
 
+BOOST_AUTO_TEST_CASE(silenceOfOneServiceIsExaminedWhileAnotherSendsData)
+{
+    LinkedNode node({ "a", "b" }, 18);
+    node.answer = [](const ServerId &id) {
+        return id.text().front() == 'a' ? LinkedNode::Answer::Hangs : LinkedNode::Answer::Accepts;
+    };
+    node.links.noteSent(server("a", 0), at(0));
+    for (std::int64_t milli = 0; milli < 600; milli += 50) {
+        node.links.noteReceived(server("b", 0), at(milli));
+        node.links.noteConnected(server("b", 0), at(milli));
+        node.run(milli, milli + 50);
+    }
+    BOOST_TEST(node.links.lost(ServiceId("a"), at(600)));
+}
+
 BOOST_AUTO_TEST_CASE(busyServersWithSoundLinksAreProbedSeldom)
 {
     LinkedNode node({ "a", "b", "c" });
-    node.links.noteSent(at(0));
+    node.links.noteSent(server("a", 0), at(0));
     node.run(0, 250);
     BOOST_TEST(node.probes == 0);
     node.run(250, 1000);
