--- a/Source/Gateway/ExchangeAttempt.cpp
+++ b/Source/Gateway/ExchangeAttempt.cpp
@@ -197,7 +197,7 @@
         = std::max(attempt.placement.cachedPromptTokens, attempt.placement.tokensAfterFetch);
     if (!attempt.isForwarded()) {
         state_.pool.noteSent(attempt.placement.server, placementRequest_, found, now);
-        state_.links.noteSent(now);
+        state_.links.noteSent(attempt.placement.server, now);
         state_.notifyPeersSoon();
         noteVersionSent(attempt.placement, now);
         noteTrial(now);
