Program: Test a stop of a process that was started with signals blocked

Since serve unblocks the signals that it handles, whatever mask it began with. No test showed it. The test passes on this code; it wasn't run on the code before.

--- a/Tests/Program/ServeSignalTest.cpp
+++ b/Tests/Program/ServeSignalTest.cpp
@@ -48,6 +48,16 @@
     }
 }
 
+BOOST_AUTO_TEST_CASE(stopOfAProcessThatWasStartedWithSignalsBlockedIsNotIgnored)
+{
+    sigset_t blocked {};
+    sigfillset(&blocked);
+    ServeProcess process(&blocked);
+    BOOST_REQUIRE(process.waitForOutput("\"serving\""));
+    process.signal(SIGTERM);
+    BOOST_TEST(process.waitForOutput("\"stopping\""));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace jacinthroad
