--- a/Tests/Program/ServeProcess.cpp
+++ b/Tests/Program/ServeProcess.cpp
@@ -44,7 +44,7 @@
 
 } // namespace
 
-ServeProcess::ServeProcess(const sigset_t *blocked)
+ServeProcess::ServeProcess(const sigset_t *blocked, const std::string &program)
     : folder_(makeFolder())
 {
     const std::string settings = folder_ + "/settings.json";
@@ -64,15 +64,15 @@
     sigemptyset(&mask);
     posix_spawnattr_setsigmask(&attributes, blocked == nullptr ? &mask : blocked);
     posix_spawnattr_setflags(&attributes, POSIX_SPAWN_SETSIGMASK);
-    std::array<const char *, 5> arguments { JACINTHROAD_PROGRAM, "serve", "--settings",
+    std::array<const char *, 5> arguments { program.c_str(), "serve", "--settings",
                                             settings.c_str(), nullptr };
-    const int error = posix_spawn(&process_, JACINTHROAD_PROGRAM, &actions, &attributes,
+    const int error = posix_spawn(&process_, program.c_str(), &actions, &attributes,
                                   const_cast<char **>(arguments.data()), environ);
     posix_spawnattr_destroy(&attributes);
     posix_spawn_file_actions_destroy(&actions);
     close(output[1]);
     if (error != 0) {
-        throw std::system_error(error, std::generic_category(), JACINTHROAD_PROGRAM);
+        throw std::system_error(error, std::generic_category(), program);
     }
 }
 
--- a/Tests/Program/ServeProcess.h
+++ b/Tests/Program/ServeProcess.h
@@ -16,8 +16,9 @@
 {
 public:
     /// Starts the process and returns once its program has replaced that of the parent. `blocked`
-    /// is its initial signal mask.
-    explicit ServeProcess(const sigset_t *blocked = nullptr);
+    /// is its initial signal mask, `program` the path of its executable.
+    explicit ServeProcess(const sigset_t *blocked = nullptr,
+                          const std::string &program = JACINTHROAD_PROGRAM);
     ServeProcess(const ServeProcess &) = delete;
     ServeProcess &operator=(const ServeProcess &) = delete;
     ~ServeProcess();
