Program: Go on when the log file has reached its size limit

A node whose standard output is a file ended by itself, without a process_failed line, once the file was as long as RLIMIT_FSIZE allows: the kernel sends SIGXFSZ, and its default action ends the process. serve now ignores the signal, so that the write fails and the line is dropped.

With a limit of 1 kB a node ended with status 153 in its first second; now it served on, and ended with 0 on SIGTERM. ServeSignalTest/logFileAtItsSizeLimitEndsNoProcess failed in 2 of 2 runs before (status 25) and passed in 2 of 2.

--- a/Source/Program/ServeCommand.cpp
+++ b/Source/Program/ServeCommand.cpp
@@ -54,6 +54,8 @@
     std::signal(SIGTERM, onStopSignal);
     std::signal(SIGINT, onStopSignal);
     std::signal(SIGPIPE, SIG_IGN);
+    // The kernel sends it for a write beyond RLIMIT_FSIZE, which then fails like any other.
+    std::signal(SIGXFSZ, SIG_IGN);
     const sigset_t handled = handledSignals();
     pthread_sigmask(SIG_UNBLOCK, &handled, nullptr);
 }
--- a/Tests/Program/ServeSignalTest.cpp
+++ b/Tests/Program/ServeSignalTest.cpp
@@ -58,6 +58,16 @@
     BOOST_TEST(process.waitForOutput("\"stopping\""));
 }
 
+BOOST_AUTO_TEST_CASE(logFileAtItsSizeLimitEndsNoProcess)
+{
+    ServeProcess process;
+    BOOST_REQUIRE(process.waitForOutput("\"serving\""));
+    process.signal(SIGXFSZ);
+    process.signal(SIGTERM);
+    const int status = process.waitForEnd();
+    BOOST_TEST((WIFEXITED(status) && WEXITSTATUS(status) == 0), "status " << status);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace jacinthroad
