--- a/Tests/Program/ServeProcess.cpp
+++ b/Tests/Program/ServeProcess.cpp
@@ -83,15 +83,15 @@
     }
     posix_spawnattr_setsigmask(&attributes, &mask);
     posix_spawnattr_setflags(&attributes, POSIX_SPAWN_SETSIGMASK);
-    std::array<const char *, 5> arguments { JACINTHROAD_PROGRAM, "serve", "--settings",
+    std::array<const char *, 5> arguments { options.program.c_str(), "serve", "--settings",
                                             file.c_str(), nullptr };
-    const int error = posix_spawn(&process_, JACINTHROAD_PROGRAM, &actions, &attributes,
+    const int error = posix_spawn(&process_, options.program.c_str(), &actions, &attributes,
                                   const_cast<char **>(arguments.data()), environ);
     posix_spawnattr_destroy(&attributes);
     posix_spawn_file_actions_destroy(&actions);
     close(output[1]);
     if (error != 0) {
-        throw std::system_error(error, std::generic_category(), JACINTHROAD_PROGRAM);
+        throw std::system_error(error, std::generic_category(), program);
     }
 }
 
--- a/Tests/Program/ServeProcess.h
+++ b/Tests/Program/ServeProcess.h
@@ -15,6 +15,8 @@
 public:
     struct Options
     {
+        /// Path of the executable.
+        std::string program = JACINTHROAD_PROGRAM;
         /// The signals that the process starts with as blocked.
         std::vector<int> blockedSignals {};
         /// Starts the process with only half of the settings file written.
--- a/Tests/Program/ServeSignalTest.cpp
+++ b/Tests/Program/ServeSignalTest.cpp
@@ -1,6 +1,8 @@
 #include <chrono>
 #include <csignal>
+#include <numeric>
 #include <thread>
+#include <vector>
 
 #include <boost/test/unit_test.hpp>
 #include <sys/wait.h>
@@ -50,12 +52,24 @@
 
 BOOST_AUTO_TEST_CASE(stopIsNoticedThoughTheParentBlockedItsSignal)
 {
-    ServeProcess process({ .blockedSignals = { SIGTERM, SIGHUP, SIGINT } });
+    std::vector<int> every(SIGRTMAX);
+    std::iota(every.begin(), every.end(), 1);
+    ServeProcess process({ .blockedSignals = every });
     BOOST_REQUIRE(process.waitForOutput("\"serving\""));
     process.signal(SIGTERM);
     BOOST_TEST(process.waitForOutput("\"stopping\""));
 }
 
+BOOST_AUTO_TEST_CASE(logFileAtItsSizeLimitEndsNoProcess)
+{
+    ServeProcess process;
+    BOOST_REQUIRE(process.waitForOutput("\"serving\""));
+    process.signal(SIGXFSZ);
+    process.signal(SIGTERM);
+    const int status = process.waitForEnd();
+    BOOST_TEST((WIFEXITED(status) && WEXITSTATUS(status) == 0), "status " << status);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace jacinthroad
