Placement: Count a service's links as lost only after probes have failed too

Eight of 20 servers of a service that crashed at once were taken for a lost link, as three had refused connections before any other was tried; their crashes were not counted and copies of the request reached more servers.

The links to a service count as lost once probes, which prefer servers that have not failed, have failed at two servers.

LinkHealthTest/serversThatFailTogetherAreNoLostLinkWhileOthersAccept is new.

--- a/Source/Placement/LinkHealth.cpp
+++ b/Source/Placement/LinkHealth.cpp
@@ -53,6 +53,7 @@
         for (auto &[id, other] : servers_) {
             if (other.service == listed->service) {
                 other.failedAt.reset();
+                other.probeFailed = false;
                 // An attempt that began before proves nothing about the time after.
                 other.connectingSince.reset();
             }
@@ -60,6 +61,7 @@
         serviceConnectedAt_[listed->service] = now;
         waitingSince_.erase(listed->service);
         endAttempt(*listed);
+        listed->probing = false;
         listed->receivedAt = now;
     }
 }
@@ -70,7 +72,9 @@
         if (listed->connecting == 0 || listed->connectingSince.has_value()) {
             listed->failedAt = now;
             listed->failedBegin = listed->connectingSince.value_or(now);
+            listed->probeFailed = listed->probeFailed || listed->probing;
         }
+        listed->probing = false;
         endAttempt(*listed);
     }
 }
@@ -141,13 +145,21 @@
 
 std::set<ServiceId> LinkHealth::lostServices(Instant now) const
 {
-    std::map<ServiceId, std::size_t> failed;
+    struct Failures
+    {
+        std::size_t servers = 0;
+        std::size_t probes = 0;
+    };
+    std::map<ServiceId, Failures> failures;
     for (const auto &[id, server] : servers_) {
-        failed[server.service] += hasFailed(server, now) ? 1 : 0;
+        if (hasFailed(server, now)) {
+            ++failures[server.service].servers;
+            failures[server.service].probes += server.probeFailed ? 1 : 0;
+        }
     }
     std::set<ServiceId> lost;
-    for (const auto &[service, count] : failed) {
-        if (count >= options_.servers) {
+    for (const auto &[service, count] : failures) {
+        if (count.servers >= options_.servers && count.probes >= options_.failedProbes) {
             lost.insert(service);
         }
     }
@@ -228,6 +240,7 @@
         } else if (now - *server.connectingSince >= options_.connectTime) {
             server.failedAt = now;
             server.failedBegin = *server.connectingSince;
+            server.probeFailed = server.probeFailed || server.probing;
         }
     }
     if (stalled) {
@@ -255,6 +268,7 @@
                 continue;
             }
             server.probedAt = now;
+            server.probing = true;
             probes.push_back(id);
         }
     }
--- a/Source/Placement/LinkHealth.h
+++ b/Source/Placement/LinkHealth.h
@@ -48,6 +48,10 @@
         /// fewer servers a lost link can't be told from their failure.
         std::size_t servers = 3;
         std::size_t services = 3;
+        /// Number of servers of a service whose probes must have failed before the links to it
+        /// count as lost: servers that fail together are found by requests first, sound ones by
+        /// probes.
+        std::size_t failedProbes = 2;
         /// Time after an accepted connection in which servers of other services are not probed for
         /// a failure.
         Duration provenTime = milliseconds(300);
@@ -109,6 +113,9 @@
         /// accepted one since.
         std::optional<Instant> failedAt;
         Instant failedBegin;
+        /// Whether a probe is under way, and whether that failure is one of a probe.
+        bool probing = false;
+        bool probeFailed = false;
         std::optional<Instant> probedAt;
         std::optional<Instant> receivedAt;
     };
--- a/Tests/Placement/LinkHealthTest.cpp
+++ b/Tests/Placement/LinkHealthTest.cpp
@@ -254,6 +254,28 @@
     BOOST_TEST((node.links.causeOfRefusal(server("a", 1), at(0), at(400)) == RefusalCause::Link));
 }
 
+BOOST_AUTO_TEST_CASE(serversThatFailTogetherAreNoLostLinkWhileOthersAccept)
+{
+    constexpr int Failed = 8;
+    LinkedNode node({ "a" }, 20);
+    for (int number = 0; number < Failed; ++number) {
+        node.links.noteRefused(server("a", number), at(0));
+    }
+    BOOST_TEST(!node.links.lost(ServiceId("a"), at(0)));
+    BOOST_TEST(
+        (node.links.causeOfRefusal(server("a", 0), at(0), at(0)) == RefusalCause::Undecided));
+    node.answer = [](const ServerId &id) {
+        for (int number = 0; number < Failed; ++number) {
+            if (id == server("a", number)) {
+                return LinkedNode::Answer::Refuses;
+            }
+        }
+        return LinkedNode::Answer::Accepts;
+    };
+    node.run(50, 100);
+    BOOST_TEST((node.links.causeOfRefusal(server("a", 0), at(0), at(100)) == RefusalCause::Server));
+}
+
 BOOST_AUTO_TEST_CASE(refusalWithSoundLinksIsSoonKnownToBeTheServers)
 {
     LinkedNode node({ "a", "b", "c" });
