--- a/Tests/Program/ServeProcess.cpp
+++ b/Tests/Program/ServeProcess.cpp
@@ -91,7 +91,7 @@
     posix_spawn_file_actions_destroy(&actions);
     close(output[1]);
     if (error != 0) {
-        throw std::system_error(error, std::generic_category(), program);
+        throw std::system_error(error, std::generic_category(), options.program);
     }
 }
 
