--- a/Tests/Soak/NodeProcess.cpp
+++ b/Tests/Soak/NodeProcess.cpp
@@ -34,6 +34,7 @@
     , callerAddress_(freeAddress())
     , readinessAddress_(freeAddress())
     , peerAddress_(freeAddress())
+    , forwardingAddress_(freeAddress())
 {
     std::error_code ignored;
     const std::uintmax_t size = std::filesystem::file_size(logFile(), ignored);
@@ -56,6 +57,7 @@
     settings["listen"]["callers"] = callerAddress_;
     settings["listen"]["readiness"] = readinessAddress_;
     settings["listen"]["peers"] = peerAddress_;
+    settings["listen"]["forwarding"] = forwardingAddress_;
     settings["store"]["address"] = options_.storeAddress;
     settings["bounds"]["stop_grace_s"] = toMilliseconds(options_.stopGrace) / 1000;
     settings["bounds"]["repeat_allowance"] = retryAllowance;
--- a/Tests/Soak/NodeProcess.h
+++ b/Tests/Soak/NodeProcess.h
@@ -91,6 +91,7 @@
     std::string callerAddress_;
     std::string readinessAddress_;
     std::string peerAddress_;
+    std::string forwardingAddress_;
     /// Guards `process_`, as its number may belong to another process after its end.
     mutable std::mutex mutex_;
     pid_t process_ = -1;
