DrainTest: Connect earlier before the end of the listener

firstRequestOnItsWayWhenTheListenerEndsGetsAResponse connected 50 ms before the listener closes, so that a busy machine may refuse the connection. It connects 150 ms before now and sends its request 300 ms later, which is after that end as before; the checks are the same.

--- a/Tests/Gateway/DrainTest.cpp
+++ b/Tests/Gateway/DrainTest.cpp
@@ -202,13 +202,13 @@
 
 BOOST_AUTO_TEST_CASE(firstRequestOnItsWayWhenTheListenerEndsGetsAResponse)
 {
-    constexpr Duration OnItsWay = milliseconds(200);
+    constexpr Duration OnItsWay = milliseconds(300);
     GatewayFixture fixture;
     fixture.addServer("s1", "plain", respondOk);
     fixture.configure(1, { "k1" });
     fixture.start();
     std::thread stop = stopProcess(fixture);
-    std::this_thread::sleep_for(BalancerLeft + milliseconds(350));
+    std::this_thread::sleep_for(BalancerLeft + milliseconds(250));
     auto socket = fixture.connect();
     std::this_thread::sleep_for(OnItsWay);
     error_code error;
