CallerSession: Leave requests behind the last response of a connection unread

Callers of a stopping node that sent a request while the response before it, with Connection: close, was on its way got a closed connection: the node had read the request and dropped it. Beside a stop, such a request counts as lost, and a caller can't tell that it was not run.

Cause: the linger behind a last response read and discarded whatever arrived for up to 500 ms, so that the close would send no reset. So did reading ahead while that response was being written.

Nothing behind a response that announces the close is read any more. The bytes stay in the socket, and the close resets them, by which a caller knows that the request was not taken. The reset can't discard the response: the close waits for its acknowledgement, four lingers at most. Only behind a refusal of a request that has not arrived completely the rest is still discarded, since the caller may read the refusal after its last byte only.

--- a/Source/Gateway/CallerSession.cpp
+++ b/Source/Gateway/CallerSession.cpp
@@ -39,6 +39,8 @@
 /// long if the caller still sends the body of a request that was refused.
 constexpr Duration LingerTimeout = milliseconds(500);
 constexpr Duration RefusedBodyLingerTimeout = milliseconds(2000);
+/// Waits for a caller that has not received the whole response yet but has sent more, at most.
+constexpr unsigned MaxLingers = 4;
 /// Time for the reset with which a caller that has closed its connection answers a response.
 constexpr Duration ResetTimeout = milliseconds(200);
 /// Time after the acceptance of a connection in which its first request may be on its way.
@@ -143,9 +145,17 @@
     }
 }
 
-void CallerSession::scheduleClose(Duration limit, CloseReason reason)
+void CallerSession::scheduleClose(Duration limit, CloseReason reason, unsigned maxRepeats)
 {
-    timer_.expireAfter(limit, [self = shared_from_this(), reason] { self->close(reason); });
+    timer_.expireAfter(limit, [self = shared_from_this(), limit, reason, maxRepeats] {
+        // Closing a socket with unread bytes sends a reset, which could discard the response.
+        if (maxRepeats > 0 && peek(self->socket_) == PeekResult::Data
+            && hasUnacknowledgedBytes(self->socket_)) {
+            self->scheduleClose(limit, reason, maxRepeats - 1);
+        } else {
+            self->close(reason);
+        }
+    });
 }
 
 void CallerSession::limitReading(Duration limit, CloseReason reason)
@@ -275,7 +285,7 @@
             co_return;
         }
         if (!end.connectionReusable) {
-            co_await closeConnection(end.responseComplete, LingerTimeout);
+            co_await closeConnection(end.responseComplete);
             co_return;
         }
         if (state_.draining) {
@@ -292,28 +302,44 @@
     }
 }
 
-asio::awaitable<void> CallerSession::closeConnection(bool responseComplete, Duration linger)
+asio::awaitable<void> CallerSession::closeConnection(bool responseComplete)
 {
     error_code error;
     if (responseComplete) {
-        // Closing a socket with unread bytes sends a reset, which could discard the response.
         socket_.shutdown(asio::ip::tcp::socket::shutdown_send, error);
-        scheduleClose(linger, CloseReason::Responded);
-        if (!readsOn_) {
+        scheduleClose(LingerTimeout, CloseReason::Responded, MaxLingers);
+        co_await socket_.async_wait(asio::ip::tcp::socket::wait_read,
+                                    asio::redirect_error(asio::use_awaitable, error));
+        if (!error && peek(socket_) == PeekResult::Data) {
+            // The caller has sent more; its close ends both directions.
             co_await socket_.async_wait(asio::ip::tcp::socket::wait_error,
                                         asio::redirect_error(asio::use_awaitable, error));
-            error = asio::error::operation_aborted;
-        }
-        std::array<char, 4096> rest;
-        while (!error) {
-            discardedBytes_ += co_await socket_.async_read_some(
-                asio::buffer(rest), asio::redirect_error(asio::use_awaitable, error));
         }
         timer_.cancel();
     }
     close(responseComplete ? CloseReason::Responded : CloseReason::NoResponse);
 }
 
+asio::awaitable<void> CallerSession::closeRefused(Duration linger)
+{
+    error_code error;
+    // Closing a socket with unread bytes sends a reset, which could discard the refusal.
+    socket_.shutdown(asio::ip::tcp::socket::shutdown_send, error);
+    scheduleClose(linger, CloseReason::Responded);
+    if (!readsOn_) {
+        co_await socket_.async_wait(asio::ip::tcp::socket::wait_error,
+                                    asio::redirect_error(asio::use_awaitable, error));
+        error = asio::error::operation_aborted;
+    }
+    std::array<char, 4096> rest;
+    while (!error) {
+        discardedBytes_ += co_await socket_.async_read_some(
+            asio::buffer(rest), asio::redirect_error(asio::use_awaitable, error));
+    }
+    timer_.cancel();
+    close(CloseReason::Responded);
+}
+
 asio::awaitable<void> CallerSession::closeHalfClosed(std::string request)
 {
     timer_.expireAfter(ResetTimeout, [self = shared_from_this()] {
@@ -462,7 +488,11 @@
     state_.metrics.countRequest(writeError ? "not_delivered" : std::string(answer.name));
     requestOpen_ = writeError.failed();
     const bool bodyArrives = kind == ErrorKind::BodyMemoryFull && !state_.draining;
-    co_await closeConnection(!writeError, bodyArrives ? RefusedBodyLingerTimeout : LingerTimeout);
+    if (writeError) {
+        close(CloseReason::NoResponse);
+    } else {
+        co_await closeRefused(bodyArrives ? RefusedBodyLingerTimeout : LingerTimeout);
+    }
 }
 
 void CallerSession::watchForDisconnect()
@@ -490,6 +520,10 @@
 
 void CallerSession::readAhead()
 {
+    if (exchange_->closeAnnounced()) {
+        // A request behind the last response crosses the close, and the caller may repeat it.
+        return;
+    }
     error_code error;
     if (!readArrived(error)) {
         // The connection is no longer watched.
--- a/Source/Gateway/CallerSession.h
+++ b/Source/Gateway/CallerSession.h
@@ -84,16 +84,20 @@
     [[nodiscard]] boost::asio::awaitable<void> refuseUnread(ErrorKind kind, const Parser &parser);
     /// Ends the request in progress, because the process ends soon.
     void answerBeforeStop();
-    /// Closes the connection; after a complete response without a reset that could discard it
-    /// before the caller has read it, for which it waits up to `linger`.
-    [[nodiscard]] boost::asio::awaitable<void> closeConnection(bool responseComplete,
-                                                               Duration linger);
+    /// Closes the connection behind its last response. If that is complete, gives the caller time
+    /// to receive it and to close the connection first. What the caller sends meanwhile stays
+    /// unread, so that it is reset and the caller may repeat it.
+    [[nodiscard]] boost::asio::awaitable<void> closeConnection(bool responseComplete);
+    /// Closes the connection behind a refusal of a request that was not read to its end. Discards
+    /// for up to `linger` what still arrives, because the caller may read the refusal only then.
+    [[nodiscard]] boost::asio::awaitable<void> closeRefused(Duration linger);
     /// Closes the connection of a caller that has closed its sending side and was sent an error
     /// response to `request`. Logs `caller_half_closed` unless the caller answers that with a
     /// reset, as it does if it has closed both sides.
     [[nodiscard]] boost::asio::awaitable<void> closeHalfClosed(std::string request);
-    /// Closes the connection after `limit` unless the timer is rearmed or cancelled before.
-    void scheduleClose(Duration limit, CloseReason reason);
+    /// Closes the connection after `limit` unless the timer is rearmed or cancelled before; up to
+    /// `maxRepeats` times as late if closing it would reset it before the caller has received all.
+    void scheduleClose(Duration limit, CloseReason reason, unsigned maxRepeats = 0);
     /// The same while a request is being read. What has arrived by then is read first, which a
     /// stall of the thread may have held up.
     void limitReading(Duration limit, CloseReason reason);
@@ -134,7 +138,7 @@
     bool endedByStop_ = false;
     /// False once a stop is so late that only requests that have been read are answered.
     bool readsOn_ = true;
-    /// Bytes that arrived behind the last request and were discarded, for the log.
+    /// Bytes that arrived behind a refusal and were discarded, for the log.
     std::size_t discardedBytes_ = 0;
     boost::signals2::scoped_connection closeIdleConnection_;
     boost::signals2::scoped_connection answerConnection_;
--- a/Source/Gateway/Exchange.cpp
+++ b/Source/Gateway/Exchange.cpp
@@ -519,6 +519,7 @@
     setResult(response.base(), ForwardedOutcome::Relayed);
     response.body() = std::move(response_->body());
     const bool keep = keepConnection();
+    closeAnnounced_ = !keep;
     response.keep_alive(keep);
     setContentLength(response, response_->base(), request_.method());
     firstByteAt_ = std::chrono::steady_clock::now();
@@ -554,6 +555,7 @@
     setResult(response.base(), outcomeOfRefusal(kind, sends_ > 0, dispatchRecord_.verdict()),
               errorResponse(kind).name);
     const bool keep = !callerDisconnected_ && keepConnection();
+    closeAnnounced_ = !keep;
     response.keep_alive(keep);
     response.prepare_payload();
     if (request_.method() == http::verb::head) {
--- a/Source/Gateway/Exchange.h
+++ b/Source/Gateway/Exchange.h
@@ -84,6 +84,9 @@
     /// Keeps the connection open after the response although the node is stopping, because the
     /// caller has sent another request, which must be answered too.
     void noteNextRequest() { nextRequestArrived_ = true; }
+    /// True if the response, of which at least the header has been written, is the last one on the
+    /// caller's connection.
+    [[nodiscard]] bool closeAnnounced() const { return closeAnnounced_; }
     /// Ends the connection with the response although the caller may have sent another request that
     /// has not been read, unless noteNextRequest() was called.
     void ignoreUnreadRequests() { ignoresUnread_ = true; }
@@ -359,6 +362,7 @@
     bool headerDelivered_ = false;
     /// True if the header of the stream lets the caller send another request.
     bool keepAnnounced_ = false;
+    bool closeAnnounced_ = false;
     bool nextRequestArrived_ = false;
     bool ignoresUnread_ = false;
     /// True if the retry of the current attempt has been taken from the budget already.
--- a/Source/Gateway/ExchangeAttempt.cpp
+++ b/Source/Gateway/ExchangeAttempt.cpp
@@ -492,6 +492,7 @@
         http::response<http::empty_body> head { header };
         head.chunked(useChunkedEncoding());
         keepAnnounced_ = useChunkedEncoding() && keepConnection();
+        closeAnnounced_ = !keepAnnounced_;
         head.keep_alive(keepAnnounced_);
         setResult(head.base(), ForwardedOutcome::Relayed);
         if (!useChunkedEncoding()) {
--- a/Source/Gateway/SocketOptions.cpp
+++ b/Source/Gateway/SocketOptions.cpp
@@ -4,7 +4,9 @@
 #include <cerrno>
 
 #include <boost/asio/error.hpp>
+#include <linux/sockios.h>
 #include <netinet/tcp.h>
+#include <sys/ioctl.h>
 #include <sys/socket.h>
 
 namespace jacinthroad {
@@ -105,6 +107,12 @@
     return result != 0 || error != 0;
 }
 
+bool hasUnacknowledgedBytes(boost::asio::ip::tcp::socket &socket)
+{
+    int bytes = 0;
+    return ioctl(socket.native_handle(), SIOCOUTQ, &bytes) == 0 && bytes > 0;
+}
+
 std::size_t readAvailable(boost::asio::ip::tcp::socket &socket, boost::asio::mutable_buffer buffer,
                           boost::system::error_code &error)
 {
--- a/Source/Gateway/SocketOptions.h
+++ b/Source/Gateway/SocketOptions.h
@@ -58,6 +58,9 @@
 /// True if the connection has failed, as by a reset. The error is taken from the socket.
 [[nodiscard]] bool takeError(boost::asio::ip::tcp::socket &socket);
 
+/// True if the peer has not acknowledged all that was sent, with the end of sending.
+[[nodiscard]] bool hasUnacknowledgedBytes(boost::asio::ip::tcp::socket &socket);
+
 /// Reads what a connection has received, without waiting. Returns 0 and no error if that is nothing
 /// or a signal came in between; sets `error` if the connection has ended, as peek() does.
 [[nodiscard]] std::size_t readAvailable(boost::asio::ip::tcp::socket &socket,
--- a/Tests/Gateway/DrainTest.cpp
+++ b/Tests/Gateway/DrainTest.cpp
@@ -538,12 +538,7 @@
                < toMilliseconds(fixture.settings.stopGrace));
 }
 
-BOOST_AUTO_TEST_SUITE_END()
-
-BOOST_AUTO_TEST_SUITE(DrainKnownRedTest)
-
-BOOST_AUTO_TEST_CASE(requestThatCrossesTheCloseInAStopIsNotReadAndDropped,
-                     *boost::unit_test::disabled())
+BOOST_AUTO_TEST_CASE(requestThatCrossesTheCloseInAStopIsNotReadAndDropped)
 {
     constexpr Duration ConnectionClosed = milliseconds(1000);
     GatewayFixture fixture;
