balance-requests: Leave out the lines of forwarded requests

A request that is forwarded to another node has a line at each of the two. The balance counted both, so that a play with links lost to servers had more lines than tries, and tries without a line were offset by them.

The script also names streams that were cut, and sets each cut beside the planned work and the disturbances of its time, with the cuts of its node beside changes of the configuration and otherwise.

--- a/Utilities/balance-requests.py
+++ b/Utilities/balance-requests.py
@@ -3,8 +3,9 @@
 
 The log holds JSON lines, with or without a time and the node's name in front. The report is a JSON
 object whose members `tries`, `ends` and `looks` count the callers' tries, the last two by how they
-ended. The exit code is 1 if the tries don't balance or if a node closed a connection on which it
-had read a request.
+ended. If it holds the `events` of the play, each cut that a line names is set beside the planned work
+and the disturbances of its time. The exit code is 1 if the tries don't balance or if a node closed a
+connection on which it had read a request.
 """
 
 import argparse
@@ -13,6 +14,7 @@
 import pathlib
 import re
 import sys
+import typing
 
 NO_CONNECTION = "no connection"
 CUT = "cut, no answer"
@@ -25,11 +27,53 @@
 # A failed write with another reason means that the node had closed the connection.
 REASONS_OF_CALLER = ("Broken pipe", "Connection reset by peer")
 
+CHANGE_KINDS = ("config_change", "big_config", "revoke", "version_bump")
+RELOAD_KIND = "hup"
+CHANGE = "change"
+RELOAD = "reload"
+STOP = "stop"
+
+GRACE_S = 8.0
+APPLY_S = 2.0
+STABLE_S = 3.0
+# Planned work counts until a second after the grace time, or after the time for a change.
+MARGIN_S = 1.0
+
 
 class InputError(Exception):
     """A file that can't be used; the message names file, fault and remedy."""
 
 
+class Span(typing.NamedTuple):
+    """A time in which a play had planned work or a disturbance; no node means any node."""
+
+    begin: float
+    end: float
+    kind: str
+    name: str
+    node: str = ""
+
+    def holds(self, time, node):
+        return self.begin <= time <= self.end and self.node in ("", node)
+
+
+class Surroundings(typing.NamedTuple):
+    """What happened in a play besides its requests."""
+
+    planned: list
+    disturbances: list
+    out_of_touch: list
+
+
+class Cut(typing.NamedTuple):
+    """A request that a line names as cut."""
+
+    begin: float
+    time: float
+    node: str
+    text: str
+
+
 def read_text(path):
     try:
         return pathlib.Path(path).read_text(encoding="utf-8", errors="replace")
@@ -65,17 +109,46 @@
 
 
 def read_report(path):
-    """Returns the number of tries and how many ended in each way."""
+    """Returns the report, the number of tries and how many ended in each way."""
     try:
         report = json.loads(read_text(path))
         ends = collections.Counter(report["ends"])
         ends.update(report["looks"])
-        return report["tries"], ends
+        return report, report["tries"], ends
     except (ValueError, KeyError, TypeError) as error:
         raise InputError(f"{path} is not a report with tries, ends and looks ({error}); "
                          "name the file that the play wrote") from error
 
 
+def read_surroundings(report, lines):
+    """Returns the planned work and the disturbances, or None if the report or the log holds no times of the play."""
+    if "events" not in report or any(not is_time(time) for time, _, _ in lines):
+        return None
+    planned = [Span(float(time), float(time) + GRACE_S + MARGIN_S, STOP, "stop", node)
+               for time, node, event in lines if event["event"] == "stopping"]
+    disturbances = []
+    confirmation = (report.get("config_ack_ms") or 0.0) / 1000
+    for event in report["events"]:
+        name = f"{event['kind']} at {event['at_s']:.1f}"
+        kind = event["kind"].split()[0]
+        if not event["planned"]:
+            disturbances.append(Span(event["at_s"], event["to_s"] + STABLE_S, kind, name))
+        elif kind in CHANGE_KINDS:
+            end = event["at_s"] + confirmation + APPLY_S + MARGIN_S
+            planned.append(Span(event["at_s"], max(event["to_s"], end), CHANGE, name))
+        elif kind == RELOAD_KIND:
+            # The report doesn't name all nodes of a reload.
+            planned.append(Span(event["at_s"], event["to_s"] + APPLY_S, RELOAD, name))
+    out_of_touch = [Span(float(begin), float(end), "", "out of touch", node)
+                    for node, text in report.get("touch", {}).get("out", {}).items()
+                    for begin, end in re.findall(r"(-?\d+\.?\d*) to (-?\d+\.?\d*)", text)]
+    return Surroundings(planned, disturbances, out_of_touch)
+
+
+def is_time(text):
+    return re.fullmatch(r"-?\d+\.\d+", text) is not None
+
+
 def status_of(end):
     """Returns the status of an end such as "500 from a server", or None."""
     found = re.match(r"\d{3}\b", end)
@@ -86,7 +159,7 @@
     """Returns the number of `request` lines by what the caller should have seen."""
     counts = collections.Counter()
     for _, _, event in lines:
-        if event["event"] != "request":
+        if event["event"] != "request" or event.get("forwarded_by"):
             continue
         if event["outcome"] in CUT_STREAMS:
             counts[CUT_IN_RESPONSE] += 1
@@ -128,12 +201,58 @@
     print()
 
 
+def name_cuts(lines):
+    """Returns the requests that lines name as cut by a node, without and within a response."""
+    cuts = []
+    for time, node, event in lines:
+        begin = float(time) - event.get("total_ms", 0.0) / 1000
+        described = describe_unanswered(event)
+        if described is not None and not described[1]:
+            cuts.append(Cut(begin, float(time), node, described[0]))
+        elif event["event"] == "request" and event["outcome"] in CUT_STREAMS and not event.get("forwarded_by"):
+            parts = [event["outcome"], event["reason"], f"sends {event['sends']}"]
+            if event.get("forwarded_to"):
+                parts.append(f"forwarded to {event['forwarded_to']}")
+            cuts.append(Cut(begin, float(time), node,
+                            f"{event['request_id']}  {', '.join(part for part in parts if part)}"))
+    return cuts
+
+
+def print_cuts(lines, surroundings):
+    """Prints for each named cut what it was beside, and for its node the cuts beside changes and otherwise."""
+    cuts = name_cuts(lines)
+    print(f"cut by a node, with the planned work and the disturbances of the time: {len(cuts)}")
+    for cut in cuts:
+        names = [span.name for span in surroundings.planned
+                 if span.holds(cut.begin, cut.node) or span.holds(cut.time, cut.node)]
+        names += [f"disturbed: {span.name}" for span in surroundings.disturbances
+                  if span.begin <= cut.time and cut.begin <= span.end]
+        names += [span.name for span in surroundings.out_of_touch if span.holds(cut.time, cut.node)]
+        print(f"  {cut.time:9.4f}  {cut.node}  {cut.text}")
+        print(f"{'':13}{'; '.join(names) or 'beside nothing'}")
+    print()
+
+    changes = [span for span in surroundings.planned if span.kind == CHANGE]
+    counts = collections.Counter()
+    for time, node, event in lines:
+        if event["event"] in ("request", "request_cut") and not event.get("forwarded_by"):
+            begin = float(time) - event.get("total_ms", 0.0) / 1000
+            counts[node, any(span.holds(begin, node) for span in changes)] += 1
+    cut_counts = collections.Counter((cut.node, any(span.holds(cut.begin, cut.node) for span in changes))
+                                     for cut in cuts)
+    print_table("cuts by node",
+                [(node, *(f"{cut_counts[node, beside]} of {counts[node, beside]}" for beside in (True, False)))
+                 for node in sorted({cut.node for cut in cuts})],
+                ("by changes", "otherwise"))
+
+
 def balance(lines, tries, ends):
     """Prints the balance. Returns False if something is missing or was closed by a node."""
     events = collections.Counter(event["event"] for _, _, event in lines)
     outcomes = collections.Counter(
         (event["outcome"], event["status"], event["reason"])
-        for _, _, event in lines if event["event"] == "request")
+        for _, _, event in lines if event["event"] == "request" and not event.get("forwarded_by"))
+    forwarded = sum(1 for _, _, event in lines if event["event"] == "request" and event.get("forwarded_by"))
     print_table("request lines by outcome, status and reason",
                 [(" ".join(str(part) for part in key if part not in ("", 0)), number)
                  for key, number in sorted(outcomes.items())])
@@ -160,15 +279,16 @@
     if failures:
         print_table("failures of nodes", failures)
 
-    with_line = events["request"] + events["request_cut"] + events["body_refused"]
+    with_line = events["request"] - forwarded + events["request_cut"] + events["body_refused"]
     without_line = tries - seen[NO_CONNECTION] - with_line
     print_table("balance",
                 [("tries", tries),
                  ("  without a connection", seen[NO_CONNECTION]),
-                 ("  with a request line", events["request"]),
+                 ("  with a request line", events["request"] - forwarded),
                  ("  with request_cut", events["request_cut"]),
                  ("  with body_refused", events["body_refused"]),
                  ("  without a line", without_line),
+                 ("request lines of forwarded requests", forwarded),
                  (f"tries that ended \"{CUT}\"", seen[CUT]),
                  ("  closed by the node, with bytes read", len(closed_by_node)),
                  ("  read by no node, or closed in front of it", seen[CUT] - len(closed_by_node))])
@@ -189,7 +309,7 @@
     parser.add_argument("log", nargs="+", help="lines of all nodes, in one or more files")
     arguments = parser.parse_args()
     try:
-        tries, ends = read_report(arguments.report)
+        report, tries, ends = read_report(arguments.report)
         lines, incomplete = read_log(arguments.log)
         if not any(event["event"] == "request" for _, _, event in lines):
             raise InputError(f"{', '.join(arguments.log)} holds no request line; log all nodes in the play")
@@ -197,6 +317,9 @@
         print(f"balance-requests: {error}", file=sys.stderr)
         return 2
     balanced = balance(lines, tries, ends)
+    surroundings = read_surroundings(report, lines)
+    if surroundings is not None:
+        print_cuts(lines, surroundings)
     if incomplete > 0:
         print(f"{incomplete} lines of the log are incomplete and were left out.")
     return 0 if balanced and incomplete == 0 else 1
