Exchange: Log the time limit of a request

A stream that ends with `cut_at_timeout` may have reached the caller's time, the route's or that of a stopping node, and the line of none of them told which.

`request` lines have `limit_ms`: what caller, route and a stop of the node left the request from its arrival on, 0 if it was refused before.

--- a/Source/Gateway/Exchange.cpp
+++ b/Source/Gateway/Exchange.cpp
@@ -668,6 +668,7 @@
           { "first_byte_ms",
             firstByteAt_ == Instant() ? -1.0 : toMilliseconds(firstByteAt_ - received_) },
           { "longest_gap_ms", toMilliseconds(longestGap_) },
+          { "limit_ms", toMilliseconds(deadline_ - received_) },
           { "total_ms", toMilliseconds(now - received_) } });
 }
 
