ServerStatementTest: Keep both servers busy in the test of streams of a leaving server

Cause, in the test: of servers of equal cost a node takes the one that it learnt last, here the other one, e2. Its responses took no time, so e1 got a request only when calls overlapped by chance within a millisecond.

Now the streams of both servers take 200 ms, so four callers overlap, and the idle server costs less. The checks are the same.

--- a/Tests/Gateway/ServerStatementTest.cpp
+++ b/Tests/Gateway/ServerStatementTest.cpp
@@ -399,11 +399,6 @@
     }
 }
 
-BOOST_AUTO_TEST_SUITE_END()
-
-// CTest runs the suites named like their files.
-BOOST_AUTO_TEST_SUITE(ServerStatementKnownRedTest)
-
 BOOST_AUTO_TEST_CASE(streamsOfALeavingServerEndNormallyAndNewOnesGoElsewhere)
 {
     GatewayFixture fixture;
@@ -419,8 +414,9 @@
                 + chunk(event(1)));
             if (name == "e1") {
                 leavingArrivals.note();
-                std::this_thread::sleep_for(milliseconds(200));
             }
+            // While the other server runs requests, this one costs less.
+            std::this_thread::sleep_for(milliseconds(200));
             connection.write(chunk(event(2)) + "0\r\n\r\n");
             return true;
         };
