Soak: Replace nodes by another build, one after the other

Nodes of a run all had the same program, so that a fleet in the middle of an upgrade was never under the faults and checks of the soak.

--earlier-program names a second build. Logs, requests.jsonl, violations and counts tell the build. Ends of processes and stops past their grace period now name the node, also in runs with one build. Without the option the plan is empty and no generator is read once more, so that equal seeds give equal faults.

--- a/Tests/Soak/Disturbance.cpp
+++ b/Tests/Soak/Disturbance.cpp
@@ -15,7 +15,8 @@
                                     Disturbance::StoreRestore, Disturbance::SoftwareVersions,
                                     Disturbance::TakeUps,      Disturbance::OddEntries,
                                     Disturbance::LateRequests, Disturbance::SilentServers,
-                                    Disturbance::LinkCuts,     Disturbance::EarlySignals };
+                                    Disturbance::LinkCuts,     Disturbance::EarlySignals,
+                                    Disturbance::Upgrade };
     return All;
 }
 
@@ -62,6 +63,8 @@
         return "silent-servers";
     case Disturbance::LinkCuts:
         return "link-cuts";
+    case Disturbance::Upgrade:
+        return "upgrade";
     }
     return {};
 }
--- a/Tests/Soak/Disturbance.h
+++ b/Tests/Soak/Disturbance.h
@@ -50,6 +50,8 @@
     SilentServers,
     /// Some nodes lose their links to all backend servers for seconds.
     LinkCuts,
+    /// Nodes are replaced by another build of the program, one after the other, and back.
+    Upgrade,
 };
 
 using Disturbances = std::set<Disturbance>;
--- a/Tests/Soak/LinkJudge.cpp
+++ b/Tests/Soak/LinkJudge.cpp
@@ -80,6 +80,9 @@
         const unsigned served = isServed(record) ? 1 : 0;
         (own ? figures.cut : figures.other) += 1;
         (own ? figures.cutServed : figures.otherServed) += served;
+        if (own && served == 0) {
+            figures.cutUnserved.push_back(record.id);
+        }
     }
     return figures;
 }
@@ -98,8 +101,8 @@
     return { { .check = "unserved-without-links",
                .text = "nodes without links to servers served " + std::to_string(figures.cutServed)
                    + " of " + std::to_string(figures.cut) + " requests, the others "
-                   + std::to_string(figures.otherServed) + " of "
-                   + std::to_string(figures.other) } };
+                   + std::to_string(figures.otherServed) + " of " + std::to_string(figures.other),
+               .requests = figures.cutUnserved } };
 }
 
 } // namespace jacinthroad
--- a/Tests/Soak/LinkJudge.h
+++ b/Tests/Soak/LinkJudge.h
@@ -14,6 +14,7 @@
     /// Requests at undisturbed nodes without links, and how many were served.
     unsigned cut = 0;
     unsigned cutServed = 0;
+    std::vector<std::string> cutUnserved;
     /// The same at undisturbed nodes with links, at the same times.
     unsigned other = 0;
     unsigned otherServed = 0;
--- a/Tests/Soak/Main.cpp
+++ b/Tests/Soak/Main.cpp
@@ -67,8 +67,17 @@
               << report.streamVersions.takeUps << " take-ups ("
               << report.streamVersions.judgedWentOn << " of " << report.streamVersions.judgedTakeUps
               << " judged went on, " << report.streamVersions.newStreamsBegun << " of "
-              << report.streamVersions.newStreams << " new streams began); "
-              << report.violations.size() << " violations\n";
+              << report.streamVersions.newStreams << " new streams began); ";
+    for (const auto &[build, figures] : report.builds) {
+        std::cout << figures.requests << " requests at the " << jacinthroad::buildName(build)
+                  << " build (" << figures.served << " served, " << figures.helped
+                  << " forwarded to it, " << figures.runsAfterEnd
+                  << " runs after their connection's end); ";
+    }
+    if (!report.builds.empty()) {
+        std::cout << report.replacements << " replacements; ";
+    }
+    std::cout << report.violations.size() << " violations\n";
     std::map<std::string, unsigned> checks;
     for (const jacinthroad::Violation &violation : report.violations) {
         ++checks[violation.check];
@@ -97,6 +106,11 @@
     syntax.add_options()("help", "prints this help");
     syntax.add_options()("program", options::value(&soak.program)->required(),
                          "path of the jacinthroad program");
+    syntax.add_options()("earlier-program", options::value(&soak.earlierProgram),
+                         "path of an earlier build of the program, which nodes begin with");
+    syntax.add_options()("earlier-without", options::value(&soak.withoutSettings)->composing(),
+                         "setting that the earlier build refuses, such as listen.forwarding; may "
+                         "be repeated");
     syntax.add_options()("folder", options::value(&soak.folder)->required(),
                          "folder for settings files and logs");
     syntax.add_options()("seed", options::value(&firstSeed), "first seed");
--- a/Tests/Soak/NodeFaults.cpp
+++ b/Tests/Soak/NodeFaults.cpp
@@ -54,6 +54,7 @@
 {
     node_.waitUntilLoading();
     std::size_t commonRestart = 0;
+    std::size_t replacement = 0;
     while (now() < options_.until || commonRestart < options_.commonRestarts.size()) {
         // Some times are longer than the stable window, so that promises to calm nodes are checked.
         const bool calm = between(random_, 1, 4) == 1;
@@ -65,9 +66,16 @@
         if (common) {
             next = options_.commonRestarts[commonRestart].at;
         }
+        const bool replaced = replacement < options_.replacements.size()
+            && options_.replacements[replacement].at <= next;
+        if (replaced) {
+            next = options_.replacements[replacement].at;
+        }
         std::this_thread::sleep_until(std::min(next, common ? next : options_.until));
         checkRunning();
-        if (common) {
+        if (replaced) {
+            replace(options_.replacements[replacement++].build);
+        } else if (common) {
             restartWithAll(options_.commonRestarts[commonRestart++].killsAll);
         } else if (now() < options_.until && !kinds_.empty()) {
             injectFault();
@@ -98,6 +106,29 @@
 }
 
 void NodeFaults::stop()
+{
+    endByStop();
+    startAgain();
+}
+
+void NodeFaults::replace(NodeBuild build)
+{
+    const Instant begin = now();
+    ++counts_.replacements;
+    endByStop();
+    node_.chooseBuild(build);
+    node_.changeSettings(between(random_, 10, 30));
+    startAgain();
+    node_.noteDisturbance({ .begin = begin, .end = now() });
+}
+
+void NodeFaults::noteOverdue()
+{
+    const std::lock_guard lock(counts_.endsMutex);
+    counts_.overdueStops.push_back(node_.nameWithBuild());
+}
+
+void NodeFaults::endByStop()
 {
     ++counts_.stops;
     node_.signal(SIGTERM);
@@ -118,10 +149,9 @@
         wait(0, 300);
         endProcess(false);
     } else if (!node_.waitForEnd(node_.stopGrace())) {
-        ++counts_.overdueStops;
+        noteOverdue();
         node_.kill();
     }
-    startAgain();
 }
 
 void NodeFaults::pause()
@@ -147,7 +177,7 @@
     node_.signal(SIGCONT);
     if (stopping) {
         if (!node_.waitForEnd(node_.stopGrace())) {
-            ++counts_.overdueStops;
+            noteOverdue();
             node_.kill();
         }
         startAgain();
@@ -185,7 +215,7 @@
         if (node_.waitForEnd(node_.stopGrace())) {
             return;
         }
-        ++counts_.overdueStops;
+        noteOverdue();
     }
     ++counts_.kills;
     node_.kill();
@@ -221,7 +251,7 @@
         ++counts_.stops;
         node_.signal(SIGTERM);
         if (!node_.waitForEnd(node_.stopGrace())) {
-            ++counts_.overdueStops;
+            noteOverdue();
             node_.kill();
         }
         node_.start();
@@ -232,7 +262,10 @@
 void NodeFaults::checkRunning()
 {
     if (node_.waitForEnd(Duration::zero())) {
-        ++counts_.unexpectedEnds;
+        {
+            const std::lock_guard lock(counts_.endsMutex);
+            counts_.unexpectedEnds.push_back(node_.nameWithBuild());
+        }
         node_.start();
         node_.waitUntilLoading();
         const Instant started = now();
--- a/Tests/Soak/NodeFaults.h
+++ b/Tests/Soak/NodeFaults.h
@@ -3,8 +3,10 @@
 #include <atomic>
 #include <barrier>
 #include <cstdint>
+#include <mutex>
 #include <optional>
 #include <random>
+#include <string>
 #include <vector>
 
 #include "Disturbance.h"
@@ -26,8 +28,11 @@
     std::atomic<unsigned> storeRestores { 0 };
     std::atomic<unsigned> releases { 0 };
     std::atomic<unsigned> oddEntries { 0 };
-    std::atomic<unsigned> overdueStops { 0 };
-    std::atomic<unsigned> unexpectedEnds { 0 };
+    std::atomic<unsigned> replacements { 0 };
+    std::mutex endsMutex;
+    /// Names of the nodes, with their builds.
+    std::vector<std::string> overdueStops;
+    std::vector<std::string> unexpectedEnds;
     /// Spans in which the store was away or lacked what had been written; written by one thread.
     std::vector<TimeSpan> storeDisturbances;
     /// Written by one thread.
@@ -42,6 +47,13 @@
     bool killsAll = false;
 };
 
+/// A moment at which a node is stopped and started again with another build.
+struct Replacement
+{
+    Instant at;
+    NodeBuild build = NodeBuild::New;
+};
+
 /// Injects faults at one node, one after the other with calm times between them. Signals overlap: a
 /// node may be paused, reloaded or killed while it stops.
 class NodeFaults
@@ -57,6 +69,8 @@
         Instant until;
         /// In order.
         std::vector<CommonRestart> commonRestarts;
+        /// In order.
+        std::vector<Replacement> replacements;
     };
 
     NodeFaults(NodeProcess &node, Options options, std::barrier<> &allStopped, FaultCounts &counts);
@@ -67,6 +81,10 @@
 private:
     void injectFault();
     void stop();
+    /// Stops the node, with the faults that overlap a stop; returns with its process ended.
+    void endByStop();
+    void replace(NodeBuild build);
+    void noteOverdue();
     void pause();
     void reload();
     void restartWithAll(bool killsAll);
--- a/Tests/Soak/NodeLogJudge.cpp
+++ b/Tests/Soak/NodeLogJudge.cpp
@@ -29,18 +29,23 @@
 
 void readNodeLog(std::string_view node, const std::vector<std::string> &lines, NodeLog &log)
 {
+    NodeBuild build = NodeBuild::Only;
     for (const std::string &text : lines) {
         const auto line = parseJson(text);
         if (!line.has_value() || !line->isObject()) {
             continue;
         }
         const std::string event = (*line)["event"].asString();
-        if (event == "request") {
+        if (event == StartEvent) {
+            build = (*line)["build"] == "earlier" ? NodeBuild::Earlier : NodeBuild::New;
+        } else if (event == "request") {
             const std::string id = (*line)["request_id"].asString();
             const std::string forwardedTo = (*line)["forwarded_to"].asString();
             // A node to which a request was forwarded logs it too.
             if ((*line)["forwarded_by"].asString().empty()) {
                 log.outcomes[id] = (*line)["outcome"].asString();
+            } else {
+                log.helperBuilds[id] = build;
             }
             if (!forwardedTo.empty()) {
                 log.forwardedTo[id] = forwardedTo;
@@ -49,10 +54,10 @@
             log.outcomes[(*line)["request_id"].asString()] = event;
         } else if (event == "connection_closed" && (*line)["reason"] == "responded"
                    && (*line)["requests"].asInt() > 0 && (*line)["discarded_bytes"].asInt64() > 0) {
-            log.dropped.push_back(std::string(node) + ": " + text);
+            log.dropped.push_back(withBuild(node, build) + ": " + text);
         } else if (std::find(FailureEvents.begin(), FailureEvents.end(), event)
                    != FailureEvents.end()) {
-            log.failures.push_back(std::string(node) + ": " + text);
+            log.failures.push_back(withBuild(node, build) + ": " + text);
         }
     }
 }
@@ -79,7 +84,7 @@
             && !wasPausedInStop(observations, record)) {
             violations.push_back({ .check = "read-unanswered",
                                    .text = "request " + record.id + " on " + record.route + " at "
-                                       + record.node
+                                       + withBuild(record.node, record.build)
                                        + ": read, not run, and its connection closed (outcome "
                                        + found->second + ")" });
         }
--- a/Tests/Soak/NodeProcess.cpp
+++ b/Tests/Soak/NodeProcess.cpp
@@ -29,12 +29,32 @@
 
 } // namespace
 
+std::string_view buildName(NodeBuild build)
+{
+    switch (build) {
+    case NodeBuild::Only:
+        return {};
+    case NodeBuild::Earlier:
+        return "earlier";
+    case NodeBuild::New:
+        return "new";
+    }
+    return {};
+}
+
+std::string withBuild(std::string_view node, NodeBuild build)
+{
+    const std::string name(buildName(build));
+    return std::string(node) + (name.empty() ? "" : " (" + name + " build)");
+}
+
 NodeProcess::NodeProcess(Options options)
     : options_(std::move(options))
     , callerAddress_(freeAddress())
     , readinessAddress_(freeAddress())
     , peerAddress_(freeAddress())
     , forwardingAddress_(freeAddress())
+    , build_(options_.earlierProgram.empty() ? NodeBuild::Only : NodeBuild::Earlier)
 {
     std::error_code ignored;
     const std::uintmax_t size = std::filesystem::file_size(logFile(), ignored);
@@ -61,6 +81,12 @@
     settings["store"]["address"] = options_.storeAddress;
     settings["bounds"]["stop_grace_s"] = toMilliseconds(options_.stopGrace) / 1000;
     settings["bounds"]["repeat_allowance"] = retryAllowance;
+    if (build_ == NodeBuild::Earlier) {
+        for (const std::string &name : options_.withoutSettings) {
+            const std::size_t dot = name.find('.');
+            settings[name.substr(0, dot)].removeMember(name.substr(dot + 1));
+        }
+    }
     const std::string file = options_.folder + "/" + options_.name + ".json";
     std::ofstream(file + ".new") << writeJson(settings);
     std::rename((file + ".new").c_str(), file.c_str());
@@ -70,7 +96,15 @@
 {
     const std::string settings = options_.folder + "/" + options_.name + ".json";
     const std::string log = logFile();
-    std::array<const char *, 5> arguments { options_.program.c_str(), "serve", "--settings",
+    const std::string &program
+        = build_ == NodeBuild::Earlier ? options_.earlierProgram : options_.program;
+    if (build_ != NodeBuild::Only) {
+        Json::Value line;
+        line["event"] = StartEvent;
+        line["build"] = std::string(buildName(build_));
+        std::ofstream(log, std::ios::app) << writeJson(line) << "\n";
+    }
+    std::array<const char *, 5> arguments { program.c_str(), "serve", "--settings",
                                             settings.c_str(), nullptr };
     posix_spawn_file_actions_t actions;
     posix_spawn_file_actions_init(&actions);
@@ -81,12 +115,12 @@
     posix_spawn_file_actions_addclosefrom_np(&actions, STDERR_FILENO + 1);
     const std::lock_guard lock(mutex_);
     paused_ = false;
-    const int error = posix_spawn(&process_, options_.program.c_str(), &actions, nullptr,
+    const int error = posix_spawn(&process_, program.c_str(), &actions, nullptr,
                                   const_cast<char **>(arguments.data()), environ);
     posix_spawn_file_actions_destroy(&actions);
     if (error != 0) {
         process_ = -1;
-        throw std::system_error(error, std::generic_category(), options_.program);
+        throw std::system_error(error, std::generic_category(), program);
     }
 }
 
@@ -164,6 +198,11 @@
     static_cast<void>(waitForEnd(std::chrono::seconds(10)));
 }
 
+std::string NodeProcess::nameWithBuild() const
+{
+    return withBuild(options_.name, build_);
+}
+
 void NodeProcess::noteDisturbance(TimeSpan span)
 {
     const std::lock_guard lock(mutex_);
--- a/Tests/Soak/NodeProcess.h
+++ b/Tests/Soak/NodeProcess.h
@@ -4,6 +4,7 @@
 #include <cstdint>
 #include <mutex>
 #include <string>
+#include <string_view>
 #include <vector>
 
 #include <sys/types.h>
@@ -12,6 +13,9 @@
 
 namespace jacinthroad {
 
+/// Event of the line that precedes the lines of a process in a node's log, with its build.
+constexpr const char *StartEvent = "soak_start";
+
 /// A span of time in which a node was disturbed.
 struct TimeSpan
 {
@@ -29,6 +33,20 @@
     bool paused = false;
 };
 
+/// A build of the program that a node runs.
+enum class NodeBuild : std::uint8_t {
+    /// The only one of a run.
+    Only,
+    Earlier,
+    New,
+};
+
+/// Name of a build in logs and traces; empty for the only one.
+[[nodiscard]] std::string_view buildName(NodeBuild build);
+
+/// The name of a node, with its build if there are two.
+[[nodiscard]] std::string withBuild(std::string_view node, NodeBuild build);
+
 /// One gateway node that runs as a process of its own, with a settings file in a folder.
 class NodeProcess
 {
@@ -37,6 +55,10 @@
     {
         /// Path of the `jacinthroad` program.
         std::string program;
+        /// Path of an earlier build of it; the node starts with this one unless it is empty.
+        std::string earlierProgram;
+        /// Settings that the earlier build refuses, as "group.name".
+        std::vector<std::string> withoutSettings;
         /// Folder for the settings file and the log.
         std::string folder;
         std::string name;
@@ -63,6 +85,9 @@
     /// Changes the time from SIGTERM to SIGKILL, in the settings file from its next change on.
     void setStopGrace(Duration grace) { options_.stopGrace = grace; }
     [[nodiscard]] Duration stopGrace() const { return options_.stopGrace; }
+    /// Chooses the build for the next start and the next change of the settings file.
+    void chooseBuild(NodeBuild build) { build_ = build; }
+    [[nodiscard]] NodeBuild build() const { return build_; }
     /// Waits until the process has ended, for `limit` at most; returns false if it still runs.
     [[nodiscard]] bool waitForEnd(Duration limit);
     /// Kills the process and waits for its end.
@@ -70,6 +95,8 @@
 
     [[nodiscard]] const std::string &callerAddress() const { return callerAddress_; }
     [[nodiscard]] const std::string &name() const { return options_.name; }
+    /// Its name, with its build if there are two.
+    [[nodiscard]] std::string nameWithBuild() const;
     /// Number of kills so far. A request whose connection breaks around a kill is not judged.
     [[nodiscard]] unsigned kills() const { return kills_; }
     /// Number of ends of the process so far, of any kind.
@@ -99,6 +126,7 @@
     std::vector<NodeStop> stops_;
     std::vector<Instant> killMoments_;
     bool paused_ = false;
+    std::atomic<NodeBuild> build_;
     /// Size of the log of earlier runs in the same folder.
     std::uintmax_t logBegin_ = 0;
     std::atomic<unsigned> kills_ { 0 };
--- a/Tests/Soak/RequestTrace.cpp
+++ b/Tests/Soak/RequestTrace.cpp
@@ -78,6 +78,9 @@
         line["request_id"] = record->id;
         line["route"] = record->route;
         line["node"] = record->node;
+        if (record->build != NodeBuild::Only) {
+            line["build"] = std::string(buildName(record->build));
+        }
         line["sent"] = timeOfDay(record->sentAt);
         line["ended"] = timeOfDay(record->endedAt);
         line["total_ms"] = toMilliseconds(record->endedAt - record->sentAt);
--- a/Tests/Soak/SilenceJudge.cpp
+++ b/Tests/Soak/SilenceJudge.cpp
@@ -80,8 +80,9 @@
         if (sound && silent) {
             violations.push_back(
                 { .check = "ended-in-silence",
-                  .text = "request " + record.id + " on " + record.route + " at " + record.node
-                      + " ended with status " + std::to_string(record.status) + " after "
+                  .text = "request " + record.id + " on " + record.route + " at "
+                      + withBuild(record.node, record.build) + " ended with status "
+                      + std::to_string(record.status) + " after "
                       + std::to_string(
                               static_cast<int>(toMilliseconds(record.endedAt - record.sentAt)))
                       + " ms, while its server was silent" });
--- a/Tests/Soak/SoakClient.cpp
+++ b/Tests/Soak/SoakClient.cpp
@@ -70,6 +70,7 @@
         node_ = options_.nodes[random_() % options_.nodes.size()];
     } while (node_ == former && options_.nodes.size() > 1);
     nodeEnds_ = node_->ends();
+    nodeBuild_ = node_->build();
     requestsSent_ = 0;
     socket_ = std::make_unique<Socket>(context_);
     error_code error;
@@ -164,6 +165,7 @@
                           .stream = request.stream,
                           .resumeAfter = request.resumeAfter,
                           .node = node_->name(),
+                          .build = nodeBuild_,
                           .sentAt = std::chrono::steady_clock::now(),
                           .route = request.route,
                           .key = request.key,
--- a/Tests/Soak/SoakClient.h
+++ b/Tests/Soak/SoakClient.h
@@ -96,6 +96,7 @@
     /// The node that the connection leads to.
     std::shared_ptr<NodeProcess> node_;
     unsigned nodeEnds_ = 0;
+    NodeBuild nodeBuild_ = NodeBuild::Only;
     /// When the connection was opened or its last response ended.
     Instant idleSince_;
     /// Requests that were sent on the connection.
--- a/Tests/Soak/SoakJudge.cpp
+++ b/Tests/Soak/SoakJudge.cpp
@@ -41,8 +41,9 @@
 
 std::string describe(const CallerRecord &record, const RequestRuns &runs, const std::string &what)
 {
-    return "request " + record.id + " on " + record.route + " at " + record.node + ": " + what
-        + " (status " + std::to_string(record.status) + ", " + std::to_string(record.body.size())
+    return "request " + record.id + " on " + record.route + " at "
+        + withBuild(record.node, record.build) + ": " + what + " (status "
+        + std::to_string(record.status) + ", " + std::to_string(record.body.size())
         + " bytes, runs " + std::to_string(runs.count) + (runs.brokenOff ? ", broken off" : "")
         + ")";
 }
@@ -175,6 +176,9 @@
             const bool served
                 = record.outcome == CallerOutcome::Answered && isSuccess(record.status);
             figures.relatedServed += served ? 1 : 0;
+            if (!served) {
+                figures.relatedUnserved.push_back(record.id);
+            }
         }
     }
 }
@@ -219,6 +223,9 @@
             ++figures.lateArrivals;
             const bool calm = wasCalm(observations.disturbances.at(node->second), run.startedAt);
             figures.lateArrivalsFromCalmNodes += calm ? 1 : 0;
+            if (calm) {
+                figures.lateFromCalmNodes.push_back(run.requestId);
+            }
         }
     }
 }
@@ -306,14 +313,15 @@
         violations.push_back(
             { .check = "deadly-part-sent",
               .text = std::to_string(figures.lateArrivalsFromCalmNodes)
-                  + " requests with the deadly part reached servers after the limit" });
+                  + " requests with the deadly part reached servers after the limit",
+              .requests = figures.lateFromCalmNodes });
     }
     const DeadlyPartFigures keyFigures = countDeadlyKey(observations);
     if (keyFigures.lateArrivalsFromCalmNodes > MostLateArrivals) {
-        violations.push_back(
-            { .check = "deadly-key-sent",
-              .text = std::to_string(keyFigures.lateArrivalsFromCalmNodes)
-                  + " requests of the deadly key reached servers after the limit" });
+        violations.push_back({ .check = "deadly-key-sent",
+                               .text = std::to_string(keyFigures.lateArrivalsFromCalmNodes)
+                                   + " requests of the deadly key reached servers after the limit",
+                               .requests = keyFigures.lateFromCalmNodes });
     }
     for (const auto &check : { findStatementViolations, findStreamVersionViolations,
                                findSilenceViolations, findNodeLogViolations, findLinkViolations }) {
@@ -324,7 +332,8 @@
         violations.push_back({ .check = "related-unserved",
                                .text = "only " + std::to_string(figures.relatedServed) + " of "
                                    + std::to_string(figures.related)
-                                   + " sound requests with the same key or first part served" });
+                                   + " sound requests with the same key or first part served",
+                               .requests = figures.relatedUnserved });
     }
     return violations;
 }
--- a/Tests/Soak/SoakJudge.h
+++ b/Tests/Soak/SoakJudge.h
@@ -33,6 +33,8 @@
     /// Number of the last event that the caller had; 0 for a request from the start.
     unsigned resumeAfter = 0;
     std::string node;
+    /// The build that the node ran.
+    NodeBuild build = NodeBuild::Only;
     Instant sentAt;
     Instant endedAt;
     std::string route;
@@ -80,6 +82,8 @@
     std::vector<std::string> dropped;
     /// By request that a node forwarded: the node that it forwarded it to last.
     std::map<std::string, std::string> forwardedTo;
+    /// By request that a node got from another one: the build that it ran.
+    std::map<std::string, NodeBuild> helperBuilds;
 };
 
 /// What a soak run observed.
@@ -110,6 +114,8 @@
     /// Name of the check, for counts.
     std::string check;
     std::string text;
+    /// The requests that a count in the text counts.
+    std::vector<std::string> requests;
 };
 
 /// Figures of the checks on deadly prompt parts.
@@ -120,10 +126,12 @@
     /// nodes, and those of nodes that were undisturbed.
     unsigned lateArrivals = 0;
     unsigned lateArrivalsFromCalmNodes = 0;
+    std::vector<std::string> lateFromCalmNodes;
     /// Sound requests with the same key or first part once they must be served again, and how many
     /// were. Requests whose server broke off are in neither.
     unsigned related = 0;
     unsigned relatedServed = 0;
+    std::vector<std::string> relatedUnserved;
 };
 
 /// True if a node was undisturbed for the stable window before `moment`.
--- a/Tests/Soak/SoakRun.cpp
+++ b/Tests/Soak/SoakRun.cpp
@@ -18,6 +18,7 @@
 #include "NodeProcess.h"
 #include "OddEntries.h"
 #include "Releases.h"
+#include "Replacements.h"
 #include "RequestTrace.h"
 #include "SoakClient.h"
 #include "SoakConfigurations.h"
@@ -99,7 +100,8 @@
     std::string text = "caller not served after the end of the faults; its requests since:";
     for (const CallerRecord &record : records) {
         if (record.sentAt >= moment) {
-            text += " " + record.id + " on " + record.route + " at " + record.node + " after "
+            text += " " + record.id + " on " + record.route + " at "
+                + withBuild(record.node, record.build) + " after "
                 + std::to_string(static_cast<int>(toMilliseconds(record.sentAt - moment)))
                 + " ms, outcome " + std::to_string(static_cast<int>(record.outcome)) + ", status "
                 + std::to_string(record.status) + ", on a connection idle for "
@@ -135,6 +137,8 @@
     for (unsigned number = 0; number < options.nodes; ++number) {
         nodes.push_back(std::make_shared<NodeProcess>(
             NodeProcess::Options { .program = options.program,
+                                   .earlierProgram = options.earlierProgram,
+                                   .withoutSettings = options.withoutSettings,
                                    .folder = options.folder,
                                    .name = nodeName(number),
                                    .storeAddress = storeAddresses[number],
@@ -251,14 +255,19 @@
     const Instant until = begin + options.faultTime;
     const std::vector<CommonRestart> restarts = commonRestarts(options, begin, random);
     std::barrier<> allStopped(static_cast<std::ptrdiff_t>(nodes.size()));
+    const auto replaced
+        = options.earlierProgram.empty() || !options.disturbances.contains(Disturbance::Upgrade)
+        ? std::vector<std::vector<Replacement>>(nodes.size())
+        : planReplacements(nodes.size(), options.seed, begin, until);
     std::vector<std::thread> threads;
-    for (const auto &node : nodes) {
-        NodeFaults faults(*node,
+    for (std::size_t number = 0; number < nodes.size(); ++number) {
+        NodeFaults faults(*nodes[number],
                           { .disturbances = options.disturbances,
                             .stopGrace = options.stopGrace,
                             .seed = random(),
                             .until = until,
-                            .commonRestarts = restarts },
+                            .commonRestarts = restarts,
+                            .replacements = replaced[number] },
                           allStopped, counts);
         threads.emplace_back([faults = std::move(faults)]() mutable { faults.run(); });
     }
@@ -309,6 +318,8 @@
                         .deadlyKey = countDeadlyKey(observations),
                         .releases = counts.releases,
                         .oddEntries = counts.oddEntries,
+                        .replacements = counts.replacements,
+                        .builds = countByBuild(observations),
                         .silences = static_cast<unsigned>(observations.silences.size()),
                         .linkCuts = static_cast<unsigned>(observations.linkCuts.size()),
                         .withoutLinks = countLinkCuts(observations),
@@ -331,13 +342,15 @@
         report.statements.limits += arrival.limit > 0 ? 1 : 0;
     }
     report.violations = findViolations(observations);
-    for (unsigned number = 0; number < counts.overdueStops; ++number) {
-        report.violations.push_back({ .check = "overdue-stop",
-                                      .text = "a node still runs at the end of its grace period" });
+    nameBuilds(observations, report.violations);
+    for (const std::string &node : counts.overdueStops) {
+        report.violations.push_back(
+            { .check = "overdue-stop",
+              .text = node + " still runs at the end of its grace period" });
     }
-    for (unsigned number = 0; number < counts.unexpectedEnds; ++number) {
+    for (const std::string &node : counts.unexpectedEnds) {
         report.violations.push_back(
-            { .check = "unexpected-end", .text = "a node's process ended by itself" });
+            { .check = "unexpected-end", .text = "the process of " + node + " ended by itself" });
     }
     return report;
 }
--- a/Tests/Soak/SoakRun.h
+++ b/Tests/Soak/SoakRun.h
@@ -1,10 +1,12 @@
 #pragma once
 
 #include <cstdint>
+#include <map>
 #include <optional>
 #include <string>
 #include <vector>
 
+#include "BuildJudge.h"
 #include "Core/Time.h"
 #include "Disturbance.h"
 #include "LinkJudge.h"
@@ -19,6 +21,10 @@
 {
     /// Path of the `jacinthroad` program.
     std::string program;
+    /// Path of an earlier build of it, which nodes begin with; empty runs one build.
+    std::string earlierProgram;
+    /// Settings that the earlier build refuses, as "group.name".
+    std::vector<std::string> withoutSettings;
     /// Folder for settings files and logs; it is created.
     std::string folder;
     std::uint64_t seed = 1;
@@ -65,6 +71,9 @@
     DeadlyPartFigures deadlyKey;
     unsigned releases = 0;
     unsigned oddEntries = 0;
+    unsigned replacements = 0;
+    /// What the nodes of each build did; empty with one build.
+    std::map<NodeBuild, BuildFigures> builds;
     unsigned silences = 0;
     unsigned linkCuts = 0;
     LinkCutFigures withoutLinks;
--- a/Tests/Soak/SoakStatementJudge.cpp
+++ b/Tests/Soak/SoakStatementJudge.cpp
@@ -1,6 +1,7 @@
 #include "SoakStatementJudge.h"
 
 #include <algorithm>
+#include <iterator>
 #include <map>
 #include <string>
 #include <utility>
@@ -100,7 +101,8 @@
         if (broken) {
             violations.push_back({ .check = "sent-to-leaving",
                                    .text = "request " + late->requestId + " reached " + boot
-                                       + ", which had stated that it leaves" });
+                                       + ", which had stated that it leaves",
+                                   .requests = { late->requestId } });
         }
     }
 }
@@ -113,15 +115,18 @@
             || !boots.undisturbed(*told, told->answeredAt, told->pausedUntil)) {
             continue;
         }
-        const auto count
-            = std::count_if(arrivals.begin(), arrivals.end(), [&](const ServerArrival *late) {
-                  return boots.sameNode(*told, *late) && late->at > told->answeredAt + BindingTime
-                      && late->at < told->pausedUntil;
-              });
-        if (count > MostInPause) {
+        std::vector<std::string> sent;
+        for (const ServerArrival *late : arrivals) {
+            if (boots.sameNode(*told, *late) && late->at > told->answeredAt + BindingTime
+                && late->at < told->pausedUntil) {
+                sent.push_back(late->requestId);
+            }
+        }
+        if (sent.size() > MostInPause) {
             violations.push_back({ .check = "sent-in-pause",
-                                   .text = std::to_string(count) + " requests from "
-                                       + boots.node(*told) + " reached " + boot + " in a pause" });
+                                   .text = std::to_string(sent.size()) + " requests from "
+                                       + boots.node(*told) + " reached " + boot + " in a pause",
+                                   .requests = sent });
         }
     }
 }
@@ -131,8 +136,8 @@
 {
     Instant firstNamed {};
     std::map<std::string, Instant> toldAt;
-    // Arrivals that count, with the limit in force.
-    std::vector<std::pair<Instant, double>> counted;
+    // Arrivals that count.
+    std::vector<const ServerArrival *> counted;
     for (const ServerArrival *arrival : arrivals) {
         const std::string node = boots.node(*arrival);
         if (arrival->limit == 0) {
@@ -146,20 +151,24 @@
         if (told != toldAt.end() && arrival->at >= told->second + BindingTime
             && arrival->at >= firstNamed + StableWindow
             && boots.undisturbed(*arrival, told->second, arrival->at)) {
-            counted.emplace_back(arrival->at, arrival->limit);
+            counted.push_back(arrival);
         }
         if (answered(*arrival) && !boots.heldBack(*arrival) && told == toldAt.end()) {
             toldAt[node] = arrival->answeredAt;
         }
         const auto begin = std::find_if(counted.begin(), counted.end(), [&](const auto &one) {
-            return one.first > arrival->at - LimitWindow;
+            return one->at > arrival->at - LimitWindow;
         });
         const double allowed
             = LimitFactor * arrival->limit * toMilliseconds(LimitWindow) / 1000 + LimitAllowance;
         if (static_cast<double>(counted.end() - begin) > allowed) {
+            std::vector<std::string> sent;
+            std::transform(begin, counted.end(), std::back_inserter(sent),
+                           [](const ServerArrival *one) { return one->requestId; });
             violations.push_back({ .check = "limit-exceeded",
                                    .text = std::to_string(counted.end() - begin)
-                                       + " requests reached " + boot + " in 4 s" });
+                                       + " requests reached " + boot + " in 4 s",
+                                   .requests = std::move(sent) });
             return;
         }
     }
--- a/Tests/Soak/StreamVersionJudge.cpp
+++ b/Tests/Soak/StreamVersionJudge.cpp
@@ -78,6 +78,7 @@
 {
     std::set<std::string> versions;
     bool judged = false;
+    std::string last;
     bool goesOn = false;
     for (const CallerRecord *record : stream.attempts) {
         const bool inTouch = wasInTouch(observations, *record);
@@ -89,6 +90,7 @@
             if (inTouch && !versions.empty()
                 && twoServersServe(observations, *versions.begin(), record->sentAt)) {
                 judged = true;
+                last = record->id;
                 goesOn = goesOn || wentOn(*record);
             }
         }
@@ -96,13 +98,16 @@
     }
     figures.judgedTakeUps += judged ? 1 : 0;
     figures.judgedWentOn += goesOn ? 1 : 0;
+    if (judged && !goesOn) {
+        figures.refused.push_back(last);
+    }
 }
 
 std::string describe(const std::string &name, const Stream &stream)
 {
     std::string text = "stream " + name + " has events of several software versions:";
     for (const CallerRecord *record : stream.attempts) {
-        text += " " + record->id + " at " + record->node + " from event "
+        text += " " + record->id + " at " + withBuild(record->node, record->build) + " from event "
             + std::to_string(record->resumeAfter + 1) + " (status " + std::to_string(record->status)
             + ")";
         for (const std::string &version : versionsOf(*record)) {
@@ -147,7 +152,8 @@
                                    + std::to_string(figures.judgedTakeUps)
                                    + " take-ups went on, while "
                                    + std::to_string(figures.newStreamsBegun) + " of "
-                                   + std::to_string(figures.newStreams) + " new streams began" });
+                                   + std::to_string(figures.newStreams) + " new streams began",
+                               .requests = figures.refused });
     }
     return violations;
 }
--- a/Tests/Soak/StreamVersionJudge.h
+++ b/Tests/Soak/StreamVersionJudge.h
@@ -16,6 +16,8 @@
     /// how many of them went on there.
     unsigned judgedTakeUps = 0;
     unsigned judgedWentOn = 0;
+    /// The last take-up of each that didn't.
+    std::vector<std::string> refused;
     /// New streams of the same kind at undisturbed nodes, and how many of them began.
     unsigned newStreams = 0;
     unsigned newStreamsBegun = 0;
