Soak: Check that configurations are in force in time with two builds

No check told whether a node that follows the store through a node of another build gets new configurations: the keys of all callers are in every configuration.

A refusal with 401, 403 or 404 by a node and a store that were undisturbed for 3 s is configuration-late. The calls to the store are counted too.

--- a/Tests/Soak/BuildJudge.cpp
+++ b/Tests/Soak/BuildJudge.cpp
@@ -40,6 +40,22 @@
     return figures;
 }
 
+std::vector<Violation> findLateConfigurations(const SoakObservations &observations)
+{
+    std::vector<Violation> violations;
+    for (const CallerRecord &record : observations.records) {
+        if (record.newKey && (record.status == 401 || record.status == 403 || record.status == 404)
+            && wasCalm(observations.disturbances.at(record.node), record.sentAt)
+            && wasCalm(observations.storeDisturbances, record.sentAt)) {
+            violations.push_back(
+                { .check = "configuration-late",
+                  .text = "request " + record.id + " at " + withBuild(record.node, record.build)
+                      + " with " + record.key + " refused with " + std::to_string(record.status) });
+        }
+    }
+    return violations;
+}
+
 void nameBuilds(const SoakObservations &observations, std::vector<Violation> &violations)
 {
     std::map<std::string, const CallerRecord *> records;
--- a/Tests/Soak/BuildJudge.h
+++ b/Tests/Soak/BuildJudge.h
@@ -20,6 +20,8 @@
 
 /// Counts by the build of the node that read the request; empty with one build.
 [[nodiscard]] std::map<NodeBuild, BuildFigures> countByBuild(const SoakObservations &observations);
+/// Checks that configurations are in force in time at undisturbed nodes.
+[[nodiscard]] std::vector<Violation> findLateConfigurations(const SoakObservations &observations);
 /// Adds to each violation that counts requests how many of them nodes of each build sent.
 void nameBuilds(const SoakObservations &observations, std::vector<Violation> &violations);
 
--- a/Tests/Soak/Main.cpp
+++ b/Tests/Soak/Main.cpp
@@ -75,7 +75,8 @@
                   << " runs after their connection's end); ";
     }
     if (!report.builds.empty()) {
-        std::cout << report.replacements << " replacements; ";
+        std::cout << report.replacements << " replacements, " << report.storeCalls
+                  << " store calls; ";
     }
     std::cout << report.violations.size() << " violations\n";
     std::map<std::string, unsigned> checks;
--- a/Tests/Soak/SoakClient.cpp
+++ b/Tests/Soak/SoakClient.cpp
@@ -100,7 +100,7 @@
         if (options_.takesUp) {
             takeUp(request, stopping);
         }
-        if (!options_.deadlyRoute.empty() && socket_ != nullptr) {
+        if ((!options_.deadlyRoute.empty() || options_.newKey) && socket_ != nullptr) {
             leaveConnection();
         }
         const auto pause = std::chrono::duration_cast<milliseconds>(options_.longestPause).count();
@@ -123,6 +123,9 @@
 SoakRequest SoakClient::makeRequest()
 {
     const std::string id = nextId();
+    if (options_.newKey) {
+        return makeKeyRequest(id, options_.newKey(), random_);
+    }
     if (options_.takesUp) {
         return makeSlowStreamRequest(id, random_);
     }
@@ -172,6 +175,7 @@
                           .firstPart = request.firstPart,
                           .deadly = request.deadly,
                           .slow = request.slow,
+                          .newKey = static_cast<bool>(options_.newKey),
                           .idleLimit = milliseconds(options_.idleLimitMs.load()),
                           .earlierRequests = requestsSent_++ };
     record.idle = record.sentAt - idleSince_;
--- a/Tests/Soak/SoakClient.h
+++ b/Tests/Soak/SoakClient.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <atomic>
+#include <functional>
 #include <memory>
 #include <optional>
 #include <random>
@@ -43,6 +44,9 @@
         bool takesUp = false;
         /// The caller sends requests that servers work on for long.
         bool sendsLongRequests = false;
+        /// Key of each request, which newer configurations alone allow; unset uses those that all
+        /// do.
+        std::function<std::string()> newKey;
         /// Proportion of the routes; the usual traffic if unset. Such a caller sends nothing on a
         /// connection whose end has reached it.
         std::optional<SoakRates> rates;
--- a/Tests/Soak/SoakConfigurations.cpp
+++ b/Tests/Soak/SoakConfigurations.cpp
@@ -1,5 +1,6 @@
 #include "SoakConfigurations.h"
 
+#include <algorithm>
 #include <array>
 #include <string>
 #include <thread>
@@ -19,6 +20,13 @@
 constexpr int LongestSeries = 6;
 /// Routes that the configurations of a series add one after the other.
 constexpr int GrowthOfSeries = 400;
+/// Versions that keep the key of an earlier one.
+constexpr int KeyLifetime = 60;
+
+std::string keySince(int version)
+{
+    return "key-since-version-" + std::to_string(version);
+}
 
 /// Adds routes that no caller uses.
 void addRoutes(Json::Value &spec, int count)
@@ -79,7 +87,25 @@
 {
     last.spec = std::move(spec);
     last.idleLimitMs = last.spec["limits"]["idleTimeoutMs"].asInt();
+    const int version = last.spec["version"].asInt();
+    for (int kept = std::max(1, version - KeyLifetime); last.keepsKeys && kept <= version; ++kept) {
+        last.spec["tenants"][0]["apiKeys"].append(keySince(kept));
+    }
     store.put("config", "main", last.spec);
+    if (last.keepsKeys) {
+        last.written.emplace_back(std::chrono::steady_clock::now(), version);
+    }
+}
+
+std::string newestKey(LastConfiguration &last, Duration age)
+{
+    const std::lock_guard lock(last.mutex);
+    const Instant until = std::chrono::steady_clock::now() - age;
+    int version = 1;
+    for (const auto &[at, number] : last.written) {
+        version = at <= until ? number : version;
+    }
+    return keySince(version);
 }
 
 int longestIdleLimit()
--- a/Tests/Soak/SoakConfigurations.h
+++ b/Tests/Soak/SoakConfigurations.h
@@ -4,6 +4,9 @@
 #include <cstdint>
 #include <mutex>
 #include <random>
+#include <string>
+#include <utility>
+#include <vector>
 
 #include <json/value.h>
 
@@ -20,8 +23,15 @@
     Json::Value spec;
     /// Its idle limit in ms, for readers without the mutex.
     std::atomic<int> idleLimitMs { 0 };
+    /// Each configuration has a key that all later ones keep for a while.
+    bool keepsKeys = false;
+    /// The versions written, in order, and when; only with `keepsKeys`.
+    std::vector<std::pair<Instant, int>> written;
 };
 
+/// The newest key that was written this long ago or longer.
+[[nodiscard]] std::string newestKey(LastConfiguration &last, Duration age);
+
 /// A configuration with the routes and keys that all have.
 [[nodiscard]] Json::Value soakConfiguration(int version, std::mt19937_64 &random);
 /// Writes the configuration to the store as the last one. Needs the lock of `last`.
--- a/Tests/Soak/SoakJudge.cpp
+++ b/Tests/Soak/SoakJudge.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <set>
 
+#include "BuildJudge.h"
 #include "LinkJudge.h"
 #include "NodeLogJudge.h"
 #include "SilenceJudge.h"
@@ -87,7 +88,7 @@
         add("not-own", "failure with a server's stamp although no server failed it");
     }
     if (looksComplete && record.status >= 300 && record.status < 500
-        && !promisesNotRun(record.status)) {
+        && !promisesNotRun(record.status) && !record.newKey) {
         add("denied", "refused although every configuration allows it");
     }
     if (record.outcome == CallerOutcome::NotHttp) {
@@ -323,8 +324,9 @@
                                    + " requests of the deadly key reached servers after the limit",
                                .requests = keyFigures.lateFromCalmNodes });
     }
-    for (const auto &check : { findStatementViolations, findStreamVersionViolations,
-                               findSilenceViolations, findNodeLogViolations, findLinkViolations }) {
+    for (const auto &check :
+         { findStatementViolations, findStreamVersionViolations, findSilenceViolations,
+           findNodeLogViolations, findLinkViolations, findLateConfigurations }) {
         const std::vector<Violation> broken = check(observations);
         violations.insert(violations.end(), broken.begin(), broken.end());
     }
--- a/Tests/Soak/SoakJudge.h
+++ b/Tests/Soak/SoakJudge.h
@@ -12,6 +12,9 @@
 
 namespace jacinthroad {
 
+/// From the rules of the platform: `configApplyMs`.
+constexpr Duration ConfigurationTime = std::chrono::seconds(3);
+
 /// What a caller saw of one request.
 enum class CallerOutcome : std::uint8_t {
     /// A response that looks complete.
@@ -45,6 +48,8 @@
     bool deadly = false;
     /// True if its response takes so long that the end of a stop may cut it.
     bool slow = false;
+    /// True if its key came with a configuration that was written `ConfigurationTime` before.
+    bool newKey = false;
     CallerOutcome outcome = CallerOutcome::TimedOut;
     /// 0 if no header came.
     int status = 0;
--- a/Tests/Soak/SoakRun.cpp
+++ b/Tests/Soak/SoakRun.cpp
@@ -43,6 +43,7 @@
 /// The longest pause between the requests of a caller, as a part of the longest idle limit.
 constexpr double LongestPauseShare = 0.8;
 constexpr unsigned DeadlyCallers = 2;
+constexpr unsigned NewKeyCallers = 4;
 constexpr Duration LongestDeadlyPause = milliseconds(1200);
 /// Longest pause of the callers that keep their nodes' connections to servers in use.
 constexpr Duration LongestBusyPause = milliseconds(400);
@@ -165,7 +166,7 @@
 /// Makes the callers of sound requests and, after them, those of deadly ones.
 std::vector<std::unique_ptr<SoakClient>>
 makeClients(const SoakOptions &options, const std::vector<std::shared_ptr<NodeProcess>> &nodes,
-            const LastConfiguration &last, std::mt19937_64 &random)
+            LastConfiguration &last, std::mt19937_64 &random)
 {
     std::vector<std::unique_ptr<SoakClient>> clients;
     const bool holding = options.disturbances.contains(Disturbance::HeldConnections);
@@ -222,6 +223,17 @@
                                   .deadlyRoute = DeadlyKeyRoute,
                                   .seed = random() }));
     }
+    if (last.keepsKeys) {
+        for (unsigned number = 0; number < NewKeyCallers; ++number) {
+            clients.push_back(std::make_unique<SoakClient>(SoakClient::Options {
+                .name = "n" + std::to_string(number),
+                .nodes = nodes,
+                .idleLimitMs = last.idleLimitMs,
+                .longestPause = LongestBusyPause,
+                .newKey = [&last] { return newestKey(last, ConfigurationTime); },
+                .seed = random() }));
+        }
+    }
     return clients;
 }
 
@@ -319,6 +331,7 @@
                         .releases = counts.releases,
                         .oddEntries = counts.oddEntries,
                         .replacements = counts.replacements,
+                        .storeCalls = counts.storeCalls,
                         .builds = countByBuild(observations),
                         .silences = static_cast<unsigned>(observations.silences.size()),
                         .linkCuts = static_cast<unsigned>(observations.linkCuts.size()),
@@ -375,6 +388,7 @@
     }
     SoakServers servers(store, log, options.disturbances, serverLinks, random());
     LastConfiguration last;
+    last.keepsKeys = !options.earlierProgram.empty();
     store.sendEra(1);
     {
         const std::lock_guard lock(last.mutex);
@@ -385,6 +399,7 @@
 
     std::atomic<bool> stopping { false };
     FaultCounts counts;
+    const int storeCalls = store.calls();
     const std::vector<std::unique_ptr<SoakClient>> clients
         = makeClients(options, nodes, last, random);
     std::vector<std::thread> callerThreads;
@@ -395,6 +410,7 @@
     injectFaults(options, nodes, links, store, servers, last, random, counts);
     servers.endOwnFaults();
     const Instant faultsEnded = std::chrono::steady_clock::now();
+    counts.storeCalls = store.calls() - storeCalls;
     std::this_thread::sleep_for(RecoveryTime);
     stopping = true;
     for (std::thread &thread : callerThreads) {
--- a/Tests/Soak/SoakRun.h
+++ b/Tests/Soak/SoakRun.h
@@ -72,6 +72,8 @@
     unsigned releases = 0;
     unsigned oddEntries = 0;
     unsigned replacements = 0;
+    /// Calls of all nodes to the store while faults were injected.
+    int storeCalls = 0;
     /// What the nodes of each build did; empty with one build.
     std::map<NodeBuild, BuildFigures> builds;
     unsigned silences = 0;
--- a/Tests/Soak/SoakTraffic.cpp
+++ b/Tests/Soak/SoakTraffic.cpp
@@ -208,6 +208,13 @@
     return request;
 }
 
+SoakRequest makeKeyRequest(const std::string &id, const std::string &key, std::mt19937_64 &random)
+{
+    SoakRequest request { .id = id, .key = key };
+    complete(request, *findRoute("/safe/"), {}, random);
+    return request;
+}
+
 std::string deadlyRoute(std::uint64_t seed)
 {
     return seed % 2 == 0 ? "/once/" : "/resumable/";
--- a/Tests/Soak/SoakTraffic.h
+++ b/Tests/Soak/SoakTraffic.h
@@ -65,6 +65,10 @@
 [[nodiscard]] SoakRequest makeDeadlyRequest(const std::string &id, const std::string &route,
                                             std::mt19937_64 &random);
 
+/// Makes a safe request with this key.
+[[nodiscard]] SoakRequest makeKeyRequest(const std::string &id, const std::string &key,
+                                         std::mt19937_64 &random);
+
 /// Makes a request of the key that crashes servers of a plain service. Each has its own path and
 /// body.
 [[nodiscard]] SoakRequest makeDeadlyKeyRequest(const std::string &id, std::mt19937_64 &random);
