--- a/Tests/Soak/BuildJudge.cpp
+++ b/Tests/Soak/BuildJudge.cpp
@@ -27,7 +27,7 @@
         if (observations.nodeLog.helperBuilds.contains(record.id)) {
             ++figures[sendingBuild(observations, record)].helped;
         }
-        if (record.outcome == CallerOutcome::ConnectionClosed) {
+        if (record.outcome == CallerOutcome::ConnectionClosed && !record.nodeKilled) {
             closed[record.id] = &record;
         }
     }
