--- a/Tests/Soak/SoakClient.cpp
+++ b/Tests/Soak/SoakClient.cpp
@@ -70,6 +70,7 @@
         node_ = options_.nodes[random_() % options_.nodes.size()];
     } while (node_ == former && options_.nodes.size() > 1);
     nodeEnds_ = node_->ends();
+    nodeBuild_ = node_->build();
     requestsSent_ = 0;
     socket_ = std::make_unique<Socket>(context_);
     error_code error;
@@ -99,7 +100,7 @@
         if (options_.takesUp) {
             takeUp(request, stopping);
         }
-        if (!options_.deadlyRoute.empty() && socket_ != nullptr) {
+        if ((!options_.deadlyRoute.empty() || options_.newKey) && socket_ != nullptr) {
             leaveConnection();
         }
         const auto pause = std::chrono::duration_cast<milliseconds>(options_.longestPause).count();
@@ -122,6 +123,9 @@
 SoakRequest SoakClient::makeRequest()
 {
     const std::string id = nextId();
+    if (options_.newKey) {
+        return makeKeyRequest(id, options_.newKey(), random_);
+    }
     if (options_.takesUp) {
         return makeSlowStreamRequest(id, random_);
     }
@@ -164,12 +168,14 @@
                           .stream = request.stream,
                           .resumeAfter = request.resumeAfter,
                           .node = node_->name(),
+                          .build = nodeBuild_,
                           .sentAt = std::chrono::steady_clock::now(),
                           .route = request.route,
                           .key = request.key,
                           .firstPart = request.firstPart,
                           .deadly = request.deadly,
                           .slow = request.slow,
+                          .newKey = static_cast<bool>(options_.newKey),
                           .idleLimit = milliseconds(options_.idleLimitMs.load()),
                           .earlierRequests = requestsSent_++ };
     record.idle = record.sentAt - idleSince_;
--- a/Tests/Soak/SoakClient.h
+++ b/Tests/Soak/SoakClient.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <atomic>
+#include <functional>
 #include <memory>
 #include <optional>
 #include <random>
@@ -43,6 +44,9 @@
         bool takesUp = false;
         /// The caller sends requests that servers work on for long.
         bool sendsLongRequests = false;
+        /// Key of each request, which newer configurations alone allow; unset uses those that all
+        /// do.
+        std::function<std::string()> newKey;
         /// Proportion of the routes; the usual traffic if unset. Such a caller sends nothing on a
         /// connection whose end has reached it.
         std::optional<SoakRates> rates;
@@ -96,6 +100,7 @@
     /// The node that the connection leads to.
     std::shared_ptr<NodeProcess> node_;
     unsigned nodeEnds_ = 0;
+    NodeBuild nodeBuild_ = NodeBuild::Only;
     /// When the connection was opened or its last response ended.
     Instant idleSince_;
     /// Requests that were sent on the connection.
--- a/Tests/Soak/SoakJudge.h
+++ b/Tests/Soak/SoakJudge.h
@@ -12,6 +12,9 @@
 
 namespace jacinthroad {
 
+/// From the rules of the platform: `configApplyMs`.
+constexpr Duration ConfigurationTime = std::chrono::seconds(3);
+
 /// What a caller saw of one request.
 enum class CallerOutcome : std::uint8_t {
     /// A response that looks complete.
@@ -33,6 +36,8 @@
     /// Number of the last event that the caller had; 0 for a request from the start.
     unsigned resumeAfter = 0;
     std::string node;
+    /// The build that the node ran.
+    NodeBuild build = NodeBuild::Only;
     Instant sentAt;
     Instant endedAt;
     std::string route;
@@ -43,6 +48,8 @@
     bool deadly = false;
     /// True if its response takes so long that the end of a stop may cut it.
     bool slow = false;
+    /// True if its key came with a configuration that was written `ConfigurationTime` before.
+    bool newKey = false;
     CallerOutcome outcome = CallerOutcome::TimedOut;
     /// 0 if no header came.
     int status = 0;
@@ -80,6 +87,8 @@
     std::vector<std::string> dropped;
     /// By request that a node forwarded: the node that it forwarded it to last.
     std::map<std::string, std::string> forwardedTo;
+    /// By request that a node got from another one: the build that it ran.
+    std::map<std::string, NodeBuild> helperBuilds;
 };
 
 /// What a soak run observed.
@@ -110,6 +119,8 @@
     /// Name of the check, for counts.
     std::string check;
     std::string text;
+    /// The requests that a count in the text counts.
+    std::vector<std::string> requests;
 };
 
 /// Figures of the checks on deadly prompt parts.
@@ -120,10 +131,12 @@
     /// nodes, and those of nodes that were undisturbed.
     unsigned lateArrivals = 0;
     unsigned lateArrivalsFromCalmNodes = 0;
+    std::vector<std::string> lateFromCalmNodes;
     /// Sound requests with the same key or first part once they must be served again, and how many
     /// were. Requests whose server broke off are in neither.
     unsigned related = 0;
     unsigned relatedServed = 0;
+    std::vector<std::string> relatedUnserved;
 };
 
 /// True if a node was undisturbed for the stable window before `moment`.
