CallerSession: Wait for the acknowledgement of the last response

Requests behind a response that announces the close stay unread, and the close resets them. Two cases of that lost a response, and one hid a caller that has left:

- A caller that had sent more and took its response slowly was reset after four waits of 500 ms, whatever it had not received yet.
- A caller that had sent more and closed its sending side was reset at once, because the end of both directions was taken for its close.
- Behind unread bytes, the end of a caller's connection was no longer seen while a stream went on, so that the server ran on until the next events.
The state of the connection is checked every 100 ms then.

A connection that was reset counts as having nothing to wait for; its bytes stay counted as unacknowledged.

--- a/Source/Gateway/CallerSession.cpp
+++ b/Source/Gateway/CallerSession.cpp
@@ -9,6 +9,8 @@
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/asio/write.hpp>
+#include <netinet/tcp.h>
+#include <sys/socket.h>
 
 #include "Core/Log.h"
 #include "Gateway/BodyMemory.h"
@@ -39,8 +41,8 @@
 /// long if the caller still sends the body of a request that was refused.
 constexpr Duration LingerTimeout = milliseconds(500);
 constexpr Duration RefusedBodyLingerTimeout = milliseconds(2000);
-/// Waits for a caller that has not received the whole response yet but has sent more, at most.
-constexpr unsigned MaxLingers = 4;
+/// Interval of the check whether a caller whose bytes stay unread has closed its connection.
+constexpr Duration UnreadCheckInterval = milliseconds(100);
 /// Time for the reset with which a caller that has closed its connection answers a response.
 constexpr Duration ResetTimeout = milliseconds(200);
 /// Time after the acceptance of a connection in which its first request may be on its way.
@@ -60,6 +62,15 @@
         || (!encoding.empty() && header.count(http::field::content_length) > 0);
 }
 
+/// True if the caller has closed or reset its connection, also behind bytes that are not read.
+bool hasReceivedClose(asio::ip::tcp::socket &socket)
+{
+    tcp_info info {};
+    socklen_t size = sizeof(info);
+    return getsockopt(socket.native_handle(), IPPROTO_TCP, TCP_INFO, &info, &size) != 0
+        || info.tcpi_state == TCP_CLOSE_WAIT || info.tcpi_state == TCP_CLOSE;
+}
+
 } // namespace
 
 CallerSession::CallerSession(TrafficState &state, asio::ip::tcp::socket socket,
@@ -145,15 +156,20 @@
     }
 }
 
-void CallerSession::scheduleClose(Duration limit, CloseReason reason, unsigned maxRepeats)
+void CallerSession::scheduleClose(Duration limit, CloseReason reason)
 {
-    timer_.expireAfter(limit, [self = shared_from_this(), limit, reason, maxRepeats] {
-        // Closing a socket with unread bytes sends a reset, which could discard the response.
-        if (maxRepeats > 0 && peek(self->socket_) == PeekResult::Data
-            && hasUnacknowledgedBytes(self->socket_)) {
-            self->scheduleClose(limit, reason, maxRepeats - 1);
+    timer_.expireAfter(limit, [self = shared_from_this(), reason] { self->close(reason); });
+}
+
+void CallerSession::closeOnceReceived()
+{
+    timer_.expireAfter(LingerTimeout, [self = shared_from_this()] {
+        // Closing a socket with unread bytes sends a reset, which could discard the response. If
+        // the caller takes nothing, TCP ends the connection.
+        if (peek(self->socket_) == PeekResult::Data && hasUnacknowledgedBytes(self->socket_)) {
+            self->closeOnceReceived();
         } else {
-            self->close(reason);
+            self->close(CloseReason::Responded);
         }
     });
 }
@@ -307,13 +323,17 @@
     error_code error;
     if (responseComplete) {
         socket_.shutdown(asio::ip::tcp::socket::shutdown_send, error);
-        scheduleClose(LingerTimeout, CloseReason::Responded, MaxLingers);
+        closeOnceReceived();
         co_await socket_.async_wait(asio::ip::tcp::socket::wait_read,
                                     asio::redirect_error(asio::use_awaitable, error));
         if (!error && peek(socket_) == PeekResult::Data) {
             // The caller has sent more; its close ends both directions.
             co_await socket_.async_wait(asio::ip::tcp::socket::wait_error,
                                         asio::redirect_error(asio::use_awaitable, error));
+            if (!error && hasUnacknowledgedBytes(socket_)) {
+                // It has closed its sending side only. The timer closes the connection.
+                co_return;
+            }
         }
         timer_.cancel();
     }
@@ -518,10 +538,25 @@
                        });
 }
 
+void CallerSession::watchUnread()
+{
+    timer_.expireAfter(UnreadCheckInterval, [self = shared_from_this(), generation = generation_] {
+        if (generation != self->generation_ || self->exchange_ == nullptr) {
+            return;
+        }
+        if (hasReceivedClose(self->socket_)) {
+            self->exchange_->callerDisconnected(asio::error::eof);
+        } else {
+            self->watchUnread();
+        }
+    });
+}
+
 void CallerSession::readAhead()
 {
     if (exchange_->closeAnnounced()) {
         // A request behind the last response crosses the close, and the caller may repeat it.
+        watchUnread();
         return;
     }
     error_code error;
--- a/Source/Gateway/CallerSession.h
+++ b/Source/Gateway/CallerSession.h
@@ -95,9 +95,11 @@
     /// response to `request`. Logs `caller_half_closed` unless the caller answers that with a
     /// reset, as it does if it has closed both sides.
     [[nodiscard]] boost::asio::awaitable<void> closeHalfClosed(std::string request);
-    /// Closes the connection after `limit` unless the timer is rearmed or cancelled before; up to
-    /// `maxRepeats` times as late if closing it would reset it before the caller has received all.
-    void scheduleClose(Duration limit, CloseReason reason, unsigned maxRepeats = 0);
+    /// Closes the connection after `limit` unless the timer is rearmed or cancelled before.
+    void scheduleClose(Duration limit, CloseReason reason);
+    /// The same behind a complete response; later if closing the connection would reset it before
+    /// the caller has received the response.
+    void closeOnceReceived();
     /// The same while a request is being read. What has arrived by then is read first, which a
     /// stall of the thread may have held up.
     void limitReading(Duration limit, CloseReason reason);
@@ -113,6 +115,8 @@
     void watchForDisconnect();
     /// Reads what the caller has pipelined, which would hide the end of the connection.
     void readAhead();
+    /// Watches for the end of the connection behind bytes that stay unread.
+    void watchUnread();
     /// True if a whole request has been read behind the one in progress.
     [[nodiscard]] bool holdsRequest() const;
     /// Adds the bytes that have arrived to `buffer_`, up to the limit for a header. Returns false
--- a/Source/Gateway/SocketOptions.cpp
+++ b/Source/Gateway/SocketOptions.cpp
@@ -109,8 +109,13 @@
 
 bool hasUnacknowledgedBytes(boost::asio::ip::tcp::socket &socket)
 {
+    tcp_info info {};
+    socklen_t size = sizeof(info);
+    const bool ended = getsockopt(socket.native_handle(), IPPROTO_TCP, TCP_INFO, &info, &size) != 0
+        || info.tcpi_state == TCP_CLOSE;
     int bytes = 0;
-    return ioctl(socket.native_handle(), SIOCOUTQ, &bytes) == 0 && bytes > 0;
+    // The bytes stay counted after a reset.
+    return !ended && ioctl(socket.native_handle(), SIOCOUTQ, &bytes) == 0 && bytes > 0;
 }
 
 std::size_t readAvailable(boost::asio::ip::tcp::socket &socket, boost::asio::mutable_buffer buffer,
--- a/Tests/Gateway/CallerSessionTest.cpp
+++ b/Tests/Gateway/CallerSessionTest.cpp
@@ -118,6 +118,15 @@
                                              "X-Request-Id: r1\r\nContent-Length: 2\r\n\r\nab")));
     }
 
+    /// Sends a request that asks for the close of its connection.
+    void sendLast(const std::string &target)
+    {
+        asio::write(caller,
+                    asio::buffer("POST " + target
+                                 + " HTTP/1.1\r\nHost: h\r\nX-Request-Id: r0\r\n"
+                                   "Connection: close\r\nContent-Length: 2\r\n\r\nab"));
+    }
+
     /// Runs the event loop until the exchange connects to the server, then stalls it for a while.
     void stallWhileConnecting(Duration time)
     {
@@ -196,6 +205,23 @@
         return received;
     }
 
+    /// Runs the event loop until the caller's connection has ended and returns all that the caller
+    /// has received.
+    std::string receiveAll()
+    {
+        std::string received;
+        error_code error;
+        caller.non_blocking(true, error);
+        BOOST_TEST(runUntil([&] {
+            std::array<char, 16384> bytes {};
+            do {
+                received.append(bytes.data(), caller.read_some(asio::buffer(bytes), error));
+            } while (!error);
+            return error != asio::error::would_block;
+        }));
+        return received;
+    }
+
     static GatewaySettings makeSettings()
     {
         GatewaySettings made;
@@ -301,6 +327,78 @@
     }
 }
 
+BOOST_AUTO_TEST_CASE(requestBehindAStreamThatAnnouncesTheCloseIsReadAndDropped)
+{
+    std::promise<void> requestSent;
+    SessionFixture fixture([&](ScriptedConnection &connection, const ReceivedRequest &request) {
+        connection.write(streamHead(request) + chunk(event(1)));
+        requestSent.get_future().wait();
+        connection.write(chunk(event(2)) + "0\r\n\r\n");
+    });
+    fixture.startSession();
+    fixture.sendLast("/once/a");
+    BOOST_TEST(fixture.receive("token 1").find("Connection: close") != std::string::npos);
+    fixture.send();
+    BOOST_TEST(fixture.run(milliseconds(20)).empty());
+    requestSent.set_value();
+    BOOST_TEST(fixture.receive("0\r\n\r\n").find("token 2") != std::string::npos);
+    // TCP resets a connection that is closed with unread bytes.
+    BOOST_TEST(fixture.runUntil([&] { return takeError(fixture.caller); }));
+    BOOST_TEST(fixture.requestsAtServer == 1U);
+}
+
+BOOST_AUTO_TEST_CASE(serverRunsOnAfterACallerHasLeftBehindARequestThatIsNotRead)
+{
+    std::atomic<bool> closed { false };
+    SessionFixture fixture([&](ScriptedConnection &connection, const ReceivedRequest &request) {
+        connection.write(streamHead(request) + chunk(event(1)));
+        closed = connection.waitForClose(ServerWait);
+    });
+    fixture.startSession();
+    fixture.sendLast("/once/a");
+    BOOST_TEST(fixture.receive("token 1").find("Connection: close") != std::string::npos);
+    fixture.send();
+    BOOST_TEST(fixture.run(milliseconds(20)).empty());
+    fixture.closeCaller(milliseconds(400));
+    BOOST_TEST(closed);
+    fixture.run(ServerWait);
+}
+
+BOOST_AUTO_TEST_CASE(responseToASlowReaderThatHasSentMoreIsCut)
+{
+    constexpr std::size_t BodyBytes = 150000;
+    // Longer than the waits for the caller's close together.
+    constexpr Duration ReadPause = milliseconds(3000);
+    for (const bool halfClosed : { false, true }) {
+        BOOST_TEST_CONTEXT("caller has closed its sending side: " << halfClosed)
+        {
+            SessionFixture fixture(
+                [&](ScriptedConnection &connection, const ReceivedRequest &request) {
+                    connection.write(validResponse(request, 200, std::string(BodyBytes, 'x')));
+                });
+            // What the caller doesn't take waits at the node.
+            fixture.caller.set_option(asio::socket_base::receive_buffer_size(4096));
+            fixture.accepted.set_option(
+                asio::socket_base::send_buffer_size(static_cast<int>(BodyBytes)));
+            fixture.startSession();
+            fixture.sendLast("/unsafe/a");
+            BOOST_TEST(fixture.runUntil([&] {
+                return fixture.metrics.render().find("{outcome=\"answered\"} 1")
+                    != std::string::npos;
+            }));
+            fixture.send();
+            if (halfClosed) {
+                fixture.caller.shutdown(asio::ip::tcp::socket::shutdown_send);
+            }
+            fixture.context.restart();
+            fixture.context.run_for(ReadPause);
+            const std::string received = fixture.receiveAll();
+            BOOST_TEST(received.size() > BodyBytes);
+            BOOST_TEST(fixture.requestsAtServer == 1U);
+        }
+    }
+}
+
 BOOST_AUTO_TEST_CASE(connectionsThatTheNodeClosesAreCountedByReason)
 {
     struct Case
