CallerSession: Keep connections of other nodes longer than these use them

A node that forwards requests keeps an idle connection to the helping node for 4 s, or half of its own idle limit. The helping node closed it 500 ms after the idle limit of its configuration, which may be shorter: nodes apply a new configuration at different times. An unsafe request sent as the connection closes then gets a 502, though it was not run.

A helping node now keeps connections of other nodes for at least the 4 s for which these use them, with the same 500 ms on top. That holds for nodes of earlier builds too, which use them no longer.

--- a/Source/Gateway/CallerSession.cpp
+++ b/Source/Gateway/CallerSession.cpp
@@ -1,5 +1,6 @@
 #include "Gateway/CallerSession.h"
 
+#include <algorithm>
 #include <array>
 #include <limits>
 #include <new>
@@ -14,6 +15,7 @@
 
 #include "Core/Log.h"
 #include "Gateway/BodyMemory.h"
+#include "Gateway/ForwardingTiming.h"
 #include "Gateway/RestartingTask.h"
 #include "Gateway/SocketOptions.h"
 #include "platform/CallerWire.h"
@@ -207,11 +209,18 @@
     });
 }
 
+Duration CallerSession::idleLimit() const
+{
+    const Duration limit = state_.limits().idleTimeout;
+    // The other node may have a configuration with a longer limit.
+    return source_ == RequestSource::Peer ? std::max(limit, MaxForwardingIdleTime) : limit;
+}
+
 void CallerSession::limitIdleTime(Instant since)
 {
-    const Instant due = since + state_.limits().idleTimeout + IdleMargin;
+    const Instant due = since + idleLimit() + IdleMargin;
     timer_.expireAt(due, [self = shared_from_this(), since, due] {
-        if (since + self->state_.limits().idleTimeout + IdleMargin > due) {
+        if (since + self->idleLimit() + IdleMargin > due) {
             self->limitIdleTime(since);
         } else if (peek(self->socket_) != PeekResult::Data) {
             // A request that has arrived by now is served instead.
--- a/Source/Gateway/CallerSession.h
+++ b/Source/Gateway/CallerSession.h
@@ -70,6 +70,8 @@
     /// Closes the connection at the end of the idle limit, which a configuration may raise until
     /// then, unless a request has arrived.
     void limitIdleTime(Instant since);
+    /// Time for which the sender of requests may reuse an idle connection.
+    [[nodiscard]] Duration idleLimit() const;
     /// Reads one request. On an error returns false after sending an error response to a malformed
     /// request; other errors get no response.
     [[nodiscard]] boost::asio::awaitable<bool> readRequest(Parser &parser,
--- a/Source/Gateway/ExchangeForward.cpp
+++ b/Source/Gateway/ExchangeForward.cpp
@@ -4,6 +4,7 @@
 #include "Core/Endpoint.h"
 #include "Core/Hashing.h"
 #include "Gateway/ExchangeAttempt.h"
+#include "Gateway/ForwardingTiming.h"
 #include "platform/CallerWire.h"
 
 namespace jacinthroad {
@@ -18,9 +19,8 @@
 constexpr unsigned MaxRefusedConnects = 2;
 /// Maximum number of nodes that are asked to send a request without any of them sending it.
 constexpr unsigned MaxUnsentForwards = 4;
-/// Idle connections between nodes are closed by the sender after this time, and after this share
-/// of the time after which the other node closes them.
-constexpr Duration MaxIdleTime = std::chrono::seconds(4);
+/// Idle connections between nodes are closed by the sender after MaxForwardingIdleTime, and after
+/// this share of the time after which nodes of earlier versions close them.
 constexpr int IdleTimeDivisor = 2;
 
 } // namespace
@@ -162,7 +162,8 @@
     const bool open = attempt.connection != nullptr && attempt.connection->socket.is_open();
     const bool unused = attempt.connectionReused && !attempt.sent;
     if (open && (unused || attempt.reusable) && attempt.connection->buffer.size() == 0) {
-        const Duration keep = std::min(MaxIdleTime, state_.limits().idleTimeout / IdleTimeDivisor);
+        const Duration keep
+            = std::min(MaxForwardingIdleTime, state_.limits().idleTimeout / IdleTimeDivisor);
         attempt.connection->usableUntil = now + keep;
         state_.peerConnections.addIdle(ServerId(attempt.helper), std::move(attempt.connection));
     } else {
--- a/Tests/Gateway/CallerSessionTest.cpp
+++ b/Tests/Gateway/CallerSessionTest.cpp
@@ -92,7 +92,10 @@
         connection.write(validResponse(request));
     }
 
-    void startSession() { CallerSession::start(state, std::move(accepted)); }
+    void startSession(RequestSource source = RequestSource::Caller)
+    {
+        CallerSession::start(state, std::move(accepted), source);
+    }
 
     /// Starts an exchange without a session; its result is stored in `result`.
     void startExchange(const std::string &target, std::optional<ExchangeResult> &result,
@@ -127,6 +130,17 @@
                                    "Connection: close\r\nContent-Length: 2\r\n\r\nab"));
     }
 
+    /// Sends a request as another node forwards it.
+    void forward()
+    {
+        asio::write(caller,
+                    asio::buffer(std::string("POST /unsafe/a HTTP/1.1\r\nHost: h\r\n"
+                                             "X-Request-Id: r1\r\nX-Deadline-Ms: 3000\r\n"
+                                             "Jacinthroad-Forwarded-By: front-2\r\n"
+                                             "Jacinthroad-Forwarded-Configuration: 1\r\n"
+                                             "Content-Length: 2\r\n\r\nab")));
+    }
+
     /// Runs the event loop until the exchange connects to the server, then stalls it for a while.
     void stallWhileConnecting(Duration time)
     {
@@ -787,6 +801,20 @@
     BOOST_TEST(fixture.receive("HTTP/1.1").starts_with("HTTP/1.1 200"));
 }
 
+BOOST_AUTO_TEST_CASE(connectionThatAnotherNodeMayStillUseIsClosedAtTheIdleLimitOfCallers)
+{
+    SessionFixture fixture;
+    fixture.startSession(RequestSource::Peer);
+    fixture.forward();
+    BOOST_TEST(fixture.receive("whole body").starts_with("HTTP/1.1 200"));
+    // Nodes use connections to each other for so long.
+    fixture.context.restart();
+    fixture.context.run_for(std::chrono::seconds(4));
+    BOOST_TEST((peek(fixture.caller) == PeekResult::NoData));
+    fixture.forward();
+    BOOST_TEST(fixture.receive("whole body").starts_with("HTTP/1.1 200"));
+}
+
 BOOST_AUTO_TEST_CASE(connectionThatWaitsWhileTheIdleLimitIsRaisedIsNotClosedAtTheFormerLimit)
 {
     SessionFixture fixture;
