Gateway: Decline what crosses the stop of a helping node

A request that was forwarded to a stopping node could get a 502 although it was not run, in two ways:

- The node closed its address for forwarded requests at the signal.
A connection whose handshake crosses that seems open to its sender, which has sent the request when the reset arrives.
The address now stays open until that for callers is closed, 3.2 s later, and requests are declined.
- The node closed kept connections 2.8 s after the signal, also as a request was on its way.
It now writes a declined response without a request id first and closes them 500 ms later.

With a grace period that ends less than 500 ms after the announcement, the connections are closed sooner, as before.

--- a/Source/Gateway/CallerSession.cpp
+++ b/Source/Gateway/CallerSession.cpp
@@ -142,7 +142,36 @@
     const bool overdue = which == IdleConnections::Overdue
         && std::chrono::steady_clock::now() - acceptedAt_ >= FirstRequestTime;
     const bool selected = requests_ > 0 || overdue || which == IdleConnections::All;
-    if (idle_ && selected && peek(socket_) != PeekResult::Data) {
+    if (!idle_ || !selected || peek(socket_) == PeekResult::Data) {
+        return;
+    }
+    if (source_ == RequestSource::Peer && requests_ > 0 && which != IdleConnections::All) {
+        if (!stopAnnouncedAt_.has_value()) {
+            announceStop();
+        }
+        if (std::chrono::steady_clock::now() - *stopAnnouncedAt_ < LingerTimeout) {
+            return;
+        }
+    }
+    close(CloseReason::Stop);
+}
+
+void CallerSession::announceStop()
+{
+    // A response without a request id belongs to no request. The other node takes no connection on
+    // which data waits, and skips the response if its next request has crossed it.
+    GatewayResponse notice;
+    notice.result(http::status::service_unavailable);
+    notice.version(11);
+    setForwardedResult(notice.base(),
+                       { .outcome = ForwardedOutcome::Declined,
+                         .refusal = std::string(errorResponse(ErrorKind::Draining).name) });
+    notice.prepare_payload();
+    stopAnnouncedAt_ = std::chrono::steady_clock::now();
+    error_code error;
+    socket_.non_blocking(true, error);
+    http::write(socket_, notice, error);
+    if (error) {
         close(CloseReason::Stop);
     }
 }
@@ -318,6 +347,9 @@
             if (readsOn_) {
                 readArrived(error);
             }
+            if (source_ == RequestSource::Peer) {
+                announceStop();
+            }
             const PeekResult next = co_await waitForAnnouncedRequest();
             if (next != PeekResult::Data) {
                 close(next == PeekResult::Closed ? CloseReason::Caller : CloseReason::Stop);
--- a/Source/Gateway/CallerSession.h
+++ b/Source/Gateway/CallerSession.h
@@ -4,6 +4,7 @@
 #include <cstdint>
 #include <exception>
 #include <memory>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <utility>
@@ -111,8 +112,12 @@
     /// Closes the connection once what has arrived has had time to be read, `maxReads` times more
     /// if bytes are still unread then.
     void closeAfterReading(CloseReason reason, unsigned maxReads);
-    /// Closes the connection if it waits for a request and none has arrived.
+    /// Closes the connection if it waits for a request and none has arrived. One that another node
+    /// may use is announced to be closed before, if there is time.
     void closeIfIdle(IdleConnections which);
+    /// Tells the node that keeps the connection for its next request not to use it. A request that
+    /// crosses this is declined.
+    void announceStop();
     /// Watches for the end of the connection while an exchange runs.
     void watchForDisconnect();
     /// Reads what the caller has pipelined, which would hide the end of the connection.
@@ -142,6 +147,8 @@
     bool requestOpen_ = false;
     /// True if reading was ended because the process ends soon.
     bool endedByStop_ = false;
+    /// When the end of the connection was announced to another node.
+    std::optional<Instant> stopAnnouncedAt_;
     /// False once a stop is so late that only requests that have been read are answered.
     bool readsOn_ = true;
     /// Bytes that arrived behind a refusal and were discarded, for the log.
--- a/Source/Gateway/Gateway.cpp
+++ b/Source/Gateway/Gateway.cpp
@@ -720,10 +720,6 @@
 void Gateway::Parts::pollDrain(const std::shared_ptr<std::promise<void>> &idle)
 {
     const Duration sinceSignal = std::chrono::steady_clock::now() - traffic.drainingSince;
-    if (forwards.is_open()) {
-        // Other nodes can go elsewhere at once.
-        acceptLastCallers(traffic, forwards, RequestSource::Peer);
-    }
     const bool listenerEnded = sinceSignal >= traffic.stopSchedule.listenerEnd();
     // A check that throws is followed by the next one all the same.
     drainTimer.expires_after(DrainPollPeriod);
@@ -744,6 +740,11 @@
         if (callers.is_open()) {
             acceptLastCallers(traffic, callers);
         }
+        if (forwards.is_open()) {
+            // Until now the requests of other nodes were declined: a connection that crosses the
+            // close of the listener may seem open to its sender.
+            acceptLastCallers(traffic, forwards, RequestSource::Peer);
+        }
         traffic.closeIdleConnections(
             sinceSignal >= schedule.answerEnd() ? IdleConnections::All : IdleConnections::Overdue);
         if (!traffic.hasCallerConnections()) {
--- a/Tests/Gateway/ForwardingTest.cpp
+++ b/Tests/Gateway/ForwardingTest.cpp
@@ -5,7 +5,10 @@
 #include <boost/test/unit_test.hpp>
 
 #include "Core/Endpoint.h"
+#include "FreeAddress.h"
+#include "Gateway/SocketOptions.h"
 #include "GatewayFixture.h"
+#include "ScriptedServer.h"
 #include "UnreachableServer.h"
 
 namespace jacinthroad {
@@ -17,6 +20,8 @@
 /// Time from the loss of the links after which first tries must be served.
 constexpr milliseconds StableWindow { 3000 };
 constexpr milliseconds PollInterval { 5 };
+/// Number of checks for something that happens within seconds.
+constexpr int MaxPolls = 800;
 constexpr const char *StreamHeaders = "Authorization: Bearer k1\r\nX-Model: m\r\n";
 
 /// Nodes of which one can't connect to any server.
@@ -106,7 +111,6 @@
 
     bool awaitReceived(std::size_t count)
     {
-        constexpr int MaxPolls = 600;
         for (int polls = 0; polls < MaxPolls && received() < count; ++polls) {
             std::this_thread::sleep_for(PollInterval);
         }
@@ -119,6 +123,45 @@
     GatewayFixture cut;
 };
 
+/// A connection of another node to a helping node.
+class PeerConnection
+{
+public:
+    explicit PeerConnection(const GatewayFixture &helper)
+    {
+        boost::system::error_code error;
+        socket.connect(*parseEndpoint(helper.settings.forwardingAddress), error);
+        BOOST_TEST(!error);
+    }
+
+    void send(const std::string &id)
+    {
+        boost::system::error_code ignored;
+        asio::write(socket,
+                    asio::buffer("POST /unsafe/a HTTP/1.1\r\nHost: h\r\nX-Request-Id: " + id
+                                 + "\r\nAuthorization: Bearer k1\r\nX-Deadline-Ms: 1000\r\n"
+                                   "Jacinthroad-Forwarded-By: front-1\r\n"
+                                   "Jacinthroad-Forwarded-Configuration: 1\r\n"
+                                   "Content-Length: 1\r\n\r\nb"),
+                    ignored);
+    }
+
+    /// Returns the next response; an empty one if the connection ends before.
+    CallerResponse read()
+    {
+        CallerResponse response;
+        boost::system::error_code error;
+        boost::beast::http::read(socket, buffer_, response, error);
+        return error ? CallerResponse() : response;
+    }
+
+    asio::io_context context;
+    asio::ip::tcp::socket socket { context };
+
+private:
+    boost::beast::flat_buffer buffer_;
+};
+
 bool statesNotRun(const CallerResponse &response)
 {
     return response.body().find("\"not_run\":true") != std::string::npos
@@ -459,6 +502,132 @@
     BOOST_TEST(fixture.received() == 1U);
 }
 
+BOOST_AUTO_TEST_CASE(connectionIsRefusedThatCrossesTheBeginningOfAStop)
+{
+    CutNodeFixture fixture;
+    fixture.start();
+    std::thread stop([&] {
+        static_cast<void>(fixture.helper.gateway->drain(std::chrono::steady_clock::now()));
+    });
+    std::this_thread::sleep_for(milliseconds(100));
+    PeerConnection node(fixture.helper);
+    node.send("r1");
+    BOOST_TEST(std::string(node.read()["Jacinthroad-Forwarded-Result"]) == "declined");
+    stop.join();
+    BOOST_TEST(fixture.received() == 0U);
+}
+
+BOOST_AUTO_TEST_CASE(nodeIsNotToldThatAKeptConnectionWillBeClosedInAStop)
+{
+    CutNodeFixture fixture;
+    fixture.start();
+    PeerConnection node(fixture.helper);
+    node.send("r1");
+    BOOST_TEST(node.read().result_int() == 200U);
+    std::thread stop([&] {
+        static_cast<void>(fixture.helper.gateway->drain(std::chrono::steady_clock::now()));
+    });
+    for (int polls = 0; polls < MaxPolls && peek(node.socket) == PeekResult::NoData; ++polls) {
+        std::this_thread::sleep_for(PollInterval);
+    }
+    // The pool takes no connection on which data waits.
+    const bool told = peek(node.socket) == PeekResult::Data;
+    BOOST_TEST(told);
+    if (told) {
+        // A request that has crossed the notice gets its own response behind it.
+        node.send("r2");
+        BOOST_TEST(node.read().count("X-Request-Id") == 0U);
+        const CallerResponse response = node.read();
+        BOOST_TEST(std::string(response["X-Request-Id"]) == "r2");
+        BOOST_TEST(std::string(response["Jacinthroad-Forwarded-Result"]) == "declined");
+    }
+    node.socket.close();
+    stop.join();
+    BOOST_TEST(fixture.received() == 1U);
+}
+
+BOOST_AUTO_TEST_CASE(requestThatCrossesTheNoticeOfAStopIsNotReportedAsNotRun)
+{
+    // Stands for the hop of a helping node whose stop begins with the second request.
+    const auto field = [](const std::string &result) {
+        return "Jacinthroad-Forwarded-Result: " + result + "\r\n";
+    };
+    ScriptedServer hop([&](ScriptedConnection &connection) {
+        ReceivedRequest request;
+        if (!connection.read(request)) {
+            return;
+        }
+        const std::string id = "X-Request-Id: " + std::string(request["X-Request-Id"]) + "\r\n";
+        connection.write(
+            responseText(200, id + "X-Response-Stamp: s\r\n" + field("relayed"), "ok"));
+        if (connection.read(request)) {
+            connection.write(responseText(503, field("declined"), ""));
+            connection.write(responseText(503,
+                                          "X-Request-Id: " + std::string(request["X-Request-Id"])
+                                              + "\r\nConnection: close\r\n" + field("declined"),
+                                          "{\"not_run\":true}"));
+        }
+    });
+    CutNodeFixture fixture;
+    fixture.helper.settings.forwardingAddress = hop.address();
+    fixture.cut.addPeer(fixture.helper);
+    fixture.helper.settings.forwardingAddress = freeAddress();
+    fixture.helper.configure(1, { "k1" });
+    fixture.cut.configure(1, { "k1" });
+    fixture.listUnreachable(fixture.cut);
+    fixture.helper.addPeer(fixture.cut);
+    fixture.helper.start();
+    fixture.cut.start();
+    CutNodeFixture::awaitPeers();
+    const auto first = fixture.cut.call("POST", "/unsafe/a", "body");
+    BOOST_REQUIRE(first != nullptr);
+    BOOST_TEST(first->result_int() == 200U);
+    const auto second = fixture.cut.call("POST", "/unsafe/a", "body");
+    BOOST_REQUIRE(second != nullptr);
+    BOOST_TEST(second->result_int() == 503U);
+    BOOST_TEST(statesNotRun(*second));
+}
+
+BOOST_AUTO_TEST_CASE(unsafeRequestsFailBesideTheStopOfTheirHelpingNode)
+{
+    constexpr int Callers = 6;
+    CutNodeFixture fixture;
+    fixture.start();
+    std::atomic<bool> stopped { false };
+    std::atomic<int> served { 0 };
+    std::atomic<int> refused { 0 };
+    std::atomic<int> failed { 0 };
+    std::vector<std::thread> callers;
+    for (int caller = 0; caller < Callers; ++caller) {
+        callers.emplace_back([&, caller] {
+            while (!stopped) {
+                const auto response = fixture.cut.call("POST", "/unsafe/a", "body");
+                if (response != nullptr && response->result_int() == 200) {
+                    ++served;
+                } else if (response != nullptr && response->result_int() == 503
+                           && statesNotRun(*response)) {
+                    ++refused;
+                } else {
+                    ++failed;
+                }
+                std::this_thread::sleep_for(milliseconds(1 + caller));
+            }
+        });
+    }
+    std::this_thread::sleep_for(milliseconds(500));
+    static_cast<void>(fixture.helper.gateway->drain(std::chrono::steady_clock::now()));
+    fixture.helper.gateway.reset();
+    std::this_thread::sleep_for(milliseconds(100));
+    stopped = true;
+    for (std::thread &caller : callers) {
+        caller.join();
+    }
+    BOOST_TEST(served > 0);
+    BOOST_TEST(refused > 0);
+    BOOST_TEST(failed == 0);
+    BOOST_TEST(fixture.received() == static_cast<std::size_t>(served));
+}
+
 BOOST_AUTO_TEST_CASE(slowCallerOfAForwardedStreamFillsTheMemoryOfNodes)
 {
     constexpr std::size_t EventBytes = 10000;
