CallerSession: Decline bodies that only an older configuration forbids

A helping node whose configuration was older than that of the node which had admitted a request answered 413 if the body was longer than the limit had been before, and the caller got that. Requests that an older configuration can't judge are declined, so that another node is asked, but a body was refused before the versions were compared.

--- a/Source/Gateway/CallerSession.cpp
+++ b/Source/Gateway/CallerSession.cpp
@@ -517,9 +517,20 @@
     co_await refuseUnread(kind, parser);
 }
 
+bool CallerSession::hasOlderConfiguration(const Parser &parser) const
+{
+    const auto forwarded
+        = source_ == RequestSource::Peer ? readForwardedRequest(parser.get().base()) : std::nullopt;
+    return forwarded.has_value()
+        && (state_.routes == nullptr || state_.routes->version() < forwarded->configurationVersion);
+}
+
 asio::awaitable<void> CallerSession::refuseUnread(ErrorKind kind, const Parser &parser)
 {
     RequestId request;
+    if (kind == ErrorKind::PayloadTooLarge && hasOlderConfiguration(parser)) {
+        kind = ErrorKind::NotReady;
+    }
     if (parser.is_header_done()) {
         const auto facts = platform::readCallerRequest(parser.get().base());
         request = facts.has_value() ? facts->id : RequestId();
--- a/Source/Gateway/CallerSession.h
+++ b/Source/Gateway/CallerSession.h
@@ -85,6 +85,9 @@
                                                                    const Parser &parser);
     /// Refuses a request that was not read completely and closes the connection.
     [[nodiscard]] boost::asio::awaitable<void> refuseUnread(ErrorKind kind, const Parser &parser);
+    /// True if another node has admitted the request under a newer configuration than that of this
+    /// node, whose limits may have been changed since.
+    [[nodiscard]] bool hasOlderConfiguration(const Parser &parser) const;
     /// Ends the request in progress, because the process ends soon.
     void answerBeforeStop();
     /// Closes the connection behind its last response. If that is complete, gives the caller time
--- a/Tests/Gateway/ForwardingTest.cpp
+++ b/Tests/Gateway/ForwardingTest.cpp
@@ -628,6 +628,22 @@
     BOOST_TEST(fixture.received() == static_cast<std::size_t>(served));
 }
 
+BOOST_AUTO_TEST_CASE(helpingNodeWithOlderLimitsRefusesABodyForItsSize)
+{
+    CutNodeFixture fixture;
+    fixture.helper.configure(1, { "k1" });
+    Json::Value spec = fixture.helper.store.spec("config", "main");
+    spec["limits"]["maxBodyBytes"] = 1000;
+    fixture.helper.store.put("config", "main", spec);
+    fixture.cut.configure(2, { "k1" });
+    fixture.startConfigured();
+    const auto response = fixture.cut.call("POST", "/unsafe/a", std::string(2000, 'x'));
+    BOOST_REQUIRE(response != nullptr);
+    BOOST_TEST(response->result_int() == 503U);
+    BOOST_TEST(statesNotRun(*response));
+    BOOST_TEST(fixture.received() == 0U);
+}
+
 BOOST_AUTO_TEST_CASE(slowCallerOfAForwardedStreamFillsTheMemoryOfNodes)
 {
     constexpr std::size_t EventBytes = 10000;
