--- a/Tests/Gateway/ForwardingTest.cpp
+++ b/Tests/Gateway/ForwardingTest.cpp
@@ -644,6 +644,47 @@
     BOOST_TEST(fixture.received() == 0U);
 }
 
+BOOST_AUTO_TEST_CASE(requestFailsIfItsHelpingNodeHasNoMemoryForItsBody)
+{
+    constexpr std::size_t LongBodyBytes = 2'500'000;
+    std::atomic<bool> release { false };
+    CutNodeFixture fixture(CutNodeFixture::respondBy(
+        [&](ScriptedConnection &connection, const ReceivedRequest &request) {
+            while (!release) {
+                std::this_thread::sleep_for(PollInterval);
+            }
+            connection.write(validResponse(request));
+        }));
+    // 8 MB for bodies, of which the long ones take 6 MB.
+    fixture.helper.settings.memoryMb = 32;
+    for (GatewayFixture *node : { &fixture.helper, &fixture.cut }) {
+        node->configure(1, { "k1" });
+        Json::Value spec = node->store.spec("config", "main");
+        spec["limits"]["maxBodyBytes"] = 4194304;
+        node->store.put("config", "main", spec);
+    }
+    fixture.startConfigured();
+    std::vector<std::thread> callers;
+    callers.reserve(2);
+    for (int caller = 0; caller < 2; ++caller) {
+        callers.emplace_back([&] {
+            static_cast<void>(
+                fixture.helper.call("POST", "/unsafe/a", std::string(LongBodyBytes, 'x')));
+        });
+    }
+    const bool held = fixture.awaitReceived(2);
+    const auto response = fixture.cut.call("POST", "/unsafe/a", std::string(LongBodyBytes, 'x'));
+    release = true;
+    for (std::thread &caller : callers) {
+        caller.join();
+    }
+    BOOST_TEST(held);
+    BOOST_REQUIRE(response != nullptr);
+    BOOST_TEST(response->result_int() == 503U);
+    BOOST_TEST(statesNotRun(*response));
+    BOOST_TEST(fixture.received() == 2U);
+}
+
 BOOST_AUTO_TEST_CASE(slowCallerOfAForwardedStreamFillsTheMemoryOfNodes)
 {
     constexpr std::size_t EventBytes = 10000;
