--- a/Source/Gateway/CallerSession.cpp
+++ b/Source/Gateway/CallerSession.cpp
@@ -1,5 +1,6 @@
 #include "Gateway/CallerSession.h"
 
+#include <algorithm>
 #include <array>
 #include <limits>
 #include <new>
@@ -9,9 +10,12 @@
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/asio/write.hpp>
+#include <netinet/tcp.h>
+#include <sys/socket.h>
 
 #include "Core/Log.h"
 #include "Gateway/BodyMemory.h"
+#include "Gateway/ForwardingTiming.h"
 #include "Gateway/RestartingTask.h"
 #include "Gateway/SocketOptions.h"
 #include "platform/CallerWire.h"
@@ -39,8 +43,8 @@
 /// long if the caller still sends the body of a request that was refused.
 constexpr Duration LingerTimeout = milliseconds(500);
 constexpr Duration RefusedBodyLingerTimeout = milliseconds(2000);
-/// Waits for a caller that has not received the whole response yet but has sent more, at most.
-constexpr unsigned MaxLingers = 4;
+/// Interval of the check whether a caller whose bytes stay unread has closed its connection.
+constexpr Duration UnreadCheckInterval = milliseconds(100);
 /// Time for the reset with which a caller that has closed its connection answers a response.
 constexpr Duration ResetTimeout = milliseconds(200);
 /// Time after the acceptance of a connection in which its first request may be on its way.
@@ -60,6 +64,15 @@
         || (!encoding.empty() && header.count(http::field::content_length) > 0);
 }
 
+/// True if the caller has closed or reset its connection, also behind bytes that are not read.
+bool hasReceivedClose(asio::ip::tcp::socket &socket)
+{
+    tcp_info info {};
+    socklen_t size = sizeof(info);
+    return getsockopt(socket.native_handle(), IPPROTO_TCP, TCP_INFO, &info, &size) != 0
+        || info.tcpi_state == TCP_CLOSE_WAIT || info.tcpi_state == TCP_CLOSE;
+}
+
 } // namespace
 
 CallerSession::CallerSession(TrafficState &state, asio::ip::tcp::socket socket,
@@ -129,7 +142,36 @@
     const bool overdue = which == IdleConnections::Overdue
         && std::chrono::steady_clock::now() - acceptedAt_ >= FirstRequestTime;
     const bool selected = requests_ > 0 || overdue || which == IdleConnections::All;
-    if (idle_ && selected && peek(socket_) != PeekResult::Data) {
+    if (!idle_ || !selected || peek(socket_) == PeekResult::Data) {
+        return;
+    }
+    if (source_ == RequestSource::Peer && requests_ > 0 && which != IdleConnections::All) {
+        if (!stopAnnouncedAt_.has_value()) {
+            announceStop();
+        }
+        if (std::chrono::steady_clock::now() - *stopAnnouncedAt_ < LingerTimeout) {
+            return;
+        }
+    }
+    close(CloseReason::Stop);
+}
+
+void CallerSession::announceStop()
+{
+    // A response without a request id belongs to no request. The other node takes no connection on
+    // which data waits, and skips the response if its next request has crossed it.
+    GatewayResponse notice;
+    notice.result(http::status::service_unavailable);
+    notice.version(11);
+    setForwardedResult(notice.base(),
+                       { .outcome = ForwardedOutcome::Declined,
+                         .refusal = std::string(errorResponse(ErrorKind::Draining).name) });
+    notice.prepare_payload();
+    stopAnnouncedAt_ = std::chrono::steady_clock::now();
+    error_code error;
+    socket_.non_blocking(true, error);
+    http::write(socket_, notice, error);
+    if (error) {
         close(CloseReason::Stop);
     }
 }
@@ -145,15 +187,20 @@
     }
 }
 
-void CallerSession::scheduleClose(Duration limit, CloseReason reason, unsigned maxRepeats)
+void CallerSession::scheduleClose(Duration limit, CloseReason reason)
 {
-    timer_.expireAfter(limit, [self = shared_from_this(), limit, reason, maxRepeats] {
-        // Closing a socket with unread bytes sends a reset, which could discard the response.
-        if (maxRepeats > 0 && peek(self->socket_) == PeekResult::Data
-            && hasUnacknowledgedBytes(self->socket_)) {
-            self->scheduleClose(limit, reason, maxRepeats - 1);
+    timer_.expireAfter(limit, [self = shared_from_this(), reason] { self->close(reason); });
+}
+
+void CallerSession::closeOnceReceived()
+{
+    timer_.expireAfter(LingerTimeout, [self = shared_from_this()] {
+        // Closing a socket with unread bytes sends a reset, which could discard the response. If
+        // the caller takes nothing, TCP ends the connection.
+        if (peek(self->socket_) == PeekResult::Data && hasUnacknowledgedBytes(self->socket_)) {
+            self->closeOnceReceived();
         } else {
-            self->close(reason);
+            self->close(CloseReason::Responded);
         }
     });
 }
@@ -191,11 +238,18 @@
     });
 }
 
+Duration CallerSession::idleLimit() const
+{
+    const Duration limit = state_.limits().idleTimeout;
+    // The other node may have a configuration with a longer limit.
+    return source_ == RequestSource::Peer ? std::max(limit, MaxForwardingIdleTime) : limit;
+}
+
 void CallerSession::limitIdleTime(Instant since)
 {
-    const Instant due = since + state_.limits().idleTimeout + IdleMargin;
+    const Instant due = since + idleLimit() + IdleMargin;
     timer_.expireAt(due, [self = shared_from_this(), since, due] {
-        if (since + self->state_.limits().idleTimeout + IdleMargin > due) {
+        if (since + self->idleLimit() + IdleMargin > due) {
             self->limitIdleTime(since);
         } else if (peek(self->socket_) != PeekResult::Data) {
             // A request that has arrived by now is served instead.
@@ -293,6 +347,9 @@
             if (readsOn_) {
                 readArrived(error);
             }
+            if (source_ == RequestSource::Peer) {
+                announceStop();
+            }
             const PeekResult next = co_await waitForAnnouncedRequest();
             if (next != PeekResult::Data) {
                 close(next == PeekResult::Closed ? CloseReason::Caller : CloseReason::Stop);
@@ -307,13 +364,17 @@
     error_code error;
     if (responseComplete) {
         socket_.shutdown(asio::ip::tcp::socket::shutdown_send, error);
-        scheduleClose(LingerTimeout, CloseReason::Responded, MaxLingers);
+        closeOnceReceived();
         co_await socket_.async_wait(asio::ip::tcp::socket::wait_read,
                                     asio::redirect_error(asio::use_awaitable, error));
         if (!error && peek(socket_) == PeekResult::Data) {
             // The caller has sent more; its close ends both directions.
             co_await socket_.async_wait(asio::ip::tcp::socket::wait_error,
                                         asio::redirect_error(asio::use_awaitable, error));
+            if (!error && hasUnacknowledgedBytes(socket_)) {
+                // It has closed its sending side only. The timer closes the connection.
+                co_return;
+            }
         }
         timer_.cancel();
     }
@@ -456,9 +517,20 @@
     co_await refuseUnread(kind, parser);
 }
 
+bool CallerSession::hasOlderConfiguration(const Parser &parser) const
+{
+    const auto forwarded
+        = source_ == RequestSource::Peer ? readForwardedRequest(parser.get().base()) : std::nullopt;
+    return forwarded.has_value()
+        && (state_.routes == nullptr || state_.routes->version() < forwarded->configurationVersion);
+}
+
 asio::awaitable<void> CallerSession::refuseUnread(ErrorKind kind, const Parser &parser)
 {
     RequestId request;
+    if (kind == ErrorKind::PayloadTooLarge && hasOlderConfiguration(parser)) {
+        kind = ErrorKind::NotReady;
+    }
     if (parser.is_header_done()) {
         const auto facts = platform::readCallerRequest(parser.get().base());
         request = facts.has_value() ? facts->id : RequestId();
@@ -518,10 +590,25 @@
                        });
 }
 
+void CallerSession::watchUnread()
+{
+    timer_.expireAfter(UnreadCheckInterval, [self = shared_from_this(), generation = generation_] {
+        if (generation != self->generation_ || self->exchange_ == nullptr) {
+            return;
+        }
+        if (hasReceivedClose(self->socket_)) {
+            self->exchange_->callerDisconnected(asio::error::eof);
+        } else {
+            self->watchUnread();
+        }
+    });
+}
+
 void CallerSession::readAhead()
 {
     if (exchange_->closeAnnounced()) {
         // A request behind the last response crosses the close, and the caller may repeat it.
+        watchUnread();
         return;
     }
     error_code error;
--- a/Source/Gateway/CallerSession.h
+++ b/Source/Gateway/CallerSession.h
@@ -4,6 +4,7 @@
 #include <cstdint>
 #include <exception>
 #include <memory>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <utility>
@@ -70,6 +71,8 @@
     /// Closes the connection at the end of the idle limit, which a configuration may raise until
     /// then, unless a request has arrived.
     void limitIdleTime(Instant since);
+    /// Time for which the sender of requests may reuse an idle connection.
+    [[nodiscard]] Duration idleLimit() const;
     /// Reads one request. On an error returns false after sending an error response to a malformed
     /// request; other errors get no response.
     [[nodiscard]] boost::asio::awaitable<bool> readRequest(Parser &parser,
@@ -82,6 +85,9 @@
                                                                    const Parser &parser);
     /// Refuses a request that was not read completely and closes the connection.
     [[nodiscard]] boost::asio::awaitable<void> refuseUnread(ErrorKind kind, const Parser &parser);
+    /// True if another node has admitted the request under a newer configuration than that of this
+    /// node, whose limits may have been changed since.
+    [[nodiscard]] bool hasOlderConfiguration(const Parser &parser) const;
     /// Ends the request in progress, because the process ends soon.
     void answerBeforeStop();
     /// Closes the connection behind its last response. If that is complete, gives the caller time
@@ -95,9 +101,11 @@
     /// response to `request`. Logs `caller_half_closed` unless the caller answers that with a
     /// reset, as it does if it has closed both sides.
     [[nodiscard]] boost::asio::awaitable<void> closeHalfClosed(std::string request);
-    /// Closes the connection after `limit` unless the timer is rearmed or cancelled before; up to
-    /// `maxRepeats` times as late if closing it would reset it before the caller has received all.
-    void scheduleClose(Duration limit, CloseReason reason, unsigned maxRepeats = 0);
+    /// Closes the connection after `limit` unless the timer is rearmed or cancelled before.
+    void scheduleClose(Duration limit, CloseReason reason);
+    /// The same behind a complete response; later if closing the connection would reset it before
+    /// the caller has received the response.
+    void closeOnceReceived();
     /// The same while a request is being read. What has arrived by then is read first, which a
     /// stall of the thread may have held up.
     void limitReading(Duration limit, CloseReason reason);
@@ -107,12 +115,18 @@
     /// Closes the connection once what has arrived has had time to be read, `maxReads` times more
     /// if bytes are still unread then.
     void closeAfterReading(CloseReason reason, unsigned maxReads);
-    /// Closes the connection if it waits for a request and none has arrived.
+    /// Closes the connection if it waits for a request and none has arrived. One that another node
+    /// may use is announced to be closed before, if there is time.
     void closeIfIdle(IdleConnections which);
+    /// Tells the node that keeps the connection for its next request not to use it. A request that
+    /// crosses this is declined.
+    void announceStop();
     /// Watches for the end of the connection while an exchange runs.
     void watchForDisconnect();
     /// Reads what the caller has pipelined, which would hide the end of the connection.
     void readAhead();
+    /// Watches for the end of the connection behind bytes that stay unread.
+    void watchUnread();
     /// True if a whole request has been read behind the one in progress.
     [[nodiscard]] bool holdsRequest() const;
     /// Adds the bytes that have arrived to `buffer_`, up to the limit for a header. Returns false
@@ -136,6 +150,8 @@
     bool requestOpen_ = false;
     /// True if reading was ended because the process ends soon.
     bool endedByStop_ = false;
+    /// When the end of the connection was announced to another node.
+    std::optional<Instant> stopAnnouncedAt_;
     /// False once a stop is so late that only requests that have been read are answered.
     bool readsOn_ = true;
     /// Bytes that arrived behind a refusal and were discarded, for the log.
