CallerSession: Take no missing TCP state for the end of a connection

Where the state of a connection can't be asked for, a caller that had sent bytes which stay unread counted as having left, and its stream was aborted. Found by reading, before any landing; now only the states that follow a received close or reset count.

--- a/Source/Gateway/CallerSession.cpp
+++ b/Source/Gateway/CallerSession.cpp
@@ -69,8 +69,8 @@
 {
     tcp_info info {};
     socklen_t size = sizeof(info);
-    return getsockopt(socket.native_handle(), IPPROTO_TCP, TCP_INFO, &info, &size) != 0
-        || info.tcpi_state == TCP_CLOSE_WAIT || info.tcpi_state == TCP_CLOSE;
+    return getsockopt(socket.native_handle(), IPPROTO_TCP, TCP_INFO, &info, &size) == 0
+        && (info.tcpi_state == TCP_CLOSE_WAIT || info.tcpi_state == TCP_CLOSE);
 }
 
 } // namespace
