NodeDigest: Read digests of newer builds with more fields or items

A digest was discarded as a whole if one of its arrays had more fields than this build knows, if a list held an item that it can not read, or if the map behind the array had a key that is no text. The next field of any of them would have needed a new format number, and nodes of two builds would not have heard of each other during an upgrade.

Arrays may now be longer than known, items that can not be read are left out alone, and entries of the map with other keys are skipped. Arrays that are too short, other formats and truncated datagrams are rejected as before, and the limits on size and nesting stay.

--- a/Source/FleetPeers/NodeDigest.cpp
+++ b/Source/FleetPeers/NodeDigest.cpp
@@ -1,6 +1,6 @@
 #include "FleetPeers/NodeDigest.h"
 
-#include <map>
+#include <span>
 #include <string_view>
 
 #include <msgpack.hpp>
@@ -11,7 +11,8 @@
 
 namespace {
 
-/// First element of every digest; digests of other versions are ignored.
+/// First element of every digest; digests of other versions are ignored. It stays as it is when
+/// fields are added, since newer builds may append fields to each array.
 constexpr std::uint32_t FormatVersion = 5;
 constexpr std::uint32_t DigestFields = 11;
 /// First element of every summary of a zone, which has the zone as an additional last field. Older
@@ -26,9 +27,33 @@
 /// Keys of the map that follows the array if it has an entry. Older builds ignore what follows.
 constexpr std::string_view LinksLostKey = "links_lost";
 constexpr std::string_view LostServicesKey = "lost_services";
-/// Levels of arrays in a datagram; more than any format has.
+/// Levels of arrays and maps in a datagram; more than any format has.
 constexpr std::size_t MaximumNesting = 16;
 
+/// Returns the fields of an array, which newer builds may have appended to.
+std::span<const msgpack::object> fieldsOf(const msgpack::object &object, std::uint32_t known)
+{
+    if (object.type != msgpack::type::ARRAY || object.via.array.size < known) {
+        throw msgpack::type_error();
+    }
+    return { object.via.array.ptr, object.via.array.size };
+}
+
+/// Reads the items of a list; leaves out those that this build can't read.
+template <typename Item>
+std::vector<Item> readItems(const msgpack::object &list, Item (*read)(const msgpack::object &))
+{
+    std::vector<Item> items;
+    for (const msgpack::object &object : list.as<std::vector<msgpack::object>>()) {
+        try {
+            items.push_back(read(object));
+        } catch (const msgpack::type_error &fault) {
+            logLine(LogLevel::Debug, "digest_item_unreadable", { { "reason", fault.what() } });
+        }
+    }
+    return items;
+}
+
 std::string text(const msgpack::object &object)
 {
     return object.as<std::string>();
@@ -60,10 +85,7 @@
 
 ServerUpdate readUpdate(const msgpack::object &object)
 {
-    if (object.type != msgpack::type::ARRAY || object.via.array.size != UpdateFields) {
-        throw msgpack::type_error();
-    }
-    const msgpack::object *field = object.via.array.ptr;
+    const auto field = fieldsOf(object, UpdateFields);
     ServerUpdate update;
     update.server = ServerId(text(field[0]));
     update.inFlight = field[1].as<std::uint32_t>();
@@ -83,10 +105,7 @@
 
 DesiredWeightsAge readDesiredWeights(const msgpack::object &object)
 {
-    if (object.type != msgpack::type::ARRAY || object.via.array.size != DesiredWeightsFields) {
-        throw msgpack::type_error();
-    }
-    const msgpack::object *field = object.via.array.ptr;
+    const auto field = fieldsOf(object, DesiredWeightsFields);
     return { .model = ModelId(text(field[0])),
              .version = field[1].as<std::uint32_t>(),
              .ageMs = field[2].as<std::uint32_t>() };
@@ -94,10 +113,7 @@
 
 DigestEcho readEcho(const msgpack::object &object)
 {
-    if (object.type != msgpack::type::ARRAY || object.via.array.size != EchoFields) {
-        throw msgpack::type_error();
-    }
-    const msgpack::object *field = object.via.array.ptr;
+    const auto field = fieldsOf(object, EchoFields);
     return { .node = text(field[0]),
              .boot = field[1].as<std::uint64_t>(),
              .sequence = field[2].as<std::uint64_t>() };
@@ -105,10 +121,7 @@
 
 CrashReport readCrashReport(const msgpack::object &object)
 {
-    if (object.type != msgpack::type::ARRAY || object.via.array.size != CrashReportFields) {
-        throw msgpack::type_error();
-    }
-    const msgpack::object *field = object.via.array.ptr;
+    const auto field = fieldsOf(object, CrashReportFields);
     return { .reporter = field[0].as<std::uint64_t>(),
              .number = field[1].as<std::uint32_t>(),
              .server = field[2].as<std::uint64_t>(),
@@ -119,30 +132,33 @@
 
 CrashRecord readCrashRecord(const msgpack::object &object)
 {
-    if (object.type != msgpack::type::ARRAY || object.via.array.size != CrashRecordFields) {
-        throw msgpack::type_error();
-    }
-    const msgpack::object *field = object.via.array.ptr;
-    CrashRecord record { .fingerprint = field[0].as<std::uint64_t>(),
-                         .depth = field[1].as<std::uint8_t>(),
-                         .crashes = {} };
-    const auto reports = field[2].as<std::vector<msgpack::object>>();
-    for (const msgpack::object &report : reports) {
-        record.crashes.push_back(readCrashReport(report));
-    }
-    return record;
+    const auto field = fieldsOf(object, CrashRecordFields);
+    return { .fingerprint = field[0].as<std::uint64_t>(),
+             .depth = field[1].as<std::uint8_t>(),
+             .crashes = readItems(field[2], readCrashReport) };
+}
+
+ServiceId readService(const msgpack::object &object)
+{
+    return ServiceId(text(object));
 }
 
 /// Reads the map that follows the array; unknown keys are those of newer builds.
 void readAdditions(const msgpack::object &object, NodeDigest &digest)
 {
-    const auto additions = object.as<std::map<std::string, msgpack::object>>();
-    if (const auto found = additions.find(std::string(LinksLostKey)); found != additions.end()) {
-        digest.linksLost = found->second.as<bool>();
+    if (object.type != msgpack::type::MAP) {
+        throw msgpack::type_error();
     }
-    if (const auto found = additions.find(std::string(LostServicesKey)); found != additions.end()) {
-        for (const std::string &service : found->second.as<std::vector<std::string>>()) {
-            digest.lostServices.emplace_back(service);
+    const std::span entries(object.via.map.ptr, object.via.map.size);
+    for (const msgpack::object_kv &entry : entries) {
+        if (entry.key.type != msgpack::type::STR) {
+            continue;
+        }
+        const std::string_view key(entry.key.via.str.ptr, entry.key.via.str.size);
+        if (key == LinksLostKey) {
+            digest.linksLost = entry.val.as<bool>();
+        } else if (key == LostServicesKey) {
+            digest.lostServices = readItems(entry.val, readService);
         }
     }
 }
@@ -239,12 +255,11 @@
             return std::nullopt;
         }
         const auto version = root.via.array.ptr[0].as<std::uint32_t>();
-        const std::uint32_t fields = root.via.array.size;
-        const bool summary = version == SummaryFormatVersion && fields == SummaryFields;
-        if (!summary && (version != FormatVersion || fields != DigestFields)) {
+        const bool summary = version == SummaryFormatVersion;
+        if (!summary && version != FormatVersion) {
             return std::nullopt;
         }
-        const msgpack::object *field = root.via.array.ptr;
+        const auto field = fieldsOf(root, summary ? SummaryFields : DigestFields);
         NodeDigest digest;
         digest.node = text(field[1]);
         digest.boot = field[2].as<std::uint64_t>();
@@ -252,22 +267,10 @@
         digest.configurationVersion = field[4].as<std::uint64_t>();
         digest.configurationAgeMs = field[5].as<std::uint32_t>();
         digest.configurationHash = field[6].as<std::uint64_t>();
-        const auto updates = field[7].as<std::vector<msgpack::object>>();
-        for (const msgpack::object &update : updates) {
-            digest.servers.push_back(readUpdate(update));
-        }
-        const auto desired = field[8].as<std::vector<msgpack::object>>();
-        for (const msgpack::object &entry : desired) {
-            digest.desiredWeights.push_back(readDesiredWeights(entry));
-        }
-        const auto echoes = field[9].as<std::vector<msgpack::object>>();
-        for (const msgpack::object &echo : echoes) {
-            digest.echoes.push_back(readEcho(echo));
-        }
-        const auto crashes = field[10].as<std::vector<msgpack::object>>();
-        for (const msgpack::object &record : crashes) {
-            digest.crashes.push_back(readCrashRecord(record));
-        }
+        digest.servers = readItems(field[7], readUpdate);
+        digest.desiredWeights = readItems(field[8], readDesiredWeights);
+        digest.echoes = readItems(field[9], readEcho);
+        digest.crashes = readItems(field[10], readCrashRecord);
         if (summary) {
             digest.summarizedZone = text(field[DigestFields]);
             if (digest.summarizedZone.empty()) {
