RelayMessage: Read pages and queries of newer builds with more fields

A page of objects was rejected if its array or that of an event had more fields than this build knows, and a query if a parameter followed those that it knows. Either would have made nodes of two builds read the store themselves during an upgrade.

Longer arrays are accepted, and parameters NAME=VALUE with other names after the known ones. An unknown content still fails the page, because it decides what the page means; the node then reads the store itself.

malformedQueriesAreRejected expected the refusal of "&more=1" after a complete query, which is what a newer build may send. In its place the test now expects the refusal of eight malformed additions, among them known parameters given twice.

--- a/Source/StoreRelay/RelayMessage.cpp
+++ b/Source/StoreRelay/RelayMessage.cpp
@@ -15,7 +15,8 @@
 
 using platform::ObjectKind;
 
-/// First element of every message; messages of other formats are rejected.
+/// First element of every message; messages of other formats are rejected. It stays as it is when
+/// fields are added, since newer builds may append fields to each array.
 constexpr std::uint32_t FormatVersion = 2;
 constexpr std::uint32_t MessageFields = 12;
 constexpr std::uint32_t EventFields = 6;
@@ -26,6 +27,9 @@
 constexpr std::size_t MaximumNesting = 16;
 
 constexpr std::string_view Prefix = "/objects/";
+constexpr std::array<std::string_view, 7> ParameterNames { "source", "after",      "began",
+                                                           "digest", "max_age_ms", "only_here",
+                                                           "wait_ms" };
 
 struct KindName
 {
@@ -42,7 +46,7 @@
 
 platform::ObjectEvent readEvent(const msgpack::object &object)
 {
-    if (object.type != msgpack::type::ARRAY || object.via.array.size != EventFields) {
+    if (object.type != msgpack::type::ARRAY || object.via.array.size < EventFields) {
         throw msgpack::type_error();
     }
     const msgpack::object *field = object.via.array.ptr;
@@ -79,6 +83,23 @@
     return value;
 }
 
+/// True for any number of `&NAME=VALUE` with names that this build doesn't know.
+bool areParametersOfNewerBuilds(std::string_view text)
+{
+    while (!text.empty()) {
+        const std::string_view parameter = text.substr(0, text.find('&', 1));
+        const std::size_t equals = parameter.find('=');
+        if (parameter.front() != '&' || equals == std::string_view::npos || equals < 2
+            || std::find(ParameterNames.begin(), ParameterNames.end(),
+                         parameter.substr(1, equals - 1))
+                != ParameterNames.end()) {
+            return false;
+        }
+        text.remove_prefix(parameter.size());
+    }
+    return true;
+}
+
 } // namespace
 
 std::string encodeRelayedEvent(const platform::StoredObject &object, bool removed)
@@ -133,7 +154,7 @@
         const msgpack::object_handle handle
             = msgpack::unpack(message.data(), size, nullptr, nullptr, limit);
         const msgpack::object &root = handle.get();
-        if (root.type != msgpack::type::ARRAY || root.via.array.size != MessageFields
+        if (root.type != msgpack::type::ARRAY || root.via.array.size < MessageFields
             || root.via.array.ptr[0].as<std::uint32_t>() != FormatVersion) {
             return makeError(ErrorKind::InvalidRequest,
                              "message of another node has an unknown format");
@@ -204,8 +225,9 @@
     const auto onlyHere = takeNumber(target, "&only_here=");
     const auto waitMs = takeNumber(target, "&wait_ms=");
     if (!source.has_value() || !sequence.has_value() || !began.has_value() || !digest.has_value()
-        || !maxAgeMs.has_value() || !onlyHere.has_value() || !waitMs.has_value() || !target.empty()
-        || *waitMs > MaxWaitMs || *maxAgeMs > MaxAgeMs || *onlyHere > 1) {
+        || !maxAgeMs.has_value() || !onlyHere.has_value() || !waitMs.has_value()
+        || !areParametersOfNewerBuilds(target) || *waitMs > MaxWaitMs || *maxAgeMs > MaxAgeMs
+        || *onlyHere > 1) {
         return std::nullopt;
     }
     return RelayQuery { .kind = kind->kind,
--- a/Tests/StoreRelay/RelayMessageTest.cpp
+++ b/Tests/StoreRelay/RelayMessageTest.cpp
@@ -90,15 +90,33 @@
 BOOST_AUTO_TEST_CASE(malformedQueriesAreRejected)
 {
     for (const char *target :
-         { "/", "/objects/", "/objects/leases?source=1&after=1&wait_ms=1",
+         { "/",
+           "/objects/",
+           "/objects/leases?source=1&after=1&wait_ms=1",
            "/objects/leases?source=1&after=1&began=1&digest=1&max_age_ms=1&only_here=0&wait_ms=1",
            "/objects/servers?source=1&after=1&began=1&digest=1&max_age_ms=1&only_here=2&wait_ms=1",
            "/objects/"
            "servers?source=1&after=1&began=1&digest=1&max_age_ms=1&only_here=0&wait_ms=99999999",
            "/objects/"
-           "servers?source=1&after=1&began=1&digest=1&max_age_ms=1&only_here=0&wait_ms=1&more=1",
+           "servers?source=1&after=1&began=1&digest=1&max_age_ms=1&only_here=0&wait_ms=1more=1",
+           "/objects/"
+           "servers?source=1&after=1&began=1&digest=1&max_age_ms=1&only_here=0&wait_ms=1&",
+           "/objects/"
+           "servers?source=1&after=1&began=1&digest=1&max_age_ms=1&only_here=0&wait_ms=1&more",
+           "/objects/"
+           "servers?source=1&after=1&began=1&digest=1&max_age_ms=1&only_here=0&wait_ms=1&=1",
+           "/objects/"
+           "servers?source=1&after=1&began=1&digest=1&max_age_ms=1&only_here=0&wait_ms=1&more=1&",
+           "/objects/"
+           "servers?source=1&after=1&began=1&digest=1&max_age_ms=1&only_here=0&wait_ms=1&wait_ms=2",
+           "/objects/"
+           "servers?source=1&after=1&began=1&digest=1&max_age_ms=1&only_here=0&wait_ms=1&more=1&"
+           "digest=2",
+           "/objects/"
+           "servers?source=1&after=1&began=1&digest=1&max_age_ms=1&only_here=0&wait_ms=1?more=1",
            "/objects/servers?source=-1&after=1&began=1&digest=1&max_age_ms=1&only_here=0&wait_ms=1",
-           "/objects/servers", "/objects/servers?source=x&after=1&wait_ms=1",
+           "/objects/servers",
+           "/objects/servers?source=x&after=1&wait_ms=1",
            "/objects/servers?source=1&after=1&wait_ms=99999999",
            "/objects/servers?source=1&after=1&wait_ms=1&more=1",
            "/objects/servers?source=-1&after=1&wait_ms=1" }) {
