ForwardingFields: Read an outcome of a newer build, pass none of its fields on

A response of a helping node with an outcome that this build does not know was taken for a broken one, and its refusal, server and version were lost. A forwarding field that this build does not know stayed in the request and the response, and so reached backend servers and callers.

An outcome that is not known is Unknown now, which promises nothing about the run; the rest is read. All fields with the prefix Jacinthroad- Forwarded- are removed.

--- a/Source/Gateway/ForwardingFields.cpp
+++ b/Source/Gateway/ForwardingFields.cpp
@@ -3,6 +3,9 @@
 #include <algorithm>
 #include <array>
 #include <charconv>
+#include <iterator>
+
+#include <boost/beast/core/string.hpp>
 
 namespace jacinthroad {
 
@@ -15,9 +18,8 @@
 constexpr const char *ServerField = "Jacinthroad-Forwarded-Server";
 constexpr const char *ResultField = "Jacinthroad-Forwarded-Result";
 constexpr const char *RefusalField = "Jacinthroad-Forwarded-Refusal";
-constexpr std::array AllFields { ByField,       ConfigurationField, SoftwareVersionField,
-                                 RepeatedField, ServerField,        ResultField,
-                                 RefusalField };
+/// Newer builds may have further fields with this prefix.
+constexpr std::string_view FieldPrefix = "Jacinthroad-Forwarded-";
 
 constexpr std::array<std::string_view, 5> OutcomeNames { "relayed", "declined", "not_sent",
                                                          "not_run", "unknown" };
@@ -107,12 +109,14 @@
 
 std::optional<ForwardedResult> readForwardedResult(const HeaderFields &fields)
 {
-    const auto *const name
-        = std::find(OutcomeNames.begin(), OutcomeNames.end(), fieldValue(fields, ResultField));
-    if (name == OutcomeNames.end()) {
+    const std::string_view name = fieldValue(fields, ResultField);
+    if (name.empty()) {
         return std::nullopt;
     }
-    return ForwardedResult { .outcome = static_cast<ForwardedOutcome>(name - OutcomeNames.begin()),
+    const auto *const known = std::find(OutcomeNames.begin(), OutcomeNames.end(), name);
+    return ForwardedResult { .outcome = known == OutcomeNames.end()
+                                 ? ForwardedOutcome::Unknown
+                                 : static_cast<ForwardedOutcome>(known - OutcomeNames.begin()),
                              .refusal = std::string(fieldValue(fields, RefusalField)),
                              .server = ServerId(std::string(fieldValue(fields, ServerField))),
                              .softwareVersion
@@ -121,8 +125,11 @@
 
 void removeForwardingFields(HeaderFields &fields)
 {
-    for (const char *name : AllFields) {
-        fields.erase(name);
+    for (auto field = fields.begin(); field != fields.end();) {
+        const bool isForwarding
+            = boost::beast::iequals(field->name_string().substr(0, FieldPrefix.size()),
+                                    { FieldPrefix.data(), FieldPrefix.size() });
+        field = isForwarding ? fields.erase(field) : std::next(field);
     }
 }
 
