GatewaySettings: Use settings with fields of a newer build, and log them

A gateway ignores such fields now and logs settings_field_unknown with the line of each, at the start and at a reload. All other faults refuse the file as before, also beside an unknown field, and settings check still names unknown fields as faults and exits with 1.

--- a/Source/Gateway/GatewaySettings.cpp
+++ b/Source/Gateway/GatewaySettings.cpp
@@ -4,6 +4,7 @@
 #include <array>
 
 #include "Core/Json.h"
+#include "Gateway/UnknownSettings.h"
 
 namespace jacinthroad {
 
@@ -225,7 +226,7 @@
 Result<GatewaySettings> readGatewaySettings(std::string_view text, std::string_view fileName)
 {
     const std::vector<std::string> faults = checkGatewaySettings(text, fileName);
-    if (!faults.empty()) {
+    if (faults.size() > unknownGatewaySettings(text, fileName).size()) {
         return makeError(ErrorKind::InvalidSettings, joinLines(faults));
     }
     const Json::Value document = *parseJson(text);
--- a/Source/Program/ServeCommand.cpp
+++ b/Source/Program/ServeCommand.cpp
@@ -10,6 +10,7 @@
 #include "Core/Log.h"
 #include "Core/ProcessFailure.h"
 #include "Gateway/Gateway.h"
+#include "Gateway/UnknownSettings.h"
 #include "Node/Node.h"
 #include "Program/Commands.h"
 #include "Program/ProgramMain.h"
@@ -70,6 +71,15 @@
     mallopt(M_MMAP_THRESHOLD, SmallestMappedBytes);
 }
 
+void logUnknownSettings(const std::string &text, const std::string &file)
+{
+    for (const std::string &line : unknownGatewaySettings(text, file)) {
+        logLine(LogLevel::Warning, "settings_field_unknown",
+                { { "reason", line },
+                  { "remedy", "The field is ignored; check its name, or the version in use." } });
+    }
+}
+
 /// Applies the settings file if it has changed. An invalid file is logged and leaves the current
 /// settings active.
 void reload(Gateway &gateway, const std::string &file, std::string &activeText)
@@ -87,6 +97,7 @@
     }
     activeText = *text;
     configureLog(settings->log);
+    logUnknownSettings(*text, file);
     gateway.reload(*settings);
     logLine(LogLevel::Info, "settings_reloaded", { { "file", file } });
 }
@@ -120,6 +131,7 @@
         return ExitCode::Failed;
     }
     configureLog(settings->log);
+    logUnknownSettings(text, file);
     auto gateway = Gateway::start(*settings);
     if (!gateway.has_value()) {
         printError(gateway.error());
--- a/Tests/Program/ServeProcess.cpp
+++ b/Tests/Program/ServeProcess.cpp
@@ -55,7 +55,10 @@
 ServeProcess::ServeProcess(const Options &options)
     : folder_(makeFolder())
 {
-    const Json::Value settings = gatewaySettings();
+    Json::Value settings = gatewaySettings();
+    if (options.unknownField) {
+        settings["listen"]["later"] = 1;
+    }
     settings_ = writeJson(settings);
     callers_ = settings["listen"]["callers"].asString();
     const std::string file = folder_ + "/settings.json";
--- a/Tests/Program/ServeProcess.h
+++ b/Tests/Program/ServeProcess.h
@@ -21,6 +21,8 @@
         std::vector<int> blockedSignals {};
         /// Starts the process with only half of the settings file written.
         bool halfSettings = false;
+        /// Adds a field to the settings that this build doesn't know.
+        bool unknownField = false;
         /// Starts the process without standard input, output and error.
         bool closedStandardFiles = false;
     };
--- a/Tests/Program/ServeStartTest.cpp
+++ b/Tests/Program/ServeStartTest.cpp
@@ -18,6 +18,13 @@
     BOOST_TEST(process.waitForOutput("\"serving\""));
 }
 
+BOOST_AUTO_TEST_CASE(settingsWithAFieldOfANewerBuildEndTheProcess)
+{
+    ServeProcess process({ .unknownField = true });
+    BOOST_TEST(process.waitForOutput("field 'listen.later': is not a known field"));
+    BOOST_TEST(process.waitUntilListening());
+}
+
 BOOST_AUTO_TEST_CASE(logOfAProcessWithoutStandardFilesGoesIntoNoSocket)
 {
     ServeProcess process({ .closedStandardFiles = true });
