Gateway: Keep fields of newer builds in objects that a node writes back

Lease, crash records and version table are read, changed and written by nodes of all builds. Whoever wrote them encoded only what it knows, so that a field of a newer build was lost with the next write of an older node during an upgrade.

A spec that can not be read is replaced as before. The write of crash records has a test of its encoding only.

--- a/Source/Gateway/CrashRecordSync.cpp
+++ b/Source/Gateway/CrashRecordSync.cpp
@@ -87,6 +87,7 @@
         platform::readCall(platform::ObjectKind::CrashRecords, ObjectName, mode),
         readLimits(timeout));
     if (reply.has_value() && reply->status == StoreStatus::Missing) {
+        stored_ = {};
         keeper_.noteMissing(call, steadyNow());
     } else if (!reply.has_value() || reply->status != StoreStatus::Done
                || !applyObject(call, reply->body)) {
@@ -116,6 +117,7 @@
                   { "reason", "written_at_ms or records is missing or mistyped" },
                   { "remedy", "The next write of a node replaces it; find its writer." } });
     }
+    stored_ = content.has_value() ? object->spec : Json::Value();
     std::vector<CrashRecord> records
         = keeper_.noteRead(call, content, object->revision, steadyNow(), wallMilliseconds());
     if (!records.empty()) {
@@ -131,7 +133,8 @@
 
 asio::awaitable<void> CrashRecordSync::write(WriteCrashRecords call)
 {
-    const Json::Value spec = crashRecordsSpec(call.content);
+    const Json::Value spec
+        = crashRecordsSpec(call.content, call.revision.has_value() ? stored_ : Json::Value());
     const auto kind = platform::ObjectKind::CrashRecords;
     platform::Call request = call.revision.has_value()
         ? platform::replaceCall(kind, ObjectName, *call.revision, spec)
@@ -145,6 +148,7 @@
     if (reply->status == StoreStatus::Done) {
         const auto object = platform::readObject(reply->body);
         if (object.has_value() && object->revision != 0) {
+            stored_ = spec;
             keeper_.noteWritten(call, object->revision, steadyNow());
             setWritable(true, {});
             co_return;
--- a/Source/Gateway/CrashRecordSync.h
+++ b/Source/Gateway/CrashRecordSync.h
@@ -52,6 +52,8 @@
     boost::asio::io_context &context_;
     StoreClient &client_;
     CrashRecordKeeper keeper_;
+    /// The spec of the object as it was last read or written; null if there is none to be kept.
+    Json::Value stored_;
     MergeHandler mergeHandler_;
     AttemptHandler attemptHandler_;
     bool attempted_ = false;
--- a/Source/Gateway/CrashRecordsObject.cpp
+++ b/Source/Gateway/CrashRecordsObject.cpp
@@ -1,11 +1,14 @@
 #include "Gateway/CrashRecordsObject.h"
 
+#include <array>
 #include <charconv>
 #include <string>
+#include <string_view>
 #include <system_error>
 #include <utility>
 
 #include "Core/Hashing.h"
+#include "Gateway/UnknownFields.h"
 
 namespace jacinthroad {
 
@@ -13,6 +16,20 @@
 
 constexpr int HexadecimalBase = 16;
 
+constexpr std::array<std::string_view, 6> ReportFields { "reporter",    "number",       "server",
+                                                         "sent_age_ms", "crash_age_ms", "cleared" };
+constexpr std::array<std::string_view, 3> ReportKey { "reporter", "number", "server" };
+constexpr std::array<std::string_view, 3> RecordFields { "fingerprint", "depth", "crashes" };
+constexpr std::array<std::string_view, 1> RecordKey { "fingerprint" };
+constexpr std::array<std::string_view, 2> ObjectFields { "written_at_ms", "records" };
+constexpr KnownFields KnownReport { .names = ReportFields };
+constexpr KnownFields KnownRecord {
+    .names = RecordFields, .list = "crashes", .item = &KnownReport, .itemKey = ReportKey
+};
+constexpr KnownFields KnownObject {
+    .names = ObjectFields, .list = "records", .item = &KnownRecord, .itemKey = RecordKey
+};
+
 std::optional<std::uint64_t> readHexadecimal(const Json::Value &value)
 {
     if (!value.isString()) {
@@ -73,7 +90,7 @@
 
 } // namespace
 
-Json::Value crashRecordsSpec(const KeptCrashRecords &content)
+Json::Value crashRecordsSpec(const KeptCrashRecords &content, const Json::Value &stored)
 {
     Json::Value spec;
     spec["written_at_ms"] = Json::Int64(content.writtenAtMs);
@@ -95,6 +112,7 @@
         }
         spec["records"].append(std::move(entry));
     }
+    keepUnknownFields(spec, stored, KnownObject);
     return spec;
 }
 
--- a/Source/Gateway/CrashRecordsObject.h
+++ b/Source/Gateway/CrashRecordsObject.h
@@ -8,8 +8,10 @@
 
 namespace jacinthroad {
 
-/// Encodes the crash records as the spec of their object in the platform's store.
-[[nodiscard]] Json::Value crashRecordsSpec(const KeptCrashRecords &content);
+/// Encodes the crash records as the spec of their object in the platform's store. Fields that newer
+/// builds have written to `stored`, the spec that it replaces, are kept.
+[[nodiscard]] Json::Value crashRecordsSpec(const KeptCrashRecords &content,
+                                           const Json::Value &stored = {});
 
 /// Decodes the crash records from the spec of their object; nothing if the spec is malformed.
 /// Malformed records and unknown fields are skipped.
--- a/Source/Gateway/LeaseObject.cpp
+++ b/Source/Gateway/LeaseObject.cpp
@@ -1,8 +1,26 @@
 #include "Gateway/LeaseObject.h"
 
+#include <array>
+#include <string_view>
+
+#include "Gateway/UnknownFields.h"
+
 namespace jacinthroad {
 
-Json::Value leaseSpec(const LeaseRecord &record)
+namespace {
+
+constexpr std::array<std::string_view, 3> NamedFields { "model", "version", "age_ms" };
+constexpr std::array<std::string_view, 2> NamedKey { "model", "version" };
+constexpr std::array<std::string_view, 6> LeaseFields { "holder",   "token", "released",
+                                                        "renewals", "era",   "named" };
+constexpr KnownFields KnownNamed { .names = NamedFields };
+constexpr KnownFields KnownLease {
+    .names = LeaseFields, .list = "named", .item = &KnownNamed, .itemKey = NamedKey
+};
+
+} // namespace
+
+Json::Value leaseSpec(const LeaseRecord &record, const Json::Value &stored)
 {
     Json::Value spec;
     spec["holder"] = record.holder;
@@ -20,6 +38,7 @@
         entry["age_ms"] = notice.ageMs;
         spec["named"].append(std::move(entry));
     }
+    keepUnknownFields(spec, stored, KnownLease);
     return spec;
 }
 
--- a/Source/Gateway/RolloutDriver.cpp
+++ b/Source/Gateway/RolloutDriver.cpp
@@ -276,18 +276,19 @@
         co_return;
     }
     if (reply->status == StoreStatus::Missing) {
-        applyLeaseRecord(std::nullopt, 0);
+        applyLeaseObject({}, 0);
     } else if (reply->status == StoreStatus::Done) {
         const auto object = platform::readObject(reply->body);
         if (object.has_value()) {
-            applyLeaseRecord(readLease(object->spec), object->revision);
+            applyLeaseObject(object->spec, object->revision);
         }
     }
 }
 
-void RolloutDriver::applyLeaseRecord(const std::optional<LeaseRecord> &record,
-                                     std::uint64_t revision)
+void RolloutDriver::applyLeaseObject(const Json::Value &spec, std::uint64_t revision)
 {
+    const std::optional<LeaseRecord> record = readLease(spec);
+    storedLease_ = record.has_value() ? spec : Json::Value();
     leaseRead_ = true;
     followEra();
     lease_.observe(record, revision, bootNow());
@@ -305,8 +306,8 @@
     }
     LeaseRecord record = std::visit([](const auto &one) { return one.record; }, *write);
     record.desiredWeightsAges = history_.ages(std::chrono::steady_clock::now());
-    const Json::Value spec = leaseSpec(record);
     const auto *replace = std::get_if<ReplaceLease>(&*write);
+    const Json::Value spec = leaseSpec(record, replace == nullptr ? Json::Value() : storedLease_);
     platform::Call call = replace == nullptr
         ? platform::createCall(platform::ObjectKind::Leases, LeaseName, spec)
         : platform::replaceCall(platform::ObjectKind::Leases, LeaseName, replace->revision, spec);
@@ -321,9 +322,10 @@
     }
     followEra();
     if (reply->status == StoreStatus::Done) {
+        storedLease_ = spec;
         lease_.noteWritten(record, object->revision, reply->sentAt);
     } else {
-        applyLeaseRecord(readLease(object->spec), object->revision);
+        applyLeaseObject(object->spec, object->revision);
     }
 }
 
--- a/Source/Gateway/RolloutDriver.h
+++ b/Source/Gateway/RolloutDriver.h
@@ -78,7 +78,7 @@
 private:
     [[nodiscard]] boost::asio::awaitable<void> step();
     [[nodiscard]] boost::asio::awaitable<void> readLeaseObject();
-    void applyLeaseRecord(const std::optional<LeaseRecord> &record, std::uint64_t revision);
+    void applyLeaseObject(const Json::Value &spec, std::uint64_t revision);
     /// Lets the lease follow the era of the store, which any response may have changed.
     void followEra();
     [[nodiscard]] boost::asio::awaitable<void> writeLease(bool wanted);
@@ -132,6 +132,8 @@
     /// Whether the lease object has been read, and when it was last requested.
     bool leaseRead_ = false;
     std::optional<BootInstant> leaseReadAt_;
+    /// The spec of the lease object as it was last read or written; null if there is none.
+    Json::Value storedLease_;
 };
 
 } // namespace jacinthroad
--- a/Source/Gateway/StreamVersionSync.cpp
+++ b/Source/Gateway/StreamVersionSync.cpp
@@ -205,6 +205,7 @@
         return {};
     }
     if (reply->status == StoreStatus::Missing) {
+        storedTable_ = {};
         served_.noteMissing(startedAt, versionsNow());
         updateAdmitted();
         return { .applied = true, .content = KeptVersions {} };
@@ -230,6 +231,7 @@
                   { "reason", "services is missing or mistyped" },
                   { "remedy", "The next write of a node replaces it; find its writer." } });
     }
+    storedTable_ = content.has_value() ? object->spec : Json::Value();
     served_.noteRead(content, object->revision, startedAt, versionsNow());
     updateAdmitted();
     tableWakeUp_.wake();
@@ -238,7 +240,8 @@
 
 asio::awaitable<void> StreamVersionSync::writeTable(WriteVersionTable call)
 {
-    const Json::Value spec = versionTableSpec(call.content);
+    const Json::Value spec
+        = versionTableSpec(call.content, call.revision.has_value() ? storedTable_ : Json::Value());
     const auto kind = ObjectKind::SoftwareVersions;
     platform::Call request = call.revision.has_value()
         ? platform::replaceCall(kind, TableName, *call.revision, spec)
@@ -249,6 +252,7 @@
     if (reply.has_value() && reply->status == StoreStatus::Done) {
         const auto object = platform::readObject(reply->body);
         if (object.has_value() && object->revision != 0) {
+            storedTable_ = spec;
             served_.noteRead(call.content, object->revision, startedAt, versionsNow());
             co_return;
         }
--- a/Source/Gateway/StreamVersionSync.h
+++ b/Source/Gateway/StreamVersionSync.h
@@ -124,6 +124,8 @@
     bool storeSettled_ = true;
     /// The revision of the last table that could not be read.
     std::uint64_t unreadableRevision_ = 0;
+    /// The spec of the table as it was last read or written; null if there is none to be kept.
+    Json::Value storedTable_;
     WakeUp tableWakeUp_;
 
     OriginLog log_;
--- a/Source/Gateway/StreamVersionsObject.cpp
+++ b/Source/Gateway/StreamVersionsObject.cpp
@@ -1,5 +1,6 @@
 #include "Gateway/StreamVersionsObject.h"
 
+#include <array>
 #include <charconv>
 #include <string>
 #include <string_view>
@@ -7,12 +8,20 @@
 #include <utility>
 
 #include "Core/Hashing.h"
+#include "Gateway/UnknownFields.h"
 
 namespace jacinthroad {
 
 namespace {
 
 constexpr int HexadecimalBase = 16;
+constexpr std::array<std::string_view, 3> RowFields { "service", "versions", "leaving" };
+constexpr std::array<std::string_view, 1> RowKey { "service" };
+constexpr std::array<std::string_view, 1> TableFields { "services" };
+constexpr KnownFields KnownRow { .names = RowFields };
+constexpr KnownFields KnownTable {
+    .names = TableFields, .list = "services", .item = &KnownRow, .itemKey = RowKey
+};
 /// Digits of one stream; the streams of a batch follow each other in one text.
 constexpr std::size_t StreamDigits = 16;
 
@@ -77,7 +86,7 @@
 
 } // namespace
 
-Json::Value versionTableSpec(const KeptVersions &content)
+Json::Value versionTableSpec(const KeptVersions &content, const Json::Value &stored)
 {
     Json::Value spec;
     spec["services"] = Json::Value(Json::arrayValue);
@@ -91,6 +100,7 @@
         }
         spec["services"].append(std::move(row));
     }
+    keepUnknownFields(spec, stored, KnownTable);
     return spec;
 }
 
--- a/Source/Gateway/StreamVersionsObject.h
+++ b/Source/Gateway/StreamVersionsObject.h
@@ -11,8 +11,10 @@
 
 namespace jacinthroad {
 
-/// Encodes the version table as the spec of its object in the platform's store.
-[[nodiscard]] Json::Value versionTableSpec(const KeptVersions &content);
+/// Encodes the version table as the spec of its object in the platform's store. Fields that newer
+/// builds have written to `stored`, the spec that it replaces, are kept.
+[[nodiscard]] Json::Value versionTableSpec(const KeptVersions &content,
+                                           const Json::Value &stored = {});
 
 /// Decodes the version table; nothing if the spec is malformed. Malformed rows and unknown fields
 /// are skipped.
--- a/Tests/Gateway/StreamVersionSyncTest.cpp
+++ b/Tests/Gateway/StreamVersionSyncTest.cpp
@@ -98,6 +98,24 @@
 
 BOOST_AUTO_TEST_SUITE(StreamVersionSyncTest)
 
+BOOST_AUTO_TEST_CASE(versionAddedByThisBuildRemovesFieldsOfANewerBuildFromTheTable)
+{
+    StoreStandIn store;
+    store.put(
+        TableKind, "table",
+        *parseJson(R"({"later":1,"services":[{"service":"svc","versions":["v1"],"later":2}]})"));
+    SyncNode node(store, "front-1");
+    for (const VersionSet &versions : { VersionSet { "v1", "v2" }, { "v1", "v2", "v3" } }) {
+        node.list(versions);
+        node.context.run_for(Soon);
+        const Json::Value table = store.spec(TableKind, "table");
+        BOOST_TEST(table["later"].asInt() == 1);
+        BOOST_REQUIRE(table["services"].size() == 1U);
+        BOOST_TEST(table["services"][0]["versions"].size() == versions.size());
+        BOOST_TEST(table["services"][0]["later"].asInt() == 2);
+    }
+}
+
 BOOST_AUTO_TEST_CASE(versionsAreAdmittedOnceTheStoreHasThemAndIdleNodesMakeNoCalls)
 {
     StoreStandIn store;
