--- a/Source/Gateway/UnknownSettings.cpp
+++ b/Source/Gateway/UnknownSettings.cpp
@@ -15,7 +15,8 @@
         return unknown;
     }
     for (const std::string &name : value.getMemberNames()) {
-        const std::string fieldPath = path.empty() ? name : path + "." + name;
+        std::string fieldPath = path;
+        fieldPath.append(path.empty() ? "" : ".").append(name);
         const auto rule = std::find_if(schema.fields.begin(), schema.fields.end(),
                                        [&](const FieldRule &one) { return one.name == name; });
         if (rule == schema.fields.end()) {
