--- a/Source/Gateway/ForwardingFields.h
+++ b/Source/Gateway/ForwardingFields.h
@@ -70,9 +70,11 @@
 [[nodiscard]] std::optional<ForwardedRequest> readForwardedRequest(const HeaderFields &fields);
 /// Sets the fields of a helping node's response.
 void setForwardedResult(HeaderFields &fields, const ForwardedResult &result);
-/// Decodes them; nullopt if the response is not that of a helping node.
+/// Decodes them; nullopt if the response is not that of a helping node. An outcome that this build
+/// doesn't know is Unknown.
 [[nodiscard]] std::optional<ForwardedResult> readForwardedResult(const HeaderFields &fields);
-/// Removes all fields that nodes set for each other, whoever has sent them.
+/// Removes all fields that nodes set for each other, also those of other builds, whoever has sent
+/// them.
 void removeForwardingFields(HeaderFields &fields);
 
 } // namespace jacinthroad
--- a/Source/Gateway/GatewaySettings.h
+++ b/Source/Gateway/GatewaySettings.h
@@ -62,7 +62,8 @@
 [[nodiscard]] std::vector<std::string> checkGatewaySettings(std::string_view text,
                                                             std::string_view fileName);
 
-/// Parses a settings text; fails with InvalidSettings and the lines of checkGatewaySettings().
+/// Parses a settings text; fails with InvalidSettings and the lines of checkGatewaySettings()
+/// unless all of them are those of unknownGatewaySettings().
 [[nodiscard]] Result<GatewaySettings> readGatewaySettings(std::string_view text,
                                                           std::string_view fileName);
 
