Gateway: Keep unknown fields of the revision that is replaced only

A node keeps what it doesn't know of a shared object when it writes that back. It took the fields from the last reply, also from one that its record of the object ignored: a stale read of the crash records, or a read of the version table that a write had overtaken. The next write then brought old fields of a newer build back, or removed its new ones.

The spec is now kept only if the reply's revision is the one in the record. Found by review and reading; no test crosses two replies. CrashRecordSyncTest, StreamVersionSyncTest and RecordedObjectsTest pass.

--- a/Source/Gateway/CrashRecordSync.cpp
+++ b/Source/Gateway/CrashRecordSync.cpp
@@ -87,8 +87,10 @@
         platform::readCall(platform::ObjectKind::CrashRecords, ObjectName, mode),
         readLimits(timeout));
     if (reply.has_value() && reply->status == StoreStatus::Missing) {
-        stored_ = {};
         keeper_.noteMissing(call, steadyNow());
+        if (!keeper_.revision().has_value()) {
+            stored_ = {};
+        }
     } else if (!reply.has_value() || reply->status != StoreStatus::Done
                || !applyObject(call, reply->body)) {
         keeper_.noteReadFailed(steadyNow());
@@ -117,9 +119,12 @@
                   { "reason", "written_at_ms or records is missing or mistyped" },
                   { "remedy", "The next write of a node replaces it; find its writer." } });
     }
-    stored_ = content.has_value() ? object->spec : Json::Value();
     std::vector<CrashRecord> records
         = keeper_.noteRead(call, content, object->revision, steadyNow(), wallMilliseconds());
+    // A stale read is ignored.
+    if (keeper_.revision() == object->revision) {
+        stored_ = content.has_value() ? object->spec : Json::Value();
+    }
     if (!records.empty()) {
         if (!attempted_) {
             logLine(LogLevel::Info, "crash_records_read",
--- a/Source/Gateway/StreamVersionSync.cpp
+++ b/Source/Gateway/StreamVersionSync.cpp
@@ -205,8 +205,10 @@
         return {};
     }
     if (reply->status == StoreStatus::Missing) {
-        storedTable_ = {};
         served_.noteMissing(startedAt, versionsNow());
+        if (!served_.revision().has_value()) {
+            storedTable_ = {};
+        }
         updateAdmitted();
         return { .applied = true, .content = KeptVersions {} };
     }
@@ -231,8 +233,11 @@
                   { "reason", "services is missing or mistyped" },
                   { "remedy", "The next write of a node replaces it; find its writer." } });
     }
-    storedTable_ = content.has_value() ? object->spec : Json::Value();
     served_.noteRead(content, object->revision, startedAt, versionsNow());
+    // A reply that a later one has overtaken is ignored.
+    if (served_.revision() == object->revision) {
+        storedTable_ = content.has_value() ? object->spec : Json::Value();
+    }
     updateAdmitted();
     tableWakeUp_.wake();
     return { .applied = true, .content = std::move(content) };
@@ -252,8 +257,10 @@
     if (reply.has_value() && reply->status == StoreStatus::Done) {
         const auto object = platform::readObject(reply->body);
         if (object.has_value() && object->revision != 0) {
-            storedTable_ = spec;
             served_.noteRead(call.content, object->revision, startedAt, versionsNow());
+            if (served_.revision() == object->revision) {
+                storedTable_ = spec;
+            }
             co_return;
         }
     }
--- a/Source/Quarantine/CrashRecordKeeper.h
+++ b/Source/Quarantine/CrashRecordKeeper.h
@@ -104,6 +104,8 @@
 
     /// True once the object has been read, or found missing.
     [[nodiscard]] bool known() const { return known_; }
+    /// The revision of the object as it was last read or written; nothing if there is none.
+    [[nodiscard]] std::optional<std::uint64_t> revision() const { return revision_; }
 
 private:
     enum class Coverage : std::uint8_t { Complete, LacksOthers, LacksOwn };
--- a/Source/StreamVersions/ServedVersions.h
+++ b/Source/StreamVersions/ServedVersions.h
@@ -74,6 +74,8 @@
     [[nodiscard]] std::optional<VersionTableCall> nextCall(Instant now) const;
     /// Returns when nextCall() or admitted() may change without a further event.
     [[nodiscard]] std::optional<Instant> nextChange(Instant now) const;
+    /// The revision of the table that was last applied; nothing if there is none.
+    [[nodiscard]] std::optional<std::uint64_t> revision() const { return revision_; }
 
     /// Records the content of the object, as of a call that began at `startedAt`. Nothing for
     /// `content` stands for an unreadable object. A response that newer calls have overtaken is
