Soak: Judge requests that are read ahead and dropped, and new keys' other refusals

read-dropped looked for discarded bytes only, which since are counted behind refusals alone; a request that was read ahead behind a last response shows as read bytes. denied left out all 3xx and 4xx of callers with new keys, though configuration-late judges 401, 403 and 404 only. Both checks are stricter now. Found by review.

--- a/Tests/Soak/NodeLogJudge.cpp
+++ b/Tests/Soak/NodeLogJudge.cpp
@@ -53,7 +53,8 @@
         } else if (event == "request_cut") {
             log.outcomes[(*line)["request_id"].asString()] = event;
         } else if (event == "connection_closed" && (*line)["reason"] == "responded"
-                   && (*line)["requests"].asInt() > 0 && (*line)["discarded_bytes"].asInt64() > 0) {
+                   && (*line)["requests"].asInt() > 0
+                   && (*line)["discarded_bytes"].asInt64() + (*line)["read_bytes"].asInt64() > 0) {
             log.dropped.push_back(withBuild(node, build) + ": " + text);
         } else if (std::find(FailureEvents.begin(), FailureEvents.end(), event)
                    != FailureEvents.end()) {
--- a/Tests/Soak/SoakJudge.cpp
+++ b/Tests/Soak/SoakJudge.cpp
@@ -87,8 +87,11 @@
     } else if (record.stamped) {
         add("not-own", "failure with a server's stamp although no server failed it");
     }
+    // BuildJudge checks when keys are in force.
+    const bool mayBeTooNew
+        = record.newKey && (record.status == 401 || record.status == 403 || record.status == 404);
     if (looksComplete && record.status >= 300 && record.status < 500
-        && !promisesNotRun(record.status) && !record.newKey) {
+        && !promisesNotRun(record.status) && !mayBeTooNew) {
         add("denied", "refused although every configuration allows it");
     }
     if (record.outcome == CallerOutcome::NotHttp) {
