CallerSession: Wait until a slow caller has received its last response

A caller that took the last response of its connection slowly and sent a further request later than 500 ms behind it lost the rest of the response: the node had closed its socket with bytes that were not acknowledged, and what came then was answered by a reset. The close waited only if bytes were unread at 500 ms.

It now waits as long as TCP has bytes without acknowledgement, whatever has arrived; TCP ends the connection of a caller that takes nothing. In a stop such a connection counts until the node answers what is left.

Found by review. responseToASlowReaderThatHasSentMoreIsCut, extended by a request sent 800 ms behind the response, got 32768 of 150000 bytes before; it passes, as do CallerSessionTest, DrainTest, RequestCutTest and ListenerTest.

--- a/Source/Gateway/CallerSession.cpp
+++ b/Source/Gateway/CallerSession.cpp
@@ -10,8 +10,6 @@
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/asio/write.hpp>
-#include <netinet/tcp.h>
-#include <sys/socket.h>
 
 #include "Core/Log.h"
 #include "Gateway/BodyMemory.h"
@@ -64,15 +62,6 @@
         || (!encoding.empty() && header.count(http::field::content_length) > 0);
 }
 
-/// True if the caller has closed or reset its connection, also behind bytes that are not read.
-bool hasReceivedClose(asio::ip::tcp::socket &socket)
-{
-    tcp_info info {};
-    socklen_t size = sizeof(info);
-    return getsockopt(socket.native_handle(), IPPROTO_TCP, TCP_INFO, &info, &size) == 0
-        && (info.tcpi_state == TCP_CLOSE_WAIT || info.tcpi_state == TCP_CLOSE);
-}
-
 } // namespace
 
 CallerSession::CallerSession(TrafficState &state, asio::ip::tcp::socket socket,
@@ -195,9 +184,9 @@
 void CallerSession::closeOnceReceived()
 {
     timer_.expireAfter(LingerTimeout, [self = shared_from_this()] {
-        // Closing a socket with unread bytes sends a reset, which could discard the response. If
-        // the caller takes nothing, TCP ends the connection.
-        if (peek(self->socket_) == PeekResult::Data && hasUnacknowledgedBytes(self->socket_)) {
+        // Bytes that are unread at the close, or come after it, reset the connection, which could
+        // discard the response. If the caller takes nothing, TCP ends the connection.
+        if (hasUnacknowledgedBytes(self->socket_)) {
             self->closeOnceReceived();
         } else {
             self->close(CloseReason::Responded);
@@ -365,9 +354,13 @@
     if (responseComplete) {
         socket_.shutdown(asio::ip::tcp::socket::shutdown_send, error);
         closeOnceReceived();
-        co_await socket_.async_wait(asio::ip::tcp::socket::wait_read,
-                                    asio::redirect_error(asio::use_awaitable, error));
-        if (!error && peek(socket_) == PeekResult::Data) {
+        PeekResult arrived = PeekResult::NoData;
+        while (!error && arrived == PeekResult::NoData) {
+            co_await socket_.async_wait(asio::ip::tcp::socket::wait_read,
+                                        asio::redirect_error(asio::use_awaitable, error));
+            arrived = peek(socket_);
+        }
+        if (!error && arrived == PeekResult::Data) {
             // The caller has sent more; its close ends both directions.
             co_await socket_.async_wait(asio::ip::tcp::socket::wait_error,
                                         asio::redirect_error(asio::use_awaitable, error));
--- a/Source/Gateway/CallerSession.h
+++ b/Source/Gateway/CallerSession.h
@@ -103,11 +103,10 @@
     [[nodiscard]] boost::asio::awaitable<void> closeHalfClosed(std::string request);
     /// Closes the connection after `limit` unless the timer is rearmed or cancelled before.
     void scheduleClose(Duration limit, CloseReason reason);
-    /// The same behind a complete response; later if closing the connection would reset it before
-    /// the caller has received the response.
+    /// Closes the connection behind a complete response once the caller has received that.
     void closeOnceReceived();
-    /// The same while a request is being read. What has arrived by then is read first, which a
-    /// stall of the thread may have held up.
+    /// Closes the connection after `limit` while a request is being read. What has arrived by then
+    /// is read first, which a stall of the thread may have held up.
     void limitReading(Duration limit, CloseReason reason);
     /// The same for the header of a request that has begun to arrive at `since`. A configuration
     /// may raise the limit until its end.
--- a/Tests/Gateway/CallerSessionTest.cpp
+++ b/Tests/Gateway/CallerSessionTest.cpp
@@ -383,8 +383,17 @@
     constexpr std::size_t BodyBytes = 150000;
     // Longer than the waits for the caller's close together.
     constexpr Duration ReadPause = milliseconds(3000);
-    for (const bool halfClosed : { false, true }) {
-        BOOST_TEST_CONTEXT("caller has closed its sending side: " << halfClosed)
+    // Behind the first wait for the caller's close.
+    constexpr Duration LateSend = milliseconds(800);
+    struct Course
+    {
+        bool halfClosed;
+        Duration sendAfter;
+    };
+    for (const auto [halfClosed, sendAfter] :
+         { Course { false, {} }, Course { true, {} }, Course { false, LateSend } }) {
+        BOOST_TEST_CONTEXT("caller has closed its sending side: "
+                           << halfClosed << ", sends after " << toMilliseconds(sendAfter) << " ms")
         {
             SessionFixture fixture(
                 [&](ScriptedConnection &connection, const ReceivedRequest &request) {
@@ -400,6 +409,8 @@
                 return fixture.metrics.render().find("{outcome=\"answered\"} 1")
                     != std::string::npos;
             }));
+            fixture.context.restart();
+            fixture.context.run_for(sendAfter);
             fixture.send();
             if (halfClosed) {
                 fixture.caller.shutdown(asio::ip::tcp::socket::shutdown_send);
