CallerSession: Decline headers that only an older configuration forbids

A helping node whose configuration has a lower limit for headers than that of the node that had admitted a request answered 431, which the caller got. Found by review.

helpingNodeWithOlderLimitsRefusesAHeaderForItsSize got 431 in place of 503 before; it passes.

--- a/Source/Gateway/CallerSession.cpp
+++ b/Source/Gateway/CallerSession.cpp
@@ -521,7 +521,11 @@
 asio::awaitable<void> CallerSession::refuseUnread(ErrorKind kind, const Parser &parser)
 {
     RequestId request;
-    if (kind == ErrorKind::PayloadTooLarge && hasOlderConfiguration(parser)) {
+    // A header that another node has admitted is too long for an older configuration only.
+    const bool olderLimit = kind == ErrorKind::HeaderTooLarge
+        ? source_ == RequestSource::Peer
+        : kind == ErrorKind::PayloadTooLarge && hasOlderConfiguration(parser);
+    if (olderLimit) {
         kind = ErrorKind::NotReady;
     }
     if (parser.is_header_done()) {
--- a/Tests/Gateway/ForwardingTest.cpp
+++ b/Tests/Gateway/ForwardingTest.cpp
@@ -644,6 +644,26 @@
     BOOST_TEST(fixture.received() == 0U);
 }
 
+BOOST_AUTO_TEST_CASE(helpingNodeWithOlderLimitsRefusesAHeaderForItsSize)
+{
+    CutNodeFixture fixture;
+    fixture.helper.configure(1, { "k1" });
+    Json::Value spec = fixture.helper.store.spec("config", "main");
+    spec["limits"]["maxHeaderBytes"] = 1000;
+    fixture.helper.store.put("config", "main", spec);
+    fixture.cut.configure(2, { "k1" });
+    spec = fixture.cut.store.spec("config", "main");
+    spec["limits"]["maxHeaderBytes"] = 16000;
+    fixture.cut.store.put("config", "main", spec);
+    fixture.startConfigured();
+    const auto response
+        = fixture.cut.call("POST", "/unsafe/a?" + std::string(8000, 'x'), std::string("ab"));
+    BOOST_REQUIRE(response != nullptr);
+    BOOST_TEST(response->result_int() == 503U);
+    BOOST_TEST(statesNotRun(*response));
+    BOOST_TEST(fixture.received() == 0U);
+}
+
 BOOST_AUTO_TEST_CASE(requestFailsIfItsHelpingNodeHasNoMemoryForItsBody)
 {
     constexpr std::size_t LongBodyBytes = 2'500'000;
