--- a/Tests/Gateway/CallerSessionTest.cpp
+++ b/Tests/Gateway/CallerSessionTest.cpp
@@ -373,7 +373,13 @@
     BOOST_TEST(fixture.receive("token 1").find("Connection: close") != std::string::npos);
     fixture.send();
     BOOST_TEST(fixture.run(milliseconds(20)).empty());
-    fixture.closeCaller(milliseconds(400));
+    fixture.caller.close();
+    const Instant limit = std::chrono::steady_clock::now() + milliseconds(400);
+    while (!closed && std::chrono::steady_clock::now() < limit) {
+        fixture.context.restart();
+        fixture.context.run_for(milliseconds(1));
+        std::this_thread::sleep_for(milliseconds(1));
+    }
     BOOST_TEST(closed);
     fixture.run(ServerWait);
 }
