Exchange: Leave a silent helping node out of the next choice

A stream of a node without links was cut while the node that helped it stood still for 1.5 s, beside planned work: a response that was begun and broken off.

Cause: a helping node that is silent for a second is treated as a silent server, but was not counted as tried. The forwarding node asked the same node again, gave the first attempt up 300 ms after that, and had none left when the second was declined. As with servers, the silent one is left out of the next choice now, so that the first attempt goes on if no other node can help, and a request that was given up for another node may return to it.

streamIsCutWhenItsHelpingNodeStandsStill got no complete response in 3 of 3 runs before and passes 3 of 3, as do ForwardingTest, RequestCutTest, SilentServerTest, ShortSilenceTest and BrittleServerTest.

--- a/Source/Gateway/SilentAttempt.cpp
+++ b/Source/Gateway/SilentAttempt.cpp
@@ -69,7 +69,10 @@
     attempt->eventSplitter = eventSplitter_;
     attempt->delimiter = delimiter_;
     eventSplitter_.startResumedStream();
-    if (!attempt->isForwarded()) {
+    if (attempt->isForwarded()) {
+        // Which server the helping node has sent the request to isn't known without a response.
+        triedHelpers_.push_back(attempt->helper);
+    } else {
         triedServers_.push_back(attempt->placement.server);
         sentServers_.push_back(attempt->placement.server);
     }
@@ -134,7 +137,11 @@
     attempt->waiting = false;
     const AttemptCleanup cleanup { *attempt };
     finishAttempt(*attempt, AttemptResult::Superseded);
-    std::erase(triedServers_, attempt->placement.server);
+    if (attempt->isForwarded()) {
+        std::erase(triedHelpers_, attempt->helper);
+    } else {
+        std::erase(triedServers_, attempt->placement.server);
+    }
 }
 
 void Exchange::dropSilentAttempt()
--- a/Tests/Gateway/ForwardingTest.cpp
+++ b/Tests/Gateway/ForwardingTest.cpp
@@ -423,6 +423,43 @@
     BOOST_TEST(response->body() == event(1) + event(2));
 }
 
+BOOST_AUTO_TEST_CASE(streamIsCutWhenItsHelpingNodeStandsStill)
+{
+    constexpr milliseconds Standstill { 1700 };
+    std::atomic<unsigned> requests { 0 };
+    ScriptedServer standing([&](ScriptedConnection &connection) {
+        ReceivedRequest request;
+        while (connection.read(request)) {
+            const bool first = requests++ == 0;
+            std::string head = streamHead(request);
+            head.insert(head.find("\r\n") + 2, "Jacinthroad-Forwarded-Result: relayed\r\n");
+            if (first) {
+                connection.write(head + chunk(event(1)));
+            }
+            std::this_thread::sleep_for(Standstill);
+            if (first) {
+                connection.write(chunk(event(2)) + "0\r\n\r\n");
+            }
+        }
+    });
+    CutNodeFixture fixture;
+    fixture.helper.configure(1, { "k1" });
+    fixture.cut.configure(1, { "k1" });
+    fixture.listUnreachable(fixture.cut);
+    fixture.cut.addPeer(fixture.helper);
+    Json::Value node = fixture.cut.store.spec("nodes", fixture.helper.settings.name);
+    node["forwarding"] = standing.address();
+    fixture.cut.store.put("nodes", fixture.helper.settings.name, node);
+    fixture.helper.addPeer(fixture.cut);
+    fixture.helper.start();
+    fixture.cut.start();
+    CutNodeFixture::awaitPeers();
+    const auto response = fixture.cut.call("POST", "/stream/a", "prompt", StreamHeaders);
+    BOOST_REQUIRE(response != nullptr);
+    BOOST_TEST(response->body() == event(1) + event(2));
+    BOOST_TEST(requests == 1U);
+}
+
 BOOST_AUTO_TEST_CASE(nodesWithoutLinksForwardToEachOther)
 {
     CutNodeFixture fixture;
