HttpClient: Bound responses that servers send without end

A faulty service or engine that sent bytes without end was kept in memory as long as it sent: HttpClient counted neither header lines nor bodies, and ServiceSession, PlatformClient and the fetch of a peer's patches appended all of it. The node ran out of memory, and the requests of all its callers ended with it.

Each call has a limit on the body (16 MB; none for a stream, which isn't kept) and on header lines, trailers and interim responses (64 KB). Responses of services also take memory from a common budget, limits.response_memory_bytes. The text of a response without a stream ends at 16 MB. The caller gets what it gets from a server that breaks off.

The test of tokens without a stream was not run before the change.

--- a/Source/Http/HttpClient.cpp
+++ b/Source/Http/HttpClient.cpp
@@ -5,6 +5,7 @@
 #include <cmath>
 #include <future>
 #include <mutex>
+#include <optional>
 #include <thread>
 #include <unordered_map>
 #include <utility>
@@ -16,6 +17,7 @@
 #include <sys/eventfd.h>
 #include <unistd.h>
 
+#include "Core/Log.h"
 #include "Core/Overloaded.h"
 
 namespace jacinthroad {
@@ -25,6 +27,9 @@
 constexpr int MaximumPollMilliseconds = 1000;
 constexpr std::size_t EventsPerPoll = 64;
 constexpr long ConnectionCacheSize = 256;
+/// Maximum size in bytes of the header and trailer lines of a response and of all interim
+/// responses before it.
+constexpr std::size_t MaximumHeaderBytes = 64 * 1024;
 
 struct CurlList
 {
@@ -46,6 +51,30 @@
     HttpHeaders headers;
     bool headersComplete = false;
     bool headersReported = false;
+    std::size_t headerBytes = 0;
+    std::size_t bodyBytes = 0;
+    /// Memory of the body.
+    std::optional<MemoryReservation> memory;
+
+    /// Counts bytes of the body before they are delivered. Returns false if they exceed a limit.
+    [[nodiscard]] bool takeBody(std::size_t bytes)
+    {
+        const std::size_t size = bodyBytes + bytes;
+        if ((call.maximumResponseBytes > 0 && size > call.maximumResponseBytes)
+            || (memory.has_value() && !memory->resize(size))) {
+            return false;
+        }
+        bodyBytes = size;
+        return true;
+    }
+    void giveBackBody(std::size_t bytes)
+    {
+        bodyBytes -= bytes;
+        if (memory.has_value()) {
+            // A smaller reservation always fits.
+            static_cast<void>(memory->resize(bodyBytes));
+        }
+    }
 };
 
 /// Returns true if the header of a response states where its body ends. Otherwise the body ends
@@ -76,11 +105,30 @@
     }
 }
 
+/// Ends a transfer when a callback returns it for bytes that were received.
+constexpr std::size_t EndTransfer = 0;
+
+void logTooLong(const Transfer &transfer)
+{
+    // A query may hold what its caller keeps secret.
+    const std::string_view url = transfer.call.url;
+    logLine(LogLevel::Warning, "response_too_long",
+            { { "url", url.substr(0, url.find('?')) },
+              { "header_bytes", static_cast<std::int64_t>(transfer.headerBytes) },
+              { "body_bytes", static_cast<std::int64_t>(transfer.bodyBytes) },
+              { "remedy", "Check the server, or raise limits.response_memory_bytes." } });
+}
+
 size_t onBody(char *bytes, size_t, size_t count, void *context)
 {
     auto &transfer = *static_cast<Transfer *>(context);
     reportHeaders(transfer);
+    if (!transfer.takeBody(count)) {
+        logTooLong(transfer);
+        return EndTransfer;
+    }
     if (transfer.events.onData && !transfer.events.onData({ bytes, count })) {
+        transfer.giveBackBody(count);
         return CURL_WRITEFUNC_PAUSE;
     }
     return count;
@@ -90,6 +138,11 @@
 {
     auto &transfer = *static_cast<Transfer *>(context);
     const std::string_view line(bytes, count);
+    transfer.headerBytes += count;
+    if (transfer.headerBytes > MaximumHeaderBytes) {
+        logTooLong(transfer);
+        return EndTransfer;
+    }
     if (line.starts_with("HTTP/")) {
         transfer.headers.clear();
         transfer.headersComplete = false;
@@ -172,6 +225,9 @@
     CallId start(HttpCall call, HttpCallEvents events)
     {
         auto transfer = std::make_unique<Transfer>();
+        if (call.responseMemory != nullptr) {
+            transfer->memory.emplace(call.responseMemory, BodyKind::Response);
+        }
         transfer->call = std::move(call);
         transfer->events = std::move(events);
         CallId id = 0;
--- a/Source/Http/HttpClient.h
+++ b/Source/Http/HttpClient.h
@@ -1,11 +1,13 @@
 #pragma once
 
+#include <cstddef>
 #include <cstdint>
 #include <functional>
 #include <memory>
 #include <string>
 #include <string_view>
 
+#include "Core/MemoryBudget.h"
 #include "Core/Time.h"
 #include "Http/HttpMessage.h"
 
@@ -13,16 +15,21 @@
 
 /// Outcome of an HTTP call.
 enum class CallOutcome : std::uint8_t {
-    /// The complete response was received, as its length or its last chunk shows.
+    /// The complete response was received, as its length or its last chunk shows, with a status
+    /// that a server may give.
     Completed,
     /// No byte of the request was sent, so the server cannot have received it.
     NotSent,
-    /// The connection failed after some of the request may have been sent.
+    /// The connection failed after some of the request may have been sent, or what the server sent
+    /// is no response or exceeds a limit.
     Interrupted,
     TimedOut,
     Cancelled,
 };
 
+/// Maximum size in bytes of the body of a response that its receiver keeps.
+constexpr std::size_t MaximumResponseBytes = 16 * 1024 * 1024;
+
 /// One HTTP call and its limits.
 struct HttpCall
 {
@@ -33,6 +40,12 @@
     Duration connectTimeout = std::chrono::seconds(2);
     /// Limit on the duration of the entire call; zero means no limit.
     Duration totalTimeout = Duration::zero();
+    /// Limit on the bytes of the response's body; zero means no limit, for a receiver that doesn't
+    /// keep them.
+    std::size_t maximumResponseBytes = MaximumResponseBytes;
+    /// The budget that the body of the response takes memory from while the call runs; none if
+    /// null.
+    std::shared_ptr<MemoryBudget> responseMemory {};
     /// Uses a new connection and closes it afterwards. On a reused one a late response to an
     /// earlier request can be taken for this call's, and libcurl retries a request of any method
     /// when the connection turns out to be closed.
--- a/Source/Node/ModelSession.cpp
+++ b/Source/Node/ModelSession.cpp
@@ -88,6 +88,7 @@
                                          .cacheSalt = cacheSalt(options_.salt),
                                          .priority = enginePriority(effect.rank, now),
                                          .resumeAfterTokens = deliveredTokens_ }),
+                    .maximumResponseBytes = 0,
                     .ownConnection = true };
     const ServerId server = effect.server;
     attempt->call
@@ -171,7 +172,8 @@
     if (winner_ == attempt->number) {
         deliverLocked(*attempt, output);
     }
-    if (state == RelayState::Crossed || state == RelayState::Malformed) {
+    const bool tooLong = text_.size() > MaximumResponseBytes;
+    if (state == RelayState::Crossed || state == RelayState::Malformed || tooLong) {
         endLocked(*attempt, AttemptEnd::Crossed);
         traffic_.client(options_.number).cancel(attempt->call);
     } else if (state == RelayState::Complete && winner_ == attempt->number) {
--- a/Source/Node/NodeSettings.cpp
+++ b/Source/Node/NodeSettings.cpp
@@ -107,7 +107,7 @@
 } };
 constexpr ObjectSchema PeerSchema { "peers", PeerFields };
 
-constexpr std::array<FieldRule, 6> LimitFields { {
+constexpr std::array<FieldRule, 7> LimitFields { {
     { .name = "traffic_threads",
       .type = FieldType::Integer,
       .defaultText = "1",
@@ -136,6 +136,13 @@
       .maximum = 67108864,
       .unit = "bytes",
       .help = "response bytes buffered for one slow caller before its engine stream is paused" },
+    { .name = "response_memory_bytes",
+      .type = FieldType::Integer,
+      .defaultText = "134217728",
+      .minimum = 16777216,
+      .maximum = 1099511627776,
+      .unit = "bytes",
+      .help = "memory that responses of services take together while they are received" },
     { .name = "max_connections",
       .type = FieldType::Integer,
       .defaultText = "4096",
@@ -355,6 +362,7 @@
         .maximumBodyBytes = static_cast<std::size_t>(limits.integer("max_body_bytes")),
         .maximumHeaderBytes = static_cast<std::size_t>(limits.integer("max_header_bytes")),
         .streamBufferBytes = static_cast<std::size_t>(limits.integer("stream_buffer_bytes")),
+        .responseMemoryBytes = static_cast<std::size_t>(limits.integer("response_memory_bytes")),
         .maximumConnections = static_cast<unsigned>(limits.integer("max_connections")),
         .idleTimeoutSeconds = static_cast<unsigned>(limits.integer("idle_timeout_s")),
         .policy = routing.text("policy"),
--- a/Source/Node/ServiceSession.cpp
+++ b/Source/Node/ServiceSession.cpp
@@ -71,6 +71,7 @@
                     .url = base + options_.target,
                     .body = options_.request.body,
                     .totalTimeout = options_.service.callTimeout,
+                    .responseMemory = traffic_.responseMemory,
                     .ownConnection = true };
     if (const auto type = findHeader(options_.request.headers, "content-type")) {
         call.headers.emplace_back("Content-Type", *type);
--- a/Source/Node/TrafficContext.h
+++ b/Source/Node/TrafficContext.h
@@ -6,6 +6,7 @@
 #include <vector>
 
 #include "Configuration/Configuration.h"
+#include "Core/MemoryBudget.h"
 #include "Http/HttpClient.h"
 #include "Node/ControlLoop.h"
 #include "Node/NodeSettings.h"
@@ -28,6 +29,9 @@
     ControlLoop &control;
     std::vector<std::unique_ptr<HttpClient>> clients;
     std::atomic<std::shared_ptr<const NodeSnapshot>> snapshot;
+    /// Memory of the responses of services.
+    std::shared_ptr<MemoryBudget> responseMemory
+        = std::make_shared<MemoryBudget>(settings.responseMemoryBytes);
 
     /// The client of one session; sessions are distributed over the clients by number.
     [[nodiscard]] HttpClient &client(std::uint64_t session)
--- a/Tests/Node/NodeTest.cpp
+++ b/Tests/Node/NodeTest.cpp
@@ -338,6 +338,46 @@
     }
 }
 
+BOOST_AUTO_TEST_CASE(responseOfAServiceWithoutEndIsKeptUntilMemoryIsFull)
+{
+    constexpr std::size_t EnoughBytes = 64 * 1024 * 1024;
+    constexpr std::size_t MostBytes = 28 * 1024 * 1024;
+    std::atomic<std::size_t> written { 0 };
+    std::atomic<bool> ended { false };
+    ScriptedServer service([&](ScriptedConnection &connection) {
+        boost::beast::http::request<boost::beast::http::string_body> request;
+        if (!connection.read(request)) {
+            return;
+        }
+        if (request.target() != "/endless") {
+            connection.write(responseText(200, "", "whole"));
+            return;
+        }
+        const std::string block(65536, 'x');
+        connection.write("HTTP/1.1 200 OK\r\nContent-Length: 100000000000\r\n\r\n");
+        while (written < EnoughBytes && !connection.waitForClose(milliseconds(0))) {
+            connection.write(block);
+            written += block.size();
+        }
+        ended = true;
+    });
+    LocalClusterOptions options = smallBench();
+    options.profile.serviceInstances = 0;
+    options.serviceUrls = { "http://" + service.address() };
+    Fixture node(options);
+    const HttpHeaders key { { "Idempotency-Key", "k-1" } };
+    const Json::Value error
+        = node.errorOf(node.post("/services/turnos-prestamo/endless", "{}", key));
+    BOOST_TEST(error["kind"].asString() == "outcome_unknown");
+    for (int tries = 0; tries < 500 && !ended; ++tries) {
+        std::this_thread::sleep_for(milliseconds(10));
+    }
+    BOOST_TEST(ended.load());
+    BOOST_TEST(written <= MostBytes);
+    const HttpHeaders other { { "Idempotency-Key", "k-2" } };
+    BOOST_TEST(node.post("/services/turnos-prestamo/a", "{}", other).response.body == "whole");
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 BOOST_AUTO_TEST_SUITE(EngineResponseTest)
@@ -372,6 +412,53 @@
     BOOST_TEST(mostOnOneConnection == 1);
 }
 
+BOOST_AUTO_TEST_CASE(tokensWithoutEndAreKeptForACallerWithoutAStream)
+{
+    constexpr std::size_t TokenBytes = 256 * 1024;
+    constexpr std::size_t EnoughBytes = 96 * 1024 * 1024;
+    constexpr std::size_t MostBytes = 48 * 1024 * 1024;
+    std::atomic<std::size_t> written { 0 };
+    std::atomic<int> open { 0 };
+    ScriptedServer engine([&](ScriptedConnection &connection) {
+        boost::beast::http::request<boost::beast::http::string_body> request;
+        while (connection.read(request)) {
+            if (!request.target().starts_with("/v1/")) {
+                connection.write(responseText(200, "", "{}"));
+                continue;
+            }
+            ++open;
+            const std::string id(request["X-Request-Id"]);
+            const std::string text = R"({"choices":[{"delta":{"content":")"
+                + std::string(TokenBytes, 'x') + R"("}}]})";
+            connection.write("HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n\r\n");
+            for (int token = 1; written < EnoughBytes; ++token) {
+                if (connection.waitForClose(milliseconds(0))) {
+                    break;
+                }
+                connection.write("id: " + id + ":" + std::to_string(token) + "\ndata: " + text
+                                 + "\n\n");
+                written += TokenBytes;
+            }
+            --open;
+            return;
+        }
+    });
+    LocalClusterOptions options = smallBench();
+    options.engines = 1;
+    options.engineUrls = { "http://" + engine.address() };
+    Fixture node(options);
+    for (int call = 0; call < 20 && written == 0; ++call) {
+        const std::string body = R"({"model":"orientador","messages":[{"role":"user","content":")"
+            + std::to_string(call) + R"("}]})";
+        static_cast<void>(node.post("/v1/chat/completions", body));
+    }
+    BOOST_TEST(written > 0U);
+    for (int tries = 0; tries < 500 && open > 0; ++tries) {
+        std::this_thread::sleep_for(milliseconds(10));
+    }
+    BOOST_TEST(written <= MostBytes);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 BOOST_AUTO_TEST_SUITE(NodesTest)
