HttpClient: Take no status outside 200 to 599 for the end of a call

A service that answered with 101, 600 or 999 had its response passed on; the caller of one with 101 got a closed connection after 30 s, and a booking was stored as done. Such a response counts as broken off. libcurl refuses 000 and 042 itself.

--- a/Source/Http/HttpClient.cpp
+++ b/Source/Http/HttpClient.cpp
@@ -92,6 +92,14 @@
     });
 }
 
+/// Returns true if the status is one that ends a request (RFC 9110, section 15).
+bool isFinalStatus(long status)
+{
+    constexpr long FirstFinal = 200;
+    constexpr long FirstInvalid = 600;
+    return status >= FirstFinal && status < FirstInvalid;
+}
+
 void reportHeaders(Transfer &transfer)
 {
     if (transfer.headersReported) {
@@ -169,7 +177,8 @@
         // libcurl also takes a response as complete that its server broke off inside the header.
         long status = 0;
         curl_easy_getinfo(handle, CURLINFO_RESPONSE_CODE, &status);
-        return transfer.headersComplete && namesBodyEnd(static_cast<int>(status), transfer.headers)
+        return transfer.headersComplete && isFinalStatus(status)
+                && namesBodyEnd(static_cast<int>(status), transfer.headers)
             ? CallOutcome::Completed
             : CallOutcome::Interrupted;
     }
--- a/Tests/Node/NodeTest.cpp
+++ b/Tests/Node/NodeTest.cpp
@@ -378,6 +378,34 @@
     BOOST_TEST(node.post("/services/turnos-prestamo/a", "{}", other).response.body == "whole");
 }
 
+BOOST_AUTO_TEST_CASE(statusOfAServiceOutsideTheProtocolEndsItsCallersConnection)
+{
+    for (const std::string status : { "000", "042", "101", "600", "999" }) {
+        ScriptedServer service([&](ScriptedConnection &connection) {
+            boost::beast::http::request<boost::beast::http::string_body> request;
+            if (connection.read(request)) {
+                connection.write("HTTP/1.1 " + status
+                                 + " Odd\r\nContent-Length: 2\r\nConnection: close\r\n\r\nok");
+            }
+        });
+        LocalClusterOptions options = smallBench();
+        options.profile.serviceInstances = 0;
+        options.serviceUrls = { "http://" + service.address() };
+        Fixture node(options);
+        const auto result = performCall(
+            node.client,
+            { .url = node.bench.callerUrl(0) + "/services/turnos-prestamo/a",
+              .headers = { { "Authorization", "Bearer " + LocalCluster::teamKey(0) } },
+              .totalTimeout = std::chrono::seconds(30) });
+        BOOST_TEST((result.outcome == CallOutcome::Completed), status);
+        BOOST_TEST(result.response.status == 502, status);
+        const HttpHeaders key { { "Idempotency-Key", "k-" + status } };
+        const auto claimed = node.post("/services/turnos-prestamo/a", "{}", key);
+        BOOST_TEST((claimed.outcome == CallOutcome::Completed), status);
+        BOOST_TEST(claimed.response.status >= 500, status);
+    }
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 BOOST_AUTO_TEST_SUITE(EngineResponseTest)
