Exchange: Take no response for complete whose server resets the upload

A server answered a long upload at once, with a 200 without a length, sent a part of its body and reset the connection while the request was still being written; the caller got the part as a complete response. The system tells only one of a pending read and a pending write of a reset. The write was told, its error was dropped, and the read found the end of the connection, which ends such a body.

A response that ends with its connection is complete only if the server hasn't ended the write, and the connection hasn't failed. While the request is still being written, the exchange waits for that up to 500 ms; a server that leaves the rest unread and doesn't reset has ended its response in order.

--- a/Source/Gateway/ExchangeAttempt.cpp
+++ b/Source/Gateway/ExchangeAttempt.cpp
@@ -48,6 +48,9 @@
 /// number of stalls.
 constexpr Duration ReadingStall = milliseconds(5);
 constexpr unsigned MaxStallsAfterDeadline = 10;
+/// Time for which a server that has ended its response may leave the rest of the request unread
+/// before the response counts as complete.
+constexpr Duration UnreadRequestTime = milliseconds(500);
 /// Interval of the check whether a server that runs a retryable request has stopped responding.
 constexpr Duration LivenessCheckInterval = milliseconds(100);
 /// Time without data on a connection after which a retryable request is sent to another server.
@@ -118,6 +121,14 @@
     }
 }
 
+void Exchange::Attempt::noteWriteEnd(const error_code &error)
+{
+    requestWritten = !error;
+    writeFailed = error && error != asio::error::operation_aborted;
+    closeWriter();
+    writeEnd.cancel();
+}
+
 asio::awaitable<Exchange::AttemptResult> Exchange::runAttempt(const Placement &placement)
 {
     auto attempt = std::make_shared<Attempt>(state_.context);
@@ -265,10 +276,8 @@
     }
     // The server may respond before it has read the request, so writing and reading overlap.
     http::async_write(attempt.writer.has_value() ? *attempt.writer : attempt.connection->socket,
-                      attempt.forwardedRequest, [shared](error_code error, std::size_t) {
-                          shared->requestWritten = !error;
-                          shared->closeWriter();
-                      });
+                      attempt.forwardedRequest,
+                      [shared](error_code error, std::size_t) { shared->noteWriteEnd(error); });
 }
 
 Exchange::AttemptResult Exchange::failure(Attempt &attempt, const error_code &error)
@@ -438,6 +447,15 @@
         // Helping nodes mark the end of their responses.
         co_return false;
     }
+    // The system tells only one of a pending read and a pending write of a reset.
+    if (!attempt.requestWritten && !attempt.writeFailed) {
+        error_code ignored;
+        attempt.writeEnd.expires_after(UnreadRequestTime);
+        co_await attempt.writeEnd.async_wait(asio::redirect_error(asio::use_awaitable, ignored));
+    }
+    if (attempt.writeFailed || hasFailed(attempt.connection->socket)) {
+        co_return false;
+    }
     const bool refused
         = co_await state_.crashDetector.refusesConnections(attempt.placement.address);
     serverEnded_ = refused;
--- a/Source/Gateway/ExchangeAttempt.h
+++ b/Source/Gateway/ExchangeAttempt.h
@@ -5,6 +5,7 @@
 #include <optional>
 #include <utility>
 
+#include <boost/asio/steady_timer.hpp>
 #include <boost/beast/http.hpp>
 
 #include "Gateway/ConnectionPool.h"
@@ -21,6 +22,7 @@
     explicit Attempt(boost::asio::io_context &context)
         : deadlineTimer(context)
         , livenessTimer(context)
+        , writeEnd(context)
     { }
 
     /// Without a server if the request is forwarded.
@@ -56,6 +58,10 @@
     /// True if a retry of the budget has paid for the send.
     bool paid = false;
     bool requestWritten = false;
+    /// True if the write of the request was ended by the server.
+    bool writeFailed = false;
+    /// Cancelled when the write of the request ends.
+    boost::asio::steady_timer writeEnd;
     /// True if the request was sent to the server that it had been taken from.
     bool isReturn = false;
     /// When the request was first sent to another server while this attempt's one may run it.
@@ -93,6 +99,8 @@
     /// of a descriptor only together. Without a free descriptor there is none.
     void openWriter();
     void closeWriter();
+    /// Notes how the write of the request has ended.
+    void noteWriteEnd(const boost::system::error_code &error);
 
     /// True if the read can be ended without the write of the request.
     [[nodiscard]] bool canInterruptRead() const
--- a/Source/Gateway/SocketOptions.cpp
+++ b/Source/Gateway/SocketOptions.cpp
@@ -126,6 +126,14 @@
         && (info.tcpi_state == TCP_CLOSE_WAIT || info.tcpi_state == TCP_CLOSE);
 }
 
+bool hasFailed(boost::asio::ip::tcp::socket &socket)
+{
+    tcp_info info {};
+    socklen_t size = sizeof(info);
+    return getsockopt(socket.native_handle(), IPPROTO_TCP, TCP_INFO, &info, &size) == 0
+        && info.tcpi_state == TCP_CLOSE;
+}
+
 std::size_t readAvailable(boost::asio::ip::tcp::socket &socket, boost::asio::mutable_buffer buffer,
                           boost::system::error_code &error)
 {
--- a/Source/Gateway/SocketOptions.h
+++ b/Source/Gateway/SocketOptions.h
@@ -64,6 +64,10 @@
 /// True if the peer has closed or reset the connection, also behind bytes that are not read.
 [[nodiscard]] bool hasReceivedClose(boost::asio::ip::tcp::socket &socket);
 
+/// True if the connection has ended by a reset or another error, whichever call was told of it.
+/// After an orderly end of the peer's direction it hasn't.
+[[nodiscard]] bool hasFailed(boost::asio::ip::tcp::socket &socket);
+
 /// Reads what a connection has received, without waiting. Returns 0 and no error if that is nothing
 /// or a signal came in between; sets `error` if the connection has ended, as peek() does.
 [[nodiscard]] std::size_t readAvailable(boost::asio::ip::tcp::socket &socket,
--- a/Tests/Gateway/ScriptedServer.cpp
+++ b/Tests/Gateway/ScriptedServer.cpp
@@ -61,6 +61,20 @@
     return recv(socket_.native_handle(), &byte, 1, MSG_PEEK) <= 0;
 }
 
+void ScriptedConnection::endWriting()
+{
+    error_code ignored;
+    socket_.shutdown(asio::ip::tcp::socket::shutdown_send, ignored);
+}
+
+void ScriptedConnection::skip(std::chrono::milliseconds limit)
+{
+    std::vector<char> bytes(65536);
+    pollfd state { .fd = socket_.native_handle(), .events = POLLIN, .revents = 0 };
+    while (poll(&state, 1, static_cast<int>(limit.count())) == 1
+           && recv(socket_.native_handle(), bytes.data(), bytes.size(), 0) > 0) { }
+}
+
 void ScriptedConnection::reset()
 {
     const std::lock_guard lock(mutex_);
--- a/Tests/Gateway/ScriptedServer.h
+++ b/Tests/Gateway/ScriptedServer.h
@@ -36,6 +36,11 @@
     void write(const std::string &bytes);
     /// Waits until the peer closes the connection or `limit` has passed; returns true if it closed.
     [[nodiscard]] bool waitForClose(std::chrono::milliseconds limit);
+    /// Ends the own direction of the connection; the peer may go on writing.
+    void endWriting();
+    /// Reads and drops what the peer writes until it closes the connection or writes nothing for
+    /// `limit`.
+    void skip(std::chrono::milliseconds limit);
     /// Closes the connection with a TCP reset.
     void reset();
     /// Closes the connection in an orderly way.
