Exchange: Count long events against the memory for bodies

Bodies of responses have a common budget, parts of events had none: up to 256 KB for each stream, so that slow servers which send an event without end could take a node over its memory together. From 4 KB on they take memory of the budget. A response that is given up frees what was kept of it at once; before, all that failed in the same turn of the loop failed for want of memory that others of them still held.

Such a stream was logged with ended_by node, which means a fault of the node. It ends by 'size' now, and counts as ended by its server where the exchange asks whether another one may be tried.

--- a/Source/Gateway/Exchange.cpp
+++ b/Source/Gateway/Exchange.cpp
@@ -357,6 +357,7 @@
         if (end == AttemptResult::ResponseReceived && headerDelivered_) {
             // Something other than the rest of the stream.
             serverBrokeOff_ = true;
+            responseTooLong_ = false;
             response_.reset();
             responseMemory_.reset();
             end = AttemptResult::StreamBroken;
@@ -649,7 +650,8 @@
                            .callerLeft = end.endedByCaller,
                            .limitReached = end.limitReached,
                            .limitedByStop = limitedByStop_,
-                           .serverBrokeOff = serverBrokeOff_ });
+                           .serverBrokeOff = serverBrokeOff_,
+                           .responseTooLong = responseTooLong_ });
     const Instant now = std::chrono::steady_clock::now();
     // Each request counts at the node of its caller.
     if (source_ == RequestSource::Caller) {
--- a/Source/Gateway/Exchange.h
+++ b/Source/Gateway/Exchange.h
@@ -191,6 +191,12 @@
     /// Returns whether a response that ends with its connection is complete: a server whose process
     /// has ended may have broken it off anywhere.
     [[nodiscard]] boost::asio::awaitable<bool> isCompleteAtClose(Attempt &attempt);
+    /// Gives up a response that exceeds a limit; frees what was kept of it, as other responses wait
+    /// for the memory.
+    [[nodiscard]] AttemptResult giveUpResponse(Attempt &attempt, std::string_view event);
+    /// Reserves memory for the event of which a part has been received. Returns false if the budget
+    /// for bodies has no room.
+    [[nodiscard]] bool reserveEvent(Attempt &attempt);
     /// Encodes events for the caller; the first call puts the response header in front.
     [[nodiscard]] std::string frameEvents(Attempt &attempt,
                                           const boost::beast::http::response_header<> &header,
@@ -447,6 +453,8 @@
     bool limitedByStop_ = false;
     /// True if the server broke off the last attempt that ran the request and didn't end by itself.
     bool serverBrokeOff_ = false;
+    /// True if that attempt's response was given up because it was too long.
+    bool responseTooLong_ = false;
 };
 
 } // namespace jacinthroad
--- a/Source/Gateway/ExchangeAttempt.cpp
+++ b/Source/Gateway/ExchangeAttempt.cpp
@@ -39,6 +39,8 @@
 /// Boost 1.74 takes any stated length as too long for a parser without a limit.
 constexpr std::uint64_t NoBodyLimit = std::numeric_limits<std::uint64_t>::max();
 constexpr std::uint32_t MaxHeaderBytes = 64 * 1024;
+/// Bytes of an event that take no memory of the budget for bodies.
+constexpr std::size_t UsualEventBytes = 4 * 1024;
 /// A request with a body of this size at most fits into the send buffer of its connection, so that
 /// one write passes it to the system.
 constexpr std::size_t MaxBodyBytesInOneWrite = 8 * 1024;
@@ -285,9 +287,9 @@
     connectionError_ = error;
     partialEventBytes_ = eventSplitter_.partialEvent().size();
     attempt.endedByServer = !attempt.timedOut && isEndOfConnection(error);
-    // What a server sends that is no valid response breaks it off too; one that is too long
-    // doesn't.
-    serverBrokeOff_ = error && !isOwnClose(error) && error != http::error::body_limit;
+    // What a server sends that is no valid response breaks it off too.
+    serverBrokeOff_ = error && !isOwnClose(error);
+    responseTooLong_ = error == http::error::body_limit;
     if (callerDisconnected_) {
         return AttemptResult::CallerDisconnected;
     }
@@ -397,13 +399,7 @@
         std::string &body = parser.get().body();
         if (!reserveForRead(*attempt.bodyMemory, body, parser.content_length(), connection.buffer,
                             MaxResponseBytes)) {
-            logLine(LogLevel::Warning, "response_too_long",
-                    { { "request_id", callerRequest_.id.text() },
-                      { "server", attempt.placement.server.text() },
-                      { "bytes", static_cast<std::int64_t>(body.size()) },
-                      { "body_memory_bytes", static_cast<std::int64_t>(state_.bodyMemory->used()) },
-                      { "remedy", "Check the server, or raise memory.total_mb." } });
-            co_return failure(attempt, {});
+            co_return giveUpResponse(attempt, "response_too_long");
         }
         co_await http::async_read_some(connection.socket, connection.buffer, parser,
                                        asio::redirect_error(asio::use_awaitable, error));
@@ -518,10 +514,8 @@
                 co_return AttemptResult::CallerDisconnected;
             }
         }
-        if (eventSplitter_.eventTooLong()) {
-            logLine(LogLevel::Warning, "event_too_long",
-                    { { "server", attempt.placement.server.text() } });
-            co_return failure(attempt, {});
+        if (eventSplitter_.eventTooLong() || !reserveEvent(attempt)) {
+            co_return giveUpResponse(attempt, "event_too_long");
         }
         if (attempt.wasInterrupted(error)) {
             co_return AttemptResult::Silent;
@@ -563,6 +557,38 @@
     co_return AttemptResult::Delivered;
 }
 
+Exchange::AttemptResult Exchange::giveUpResponse(Attempt &attempt, std::string_view event)
+{
+    const std::size_t bytes = attempt.bodyParser != nullptr
+        ? attempt.bodyParser->get().body().size()
+        : eventSplitter_.partialEvent().size();
+    logLine(LogLevel::Warning, event,
+            { { "request_id", callerRequest_.id.text() },
+              { "server", attempt.placement.server.text() },
+              { "bytes", static_cast<std::int64_t>(bytes) },
+              { "body_memory_bytes", static_cast<std::int64_t>(state_.bodyMemory->used()) },
+              { "remedy", "Check the server, or raise memory.total_mb." } });
+    const AttemptResult end = failure(attempt, http::error::body_limit);
+    if (attempt.bodyParser != nullptr) {
+        attempt.bodyParser->get().body() = {};
+    }
+    eventSplitter_.dropPartialEvent();
+    attempt.bodyMemory.reset();
+    return end;
+}
+
+bool Exchange::reserveEvent(Attempt &attempt)
+{
+    const std::size_t bytes = eventSplitter_.partialEvent().size();
+    if (!attempt.bodyMemory.has_value()) {
+        if (bytes <= UsualEventBytes) {
+            return true;
+        }
+        attempt.bodyMemory.emplace(state_.bodyMemory, BodyKind::Response);
+    }
+    return attempt.bodyMemory->resize(bytes);
+}
+
 std::string Exchange::frameEvents(Attempt &attempt, const http::response_header<> &header,
                                   std::string_view events)
 {
--- a/Source/Gateway/RequestEnd.cpp
+++ b/Source/Gateway/RequestEnd.cpp
@@ -18,13 +18,16 @@
     if (facts.limitReached) {
         return facts.limitedByStop ? RequestEnd::Stop : RequestEnd::Limit;
     }
+    if (facts.responseTooLong) {
+        return RequestEnd::Size;
+    }
     return facts.serverBrokeOff ? RequestEnd::Server : RequestEnd::Node;
 }
 
 std::string_view endedByName(RequestEnd end)
 {
-    constexpr std::array<std::string_view, 6> Names { "",       "caller", "limit",
-                                                      "server", "stop",   "node" };
+    constexpr std::array<std::string_view, 7> Names { "",     "caller", "limit", "server",
+                                                      "size", "stop",   "node" };
     return Names[static_cast<std::size_t>(end)];
 }
 
--- a/Source/Gateway/RequestEnd.h
+++ b/Source/Gateway/RequestEnd.h
@@ -17,6 +17,8 @@
     Limit,
     /// The server, or the helping node, broke off its response.
     Server,
+    /// The response exceeded a size that the node keeps, or the memory for bodies.
+    Size,
     /// The grace period of a stop was about to end, or the process has ended.
     Stop,
     /// This node cut the response for none of these reasons, which is a fault.
@@ -34,6 +36,8 @@
     bool limitedByStop = false;
     /// True if the last run of the request was broken off by its server.
     bool serverBrokeOff = false;
+    /// True if the response of that run was given up because it was too long.
+    bool responseTooLong = false;
 };
 
 /// Returns how a request ended of which an exchange knows these facts.
--- a/Source/Gateway/SilentAttempt.cpp
+++ b/Source/Gateway/SilentAttempt.cpp
@@ -128,6 +128,7 @@
     } else {
         silentGivenUp_ = true;
         serverBrokeOff_ = false;
+        responseTooLong_ = false;
         silent.abort();
     }
 }
--- a/Tests/Gateway/EndlessResponseTest.cpp
+++ b/Tests/Gateway/EndlessResponseTest.cpp
@@ -1,6 +1,7 @@
 #include <atomic>
 #include <thread>
 #include <utility>
+#include <vector>
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
@@ -174,6 +175,63 @@
     BOOST_TEST(written <= MaxTakenBytes + SystemBufferBytes);
 }
 
+// Each event is within its limit, but not all together.
+BOOST_AUTO_TEST_CASE(partsOfEventsTakeMoreMemoryTogetherThanBodiesMay)
+{
+    constexpr int Streams = 20;
+    constexpr std::size_t PartBytes = 150'000;
+    GatewayFixture fixture;
+    // A quarter of it is for bodies.
+    fixture.settings.memoryMb = 4;
+    std::atomic<bool> release { false };
+    std::atomic<int> begun { 0 };
+    std::atomic<int> closed { 0 };
+    for (const char *name : { "e1", "e2", "e3" }) {
+        fixture.addServer(
+            name, "engines", [&](ScriptedConnection &connection, const ReceivedRequest &request) {
+                if (request.target().starts_with("/-/")) {
+                    connection.write(responseText(404, "", ""));
+                    return true;
+                }
+                connection.write(streamHead(request) + chunk(event(1))
+                                 + chunk("id: 2\ndata: " + std::string(PartBytes, 'x')));
+                ++begun;
+                while (!release) {
+                    if (connection.waitForClose(milliseconds(10))) {
+                        ++closed;
+                        return false;
+                    }
+                }
+                connection.write(chunk("\n\n") + "0\r\n\r\n");
+                return true;
+            });
+    }
+    fixture.configure(1, { "k1" });
+    fixture.start();
+    std::atomic<int> whole { 0 };
+    std::vector<std::thread> callers;
+    for (int number = 0; number < Streams; ++number) {
+        callers.emplace_back([&] {
+            const auto response = fixture.call("POST", "/once/a", "prompt",
+                                               "Authorization: Bearer k1\r\nX-Model: m\r\n");
+            whole += response != nullptr && response->body().size() > PartBytes ? 1 : 0;
+        });
+    }
+    for (int tries = 0; tries < 200 && begun < Streams; ++tries) {
+        std::this_thread::sleep_for(milliseconds(10));
+    }
+    std::this_thread::sleep_for(milliseconds(200));
+    release = true;
+    for (std::thread &caller : callers) {
+        caller.join();
+    }
+    BOOST_TEST(begun == Streams);
+    constexpr int MostKept = 1'000'000 / PartBytes;
+    BOOST_TEST(closed >= Streams - MostKept);
+    BOOST_TEST(whole == Streams - closed);
+    BOOST_TEST(whole > 0);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace jacinthroad
--- a/Tests/Gateway/RequestEndTest.cpp
+++ b/Tests/Gateway/RequestEndTest.cpp
@@ -37,6 +37,15 @@
     BOOST_TEST(endedByName(RequestEnd::Node) == "node");
 }
 
+BOOST_AUTO_TEST_CASE(responseWithoutEndIsNotEndedByItsNode)
+{
+    const RequestEnd end = requestEnd({ .serverBrokeOff = true, .responseTooLong = true });
+    BOOST_TEST((end == RequestEnd::Size));
+    BOOST_TEST(endedByName(end) == "size");
+    BOOST_TEST(
+        (requestEnd({ .limitReached = true, .responseTooLong = true }) == RequestEnd::Limit));
+}
+
 BOOST_AUTO_TEST_CASE(closeByThisNodeIsToldFromOneByTheOtherSide)
 {
     BOOST_TEST(isOwnClose(boost::asio::error::bad_descriptor));
