--- a/Tests/Soak/Disturbance.cpp
+++ b/Tests/Soak/Disturbance.cpp
@@ -35,6 +35,7 @@
     { Disturbance::CacheEvents, "cache-events" },
     { Disturbance::FullServers, "full-servers" },
     { Disturbance::LogPipe, "log-pipe" },
+    { Disturbance::EndlessResponses, "endless-responses" },
     { Disturbance::FullDisk, "full-disk" },
 });
 
@@ -57,7 +58,7 @@
     Disturbances usual = allDisturbances();
     for (const Disturbance special :
          { Disturbance::LogLimit, Disturbance::CacheEvents, Disturbance::FullServers,
-           Disturbance::LogPipe, Disturbance::FullDisk }) {
+           Disturbance::LogPipe, Disturbance::FullDisk, Disturbance::EndlessResponses }) {
         usual.erase(special);
     }
     return usual;
--- a/Tests/Soak/Disturbance.h
+++ b/Tests/Soak/Disturbance.h
@@ -63,6 +63,8 @@
     FullServers,
     /// The reader of a node's log pipe stands still.
     LogPipe,
+    /// Backend servers send bytes without end, until their connection is closed.
+    EndlessResponses,
     /// The disk of a node's log is full from its start to its end.
     FullDisk,
 };
--- a/Tests/Soak/NodeLogJudge.cpp
+++ b/Tests/Soak/NodeLogJudge.cpp
@@ -54,6 +54,8 @@
             }
             if ((*line)["ended_by"] == "node") {
                 log.cutByNode.push_back(withBuild(node, build) + ": " + text);
+            } else if ((*line)["ended_by"] == "size") {
+                log.cutBySize[id] = withBuild(node, build) + ": " + text;
             }
         } else if (event == "request_cut") {
             log.outcomes[(*line)["request_id"].asString()] = event;
@@ -82,8 +84,17 @@
         violations.push_back({ .check = "read-dropped", .text = dropped });
     }
     std::set<std::string> run;
+    std::set<std::string> brokenOff;
     for (const ServerRun &each : observations.runs) {
         run.insert(each.requestId);
+        if (each.brokenOff) {
+            brokenOff.insert(each.requestId);
+        }
+    }
+    for (const auto &[id, text] : observations.nodeLog.cutBySize) {
+        if (!brokenOff.contains(id)) {
+            violations.push_back({ .check = "cut-by-node", .text = text });
+        }
     }
     for (const CallerRecord &record : observations.records) {
         const auto found = observations.nodeLog.outcomes.find(record.id);
--- a/Tests/Soak/ResponsePlan.cpp
+++ b/Tests/Soak/ResponsePlan.cpp
@@ -26,6 +26,29 @@
     }
 }
 
+/// Lets the response go on without end, in its header or in its body.
+void makeEndless(ResponsePlan &plan, std::mt19937_64 &random)
+{
+    constexpr std::size_t EndlessBytes = 16384;
+    plan.end = ResponseEnd::Endless;
+    plan.header = !oneIn(random, 3);
+    // Slow servers keep many responses open at the same time.
+    plan.endlessTime = milliseconds(oneIn(random, 2) ? 0 : between(random, 1, 200));
+    plan.endlessBytes = std::string(EndlessBytes, 'x');
+    if (plan.header) {
+        cutPieces(plan, true, random);
+        return;
+    }
+    const std::array<std::string, 3> begins { "", "HTTP/1.1 200 OK\r\nX-Line: ",
+                                              "HTTP/1.1 200 OK\r\n" };
+    const int choice = between(random, 0, 2);
+    plan.delimiter = Delimiter::ConnectionEnd;
+    plan.pieces = { begins[static_cast<std::size_t>(choice)] };
+    if (choice == 2) {
+        plan.endlessBytes = "X-Line: " + std::string(100, 'x') + "\r\n";
+    }
+}
+
 } // namespace
 
 ResponsePlan planResponse(const std::vector<std::string> &pieces, bool stream,
@@ -34,6 +57,7 @@
     constexpr int BreakOffOneIn = 8;
     constexpr int CrashOneIn = 6;
     constexpr int LateBytesOneIn = 12;
+    constexpr int EndlessOneIn = 6;
     std::mt19937_64 random(seed);
     ResponsePlan plan { .pieces = pieces };
     plan.workTime = milliseconds(between(random, 1, 40));
@@ -44,7 +68,10 @@
     plan.http10 = plan.delimiter == Delimiter::ConnectionEnd && oneIn(random, 4);
     plan.connectionClose
         = plan.delimiter == Delimiter::ConnectionEnd ? oneIn(random, 2) : oneIn(random, 20);
-    if (faults.breakOff && !pieces.empty() && oneIn(random, BreakOffOneIn)) {
+    if (faults.endless && !pieces.empty() && plan.delimiter != Delimiter::Length
+        && oneIn(random, EndlessOneIn)) {
+        makeEndless(plan, random);
+    } else if (faults.breakOff && !pieces.empty() && oneIn(random, BreakOffOneIn)) {
         const bool insidePiece = oneIn(random, 2);
         const bool lives = plan.delimiter != Delimiter::ConnectionEnd || (stream && insidePiece);
         if (faults.crash && oneIn(random, CrashOneIn)) {
--- a/Tests/Soak/ResponsePlan.h
+++ b/Tests/Soak/ResponsePlan.h
@@ -20,6 +20,8 @@
     Close,
     /// Broken off by the end of the server's process.
     Crash,
+    /// Followed by bytes that don't end until the connection is closed.
+    Endless,
 };
 
 /// What a backend server sends after a complete response on the same connection.
@@ -46,6 +48,9 @@
     std::vector<std::string> pieces;
     Duration workTime {};
     Duration pieceTime {};
+    /// What the server repeats without end behind the pieces, and the time between two.
+    std::string endlessBytes;
+    Duration endlessTime {};
     LateBytes lateBytes = LateBytes::None;
     Duration lateBy {};
     /// The late bytes come when the next request does, before its response.
@@ -57,6 +62,7 @@
 {
     bool breakOff = false;
     bool secondResponse = false;
+    bool endless = false;
     /// The server may end its process.
     bool crash = false;
 };
--- a/Tests/Soak/SoakJudge.h
+++ b/Tests/Soak/SoakJudge.h
@@ -87,6 +87,8 @@
     std::vector<std::string> dropped;
     /// Lines of requests that a node cut though neither caller, limit, server nor stop ended them.
     std::vector<std::string> cutByNode;
+    /// The lines of requests whose response exceeded a size, by request.
+    std::map<std::string, std::string> cutBySize;
     /// By request that a node forwarded: the node that it forwarded it to last.
     std::map<std::string, std::string> forwardedTo;
     /// By request that a node got from another one: the build that it ran.
--- a/Tests/Soak/SoakServers.cpp
+++ b/Tests/Soak/SoakServers.cpp
@@ -24,6 +24,8 @@
 
 /// Longest wait for a slot of a request that states no time.
 constexpr int LongestQueueMs = 3000;
+/// Longer than the time limit of any request.
+constexpr Duration LongestEndlessResponse = std::chrono::seconds(20);
 
 std::string versionName(int number)
 {
@@ -387,6 +389,7 @@
     const ResponseFaults faults {
         .breakOff = ownFaults_ && disturbances_.contains(Disturbance::BreakOff),
         .secondResponse = ownFaults_ && disturbances_.contains(Disturbance::SecondResponse),
+        .endless = ownFaults_ && disturbances_.contains(Disturbance::EndlessResponses),
         .crash = mayCrash(boot)
     };
     const std::string resumeAfter(request["Last-Event-Id"]);
@@ -448,6 +451,10 @@
     case ResponseEnd::Crash:
         crash(boot, false);
         return false;
+    case ResponseEnd::Endless:
+        writeEndlessly(boot, connection, plan);
+        connection.reset();
+        return false;
     case ResponseEnd::Whole:
         break;
     }
@@ -458,6 +465,21 @@
     return plan.delimiter != Delimiter::ConnectionEnd;
 }
 
+void SoakServers::writeEndlessly(const Boot &boot, ScriptedConnection &connection,
+                                 const ResponsePlan &plan)
+{
+    constexpr std::size_t EnoughBytes = 64 * 1024 * 1024;
+    const Instant end = std::chrono::steady_clock::now() + LongestEndlessResponse;
+    const std::string bytes
+        = plan.delimiter == Delimiter::Chunks ? chunkOf(plan.endlessBytes) : plan.endlessBytes;
+    for (std::size_t written = 0; written < EnoughBytes && boot.up
+         && std::chrono::steady_clock::now() < end && !connection.waitForClose(milliseconds(0));
+         written += bytes.size()) {
+        connection.write(bytes);
+        std::this_thread::sleep_for(plan.endlessTime);
+    }
+}
+
 void SoakServers::crashByRequest(Boot &boot, ScriptedConnection &connection,
                                  const ReceivedRequest &request, bool byKey)
 {
--- a/Tests/Soak/SoakServers.h
+++ b/Tests/Soak/SoakServers.h
@@ -167,6 +167,9 @@
                            const ReceivedRequest &request, ServerArrival arrival, LateState &late);
     void crashByRequest(Boot &boot, ScriptedConnection &connection, const ReceivedRequest &request,
                         bool byKey);
+    /// Writes what the plan repeats until the node closes the connection, or no node would wait.
+    static void writeEndlessly(const Boot &boot, ScriptedConnection &connection,
+                               const ResponsePlan &plan);
     [[nodiscard]] bool endResponse(Boot &boot, ScriptedConnection &connection, std::size_t run,
                                    const ResponsePlan &plan);
 
