CallerSessionTest: Give the slow reader a buffer that TCP goes on to fill

With a receive buffer of 4096 bytes, TCP sends the rest of a response only with probes, up to 5.5 s after the reader goes on, when the limit of 6 s on unacknowledged data ends the connection.

--- a/Tests/Gateway/CallerSessionTest.cpp
+++ b/Tests/Gateway/CallerSessionTest.cpp
@@ -400,6 +400,8 @@
 BOOST_AUTO_TEST_CASE(responseToASlowReaderThatHasSentMoreIsCut)
 {
     constexpr std::size_t BodyBytes = 150000;
+    // With a smaller one, TCP sends the rest only with probes, which may last longer than its limit.
+    constexpr int CallerBufferBytes = 32768;
     // Longer than the waits for the caller's close together.
     constexpr Duration ReadPause = milliseconds(3000);
     // Behind the first wait for the caller's close.
@@ -419,7 +421,7 @@
                     connection.write(validResponse(request, 200, std::string(BodyBytes, 'x')));
                 });
             // What the caller doesn't take waits at the node.
-            fixture.caller.set_option(asio::socket_base::receive_buffer_size(4096));
+            fixture.caller.set_option(asio::socket_base::receive_buffer_size(CallerBufferBytes));
             fixture.accepted.set_option(
                 asio::socket_base::send_buffer_size(static_cast<int>(BodyBytes)));
             fixture.startSession();
