GatewaySoak: Take the request_cut of a helping node for no caller's

A helping node that stops logs request_cut for a request that its caller's node goes on with; the judge of node logs took it for the outcome of the caller's request. The line names the forwarding node since.

--- a/Tests/Soak/NodeLogJudge.cpp
+++ b/Tests/Soak/NodeLogJudge.cpp
@@ -57,7 +57,7 @@
             } else if ((*line)["ended_by"] == "size") {
                 log.cutBySize[id] = withBuild(node, build) + ": " + text;
             }
-        } else if (event == "request_cut") {
+        } else if (event == "request_cut" && (*line)["forwarded_by"].asString().empty()) {
             log.outcomes[(*line)["request_id"].asString()] = event;
         } else if (event == "connection_closed" && (*line)["reason"] == "responded"
                    && (*line)["requests"].asInt() > 0
