--- a/Source/Http/HttpClient.cpp
+++ b/Source/Http/HttpClient.cpp
@@ -124,7 +124,9 @@
             { { "url", url.substr(0, url.find('?')) },
               { "header_bytes", static_cast<std::int64_t>(transfer.headerBytes) },
               { "body_bytes", static_cast<std::int64_t>(transfer.bodyBytes) },
-              { "remedy", "Check the server, or raise limits.response_memory_bytes." } });
+              { "remedy",
+                "Check the server. limits.response_memory_bytes bounds the "
+                "responses of all services together." } });
 }
 
 size_t onBody(char *bytes, size_t, size_t count, void *context)
