--- a/Tests/Gateway/CallerSessionTest.cpp
+++ b/Tests/Gateway/CallerSessionTest.cpp
@@ -400,7 +400,8 @@
 BOOST_AUTO_TEST_CASE(responseToASlowReaderThatHasSentMoreIsCut)
 {
     constexpr std::size_t BodyBytes = 150000;
-    // With a smaller one, TCP sends the rest only with probes, which may last longer than its limit.
+    // With a smaller one, TCP sends the rest only with probes, which may last longer than its
+    // limit.
     constexpr int CallerBufferBytes = 32768;
     // Longer than the waits for the caller's close together.
     constexpr Duration ReadPause = milliseconds(3000);
