CallerSessionTest: Expect the size to end a stream that exceeds a limit

The test held what changed: a stream with an event or a response over the limits had ended_by node, the name of a fault. The check is as strict, one value in place of another.

--- a/Tests/Gateway/CallerSessionTest.cpp
+++ b/Tests/Gateway/CallerSessionTest.cpp
@@ -1076,7 +1076,7 @@
     }
 }
 
-BOOST_AUTO_TEST_CASE(streamThatTheNodeGivesUpTellsThatTheNodeEndedIt)
+BOOST_AUTO_TEST_CASE(streamThatExceedsALimitTellsThatItsSizeEndedIt)
 {
     // Over the limits for an event and for a response.
     constexpr std::size_t LongEvent = 300 * 1024;
@@ -1092,7 +1092,7 @@
         BOOST_TEST(fixture.runUntil([&] { return result.has_value(); }));
         BOOST_REQUIRE(result.has_value());
         BOOST_TEST(result->outcome == "broken");
-        BOOST_TEST((result->end == RequestEnd::Node));
+        BOOST_TEST((result->end == RequestEnd::Size));
     }
 }
 
