Refusal: Give the reserve to jsoncpp when it is refused memory

With memory refused by the system, a caller whose request was to be refused got a closed connection: jsoncpp allocates strings with malloc and throws an error of its own, so that the new-handler never gave it a part of the reserve, and the session failed (session_failed: Failed to allocate string value buffer). Such a refusal is written again once a part of the reserve was released.

--- a/Source/Core/Refusal.cpp
+++ b/Source/Core/Refusal.cpp
@@ -3,6 +3,7 @@
 #include <json/value.h>
 
 #include "Core/Json.h"
+#include "Core/MemoryReserve.h"
 
 namespace jacinthroad {
 
@@ -21,15 +22,7 @@
     return "unknown";
 }
 
-} // namespace
-
-std::int64_t retryAfterMsOf(const Refusal &refusal)
-{
-    return refusal.retryAfterMs >= 0 ? refusal.retryAfterMs
-                                     : errorResponse(refusal.kind).retryAfterMs;
-}
-
-std::string refusalJson(const Refusal &refusal)
+std::string tryWriteRefusal(const Refusal &refusal)
 {
     const ErrorResponse &response = errorResponse(refusal.kind);
     Json::Value body;
@@ -44,4 +37,27 @@
     return writeJson(document);
 }
 
+} // namespace
+
+std::int64_t retryAfterMsOf(const Refusal &refusal)
+{
+    return refusal.retryAfterMs >= 0 ? refusal.retryAfterMs
+                                     : errorResponse(refusal.kind).retryAfterMs;
+}
+
+std::string refusalJson(const Refusal &refusal)
+{
+    for (;;) {
+        try {
+            return tryWriteRefusal(refusal);
+        } catch (const Json::Exception &) {
+            // The library allocates strings with malloc, to which the reserve isn't given by
+            // itself.
+            if (!releaseReservedMemory()) {
+                throw;
+            }
+        }
+    }
+}
+
 } // namespace jacinthroad
