--- a/Tests/Gateway/GatewayFixture.cpp
+++ b/Tests/Gateway/GatewayFixture.cpp
@@ -34,6 +34,7 @@
     settings.readinessAddress = freeAddress();
     settings.peerAddress = freeAddress();
     settings.forwardingAddress = freeAddress();
+    settings.metricsAddress = freeAddress();
     settings.readinessPath = "/readyz";
     settings.storeAddress = store.address();
     settings.keyRevocation = milliseconds(5000);
@@ -260,6 +261,29 @@
     return error ? 0 : response.result_int();
 }
 
+std::optional<double> GatewayFixture::heldBytes()
+{
+    constexpr std::string_view Name = "\njacinthroad_gateway_received_bytes ";
+    asio::ip::tcp::socket socket(context);
+    error_code error;
+    socket.connect(endpointOf(settings.metricsAddress), error);
+    asio::write(socket, asio::buffer(std::string("GET /metrics HTTP/1.1\r\nHost: h\r\n\r\n")),
+                error);
+    boost::beast::flat_buffer buffer;
+    CallerResponse response;
+    http::read(socket, buffer, response, error);
+    const auto at = response.body().find(Name);
+    if (error || at == std::string::npos) {
+        return std::nullopt;
+    }
+    return std::stod(response.body().substr(at + Name.size()));
+}
+
+asio::ip::tcp::endpoint GatewayFixture::callerEndpoint() const
+{
+    return endpointOf(settings.callerAddress);
+}
+
 std::string validResponse(const ReceivedRequest &request, unsigned status, const std::string &body)
 {
     return responseText(status,
--- a/Tests/Gateway/GatewayFixture.h
+++ b/Tests/Gateway/GatewayFixture.h
@@ -3,6 +3,7 @@
 #include <atomic>
 #include <memory>
 #include <mutex>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -74,6 +75,11 @@
     [[nodiscard]] std::vector<ReceivedRequest> receivedRequests(const std::string &server);
     /// The HTTP status of the readiness check; 0 if there was no response.
     [[nodiscard]] unsigned readiness();
+    /// Bytes that the gateway has received and not passed on, as its metrics page tells; nothing if
+    /// it doesn't.
+    [[nodiscard]] std::optional<double> heldBytes();
+    /// The address on which the gateway serves callers.
+    [[nodiscard]] boost::asio::ip::tcp::endpoint callerEndpoint() const;
 
     /// Set by a test that provokes the drop of a request, which fails all others.
     bool dropsRequests = false;
--- a/Tests/Gateway/ScriptedServer.h
+++ b/Tests/Gateway/ScriptedServer.h
@@ -45,6 +45,8 @@
     void reset();
     /// Closes the connection in an orderly way.
     void close();
+    /// The system's handle of the connection, for calls that don't block.
+    [[nodiscard]] int handle() { return socket_.native_handle(); }
     /// Aborts operations that block on the connection; may be called from another thread.
     void interrupt();
 
