--- a/Source/Core/MemoryBudget.h
+++ b/Source/Core/MemoryBudget.h
@@ -31,6 +31,8 @@
     void setLimit(std::size_t bytes) { limit_ = bytes; }
     /// Returns the sum up to which memory is reserved for a body of this kind and size.
     [[nodiscard]] std::size_t limit(BodyKind kind, std::size_t bodyBytes) const;
+    /// The memory in bytes that all may take together.
+    [[nodiscard]] std::size_t limit() const { return limit_; }
     /// Sum of all reservations.
     [[nodiscard]] std::size_t used() const { return used_; }
 
--- a/Source/Gateway/Gateway.cpp
+++ b/Source/Gateway/Gateway.cpp
@@ -416,6 +416,8 @@
     if (!settings.metricsAddress.empty()) {
         serveOnceListening(controlContext, scrapes, metricsAddress(), [this] {
             return serveStatus(controlContext, scrapes, "/metrics", [this]() -> StatusPage {
+                const MemoryBudget &memory = *traffic.bodyMemory;
+                metrics.setReceivedBytes(memory.used(), memory.limit());
                 return { 200, metrics.render() };
             });
         });
--- a/Source/Gateway/GatewayMetrics.cpp
+++ b/Source/Gateway/GatewayMetrics.cpp
@@ -126,6 +126,16 @@
                                  .Help("Version of the configuration in force")
                                  .Register(*registry_)
                                  .Add({}))
+    , receivedBytes_(&prometheus::BuildGauge()
+                          .Name("jacinthroad_gateway_received_bytes")
+                          .Help("Memory of the data that was received and not yet passed on")
+                          .Register(*registry_)
+                          .Add({}))
+    , receivedBytesLimit_(&prometheus::BuildGauge()
+                               .Name("jacinthroad_gateway_received_bytes_limit")
+                               .Help("Memory that received data may take")
+                               .Register(*registry_)
+                               .Add({}))
 { }
 
 GatewayMetrics::~GatewayMetrics() = default;
@@ -249,6 +259,12 @@
     configurationVersion_->Set(version);
 }
 
+void GatewayMetrics::setReceivedBytes(std::size_t used, std::size_t limit)
+{
+    receivedBytes_->Set(static_cast<double>(used));
+    receivedBytesLimit_->Set(static_cast<double>(limit));
+}
+
 std::string GatewayMetrics::render() const
 {
     return prometheus::TextSerializer().Serialize(registry_->Collect());
--- a/Source/Gateway/GatewayMetrics.h
+++ b/Source/Gateway/GatewayMetrics.h
@@ -72,6 +72,8 @@
     void setWithheldServers(const std::map<WithholdReason, std::size_t> &counts);
     /// Sets the time since the configuration was last known to be current.
     void setConfigurationAge(Duration age);
+    /// Sets the memory in bytes that received data takes until it is passed on, and its limit.
+    void setReceivedBytes(std::size_t used, std::size_t limit);
     /// Sets the version of the configuration in force.
     void setConfigurationVersion(double version);
 
@@ -103,6 +105,8 @@
     prometheus::Family<prometheus::Gauge> *withheldServers_;
     prometheus::Gauge *configurationAge_;
     prometheus::Gauge *configurationVersion_;
+    prometheus::Gauge *receivedBytes_;
+    prometheus::Gauge *receivedBytesLimit_;
 };
 
 } // namespace jacinthroad
