EventSplitter: Free the memory of what is dropped

Assigning {} to a std::string keeps its memory with libstdc++ (a program that prints the capacity shows 100000 afterwards), so that a stream that was given up for its size, or had one long event, kept that memory until its end while the budget counted it as free. The memory is released now, also behind a long event, and heldBytes() tells what a stream keeps, with the last id.

--- a/Source/Gateway/EventSplitter.cpp
+++ b/Source/Gateway/EventSplitter.cpp
@@ -8,6 +8,8 @@
 namespace {
 
 constexpr std::string_view IdField = "id:";
+/// Memory that is kept for the next event.
+constexpr std::size_t UsualEventBytes = 4 * 1024;
 /// Begin of a response; no field of an event begins like that.
 constexpr std::string_view ResponseBegin = "HTTP/1.";
 
@@ -70,6 +72,9 @@
         searchFrom = end;
     }
     pending_.erase(0, begin);
+    if (pending_.empty() && pending_.capacity() > UsualEventBytes) {
+        dropPartialEvent();
+    }
     return completeEvents;
 }
 
--- a/Source/Gateway/EventSplitter.h
+++ b/Source/Gateway/EventSplitter.h
@@ -17,7 +17,9 @@
     /// Appends received bytes and returns, unchanged, the events that are now complete.
     [[nodiscard]] std::string feed(std::string_view bytes);
     /// Frees the memory of the partial event of a stream that has ended.
-    void dropPartialEvent() { pending_ = {}; }
+    void dropPartialEvent() { std::string().swap(pending_); }
+    /// Memory in bytes of what is kept of the stream.
+    [[nodiscard]] std::size_t heldBytes() const { return pending_.capacity() + lastId_.capacity(); }
     /// Discards the partial event of a broken stream before another stream resumes it.
     void startResumedStream();
     /// Discards the rest of the stream once another response begins behind an event. Only a stream
