--- a/Source/Core/MemoryBudget.cpp
+++ b/Source/Core/MemoryBudget.cpp
@@ -19,9 +19,17 @@
     if (kind == BodyKind::Request) {
         return all / 8 * (bodyBytes > ShortBodyBytes ? LongRequestEighths : ShortRequestEighths);
     }
+    if (kind == BodyKind::Control) {
+        return all + all / 8;
+    }
     return bodyBytes > ShortBodyBytes ? all / 8 * LongResponseEighths : all;
 }
 
+bool MemoryBudget::reserve(BodyKind kind, std::size_t bytes)
+{
+    return reserve(bytes, limit(kind, bytes));
+}
+
 bool MemoryBudget::reserve(std::size_t bytes, std::size_t limit)
 {
     std::size_t used = used_;
--- a/Source/Core/MemoryBudget.h
+++ b/Source/Core/MemoryBudget.h
@@ -9,15 +9,21 @@
 
 namespace jacinthroad {
 
-/// Whose body memory is reserved for.
-enum class BodyKind : std::uint8_t { Request, Response };
+/// What memory is reserved for.
+enum class BodyKind : std::uint8_t {
+    Request,
+    Response,
+    /// What the node needs to serve any request. It may exceed the limit by an eighth.
+    Control,
+};
 
 /// Size in bytes up to which a body counts as short.
 constexpr std::size_t ShortBodyBytes = 65536;
 
-/// The memory in bytes that the bodies of all requests and responses of a node may take together.
-/// Its parts are held by MemoryReservation. Long bodies leave a part of it to short ones, and
-/// requests to responses, so that requests that were accepted can be answered. Thread-safe.
+/// The memory in bytes that all data may take together that a node has received and not yet passed
+/// on: what connections have received, headers, events and bodies. Its parts are held by
+/// MemoryReservation and ReadBuffer. Long bodies leave a part of it to short ones, and requests to
+/// responses, so that requests that were accepted can be answered. Thread-safe.
 class MemoryBudget
 {
 public:
@@ -33,6 +39,10 @@
     [[nodiscard]] std::size_t limit(BodyKind kind, std::size_t bodyBytes) const;
     /// The memory in bytes that all may take together.
     [[nodiscard]] std::size_t limit() const { return limit_; }
+    /// Reserves memory for `bytes` of this kind. Returns false if the budget has no room.
+    [[nodiscard]] bool reserve(BodyKind kind, std::size_t bytes);
+    /// Gives back what was reserved.
+    void release(std::size_t bytes) { used_ -= bytes; }
     /// Sum of all reservations.
     [[nodiscard]] std::size_t used() const { return used_; }
 
@@ -41,7 +51,6 @@
 
     /// Adds `bytes` unless the sum would exceed `limit`.
     [[nodiscard]] bool reserve(std::size_t bytes, std::size_t limit);
-    void release(std::size_t bytes) { used_ -= bytes; }
 
     std::atomic<std::size_t> limit_;
     std::atomic<std::size_t> used_ { 0 };
--- a/Source/Gateway/BodyMemory.cpp
+++ b/Source/Gateway/BodyMemory.cpp
@@ -12,8 +12,8 @@
 } // namespace
 
 bool reserveForRead(MemoryReservation &memory, std::string &body,
-                    const boost::optional<std::uint64_t> &statedLength,
-                    const boost::beast::flat_buffer &buffer, std::uint64_t limit)
+                    const boost::optional<std::uint64_t> &statedLength, const ReadBuffer &buffer,
+                    std::uint64_t limit)
 {
     const std::size_t added = buffer.capacity() + MinReadBytes;
     if (!statedLength.has_value()) {
--- a/Source/Gateway/BodyMemory.h
+++ b/Source/Gateway/BodyMemory.h
@@ -3,10 +3,10 @@
 #include <cstdint>
 #include <string>
 
-#include <boost/beast/core/flat_buffer.hpp>
 #include <boost/optional/optional.hpp>
 
 #include "Core/MemoryBudget.h"
+#include "Gateway/ReadBuffer.h"
 
 namespace jacinthroad {
 
@@ -15,6 +15,6 @@
 /// the budget has no room.
 [[nodiscard]] bool reserveForRead(MemoryReservation &memory, std::string &body,
                                   const boost::optional<std::uint64_t> &statedLength,
-                                  const boost::beast::flat_buffer &buffer, std::uint64_t limit);
+                                  const ReadBuffer &buffer, std::uint64_t limit);
 
 } // namespace jacinthroad
--- a/Source/Gateway/CacheEventReader.cpp
+++ b/Source/Gateway/CacheEventReader.cpp
@@ -41,8 +41,10 @@
 
 } // namespace
 
-CacheEventReader::CacheEventReader(asio::io_context &context, EventHandler eventHandler)
+CacheEventReader::CacheEventReader(asio::io_context &context, std::shared_ptr<MemoryBudget> memory,
+                                   EventHandler eventHandler)
     : context_(context)
+    , memory_(std::move(memory))
     , eventHandler_(std::move(eventHandler))
 { }
 
@@ -69,7 +71,8 @@
 asio::awaitable<void> CacheEventReader::read(ServerId id, std::shared_ptr<Source> source)
 {
     // Events are numbered: a batch that arrives again is fetched and applied once more.
-    ControlClient caller(context_, source->address, ConnectionUse::Kept, MaxServerResponseBytes);
+    ControlClient caller(context_, source->address, ConnectionUse::Kept, memory_,
+                         BodyKind::Response, MaxServerResponseBytes);
     boost::beast::http::fields headers;
     platform::setCacheEventsWait(headers, EventsWait);
     std::uint64_t since = 0;
@@ -84,7 +87,7 @@
                 const bool restarted = boot != 0 && batch->boot != boot;
                 boot = batch->boot;
                 since = batch->next;
-                eventHandler_(id, translate(*batch, restarted));
+                eventHandler_(id, translate(*batch, restarted), reply->memory);
                 pause = EventsPause;
             }
         }
--- a/Source/Gateway/CallerSession.cpp
+++ b/Source/Gateway/CallerSession.cpp
@@ -54,6 +54,9 @@
 /// Bytes that another node adds to the header of a request that it forwards, at most.
 constexpr std::uint32_t MaxForwardingBytes = 4096;
 
+/// Bytes of room behind the longest header that Beast needs to find that a header is longer.
+constexpr std::size_t MinReadBytes = 512;
+
 bool hasInvalidFraming(const http::request_header<> &header)
 {
     const auto encoding = header[http::field::transfer_encoding];
@@ -71,6 +74,9 @@
     , socket_(std::move(socket))
     , source_(source)
     , timer_(state.context)
+    , buffer_(state.bodyMemory, BodyKind::Request, MinReadBytes)
+    , headerMemory_(state.bodyMemory, BodyKind::Request)
+    , unreadMemory_(state.bodyMemory, BodyKind::Request)
     , closeIdleConnection_(
           state.closeIdleConnections.connect([this](IdleConnections which) { closeIfIdle(which); }))
     , answerConnection_(state.answerOpenRequests.connect([this] { answerBeforeStop(); }))
@@ -305,6 +311,7 @@
     if (buffer_.size() > 0) {
         co_return true;
     }
+    buffer_.releaseIfEmpty();
     limitIdleTime(std::chrono::steady_clock::now());
     error_code error;
     idle_ = true;
@@ -341,11 +348,10 @@
             close(CloseReason::Caller);
             co_return;
         }
-        const CallerLimits limits = state_.limits();
         const ActiveRequest active = state_.beginRequest();
         Parser parser;
-        parser.header_limit(limits.headerBytes
-                            + (source_ == RequestSource::Peer ? MaxForwardingBytes : 0));
+        parser.header_limit(headerLimit());
+        buffer_.setMaxBytes(headerLimit() + MinReadBytes);
         MemoryReservation bodyMemory(state_.bodyMemory, BodyKind::Request);
         const bool requestComplete = co_await readRequest(parser, bodyMemory);
         if (!requestComplete) {
@@ -377,6 +383,8 @@
         ++generation_;
         std::string requestId(exchange_->requestId());
         exchange_.reset();
+        static_cast<void>(headerMemory_.resize(0));
+        static_cast<void>(unreadMemory_.resize(0));
         ++requests_;
         socket_.cancel(error);
         if (end.callerMayRead && !state_.draining) {
@@ -494,6 +502,9 @@
     if (!error && hasInvalidFraming(parser.get().base())) {
         error = http::error::bad_transfer_encoding;
     }
+    if (!error && !reserveRequest(parser)) {
+        error = boost::system::errc::make_error_code(boost::system::errc::not_enough_memory);
+    }
     if (!error && !parser.is_done()) {
         overdue_.reset();
         limitReading(BodyTimeout, CloseReason::BodyTimeout);
@@ -509,6 +520,17 @@
         obligation_.emplace(state_.metrics);
     }
     requestOpen_ = error && parser.got_some();
+    if (error == http::error::buffer_overflow) {
+        logReadLimit("request of a caller", error, buffer_, socket_);
+        if (!buffer_.isFull()) {
+            error = boost::system::errc::make_error_code(boost::system::errc::not_enough_memory);
+        }
+    }
+    if (error) {
+        // A refused caller may send on for a while.
+        std::string().swap(parser.get().body());
+        static_cast<void>(bodyMemory.resize(0));
+    }
     if (error == boost::system::errc::not_enough_memory) {
         logLine(LogLevel::Warning, "body_refused",
                 { { "bytes", static_cast<std::int64_t>(parser.content_length().value_or(0)) },
@@ -528,6 +550,18 @@
     co_return true;
 }
 
+std::uint32_t CallerSession::headerLimit() const
+{
+    return state_.limits().headerBytes + (source_ == RequestSource::Peer ? MaxForwardingBytes : 0);
+}
+
+bool CallerSession::reserveRequest(const Parser &parser)
+{
+    // The connections of the caller and of the server.
+    return headerMemory_.resize(headerMemory(parser.get().base()))
+        && unreadMemory_.resize(2 * unreadBytes(*state_.bodyMemory));
+}
+
 asio::awaitable<error_code> CallerSession::readBody(Parser &parser, MemoryReservation &bodyMemory)
 {
     const auto noMemory
@@ -722,7 +756,13 @@
     if (buffer_.size() >= limit) {
         return false;
     }
-    buffer_.commit(readAvailable(socket_, buffer_.prepare(limit - buffer_.size()), error));
+    error_code ignored;
+    const std::size_t arrived = std::max<std::size_t>(socket_.available(ignored), 1);
+    const auto room = buffer_.tryPrepare(std::min(arrived, limit - buffer_.size()));
+    if (!room.has_value()) {
+        return false;
+    }
+    buffer_.commit(readAvailable(socket_, *room, error));
     return true;
 }
 
--- a/Source/Gateway/CallerSession.h
+++ b/Source/Gateway/CallerSession.h
@@ -11,12 +11,12 @@
 
 #include <boost/asio/awaitable.hpp>
 #include <boost/asio/ip/tcp.hpp>
-#include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/http.hpp>
 #include <boost/signals2/connection.hpp>
 
 #include "Gateway/DeadlineTimer.h"
 #include "Gateway/Exchange.h"
+#include "Gateway/ReadBuffer.h"
 #include "Gateway/RequestObligation.h"
 #include "Gateway/SocketOptions.h"
 #include "Gateway/TrafficState.h"
@@ -86,6 +86,10 @@
     /// request; other errors get no response.
     [[nodiscard]] boost::asio::awaitable<bool> readRequest(Parser &parser,
                                                            MemoryReservation &bodyMemory);
+    /// Limit in bytes for the header of a request.
+    [[nodiscard]] std::uint32_t headerLimit() const;
+    /// Reserves memory for a request whose header has been read. Returns false if there is none.
+    [[nodiscard]] bool reserveRequest(const Parser &parser);
     /// Reads the body of a request whose header has been read, unless `bodyMemory` has no room for
     /// it; refuses the request then and returns ENOMEM.
     [[nodiscard]] boost::asio::awaitable<boost::system::error_code>
@@ -146,7 +150,11 @@
     boost::asio::ip::tcp::socket socket_;
     RequestSource source_;
     DeadlineTimer timer_;
-    boost::beast::flat_buffer buffer_;
+    ReadBuffer buffer_;
+    /// Memory of the header of the request in progress.
+    MemoryReservation headerMemory_;
+    /// The same of what its connections may have received and the node hasn't read.
+    MemoryReservation unreadMemory_;
     std::unique_ptr<Exchange> exchange_;
     /// That of the request that was read last, until it has ended.
     std::optional<RequestObligation> obligation_;
--- a/Source/Gateway/ConnectionPool.cpp
+++ b/Source/Gateway/ConnectionPool.cpp
@@ -53,6 +53,7 @@
 void ConnectionPool::addIdle(const ServerId &server, std::unique_ptr<ServerConnection> connection)
 {
     if (connection->carriedRequests.size() < MaxCarriedRequests) {
+        connection->buffer.releaseIfEmpty();
         idle_[server].push_back(std::move(connection));
     }
 }
--- a/Source/Gateway/ConnectionPool.h
+++ b/Source/Gateway/ConnectionPool.h
@@ -5,25 +5,33 @@
 #include <string>
 #include <unordered_map>
 #include <unordered_set>
+#include <utility>
 #include <vector>
 
 #include <boost/asio/ip/tcp.hpp>
-#include <boost/beast/core/flat_buffer.hpp>
 
 #include "Core/Ids.h"
 #include "Core/Time.h"
+#include "Gateway/ReadBuffer.h"
 
 namespace jacinthroad {
 
+/// Maximum size in bytes of the header of a response.
+constexpr std::uint32_t MaxResponseHeaderBytes = 64 * 1024;
+/// Maximum number of bytes that a connection to a backend server or another node holds.
+constexpr std::size_t MaxServerReadBytes = MaxResponseHeaderBytes + 4096;
+
 /// One connection to a backend server.
 struct ServerConnection
 {
-    explicit ServerConnection(const boost::asio::any_io_executor &executor)
+    ServerConnection(const boost::asio::any_io_executor &executor,
+                     std::shared_ptr<MemoryBudget> memory)
         : socket(executor)
+        , buffer(std::move(memory), BodyKind::Response, MaxServerReadBytes)
     { }
 
     boost::asio::ip::tcp::socket socket;
-    boost::beast::flat_buffer buffer;
+    ReadBuffer buffer;
     Instant openedAt;
     /// When the server is expected to close the idle connection, less a margin for the time that a
     /// request is in transit.
--- a/Source/Gateway/ControlClient.cpp
+++ b/Source/Gateway/ControlClient.cpp
@@ -4,12 +4,13 @@
 
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/use_awaitable.hpp>
-#include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/http.hpp>
 
 #include "Core/Endpoint.h"
+#include "Gateway/BodyMemory.h"
 #include "Gateway/BootClock.h"
 #include "Gateway/DeadlineTimer.h"
+#include "Gateway/ReadBuffer.h"
 #include "Gateway/SocketOptions.h"
 
 namespace jacinthroad {
@@ -22,6 +23,9 @@
 
 /// Time without acknowledgements after which TCP closes a connection.
 constexpr Duration CallTcpTimeout = ShortestTcpTimeout;
+constexpr std::uint32_t MaxCallHeaderBytes = 8 * 1024;
+/// Maximum number of bytes that a connection holds.
+constexpr std::size_t MaxReadBytes = MaxCallHeaderBytes + 4096;
 
 tl::unexpected<Error> unavailableError(const std::string &reason)
 {
@@ -32,9 +36,10 @@
 
 struct ControlClient::Connection
 {
-    explicit Connection(asio::io_context &context)
+    Connection(asio::io_context &context, std::shared_ptr<MemoryBudget> memory, BodyKind kind)
         : socket(context)
         , timer(context)
+        , buffer(std::move(memory), kind, MaxReadBytes)
     { }
 
     /// Describes why a call on this connection failed.
@@ -46,14 +51,17 @@
     asio::ip::tcp::socket socket;
     DeadlineTimer timer;
     bool timedOut = false;
-    boost::beast::flat_buffer buffer;
+    ReadBuffer buffer;
 };
 
 ControlClient::ControlClient(asio::io_context &context, std::string address, ConnectionUse use,
+                             std::shared_ptr<MemoryBudget> memory, BodyKind kind,
                              std::uint64_t maxResponseBytes)
     : context_(context)
     , address_(std::move(address))
     , use_(use)
+    , memory_(std::move(memory))
+    , kind_(kind)
     , maxResponseBytes_(maxResponseBytes)
 { }
 
@@ -79,7 +87,7 @@
         }
     }
     if (connection == nullptr) {
-        connection = std::make_shared<Connection>(context_);
+        connection = std::make_shared<Connection>(context_, memory_, kind_);
     }
     auto response
         = co_await performCall(connection, std::move(call), std::move(headers), limits, progress);
@@ -102,11 +110,20 @@
     };
     noteProgress();
     error_code error;
+    MemoryReservation unread(memory_, kind_);
+    if (!unread.resize(unreadBytes(*memory_))) {
+        co_return unavailableError("the node's memory for received data is used up");
+    }
     if (!connection->socket.is_open()) {
         const auto endpoint = parseEndpoint(address_);
         if (!endpoint.has_value()) {
             co_return unavailableError("address '" + address_ + "' is not IP:port");
         }
+        connection->socket.open(endpoint->protocol(), error);
+        if (error) {
+            co_return unavailableError(error.message());
+        }
+        setReceiveBuffer(connection->socket.native_handle(), receiveBufferBytes(*memory_));
         co_await connection->socket.async_connect(*endpoint,
                                                   asio::redirect_error(asio::use_awaitable, error));
         if (error) {
@@ -134,7 +151,9 @@
     }
     noteProgress();
     http::response_parser<http::string_body> responseParser;
+    responseParser.header_limit(MaxCallHeaderBytes);
     responseParser.body_limit(maxResponseBytes_);
+    const auto bodyMemory = std::make_shared<MemoryReservation>(memory_, kind_);
     co_await http::async_read_header(connection->socket, connection->buffer, responseParser,
                                      asio::redirect_error(asio::use_awaitable, error));
     if (!error && progress != nullptr) {
@@ -147,6 +166,12 @@
     }
     while (!error && !responseParser.is_done()) {
         noteProgress();
+        if (!reserveForRead(*bodyMemory, responseParser.get().body(),
+                            responseParser.content_length(), connection->buffer,
+                            maxResponseBytes_)) {
+            error = http::error::body_limit;
+            break;
+        }
         co_await http::async_read_some(connection->socket, connection->buffer, responseParser,
                                        asio::redirect_error(asio::use_awaitable, error));
         if (progress != nullptr) {
@@ -154,8 +179,10 @@
         }
     }
     if (error) {
+        logReadLimit("response to " + call.target, error, connection->buffer, connection->socket);
         co_return unavailableError(connection->reason(error));
     }
+    connection->buffer.releaseIfEmpty();
     if (use_ == ConnectionUse::Kept && responseParser.keep_alive()
         && connection->buffer.size() == 0) {
         idle_.push_back(connection);
@@ -163,7 +190,8 @@
     co_return CallResponse { .status = responseParser.get().result_int(),
                              .headers = responseParser.get().base(),
                              .body = std::move(responseParser.get().body()),
-                             .sentAt = sentAt };
+                             .sentAt = sentAt,
+                             .memory = bodyMemory };
 }
 
 } // namespace jacinthroad
--- a/Source/Gateway/ControlClient.h
+++ b/Source/Gateway/ControlClient.h
@@ -11,6 +11,7 @@
 #include <boost/beast/http/fields.hpp>
 
 #include "Core/Error.h"
+#include "Core/MemoryBudget.h"
 #include "Core/Time.h"
 #include "Fleet/Freshness.h"
 #include "StoreRelay/TransferLimits.h"
@@ -26,6 +27,8 @@
     std::string body;
     /// When the call was sent; the response is at least as recent as this.
     BootInstant sentAt;
+    /// Memory of the body.
+    std::shared_ptr<const MemoryReservation> memory {};
 };
 
 /// How a ControlClient uses its connections.
@@ -48,8 +51,10 @@
 class ControlClient
 {
 public:
-    /// A longer response than `maxResponseBytes` is given up.
+    /// A longer response than `maxResponseBytes` is given up, and so is one for which `memory` has
+    /// no room.
     ControlClient(boost::asio::io_context &context, std::string address, ConnectionUse use,
+                  std::shared_ptr<MemoryBudget> memory, BodyKind kind,
                   std::uint64_t maxResponseBytes);
     ControlClient(const ControlClient &) = delete;
     ControlClient &operator=(const ControlClient &) = delete;
@@ -76,6 +81,8 @@
     boost::asio::io_context &context_;
     std::string address_;
     ConnectionUse use_;
+    std::shared_ptr<MemoryBudget> memory_;
+    BodyKind kind_;
     std::uint64_t maxResponseBytes_;
     std::vector<std::shared_ptr<Connection>> idle_;
 };
--- a/Source/Gateway/ExchangeAttempt.cpp
+++ b/Source/Gateway/ExchangeAttempt.cpp
@@ -38,9 +38,6 @@
 constexpr std::uint64_t MaxResponseBytes = 16 * 1024 * 1024;
 /// Boost 1.74 takes any stated length as too long for a parser without a limit.
 constexpr std::uint64_t NoBodyLimit = std::numeric_limits<std::uint64_t>::max();
-constexpr std::uint32_t MaxHeaderBytes = 64 * 1024;
-/// Bytes of an event that take no memory of the budget for bodies.
-constexpr std::size_t UsualEventBytes = 4 * 1024;
 /// A request with a body of this size at most fits into the send buffer of its connection, so that
 /// one write passes it to the system.
 constexpr std::size_t MaxBodyBytesInOneWrite = 8 * 1024;
@@ -286,11 +283,15 @@
 Exchange::AttemptResult Exchange::failure(Attempt &attempt, const error_code &error)
 {
     connectionError_ = error;
+    if (attempt.connection != nullptr) {
+        logReadLimit("response of " + serverOf(attempt).text(), error, attempt.connection->buffer,
+                     attempt.connection->socket);
+    }
     partialEventBytes_ = eventSplitter_.partialEvent().size();
     attempt.endedByServer = !attempt.timedOut && isEndOfConnection(error);
     // What a server sends that is no valid response breaks it off too.
     serverBrokeOff_ = error && !isOwnClose(error);
-    responseTooLong_ = error == http::error::body_limit;
+    responseTooLong_ = exceedsReadLimit(error);
     if (callerDisconnected_) {
         return AttemptResult::CallerDisconnected;
     }
@@ -310,7 +311,7 @@
         auto parser = std::move(attempt.headerParser);
         if (parser == nullptr) {
             parser = std::make_unique<http::response_parser<http::empty_body>>();
-            parser->header_limit(MaxHeaderBytes);
+            parser->header_limit(MaxResponseHeaderBytes);
             parser->body_limit(NoBodyLimit);
             parser->skip(request_.method() == http::verb::head);
         }
@@ -325,6 +326,9 @@
             co_return failure(attempt, error);
         }
         noteReceived(attempt);
+        if (!reserveHeader(attempt, parser->get().base())) {
+            co_return giveUpResponse(attempt, "response_too_long");
+        }
         attempt.responseFacts
             = platform::readResponseInfo(parser->get().base(), attempt.placement.server);
         // Without an id, only the first response on a connection certainly belongs to its request.
@@ -507,6 +511,10 @@
         attempt.bodyReceived = attempt.bodyReceived || size > 0;
         const std::string completeEvents = eventSplitter_.feed({ readBuffer.data(), size });
         if (!completeEvents.empty()) {
+            // They are held twice until the caller has taken them.
+            if (!reserveEvent(attempt, 2 * completeEvents.capacity())) {
+                co_return giveUpResponse(attempt, "event_too_long");
+            }
             const std::string bytes = frameEvents(attempt, header, completeEvents);
             const bool written = co_await writeToCaller(bytes);
             if (!written) {
@@ -515,7 +523,7 @@
                 co_return AttemptResult::CallerDisconnected;
             }
         }
-        if (eventSplitter_.eventTooLong() || !reserveEvent(attempt)) {
+        if (eventSplitter_.eventTooLong() || !reserveEvent(attempt, 0)) {
             co_return giveUpResponse(attempt, "event_too_long");
         }
         if (attempt.wasInterrupted(error)) {
@@ -571,23 +579,25 @@
               { "remedy", "Check the server, or raise memory.total_mb." } });
     const AttemptResult end = failure(attempt, http::error::body_limit);
     if (attempt.bodyParser != nullptr) {
-        attempt.bodyParser->get().body() = {};
+        std::string().swap(attempt.bodyParser->get().body());
     }
     eventSplitter_.dropPartialEvent();
     attempt.bodyMemory.reset();
     return end;
 }
 
-bool Exchange::reserveEvent(Attempt &attempt)
+bool Exchange::reserveHeader(Attempt &attempt, const http::fields &header)
+{
+    attempt.headerMemory.emplace(state_.bodyMemory, BodyKind::Response);
+    return attempt.headerMemory->resize(headerMemory(header));
+}
+
+bool Exchange::reserveEvent(Attempt &attempt, std::size_t bytesToWrite)
 {
-    const std::size_t bytes = eventSplitter_.partialEvent().size();
     if (!attempt.bodyMemory.has_value()) {
-        if (bytes <= UsualEventBytes) {
-            return true;
-        }
         attempt.bodyMemory.emplace(state_.bodyMemory, BodyKind::Response);
     }
-    return attempt.bodyMemory->resize(bytes);
+    return attempt.bodyMemory->resize(eventSplitter_.heldBytes() + bytesToWrite);
 }
 
 std::string Exchange::frameEvents(Attempt &attempt, const http::response_header<> &header,
--- a/Source/Gateway/ExchangeAttempt.h
+++ b/Source/Gateway/ExchangeAttempt.h
@@ -45,7 +45,9 @@
         bodyParser;
     std::unique_ptr<boost::beast::http::response_parser<boost::beast::http::buffer_body>>
         streamParser;
-    /// Memory of the body in `bodyParser`.
+    /// Memory of the header of the response.
+    std::optional<MemoryReservation> headerMemory;
+    /// Memory of the body in `bodyParser`, or of the events that have not been passed on.
     std::optional<MemoryReservation> bodyMemory;
     bool bodyReceived = false;
     /// Responses to other requests that were skipped.
--- a/Source/Gateway/ExchangeConnect.cpp
+++ b/Source/Gateway/ExchangeConnect.cpp
@@ -7,6 +7,7 @@
 #include "Core/Endpoint.h"
 #include "Core/Hashing.h"
 #include "Core/Log.h"
+#include "Gateway/BodyMemory.h"
 #include "Gateway/BootClock.h"
 #include "Gateway/ExchangeAttempt.h"
 #include "Gateway/SocketOptions.h"
@@ -65,10 +66,16 @@
                                                      asio::ip::tcp::endpoint endpoint)
 {
     const Instant now = std::chrono::steady_clock::now();
-    attempt->connection = std::make_unique<ServerConnection>(state_.context.get_executor());
+    attempt->connection
+        = std::make_unique<ServerConnection>(state_.context.get_executor(), state_.bodyMemory);
     asio::ip::tcp::socket &socket = attempt->connection->socket;
     abortAt(attempt, now + std::min(ConnectTimeout, timeLeft(now)));
     error_code error;
+    socket.open(endpoint.protocol(), error);
+    if (error) {
+        co_return error;
+    }
+    setReceiveBuffer(socket.native_handle(), receiveBufferBytes(*state_.bodyMemory));
     co_await socket.async_connect(endpoint, asio::redirect_error(asio::use_awaitable, error));
     if (!error) {
         attempt->connection->openedAt = std::chrono::steady_clock::now();
@@ -115,8 +122,20 @@
     }
     http::response_parser<http::string_body> parser;
     parser.body_limit(MaxReportBytes);
-    co_await http::async_read(connection.socket, connection.buffer, parser,
-                              asio::redirect_error(asio::use_awaitable, error));
+    MemoryReservation memory(state_.bodyMemory, BodyKind::Response);
+    co_await http::async_read_header(connection.socket, connection.buffer, parser,
+                                     asio::redirect_error(asio::use_awaitable, error));
+    while (!error && !parser.is_done()) {
+        if (reserveForRead(memory, parser.get().body(), parser.content_length(), connection.buffer,
+                           MaxReportBytes)) {
+            co_await http::async_read_some(connection.socket, connection.buffer, parser,
+                                           asio::redirect_error(asio::use_awaitable, error));
+        } else {
+            error = http::error::body_limit;
+        }
+    }
+    logReadLimit("report of " + attempt.placement.server.text(), error, connection.buffer,
+                 connection.socket);
     if (error || !parser.keep_alive()) {
         co_return false;
     }
--- a/Source/Gateway/Gateway.cpp
+++ b/Source/Gateway/Gateway.cpp
@@ -87,7 +87,7 @@
         , trafficContext(1)
         , controlContext(1)
         , traffic(trafficContext, settings, metrics)
-        , store(controlContext, settings.storeAddress, metrics)
+        , store(controlContext, settings.storeAddress, metrics, traffic.bodyMemory)
         , callers(trafficContext)
         , forwards(trafficContext)
         , readiness(trafficContext)
@@ -175,7 +175,7 @@
                          [this](const VersionTable &table) { onAdmittedVersions(table); })
         , digests(traffic, boot)
         , linkProbes(traffic)
-        , relay(controlContext, metrics)
+        , relay(controlContext, metrics, traffic.bodyMemory)
         , registration(controlContext, store,
                        { .name = settings.name,
                          .zone = settings.zone,
@@ -202,10 +202,13 @@
                       traffic.pool.noteControlCall(server.id, std::chrono::steady_clock::now());
                   });
               })
-        , cacheEventReader(controlContext, [this](const ServerId &id, const CacheEvents &events) {
-            asio::post(trafficContext,
-                       [this, id, events] { traffic.pool.applyCacheEvents(id, events); });
-        })
+        , cacheEventReader(controlContext, traffic.bodyMemory,
+                           [this](const ServerId &id, const CacheEvents &events,
+                                  std::shared_ptr<const MemoryReservation> memory) {
+                               asio::post(trafficContext, [this, id, events, memory] {
+                                   traffic.pool.applyCacheEvents(id, events);
+                               });
+                           })
     { }
 
     /// Opens all listening sockets. An address that is in use is tried again by run(), so that the
@@ -215,9 +218,8 @@
     /// Fails if the system refuses a thread.
     [[nodiscard]] Result<void> startThreads();
     /// Serves an acceptor of open(), as soon as its address can be had.
-    static void serveOnceListening(asio::io_context &context, asio::ip::tcp::acceptor &acceptor,
-                                   ListenAddress address,
-                                   std::function<asio::awaitable<void>()> serve);
+    void serveOnceListening(asio::io_context &context, asio::ip::tcp::acceptor &acceptor,
+                            ListenAddress address, std::function<asio::awaitable<void>()> serve);
     /// The same for connections of callers, unless the node is stopping by then.
     [[nodiscard]] asio::awaitable<void> acceptOnceListening();
     [[nodiscard]] ListenAddress callerAddress() const
@@ -272,6 +274,12 @@
     void answerOpenRequests(Duration limit);
     void reportToRollout();
     void assignCaches();
+    /// Listens for connections with a limited receive buffer.
+    [[nodiscard]] error_code listenWithin(asio::ip::tcp::acceptor &acceptor,
+                                          const std::string &address) const
+    {
+        return listenOn(acceptor, address, receiveBufferBytes(*traffic.bodyMemory));
+    }
     /// Identifies this process to nodes that get objects of the store from it.
     [[nodiscard]] std::uint64_t relaySource() const
     {
@@ -343,7 +351,7 @@
 {
     std::vector<std::pair<ListenAddress, error_code>> attempts;
     const auto listen = [&](asio::ip::tcp::acceptor &acceptor, const ListenAddress &address) {
-        attempts.emplace_back(address, listenOn(acceptor, address.address));
+        attempts.emplace_back(address, listenWithin(acceptor, address.address));
     };
     listen(callers, callerAddress());
     listen(readiness, readinessAddress());
@@ -372,12 +380,12 @@
 {
     asio::co_spawn(
         context,
-        [&context, &acceptor, address = std::move(address),
+        [this, &context, &acceptor, address = std::move(address),
          serve = std::move(serve)]() -> asio::awaitable<void> {
             if (!acceptor.is_open()) {
                 const bool listening = co_await listenLater(
                     context, address,
-                    [&acceptor, &address] { return listenOn(acceptor, address.address); },
+                    [this, &acceptor, &address] { return listenWithin(acceptor, address.address); },
                     [] { return true; });
                 if (!listening) {
                     co_return;
@@ -407,19 +415,21 @@
         });
     }
     serveOnceListening(trafficContext, readiness, readinessAddress(), [this] {
-        return serveStatus(
-            trafficContext, readiness, settings.readinessPath, [this]() -> StatusPage {
-                return callers.is_open() && traffic.ready() ? StatusPage { 200, "ready\n" }
-                                                            : StatusPage { 503, "not ready\n" };
-            });
+        return serveStatus(trafficContext, readiness, traffic.bodyMemory, settings.readinessPath,
+                           [this]() -> StatusPage {
+                               return callers.is_open() && traffic.ready()
+                                   ? StatusPage { 200, "ready\n" }
+                                   : StatusPage { 503, "not ready\n" };
+                           });
     });
     if (!settings.metricsAddress.empty()) {
         serveOnceListening(controlContext, scrapes, metricsAddress(), [this] {
-            return serveStatus(controlContext, scrapes, "/metrics", [this]() -> StatusPage {
-                const MemoryBudget &memory = *traffic.bodyMemory;
-                metrics.setReceivedBytes(memory.used(), memory.limit());
-                return { 200, metrics.render() };
-            });
+            return serveStatus(controlContext, scrapes, traffic.bodyMemory, "/metrics",
+                               [this]() -> StatusPage {
+                                   const MemoryBudget &memory = *traffic.bodyMemory;
+                                   metrics.setReceivedBytes(memory.used(), memory.limit());
+                                   return { 200, metrics.render() };
+                               });
         });
     }
     if (!settings.peerAddress.empty() && !digests.isOpen()) {
@@ -496,7 +506,7 @@
     if (!callers.is_open()) {
         const bool listening = co_await listenLater(
             trafficContext, callerAddress(),
-            [this] { return listenOn(callers, settings.callerAddress); },
+            [this] { return listenWithin(callers, settings.callerAddress); },
             [this] { return !traffic.draining; });
         if (!listening) {
             co_return;
--- a/Source/Gateway/Listener.cpp
+++ b/Source/Gateway/Listener.cpp
@@ -13,6 +13,7 @@
 #include "Core/MemoryReserve.h"
 #include "Gateway/CallerSession.h"
 #include "Gateway/Pause.h"
+#include "Gateway/SocketOptions.h"
 
 namespace jacinthroad {
 
@@ -40,7 +41,8 @@
 
 } // namespace
 
-error_code listenOn(asio::ip::tcp::acceptor &acceptor, const std::string &address)
+error_code listenOn(asio::ip::tcp::acceptor &acceptor, const std::string &address,
+                    std::size_t receiveBufferBytes)
 {
     const auto endpoint = parseEndpoint(address);
     if (!endpoint.has_value()) {
@@ -52,6 +54,7 @@
         acceptor.set_option(asio::ip::tcp::acceptor::reuse_address(true), error);
     }
     if (!error) {
+        setReceiveBuffer(acceptor.native_handle(), receiveBufferBytes);
         acceptor.bind(*endpoint, error);
     }
     if (!error) {
--- a/Source/Gateway/Listener.h
+++ b/Source/Gateway/Listener.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <cstddef>
 #include <functional>
 #include <string>
 #include <utility>
@@ -23,10 +24,12 @@
     std::string address;
 };
 
-/// Opens a listening socket on `IP:port`. Returns the error, after which the acceptor is closed;
+/// Opens a listening socket on `IP:port`, whose connections have a receive buffer of this size in
+/// bytes. Returns the error, after which the acceptor is closed;
 /// `invalid_argument` if the address is not of that form.
 [[nodiscard]] boost::system::error_code listenOn(boost::asio::ip::tcp::acceptor &acceptor,
-                                                 const std::string &address);
+                                                 const std::string &address,
+                                                 std::size_t receiveBufferBytes);
 
 /// True if a listening socket that can't be had because of `error` may be later: another process
 /// has the address, it isn't configured yet, or the process has too few descriptors or too little
--- /dev/null
+++ b/Source/Gateway/ReadBuffer.h
@@ -0,0 +1,114 @@
+#pragma once
+
+#include <cstddef>
+#include <memory>
+#include <new>
+#include <optional>
+#include <stdexcept>
+#include <string_view>
+#include <utility>
+
+#include <boost/asio/buffer.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/http/fields.hpp>
+#include <boost/system/error_code.hpp>
+
+#include "Core/MemoryBudget.h"
+
+namespace jacinthroad {
+
+/// Allocates memory that a budget has room for.
+template <typename T> class BudgetAllocator
+{
+public:
+    using value_type = T;
+
+    BudgetAllocator(std::shared_ptr<MemoryBudget> budget, BodyKind kind)
+        : budget_(std::move(budget))
+        , kind_(kind)
+    { }
+    template <typename Other>
+    BudgetAllocator(const BudgetAllocator<Other> &other)
+        : budget_(other.budget())
+        , kind_(other.kind())
+    { }
+
+    /// Throws std::length_error, which Beast returns as http::error::buffer_overflow, if the budget
+    /// has no room.
+    [[nodiscard]] T *allocate(std::size_t count)
+    {
+        const std::size_t bytes = count * sizeof(T);
+        if (!budget_->reserve(kind_, bytes)) {
+            throw std::length_error("the memory for received data is used up");
+        }
+        try {
+            return std::allocator<T>().allocate(count);
+        } catch (...) {
+            budget_->release(bytes);
+            throw;
+        }
+    }
+    void deallocate(T *memory, std::size_t count)
+    {
+        std::allocator<T>().deallocate(memory, count);
+        budget_->release(count * sizeof(T));
+    }
+
+    [[nodiscard]] const std::shared_ptr<MemoryBudget> &budget() const { return budget_; }
+    [[nodiscard]] BodyKind kind() const { return kind_; }
+    [[nodiscard]] bool operator==(const BudgetAllocator &other) const
+    {
+        return budget_ == other.budget_;
+    }
+
+private:
+    std::shared_ptr<MemoryBudget> budget_;
+    BodyKind kind_;
+};
+
+/// What a connection has received and its parser has not consumed. Whatever the sender writes, it
+/// takes no more than its largest size, and that from the budget of the node: the parser fails with
+/// http::error::buffer_overflow otherwise.
+class ReadBuffer : public boost::beast::basic_flat_buffer<BudgetAllocator<char>>
+{
+public:
+    /// A parser needs the whole of a header, of the line of a chunk's size or of all trailers, so
+    /// `maxBytes` is at least the limit for a header.
+    ReadBuffer(std::shared_ptr<MemoryBudget> budget, BodyKind kind, std::size_t maxBytes);
+    ReadBuffer(const ReadBuffer &) = delete;
+    ReadBuffer &operator=(const ReadBuffer &) = delete;
+
+    /// Changes the largest size in bytes. What exceeds it stays until it is consumed.
+    void setMaxBytes(std::size_t maxBytes);
+    /// Returns room for `bytes` behind the data, or nothing if there is none.
+    [[nodiscard]] std::optional<boost::asio::mutable_buffer> tryPrepare(std::size_t bytes);
+    /// Gives the memory back if the buffer holds no data.
+    void releaseIfEmpty();
+    /// True if the data has the largest size.
+    [[nodiscard]] bool isFull() const { return size() >= max_size(); }
+};
+
+/// Returns the size in bytes of the receive buffer that is asked for each connection of a node with
+/// this memory for received data.
+[[nodiscard]] std::size_t receiveBufferBytes(const MemoryBudget &memory);
+
+/// Returns how many bytes at most a connection with such a buffer receives before they are read:
+/// the system doubles what it is asked for.
+[[nodiscard]] inline std::size_t unreadBytes(const MemoryBudget &memory)
+{
+    return 2 * receiveBufferBytes(memory);
+}
+
+/// Returns the memory in bytes that the fields of a parsed header take.
+[[nodiscard]] std::size_t headerMemory(const boost::beast::http::fields &header);
+
+/// True if a read ended with `error` because what arrived exceeds the largest size of a part of a
+/// message or the memory for received data.
+[[nodiscard]] bool exceedsReadLimit(const boost::system::error_code &error);
+
+/// Logs `input_refused` if exceedsReadLimit(error). `reader` names what was being read.
+void logReadLimit(std::string_view reader, const boost::system::error_code &error,
+                  const ReadBuffer &buffer, const boost::asio::ip::tcp::socket &socket);
+
+} // namespace jacinthroad
--- a/Source/Gateway/RelayClient.cpp
+++ b/Source/Gateway/RelayClient.cpp
@@ -15,9 +15,11 @@
 
 } // namespace
 
-RelayClient::RelayClient(asio::io_context &context, const std::string &address)
+RelayClient::RelayClient(asio::io_context &context, const std::string &address,
+                         std::shared_ptr<MemoryBudget> memory)
     : address_(address)
-    , client_(context, address, ConnectionUse::Kept, MaxObjectResponseBytes)
+    , client_(context, address, ConnectionUse::Kept, std::move(memory), BodyKind::Control,
+              MaxObjectResponseBytes)
 { }
 
 asio::awaitable<Result<RelayReply>> RelayClient::query(RelayQuery query, TransferProgress *progress)
--- a/Source/Gateway/RelayClient.h
+++ b/Source/Gateway/RelayClient.h
@@ -24,7 +24,8 @@
 class RelayClient
 {
 public:
-    RelayClient(boost::asio::io_context &context, const std::string &address);
+    RelayClient(boost::asio::io_context &context, const std::string &address,
+                std::shared_ptr<MemoryBudget> memory);
 
     /// Fails with PlatformUnavailable if there is no usable response. `progress` must outlive the
     /// call.
--- a/Source/Gateway/RelayFollower.cpp
+++ b/Source/Gateway/RelayFollower.cpp
@@ -15,8 +15,10 @@
 
 } // namespace
 
-RelayFollower::RelayFollower(asio::io_context &context, Options options)
+RelayFollower::RelayFollower(asio::io_context &context, std::shared_ptr<MemoryBudget> memory,
+                             Options options)
     : context_(context)
+    , memory_(std::move(memory))
     , options_(std::move(options))
 { }
 
@@ -24,7 +26,7 @@
                                                                         Needs needs)
 {
     if (client_ == nullptr || client_->address() != reader.address) {
-        client_ = std::make_unique<RelayClient>(context_, reader.address);
+        client_ = std::make_unique<RelayClient>(context_, reader.address, memory_);
         transferBegan_.reset();
         lostAt_.reset();
         collector_.reset();
--- a/Source/Gateway/RelayFollower.h
+++ b/Source/Gateway/RelayFollower.h
@@ -49,7 +49,8 @@
         bool complete = false;
     };
 
-    RelayFollower(boost::asio::io_context &context, Options options);
+    RelayFollower(boost::asio::io_context &context, std::shared_ptr<MemoryBudget> memory,
+                  Options options);
 
     /// Asks a node once; nothing if it had no usable response, which is logged.
     [[nodiscard]] boost::asio::awaitable<std::optional<Reply>> ask(RelayNode reader, Needs needs);
@@ -67,6 +68,7 @@
     void noteArrival(const RelayNode &reader, const TransferProgress &progress);
 
     boost::asio::io_context &context_;
+    std::shared_ptr<MemoryBudget> memory_;
     Options options_;
     std::unique_ptr<RelayClient> client_;
     RelayCollector collector_;
--- a/Source/Gateway/RelayServer.cpp
+++ b/Source/Gateway/RelayServer.cpp
@@ -5,11 +5,12 @@
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/use_awaitable.hpp>
-#include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/http.hpp>
 
 #include "Gateway/BootClock.h"
 #include "Gateway/Listener.h"
+#include "Gateway/ReadBuffer.h"
+#include "Gateway/RequestReader.h"
 #include "Gateway/RestartingTask.h"
 #include "Gateway/SocketOptions.h"
 
@@ -24,12 +25,18 @@
 /// Time without acknowledgements after which TCP closes a connection.
 constexpr Duration RelayTcpTimeout = ShortestTcpTimeout;
 constexpr std::uint32_t MaxQueryHeaderBytes = 4096;
+/// Maximum number of bytes that a connection holds.
+constexpr std::size_t MaxReadBytes = MaxQueryHeaderBytes + 512;
+/// Time for receiving a query that has begun to arrive.
+constexpr Duration QueryTimeout = std::chrono::seconds(6);
 
 } // namespace
 
-RelayServer::RelayServer(asio::io_context &context, GatewayMetrics &metrics)
+RelayServer::RelayServer(asio::io_context &context, GatewayMetrics &metrics,
+                         std::shared_ptr<MemoryBudget> memory)
     : context_(context)
     , metrics_(metrics)
+    , memory_(std::move(memory))
 { }
 
 void RelayServer::add(platform::ObjectKind kind, const RelayLog &log,
@@ -62,16 +69,16 @@
 asio::awaitable<void> RelayServer::serveConnection(asio::ip::tcp::socket socket)
 {
     setTcpTimeout(socket, RelayTcpTimeout);
-    boost::beast::flat_buffer buffer;
+    ReadBuffer buffer(memory_, BodyKind::Request, MaxReadBytes);
     error_code error;
     // Counts this connection among those that asked.
     std::shared_ptr<const char> presence;
     for (;;) {
         http::request_parser<http::empty_body> parser;
         parser.header_limit(MaxQueryHeaderBytes);
-        co_await http::async_read(socket, buffer, parser,
-                                  asio::redirect_error(asio::use_awaitable, error));
+        error = co_await readRequestWithin(context_, socket, buffer, parser, QueryTimeout);
         if (error) {
+            logReadLimit("query of another node", error, buffer, socket);
             co_return;
         }
         const auto &request = parser.get();
--- a/Source/Gateway/RelayServer.h
+++ b/Source/Gateway/RelayServer.h
@@ -11,6 +11,7 @@
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/steady_timer.hpp>
 
+#include "Core/MemoryBudget.h"
 #include "Gateway/GatewayMetrics.h"
 #include "StoreRelay/RelayResponder.h"
 
@@ -21,7 +22,8 @@
 class RelayServer
 {
 public:
-    RelayServer(boost::asio::io_context &context, GatewayMetrics &metrics);
+    RelayServer(boost::asio::io_context &context, GatewayMetrics &metrics,
+                std::shared_ptr<MemoryBudget> memory);
     RelayServer(const RelayServer &) = delete;
     RelayServer &operator=(const RelayServer &) = delete;
 
@@ -57,6 +59,7 @@
 
     boost::asio::io_context &context_;
     GatewayMetrics &metrics_;
+    std::shared_ptr<MemoryBudget> memory_;
     std::map<platform::ObjectKind, Passed> passed_;
 };
 
--- a/Source/Gateway/RolloutDriver.cpp
+++ b/Source/Gateway/RolloutDriver.cpp
@@ -348,7 +348,7 @@
     }
     cordonServer_(step.server, step.model, step.version, CordonLimit);
     ControlClient caller(context_, server->second.address, ConnectionUse::OnePerCall,
-                         MaxServerResponseBytes);
+                         store_.memory(), BodyKind::Response, MaxServerResponseBytes);
     const unsigned number = ++orderCounts_[step.server];
     OrderOutcome outcome = withheld(step.server) ? OrderOutcome::Rejected : OrderOutcome::Unknown;
     if (outcome == OrderOutcome::Unknown) {
--- a/Source/Gateway/SocketOptions.cpp
+++ b/Source/Gateway/SocketOptions.cpp
@@ -79,6 +79,11 @@
     setOption(handle, IPPROTO_TCP, TCP_USER_TIMEOUT, static_cast<int>(timing.userTimeout.count()));
 }
 
+void setReceiveBuffer(int socket, std::size_t bytes)
+{
+    setOption(socket, SOL_SOCKET, SO_RCVBUF, static_cast<int>(bytes));
+}
+
 void setResetOnClose(boost::asio::ip::tcp::socket &socket, bool enabled)
 {
     // Asio clears the option when it destroys a socket on which it has set it itself.
--- a/Source/Gateway/SocketOptions.h
+++ b/Source/Gateway/SocketOptions.h
@@ -43,6 +43,10 @@
 /// disables Nagle's algorithm.
 void setTcpTimeout(boost::asio::ip::tcp::socket &socket, Duration timeout);
 
+/// Sets the size in bytes of the receive buffer of an open socket, which the system doubles. It
+/// must be set before the socket connects or listens; accepted connections inherit it.
+void setReceiveBuffer(int socket, std::size_t bytes);
+
 /// Sets whether closing the connection sends a reset, also if the process ends without closing it.
 void setResetOnClose(boost::asio::ip::tcp::socket &socket, bool enabled);
 
--- a/Source/Gateway/StatusServer.cpp
+++ b/Source/Gateway/StatusServer.cpp
@@ -5,11 +5,12 @@
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/use_awaitable.hpp>
-#include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/http.hpp>
 
 #include "Core/Time.h"
 #include "Gateway/Listener.h"
+#include "Gateway/ReadBuffer.h"
+#include "Gateway/RequestReader.h"
 #include "Gateway/RestartingTask.h"
 #include "Gateway/SocketOptions.h"
 
@@ -21,28 +22,35 @@
 
 namespace {
 
-/// Time without data after which a status connection is closed.
-constexpr Duration StatusIdleTimeout = std::chrono::seconds(6);
+/// Time without acknowledgements after which TCP closes a connection, and time for receiving a
+/// request.
+constexpr Duration StatusTimeout = std::chrono::seconds(6);
+constexpr std::uint32_t MaxStatusHeaderBytes = 8 * 1024;
+/// Maximum number of bytes that a connection holds.
+constexpr std::size_t MaxReadBytes = MaxStatusHeaderBytes + 512;
 
 struct StatusSource
 {
     std::string path;
     std::function<StatusPage()> page;
+    std::shared_ptr<MemoryBudget> memory;
 };
 
-asio::awaitable<void> serveConnection(asio::ip::tcp::socket socket,
+asio::awaitable<void> serveConnection(asio::io_context &context, asio::ip::tcp::socket socket,
                                       std::shared_ptr<const StatusSource> source)
 {
-    setTcpTimeout(socket, StatusIdleTimeout);
-    boost::beast::flat_buffer buffer;
+    setTcpTimeout(socket, StatusTimeout);
+    ReadBuffer buffer(source->memory, BodyKind::Request, MaxReadBytes);
     error_code error;
     for (;;) {
-        http::request<http::string_body> request;
-        co_await http::async_read(socket, buffer, request,
-                                  asio::redirect_error(asio::use_awaitable, error));
+        http::request_parser<http::empty_body> parser;
+        parser.header_limit(MaxStatusHeaderBytes);
+        error = co_await readRequestWithin(context, socket, buffer, parser, StatusTimeout);
         if (error) {
+            logReadLimit("request for " + source->path, error, buffer, socket);
             co_return;
         }
+        const auto &request = parser.get();
         http::response<http::string_body> reply;
         reply.version(request.version());
         reply.keep_alive(request.keep_alive());
@@ -68,12 +76,13 @@
 } // namespace
 
 asio::awaitable<void> serveStatus(asio::io_context &context, asio::ip::tcp::acceptor &acceptor,
-                                  std::string path, std::function<StatusPage()> page)
+                                  std::shared_ptr<MemoryBudget> memory, std::string path,
+                                  std::function<StatusPage()> page)
 {
-    const auto source = std::make_shared<const StatusSource>(
-        StatusSource { .path = std::move(path), .page = std::move(page) });
+    const auto source = std::make_shared<const StatusSource>(StatusSource {
+        .path = std::move(path), .page = std::move(page), .memory = std::move(memory) });
     return acceptConnections(context, acceptor, [&context, source](asio::ip::tcp::socket socket) {
-        asio::co_spawn(context, serveConnection(std::move(socket), source),
+        asio::co_spawn(context, serveConnection(context, std::move(socket), source),
                        logFailure("status_connection"));
     });
 }
--- a/Source/Gateway/StatusServer.h
+++ b/Source/Gateway/StatusServer.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <functional>
+#include <memory>
 #include <string>
 #include <utility>
 
@@ -8,6 +9,8 @@
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
 
+#include "Core/MemoryBudget.h"
+
 namespace jacinthroad {
 
 /// A status page: the HTTP status code and the body text.
@@ -17,6 +20,7 @@
 /// acceptor is closed. Other paths get a 404 response.
 [[nodiscard]] boost::asio::awaitable<void> serveStatus(boost::asio::io_context &context,
                                                        boost::asio::ip::tcp::acceptor &acceptor,
+                                                       std::shared_ptr<MemoryBudget> memory,
                                                        std::string path,
                                                        std::function<StatusPage()> page);
 
--- a/Source/Gateway/StoreClient.cpp
+++ b/Source/Gateway/StoreClient.cpp
@@ -31,8 +31,10 @@
 } // namespace
 
 StoreClient::StoreClient(boost::asio::io_context &context, const std::string &address,
-                         GatewayMetrics &metrics)
-    : caller_(context, address, ConnectionUse::Kept, MaxObjectResponseBytes)
+                         GatewayMetrics &metrics, std::shared_ptr<MemoryBudget> memory)
+    : memory_(std::move(memory))
+    , caller_(context, address, ConnectionUse::Kept, memory_, BodyKind::Control,
+              MaxObjectResponseBytes)
     , metrics_(metrics)
 { }
 
@@ -63,7 +65,8 @@
     co_return StoreReply { .status = status,
                            .body = std::move(reply->body),
                            .era = era.has_value() ? era : era_,
-                           .sentAt = reply->sentAt };
+                           .sentAt = reply->sentAt,
+                           .memory = reply->memory };
 }
 
 bool StoreClient::adoptEra(std::optional<std::uint64_t> era)
--- a/Source/Gateway/StoreClient.h
+++ b/Source/Gateway/StoreClient.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <cstdint>
+#include <memory>
 #include <optional>
 #include <string>
 #include <utility>
@@ -26,6 +27,8 @@
     std::optional<std::uint64_t> era;
     /// When the request was sent. The response reflects the store at this moment or later.
     BootInstant sentAt;
+    /// Memory of the body.
+    std::shared_ptr<const MemoryReservation> memory {};
 };
 
 /// The node's only client of the platform's store. Used by the control thread only.
@@ -33,7 +36,7 @@
 {
 public:
     StoreClient(boost::asio::io_context &context, const std::string &address,
-                GatewayMetrics &metrics);
+                GatewayMetrics &metrics, std::shared_ptr<MemoryBudget> memory);
 
     /// Makes one call. Fails with PlatformUnavailable if the response exceeds the limits, or the
     /// store sent it before it was restored; a write may then have been applied, or may still be
@@ -46,12 +49,15 @@
     /// Adopts the era that objects of another node belong to; returns false if it is older than
     /// that of the newest response.
     [[nodiscard]] bool adoptEra(std::optional<std::uint64_t> era);
+    /// The memory for what the node receives.
+    [[nodiscard]] const std::shared_ptr<MemoryBudget> &memory() const { return memory_; }
     /// The newest era that any response has named; nothing if none has.
     [[nodiscard]] std::optional<std::uint64_t> era() const { return era_; }
 
 private:
     void noteEra(std::uint64_t era);
 
+    std::shared_ptr<MemoryBudget> memory_;
     ControlClient caller_;
     GatewayMetrics &metrics_;
     std::optional<std::uint64_t> era_;
--- a/Source/Gateway/StoreSync.cpp
+++ b/Source/Gateway/StoreSync.cpp
@@ -46,7 +46,7 @@
                       .kind = std::string(relayKindName(options_.kind)),
                       .linkMbps = options_.linkMbps })
     , relayLog_({ .kind = options_.kind, .source = options_.boot })
-    , follower_(context,
+    , follower_(context, client.memory(),
                 { .kind = options_.kind, .name = options_.name, .wait = options_.relayWait })
 { }
 
--- a/Tests/Gateway/ControlClientTest.cpp
+++ b/Tests/Gateway/ControlClientTest.cpp
@@ -11,6 +11,7 @@
 
 #include "Gateway/ControlClient.h"
 #include "ScriptedServer.h"
+#include "UnlimitedMemory.h"
 
 namespace jacinthroad {
 
@@ -31,7 +32,8 @@
         }
     });
     asio::io_context context { 1 };
-    ControlClient client(context, server.address(), ConnectionUse::Kept, MaxObjectResponseBytes);
+    ControlClient client(context, server.address(), ConnectionUse::Kept, unlimitedMemory(),
+                         BodyKind::Control, MaxObjectResponseBytes);
     const platform::Call call { .target = "/" };
     std::optional<bool> first;
     std::optional<bool> second;
@@ -70,8 +72,8 @@
         }
     });
     asio::io_context context { 1 };
-    ControlClient client(context, server.address(), ConnectionUse::OnePerCall,
-                         MaxServerResponseBytes);
+    ControlClient client(context, server.address(), ConnectionUse::OnePerCall, unlimitedMemory(),
+                         BodyKind::Response, MaxServerResponseBytes);
     constexpr Duration Timeout = milliseconds(1000);
     const platform::Call call { .target = "/" };
     std::vector<std::string> bodies;
@@ -113,7 +115,8 @@
         static_cast<void>(connection.waitForClose(milliseconds(3000)));
     });
     asio::io_context context { 1 };
-    ControlClient client(context, server.address(), ConnectionUse::Kept, MaxObjectResponseBytes);
+    ControlClient client(context, server.address(), ConnectionUse::Kept, unlimitedMemory(),
+                         BodyKind::Control, MaxObjectResponseBytes);
     const platform::Call call { .target = "/" };
     Result<CallResponse> result = makeError(ErrorKind::PlatformUnavailable, "the call didn't end");
     asio::co_spawn(
--- a/Tests/Gateway/EndlessResponseTest.cpp
+++ b/Tests/Gateway/EndlessResponseTest.cpp
@@ -11,6 +11,7 @@
 
 #include "Gateway/ControlClient.h"
 #include "GatewayFixture.h"
+#include "UnlimitedMemory.h"
 #include "platform/CacheEvents.h"
 #include "platform/Orders.h"
 
@@ -129,8 +130,8 @@
         }
     });
     boost::asio::io_context context;
-    ControlClient client(context, server.address(), ConnectionUse::OnePerCall,
-                         MaxServerResponseBytes);
+    ControlClient client(context, server.address(), ConnectionUse::OnePerCall, unlimitedMemory(),
+                         BodyKind::Response, MaxServerResponseBytes);
     bool failed = false;
     boost::asio::co_spawn(
         context,
--- a/Tests/Gateway/OddEntriesTest.cpp
+++ b/Tests/Gateway/OddEntriesTest.cpp
@@ -12,6 +12,7 @@
 #include "Gateway/StoreSync.h"
 #include "GatewayFixture.h"
 #include "ScriptedServer.h"
+#include "UnlimitedMemory.h"
 
 namespace jacinthroad {
 
@@ -35,7 +36,7 @@
     });
     asio::io_context context { 1 };
     GatewayMetrics metrics;
-    StoreClient client(context, store.address(), metrics);
+    StoreClient client(context, store.address(), metrics, unlimitedMemory());
     ObjectTable last;
     StoreSync sync(
         context, client,
--- a/Tests/Gateway/RelayedObjectsTest.cpp
+++ b/Tests/Gateway/RelayedObjectsTest.cpp
@@ -19,6 +19,7 @@
 #include "Gateway/StoreSync.h"
 #include "ScriptedServer.h"
 #include "StoreStandIn.h"
+#include "UnlimitedMemory.h"
 
 namespace jacinthroad {
 
@@ -37,8 +38,8 @@
                 Duration watchWait = milliseconds(200), const RelayResponder::Options &passing = {},
                 Duration relayWait = milliseconds(200))
         : node { .name = std::move(name), .address = freeAddress() }
-        , client(context, store.address(), metrics)
-        , relay(context, metrics)
+        , client(context, store.address(), metrics, unlimitedMemory())
+        , relay(context, metrics, client.memory())
         , acceptor(context)
         , sync(
               context, client,
@@ -54,7 +55,7 @@
         relay.add(Kind, sync.relayLog(), passing);
         sync.onRelayExpected = [this](std::uint64_t bytes) { relay.noteExpected(Kind, bytes); };
         sync.onRelayChange = [this] { relay.noteNews(Kind); };
-        BOOST_REQUIRE(!listenOn(acceptor, node.address));
+        BOOST_REQUIRE(!listenOn(acceptor, node.address, receiveBufferBytes(*client.memory())));
         asio::co_spawn(context, relay.serve(acceptor), asio::detached);
         asio::co_spawn(context, sync.run(), asio::detached);
     }
--- a/Tests/Gateway/StoreClientTest.cpp
+++ b/Tests/Gateway/StoreClientTest.cpp
@@ -9,6 +9,7 @@
 
 #include "Gateway/StoreClient.h"
 #include "ScriptedServer.h"
+#include "UnlimitedMemory.h"
 
 namespace jacinthroad {
 
@@ -28,7 +29,7 @@
     });
     asio::io_context context { 1 };
     GatewayMetrics metrics;
-    StoreClient client(context, server.address(), metrics);
+    StoreClient client(context, server.address(), metrics, unlimitedMemory());
     std::vector<bool> received;
     asio::co_spawn(
         context,
--- a/Tests/Gateway/StoreSyncTest.cpp
+++ b/Tests/Gateway/StoreSyncTest.cpp
@@ -9,6 +9,7 @@
 #include "Gateway/BootClock.h"
 #include "Gateway/StoreSync.h"
 #include "StoreStandIn.h"
+#include "UnlimitedMemory.h"
 
 namespace jacinthroad {
 
@@ -33,7 +34,7 @@
     store.put("nodes", "front-1", Json::Value("first"));
     asio::io_context context { 1 };
     GatewayMetrics metrics;
-    StoreClient client(context, store.address(), metrics);
+    StoreClient client(context, store.address(), metrics, unlimitedMemory());
     unsigned calls = 0;
     unsigned completed = 0;
     StoreSync sync(
@@ -61,7 +62,7 @@
     store.put("nodes", "front-2", Json::Value("lost"));
     asio::io_context context { 1 };
     GatewayMetrics metrics;
-    StoreClient client(context, store.address(), metrics);
+    StoreClient client(context, store.address(), metrics, unlimitedMemory());
     ObjectTable last;
     StoreSync sync(
         context, client,
@@ -90,7 +91,7 @@
     store.put("config", "main", Json::Value("lost"));
     asio::io_context context { 1 };
     GatewayMetrics metrics;
-    StoreClient client(context, store.address(), metrics);
+    StoreClient client(context, store.address(), metrics, unlimitedMemory());
     bool stale = false;
     unsigned confirmed = 0;
     std::string current = "lost";
@@ -130,7 +131,7 @@
     store.put("config", "main", specOf(1, "a"));
     asio::io_context context { 1 };
     GatewayMetrics metrics;
-    StoreClient client(context, store.address(), metrics);
+    StoreClient client(context, store.address(), metrics, unlimitedMemory());
     ObjectTable last;
     StoreSync sync(
         context, client,
--- a/Tests/Gateway/StreamVersionSyncTest.cpp
+++ b/Tests/Gateway/StreamVersionSyncTest.cpp
@@ -14,6 +14,7 @@
 #include "Gateway/BootClock.h"
 #include "Gateway/StreamVersionSync.h"
 #include "StoreStandIn.h"
+#include "UnlimitedMemory.h"
 
 namespace jacinthroad {
 
@@ -322,7 +323,7 @@
     SyncNode reader(store, "front-2");
     asio::io_context context { 1 };
     GatewayMetrics metrics;
-    StoreClient client(context, store.rejectingAddress(), metrics);
+    StoreClient client(context, store.rejectingAddress(), metrics, unlimitedMemory());
     StreamVersionSync sync(context, client, { .node = "front-1" }, [](const VersionTable &) {});
     asio::co_spawn(context, sync.run(), asio::detached);
     sync.record({ { .stream = 7, .service = Service, .version = "v1" } });
