Gateway: Count the fields of a header that have been parsed

Cause: Beast moves the fields of an unfinished header into the message when a read ends between two lines, and checks its limit against what is left in the buffer only. Four bytes of a line take 70 in memory.

readHeader() reads headers as http::async_read_header() does, checks the limit against all bytes of the header and reserves memory for its fields as they arrive. Trailers, which become fields too, are counted behind the body. The line of a chunk's size may have 16 KB also where the limit for a header is smaller, as CallerSessionTest expects.

Evidence: with Beast's check in readHeader() the new test EndlessResponseTest/endlessFieldsOfACallerWhoseLinesEndWhereAReadEndsAreRefused fails for 3 of 4 paddings (1 MB of such lines isn't refused); now it passes.

--- a/Source/Gateway/CallerSession.cpp
+++ b/Source/Gateway/CallerSession.cpp
@@ -15,6 +15,7 @@
 #include "Core/MemoryReserve.h"
 #include "Gateway/BodyMemory.h"
 #include "Gateway/ForwardingTiming.h"
+#include "Gateway/HeaderReader.h"
 #include "Gateway/RestartingTask.h"
 #include "Gateway/SocketOptions.h"
 #include "platform/CallerWire.h"
@@ -54,7 +55,9 @@
 /// Bytes that another node adds to the header of a request that it forwards, at most.
 constexpr std::uint32_t MaxForwardingBytes = 4096;
 
-/// Bytes of room behind the longest header that Beast needs to find that a header is longer.
+/// Longest line of a chunk's size, with its extension, and longest trailers.
+constexpr std::uint32_t MaxChunkLineBytes = 16 * 1024;
+/// Bytes of room behind the longest part that the parser needs to find that a part is longer.
 constexpr std::size_t MinReadBytes = 512;
 
 bool hasInvalidFraming(const http::request_header<> &header)
@@ -350,8 +353,7 @@
         }
         const ActiveRequest active = state_.beginRequest();
         Parser parser;
-        parser.header_limit(headerLimit());
-        buffer_.setMaxBytes(headerLimit() + MinReadBytes);
+        buffer_.setMaxBytes(std::max(headerLimit(), MaxChunkLineBytes) + MinReadBytes);
         MemoryReservation bodyMemory(state_.bodyMemory, BodyKind::Request);
         const bool requestComplete = co_await readRequest(parser, bodyMemory);
         if (!requestComplete) {
@@ -493,16 +495,16 @@
     limitHeaderTime(std::chrono::steady_clock::now());
     // The limit is checked with the configuration that is in force when the header is complete.
     parser.body_limit(std::numeric_limits<std::uint64_t>::max());
-    error_code error;
     reading_ = true;
     requestOpen_ = true;
     overdue_.reset();
-    co_await http::async_read_header(socket_, buffer_, parser,
-                                     asio::redirect_error(asio::use_awaitable, error));
+    error_code error = co_await readHeader(socket_, buffer_, parser, parser.get().base(),
+                                           headerLimit(), headerMemory_);
     if (!error && hasInvalidFraming(parser.get().base())) {
         error = http::error::bad_transfer_encoding;
     }
-    if (!error && !reserveRequest(parser)) {
+    // The connections of the caller and of the server.
+    if (!error && !unreadMemory_.resize(2 * unreadBytes(*state_.bodyMemory))) {
         error = boost::system::errc::make_error_code(boost::system::errc::not_enough_memory);
     }
     if (!error && !parser.is_done()) {
@@ -510,6 +512,10 @@
         limitReading(BodyTimeout, CloseReason::BodyTimeout);
         error = co_await readBody(parser, bodyMemory);
     }
+    // Trailers have become fields of the header.
+    if (!error && !headerMemory_.resize(headerMemory(parser.get().base()))) {
+        error = boost::system::errc::make_error_code(boost::system::errc::not_enough_memory);
+    }
     timer_.cancel();
     reading_ = false;
     if (error && overdue_.has_value()) {
@@ -519,7 +525,7 @@
     if (!error) {
         obligation_.emplace(state_.metrics);
     }
-    requestOpen_ = error && parser.got_some();
+    requestOpen_ = error && (parser.got_some() || buffer_.size() > 0);
     if (error == http::error::buffer_overflow) {
         logReadLimit("request of a caller", error, buffer_, socket_);
         if (!buffer_.isFull()) {
@@ -555,13 +561,6 @@
     return state_.limits().headerBytes + (source_ == RequestSource::Peer ? MaxForwardingBytes : 0);
 }
 
-bool CallerSession::reserveRequest(const Parser &parser)
-{
-    // The connections of the caller and of the server.
-    return headerMemory_.resize(headerMemory(parser.get().base()))
-        && unreadMemory_.resize(2 * unreadBytes(*state_.bodyMemory));
-}
-
 asio::awaitable<error_code> CallerSession::readBody(Parser &parser, MemoryReservation &bodyMemory)
 {
     const auto noMemory
--- a/Source/Gateway/CallerSession.h
+++ b/Source/Gateway/CallerSession.h
@@ -88,8 +88,6 @@
                                                            MemoryReservation &bodyMemory);
     /// Limit in bytes for the header of a request.
     [[nodiscard]] std::uint32_t headerLimit() const;
-    /// Reserves memory for a request whose header has been read. Returns false if there is none.
-    [[nodiscard]] bool reserveRequest(const Parser &parser);
     /// Reads the body of a request whose header has been read, unless `bodyMemory` has no room for
     /// it; refuses the request then and returns ENOMEM.
     [[nodiscard]] boost::asio::awaitable<boost::system::error_code>
--- a/Source/Gateway/ControlClient.cpp
+++ b/Source/Gateway/ControlClient.cpp
@@ -10,6 +10,7 @@
 #include "Gateway/BodyMemory.h"
 #include "Gateway/BootClock.h"
 #include "Gateway/DeadlineTimer.h"
+#include "Gateway/HeaderReader.h"
 #include "Gateway/ReadBuffer.h"
 #include "Gateway/SocketOptions.h"
 
@@ -151,11 +152,11 @@
     }
     noteProgress();
     http::response_parser<http::string_body> responseParser;
-    responseParser.header_limit(MaxCallHeaderBytes);
     responseParser.body_limit(maxResponseBytes_);
     const auto bodyMemory = std::make_shared<MemoryReservation>(memory_, kind_);
-    co_await http::async_read_header(connection->socket, connection->buffer, responseParser,
-                                     asio::redirect_error(asio::use_awaitable, error));
+    MemoryReservation headerMemory(memory_, kind_);
+    error = co_await readHeader(connection->socket, connection->buffer, responseParser,
+                                responseParser.get().base(), MaxCallHeaderBytes, headerMemory);
     if (!error && progress != nullptr) {
         progress->ofBytes = responseParser.content_length().value_or(0);
         progress->onSizeKnown();
--- a/Source/Gateway/Exchange.h
+++ b/Source/Gateway/Exchange.h
@@ -194,8 +194,6 @@
     /// Gives up a response that exceeds a limit; frees what was kept of it, as other responses wait
     /// for the memory.
     [[nodiscard]] AttemptResult giveUpResponse(Attempt &attempt, std::string_view event);
-    /// Reserves memory for the header of a response. Returns false if the budget has no room.
-    [[nodiscard]] bool reserveHeader(Attempt &attempt, const boost::beast::http::fields &header);
     /// Reserves memory for the event of which a part has been received, and for `bytesToWrite` of
     /// complete ones. Returns false if the budget has no room.
     [[nodiscard]] bool reserveEvent(Attempt &attempt, std::size_t bytesToWrite);
--- a/Source/Gateway/ExchangeAttempt.cpp
+++ b/Source/Gateway/ExchangeAttempt.cpp
@@ -17,6 +17,7 @@
 #include "Core/Hashing.h"
 #include "Core/Log.h"
 #include "Gateway/BodyMemory.h"
+#include "Gateway/HeaderReader.h"
 #include "Gateway/SocketOptions.h"
 
 namespace jacinthroad {
@@ -311,13 +312,13 @@
         auto parser = std::move(attempt.headerParser);
         if (parser == nullptr) {
             parser = std::make_unique<http::response_parser<http::empty_body>>();
-            parser->header_limit(MaxResponseHeaderBytes);
             parser->body_limit(NoBodyLimit);
             parser->skip(request_.method() == http::verb::head);
         }
-        error_code error;
-        co_await http::async_read_header(connection.socket, connection.buffer, *parser,
-                                         asio::redirect_error(asio::use_awaitable, error));
+        attempt.headerMemory.emplace(state_.bodyMemory, BodyKind::Response);
+        error_code error = co_await readHeader(connection.socket, connection.buffer, *parser,
+                                               parser->get().base(), MaxResponseHeaderBytes,
+                                               *attempt.headerMemory);
         if (attempt.wasInterrupted(error)) {
             attempt.headerParser = std::move(parser);
             co_return AttemptResult::Silent;
@@ -326,9 +327,6 @@
             co_return failure(attempt, error);
         }
         noteReceived(attempt);
-        if (!reserveHeader(attempt, parser->get().base())) {
-            co_return giveUpResponse(attempt, "response_too_long");
-        }
         attempt.responseFacts
             = platform::readResponseInfo(parser->get().base(), attempt.placement.server);
         // Without an id, only the first response on a connection certainly belongs to its request.
@@ -586,12 +584,6 @@
     return end;
 }
 
-bool Exchange::reserveHeader(Attempt &attempt, const http::fields &header)
-{
-    attempt.headerMemory.emplace(state_.bodyMemory, BodyKind::Response);
-    return attempt.headerMemory->resize(headerMemory(header));
-}
-
 bool Exchange::reserveEvent(Attempt &attempt, std::size_t bytesToWrite)
 {
     if (!attempt.bodyMemory.has_value()) {
--- a/Source/Gateway/ExchangeConnect.cpp
+++ b/Source/Gateway/ExchangeConnect.cpp
@@ -10,6 +10,7 @@
 #include "Gateway/BodyMemory.h"
 #include "Gateway/BootClock.h"
 #include "Gateway/ExchangeAttempt.h"
+#include "Gateway/HeaderReader.h"
 #include "Gateway/SocketOptions.h"
 #include "platform/Orders.h"
 
@@ -28,6 +29,7 @@
 constexpr Duration ServerTcpTimeout = ShortestTcpTimeout;
 /// Maximum size of a server's report.
 constexpr std::uint64_t MaxReportBytes = 256 * 1024;
+constexpr std::uint32_t MaxReportHeaderBytes = 8 * 1024;
 
 } // namespace
 
@@ -123,8 +125,9 @@
     http::response_parser<http::string_body> parser;
     parser.body_limit(MaxReportBytes);
     MemoryReservation memory(state_.bodyMemory, BodyKind::Response);
-    co_await http::async_read_header(connection.socket, connection.buffer, parser,
-                                     asio::redirect_error(asio::use_awaitable, error));
+    MemoryReservation headerMemory(state_.bodyMemory, BodyKind::Response);
+    error = co_await readHeader(connection.socket, connection.buffer, parser, parser.get().base(),
+                                MaxReportHeaderBytes, headerMemory);
     while (!error && !parser.is_done()) {
         if (reserveForRead(memory, parser.get().body(), parser.content_length(), connection.buffer,
                            MaxReportBytes)) {
--- a/Source/Gateway/ReadBuffer.cpp
+++ b/Source/Gateway/ReadBuffer.cpp
@@ -20,6 +20,8 @@
 constexpr std::size_t MaxReceiveBufferBytes = 16 * 1024;
 /// Receive buffers for which the memory has room, at least, unless they have the smallest size.
 constexpr std::size_t ReceiveBuffers = 1024;
+constexpr std::size_t MinReadBytes = 512;
+constexpr std::size_t MaxReadBytes = 64 * 1024;
 /// What a field of a header takes besides its text.
 constexpr std::size_t FieldBytes = 64;
 
@@ -63,6 +65,12 @@
     }
 }
 
+std::size_t ReadBuffer::readSize() const
+{
+    return std::min(
+        { std::max(MinReadBytes, capacity() - size()), MaxReadBytes, max_size() - size() });
+}
+
 void ReadBuffer::releaseIfEmpty()
 {
     if (size() == 0) {
--- a/Source/Gateway/ReadBuffer.h
+++ b/Source/Gateway/ReadBuffer.h
@@ -83,6 +83,8 @@
     void setMaxBytes(std::size_t maxBytes);
     /// Returns room for `bytes` behind the data, or nothing if there is none.
     [[nodiscard]] std::optional<boost::asio::mutable_buffer> tryPrepare(std::size_t bytes);
+    /// Number of bytes to read next; 0 if the data has the largest size.
+    [[nodiscard]] std::size_t readSize() const;
     /// Gives the memory back if the buffer holds no data.
     void releaseIfEmpty();
     /// True if the data has the largest size.
--- a/Source/Gateway/RelayServer.cpp
+++ b/Source/Gateway/RelayServer.cpp
@@ -75,8 +75,8 @@
     std::shared_ptr<const char> presence;
     for (;;) {
         http::request_parser<http::empty_body> parser;
-        parser.header_limit(MaxQueryHeaderBytes);
-        error = co_await readRequestWithin(context_, socket, buffer, parser, QueryTimeout);
+        error = co_await readRequestWithin(context_, socket, buffer, parser, MaxQueryHeaderBytes,
+                                           QueryTimeout);
         if (error) {
             logReadLimit("query of another node", error, buffer, socket);
             co_return;
--- a/Source/Gateway/RequestReader.cpp
+++ b/Source/Gateway/RequestReader.cpp
@@ -4,6 +4,7 @@
 #include <boost/asio/use_awaitable.hpp>
 
 #include "Gateway/DeadlineTimer.h"
+#include "Gateway/HeaderReader.h"
 
 namespace jacinthroad {
 
@@ -14,7 +15,7 @@
 asio::awaitable<error_code> readRequestWithin(asio::io_context &context,
                                               asio::ip::tcp::socket &socket, ReadBuffer &buffer,
                                               http::request_parser<http::empty_body> &parser,
-                                              Duration limit)
+                                              std::uint32_t headerLimit, Duration limit)
 {
     error_code error;
     if (buffer.size() == 0) {
@@ -30,8 +31,12 @@
         error_code ignored;
         socket.close(ignored);
     });
-    co_await http::async_read(socket, buffer, parser,
-                              asio::redirect_error(asio::use_awaitable, error));
+    MemoryReservation memory(buffer.get_allocator().budget(), BodyKind::Request);
+    error = co_await readHeader(socket, buffer, parser, parser.get().base(), headerLimit, memory);
+    if (!error && !parser.is_done()) {
+        co_await http::async_read(socket, buffer, parser,
+                                  asio::redirect_error(asio::use_awaitable, error));
+    }
     co_return error;
 }
 
--- a/Source/Gateway/RequestReader.h
+++ b/Source/Gateway/RequestReader.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <cstdint>
 #include <utility>
 
 #include <boost/asio/awaitable.hpp>
@@ -12,10 +13,13 @@
 
 namespace jacinthroad {
 
-/// Waits for a request without a body and reads it into `parser`. Once it has begun to arrive, it
-/// must be complete within `limit`; the connection is closed otherwise.
-[[nodiscard]] boost::asio::awaitable<boost::system::error_code> readRequestWithin(
-    boost::asio::io_context &context, boost::asio::ip::tcp::socket &socket, ReadBuffer &buffer,
-    boost::beast::http::request_parser<boost::beast::http::empty_body> &parser, Duration limit);
+/// Waits for a request without a body, whose header has `headerLimit` bytes at most, and reads it
+/// into `parser`. Once it has begun to arrive, it must be complete within `limit`; the connection
+/// is closed otherwise.
+[[nodiscard]] boost::asio::awaitable<boost::system::error_code>
+readRequestWithin(boost::asio::io_context &context, boost::asio::ip::tcp::socket &socket,
+                  ReadBuffer &buffer,
+                  boost::beast::http::request_parser<boost::beast::http::empty_body> &parser,
+                  std::uint32_t headerLimit, Duration limit);
 
 } // namespace jacinthroad
--- a/Source/Gateway/StatusServer.cpp
+++ b/Source/Gateway/StatusServer.cpp
@@ -44,8 +44,8 @@
     error_code error;
     for (;;) {
         http::request_parser<http::empty_body> parser;
-        parser.header_limit(MaxStatusHeaderBytes);
-        error = co_await readRequestWithin(context, socket, buffer, parser, StatusTimeout);
+        error = co_await readRequestWithin(context, socket, buffer, parser, MaxStatusHeaderBytes,
+                                           StatusTimeout);
         if (error) {
             logReadLimit("request for " + source->path, error, buffer, socket);
             co_return;
--- a/Tests/Gateway/EndlessResponseTest.cpp
+++ b/Tests/Gateway/EndlessResponseTest.cpp
@@ -56,6 +56,15 @@
     };
 }
 
+/// Each line takes far more memory than bytes.
+EndlessResponse fieldsWithoutValues(int padding)
+{
+    return { .name = "fields without values",
+             .begin = "HTTP/1.1 200 OK\r\nX-Padding: "
+                 + std::string(static_cast<std::size_t>(padding), 'x') + "\r\n",
+             .rest = "a:\r\n" };
+}
+
 /// More than any limit together with the buffers of the system.
 constexpr std::size_t EnoughBytes = 64 * 1024 * 1024;
 /// What a node of 32 MB may take of one response, and what the system may have
@@ -176,6 +185,44 @@
     BOOST_TEST(written <= MaxTakenBytes + SystemBufferBytes);
 }
 
+// Beast's limit leaves out fields that it has parsed when a read ended between two lines.
+BOOST_DATA_TEST_CASE(endlessFieldsWhoseLinesEndWhereAReadEndsAreGivenUp,
+                     boost::unit_test::data::xrange(4), padding)
+{
+    GatewayFixture fixture;
+    fixture.settings.memoryMb = 32;
+    std::atomic<std::size_t> written { 0 };
+    fixture.addServer("s1", "plain", [&](ScriptedConnection &connection, const ReceivedRequest &) {
+        written += writeEndlessly(connection, fieldsWithoutValues(padding), "");
+        return false;
+    });
+    fixture.configure(1, { "k1" });
+    fixture.start();
+    const auto given = fixture.call("POST", "/unsafe/endless", "x");
+    BOOST_REQUIRE(given != nullptr);
+    BOOST_TEST(given->result_int() >= 500U);
+    constexpr std::size_t MaxHeaderBytes = 65536;
+    BOOST_TEST(written <= MaxHeaderBytes + SystemBufferBytes);
+}
+
+BOOST_DATA_TEST_CASE(endlessFieldsOfACallerWhoseLinesEndWhereAReadEndsAreRefused,
+                     boost::unit_test::data::xrange(4), padding)
+{
+    GatewayFixture fixture;
+    fixture.addServer("s1", "plain", [](ScriptedConnection &connection, const auto &request) {
+        connection.write(validResponse(request));
+        return true;
+    });
+    fixture.configure(1, { "k1" });
+    fixture.start();
+    std::string request = "GET /unsafe/a HTTP/1.1\r\nX-Padding: "
+        + std::string(static_cast<std::size_t>(padding), 'x') + "\r\n";
+    while (request.size() < 1024 * 1024) {
+        request += "a:\r\n";
+    }
+    BOOST_TEST(fixture.sendBytes(request, milliseconds(1000)).starts_with("HTTP/1.1 431"));
+}
+
 // Each event is within its limit, but not all together.
 BOOST_AUTO_TEST_CASE(partsOfEventsTakeMoreMemoryTogetherThanBodiesMay)
 {
--- a/Tests/Gateway/RecordedObjectsTest.cpp
+++ b/Tests/Gateway/RecordedObjectsTest.cpp
@@ -15,6 +15,7 @@
 #include "Gateway/NodeRegistration.h"
 #include "Gateway/StreamVersionsObject.h"
 #include "GatewayFixture.h"
+#include "UnlimitedMemory.h"
 
 namespace jacinthroad {
 
@@ -88,7 +89,7 @@
 struct Control
 {
     explicit Control(const std::string &store)
-        : client(context, store, metrics)
+        : client(context, store, metrics, unlimitedMemory())
     { }
 
     asio::io_context context { 1 };
--- a/Tests/Gateway/StreamVersionSyncTest.cpp
+++ b/Tests/Gateway/StreamVersionSyncTest.cpp
@@ -34,7 +34,7 @@
 struct SyncNode
 {
     SyncNode(StoreStandIn &store, const std::string &name)
-        : client(context, store.address(), metrics)
+        : client(context, store.address(), metrics, unlimitedMemory())
         , sync(context, client, { .node = name }, [this](const VersionTable &table) {
             admitted = table.contains(Service) ? table.at(Service) : VersionSet {};
         })
