Exchange: Name the server as the end of responses that it spoilt

A stream whose second server answered without a stamp, or with too many responses to other requests, ended with ended_by node, which is a fault to report: failure() takes the server's part from the error, and these two ends had none. They have an error now.

--- a/Source/Gateway/ExchangeAttempt.cpp
+++ b/Source/Gateway/ExchangeAttempt.cpp
@@ -353,7 +353,7 @@
                     { { "request_id", callerRequest_.id.text() },
                       { "server", attempt.placement.server.text() },
                       { "remedy", "The response is not forwarded; check the server." } });
-            co_return failure(attempt, {});
+            co_return failure(attempt, http::error::bad_field);
         }
         if (matchesRequest && !interim) {
             if (!attempt.responseFacts.wrongServer && !attempt.isForwarded()) {
@@ -383,7 +383,8 @@
             co_return failure(attempt, error);
         }
     }
-    co_return failure(attempt, {});
+    // It has sent too many responses to other requests.
+    co_return failure(attempt, http::error::bad_status);
 }
 
 asio::awaitable<Exchange::AttemptResult> Exchange::readCompleteResponse(Attempt &attempt)
