MemoryBudget: Let a body grow no further than its reservation

A body of up to 4 MB took up to 8 MB of memory beside what was reserved for it: growBody() reserved one and a half times the former size and then called std::string::reserve(), which at least doubles the capacity of a string that has one. The body was then counted with a capacity above its limit, and other requests were refused for it.

The longer string is built aside with exactly the reserved capacity.

Before, MemoryBudgetTest/bodyOfTheLargestSizeTakesMoreThanItsLimit failed with the former MemoryBudget.cpp: a capacity of 4,096,000 bytes under a limit of 4,000,000.

--- a/Source/Core/MemoryBudget.cpp
+++ b/Source/Core/MemoryBudget.cpp
@@ -1,6 +1,7 @@
 #include "Core/MemoryBudget.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace jacinthroad {
 
@@ -65,7 +66,11 @@
     if (!resize(former + capacity)) {
         return false;
     }
-    body.reserve(capacity);
+    // reserve() would at least double the capacity of a string that has one.
+    std::string grown;
+    grown.reserve(capacity);
+    grown.append(body);
+    body = std::move(grown);
     return resize(body.capacity());
 }
 
--- a/Tests/Core/MemoryBudgetTest.cpp
+++ b/Tests/Core/MemoryBudgetTest.cpp
@@ -1,3 +1,4 @@
+#include <algorithm>
 #include <memory>
 #include <string>
 
@@ -78,6 +79,21 @@
     BOOST_TEST(limited.capacity() < 4096U);
 }
 
+BOOST_AUTO_TEST_CASE(bodyOfTheLargestSizeTakesMoreThanItsLimit)
+{
+    constexpr std::size_t Limit = 4'000'000;
+    const auto budget = std::make_shared<MemoryBudget>(std::size_t { 16'000'000 });
+    MemoryReservation memory(budget, BodyKind::Request);
+    std::string body;
+    while (body.size() < Limit) {
+        const std::size_t bytes = std::min<std::size_t>(4000, Limit - body.size());
+        BOOST_TEST_REQUIRE(memory.growBody(body, bytes, Limit));
+        body.append(bytes, 'x');
+    }
+    BOOST_TEST(body.capacity() <= Limit);
+    BOOST_TEST(budget->used() == body.capacity());
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace jacinthroad
