Json, Store: Bound the memory that a parsed text takes

A response of an allowed size took many times its size when it was parsed: a list of empty lists is three bytes of text and 155 bytes of memory for each. A report of a server with 512 KB took 27 MB, and a list of the store with 8 MB took 430 MB and five seconds in which the node served nobody. Entries of a list that can't be parsed, and those of a configuration, were kept without a bound on their number.

The limits were on the size of the text.

--- a/Source/Core/JsonExtents.cpp
+++ b/Source/Core/JsonExtents.cpp
@@ -119,10 +119,11 @@
             return false;
         }
         const auto value = cursor.skipValue();
-        if (value.has_value()) {
-            members.push_back({ .name = name->substr(1, name->size() - 2), .value = *value });
+        if (!value.has_value() || members.size() >= MaximumJsonExtents) {
+            return false;
         }
-        return value.has_value();
+        members.push_back({ .name = name->substr(1, name->size() - 2), .value = *value });
+        return true;
     });
     return valid ? std::optional(std::move(members)) : std::nullopt;
 }
@@ -133,10 +134,11 @@
     std::vector<std::string_view> elements;
     const bool valid = readItems(cursor, '[', ']', [&] {
         const auto value = cursor.skipValue();
-        if (value.has_value()) {
-            elements.push_back(*value);
+        if (!value.has_value() || elements.size() >= MaximumJsonExtents) {
+            return false;
         }
-        return value.has_value();
+        elements.push_back(*value);
+        return true;
     });
     return valid ? std::optional(std::move(elements)) : std::nullopt;
 }
--- a/Source/Core/JsonExtents.h
+++ b/Source/Core/JsonExtents.h
@@ -15,10 +15,13 @@
     std::string_view value;
 };
 
+/// Largest number of members or elements that are found.
+constexpr std::size_t MaximumJsonExtents = 64 * 1024;
+
 /// Finds the members of a JSON object, or the elements of an array, without parsing their values.
 /// They work on values that no parser accepts, of any depth, as long as strings end and brackets
-/// balance. Return nothing if the text is no object or array, or has text after its end. The views
-/// refer to `text`.
+/// balance. Return nothing if the text is no object or array, has text after its end, or has more
+/// than MaximumJsonExtents. The views refer to `text`.
 [[nodiscard]] std::optional<std::vector<JsonMember>> jsonMembers(std::string_view text);
 [[nodiscard]] std::optional<std::vector<std::string_view>> jsonElements(std::string_view text);
 
