--- a/Source/EngineClient/SseParser.cpp
+++ b/Source/EngineClient/SseParser.cpp
@@ -6,6 +6,9 @@
 
 namespace {
 
+/// Largest memory that is kept for the next event.
+constexpr std::size_t KeptBytes = 4096;
+
 std::string_view fieldValue(std::string_view line, std::size_t colon)
 {
     std::string_view value = line.substr(colon + 1);
@@ -23,7 +26,7 @@
         const auto end = bytes.find('\n');
         if (end == std::string_view::npos) {
             partialLine_.append(bytes);
-            return partialLine_.size() + data_.size() <= MaximumEventBytes;
+            return withinLimit(partialLine_.size());
         }
         if (partialLine_.empty()) {
             processLine(bytes.substr(0, end), handler);
@@ -33,7 +36,7 @@
             processLine(completeLine, handler);
         }
         bytes.remove_prefix(end + 1);
-        if (data_.size() > MaximumEventBytes) {
+        if (!withinLimit(0)) {
             return false;
         }
     }
@@ -48,6 +51,10 @@
         if (!data_.empty()) {
             handler(id_, data_);
             data_.clear();
+            // A long event doesn't keep its memory for the rest of the stream.
+            if (data_.capacity() > KeptBytes) {
+                data_ = {};
+            }
         }
         return;
     }
@@ -66,4 +73,11 @@
     }
 }
 
+void SseParser::clear()
+{
+    partialLine_ = {};
+    id_ = {};
+    data_ = {};
+}
+
 } // namespace jacinthroad
--- a/Source/EngineClient/StreamRelay.h
+++ b/Source/EngineClient/StreamRelay.h
@@ -44,6 +44,10 @@
     RelayState feed(std::string_view bytes, std::string &output);
 
     [[nodiscard]] RelayState state() const { return state_; }
+    /// Memory in bytes that an unfinished event takes.
+    [[nodiscard]] std::size_t memory() const { return parser_.memory(); }
+    /// Drops an unfinished event.
+    void clear() { parser_.clear(); }
     /// Number of the last token forwarded.
     [[nodiscard]] std::uint32_t lastToken() const { return lastToken_; }
     /// Number of prompt tokens, once the engine has reported it.
--- a/Source/Http/HttpClient.cpp
+++ b/Source/Http/HttpClient.cpp
@@ -27,9 +27,16 @@
 constexpr int MaximumPollMilliseconds = 1000;
 constexpr std::size_t EventsPerPoll = 64;
 constexpr long ConnectionCacheSize = 256;
-/// Maximum size in bytes of the header and trailer lines of a response and of all interim
+/// Maximum size in bytes of the header and trailer fields of a response and of all interim
 /// responses before it.
 constexpr std::size_t MaximumHeaderBytes = 64 * 1024;
+/// Header fields are held as they are received, in a list that grows, and by their receiver.
+constexpr std::size_t HeaderCopies = 3;
+/// Maximum number of bytes between two of the body: sizes and extensions of chunks.
+constexpr std::size_t MaximumFramingBytes = 64 * 1024;
+/// Size in bytes of the buffer that libcurl reads into.
+constexpr long ReadBufferBytes = 16 * 1024;
+constexpr std::size_t MaximumToolResponseBytes = 16 * 1024 * 1024;
 
 struct CurlList
 {
@@ -41,39 +48,80 @@
     void append(const std::string &line) { head = curl_slist_append(head, line.c_str()); }
 };
 
+/// A response that its client keeps.
+struct Collection
+{
+    std::size_t maximumBodyBytes;
+    HttpClient::CollectedEvent done;
+    CollectedResponse collected;
+};
+
 struct Transfer
 {
+    explicit Transfer(const std::shared_ptr<MemoryBudget> &memory)
+        : budget(memory)
+        // A request that was accepted is to be passed on.
+        , requestMemory(memory, BodyKind::Response)
+        , headerMemory(memory, BodyKind::Response)
+    { }
+
+    std::shared_ptr<MemoryBudget> budget;
     HttpClient::CallId id = 0;
     CURL *handle = nullptr;
     HttpCall call;
+    /// Unset if the response is collected.
     HttpCallEvents events;
+    std::optional<Collection> collection;
     CurlList headerLines;
     HttpHeaders headers;
     bool headersComplete = false;
     bool headersReported = false;
     std::size_t headerBytes = 0;
     std::size_t bodyBytes = 0;
-    /// Memory of the body.
-    std::optional<MemoryReservation> memory;
+    /// Bytes behind the header since the last one of the body.
+    std::size_t framingBytes = 0;
+    MemoryReservation requestMemory;
+    /// Also of the buffer that is read into.
+    MemoryReservation headerMemory;
+
+    /// True if what ended the call is the account, not a limit of its own.
+    bool withoutMemory = false;
 
-    /// Counts bytes of the body before they are delivered. Returns false if they exceed a limit.
-    [[nodiscard]] bool takeBody(std::size_t bytes)
+    /// Reserves what the call needs before any byte of its response arrives.
+    [[nodiscard]] bool reserve()
     {
-        const std::size_t size = bodyBytes + bytes;
-        if ((call.maximumResponseBytes > 0 && size > call.maximumResponseBytes)
-            || (memory.has_value() && !memory->resize(size))) {
-            return false;
-        }
-        bodyBytes = size;
-        return true;
+        const auto *own = std::get_if<std::string>(&call.body);
+        return hasMemory(requestMemory.resize(own == nullptr ? 0 : own->capacity()))
+            && takeHeader(0);
+    }
+    bool hasMemory(bool reserved)
+    {
+        withoutMemory = !reserved;
+        return reserved;
+    }
+    /// Counts bytes of the header before they are kept. Returns false if they exceed a limit.
+    [[nodiscard]] bool takeHeader(std::size_t bytes)
+    {
+        headerBytes += bytes;
+        return headerBytes <= MaximumHeaderBytes
+            && hasMemory(headerMemory.resize(ReadBufferBytes + HeaderCopies * headerBytes));
+    }
+    [[nodiscard]] const std::string &requestBody() const
+    {
+        const auto *own = std::get_if<std::string>(&call.body);
+        return own == nullptr ? *std::get<std::shared_ptr<const std::string>>(call.body) : *own;
     }
-    void giveBackBody(std::size_t bytes)
+    /// Keeps bytes of the body. Returns false if they exceed a limit.
+    [[nodiscard]] bool keepBody(std::string_view bytes)
     {
-        bodyBytes -= bytes;
-        if (memory.has_value()) {
-            // A smaller reservation always fits.
-            static_cast<void>(memory->resize(bodyBytes));
+        std::string &body = collection->collected.response.body;
+        if (bytes.size() > collection->maximumBodyBytes - body.size()
+            || !hasMemory(collection->collected.memory->growBody(body, bytes.size(),
+                                                                 collection->maximumBodyBytes))) {
+            return false;
         }
+        body.append(bytes);
+        return true;
     }
 };
 
@@ -108,7 +156,11 @@
     transfer.headersReported = true;
     long status = 0;
     curl_easy_getinfo(transfer.handle, CURLINFO_RESPONSE_CODE, &status);
-    if (transfer.events.onHeaders) {
+    if (transfer.collection.has_value()) {
+        HttpResponse &response = transfer.collection->collected.response;
+        response.status = static_cast<int>(status);
+        response.headers = transfer.headers;
+    } else if (transfer.events.onHeaders) {
         transfer.events.onHeaders(static_cast<int>(status), transfer.headers);
     }
 }
@@ -116,41 +168,67 @@
 /// Ends a transfer when a callback returns it for bytes that were received.
 constexpr std::size_t EndTransfer = 0;
 
-void logTooLong(const Transfer &transfer)
+void logLimit(const Transfer &transfer)
 {
     // A query may hold what its caller keeps secret.
     const std::string_view url = transfer.call.url;
-    logLine(LogLevel::Warning, "response_too_long",
+    logLine(LogLevel::Warning, transfer.withoutMemory ? "call_without_memory" : "response_too_long",
             { { "url", url.substr(0, url.find('?')) },
               { "header_bytes", static_cast<std::int64_t>(transfer.headerBytes) },
               { "body_bytes", static_cast<std::int64_t>(transfer.bodyBytes) },
+              { "framing_bytes", static_cast<std::int64_t>(transfer.framingBytes) },
+              { "memory_bytes", static_cast<std::int64_t>(transfer.budget->used()) },
+              { "memory_limit_bytes", static_cast<std::int64_t>(transfer.budget->limit()) },
               { "remedy",
-                "Check the server. limits.response_memory_bytes bounds the "
-                "responses of all services together." } });
+                transfer.withoutMemory ? "Look for servers and callers that send slowly, or raise "
+                                         "limits.response_memory_bytes."
+                                       : "Check the server." } });
 }
 
 size_t onBody(char *bytes, size_t, size_t count, void *context)
 {
     auto &transfer = *static_cast<Transfer *>(context);
     reportHeaders(transfer);
-    if (!transfer.takeBody(count)) {
-        logTooLong(transfer);
-        return EndTransfer;
-    }
-    if (transfer.events.onData && !transfer.events.onData({ bytes, count })) {
-        transfer.giveBackBody(count);
+    transfer.framingBytes = 0;
+    const std::string_view text(bytes, count);
+    if (transfer.collection.has_value()) {
+        if (!transfer.keepBody(text)) {
+            logLimit(transfer);
+            return EndTransfer;
+        }
+    } else if (transfer.events.onData && !transfer.events.onData(text)) {
         return CURL_WRITEFUNC_PAUSE;
     }
+    transfer.bodyBytes += count;
     return count;
 }
 
+/// Counts what is received behind a header, before libcurl removes sizes and extensions of chunks,
+/// which it reports to no other callback.
+int onDebug(CURL *, curl_infotype type, char *, size_t count, void *context)
+{
+    if (type == CURLINFO_DATA_IN) {
+        static_cast<Transfer *>(context)->framingBytes += count;
+    }
+    return 0;
+}
+
+int onProgress(void *context, curl_off_t, curl_off_t, curl_off_t, curl_off_t)
+{
+    const auto &transfer = *static_cast<const Transfer *>(context);
+    const bool tooLong = transfer.framingBytes > MaximumFramingBytes;
+    if (tooLong) {
+        logLimit(transfer);
+    }
+    return tooLong ? 1 : 0;
+}
+
 size_t onHeaderLine(char *bytes, size_t, size_t count, void *context)
 {
     auto &transfer = *static_cast<Transfer *>(context);
     const std::string_view line(bytes, count);
-    transfer.headerBytes += count;
-    if (transfer.headerBytes > MaximumHeaderBytes) {
-        logTooLong(transfer);
+    if (!transfer.takeHeader(count + sizeof(HttpHeaders::value_type))) {
+        logLimit(transfer);
         return EndTransfer;
     }
     if (line.starts_with("HTTP/")) {
@@ -204,8 +282,9 @@
 class HttpClient::Loop
 {
 public:
-    Loop()
-        : multi_(curl_multi_init())
+    explicit Loop(std::shared_ptr<MemoryBudget> memory)
+        : memory_(std::move(memory))
+        , multi_(curl_multi_init())
         , epollFd_(epoll_create1(EPOLL_CLOEXEC))
         , wakeFd_(eventfd(0, EFD_CLOEXEC | EFD_NONBLOCK))
     {
@@ -235,12 +314,30 @@
 
     CallId start(HttpCall call, HttpCallEvents events)
     {
-        auto transfer = std::make_unique<Transfer>();
-        if (call.responseMemory != nullptr) {
-            transfer->memory.emplace(call.responseMemory, BodyKind::Response);
-        }
+        auto transfer = std::make_unique<Transfer>(memory_);
         transfer->call = std::move(call);
         transfer->events = std::move(events);
+        return start(std::move(transfer));
+    }
+
+    CallId collect(HttpCall call, std::size_t maximumBodyBytes, CollectedEvent done)
+    {
+        auto transfer = std::make_unique<Transfer>(memory_);
+        transfer->call = std::move(call);
+        transfer->collection
+            = { .maximumBodyBytes = maximumBodyBytes,
+                .done = std::move(done),
+                .collected
+                = { .memory = std::make_shared<MemoryReservation>(memory_, BodyKind::Response) } };
+        return start(std::move(transfer));
+    }
+
+    void cancel(CallId id) { post(Cancel { id }); }
+    void resume(CallId id) { post(Resume { id }); }
+
+private:
+    CallId start(std::unique_ptr<Transfer> transfer)
+    {
         CallId id = 0;
         {
             const std::scoped_lock lock(mutex_);
@@ -252,10 +349,6 @@
         return id;
     }
 
-    void cancel(CallId id) { post(Cancel { id }); }
-    void resume(CallId id) { post(Resume { id }); }
-
-private:
     struct Start
     {
         std::unique_ptr<Transfer> transfer;
@@ -383,6 +476,11 @@
     void add(std::unique_ptr<Transfer> newTransfer)
     {
         Transfer &transfer = *newTransfer;
+        if (!transfer.reserve()) {
+            logLimit(transfer);
+            report(transfer, CallOutcome::NotSent);
+            return;
+        }
         transfer.handle = curl_easy_init();
         configure(transfer);
         byHandle_[transfer.handle] = transfer.id;
@@ -403,10 +501,11 @@
                          std::max(1L, static_cast<long>(toMilliseconds(call.connectTimeout))));
         curl_easy_setopt(handle, CURLOPT_TIMEOUT_MS,
                          static_cast<long>(toMilliseconds(call.totalTimeout)));
-        if (!call.body.empty() || call.method == "POST" || call.method == "PUT") {
-            curl_easy_setopt(handle, CURLOPT_POSTFIELDS, call.body.c_str());
+        const std::string &body = transfer.requestBody();
+        if (!body.empty() || call.method == "POST" || call.method == "PUT") {
+            curl_easy_setopt(handle, CURLOPT_POSTFIELDS, body.c_str());
             curl_easy_setopt(handle, CURLOPT_POSTFIELDSIZE_LARGE,
-                             static_cast<curl_off_t>(call.body.size()));
+                             static_cast<curl_off_t>(body.size()));
         }
         for (const auto &[name, value] : call.headers) {
             std::string line = name;
@@ -420,6 +519,13 @@
         curl_easy_setopt(handle, CURLOPT_WRITEDATA, &transfer);
         curl_easy_setopt(handle, CURLOPT_HEADERFUNCTION, onHeaderLine);
         curl_easy_setopt(handle, CURLOPT_HEADERDATA, &transfer);
+        curl_easy_setopt(handle, CURLOPT_BUFFERSIZE, ReadBufferBytes);
+        curl_easy_setopt(handle, CURLOPT_VERBOSE, 1L);
+        curl_easy_setopt(handle, CURLOPT_DEBUGFUNCTION, onDebug);
+        curl_easy_setopt(handle, CURLOPT_DEBUGDATA, &transfer);
+        curl_easy_setopt(handle, CURLOPT_NOPROGRESS, 0L);
+        curl_easy_setopt(handle, CURLOPT_XFERINFOFUNCTION, onProgress);
+        curl_easy_setopt(handle, CURLOPT_XFERINFODATA, &transfer);
         if (call.ownConnection) {
             curl_easy_setopt(handle, CURLOPT_FRESH_CONNECT, 1L);
             curl_easy_setopt(handle, CURLOPT_FORBID_REUSE, 1L);
@@ -456,8 +562,18 @@
         curl_multi_remove_handle(multi_, transfer->handle);
         curl_easy_cleanup(transfer->handle);
         transfer->handle = nullptr;
-        if (transfer->events.onEnd) {
-            transfer->events.onEnd(outcome);
+        report(*transfer, outcome);
+    }
+
+    static void report(Transfer &transfer, CallOutcome outcome)
+    {
+        // Smaller reservations always fit.
+        static_cast<void>(transfer.requestMemory.resize(0));
+        static_cast<void>(transfer.headerMemory.resize(0));
+        if (transfer.collection.has_value()) {
+            transfer.collection->done(outcome, std::move(transfer.collection->collected));
+        } else if (transfer.events.onEnd) {
+            transfer.events.onEnd(outcome);
         }
     }
 
@@ -469,6 +585,7 @@
         }
     }
 
+    std::shared_ptr<MemoryBudget> memory_;
     CURLM *multi_;
     int epollFd_;
     int wakeFd_;
@@ -483,11 +600,11 @@
     std::thread thread_;
 };
 
-HttpClient::HttpClient()
+HttpClient::HttpClient(std::shared_ptr<MemoryBudget> memory)
 {
     static const CURLcode GlobalInit = curl_global_init(CURL_GLOBAL_DEFAULT);
     static_cast<void>(GlobalInit);
-    loop_ = std::make_unique<Loop>();
+    loop_ = std::make_unique<Loop>(std::move(memory));
 }
 
 HttpClient::~HttpClient() = default;
@@ -497,6 +614,12 @@
     return loop_->start(std::move(call), std::move(events));
 }
 
+HttpClient::CallId HttpClient::collect(HttpCall call, std::size_t maximumBodyBytes,
+                                       CollectedEvent done)
+{
+    return loop_->collect(std::move(call), maximumBodyBytes, std::move(done));
+}
+
 void HttpClient::cancel(CallId id)
 {
     loop_->cancel(id);
@@ -511,22 +634,13 @@
 {
     HttpCallResult result;
     std::promise<void> ended;
-    client.start(std::move(call),
-                 { .onHeaders =
-                       [&](int status, const HttpHeaders &headers) {
-                           result.response.status = status;
-                           result.response.headers = headers;
-                       },
-                   .onData =
-                       [&](std::string_view bytes) {
-                           result.response.body.append(bytes);
-                           return true;
-                       },
-                   .onEnd =
-                       [&](CallOutcome outcome) {
-                           result.outcome = outcome;
-                           ended.set_value();
-                       } });
+    client.collect(std::move(call), MaximumToolResponseBytes,
+                   [&](CallOutcome outcome, CollectedResponse collected) {
+                       result = { .outcome = outcome, .response = std::move(collected.response) };
+                       // Given back before the caller looks.
+                       collected.memory.reset();
+                       ended.set_value();
+                   });
     ended.get_future().wait();
     return result;
 }
--- a/Source/Http/HttpClient.h
+++ b/Source/Http/HttpClient.h
@@ -6,6 +6,7 @@
 #include <memory>
 #include <string>
 #include <string_view>
+#include <variant>
 
 #include "Core/MemoryBudget.h"
 #include "Core/Time.h"
@@ -27,32 +28,26 @@
     Cancelled,
 };
 
-/// Maximum size in bytes of the body of a response that its receiver keeps.
-constexpr std::size_t MaximumResponseBytes = 16 * 1024 * 1024;
-
-/// One HTTP call and its limits.
+/// One HTTP call.
 struct HttpCall
 {
     std::string method = "GET";
     std::string url;
     HttpHeaders headers;
-    std::string body;
+    /// Memory of the body is reserved for the call, unless it is shared with a holder that has done
+    /// so.
+    std::variant<std::string, std::shared_ptr<const std::string>> body;
     Duration connectTimeout = std::chrono::seconds(2);
     /// Limit on the duration of the entire call; zero means no limit.
     Duration totalTimeout = Duration::zero();
-    /// Limit on the bytes of the response's body; zero means no limit, for a receiver that doesn't
-    /// keep them.
-    std::size_t maximumResponseBytes = MaximumResponseBytes;
-    /// The budget that the body of the response takes memory from while the call runs; none if
-    /// null.
-    std::shared_ptr<MemoryBudget> responseMemory {};
     /// Uses a new connection and closes it afterwards. On a reused one a late response to an
     /// earlier request can be taken for this call's, and libcurl retries a request of any method
     /// when the connection turns out to be closed.
     bool ownConnection = false;
 };
 
-/// Callbacks of a call; all run on the client's thread.
+/// Callbacks of a call whose receiver doesn't keep the body of the response; all run on the
+/// client's thread.
 struct HttpCallEvents
 {
     std::function<void(int status, const HttpHeaders &headers)> onHeaders;
@@ -62,13 +57,24 @@
     std::function<void(CallOutcome outcome)> onEnd;
 };
 
+/// A response that was kept, or the part of it that arrived, with the memory of its body.
+struct CollectedResponse
+{
+    HttpResponse response;
+    std::shared_ptr<MemoryReservation> memory;
+};
+
 /// Runs concurrent HTTP calls on its own thread with libcurl's multi interface.
 class HttpClient
 {
 public:
     using CallId = std::uint64_t;
+    /// Runs on the client's thread.
+    using CollectedEvent = std::function<void(CallOutcome outcome, CollectedResponse response)>;
 
-    HttpClient();
+    /// All that calls send, and what they receive and haven't passed on, takes memory from
+    /// `memory`. A call that gets none ends, before it is sent with CallOutcome::NotSent.
+    explicit HttpClient(std::shared_ptr<MemoryBudget> memory);
     HttpClient(const HttpClient &) = delete;
     HttpClient &operator=(const HttpClient &) = delete;
     /// Cancels every open call, runs its onEnd callback, and joins the thread.
@@ -76,6 +82,8 @@
 
     /// Starts a call; thread-safe.
     CallId start(HttpCall call, HttpCallEvents events);
+    /// Starts a call whose response is kept, with a body of up to `maximumBodyBytes`; thread-safe.
+    CallId collect(HttpCall call, std::size_t maximumBodyBytes, CollectedEvent done);
     /// Ends a call with CallOutcome::Cancelled unless it has already ended.
     void cancel(CallId id);
     /// Resumes a paused call.
@@ -93,8 +101,8 @@
     HttpResponse response;
 };
 
-/// Makes one call and blocks until it ends. For tools and tests only; it must not run on a traffic
-/// thread.
+/// Makes one call and blocks until it ends; the body of the response may have 16 MB. For tools and
+/// tests only; it must not run on a traffic thread.
 [[nodiscard]] HttpCallResult performCall(HttpClient &client, HttpCall call);
 
 } // namespace jacinthroad
--- a/Source/Http/HttpMessage.cpp
+++ b/Source/Http/HttpMessage.cpp
@@ -5,6 +5,15 @@
 
 namespace jacinthroad {
 
+std::size_t headerMemory(const HttpHeaders &headers)
+{
+    std::size_t bytes = headers.capacity() * sizeof(HttpHeaders::value_type);
+    for (const auto &[name, value] : headers) {
+        bytes += name.capacity() + value.capacity();
+    }
+    return bytes;
+}
+
 std::optional<std::string_view> findHeader(const HttpHeaders &headers, std::string_view name)
 {
     const auto found = std::find_if(headers.begin(), headers.end(),
--- a/Source/Http/HttpServer.cpp
+++ b/Source/Http/HttpServer.cpp
@@ -51,8 +51,14 @@
 /// A request, its response writer, and the progress of receiving its body.
 struct HttpServer::Exchange
 {
+    explicit Exchange(const std::shared_ptr<MemoryBudget> &budget)
+        : writer(std::make_shared<ResponseWriter>(budget))
+    {
+        request.memory = std::make_shared<RequestMemory>(budget);
+    }
+
     HttpRequest request;
-    std::shared_ptr<ResponseWriter> writer = std::make_shared<ResponseWriter>();
+    std::shared_ptr<ResponseWriter> writer;
     std::size_t receivedBytes = 0;
     bool handlerCalled = false;
     /// True once libmicrohttpd has taken the response.
@@ -80,7 +86,7 @@
         }
         auto &exchange = *static_cast<Exchange *>(*exchangeSlot);
         if (*uploadSize != 0) {
-            return receive(server, exchange, { uploadData, *uploadSize }, uploadSize);
+            return receive(server, exchange, connection, { uploadData, *uploadSize }, uploadSize);
         }
         return respond(server, exchange, connection);
     }
@@ -88,7 +94,7 @@
     static MHD_Result begin(HttpServer &server, MHD_Connection *connection, const char *url,
                             const char *method, void **exchangeSlot)
     {
-        auto exchange = std::make_unique<Exchange>();
+        auto exchange = std::make_unique<Exchange>(server.memory_);
         exchange->writer->connection_ = connection;
         {
             const std::scoped_lock lock(server.mutex_);
@@ -107,8 +113,17 @@
                                   &exchange->request.query);
         auto &current = *exchange;
         *exchangeSlot = exchange.release();
+        if (!current.request.memory->header.resize(headerMemory(current.request.headers)
+                                                   + headerMemory(current.request.query))) {
+            logNoMemory(server, current, connection);
+            return MHD_NO;
+        }
         const std::size_t declared = declaredBodyBytes(connection);
-        current.request.bodyTooLarge = declared > server.options_.maximumBodyBytes;
+        if (declared > server.options_.maximumBodyBytes) {
+            current.request.bodyLoss = BodyLoss::TooLarge;
+        } else if (server.options_.wantsBody && !server.options_.wantsBody(current.request)) {
+            current.request.bodyLoss = BodyLoss::NotWanted;
+        }
         if (declared > server.options_.maximumBodyBytes * MaximumDiscardFactor) {
             return respond(server, current, connection);
         }
@@ -116,24 +131,53 @@
         return MHD_YES;
     }
 
-    static MHD_Result receive(HttpServer &server, Exchange &exchange, std::string_view bytes,
-                              size_t *uploadSize)
+    static MHD_Result receive(HttpServer &server, Exchange &exchange, MHD_Connection *connection,
+                              std::string_view bytes, size_t *uploadSize)
     {
         *uploadSize = 0;
         exchange.receivedBytes += bytes.size();
         if (exchange.receivedBytes > server.options_.maximumBodyBytes * MaximumDiscardFactor) {
             return MHD_NO;
         }
-        if (exchange.request.bodyTooLarge
-            || exchange.receivedBytes > server.options_.maximumBodyBytes) {
-            exchange.request.bodyTooLarge = true;
-            exchange.request.body = {};
+        HttpRequest &request = exchange.request;
+        if (request.bodyLoss != BodyLoss::None) {
             return MHD_YES;
         }
-        exchange.request.body.append(bytes);
+        if (exchange.receivedBytes > server.options_.maximumBodyBytes) {
+            loseBody(exchange, BodyLoss::TooLarge);
+        } else if (!request.memory->body.growBody(request.body, bytes.size(),
+                                                  server.options_.maximumBodyBytes)) {
+            logNoMemory(server, exchange, connection);
+            loseBody(exchange, BodyLoss::NoMemory);
+        } else {
+            request.body.append(bytes);
+        }
         return MHD_YES;
     }
 
+    static void loseBody(Exchange &exchange, BodyLoss loss)
+    {
+        exchange.request.bodyLoss = loss;
+        exchange.request.body = {};
+        // A smaller reservation always fits.
+        static_cast<void>(exchange.request.memory->body.resize(0));
+    }
+
+    static void logNoMemory(const HttpServer &server, const Exchange &exchange,
+                            MHD_Connection *connection)
+    {
+        logLine(LogLevel::Warning, "request_without_memory",
+                { { "request_id", exchange.requestId },
+                  { "path", exchange.path },
+                  { "caller", callerAddress(connection) },
+                  { "body_bytes", static_cast<std::int64_t>(exchange.receivedBytes) },
+                  { "memory_bytes", static_cast<std::int64_t>(server.memory_->used()) },
+                  { "memory_limit_bytes", static_cast<std::int64_t>(server.memory_->limit()) },
+                  { "remedy",
+                    "Look for callers that send slowly, or raise "
+                    "limits.response_memory_bytes." } });
+    }
+
     static MHD_Result respond(HttpServer &server, Exchange &exchange, MHD_Connection *connection)
     {
         if (!exchange.handlerCalled) {
@@ -164,8 +208,12 @@
     {
         MHD_Response *response = nullptr;
         if (writer->hasCompleteBody_) {
-            response = MHD_create_response_from_buffer(
-                writer->buffer_.size(), writer->buffer_.data(), MHD_RESPMEM_MUST_COPY);
+            auto body = std::make_unique<CompleteBody>(CompleteBody {
+                .text = std::move(writer->buffer_), .memory = std::move(writer->bodyMemory_) });
+            std::string &text = body->text;
+            writer->buffer_ = {};
+            response = MHD_create_response_from_buffer_with_free_callback_cls(
+                text.size(), text.data(), releaseBody, body.release());
         } else {
             auto reference = std::make_unique<std::shared_ptr<ResponseWriter>>(writer);
             response = MHD_create_response_from_callback(MHD_SIZE_UNKNOWN, SendBlockBytes, read,
@@ -185,6 +233,18 @@
         return (*static_cast<std::shared_ptr<ResponseWriter> *>(context))->read(target, capacity);
     }
 
+    /// A complete body, which libmicrohttpd reads until it has sent the response.
+    struct CompleteBody
+    {
+        std::string text;
+        std::shared_ptr<MemoryReservation> memory;
+    };
+
+    static void releaseBody(void *context)
+    {
+        const std::unique_ptr<CompleteBody> body(static_cast<CompleteBody *>(context));
+    }
+
     static void release(void *context)
     {
         const std::unique_ptr<std::shared_ptr<ResponseWriter>> reference(
@@ -227,12 +287,15 @@
     }
 };
 
-HttpServer::HttpServer(HttpServerOptions options, Handler handler)
+HttpServer::HttpServer(HttpServerOptions options, std::shared_ptr<MemoryBudget> memory,
+                       Handler handler)
     : options_(std::move(options))
+    , memory_(std::move(memory))
     , handler_(std::move(handler))
 { }
 
-Result<std::unique_ptr<HttpServer>> HttpServer::start(HttpServerOptions options, Handler handler)
+Result<std::unique_ptr<HttpServer>>
+HttpServer::start(HttpServerOptions options, std::shared_ptr<MemoryBudget> memory, Handler handler)
 {
     sockaddr_in address {};
     address.sin_family = AF_INET;
@@ -242,7 +305,8 @@
                          "listen address '" + options.address + "' is not an IPv4 address",
                          "Use an address such as 127.0.0.1.");
     }
-    std::unique_ptr<HttpServer> server(new HttpServer(std::move(options), std::move(handler)));
+    std::unique_ptr<HttpServer> server(
+        new HttpServer(std::move(options), std::move(memory), std::move(handler)));
     const HttpServerOptions &used = server->options_;
     server->daemon_ = MHD_start_daemon(
         MHD_USE_EPOLL_INTERNAL_THREAD | MHD_ALLOW_SUSPEND_RESUME | MHD_USE_ITC, used.port, nullptr,
--- a/Source/Http/HttpServer.h
+++ b/Source/Http/HttpServer.h
@@ -9,6 +9,7 @@
 #include <unordered_set>
 
 #include "Core/Error.h"
+#include "Core/MemoryBudget.h"
 #include "Http/HttpMessage.h"
 #include "Http/ResponseWriter.h"
 
@@ -31,6 +32,9 @@
     unsigned maximumConnections = 4096;
     /// A connection without any traffic is closed after this time.
     unsigned idleTimeoutSeconds = 30;
+    /// False for a request whose body is to be read without keeping it, by its method, path, query
+    /// and headers. Called on a server thread. All bodies are kept if empty.
+    std::function<bool(const HttpRequest &)> wantsBody {};
 };
 
 /// An HTTP/1.1 server based on libmicrohttpd. The handler runs on a server thread with the complete
@@ -40,10 +44,11 @@
 public:
     using Handler = std::function<void(HttpRequest, std::shared_ptr<ResponseWriter>)>;
 
-    /// Starts listening. Returns an error that names the address if it is invalid or cannot be
+    /// Starts listening. All that is received, and responses that wait for their callers, take
+    /// memory from `memory`. Returns an error that names the address if it is invalid or cannot be
     /// bound.
-    [[nodiscard]] static Result<std::unique_ptr<HttpServer>> start(HttpServerOptions options,
-                                                                   Handler handler);
+    [[nodiscard]] static Result<std::unique_ptr<HttpServer>>
+    start(HttpServerOptions options, std::shared_ptr<MemoryBudget> memory, Handler handler);
 
     HttpServer(const HttpServer &) = delete;
     HttpServer &operator=(const HttpServer &) = delete;
@@ -59,9 +64,10 @@
     struct Exchange;
     struct Callbacks;
 
-    HttpServer(HttpServerOptions options, Handler handler);
+    HttpServer(HttpServerOptions options, std::shared_ptr<MemoryBudget> memory, Handler handler);
 
     HttpServerOptions options_;
+    std::shared_ptr<MemoryBudget> memory_;
     Handler handler_;
     std::uint16_t port_ = 0;
     MHD_Daemon *daemon_ = nullptr;
--- a/Source/Http/ResponseWriter.cpp
+++ b/Source/Http/ResponseWriter.cpp
@@ -1,14 +1,33 @@
 #include "Http/ResponseWriter.h"
 
 #include <algorithm>
+#include <array>
 #include <cstring>
 #include <utility>
 
+#include <arpa/inet.h>
 #include <microhttpd.h>
+#include <netinet/in.h>
 #include <sys/socket.h>
 
+#include "Core/Log.h"
+
 namespace jacinthroad {
 
+std::string callerAddress(MHD_Connection *connection)
+{
+    const MHD_ConnectionInfo *info
+        = MHD_get_connection_info(connection, MHD_CONNECTION_INFO_CLIENT_ADDRESS);
+    if (info == nullptr || info->client_addr == nullptr
+        || info->client_addr->sa_family != AF_INET) {
+        return {};
+    }
+    const auto *address = reinterpret_cast<const sockaddr_in *>(info->client_addr);
+    std::array<char, INET_ADDRSTRLEN> text {};
+    inet_ntop(AF_INET, &address->sin_addr, text.data(), text.size());
+    return std::string(text.data()) + ":" + std::to_string(ntohs(address->sin_port));
+}
+
 void ResponseWriter::subscribe(std::size_t highWater, DrainedEvent drained, ClosedEvent closed)
 {
     const std::scoped_lock lock(mutex_);
@@ -43,6 +62,20 @@
     if (finished_ || aborted_) {
         return 0;
     }
+    // Sent bytes are removed before the buffer would grow.
+    if (sent_ > 0 && buffer_.size() + bytes.size() > buffer_.capacity()) {
+        buffer_.erase(0, std::exchange(sent_, 0));
+    }
+    if (!streamMemory_.growBody(buffer_, bytes.size(), buffer_.max_size())) {
+        logLine(LogLevel::Warning, "stream_without_memory",
+                { { "caller", connection_ == nullptr ? "" : callerAddress(connection_) },
+                  { "buffered_bytes", static_cast<std::int64_t>(bufferedBytesLocked()) },
+                  { "remedy",
+                    "Look for callers that read slowly, or raise "
+                    "limits.response_memory_bytes." } });
+        abortLocked();
+        return 0;
+    }
     buffer_.append(bytes);
     aboveHighWater_ = aboveHighWater_ || bufferedBytesLocked() >= highWater_;
     resumeLocked();
@@ -59,6 +92,11 @@
 void ResponseWriter::abort()
 {
     const std::scoped_lock lock(mutex_);
+    abortLocked();
+}
+
+void ResponseWriter::abortLocked()
+{
     if (finished_) {
         return;
     }
@@ -66,7 +104,7 @@
     resumeLocked();
 }
 
-void ResponseWriter::respond(HttpResponse response)
+void ResponseWriter::respond(HttpResponse response, std::shared_ptr<MemoryReservation> memory)
 {
     const std::scoped_lock lock(mutex_);
     if (started_ || aborted_) {
@@ -78,6 +116,7 @@
     status_ = response.status;
     headers_ = std::move(response.headers);
     buffer_ = std::move(response.body);
+    bodyMemory_ = std::move(memory);
     resumeLocked();
 }
 
@@ -132,8 +171,10 @@
         std::memcpy(target, buffer_.data() + sent_, copiedBytes);
         sent_ += copiedBytes;
         if (sent_ == buffer_.size()) {
-            buffer_.clear();
+            buffer_ = {};
             sent_ = 0;
+            // A smaller reservation always fits.
+            static_cast<void>(streamMemory_.resize(0));
         }
         if (aboveHighWater_ && bufferedBytesLocked() < highWater_ / 2) {
             aboveHighWater_ = false;
@@ -167,7 +208,13 @@
         suspended_ = false;
         closed = std::exchange(onClosed_, nullptr);
         onDrained_ = nullptr;
+        buffer_ = {};
+        sent_ = 0;
+        static_cast<void>(streamMemory_.resize(0));
+        bodyMemory_.reset();
         complete = complete && finished_ && !aborted_;
+        // What is written from now on is dropped.
+        aborted_ = true;
     }
     if (closed) {
         closed(complete);
--- a/Source/Http/ResponseWriter.h
+++ b/Source/Http/ResponseWriter.h
@@ -2,10 +2,13 @@
 
 #include <cstddef>
 #include <functional>
+#include <memory>
 #include <mutex>
 #include <string>
 #include <string_view>
+#include <utility>
 
+#include "Core/MemoryBudget.h"
 #include "Http/HttpMessage.h"
 
 struct MHD_Connection;
@@ -14,9 +17,12 @@
 
 class HttpServer;
 
+/// The `IP:port` at the other end of a connection; empty if unknown.
+[[nodiscard]] std::string callerAddress(MHD_Connection *connection);
+
 /// Writes the response to one request. Any thread may write; a server thread sends the data. The
-/// buffer has no limit of its own: its user stops writing when bufferedBytes() is too high and
-/// continues on the drained event.
+/// buffer of a stream takes memory from a budget, and the stream is aborted if there is none: its
+/// user stops writing when bufferedBytes() is too high and continues on the drained event.
 class ResponseWriter
 {
 public:
@@ -27,7 +33,9 @@
     /// response was sent.
     using ClosedEvent = std::function<void(bool complete)>;
 
-    ResponseWriter() = default;
+    explicit ResponseWriter(std::shared_ptr<MemoryBudget> budget)
+        : streamMemory_(std::move(budget), BodyKind::Response)
+    { }
     ResponseWriter(const ResponseWriter &) = delete;
     ResponseWriter &operator=(const ResponseWriter &) = delete;
 
@@ -43,8 +51,9 @@
     /// Closes the connection so that the caller can detect the incomplete response. Ignored after
     /// finish().
     void abort();
-    /// Sends a complete response. Ignored if a response was already started or aborted.
-    void respond(HttpResponse response);
+    /// Sends a complete response, and holds the memory that is reserved for it until it is sent.
+    /// Ignored if a response was already started or aborted.
+    void respond(HttpResponse response, std::shared_ptr<MemoryReservation> memory = nullptr);
 
     /// True once the status and headers are set.
     [[nodiscard]] bool started() const;
@@ -57,6 +66,7 @@
     friend class HttpServer;
 
     void resumeLocked();
+    void abortLocked();
     [[nodiscard]] std::size_t bufferedBytesLocked() const { return buffer_.size() - sent_; }
     /// Copies up to `capacity` buffered bytes to `target`. Returns the number of bytes or an MHD
     /// content reader code.
@@ -78,6 +88,9 @@
     int status_ = 0;
     HttpHeaders headers_;
     std::string buffer_;
+    /// Memory of the buffer of a stream, and that of a complete body.
+    MemoryReservation streamMemory_;
+    std::shared_ptr<MemoryReservation> bodyMemory_;
     std::size_t sent_ = 0;
     std::size_t highWater_ = 0;
     DrainedEvent onDrained_;
--- a/Source/Load/Demo.cpp
+++ b/Source/Load/Demo.cpp
@@ -31,6 +31,7 @@
 constexpr Duration PatchLimit = std::chrono::seconds(4);
 constexpr Duration RestartLimit = std::chrono::seconds(1);
 constexpr Duration LeavingGracePeriod = std::chrono::seconds(3);
+constexpr std::size_t OperatorMemoryBytes = 64 * 1024 * 1024;
 constexpr Duration ResponseTimeout = std::chrono::seconds(30);
 
 Profile demoProfile(std::string_view profileName)
@@ -245,7 +246,7 @@
     std::function<void(const std::string &)> progress_;
     LocalCluster cluster_;
     LoadClient client_;
-    HttpClient operatorClient_;
+    HttpClient operatorClient_ { std::make_shared<MemoryBudget>(OperatorMemoryBytes) };
     std::deque<ScheduledEvent> events_;
     std::optional<std::size_t> drainingNode_;
     Instant balancerAvoidsAfter_;
--- a/Source/Load/LoadClient.cpp
+++ b/Source/Load/LoadClient.cpp
@@ -13,6 +13,10 @@
 
 namespace {
 
+/// Memory of all requests.
+constexpr std::size_t MemoryBytes = 1024 * 1024 * 1024;
+/// Maximum number of bytes kept of a response of a service, or of an error.
+constexpr std::size_t MaximumBodyBytes = 1024 * 1024;
 constexpr std::size_t ClientThreads = 3;
 constexpr int StatusOk = 200;
 constexpr Duration CallTimeout = std::chrono::seconds(120);
@@ -70,8 +74,9 @@
 LoadClient::LoadClient(double timeScale)
     : timeScale_(timeScale)
 {
+    const auto memory = std::make_shared<MemoryBudget>(MemoryBytes);
     for (std::size_t index = 0; index < ClientThreads; ++index) {
-        clients_.push_back(std::make_unique<HttpClient>());
+        clients_.push_back(std::make_unique<HttpClient>(memory));
     }
 }
 
@@ -148,7 +153,8 @@
                   if (exchange->status == StatusOk && !exchange->record.toService) {
                       static_cast<void>(exchange->parser.feed(bytes, onEvent));
                   } else {
-                      exchange->body.append(bytes);
+                      exchange->body.append(
+                          bytes.substr(0, MaximumBodyBytes - exchange->body.size()));
                   }
                   return true;
               },
--- a/Source/Load/LocalCluster.cpp
+++ b/Source/Load/LocalCluster.cpp
@@ -109,6 +109,7 @@
         .peerBytesPerSecond = static_cast<std::uint32_t>(options_.peerBytesPerSecond * scale),
         .sampleOneIn = options_.sampleOneIn,
         .operatorKeySha256 = sha256Hex(operatorKey()),
+        .responseMemoryBytes = options_.responseMemoryBytes,
         .policy = options_.policy,
         .tick = toClockTime(DefaultTickMs, scale),
         .stallMinimum = toClockTime(DefaultStallMs, scale),
--- a/Source/Load/LocalCluster.h
+++ b/Source/Load/LocalCluster.h
@@ -33,6 +33,8 @@
     double tokenGapTargetMs = 48;
     std::uint32_t sampleOneIn = 16;
     std::uint32_t peerBytesPerSecond = 8000;
+    /// Memory of what a node has received and not passed on.
+    std::size_t responseMemoryBytes = 128 * 1024 * 1024;
 };
 
 /// Runs the nodes, engines, plain services and platform of one profile in this process, connected
--- a/Source/Load/Overhead.cpp
+++ b/Source/Load/Overhead.cpp
@@ -19,6 +19,7 @@
 constexpr int OutputTokens = 50;
 constexpr Duration LoadDuration = std::chrono::seconds(3);
 constexpr std::size_t PromptBytes = 4000;
+constexpr std::size_t MemoryBytes = 256 * 1024 * 1024;
 
 /// URL, headers and body of the calls on one path.
 struct CallTarget
@@ -122,7 +123,7 @@
                                    .headers
                                    = { { "Authorization", "Bearer " + LocalCluster::teamKey(0) } },
                                    .body = bodyOf("") };
-    HttpClient client;
+    HttpClient client(std::make_shared<MemoryBudget>(MemoryBytes));
     std::vector<double> directMs;
     std::vector<double> throughNodeMs;
     for (int index = 0; index < SequentialCalls; ++index) {
--- a/Source/Node/CallerApi.cpp
+++ b/Source/Node/CallerApi.cpp
@@ -21,6 +21,10 @@
 constexpr std::int64_t MaximumDeadlineMs = 3'600'000;
 constexpr std::size_t MaximumPublicIdLength = 128;
 constexpr int StatusOk = 200;
+constexpr std::string_view MemoryFull
+    = "requests and responses of others take the memory that the body needs";
+constexpr std::string_view MemoryRemedy
+    = "Send the request again after retry_after_ms; operators raise limits.response_memory_bytes.";
 
 /// The position in a stream from which a caller resumes.
 struct ResumePoint
@@ -55,6 +59,15 @@
     return ResumePoint { .publicId = std::string(id), .afterTokens = *number };
 }
 
+std::optional<std::string_view> bearerKey(const HttpRequest &request)
+{
+    const auto header = findHeader(request.headers, "authorization");
+    if (!header.has_value() || !header->starts_with(BearerPrefix)) {
+        return std::nullopt;
+    }
+    return header->substr(BearerPrefix.size());
+}
+
 } // namespace
 
 CallerApi::CallerApi(TrafficContext &traffic, std::string idPrefix, Events events)
@@ -81,7 +94,7 @@
                 .snapshot = traffic_.snapshot.load(),
                 .number = ++lastNumber_ };
     call.id = idPrefix_ + "-" + hexadecimal(call.number);
-    if (call.request.bodyTooLarge) {
+    if (call.request.bodyLoss == BodyLoss::TooLarge) {
         refuse(call, ErrorKind::PayloadTooLarge,
                "the request body exceeds " + std::to_string(traffic_.settings.maximumBodyBytes)
                    + " bytes");
@@ -97,6 +110,10 @@
     if (!authenticate(call)) {
         return;
     }
+    if (call.request.bodyLoss != BodyLoss::None) {
+        refuse(call, ErrorKind::BodyMemoryFull, std::string(MemoryFull), std::string(MemoryRemedy));
+        return;
+    }
     const std::string path = call.request.path;
     const bool chat = path == "/v1/chat/completions";
     if (chat || path == "/v1/completions") {
@@ -138,16 +155,22 @@
     return false;
 }
 
+bool CallerApi::isAuthorised(const HttpRequest &request) const
+{
+    const auto key = bearerKey(request);
+    const auto snapshot = traffic_.snapshot.load();
+    return key.has_value() && snapshot->configuration->teamOfKey(sha256Hex(*key)) != nullptr;
+}
+
 bool CallerApi::authenticate(Call &call)
 {
-    const auto header = findHeader(call.request.headers, "authorization");
-    if (!header.has_value() || !header->starts_with(BearerPrefix)) {
+    const auto key = bearerKey(call.request);
+    if (!key.has_value()) {
         refuse(call, ErrorKind::Unauthorized,
                "header 'Authorization' with a bearer key is missing");
         return false;
     }
-    const std::string digest = sha256Hex(header->substr(BearerPrefix.size()));
-    call.team = call.snapshot->configuration->teamOfKey(digest);
+    call.team = call.snapshot->configuration->teamOfKey(sha256Hex(*key));
     if (call.team == nullptr) {
         refuse(call, ErrorKind::Unauthorized, "the bearer key belongs to no team");
         return false;
@@ -174,6 +197,14 @@
 
 void CallerApi::handleModelCall(const Call &call, bool chat)
 {
+    // The prompt and the values.
+    constexpr std::size_t Copies = 2;
+    const auto valueMemory = estimateJsonMemory(call.request.body);
+    if (valueMemory.has_value()
+        && !call.request.memory->parsed.resize(Copies * call.request.body.size() + *valueMemory)) {
+        refuse(call, ErrorKind::BodyMemoryFull, std::string(MemoryFull), std::string(MemoryRemedy));
+        return;
+    }
     auto request = readChatRequest(call.request.body, chat);
     if (!request.has_value()) {
         refuse(call, request.error().kind, request.error().message, request.error().remedy);
@@ -232,6 +263,7 @@
                               .publicId = resume.publicId,
                               .team = call.team->id,
                               .chat = std::move(*request),
+                              .chatMemory = call.request.memory,
                               .salt = salt,
                               .resumeAfterTokens = resume.afterTokens });
     session->begin();
--- a/Source/Node/CallerApi.h
+++ b/Source/Node/CallerApi.h
@@ -34,6 +34,8 @@
     /// `idPrefix` starts every request id and makes ids unique across nodes and restarts.
     CallerApi(TrafficContext &traffic, std::string idPrefix, Events events);
 
+    /// True if a request carries the key of a team. Thread-safe.
+    [[nodiscard]] bool isAuthorised(const HttpRequest &request) const;
     /// Handles one request and responds through `writer`, now or from a session.
     void handle(HttpRequest request, const std::shared_ptr<ResponseWriter> &writer);
 
--- a/Source/Node/ModelSession.cpp
+++ b/Source/Node/ModelSession.cpp
@@ -7,6 +7,7 @@
 #include <json/value.h>
 
 #include "Core/Json.h"
+#include "Core/Log.h"
 #include "Core/WallClock.h"
 #include "EngineClient/EngineHeaders.h"
 #include "Node/Refusal.h"
@@ -17,6 +18,8 @@
 
 constexpr int StatusOk = 200;
 constexpr std::uint32_t TokensPerProgressReport = 8;
+/// Maximum size in bytes of the text of a response that isn't streamed.
+constexpr std::size_t MaximumTextBytes = 16 * 1024 * 1024;
 // A stream counts as stalled after this many median token gaps without data.
 constexpr double StallTimeoutGaps = 15;
 // Before the first token the minimum stall timeout is multiplied, since prefill may take long.
@@ -42,6 +45,7 @@
     , writer_(std::move(writer))
     , options_(std::move(options))
     , deliveredTokens_(options_.resumeAfterTokens)
+    , memory_(std::make_shared<MemoryReservation>(traffic_.memory, BodyKind::Response))
 { }
 
 void ModelSession::begin()
@@ -72,6 +76,7 @@
     const Instant now = std::chrono::steady_clock::now();
     auto attempt = std::make_shared<Attempt>(
         Attempt { .number = effect.attempt,
+                  .server = effect.server,
                   .relay = StreamRelay({ .attemptId = attemptId,
                                          .publicId = options_.publicId,
                                          .afterTokens = deliveredTokens_ }),
@@ -88,7 +93,6 @@
                                          .cacheSalt = cacheSalt(options_.salt),
                                          .priority = enginePriority(effect.rank, now),
                                          .resumeAfterTokens = deliveredTokens_ }),
-                    .maximumResponseBytes = 0,
                     .ownConnection = true };
     const ServerId server = effect.server;
     attempt->call
@@ -112,6 +116,8 @@
     for (const AttemptPtr &attempt : attempts_) {
         if (attempt->number == number && !attempt->ended) {
             attempt->ended = true;
+            attempt->relay.clear();
+            static_cast<void>(reserveLocked());
             traffic_.client(options_.number).cancel(attempt->call);
         }
     }
@@ -172,7 +178,19 @@
     if (winner_ == attempt->number) {
         deliverLocked(*attempt, output);
     }
-    const bool tooLong = text_.size() > MaximumResponseBytes;
+    const bool tooLong = text_.size() > MaximumTextBytes || !reserveLocked();
+    if (tooLong) {
+        logLine(LogLevel::Warning, "model_response_too_long",
+                { { "request_id", options_.id.text() },
+                  { "attempt", std::int64_t { attempt->number } },
+                  { "server", attempt->server.text() },
+                  { "text_bytes", static_cast<std::int64_t>(text_.size()) },
+                  { "memory_bytes", static_cast<std::int64_t>(traffic_.memory->used()) },
+                  { "memory_limit_bytes", static_cast<std::int64_t>(traffic_.memory->limit()) },
+                  { "remedy",
+                    "Check the server. limits.response_memory_bytes bounds all requests and "
+                    "responses together." } });
+    }
     if (state == RelayState::Crossed || state == RelayState::Malformed || tooLong) {
         endLocked(*attempt, AttemptEnd::Crossed);
         traffic_.client(options_.number).cancel(attempt->call);
@@ -242,6 +260,15 @@
     }));
 }
 
+bool ModelSession::reserveLocked()
+{
+    std::size_t bytes = text_.capacity() + textParser_.memory();
+    for (const AttemptPtr &attempt : attempts_) {
+        bytes += attempt->relay.memory();
+    }
+    return memory_->resize(bytes);
+}
+
 std::string ModelSession::completeResponseLocked(const Attempt &attempt) const
 {
     Json::Value choice;
@@ -277,10 +304,16 @@
         writer_->finish();
         return;
     }
+    std::string body = completeResponseLocked(attempt);
+    text_ = {};
+    // An answer that is ready is delivered even if its escapes take more than is left.
+    auto memory = std::make_shared<MemoryReservation>(traffic_.memory, BodyKind::Response);
+    static_cast<void>(memory->resize(body.size()) || memory->resize(memory_->bytes()));
     writer_->respond({ .status = StatusOk,
                        .headers = { { "Content-Type", "application/json" },
                                     { "X-Request-Id", options_.publicId } },
-                       .body = completeResponseLocked(attempt) });
+                       .body = std::move(body) },
+                     std::move(memory));
 }
 
 void ModelSession::endLocked(Attempt &attempt, AttemptEnd end)
@@ -289,6 +322,9 @@
         return;
     }
     attempt.ended = true;
+    attempt.relay.clear();
+    // A smaller reservation always fits.
+    static_cast<void>(reserveLocked());
     if (winner_ == attempt.number && end != AttemptEnd::Completed) {
         winner_ = 0;
     }
--- a/Source/Node/ModelSession.h
+++ b/Source/Node/ModelSession.h
@@ -25,6 +25,7 @@
     std::string publicId;
     TeamId team;
     ChatRequest chat;
+    std::shared_ptr<RequestMemory> chatMemory;
     BlockKey salt = 0;
     std::uint32_t resumeAfterTokens = 0;
 };
@@ -56,6 +57,7 @@
     struct Attempt
     {
         AttemptNumber number = 0;
+        ServerId server;
         HttpClient::CallId call = 0;
         StreamRelay relay;
         int status = 0;
@@ -81,6 +83,8 @@
     void endLocked(Attempt &attempt, AttemptEnd end);
     [[nodiscard]] std::string completeResponseLocked(const Attempt &attempt) const;
     void appendTextLocked(std::string_view output);
+    /// Reserves the memory of what was received and not delivered; false if there is none.
+    [[nodiscard]] bool reserveLocked();
 
     TrafficContext &traffic_;
     std::shared_ptr<ResponseWriter> writer_;
@@ -94,6 +98,7 @@
     /// Text of a response that is not streamed, and the parser of the events it is built from.
     std::string text_;
     SseParser textParser_;
+    std::shared_ptr<MemoryReservation> memory_;
 };
 
 } // namespace jacinthroad
--- a/Source/Node/Node.h
+++ b/Source/Node/Node.h
@@ -23,6 +23,8 @@
     Duration controlCpu {};
     std::uint64_t hedges = 0;
     std::uint64_t retries = 0;
+    /// Memory of all that was received and not passed on.
+    std::size_t receivedBytes = 0;
 };
 
 /// One node of the system: the control thread with the decision libraries, the traffic threads,
--- a/Source/Node/NodeEffects.cpp
+++ b/Source/Node/NodeEffects.cpp
@@ -8,6 +8,8 @@
 
 namespace {
 
+/// Maximum size in bytes of the patches that a peer sends at a time.
+constexpr std::size_t MaximumPatchesBytes = 16 * 1024 * 1024;
 constexpr Duration MinimumPeerFetchInterval = milliseconds(300);
 
 } // namespace
@@ -241,35 +243,30 @@
     request["id"] = 1;
     request["method"] = "peer.patches";
     request["params"]["after"] = Json::UInt64(patches_.version());
-    const auto body = std::make_shared<std::string>();
-    platformHttp_->start(
+    platformHttp_->collect(
         { .method = "POST",
           .url = peer.operatorUrl + "/rpc",
           .headers = { { "Authorization", "Bearer " + settings_.peerKey },
                        { "Content-Type", "application/json" } },
           .body = writeJson(request),
           .totalTimeout = settings_.platformTimeout },
-        { .onData =
-              [body](std::string_view bytes) {
-                  body->append(bytes);
-                  return true;
-              },
-          .onEnd =
-              [this, body](CallOutcome outcome) {
-                  const auto response = parseJson(*body);
-                  if (outcome != CallOutcome::Completed || !response.has_value()
-                      || !response->isObject() || !(*response)["result"].isObject()) {
-                      return;
-                  }
-                  for (const Json::Value &patch : (*response)["result"]["patches"]) {
-                      if (patch.isObject() && patch["version"].isUInt64()
-                          && patch["text"].isString()) {
-                          control_.post(PatchLogMessage(
-                              PatchReceived { .version = patch["version"].asUInt64(),
-                                              .text = patch["text"].asString() }));
-                      }
-                  }
-              } });
+        MaximumPatchesBytes, [this](CallOutcome outcome, const CollectedResponse &collected) {
+            if (outcome != CallOutcome::Completed) {
+                return;
+            }
+            const auto response = parseJson(collected.response.body);
+            if (!response.has_value() || !response->isObject()
+                || !(*response)["result"].isObject()) {
+                return;
+            }
+            for (const Json::Value &patch : (*response)["result"]["patches"]) {
+                if (patch.isObject() && patch["version"].isUInt64() && patch["text"].isString()) {
+                    control_.post(
+                        PatchLogMessage(PatchReceived { .version = patch["version"].asUInt64(),
+                                                        .text = patch["text"].asString() }));
+                }
+            }
+        });
 }
 
 void NodeImpl::checkSessions(Instant now)
--- a/Source/Node/NodeImpl.cpp
+++ b/Source/Node/NodeImpl.cpp
@@ -57,9 +57,9 @@
 Result<void> NodeImpl::start()
 {
     for (unsigned index = 0; index < settings_.trafficThreads; ++index) {
-        traffic_.clients.push_back(std::make_unique<HttpClient>());
+        traffic_.clients.push_back(std::make_unique<HttpClient>(traffic_.memory));
     }
-    platformHttp_ = std::make_unique<HttpClient>();
+    platformHttp_ = std::make_unique<HttpClient>(traffic_.memory);
     platform_ = std::make_unique<PlatformClient>(
         PlatformClientOptions { .url = settings_.platformUrl,
                                 .timeout = settings_.platformTimeout },
@@ -123,7 +123,11 @@
     }
     peerSocket_ = std::move(*socket);
     auto operators = HttpServer::start(
-        { .address = settings_.address, .port = settings_.operatorPort },
+        { .address = settings_.address,
+          .port = settings_.operatorPort,
+          .wantsBody
+          = [this](const HttpRequest &request) { return operatorApi_->isAuthorised(request); } },
+        traffic_.memory,
         [this](HttpRequest request, const std::shared_ptr<ResponseWriter> &writer) {
             operatorApi_->handle(std::move(request), writer);
         });
@@ -138,7 +142,10 @@
           .maximumBodyBytes = settings_.maximumBodyBytes,
           .maximumHeaderBytes = settings_.maximumHeaderBytes,
           .maximumConnections = settings_.maximumConnections,
-          .idleTimeoutSeconds = settings_.idleTimeoutSeconds },
+          .idleTimeoutSeconds = settings_.idleTimeoutSeconds,
+          .wantsBody
+          = [this](const HttpRequest &request) { return callerApi_->isAuthorised(request); } },
+        traffic_.memory,
         [this](HttpRequest request, const std::shared_ptr<ResponseWriter> &writer) {
             callerApi_->handle(std::move(request), writer);
         });
@@ -188,6 +195,8 @@
                              .peerBytes = peerSocket_->sentBytes(),
                              .peersAlive = peers_->table().liveNodes(now),
                              .unwrittenClaims = claims_.unwrittenCount(),
+                             .receivedBytes = traffic_.memory->used(),
+                             .receivedBytesLimit = traffic_.memory->limit(),
                              .platformUp = sync_->up(),
                              .controlCpuSeconds = toMilliseconds(control_.cpuTime()) / 1000,
                          };
@@ -252,7 +261,8 @@
                                        .configurationVersion = patches_.version(),
                                        .controlCpu = control_.cpuTime(),
                                        .hedges = dispatcher_.counters().hedges,
-                                       .retries = dispatcher_.counters().retries };
+                                       .retries = dispatcher_.counters().retries,
+                                       .receivedBytes = traffic_.memory->used() };
            })
         .value_or(NodeStatistics {});
 }
--- a/Source/Node/NodeMetrics.cpp
+++ b/Source/Node/NodeMetrics.cpp
@@ -78,6 +78,10 @@
     set("peer_bytes_total", "Bytes sent to peers", number(gauges.peerBytes));
     set("peers_alive", "Nodes that serve, this one included", number(gauges.peersAlive));
     set("claims_unwritten", "Claims and results not yet written", number(gauges.unwrittenClaims));
+    set("received_bytes", "Memory of the data that was received and not yet passed on",
+        number(gauges.receivedBytes));
+    set("received_bytes_limit", "Memory that received data may take",
+        number(gauges.receivedBytesLimit));
     set("control_cpu_seconds_total", "Processor time of the control thread",
         gauges.controlCpuSeconds);
     renderLedger(dispatcher.ledger());
--- a/Source/Node/NodeMetrics.h
+++ b/Source/Node/NodeMetrics.h
@@ -20,6 +20,8 @@
     std::uint64_t peerBytes = 0;
     std::size_t peersAlive = 0;
     std::size_t unwrittenClaims = 0;
+    std::size_t receivedBytes = 0;
+    std::size_t receivedBytesLimit = 0;
     bool platformUp = false;
     double controlCpuSeconds = 0;
 };
--- a/Source/Node/NodeSettings.cpp
+++ b/Source/Node/NodeSettings.cpp
@@ -142,7 +142,7 @@
       .minimum = 16777216,
       .maximum = 1099511627776,
       .unit = "bytes",
-      .help = "memory that responses of services take together while they are received" },
+      .help = "memory that requests and responses take together until they are passed on" },
     { .name = "max_connections",
       .type = FieldType::Integer,
       .defaultText = "4096",
--- a/Source/Node/NodeSettings.h
+++ b/Source/Node/NodeSettings.h
@@ -43,7 +43,7 @@
     std::size_t maximumBodyBytes = 4 * 1024 * 1024;
     std::size_t maximumHeaderBytes = 32 * 1024;
     std::size_t streamBufferBytes = 64 * 1024;
-    /// Memory that the responses of services may take together while they are received.
+    /// Memory that requests and responses may take together until they are passed on.
     std::size_t responseMemoryBytes = 128 * 1024 * 1024;
     unsigned maximumConnections = 4096;
     unsigned idleTimeoutSeconds = 30;
--- a/Source/Node/OperatorApi.cpp
+++ b/Source/Node/OperatorApi.cpp
@@ -176,9 +176,19 @@
                               .notRun = DispatchRecord {}.verdict() }));
         return;
     }
+    if (request.bodyLoss != BodyLoss::None) {
+        const bool tooLarge = request.bodyLoss == BodyLoss::TooLarge;
+        writer->respond(refusalResponse(
+            { .kind = tooLarge ? ErrorKind::PayloadTooLarge : ErrorKind::BodyMemoryFull,
+              .remedy = tooLarge ? ""
+                                 : "Send the request again after retry_after_ms, or raise "
+                                   "limits.response_memory_bytes.",
+              .notRun = DispatchRecord {}.verdict() }));
+        return;
+    }
     {
         const std::scoped_lock lock(mutex_);
-        jobs_.push_back({ .body = std::move(request.body), .writer = writer });
+        jobs_.push_back({ .request = std::move(request), .writer = writer });
     }
     wake_.notify_one();
 }
@@ -198,7 +208,7 @@
         }
         job.writer->respond({ .status = StatusOk,
                               .headers = { { "Content-Type", "application/json" } },
-                              .body = rpc_->process(job.body) });
+                              .body = rpc_->process(job.request.body) });
     }
 }
 
--- a/Source/Node/OperatorApi.h
+++ b/Source/Node/OperatorApi.h
@@ -50,6 +50,8 @@
     OperatorApi &operator=(const OperatorApi &) = delete;
     ~OperatorApi();
 
+    /// True if a request carries the operators' or the peers' key. Thread-safe.
+    [[nodiscard]] bool isAuthorised(const HttpRequest &request) const;
     /// Queues one HTTP request; a worker thread responds to it.
     void handle(HttpRequest request, const std::shared_ptr<ResponseWriter> &writer);
 
@@ -57,11 +59,10 @@
     class Rpc;
     struct Job
     {
-        std::string body;
+        HttpRequest request;
         std::shared_ptr<ResponseWriter> writer;
     };
 
-    [[nodiscard]] bool isAuthorised(const HttpRequest &request) const;
     void processJobs();
 
     OperatorApiOptions options_;
--- a/Source/Node/ServiceSession.cpp
+++ b/Source/Node/ServiceSession.cpp
@@ -12,6 +12,9 @@
 namespace {
 
 constexpr std::size_t MaximumAttempts = 2;
+/// Maximum size in bytes of the body of a response, and of one that is stored for replay.
+constexpr std::size_t MaximumResponseBytes = 16 * 1024 * 1024;
+constexpr std::size_t MaximumStoredResponseBytes = ClaimCoordinatorOptions {}.maximumResponseBytes;
 // Longest wait of a caller for its claim.
 constexpr Duration ClaimTimeout = std::chrono::seconds(3);
 
@@ -28,12 +31,12 @@
     : traffic_(traffic)
     , writer_(std::move(writer))
     , options_(std::move(options))
+    , body_(std::make_shared<const std::string>(std::move(options_.request.body)))
 { }
 
 std::string ServiceSession::requestHash() const
 {
-    return sha256Hex(options_.request.method + " " + options_.target + "\n"
-                     + options_.request.body);
+    return sha256Hex(options_.request.method + " " + options_.target + "\n" + *body_);
 }
 
 void ServiceSession::begin()
@@ -69,9 +72,8 @@
     const std::string &base = urls[(options_.number + attemptIndex) % urls.size()];
     HttpCall call { .method = options_.request.method,
                     .url = base + options_.target,
-                    .body = options_.request.body,
+                    .body = body_,
                     .totalTimeout = options_.service.callTimeout,
-                    .responseMemory = traffic_.responseMemory,
                     .ownConnection = true };
     if (const auto type = findHeader(options_.request.headers, "content-type")) {
         call.headers.emplace_back("Content-Type", *type);
@@ -82,26 +84,15 @@
     call.headers.emplace_back("X-Request-Id", options_.id.text());
     call.headers.emplace_back("X-Team", options_.team.text());
     const auto self = shared_from_this();
-    const auto response = std::make_shared<HttpResponse>();
     traffic_.client(options_.number)
-        .start(std::move(call),
-               { .onHeaders =
-                     [response](int status, const HttpHeaders &headers) {
-                         response->status = status;
-                         response->headers = headers;
-                     },
-                 .onData =
-                     [response](std::string_view bytes) {
-                         response->body.append(bytes);
-                         return true;
-                     },
-                 .onEnd
-                 = [self, response, attemptIndex](
-                       CallOutcome outcome) { self->onEnd(attemptIndex, outcome, *response); } });
+        .collect(std::move(call), MaximumResponseBytes,
+                 [self, attemptIndex](CallOutcome outcome, CollectedResponse collected) {
+                     self->onEnd(attemptIndex, outcome, std::move(collected));
+                 });
 }
 
 void ServiceSession::onEnd(std::size_t attemptIndex, CallOutcome outcome,
-                           const HttpResponse &response)
+                           CollectedResponse collected)
 {
     const bool notSent = outcome == CallOutcome::NotSent;
     const bool responded = outcome == CallOutcome::Completed;
@@ -116,13 +107,24 @@
         }
     }
     if (responded) {
-        const StoredResponse storedResponse { .status = response.status,
-                                              .contentType = contentTypeOf(response),
-                                              .body = response.body };
-        finishClaim(ClaimedCallOutcome::Responded, storedResponse);
-        replay(storedResponse);
+        HttpResponse &response = collected.response;
+        StoredResponse storedResponse { .status = response.status,
+                                        .contentType = contentTypeOf(response),
+                                        .body = std::move(response.body) };
+        if (claimed()) {
+            // A longer one isn't stored.
+            const bool stored = storedResponse.body.size() <= MaximumStoredResponseBytes;
+            finishClaim(ClaimedCallOutcome::Responded,
+                        stored ? storedResponse
+                               : StoredResponse { .status = storedResponse.status,
+                                                  .contentType = storedResponse.contentType,
+                                                  .complete = false });
+        }
+        respond(std::move(storedResponse), std::move(collected.memory));
         return;
     }
+    // Given back before another instance is asked.
+    collected = {};
     // A claimed call that was provably not sent may go to another instance as well.
     const bool stopping = outcome == CallOutcome::Cancelled;
     const bool retryAllowed = !stopping && (notSent || !claimed());
@@ -135,22 +137,29 @@
                                              : ErrorKind::OutcomeUnknown);
 }
 
-void ServiceSession::finishClaim(ClaimedCallOutcome end, const StoredResponse &storedResponse)
+void ServiceSession::finishClaim(ClaimedCallOutcome end, StoredResponse storedResponse)
 {
     if (claimed()) {
-        traffic_.control.post(ClaimMessage(CallFinished { .id = options_.id,
-                                                          .callOutcome = end,
-                                                          .storedResponse = storedResponse,
-                                                          .nowMs = wallMilliseconds() }));
+        traffic_.control.post(
+            ClaimMessage(CallFinished { .id = options_.id,
+                                        .callOutcome = end,
+                                        .storedResponse = std::move(storedResponse),
+                                        .nowMs = wallMilliseconds() }));
     }
 }
 
 void ServiceSession::replay(const StoredResponse &storedResponse)
 {
-    writer_->respond({ .status = storedResponse.status,
-                       .headers = { { "Content-Type", storedResponse.contentType },
+    respond(storedResponse, nullptr);
+}
+
+void ServiceSession::respond(StoredResponse response, std::shared_ptr<MemoryReservation> memory)
+{
+    writer_->respond({ .status = response.status,
+                       .headers = { { "Content-Type", std::move(response.contentType) },
                                     { "X-Request-Id", options_.id.text() } },
-                       .body = storedResponse.body });
+                       .body = std::move(response.body) },
+                     std::move(memory));
 }
 
 void ServiceSession::refuse(const RejectCall &effect)
--- a/Source/Node/ServiceSession.h
+++ b/Source/Node/ServiceSession.h
@@ -50,14 +50,16 @@
 private:
     [[nodiscard]] bool claimed() const { return !options_.idempotencyKey.empty(); }
     void send(std::size_t attemptIndex);
-    void onEnd(std::size_t attemptIndex, CallOutcome outcome, const HttpResponse &response);
-    void finishClaim(ClaimedCallOutcome end, const StoredResponse &storedResponse);
+    void onEnd(std::size_t attemptIndex, CallOutcome outcome, CollectedResponse collected);
+    void finishClaim(ClaimedCallOutcome end, StoredResponse storedResponse);
+    void respond(StoredResponse response, std::shared_ptr<MemoryReservation> memory);
     void respondWithRefusal(ErrorKind kind);
     [[nodiscard]] std::string requestHash() const;
 
     TrafficContext &traffic_;
     std::shared_ptr<ResponseWriter> writer_;
     ServiceSessionOptions options_;
+    std::shared_ptr<const std::string> body_;
     std::mutex mutex_;
     DispatchRecord record_;
 };
--- a/Source/Node/TrafficContext.h
+++ b/Source/Node/TrafficContext.h
@@ -29,8 +29,8 @@
     ControlLoop &control;
     std::vector<std::unique_ptr<HttpClient>> clients;
     std::atomic<std::shared_ptr<const NodeSnapshot>> snapshot;
-    /// Memory of the responses of services.
-    std::shared_ptr<MemoryBudget> responseMemory
+    /// Memory of all that is received and not passed on.
+    std::shared_ptr<MemoryBudget> memory
         = std::make_shared<MemoryBudget>(settings.responseMemoryBytes);
 
     /// The client of one session; sessions are distributed over the clients by number.
--- a/Source/PlatformClient/PlatformClient.cpp
+++ b/Source/PlatformClient/PlatformClient.cpp
@@ -11,6 +11,10 @@
 
 namespace {
 
+/// Maximum sizes in bytes of responses.
+constexpr std::size_t MaximumListBytes = 16 * 1024 * 1024;
+constexpr std::size_t MaximumWriteResponseBytes = 2 * 1024 * 1024;
+
 constexpr int StatusOk = 200;
 constexpr int StatusNotFound = 404;
 constexpr int StatusPreconditionFailed = 412;
@@ -80,21 +84,6 @@
     }
 }
 
-/// Collects the status and the body of a response and calls `done` at its end.
-HttpCallEvents collectResponse(std::function<void(CallOutcome, HttpResponse)> done)
-{
-    const auto response = std::make_shared<HttpResponse>();
-    return { .onHeaders
-             = [response](int status, const HttpHeaders &) { response->status = status; },
-             .onData =
-                 [response](std::string_view bytes) {
-                     response->body.append(bytes);
-                     return true;
-                 },
-             .onEnd = [response, done = std::move(done)](
-                          CallOutcome outcome) { done(outcome, std::move(*response)); } };
-}
-
 } // namespace
 
 PlatformClient::PlatformClient(PlatformClientOptions options, HttpClient &http)
@@ -103,11 +92,14 @@
 { }
 
 void PlatformClient::get(const std::string &path, Duration timeout,
-                         std::function<void(CallOutcome, HttpResponse)> done)
+                         std::function<void(CallOutcome, const HttpResponse &)> done)
 {
     ++calls_;
-    http_.start({ .url = options_.url + path, .totalTimeout = timeout },
-                collectResponse(std::move(done)));
+    http_.collect(
+        { .url = options_.url + path, .totalTimeout = timeout }, MaximumListBytes,
+        [done = std::move(done)](CallOutcome outcome, const CollectedResponse &collected) {
+            done(outcome, collected.response);
+        });
 }
 
 void PlatformClient::read(const std::string &key, std::function<void(PlatformReadResult)> done)
@@ -138,15 +130,16 @@
     } else {
         headers.emplace_back("If-Match", "\"" + std::to_string(expectedVersion) + "\"");
     }
-    http_.start({ .method = "PUT",
-                  .url = options_.url + "/objects/" + key,
-                  .headers = std::move(headers),
-                  .body = value,
-                  .totalTimeout = options_.timeout },
-                collectResponse(
-                    [done = std::move(done)](CallOutcome outcome, const HttpResponse &response) {
-                        done(readWriteResult(outcome, response));
-                    }));
+    http_.collect(
+        { .method = "PUT",
+          .url = options_.url + "/objects/" + key,
+          .headers = std::move(headers),
+          .body = value,
+          .totalTimeout = options_.timeout },
+        MaximumWriteResponseBytes,
+        [done = std::move(done)](CallOutcome outcome, const CollectedResponse &collected) {
+            done(readWriteResult(outcome, collected.response));
+        });
 }
 
 void PlatformClient::list(const std::string &prefix, std::function<void(PlatformListResult)> done)
--- a/Source/PlatformClient/PlatformClient.h
+++ b/Source/PlatformClient/PlatformClient.h
@@ -108,7 +108,7 @@
 
 private:
     void get(const std::string &path, Duration timeout,
-             std::function<void(CallOutcome, HttpResponse)> done);
+             std::function<void(CallOutcome, const HttpResponse &)> done);
 
     PlatformClientOptions options_;
     HttpClient &http_;
--- a/Source/StandIns/EngineStandIn.cpp
+++ b/Source/StandIns/EngineStandIn.cpp
@@ -21,6 +21,8 @@
 constexpr std::uint32_t TokensBeforeFault = 3;
 constexpr Duration IdleWait = milliseconds(20);
 constexpr Duration MaximumReportAge = std::chrono::seconds(10);
+/// Memory of the requests and responses of a stand-in.
+constexpr std::size_t MemoryBytes = 256 * 1024 * 1024;
 constexpr int StatusOk = 200;
 constexpr int StatusBadRequest = 400;
 constexpr int StatusNotFound = 404;
@@ -112,6 +114,7 @@
     }
     auto server = HttpServer::start(
         { .port = port_, .maximumBodyBytes = 64 * 1024 * 1024 },
+        std::make_shared<MemoryBudget>(MemoryBytes),
         [this](const HttpRequest &request, const std::shared_ptr<ResponseWriter> &writer) {
             handle(request, writer);
         });
--- a/Source/StandIns/PlatformStandIn.cpp
+++ b/Source/StandIns/PlatformStandIn.cpp
@@ -33,6 +33,9 @@
     return parseNumber(findHeader(request.query, name).value_or("0"));
 }
 
+/// Memory of the requests and responses of a stand-in.
+constexpr std::size_t MemoryBytes = 256 * 1024 * 1024;
+
 HttpResponse jsonResponse(int status, const Json::Value &body)
 {
     return { .status = status,
@@ -45,7 +48,7 @@
 PlatformStandIn::PlatformStandIn(std::uint16_t port)
 {
     auto server = HttpServer::start(
-        { .port = port },
+        { .port = port }, std::make_shared<MemoryBudget>(MemoryBytes),
         [this](const HttpRequest &request, const std::shared_ptr<ResponseWriter> &writer) {
             handle(request, writer);
         });
--- a/Source/StandIns/ServiceStandIn.cpp
+++ b/Source/StandIns/ServiceStandIn.cpp
@@ -11,13 +11,15 @@
 namespace {
 
 constexpr int StatusOk = 200;
+/// Memory of the requests and responses of a stand-in.
+constexpr std::size_t MemoryBytes = 256 * 1024 * 1024;
 
 } // namespace
 
 ServiceStandIn::ServiceStandIn(std::uint16_t port)
 {
     auto server = HttpServer::start(
-        { .port = port },
+        { .port = port }, std::make_shared<MemoryBudget>(MemoryBytes),
         [this](const HttpRequest &request, const std::shared_ptr<ResponseWriter> &writer) {
             handle(request, *writer);
         });
--- a/Tests/Http/HttpTest.cpp
+++ b/Tests/Http/HttpTest.cpp
@@ -24,6 +24,11 @@
 
 namespace {
 
+std::shared_ptr<MemoryBudget> someMemory()
+{
+    return std::make_shared<MemoryBudget>(64 * 1024 * 1024);
+}
+
 std::string url(const HttpServer &server)
 {
     return "http://127.0.0.1:" + std::to_string(server.port());
@@ -110,13 +115,13 @@
 
 BOOST_AUTO_TEST_CASE(echoesBodyAndQuery)
 {
-    auto server = HttpServer::start({}, [](HttpRequest request, const auto &writer) {
+    auto server = HttpServer::start({}, someMemory(), [](HttpRequest request, const auto &writer) {
         writer->respond(
             { .status = 200,
               .body = request.method + request.path + encodeQuery(request.query) + request.body });
     });
     BOOST_TEST_REQUIRE(server.has_value());
-    HttpClient client;
+    HttpClient client(someMemory());
     const auto result = performCall(
         client, { .method = "POST", .url = url(**server) + "/a?x=1%202", .body = "hello" });
     BOOST_TEST(result.response.body == "POST/a?x=1%202hello");
@@ -125,12 +130,12 @@
 BOOST_AUTO_TEST_CASE(oversizedBodyIsReportedToTheHandlerAndDiscarded)
 {
     std::atomic<bool> reported { false };
-    auto server = HttpServer::start({ .maximumBodyBytes = 1000 },
-                                    [&](HttpRequest request, const auto &writer) {
-                                        reported = request.bodyTooLarge && request.body.empty();
-                                        writer->respond({ .status = 413 });
-                                    });
-    HttpClient client;
+    auto server = HttpServer::start(
+        { .maximumBodyBytes = 1000 }, someMemory(), [&](HttpRequest request, const auto &writer) {
+            reported = request.bodyLoss == BodyLoss::TooLarge && request.body.empty();
+            writer->respond({ .status = 413 });
+        });
+    HttpClient client(someMemory());
     const auto result = performCall(
         client,
         { .method = "POST", .url = url(**server), .body = std::string(20 * 1024 * 1024, 'x') });
@@ -142,7 +147,7 @@
 {
     constexpr std::size_t BodyBytes = 4 * 1024 * 1024;
     auto server = HttpServer::start(
-        { .maximumBodyBytes = 1024 * 1024 },
+        { .maximumBodyBytes = 1024 * 1024 }, someMemory(),
         [](HttpRequest, const auto &writer) { writer->respond({ .status = 413 }); });
     const int connection = ::socket(AF_INET, SOCK_STREAM, 0);
     const sockaddr_in address = loopback((*server)->port());
@@ -169,8 +174,9 @@
 BOOST_AUTO_TEST_CASE(requestWhoseResponseCannotBeSentIsLoggedAsDropped)
 {
     constexpr int InvalidStatus = 0;
-    auto server = HttpServer::start(
-        {}, [](HttpRequest, const auto &writer) { writer->respond({ .status = InvalidStatus }); });
+    auto server = HttpServer::start({}, someMemory(), [](HttpRequest, const auto &writer) {
+        writer->respond({ .status = InvalidStatus });
+    });
     const std::unique_ptr<std::FILE, decltype(&std::fclose)> file(std::tmpfile(), &std::fclose);
     const int usual = dup(STDERR_FILENO);
     dup2(fileno(file.get()), STDERR_FILENO);
@@ -201,12 +207,12 @@
 
 BOOST_AUTO_TEST_CASE(abortedStreamIsReportedAsInterrupted)
 {
-    auto server = HttpServer::start({}, [](HttpRequest, const auto &writer) {
+    auto server = HttpServer::start({}, someMemory(), [](HttpRequest, const auto &writer) {
         writer->start(200, {});
         writer->write("part");
         writer->abort();
     });
-    HttpClient client;
+    HttpClient client(someMemory());
     const auto result = performCall(client, { .url = url(**server) });
     BOOST_TEST(result.response.body == "part");
     BOOST_TEST((result.outcome == CallOutcome::Interrupted));
@@ -214,7 +220,7 @@
 
 BOOST_AUTO_TEST_CASE(abortedStreamOfHttp10CallerEndsWithReset)
 {
-    auto server = HttpServer::start({}, [](HttpRequest, const auto &writer) {
+    auto server = HttpServer::start({}, someMemory(), [](HttpRequest, const auto &writer) {
         writer->start(200, {});
         writer->write("part");
         std::this_thread::sleep_for(milliseconds(50));
@@ -225,7 +231,7 @@
 
 BOOST_AUTO_TEST_CASE(completeStreamOfHttp10CallerEndsWithClose)
 {
-    auto server = HttpServer::start({}, [](HttpRequest, const auto &writer) {
+    auto server = HttpServer::start({}, someMemory(), [](HttpRequest, const auto &writer) {
         writer->start(200, {});
         writer->write("whole");
         writer->finish();
@@ -235,7 +241,7 @@
 
 BOOST_AUTO_TEST_CASE(bodyWhoseEndIsTheCloseIsNotReportedAsComplete)
 {
-    HttpClient client;
+    HttpClient client(someMemory());
     for (const std::string head : { "HTTP/1.1 200 OK\r\n", "HTTP/1.0 200 OK\r\n",
                                     "HTTP/1.1 200 OK\r\nConnection: close\r\n" }) {
         const OneResponseServer server(head + "\r\nhalf of a bo");
@@ -246,7 +252,7 @@
 
 BOOST_AUTO_TEST_CASE(headThatIsCutIsNotReportedAsComplete)
 {
-    HttpClient client;
+    HttpClient client(someMemory());
     const std::string head = "HTTP/1.1 200 OK\r\nContent-Length: 5\r\nX-A: b\r\n";
     for (const std::size_t size :
          { std::size_t { 12 }, std::size_t { 15 }, std::size_t { 17 }, std::size_t { 34 },
@@ -259,7 +265,7 @@
 
 BOOST_AUTO_TEST_CASE(responsesThatNameTheirEndAreComplete)
 {
-    HttpClient client;
+    HttpClient client(someMemory());
     for (const std::string response :
          { "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nwhole",
            "HTTP/1.0 200 OK\r\ncontent-length: 0\r\n\r\n",
@@ -276,17 +282,17 @@
 {
     std::string closedUrl;
     {
-        auto server = HttpServer::start({}, [](HttpRequest, const auto &) {});
+        auto server = HttpServer::start({}, someMemory(), [](HttpRequest, const auto &) {});
         closedUrl = url(**server);
     }
-    HttpClient client;
+    HttpClient client(someMemory());
     BOOST_TEST((performCall(client, { .url = closedUrl }).outcome == CallOutcome::NotSent));
 }
 
 BOOST_AUTO_TEST_CASE(nonRetryableCallIsNeverResentByLibcurl)
 {
     std::atomic<int> posts { 0 };
-    auto server = HttpServer::start({}, [&](HttpRequest request, const auto &writer) {
+    auto server = HttpServer::start({}, someMemory(), [&](HttpRequest request, const auto &writer) {
         if (request.method == "GET") {
             writer->respond({ .status = 200 });
             return;
@@ -294,7 +300,7 @@
         ++posts;
         writer->abort();
     });
-    HttpClient client;
+    HttpClient client(someMemory());
     for (int round = 0; round < 5; ++round) {
         // Leaves an idle connection that the next call could reuse.
         BOOST_TEST(performCall(client, { .url = url(**server) }).response.status == 200);
@@ -311,14 +317,14 @@
     std::shared_ptr<ResponseWriter> writer;
     std::promise<void> arrived;
     std::atomic<int> drained { 0 };
-    auto server = HttpServer::start({}, [&](HttpRequest, const auto &responseWriter) {
+    auto server = HttpServer::start({}, someMemory(), [&](HttpRequest, const auto &responseWriter) {
         writer = responseWriter;
         writer->subscribe(
             4096, [&] { ++drained; }, nullptr);
         writer->start(200, {});
         arrived.set_value();
     });
-    HttpClient client;
+    HttpClient client(someMemory());
     std::atomic<bool> paused { true };
     std::promise<void> ended;
     const auto call = client.start({ .url = url(**server) },
@@ -344,12 +350,12 @@
 
 BOOST_AUTO_TEST_CASE(destroyedServerEndsOpenExchanges)
 {
-    HttpClient client;
+    HttpClient client(someMemory());
     std::promise<CallOutcome> ended;
     std::promise<void> arrived;
     {
-        auto server
-            = HttpServer::start({}, [&](HttpRequest, const auto &) { arrived.set_value(); });
+        auto server = HttpServer::start({}, someMemory(),
+                                        [&](HttpRequest, const auto &) { arrived.set_value(); });
         client.start({ .url = url(**server) },
                      { .onEnd = [&](CallOutcome outcome) { ended.set_value(outcome); } });
         arrived.get_future().wait();
--- a/Tests/Node/NodeTest.cpp
+++ b/Tests/Node/NodeTest.cpp
@@ -38,7 +38,7 @@
 {
     QuietLog quiet;
     LocalCluster bench;
-    HttpClient client;
+    HttpClient client { std::make_shared<MemoryBudget>(64 * 1024 * 1024) };
 
     explicit Fixture(LocalClusterOptions options = smallBench())
         : bench(std::move(options))
