CallerApi: Forget the session of a retryable call when it ends

A node that is no gateway kept the session of each retryable call of a service, with the request and its header, for as long as it ran, and a planned stop after one such call lasted until its time limit and counted as not drained: sessions were entered for the claim of their call, and are taken out when it is decided, but retryable calls have none.

Only calls with a claim are entered.

Before, with the former lines, ReceivedMemoryTest/ sessionOfARetryableServiceCallIsKeptAfterItsEnd failed: drain() returned false after 5 s. Now NodeTest passes.

--- a/Source/Node/CallerApi.cpp
+++ b/Source/Node/CallerApi.cpp
@@ -305,6 +305,7 @@
         }
         key = *header;
     }
+    const bool claimed = !key.empty();
     std::string target = percentEncode(path, true) + encodeQuery(call.request.query);
     auto session = std::make_shared<ServiceSession>(
         traffic_, call.writer,
@@ -315,7 +316,9 @@
                                 .request = std::move(call.request),
                                 .target = std::move(target),
                                 .idempotencyKey = std::move(key) });
-    events_.service(RequestId(call.id), session);
+    if (claimed) {
+        events_.service(RequestId(call.id), session);
+    }
     session->begin();
 }
 
--- a/Source/Node/CallerApi.h
+++ b/Source/Node/CallerApi.h
@@ -20,8 +20,8 @@
 class CallerApi
 {
 public:
-    /// Callbacks that receive a new session before its first message is posted, or the writer of a
-    /// request for /metrics.
+    /// Callbacks that receive a new session before its first message is posted, of calls of
+    /// services only those with a claim, or the writer of a request for /metrics.
     struct Events
     {
         std::function<void(const RequestId &, const std::shared_ptr<ModelSession> &,
--- a/Tests/Node/ReceivedMemoryTest.cpp
+++ b/Tests/Node/ReceivedMemoryTest.cpp
@@ -149,6 +149,13 @@
 
 BOOST_AUTO_TEST_SUITE(ReceivedMemoryTest)
 
+BOOST_AUTO_TEST_CASE(sessionOfARetryableServiceCallIsKeptAfterItsEnd)
+{
+    RunningNode node;
+    BOOST_TEST(node.call("GET", ServicePath + "/a").response.status == 200);
+    BOOST_TEST(node.bench.node(0)->drain(std::chrono::seconds(5)));
+}
+
 BOOST_AUTO_TEST_CASE(uploadWithoutAKeyIsKept)
 {
     constexpr std::size_t BodyBytes = 3 * Megabyte;
