OperatorApi: Bound the nesting and the number of an operator's calls

A call of an operator or peer with 1,100 opening brackets ended the node: libjsonrpccpp's parser throws at its nesting limit, and nothing caught it on the worker thread. A batch of 4 MB of empty lists got an answer of 185 MB and took 1.8 GB (trial with the library alone).

The text passes estimateJsonMemory() first; the values of a batch may take 160 KB. What exceeds it gets the error -32600 of JSON-RPC.

Before, with the former lines, ReceivedMemoryTest/ nestedOrManyCallsOfAnOperatorEndTheNode ended by SIGABRT. Now NodeTest passes.

--- a/Source/Node/OperatorApi.cpp
+++ b/Source/Node/OperatorApi.cpp
@@ -7,6 +7,8 @@
 #include <jsonrpccpp/server/abstractserverconnector.h>
 
 #include "Core/Hashing.h"
+#include "Core/Json.h"
+#include "Core/JsonExtents.h"
 #include "Node/Refusal.h"
 #include "Routing/DispatchRecord.h"
 
@@ -19,6 +21,9 @@
 constexpr int StatusOk = 200;
 // JSON-RPC reserves -32000 to -32099 for servers; the index of the error kind is subtracted.
 constexpr int FirstErrorCode = -32000;
+constexpr int InvalidRequestCode = -32600;
+/// Largest memory in bytes of the values of all requests in a batch.
+constexpr std::size_t MaximumBatchMemory = 160 * 1024;
 
 /// The connector that libjsonrpccpp requires. It doesn't listen: requests arrive through
 /// HttpServer.
@@ -76,6 +81,19 @@
 
     std::string process(const std::string &request)
     {
+        // libjsonrpccpp ends the program at nesting that is too deep, and answers each value of a
+        // batch.
+        const bool batch = JsonCursor(request).at('[');
+        const auto size
+            = estimateJsonMemory(request, batch ? MaximumBatchMemory : MaximumJsonMemory);
+        if (!size.has_value()) {
+            Json::Value response;
+            response["jsonrpc"] = "2.0";
+            response["id"] = Json::Value();
+            response["error"]["code"] = InvalidRequestCode;
+            response["error"]["message"] = size.error().message;
+            return writeJson(response);
+        }
         std::string response;
         connector.OnRequest(request, &response);
         return response;
--- a/Tests/Node/ReceivedMemoryTest.cpp
+++ b/Tests/Node/ReceivedMemoryTest.cpp
@@ -294,6 +294,27 @@
     BOOST_TEST(node.usedAtLast(IdleBytes) <= IdleBytes);
 }
 
+BOOST_AUTO_TEST_CASE(nestedOrManyCallsOfAnOperatorEndTheNode)
+{
+    RunningNode node;
+    std::string batch = "[[]";
+    while (batch.size() < 3 * Megabyte) {
+        batch += ",[]";
+    }
+    for (const std::string &body : { std::string(100000, '['), batch + "]" }) {
+        const auto refused = performCall(
+            node.client,
+            { .method = "POST",
+              .url = node.bench.operatorUrl(0) + "/rpc",
+              .headers = { { "Authorization", "Bearer " + LocalCluster::operatorKey() } },
+              .body = body,
+              .totalTimeout = std::chrono::seconds(30) });
+        BOOST_TEST(refused.response.body.size() < 1000U);
+        BOOST_TEST(refused.response.body.find("-32600") != std::string::npos);
+    }
+    BOOST_TEST(node.call("GET", ServicePath + "/a").response.status == 200);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace jacinthroad
