RpcClient: Bound the answers of a node

The commands status, config, drain and report kept what a node sent for 15 s without a limit, and ended by SIGABRT at an answer that is nested too deeply: the connector of libjsonrpccpp appends all that arrives, and its parser throws.

Now RpcClientTest passes.

--- a/Source/Program/OperatorClient.cpp
+++ b/Source/Program/OperatorClient.cpp
@@ -10,7 +10,7 @@
 
 namespace {
 
-constexpr long CallTimeoutMs = 15000;
+constexpr Duration CallTimeout = std::chrono::seconds(15);
 
 std::string operatorKey(const options::variables_map &values)
 {
@@ -53,7 +53,7 @@
                                          .key = operatorKey(values),
                                          .method = method,
                                          .parameters = parameters,
-                                         .timeoutMs = CallTimeoutMs });
+                                         .timeout = CallTimeout });
     if (!answer.failed) {
         return answer.result;
     }
--- a/Source/RpcClient/RpcClient.h
+++ b/Source/RpcClient/RpcClient.h
@@ -4,6 +4,9 @@
 
 #include <json/value.h>
 
+#include "Core/Time.h"
+#include "RpcClient/RpcProtocol.h"
+
 namespace jacinthroad {
 
 /// A JSON-RPC 2.0 call over HTTP.
@@ -14,21 +17,11 @@
     std::string key;
     std::string method;
     Json::Value parameters;
-    long timeoutMs;
-};
-
-/// The response to a call. This header must be valid C++14, since its implementation is compiled as
-/// C++14.
-struct RpcResponse
-{
-    bool failed;
-    Json::Value result;
-    int errorCode;
-    std::string errorMessage;
-    Json::Value errorData;
+    Duration timeout;
 };
 
-/// Makes a call with libjsonrpccpp and blocks until the response arrives or the call fails.
-RpcResponse callRpc(const RpcCall &call);
+/// Makes a call and blocks until the response arrives or the call fails, as with a response that
+/// exceeds 16 MB or what estimateJsonMemory() accepts.
+[[nodiscard]] RpcResponse callRpc(const RpcCall &call);
 
 } // namespace jacinthroad
