--- a/Source/Node/CallerApi.h
+++ b/Source/Node/CallerApi.h
@@ -20,8 +20,8 @@
 class CallerApi
 {
 public:
-    /// Callbacks that receive a new session before its first message is posted, or the writer of a
-    /// request for /metrics.
+    /// Callbacks that receive a new session before its first message is posted, of calls of
+    /// services only those with a claim, or the writer of a request for /metrics.
     struct Events
     {
         std::function<void(const RequestId &, const std::shared_ptr<ModelSession> &,
@@ -34,6 +34,8 @@
     /// `idPrefix` starts every request id and makes ids unique across nodes and restarts.
     CallerApi(TrafficContext &traffic, std::string idPrefix, Events events);
 
+    /// True if a request carries the key of a team. Thread-safe.
+    [[nodiscard]] bool isAuthorised(const HttpRequest &request) const;
     /// Handles one request and responds through `writer`, now or from a session.
     void handle(HttpRequest request, const std::shared_ptr<ResponseWriter> &writer);
 
