DigestExchange: Keep no more senders than a fleet has

It keeps 2,048 nodes and summaries now, with names of 255 bytes at most; digests beyond that count as rejected.

DigestExchangeTest/digestsOfEndlessNamesAreKept sends 3,000 names; without the bound no digest is rejected.

--- a/Source/Gateway/DigestExchange.cpp
+++ b/Source/Gateway/DigestExchange.cpp
@@ -21,6 +21,9 @@
 
 /// Maximum number of prompt parts in one digest.
 constexpr std::size_t MaxPartsPerDigest = 80;
+/// Nodes and summaries that are kept: datagrams may claim any name.
+constexpr std::size_t MaxSenders = 2048;
+constexpr std::size_t MaxNameBytes = 255;
 /// Maximum number of reports of crashes in one digest.
 constexpr std::size_t MaxCrashReportsPerDigest = 24;
 /// Number of nodes of a large fleet that resend the crash records to a node that has started.
@@ -296,7 +299,13 @@
         return;
     }
     const bool summary = !digest->summarizedZone.empty();
-    auto &newest = newest_[summary ? digest->node + "/summary" : digest->node];
+    const std::string sender = summary ? digest->node + "/summary" : digest->node;
+    if (digest->node.size() > MaxNameBytes
+        || (newest_.size() >= MaxSenders && !newest_.contains(sender))) {
+        state_.metrics.countDigestRejected();
+        return;
+    }
+    auto &newest = newest_[sender];
     // The wall clock may have jumped back between two boots, so a different boot counts as newer.
     const bool started = newest.first != digest->boot;
     if (!started && digest->sequence <= newest.second) {
--- /dev/null
+++ b/Tests/Gateway/DigestExchangeTest.cpp
@@ -0,0 +1,44 @@
+#include <thread>
+
+#include <boost/asio/ip/udp.hpp>
+#include <boost/test/unit_test.hpp>
+
+#include "Core/Endpoint.h"
+#include "FleetPeers/NodeDigest.h"
+#include "GatewayFixture.h"
+
+namespace jacinthroad {
+
+namespace asio = boost::asio;
+
+BOOST_AUTO_TEST_SUITE(DigestExchangeTest)
+
+// Datagrams aren't authenticated: each may claim another name.
+BOOST_AUTO_TEST_CASE(digestsOfEndlessNamesAreKept)
+{
+    constexpr int Names = 3000;
+    constexpr int NamesAtOnce = 20;
+    GatewayFixture fixture;
+    fixture.configure(1, { "k1" });
+    fixture.start();
+    const auto peers = parseEndpoint(fixture.settings.peerAddress);
+    BOOST_REQUIRE(peers.has_value());
+    const asio::ip::udp::endpoint receiver(peers->address(), peers->port());
+    asio::ip::udp::socket socket(fixture.context, asio::ip::udp::v4());
+    for (int number = 0; number < Names; ++number) {
+        const NodeDigest digest { .node = "node-" + std::to_string(number),
+                                  .boot = 1,
+                                  .sequence = 1 };
+        socket.send_to(asio::buffer(encodeDigest(digest)), receiver);
+        if (number % NamesAtOnce == 0) {
+            std::this_thread::sleep_for(milliseconds(2));
+        }
+    }
+    BOOST_TEST(fixture.metricValue("jacinthroad_digests_rejected_total").value_or(0) >= 500.0);
+    const auto response = fixture.call("POST", "/unsafe/a", "x");
+    BOOST_TEST(response != nullptr);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+} // namespace jacinthroad
--- a/Tests/Gateway/GatewayFixture.cpp
+++ b/Tests/Gateway/GatewayFixture.cpp
@@ -263,7 +263,11 @@
 
 std::optional<double> GatewayFixture::heldBytes()
 {
-    constexpr std::string_view Name = "\njacinthroad_gateway_received_bytes ";
+    return metricValue("jacinthroad_received_bytes");
+}
+
+std::optional<double> GatewayFixture::metricValue(const std::string &name)
+{
     asio::ip::tcp::socket socket(context);
     error_code error;
     socket.connect(endpointOf(settings.metricsAddress), error);
@@ -272,11 +276,12 @@
     boost::beast::flat_buffer buffer;
     CallerResponse response;
     http::read(socket, buffer, response, error);
-    const auto at = response.body().find(Name);
+    const std::string line = '\n' + name + ' ';
+    const auto at = response.body().find(line);
     if (error || at == std::string::npos) {
         return std::nullopt;
     }
-    return std::stod(response.body().substr(at + Name.size()));
+    return std::stod(response.body().substr(at + line.size()));
 }
 
 asio::ip::tcp::endpoint GatewayFixture::callerEndpoint() const
--- a/Tests/Gateway/GatewayFixture.h
+++ b/Tests/Gateway/GatewayFixture.h
@@ -78,6 +78,8 @@
     /// Bytes that the gateway has received and not passed on, as its metrics page tells; nothing if
     /// it doesn't.
     [[nodiscard]] std::optional<double> heldBytes();
+    /// The value of a metric without labels; nothing if there is none.
+    [[nodiscard]] std::optional<double> metricValue(const std::string &name);
     /// The address on which the gateway serves callers.
     [[nodiscard]] boost::asio::ip::tcp::endpoint callerEndpoint() const;
 
