--- a/Source/Gateway/RelayClient.cpp
+++ b/Source/Gateway/RelayClient.cpp
@@ -12,6 +12,8 @@
 namespace {
 
 constexpr unsigned HttpOk = 200;
+/// Maximum size in bytes of a page: 32 KB, or one object of the store, which has 1 MB at most.
+constexpr std::uint64_t MaxPageBytes = 2 * 1024 * 1024;
 
 } // namespace
 
@@ -19,7 +21,7 @@
                          std::shared_ptr<MemoryBudget> memory)
     : address_(address)
     , client_(context, address, ConnectionUse::Kept, std::move(memory), BodyKind::Control,
-              MaxObjectResponseBytes)
+              MaxPageBytes)
 { }
 
 asio::awaitable<Result<RelayReply>> RelayClient::query(RelayQuery query, TransferProgress *progress)
--- a/Source/StoreRelay/RelayMessage.cpp
+++ b/Source/StoreRelay/RelayMessage.cpp
@@ -8,6 +8,7 @@
 #include <msgpack.hpp>
 
 #include "Core/Json.h"
+#include "Core/JsonExtents.h"
 
 namespace jacinthroad {
 
@@ -44,7 +45,8 @@
     KindName { ObjectKind::Nodes, "nodes" },
 };
 
-platform::ObjectEvent readEvent(const msgpack::object &object)
+/// Reads an event whose values may take `memoryLeft` bytes with those of the other events.
+platform::ObjectEvent readEvent(const msgpack::object &object, std::size_t &memoryLeft)
 {
     if (object.type != msgpack::type::ARRAY || object.via.array.size < EventFields) {
         throw msgpack::type_error();
@@ -59,7 +61,7 @@
     if (field[5].as<bool>()) {
         event.object.text = std::move(text);
     } else if (!text.empty()) {
-        auto spec = parseJson(text);
+        auto spec = parseJson(text, memoryLeft);
         if (!spec.has_value()) {
             throw msgpack::type_error();
         }
@@ -150,7 +152,9 @@
     try {
         // A header may state more entries than follow, for which memory is allocated at once.
         const std::size_t size = message.size();
-        const msgpack::unpack_limit limit(size, size, size, size, size, MaximumNesting);
+        const msgpack::unpack_limit limit(std::min(size, MaximumJsonExtents),
+                                          std::min(size, MaximumJsonExtents), size, size, size,
+                                          MaximumNesting);
         const msgpack::object_handle handle
             = msgpack::unpack(message.data(), size, nullptr, nullptr, limit);
         const msgpack::object &root = handle.get();
@@ -176,8 +180,9 @@
         }
         changes.age = milliseconds(field[9].as<std::uint32_t>());
         changes.digest = field[10].as<std::uint64_t>();
+        std::size_t memoryLeft = MaximumJsonMemory;
         for (const msgpack::object &event : field[11].as<std::vector<msgpack::object>>()) {
-            changes.events.push_back(readEvent(event));
+            changes.events.push_back(readEvent(event, memoryLeft));
         }
         return changes;
     } catch (const std::exception &fault) {
--- a/Tests/StoreRelay/RelayMessageTest.cpp
+++ b/Tests/StoreRelay/RelayMessageTest.cpp
@@ -33,6 +33,28 @@
 
 BOOST_AUTO_TEST_SUITE(RelayMessageTest)
 
+BOOST_AUTO_TEST_CASE(eventsOfAPageTakeMoreMemoryTogetherThanOneMay)
+{
+    // A list of three bytes takes about 155 when it is parsed.
+    constexpr Json::ArrayIndex Lists = 50'000;
+    platform::StoredObject object { .name = "a", .revision = 1 };
+    object.spec["lists"][Lists] = Json::Value(Json::arrayValue);
+    for (Json::Value &list : object.spec["lists"]) {
+        list = Json::Value(Json::arrayValue);
+    }
+    const std::string event = encodeRelayedEvent(object, false);
+    const auto page = [&](std::size_t count) {
+        return encodeRelayPage({ .head = { .position = { .source = 9, .sequence = 12, .began = 11 },
+                                           .content = RelayContent::All,
+                                           .bytesLeft = 0,
+                                           .revision = 77,
+                                           .events = {} },
+                                 .events = std::vector<std::string_view>(count, event) });
+    };
+    BOOST_TEST(decodeRelayedChanges(page(1)).has_value());
+    BOOST_TEST(!decodeRelayedChanges(page(4)).has_value());
+}
+
 BOOST_AUTO_TEST_CASE(changesAreDecodedAsEncoded)
 {
     const auto decoded = decodeRelayedChanges(example());
