ControlClient: End a call at its limit while bytes arrive all the time

A call with a limit of 1 s went on for 3 s and more when its server sent chunks of one byte: each read armed the timer again, which drops an end that is due. The limit is checked before each read.

--- a/Source/Gateway/ControlClient.cpp
+++ b/Source/Gateway/ControlClient.cpp
@@ -166,6 +166,12 @@
         responseParser.get().body().reserve(responseParser.content_length().value_or(0));
     }
     while (!error && !responseParser.is_done()) {
+        // Bytes that arrive all the while arm the timer again before its end is noticed.
+        if (std::chrono::steady_clock::now() >= began + limits.whole) {
+            connection->timedOut = true;
+            error = asio::error::timed_out;
+            break;
+        }
         noteProgress();
         if (!reserveForRead(*bodyMemory, responseParser.get().body(),
                             responseParser.content_length(), connection->buffer,
