--- a/Source/Gateway/ExchangeAttempt.cpp
+++ b/Source/Gateway/ExchangeAttempt.cpp
@@ -508,12 +508,13 @@
         }
         const std::size_t size = readBuffer.size() - parser.get().body().size;
         attempt.bodyReceived = attempt.bodyReceived || size > 0;
+        // Complete events are held twice until the caller has taken them. Without memory for them
+        // they stay unread, so that another server sends them again.
+        if (!reserveEvent(attempt, 2 * (eventSplitter_.partialEvent().size() + size))) {
+            co_return giveUpResponse(attempt, "event_too_long");
+        }
         const std::string completeEvents = eventSplitter_.feed({ readBuffer.data(), size });
         if (!completeEvents.empty()) {
-            // They are held twice until the caller has taken them.
-            if (!reserveEvent(attempt, 2 * completeEvents.capacity())) {
-                co_return giveUpResponse(attempt, "event_too_long");
-            }
             const std::string bytes = frameEvents(attempt, header, completeEvents);
             const bool written = co_await writeToCaller(bytes);
             if (!written) {
