HeaderReader: Bound the fields of a header and count its copy

A header has 512 fields at most, and counts twice with 96 bytes a field. A request in progress must stay short for the account, which is asserted.

--- a/Source/Gateway/HeaderReader.cpp
+++ b/Source/Gateway/HeaderReader.cpp
@@ -1,5 +1,7 @@
 #include "Gateway/HeaderReader.h"
 
+#include <iterator>
+
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/use_awaitable.hpp>
 
@@ -11,6 +13,14 @@
 
 namespace {
 
+/// Most fields of a header: a field without a value takes far more memory than bytes.
+constexpr std::ptrdiff_t MaxFields = 512;
+
+bool hasTooManyFields(const http::fields &header)
+{
+    return std::distance(header.begin(), header.end()) > MaxFields;
+}
+
 template <bool IsRequest>
 asio::awaitable<error_code> read(asio::ip::tcp::socket &socket, ReadBuffer &buffer,
                                  http::basic_parser<IsRequest> &parser, const http::fields &header,
@@ -27,7 +37,7 @@
             if (error != http::error::need_more) {
                 break;
             }
-            if (parsed + buffer.size() >= limit) {
+            if (parsed + buffer.size() >= limit || hasTooManyFields(header)) {
                 co_return http::error::header_limit;
             }
             if (used > 0 && !memory.resize(headerMemory(header))) {
@@ -49,6 +59,9 @@
             co_return error;
         }
     }
+    if (!error && hasTooManyFields(header)) {
+        error = http::error::header_limit;
+    }
     if (!error && !memory.resize(headerMemory(header))) {
         error = http::error::buffer_overflow;
     }
--- a/Source/Gateway/ReadBuffer.cpp
+++ b/Source/Gateway/ReadBuffer.cpp
@@ -23,7 +23,9 @@
 constexpr std::size_t MinReadBytes = 512;
 constexpr std::size_t MaxReadBytes = 64 * 1024;
 /// What a field of a header takes besides its text.
-constexpr std::size_t FieldBytes = 64;
+constexpr std::size_t FieldBytes = 96;
+/// A header that is passed on is held twice.
+constexpr std::size_t HeaderCopies = 2;
 
 std::string peerAddress(const boost::asio::ip::tcp::socket &socket)
 {
@@ -79,6 +81,9 @@
     }
 }
 
+// A request in progress has two connections, and counts as short.
+static_assert(4 * MaxReceiveBufferBytes <= ShortBodyBytes);
+
 std::size_t receiveBufferBytes(const MemoryBudget &memory)
 {
     return std::clamp(memory.limit() / ReceiveBuffers, MinReceiveBufferBytes,
@@ -91,7 +96,7 @@
     for (const auto &field : header) {
         bytes += field.name_string().size() + field.value().size() + FieldBytes;
     }
-    return bytes;
+    return HeaderCopies * bytes;
 }
 
 bool exceedsReadLimit(const error_code &error)
