--- a/Source/Gateway/RelayServer.cpp
+++ b/Source/Gateway/RelayServer.cpp
@@ -69,14 +69,15 @@
 asio::awaitable<void> RelayServer::serveConnection(asio::ip::tcp::socket socket)
 {
     setTcpTimeout(socket, RelayTcpTimeout);
-    ReadBuffer buffer(memory_, BodyKind::Request, MaxReadBytes);
+    ReadBuffer buffer(memory_, BodyKind::Control, MaxReadBytes);
     error_code error;
     // Counts this connection among those that asked.
     std::shared_ptr<const char> presence;
     for (;;) {
         http::request_parser<http::empty_body> parser;
+        MemoryReservation headerMemory(memory_, BodyKind::Control);
         error = co_await readRequestWithin(context_, socket, buffer, parser, MaxQueryHeaderBytes,
-                                           QueryTimeout);
+                                           headerMemory, QueryTimeout);
         if (error) {
             logReadLimit("query of another node", error, buffer, socket);
             co_return;
--- a/Source/Gateway/RequestReader.cpp
+++ b/Source/Gateway/RequestReader.cpp
@@ -15,7 +15,8 @@
 asio::awaitable<error_code> readRequestWithin(asio::io_context &context,
                                               asio::ip::tcp::socket &socket, ReadBuffer &buffer,
                                               http::request_parser<http::empty_body> &parser,
-                                              std::uint32_t headerLimit, Duration limit)
+                                              std::uint32_t headerLimit, MemoryReservation &memory,
+                                              Duration limit)
 {
     error_code error;
     if (buffer.size() == 0) {
@@ -31,7 +32,6 @@
         error_code ignored;
         socket.close(ignored);
     });
-    MemoryReservation memory(buffer.get_allocator().budget(), BodyKind::Request);
     error = co_await readHeader(socket, buffer, parser, parser.get().base(), headerLimit, memory);
     if (!error && !parser.is_done()) {
         co_await http::async_read(socket, buffer, parser,
--- a/Source/Gateway/RequestReader.h
+++ b/Source/Gateway/RequestReader.h
@@ -15,11 +15,11 @@
 
 /// Waits for a request without a body, whose header has `headerLimit` bytes at most, and reads it
 /// into `parser`. Once it has begun to arrive, it must be complete within `limit`; the connection
-/// is closed otherwise.
+/// is closed otherwise. `memory` is reserved for the fields of the header.
 [[nodiscard]] boost::asio::awaitable<boost::system::error_code>
 readRequestWithin(boost::asio::io_context &context, boost::asio::ip::tcp::socket &socket,
                   ReadBuffer &buffer,
                   boost::beast::http::request_parser<boost::beast::http::empty_body> &parser,
-                  std::uint32_t headerLimit, Duration limit);
+                  std::uint32_t headerLimit, MemoryReservation &memory, Duration limit);
 
 } // namespace jacinthroad
--- a/Source/Gateway/StatusServer.cpp
+++ b/Source/Gateway/StatusServer.cpp
@@ -40,12 +40,14 @@
                                       std::shared_ptr<const StatusSource> source)
 {
     setTcpTimeout(socket, StatusTimeout);
-    ReadBuffer buffer(source->memory, BodyKind::Request, MaxReadBytes);
+    // The balancer must learn the state of a node whose memory is used up.
+    ReadBuffer buffer(source->memory, BodyKind::Control, MaxReadBytes);
     error_code error;
     for (;;) {
         http::request_parser<http::empty_body> parser;
+        MemoryReservation memory(source->memory, BodyKind::Control);
         error = co_await readRequestWithin(context, socket, buffer, parser, MaxStatusHeaderBytes,
-                                           StatusTimeout);
+                                           memory, StatusTimeout);
         if (error) {
             logReadLimit("request for " + source->path, error, buffer, socket);
             co_return;
