MemoryBudget: Leave room for requests beside long responses

Long responses could take all that short requests may take, and every request needs some memory now: 57 responses of 1 MB left room for six requests on a node of 110 MB (trial of the review). Short requests may take fifteen sixteenths, so that one sixteenth is theirs.

--- a/Source/Core/MemoryBudget.cpp
+++ b/Source/Core/MemoryBudget.cpp
@@ -7,10 +7,12 @@
 
 namespace {
 
-/// Eighths of the limit up to which memory is reserved.
-constexpr std::size_t LongRequestEighths = 6;
-constexpr std::size_t ShortRequestEighths = 7;
-constexpr std::size_t LongResponseEighths = 7;
+/// Sixteenths of the limit up to which memory is reserved. Long responses leave room for requests,
+/// all of which need some.
+constexpr std::size_t LongRequestParts = 12;
+constexpr std::size_t ShortRequestParts = 15;
+constexpr std::size_t LongResponseParts = 14;
+constexpr std::size_t Parts = 16;
 
 } // namespace
 
@@ -18,12 +20,12 @@
 {
     const std::size_t all = limit_;
     if (kind == BodyKind::Request) {
-        return all / 8 * (bodyBytes > ShortBodyBytes ? LongRequestEighths : ShortRequestEighths);
+        return all / Parts * (bodyBytes > ShortBodyBytes ? LongRequestParts : ShortRequestParts);
     }
     if (kind == BodyKind::Control) {
         return all + all / 8;
     }
-    return bodyBytes > ShortBodyBytes ? all / 8 * LongResponseEighths : all;
+    return bodyBytes > ShortBodyBytes ? all / Parts * LongResponseParts : all;
 }
 
 bool MemoryBudget::reserve(BodyKind kind, std::size_t bytes)
