CallerSession: Free what a refused request holds before its connection lingers

A caller that sends on behind a refusal kept its header, its fields and the read buffer for up to 20 s; 400 such connections without a key fill the account. They are freed once the refusal is written.

--- a/Source/Gateway/CallerSession.cpp
+++ b/Source/Gateway/CallerSession.cpp
@@ -609,7 +609,7 @@
     co_return error;
 }
 
-asio::awaitable<void> CallerSession::respondToParseError(error_code error, const Parser &parser)
+asio::awaitable<void> CallerSession::respondToParseError(error_code error, Parser &parser)
 {
     const bool isParseError
         = error.category() == http::make_error_code(http::error::end_of_stream).category()
@@ -635,7 +635,7 @@
         && (state_.routes == nullptr || state_.routes->version() < forwarded->configurationVersion);
 }
 
-asio::awaitable<void> CallerSession::refuseUnread(ErrorKind kind, const Parser &parser)
+asio::awaitable<void> CallerSession::refuseUnread(ErrorKind kind, Parser &parser)
 {
     RequestId request;
     // A header that another node has admitted is too long for an older configuration only.
@@ -673,6 +673,12 @@
                                asio::redirect_error(asio::use_awaitable, writeError));
     state_.metrics.countRequest(writeError ? "not_delivered" : std::string(answer.name));
     requestOpen_ = writeError.failed();
+    // The caller may send on for a while.
+    static_cast<void>(parser.release());
+    static_cast<void>(headerMemory_.resize(0));
+    discardedBytes_ += buffer_.size();
+    buffer_.consume(buffer_.size());
+    buffer_.releaseIfEmpty();
     const bool bodyArrives = kind == ErrorKind::BodyMemoryFull && !state_.draining;
     if (writeError) {
         close(CloseReason::NoResponse);
@@ -727,7 +733,7 @@
     }
     error_code error;
     if (!readArrived(error)) {
-        // The connection is no longer watched.
+        watchUnread();
         return;
     }
     exchange_->noteNextRequest();
--- a/Source/Gateway/CallerSession.h
+++ b/Source/Gateway/CallerSession.h
@@ -93,9 +93,9 @@
     [[nodiscard]] boost::asio::awaitable<boost::system::error_code>
     readBody(Parser &parser, MemoryReservation &bodyMemory);
     [[nodiscard]] boost::asio::awaitable<void> respondToParseError(boost::system::error_code error,
-                                                                   const Parser &parser);
+                                                                   Parser &parser);
     /// Refuses a request that was not read completely and closes the connection.
-    [[nodiscard]] boost::asio::awaitable<void> refuseUnread(ErrorKind kind, const Parser &parser);
+    [[nodiscard]] boost::asio::awaitable<void> refuseUnread(ErrorKind kind, Parser &parser);
     /// True if another node has admitted the request under a newer configuration than that of this
     /// node, whose limits may have been changed since.
     [[nodiscard]] bool hasOlderConfiguration(const Parser &parser) const;
