Gateway: Read connections that send more than any engine behind other work

Callers of sound routes waited while faulty servers sent streams without end: each step of a request waited for a read of each such stream. Reads returned 512 bytes, and each chunk among them took further turns of the event loop, so that a flood took many turns for few bytes.

All that a read has returned is parsed and passed on at once, and a connection that fills its buffer is read 8 KB at a time.

--- a/Source/Gateway/ConnectionPool.h
+++ b/Source/Gateway/ConnectionPool.h
@@ -5,6 +5,7 @@
 #include <string>
 #include <unordered_map>
 #include <unordered_set>
+#include <utility>
 #include <vector>
 
 #include <boost/asio/ip/tcp.hpp>
@@ -12,17 +13,35 @@
 
 #include "Core/Ids.h"
 #include "Core/Time.h"
+#include "Gateway/ReadTurns.h"
 
 namespace jacinthroad {
 
 /// One connection to a backend server.
 struct ServerConnection
 {
-    explicit ServerConnection(const boost::asio::any_io_executor &executor)
+    ServerConnection(const boost::asio::any_io_executor &executor, std::shared_ptr<ReadTurns> turns)
         : socket(executor)
+        , reader(socket, std::move(turns))
     { }
 
+    /// Lets the next read return more if the last one filled the buffer.
+    void prepareRead()
+    {
+        if (reader.filledBuffer()) {
+            buffer.reserve(LongReadBytes);
+        } else if (buffer.size() == 0 && reader.lastReadBytes() < ShortReadBytes) {
+            buffer.shrink_to_fit();
+        }
+    }
+
+    static constexpr std::size_t LongReadBytes = 8192;
+    /// Beast reads this many bytes with an empty buffer.
+    static constexpr std::size_t ShortReadBytes = 512;
+
     boost::asio::ip::tcp::socket socket;
+    /// Reads the socket.
+    PacedSocket reader;
     boost::beast::flat_buffer buffer;
     Instant openedAt;
     /// When the server is expected to close the idle connection, less a margin for the time that a
--- a/Source/Gateway/ExchangeAttempt.cpp
+++ b/Source/Gateway/ExchangeAttempt.cpp
@@ -96,6 +96,19 @@
         || error == http::error::partial_message;
 }
 
+/// Parses the rest of what has been read, which may be many pieces of a body, as far as it is
+/// complete.
+template <typename Parser>
+void parseBuffered(Parser &parser, ServerConnection &connection, error_code &error)
+{
+    while (!error && !parser.is_done() && connection.buffer.size() > 0) {
+        connection.buffer.consume(parser.put(connection.buffer.data(), error));
+    }
+    if (error == http::error::need_more) {
+        error = {};
+    }
+}
+
 } // namespace
 
 void Exchange::Attempt::openWriter()
@@ -218,7 +231,7 @@
     attempt->livenessTimer.expireAt(due, [this, attempt, due] {
         const Instant now = std::chrono::steady_clock::now();
         // After a stall of this thread, data that has arrived meanwhile is read first.
-        if (now - due > LivenessCheckInterval) {
+        if (now - due > LivenessCheckInterval || attempt->connection->reader.waits()) {
             monitorServer(attempt);
             return;
         }
@@ -315,7 +328,7 @@
             parser->skip(request_.method() == http::verb::head);
         }
         error_code error;
-        co_await http::async_read_header(connection.socket, connection.buffer, *parser,
+        co_await http::async_read_header(connection.reader, connection.buffer, *parser,
                                          asio::redirect_error(asio::use_awaitable, error));
         if (attempt.wasInterrupted(error)) {
             attempt.headerParser = std::move(parser);
@@ -398,12 +411,14 @@
     error_code error;
     while (!parser.is_done() && !error) {
         std::string &body = parser.get().body();
+        connection.prepareRead();
         if (!reserveForRead(*attempt.bodyMemory, body, parser.content_length(), connection.buffer,
                             MaxResponseBytes)) {
             co_return giveUpResponse(attempt, "response_too_long");
         }
-        co_await http::async_read_some(connection.socket, connection.buffer, parser,
+        co_await http::async_read_some(connection.reader, connection.buffer, parser,
                                        asio::redirect_error(asio::use_awaitable, error));
+        parseBuffered(parser, connection, error);
         if (!error) {
             noteReceived(attempt);
         }
@@ -467,7 +482,7 @@
     error_code error;
     while (!parser.is_done() && !error) {
         parser.get().body() = { .data = skipped.data(), .size = skipped.size() };
-        co_await http::async_read_some(attempt.connection->socket, attempt.connection->buffer,
+        co_await http::async_read_some(attempt.connection->reader, attempt.connection->buffer,
                                        parser, asio::redirect_error(asio::use_awaitable, error));
         if (error == http::error::need_buffer) {
             error = {};
@@ -494,9 +509,11 @@
         parser.get().body().data = readBuffer.data();
         parser.get().body().size = readBuffer.size();
         parser.get().body().more = true;
+        connection.prepareRead();
         error_code error;
-        co_await http::async_read_some(connection.socket, connection.buffer, parser,
+        co_await http::async_read_some(connection.reader, connection.buffer, parser,
                                        asio::redirect_error(asio::use_awaitable, error));
+        parseBuffered(parser, connection, error);
         if (error == http::error::need_buffer) {
             error = {};
         }
@@ -507,6 +524,7 @@
         attempt.bodyReceived = attempt.bodyReceived || size > 0;
         const std::string completeEvents = eventSplitter_.feed({ readBuffer.data(), size });
         if (!completeEvents.empty()) {
+            connection.reader.noteEvents();
             const std::string bytes = frameEvents(attempt, header, completeEvents);
             const bool written = co_await writeToCaller(bytes);
             if (!written) {
--- a/Source/Gateway/ExchangeAttempt.h
+++ b/Source/Gateway/ExchangeAttempt.h
@@ -114,6 +114,7 @@
         if (canInterruptRead()) {
             boost::system::error_code ignored;
             connection->socket.cancel(ignored);
+            connection->reader.cancelWait();
         } else {
             abort();
         }
@@ -155,6 +156,7 @@
         if (connection != nullptr) {
             boost::system::error_code ignored;
             connection->socket.close(ignored);
+            connection->reader.cancelWait();
         }
     }
 };
--- a/Source/Gateway/ExchangeConnect.cpp
+++ b/Source/Gateway/ExchangeConnect.cpp
@@ -65,7 +65,8 @@
                                                      asio::ip::tcp::endpoint endpoint)
 {
     const Instant now = std::chrono::steady_clock::now();
-    attempt->connection = std::make_unique<ServerConnection>(state_.context.get_executor());
+    attempt->connection
+        = std::make_unique<ServerConnection>(state_.context.get_executor(), state_.readTurns);
     asio::ip::tcp::socket &socket = attempt->connection->socket;
     abortAt(attempt, now + std::min(ConnectTimeout, timeLeft(now)));
     error_code error;
@@ -115,7 +116,7 @@
     }
     http::response_parser<http::string_body> parser;
     parser.body_limit(MaxReportBytes);
-    co_await http::async_read(connection.socket, connection.buffer, parser,
+    co_await http::async_read(connection.reader, connection.buffer, parser,
                               asio::redirect_error(asio::use_awaitable, error));
     if (error || !parser.keep_alive()) {
         co_return false;
--- a/Source/Gateway/TrafficState.cpp
+++ b/Source/Gateway/TrafficState.cpp
@@ -73,6 +73,7 @@
     , forwarding({ .zone = settings.zone })
     , retryBudget(retryBudgetOptions(settings, MinNodes))
     , bodyMemory(std::make_shared<MemoryBudget>(bodyMemoryLimit(settings)))
+    , readTurns(std::make_shared<ReadTurns>(ioContext))
     , crashReporter(mix64(hash64(settings.name), static_cast<std::uint64_t>(wallMilliseconds())))
     , crashHistory({ .reporter = crashReporter })
     , crashDetector(ioContext)
--- a/Source/Gateway/TrafficState.h
+++ b/Source/Gateway/TrafficState.h
@@ -27,6 +27,7 @@
 #include "Gateway/CrashDetector.h"
 #include "Gateway/GatewayMetrics.h"
 #include "Gateway/GatewaySettings.h"
+#include "Gateway/ReadTurns.h"
 #include "Gateway/StreamVersionGate.h"
 #include "Gateway/SuspensionLog.h"
 #include "Placement/AttemptBudget.h"
@@ -141,6 +142,8 @@
     /// Memory for the bodies of requests and responses. Shared with the requests, which may outlive
     /// this object while the event loop is destroyed.
     const std::shared_ptr<MemoryBudget> bodyMemory;
+    /// Turns of the connections to servers that send more than any engine. Shared likewise.
+    const std::shared_ptr<ReadTurns> readTurns;
     QueueLimit queueLimit { {} };
     /// Hash of the name and the boot of this node, as the reporter of crashes.
     const std::uint64_t crashReporter;
