--- a/Source/Gateway/ConnectionPool.h
+++ b/Source/Gateway/ConnectionPool.h
@@ -9,29 +9,36 @@
 #include <vector>
 
 #include <boost/asio/ip/tcp.hpp>
-#include <boost/beast/core/flat_buffer.hpp>
 
 #include "Core/Ids.h"
 #include "Core/Time.h"
+#include "Gateway/ReadBuffer.h"
 #include "Gateway/ReadTurns.h"
 
 namespace jacinthroad {
 
+/// Maximum size in bytes of the header of a response.
+constexpr std::uint32_t MaxResponseHeaderBytes = 64 * 1024;
+/// Maximum number of bytes that a connection to a backend server or another node holds.
+constexpr std::size_t MaxServerReadBytes = MaxResponseHeaderBytes + 4096;
+
 /// One connection to a backend server.
 struct ServerConnection
 {
-    ServerConnection(const boost::asio::any_io_executor &executor, std::shared_ptr<ReadTurns> turns)
+    ServerConnection(const boost::asio::any_io_executor &executor,
+                     std::shared_ptr<MemoryBudget> memory, std::shared_ptr<ReadTurns> turns)
         : socket(executor)
         , reader(socket, std::move(turns))
+        , buffer(std::move(memory), BodyKind::Response, MaxServerReadBytes)
     { }
 
-    /// Lets the next read return more if the last one filled the buffer.
+    /// Lets the next read return more if the last one filled the buffer, and there is memory.
     void prepareRead()
     {
-        if (reader.filledBuffer()) {
-            buffer.reserve(LongReadBytes);
-        } else if (buffer.size() == 0 && reader.lastReadBytes() < ShortReadBytes) {
-            buffer.shrink_to_fit();
+        if (reader.filledBuffer() && buffer.size() < LongReadBytes) {
+            static_cast<void>(buffer.tryPrepare(LongReadBytes - buffer.size()));
+        } else if (reader.lastReadBytes() < ShortReadBytes && buffer.capacity() >= LongReadBytes) {
+            buffer.releaseIfEmpty();
         }
     }
 
@@ -42,7 +49,7 @@
     boost::asio::ip::tcp::socket socket;
     /// Reads the socket.
     PacedSocket reader;
-    boost::beast::flat_buffer buffer;
+    ReadBuffer buffer;
     Instant openedAt;
     /// When the server is expected to close the idle connection, less a margin for the time that a
     /// request is in transit.
