--- a/Source/Gateway/ConnectionPool.h
+++ b/Source/Gateway/ConnectionPool.h
@@ -13,6 +13,7 @@
 #include "Core/Ids.h"
 #include "Core/Time.h"
 #include "Gateway/ReadBuffer.h"
+#include "Gateway/ReadTurns.h"
 
 namespace jacinthroad {
 
@@ -25,12 +26,29 @@
 struct ServerConnection
 {
     ServerConnection(const boost::asio::any_io_executor &executor,
-                     std::shared_ptr<MemoryBudget> memory)
+                     std::shared_ptr<MemoryBudget> memory, std::shared_ptr<ReadTurns> turns)
         : socket(executor)
+        , reader(socket, std::move(turns))
         , buffer(std::move(memory), BodyKind::Response, MaxServerReadBytes)
     { }
 
+    /// Lets the next read return more if the last one filled the buffer, and there is memory.
+    void prepareRead()
+    {
+        if (reader.filledBuffer() && buffer.size() < LongReadBytes) {
+            static_cast<void>(buffer.tryPrepare(LongReadBytes - buffer.size()));
+        } else if (reader.lastReadBytes() < ShortReadBytes && buffer.capacity() >= LongReadBytes) {
+            buffer.releaseIfEmpty();
+        }
+    }
+
+    static constexpr std::size_t LongReadBytes = 8192;
+    /// Beast reads this many bytes with an empty buffer.
+    static constexpr std::size_t ShortReadBytes = 512;
+
     boost::asio::ip::tcp::socket socket;
+    /// Reads the socket.
+    PacedSocket reader;
     ReadBuffer buffer;
     Instant openedAt;
     /// When the server is expected to close the idle connection, less a margin for the time that a
--- a/Source/Gateway/ExchangeAttempt.h
+++ b/Source/Gateway/ExchangeAttempt.h
@@ -116,6 +116,7 @@
         if (canInterruptRead()) {
             boost::system::error_code ignored;
             connection->socket.cancel(ignored);
+            connection->reader.cancelWait();
         } else {
             abort();
         }
@@ -157,6 +158,7 @@
         if (connection != nullptr) {
             boost::system::error_code ignored;
             connection->socket.close(ignored);
+            connection->reader.cancelWait();
         }
     }
 };
--- a/Source/Gateway/ExchangeConnect.cpp
+++ b/Source/Gateway/ExchangeConnect.cpp
@@ -68,8 +68,8 @@
                                                      asio::ip::tcp::endpoint endpoint)
 {
     const Instant now = std::chrono::steady_clock::now();
-    attempt->connection
-        = std::make_unique<ServerConnection>(state_.context.get_executor(), state_.bodyMemory);
+    attempt->connection = std::make_unique<ServerConnection>(state_.context.get_executor(),
+                                                             state_.bodyMemory, state_.readTurns);
     asio::ip::tcp::socket &socket = attempt->connection->socket;
     abortAt(attempt, now + std::min(ConnectTimeout, timeLeft(now)));
     error_code error;
@@ -126,12 +126,12 @@
     parser.body_limit(MaxReportBytes);
     MemoryReservation memory(state_.bodyMemory, BodyKind::Response);
     MemoryReservation headerMemory(state_.bodyMemory, BodyKind::Response);
-    error = co_await readHeader(connection.socket, connection.buffer, parser, parser.get().base(),
+    error = co_await readHeader(connection.reader, connection.buffer, parser, parser.get().base(),
                                 MaxReportHeaderBytes, headerMemory);
     while (!error && !parser.is_done()) {
         if (reserveForRead(memory, parser.get().body(), parser.content_length(), connection.buffer,
                            MaxReportBytes)) {
-            co_await http::async_read_some(connection.socket, connection.buffer, parser,
+            co_await http::async_read_some(connection.reader, connection.buffer, parser,
                                            asio::redirect_error(asio::use_awaitable, error));
         } else {
             error = http::error::body_limit;
--- a/Source/Gateway/HeaderReader.cpp
+++ b/Source/Gateway/HeaderReader.cpp
@@ -21,8 +21,8 @@
     return std::distance(header.begin(), header.end()) > MaxFields;
 }
 
-template <bool IsRequest>
-asio::awaitable<error_code> read(asio::ip::tcp::socket &socket, ReadBuffer &buffer,
+template <typename Socket, bool IsRequest>
+asio::awaitable<error_code> read(Socket &socket, ReadBuffer &buffer,
                                  http::basic_parser<IsRequest> &parser, const http::fields &header,
                                  std::uint32_t limit, MemoryReservation &memory)
 {
@@ -85,4 +85,12 @@
     return read(socket, buffer, parser, header, limit, memory);
 }
 
+asio::awaitable<error_code> readHeader(PacedSocket &socket, ReadBuffer &buffer,
+                                       http::basic_parser<false> &parser,
+                                       const http::fields &header, std::uint32_t limit,
+                                       MemoryReservation &memory)
+{
+    return read(socket, buffer, parser, header, limit, memory);
+}
+
 } // namespace jacinthroad
--- a/Source/Gateway/HeaderReader.h
+++ b/Source/Gateway/HeaderReader.h
@@ -9,6 +9,7 @@
 
 #include "Core/MemoryBudget.h"
 #include "Gateway/ReadBuffer.h"
+#include "Gateway/ReadTurns.h"
 
 namespace jacinthroad {
 
@@ -25,5 +26,9 @@
            boost::beast::http::basic_parser<false> &parser,
            const boost::beast::http::fields &header, std::uint32_t limit,
            MemoryReservation &memory);
+[[nodiscard]] boost::asio::awaitable<boost::system::error_code>
+readHeader(PacedSocket &socket, ReadBuffer &buffer, boost::beast::http::basic_parser<false> &parser,
+           const boost::beast::http::fields &header, std::uint32_t limit,
+           MemoryReservation &memory);
 
 } // namespace jacinthroad
