Placement: Avoid servers that leave requests of a route without an end

Cause: an attempt that ends at its limit said nothing about its server, since a request may be heavy, a limit short and a sound server silent for a second or so.

UnfinishedResponses compares such an attempt with what the other servers of the service did for the same route meanwhile; a server that is unlike them gets one request of the route each 1 to 4 s until it answers again. The last server, one that was silent and services that are slow as a whole are kept. The log has server_avoided, the metrics jacinthroad_server_suspensions_total.

--- a/Source/Gateway/Exchange.cpp
+++ b/Source/Gateway/Exchange.cpp
@@ -206,6 +206,7 @@
         tokens += part.tokens;
     }
     placementRequest_.model = callerRequest_.model;
+    placementRequest_.route = route_->name;
     // The last part is specific to this request and is not shared.
     placementRequest_.parts
         = std::span(callerRequest_.parts)
--- a/Source/Gateway/Exchange.h
+++ b/Source/Gateway/Exchange.h
@@ -217,6 +217,9 @@
     /// Records that data was received for an attempt.
     void noteReceived(Attempt &attempt);
     void finishAttempt(Attempt &attempt, AttemptResult end);
+    /// Records for the placement whether the server answers the requests of the route, or leaves
+    /// them without an end. A stream is answered with its first event.
+    void noteAnswer(const Attempt &attempt, AttemptResult end, Instant now);
     /// Keeps an attempt whose server is silent until another server responds.
     void setAside(const std::shared_ptr<Attempt> &attempt);
     /// Soon after the request was sent to another server in `current`, gives up that or the silent
--- a/Source/Gateway/ExchangeAttempt.cpp
+++ b/Source/Gateway/ExchangeAttempt.cpp
@@ -147,7 +147,7 @@
     auto attempt = std::make_shared<Attempt>(state_.context);
     attempt->placement = placement;
     placement_ = placement;
-    state_.pool.noteSending(placement.server, std::chrono::steady_clock::now());
+    state_.pool.noteSending(placement.server, std::chrono::steady_clock::now(), route_->name);
     cancelAttempt_ = [attempt] { attempt->abort(); };
     const AttemptCleanup cleanup { *attempt };
     lastForwarded_ = false;
@@ -649,6 +649,7 @@
     if (attempt.firstEventAt == Instant()) {
         attempt.firstEventAt = arrived;
         state_.rejections.noteAccepted(placementRequest_.service, arrived);
+        noteAnswer(attempt, AttemptResult::Delivered, arrived);
     }
     attempt.lastEventAt = arrived;
     if (arrived - attempt.firstEventAt >= HarmlessTime && !attempt.isForwarded()) {
@@ -855,12 +856,42 @@
 void Exchange::noteReceived(Attempt &attempt)
 {
     attempt.silent = false;
-    attempt.lastReceivedAt = std::chrono::steady_clock::now();
+    const Instant now = std::chrono::steady_clock::now();
+    attempt.longestSilence = std::max(attempt.longestSilence, now - attempt.lastReceivedAt);
+    attempt.lastReceivedAt = now;
     if (!attempt.isForwarded()) {
         state_.noteReceived(attempt.placement.server, attempt.lastReceivedAt);
     }
 }
 
+void Exchange::noteAnswer(const Attempt &attempt, AttemptResult end, Instant now)
+{
+    if (attempt.isForwarded()) {
+        return;
+    }
+    const ServerId &server = attempt.placement.server;
+    switch (end) {
+    case AttemptResult::ResponseReceived:
+        if (response_->result_int() >= 500 || attempt.responseFacts.statement.pause.has_value()) {
+            break;
+        }
+        [[fallthrough]];
+    case AttemptResult::Delivered:
+        state_.pool.noteAnswered(server, route_->name, now - attempt.sentAt, now);
+        break;
+    case AttemptResult::TimedOut:
+    case AttemptResult::CallerDisconnected:
+        if (!limitedByStop_ && !endedByStop_) {
+            const Duration silence = std::max(attempt.longestSilence, now - attempt.lastReceivedAt);
+            state_.pool.noteUnfinished(
+                server, route_->name, { .sentAt = attempt.sentAt, .longestSilence = silence }, now);
+        }
+        break;
+    default:
+        break;
+    }
+}
+
 void Exchange::finishAttempt(Attempt &attempt, AttemptResult end)
 {
     if (attempt.isForwarded()) {
@@ -901,6 +932,9 @@
     if (attempt.sent) {
         recordOutcome(end);
         noteCrashEvidence(attempt, end);
+        if (attempt.firstEventAt == Instant()) {
+            noteAnswer(attempt, end, now);
+        }
         state_.pool.noteEnd(server, verdict, attempt.firstByteReceived ? 0 : attempt.uncachedTokens,
                             now);
     } else {
--- a/Source/Gateway/ExchangeAttempt.h
+++ b/Source/Gateway/ExchangeAttempt.h
@@ -76,6 +76,8 @@
     bool endedByServer = false;
     Instant sentAt;
     Instant lastReceivedAt;
+    /// Longest time between two receipts of data.
+    Duration longestSilence {};
     bool firstByteReceived = false;
     Instant firstEventAt;
     Instant lastEventAt;
--- a/Source/Gateway/GatewayMetrics.cpp
+++ b/Source/Gateway/GatewayMetrics.cpp
@@ -43,6 +43,10 @@
                      .Name("jacinthroad_attempts_total")
                      .Help("Attempts at backend servers by how they ended")
                      .Register(*registry_))
+    , suspensions_(&prometheus::BuildCounter()
+                        .Name("jacinthroad_server_suspensions_total")
+                        .Help("Suspensions of backend servers by cause")
+                        .Register(*registry_))
     , forwarded_(&prometheus::BuildCounter()
                       .Name("jacinthroad_forwarded_requests_total")
                       .Help("Attempts that were made by way of other nodes by how they ended")
@@ -172,6 +176,11 @@
     attempts_->Add({ { "end", end } }).Increment();
 }
 
+void GatewayMetrics::countSuspension(std::string_view cause)
+{
+    suspensions_->Add({ { "cause", std::string(cause) } }).Increment();
+}
+
 void GatewayMetrics::countForwarded(const std::string &end)
 {
     forwarded_->Add({ { "end", end } }).Increment();
--- a/Source/Gateway/GatewayMetrics.h
+++ b/Source/Gateway/GatewayMetrics.h
@@ -5,6 +5,7 @@
 #include <map>
 #include <memory>
 #include <string>
+#include <string_view>
 
 #include "Core/Time.h"
 #include "Gateway/RequestEnd.h"
@@ -42,6 +43,8 @@
     void countConnectionClosed(const std::string &reason);
     /// Counts an attempt at a backend server that ended with `end`.
     void countAttempt(const std::string &end);
+    /// Counts a suspension of a backend server by its cause.
+    void countSuspension(std::string_view cause);
     /// Counts an attempt that was made by way of another node by how it ended.
     void countForwarded(const std::string &end);
     /// Counts a request of another node that ended with `outcome`, a value of the decision log.
@@ -87,6 +90,7 @@
     prometheus::Counter *requestsDropped_;
     prometheus::Family<prometheus::Counter> *connectionsClosed_;
     prometheus::Family<prometheus::Counter> *attempts_;
+    prometheus::Family<prometheus::Counter> *suspensions_;
     prometheus::Family<prometheus::Counter> *forwarded_;
     prometheus::Family<prometheus::Counter> *helped_;
     prometheus::Family<prometheus::Counter> *resumes_;
--- a/Source/Gateway/SuspensionLog.cpp
+++ b/Source/Gateway/SuspensionLog.cpp
@@ -4,9 +4,7 @@
 
 namespace jacinthroad {
 
-namespace {
-
-std::string_view causeName(SuspensionCause cause)
+std::string_view suspensionCauseName(SuspensionCause cause)
 {
     switch (cause) {
     case SuspensionCause::NotConnected:
@@ -17,6 +15,8 @@
         return "silent";
     case SuspensionCause::Failed:
         return "failed_responses";
+    case SuspensionCause::Unfinished:
+        return "unfinished_responses";
     case SuspensionCause::Leaving:
         return "leaving";
     case SuspensionCause::PeerReport:
@@ -25,24 +25,36 @@
     return {};
 }
 
-} // namespace
-
 void SuspensionLog::note(const Suspension &suspension, Instant now)
 {
     std::erase_if(loggedAt_, [&](const auto &entry) { return now - entry.second >= RepeatTime; });
-    const std::string_view cause = causeName(suspension.cause);
+    const std::string_view cause = suspensionCauseName(suspension.cause);
     const std::string source(suspension.peer.empty() ? cause : suspension.peer);
     if (loggedAt_.size() >= MaxLines
         || !loggedAt_.try_emplace({ suspension.server, source }, now).second) {
         ++left_;
         return;
     }
-    logLine(LogLevel::Info, "server_suspended",
-            { { "server", suspension.server.text() },
-              { "cause", cause },
-              { "peer", suspension.peer },
-              { "ms", toMilliseconds(suspension.time) },
-              { "lines_left_out", left_ } });
+    if (suspension.cause == SuspensionCause::Unfinished) {
+        logLine(LogLevel::Warning, "server_avoided",
+                { { "server", suspension.server.text() },
+                  { "route", suspension.route },
+                  { "cause", cause },
+                  { "ran_ms", toMilliseconds(suspension.ran) },
+                  { "usual_ms", toMilliseconds(suspension.usual) },
+                  { "ms", toMilliseconds(suspension.time) },
+                  { "lines_left_out", left_ },
+                  { "remedy",
+                    "Its responses don't end while the other servers of the service answer; check "
+                    "or restart it." } });
+    } else {
+        logLine(LogLevel::Info, "server_suspended",
+                { { "server", suspension.server.text() },
+                  { "cause", cause },
+                  { "peer", suspension.peer },
+                  { "ms", toMilliseconds(suspension.time) },
+                  { "lines_left_out", left_ } });
+    }
     left_ = 0;
 }
 
--- a/Source/Gateway/SuspensionLog.h
+++ b/Source/Gateway/SuspensionLog.h
@@ -3,6 +3,7 @@
 #include <cstdint>
 #include <map>
 #include <string>
+#include <string_view>
 #include <utility>
 
 #include "Core/Time.h"
@@ -10,6 +11,9 @@
 
 namespace jacinthroad {
 
+/// Name of a cause in the log and in the metric of suspensions.
+[[nodiscard]] std::string_view suspensionCauseName(SuspensionCause cause);
+
 /// Logs who suspended which backend server on whose evidence: at most one line a server and source
 /// in RepeatTime, and MaxLines lines in that time in all. Used by the traffic thread only.
 class SuspensionLog
--- a/Source/Gateway/TrafficState.cpp
+++ b/Source/Gateway/TrafficState.cpp
@@ -82,6 +82,7 @@
 {
     pool.onSuspended = [this](const Suspension &suspension, Instant now) {
         suspensionLog_.note(suspension, now);
+        metrics.countSuspension(suspensionCauseName(suspension.cause));
     };
     crashDetector.causeOfRefusal = [this](const ServerId &server, Instant refusedAt) {
         return causeOfRefusal(server, refusedAt);
--- a/Source/Placement/ServerPool.cpp
+++ b/Source/Placement/ServerPool.cpp
@@ -105,6 +105,7 @@
             }
             formerServers_.erase(former);
         }
+        unfinished_.forget(facts.id);
         servers_[facts.id] = std::move(server);
         return;
     }
@@ -125,6 +126,7 @@
                                .statements = found->second.statements,
                                .forgetAt = now + FormerServerMemory };
         servers_.erase(found);
+        unfinished_.forget(id);
     }
     removedServers_[id] = now + RemovalReportTime;
 }
@@ -242,9 +244,10 @@
     return changes;
 }
 
-void ServerPool::noteSending(const ServerId &id, Instant now)
+void ServerPool::noteSending(const ServerId &id, Instant now, std::string_view route)
 {
     if (Server *server = find(id)) {
+        unfinished_.noteSending(route, id, now);
         server->statements.noteSent(now);
         if (toleratedRejections(*server).has_value()) {
             server->statements.rejections().noteSent(placeAmongNodes(*server), room(*server, now),
@@ -287,6 +290,38 @@
     return counts;
 }
 
+void ServerPool::noteAnswered(const ServerId &id, std::string_view route, Duration after,
+                              Instant now)
+{
+    if (find(id) != nullptr) {
+        unfinished_.noteAnswered(route, id, after, now);
+    }
+}
+
+void ServerPool::noteUnfinished(const ServerId &id, std::string_view route,
+                                const UnfinishedAttempt &attempt, Instant now)
+{
+    const Server *found = find(id);
+    if (found == nullptr || lostServices_.contains(found->facts.service)) {
+        return;
+    }
+    std::vector<OtherServer> others;
+    for (const auto &[other, server] : servers_) {
+        if (other != id && server.facts.service == found->facts.service && !server.facts.leaving) {
+            others.push_back({ .id = other, .idle = server.inFlight == 0 });
+        }
+    }
+    if (const auto avoidance = unfinished_.noteUnfinished(route, id, others, attempt, now)) {
+        onSuspended({ .server = id,
+                      .cause = SuspensionCause::Unfinished,
+                      .time = avoidance->time,
+                      .route = route,
+                      .ran = avoidance->ran,
+                      .usual = avoidance->usual },
+                    now);
+    }
+}
+
 void ServerPool::noteReceived(const ServerId &id, Instant now)
 {
     if (Server *server = find(id)) {
@@ -313,6 +348,7 @@
         if (lostServices_.contains(server.facts.service) && !lost.contains(server.facts.service)) {
             server.failures = 0;
             server.avoidedUntil = {};
+            unfinished_.forget(id);
         }
     }
     lostServices_ = std::move(lost);
--- a/Source/Placement/ServerPool.h
+++ b/Source/Placement/ServerPool.h
@@ -20,6 +20,7 @@
 #include "FleetPeers/NodeDigest.h"
 #include "Placement/CachedPartSet.h"
 #include "Placement/ServerStatements.h"
+#include "Placement/UnfinishedResponses.h"
 
 namespace jacinthroad {
 
@@ -45,6 +46,8 @@
     std::uint64_t seed = 0;
     /// The software versions of the servers that may take it; null for any.
     const std::set<SoftwareVersion> *softwareVersions = nullptr;
+    /// Name of the route; empty if what servers did for others of it doesn't matter.
+    std::string_view route;
 };
 
 /// The server chosen for a request.
@@ -135,6 +138,8 @@
     Silent,
     /// Several requests in a row failed on it.
     Failed,
+    /// It leaves requests of a route without an end that the other servers of its service answer.
+    Unfinished,
     /// A peer, or another zone, could not reach it.
     PeerReport,
     /// A peer, or another zone, knows that it is leaving or no longer listed.
@@ -149,6 +154,11 @@
     /// The peer that reported it; empty without one.
     std::string_view peer;
     Duration time {};
+    /// The route whose requests it gets none of, how long a response was not complete, and what the
+    /// others usually take; empty if it gets no requests at all.
+    std::string_view route;
+    Duration ran {};
+    Duration usual {};
 };
 
 /// Whose load a peer's update reports.
@@ -247,8 +257,9 @@
     /// now. Returns what changed.
     ServerStatements::Changes noteStatement(const ServerInstance &server,
                                             const ServerStatement &statement, Instant now);
-    /// Records that a request is about to be sent to a server. noteSent() or noteNotSent() follows.
-    void noteSending(const ServerId &id, Instant now);
+    /// Records that a request of a route is about to be sent to a server. noteSent() or
+    /// noteNotSent() follows.
+    void noteSending(const ServerId &id, Instant now, std::string_view route = {});
     /// Records that it was not sent after all.
     void noteNotSent(const ServerId &id);
     /// Records a call of the node itself to a server.
@@ -300,6 +311,12 @@
     /// noteFirstByte() has not subtracted.
     void noteEnd(const ServerId &id, AttemptOutcome outcome, std::uint32_t unprefilledTokens,
                  Instant now);
+    /// Records that a server has answered a request of a route, or has sent the first event of a
+    /// stream, `after` it was sent.
+    void noteAnswered(const ServerId &id, std::string_view route, Duration after, Instant now);
+    /// Records an attempt that was ended, at its limit or by the caller, without an answer.
+    void noteUnfinished(const ServerId &id, std::string_view route,
+                        const UnfinishedAttempt &attempt, Instant now);
     /// Records that data was received from a server.
     void noteReceived(const ServerId &id, Instant now);
     /// Returns true while a server with requests in flight has sent no data to any node for longer
@@ -514,6 +531,7 @@
     /// Keyed by the name of the service.
     std::map<ServerId, CacheStore> stores_;
     DesiredWeightsHistory desiredWeights_;
+    UnfinishedResponses unfinished_;
     /// When a server of each service last accepted a connection of this node.
     std::unordered_map<ServiceId, Instant> linksProvenAt_;
     std::set<ServiceId> lostServices_;
--- a/Source/Placement/ServerPoolPlacement.cpp
+++ b/Source/Placement/ServerPoolPlacement.cpp
@@ -326,6 +326,9 @@
     unsigned listed = 0;
     SendPermission withheld;
     std::vector<const Server *> available;
+    std::vector<const Server *> avoided;
+    const bool someAvoided = unfinished_.avoidsAny(request.route, now);
+    bool othersReturnSoon = false;
     const Server *owner = nullptr;
     std::uint64_t ownerScore = 0;
     const std::uint64_t ownerKey
@@ -351,6 +354,11 @@
             continue;
         }
         if (suspended(server, now)) {
+            othersReturnSoon = othersReturnSoon || server.pausedUntil > now;
+            continue;
+        }
+        if (someAvoided && unfinished_.avoided(request.route, id, now)) {
+            avoided.push_back(&server);
             continue;
         }
         available.push_back(&server);
@@ -360,6 +368,10 @@
             ownerScore = score;
         }
     }
+    // Without any other server, a response that may have no end is better than none.
+    if (available.empty() && withheld.allowed() && !othersReturnSoon) {
+        available = std::move(avoided);
+    }
     unsigned candidates = 0;
     const Server *best = nullptr;
     Cost bestCost;
