EndlessStreamsTest: Compare the quickest tenth of the calls

One of three cases failed once beside builds of other programs, with a median of 0.27 ms beside 8 streams and 0.88 ms beside 160: both are medians of times in which the machine did other work, at different moments. The number of streams delays each call, so that the quickest tenth shows it too. The bound stays.

--- a/Tests/Gateway/EndlessStreamsTest.cpp
+++ b/Tests/Gateway/EndlessStreamsTest.cpp
@@ -93,10 +93,11 @@
     std::thread thread_;
 };
 
-/// Returns the median time of a call of a sound server beside `streams` streams without end.
-double medianBeside(const Flood &flood, int streams)
+/// Returns the time in ms within which the quickest tenth of calls of a sound server end beside
+/// `streams` streams without end. What else runs on the machine delays most of the others.
+double timeBeside(const Flood &flood, int streams)
 {
-    constexpr int Calls = 41;
+    constexpr int Calls = 100;
     constexpr int Servers = 20;
     GatewayFixture fixture;
     std::atomic<bool> ended { false };
@@ -156,7 +157,7 @@
         ended = true;
     }
     std::sort(times.begin(), times.end());
-    return times[times.size() / 2];
+    return times[Calls / 10];
 }
 
 } // namespace
@@ -169,10 +170,10 @@
     constexpr double MaxRatio = 3;
     constexpr int Few = 8;
     constexpr int Many = 160;
-    const double besideFew = medianBeside(flood, Few);
-    const double besideMany = medianBeside(flood, Many);
-    BOOST_TEST_MESSAGE("median beside " << Few << " streams " << besideFew << " ms, beside " << Many
-                                        << " " << besideMany << " ms");
+    const double besideFew = timeBeside(flood, Few);
+    const double besideMany = timeBeside(flood, Many);
+    BOOST_TEST_MESSAGE("call beside " << Few << " streams " << besideFew << " ms, beside " << Many
+                                      << " " << besideMany << " ms");
     BOOST_TEST(besideMany <= besideFew * MaxRatio);
 }
 
