MemoryBudget: Let long responses take half of the memory at most

Long responses have half of the account of a gateway together; what is beyond fails with its faulty server. MemoryBudgetTest/longResponsesTakeTheMemoryOfRequests holds it: without the limit, all of the seven responses that fit are kept, and the request finds no room.

--- a/Source/Core/MemoryBudget.cpp
+++ b/Source/Core/MemoryBudget.cpp
@@ -44,17 +44,34 @@
     return true;
 }
 
+bool MemoryBudget::changeLongResponses(std::size_t former, std::size_t bytes)
+{
+    std::size_t sum = longResponses_;
+    do {
+        if (bytes > former && sum - former + bytes > longResponseLimit_) {
+            return false;
+        }
+    } while (!longResponses_.compare_exchange_weak(sum, sum - former + bytes));
+    return true;
+}
+
 MemoryReservation::~MemoryReservation()
 {
     if (bytes_ > 0) {
-        budget_->release(bytes_);
+        static_cast<void>(resize(0));
     }
 }
 
 bool MemoryReservation::resize(std::size_t bytes)
 {
+    const std::size_t former = longResponse(bytes_);
+    const std::size_t changed = longResponse(bytes);
+    if (!budget_->changeLongResponses(former, changed)) {
+        return false;
+    }
     if (bytes > bytes_) {
         if (!budget_->reserve(bytes - bytes_, budget_->limit(kind_, bytes))) {
+            static_cast<void>(budget_->changeLongResponses(changed, former));
             return false;
         }
     } else {
--- a/Source/Core/MemoryBudget.h
+++ b/Source/Core/MemoryBudget.h
@@ -3,6 +3,7 @@
 #include <atomic>
 #include <cstddef>
 #include <cstdint>
+#include <limits>
 #include <memory>
 #include <string>
 #include <utility>
@@ -35,6 +36,9 @@
 
     /// Changes the limit. What exceeds it stays reserved.
     void setLimit(std::size_t bytes) { limit_ = bytes; }
+    /// Sets the sum in bytes up to which memory is reserved for long responses, so that those of
+    /// faulty servers leave room for requests of others. Without it there is no such limit.
+    void setLongResponseLimit(std::size_t bytes) { longResponseLimit_ = bytes; }
     /// Returns the sum up to which memory is reserved for a body of this kind and size.
     [[nodiscard]] std::size_t limit(BodyKind kind, std::size_t bodyBytes) const;
     /// The memory in bytes that all may take together.
@@ -51,9 +55,13 @@
 
     /// Adds `bytes` unless the sum would exceed `limit`.
     [[nodiscard]] bool reserve(std::size_t bytes, std::size_t limit);
+    /// Changes the sum of long responses unless it would grow beyond its limit.
+    [[nodiscard]] bool changeLongResponses(std::size_t former, std::size_t bytes);
 
     std::atomic<std::size_t> limit_;
     std::atomic<std::size_t> used_ { 0 };
+    std::atomic<std::size_t> longResponseLimit_ { std::numeric_limits<std::size_t>::max() };
+    std::atomic<std::size_t> longResponses_ { 0 };
 };
 
 /// A part of a budget, given back when this object is destroyed.
@@ -83,6 +91,12 @@
     [[nodiscard]] std::size_t bytes() const { return bytes_; }
 
 private:
+    /// The part of `bytes` that counts as a long response.
+    [[nodiscard]] std::size_t longResponse(std::size_t bytes) const
+    {
+        return kind_ == BodyKind::Response && bytes > ShortBodyBytes ? bytes : 0;
+    }
+
     std::shared_ptr<MemoryBudget> budget_;
     BodyKind kind_;
     std::size_t bytes_ = 0;
--- a/Source/Gateway/TrafficState.cpp
+++ b/Source/Gateway/TrafficState.cpp
@@ -80,6 +80,7 @@
     , stopSchedule(settings.stopGrace)
     , currentSettings_(settings)
 {
+    bodyMemory->setLongResponseLimit(bodyMemory->limit() / 2);
     pool.onSuspended = [this](const Suspension &suspension, Instant now) {
         suspensionLog_.note(suspension, now);
         metrics.countSuspension(suspensionCauseName(suspension.cause));
@@ -95,6 +96,7 @@
 {
     currentSettings_ = changed;
     bodyMemory->setLimit(bodyMemoryLimit(currentSettings_));
+    bodyMemory->setLongResponseLimit(bodyMemory->limit() / 2);
     freshness.setOptions(Freshness::limitsFor(currentSettings_.keyRevocation));
     retryBudget.setOptions(retryBudgetOptions(currentSettings_, nodeCount_));
 }
--- a/Tests/Core/MemoryBudgetTest.cpp
+++ b/Tests/Core/MemoryBudgetTest.cpp
@@ -1,6 +1,7 @@
 #include <algorithm>
 #include <memory>
 #include <string>
+#include <vector>
 
 #include <boost/test/unit_test.hpp>
 
@@ -39,6 +40,27 @@
     BOOST_TEST(budget->used() == 7'020'000U);
 }
 
+// Responses of faulty servers filled the memory, so that requests for others were refused.
+BOOST_AUTO_TEST_CASE(longResponsesTakeTheMemoryOfRequests)
+{
+    const auto budget = std::make_shared<MemoryBudget>(Limit);
+    budget->setLongResponseLimit(Limit / 2);
+    std::vector<MemoryReservation> responses;
+    std::size_t kept = 0;
+    for (int number = 0; number < 20; ++number) {
+        responses.push_back(reservation(budget, BodyKind::Response));
+        kept += responses.back().resize(1'000'000) ? 1 : 0;
+    }
+    BOOST_TEST(kept == 4U);
+    MemoryReservation request = reservation(budget, BodyKind::Request);
+    BOOST_TEST(request.resize(2'000'000));
+    MemoryReservation shortResponse = reservation(budget, BodyKind::Response);
+    BOOST_TEST(shortResponse.resize(60'000));
+    responses.clear();
+    MemoryReservation later = reservation(budget, BodyKind::Response);
+    BOOST_TEST(later.resize(3'000'000));
+}
+
 BOOST_AUTO_TEST_CASE(memoryIsGivenBackWithItsReservation)
 {
     const auto budget = std::make_shared<MemoryBudget>(Limit);
