--- a/Source/Gateway/ControlClient.cpp
+++ b/Source/Gateway/ControlClient.cpp
@@ -1,5 +1,6 @@
 #include "Gateway/ControlClient.h"
 
+#include <optional>
 #include <utility>
 
 #include <boost/asio/redirect_error.hpp>
@@ -24,6 +25,8 @@
 
 /// Time without acknowledgements after which TCP closes a connection.
 constexpr Duration CallTcpTimeout = ShortestTcpTimeout;
+/// Time for reading what had arrived at the end of the limit for a call.
+constexpr Duration ReadAfterLimit = milliseconds(50);
 constexpr std::uint32_t MaxCallHeaderBytes = 8 * 1024;
 /// Maximum number of bytes that a connection holds.
 constexpr std::size_t MaxReadBytes = MaxCallHeaderBytes + 4096;
@@ -165,9 +168,15 @@
         // Reading would reserve it where a refusal ends the process.
         responseParser.get().body().reserve(responseParser.content_length().value_or(0));
     }
+    std::optional<Instant> overdueSince;
     while (!error && !responseParser.is_done()) {
-        // Bytes that arrive all the while arm the timer again before its end is noticed.
-        if (std::chrono::steady_clock::now() >= began + limits.whole) {
+        // Bytes that arrive all the while arm the timer again before its end is noticed. What had
+        // arrived by then is read after a stall.
+        const Instant now = std::chrono::steady_clock::now();
+        if (now >= began + limits.whole && !overdueSince.has_value()) {
+            overdueSince = now;
+        }
+        if (overdueSince.has_value() && now - *overdueSince >= ReadAfterLimit) {
             connection->timedOut = true;
             error = asio::error::timed_out;
             break;
