--- a/Source/Gateway/ReadTurns.h
+++ b/Source/Gateway/ReadTurns.h
@@ -61,8 +61,10 @@
     PacedSocket &operator=(const PacedSocket &) = delete;
     ~PacedSocket() { turns_->remove(*this); }
 
+    // NOLINTNEXTLINE(readability-identifier-naming): Asio calls these by their names.
     [[nodiscard]] executor_type get_executor() { return socket_.get_executor(); }
     template <typename Buffers, typename Token>
+    // NOLINTNEXTLINE(readability-identifier-naming)
     auto async_read_some(const Buffers &buffers, Token &&token)
     {
         return boost::asio::async_compose<Token, void(boost::system::error_code, std::size_t)>(
