--- a/Source/Gateway/Gateway.cpp
+++ b/Source/Gateway/Gateway.cpp
@@ -205,9 +205,10 @@
         , cacheEventReader(controlContext, traffic.bodyMemory,
                            [this](const ServerId &id, const CacheEvents &events,
                                   std::shared_ptr<const MemoryReservation> memory) {
-                               asio::post(trafficContext, [this, id, events, memory] {
-                                   traffic.pool.applyCacheEvents(id, events);
-                               });
+                               asio::post(trafficContext,
+                                          [this, id, events, memory = std::move(memory)] {
+                                              traffic.pool.applyCacheEvents(id, events);
+                                          });
                            })
     { }
 
