Exchange: Pass complete events on also if the memory is used up

Memory is reserved for what is kept, before the ids of events count as passed on; complete events are passed on at once.

--- a/Source/Gateway/ExchangeAttempt.cpp
+++ b/Source/Gateway/ExchangeAttempt.cpp
@@ -525,15 +525,16 @@
         }
         const std::size_t size = readBuffer.size() - parser.get().body().size;
         attempt.bodyReceived = attempt.bodyReceived || size > 0;
-        // Complete events are held twice until the caller has taken them. Without memory for them
-        // they stay unread, so that another server sends them again.
-        if (!reserveEvent(attempt, 2 * (eventSplitter_.partialEvent().size() + size))) {
+        // What can't be kept stays unread, so that another server sends it again.
+        if (!reserveEvent(attempt, size)) {
             co_return giveUpResponse(attempt, "event_too_long");
         }
         const std::string completeEvents = eventSplitter_.feed({ readBuffer.data(), size });
         if (!completeEvents.empty()) {
             connection.reader.noteEvents();
             const std::string bytes = frameEvents(attempt, header, completeEvents);
+            // Events that are complete are passed on also if the memory is used up.
+            static_cast<void>(reserveEvent(attempt, completeEvents.capacity() + bytes.capacity()));
             const bool written = co_await writeToCaller(bytes);
             if (!written) {
                 callerDisconnected_ = true;
