--- a/Source/Core/MemoryBudget.cpp
+++ b/Source/Core/MemoryBudget.cpp
@@ -44,14 +44,16 @@
     return true;
 }
 
-bool MemoryBudget::changeLongResponses(std::size_t former, std::size_t bytes)
+bool MemoryBudget::changeResponses(std::size_t former, std::size_t bytes)
 {
-    std::size_t sum = longResponses_;
+    const std::size_t longLimit = longResponseLimit_;
+    const std::size_t limit = bytes > ShortBodyBytes ? longLimit : longLimit + longLimit / 8;
+    std::size_t sum = responses_;
     do {
-        if (bytes > former && sum - former + bytes > longResponseLimit_) {
+        if (longLimit != NoLimit && bytes > former && sum - former + bytes > limit) {
             return false;
         }
-    } while (!longResponses_.compare_exchange_weak(sum, sum - former + bytes));
+    } while (!responses_.compare_exchange_weak(sum, sum - former + bytes));
     return true;
 }
 
@@ -64,14 +66,15 @@
 
 bool MemoryReservation::resize(std::size_t bytes)
 {
-    const std::size_t former = longResponse(bytes_);
-    const std::size_t changed = longResponse(bytes);
-    if (!budget_->changeLongResponses(former, changed)) {
+    const bool isResponse = kind_ == BodyKind::Response;
+    if (isResponse && !budget_->changeResponses(bytes_, bytes)) {
         return false;
     }
     if (bytes > bytes_) {
         if (!budget_->reserve(bytes - bytes_, budget_->limit(kind_, bytes))) {
-            static_cast<void>(budget_->changeLongResponses(changed, former));
+            if (isResponse) {
+                static_cast<void>(budget_->changeResponses(bytes, bytes_));
+            }
             return false;
         }
     } else {
--- a/Source/Core/MemoryBudget.h
+++ b/Source/Core/MemoryBudget.h
@@ -36,8 +36,9 @@
 
     /// Changes the limit. What exceeds it stays reserved.
     void setLimit(std::size_t bytes) { limit_ = bytes; }
-    /// Sets the sum in bytes up to which memory is reserved for long responses, so that those of
-    /// faulty servers leave room for requests of others. Without it there is no such limit.
+    /// Sets the sum in bytes of all responses up to which memory is reserved for long ones; short
+    /// ones get an eighth more. Those of faulty servers leave room for requests of others then.
+    /// Without it there is no such limit.
     void setLongResponseLimit(std::size_t bytes) { longResponseLimit_ = bytes; }
     /// Returns the sum up to which memory is reserved for a body of this kind and size.
     [[nodiscard]] std::size_t limit(BodyKind kind, std::size_t bodyBytes) const;
@@ -55,13 +56,14 @@
 
     /// Adds `bytes` unless the sum would exceed `limit`.
     [[nodiscard]] bool reserve(std::size_t bytes, std::size_t limit);
-    /// Changes the sum of long responses unless it would grow beyond its limit.
-    [[nodiscard]] bool changeLongResponses(std::size_t former, std::size_t bytes);
+    /// Changes the part of one response in the sum of all unless that would grow beyond its limit.
+    [[nodiscard]] bool changeResponses(std::size_t former, std::size_t bytes);
 
     std::atomic<std::size_t> limit_;
     std::atomic<std::size_t> used_ { 0 };
-    std::atomic<std::size_t> longResponseLimit_ { std::numeric_limits<std::size_t>::max() };
-    std::atomic<std::size_t> longResponses_ { 0 };
+    static constexpr std::size_t NoLimit = std::numeric_limits<std::size_t>::max();
+    std::atomic<std::size_t> longResponseLimit_ { NoLimit };
+    std::atomic<std::size_t> responses_ { 0 };
 };
 
 /// A part of a budget, given back when this object is destroyed.
@@ -91,12 +93,6 @@
     [[nodiscard]] std::size_t bytes() const { return bytes_; }
 
 private:
-    /// The part of `bytes` that counts as a long response.
-    [[nodiscard]] std::size_t longResponse(std::size_t bytes) const
-    {
-        return kind_ == BodyKind::Response && bytes > ShortBodyBytes ? bytes : 0;
-    }
-
     std::shared_ptr<MemoryBudget> budget_;
     BodyKind kind_;
     std::size_t bytes_ = 0;
