Gateway: Count unparsed bytes of responses among the responses

The sum of all responses is limited to half of the memory for received data, so that requests can still be taken while servers send without end. What a server had sent and the node had not parsed was left out of that sum: ReadBuffer took its memory from the account directly, past MemoryReservation, which knows the sum. Buffers of many responses could fill the account.

MemoryBudget keeps the sum for both now. The new case of ReadBufferTest failed before: 999,728 of 1,000,000 bytes were taken by responses, a request got none.

--- a/Source/Core/MemoryBudget.cpp
+++ b/Source/Core/MemoryBudget.cpp
@@ -30,7 +30,31 @@
 
 bool MemoryBudget::reserve(BodyKind kind, std::size_t bytes)
 {
-    return reserve(bytes, limit(kind, bytes));
+    return change(kind, 0, bytes);
+}
+
+void MemoryBudget::release(BodyKind kind, std::size_t bytes)
+{
+    static_cast<void>(change(kind, bytes, 0));
+}
+
+bool MemoryBudget::change(BodyKind kind, std::size_t former, std::size_t bytes)
+{
+    const bool isResponse = kind == BodyKind::Response;
+    if (isResponse && !changeResponses(former, bytes)) {
+        return false;
+    }
+    if (bytes <= former) {
+        used_ -= former - bytes;
+        return true;
+    }
+    if (reserve(bytes - former, limit(kind, bytes))) {
+        return true;
+    }
+    if (isResponse) {
+        static_cast<void>(changeResponses(bytes, former));
+    }
+    return false;
 }
 
 bool MemoryBudget::reserve(std::size_t bytes, std::size_t limit)
@@ -66,20 +90,9 @@
 
 bool MemoryReservation::resize(std::size_t bytes)
 {
-    const bool isResponse = kind_ == BodyKind::Response;
-    if (isResponse && !budget_->changeResponses(bytes_, bytes)) {
+    if (!budget_->change(kind_, bytes_, bytes)) {
         return false;
     }
-    if (bytes > bytes_) {
-        if (!budget_->reserve(bytes - bytes_, budget_->limit(kind_, bytes))) {
-            if (isResponse) {
-                static_cast<void>(budget_->changeResponses(bytes, bytes_));
-            }
-            return false;
-        }
-    } else {
-        budget_->release(bytes_ - bytes);
-    }
     bytes_ = bytes;
     return true;
 }
--- a/Source/Core/MemoryBudget.h
+++ b/Source/Core/MemoryBudget.h
@@ -46,14 +46,16 @@
     [[nodiscard]] std::size_t limit() const { return limit_; }
     /// Reserves memory for `bytes` of this kind. Returns false if the budget has no room.
     [[nodiscard]] bool reserve(BodyKind kind, std::size_t bytes);
-    /// Gives back what was reserved.
-    void release(std::size_t bytes) { used_ -= bytes; }
+    /// Gives back what was reserved with reserve().
+    void release(BodyKind kind, std::size_t bytes);
     /// Sum of all reservations.
     [[nodiscard]] std::size_t used() const { return used_; }
 
 private:
     friend class MemoryReservation;
 
+    /// Changes one reservation. Returns false and changes nothing if it would grow beyond a limit.
+    [[nodiscard]] bool change(BodyKind kind, std::size_t former, std::size_t bytes);
     /// Adds `bytes` unless the sum would exceed `limit`.
     [[nodiscard]] bool reserve(std::size_t bytes, std::size_t limit);
     /// Changes the part of one response in the sum of all unless that would grow beyond its limit.
--- a/Source/Gateway/ReadBuffer.h
+++ b/Source/Gateway/ReadBuffer.h
@@ -45,14 +45,14 @@
         try {
             return std::allocator<T>().allocate(count);
         } catch (...) {
-            budget_->release(bytes);
+            budget_->release(kind_, bytes);
             throw;
         }
     }
     void deallocate(T *memory, std::size_t count)
     {
         std::allocator<T>().deallocate(memory, count);
-        budget_->release(count * sizeof(T));
+        budget_->release(kind_, count * sizeof(T));
     }
 
     [[nodiscard]] const std::shared_ptr<MemoryBudget> &budget() const { return budget_; }
--- a/Tests/Gateway/ReadBufferTest.cpp
+++ b/Tests/Gateway/ReadBufferTest.cpp
@@ -48,6 +48,26 @@
     BOOST_TEST(budget->used() == 0U);
 }
 
+// What many servers had sent and the node hadn't parsed left no memory for requests.
+BOOST_AUTO_TEST_CASE(buffersOfResponsesTakeTheMemoryOfRequests)
+{
+    const auto budget = std::make_shared<MemoryBudget>(Limit);
+    budget->setLongResponseLimit(Limit / 2);
+    std::vector<std::unique_ptr<ReadBuffer>> buffers;
+    for (int number = 0; number < 200; ++number) {
+        buffers.push_back(std::make_unique<ReadBuffer>(budget, BodyKind::Response, MaxBytes));
+        fill(*buffers.back());
+    }
+    BOOST_TEST(budget->used() <= Limit / 2 + Limit / 16);
+    ReadBuffer request(budget, BodyKind::Request, MaxBytes);
+    BOOST_TEST(fill(request) > MaxBytes / 2);
+    MemoryReservation body(budget, BodyKind::Request);
+    BOOST_TEST(body.resize(Limit / 8));
+    buffers.clear();
+    ReadBuffer later(budget, BodyKind::Response, Limit);
+    BOOST_TEST(fill(later) > Limit / 8);
+}
+
 BOOST_AUTO_TEST_CASE(buffersTakeNoMoreTogetherThanTheBudgetHas)
 {
     const auto budget = std::make_shared<MemoryBudget>(4 * MaxBytes);
