Placement: Avoid servers that never end their streams

A stream counted as answered with its first event, so that a server that sends whole events without end was used like the others: each stream sent to it ran to the limit of its route or caller.

Streams are now compared twice, to their first event and to their end, by the same rule as other responses. Time in which the caller doesn't read is not counted against the server.

--- a/Source/Gateway/Exchange.h
+++ b/Source/Gateway/Exchange.h
@@ -218,7 +218,8 @@
     void noteReceived(Attempt &attempt);
     void finishAttempt(Attempt &attempt, AttemptResult end);
     /// Records for the placement whether the server answers the requests of the route, or leaves
-    /// them without an end. A stream is answered with its first event.
+    /// them without an end. A stream is answered with its first event, which frameEvents() notes,
+    /// and has an end of its own.
     void noteAnswer(const Attempt &attempt, AttemptResult end, Instant now);
     /// Keeps an attempt whose server is silent until another server responds.
     void setAside(const std::shared_ptr<Attempt> &attempt);
--- a/Source/Gateway/ExchangeAttempt.cpp
+++ b/Source/Gateway/ExchangeAttempt.cpp
@@ -535,7 +535,9 @@
             const std::string bytes = frameEvents(attempt, header, completeEvents);
             // Events that are complete are passed on also if the memory is used up.
             static_cast<void>(reserveEvent(attempt, completeEvents.capacity() + bytes.capacity()));
+            const Instant begun = std::chrono::steady_clock::now();
             const bool written = co_await writeToCaller(bytes);
+            attempt.callerTime += std::chrono::steady_clock::now() - begun;
             if (!written) {
                 callerDisconnected_ = true;
                 attempt.abort();
@@ -650,7 +652,10 @@
     if (attempt.firstEventAt == Instant()) {
         attempt.firstEventAt = arrived;
         state_.rejections.noteAccepted(placementRequest_.service, arrived);
-        noteAnswer(attempt, AttemptResult::Delivered, arrived);
+        if (!attempt.isForwarded()) {
+            state_.pool.noteAnswered(attempt.placement.server, route_->name,
+                                     arrived - attempt.sentAt, arrived);
+        }
     }
     attempt.lastEventAt = arrived;
     if (arrived - attempt.firstEventAt >= HarmlessTime && !attempt.isForwarded()) {
@@ -867,25 +872,30 @@
 
 void Exchange::noteAnswer(const Attempt &attempt, AttemptResult end, Instant now)
 {
-    if (attempt.isForwarded()) {
-        return;
-    }
     const ServerId &server = attempt.placement.server;
+    const bool begun = attempt.firstEventAt != Instant();
     switch (end) {
     case AttemptResult::ResponseReceived:
-        if (response_->result_int() >= 500 || attempt.responseFacts.statement.pause.has_value()) {
-            break;
+        if (response_->result_int() < 500 && !attempt.responseFacts.statement.pause.has_value()) {
+            state_.pool.noteAnswered(server, route_->name, now - attempt.sentAt, now);
         }
-        [[fallthrough]];
+        break;
     case AttemptResult::Delivered:
-        state_.pool.noteAnswered(server, route_->name, now - attempt.sentAt, now);
+        state_.pool.noteStreamEnded(server, route_->name, now - attempt.sentAt, now);
         break;
     case AttemptResult::TimedOut:
     case AttemptResult::CallerDisconnected:
         if (!limitedByStop_ && !endedByStop_) {
-            const Duration silence = std::max(attempt.longestSilence, now - attempt.lastReceivedAt);
-            state_.pool.noteUnfinished(
-                server, route_->name, { .sentAt = attempt.sentAt, .longestSilence = silence }, now);
+            const UnfinishedAttempt unfinished {
+                .sentAt = attempt.sentAt,
+                .longestSilence = std::max(attempt.longestSilence, now - attempt.lastReceivedAt),
+                .callerTime = attempt.callerTime
+            };
+            if (begun) {
+                state_.pool.noteUnfinishedStream(server, route_->name, unfinished, now);
+            } else {
+                state_.pool.noteUnfinished(server, route_->name, unfinished, now);
+            }
         }
         break;
     default:
@@ -933,9 +943,7 @@
     if (attempt.sent) {
         recordOutcome(end);
         noteCrashEvidence(attempt, end);
-        if (attempt.firstEventAt == Instant()) {
-            noteAnswer(attempt, end, now);
-        }
+        noteAnswer(attempt, end, now);
         state_.pool.noteEnd(server, verdict, attempt.firstByteReceived ? 0 : attempt.uncachedTokens,
                             now);
     } else {
--- a/Source/Gateway/ExchangeAttempt.h
+++ b/Source/Gateway/ExchangeAttempt.h
@@ -78,6 +78,8 @@
     Instant lastReceivedAt;
     /// Longest time between two receipts of data.
     Duration longestSilence {};
+    /// Time that events waited for the caller.
+    Duration callerTime {};
     bool firstByteReceived = false;
     Instant firstEventAt;
     Instant lastEventAt;
--- a/Source/Placement/ServerPool.cpp
+++ b/Source/Placement/ServerPool.cpp
@@ -105,7 +105,7 @@
             }
             formerServers_.erase(former);
         }
-        unfinished_.forget(facts.id);
+        forgetUnfinished(facts.id);
         servers_[facts.id] = std::move(server);
         return;
     }
@@ -126,7 +126,7 @@
                                .statements = found->second.statements,
                                .forgetAt = now + FormerServerMemory };
         servers_.erase(found);
-        unfinished_.forget(id);
+        forgetUnfinished(id);
     }
     removedServers_[id] = now + RemovalReportTime;
 }
@@ -248,6 +248,7 @@
 {
     if (Server *server = find(id)) {
         unfinished_.noteSending(route, id, now);
+        unfinishedStreams_.noteSending(route, id, now);
         server->statements.noteSent(now);
         if (toleratedRejections(*server).has_value()) {
             server->statements.rejections().noteSent(placeAmongNodes(*server), room(*server, now),
@@ -300,6 +301,27 @@
 
 void ServerPool::noteUnfinished(const ServerId &id, std::string_view route,
                                 const UnfinishedAttempt &attempt, Instant now)
+{
+    noteUnfinished(unfinished_, id, route, attempt, now);
+}
+
+void ServerPool::noteStreamEnded(const ServerId &id, std::string_view route, Duration after,
+                                 Instant now)
+{
+    if (find(id) != nullptr) {
+        unfinishedStreams_.noteAnswered(route, id, after, now);
+    }
+}
+
+void ServerPool::noteUnfinishedStream(const ServerId &id, std::string_view route,
+                                      const UnfinishedAttempt &attempt, Instant now)
+{
+    noteUnfinished(unfinishedStreams_, id, route, attempt, now);
+}
+
+void ServerPool::noteUnfinished(UnfinishedResponses &responses, const ServerId &id,
+                                std::string_view route, const UnfinishedAttempt &attempt,
+                                Instant now)
 {
     const Server *found = find(id);
     if (found == nullptr || lostServices_.contains(found->facts.service)) {
@@ -311,7 +333,7 @@
             others.push_back({ .id = other, .idle = server.inFlight == 0 });
         }
     }
-    if (const auto avoidance = unfinished_.noteUnfinished(route, id, others, attempt, now)) {
+    if (const auto avoidance = responses.noteUnfinished(route, id, others, attempt, now)) {
         onSuspended({ .server = id,
                       .cause = SuspensionCause::Unfinished,
                       .time = avoidance->time,
@@ -322,6 +344,12 @@
     }
 }
 
+void ServerPool::forgetUnfinished(const ServerId &id)
+{
+    unfinished_.forget(id);
+    unfinishedStreams_.forget(id);
+}
+
 void ServerPool::noteReceived(const ServerId &id, Instant now)
 {
     if (Server *server = find(id)) {
@@ -348,7 +376,7 @@
         if (lostServices_.contains(server.facts.service) && !lost.contains(server.facts.service)) {
             server.failures = 0;
             server.avoidedUntil = {};
-            unfinished_.forget(id);
+            forgetUnfinished(id);
         }
     }
     lostServices_ = std::move(lost);
--- a/Source/Placement/ServerPool.h
+++ b/Source/Placement/ServerPool.h
@@ -317,6 +317,12 @@
     /// Records an attempt that was ended, at its limit or by the caller, without an answer.
     void noteUnfinished(const ServerId &id, std::string_view route,
                         const UnfinishedAttempt &attempt, Instant now);
+    /// Records that a server has ended a stream `after` its request was sent.
+    void noteStreamEnded(const ServerId &id, std::string_view route, Duration after, Instant now);
+    /// Records a stream with events that was ended, at its limit or by the caller, before its
+    /// server has ended it.
+    void noteUnfinishedStream(const ServerId &id, std::string_view route,
+                              const UnfinishedAttempt &attempt, Instant now);
     /// Records that data was received from a server.
     void noteReceived(const ServerId &id, Instant now);
     /// Returns true while a server with requests in flight has sent no data to any node for longer
@@ -405,6 +411,9 @@
     [[nodiscard]] bool outdatedWeightsExpired(const Server &server, const ModelId &model,
                                               Instant now) const;
     [[nodiscard]] bool unresponsive(const Server &server, Instant now) const;
+    void noteUnfinished(UnfinishedResponses &responses, const ServerId &id, std::string_view route,
+                        const UnfinishedAttempt &attempt, Instant now);
+    void forgetUnfinished(const ServerId &id);
     void applyPeerLoad(Server &server, const std::string &peer, const ServerUpdate &update,
                        Instant now, PeerScope scope);
     void noteLeaving(Server &server, const std::string &peer, const ServerUpdate &update,
@@ -531,7 +540,9 @@
     /// Keyed by the name of the service.
     std::map<ServerId, CacheStore> stores_;
     DesiredWeightsHistory desiredWeights_;
+    /// Requests without an answer, and streams that were answered and have no end.
     UnfinishedResponses unfinished_;
+    UnfinishedResponses unfinishedStreams_;
     /// When a server of each service last accepted a connection of this node.
     std::unordered_map<ServiceId, Instant> linksProvenAt_;
     std::set<ServiceId> lostServices_;
--- a/Source/Placement/ServerPoolPlacement.cpp
+++ b/Source/Placement/ServerPoolPlacement.cpp
@@ -327,7 +327,8 @@
     SendPermission withheld;
     std::vector<const Server *> available;
     std::vector<const Server *> avoided;
-    const bool someAvoided = unfinished_.avoidsAny(request.route, now);
+    const bool someAvoided = unfinished_.avoidsAny(request.route, now)
+        || unfinishedStreams_.avoidsAny(request.route, now);
     bool othersReturnSoon = false;
     const Server *owner = nullptr;
     std::uint64_t ownerScore = 0;
@@ -357,7 +358,9 @@
             othersReturnSoon = othersReturnSoon || server.pausedUntil > now;
             continue;
         }
-        if (someAvoided && unfinished_.avoided(request.route, id, now)) {
+        if (someAvoided
+            && (unfinished_.avoided(request.route, id, now)
+                || unfinishedStreams_.avoided(request.route, id, now))) {
             avoided.push_back(&server);
             continue;
         }
--- a/Source/Placement/UnfinishedResponses.cpp
+++ b/Source/Placement/UnfinishedResponses.cpp
@@ -170,8 +170,8 @@
 {
     Record &record = currentRecord(route, server, now);
     record.unfinishedAt = now;
-    const Duration ran
-        = now - attempt.sentAt - std::min(attempt.longestSilence, LongestSoundSilence);
+    const Duration ran = now - attempt.sentAt - attempt.callerTime
+        - std::min(attempt.longestSilence, LongestSoundSilence);
     const Comparison comparison = compare(route, others, ran, now);
     const bool sentSince = record.avoided && attempt.sentAt >= record.avoidedSince;
     if (!comparison.quick) {
--- a/Source/Placement/UnfinishedResponses.h
+++ b/Source/Placement/UnfinishedResponses.h
@@ -21,6 +21,8 @@
     Instant sentAt;
     /// The longest time in which the server sent nothing for it.
     Duration longestSilence {};
+    /// Time in which nothing was read from the server because the caller didn't read.
+    Duration callerTime {};
 };
 
 /// Another server of the same service.
--- a/Tests/Gateway/UnfinishedResponseTest.cpp
+++ b/Tests/Gateway/UnfinishedResponseTest.cpp
@@ -34,6 +34,7 @@
     /// Of `$ID` the request's id is put in place.
     std::string begin;
     std::string part;
+    bool streamed = false;
 };
 
 std::ostream &operator<<(std::ostream &stream, const EndlessResponse &response)
@@ -44,22 +45,27 @@
 std::vector<EndlessResponse> endlessResponses()
 {
     return { { "chunks of one byte", Head + "Transfer-Encoding: chunked\r\n\r\n", chunk("x") },
-             { "body without a length", Head + "\r\n", "x" } };
+             { "body without a length", Head + "\r\n", "x" },
+             { .name = "events",
+               .begin
+               = Head + "Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n",
+               .part = chunk(event(1)),
+               .streamed = true } };
 }
 
-/// Four servers of a plain service, the first of which may leave its responses without an end or
-/// fall silent, and the load of several callers.
-class PlainService
+/// Four servers of a service, the first of which may leave its responses without an end or fall
+/// silent, and the load of several callers.
+class LoadedService
 {
 public:
     enum class Behavior { Sound, Endless, Silent };
 
-    explicit PlainService(EndlessResponse endless = endlessResponses().front())
+    explicit LoadedService(EndlessResponse endless = endlessResponses().front())
         : endless_(std::move(endless))
     {
         for (std::size_t index = 0; index < Servers; ++index) {
             gateway_.addServer(
-                name(index), "plain",
+                name(index), endless_.streamed ? "engines" : "plain",
                 [this, index](ScriptedConnection &connection, const ReceivedRequest &request) {
                     return respond(index, connection, request);
                 });
@@ -67,7 +73,7 @@
         gateway_.configure(1, { "k1" });
         gateway_.start();
     }
-    ~PlainService()
+    ~LoadedService()
     {
         ended_ = true;
         stopLoad();
@@ -79,7 +85,9 @@
         for (unsigned caller = 0; caller < Callers; ++caller) {
             callers_.emplace_back([this] {
                 while (loaded_) {
-                    const auto response = gateway_.call("POST", "/unsafe/a", "x", ShortLimit);
+                    const auto response = endless_.streamed
+                        ? gateway_.call("POST", "/once/a", "prompt", ShortLimit + "X-Model: m\r\n")
+                        : gateway_.call("POST", "/unsafe/a", "x", ShortLimit);
                     ++(response != nullptr && response->result_int() == 200 ? answered_ : failed_);
                 }
             });
@@ -110,13 +118,18 @@
 
     bool respond(std::size_t index, ScriptedConnection &connection, const ReceivedRequest &request)
     {
+        if (request.target().starts_with("/-/")) {
+            connection.write(responseText(404, "", ""));
+            return true;
+        }
         ++calls_[index];
         while (behaviors_[index] == Behavior::Silent && !ended_) {
             std::this_thread::sleep_for(milliseconds(5));
         }
         if (behaviors_[index] == Behavior::Sound) {
             std::this_thread::sleep_for(WorkTime);
-            connection.write(validResponse(request));
+            connection.write(endless_.streamed ? streamHead(request) + chunk(event(1)) + "0\r\n\r\n"
+                                               : validResponse(request));
             return true;
         }
         std::string head = endless_.begin;
@@ -139,7 +152,7 @@
     std::vector<std::thread> callers_;
 };
 
-using Behavior = PlainService::Behavior;
+using Behavior = LoadedService::Behavior;
 
 } // namespace
 
@@ -151,7 +164,7 @@
     // Each caller may have sent it a request before the first one ended, three ends are evidence,
     // and a trial a second follows.
     constexpr unsigned MostCalls = Callers + 3 + LoadTime.count();
-    PlainService service(endless);
+    LoadedService service(endless);
     service.run(milliseconds(300));
     BOOST_TEST(service.failed() == 0U);
     const unsigned before = service.calls(0);
@@ -168,7 +181,7 @@
 BOOST_AUTO_TEST_CASE(repairedServerIsUsedAgainSoon)
 {
     constexpr std::chrono::seconds Soon { 4 };
-    PlainService service;
+    LoadedService service;
     service.run(milliseconds(300));
     service.setBehavior(0, Behavior::Endless);
     service.run(std::chrono::seconds(2));
@@ -187,7 +200,7 @@
 BOOST_AUTO_TEST_CASE(soundServerIsKeptAfterASilence)
 {
     constexpr milliseconds Silence { 1500 };
-    PlainService service;
+    LoadedService service;
     service.run(milliseconds(300));
     service.startLoad();
     service.setBehavior(0, Behavior::Silent);
@@ -204,7 +217,7 @@
 
 BOOST_AUTO_TEST_CASE(noServerIsAvoidedWhereAllAreAlike)
 {
-    PlainService service;
+    LoadedService service;
     service.run(milliseconds(300));
     std::array<unsigned, Servers> before {};
     for (std::size_t index = 0; index < Servers; ++index) {
--- a/Tests/Placement/UnfinishedResponsesTest.cpp
+++ b/Tests/Placement/UnfinishedResponsesTest.cpp
@@ -377,6 +377,21 @@
     BOOST_TEST(!rule.avoided(RouteName, server(0), at(100)));
 }
 
+BOOST_AUTO_TEST_CASE(callerThatReadsSlowlyIsNoEvidence)
+{
+    UnfinishedResponses rule = ruleWithAnswers();
+    for (int count = 0; count < 100; ++count) {
+        answerAtOthers(rule, at(count));
+        BOOST_TEST(!rule.noteUnfinished(RouteName, server(0), others(4, 0),
+                                        { .sentAt = at(count) - Limit,
+                                          .longestSilence = PartInterval,
+                                          .callerTime = Limit - 5 * Usual },
+                                        at(count))
+                        .has_value());
+    }
+    BOOST_TEST(!rule.avoided(RouteName, server(0), at(100)));
+}
+
 BOOST_AUTO_TEST_CASE(serverThatIsSilentToTheLimitOfALongRouteIsAvoided)
 {
     UnfinishedResponses rule = ruleWithAnswers();
@@ -507,6 +522,39 @@
     BOOST_TEST(pool.takeServerUpdates(at(3010), 100).empty());
 }
 
+// The first event counted as the answer, so that a server that sends events without end was kept.
+BOOST_AUTO_TEST_CASE(serverWhoseStreamsHaveNoEndIsNotAvoided)
+{
+    ServerPool pool = plainPool(4);
+    for (int count = 0; count < 5; ++count) {
+        for (std::size_t index = 0; index < 4; ++index) {
+            pool.noteAnswered(server(index), RouteName, Usual, at(3000 + count));
+        }
+        for (std::size_t index = 1; index < 4; ++index) {
+            pool.noteStreamEnded(server(index), RouteName, 2 * Usual, at(3000 + count));
+        }
+        pool.noteUnfinishedStream(
+            server(0), RouteName,
+            { .sentAt = at(3000 + count) - Limit, .longestSilence = PartInterval },
+            at(3000 + count));
+    }
+    const std::vector<ServerId> tried { server(1), server(2), server(3) };
+    BOOST_TEST(!chosen(pool, tried, 3010).has_value());
+    BOOST_TEST((chosen(pool, tried, 3010, "other") == server(0)));
+    BOOST_TEST((chosen(pool, tried, 4100) == server(0)));
+    pool.noteSending(server(0), at(4100), RouteName);
+    BOOST_TEST(!chosen(pool, tried, 4100).has_value());
+    pool.removeServer(server(0), at(4200));
+    pool.applyServer({ .id = server(0),
+                       .service = Plain,
+                       .address = "127.0.0.1:9000",
+                       .zone = ZoneId("z"),
+                       .slots = 8,
+                       .bootedAt = 2 },
+                     at(4200));
+    BOOST_TEST((chosen(pool, tried, 4200) == server(0)));
+}
+
 BOOST_AUTO_TEST_CASE(onlyTrialOfAnAvoidedServerIsSent)
 {
     ServerPool pool = plainPool(4);
