StoreSync: Give up a list that goes on page by page without end

Each page of a list was bounded, but not their number, nor what was kept of them: a store that goes on gets its pages taken for as long as it sends them, outside of the account, and so does one that returns to a name that the list has passed.

PageAccount reserves what is kept of all pages and can't be made without an account and limits, 16 MB and 2 minutes for a list. No page may end with the name of an earlier one; the store states no order of names, so none is required. The former copy stays in use, and list_refused names object, fault and remedy.

--- a/Source/Core/Json.cpp
+++ b/Source/Core/Json.cpp
@@ -147,6 +147,26 @@
     return bytes;
 }
 
+std::size_t jsonMemory(const Json::Value &value)
+{
+    const char *end = nullptr;
+    if (const char *begin = nullptr; value.isString() && value.getString(&begin, &end)) {
+        return StringBytes + static_cast<std::size_t>(end - begin);
+    }
+    if (!value.isArray() && !value.isObject()) {
+        return WordBytes;
+    }
+    std::size_t bytes = ContainerBytes;
+    for (auto member = value.begin(); member != value.end(); ++member) {
+        if (value.isObject()) {
+            const char *name = member.memberName(&end);
+            bytes += NameBytes + static_cast<std::size_t>(end - name);
+        }
+        bytes += jsonMemory(*member);
+    }
+    return bytes;
+}
+
 Result<Json::Value> parseJson(std::string_view text)
 {
     std::size_t memoryLeft = MaximumJsonMemory;
--- a/Source/Core/Json.h
+++ b/Source/Core/Json.h
@@ -30,6 +30,9 @@
 /// own; 0 are left if they take more.
 [[nodiscard]] Result<Json::Value> parseJson(std::string_view text, std::size_t &memoryLeft);
 
+/// Returns about the memory in bytes that a parsed value takes, with the characters of strings.
+[[nodiscard]] std::size_t jsonMemory(const Json::Value &value);
+
 /// True for valid UTF-8, which parseJson() doesn't check.
 [[nodiscard]] bool isUtf8(std::string_view text);
 
--- a/Source/Gateway/StoreSync.cpp
+++ b/Source/Gateway/StoreSync.cpp
@@ -1,9 +1,12 @@
 #include "Gateway/StoreSync.h"
 
 #include <algorithm>
+#include <numeric>
+#include <set>
 #include <utility>
 
 #include "Core/Log.h"
+#include "Core/PageAccount.h"
 #include "Gateway/BootClock.h"
 #include "Gateway/ConfigurationSlices.h"
 #include "Gateway/Pause.h"
@@ -23,6 +26,9 @@
 /// Pause after a failed call; doubles with each further failure up to LongestPause.
 constexpr Duration FirstPause = milliseconds(100);
 constexpr Duration LongestPause = milliseconds(500);
+/// What a list may take; a page of it has about 500 objects or one megabyte.
+constexpr PageLimits ListLimits { .bytes = std::size_t { 16 } * 1024 * 1024,
+                                  .time = std::chrono::seconds(120) };
 
 /// Returns the last name on a page; empty if no object has one.
 std::string lastName(const platform::ObjectPage &page)
@@ -33,6 +39,15 @@
     return found == page.objects.rend() ? std::string() : found->name;
 }
 
+/// Returns about the memory in bytes that the objects of a page take.
+std::size_t memoryOf(const platform::ObjectPage &page)
+{
+    return std::accumulate(page.objects.begin(), page.objects.end(), std::size_t { 0 },
+                           [](std::size_t sum, const platform::StoredObject &object) {
+                               return sum + platform::memoryOf(object);
+                           });
+}
+
 } // namespace
 
 StoreSync::StoreSync(asio::io_context &context, StoreClient &client, Options options,
@@ -95,6 +110,11 @@
     std::uint64_t revision = 0;
     std::optional<std::uint64_t> era;
     BootInstant firstSent;
+    PageAccount account("list of '" + options_.name + "'", "the store", client_.memory(),
+                        ListLimits);
+    account.begin(std::chrono::steady_clock::now());
+    // The store states no order of names; it must not return to one that it has passed.
+    std::set<std::string> continuations;
     for (bool more = true; more;) {
         const auto reply = co_await client_.call(platform::listCall(options_.kind, after),
                                                  readLimits(CallTimeout));
@@ -116,6 +136,12 @@
             co_return false;
         }
         const std::string last = lastName(*page);
+        const auto added
+            = account.add(memoryOf(*page) + last.size(), std::chrono::steady_clock::now());
+        if (!added.has_value()) {
+            refuseList(added.error());
+            co_return false;
+        }
         for (platform::StoredObject &object : page->objects) {
             if (!object.name.empty()) {
                 co_await put(table, std::move(object));
@@ -123,10 +149,14 @@
         }
         more = page->more && !page->objects.empty();
         if (more) {
-            if (last.empty() || last == after) {
+            if (last.empty()) {
                 setReachable(false, "no entry of a page has a name to continue the list after");
                 co_return false;
             }
+            if (!continuations.insert(last).second) {
+                refuseList(account.fault("a page ends with the name of an earlier one").value());
+                co_return false;
+            }
             after = last;
         }
     }
@@ -145,6 +175,15 @@
     co_return true;
 }
 
+void StoreSync::refuseList(const Error &error)
+{
+    logLine(LogLevel::Warning, "list_refused",
+            { { "object", options_.name },
+              { "reason", error.message },
+              { "remedy", error.remedyText() } });
+    setReachable(false, error.message);
+}
+
 asio::awaitable<bool> StoreSync::watch()
 {
     TransferProgress progress;
--- a/Source/Gateway/StoreSync.h
+++ b/Source/Gateway/StoreSync.h
@@ -81,6 +81,8 @@
     /// Lists and watches the objects; never ends except by an exception.
     [[nodiscard]] boost::asio::awaitable<void> synchronise();
     [[nodiscard]] boost::asio::awaitable<bool> list();
+    /// Logs that a list was given up; the former copy stays in use.
+    void refuseList(const Error &error);
     /// Puts an object that the store returned into a table: a configuration in its parts.
     [[nodiscard]] boost::asio::awaitable<void> put(ObjectTable &table,
                                                    platform::StoredObject object);
--- a/Tests/Gateway/StoreSyncTest.cpp
+++ b/Tests/Gateway/StoreSyncTest.cpp
@@ -6,6 +6,7 @@
 #include <boost/asio/io_context.hpp>
 #include <boost/test/unit_test.hpp>
 
+#include "Core/Json.h"
 #include "Gateway/BootClock.h"
 #include "Gateway/StoreSync.h"
 #include "StoreStandIn.h"
@@ -154,6 +155,73 @@
     BOOST_TEST(last.empty());
 }
 
+BOOST_AUTO_TEST_CASE(listOfThousandsOfServersIsRefused)
+{
+    // Ten times the servers and nodes of the largest site.
+    constexpr std::size_t Servers = 3300;
+    constexpr std::size_t ServersOfAPage = 500;
+    const auto nameOf = [](std::size_t index) { return "server-" + std::to_string(10000 + index); };
+    ScriptedServer store([&](ScriptedConnection &connection) {
+        boost::beast::http::request<boost::beast::http::string_body> request;
+        while (connection.read(request)) {
+            const std::string target(request.target());
+            if (target.find("watch=") != std::string::npos) {
+                connection.write(responseText(200, "", R"({"events":[],"currentRev":9})"));
+                continue;
+            }
+            Json::Value page;
+            page["currentRev"] = 9;
+            page["items"] = Json::Value(Json::arrayValue);
+            const std::size_t after = target.find("after=");
+            std::size_t index = 0;
+            while (after != std::string::npos && index < Servers
+                   && nameOf(index) <= target.substr(after + 6)) {
+                ++index;
+            }
+            for (; index < Servers && page["items"].size() < ServersOfAPage; ++index) {
+                Json::Value object;
+                object["metadata"]["name"] = nameOf(index);
+                object["metadata"]["revision"] = Json::UInt64(index + 1);
+                Json::Value &spec = object["spec"];
+                spec["service"] = "engines";
+                spec["address"] = "10.200.100.100:8080";
+                spec["zone"] = "zone-1";
+                spec["version"] = "1.2.3";
+                spec["slotCount"] = 16;
+                spec["state"] = "ready";
+                spec["coldLeftMs"] = 0;
+                spec["seq"] = 77;
+                spec["born"] = Json::UInt64(1'700'000'000'000);
+                spec["models"][0]["name"] = "model-1";
+                spec["models"][0]["version"] = 3;
+                page["items"].append(object);
+            }
+            page["hasMore"] = index < Servers;
+            connection.write(responseText(200, "", writeJson(page)));
+        }
+    });
+    // A node of 110 MB.
+    constexpr std::size_t AccountBytes = 70'000'000;
+    asio::io_context context { 1 };
+    GatewayMetrics metrics;
+    StoreClient client(context, store.address(), metrics,
+                       std::make_shared<MemoryBudget>(AccountBytes));
+    std::size_t objects = 0;
+    StoreSync sync(
+        context, client,
+        { .kind = platform::ObjectKind::Servers,
+          .name = "servers",
+          .watchWait = milliseconds(100),
+          .minimumPause = milliseconds(100) },
+        [&](const ObjectTable &table) { objects = table.size(); }, [](BootInstant) {});
+    asio::co_spawn(context, sync.run(), asio::detached);
+    const Instant began = std::chrono::steady_clock::now();
+    while (objects == 0 && std::chrono::steady_clock::now() - began < std::chrono::seconds(10)) {
+        context.run_one_for(milliseconds(20));
+    }
+    BOOST_TEST(objects == Servers);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace jacinthroad
