RelayCollector: Give up a transfer that goes on page by page without end

The pages of another node were collected for as long as it said that more follow, outside of the account, whatever their positions. UnboundedPagesTest/transferOfAnotherNodeGoesOnWithoutEnd failed in all of its 12 cells on: the 67 MB that were offered were taken, with at most 1 MB of them in the account.

A transfer that is refused ends with transfer_refused and counts as a failure of the node, so that the objects come from another one or from the store. Pages that were collected when there is no reader any more are given back.

--- a/Source/Gateway/RelayFollower.cpp
+++ b/Source/Gateway/RelayFollower.cpp
@@ -20,6 +20,7 @@
     : context_(context)
     , memory_(std::move(memory))
     , options_(std::move(options))
+    , collector_("transfer of '" + options_.name + "'", memory_)
 { }
 
 asio::awaitable<std::optional<RelayFollower::Reply>> RelayFollower::ask(RelayNode reader,
@@ -59,7 +60,17 @@
                    .age = changes.age,
                    .digest = changes.digest,
                    .sentAt = reply->sentAt };
-    result.complete = collector_.take(std::move(changes));
+    const auto complete = collector_.take(std::move(changes), std::chrono::steady_clock::now());
+    if (!complete.has_value()) {
+        logLine(LogLevel::Warning, "transfer_refused",
+                { { "object", options_.name },
+                  { "node", reader.name },
+                  { "reason", complete.error().message },
+                  { "remedy", complete.error().remedyText() } });
+        noteLost();
+        co_return std::nullopt;
+    }
+    result.complete = *complete;
     noteArrival(reader, progress);
     co_return result;
 }
--- a/Source/Gateway/StoreSync.cpp
+++ b/Source/Gateway/StoreSync.cpp
@@ -86,6 +86,10 @@
             }
             continue;
         }
+        if (follower_.collector().underWay()) {
+            // Its pages would keep their memory until there is a reader again.
+            follower_.collector().reset();
+        }
         if (listed_) {
             done = co_await watch();
         } else {
--- a/Tests/Gateway/UnboundedPagesTest.cpp
+++ b/Tests/Gateway/UnboundedPagesTest.cpp
@@ -5,7 +5,9 @@
 #include <memory>
 #include <ostream>
 #include <string>
+#include <thread>
 #include <utility>
+#include <vector>
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
@@ -158,6 +160,72 @@
     ScriptedServer server_;
 };
 
+/// A node whose transfers of objects have no end.
+class PagingNode
+{
+public:
+    PagingNode(Pages &pages, Continuation continuation, std::size_t objects)
+        : pages_(pages)
+        , continuation_(continuation)
+        , objects_(objects)
+        , server_([this](ScriptedConnection &connection) { serve(connection); })
+    { }
+
+    [[nodiscard]] std::string address() const { return server_.address(); }
+
+private:
+    void serve(ScriptedConnection &connection)
+    {
+        ReceivedRequest request;
+        while (connection.read(request)) {
+            const auto query = parseRelayTarget(std::string(request.target()));
+            if (query->position.source == 0) {
+                pages_.begin();
+            }
+            const std::string response = responseText(200, "", page());
+            pages_.add(response.size());
+            if (pages_.bytes > EnoughBytes) {
+                return;
+            }
+            connection.write(response);
+        }
+    }
+
+    [[nodiscard]] std::string page() const
+    {
+        const std::uint64_t place = placeOf(pages_.messages, continuation_);
+        RelayPage page { .head = { .position = { .source = 7, .sequence = place + 1 },
+                                   .content = pages_.messages == 0 ? RelayContent::All
+                                                                   : RelayContent::Changes,
+                                   .bytesLeft = SpecBytes,
+                                   .events = {} },
+                         .events = {} };
+        std::vector<std::string> events;
+        for (std::size_t index = 0; index < objects_; ++index) {
+            platform::StoredObject object { .name = nameOf(place, index), .revision = 1 };
+            object.spec = std::string(SpecBytes, 'x');
+            events.push_back(encodeRelayedEvent(object, false));
+        }
+        page.events.assign(events.begin(), events.end());
+        return encodeRelayPage(page);
+    }
+
+    Pages &pages_;
+    Continuation continuation_;
+    std::size_t objects_;
+    ScriptedServer server_;
+};
+
+/// Returns two names of which the first one is the reader.
+std::pair<std::string, std::string> readerAndFollower()
+{
+    ReaderChoice choice({ .self = "front-1", .kind = Kind });
+    choice.setZone({ { .name = "front-1", .address = "" }, { .name = "front-2", .address = "" } });
+    choice.setLive(std::vector<std::string> { "front-1", "front-2" });
+    return choice.reader(Instant()).has_value() ? std::pair("front-2", "front-1")
+                                                : std::pair("front-1", "front-2");
+}
+
 } // namespace
 
 BOOST_AUTO_TEST_SUITE(UnboundedPagesTest)
@@ -214,6 +282,62 @@
                         "(d) " << memory->used() << " bytes are still held");
 }
 
+/// The same for transfers of another node; the objects come from the store then.
+BOOST_DATA_TEST_CASE(transferOfAnotherNodeGoesOnWithoutEnd,
+                     data::make({ std::size_t { 1 }, std::size_t { 500 } })
+                         * data::make({ Continuation::Advancing, Continuation::Returning,
+                                        Continuation::Standing })
+                         * data::make({ NodeAccountBytes, LargeAccountBytes }),
+                     objects, continuation, accountBytes)
+{
+    const std::size_t pageBytes = objects * (SpecBytes + 100) + 1000;
+    Pages storePages;
+    PagingStore store(storePages, continuation, objects);
+    Pages pages;
+    PagingNode reader(pages, continuation, objects);
+    const auto memory = std::make_shared<MemoryBudget>(accountBytes);
+    asio::io_context context { 1 };
+    GatewayMetrics metrics;
+    StoreClient client(context, store.address(), metrics, memory);
+    ObjectTable table;
+    const auto [readerName, followerName] = readerAndFollower();
+    StoreSync sync(
+        context, client,
+        { .kind = platform::ObjectKind::Servers,
+          .name = Kind,
+          .watchWait = milliseconds(100),
+          .relayWait = milliseconds(100),
+          .node = followerName },
+        [&](const ObjectTable &changed) { table = changed; }, [](BootInstant) {});
+    sync.readerChoice().setZone({ { .name = readerName, .address = reader.address() },
+                                  { .name = followerName, .address = "127.0.0.1:1" } });
+    sync.readerChoice().setLive(std::vector { readerName, followerName });
+    asio::co_spawn(context, sync.run(), asio::detached);
+    std::size_t mostReserved = 0;
+    const Instant began = std::chrono::steady_clock::now();
+    while (table.empty() && std::chrono::steady_clock::now() - began < GiveUpLimit) {
+        context.run_one_for(milliseconds(20));
+        mostReserved = std::max(mostReserved, memory->used());
+    }
+    const std::size_t most = std::min(MaxPagesBytes, accountBytes + accountBytes / 8);
+    BOOST_REQUIRE(pages.begun >= 1);
+    BOOST_CHECK_MESSAGE(table.contains("a"),
+                        "(b) the objects weren't read from the store within " << GiveUpLimit.count()
+                                                                              << " s");
+    BOOST_CHECK_MESSAGE(pages.mostBytes <= most + 2 * pageBytes,
+                        "(a) " << pages.mostBytes << " bytes of a transfer were taken, not at most "
+                               << most << " and two pages");
+    BOOST_CHECK_MESSAGE(continuation == Continuation::Advancing || pages.mostBytes <= 3 * pageBytes,
+                        "(a) " << pages.mostBytes << " bytes were taken, not three pages");
+    BOOST_CHECK_MESSAGE(continuation != Continuation::Advancing || mostReserved >= most / 2,
+                        "(a) " << mostReserved << " bytes were in the account at most, of "
+                               << pages.mostBytes);
+    sync.readerChoice().setZone({ { .name = followerName, .address = "127.0.0.1:1" } });
+    context.run_for(milliseconds(1500));
+    BOOST_CHECK_MESSAGE(memory->used() <= MaxHeadBytes,
+                        "(d) " << memory->used() << " bytes are still held");
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace jacinthroad
--- a/Tests/StoreRelay/ZoneModel.cpp
+++ b/Tests/StoreRelay/ZoneModel.cpp
@@ -1,6 +1,7 @@
 #include "ZoneModel.h"
 
 #include <algorithm>
+#include <stdexcept>
 
 #include "StoreRelay/ReadPacing.h"
 #include "StoreRelay/TransferChoice.h"
@@ -59,7 +60,9 @@
     log_.applyTable({}, 1, {});
     log_.confirm(bootTime(now_), 1);
     for (Follower &follower : followers_) {
-        follower.collector.take(log_.pageAfter({}, bootTime(now_)).head);
+        if (!follower.collector.take(log_.pageAfter({}, bootTime(now_)).head, now_).has_value()) {
+            throw std::logic_error("an empty page was refused");
+        }
         follower.collector.clear();
         follower.confirmedAt = bootTime(now_);
         ask(follower);
@@ -212,7 +215,11 @@
         }
         const std::size_t version = page->revision - 1;
         const BootInstant moment = bootTime(follower.sentAt) - page->age;
-        if (follower.collector.take(*page) && version >= follower.version) {
+        const auto complete = follower.collector.take(*page, now_);
+        if (!complete.has_value()) {
+            throw std::logic_error(complete.error().message);
+        }
+        if (*complete && version >= follower.version) {
             follower.collector.clear();
             follower.version = version;
             follower.confirmedAt = std::max(follower.confirmedAt, moment);
--- a/Tests/StoreRelay/ZoneModel.h
+++ b/Tests/StoreRelay/ZoneModel.h
@@ -1,6 +1,8 @@
 #pragma once
 
+#include <cstddef>
 #include <deque>
+#include <memory>
 #include <optional>
 #include <string>
 #include <vector>
@@ -49,9 +51,12 @@
 private:
     enum class State { Waiting, Encoding, Receiving, ReadingStore };
 
+    /// Memory for received data of a node of 110 MB.
+    static constexpr std::size_t ReceivedBytes = 70'000'000;
+
     struct Follower
     {
-        RelayCollector collector;
+        RelayCollector collector { "transfer", std::make_shared<MemoryBudget>(ReceivedBytes) };
         std::size_t version = 0;
         State state = State::Waiting;
         Instant sentAt {};
