DigestExchange: Bound the lost services of all senders together

The services that a digest names as lost were kept for each of up to 2,048 senders, as many as a datagram holds, and datagrams may claim any name. DigestExchangeTest/lostServicesOfEndlessNamesAreKept failed on: 400 digests of 20,000 services each grew the resident memory by 261 MB, not at most 32 MB.

They are kept for registered peers only, which alone are looked up, 8 KB for each in memory of the account. A peer that names more, or for which there is no memory, is taken for one without links. The test passes.

--- a/Source/Gateway/DigestExchange.cpp
+++ b/Source/Gateway/DigestExchange.cpp
@@ -51,6 +51,7 @@
     , periodicTimer_(state.context)
     , batchTimer_(state.context)
     , summaryTimer_(state.context)
+    , lostServices_(state.bodyMemory)
 { }
 
 error_code DigestExchange::open(const std::string &address)
@@ -98,6 +99,7 @@
     state_.crashHistory.setNodes(hash64(state_.settings.name), std::move(hashes));
     topology_ = FleetTopology(state_.settings.name, state_.settings.zone, nodes);
     peers_ = endpointsOf(topology_.neighbours());
+    lostServices_.setPeers(topology_.neighbours());
 }
 
 void DigestExchange::scheduleDigest()
@@ -263,10 +265,8 @@
 std::vector<FleetNode> DigestExchange::peersWithLinks(const ServiceId &service, Instant now) const
 {
     std::vector<FleetNode> nodes = peersWithLinks(now);
-    std::erase_if(nodes, [&](const FleetNode &node) {
-        const std::vector<ServiceId> &lost = heard_.at(node.name).lostServices;
-        return std::find(lost.begin(), lost.end(), service) != lost.end();
-    });
+    std::erase_if(
+        nodes, [&](const FleetNode &node) { return lostServices_.contains(node.name, service); });
     return nodes;
 }
 
@@ -320,9 +320,18 @@
         informStartedPeer();
         onPeerStarted();
     }
-    heard_[digest->node] = { .receivedAt = std::chrono::steady_clock::now(),
-                             .linksLost = digest->linksLost,
-                             .lostServices = digest->lostServices };
+    PeerState &peer = heard_[digest->node];
+    const bool kept = lostServices_.note(digest->node, digest->lostServices);
+    if (!kept && !peer.linksLost) {
+        logLine(LogLevel::Warning, "lost_services_refused",
+                { { "node", digest->node },
+                  { "services", static_cast<std::int64_t>(digest->lostServices.size()) },
+                  { "max_bytes", static_cast<std::int64_t>(LostServices::MaxPeerBytes) },
+                  { "remedy", "Check the node; no requests are forwarded to it meanwhile." } });
+    }
+    // A peer that has lost more services than are kept is taken for one without links.
+    peer = { .receivedAt = std::chrono::steady_clock::now(),
+             .linksLost = digest->linksLost || !kept };
     state_.notePeerConfiguration(digest->configurationVersion);
     freshness_.noteReceived(*digest, state_.outdatedConfigurationAge());
     const auto &configuration = state_.configuration();
--- a/Source/Gateway/DigestExchange.h
+++ b/Source/Gateway/DigestExchange.h
@@ -14,6 +14,7 @@
 #include "Core/Error.h"
 #include "FleetPeers/FleetTopology.h"
 #include "FleetPeers/FreshnessExchange.h"
+#include "FleetPeers/LostServices.h"
 #include "Gateway/TrafficState.h"
 
 namespace jacinthroad {
@@ -88,9 +89,9 @@
     {
         Instant receivedAt;
         bool linksLost = false;
-        std::vector<ServiceId> lostServices;
     };
     std::unordered_map<std::string, PeerState> heard_;
+    LostServices lostServices_;
     std::array<char, DatagramBytes> buffer_ {};
     boost::asio::ip::udp::endpoint sender_;
 };
--- a/Tests/Gateway/DigestExchangeTest.cpp
+++ b/Tests/Gateway/DigestExchangeTest.cpp
@@ -6,6 +6,7 @@
 #include "Core/Endpoint.h"
 #include "FleetPeers/NodeDigest.h"
 #include "GatewayFixture.h"
+#include "UnboundedInput.h"
 
 namespace jacinthroad {
 
@@ -39,6 +40,35 @@
     BOOST_TEST(response != nullptr);
 }
 
+BOOST_AUTO_TEST_CASE(lostServicesOfEndlessNamesAreKept)
+{
+    constexpr int Names = 400;
+    constexpr int Services = 20'000;
+    GatewayFixture fixture;
+    fixture.configure(1, { "k1" });
+    fixture.start();
+    const auto peers = parseEndpoint(fixture.settings.peerAddress);
+    BOOST_REQUIRE(peers.has_value());
+    const asio::ip::udp::endpoint receiver(peers->address(), peers->port());
+    asio::ip::udp::socket socket(fixture.context, asio::ip::udp::v4());
+    MemoryWatch watch;
+    const double before = fixture.metricValue("jacinthroad_digests_received_total").value_or(0);
+    for (int number = 0; number < Names; ++number) {
+        const NodeDigest digest { .node = "node-" + std::to_string(number),
+                                  .boot = 1,
+                                  .sequence = 1,
+                                  .lostServices = std::vector(Services, ServiceId("a")) };
+        socket.send_to(asio::buffer(encodeDigest(digest)), receiver);
+        std::this_thread::sleep_for(milliseconds(10));
+    }
+    const double received
+        = fixture.metricValue("jacinthroad_digests_received_total").value_or(0) - before;
+    BOOST_TEST(received >= Names / 2);
+    watch.check();
+    const auto response = fixture.call("POST", "/unsafe/a", "x");
+    BOOST_TEST(response != nullptr);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace jacinthroad
