ResponseSender: Bound responses that their peer doesn't read

Responses to status pages and relay queries were in no account while they were written, nor was there a limit for it but TCP's, which each byte that the peer takes starts anew.

Their memory is reserved until they are written. The long ones of a status address may take a sixteenth of the account together, those to nodes a quarter; the one whose peer has taken nothing for longest, at least 0.5 s, gives way to others, and what finds no room is answered 503.

--- a/Source/Gateway/RelayServer.cpp
+++ b/Source/Gateway/RelayServer.cpp
@@ -29,6 +29,10 @@
 constexpr std::size_t MaxReadBytes = MaxQueryHeaderBytes + 512;
 /// Time for receiving a query that has begun to arrive.
 constexpr Duration QueryTimeout = std::chrono::seconds(6);
+/// Time without progress after which a response is given up.
+constexpr Duration ResponseTimeout = std::chrono::seconds(6);
+/// The memory that responses take which aren't read is the node's divided by this.
+constexpr std::size_t ResponseShareDivisor = 4;
 
 } // namespace
 
@@ -37,6 +41,10 @@
     : context_(context)
     , metrics_(metrics)
     , memory_(std::move(memory))
+    , sender_(context, memory_,
+              { .object = "response to another node",
+                .limits = readLimits(ResponseTimeout),
+                .shareDivisor = ResponseShareDivisor })
 { }
 
 void RelayServer::add(platform::ObjectKind kind, const RelayLog &log,
@@ -115,9 +123,8 @@
             }
         }
         response.prepare_payload();
-        co_await http::async_write(socket, response,
-                                   asio::redirect_error(asio::use_awaitable, error));
-        if (error || !response.keep_alive()) {
+        const bool goesOn = co_await sender_.send(socket, std::move(response));
+        if (!goesOn) {
             co_return;
         }
     }
--- a/Source/Gateway/RelayServer.h
+++ b/Source/Gateway/RelayServer.h
@@ -13,6 +13,7 @@
 
 #include "Core/MemoryBudget.h"
 #include "Gateway/GatewayMetrics.h"
+#include "Gateway/ResponseSender.h"
 #include "StoreRelay/RelayResponder.h"
 
 namespace jacinthroad {
@@ -60,6 +61,7 @@
     boost::asio::io_context &context_;
     GatewayMetrics &metrics_;
     std::shared_ptr<MemoryBudget> memory_;
+    ResponseSender sender_;
     std::map<platform::ObjectKind, Passed> passed_;
 };
 
--- a/Source/Gateway/StatusServer.cpp
+++ b/Source/Gateway/StatusServer.cpp
@@ -11,6 +11,7 @@
 #include "Gateway/Listener.h"
 #include "Gateway/ReadBuffer.h"
 #include "Gateway/RequestReader.h"
+#include "Gateway/ResponseSender.h"
 #include "Gateway/RestartingTask.h"
 #include "Gateway/SocketOptions.h"
 
@@ -23,17 +24,20 @@
 namespace {
 
 /// Time without acknowledgements after which TCP closes a connection, and time for receiving a
-/// request.
+/// request and for writing its response.
 constexpr Duration StatusTimeout = std::chrono::seconds(6);
 constexpr std::uint32_t MaxStatusHeaderBytes = 8 * 1024;
 /// Maximum number of bytes that a connection holds.
 constexpr std::size_t MaxReadBytes = MaxStatusHeaderBytes + 512;
+/// The memory that responses take which aren't read is the node's divided by this.
+constexpr std::size_t ResponseShareDivisor = 16;
 
 struct StatusSource
 {
     std::string path;
     std::function<StatusPage()> page;
     std::shared_ptr<MemoryBudget> memory;
+    std::unique_ptr<ResponseSender> sender;
 };
 
 asio::awaitable<void> serveConnection(asio::io_context &context, asio::ip::tcp::socket socket,
@@ -68,8 +72,8 @@
         if (request.method() == http::verb::head) {
             reply.body().clear();
         }
-        co_await http::async_write(socket, reply, asio::redirect_error(asio::use_awaitable, error));
-        if (error || !reply.keep_alive()) {
+        const bool goesOn = co_await source->sender->send(socket, std::move(reply));
+        if (!goesOn) {
             co_return;
         }
     }
@@ -81,8 +85,16 @@
                                   std::shared_ptr<MemoryBudget> memory, std::string path,
                                   std::function<StatusPage()> page)
 {
-    const auto source = std::make_shared<const StatusSource>(StatusSource {
-        .path = std::move(path), .page = std::move(page), .memory = std::move(memory) });
+    auto sender = std::make_unique<ResponseSender>(
+        context, memory,
+        ResponseSender::Options { .object = "response for " + path,
+                                  .limits = { .progress = StatusTimeout, .whole = StatusTimeout },
+                                  .shareDivisor = ResponseShareDivisor });
+    const auto source
+        = std::make_shared<const StatusSource>(StatusSource { .path = std::move(path),
+                                                              .page = std::move(page),
+                                                              .memory = std::move(memory),
+                                                              .sender = std::move(sender) });
     return acceptConnections(context, acceptor, [&context, source](asio::ip::tcp::socket socket) {
         asio::co_spawn(context, serveConnection(context, std::move(socket), source),
                        logFailure("status_connection"));
