Exchange: Don't hold a full account against the server

A response that found no room in the account of the node, for its header, its body or an event, ended its attempt as one that its server had broken off: the server counted as failed or unreachable, and its connection as lost.

Such an attempt counts as abandoned. A size that the account couldn't hold alone still counts as too long, so that a response without end does. The same of the report that is read before a stream is sent.

--- a/Source/Core/MemoryBudget.cpp
+++ b/Source/Core/MemoryBudget.cpp
@@ -28,6 +28,18 @@
     return bodyBytes > ShortBodyBytes ? all / Parts * LongResponseParts : all;
 }
 
+bool MemoryBudget::holdsAlone(BodyKind kind, std::size_t bodyBytes) const
+{
+    return bodyBytes <= limit(kind, bodyBytes)
+        && (kind != BodyKind::Response || bodyBytes <= responseLimit(bodyBytes));
+}
+
+std::size_t MemoryBudget::responseLimit(std::size_t bytes) const
+{
+    const std::size_t longLimit = longResponseLimit_;
+    return longLimit == NoLimit || bytes > ShortBodyBytes ? longLimit : longLimit + longLimit / 8;
+}
+
 bool MemoryBudget::reserve(BodyKind kind, std::size_t bytes)
 {
     return reserve(bytes, limit(kind, bytes));
@@ -46,11 +58,10 @@
 
 bool MemoryBudget::changeResponses(std::size_t former, std::size_t bytes)
 {
-    const std::size_t longLimit = longResponseLimit_;
-    const std::size_t limit = bytes > ShortBodyBytes ? longLimit : longLimit + longLimit / 8;
+    const std::size_t limit = responseLimit(bytes);
     std::size_t sum = responses_;
     do {
-        if (longLimit != NoLimit && bytes > former && sum - former + bytes > limit) {
+        if (limit != NoLimit && bytes > former && sum - former + bytes > limit) {
             return false;
         }
     } while (!responses_.compare_exchange_weak(sum, sum - former + bytes));
@@ -68,6 +79,7 @@
 {
     const bool isResponse = kind_ == BodyKind::Response;
     if (isResponse && !budget_->changeResponses(bytes_, bytes)) {
+        refusedBytes_ = bytes;
         return false;
     }
     if (bytes > bytes_) {
@@ -75,6 +87,7 @@
             if (isResponse) {
                 static_cast<void>(budget_->changeResponses(bytes, bytes_));
             }
+            refusedBytes_ = bytes;
             return false;
         }
     } else {
--- a/Source/Core/MemoryBudget.h
+++ b/Source/Core/MemoryBudget.h
@@ -44,6 +44,8 @@
     [[nodiscard]] std::size_t limit(BodyKind kind, std::size_t bodyBytes) const;
     /// The memory in bytes that all may take together.
     [[nodiscard]] std::size_t limit() const { return limit_; }
+    /// True if a body of this kind and size finds room with nothing else reserved.
+    [[nodiscard]] bool holdsAlone(BodyKind kind, std::size_t bodyBytes) const;
     /// Reserves memory for `bytes` of this kind. Returns false if the budget has no room.
     [[nodiscard]] bool reserve(BodyKind kind, std::size_t bytes);
     /// Gives back what was reserved.
@@ -56,6 +58,8 @@
 
     /// Adds `bytes` unless the sum would exceed `limit`.
     [[nodiscard]] bool reserve(std::size_t bytes, std::size_t limit);
+    /// Returns the sum of all responses up to which memory is reserved for one of this size.
+    [[nodiscard]] std::size_t responseLimit(std::size_t bytes) const;
     /// Changes the part of one response in the sum of all unless that would grow beyond its limit.
     [[nodiscard]] bool changeResponses(std::size_t former, std::size_t bytes);
 
@@ -91,11 +95,18 @@
     /// bytes in all, and lets it grow in good time. Returns false if the budget has no room.
     [[nodiscard]] bool growBody(std::string &body, std::size_t bytes, std::size_t limit);
     [[nodiscard]] std::size_t bytes() const { return bytes_; }
+    /// True if what others have reserved was the cause of the last refusal, and not the size.
+    [[nodiscard]] bool refusedForOthers() const
+    {
+        return budget_->holdsAlone(kind_, refusedBytes_);
+    }
 
 private:
     std::shared_ptr<MemoryBudget> budget_;
     BodyKind kind_;
     std::size_t bytes_ = 0;
+    /// Size that was refused last.
+    std::size_t refusedBytes_ = 0;
 };
 
 /// A body with the memory that is reserved for it.
--- a/Source/Gateway/Exchange.cpp
+++ b/Source/Gateway/Exchange.cpp
@@ -35,6 +35,9 @@
 constexpr int FirstErrorStatus = 400;
 /// Outcome of a stream that has begun and whose time limit was reached.
 constexpr std::string_view CutAtTimeout = "cut_at_timeout";
+/// Remedy of a request whose response found no room in the node's memory.
+constexpr std::string_view MemoryFullRemedy
+    = "Send the request again if it may be repeated; operators raise memory.total_mb.";
 constexpr int HighestPriority = 0;
 constexpr int LowestPriority = 9;
 
@@ -44,7 +47,8 @@
 {
     constexpr int ServiceUnavailable = 503;
     constexpr int BadGateway = 502;
-    if (kind == ErrorKind::CallerClosed && notRun != NotRun::True) {
+    const bool mayHaveRun = kind == ErrorKind::CallerClosed || kind == ErrorKind::BodyMemoryFull;
+    if (mayHaveRun && notRun != NotRun::True) {
         return BadGateway;
     }
     return kind == ErrorKind::Quarantined ? ServiceUnavailable : errorResponse(kind).status;
@@ -296,7 +300,7 @@
             if (dispatchRecord_.verdict() == NotRun::True) {
                 co_return co_await sendRefusal(ErrorKind::Quarantined, crashes.remaining);
             }
-            co_return co_await sendRefusal(ErrorKind::BackendFailed, Duration::zero());
+            co_return co_await sendRefusal(failureKind(), Duration::zero());
         }
         placementRequest_.tried = triedServers_;
         placementRequest_.preferred = returnTo_.empty() ? nullptr : &returnTo_;
@@ -338,7 +342,7 @@
             const ErrorKind refused
                 = none->withheld.allowed() ? ErrorKind::NoBackendServer : ErrorKind::Overloaded;
             co_return co_await sendRefusal(
-                dispatchRecord_.verdict() == NotRun::True ? refused : ErrorKind::BackendFailed,
+                dispatchRecord_.verdict() == NotRun::True ? refused : failureKind(),
                 none->retryAfter);
         }
         AttemptResult end = AttemptResult::NotSent;
@@ -360,6 +364,7 @@
             // Something other than the rest of the stream.
             serverBrokeOff_ = true;
             responseTooLong_ = false;
+            memoryFull_ = false;
             response_.reset();
             responseMemory_.reset();
             end = AttemptResult::StreamBroken;
@@ -410,9 +415,8 @@
             }
             co_return co_await sendRefusal(ErrorKind::NoBackendServer, milliseconds(200));
         }
-        co_return co_await sendRefusal(end == AttemptResult::TimedOut ? ErrorKind::TimedOut
-                                                                      : ErrorKind::BackendFailed,
-                                       Duration::zero());
+        co_return co_await sendRefusal(
+            end == AttemptResult::TimedOut ? ErrorKind::TimedOut : failureKind(), Duration::zero());
     }
 }
 
@@ -579,8 +583,11 @@
     if (left > Duration::zero()) {
         retryAfter = std::min(retryAfter, left / RetryAfterDivisor);
     }
+    const bool memoryFull
+        = kind == ErrorKind::BodyMemoryFull && dispatchRecord_.verdict() != NotRun::True;
     GatewayResponse response = gatewayRefusalResponse(
         { .kind = kind,
+          .remedy = memoryFull ? std::string(MemoryFullRemedy) : std::string(),
           .requestId = callerRequest_.id.text(),
           .notRun = dispatchRecord_.verdict(),
           .retryAfterMs = std::chrono::duration_cast<milliseconds>(retryAfter).count() });
--- a/Source/Gateway/Exchange.h
+++ b/Source/Gateway/Exchange.h
@@ -284,6 +284,11 @@
     static void abortAfterReading(const std::shared_ptr<Attempt> &attempt, unsigned maxStalls);
     /// Returns the result of an attempt whose connection failed with `error`.
     [[nodiscard]] AttemptResult failure(Attempt &attempt, const boost::system::error_code &error);
+    /// The error of a request that may have run and has no response.
+    [[nodiscard]] ErrorKind failureKind() const
+    {
+        return memoryFull_ ? ErrorKind::BodyMemoryFull : ErrorKind::BackendFailed;
+    }
     /// Returns the hash by which nodes recognize this request when a caller sends it again.
     [[nodiscard]] RequestFingerprint fingerprint();
     /// Returns the parts of the prompt that other requests share, or for a plain service the groups
@@ -464,8 +469,11 @@
     bool limitedByStop_ = false;
     /// True if the server broke off the last attempt that ran the request and didn't end by itself.
     bool serverBrokeOff_ = false;
-    /// True if that attempt's response was given up because it was too long.
+    /// True if that attempt's response was given up because it was too long, or because other data
+    /// takes the node's memory.
     bool responseTooLong_ = false;
+    /// True if other data was the cause.
+    bool memoryFull_ = false;
 };
 
 } // namespace jacinthroad
--- a/Source/Gateway/ExchangeAttempt.cpp
+++ b/Source/Gateway/ExchangeAttempt.cpp
@@ -298,14 +298,16 @@
 {
     connectionError_ = error;
     if (attempt.connection != nullptr) {
+        attempt.memoryFull = attempt.memoryFull || isMemoryFull(error, attempt.connection->buffer);
         logReadLimit("response of " + serverOf(attempt).text(), error, attempt.connection->buffer,
                      attempt.connection->socket);
     }
     partialEventBytes_ = eventSplitter_.partialEvent().size();
     attempt.endedByServer = !attempt.timedOut && isEndOfConnection(error);
     // What a server sends that is no valid response breaks it off too.
-    serverBrokeOff_ = error && !isOwnClose(error);
+    serverBrokeOff_ = error && !isOwnClose(error) && !attempt.memoryFull;
     responseTooLong_ = exceedsReadLimit(error);
+    memoryFull_ = attempt.memoryFull;
     if (callerDisconnected_) {
         return AttemptResult::CallerDisconnected;
     }
@@ -417,6 +419,7 @@
         connection.prepareRead();
         if (!reserveForRead(*attempt.bodyMemory, body, parser.content_length(), connection.buffer,
                             MaxResponseBytes)) {
+            attempt.memoryFull = attempt.bodyMemory->refusedForOthers();
             co_return giveUpResponse(attempt, "response_too_long");
         }
         co_await http::async_read_some(connection.reader, connection.buffer, parser,
@@ -527,6 +530,7 @@
         attempt.bodyReceived = attempt.bodyReceived || size > 0;
         // What can't be kept stays unread, so that another server sends it again.
         if (!reserveEvent(attempt, size)) {
+            attempt.memoryFull = attempt.bodyMemory->refusedForOthers();
             co_return giveUpResponse(attempt, "event_too_long");
         }
         const std::string completeEvents = eventSplitter_.feed({ readBuffer.data(), size });
@@ -542,7 +546,9 @@
                 co_return AttemptResult::CallerDisconnected;
             }
         }
-        if (eventSplitter_.eventTooLong() || !reserveEvent(attempt, 0)) {
+        const bool tooLong = eventSplitter_.eventTooLong();
+        if (tooLong || !reserveEvent(attempt, 0)) {
+            attempt.memoryFull = !tooLong && attempt.bodyMemory->refusedForOthers();
             co_return giveUpResponse(attempt, "event_too_long");
         }
         if (attempt.wasInterrupted(error)) {
@@ -590,13 +596,16 @@
     const std::size_t bytes = attempt.bodyParser != nullptr
         ? attempt.bodyParser->get().body().size()
         : eventSplitter_.partialEvent().size();
-    logLine(LogLevel::Warning, event,
+    logLine(LogLevel::Warning, attempt.memoryFull ? "response_without_memory" : event,
             { { "request_id", callerRequest_.id.text() },
               { "server", attempt.placement.server.text() },
               { "bytes", static_cast<std::int64_t>(bytes) },
               { "body_memory_bytes", static_cast<std::int64_t>(state_.bodyMemory->used()) },
-              { "remedy", "Check the server, or raise memory.total_mb." } });
-    const AttemptResult end = failure(attempt, http::error::body_limit);
+              { "remedy",
+                attempt.memoryFull ? "Raise memory.total_mb if the VM has more, or add entry VMs."
+                                   : "Check the server, or raise memory.total_mb." } });
+    const AttemptResult end = failure(
+        attempt, attempt.memoryFull ? http::error::buffer_overflow : http::error::body_limit);
     if (attempt.bodyParser != nullptr) {
         std::string().swap(attempt.bodyParser->get().body());
     }
@@ -882,7 +891,7 @@
         break;
     case AttemptResult::TimedOut:
     case AttemptResult::CallerDisconnected:
-        if (!limitedByStop_ && !endedByStop_) {
+        if (!limitedByStop_ && !endedByStop_ && !attempt.memoryFull) {
             const Duration silence = std::max(attempt.longestSilence, now - attempt.lastReceivedAt);
             state_.pool.noteUnfinished(
                 server, route_->name, { .sentAt = attempt.sentAt, .longestSilence = silence }, now);
@@ -919,6 +928,7 @@
     case AttemptResult::NoResponse:
     case AttemptResult::StreamBroken:
         verdict = attempt.replaced     ? AttemptOutcome::Silent
+            : attempt.memoryFull       ? AttemptOutcome::Abandoned
             : attempt.connectionReused ? AttemptOutcome::Failed
                                        : AttemptOutcome::Unreachable;
         break;
@@ -940,7 +950,7 @@
                             now);
     } else {
         state_.pool.noteNotSent(server);
-        if (end == AttemptResult::NotSent) {
+        if (end == AttemptResult::NotSent && !attempt.memoryFull) {
             state_.pool.noteUnreachable(server, now);
         }
     }
--- a/Source/Gateway/ExchangeAttempt.h
+++ b/Source/Gateway/ExchangeAttempt.h
@@ -72,6 +72,8 @@
     /// written. It is closed before that of the connection, as Asio requires of duplicates.
     std::optional<boost::asio::ip::tcp::socket> writer;
     bool timedOut = false;
+    /// True if the response was given up because other data takes the node's memory.
+    bool memoryFull = false;
     /// True if the server ended the connection before the response was complete.
     bool endedByServer = false;
     Instant sentAt;
--- a/Source/Gateway/ExchangeConnect.cpp
+++ b/Source/Gateway/ExchangeConnect.cpp
@@ -105,7 +105,7 @@
 {
     const bool lost = end == AttemptResult::NoResponse || end == AttemptResult::StreamBroken
         || end == AttemptResult::NotSent || end == AttemptResult::TimedOut;
-    if (lost && sameStart) {
+    if (lost && !attempt.memoryFull && sameStart) {
         state_.connections.noteLost(attempt.placement.server);
     }
 }
@@ -134,9 +134,10 @@
             co_await http::async_read_some(connection.reader, connection.buffer, parser,
                                            asio::redirect_error(asio::use_awaitable, error));
         } else {
-            error = http::error::body_limit;
+            error = http::error::buffer_overflow;
         }
     }
+    attempt.memoryFull = isMemoryFull(error, connection.buffer);
     logReadLimit("report of " + attempt.placement.server.text(), error, connection.buffer,
                  connection.socket);
     if (error || !parser.keep_alive()) {
--- a/Source/Gateway/ReadBuffer.cpp
+++ b/Source/Gateway/ReadBuffer.cpp
@@ -105,6 +105,11 @@
         || error == http::error::body_limit;
 }
 
+bool isMemoryFull(const error_code &error, const ReadBuffer &buffer)
+{
+    return error == http::error::buffer_overflow && !buffer.isFull();
+}
+
 void logReadLimit(std::string_view reader, const error_code &error, const ReadBuffer &buffer,
                   const boost::asio::ip::tcp::socket &socket)
 {
--- a/Source/Gateway/ReadBuffer.h
+++ b/Source/Gateway/ReadBuffer.h
@@ -109,6 +109,9 @@
 /// message or the memory for received data.
 [[nodiscard]] bool exceedsReadLimit(const boost::system::error_code &error);
 
+/// True if a read through `buffer` ended with `error` because other data takes the node's memory.
+[[nodiscard]] bool isMemoryFull(const boost::system::error_code &error, const ReadBuffer &buffer);
+
 /// Logs `input_refused` if exceedsReadLimit(error). `reader` names what was being read.
 void logReadLimit(std::string_view reader, const boost::system::error_code &error,
                   const ReadBuffer &buffer, const boost::asio::ip::tcp::socket &socket);
--- a/Source/Gateway/SilentAttempt.cpp
+++ b/Source/Gateway/SilentAttempt.cpp
@@ -129,6 +129,7 @@
         silentGivenUp_ = true;
         serverBrokeOff_ = false;
         responseTooLong_ = false;
+        memoryFull_ = false;
         silent.abort();
     }
 }
--- a/Tests/Core/MemoryBudgetTest.cpp
+++ b/Tests/Core/MemoryBudgetTest.cpp
@@ -40,6 +40,24 @@
     BOOST_TEST(budget->used() == 7'020'000U);
 }
 
+BOOST_AUTO_TEST_CASE(sizeIsTakenForTheFaultOfOthers)
+{
+    const auto budget = std::make_shared<MemoryBudget>(Limit);
+    budget->setLongResponseLimit(Limit / 2);
+    MemoryReservation other = reservation(budget, BodyKind::Response);
+    MemoryReservation response = reservation(budget, BodyKind::Response);
+    BOOST_TEST(other.resize(3'000'000));
+    BOOST_TEST(!response.resize(3'000'000));
+    BOOST_TEST(response.refusedForOthers());
+    BOOST_TEST(!response.resize(4'100'000));
+    BOOST_TEST(!response.refusedForOthers());
+    MemoryReservation request = reservation(budget, BodyKind::Request);
+    BOOST_TEST(!request.resize(5'000'000));
+    BOOST_TEST(request.refusedForOthers());
+    BOOST_TEST(!request.resize(6'100'000));
+    BOOST_TEST(!request.refusedForOthers());
+}
+
 // Responses of faulty servers filled the memory, so that requests for others were refused.
 BOOST_AUTO_TEST_CASE(longResponsesTakeTheMemoryOfRequests)
 {
