CallerSession: Reserve what arrives of bodies without a valid key

The length that a caller states was reserved before a byte of the body had arrived, for up to 20 s, also without a key.

Whether a body has room is still checked for all callers at the end of the header. The length stays reserved only for those with the key of a team in the configuration in force; of all others what has arrived is, as of bodies without a length.

--- a/Source/Gateway/CallerSession.cpp
+++ b/Source/Gateway/CallerSession.cpp
@@ -578,6 +578,10 @@
     if (length.has_value() && !bodyMemory.resize(*length)) {
         co_return noMemory;
     }
+    const bool reservesLength = length.has_value() && hasValidKey(parser);
+    if (!reservesLength) {
+        static_cast<void>(bodyMemory.resize(0));
+    }
     error_code error;
     // HTTP/1.0 has no interim responses.
     if (parser.get().version() >= 11
@@ -596,7 +600,7 @@
             if (refillMemoryReserve() != MemoryLevel::Sufficient) {
                 co_return noMemory;
             }
-            if (!length.has_value()
+            if (!reservesLength
                 && !reserveForRead(bodyMemory, parser.get().body(), length, buffer_, limit)) {
                 co_return noMemory;
             }
@@ -609,6 +613,13 @@
     co_return error;
 }
 
+bool CallerSession::hasValidKey(const Parser &parser) const
+{
+    const auto facts = platform::readCallerRequest(parser.get().base());
+    return facts.has_value() && !facts->key.empty() && state_.routes != nullptr
+        && state_.routes->team(facts->key) != nullptr;
+}
+
 asio::awaitable<void> CallerSession::respondToParseError(error_code error, Parser &parser)
 {
     const bool isParseError
--- a/Source/Gateway/CallerSession.h
+++ b/Source/Gateway/CallerSession.h
@@ -89,9 +89,12 @@
     /// Limit in bytes for the header of a request.
     [[nodiscard]] std::uint32_t headerLimit() const;
     /// Reads the body of a request whose header has been read, unless `bodyMemory` has no room for
-    /// it; refuses the request then and returns ENOMEM.
+    /// it; refuses the request then and returns ENOMEM. A stated length is reserved for a caller
+    /// with a valid key, and what has arrived for all others.
     [[nodiscard]] boost::asio::awaitable<boost::system::error_code>
     readBody(Parser &parser, MemoryReservation &bodyMemory);
+    /// True if the header has the key of a team in the configuration that is in force.
+    [[nodiscard]] bool hasValidKey(const Parser &parser) const;
     [[nodiscard]] boost::asio::awaitable<void> respondToParseError(boost::system::error_code error,
                                                                    Parser &parser);
     /// Refuses a request that was not read completely and closes the connection.
--- a/Tests/Gateway/BodyMemoryTest.cpp
+++ b/Tests/Gateway/BodyMemoryTest.cpp
@@ -1,6 +1,9 @@
 #include <atomic>
+#include <string>
 #include <thread>
+#include <vector>
 
+#include <boost/asio/write.hpp>
 #include <boost/test/unit_test.hpp>
 
 #include "Core/MemoryBudget.h"
@@ -121,6 +124,53 @@
     BOOST_TEST(longRequests == 3);
 }
 
+// Senders without a key stated long bodies and sent nothing, so that requests of others were
+// refused.
+BOOST_FIXTURE_TEST_CASE(statedBodiesWithoutAKeyTakeTheMemoryOfOthers, BodyMemoryFixture)
+{
+    constexpr int StatedBytes = 16 * 1024 * 1024;
+    settings.memoryMb = 110;
+    Json::Value spec = store.spec("config", "main");
+    spec["version"] = 3;
+    spec["limits"]["maxBodyBytes"] = StatedBytes;
+    store.put("config", "main", spec);
+    release = true;
+    addSlowServer("s1");
+    start();
+    std::vector<boost::asio::ip::tcp::socket> senders;
+    for (int number = 0; number < 4; ++number) {
+        senders.push_back(connect());
+        boost::asio::write(senders.back(),
+                           boost::asio::buffer("POST /unsafe/a HTTP/1.1\r\nHost: h\r\n"
+                                               "X-Request-Id: stated\r\nContent-Length: "
+                                               + std::to_string(StatedBytes) + "\r\n\r\n"));
+    }
+    std::this_thread::sleep_for(milliseconds(100));
+    BOOST_TEST(heldBytes().value_or(StatedBytes) < StatedBytes);
+    const auto response = call("POST", "/unsafe/a", std::string(LongBodyBytes, 'x'));
+    BOOST_REQUIRE(response != nullptr);
+    BOOST_TEST(response->result_int() == 200U);
+}
+
+// What arrives without a key counts, and what can't fit is refused before it is sent.
+BOOST_FIXTURE_TEST_CASE(bodiesWithoutAKeyTakeMemoryOutsideTheAccount, BodyMemoryFixture)
+{
+    addSlowServer("s1");
+    start();
+    const std::string head = "POST /unsafe/a HTTP/1.1\r\nHost: h\r\nX-Request-Id: keyless\r\n"
+                             "Content-Length: "
+        + std::to_string(LongBodyBytes) + "\r\n\r\n";
+    std::vector<boost::asio::ip::tcp::socket> senders;
+    for (int number = 0; number < 2; ++number) {
+        senders.push_back(connect());
+        boost::asio::write(senders.back(),
+                           boost::asio::buffer(head + std::string(LongBodyBytes - 1, 'x')));
+    }
+    std::this_thread::sleep_for(milliseconds(100));
+    BOOST_TEST(heldBytes().value_or(0) >= 2.0 * (LongBodyBytes - 1));
+    BOOST_TEST(sendBytes(head, milliseconds(300)).starts_with("HTTP/1.1 503"));
+}
+
 // The memory of requests whose callers leave must not stay reserved, nor that of refused ones.
 BOOST_FIXTURE_TEST_CASE(memoryIsGivenBackWhenCallersLeave, BodyMemoryFixture)
 {
