UnreadResponseTest: Look at the node for ended connections, not at the peer

The test counted the connections whose close their peer had received. A node's connection that TCP ends after its user timeout, while the peer's window is closed, sends nothing any more, so one of 300 was counted as open in 3 of 3 runs of the relay's case, although the node had ended it (inferred from the log; not traced). The node must hold nothing for any of them now, which is more than the size of one response less that was allowed before.

--- a/Tests/Gateway/UnreadResponseTest.cpp
+++ b/Tests/Gateway/UnreadResponseTest.cpp
@@ -1,4 +1,3 @@
-#include <algorithm>
 #include <array>
 #include <thread>
 #include <utility>
@@ -139,11 +138,11 @@
     MemoryWatch watch;
     asio::io_context context;
     std::vector<asio::ip::tcp::socket> sockets;
-    const auto began = std::chrono::steady_clock::now();
     for (std::size_t index = 0; index < Connections; ++index) {
         sockets.emplace_back(context);
         node.ask(sockets.back(), requests);
     }
+    const auto began = std::chrono::steady_clock::now();
     std::this_thread::sleep_for(milliseconds(1000));
     const std::size_t used = node.memory->used();
     BOOST_CHECK_MESSAGE(used >= responseBytes,
@@ -157,11 +156,8 @@
     while (std::chrono::steady_clock::now() - began < WriteLimit + EndAllowance) {
         std::this_thread::sleep_for(milliseconds(10));
     }
-    const auto open = std::count_if(sockets.begin(), sockets.end(), [](const auto &socket) {
-        return !hasReceivedClose(const_cast<asio::ip::tcp::socket &>(socket));
-    });
-    BOOST_TEST(open == 0);
-    BOOST_TEST(node.memory->used() < responseBytes);
+    // A connection that TCP ended isn't closed for its peer.
+    BOOST_TEST(node.memory->used() == 0U);
 }
 
 } // namespace
