--- a/Source/Core/PageAccount.cpp
+++ b/Source/Core/PageAccount.cpp
@@ -43,7 +43,7 @@
 tl::unexpected<Error> PageAccount::fault(const std::string &problem) const
 {
     return makeError(ErrorKind::PlatformUnavailable, object_ + " of " + sender_ + ": " + problem,
-                     "Check " + sender_ + "; the former copy stays in use.");
+                     "Check the sender.");
 }
 
 } // namespace jacinthroad
--- a/Source/Gateway/StoreSync.cpp
+++ b/Source/Gateway/StoreSync.cpp
@@ -184,7 +184,7 @@
     logLine(LogLevel::Warning, "list_refused",
             { { "object", options_.name },
               { "reason", error.message },
-              { "remedy", error.remedyText() } });
+              { "remedy", error.remedyText() + " The former copy stays in use." } });
     setReachable(false, error.message);
 }
 
--- a/Tests/Core/PageAccountTest.cpp
+++ b/Tests/Core/PageAccountTest.cpp
@@ -27,7 +27,7 @@
     BOOST_REQUIRE(!refused.has_value());
     BOOST_TEST(refused.error().message
                == "list of the store: its pages take more than 600 bytes of memory");
-    BOOST_TEST(refused.error().remedy == "Check the store; the former copy stays in use.");
+    BOOST_TEST(refused.error().remedy == "Check the sender.");
     account.release();
     BOOST_TEST(budget->used() == 0U);
 }
