StreamVersionSync: Give up a list of origins that has no end

The list of the records of all nodes was read for as long as the store said that more follow, and every version that it named for a stream kept; resumes waited for it. StreamVersionSyncTest/recordsWithoutEndLeaveAResumeUndecided failed in both cells with the code before: no decision within 12 s.

The list has a PageAccount of 1 MB and 10 s; a resume is refused then as if the store could not be read. Both cells pass.

--- a/Source/Gateway/StreamVersionSync.cpp
+++ b/Source/Gateway/StreamVersionSync.cpp
@@ -7,6 +7,7 @@
 #include <boost/asio/co_spawn.hpp>
 
 #include "Core/Log.h"
+#include "Core/PageAccount.h"
 #include "Core/WallClock.h"
 #include "Gateway/BootClock.h"
 #include "Gateway/RestartingTask.h"
@@ -26,6 +27,9 @@
 /// Number of resumed streams whose origins are remembered, about 150 bytes each.
 constexpr std::size_t RememberedOrigins = 4096;
 constexpr Duration OmissionLogPeriod = std::chrono::seconds(10);
+/// What a list of the records of all nodes may take, for which callers wait.
+constexpr PageLimits OriginsLimits { .bytes = std::size_t { 1024 } * 1024,
+                                     .time = std::chrono::seconds(10) };
 
 Instant steadyNow()
 {
@@ -468,6 +472,8 @@
     for (const Resume &resume : answering_) {
         wanted.emplace(resume.stream, resume.service);
     }
+    PageAccount account("list of 'streamorigins'", "the store", client_.memory(), OriginsLimits);
+    account.begin(steadyNow());
     std::string after;
     for (bool more = true; more;) {
         const auto reply = co_await client_.call(
@@ -480,15 +486,25 @@
         if (!page.has_value()) {
             co_return false;
         }
+        std::size_t keptBytes = 0;
         for (const platform::StoredObject &object : page->objects) {
             for (const OriginBatch &batch : readStreamOrigins(object.spec)) {
                 for (const StreamId stream : batch.streams) {
-                    if (wanted.contains({ stream, batch.service })) {
-                        found[{ stream, batch.service }].insert(batch.version);
+                    if (wanted.contains({ stream, batch.service })
+                        && found[{ stream, batch.service }].insert(batch.version).second) {
+                        keptBytes += sizeof(SoftwareVersion) + batch.version.size();
                     }
                 }
             }
         }
+        const auto added = account.add(keptBytes, steadyNow());
+        if (!added.has_value()) {
+            logLine(LogLevel::Warning, "list_refused",
+                    { { "object", "streamorigins" },
+                      { "reason", added.error().message },
+                      { "remedy", added.error().remedyText() } });
+            co_return false;
+        }
         more = page->more && !page->objects.empty() && page->objects.back().name > after;
         if (more) {
             after = page->objects.back().name;
--- a/Tests/Gateway/StreamVersionSyncTest.cpp
+++ b/Tests/Gateway/StreamVersionSyncTest.cpp
@@ -1,13 +1,17 @@
+#include <atomic>
 #include <memory>
 #include <optional>
 #include <stdexcept>
 #include <string>
+#include <thread>
 #include <utility>
 #include <vector>
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <boost/asio/io_context.hpp>
+#include <boost/test/data/monomorphic.hpp>
+#include <boost/test/data/test_case.hpp>
 #include <boost/test/unit_test.hpp>
 
 #include "Core/Json.h"
@@ -371,6 +375,56 @@
     BOOST_TEST(text(first.decide(8)) == "v1");
 }
 
+BOOST_DATA_TEST_CASE(recordsWithoutEndLeaveAResumeUndecided,
+                     boost::unit_test::data::make({ false, true }), namesVersions)
+{
+    constexpr StreamId Stream = 0xabc;
+    constexpr std::size_t VersionBytes = 100'000;
+    constexpr Duration Limit = std::chrono::seconds(12);
+    const auto memory = std::make_shared<MemoryBudget>(70'000'000);
+    std::atomic<std::size_t> pages { 0 };
+    ScriptedServer store([&](ScriptedConnection &connection) {
+        boost::beast::http::request<boost::beast::http::string_body> request;
+        while (connection.read(request)) {
+            if (std::string(request.target()).find(RecordsKind) == std::string::npos) {
+                connection.write(responseText(404, "", "{}"));
+                continue;
+            }
+            constexpr std::size_t FirstName = 10'000'000;
+            std::this_thread::sleep_for(milliseconds(1));
+            Json::Value page;
+            page["currentRev"] = 9;
+            page["hasMore"] = true;
+            Json::Value &object = page["items"][0];
+            object["metadata"]["name"] = std::to_string(FirstName + ++pages);
+            object["metadata"]["revision"] = 1;
+            Json::Value &batch = object["spec"]["batches"][0];
+            batch["at_ms"] = 1;
+            batch["service"] = Service.text();
+            batch["version"] = std::to_string(pages) + std::string(VersionBytes, 'v');
+            batch["streams"] = namesVersions ? "0000000000000abc" : "0000000000000def";
+            connection.write(responseText(200, "", writeJson(page)));
+        }
+    });
+    asio::io_context context { 1 };
+    GatewayMetrics metrics;
+    StoreClient client(context, store.address(), metrics, memory);
+    StreamVersionSync sync(context, client, { .node = "front-1" }, [](const VersionTable &) {});
+    asio::co_spawn(context, sync.run(), asio::detached);
+    sync.applyServices({ Service });
+    std::vector<ResumeDecision> decisions;
+    sync.resolve(Stream, Service,
+                 [&](const ResumeDecision &decision) { decisions.push_back(decision); });
+    const Instant began = std::chrono::steady_clock::now();
+    while (decisions.empty() && std::chrono::steady_clock::now() - began < Limit) {
+        context.run_one_for(milliseconds(20));
+    }
+    BOOST_REQUIRE(decisions.size() == 1U);
+    BOOST_TEST(text(decisions.front()) == "no store");
+    // The versions that are kept take 1 MB at most.
+    BOOST_TEST((!namesVersions || pages <= 15U));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace jacinthroad
