Gateway: Leave time for the end of the process after the waits of a stop

A stop waited 225 ms for the traffic thread and then 150 ms for the release of the lease, of the last 450 ms. Each wait ends late on a node that has a quarter of a core, which doesn't run for 75 of each 100 ms, so that a stop beside a traffic thread that is late outlasted the grace period.

The lease is released first, and both waits end when half of the rest of the grace period has passed, also if the stop comes to them late.

StopScheduleTest holds the same for the times; the function is new there, and answerTime(), whose sum it checked, is gone.

--- a/Source/Fleet/StopSchedule.cpp
+++ b/Source/Fleet/StopSchedule.cpp
@@ -40,9 +40,9 @@
     return grace_ - std::min(StopMargin, grace_ / MarginDivisor);
 }
 
-Duration StopSchedule::answerTime() const
+Duration StopSchedule::waitEnd(Duration sinceSignal) const
 {
-    return (grace_ - answerEnd()) / 2;
+    return sinceSignal + std::max(grace_ - sinceSignal, Duration::zero()) / 2;
 }
 
 Duration StopSchedule::releaseTime() const
--- a/Source/Fleet/StopSchedule.h
+++ b/Source/Fleet/StopSchedule.h
@@ -33,9 +33,10 @@
     [[nodiscard]] Duration listenerEnd() const;
     /// When requests without a response get their final one.
     [[nodiscard]] Duration answerEnd() const;
-    /// Time within which the final responses are given after answerEnd().
-    [[nodiscard]] Duration answerTime() const;
-    /// Time from the last responses to the end of the process.
+    /// Until when a node that comes to its final responses at this time waits for them and for the
+    /// release of the lease. The rest of the grace period is for the end of the process.
+    [[nodiscard]] Duration waitEnd(Duration sinceSignal) const;
+    /// Time that the release of the lease and the sending of the final responses take.
     [[nodiscard]] Duration releaseTime() const;
 
     /// Returns the time within which the request is served, which never passes answerEnd(); nothing
--- a/Source/Gateway/Gateway.cpp
+++ b/Source/Gateway/Gateway.cpp
@@ -270,9 +270,9 @@
     void uncordonServer(const ServerId &server, const ModelId &model, WeightsVersion version);
     /// Checks every DrainPollPeriod whether the node can stop, and fulfils `idle` then.
     void pollDrain(const std::shared_ptr<std::promise<void>> &idle);
-    /// Ends the requests that are left at the end of a stop. Waits up to `limit` for the traffic
-    /// thread, which is late after a stall of the process.
-    void answerOpenRequests(Duration limit);
+    /// Ends the requests that are left at the end of a stop. Waits until `end` at most for the
+    /// traffic thread, which is late after a stall of the process.
+    void answerOpenRequests(Instant end);
     void reportToRollout();
     void assignCaches();
     /// Listens for connections with a limited receive buffer.
@@ -783,7 +783,7 @@
     }
 }
 
-void Gateway::Parts::answerOpenRequests(Duration limit)
+void Gateway::Parts::answerOpenRequests(Instant end)
 {
     auto done = std::make_shared<std::promise<void>>();
     std::future<void> answered = done->get_future();
@@ -791,7 +791,7 @@
         traffic.answerOpenRequests();
         done->set_value();
     });
-    static_cast<void>(answered.wait_for(limit));
+    static_cast<void>(answered.wait_until(end));
 }
 
 Gateway::Gateway(std::unique_ptr<Parts> parts)
@@ -855,12 +855,15 @@
     asio::post(parts_->controlContext, [parts = parts_.get()] { parts->rollout.beginDrain(); });
     const bool ended
         = stopped.wait_until(signalled + schedule.answerEnd()) == std::future_status::ready;
+    asio::post(parts_->controlContext, [parts = parts_.get()] { parts->rollout.releaseLease(); });
+    const Instant waitEnd
+        = signalled + schedule.waitEnd(std::chrono::steady_clock::now() - signalled);
     if (!ended) {
-        parts_->answerOpenRequests(schedule.answerTime());
+        parts_->answerOpenRequests(waitEnd);
     }
-    asio::post(parts_->controlContext, [parts = parts_.get()] { parts->rollout.releaseLease(); });
-    // The last responses are sent meanwhile.
-    std::this_thread::sleep_for(schedule.releaseTime());
+    // The lease is released and the last responses are sent meanwhile.
+    std::this_thread::sleep_until(
+        std::min(std::chrono::steady_clock::now() + schedule.releaseTime(), waitEnd));
     return stopped.wait_for(Duration::zero()) == std::future_status::ready;
 }
 
--- a/Tests/Fleet/StopScheduleTest.cpp
+++ b/Tests/Fleet/StopScheduleTest.cpp
@@ -120,8 +120,22 @@
     for (const auto grace : { milliseconds(0), milliseconds(500), milliseconds(2000),
                               milliseconds(3500), milliseconds(8000), milliseconds(60000) }) {
         const StopSchedule schedule(grace);
-        BOOST_TEST(
-            (schedule.answerEnd() + schedule.answerTime() + schedule.releaseTime() <= grace));
+        const Duration end = schedule.waitEnd(schedule.answerEnd());
+        BOOST_TEST((schedule.answerEnd() + schedule.releaseTime() <= end));
+        BOOST_TEST((end <= grace));
+        BOOST_TEST((schedule.waitEnd(grace + milliseconds(100)) == grace + milliseconds(100)));
+    }
+}
+
+BOOST_AUTO_TEST_CASE(waitsOfANodeWithAQuarterOfACoreLeaveTimeForTheEndOfItsProcess)
+{
+    // The node is kept from running before, during and after its wait.
+    constexpr Duration Stopped = milliseconds(75);
+    for (const auto grace : { milliseconds(3600), milliseconds(5000), milliseconds(60000) }) {
+        const StopSchedule schedule(grace);
+        const Duration begin = schedule.answerEnd() + Stopped;
+        BOOST_TEST((begin < schedule.waitEnd(begin)));
+        BOOST_TEST((schedule.waitEnd(begin) + 2 * Stopped <= grace));
     }
 }
 
--- a/Tests/Gateway/DrainTest.cpp
+++ b/Tests/Gateway/DrainTest.cpp
@@ -1,5 +1,7 @@
+#include <algorithm>
 #include <array>
 #include <atomic>
+#include <filesystem>
 #include <mutex>
 #include <set>
 #include <string>
@@ -9,11 +11,13 @@
 #include <boost/asio/write.hpp>
 #include <boost/test/unit_test.hpp>
 #include <csignal>
+#include <sys/syscall.h>
 #include <sys/wait.h>
 #include <unistd.h>
 
 #include "Core/Endpoint.h"
 #include "Core/Log.h"
+#include "Fleet/StopSchedule.h"
 #include "FreeAddress.h"
 #include "Gateway/GatewaySettings.h"
 #include "Gateway/SocketOptions.h"
@@ -79,6 +83,9 @@
     });
 }
 
+/// Longer than a stop waits for the traffic thread.
+constexpr Duration StallTime = milliseconds(1000);
+
 /// A process with a gateway that has no store and has begun to stop.
 class StoppingProcess
 {
@@ -108,11 +115,34 @@
     StoppingProcess &operator=(const StoppingProcess &) = delete;
     ~StoppingProcess()
     {
-        signal(SIGCONT);
-        waitpid(process_, nullptr, 0);
+        if (!hasEnded()) {
+            signal(SIGCONT);
+            waitpid(process_, nullptr, 0);
+        }
     }
 
-    void signal(int number) const { ::kill(process_, number); }
+    void signal(int number) const
+    {
+        if (!ended_) {
+            ::kill(process_, number);
+        }
+    }
+    /// Keeps the traffic thread, which is the youngest one, from running for StallTime.
+    void stallTraffic() const
+    {
+        const std::string folder = "/proc/" + std::to_string(process_) + "/task";
+        pid_t youngest = 0;
+        for (const auto &entry : std::filesystem::directory_iterator(folder)) {
+            youngest = std::max(youngest, std::stoi(entry.path().filename().string()));
+        }
+        BOOST_TEST(syscall(SYS_tgkill, process_, youngest, SIGUSR1) == 0);
+    }
+    /// True if the process has ended.
+    [[nodiscard]] bool hasEnded()
+    {
+        ended_ = ended_ || waitpid(process_, nullptr, WNOHANG) == process_;
+        return ended_;
+    }
     [[nodiscard]] asio::ip::tcp::socket connect()
     {
         asio::ip::tcp::socket socket(context_);
@@ -124,6 +154,7 @@
     [[noreturn]] void run(int channel) const
     {
         configureLog(settings_.log);
+        std::signal(SIGUSR1, [](int) { std::this_thread::sleep_for(StallTime); });
         const auto gateway = Gateway::start(settings_);
         if (gateway.has_value() && write(channel, "b", 1) == 1) {
             static_cast<void>((*gateway)->drain());
@@ -133,6 +164,7 @@
 
     GatewaySettings settings_;
     pid_t process_ = -1;
+    bool ended_ = false;
     asio::io_context context_;
 };
 
@@ -534,6 +566,29 @@
                < toMilliseconds(fixture.settings.stopGrace));
 }
 
+// The waits for the traffic thread and for the release of the lease followed each other.
+BOOST_AUTO_TEST_CASE(stopOfANodeWithAQuarterOfACoreOutlastsItsGracePeriodBesideAStall)
+{
+    constexpr Duration Grace = std::chrono::seconds(5);
+    constexpr Duration Runs = milliseconds(25);
+    constexpr Duration Stopped = milliseconds(75);
+    StoppingProcess process;
+    const Instant begin = std::chrono::steady_clock::now();
+    auto socket = process.connect();
+    asio::write(socket, asio::buffer(requestHead("r1", 2) + "a"));
+    // The node runs when its requests are due to be ended.
+    Instant next = begin + StopSchedule(Grace).answerEnd() - Runs / 2 - 2 * Stopped - Runs;
+    std::this_thread::sleep_until(next);
+    process.stallTraffic();
+    while (!process.hasEnded() && next < begin + Grace) {
+        process.signal(SIGSTOP);
+        std::this_thread::sleep_until(next += Stopped);
+        process.signal(SIGCONT);
+        std::this_thread::sleep_until(std::min(next += Runs, begin + Grace));
+    }
+    BOOST_TEST(process.hasEnded());
+}
+
 BOOST_AUTO_TEST_CASE(requestThatCrossesTheCloseInAStopIsNotReadAndDropped)
 {
     constexpr Duration ConnectionClosed = milliseconds(1000);
