--- a/Source/Gateway/ExchangeAttempt.h
+++ b/Source/Gateway/ExchangeAttempt.h
@@ -74,6 +74,8 @@
     bool timedOut = false;
     /// True if the response was given up because other data takes the node's memory.
     bool memoryFull = false;
+    /// Bytes of the connection that had arrived when the time limit ended.
+    std::uint64_t bytesByDeadline = 0;
     /// True if the server ended the connection before the response was complete.
     bool endedByServer = false;
     Instant sentAt;
@@ -150,6 +152,14 @@
                 || (bodyParser != nullptr && bodyParser->get().result_int() >= FirstServerError));
     }
 
+    /// True if all that had arrived when the time limit ended has been read, on a connection that
+    /// sends more than any engine. Such a connection always has unread bytes.
+    [[nodiscard]] bool sendsOnAfterDeadline() const
+    {
+        return connection->reader.exceedsAllowance()
+            && connection->reader.readBytes() >= bytesByDeadline;
+    }
+
     /// Aborts the attempt because its time limit has ended.
     void endAtDeadline()
     {
