ServerPool: Bound the loads that peers report

The load of each server was kept for each of up to 2,048 names that datagrams claimed, for as long as the server was listed, and every placement walked through all of them.

Loads of registered neighbours and other zones are kept, and those of 64 other names at once: a node that has just started reports before it is listed, and has no list itself. Reports go once they have no weight, after ten half-lives, which changes no placement. Names are kept as hashes. DigestExchangeTest/loadOfRegisteredNodeIsIgnoredBesideEndlessNames fails without the names of the registered nodes: 10 of 20 calls go to the loaded server.

--- a/Source/Gateway/DigestExchange.cpp
+++ b/Source/Gateway/DigestExchange.cpp
@@ -100,6 +100,14 @@
     topology_ = FleetTopology(state_.settings.name, state_.settings.zone, nodes);
     peers_ = endpointsOf(topology_.neighbours());
     lostServices_.setPeers(topology_.neighbours());
+    std::vector<std::string> reporting;
+    for (const FleetNode &node : topology_.neighbours()) {
+        reporting.push_back(node.name);
+    }
+    for (const FleetNode &node : topology_.remote()) {
+        reporting.push_back(zonePeerName(node.zone));
+    }
+    state_.pool.setReportingPeers(reporting);
 }
 
 void DigestExchange::scheduleDigest()
--- a/Source/Placement/ServerPool.cpp
+++ b/Source/Placement/ServerPool.cpp
@@ -216,6 +216,11 @@
     }
 }
 
+void ServerPool::setReportingPeers(std::span<const std::string> names)
+{
+    reportingPeers_.setRegistered(names);
+}
+
 ServerStatements::Changes ServerPool::noteStatement(const ServerInstance &instance,
                                                     const ServerStatement &statement, Instant now)
 {
--- a/Source/Placement/ServerPool.h
+++ b/Source/Placement/ServerPool.h
@@ -19,6 +19,7 @@
 #include "Fleet/ListedServer.h"
 #include "FleetPeers/NodeDigest.h"
 #include "Placement/CachedPartSet.h"
+#include "Placement/ReportingPeers.h"
 #include "Placement/ServerStatements.h"
 #include "Placement/UnfinishedResponses.h"
 
@@ -253,6 +254,8 @@
                        Instant until);
     /// Sets the names of this node and of all nodes, which share the limits of servers.
     void setNodes(const std::string &self, std::span<const std::string> names);
+    /// Sets the registered peers whose loads are kept: nodes, and zonePeerName() of other zones.
+    void setReportingPeers(std::span<const std::string> names);
     /// Applies what a response stated about its server, unless another start of it is listed by
     /// now. Returns what changed.
     ServerStatements::Changes noteStatement(const ServerInstance &server,
@@ -385,7 +388,8 @@
         Instant cordonedUntil;
         /// The peer that reported the cordon; empty if this node set it.
         std::string cordonedBy;
-        std::unordered_map<std::string, PeerLoad> peers;
+        /// Keyed by the hashes of the peers' names.
+        std::unordered_map<std::uint64_t, PeerLoad> peers;
         /// Parts sent to it, prefilled by it and removed from it that no digest has reported yet.
         std::vector<CachedPart> pendingSent;
         std::vector<CachedPart> pendingPrefilled;
@@ -416,6 +420,10 @@
     void forgetUnfinished(const ServerId &id);
     void applyPeerLoad(Server &server, const std::string &peer, const ServerUpdate &update,
                        Instant now, PeerScope scope);
+    /// Returns true once nothing depends on a peer's report any more.
+    [[nodiscard]] static bool expired(const PeerLoad &load, Instant now);
+    /// Removes those reports, from time to time.
+    void removeExpiredLoads(Instant now);
     void noteLeaving(Server &server, const std::string &peer, const ServerUpdate &update,
                      Instant now);
     /// Returns true while a server gets no requests after failures, or because of what peers
@@ -531,6 +539,8 @@
     /// Hashes of the names of this node and of all nodes.
     std::uint64_t selfHash_ = 0;
     std::vector<std::uint64_t> nodeHashes_;
+    ReportingPeers reportingPeers_;
+    Instant expiredLoadsRemovedAt_;
     std::unordered_map<ServiceId, ServiceDefinition> services_;
     std::unordered_map<ServerId, Server> servers_;
     std::unordered_map<ServiceId, ServiceRejections> serviceRejections_;
--- a/Source/Placement/ServerPoolPeers.cpp
+++ b/Source/Placement/ServerPoolPeers.cpp
@@ -3,6 +3,8 @@
 #include <algorithm>
 #include <unordered_set>
 
+#include "Core/Hashing.h"
+
 namespace jacinthroad {
 
 namespace {
@@ -36,6 +38,9 @@
 /// Calls of takeServerUpdates() between two reports of weights that have not changed.
 constexpr std::uint64_t WeightsRefreshRounds = 8;
 
+/// Time between two removals of reports that have expired.
+constexpr Duration RemoveExpiredPeriod = std::chrono::seconds(1);
+
 /// Time for which an observed limit, and the end of one, are reported to peers.
 constexpr Duration LimitReportTime = std::chrono::seconds(3);
 constexpr double MaxLimitPerThousandSeconds = 1e9;
@@ -112,7 +117,7 @@
 void ServerPool::applyPeerLoad(Server &server, const std::string &peer, const ServerUpdate &update,
                                Instant now, PeerScope scope)
 {
-    PeerLoad &load = server.peers[peer];
+    PeerLoad &load = server.peers[hash64(peer)];
     load = { .inFlight = update.inFlight,
              .pendingPrefillTokens = update.pendingPrefillTokens,
              .silentMs = update.unresponsiveMs,
@@ -162,9 +167,23 @@
         || unreachableUntil(server, now) > now;
 }
 
+void ServerPool::removeExpiredLoads(Instant now)
+{
+    if (now - expiredLoadsRemovedAt_ < RemoveExpiredPeriod) {
+        return;
+    }
+    expiredLoadsRemovedAt_ = now;
+    for (auto &[id, server] : servers_) {
+        std::erase_if(server.peers,
+                      [now](const auto &entry) { return expired(entry.second, now); });
+    }
+}
+
 void ServerPool::applyPeer(const std::string &peer, std::span<const ServerUpdate> updates,
                            Instant now, PeerScope scope, std::span<const ServiceId> lostServices)
 {
+    removeExpiredLoads(now);
+    const bool loadsKept = reportingPeers_.note(peer, now);
     const auto withoutLinks = [&](const Server &server) {
         return scope == PeerScope::NodeWithoutLinks
             || std::find(lostServices.begin(), lostServices.end(), server.facts.service)
@@ -173,7 +192,7 @@
     if (scope == PeerScope::NodeWithoutLinks || !lostServices.empty()) {
         for (auto &[id, server] : servers_) {
             if (withoutLinks(server)) {
-                server.peers.erase(peer);
+                server.peers.erase(hash64(peer));
             }
         }
     }
@@ -187,7 +206,7 @@
             continue;
         }
         Server &server = *found;
-        if (!withoutLinks(server)) {
+        if (loadsKept && !withoutLinks(server)) {
             applyPeerLoad(server, peer, update, now, scope);
         }
         if (toleratedRejections(server).has_value()) {
--- a/Source/Placement/ServerPoolPlacement.cpp
+++ b/Source/Placement/ServerPoolPlacement.cpp
@@ -39,14 +39,25 @@
     return scope == PeerScope::Zone ? ZoneReportHalfLife : LoadReportHalfLife;
 }
 
+/// Half-lives after which a report has no weight.
+constexpr int MaxHalfLives = 10;
+// The longest avoidance that a peer reports has ended then.
+static_assert(MaxHalfLives * LoadReportHalfLife >= milliseconds(MaxUnreachableMs));
+static_assert(MaxHalfLives * ZoneReportHalfLife < ReportingPeers::UnregisteredLifetime);
+
 double decayed(double value, Duration age, Duration halfLife = LoadReportHalfLife)
 {
     const double halves = toMilliseconds(age) / toMilliseconds(halfLife);
-    return halves > 10 ? 0 : value * std::exp2(-halves);
+    return halves > MaxHalfLives ? 0 : value * std::exp2(-halves);
 }
 
 } // namespace
 
+bool ServerPool::expired(const PeerLoad &load, Instant now)
+{
+    return now - load.at > MaxHalfLives * halfLife(load.scope);
+}
+
 bool ServerPool::runsOutdatedWeights(const Server &server, const ModelId &model) const
 {
     return desiredWeights_.isOutdated(model, weightsOf(server, model));
