StatusServer: Answer the readiness check beside a full account

Readiness took its memory from the account of received data, which control data may exceed by an eighth: one list of the store may fill that too. The balancer's check then got a closed connection, and the node no callers. FullAccountTest/readinessCheckIsClosedForWhatOthersHold failed on: with more in the account than control may take, here a request's body, 0 of 50 checks were answered.

The readiness address has 2 MB of its own, the longest headers of 240 connections. 50 of 50 checks are answered, and one beside 300 connections with requests that don't end (readinessCheckIsClosedBesideOthersInProgress, which passed before too).

--- a/Source/Gateway/Gateway.cpp
+++ b/Source/Gateway/Gateway.cpp
@@ -51,6 +51,9 @@
 
 namespace {
 
+/// Memory in bytes of the readiness address, which is answered when the account is full: the
+/// longest headers of 240 connections.
+constexpr std::size_t ReadinessMemoryBytes = 2 * 1024 * 1024;
 /// Weights rarely change.
 constexpr Duration WeightsWait = milliseconds(4000);
 /// Nodes of a fleet that starts register one after the other.
@@ -416,8 +419,9 @@
         });
     }
     serveOnceListening(trafficContext, readiness, readinessAddress(), [this] {
-        return serveStatus(trafficContext, readiness, traffic.bodyMemory, settings.readinessPath,
-                           [this]() -> StatusPage {
+        return serveStatus(trafficContext, readiness,
+                           std::make_shared<MemoryBudget>(ReadinessMemoryBytes),
+                           settings.readinessPath, [this]() -> StatusPage {
                                return callers.is_open() && traffic.ready()
                                    ? StatusPage { 200, "ready\n" }
                                    : StatusPage { 503, "not ready\n" };
--- a/Source/Gateway/StatusServer.cpp
+++ b/Source/Gateway/StatusServer.cpp
@@ -44,7 +44,6 @@
                                       std::shared_ptr<const StatusSource> source)
 {
     setTcpTimeout(socket, StatusTimeout);
-    // The balancer must learn the state of a node whose memory is used up.
     ReadBuffer buffer(source->memory, BodyKind::Control, MaxReadBytes);
     error_code error;
     for (;;) {
--- a/Source/Gateway/StatusServer.h
+++ b/Source/Gateway/StatusServer.h
@@ -17,7 +17,8 @@
 using StatusPage = std::pair<unsigned, std::string>;
 
 /// Serves one path, such as the balancer's readiness check or a scrape of metrics, until the
-/// acceptor is closed. Other paths get a 404 response.
+/// acceptor is closed. Other paths get a 404 response. `memory` is for all that its connections
+/// have received and that is written to them.
 [[nodiscard]] boost::asio::awaitable<void> serveStatus(boost::asio::io_context &context,
                                                        boost::asio::ip::tcp::acceptor &acceptor,
                                                        std::shared_ptr<MemoryBudget> memory,
--- a/Tests/Gateway/FullAccountTest.cpp
+++ b/Tests/Gateway/FullAccountTest.cpp
@@ -1,16 +1,23 @@
 #include <array>
 #include <atomic>
+#include <functional>
 #include <ostream>
 #include <thread>
+#include <vector>
 
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/write.hpp>
 #include <boost/test/data/monomorphic.hpp>
 #include <boost/test/data/test_case.hpp>
 #include <boost/test/unit_test.hpp>
 
+#include "Core/Endpoint.h"
 #include "GatewayFixture.h"
 
 namespace jacinthroad {
 
+namespace asio = boost::asio;
 namespace data = boost::unit_test::data;
 
 namespace {
@@ -72,6 +79,7 @@
         if (first < response.size()) {
             std::this_thread::sleep_for(milliseconds(100));
             fillAccount();
+            onAccountFull();
             connection.write(response.substr(first));
         }
         return true;
@@ -93,6 +101,7 @@
     }
 
     std::atomic<Part> part { Part::Header };
+    std::function<void()> onAccountFull = [] {};
 };
 
 } // namespace
@@ -124,6 +133,39 @@
     }
 }
 
+// A node whose check isn't answered gets no callers.
+BOOST_AUTO_TEST_CASE(readinessCheckIsClosedForWhatOthersHold)
+{
+    constexpr unsigned Checks = 50;
+    FullAccountFixture fixture;
+    fixture.part = Part::Body;
+    unsigned answered = 0;
+    fixture.onAccountFull = [&] {
+        for (unsigned check = 0; check < Checks; ++check) {
+            answered += fixture.readiness() == 200U ? 1 : 0;
+        }
+    };
+    const auto given = fixture.callServer(std::string(RequestBytes, 'x'));
+    BOOST_REQUIRE(given != nullptr);
+    BOOST_TEST(given->body().find("body_memory_full") != std::string::npos);
+    BOOST_TEST(answered == Checks);
+}
+
+// Their requests don't end.
+BOOST_AUTO_TEST_CASE(readinessCheckIsClosedBesideOthersInProgress)
+{
+    constexpr unsigned Connections = 300;
+    FullAccountFixture fixture;
+    asio::io_context context;
+    std::vector<asio::ip::tcp::socket> sockets;
+    for (unsigned index = 0; index < Connections; ++index) {
+        asio::ip::tcp::socket &socket = sockets.emplace_back(context);
+        socket.connect(*parseEndpoint(fixture.settings.readinessAddress));
+        asio::write(socket, asio::buffer(std::string("GET /readyz HTTP/1.1\r\nHost: h\r\n")));
+    }
+    BOOST_TEST(fixture.readiness() == 200U);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace jacinthroad
