EventSplitter: Free the partial event of a broken stream

The memory of a partial event stayed with the splitter when another stream was to resume the broken one, until its first byte arrived, while the reservation had ended with the attempt.

EventSplitterTest/brokenStreamLeavesMemoryOfItsPartialEvent failed before: 250,028 bytes were held after 250,000 bytes of an event, not less than 1,024.

--- a/Source/Gateway/EventSplitter.cpp
+++ b/Source/Gateway/EventSplitter.cpp
@@ -105,7 +105,7 @@
 
 void EventSplitter::startResumedStream()
 {
-    pending_.clear();
+    dropPartialEvent();
     resumed_ = true;
     stopsAtNextResponse_ = false;
     reachedNextResponse_ = false;
--- a/Tests/Gateway/EventSplitterTest.cpp
+++ b/Tests/Gateway/EventSplitterTest.cpp
@@ -51,6 +51,14 @@
     BOOST_TEST(events.lastId() == "2");
 }
 
+BOOST_AUTO_TEST_CASE(brokenStreamLeavesMemoryOfItsPartialEvent)
+{
+    EventSplitter events;
+    BOOST_TEST(events.feed("id: 1\n\ndata: " + std::string(250'000, 'x')) == "id: 1\n\n");
+    events.startResumedStream();
+    BOOST_TEST(events.heldBytes() < 1024U);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace jacinthroad
