Exchange: Hold complete events once

Events that a read completed were held until they had been written to the caller, beside the copy that is framed for it, which took up to twice its length. The reservation for both was refused if the account was full, and the events were written all the same: streams that wait for callers that don't read took more than the account held of them. A splitter also kept the memory of a long event while the first bytes of the next one were there.

The events are freed before they are written, the copy has its length, and the splitter frees what the rest doesn't need. What is written fits into what was reserved for the parts then.

UnreadResponseTest/completeEventTakesMoreMemoryThanItsParts failed before: ten streams with a part of 250,000 bytes each took 3.56 MB of the account, 8.33 MB once the events were complete. EventSplitterTest/nextEventKeepsMemoryOfCompleteOne failed before: 500,027 bytes were held for the first 10 and 16,000 bytes of an event. Both pass, the first one three times of three.

--- a/Source/Gateway/EventSplitter.cpp
+++ b/Source/Gateway/EventSplitter.cpp
@@ -78,8 +78,8 @@
         searchFrom = end;
     }
     pending_.erase(0, begin);
-    if (pending_.empty() && pending_.capacity() > UsualEventBytes) {
-        dropPartialEvent();
+    if (begin > 0 && pending_.capacity() > std::max(UsualEventBytes, 2 * pending_.size())) {
+        pending_.shrink_to_fit();
     }
     return completeEvents;
 }
--- a/Source/Gateway/ExchangeAttempt.cpp
+++ b/Source/Gateway/ExchangeAttempt.cpp
@@ -533,12 +533,13 @@
             attempt.memoryFull = attempt.bodyMemory->refusedForOthers();
             co_return giveUpResponse(attempt, "event_too_long");
         }
-        const std::string completeEvents = eventSplitter_.feed({ readBuffer.data(), size });
+        std::string completeEvents = eventSplitter_.feed({ readBuffer.data(), size });
         if (!completeEvents.empty()) {
             connection.reader.noteEvents();
             const std::string bytes = frameEvents(attempt, header, completeEvents);
+            std::string().swap(completeEvents);
             // Events that are complete are passed on also if the memory is used up.
-            static_cast<void>(reserveEvent(attempt, completeEvents.capacity() + bytes.capacity()));
+            static_cast<void>(reserveEvent(attempt, bytes.capacity()));
             const Instant begun = std::chrono::steady_clock::now();
             const bool written = co_await writeToCaller(bytes);
             attempt.callerTime += std::chrono::steady_clock::now() - begun;
@@ -673,6 +674,7 @@
     if (useChunkedEncoding()) {
         std::array<char, 24> chunkHeader {};
         std::snprintf(chunkHeader.data(), chunkHeader.size(), "%zx\r\n", events.size());
+        bytes.reserve(bytes.size() + chunkHeader.size() + events.size());
         bytes.append(chunkHeader.data()).append(events).append("\r\n");
     } else {
         bytes.append(events);
--- a/Tests/Gateway/EventSplitterTest.cpp
+++ b/Tests/Gateway/EventSplitterTest.cpp
@@ -59,6 +59,17 @@
     BOOST_TEST(events.heldBytes() < 1024U);
 }
 
+BOOST_AUTO_TEST_CASE(nextEventKeepsMemoryOfCompleteOne)
+{
+    for (const std::size_t next : { 0U, 10U, 16'000U }) {
+        EventSplitter events;
+        BOOST_TEST(events.feed("data: " + std::string(250'000, 'x')) == "");
+        BOOST_TEST(events.feed("\n\n" + std::string(next, ':')).size() == 250'008U);
+        BOOST_TEST(events.partialEvent() == std::string(next, ':'));
+        BOOST_TEST(events.heldBytes() < next + 1024U);
+    }
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace jacinthroad
--- a/Tests/Gateway/UnreadResponseTest.cpp
+++ b/Tests/Gateway/UnreadResponseTest.cpp
@@ -1,9 +1,14 @@
 #include <algorithm>
 #include <array>
+#include <atomic>
+#include <string>
 #include <thread>
 #include <utility>
 #include <vector>
 
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <boost/asio/io_context.hpp>
@@ -203,6 +208,68 @@
     BOOST_TEST(node.memory->used() < PageBytes);
 }
 
+// Events before callers that don't read were held twice once they were complete, in part outside
+// of the account.
+BOOST_AUTO_TEST_CASE(completeEventTakesMoreMemoryThanItsParts)
+{
+    constexpr std::size_t Streams = 10;
+    constexpr std::size_t EventBytes = 250'000;
+    constexpr int SegmentBytes = 536;
+    GatewayFixture fixture;
+    fixture.settings.memoryMb = 110;
+    std::atomic<std::size_t> sent { 0 };
+    std::atomic<bool> completes { false };
+    std::atomic<bool> ended { false };
+    fixture.addServer("e1", "engines", [&](ScriptedConnection &connection, const auto &request) {
+        if (request.target().starts_with("/-/")) {
+            connection.write(reportResponse(1, false, 0));
+            return true;
+        }
+        connection.write(streamHead(request) + chunk(event(1))
+                         + chunk("data: " + std::string(EventBytes, 'x')));
+        ++sent;
+        while (!completes) {
+            std::this_thread::sleep_for(milliseconds(1));
+        }
+        connection.write(chunk("\n\n"));
+        while (!ended) {
+            std::this_thread::sleep_for(milliseconds(1));
+        }
+        return false;
+    });
+    fixture.configure(1, { "k1" });
+    fixture.start();
+    std::vector<asio::ip::tcp::socket> callers;
+    for (std::size_t number = 0; number < Streams; ++number) {
+        asio::ip::tcp::socket &socket = callers.emplace_back(fixture.context);
+        socket.open(asio::ip::tcp::v4());
+        setReceiveBuffer(socket.native_handle(), 4096);
+        // The system's send buffer grows with the size of a segment.
+        socket.set_option(
+            asio::detail::socket_option::integer<IPPROTO_TCP, TCP_MAXSEG>(SegmentBytes));
+        socket.connect(fixture.callerEndpoint());
+        asio::write(socket,
+                    asio::buffer("POST /once/a HTTP/1.1\r\nHost: h\r\nX-Request-Id: e"
+                                 + std::to_string(number)
+                                 + "\r\nAuthorization: Bearer k1\r\nX-Model: m\r\n"
+                                   "Content-Length: 1\r\n\r\nx"));
+    }
+    for (int tries = 0; tries < 500 && sent < Streams; ++tries) {
+        std::this_thread::sleep_for(milliseconds(2));
+    }
+    BOOST_REQUIRE(sent == Streams);
+    std::this_thread::sleep_for(milliseconds(200));
+    const double parts = fixture.heldBytes().value_or(0);
+    BOOST_TEST(parts > Streams * EventBytes);
+    completes = true;
+    std::this_thread::sleep_for(milliseconds(200));
+    const double complete = fixture.heldBytes().value_or(0);
+    ended = true;
+    BOOST_TEST(complete > Streams * EventBytes);
+    BOOST_TEST(complete <= parts);
+    fixture.dropsRequests = true;
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace jacinthroad
