--- a/Source/Gateway/EventSplitter.cpp
+++ b/Source/Gateway/EventSplitter.cpp
@@ -78,8 +78,8 @@
         searchFrom = end;
     }
     pending_.erase(0, begin);
-    if (pending_.empty() && pending_.capacity() > UsualEventBytes) {
-        dropPartialEvent();
+    if (begin > 0 && pending_.capacity() > std::max(UsualEventBytes, 2 * pending_.size())) {
+        pending_.shrink_to_fit();
     }
     return completeEvents;
 }
@@ -105,7 +105,7 @@
 
 void EventSplitter::startResumedStream()
 {
-    pending_.clear();
+    dropPartialEvent();
     resumed_ = true;
     stopsAtNextResponse_ = false;
     reachedNextResponse_ = false;
--- a/Source/Gateway/ExchangeAttempt.cpp
+++ b/Source/Gateway/ExchangeAttempt.cpp
@@ -331,7 +331,7 @@
     for (; attempt.skippedResponses <= MaxForeignResponses; ++attempt.skippedResponses) {
         auto parser = std::move(attempt.headerParser);
         if (parser == nullptr) {
-            parser = std::make_unique<http::response_parser<http::empty_body>>();
+            parser = std::make_unique<ResponseParser<http::empty_body>>();
             parser->body_limit(NoBodyLimit);
             parser->skip(request_.method() == http::verb::head);
         }
@@ -411,10 +411,10 @@
 {
     ServerConnection &connection = *attempt.connection;
     if (attempt.bodyParser == nullptr) {
-        attempt.bodyParser = std::make_unique<http::response_parser<http::string_body>>(
-            std::move(*attempt.headerParser));
+        attempt.bodyParser
+            = std::make_unique<ResponseParser<http::string_body>>(std::move(*attempt.headerParser));
     }
-    http::response_parser<http::string_body> &parser = *attempt.bodyParser;
+    ResponseParser<http::string_body> &parser = *attempt.bodyParser;
     if (!attempt.bodyMemory.has_value()) {
         attempt.bodyMemory.emplace(state_.bodyMemory, BodyKind::Response);
     }
@@ -486,9 +486,9 @@
 }
 
 asio::awaitable<error_code> Exchange::skipResponse(Attempt &attempt,
-                                                   http::response_parser<http::empty_body> &header)
+                                                   ResponseParser<http::empty_body> &header)
 {
-    http::response_parser<http::buffer_body> parser { std::move(header) };
+    ResponseParser<http::buffer_body> parser { std::move(header) };
     std::array<char, 1024> skipped;
     error_code error;
     while (!parser.is_done() && !error) {
@@ -506,10 +506,10 @@
 {
     ServerConnection &connection = *attempt.connection;
     if (attempt.streamParser == nullptr) {
-        attempt.streamParser = std::make_unique<http::response_parser<http::buffer_body>>(
-            std::move(*attempt.headerParser));
+        attempt.streamParser
+            = std::make_unique<ResponseParser<http::buffer_body>>(std::move(*attempt.headerParser));
     }
-    http::response_parser<http::buffer_body> &parser = *attempt.streamParser;
+    ResponseParser<http::buffer_body> &parser = *attempt.streamParser;
     const http::response_header<> header = platform::callerHeader(parser.get().base());
     constexpr std::size_t ReadBufferBytes = 16384;
     std::array<char, ReadBufferBytes> readBuffer;
@@ -538,12 +538,13 @@
             attempt.memoryFull = attempt.bodyMemory->refusedForOthers();
             co_return giveUpResponse(attempt, "event_too_long");
         }
-        const std::string completeEvents = eventSplitter_.feed({ readBuffer.data(), size });
+        std::string completeEvents = eventSplitter_.feed({ readBuffer.data(), size });
         if (!completeEvents.empty()) {
             connection.reader.noteEvents();
             const std::string bytes = frameEvents(attempt, header, completeEvents);
+            std::string().swap(completeEvents);
             // Events that are complete are passed on also if the memory is used up.
-            static_cast<void>(reserveEvent(attempt, completeEvents.capacity() + bytes.capacity()));
+            static_cast<void>(reserveEvent(attempt, bytes.capacity()));
             const Instant begun = std::chrono::steady_clock::now();
             const bool written = co_await writeToCaller(bytes);
             attempt.callerTime += std::chrono::steady_clock::now() - begun;
@@ -678,6 +679,7 @@
     if (useChunkedEncoding()) {
         std::array<char, 24> chunkHeader {};
         std::snprintf(chunkHeader.data(), chunkHeader.size(), "%zx\r\n", events.size());
+        bytes.reserve(bytes.size() + chunkHeader.size() + events.size());
         bytes.append(chunkHeader.data()).append(events).append("\r\n");
     } else {
         bytes.append(events);
