--- a/Source/Gateway/ReadAllowance.h
+++ b/Source/Gateway/ReadAllowance.h
@@ -7,8 +7,8 @@
 
 namespace jacinthroad {
 
-/// How much a response may be read ahead of other work: what an engine can generate, and a burst for
-/// a stream that is resumed or whose events were held up. A connection that has used more isn't
+/// How much a response may be read ahead of other work: what an engine can generate, and a burst
+/// for a stream that is resumed or whose events were held up. A connection that has used more isn't
 /// cut; ReadTurns lets it be read behind the work that waits. A read costs one unit if it completes
 /// events, PieceUnits if not, and one more for each UnitBytes.
 class ReadAllowance
