--- a/review/standins-2/case.py
+++ b/review/standins-2/case.py
@@ -10,13 +10,18 @@
 from collections import Counter
 
 from deployment import CannotRun, Record
-from http11 import call, status_of
+from http11 import call, response, status_of
 
 HELD, BROKEN, COULD_NOT_RUN = 0, 1, 2
 LIMITS = {"maxHeaderBytes": 16384, "maxBodyBytes": 1000000, "headerTimeoutMs": 5000,
           "idleTimeoutMs": 10000}
 
 
+def failure(headers):
+    """The answer of a runner that has run a request and failed."""
+    return response(500, headers, b"failed")
+
+
 class Clients:
     """Sends requests to a router, each on a connection of its own, and notes their answers."""
 
