Log since when weights are desired and why a node waits for the lease

weights_desired is logged when a version is new to a node or its time becomes earlier by a second, with the witness: the store, the lease or a peer. lease_waits names the cause, the holder in the record and the time that is left. For that the waiting of LeaseKeeper is a function of its own. Of several newer versions the one known for longest sets the time, since an older one may be learned later.

--- a/Source/Fleet/DesiredWeightsHistory.cpp
+++ b/Source/Fleet/DesiredWeightsHistory.cpp
@@ -9,21 +9,29 @@
 /// Maximum number of versions per model in ages(), newest first. More are rarely published while
 /// servers still run an older one.
 constexpr unsigned MaximumReportedVersions = 4;
+/// Correction of a known time from which mergeAges() reports it.
+constexpr Duration NotableCorrection = std::chrono::seconds(1);
 
 } // namespace
 
-void DesiredWeightsHistory::recordDesired(const DesiredWeights &desired, Instant now)
+bool DesiredWeightsHistory::recordDesired(const DesiredWeights &desired, Instant now)
 {
-    firstSeen_[desired.model].emplace(desired.version, now);
+    return firstSeen_[desired.model].emplace(desired.version, now).second;
 }
 
-void DesiredWeightsHistory::mergeAges(std::span<const DesiredWeightsAge> entries, Instant now)
+std::vector<DesiredWeightsAge>
+DesiredWeightsHistory::mergeAges(std::span<const DesiredWeightsAge> entries, Instant now)
 {
+    std::vector<DesiredWeightsAge> learned;
     for (const DesiredWeightsAge &entry : entries) {
         const Instant seen = now - milliseconds(entry.ageMs);
-        Instant &known = firstSeen_[entry.model].emplace(entry.version, seen).first->second;
-        known = std::min(known, seen);
+        const auto [version, added] = firstSeen_[entry.model].emplace(entry.version, seen);
+        if (added || version->second - seen >= NotableCorrection) {
+            learned.push_back(entry);
+        }
+        version->second = std::min(version->second, seen);
     }
+    return learned;
 }
 
 std::vector<DesiredWeightsAge> DesiredWeightsHistory::ages(Instant now) const
@@ -54,8 +62,12 @@
     if (versions == firstSeen_.end()) {
         return std::nullopt;
     }
-    const auto newer = versions->second.upper_bound(version);
-    return newer == versions->second.end() ? std::nullopt : std::optional(newer->second);
+    std::optional<Instant> since;
+    for (auto newer = versions->second.upper_bound(version); newer != versions->second.end();
+         ++newer) {
+        since = std::min(since.value_or(newer->second), newer->second);
+    }
+    return since;
 }
 
 } // namespace jacinthroad
--- a/Source/Fleet/DesiredWeightsHistory.h
+++ b/Source/Fleet/DesiredWeightsHistory.h
@@ -26,16 +26,18 @@
 class DesiredWeightsHistory
 {
 public:
-    /// Records desired weights read from the store at `now`.
-    void recordDesired(const DesiredWeights &desired, Instant now);
-    /// Merges the ages seen by other nodes, relative to `now`; the earliest time is kept.
-    void mergeAges(std::span<const DesiredWeightsAge> entries, Instant now);
+    /// Records desired weights read from the store at `now`. Returns true if the version is new.
+    bool recordDesired(const DesiredWeights &desired, Instant now);
+    /// Merges the ages seen by other nodes, relative to `now`; the earliest time is kept. Returns
+    /// the entries whose version is new or whose time is earlier by a second or more.
+    std::vector<DesiredWeightsAge> mergeAges(std::span<const DesiredWeightsAge> entries,
+                                             Instant now);
     /// The newest versions of each model with the time since they were first seen.
     [[nodiscard]] std::vector<DesiredWeightsAge> ages(Instant now) const;
 
     /// True if a version newer than `version` is or was desired.
     [[nodiscard]] bool isOutdated(const ModelId &model, WeightsVersion version) const;
-    /// When the next version after `version` was first seen; nullopt if there is none.
+    /// When a version after `version` was first seen; nullopt if there is none.
     [[nodiscard]] std::optional<Instant> outdatedSince(const ModelId &model,
                                                        WeightsVersion version) const;
 
--- a/Source/Gateway/DigestExchange.cpp
+++ b/Source/Gateway/DigestExchange.cpp
@@ -351,7 +351,8 @@
             state_.metrics.countPeerConfirmation();
         }
     }
-    state_.pool.applyDesiredWeightsAges(digest->desiredWeights, std::chrono::steady_clock::now());
+    state_.mergeDesiredWeights(digest->desiredWeights, digest->node,
+                               std::chrono::steady_clock::now());
     state_.mergeCrashes(digest->crashes, std::chrono::steady_clock::now());
     state_.pool.applyPeer(digest->node, digest->servers, std::chrono::steady_clock::now(),
                           digest->linksLost ? PeerScope::NodeWithoutLinks : PeerScope::Node,
@@ -365,7 +366,7 @@
     }
     const Instant now = std::chrono::steady_clock::now();
     state_.notePeerConfiguration(summary.configurationVersion);
-    state_.pool.applyDesiredWeightsAges(summary.desiredWeights, now);
+    state_.mergeDesiredWeights(summary.desiredWeights, summary.summarizedZone, now);
     state_.mergeCrashes(summary.crashes, now);
     state_.pool.applyPeer(zonePeerName(summary.summarizedZone), summary.servers, now,
                           PeerScope::Zone);
--- a/Source/Gateway/Gateway.cpp
+++ b/Source/Gateway/Gateway.cpp
@@ -196,7 +196,7 @@
               },
               [this](const std::vector<DesiredWeightsAge> &named) {
                   asio::post(trafficContext, [this, named] {
-                      traffic.pool.applyDesiredWeightsAges(named, std::chrono::steady_clock::now());
+                      traffic.mergeDesiredWeights(named, "lease", std::chrono::steady_clock::now());
                   });
               },
               [this](const ServerInstance &server, const ServerStatement &statement) {
@@ -669,7 +669,7 @@
         oddWeights.noteUsable(name);
         rollout.applyDesiredWeights(*named);
         asio::post(trafficContext, [this, named = *named] {
-            traffic.pool.applyDesiredWeights(named, std::chrono::steady_clock::now());
+            traffic.noteDesiredWeights(named, std::chrono::steady_clock::now());
         });
     }
 }
--- a/Source/Gateway/RolloutDriver.cpp
+++ b/Source/Gateway/RolloutDriver.cpp
@@ -86,6 +86,19 @@
     return "unknown";
 }
 
+std::string_view causeName(LeaseWait::Cause cause)
+{
+    switch (cause) {
+    case LeaseWait::Cause::OtherHolder:
+        return "other_holder";
+    case LeaseWait::Cause::UnreadableRecord:
+        return "unreadable_record";
+    case LeaseWait::Cause::LostRecord:
+        break;
+    }
+    return "lost_record";
+}
+
 } // namespace
 
 RolloutDriver::RolloutDriver(asio::io_context &context, StoreClient &store, Options options,
@@ -228,6 +241,9 @@
     if (readsLease || !leaseRead_) {
         co_await readLeaseObject();
     }
+    if (requestsLease) {
+        logLeaseWait(bootNow());
+    }
     co_await writeLease(requestsLease);
     followEra();
     const BootInstant after = bootNow();
@@ -263,6 +279,24 @@
     }
 }
 
+void RolloutDriver::logLeaseWait(BootInstant now)
+{
+    const auto wait = lease_.waitAt(now);
+    const std::string holder = lease_.recordedHolder();
+    const bool logged = wait.has_value() == loggedWait_.has_value()
+        && (!wait.has_value() || (wait->cause == loggedWait_->cause && holder == loggedHolder_));
+    loggedWait_ = wait;
+    loggedHolder_ = holder;
+    if (logged || !wait.has_value()) {
+        return;
+    }
+    logLine(LogLevel::Info, "lease_waits",
+            { { "lease", LeaseName },
+              { "cause", causeName(wait->cause) },
+              { "holder", holder },
+              { "wait_ms", toMilliseconds(wait->until - now) } });
+}
+
 asio::awaitable<void> RolloutDriver::readLeaseObject()
 {
     const BootInstant now = bootNow();
--- a/Source/Gateway/RolloutDriver.h
+++ b/Source/Gateway/RolloutDriver.h
@@ -77,6 +77,8 @@
 
 private:
     [[nodiscard]] boost::asio::awaitable<void> step();
+    /// Logs why this node waits for the lease, once for each reason and holder.
+    void logLeaseWait(BootInstant now);
     [[nodiscard]] boost::asio::awaitable<void> readLeaseObject();
     void applyLeaseObject(const Json::Value &spec, std::uint64_t revision);
     /// Lets the lease follow the era of the store, which any response may have changed.
@@ -128,6 +130,9 @@
     /// When this node starts to request the lease; differs between nodes.
     BootInstant requestFrom_;
     bool leaseWanted_ = false;
+    /// The wait that was logged last, and whose record caused it.
+    std::optional<LeaseWait> loggedWait_;
+    std::string loggedHolder_;
     bool candidate_ = true;
     /// Whether the lease object has been read, and when it was last requested.
     bool leaseRead_ = false;
--- a/Source/Gateway/TrafficState.cpp
+++ b/Source/Gateway/TrafficState.cpp
@@ -40,6 +40,15 @@
 /// least a quarter of the memory, on a very small node three quarters.
 constexpr std::size_t MinOtherMemory = 40 * BytesPerMb;
 
+void logDesiredWeights(const DesiredWeightsAge &desired, std::string_view witness)
+{
+    logLine(LogLevel::Info, "weights_desired",
+            { { "model", desired.model.text() },
+              { "version", std::int64_t { desired.version } },
+              { "age_ms", std::int64_t { desired.ageMs } },
+              { "witness", witness } });
+}
+
 Duration fractionOf(Duration whole, double fraction)
 {
     return fromMilliseconds(toMilliseconds(whole) * fraction);
@@ -264,6 +273,21 @@
     notifyPeersSoon();
 }
 
+void TrafficState::noteDesiredWeights(const DesiredWeights &desired, Instant now)
+{
+    if (pool.applyDesiredWeights(desired, now)) {
+        logDesiredWeights({ .model = desired.model, .version = desired.version }, "store");
+    }
+}
+
+void TrafficState::mergeDesiredWeights(std::span<const DesiredWeightsAge> ages,
+                                       std::string_view witness, Instant now)
+{
+    for (const DesiredWeightsAge &learned : pool.applyDesiredWeightsAges(ages, now)) {
+        logDesiredWeights(learned, witness);
+    }
+}
+
 void TrafficState::noteConnected(const ServerId &server, Instant now)
 {
     links.noteConnected(server, now);
--- a/Source/Gateway/TrafficState.h
+++ b/Source/Gateway/TrafficState.h
@@ -104,6 +104,12 @@
     void applyServers(const std::vector<ListedServer> &servers, Instant now);
     /// Applies what a response stated about its server.
     void noteStatement(const ServerInstance &server, const ServerStatement &statement);
+    /// Applies desired weights that the store holds, and logs those that are new to this node.
+    void noteDesiredWeights(const DesiredWeights &desired, Instant now);
+    /// Merges for how long `witness`, a node or an object of the store, says that weights have been
+    /// desired, and logs what this node has learned.
+    void mergeDesiredWeights(std::span<const DesiredWeightsAge> ages, std::string_view witness,
+                             Instant now);
     /// Records that a server has accepted a connection of this node.
     void noteConnected(const ServerId &server, Instant now);
     /// Records that a connection to a server could not be made.
--- a/Source/Placement/ServerPool.cpp
+++ b/Source/Placement/ServerPool.cpp
@@ -131,9 +131,9 @@
     removedServers_[id] = now + RemovalReportTime;
 }
 
-void ServerPool::applyDesiredWeights(const DesiredWeights &desired, Instant now)
+bool ServerPool::applyDesiredWeights(const DesiredWeights &desired, Instant now)
 {
-    desiredWeights_.recordDesired(desired, now);
+    return desiredWeights_.recordDesired(desired, now);
 }
 
 void ServerPool::noteWeights(const ServerId &id, const ModelId &model, WeightsVersion version)
--- a/Source/Placement/ServerPool.h
+++ b/Source/Placement/ServerPool.h
@@ -240,11 +240,13 @@
     /// Returns the listed servers of a service without this one, in no order.
     [[nodiscard]] std::vector<ServerId> othersOf(const ServiceId &service,
                                                  const ServerId &id) const;
-    /// Applies the newest weights that operators have set as desired.
-    void applyDesiredWeights(const DesiredWeights &desired, Instant now);
+    /// Applies the newest weights that operators have set as desired. Returns true if they are new
+    /// to this node.
+    bool applyDesiredWeights(const DesiredWeights &desired, Instant now);
     /// Merges how long ago a peer first saw weights to be desired. A node that has just started
-    /// knows only which weights are desired, not since when.
-    void applyDesiredWeightsAges(std::span<const DesiredWeightsAge> reportedAges, Instant now);
+    /// knows only which weights are desired, not since when. Returns what this node has learned.
+    std::vector<DesiredWeightsAge>
+    applyDesiredWeightsAges(std::span<const DesiredWeightsAge> reportedAges, Instant now);
     /// Returns how long ago this node, or a peer that reported it, first saw weights to be desired.
     [[nodiscard]] std::vector<DesiredWeightsAge> desiredWeightsAges(Instant now) const;
     /// Records the weights that a response reported for its server.
--- a/Source/Placement/ServerPoolPeers.cpp
+++ b/Source/Placement/ServerPoolPeers.cpp
@@ -89,10 +89,10 @@
     return UpdateBytes + limitBytes + update.server.text().size() + update.model.text().size();
 }
 
-void ServerPool::applyDesiredWeightsAges(std::span<const DesiredWeightsAge> reportedAges,
-                                         Instant now)
+std::vector<DesiredWeightsAge>
+ServerPool::applyDesiredWeightsAges(std::span<const DesiredWeightsAge> reportedAges, Instant now)
 {
-    desiredWeights_.mergeAges(reportedAges, now);
+    return desiredWeights_.mergeAges(reportedAges, now);
 }
 
 std::vector<DesiredWeightsAge> ServerPool::desiredWeightsAges(Instant now) const
--- a/Source/Rollout/LeaseKeeper.cpp
+++ b/Source/Rollout/LeaseKeeper.cpp
@@ -65,65 +65,64 @@
         && now - *renewedAt_ < options_.validity;
 }
 
+LeaseWait LeaseKeeper::acquirable() const
+{
+    const Duration silence = options_.handover + options_.validity;
+    if (!record_.has_value()) {
+        // The holder that wrote an unreadable record may still act.
+        if (revision_ != 0) {
+            return { .cause = LeaseWait::Cause::UnreadableRecord, .until = seenAt_ + silence };
+        }
+        return { .cause = LeaseWait::Cause::LostRecord,
+                 .until = era_ == 0 ? BootInstant() : eraSeenAt_ + silence };
+    }
+    if (wasLastHolder()) {
+        return { .until = BootInstant() };
+    }
+    const bool released = record_->released && isOfThisEra(*record_);
+    return { .until = seenAt_ + (released ? options_.handover : silence) };
+}
+
+std::optional<LeaseWait> LeaseKeeper::waitAt(BootInstant now) const
+{
+    if (!known_) {
+        return std::nullopt;
+    }
+    const LeaseWait wait = acquirable();
+    return now < wait.until ? std::optional(wait) : std::nullopt;
+}
+
+std::string LeaseKeeper::recordedHolder() const
+{
+    return record_.has_value() ? record_->holder : std::string();
+}
+
 std::optional<std::variant<CreateLease, ReplaceLease>> LeaseKeeper::nextWrite(bool wanted,
                                                                               BootInstant now) const
 {
     if (!known_) {
         return std::nullopt;
     }
-    if (!record_.has_value() && revision_ != 0) {
-        // The object is unreadable; the holder that wrote it before may still act.
-        if (!wanted || now - seenAt_ < options_.handover + options_.validity) {
-            return std::nullopt;
-        }
-        return ReplaceLease {
-            .revision = revision_,
-            .record = { .holder = options_.holderId, .token = nextToken(), .era = era_ }
-        };
-    }
-    if (!record_.has_value()) {
-        const bool lostHolderMayAct
-            = era_ != 0 && now - eraSeenAt_ < options_.handover + options_.validity;
-        if (!wanted || lostHolderMayAct) {
-            return std::nullopt;
-        }
-        return CreateLease { .record
-                             = { .holder = options_.holderId, .token = nextToken(), .era = era_ } };
-    }
+    LeaseRecord next { .holder = options_.holderId, .token = nextToken(), .era = era_ };
     if (wasLastHolder()) {
-        if (!wanted) {
-            if (record_->released) {
-                return std::nullopt;
-            }
-            return ReplaceLease { .revision = revision_,
-                                  .record = { .holder = options_.holderId,
-                                              .token = record_->token,
-                                              .released = true,
-                                              .renewals = record_->renewals + 1,
-                                              .era = era_ } };
-        }
+        next.token = record_->token;
+        next.renewals = record_->renewals + 1;
+        next.released = !wanted;
         const bool due = record_->released || !renewedAt_.has_value()
             || now - *renewedAt_ >= options_.renewAfter;
-        if (!due) {
+        if (wanted ? !due : record_->released) {
             return std::nullopt;
         }
-        return ReplaceLease { .revision = revision_,
-                              .record = { .holder = options_.holderId,
-                                          .token = record_->token,
-                                          .renewals = record_->renewals + 1,
-                                          .era = era_ } };
+        return ReplaceLease { .revision = revision_, .record = next };
     }
-    const Duration wait = record_->released && isOfThisEra(*record_)
-        ? options_.handover
-        : options_.handover + options_.validity;
-    if (!wanted || now - seenAt_ < wait) {
+    if (!wanted || waitAt(now).has_value()) {
         return std::nullopt;
     }
-    return ReplaceLease { .revision = revision_,
-                          .record = { .holder = options_.holderId,
-                                      .token = nextToken(),
-                                      .renewals = record_->renewals + 1,
-                                      .era = era_ } };
+    if (!record_.has_value() && revision_ == 0) {
+        return CreateLease { .record = next };
+    }
+    next.renewals = record_.has_value() ? record_->renewals + 1 : 0;
+    return ReplaceLease { .revision = revision_, .record = next };
 }
 
 void LeaseKeeper::noteWritten(const LeaseRecord &record, std::uint64_t revision, BootInstant sentAt)
--- a/Source/Rollout/LeaseKeeper.h
+++ b/Source/Rollout/LeaseKeeper.h
@@ -45,6 +45,24 @@
     LeaseRecord record;
 };
 
+/// Why a node that needs the lease may not acquire it yet, and until when at most.
+struct LeaseWait
+{
+    enum class Cause : std::uint8_t {
+        /// The record says that another node holds the lease, or has released it just now.
+        OtherHolder,
+        /// The record can't be read, so that its holder is not known.
+        UnreadableRecord,
+        /// The store was restored: the holder of a lost record may still act.
+        LostRecord,
+    };
+
+    Cause cause = Cause::OtherHolder;
+    BootInstant until;
+
+    friend bool operator==(const LeaseWait &, const LeaseWait &) = default;
+};
+
 /// Decides when a node may act as the only holder of a lease. Does no I/O; the caller passes times
 /// of the clock that also runs while the VM is suspended. Safety depends on the store's conditional
 /// writes and on durations that each node measures itself: a holder stops acting `validity` after
@@ -75,6 +93,11 @@
     void enterEra(std::uint64_t era, BootInstant now);
     /// Applies the record as read at `now`; `record` is empty if the object does not exist.
     void observe(const std::optional<LeaseRecord> &record, std::uint64_t revision, BootInstant now);
+    /// Returns why this node may not acquire the lease at `now`; nothing if it may, or has not read
+    /// the record yet.
+    [[nodiscard]] std::optional<LeaseWait> waitAt(BootInstant now) const;
+    /// The holder in the last known record; empty if there is none.
+    [[nodiscard]] std::string recordedHolder() const;
     /// Returns the write to send now, if any. `wanted` is true while there is work for a holder.
     [[nodiscard]] std::optional<std::variant<CreateLease, ReplaceLease>>
     nextWrite(bool wanted, BootInstant now) const;
@@ -92,6 +115,8 @@
     /// True if the record was written in the present era. Any other tells nothing of the holders
     /// whose records were lost.
     [[nodiscard]] bool isOfThisEra(const LeaseRecord &record) const { return record.era == era_; }
+    /// The time from which the lease may be acquired; `cause` says what stands against it before.
+    [[nodiscard]] LeaseWait acquirable() const;
     /// A fencing token that is higher than every token that has been used.
     [[nodiscard]] std::uint64_t nextToken() const;
 
--- a/Tests/Fleet/DesiredWeightsHistoryTest.cpp
+++ b/Tests/Fleet/DesiredWeightsHistoryTest.cpp
@@ -49,6 +49,30 @@
     BOOST_TEST((earlier.outdatedSince(Model, 1) == at(1000)));
 }
 
+BOOST_AUTO_TEST_CASE(newerVersionThatIsKnownForLongerSetsTheTime)
+{
+    DesiredWeightsHistory history;
+    history.recordDesired({ .model = Model, .version = 2 }, at(5000));
+    history.mergeAges(
+        std::vector<DesiredWeightsAge> { { .model = Model, .version = 3, .ageMs = 4000 } },
+        at(5000));
+    BOOST_TEST((history.outdatedSince(Model, 1) == at(1000)));
+}
+
+BOOST_AUTO_TEST_CASE(mergeReturnsWhatIsNewOrEarlierByASecond)
+{
+    DesiredWeightsHistory history;
+    BOOST_TEST(history.recordDesired({ .model = Model, .version = 2 }, at(5000)));
+    BOOST_TEST(!history.recordDesired({ .model = Model, .version = 2 }, at(6000)));
+    const std::vector<DesiredWeightsAge> ages { { .model = Model, .version = 2, .ageMs = 1999 },
+                                                { .model = Model, .version = 3, .ageMs = 0 } };
+    BOOST_TEST((history.mergeAges(ages, at(6000)) == std::vector { ages[1] }));
+    const std::vector<DesiredWeightsAge> earlier {
+        { .model = Model, .version = 2, .ageMs = 3000 }
+    };
+    BOOST_TEST((history.mergeAges(earlier, at(6000)) == earlier));
+}
+
 BOOST_AUTO_TEST_CASE(mergedAgesOfUnknownVersionsAreAdded)
 {
     DesiredWeightsHistory history;
