LeaseKeeper: Go on at once in the next process on the holder's VM

A process that listens on the address of its VM knows that a former process there has ended. If that was the holder, it replaces the record at once and keeps the token, so that no order of the former process follows a higher token. Builds that don't know the new field 'address' keep it in records of their own, so the name of the node must agree too.

The race plays 300 seeds of ends, late writes and late orders: never two VMs within the handover, no order behind a higher token.

--- a/Source/Gateway/Gateway.cpp
+++ b/Source/Gateway/Gateway.cpp
@@ -188,7 +188,10 @@
                        eraSettling)
         , rollout(
               controlContext, store,
-              { .node = settings.name, .boot = boot, .lease = settings.lease },
+              { .node = settings.name,
+                .boot = boot,
+                .address = settings.peerAddress,
+                .lease = settings.lease },
               [this](const ServerId &server, const ModelId &model, WeightsVersion version,
                      Duration limit) { cordonServer(server, model, version, limit); },
               [this](const ServerId &server, const ModelId &model, WeightsVersion version) {
@@ -502,6 +505,7 @@
     configuration.onRelayConfirmed
         = [this] { relay.noteNews(platform::ObjectKind::Configuration); };
     serveOnceListening(controlContext, relayQueries, peerAddress(), [this] {
+        rollout.noteOnlyProcess();
         // Other nodes hear of this one once they can reach it.
         asio::co_spawn(controlContext, registration.run(), asio::detached);
         return relay.serve(relayQueries);
--- a/Source/Gateway/LeaseObject.cpp
+++ b/Source/Gateway/LeaseObject.cpp
@@ -11,8 +11,8 @@
 
 constexpr std::array<std::string_view, 3> NamedFields { "model", "version", "age_ms" };
 constexpr std::array<std::string_view, 2> NamedKey { "model", "version" };
-constexpr std::array<std::string_view, 6> LeaseFields { "holder",   "token", "released",
-                                                        "renewals", "era",   "named" };
+constexpr std::array<std::string_view, 7> LeaseFields { "holder",   "address", "token", "released",
+                                                        "renewals", "era",     "named" };
 constexpr KnownFields KnownNamed { .names = NamedFields };
 constexpr KnownFields KnownLease {
     .names = LeaseFields, .list = "named", .item = &KnownNamed, .itemKey = NamedKey
@@ -24,6 +24,9 @@
 {
     Json::Value spec;
     spec["holder"] = record.holder;
+    if (!record.address.empty()) {
+        spec["address"] = record.address;
+    }
     spec["token"] = Json::UInt64(record.token);
     spec["released"] = record.released;
     spec["renewals"] = Json::UInt64(record.renewals);
@@ -71,6 +74,8 @@
         return std::nullopt;
     }
     return LeaseRecord { .holder = spec["holder"].asString(),
+                         .address
+                         = spec["address"].isString() ? spec["address"].asString() : std::string(),
                          .token = spec["token"].asUInt64(),
                          .released = spec["released"].asBool(),
                          .renewals = spec["renewals"].asUInt64(),
--- a/Source/Gateway/RolloutDriver.cpp
+++ b/Source/Gateway/RolloutDriver.cpp
@@ -113,6 +113,7 @@
     , desiredAgesHandler_(std::move(desiredAgesHandler))
     , statementHandler_(std::move(statementHandler))
     , lease_({ .holderId = holderName(options_),
+               .address = options_.address,
                .validity = options_.lease / ValidityDivisor,
                .handover = options_.lease + HandoverMargin,
                .renewAfter = options_.lease / RenewalDivisor })
@@ -228,15 +229,17 @@
     followEra();
     const std::vector<RolloutServer> servers = plannerServers();
     const BootInstant now = bootNow();
-    const bool eligible = !leaseReleased_ && (holdsLease_ || (!draining_ && candidate_));
+    const bool goesOn = lease_.wasLastHolder() || lease_.followsHolder();
+    const bool eligible
+        = !leaseReleased_ && (holdsLease_ || (!draining_ && (candidate_ || goesOn)));
     const bool work = eligible && RolloutPlanner::hasOutdatedServers(servers, desired_);
     if (work && !leaseWanted_) {
         const auto spread = static_cast<std::int64_t>(
             hash64(options_.node) % static_cast<std::uint64_t>(RequestSpreadMs));
-        requestFrom_ = now + (lease_.wasLastHolder() ? Duration::zero() : milliseconds(spread));
+        requestFrom_ = now + milliseconds(spread);
     }
     leaseWanted_ = work;
-    const bool requestsLease = work && requestFrom_ <= now;
+    const bool requestsLease = work && (goesOn || requestFrom_ <= now);
     const bool readsLease = requestsLease && !lease_.wasLastHolder();
     if (readsLease || !leaseRead_) {
         co_await readLeaseObject();
--- a/Source/Gateway/RolloutDriver.h
+++ b/Source/Gateway/RolloutDriver.h
@@ -35,6 +35,8 @@
         std::string node;
         /// Start time of this process in Unix milliseconds.
         std::int64_t boot = 0;
+        /// The address on which this process listens for other nodes; empty if there is none.
+        std::string address {};
         /// Minimum time between the last order of one holder and the first of the next.
         Duration lease;
     };
@@ -62,6 +64,8 @@
     void applyServers(const std::vector<ListedServer> &servers);
     /// Applies the desired weights of one model.
     void applyDesiredWeights(const DesiredWeights &named);
+    /// Records that this process listens on its address, so that a former one has ended.
+    void noteOnlyProcess() { lease_.noteOnlyProcess(); }
     /// Notes the version of a model's weights that a response reported for a server.
     void noteVersion(const ServerId &id, const ModelId &model, WeightsVersion version);
     /// Notes how many requests of this node run on a server.
--- a/Source/Rollout/LeaseKeeper.cpp
+++ b/Source/Rollout/LeaseKeeper.cpp
@@ -1,6 +1,7 @@
 #include "Rollout/LeaseKeeper.h"
 
 #include <algorithm>
+#include <string_view>
 #include <utility>
 
 namespace jacinthroad {
@@ -10,6 +11,12 @@
 /// Tokens of an era begin at this multiple of it; an era has fewer revisions than that.
 constexpr std::uint64_t TokensPerEra = std::uint64_t { 1 } << 32;
 
+/// The name of the node in a holder's name.
+std::string_view nodeOf(std::string_view holder)
+{
+    return holder.substr(0, holder.rfind('/'));
+}
+
 } // namespace
 
 LeaseKeeper::LeaseKeeper(Options options)
@@ -59,6 +66,15 @@
     return record_.has_value() && record_->holder == options_.holderId && isOfThisEra(*record_);
 }
 
+bool LeaseKeeper::followsHolder() const
+{
+    // Builds that don't know the address keep that of an earlier holder.
+    return onlyProcess_ && record_.has_value() && !options_.address.empty()
+        && record_->address == options_.address
+        && nodeOf(record_->holder) == nodeOf(options_.holderId)
+        && record_->holder != options_.holderId && isOfThisEra(*record_);
+}
+
 bool LeaseKeeper::holds(BootInstant now) const
 {
     return wasLastHolder() && !record_->released && renewedAt_.has_value()
@@ -76,7 +92,7 @@
         return { .cause = LeaseWait::Cause::LostRecord,
                  .until = era_ == 0 ? BootInstant() : eraSeenAt_ + silence };
     }
-    if (wasLastHolder()) {
+    if (wasLastHolder() || followsHolder()) {
         return { .until = BootInstant() };
     }
     const bool released = record_->released && isOfThisEra(*record_);
@@ -103,7 +119,9 @@
     if (!known_) {
         return std::nullopt;
     }
-    LeaseRecord next { .holder = options_.holderId, .token = nextToken(), .era = era_ };
+    LeaseRecord next {
+        .holder = options_.holderId, .address = options_.address, .token = nextToken(), .era = era_
+    };
     if (wasLastHolder()) {
         next.token = record_->token;
         next.renewals = record_->renewals + 1;
@@ -122,6 +140,9 @@
         return CreateLease { .record = next };
     }
     next.renewals = record_.has_value() ? record_->renewals + 1 : 0;
+    if (followsHolder()) {
+        next.token = record_->token;
+    }
     return ReplaceLease { .revision = revision_, .record = next };
 }
 
--- a/Source/Rollout/LeaseKeeper.h
+++ b/Source/Rollout/LeaseKeeper.h
@@ -14,9 +14,13 @@
 /// The content of the lease object in the platform's store.
 struct LeaseRecord
 {
-    /// The holder's name including its boot identifier, so that a restarted node is a new holder.
+    /// The holder's name, a slash and its boot identifier, so that a restarted node is a new
+    /// holder.
     std::string holder;
-    /// Fencing token; increases with each change of holder and is sent with every order.
+    /// The address on which the holder's process listens; with its name it identifies the VM. Empty
+    /// in records of builds that don't tell it.
+    std::string address {};
+    /// Fencing token; increases with each change to another VM and is sent with every order.
     std::uint64_t token = 0;
     /// The holder has sent its last order and gives up the lease.
     bool released = false;
@@ -70,13 +74,17 @@
 /// unchanged for `validity` plus `handover`, or for `handover` after a release. When the store
 /// comes back from an earlier copy, acknowledged records are gone: the holder then stops acting,
 /// and no node acquires the lease until all of `validity` plus `handover` has passed since it saw
-/// the new era.
+/// the new era. A process that follows the holder on the same VM goes on at once: the former one
+/// has ended, and conditional writes that are still under way fail. It keeps the token, so that an
+/// order of the former process that arrives late does not follow a higher one.
 class LeaseKeeper
 {
 public:
     struct Options
     {
         std::string holderId;
+        /// The address on which this process listens for other nodes; empty if there is none.
+        std::string address {};
         /// How long the holder may act after it sent a successful write.
         Duration validity;
         /// Minimum time between the last action of one holder and the first of the next.
@@ -87,6 +95,8 @@
 
     explicit LeaseKeeper(Options options);
 
+    /// Records that this process listens on its address, so that a former one has ended.
+    void noteOnlyProcess() { onlyProcess_ = true; }
     /// Applies the era that a response named, before what else the response says. In a new era the
     /// record may be gone or older than what other nodes have seen, so a holder gives up the lease
     /// and every node waits until no holder of the lost history may act any more.
@@ -110,6 +120,8 @@
     [[nodiscard]] std::uint64_t token() const { return heldToken_; }
     /// Returns true if this node is the holder in the last known record of this era, valid or not.
     [[nodiscard]] bool wasLastHolder() const;
+    /// Returns true if the holder in the last known record was a former process on this VM.
+    [[nodiscard]] bool followsHolder() const;
 
 private:
     /// True if the record was written in the present era. Any other tells nothing of the holders
@@ -121,6 +133,7 @@
     [[nodiscard]] std::uint64_t nextToken() const;
 
     Options options_;
+    bool onlyProcess_ = false;
     /// The newest known era of the store; 0 if unknown.
     std::uint64_t era_ = 0;
     /// When that era was first seen.
--- a/Tests/Rollout/LeaseKeeperTest.cpp
+++ b/Tests/Rollout/LeaseKeeperTest.cpp
@@ -26,6 +26,18 @@
                          .renewAfter = RenewAfter });
 }
 
+/// A process that listens on its VM, which is named like the node.
+LeaseKeeper processOn(const std::string &node, std::int64_t boot)
+{
+    LeaseKeeper process({ .holderId = node + "/" + std::to_string(boot),
+                          .address = node + ":7340",
+                          .validity = Validity,
+                          .handover = Handover,
+                          .renewAfter = RenewAfter });
+    process.noteOnlyProcess();
+    return process;
+}
+
 /// Simulates a store object with conditional writes.
 struct StoreObject
 {
@@ -397,6 +409,159 @@
     }
 }
 
+BOOST_AUTO_TEST_CASE(processThatFollowsTheHolderOnItsVmGoesOnAtOnce)
+{
+    const LeaseRecord record {
+        .holder = "a/1", .address = "a:7340", .token = 4, .renewals = 8, .era = 2
+    };
+    LeaseKeeper next = processOn("a", 2);
+    next.enterEra(2, at(900));
+    next.observe(record, 10, at(1000));
+    const auto write = next.nextWrite(true, at(1000));
+    BOOST_REQUIRE(write.has_value());
+    const auto &replace = std::get<ReplaceLease>(*write);
+    BOOST_TEST(replace.revision == 10U);
+    BOOST_TEST(replace.record.holder == "a/2");
+    BOOST_TEST(replace.record.token == 4U);
+    BOOST_TEST(!next.holds(at(1000)));
+    next.noteWritten(replace.record, 11, at(1000));
+    BOOST_TEST(next.holds(at(1001)));
+    BOOST_TEST(next.token() == 4U);
+}
+
+BOOST_AUTO_TEST_CASE(onlyTheNextProcessOnTheVmOfTheHolderNeedNotWait)
+{
+    const LeaseRecord record { .holder = "a/1", .address = "a:7340", .token = 4, .era = 2 };
+    const auto waits = [](LeaseKeeper &other, const LeaseRecord &seen) {
+        other.enterEra(2, at(900));
+        other.observe(seen, 10, at(1000));
+        return !other.nextWrite(true, at(5999)).has_value()
+            && other.nextWrite(true, at(6000)).has_value();
+    };
+    LeaseKeeper otherVm = processOn("b", 2);
+    BOOST_TEST(waits(otherVm, record));
+    // The VM that replaced another one has its name, not its address.
+    LeaseKeeper replacement({ .holderId = "a/2",
+                              .address = "c:7340",
+                              .validity = Validity,
+                              .handover = Handover,
+                              .renewAfter = RenewAfter });
+    replacement.noteOnlyProcess();
+    BOOST_TEST(waits(replacement, record));
+    // A build that doesn't know the address has kept that of an earlier holder.
+    LeaseKeeper earlierHolder = processOn("a", 2);
+    BOOST_TEST(
+        waits(earlierHolder, { .holder = "b/1", .address = "a:7340", .token = 4, .era = 2 }));
+    LeaseKeeper otherEra = processOn("a", 2);
+    BOOST_TEST(waits(otherEra, { .holder = "a/1", .address = "a:7340", .token = 4, .era = 1 }));
+    LeaseKeeper notListening({ .holderId = "a/2",
+                               .address = "a:7340",
+                               .validity = Validity,
+                               .handover = Handover,
+                               .renewAfter = RenewAfter });
+    BOOST_TEST(waits(notListening, record));
+}
+
+BOOST_AUTO_TEST_CASE(neverTwoVmsWithinTheHandoverWhileProcessesEndAndOrdersAreUnderWay)
+{
+    // Processes on three VMs end at any moment, singly or all at once, and their writes and orders
+    // may arrive later. An order arrives after as much as a process needs to start.
+    for (unsigned seed = 1; seed <= 300; ++seed) {
+        std::mt19937 random(seed);
+        const std::vector<std::string> names { "a", "b", "c" };
+        StoreObject store;
+        std::vector<LeaseKeeper> nodes { processOn("a", 0), processOn("b", 0), processOn("c", 0) };
+        std::vector<std::int64_t> downUntil(nodes.size(), 0);
+        struct DelayedWrite
+        {
+            std::int64_t due;
+            std::variant<CreateLease, ReplaceLease> write;
+        };
+        std::vector<DelayedWrite> delayedWrites;
+        struct Order
+        {
+            std::int64_t due;
+            std::size_t vm;
+            std::uint64_t token;
+        };
+        std::vector<Order> orders;
+        std::int64_t lastAct = -100000;
+        std::size_t lastVm = nodes.size();
+        std::uint64_t lastToken = 0;
+        std::uint64_t highestArrived = 0;
+        unsigned continued = 0;
+        std::int64_t allEndedAt = -100000;
+        for (std::int64_t now = 0; now < 60000; now += 50) {
+            for (const DelayedWrite &one : delayedWrites) {
+                if (one.due <= now) {
+                    static_cast<void>(store.apply(one.write));
+                }
+            }
+            std::erase_if(delayedWrites, [&](const DelayedWrite &one) { return one.due <= now; });
+            for (const Order &order : orders) {
+                if (order.due <= now) {
+                    BOOST_TEST_INFO("seed " << seed << " at " << now);
+                    BOOST_TEST(order.token >= highestArrived);
+                    highestArrived = std::max(highestArrived, order.token);
+                }
+            }
+            std::erase_if(orders, [&](const Order &one) { return one.due <= now; });
+            const bool allEnd = random() % 100 == 0;
+            allEndedAt = allEnd ? now : allEndedAt;
+            for (std::size_t index = 0; index < nodes.size(); ++index) {
+                if (allEnd || random() % 400 == 0) {
+                    downUntil[index] = now + 500 + static_cast<std::int64_t>(random() % 2000);
+                    nodes[index] = processOn(names[index], now);
+                }
+                if (downUntil[index] > now) {
+                    continue;
+                }
+                LeaseKeeper &node = nodes[index];
+                if (random() % 3 == 0) {
+                    node.observe(store.record, store.revision, at(now));
+                }
+                if (node.holds(at(now))) {
+                    BOOST_TEST_INFO("seed " << seed << " at " << now);
+                    if (lastVm == index) {
+                        BOOST_TEST(node.token() >= lastToken);
+                        continued += now - allEndedAt < 5000 ? 1 : 0;
+                    } else {
+                        BOOST_TEST((now - lastAct >= 3000 && node.token() > lastToken));
+                    }
+                    lastVm = index;
+                    lastAct = now;
+                    lastToken = node.token();
+                    orders.push_back(
+                        { now + static_cast<std::int64_t>(random() % 2500), index, node.token() });
+                }
+                const auto write = node.nextWrite(true, at(now));
+                if (!write.has_value()) {
+                    continue;
+                }
+                const auto outcome = random() % 10;
+                if (outcome == 0) {
+                    continue;
+                }
+                if (outcome == 1) {
+                    delayedWrites.push_back(
+                        { now + static_cast<std::int64_t>(random() % 6000), *write });
+                    continue;
+                }
+                const auto record = store.apply(*write);
+                if (outcome == 2) {
+                    continue;
+                }
+                if (record.has_value()) {
+                    node.noteWritten(*record, store.revision, at(now));
+                } else {
+                    node.observe(store.record, store.revision, at(now));
+                }
+            }
+        }
+        BOOST_TEST(continued > 0U);
+    }
+}
+
 BOOST_AUTO_TEST_CASE(leaseObjectThatCannotBeReadIsReplacedOnceItsHolderIsSilent)
 {
     LeaseKeeper first = keeper("a");
