Gateway: Keep since when weights are desired in records that outlive all nodes

Cause: what a process knows as "since when" was lost with it. A version that no holder had recorded was as young as the process that read it.

A few nodes, those that may take the lease, write a record each: what they know and a reading of their clocks. They write it at their start, when they learn of a version, and every 5 s, at moments of their own. A node that starts reads all records. Its own one ages by the clock of the kernel, or by the time of day if the VM has restarted. Those of others count by their median. A version in no record was set after they were written, so the second newest bounds its age. Nodes tell each other the longest age, so that the time of day of some may be wrong.

A record costs a read at each start and a write every 5 s of up to eight nodes.

--- a/Source/Gateway/Gateway.cpp
+++ b/Source/Gateway/Gateway.cpp
@@ -40,6 +40,7 @@
 #include "Gateway/StreamVersionLink.h"
 #include "Gateway/StreamVersionSync.h"
 #include "Gateway/TrafficDelay.h"
+#include "Gateway/WeightsRecordSync.h"
 #include "Routing/Rendezvous.h"
 #include "StoreRelay/TransferChoice.h"
 #include "platform/StoreObjects.h"
@@ -197,10 +198,8 @@
               [this](const ServerId &server, const ModelId &model, WeightsVersion version) {
                   uncordonServer(server, model, version);
               },
-              [this](const std::vector<DesiredWeightsAge> &named) {
-                  asio::post(trafficContext, [this, named] {
-                      traffic.mergeDesiredWeights(named, "lease", std::chrono::steady_clock::now());
-                  });
+              [this](const std::vector<DesiredWeightsAge> &ages) {
+                  mergeDesiredAges(ages, "lease");
               },
               [this](const ServerInstance &server, const ServerStatement &statement) {
                   asio::post(trafficContext, [this, server, statement] {
@@ -208,6 +207,11 @@
                       traffic.pool.noteControlCall(server.id, std::chrono::steady_clock::now());
                   });
               })
+        , weightsRecords(
+              controlContext, store, settings.name, [this] { return rollout.desiredAges(); },
+              [this](const std::vector<DesiredWeightsAge> &ages) {
+                  mergeDesiredAges(ages, "records");
+              })
         , cacheEventReader(controlContext, traffic.bodyMemory,
                            [this](const ServerId &id, const CacheEvents &events,
                                   std::shared_ptr<const MemoryReservation> memory) {
@@ -270,6 +274,8 @@
     /// Passes the decoded server list on, and again when the time after a restore has ended.
     void applyServerList();
     void onDesiredWeightsChanged(const ObjectTable &table);
+    /// Merges ages of desired weights in both threads; `witness` outlives the call.
+    void mergeDesiredAges(const std::vector<DesiredWeightsAge> &ages, std::string_view witness);
     void onNodesChanged(const ObjectTable &table);
     void cordonServer(const ServerId &server, const ModelId &model, WeightsVersion version,
                       Duration limit);
@@ -326,6 +332,7 @@
     RelayServer relay;
     NodeRegistration registration;
     RolloutDriver rollout;
+    WeightsRecordSync weightsRecords;
     CacheEventReader cacheEventReader;
     /// Used by the control thread only.
     ServerDecoder serverDecoder;
@@ -456,6 +463,7 @@
     asio::co_spawn(controlContext, configuration.run(), asio::detached);
     asio::co_spawn(controlContext, servers.run(), asio::detached);
     asio::co_spawn(controlContext, weights.run(), asio::detached);
+    asio::co_spawn(controlContext, weightsRecords.run(), asio::detached);
     asio::co_spawn(controlContext,
                    runRestarting(controlContext, "rollout", [this] { return rollout.run(); }),
                    asio::detached);
@@ -658,6 +666,7 @@
 void Gateway::Parts::onDesiredWeightsChanged(const ObjectTable &table)
 {
     oddWeights.keepListed(table);
+    std::vector<DesiredWeights> desired;
     for (const auto &[name, object] : table) {
         const auto named = platform::readDesiredWeights(object.spec);
         if (!named.has_value()) {
@@ -675,7 +684,18 @@
         asio::post(trafficContext, [this, named = *named] {
             traffic.noteDesiredWeights(named, std::chrono::steady_clock::now());
         });
+        desired.push_back(*named);
     }
+    weightsRecords.noteListed(std::move(desired));
+}
+
+void Gateway::Parts::mergeDesiredAges(const std::vector<DesiredWeightsAge> &ages,
+                                      std::string_view witness)
+{
+    rollout.mergeDesiredAges(ages);
+    asio::post(trafficContext, [this, ages, witness] {
+        traffic.mergeDesiredWeights(ages, witness, std::chrono::steady_clock::now());
+    });
 }
 
 void Gateway::Parts::onNodesChanged(const ObjectTable &table)
@@ -740,6 +760,7 @@
             sync->readerChoice().setLive(live);
         }
         rollout.setCandidate(isCandidate);
+        weightsRecords.setWriter(isCandidate);
     });
     asio::post(controlContext, [this, own = std::move(own)] { cacheEventReader.assign(own); });
 }
--- a/Source/Gateway/LeaseObject.cpp
+++ b/Source/Gateway/LeaseObject.cpp
@@ -4,6 +4,7 @@
 #include <string_view>
 
 #include "Gateway/UnknownFields.h"
+#include "Gateway/WeightsRecordObject.h"
 
 namespace jacinthroad {
 
@@ -33,40 +34,11 @@
     if (record.era != 0) {
         spec["era"] = Json::UInt64(record.era);
     }
-    spec["named"] = Json::Value(Json::arrayValue);
-    for (const DesiredWeightsAge &notice : record.desiredWeightsAges) {
-        Json::Value entry;
-        entry["model"] = notice.model.text();
-        entry["version"] = notice.version;
-        entry["age_ms"] = notice.ageMs;
-        spec["named"].append(std::move(entry));
-    }
+    spec["named"] = desiredAgesList(record.desiredWeightsAges);
     keepUnknownFields(spec, stored, KnownLease);
     return spec;
 }
 
-namespace {
-
-/// Skips malformed entries: the ages are useful but not required.
-std::vector<DesiredWeightsAge> readNamed(const Json::Value &entries)
-{
-    std::vector<DesiredWeightsAge> named;
-    if (!entries.isArray()) {
-        return named;
-    }
-    for (const Json::Value &entry : entries) {
-        if (entry.isObject() && entry["model"].isString() && entry["version"].isUInt()
-            && entry["age_ms"].isUInt()) {
-            named.push_back({ .model = ModelId(entry["model"].asString()),
-                              .version = entry["version"].asUInt(),
-                              .ageMs = entry["age_ms"].asUInt() });
-        }
-    }
-    return named;
-}
-
-} // namespace
-
 std::optional<LeaseRecord> readLease(const Json::Value &spec)
 {
     if (!spec.isObject() || !spec["holder"].isString() || !spec["token"].isUInt64()
@@ -79,7 +51,7 @@
                          .token = spec["token"].asUInt64(),
                          .released = spec["released"].asBool(),
                          .renewals = spec["renewals"].asUInt64(),
-                         .desiredWeightsAges = readNamed(spec["named"]),
+                         .desiredWeightsAges = readDesiredAges(spec["named"]),
                          .era = spec["era"].isUInt64() ? spec["era"].asUInt64() : 0 };
 }
 
--- a/Source/Gateway/RolloutDriver.cpp
+++ b/Source/Gateway/RolloutDriver.cpp
@@ -150,6 +150,16 @@
     history_.recordDesired(named, std::chrono::steady_clock::now());
 }
 
+void RolloutDriver::mergeDesiredAges(std::span<const DesiredWeightsAge> ages)
+{
+    history_.mergeAges(ages, std::chrono::steady_clock::now());
+}
+
+std::vector<DesiredWeightsAge> RolloutDriver::desiredAges() const
+{
+    return history_.ages(std::chrono::steady_clock::now());
+}
+
 void RolloutDriver::noteVersion(const ServerId &id, const ModelId &model, WeightsVersion version)
 {
     if (servers_.contains(id)) {
@@ -330,7 +340,6 @@
     followEra();
     lease_.observe(record, revision, bootNow());
     if (record.has_value() && !record->desiredWeightsAges.empty()) {
-        history_.mergeAges(record->desiredWeightsAges, std::chrono::steady_clock::now());
         desiredAgesHandler_(record->desiredWeightsAges);
     }
 }
--- a/Source/Gateway/RolloutDriver.h
+++ b/Source/Gateway/RolloutDriver.h
@@ -6,6 +6,7 @@
 #include <memory>
 #include <optional>
 #include <set>
+#include <span>
 #include <string>
 #include <unordered_map>
 #include <utility>
@@ -64,6 +65,10 @@
     void applyServers(const std::vector<ListedServer> &servers);
     /// Applies the desired weights of one model.
     void applyDesiredWeights(const DesiredWeights &named);
+    /// Merges the ages of desired weights that this node has learned.
+    void mergeDesiredAges(std::span<const DesiredWeightsAge> ages);
+    /// Returns since when this node knows weights to be desired.
+    [[nodiscard]] std::vector<DesiredWeightsAge> desiredAges() const;
     /// Records that this process listens on its address, so that a former one has ended.
     void noteOnlyProcess() { lease_.noteOnlyProcess(); }
     /// Notes the version of a model's weights that a response reported for a server.
--- a/Source/Gateway/TrafficState.h
+++ b/Source/Gateway/TrafficState.h
@@ -7,6 +7,7 @@
 #include <optional>
 #include <span>
 #include <string>
+#include <string_view>
 #include <unordered_map>
 #include <utility>
 #include <vector>
