GatewaySoak: Set new weights while all nodes are killed several times

The new disturbance new-weights sets weights 1 s after the begin, and kills all nodes at once three times, first within 0.6 s. Engine servers take orders and load for 1.5 s. The check replaced-weights finds requests that calm nodes sent to servers with replaced weights later than the limit of 6 s.

--- a/Tests/Soak/Disturbance.cpp
+++ b/Tests/Soak/Disturbance.cpp
@@ -37,6 +37,7 @@
     { Disturbance::LogPipe, "log-pipe" },
     { Disturbance::EndlessResponses, "endless-responses" },
     { Disturbance::FullDisk, "full-disk" },
+    { Disturbance::NewWeights, "new-weights" },
 });
 
 } // namespace
@@ -58,7 +59,8 @@
     Disturbances usual = allDisturbances();
     for (const Disturbance special :
          { Disturbance::LogLimit, Disturbance::CacheEvents, Disturbance::FullServers,
-           Disturbance::LogPipe, Disturbance::FullDisk, Disturbance::EndlessResponses }) {
+           Disturbance::LogPipe, Disturbance::FullDisk, Disturbance::EndlessResponses,
+           Disturbance::NewWeights }) {
         usual.erase(special);
     }
     return usual;
--- a/Tests/Soak/Disturbance.h
+++ b/Tests/Soak/Disturbance.h
@@ -67,6 +67,8 @@
     EndlessResponses,
     /// The disk of a node's log is full from its start to its end.
     FullDisk,
+    /// New weights are set, and all nodes are killed at once several times.
+    NewWeights,
 };
 
 using Disturbances = std::set<Disturbance>;
--- a/Tests/Soak/NodeFaults.h
+++ b/Tests/Soak/NodeFaults.h
@@ -42,6 +42,7 @@
     std::vector<TimeSpan> storeDisturbances;
     /// Written by one thread.
     std::vector<LinkCut> linkCuts;
+    std::vector<WeightsSet> weightsSet;
     /// Requests without end at the addresses for callers, by name of the node; written by one
     /// thread.
     std::map<std::string, std::size_t> endlessRequests;
--- a/Tests/Soak/NodeProcess.cpp
+++ b/Tests/Soak/NodeProcess.cpp
@@ -138,6 +138,9 @@
     settings["store"]["address"] = options_.storeAddress;
     settings["bounds"]["stop_grace_s"] = toMilliseconds(options_.stopGrace) / 1000;
     settings["bounds"]["repeat_allowance"] = retryAllowance;
+    if (options_.weightsLimit.has_value()) {
+        settings["bounds"]["weights_ms"] = wholeMilliseconds(*options_.weightsLimit);
+    }
     if (options_.memoryMb > 0) {
         settings["memory"]["total_mb"] = options_.memoryMb;
     }
--- a/Tests/Soak/NodeProcess.h
+++ b/Tests/Soak/NodeProcess.h
@@ -75,6 +75,8 @@
         double memoryMb = 0;
         /// Limit of its open descriptors; 0 leaves it as it is.
         std::uint64_t descriptors = 0;
+        /// The setting of the time for new weights; unset leaves it out.
+        std::optional<Duration> weightsLimit {};
         /// The log begins with a hole, so that each limit on its size leaves room for the files
         /// that a start of an earlier build writes.
         bool logHasHole = false;
--- a/Tests/Soak/RunLog.cpp
+++ b/Tests/Soak/RunLog.cpp
@@ -27,6 +27,12 @@
     return runs_.size() - 1;
 }
 
+void RunLog::noteWeights(std::size_t run, int version)
+{
+    const std::lock_guard lock(mutex_);
+    runs_[run].weights = version;
+}
+
 void RunLog::noteDelimitedByClose(std::size_t run)
 {
     const std::lock_guard lock(mutex_);
--- a/Tests/Soak/RunLog.h
+++ b/Tests/Soak/RunLog.h
@@ -32,6 +32,15 @@
     std::optional<std::size_t> endlessForm;
     /// Status of its response.
     unsigned status = 200;
+    /// Version of the weights on which it began; 0 if the run has none.
+    int weights = 0;
+};
+
+/// Weights that were set as desired.
+struct WeightsSet
+{
+    int version = 0;
+    Instant at;
 };
 
 /// One request that reached a backend server, run or not, and what the response stated.
@@ -135,6 +144,8 @@
     void noteArrival(const ServerArrival &arrival);
     /// Records that the response of a run ends with its connection.
     void noteDelimitedByClose(std::size_t run);
+    /// Records the version of the weights on which a run began.
+    void noteWeights(std::size_t run, int version);
     /// Records that a run has written its complete response.
     void noteFinished(std::size_t run);
     /// Records that a run broke off its response.
--- a/Tests/Soak/SoakJudge.cpp
+++ b/Tests/Soak/SoakJudge.cpp
@@ -9,6 +9,7 @@
 #include "EndlessForms.h"
 #include "LinkJudge.h"
 #include "LogStandstills.h"
+#include "NewWeights.h"
 #include "NodeLogJudge.h"
 #include "SilenceJudge.h"
 #include "SoakStatementJudge.h"
@@ -351,7 +352,7 @@
     for (const auto &check :
          { findStatementViolations, findStreamVersionViolations, findSilenceViolations,
            findNodeLogViolations, findBudgetViolations, findLogViolations, findLinkViolations,
-           findCacheViolations, findLateConfigurations }) {
+           findCacheViolations, findLateConfigurations, findWeightsViolations }) {
         const std::vector<Violation> broken = check(observations);
         violations.insert(violations.end(), broken.begin(), broken.end());
     }
--- a/Tests/Soak/SoakJudge.h
+++ b/Tests/Soak/SoakJudge.h
@@ -128,6 +128,7 @@
     Instant callersEnded;
     /// Spans in which the store was away or lacked what had been written.
     std::vector<TimeSpan> storeDisturbances;
+    std::vector<WeightsSet> weightsSet;
     /// Requests without end at the addresses for callers, by name of the node.
     std::map<std::string, std::size_t> endlessRequests;
     NodeLog nodeLog;
--- a/Tests/Soak/SoakRun.cpp
+++ b/Tests/Soak/SoakRun.cpp
@@ -17,6 +17,7 @@
 #include "LinkCuts.h"
 #include "LogLimits.h"
 #include "LogStandstills.h"
+#include "NewWeights.h"
 #include "NodeAllotment.h"
 #include "NodeFaults.h"
 #include "NodeLogJudge.h"
@@ -167,6 +168,9 @@
             .zone = zoneOf(options, number),
             .memoryMb = options.memoryMb,
             .descriptors = options.descriptors,
+            .weightsLimit = options.disturbances.contains(Disturbance::NewWeights)
+                ? std::optional(SoakWeightsLimit)
+                : std::nullopt,
             .logHasHole = options.disturbances.contains(Disturbance::LogLimit)
                 && !options.earlierProgram.empty(),
             .logIsPipe = options.disturbances.contains(Disturbance::LogPipe) }));
@@ -283,6 +287,9 @@
             restarts.push_back({ .at = moment(low, high), .killsAll = true });
         }
     }
+    if (options.disturbances.contains(Disturbance::NewWeights)) {
+        restarts = restartsBesideNewWeights(begin, random);
+    }
     std::sort(restarts.begin(), restarts.end(),
               [](const auto &left, const auto &right) { return left.at < right.at; });
     return restarts;
@@ -319,6 +326,9 @@
             changeConfigurations(store, last, seed, until, counts);
         });
     }
+    if (options.disturbances.contains(Disturbance::NewWeights)) {
+        threads.emplace_back([&store, begin, &counts] { setNewWeights(store, begin, counts); });
+    }
     if (options.disturbances.contains(Disturbance::SoftwareVersions)) {
         threads.emplace_back([&servers, seed = random(), until, &counts] {
             releaseVersions(servers, seed, until, counts.releases);
@@ -524,6 +534,7 @@
                                     .cacheStoreAddress = servers.cacheStoreAddress(),
                                     .callersEnded = faultsEnded + RecoveryTime,
                                     .storeDisturbances = counts.storeDisturbances,
+                                    .weightsSet = counts.weightsSet,
                                     .endlessRequests = counts.endlessRequests };
     for (const auto &node : nodes) {
         observations.disturbances[node->name()] = node->disturbances();
--- a/Tests/Soak/SoakServers.cpp
+++ b/Tests/Soak/SoakServers.cpp
@@ -7,6 +7,7 @@
 
 #include <json/value.h>
 
+#include "Core/Json.h"
 #include "ServerResponse.h"
 #include "SoakTraffic.h"
 
@@ -27,6 +28,8 @@
 /// Length of a body that doesn't end.
 constexpr std::size_t EndlessLength = 1ULL << 50;
 /// Longer than the time limit of any request.
+/// Time from an order until new weights are loaded.
+constexpr Duration LoadTime = milliseconds(1500);
 constexpr Duration LongestEndlessResponse = std::chrono::seconds(20);
 
 std::string versionName(int number)
@@ -129,7 +132,7 @@
     if (boot.service == EngineService) {
         Json::Value model;
         model["name"] = "m";
-        model["version"] = 1;
+        model["version"] = weightsOf(boot);
         spec["models"].append(model);
     }
     store_.put("servers", boot.id, spec);
@@ -328,10 +331,7 @@
             continue;
         }
         if (request.target().starts_with("/-/")) {
-            const bool report = request.target() == "/-/report";
-            write(boot, connection,
-                  report ? responseText(200, "", R"({"born":)" + std::to_string(boot.number) + "}")
-                         : responseText(404, "", ""));
+            respondToControl(boot, connection, request);
             continue;
         }
         if (!respond(boot, connection, request, cameAt, late)) {
@@ -340,10 +340,53 @@
     }
 }
 
+int SoakServers::weightsOf(const Boot &boot)
+{
+    return std::chrono::steady_clock::now() < boot.loadedAt.load() ? boot.weights
+                                                                   : boot.orderedWeights;
+}
+
+void SoakServers::respondToControl(Boot &boot, ScriptedConnection &connection,
+                                   const ReceivedRequest &request)
+{
+    const bool ordered = request.target() == "/-/order"
+        && disturbances_.contains(Disturbance::NewWeights) && boot.service == EngineService;
+    const bool busy = std::chrono::steady_clock::now() < boot.loadedAt.load();
+    if (ordered && !busy) {
+        boot.weights = weightsOf(boot);
+        boot.loadedAt = std::chrono::steady_clock::now() + LoadTime;
+        boot.orderedWeights = (*parseJson(request.body()))["version"].asInt();
+        ++boot.orders;
+    }
+    if (request.target() != "/-/report") {
+        const unsigned refused = busy ? 409 : 404;
+        write(boot, connection, responseText(ordered && !busy ? 202 : refused, "", ""));
+        return;
+    }
+    Json::Value report;
+    report["born"] = boot.number;
+    if (disturbances_.contains(Disturbance::NewWeights) && boot.service == EngineService) {
+        Json::Value model;
+        model["name"] = "m";
+        model["version"] = weightsOf(boot);
+        report["models"].append(model);
+        report["busy"] = busy;
+        report["seq"] = boot.orders.load();
+        putEntry(boot);
+    }
+    write(boot, connection, responseText(200, "", writeJson(report)));
+}
+
 bool SoakServers::respond(Boot &boot, ScriptedConnection &connection,
                           const ReceivedRequest &request, Instant cameAt, LateState &late)
 {
     const std::string id(request["X-Request-Id"]);
+    if (request.count("X-Expect-Version") > 0
+        && std::stoi(std::string(request["X-Expect-Version"])) != weightsOf(boot)) {
+        write(boot, connection,
+              responseText(421, "X-Not-Run: 1\r\nX-Request-Id: " + id + "\r\n", ""));
+        return true;
+    }
     ServerArrival arrival = statementOf(boot, id);
     arrival.cameAt = cameAt;
     if (arrival.pausedUntil != Instant()) {
@@ -387,6 +430,9 @@
     noteCacheUse(boot, request);
     const bool stream = isStream(std::string(request.target()));
     const std::size_t run = log_.noteStarted(id, boot.name, false);
+    if (boot.service == EngineService) {
+        log_.noteWeights(run, weightsOf(boot));
+    }
     const std::string attempt = id + "/" + std::to_string(log_.runCount(id));
     ResponseFaults faults { .breakOff = ownFaults_ && disturbances_.contains(Disturbance::BreakOff),
                             .secondResponse
--- a/Tests/Soak/SoakServers.h
+++ b/Tests/Soak/SoakServers.h
@@ -88,6 +88,11 @@
         std::atomic<int> rejectsAfterMs { 0 };
         /// Another server has taken its place, so that it doesn't start again.
         std::atomic<bool> replaced { false };
+        /// Weights before and after the last order, and the time of the change.
+        std::atomic<int> weights { 1 };
+        std::atomic<int> orderedWeights { 1 };
+        std::atomic<Instant> loadedAt { Instant() };
+        std::atomic<int> orders { 0 };
         SoakSlots slots;
         SoakCache cache { std::hash<std::string>()(name) };
         std::unique_ptr<ScriptedServer> server;
@@ -162,6 +167,10 @@
     /// is sent after the response.
     [[nodiscard]] bool respond(Boot &boot, ScriptedConnection &connection,
                                const ReceivedRequest &request, Instant cameAt, LateState &late);
+    /// Responds to a call of the operator's interface: a report or an order.
+    void respondToControl(Boot &boot, ScriptedConnection &connection,
+                          const ReceivedRequest &request);
+    [[nodiscard]] static int weightsOf(const Boot &boot);
     /// Runs one request; the same.
     [[nodiscard]] bool run(Boot &boot, ScriptedConnection &connection,
                            const ReceivedRequest &request, ServerArrival arrival, LateState &late);
