ControlClient: Use no connection that may have gone silent with another

A time-out says something of all connections to an address that have carried nothing since. After it, idle ones whose last response was complete before that call began are closed.

--- a/Source/Gateway/ControlClient.cpp
+++ b/Source/Gateway/ControlClient.cpp
@@ -56,6 +56,8 @@
     asio::ip::tcp::socket socket;
     DeadlineTimer timer;
     bool timedOut = false;
+    /// When the last response on it was complete.
+    Instant lastUsed;
     ReadBuffer buffer;
 };
 
@@ -94,9 +96,15 @@
     if (connection == nullptr) {
         connection = std::make_shared<Connection>(context_, memory_, kind_);
     }
+    const Instant began = std::chrono::steady_clock::now();
     auto response
         = co_await performCall(connection, std::move(call), std::move(headers), limits, progress);
     connection->timer.cancel();
+    if (connection->timedOut) {
+        // Whatever silenced this connection may have silenced the others without a reset; only
+        // those that have carried a response since are known to work.
+        std::erase_if(idle_, [&](const auto &idle) { return idle->lastUsed < began; });
+    }
     co_return response;
 }
 
@@ -203,6 +211,7 @@
     connection->buffer.releaseIfEmpty();
     if (use_ == ConnectionUse::Kept && responseParser.keep_alive()
         && connection->buffer.size() == 0) {
+        connection->lastUsed = std::chrono::steady_clock::now();
         idle_.push_back(connection);
     }
     co_return CallResponse { .status = responseParser.get().result_int(),
--- a/Tests/Gateway/ControlClientTest.cpp
+++ b/Tests/Gateway/ControlClientTest.cpp
@@ -59,6 +59,50 @@
     BOOST_TEST(*second);
 }
 
+// Each call in turn took the next connection that had gone silent, and timed out too.
+BOOST_AUTO_TEST_CASE(callAfterATimeoutUsesNoConnectionThatMayHaveGoneSilentToo)
+{
+    std::atomic<bool> silent { false };
+    std::atomic<unsigned> opened { 0 };
+    ScriptedServer server([&](ScriptedConnection &connection) {
+        const bool goesSilent = ++opened <= 3;
+        boost::beast::http::request<boost::beast::http::string_body> request;
+        while (connection.read(request)) {
+            if (goesSilent && silent) {
+                static_cast<void>(connection.waitForClose(milliseconds(3000)));
+                return;
+            }
+            std::this_thread::sleep_for(milliseconds(50));
+            connection.write(responseText(200, "", "{}"));
+        }
+    });
+    asio::io_context context { 1 };
+    ControlClient client(context, server.address(), ConnectionUse::Kept, unlimitedMemory(),
+                         BodyKind::Control, MaxObjectResponseBytes);
+    const platform::Call call { .target = "/" };
+    unsigned succeeded = 0;
+    const auto callAtOnce = [&](unsigned count) {
+        for (unsigned number = 0; number < count; ++number) {
+            asio::co_spawn(
+                context,
+                [&]() -> asio::awaitable<void> {
+                    const auto response = co_await client.call(call, {}, milliseconds(300));
+                    succeeded += response.has_value() ? 1 : 0;
+                },
+                [](const std::exception_ptr &) {});
+        }
+        context.restart();
+        context.run_for(milliseconds(600));
+    };
+    callAtOnce(3);
+    BOOST_TEST(succeeded == 3U);
+    silent = true;
+    callAtOnce(1);
+    BOOST_TEST(succeeded == 3U);
+    callAtOnce(1);
+    BOOST_TEST(succeeded == 4U);
+}
+
 BOOST_AUTO_TEST_CASE(lateSecondResponseIsNotTakenForResponseToNextCall)
 {
     std::atomic<int> calls { 0 };
