ServerPool: Send no request for a model to a server whose weights are unknown

The cause itself is mended where it acts: a server is chosen for a request that names a model only if its weights of it are known.

--- a/Source/Placement/ServerPoolPlacement.cpp
+++ b/Source/Placement/ServerPoolPlacement.cpp
@@ -70,6 +70,11 @@
     return since.has_value() && now - *since >= options_.outdatedWeightsGrace;
 }
 
+bool ServerPool::lacksWeights(const Server &server, const ModelId &model)
+{
+    return !model.empty() && weightsOf(server, model) == 0;
+}
+
 bool ServerPool::unresponsive(const Server &server, Instant now) const
 {
     Duration silence = Duration::max();
@@ -354,7 +359,8 @@
             && !request.softwareVersions->contains(server.facts.softwareVersion)) {
             continue;
         }
-        if (!acceptsWork(server, now) || outdatedWeightsExpired(server, request.model, now)) {
+        if (!acceptsWork(server, now) || outdatedWeightsExpired(server, request.model, now)
+            || lacksWeights(server, request.model)) {
             continue;
         }
         if (const SendPermission permitted = permission(server, now); !permitted.allowed()) {
--- a/Tests/Gateway/PartialEntryTest.cpp
+++ b/Tests/Gateway/PartialEntryTest.cpp
@@ -10,6 +10,8 @@
 
 namespace {
 
+const std::string KeyHeader = "Authorization: Bearer k1\r\n";
+
 /// Longer than a node takes to apply a change of the list.
 constexpr auto ListTime = std::chrono::milliseconds(1500);
 
@@ -44,6 +46,27 @@
     }
 }
 
+// A server whose entry names no weights was sent requests with the salt of version 0.
+BOOST_AUTO_TEST_CASE(requestsForAModelGoToNoServerWhoseWeightsAreUnknown)
+{
+    GatewayFixture fixture;
+    fixture.addServer(
+        "e1", "engines", [](ScriptedConnection &connection, const ReceivedRequest &request) {
+            connection.write(request.target().starts_with("/-/")
+                                 ? responseText(503, "", "")
+                                 : streamHead(request) + chunk(event(1)) + "0\r\n\r\n");
+            return true;
+        });
+    Json::Value entry = fixture.store.spec("servers", "e1");
+    entry.removeMember("models");
+    fixture.store.put("servers", "e1", entry);
+    fixture.configure(1, { "k1" });
+    fixture.start();
+    const std::string headers = KeyHeader + "X-Model: m\r\n";
+    BOOST_TEST(fixture.call("POST", "/once/a", "prompt", headers)->result_int() == 503U);
+    BOOST_TEST(fixture.receivedRequests("e1").empty());
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace jacinthroad
