AttemptBudget: Keep the counts when the length of the window changes

Slices are numbered by the time divided by their length, so a longer window gave later times lower numbers, and nothing was cleared.

When the length changes, the counts go into slices of the new length: retries into the newest, requests into the one that is cleared first.

--- a/Source/Gateway/TrafficState.cpp
+++ b/Source/Gateway/TrafficState.cpp
@@ -114,7 +114,8 @@
     bodyMemory->setLimit(bodyMemoryLimit(currentSettings_));
     bodyMemory->setResponseLimits(responseLimits(bodyMemory->limit()));
     freshness.setOptions(Freshness::limitsFor(currentSettings_.keyRevocation));
-    retryBudget.setOptions(retryBudgetOptions(currentSettings_, nodeCount_));
+    retryBudget.setOptions(retryBudgetOptions(currentSettings_, nodeCount_),
+                           std::chrono::steady_clock::now());
 }
 
 Duration TrafficState::outdatedConfigurationAge() const
@@ -125,7 +126,8 @@
 void TrafficState::setNodeCount(std::size_t count)
 {
     nodeCount_ = count;
-    retryBudget.setOptions(retryBudgetOptions(currentSettings_, nodeCount_));
+    retryBudget.setOptions(retryBudgetOptions(currentSettings_, nodeCount_),
+                           std::chrono::steady_clock::now());
 }
 
 void TrafficState::applyConfiguration(const ConfigurationIdentity &identity,
--- a/Source/Placement/AttemptBudget.cpp
+++ b/Source/Placement/AttemptBudget.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <numeric>
+#include <utility>
 
 namespace jacinthroad {
 
@@ -9,6 +10,25 @@
     : options_(options)
 { }
 
+void AttemptBudget::setOptions(const Options &options, Instant now)
+{
+    const Options former = std::exchange(options_, options);
+    if (options.window == former.window) {
+        return;
+    }
+    for (auto &[service, window] : windows_) {
+        options_ = former;
+        const Window counted = windowOf(service, now);
+        options_ = options;
+        window = { .slice = sliceOf(now) };
+        const auto newest = static_cast<std::size_t>(window.slice) % Slices;
+        window.retries[newest]
+            = std::accumulate(counted.retries.begin(), counted.retries.end(), std::uint32_t { 0 });
+        window.requests[(newest + 1) % Slices] = std::accumulate(
+            counted.requests.begin(), counted.requests.end(), std::uint32_t { 0 });
+    }
+}
+
 std::int64_t AttemptBudget::sliceOf(Instant moment) const
 {
     return moment.time_since_epoch() / (options_.window / static_cast<std::int64_t>(Slices));
--- a/Source/Placement/AttemptBudget.h
+++ b/Source/Placement/AttemptBudget.h
@@ -25,8 +25,9 @@
 
     explicit AttemptBudget(const Options &options);
 
-    /// Replaces the limits; the counts of the current window are kept.
-    void setOptions(const Options &options) { options_ = options; }
+    /// Replaces the limits at `now`. Of the counts of the current window, the retries count for the
+    /// whole of a window of another length, and the requests for its first tenth.
+    void setOptions(const Options &options, Instant now);
 
     /// Records a request for a service.
     void noteRequest(const ServiceId &service, Instant now);
@@ -46,6 +47,7 @@
         std::int64_t slice = 0;
     };
 
+    /// Number of the slice of a moment; slices of windows of another length have other numbers.
     [[nodiscard]] std::int64_t sliceOf(Instant moment) const;
     Window &windowOf(const ServiceId &service, Instant now);
 
--- a/Tests/Placement/AttemptBudgetTest.cpp
+++ b/Tests/Placement/AttemptBudgetTest.cpp
@@ -1,3 +1,7 @@
+#include <algorithm>
+#include <cstdint>
+#include <vector>
+
 #include <boost/test/unit_test.hpp>
 
 #include "Placement/AttemptBudget.h"
@@ -113,6 +117,42 @@
     BOOST_TEST(!budget.spend(service, start + std::chrono::seconds(16)));
 }
 
+// With a longer window the slices got lower numbers, so that nothing was cleared any more.
+BOOST_AUTO_TEST_CASE(budgetHoldsAfterTheWindowHasBecomeLongerOrShorter)
+{
+    const ServiceId service("s");
+    for (const int seconds : { 13, 7 }) {
+        const Duration window = std::chrono::seconds(seconds);
+        AttemptBudget budget(
+            { .retryRatio = 0.2, .window = std::chrono::seconds(10), .allowance = 3 });
+        unsigned before = 0;
+        std::int64_t now = 1000000;
+        for (; now < 1060000; now += 100) {
+            budget.noteRequest(service, at(now));
+            before += budget.spend(service, at(now)) ? 1 : 0;
+        }
+        budget.setOptions({ .retryRatio = 0.2, .window = window, .allowance = 3 }, at(now));
+        std::vector<std::int64_t> retries;
+        for (; now < 1120000; now += 100) {
+            budget.noteRequest(service, at(now));
+            // The requests before the failures begin don't pay for all of them.
+            if (now >= 1100000 && budget.spend(service, at(now))) {
+                retries.push_back(now);
+            }
+        }
+        BOOST_TEST(before > 100U);
+        BOOST_TEST(retries.size() > 20U);
+        for (const std::int64_t begin : retries) {
+            const auto inWindow
+                = std::count_if(retries.begin(), retries.end(), [&](std::int64_t retry) {
+                      return retry >= begin && at(retry) < at(begin) + window;
+                  });
+            // A retry counts for nine tenths of a window at least.
+            BOOST_TEST(static_cast<double>(inWindow) <= 0.2 * 10 * seconds * 10 / 9 + 2 * 3 + 1);
+        }
+    }
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace jacinthroad
