WeightsRecordSync: Look for something to write ten times a second

As CrashRecordSync does; a record that is written 0.1 s later bounds the ages of the next process as well. The list of ages is allocated at once, as the linter asks.

--- a/Source/Fleet/WeightsRecord.cpp
+++ b/Source/Fleet/WeightsRecord.cpp
@@ -77,6 +77,7 @@
         }
     }
     std::vector<DesiredWeightsAge> found;
+    found.reserve(named.size() + desired.size());
     for (auto &[weights, ages] : named) {
         found.push_back({ .model = weights.first,
                           .version = weights.second,
--- a/Source/Gateway/WeightsRecordSync.cpp
+++ b/Source/Gateway/WeightsRecordSync.cpp
@@ -20,7 +20,7 @@
 namespace {
 
 constexpr Duration CallTimeout = milliseconds(900);
-constexpr Duration Period = milliseconds(50);
+constexpr Duration Period = milliseconds(100);
 constexpr Duration ReadRetryPause = milliseconds(200);
 /// A page has about 500 objects; a few nodes of a fleet write one each.
 constexpr unsigned MaxPages = 4;
