--- a/Tests/Gateway/RecordedObjectsTest.cpp
+++ b/Tests/Gateway/RecordedObjectsTest.cpp
@@ -14,6 +14,7 @@
 #include "Gateway/LeaseObject.h"
 #include "Gateway/NodeRegistration.h"
 #include "Gateway/StreamVersionsObject.h"
+#include "Gateway/WeightsRecordObject.h"
 #include "GatewayFixture.h"
 #include "UnlimitedMemory.h"
 
@@ -28,6 +29,12 @@
     = R"({"records":[{"crashes":[{"cleared":true,"crash_age_ms":600,"number":5,"reporter":"fedcba9876543212","sent_age_ms":700,"server":"fedcba9876543213"}],"depth":2,"fingerprint":"fedcba9876543211"},{"crashes":[],"depth":255,"fingerprint":"a"}],"written_at_ms":1700000000123})";
 constexpr std::string_view LeaseText
     = R"({"era":4,"holder":"front-1","named":[{"age_ms":8000,"model":"m","version":3}],"released":true,"renewals":12,"token":7})";
+/// As d8460a9 writes it.
+constexpr std::string_view LeaseWithAddressText
+    = R"({"address":"10.1.0.30:7340","era":4,"holder":"front-1","named":[{"age_ms":8000,"model":"m","version":3}],"released":true,"renewals":12,"token":7})";
+/// As 4b3bb38 writes it.
+constexpr std::string_view WeightsRecordText
+    = R"({"era":4,"kernel_boot":"k","named":[{"age_ms":8000,"model":"m","version":3}],"since_boot_ms":5000,"written_at_ms":1700000000123})";
 constexpr std::string_view VersionTableText
     = R"({"services":[{"leaving":["v1"],"service":"a","versions":["v1","v1.2"]},{"service":"b","versions":[""]}]})";
 constexpr std::string_view StreamOriginsText
@@ -108,6 +115,32 @@
 
 BOOST_AUTO_TEST_SUITE(RecordedObjectsTest)
 
+BOOST_AUTO_TEST_CASE(leaseWithTheAddressOfItsHolderIsReadAndWritten)
+{
+    LeaseRecord record = lease();
+    record.address = "10.1.0.30:7340";
+    BOOST_TEST((readLease(json(LeaseWithAddressText)) == record));
+    BOOST_TEST(writeJson(leaseSpec(record)) == LeaseWithAddressText);
+}
+
+BOOST_AUTO_TEST_CASE(weightsRecordIsReadAndWritten)
+{
+    const WeightsRecord record {
+        .node = "front-1",
+        .writtenAt
+        = { .kernelBoot = "k", .sinceBoot = { milliseconds(5000) }, .wallMs = 1700000000123 },
+        .era = 4,
+        .ages = { { .model = ModelId("m"), .version = 3, .ageMs = 8000 } }
+    };
+    BOOST_TEST((readWeightsRecord("front-1", json(WeightsRecordText)) == record));
+    BOOST_TEST(writeJson(weightsRecordSpec(record)) == WeightsRecordText);
+    for (const char *field : { "kernel_boot", "since_boot_ms", "written_at_ms", "named" }) {
+        Json::Value odd = json(WeightsRecordText);
+        odd[field] = true;
+        BOOST_TEST(!readWeightsRecord("front-1", odd).has_value(), field);
+    }
+}
+
 BOOST_AUTO_TEST_CASE(objectsOfAnEarlierBuildAreReadInFull)
 {
     const auto crashes = readCrashRecords(json(CrashRecordsText));
