ServerPool: Serve requests that name a model at services without engines

Only engines need them.

Evidence: ServerStatementTest, UnboundedForwardTest, UnboundedCallTest and UnboundedRequestTest failed on the state before and pass. EdgeTest wrote two entries without version and coldLeftMs, which name no server any more; they are whole ones now.

--- a/Source/Placement/ServerPool.h
+++ b/Source/Placement/ServerPool.h
@@ -509,9 +509,9 @@
     /// Suspends a server that can't be reached, each time for longer.
     void suspend(Server &server, SuspensionCause cause, Instant now);
     void applyOutcome(Server &server, AttemptOutcome outcome, SuspensionCause cause, Instant now);
-    /// True if it isn't known which weights of a model that a request names the server runs, so
-    /// that nothing tells whose cached parts it would use.
-    [[nodiscard]] static bool lacksWeights(const Server &server, const ModelId &model);
+    /// True if the server is an engine and it isn't known which weights of a model that a request
+    /// names it runs, so that nothing tells whose cached parts it would use.
+    [[nodiscard]] bool lacksWeights(const Server &server, const ModelId &model) const;
     [[nodiscard]] static WeightsVersion weightsOf(const Server &server, const ModelId &model);
     /// The expected cost of a request on one server, in milliseconds.
     struct Cost
--- a/Source/Placement/ServerPoolPlacement.cpp
+++ b/Source/Placement/ServerPoolPlacement.cpp
@@ -70,9 +70,13 @@
     return since.has_value() && now - *since >= options_.outdatedWeightsGrace;
 }
 
-bool ServerPool::lacksWeights(const Server &server, const ModelId &model)
+bool ServerPool::lacksWeights(const Server &server, const ModelId &model) const
 {
-    return !model.empty() && weightsOf(server, model) == 0;
+    if (model.empty() || weightsOf(server, model) != 0) {
+        return false;
+    }
+    const auto service = services_.find(server.facts.service);
+    return service != services_.end() && service->second.engine.has_value();
 }
 
 bool ServerPool::unresponsive(const Server &server, Instant now) const
--- a/Tests/Gateway/EdgeTest.cpp
+++ b/Tests/Gateway/EdgeTest.cpp
@@ -202,8 +202,10 @@
     unreachable["service"] = "plain";
     unreachable["address"] = "127.0.0.1:1";
     unreachable["zone"] = "z";
+    unreachable["version"] = "v1";
     unreachable["slotCount"] = 8;
     unreachable["state"] = "ready";
+    unreachable["coldLeftMs"] = 0;
     unreachable["seq"] = 1;
     unreachable["born"] = 1;
     fixture.store.put("servers", "gone", unreachable);
@@ -448,8 +450,10 @@
     spec["service"] = "plain";
     spec["address"] = early.address();
     spec["zone"] = "z";
+    spec["version"] = "v1";
     spec["slotCount"] = 8;
     spec["state"] = "ready";
+    spec["coldLeftMs"] = 0;
     spec["seq"] = 1;
     spec["born"] = 1;
     fixture.store.put("servers", "early", spec);
