--- a/Source/Placement/AttemptBudget.cpp
+++ b/Source/Placement/AttemptBudget.cpp
@@ -2,30 +2,41 @@
 
 #include <algorithm>
 #include <numeric>
+#include <span>
 #include <utility>
 
 namespace jacinthroad {
 
+namespace {
+
+std::uint32_t sumOf(std::span<const std::uint32_t> counts)
+{
+    return std::accumulate(counts.begin(), counts.end(), std::uint32_t { 0 });
+}
+
+} // namespace
+
 AttemptBudget::AttemptBudget(const Options &options)
     : options_(options)
 { }
 
 void AttemptBudget::setOptions(const Options &options, Instant now)
 {
-    const Options former = std::exchange(options_, options);
-    if (options.window == former.window) {
+    const bool otherSlices = options.window != options_.window;
+    if (otherSlices) {
+        for (const auto &entry : windows_) {
+            windowOf(entry.first, now);
+        }
+    }
+    options_ = options;
+    if (!otherSlices) {
         return;
     }
-    for (auto &[service, window] : windows_) {
-        options_ = former;
-        const Window counted = windowOf(service, now);
-        options_ = options;
-        window = { .slice = sliceOf(now) };
-        const auto newest = static_cast<std::size_t>(window.slice) % Slices;
-        window.retries[newest]
-            = std::accumulate(counted.retries.begin(), counted.retries.end(), std::uint32_t { 0 });
-        window.requests[(newest + 1) % Slices] = std::accumulate(
-            counted.requests.begin(), counted.requests.end(), std::uint32_t { 0 });
+    for (auto &entry : windows_) {
+        const Window counted = std::exchange(entry.second, { .slice = sliceOf(now) });
+        const auto newest = static_cast<std::size_t>(entry.second.slice) % Slices;
+        entry.second.retries[newest] = sumOf(counted.retries);
+        entry.second.requests[(newest + 1) % Slices] = sumOf(counted.requests);
     }
 }
 
@@ -58,9 +69,8 @@
 bool AttemptBudget::spend(const ServiceId &service, Instant now)
 {
     Window &window = windowOf(service, now);
-    const double requests = std::accumulate(window.requests.begin(), window.requests.end(), 0.0);
-    const double retries = std::accumulate(window.retries.begin(), window.retries.end(), 0.0);
-    if (retries + 1 > options_.retryRatio * requests + options_.allowance) {
+    if (sumOf(window.retries) + 1
+        > options_.retryRatio * sumOf(window.requests) + options_.allowance) {
         return false;
     }
     ++window.retries[static_cast<std::size_t>(window.slice) % Slices];
