Gateway: Leave the retry allowance out after a start that follows another

Cause: a process starts with an empty window, so each start spends the node's allowance anew.

A process whose node's object is already in the store follows another one. It leaves the allowance out for one window, and so does a process that doesn't know yet. No call to the store is added.

--- a/Source/Gateway/Gateway.cpp
+++ b/Source/Gateway/Gateway.cpp
@@ -468,6 +468,10 @@
                    runRestarting(controlContext, "rollout", [this] { return rollout.run(); }),
                    asio::detached);
     if (!settings.peerAddress.empty()) {
+        traffic.retryBudget.withholdAllowance(std::chrono::steady_clock::now());
+        registration.onFirstProcess = [this] {
+            asio::post(trafficContext, [this] { traffic.retryBudget.releaseAllowance(); });
+        };
         passOnStoreObjects();
         asio::co_spawn(controlContext, nodes.run(), asio::detached);
     }
--- a/Source/Gateway/NodeRegistration.cpp
+++ b/Source/Gateway/NodeRegistration.cpp
@@ -111,8 +111,15 @@
     if (!reply.has_value()) {
         co_return false;
     }
-    if (reply->status != platform::StoreStatus::Conflict) {
-        co_return reply->status == platform::StoreStatus::Done;
+    const bool created = reply->status == platform::StoreStatus::Done;
+    if (!created && reply->status != platform::StoreStatus::Conflict) {
+        co_return false;
+    }
+    if (!std::exchange(answered_, true) && created && onFirstProcess) {
+        onFirstProcess();
+    }
+    if (created) {
+        co_return true;
     }
     const auto object = platform::readObject(reply->body);
     if (!object.has_value()) {
--- a/Source/Gateway/NodeRegistration.h
+++ b/Source/Gateway/NodeRegistration.h
@@ -33,6 +33,9 @@
     /// as settled.
     [[nodiscard]] std::vector<FleetNode> applyNodes(const ObjectTable &table);
 
+    /// Called, if set, once the store has told that no process of this node registered before.
+    std::function<void()> onFirstProcess;
+
 private:
     [[nodiscard]] boost::asio::awaitable<void> keepRegistered();
     /// Writes this node's object if the store lacks it; returns true if it is there.
@@ -43,6 +46,8 @@
     StoreClient &store_;
     FleetNode node_;
     EraSettling &eraSettling_;
+    /// Whether the store has told if the object was there.
+    bool answered_ = false;
     /// The era that this node's object records; 0 for none.
     std::uint64_t recordedEra_ = 0;
 };
--- a/Source/Placement/AttemptBudget.cpp
+++ b/Source/Placement/AttemptBudget.cpp
@@ -60,6 +60,12 @@
     return window;
 }
 
+double AttemptBudget::allowanceAt(Instant now) const
+{
+    const bool withheld = withheldSince_.has_value() && now - *withheldSince_ < options_.window;
+    return withheld ? 0 : options_.allowance;
+}
+
 void AttemptBudget::noteRequest(const ServiceId &service, Instant now)
 {
     Window &window = windowOf(service, now);
@@ -70,7 +76,7 @@
 {
     Window &window = windowOf(service, now);
     if (sumOf(window.retries) + 1
-        > options_.retryRatio * sumOf(window.requests) + options_.allowance) {
+        > options_.retryRatio * sumOf(window.requests) + allowanceAt(now)) {
         return false;
     }
     ++window.retries[static_cast<std::size_t>(window.slice) % Slices];
--- a/Source/Placement/AttemptBudget.h
+++ b/Source/Placement/AttemptBudget.h
@@ -2,6 +2,7 @@
 
 #include <array>
 #include <cstdint>
+#include <optional>
 #include <unordered_map>
 
 #include "Core/Ids.h"
@@ -29,6 +30,12 @@
     /// whole of a window of another length, and the requests for its first tenth.
     void setOptions(const Options &options, Instant now);
 
+    /// Leaves the allowance out until a window has passed since `startedAt`, when this process
+    /// started: a former process of the node may have used it up.
+    void withholdAllowance(Instant startedAt) { withheldSince_ = startedAt; }
+    /// Ends that, as there was no former process.
+    void releaseAllowance() { withheldSince_.reset(); }
+
     /// Records a request for a service.
     void noteRequest(const ServiceId &service, Instant now);
     /// Consumes one retry; returns false if the window has none left.
@@ -51,7 +58,11 @@
     [[nodiscard]] std::int64_t sliceOf(Instant moment) const;
     Window &windowOf(const ServiceId &service, Instant now);
 
+    /// The retries that may be made in a window beyond their share of the requests.
+    [[nodiscard]] double allowanceAt(Instant now) const;
+
     Options options_;
+    std::optional<Instant> withheldSince_;
     std::unordered_map<ServiceId, Window> windows_;
 };
 
