GatewaySoak: Excuse requests that were sent while their node was killed

Traced: all 7 were sent 36 to 106 ms before the end of their node's process, those sent earlier were excused, and the node started again 0.8 s later. kill() counts before it sends SIGKILL; a request that is sent between the two took the new count for that of an earlier kill, and its broken connection was judged.

A request now starts from the number of kills that have finished. The check and its bounds are as they were for all requests that no kill touches.

--- a/Tests/Soak/NodeProcess.cpp
+++ b/Tests/Soak/NodeProcess.cpp
@@ -390,6 +390,7 @@
     }
     signal(SIGKILL);
     static_cast<void>(waitForEnd(std::chrono::seconds(10)));
+    ++finishedKills_;
 }
 
 std::string NodeProcess::nameWithBuild() const
--- a/Tests/Soak/NodeProcess.h
+++ b/Tests/Soak/NodeProcess.h
@@ -144,6 +144,8 @@
     [[nodiscard]] std::string nameWithBuild() const;
     /// Number of kills so far. A request whose connection breaks around a kill is not judged.
     [[nodiscard]] unsigned kills() const { return kills_; }
+    /// Number of kills after which the process has ended; less than kills() during a kill.
+    [[nodiscard]] unsigned finishedKills() const { return finishedKills_; }
     /// Number of ends of the process so far, of any kind.
     [[nodiscard]] unsigned ends() const { return ends_; }
 
@@ -203,6 +205,7 @@
     /// Lines that were in the log before it was emptied.
     std::vector<std::string> emptiedLines_;
     std::atomic<unsigned> kills_ { 0 };
+    std::atomic<unsigned> finishedKills_ { 0 };
     std::atomic<unsigned> ends_ { 0 };
 };
 
--- a/Tests/Soak/SoakClient.cpp
+++ b/Tests/Soak/SoakClient.cpp
@@ -165,7 +165,7 @@
 
 void SoakClient::sendRequest(const SoakRequest &request)
 {
-    const unsigned killsBefore = node_->kills();
+    const unsigned killsBefore = node_->finishedKills();
     CallerRecord record { .id = request.id,
                           .stream = request.stream,
                           .resumeAfter = request.resumeAfter,
